--- /dev/null
+++ b/src/onyxspoke/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line programs."""
--- /dev/null
+++ b/src/onyxspoke/cli/worker.py
@@ -0,0 +1,43 @@
+"""``onyxspoke-worker``: stand-in for workers, many hollow ones in one process."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+from onyxspoke.cli.common import (
+    ProcessRunner,
+    add_settings_arguments,
+    configure_logging,
+    exit_after_check,
+    load_or_exit,
+    make_parser,
+)
+from onyxspoke.core.codes import ExitCode
+from onyxspoke.worker.service import WorkerService
+
+
+def main() -> None:
+    """Run the program."""
+    parser = make_parser("onyxspoke-worker", "Run hollow workers.")
+    add_settings_arguments(parser)
+    parser.add_argument(
+        "--zone", action="append", help="zone whose workers to run; may be repeated (default: all)"
+    )
+    parser.add_argument("--journal", type=Path, metavar="DIR", help="write journals there")
+    arguments = parser.parse_args()
+    settings = load_or_exit(arguments.config)
+    if arguments.check:
+        exit_after_check(arguments.config)
+    zones = set(arguments.zone or settings.zones)
+    unknown = zones - set(settings.zones)
+    if unknown:
+        print(f"--zone: expected a zone of the file, got {sorted(unknown)}", file=sys.stderr)
+        sys.exit(ExitCode.USAGE)
+    configure_logging("workers-" + "-".join(sorted(zones)), verbose=arguments.verbose)
+    service = WorkerService(settings, zones, arguments.journal)
+    sys.exit(ProcessRunner(service).run(service.listen()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/onyxspoke/core/cell_state.py
@@ -0,0 +1,199 @@
+"""The state of the cell that every entry folds identically from the log.
+
+The fold depends on nothing but the records and their order, so two readers of the
+same prefix agree.  ``seen_at`` is the one local fact: when this reader read a
+member's last batch, on its own monotonic clock.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+import msgspec
+
+from onyxspoke.core.log_records import (
+    ClaimItem,
+    JobAccepted,
+    JobEnded,
+    KeyIntent,
+    KeyRelease,
+    LogBatch,
+    LogRecord,
+    WorkerClaim,
+    WorkerDrain,
+    WorkerRelease,
+)
+from onyxspoke.core.schema import Answer, EntryId, Epoch, JobId, JobSubmission, Offset, WorkerId
+
+
+@dataclass(slots=True)
+class Member:
+    """An entry, as its batches in the log show it."""
+
+    entry_id: EntryId
+    zone: str
+    peer_host: str
+    peer_port: int
+    stopping: bool
+    last_sequence: int
+    last_offset: Offset
+    seen_at: float
+
+
+class Holding(msgspec.Struct, frozen=True):
+    """Who owns a worker; ``holder`` is empty once it was released."""
+
+    holder: EntryId
+    epoch: Epoch
+
+
+class KeyEntry(msgspec.Struct, frozen=True):
+    """Which entry holds an idempotency key, and for which request."""
+
+    holder: EntryId
+    fingerprint: int
+
+
+@dataclass(slots=True)
+class JobEntry:
+    """A durable job; ``answer`` is ``None`` until it ended."""
+
+    job: JobSubmission
+    runner: EntryId
+    answer: Answer | None = None
+
+
+class CellLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds of what a reader remembers.
+
+    They are counts, not times, so that every reader forgets the same records.
+    """
+
+    maximum_keys: int = 20_000
+    maximum_ended_jobs: int = 5_000
+
+
+UNOWNED = Holding(holder="", epoch=0)
+
+
+class CellState:
+    """Fold of the cell stream."""
+
+    def __init__(self, limits: CellLimits) -> None:
+        self._limits = limits
+        self.members: dict[EntryId, Member] = {}
+        self.holdings: dict[WorkerId, Holding] = {}
+        self.draining: set[WorkerId] = set()
+        self.keys: OrderedDict[str, KeyEntry] = OrderedDict()
+        self.jobs: dict[JobId, JobEntry] = {}
+        self._ended_jobs: OrderedDict[JobId, None] = OrderedDict()
+        self.applied_offset: Offset = 0
+
+    def apply(self, offset: Offset, batch: LogBatch, now: float) -> bool:
+        """Fold one batch; return ``False`` if it is a repeat and changed nothing."""
+        self.applied_offset = offset
+        if not self._apply_member(offset, batch, now):
+            return False
+        for record in batch.records:
+            self._apply_record(offset, batch.writer, record)
+        return True
+
+    def holding_of(self, worker_id: WorkerId) -> Holding:
+        """Return who owns a worker."""
+        return self.holdings.get(worker_id, UNOWNED)
+
+    def live_members(self, zone: str, now: float, lapse_seconds: float) -> list[EntryId]:
+        """Return the members of a zone that were heard of lately and are not stopping."""
+        return [
+            member.entry_id
+            for member in self.members.values()
+            if member.zone == zone and not member.stopping and now - member.seen_at < lapse_seconds
+        ]
+
+    def forget_members(self, now: float, forget_seconds: float) -> None:
+        """Drop members that hold nothing and have been silent for long."""
+        holders = {holding.holder for holding in self.holdings.values()}
+        silent = [
+            member.entry_id
+            for member in self.members.values()
+            if now - member.seen_at > forget_seconds and member.entry_id not in holders
+        ]
+        for entry_id in silent:
+            del self.members[entry_id]
+
+    def _apply_member(self, offset: Offset, batch: LogBatch, now: float) -> bool:
+        member = self.members.get(batch.writer)
+        if member is not None and batch.sequence <= member.last_sequence:
+            return False
+        self.members[batch.writer] = Member(
+            entry_id=batch.writer,
+            zone=batch.zone,
+            peer_host=batch.peer_host,
+            peer_port=batch.peer_port,
+            stopping=batch.stopping,
+            last_sequence=batch.sequence,
+            last_offset=offset,
+            seen_at=now,
+        )
+        return True
+
+    def _apply_record(self, offset: Offset, writer: EntryId, record: LogRecord) -> None:
+        if isinstance(record, WorkerClaim):
+            for item in record.items:
+                self._apply_claim(offset, writer, item)
+        elif isinstance(record, WorkerRelease):
+            self._apply_release(offset, writer, record)
+        elif isinstance(record, WorkerDrain):
+            self._apply_drain(record)
+        elif isinstance(record, KeyIntent):
+            self._apply_key_intent(writer, record)
+        elif isinstance(record, KeyRelease):
+            self._apply_key_release(writer, record)
+        elif isinstance(record, JobAccepted):
+            self.jobs.setdefault(record.job.job_id, JobEntry(record.job, writer))
+        elif isinstance(record, JobEnded):
+            self._apply_job_ended(record)
+
+    def _apply_claim(self, offset: Offset, writer: EntryId, item: ClaimItem) -> None:
+        current = self.holding_of(item.worker_id)
+        if current.epoch != item.expected_epoch:
+            return
+        if current.holder not in ("", writer):
+            holder = self.members.get(current.holder)
+            if holder is not None and holder.last_offset != item.holder_renewal_offset:
+                return
+        self.holdings[item.worker_id] = Holding(holder=writer, epoch=offset)
+
+    def _apply_release(self, offset: Offset, writer: EntryId, record: WorkerRelease) -> None:
+        for worker_id in record.worker_ids:
+            if self.holding_of(worker_id).holder == writer:
+                self.holdings[worker_id] = Holding(holder="", epoch=offset)
+
+    def _apply_drain(self, record: WorkerDrain) -> None:
+        if record.draining:
+            self.draining.add(record.worker_id)
+        else:
+            self.draining.discard(record.worker_id)
+
+    def _apply_key_intent(self, writer: EntryId, record: KeyIntent) -> None:
+        if record.key in self.keys:
+            return
+        self.keys[record.key] = KeyEntry(holder=writer, fingerprint=record.fingerprint)
+        if len(self.keys) > self._limits.maximum_keys:
+            self.keys.popitem(last=False)
+
+    def _apply_key_release(self, writer: EntryId, record: KeyRelease) -> None:
+        entry = self.keys.get(record.key)
+        if entry is not None and entry.holder == writer:
+            del self.keys[record.key]
+
+    def _apply_job_ended(self, record: JobEnded) -> None:
+        entry = self.jobs.get(record.job_id)
+        if entry is None or entry.answer is not None:
+            return
+        entry.answer = record.answer
+        self._ended_jobs[record.job_id] = None
+        if len(self._ended_jobs) > self._limits.maximum_ended_jobs:
+            oldest, _ = self._ended_jobs.popitem(last=False)
+            del self.jobs[oldest]
--- /dev/null
+++ b/src/onyxspoke/core/codes.py
@@ -0,0 +1,201 @@
+"""Numbered result codes and the exceptions that carry them.
+
+The table in ``docs/CODES.md`` is checked against this module by a test.
+"""
+
+from __future__ import annotations
+
+from enum import Enum, IntEnum
+
+
+class OutcomeKind(Enum):
+    """What a caller is told about a request; there is no fourth outcome."""
+
+    COMPLETED = "completed"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class ResultCode(IntEnum):
+    """Numbered result codes, grouped by hundreds.
+
+    1xx: success. 2xx: refused input, not run. 3xx: not run, retry later.
+    4xx: the outcome is unknown. 5xx: settings. 6xx: infrastructure.
+    """
+
+    OK = 100
+    ACCEPTED = 101
+
+    MALFORMED_REQUEST = 200
+    BODY_TOO_LARGE = 201
+    UNKNOWN_TASK_CLASS = 202
+    UNKNOWN_TENANT = 203
+    NO_SUCH_JOB = 204
+    NO_SUCH_PATH = 205
+    METHOD_NOT_ALLOWED = 206
+    DEADLINE_OUT_OF_RANGE = 207
+    NO_SUCH_WORKER = 208
+    KEY_REUSED = 209
+    NEVER_FITS = 210
+    REQUEST_TIMEOUT = 211
+
+    NO_CAPACITY = 300
+    QUEUE_FULL = 301
+    DEADLINE_EXPIRED = 302
+    ENTRY_STOPPING = 303
+    LOG_UNAVAILABLE = 304
+    CANCELLED = 305
+    STALE_EPOCH = 306
+    WORKER_FULL = 307
+    QUOTA_EXCEEDED = 308
+    TOO_MANY_CONNECTIONS = 309
+    PEER_UNREACHABLE = 310
+    WORKER_LEAVING = 311
+
+    WORKER_LOST = 400
+    PEER_LOST = 401
+    ANSWER_OVERDUE = 402
+    LOG_ANSWER_LOST = 403
+    KEY_HOLDER_UNREACHABLE = 404
+    TASK_FAILED = 405
+    KEY_STATE_UNKNOWN = 406
+
+    SETTING_CONFLICT = 500
+    SETTING_INVALID = 501
+    SETTINGS_FILE_INVALID = 502
+
+    PROTOCOL_ERROR = 600
+    FRAME_TOO_LARGE = 601
+    INTERNAL_ERROR = 602
+
+
+CODE_DESCRIPTIONS: dict[ResultCode, str] = {
+    ResultCode.OK: "The task ran to its end; the whole answer is included.",
+    ResultCode.ACCEPTED: "The job is recorded in the log and will be run.",
+    ResultCode.MALFORMED_REQUEST: "The body is not a valid request; the message names the field.",
+    ResultCode.BODY_TOO_LARGE: "The body exceeds the entry's limit.",
+    ResultCode.UNKNOWN_TASK_CLASS: "The service or task class is not in the catalog.",
+    ResultCode.UNKNOWN_TENANT: "The tenant is not in the catalog.",
+    ResultCode.NO_SUCH_JOB: "No job of that identifier is known; it may have been forgotten.",
+    ResultCode.NO_SUCH_PATH: "The HTTP path names no resource.",
+    ResultCode.METHOD_NOT_ALLOWED: "The resource does not take this HTTP method.",
+    ResultCode.DEADLINE_OUT_OF_RANGE: "The deadline is not positive or exceeds the limit.",
+    ResultCode.NO_SUCH_WORKER: "The worker is not in the machine list.",
+    ResultCode.KEY_REUSED: "The idempotency key was used before with a different request.",
+    ResultCode.NEVER_FITS: "No worker of the cell could ever hold a task of this size.",
+    ResultCode.REQUEST_TIMEOUT: "The request was not received completely in time.",
+    ResultCode.NO_CAPACITY: "No worker has room now.",
+    ResultCode.QUEUE_FULL: "The waiting queue is at its bound.",
+    ResultCode.DEADLINE_EXPIRED: "The deadline passed, or cannot be met, before a worker was free.",
+    ResultCode.ENTRY_STOPPING: "The entry is stopping and takes no new work.",
+    ResultCode.LOG_UNAVAILABLE: "The log cannot take the record that must precede the run.",
+    ResultCode.CANCELLED: "The caller cancelled before a worker was asked to start.",
+    ResultCode.STALE_EPOCH: "A worker refused a command of a superseded owner.",
+    ResultCode.WORKER_FULL: "A worker refused the task because it has no room.",
+    ResultCode.QUOTA_EXCEEDED: "The tenant's quota is used up.",
+    ResultCode.TOO_MANY_CONNECTIONS: "The worker or entry has no connection left.",
+    ResultCode.PEER_UNREACHABLE: "The peer could not be reached before anything was sent.",
+    ResultCode.WORKER_LEAVING: "The worker is leaving and takes no new work.",
+    ResultCode.WORKER_LOST: "The worker was lost after the task was sent to it.",
+    ResultCode.PEER_LOST: "The peer entry was lost after the request was forwarded.",
+    ResultCode.ANSWER_OVERDUE: "The task was sent; no answer came within the grace period.",
+    ResultCode.LOG_ANSWER_LOST: "The record was sent to the log; its fate was not learned in time.",
+    ResultCode.KEY_HOLDER_UNREACHABLE: "Another entry holds the key and cannot be asked.",
+    ResultCode.TASK_FAILED: "The worker reports that the task started and failed.",
+    ResultCode.KEY_STATE_UNKNOWN: (
+        "The log is away, so it cannot be told whether the key has run; ask again."
+    ),
+    ResultCode.SETTING_CONFLICT: "Another change was accepted first; the winning value is given.",
+    ResultCode.SETTING_INVALID: "The setting's key or value is not allowed by the schema.",
+    ResultCode.SETTINGS_FILE_INVALID: "The settings file has faults; each one is listed.",
+    ResultCode.PROTOCOL_ERROR: "A message stream carried something that is not a message.",
+    ResultCode.FRAME_TOO_LARGE: "A message exceeds the stream's bound.",
+    ResultCode.INTERNAL_ERROR: "A fault in onyxspoke itself; please report it.",
+}
+
+_HTTP_STATUS_BY_CODE: dict[ResultCode, int] = {
+    ResultCode.OK: 200,
+    ResultCode.ACCEPTED: 202,
+    ResultCode.BODY_TOO_LARGE: 413,
+    ResultCode.NO_SUCH_JOB: 404,
+    ResultCode.NO_SUCH_PATH: 404,
+    ResultCode.NO_SUCH_WORKER: 404,
+    ResultCode.METHOD_NOT_ALLOWED: 405,
+    ResultCode.REQUEST_TIMEOUT: 408,
+    ResultCode.KEY_REUSED: 422,
+    ResultCode.QUEUE_FULL: 429,
+    ResultCode.QUOTA_EXCEEDED: 429,
+    ResultCode.SETTING_CONFLICT: 409,
+    ResultCode.SETTING_INVALID: 400,
+    ResultCode.INTERNAL_ERROR: 500,
+}
+
+_REFUSED_INPUT_HUNDREDS = 2
+_NOT_RUN_HUNDREDS = 3
+_UNKNOWN_HUNDREDS = 4
+
+
+def http_status(code: ResultCode) -> int:
+    """Return the HTTP status that goes with a result code."""
+    status = _HTTP_STATUS_BY_CODE.get(code)
+    if status is not None:
+        return status
+    hundreds = code // 100
+    if hundreds == _REFUSED_INPUT_HUNDREDS:
+        return 400
+    if hundreds == _NOT_RUN_HUNDREDS:
+        return 503
+    return 502
+
+
+def outcome_of(code: ResultCode) -> OutcomeKind:
+    """Return the outcome that a code stands for.
+
+    Anything that is neither a success nor known not to have run is unknown.
+    """
+    if code in (ResultCode.OK, ResultCode.ACCEPTED):
+        return OutcomeKind.COMPLETED
+    if code // 100 in (_REFUSED_INPUT_HUNDREDS, _NOT_RUN_HUNDREDS):
+        return OutcomeKind.NOT_RUN
+    return OutcomeKind.UNKNOWN
+
+
+class ExitCode(IntEnum):
+    """Process exit codes of the binaries, by kind of fault."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    SETTINGS_INVALID = 3
+    CANNOT_LISTEN = 4
+    UNREACHABLE = 5
+    AUDIT_VIOLATION = 6
+
+
+class OnyxspokeError(Exception):
+    """Base of all errors raised by onyxspoke.
+
+    Parameters
+    ----------
+    code : ResultCode
+        The numbered result code.
+    message : str
+        Detail for people; the code alone is for programs.
+    """
+
+    def __init__(self, code: ResultCode, message: str = "") -> None:
+        super().__init__(f"{code.name} ({int(code)}): {message or CODE_DESCRIPTIONS[code]}")
+        self.code = code
+        self.message = message or CODE_DESCRIPTIONS[code]
+
+
+class RequestRefusedError(OnyxspokeError):
+    """A request that cannot be taken as it is; it did not run."""
+
+
+class SettingRefusedError(OnyxspokeError):
+    """A settings change that the schema or a concurrent change forbids."""
+
+
+class StreamError(OnyxspokeError):
+    """A message stream that broke its protocol."""
--- /dev/null
+++ b/src/onyxspoke/core/context.py
@@ -0,0 +1,87 @@
+"""State of one entry that its decision modules share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+from onyxspoke.core.actions import Action
+from onyxspoke.core.append_queue import AppendOptions, AppendQueue
+from onyxspoke.core.cell_state import CellLimits, CellState
+from onyxspoke.core.key_ledger import KeyLedger
+from onyxspoke.core.log_records import LogStream
+from onyxspoke.core.ownership import LeaseOptions
+from onyxspoke.core.peer_table import PeerTable
+from onyxspoke.core.requests import ActiveRequest, QueueLimits
+from onyxspoke.core.schema import AttemptId, EntryIdentity, MachineRecord, WorkerId
+from onyxspoke.core.settings_tree import SettingsTree
+from onyxspoke.core.waiting_queue import WaitingQueue
+from onyxspoke.core.worker_table import WorkerTable
+
+
+class CoreOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """Tunable behaviour of the core."""
+
+    lease: LeaseOptions = LeaseOptions()
+    append: AppendOptions = AppendOptions()
+    queue: QueueLimits = QueueLimits()
+    cell: CellLimits = CellLimits()
+    advertise_interval_seconds: float = 0.2
+    plan_interval_seconds: float = 0.25
+    reattach_interval_seconds: float = 0.5
+    log_patience_seconds: float = 1.0
+    retry_after_seconds: float = 1.0
+    maximum_ended_keys: int = 20_000
+
+
+@dataclass(slots=True)
+class EntryContext:
+    """Everything that one entry knows, and the actions that it has decided on."""
+
+    identity: EntryIdentity
+    options: CoreOptions
+    cell: CellState
+    settings: SettingsTree
+    appends: dict[LogStream, AppendQueue]
+    workers: WorkerTable
+    peers: PeerTable
+    queue: WaitingQueue
+    ledger: KeyLedger
+    machines: dict[WorkerId, MachineRecord] = field(default_factory=dict)
+    requests: dict[str, ActiveRequest] = field(default_factory=dict)
+    attempts: dict[AttemptId, ActiveRequest] = field(default_factory=dict)
+    actions: list[Action] = field(default_factory=list)
+    lease_until: float = float("-inf")
+    stopping: bool = False
+
+    @property
+    def cell_appends(self) -> AppendQueue:
+        """The appender of the cell stream."""
+        return self.appends[LogStream.CELL]
+
+    def emit(self, action: Action) -> None:
+        """Decide on an action."""
+        self.actions.append(action)
+
+    def holds_lease(self, now: float) -> bool:
+        """Return whether this entry's lease is valid."""
+        return now < self.lease_until
+
+
+def make_context(identity: EntryIdentity, options: CoreOptions) -> EntryContext:
+    """Return the state of an entry that has just started."""
+    return EntryContext(
+        identity=identity,
+        options=options,
+        cell=CellState(options.cell),
+        settings=SettingsTree(),
+        appends={
+            LogStream.CELL: AppendQueue(identity, options.append, renews=True),
+            LogStream.SETTINGS: AppendQueue(identity, options.append, renews=False),
+        },
+        workers=WorkerTable(),
+        peers=PeerTable(),
+        queue=WaitingQueue(options.queue),
+        ledger=KeyLedger(options.maximum_ended_keys),
+    )
--- /dev/null
+++ b/src/onyxspoke/core/log_records.py
@@ -0,0 +1,143 @@
+"""Records that entries append to the platform's log, and their codec.
+
+One append carries one :class:`LogBatch`.  Every batch renews its writer's lease,
+so there is no separate renewal record.  ``sequence`` makes a repeated append
+harmless: readers ignore a batch whose sequence they have already folded.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+from onyxspoke.core.codes import OnyxspokeError, ResultCode
+from onyxspoke.core.schema import Answer, EntryId, Epoch, JobId, JobSubmission, Offset, WorkerId
+
+
+class LogStream(Enum):
+    """Streams of the log that the system keeps."""
+
+    CELL = "cell"
+    SETTINGS = "settings"
+
+
+class ClaimItem(msgspec.Struct, frozen=True):
+    """One claimed worker, with what the claimant believed when it claimed.
+
+    Readers accept the claim only if ``expected_epoch`` is still the worker's epoch and
+    the holder has appended nothing after ``holder_renewal_offset``.
+    """
+
+    worker_id: WorkerId
+    expected_epoch: Epoch
+    holder_renewal_offset: Offset
+
+
+class WorkerClaim(msgspec.Struct, frozen=True, tag="claim"):
+    """The writer claims ownership of workers."""
+
+    items: list[ClaimItem]
+
+
+class WorkerRelease(msgspec.Struct, frozen=True, tag="release"):
+    """The writer gives up workers that it owns."""
+
+    worker_ids: list[WorkerId]
+
+
+class WorkerDrain(msgspec.Struct, frozen=True, tag="drain"):
+    """An operator takes a worker out of use, or back into use."""
+
+    worker_id: WorkerId
+    draining: bool
+
+
+class KeyIntent(msgspec.Struct, frozen=True, tag="key"):
+    """The writer is about to run the unrepeatable request of this idempotency key."""
+
+    key: str
+    fingerprint: int
+
+
+class KeyRelease(msgspec.Struct, frozen=True, tag="key-release"):
+    """The writer's request of this key ended without having run."""
+
+    key: str
+
+
+class JobAccepted(msgspec.Struct, frozen=True, tag="job"):
+    """A batch job; it is durable once this record is in the log."""
+
+    job: JobSubmission
+
+
+class JobEnded(msgspec.Struct, frozen=True, tag="job-end"):
+    """A batch job has its final answer."""
+
+    job_id: JobId
+    answer: Answer
+
+
+class SettingChange(msgspec.Struct, frozen=True):
+    """One key of the settings tree given a value, or unset with ``None``."""
+
+    path: str
+    key: str
+    value: bool | int | float | str | None
+    expected_revision: Offset
+
+
+class SettingsApply(msgspec.Struct, frozen=True, tag="settings"):
+    """An atomic change of settings; all items are accepted or none."""
+
+    change_id: str
+    operator: str
+    changes: list[SettingChange]
+
+
+LogRecord = (
+    WorkerClaim
+    | WorkerRelease
+    | WorkerDrain
+    | KeyIntent
+    | KeyRelease
+    | JobAccepted
+    | JobEnded
+    | SettingsApply
+)
+
+
+class LogBatch(msgspec.Struct, frozen=True):
+    """What one append carries; also the lease renewal of its writer."""
+
+    writer: EntryId
+    zone: str
+    peer_host: str
+    peer_port: int
+    sequence: int
+    stopping: bool
+    records: list[LogRecord]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(LogBatch)
+
+
+def encode_batch(batch: LogBatch) -> bytes:
+    """Return the bytes of a batch as the log stores them."""
+    return _encoder.encode(batch)
+
+
+def decode_batch(data: bytes) -> LogBatch:
+    """Return the batch that the bytes hold.
+
+    Raises
+    ------
+    OnyxspokeError
+        With ``PROTOCOL_ERROR`` if the bytes are not a batch.
+    """
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise OnyxspokeError(ResultCode.PROTOCOL_ERROR, f"log batch: {error}") from error
--- /dev/null
+++ b/src/onyxspoke/core/peer_table.py
@@ -0,0 +1,59 @@
+"""What this entry knows of its peers' free capacity."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from onyxspoke.core.schema import NO_RESOURCES, EntryId, Resources
+
+
+@dataclass(slots=True)
+class PeerState:
+    """One peer entry; the free amounts are its last word less what was sent since."""
+
+    peer_id: EntryId
+    host: str
+    port: int
+    connected: bool = False
+    free: Resources = NO_RESOURCES
+    largest_free: Resources = NO_RESOURCES
+
+
+class PeerTable:
+    """All peers that the log names."""
+
+    def __init__(self) -> None:
+        self.peers: dict[EntryId, PeerState] = {}
+
+    def handle_advertisement(
+        self, peer_id: EntryId, free: Resources, largest_free: Resources
+    ) -> None:
+        """Take a peer's word for its free capacity."""
+        peer = self.peers.get(peer_id)
+        if peer is not None:
+            peer.free = free
+            peer.largest_free = largest_free
+
+    def choose(self, resources: Resources) -> PeerState | None:
+        """Return the connected peer with most free slots among those that may fit a task."""
+        return max(self._fitting(resources), key=lambda peer: peer.free.slots, default=None)
+
+    def note_forwarded(self, peer: PeerState, resources: Resources) -> None:
+        """Count a task just sent against the peer's advertised capacity."""
+        peer.free = peer.free.minus(resources)
+
+    def note_refused(self, peer_id: EntryId) -> None:
+        """Treat a peer as full until its next advertisement."""
+        peer = self.peers.get(peer_id)
+        if peer is not None:
+            peer.free = NO_RESOURCES
+
+    def _fitting(self, resources: Resources) -> Iterator[PeerState]:
+        for peer in self.peers.values():
+            if (
+                peer.connected
+                and resources.fits_in(peer.largest_free)
+                and resources.fits_in(peer.free)
+            ):
+                yield peer
--- /dev/null
+++ b/src/onyxspoke/core/request_desk.py
@@ -0,0 +1,240 @@
+"""Life of a request: admission, queueing, dispatch, forwarding and its one answer."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+
+from onyxspoke.core.actions import ForwardTask, StartTask, StopTask
+from onyxspoke.core.codes import OutcomeKind, ResultCode
+from onyxspoke.core.context import EntryContext
+from onyxspoke.core.placement import choose_worker
+from onyxspoke.core.requests import ActiveRequest, JobOrigin, PeerOrigin, RequestState
+from onyxspoke.core.schema import Answer, AttemptId, EntryId, TaskClass, WorkerId
+from onyxspoke.core.worker_table import OwnedWorker
+
+_MINIMUM_COMPACTED_DEADLINES = 1_024
+
+
+class RequestDesk:
+    """Moves requests through their states.
+
+    Parameters
+    ----------
+    context : EntryContext
+        The entry's state.
+    deliver : callable
+        Called once for each request with its final answer.
+    """
+
+    def __init__(
+        self, context: EntryContext, deliver: Callable[[ActiveRequest, Answer, float], None]
+    ) -> None:
+        self._context = context
+        self._deliver = deliver
+        self._deadlines: list[tuple[float, str]] = []
+        self._attempt_counter = 0
+
+    def register(self, request: ActiveRequest) -> None:
+        """Take responsibility for a request's answer."""
+        self._context.requests[request.request_id] = request
+        heapq.heappush(self._deadlines, (request.deadline, request.request_id))
+
+    def place_or_queue(self, request: ActiveRequest, now: float) -> None:
+        """Dispatch a request now if there is room, else let it wait."""
+        request.transition(RequestState.QUEUED)
+        if len(self._context.queue) == 0 and self._try_send(request, now):
+            return
+        if isinstance(request.origin, PeerOrigin):
+            # The peer waits better than we do: it sees all advertisements.
+            self.answer(request, self.refusal(ResultCode.NO_CAPACITY), now)
+            return
+        is_job = isinstance(request.origin, JobOrigin)
+        if not is_job and not self._context.queue.has_room_for(len(request.request.payload)):
+            self.answer(request, self.refusal(ResultCode.QUEUE_FULL), now)
+            return
+        self._context.queue.push(request)
+        self.pump(now)
+
+    def pump(self, now: float) -> None:
+        """Dispatch as many queued requests as there is room for."""
+        if len(self._context.queue) == 0:
+            return
+        without_room: set[TaskClass] = set()
+        for request in self._context.queue.in_order():
+            task_class = request.request.task_class
+            if task_class in without_room:
+                continue
+            if not self._try_send(request, now):
+                without_room.add(task_class)
+
+    def handle_task_ended(self, attempt_id: AttemptId, answer: Answer, now: float) -> None:
+        """Take a worker's word that an attempt ended."""
+        request = self._take_attempt(attempt_id)
+        if request is not None:
+            self.answer(request, answer, now)
+
+    def handle_task_refused(self, attempt_id: AttemptId, code: ResultCode, now: float) -> None:
+        """Take a worker's word that an attempt did not start."""
+        request = self._take_attempt(attempt_id)
+        if request is not None:
+            self._requeue(request, code, now)
+
+    def handle_peer_answer(
+        self, peer_id: EntryId, request_id: str, answer: Answer, now: float
+    ) -> None:
+        """Take a peer's answer to a forwarded request or a key query."""
+        request = self._context.requests.get(request_id)
+        if request is None or request.peer_id != peer_id:
+            return
+        if request.state is RequestState.FORWARDED and answer.outcome is OutcomeKind.NOT_RUN:
+            self._context.peers.note_refused(peer_id)
+            self._requeue(request, answer.code, now)
+        elif request.state in (RequestState.FORWARDED, RequestState.WAITING_FOR_HOLDER):
+            self.answer(request, answer, now)
+
+    def handle_peer_lost(self, peer_id: EntryId, now: float) -> None:
+        """Give up on everything that the peer has not answered."""
+        for request in list(self._context.requests.values()):
+            if request.peer_id != peer_id:
+                continue
+            if request.state is RequestState.FORWARDED:
+                self.answer(request, Answer(code=ResultCode.PEER_LOST), now)
+            elif request.state is RequestState.WAITING_FOR_HOLDER:
+                self.answer(request, Answer(code=ResultCode.KEY_HOLDER_UNREACHABLE), now)
+
+    def handle_missing_attempts(
+        self, worker_id: WorkerId, still_running: set[AttemptId], now: float
+    ) -> None:
+        """Give up on attempts that a reattached worker does not know."""
+        for attempt_id, request in list(self._context.attempts.items()):
+            if request.worker_id != worker_id or attempt_id in still_running:
+                continue
+            self._context.attempts.pop(attempt_id)
+            if request.state is RequestState.DISPATCHED:
+                self.answer(request, Answer(code=ResultCode.WORKER_LOST), now)
+
+    def expire(self, now: float) -> None:
+        """Answer every request whose time is up."""
+        grace = self._context.options.queue.answer_grace_seconds
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, request_id = heapq.heappop(self._deadlines)
+            request = self._context.requests.get(request_id)
+            if request is None:
+                continue
+            if request.state in (RequestState.DISPATCHED, RequestState.FORWARDED):
+                self._expire_sent(request, grace, now)
+            elif request.state is RequestState.WAITING_FOR_HOLDER:
+                self.answer(request, Answer(code=ResultCode.KEY_HOLDER_UNREACHABLE), now)
+            elif request.state is RequestState.WAITING_FOR_LOG:
+                self.answer(request, self.refusal(ResultCode.KEY_STATE_UNKNOWN), now)
+            else:
+                self.answer(request, self.refusal(ResultCode.DEADLINE_EXPIRED), now)
+        self._compact_deadlines()
+
+    def hang_up(self, request: ActiveRequest, now: float) -> None:
+        """Handle a caller that went away; what was sent runs on, for a retry by key."""
+        is_sent = request.state in (RequestState.DISPATCHED, RequestState.FORWARDED)
+        if not is_sent and not request.request.idempotency_key:
+            self.answer(request, self.refusal(ResultCode.CANCELLED), now)
+
+    def cancel(self, request: ActiveRequest, now: float) -> None:
+        """Stop a request that is no longer wanted."""
+        if request.state is RequestState.DISPATCHED:
+            self._context.emit(StopTask(request.worker_id, request.attempt_id))
+        elif request.state is not RequestState.FORWARDED:
+            self.answer(request, self.refusal(ResultCode.CANCELLED), now)
+
+    def answer(self, request: ActiveRequest, answer: Answer, now: float) -> None:
+        """Give a request its one final answer."""
+        request.transition(RequestState.ANSWERED)
+        self._context.queue.discard(request)
+        self._context.requests.pop(request.request_id, None)
+        self._deliver(request, answer, now)
+
+    def refusal(self, code: ResultCode) -> Answer:
+        """Return an answer that gives a request up and says when to come back."""
+        return Answer(code=code, retry_after_seconds=self._context.options.retry_after_seconds)
+
+    def _try_send(self, request: ActiveRequest, now: float) -> bool:
+        task_class = request.request.task_class
+        if self._context.holds_lease(now):
+            worker = choose_worker(task_class, self._context.workers.usable())
+            if worker is not None:
+                self._dispatch(request, worker)
+                return True
+        return self._try_forward(request, now)
+
+    def _dispatch(self, request: ActiveRequest, worker: OwnedWorker) -> None:
+        context = self._context
+        self._attempt_counter += 1
+        attempt_id = f"{context.identity.entry_id}/{self._attempt_counter}"
+        request.transition(RequestState.DISPATCHED)
+        context.queue.discard(request)
+        request.attempts += 1
+        request.attempt_id = attempt_id
+        request.worker_id = worker.worker_id
+        worker.reserve(attempt_id, request.request.task_class.resources)
+        context.attempts[attempt_id] = request
+        context.emit(
+            StartTask(
+                worker_id=worker.worker_id,
+                token=worker.token,
+                attempt_id=attempt_id,
+                request=request.request,
+                not_after=context.lease_until,
+            )
+        )
+
+    def _try_forward(self, request: ActiveRequest, now: float) -> bool:
+        if isinstance(request.origin, PeerOrigin):
+            return False
+        resources = request.request.task_class.resources
+        peer = self._context.peers.choose(resources)
+        if peer is None:
+            return False
+        request.transition(RequestState.FORWARDED)
+        self._context.queue.discard(request)
+        request.attempts += 1
+        request.peer_id = peer.peer_id
+        self._context.peers.note_forwarded(peer, resources)
+        self._context.emit(
+            ForwardTask(peer.peer_id, request.request_id, request.request, request.deadline - now)
+        )
+        return True
+
+    def _requeue(self, request: ActiveRequest, code: ResultCode, now: float) -> None:
+        """Let a request that did not run wait again, within its budget of attempts."""
+        request.peer_id = ""
+        request.worker_id = ""
+        exhausted = request.attempts >= self._context.options.queue.maximum_attempts
+        from_peer = isinstance(request.origin, PeerOrigin)
+        if exhausted or from_peer or request.deadline <= now:
+            self.answer(request, self.refusal(code), now)
+            return
+        request.transition(RequestState.QUEUED)
+        self._context.queue.push(request)
+
+    def _take_attempt(self, attempt_id: AttemptId) -> ActiveRequest | None:
+        request = self._context.attempts.pop(attempt_id, None)
+        if request is None or request.attempt_id != attempt_id:
+            return None
+        if request.state is not RequestState.DISPATCHED:
+            return None
+        return request
+
+    def _expire_sent(self, request: ActiveRequest, grace: float, now: float) -> None:
+        if isinstance(request.origin, JobOrigin):
+            return
+        overdue_at = request.deadline + grace
+        if now < overdue_at:
+            heapq.heappush(self._deadlines, (overdue_at, request.request_id))
+            return
+        self.answer(request, Answer(code=ResultCode.ANSWER_OVERDUE), now)
+
+    def _compact_deadlines(self) -> None:
+        requests = self._context.requests
+        if len(self._deadlines) < _MINIMUM_COMPACTED_DEADLINES + 2 * len(requests):
+            return
+        self._deadlines = [item for item in self._deadlines if item[1] in requests]
+        heapq.heapify(self._deadlines)
--- /dev/null
+++ b/src/onyxspoke/core/scheduler.py
@@ -0,0 +1,457 @@
+"""The decision core of one entry: stimuli in, actions out.
+
+Every ``stimulus_`` method takes what happened and the time, and returns the actions that
+the shell is to carry out.  Nothing here does I/O, reads a clock or draws a random number.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from onyxspoke.core.actions import (
+    Action,
+    AdvertiseCapacity,
+    AnswerCaller,
+    AnswerPeer,
+    AppendBatch,
+    ConnectPeer,
+    DisconnectPeer,
+    JobFinished,
+    SettingsDecided,
+    StopCompleted,
+)
+from onyxspoke.core.codes import ResultCode
+from onyxspoke.core.context import CoreOptions, make_context
+from onyxspoke.core.job_runner import JobRunner
+from onyxspoke.core.key_guard import KeyGuard
+from onyxspoke.core.log_records import (
+    JobAccepted,
+    JobEnded,
+    KeyIntent,
+    LogBatch,
+    LogRecord,
+    LogStream,
+    SettingsApply,
+    WorkerClaim,
+    WorkerDrain,
+    WorkerRelease,
+)
+from onyxspoke.core.ownership_keeper import OwnershipKeeper
+from onyxspoke.core.peer_table import PeerState
+from onyxspoke.core.request_desk import RequestDesk
+from onyxspoke.core.requests import (
+    ActiveRequest,
+    CallerOrigin,
+    JobOrigin,
+    PeerOrigin,
+    RequestOrigin,
+)
+from onyxspoke.core.schema import (
+    NO_RESOURCES,
+    Answer,
+    AttemptId,
+    EntryId,
+    EntryIdentity,
+    FencingToken,
+    JobId,
+    JobSubmission,
+    MachineRecord,
+    Offset,
+    PlacementPolicy,
+    Priority,
+    Resources,
+    RunningTask,
+    TaskClass,
+    TaskRequest,
+    WorkerId,
+)
+
+
+class EntryScheduler:
+    """All decisions of one entry.
+
+    Parameters
+    ----------
+    identity : EntryIdentity
+        Who this entry is.
+    options : CoreOptions
+        Tunable behaviour.
+    """
+
+    def __init__(self, identity: EntryIdentity, options: CoreOptions) -> None:
+        self.context = make_context(identity, options)
+        self.desk = RequestDesk(self.context, self._deliver)
+        self.keys = KeyGuard(self.context, self.desk)
+        self.jobs = JobRunner(self.context, self.desk)
+        self.ownership = OwnershipKeeper(self.context)
+        self._next_advertisement_at = float("-inf")
+        self._stop_reported = False
+
+    # Requests and jobs
+
+    def stimulus_request(
+        self, request_id: str, request: TaskRequest, patience_seconds: float, now: float
+    ) -> list[Action]:
+        """A caller submits a request and waits for its answer."""
+        active = self._make_request(request_id, request, CallerOrigin(), patience_seconds, now)
+        if not request.task_class.repeatable and request.idempotency_key:
+            # Served even while stopping: only the log can tell whether a key has run, so
+            # a refusal at the door could not truthfully say "not run".
+            self.keys.admit(active, now)
+        elif self.context.stopping:
+            return self._refuse(active, ResultCode.ENTRY_STOPPING, now)
+        else:
+            self.desk.place_or_queue(active, now)
+        return self._take_actions(now)
+
+    def stimulus_hang_up(self, request_id: str, now: float) -> list[Action]:
+        """A caller went away without its answer."""
+        request = self.context.requests.get(request_id)
+        if request is not None:
+            self.desk.hang_up(request, now)
+        return self._take_actions(now)
+
+    def stimulus_job(
+        self, request_id: str, job: JobSubmission, patience_seconds: float, now: float
+    ) -> list[Action]:
+        """A caller submits a durable job and waits for its acceptance."""
+        if self.context.stopping:
+            answer = self.desk.refusal(ResultCode.ENTRY_STOPPING)
+            self.context.emit(AnswerCaller(request_id, answer))
+        else:
+            self.jobs.submit(request_id, job, now + patience_seconds)
+        return self._take_actions(now)
+
+    def stimulus_cancel_job(self, job_id: JobId, now: float) -> list[Action]:
+        """A caller cancels a job that this entry runs."""
+        self.jobs.cancel(job_id, now)
+        return self._take_actions(now)
+
+    # Workers
+
+    def stimulus_machine_list(self, machines: list[MachineRecord], now: float) -> list[Action]:
+        """The platform sent its machine list."""
+        for worker_id in self.ownership.handle_machine_list(machines):
+            self.context.workers.remove(worker_id)
+            self.desk.handle_missing_attempts(worker_id, set(), now)
+        self.ownership.sync_with_log(now)
+        return self._take_actions(now)
+
+    def stimulus_worker_inventory(
+        self,
+        worker_id: WorkerId,
+        token: FencingToken,
+        capacity: Resources,
+        running: list[RunningTask],
+        now: float,
+    ) -> list[Action]:
+        """A worker accepted the token and says what it runs."""
+        if self.ownership.handle_inventory(worker_id, token, capacity, running):
+            still_running = {task.attempt_id for task in running}
+            self.desk.handle_missing_attempts(worker_id, still_running, now)
+            self.desk.pump(now)
+        return self._take_actions(now)
+
+    def stimulus_worker_disconnected(self, worker_id: WorkerId, now: float) -> list[Action]:
+        """The connection to a worker was lost."""
+        self.ownership.handle_disconnect(worker_id)
+        return self._take_actions(now)
+
+    def stimulus_task_ended(
+        self, worker_id: WorkerId, attempt_id: AttemptId, answer: Answer, now: float
+    ) -> list[Action]:
+        """A worker says that an attempt ended."""
+        self._release_capacity(worker_id, attempt_id)
+        self.desk.handle_task_ended(attempt_id, answer, now)
+        self.desk.pump(now)
+        return self._take_actions(now)
+
+    def stimulus_task_refused(
+        self, worker_id: WorkerId, attempt_id: AttemptId, code: ResultCode, now: float
+    ) -> list[Action]:
+        """A worker, or the shell before sending, says that an attempt did not start."""
+        self._release_capacity(worker_id, attempt_id)
+        self.desk.handle_task_refused(attempt_id, code, now)
+        return self._take_actions(now)
+
+    # Log
+
+    def stimulus_cell_batch(self, offset: Offset, batch: LogBatch, now: float) -> list[Action]:
+        """One batch of the cell stream was read."""
+        own = batch.writer == self.context.identity.entry_id
+        created_at = self.context.cell_appends.handle_read(batch.sequence) if own else None
+        if not self.context.cell.apply(offset, batch, now):
+            return self._take_actions(now)
+        if created_at is not None:
+            self.ownership.handle_own_batch(created_at, now)
+        if own:
+            for record in batch.records:
+                self._handle_own_record(record, now)
+        for record in batch.records:
+            if isinstance(record, JobEnded):
+                self.context.emit(JobFinished(record.job_id))
+        if _touches_ownership(batch.records):
+            self.ownership.sync_with_log(now)
+        self._sync_peer(batch)
+        return self._take_actions(now)
+
+    def stimulus_settings_batch(self, offset: Offset, batch: LogBatch, now: float) -> list[Action]:
+        """One batch of the settings stream was read."""
+        own = batch.writer == self.context.identity.entry_id
+        if own:
+            self.context.appends[LogStream.SETTINGS].handle_read(batch.sequence)
+        for record in batch.records:
+            if not isinstance(record, SettingsApply):
+                continue
+            self.context.settings.apply(offset, record)
+            if own:
+                self.context.emit(SettingsDecided(record.change_id))
+        return self._take_actions(now)
+
+    def stimulus_append_failed(self, stream: LogStream, now: float) -> list[Action]:
+        """An append was refused, or its answer was lost; it is sent again later."""
+        self.context.appends[stream].handle_failure(now)
+        return self._take_actions(now)
+
+    def stimulus_settings_change(self, apply: SettingsApply, now: float) -> list[Action]:
+        """An operator changes settings; the fold decides."""
+        self.context.appends[LogStream.SETTINGS].add(apply)
+        return self._take_actions(now)
+
+    def stimulus_drain(self, worker_id: WorkerId, draining: bool, now: float) -> list[Action]:
+        """An operator takes a worker out of use or back into it."""
+        self.context.cell_appends.add(WorkerDrain(worker_id, draining))
+        return self._take_actions(now)
+
+    # Peers
+
+    def stimulus_peer_connected(self, peer_id: EntryId, now: float) -> list[Action]:
+        """The stream to a peer is up."""
+        peer = self.context.peers.peers.get(peer_id)
+        if peer is not None:
+            peer.connected = True
+        return self._take_actions(now)
+
+    def stimulus_peer_disconnected(self, peer_id: EntryId, now: float) -> list[Action]:
+        """The stream to a peer was lost."""
+        peer = self.context.peers.peers.get(peer_id)
+        if peer is not None:
+            peer.connected = False
+            peer.free = NO_RESOURCES
+        self.desk.handle_peer_lost(peer_id, now)
+        return self._take_actions(now)
+
+    def stimulus_peer_capacity(
+        self, peer_id: EntryId, free: Resources, largest_free: Resources, now: float
+    ) -> list[Action]:
+        """A peer advertised its free capacity."""
+        self.context.peers.handle_advertisement(peer_id, free, largest_free)
+        self.desk.pump(now)
+        return self._take_actions(now)
+
+    def stimulus_peer_request(
+        self,
+        peer_id: EntryId,
+        request_id: str,
+        request: TaskRequest,
+        remaining_seconds: float,
+        now: float,
+    ) -> list[Action]:
+        """A peer forwarded a request."""
+        origin = PeerOrigin(peer_id, request_id)
+        local_id = f"{request_id}@{peer_id}"
+        active = self._make_request(local_id, request, origin, remaining_seconds, now)
+        if self.context.stopping:
+            return self._refuse(active, ResultCode.ENTRY_STOPPING, now)
+        self.desk.place_or_queue(active, now)
+        return self._take_actions(now)
+
+    def stimulus_peer_answer(
+        self, peer_id: EntryId, request_id: str, answer: Answer, now: float
+    ) -> list[Action]:
+        """A peer answered a forwarded request or a key query."""
+        self.desk.handle_peer_answer(peer_id, request_id, answer, now)
+        self.desk.pump(now)
+        return self._take_actions(now)
+
+    def stimulus_key_query(
+        self, peer_id: EntryId, request_id: str, key: str, now: float
+    ) -> list[Action]:
+        """A peer asks for the answer under a key that this entry holds."""
+        answer = self.keys.handle_query(peer_id, request_id, key)
+        if answer is not None:
+            self.context.emit(AnswerPeer(peer_id, request_id, answer))
+        return self._take_actions(now)
+
+    # Time and stopping
+
+    def stimulus_tick(self, now: float) -> list[Action]:
+        """Some time has passed."""
+        self.ownership.plan(now)
+        self.ownership.reattach(now)
+        self.keys.refuse_while_log_is_down(now)
+        for request_id, answer in self.jobs.give_up_acceptances(now):
+            self.context.emit(AnswerCaller(request_id, answer))
+        self.desk.expire(now)
+        self.desk.pump(now)
+        self._advertise(now)
+        self._drop_lapsed_peers(now)
+        self._continue_stop()
+        return self._take_actions(now)
+
+    def stimulus_stop(self, now: float) -> list[Action]:
+        """Begin a planned stop: take no new work, finish what is in progress."""
+        self.context.stopping = True
+        self._next_advertisement_at = float("-inf")
+        return self.stimulus_tick(now)
+
+    # Settings in force
+
+    def resolve_task_class(self, task_class: TaskClass) -> TaskClass:
+        """Return a task class with the settings in force at this entry's place in the tree."""
+        settings = self.context.settings
+        if settings.revision == 0:
+            return task_class
+        identity = self.context.identity
+        path = f"{identity.region}/{identity.zone}/{task_class.service}/{task_class.name}"
+        policy = settings.resolve(path, "placement.policy")
+        patience = settings.resolve(path, "task.patience_seconds")
+        priority = settings.resolve(path, "task.priority")
+        if policy is not None:
+            value = PlacementPolicy(policy.value)
+            task_class = msgspec.structs.replace(task_class, policy=value)
+        if patience is not None:
+            seconds = float(patience.value)
+            task_class = msgspec.structs.replace(task_class, patience_seconds=seconds)
+        if priority is not None:
+            level = Priority(int(priority.value))
+            task_class = msgspec.structs.replace(task_class, priority=level)
+        return task_class
+
+    def admits(self, task_class: TaskClass) -> bool:
+        """Return whether the settings let new work of a service in."""
+        identity = self.context.identity
+        path = f"{identity.region}/{identity.zone}/{task_class.service}/{task_class.name}"
+        admitted = self.context.settings.resolve(path, "service.admitted")
+        return admitted is None or bool(admitted.value)
+
+    # Internals
+
+    def _make_request(
+        self,
+        request_id: str,
+        request: TaskRequest,
+        origin: RequestOrigin,
+        patience_seconds: float,
+        now: float,
+    ) -> ActiveRequest:
+        active = ActiveRequest(
+            request_id=request_id,
+            request=request,
+            origin=origin,
+            deadline=now + patience_seconds,
+            received_at=now,
+        )
+        self.desk.register(active)
+        return active
+
+    def _refuse(self, request: ActiveRequest, code: ResultCode, now: float) -> list[Action]:
+        self.desk.answer(request, self.desk.refusal(code), now)
+        return self._take_actions(now)
+
+    def _deliver(self, request: ActiveRequest, answer: Answer, now: float) -> None:
+        """Send the final answer of a request to where it came from."""
+        origin = request.origin
+        if isinstance(origin, JobOrigin):
+            self.jobs.handle_task_answer(origin, answer)
+        elif isinstance(origin, PeerOrigin):
+            self.context.emit(AnswerPeer(origin.peer_id, origin.request_id, answer))
+        else:
+            self.context.emit(AnswerCaller(request.request_id, answer))
+        if request.request.idempotency_key and isinstance(origin, CallerOrigin):
+            self._answer_key_waiters(request, answer, now)
+
+    def _answer_key_waiters(self, request: ActiveRequest, answer: Answer, now: float) -> None:
+        for waiter in self.keys.handle_answer(request, answer):
+            if isinstance(waiter.origin, PeerOrigin):
+                peer_id = waiter.origin.peer_id
+                self.context.emit(AnswerPeer(peer_id, waiter.request_id, answer))
+                continue
+            waiting = self.context.requests.get(waiter.request_id)
+            if waiting is not None:
+                self.desk.answer(waiting, answer, now)
+
+    def _release_capacity(self, worker_id: WorkerId, attempt_id: AttemptId) -> None:
+        worker = self.context.workers.workers.get(worker_id)
+        if worker is not None:
+            worker.release(attempt_id)
+
+    def _handle_own_record(self, record: LogRecord, now: float) -> None:
+        if isinstance(record, WorkerClaim):
+            self.ownership.handle_own_records(record.items, [])
+        elif isinstance(record, WorkerRelease):
+            self.ownership.handle_own_records([], record.worker_ids)
+        elif isinstance(record, KeyIntent):
+            self.keys.handle_intent_read(record, now)
+        elif isinstance(record, JobAccepted):
+            request_id = self.jobs.handle_accepted_read(record.job.job_id, now)
+            if request_id is not None:
+                answer = Answer(code=ResultCode.ACCEPTED)
+                self.context.emit(AnswerCaller(request_id, answer))
+
+    def _sync_peer(self, batch: LogBatch) -> None:
+        """Know every member of the log as a peer."""
+        peers = self.context.peers.peers
+        if batch.writer == self.context.identity.entry_id or batch.writer in peers:
+            return
+        if batch.stopping:
+            return
+        peers[batch.writer] = PeerState(batch.writer, batch.peer_host, batch.peer_port)
+        self.context.emit(ConnectPeer(batch.writer, batch.peer_host, batch.peer_port))
+
+    def _drop_lapsed_peers(self, now: float) -> None:
+        lapse_seconds = self.context.options.lease.lapse_seconds
+        for peer_id, peer in list(self.context.peers.peers.items()):
+            member = self.context.cell.members.get(peer_id)
+            gone = member is None or now - member.seen_at > lapse_seconds
+            if gone and not peer.connected:
+                del self.context.peers.peers[peer_id]
+                self.context.emit(DisconnectPeer(peer_id))
+
+    def _advertise(self, now: float) -> None:
+        if now < self._next_advertisement_at:
+            return
+        self._next_advertisement_at = now + self.context.options.advertise_interval_seconds
+        free, largest = NO_RESOURCES, NO_RESOURCES
+        if self.context.holds_lease(now) and not self.context.stopping:
+            free = self.context.workers.free_total()
+            frees = [worker.free for worker in self.context.workers.usable()]
+            largest = max(frees, key=lambda amount: amount.processors, default=NO_RESOURCES)
+        self.context.emit(AdvertiseCapacity(free, largest))
+
+    def _continue_stop(self) -> None:
+        if not self.context.stopping or self._stop_reported:
+            return
+        busy = self.context.requests or self.context.attempts or self.jobs.running_count
+        if busy:
+            return
+        appends = self.context.cell_appends
+        if self.context.workers.workers:
+            appends.stopping = True
+            self.ownership.release_all()
+        elif appends.is_idle:
+            self._stop_reported = True
+            self.context.emit(StopCompleted())
+
+    def _take_actions(self, now: float) -> list[Action]:
+        for stream, appends in self.context.appends.items():
+            batch = appends.next_batch(now)
+            if batch is not None:
+                self.context.emit(AppendBatch(stream, batch))
+        actions = self.context.actions
+        self.context.actions = []
+        return actions
+
+
+def _touches_ownership(records: list[LogRecord]) -> bool:
+    return any(isinstance(record, WorkerClaim | WorkerRelease | WorkerDrain) for record in records)
--- /dev/null
+++ b/src/onyxspoke/core/schema.py
@@ -0,0 +1,172 @@
+"""Typed records shared by the core, the wire protocols and the kit.
+
+All times are seconds of the reader's own monotonic clock unless a name says
+otherwise; memory is MiB; processors are whole cores.
+"""
+
+from __future__ import annotations
+
+from enum import Enum, IntEnum
+
+import msgspec
+
+from onyxspoke.core.codes import OutcomeKind, ResultCode, outcome_of
+
+EntryId = str
+WorkerId = str
+AttemptId = str
+JobId = str
+Epoch = int
+Offset = int
+
+
+class Priority(IntEnum):
+    """Order of waiting work; a lower number goes first."""
+
+    URGENT = 0
+    NORMAL = 1
+    PATIENT = 2
+
+
+class PlacementPolicy(Enum):
+    """How a service's tasks are laid on workers."""
+
+    SPREAD = "spread"
+    PACK = "pack"
+
+
+class WorkerListing(Enum):
+    """State of a worker in the platform's machine list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class Resources(msgspec.Struct, frozen=True, gc=False, array_like=True):
+    """An amount of each resource that a worker has or a task needs."""
+
+    processors: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    slots: int = 1
+
+    def fits_in(self, other: Resources) -> bool:
+        """Return whether this amount is available in ``other``."""
+        return (
+            self.slots <= other.slots
+            and self.processors <= other.processors
+            and self.memory_mb <= other.memory_mb
+            and self.accelerators <= other.accelerators
+        )
+
+    def plus(self, other: Resources) -> Resources:
+        """Return the sum of two amounts."""
+        return Resources(
+            self.processors + other.processors,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+            self.slots + other.slots,
+        )
+
+    def minus(self, other: Resources) -> Resources:
+        """Return the difference of two amounts; it may be negative."""
+        return Resources(
+            self.processors - other.processors,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+            self.slots - other.slots,
+        )
+
+    def is_negative(self) -> bool:
+        """Return whether any resource is below zero."""
+        return min(self.processors, self.memory_mb, self.accelerators, self.slots) < 0
+
+
+NO_RESOURCES = Resources(0, 0, 0, 0)
+
+
+class TaskClass(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A class of work of one service, as the catalog describes it."""
+
+    service: str
+    name: str
+    resources: Resources
+    patience_seconds: float
+    priority: Priority = Priority.NORMAL
+    repeatable: bool = True
+    batch: bool = False
+    policy: PlacementPolicy = PlacementPolicy.SPREAD
+    generations: tuple[str, ...] = ()
+
+
+class TaskRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """One task that a caller wants run; ``payload`` is opaque to onyxspoke."""
+
+    tenant: str
+    task_class: TaskClass
+    payload: bytes
+    idempotency_key: str = ""
+
+
+class Answer(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """The one final answer to a request."""
+
+    code: ResultCode
+    result: bytes = b""
+    message: str = ""
+    retry_after_seconds: float = 0.0
+    worker_id: WorkerId = ""
+
+    @property
+    def outcome(self) -> OutcomeKind:
+        """The outcome that the code stands for."""
+        return outcome_of(self.code)
+
+
+class FencingToken(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """Orders all commands to one worker; a worker refuses any below the highest it saw.
+
+    ``epoch`` rises with every change of owner (the log offset of the claim); ``session``
+    rises with every attachment of one owner, so that a command left over on a broken
+    connection is refused after the reattachment.
+    """
+
+    epoch: Epoch
+    session: int = 0
+
+
+class RunningTask(msgspec.Struct, frozen=True, array_like=True):
+    """A task that a worker holds, as its inventory reports it."""
+
+    attempt_id: AttemptId
+    resources: Resources
+
+
+class MachineRecord(msgspec.Struct, frozen=True, array_like=True):
+    """One worker in the platform's machine list."""
+
+    worker_id: WorkerId
+    host: str
+    port: int
+    zone: str
+    rack: str
+    generation: str
+    listing: WorkerListing = WorkerListing.LIVE
+
+
+class EntryIdentity(msgspec.Struct, frozen=True):
+    """Who an entry process is; ``entry_id`` differs between two runs of one entry."""
+
+    entry_id: EntryId
+    region: str
+    zone: str
+    peer_host: str
+    peer_port: int
+
+
+class JobSubmission(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A batch job as its caller submits it."""
+
+    job_id: JobId
+    request: TaskRequest
+    task_count: int = 1
--- /dev/null
+++ b/src/onyxspoke/core/settings_tree.py
@@ -0,0 +1,192 @@
+"""The tree of settings, folded from the log; the fold decides every race."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from enum import Enum
+
+import msgspec
+
+from onyxspoke.core.log_records import SettingChange, SettingsApply
+from onyxspoke.core.schema import Offset
+
+SettingScalar = bool | int | float | str
+_MAXIMUM_REMEMBERED_VERDICTS = 1_000
+
+
+class SettingKind(Enum):
+    """Type of a setting's value."""
+
+    BOOLEAN = "boolean"
+    INTEGER = "integer"
+    NUMBER = "number"
+    CHOICE = "choice"
+
+
+class SettingDefinition(msgspec.Struct, frozen=True, kw_only=True):
+    """Schema of one key: type, bounds, unit and meaning."""
+
+    key: str
+    kind: SettingKind
+    description: str
+    unit: str = ""
+    minimum: float | None = None
+    maximum: float | None = None
+    choices: tuple[str, ...] = ()
+
+
+SETTING_DEFINITIONS: dict[str, SettingDefinition] = {
+    definition.key: definition
+    for definition in (
+        SettingDefinition(
+            key="placement.policy",
+            kind=SettingKind.CHOICE,
+            choices=("spread", "pack"),
+            description="How tasks are laid on workers.",
+        ),
+        SettingDefinition(
+            key="task.patience_seconds",
+            kind=SettingKind.NUMBER,
+            unit="s",
+            minimum=0.01,
+            maximum=604_800,
+            description="How long a task may wait when its caller names no deadline.",
+        ),
+        SettingDefinition(
+            key="task.priority",
+            kind=SettingKind.INTEGER,
+            minimum=0,
+            maximum=2,
+            description="Order of waiting work: 0 urgent, 1 normal, 2 patient.",
+        ),
+        SettingDefinition(
+            key="service.admitted",
+            kind=SettingKind.BOOLEAN,
+            description="Whether new work of the service is taken.",
+        ),
+    )
+}
+
+
+class SettingValue(msgspec.Struct, frozen=True):
+    """A value in the tree with its origin."""
+
+    value: SettingScalar | None
+    revision: Offset
+    operator: str
+
+
+class SettingsVerdict(msgspec.Struct, frozen=True):
+    """The fold's decision on one change; ``conflict`` names the losing item."""
+
+    accepted: bool
+    revision: Offset
+    conflict: SettingChange | None = None
+    winner: SettingValue | None = None
+
+
+class ResolvedSetting(msgspec.Struct, frozen=True):
+    """The value in force at a path and the level that it comes from."""
+
+    value: SettingScalar
+    level: str
+    revision: Offset
+    operator: str
+
+
+def ancestors(path: str) -> list[str]:
+    """Return the levels from the path itself up to the root, which is ``""``."""
+    levels = [path] if path else []
+    while "/" in path:
+        path = path.rsplit("/", 1)[0]
+        levels.append(path)
+    return [*levels, ""]
+
+
+def find_fault(change: SettingChange) -> str:
+    """Return what is wrong with a change by the schema, or an empty string."""
+    definition = SETTING_DEFINITIONS.get(change.key)
+    if definition is None:
+        return f"{change.key}: no such setting"
+    if change.value is None:
+        return ""
+    return _find_value_fault(definition, change.value)
+
+
+def _find_value_fault(definition: SettingDefinition, value: SettingScalar) -> str:
+    if definition.kind is SettingKind.BOOLEAN:
+        return "" if isinstance(value, bool) else f"{definition.key}: expected true or false"
+    if definition.kind is SettingKind.CHOICE:
+        allowed = ", ".join(definition.choices)
+        return "" if value in definition.choices else f"{definition.key}: expected one of {allowed}"
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return f"{definition.key}: expected a number"
+    if definition.kind is SettingKind.INTEGER and not isinstance(value, int):
+        return f"{definition.key}: expected a whole number"
+    below = definition.minimum is not None and value < definition.minimum
+    above = definition.maximum is not None and value > definition.maximum
+    if below or above:
+        bounds = f"{definition.minimum} to {definition.maximum} {definition.unit}".strip()
+        return f"{definition.key}: expected {bounds}"
+    return ""
+
+
+class SettingsTree:
+    """Fold of the settings stream."""
+
+    def __init__(self) -> None:
+        self._values: dict[tuple[str, str], SettingValue] = {}
+        self._verdicts: OrderedDict[str, SettingsVerdict] = OrderedDict()
+        self.revision: Offset = 0
+
+    def apply(self, offset: Offset, apply: SettingsApply) -> None:
+        """Fold one change; a repeat of a folded change keeps its first verdict."""
+        if apply.change_id in self._verdicts:
+            return
+        verdict = self._decide(offset, apply)
+        if verdict.accepted:
+            for change in apply.changes:
+                value = SettingValue(change.value, offset, apply.operator)
+                self._values[(change.path, change.key)] = value
+        self.revision = offset
+        self._verdicts[apply.change_id] = verdict
+        if len(self._verdicts) > _MAXIMUM_REMEMBERED_VERDICTS:
+            self._verdicts.popitem(last=False)
+
+    def verdict(self, change_id: str) -> SettingsVerdict | None:
+        """Return the decision on a change, if it was folded."""
+        return self._verdicts.get(change_id)
+
+    def at(self, path: str, key: str) -> SettingValue | None:
+        """Return what was set at exactly this level, an unset marker included."""
+        return self._values.get((path, key))
+
+    def revision_of(self, path: str, key: str) -> Offset:
+        """Return the revision at which this key was last changed at this level; 0 if never."""
+        value = self._values.get((path, key))
+        return 0 if value is None else value.revision
+
+    def resolve(self, path: str, key: str) -> ResolvedSetting | None:
+        """Return the value in force at a path, inherited from the nearest level that has one."""
+        for level in ancestors(path):
+            value = self._values.get((level, key))
+            if value is not None and value.value is not None:
+                return ResolvedSetting(value.value, level, value.revision, value.operator)
+        return None
+
+    def items(self) -> list[tuple[str, str, SettingValue]]:
+        """Return all set values as (path, key, value), sorted."""
+        return [
+            (path, key, value)
+            for (path, key), value in sorted(self._values.items())
+            if value.value is not None
+        ]
+
+    def _decide(self, offset: Offset, apply: SettingsApply) -> SettingsVerdict:
+        for change in apply.changes:
+            if self.revision_of(change.path, change.key) != change.expected_revision:
+                winner = self._values.get((change.path, change.key))
+                return SettingsVerdict(False, offset, change, winner)
+            if find_fault(change):
+                return SettingsVerdict(False, offset, change)
+        return SettingsVerdict(True, offset)
--- /dev/null
+++ b/src/onyxspoke/core/worker_table.py
@@ -0,0 +1,129 @@
+"""Owned workers: their lifecycle, and the capacity reserved on each.
+
+Capacity is reserved here before a task is sent and freed only by the worker's own
+word that the task ended; a lagging usage report never frees anything.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from onyxspoke.core.schema import (
+    NO_RESOURCES,
+    AttemptId,
+    Epoch,
+    FencingToken,
+    MachineRecord,
+    Resources,
+    RunningTask,
+    WorkerId,
+    WorkerListing,
+)
+
+
+class WorkerState(Enum):
+    """Lifecycle of a worker at the entry that owns it."""
+
+    ATTACHING = "attaching"
+    ACTIVE = "active"
+    DISCONNECTED = "disconnected"
+
+
+ALLOWED_WORKER_TRANSITIONS: dict[WorkerState, frozenset[WorkerState]] = {
+    WorkerState.ATTACHING: frozenset({WorkerState.ACTIVE, WorkerState.DISCONNECTED}),
+    WorkerState.ACTIVE: frozenset({WorkerState.ATTACHING, WorkerState.DISCONNECTED}),
+    WorkerState.DISCONNECTED: frozenset({WorkerState.ATTACHING}),
+}
+
+
+@dataclass(slots=True)
+class OwnedWorker:
+    """One worker that this entry owns."""
+
+    machine: MachineRecord
+    epoch: Epoch
+    session: int = 0
+    state: WorkerState = WorkerState.ATTACHING
+    attach_sent_at: float = float("-inf")
+    capacity: Resources = NO_RESOURCES
+    free: Resources = NO_RESOURCES
+    tasks: dict[AttemptId, Resources] = field(default_factory=dict)
+    draining: bool = False
+
+    @property
+    def worker_id(self) -> WorkerId:
+        """The worker's identifier."""
+        return self.machine.worker_id
+
+    @property
+    def token(self) -> FencingToken:
+        """The fencing token of commands sent now."""
+        return FencingToken(self.epoch, self.session)
+
+    @property
+    def accepts_work(self) -> bool:
+        """Whether new work may be sent to it."""
+        return (
+            self.state is WorkerState.ACTIVE
+            and not self.draining
+            and self.machine.listing is WorkerListing.LIVE
+        )
+
+    def transition(self, target: WorkerState) -> None:
+        """Move to another state; only moves of the table are allowed."""
+        if target is self.state:
+            return
+        if target not in ALLOWED_WORKER_TRANSITIONS[self.state]:
+            raise ValueError(f"worker {self.worker_id}: {self.state.value} -> {target.value}")
+        self.state = target
+
+    def reserve(self, attempt_id: AttemptId, resources: Resources) -> None:
+        """Reserve capacity for an attempt."""
+        self.tasks[attempt_id] = resources
+        self.free = self.free.minus(resources)
+
+    def release(self, attempt_id: AttemptId) -> bool:
+        """Free what an attempt reserved; return whether it was known."""
+        resources = self.tasks.pop(attempt_id, None)
+        if resources is None:
+            return False
+        self.free = self.free.plus(resources)
+        return True
+
+    def load_inventory(self, capacity: Resources, running: Iterable[RunningTask]) -> None:
+        """Replace all reservations by what the worker says that it runs."""
+        self.capacity = capacity
+        self.free = capacity
+        self.tasks = {}
+        for task in running:
+            self.reserve(task.attempt_id, task.resources)
+
+
+class WorkerTable:
+    """All workers that this entry owns."""
+
+    def __init__(self) -> None:
+        self.workers: dict[WorkerId, OwnedWorker] = {}
+
+    def add(self, machine: MachineRecord, epoch: Epoch) -> OwnedWorker:
+        """Start to own a worker under a new epoch."""
+        worker = OwnedWorker(machine, epoch)
+        self.workers[machine.worker_id] = worker
+        return worker
+
+    def remove(self, worker_id: WorkerId) -> None:
+        """Stop to own a worker."""
+        self.workers.pop(worker_id, None)
+
+    def usable(self) -> list[OwnedWorker]:
+        """Return the workers that accept work."""
+        return [worker for worker in self.workers.values() if worker.accepts_work]
+
+    def free_total(self) -> Resources:
+        """Return the sum of free capacity over the workers that accept work."""
+        total = NO_RESOURCES
+        for worker in self.usable():
+            total = total.plus(worker.free)
+        return total
--- /dev/null
+++ b/src/onyxspoke/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: wires the core to the network adapters."""
--- /dev/null
+++ b/src/onyxspoke/entry/shell.py
@@ -0,0 +1,347 @@
+"""Carries out the core's actions and feeds it what happens."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from absl import logging
+
+from onyxspoke.core import actions as act
+from onyxspoke.core.codes import OnyxspokeError, ResultCode
+from onyxspoke.core.log_records import LogBatch, LogStream, SettingsApply
+from onyxspoke.core.scheduler import EntryScheduler
+from onyxspoke.core.schema import (
+    Answer,
+    AttemptId,
+    EntryId,
+    FencingToken,
+    JobId,
+    JobSubmission,
+    MachineRecord,
+    Offset,
+    Resources,
+    RunningTask,
+    TaskRequest,
+    WorkerId,
+)
+from onyxspoke.core.settings_tree import SettingsVerdict
+from onyxspoke.ports.clock import Clock
+from onyxspoke.ports.log import LogPort
+from onyxspoke.ports.peer import PeerPort
+from onyxspoke.ports.worker import WorkerPort
+
+AnswerCallback = Callable[[Answer], None]
+VerdictCallback = Callable[[SettingsVerdict], None]
+
+
+class EntryShell:
+    """Joins the core to its ports; implements every listener interface.
+
+    Parameters
+    ----------
+    scheduler : EntryScheduler
+        The core.
+    clock : Clock
+        Source of time for the core.
+    """
+
+    def __init__(self, scheduler: EntryScheduler, clock: Clock) -> None:
+        self.scheduler = scheduler
+        self._clock = clock
+        self._log: LogPort | None = None
+        self._workers: WorkerPort | None = None
+        self._peers: PeerPort | None = None
+        self._request_counter = 0
+        self._callers: dict[str, AnswerCallback] = {}
+        self._job_waiters: dict[JobId, list[Callable[[], None]]] = {}
+        self._verdict_waiters: dict[str, VerdictCallback] = {}
+        self.on_stopped: Callable[[], None] = lambda: None
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            act.StartTask: self._start_task,
+            act.AnswerCaller: self._answer_caller,
+            act.AnswerPeer: self._answer_peer,
+            act.ForwardTask: self._forward_task,
+            act.QueryKeyHolder: self._query_key_holder,
+            act.AppendBatch: self._append_batch,
+            act.AttachWorker: self._attach_worker,
+            act.DetachWorker: self._detach_worker,
+            act.StopTask: self._stop_task,
+            act.ConnectPeer: self._connect_peer,
+            act.DisconnectPeer: self._disconnect_peer,
+            act.AdvertiseCapacity: self._advertise,
+            act.JobFinished: self._job_finished,
+            act.SettingsDecided: self._settings_decided,
+            act.StopCompleted: self._stop_completed,
+        }
+
+    @property
+    def entry_id(self) -> EntryId:
+        """Identifier of this run of the entry."""
+        return self.scheduler.context.identity.entry_id
+
+    def connect_ports(self, log: LogPort, workers: WorkerPort, peers: PeerPort) -> None:
+        """Give the shell its adapters."""
+        self._log = log
+        self._workers = workers
+        self._peers = peers
+
+    # What callers and operators do
+
+    def submit_request(
+        self, request: TaskRequest, patience_seconds: float, on_answer: AnswerCallback
+    ) -> str:
+        """Submit a request; ``on_answer`` is called once."""
+        request_id = self._register_caller(on_answer)
+        now = self._clock.now()
+        self.carry_out(self.scheduler.stimulus_request(request_id, request, patience_seconds, now))
+        return request_id
+
+    def submit_job(
+        self, job: JobSubmission, patience_seconds: float, on_answer: AnswerCallback
+    ) -> None:
+        """Submit a durable job; ``on_answer`` is called once, with its acceptance."""
+        request_id = self._register_caller(on_answer)
+        now = self._clock.now()
+        self.carry_out(self.scheduler.stimulus_job(request_id, job, patience_seconds, now))
+
+    def hang_up(self, request_id: str) -> None:
+        """Forget a caller that went away."""
+        if self._callers.pop(request_id, None) is not None:
+            now = self._clock.now()
+            self.carry_out(self.scheduler.stimulus_hang_up(request_id, now))
+
+    def cancel_job(self, job_id: JobId) -> None:
+        """Give up a job."""
+        self.carry_out(self.scheduler.stimulus_cancel_job(job_id, self._clock.now()))
+
+    def wait_for_job(self, job_id: JobId, on_finished: Callable[[], None]) -> None:
+        """Call back when a job has ended."""
+        self._job_waiters.setdefault(job_id, []).append(on_finished)
+
+    def stop_waiting_for_job(self, job_id: JobId, on_finished: Callable[[], None]) -> None:
+        """Withdraw a callback of :meth:`wait_for_job`."""
+        waiters = self._job_waiters.get(job_id, [])
+        if on_finished in waiters:
+            waiters.remove(on_finished)
+        if not waiters:
+            self._job_waiters.pop(job_id, None)
+
+    def change_settings(self, apply: SettingsApply, on_verdict: VerdictCallback) -> None:
+        """Change settings; ``on_verdict`` is called once the change was folded."""
+        self._verdict_waiters[apply.change_id] = on_verdict
+        self.carry_out(self.scheduler.stimulus_settings_change(apply, self._clock.now()))
+
+    def drain_worker(self, worker_id: WorkerId, *, draining: bool) -> None:
+        """Take a worker out of use or back into it."""
+        if worker_id not in self.scheduler.context.machines:
+            raise OnyxspokeError(ResultCode.NO_SUCH_WORKER, f"no worker {worker_id}")
+        self.carry_out(self.scheduler.stimulus_drain(worker_id, draining, self._clock.now()))
+
+    def tick(self) -> None:
+        """Let the core see the time."""
+        self.carry_out(self.scheduler.stimulus_tick(self._clock.now()))
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        logging.info("event=stop_began entry=%s", self.entry_id)
+        self.carry_out(self.scheduler.stimulus_stop(self._clock.now()))
+
+    # Listener of the log
+
+    def handle_log_batch(self, stream: LogStream, offset: Offset, batch: LogBatch) -> None:
+        """One batch was read."""
+        now = self._clock.now()
+        if stream is LogStream.CELL:
+            self.carry_out(self.scheduler.stimulus_cell_batch(offset, batch, now))
+        else:
+            self.carry_out(self.scheduler.stimulus_settings_batch(offset, batch, now))
+
+    def handle_append_failed(self, stream: LogStream) -> None:
+        """An append failed or its fate is unknown."""
+        self.carry_out(self.scheduler.stimulus_append_failed(stream, self._clock.now()))
+
+    # Listener of the machine list
+
+    def handle_machine_list(self, machines: list[MachineRecord]) -> None:
+        """The machine list changed."""
+        self.carry_out(self.scheduler.stimulus_machine_list(machines, self._clock.now()))
+
+    # Listener of workers
+
+    def handle_worker_inventory(
+        self,
+        worker_id: WorkerId,
+        token: FencingToken,
+        capacity: Resources,
+        running: list[RunningTask],
+    ) -> None:
+        """A worker accepted a token."""
+        logging.info(
+            "event=worker_attached worker=%s epoch=%d running=%d",
+            worker_id,
+            token.epoch,
+            len(running),
+        )
+        now = self._clock.now()
+        self.carry_out(
+            self.scheduler.stimulus_worker_inventory(worker_id, token, capacity, running, now)
+        )
+
+    def handle_worker_disconnected(self, worker_id: WorkerId) -> None:
+        """The connection to a worker was lost."""
+        logging.info("event=worker_disconnected worker=%s", worker_id)
+        self.carry_out(self.scheduler.stimulus_worker_disconnected(worker_id, self._clock.now()))
+
+    def handle_task_ended(self, worker_id: WorkerId, attempt_id: AttemptId, answer: Answer) -> None:
+        """A task ended."""
+        now = self._clock.now()
+        self.carry_out(self.scheduler.stimulus_task_ended(worker_id, attempt_id, answer, now))
+
+    def handle_task_refused(
+        self, worker_id: WorkerId, attempt_id: AttemptId, code: ResultCode
+    ) -> None:
+        """A task was refused."""
+        logging.info("event=task_refused worker=%s code=%s", worker_id, code.name)
+        now = self._clock.now()
+        self.carry_out(self.scheduler.stimulus_task_refused(worker_id, attempt_id, code, now))
+
+    # Listener of peers
+
+    def handle_peer_connected(self, peer_id: EntryId) -> None:
+        """The stream to a peer is up."""
+        self.carry_out(self.scheduler.stimulus_peer_connected(peer_id, self._clock.now()))
+
+    def handle_peer_disconnected(self, peer_id: EntryId) -> None:
+        """The stream to a peer was lost."""
+        logging.info("event=peer_disconnected peer=%s", peer_id)
+        self.carry_out(self.scheduler.stimulus_peer_disconnected(peer_id, self._clock.now()))
+
+    def handle_peer_capacity(
+        self, peer_id: EntryId, free: Resources, largest_free: Resources
+    ) -> None:
+        """A peer advertised its free capacity."""
+        now = self._clock.now()
+        self.carry_out(self.scheduler.stimulus_peer_capacity(peer_id, free, largest_free, now))
+
+    def handle_peer_request(
+        self,
+        peer_id: EntryId,
+        request_id: str,
+        request: TaskRequest,
+        remaining_seconds: float,
+    ) -> None:
+        """A peer forwarded a request."""
+        now = self._clock.now()
+        self.carry_out(
+            self.scheduler.stimulus_peer_request(
+                peer_id, request_id, request, remaining_seconds, now
+            )
+        )
+
+    def handle_peer_answer(self, peer_id: EntryId, request_id: str, answer: Answer) -> None:
+        """A peer answered."""
+        now = self._clock.now()
+        self.carry_out(self.scheduler.stimulus_peer_answer(peer_id, request_id, answer, now))
+
+    def handle_key_query(self, peer_id: EntryId, request_id: str, key: str) -> None:
+        """A peer asks for the answer under a key."""
+        now = self._clock.now()
+        self.carry_out(self.scheduler.stimulus_key_query(peer_id, request_id, key, now))
+
+    # Actions
+
+    def carry_out(self, actions: list[act.Action]) -> None:
+        """Carry out actions in order."""
+        for action in actions:
+            self._handlers[type(action)](action)
+
+    def _register_caller(self, on_answer: AnswerCallback) -> str:
+        self._request_counter += 1
+        request_id = f"{self.scheduler.context.identity.entry_id}-{self._request_counter}"
+        self._callers[request_id] = on_answer
+        return request_id
+
+    def _start_task(self, action: act.StartTask) -> None:
+        assert self._workers is not None
+        # The last moment at which a lease that lapsed in a pause can be noticed.
+        if self._clock.now() >= action.not_after:
+            self._refuse_start(action, ResultCode.STALE_EPOCH)
+            return
+        sent = self._workers.start_task(
+            action.worker_id, action.token, action.attempt_id, action.request
+        )
+        if not sent:
+            self._refuse_start(action, ResultCode.NO_CAPACITY)
+
+    def _refuse_start(self, action: act.StartTask, code: ResultCode) -> None:
+        now = self._clock.now()
+        self.carry_out(
+            self.scheduler.stimulus_task_refused(action.worker_id, action.attempt_id, code, now)
+        )
+
+    def _answer_caller(self, action: act.AnswerCaller) -> None:
+        on_answer = self._callers.pop(action.request_id, None)
+        if on_answer is not None:
+            on_answer(action.answer)
+
+    def _answer_peer(self, action: act.AnswerPeer) -> None:
+        assert self._peers is not None
+        self._peers.answer_peer(action.peer_id, action.request_id, action.answer)
+
+    def _forward_task(self, action: act.ForwardTask) -> None:
+        assert self._peers is not None
+        sent = self._peers.forward_task(
+            action.peer_id, action.request_id, action.request, action.remaining_seconds
+        )
+        if not sent:
+            answer = Answer(code=ResultCode.PEER_UNREACHABLE)
+            self.handle_peer_answer(action.peer_id, action.request_id, answer)
+
+    def _query_key_holder(self, action: act.QueryKeyHolder) -> None:
+        assert self._peers is not None
+        if not self._peers.query_key(action.peer_id, action.request_id, action.key):
+            answer = Answer(code=ResultCode.KEY_HOLDER_UNREACHABLE)
+            self.handle_peer_answer(action.peer_id, action.request_id, answer)
+
+    def _append_batch(self, action: act.AppendBatch) -> None:
+        assert self._log is not None
+        self._log.append(action.stream, action.batch)
+
+    def _attach_worker(self, action: act.AttachWorker) -> None:
+        assert self._workers is not None
+        self._workers.attach(action.machine, action.token)
+
+    def _detach_worker(self, action: act.DetachWorker) -> None:
+        assert self._workers is not None
+        self._workers.detach(action.worker_id)
+
+    def _stop_task(self, action: act.StopTask) -> None:
+        assert self._workers is not None
+        self._workers.stop_task(action.worker_id, action.attempt_id)
+
+    def _connect_peer(self, action: act.ConnectPeer) -> None:
+        assert self._peers is not None
+        self._peers.connect_peer(action.peer_id, action.host, action.port)
+
+    def _disconnect_peer(self, action: act.DisconnectPeer) -> None:
+        assert self._peers is not None
+        self._peers.disconnect_peer(action.peer_id)
+
+    def _advertise(self, action: act.AdvertiseCapacity) -> None:
+        assert self._peers is not None
+        self._peers.advertise(action.free, action.largest_free)
+
+    def _job_finished(self, action: act.JobFinished) -> None:
+        for on_finished in self._job_waiters.pop(action.job_id, []):
+            on_finished()
+
+    def _settings_decided(self, action: act.SettingsDecided) -> None:
+        on_verdict = self._verdict_waiters.pop(action.change_id, None)
+        verdict = self.scheduler.context.settings.verdict(action.change_id)
+        if on_verdict is not None and verdict is not None:
+            on_verdict(verdict)
+
+    def _stop_completed(self, action: act.StopCompleted) -> None:
+        logging.info("event=stop_completed")
+        self.on_stopped()
--- /dev/null
+++ b/src/onyxspoke/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation, recording and auditing."""
--- /dev/null
+++ b/src/onyxspoke/net/__init__.py
@@ -0,0 +1,1 @@
+"""Twisted adapters for the ports, message streams and HTTP resources."""
--- /dev/null
+++ b/src/onyxspoke/net/messages.py
@@ -0,0 +1,189 @@
+"""Messages on the streams between processes.
+
+Each stream has its own union of messages; a message travels as a msgpack array whose
+first element is the message's tag.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from onyxspoke.core.codes import ResultCode
+from onyxspoke.core.schema import (
+    Answer,
+    AttemptId,
+    EntryId,
+    FencingToken,
+    MachineRecord,
+    Offset,
+    Resources,
+    RunningTask,
+    TaskRequest,
+    WorkerId,
+)
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Base of all messages; the class name is the tag."""
+
+
+# Entry to worker
+
+
+class Attach(Message, frozen=True):
+    """The sender owns the worker under this token from now on."""
+
+    entry_id: EntryId
+    worker_id: WorkerId
+    token: FencingToken
+
+
+class StartTask(Message, frozen=True):
+    """Run a task."""
+
+    token: FencingToken
+    attempt_id: AttemptId
+    request: TaskRequest
+
+
+class StopTask(Message, frozen=True):
+    """Stop a task that no one waits for."""
+
+    attempt_id: AttemptId
+
+
+# Worker to entry
+
+
+class Inventory(Message, frozen=True):
+    """The answer to an accepted attachment."""
+
+    worker_id: WorkerId
+    token: FencingToken
+    capacity: Resources
+    running: list[RunningTask]
+
+
+class AttachRefused(Message, frozen=True):
+    """The answer to an attachment with a token that is too low, or to one too many."""
+
+    worker_id: WorkerId
+    code: ResultCode
+
+
+class TaskEnded(Message, frozen=True):
+    """A task ended; sent to its dispatcher and to the present owner."""
+
+    attempt_id: AttemptId
+    answer: Answer
+
+
+class TaskRefused(Message, frozen=True):
+    """A task was not started and will not be."""
+
+    attempt_id: AttemptId
+    code: ResultCode
+
+
+# Entry to platform
+
+
+class AppendRequest(Message, frozen=True):
+    """Append one record to a stream."""
+
+    append_id: int
+    stream: str
+    data: bytes
+
+
+class TailRequest(Message, frozen=True):
+    """Send the records of a stream from an offset on, and every later one."""
+
+    stream: str
+    from_offset: Offset
+
+
+class MachineListRequest(Message, frozen=True):
+    """Send the machine list now and whenever it changes."""
+
+
+# Platform to entry
+
+
+class AppendDone(Message, frozen=True):
+    """The record is in the log at this offset."""
+
+    append_id: int
+    offset: Offset
+
+
+class AppendRefused(Message, frozen=True):
+    """The record is not in the log."""
+
+    append_id: int
+
+
+class LogRecordData(msgspec.Struct, frozen=True, array_like=True):
+    """One record of a stream."""
+
+    offset: Offset
+    data: bytes
+
+
+class TailRecords(Message, frozen=True):
+    """Records of a stream in order; ``first_kept`` tells where retention begins."""
+
+    stream: str
+    first_kept: Offset
+    records: list[LogRecordData]
+
+
+class MachineList(Message, frozen=True):
+    """The whole machine list."""
+
+    machines: list[MachineRecord]
+
+
+# Entry to entry
+
+
+class PeerHello(Message, frozen=True):
+    """Names the entry that opened the stream."""
+
+    entry_id: EntryId
+
+
+class ForwardedRequest(Message, frozen=True):
+    """Run a request if there is room, and answer."""
+
+    request_id: str
+    request: TaskRequest
+    remaining_seconds: float
+
+
+class KeyQuery(Message, frozen=True):
+    """Answer with what the request under this key came to."""
+
+    request_id: str
+    key: str
+
+
+class Capacity(Message, frozen=True):
+    """What is free at the sender."""
+
+    free: Resources
+    largest_free: Resources
+
+
+class PeerAnswer(Message, frozen=True):
+    """The answer to a forwarded request or a key query."""
+
+    request_id: str
+    answer: Answer
+
+
+EntryToWorker = Attach | StartTask | StopTask
+WorkerToEntry = Inventory | AttachRefused | TaskEnded | TaskRefused
+EntryToPlatform = AppendRequest | TailRequest | MachineListRequest
+PlatformToEntry = AppendDone | AppendRefused | TailRecords | MachineList
+PeerMessage = PeerHello | ForwardedRequest | KeyQuery | Capacity | PeerAnswer
--- /dev/null
+++ b/src/onyxspoke/net/peer_network.py
@@ -0,0 +1,176 @@
+"""Adapter of the peer port: one outgoing stream to each peer, and a server for theirs."""
+
+from __future__ import annotations
+
+from twisted.application.internet import ClientService
+from twisted.application.service import Service
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP4ServerEndpoint
+from twisted.internet.interfaces import IListeningPort
+from twisted.internet.protocol import Factory
+
+from onyxspoke.core.schema import Answer, EntryId, Resources, TaskRequest
+from onyxspoke.net.messages import (
+    Capacity,
+    ForwardedRequest,
+    KeyQuery,
+    PeerAnswer,
+    PeerHello,
+    PeerMessage,
+)
+from onyxspoke.net.retry import reconnect_delay
+from onyxspoke.net.stream import MessageStream
+from onyxspoke.ports.peer import PeerListener
+
+_Stream = MessageStream[PeerMessage]
+
+
+class PeerNetwork(Service):
+    """Streams to and from the peers of one entry.
+
+    Requests, queries and advertisements go out on the stream that this entry opened;
+    answers come back on the same one.
+    """
+
+    def __init__(
+        self,
+        entry_id: EntryId,
+        host: str,
+        port: int,
+        listener: PeerListener,
+        delay_seconds: float = 0.0,
+    ) -> None:
+        self._entry_id = entry_id
+        self._host = host
+        self._port = port
+        self._listener = listener
+        self._delay_seconds = delay_seconds
+        self._clients: dict[EntryId, ClientService] = {}
+        self._outgoing: dict[EntryId, _Stream] = {}
+        self._incoming: dict[EntryId, _Stream] = {}
+        self._hello_names: dict[_Stream, EntryId] = {}
+        self._listening: IListeningPort | None = None
+
+    def listen(self) -> Deferred[IListeningPort]:
+        """Open the server for the peers' streams."""
+        endpoint = TCP4ServerEndpoint(reactor, self._port, interface=self._host)
+        factory = Factory.forProtocol(self._build_incoming)
+        listening: Deferred[IListeningPort] = endpoint.listen(factory)
+        listening.addCallback(self._note_listening)
+        return listening
+
+    def stopService(self) -> None:
+        """Close every stream."""
+        super().stopService()
+        for peer_id in list(self._clients):
+            self.disconnect_peer(peer_id)
+        if self._listening is not None:
+            self._listening.stopListening()
+
+    def connect_peer(self, peer_id: EntryId, host: str, port: int) -> None:
+        """Keep a stream to a peer."""
+        if peer_id in self._clients:
+            return
+        endpoint = TCP4ClientEndpoint(reactor, host, port)
+        factory = Factory.forProtocol(lambda: self._build_outgoing(peer_id))
+        client = ClientService(endpoint, factory, retryPolicy=reconnect_delay)
+        self._clients[peer_id] = client
+        client.startService()
+
+    def disconnect_peer(self, peer_id: EntryId) -> None:
+        """Drop the stream to a peer."""
+        client = self._clients.pop(peer_id, None)
+        if client is not None:
+            client.stopService()
+
+    def forward_task(
+        self,
+        peer_id: EntryId,
+        request_id: str,
+        request: TaskRequest,
+        remaining_seconds: float,
+    ) -> bool:
+        """Hand a request to a peer; return ``False`` if nothing was sent."""
+        stream = self._outgoing.get(peer_id)
+        if stream is None:
+            return False
+        stream.send(ForwardedRequest(request_id, request, remaining_seconds))
+        return True
+
+    def query_key(self, peer_id: EntryId, request_id: str, key: str) -> bool:
+        """Ask a peer for the answer under a key; return ``False`` if nothing was sent."""
+        stream = self._outgoing.get(peer_id)
+        if stream is None:
+            return False
+        stream.send(KeyQuery(request_id, key))
+        return True
+
+    def answer_peer(self, peer_id: EntryId, request_id: str, answer: Answer) -> None:
+        """Answer what a peer sent; if its stream is gone, so is its interest."""
+        stream = self._incoming.get(peer_id)
+        if stream is not None:
+            stream.send(PeerAnswer(request_id, answer))
+
+    def advertise(self, free: Resources, largest_free: Resources) -> None:
+        """Tell all connected peers what is free."""
+        message = Capacity(free, largest_free)
+        for stream in self._outgoing.values():
+            stream.send(message)
+
+    def _note_listening(self, listening: IListeningPort) -> IListeningPort:
+        self._listening = listening
+        return listening
+
+    def _build_outgoing(self, peer_id: EntryId) -> _Stream:
+        return MessageStream(
+            PeerMessage,
+            lambda _stream, message: self._handle_reply(peer_id, message),
+            lambda stream: self._handle_outgoing_connected(peer_id, stream),
+            lambda stream: self._handle_outgoing_lost(peer_id, stream),
+            self._delay_seconds,
+        )
+
+    def _handle_outgoing_connected(self, peer_id: EntryId, stream: _Stream) -> None:
+        self._outgoing[peer_id] = stream
+        stream.send(PeerHello(self._entry_id))
+        self._listener.handle_peer_connected(peer_id)
+
+    def _handle_outgoing_lost(self, peer_id: EntryId, stream: _Stream) -> None:
+        if self._outgoing.get(peer_id) is stream:
+            del self._outgoing[peer_id]
+            self._listener.handle_peer_disconnected(peer_id)
+
+    def _handle_reply(self, peer_id: EntryId, message: PeerMessage) -> None:
+        if isinstance(message, PeerAnswer):
+            self._listener.handle_peer_answer(peer_id, message.request_id, message.answer)
+
+    def _build_incoming(self) -> _Stream:
+        return MessageStream(
+            PeerMessage,
+            self._handle_incoming,
+            on_lost=self._handle_incoming_lost,
+            delay_seconds=self._delay_seconds,
+        )
+
+    def _handle_incoming(self, stream: _Stream, message: PeerMessage) -> None:
+        if isinstance(message, PeerHello):
+            self._incoming[message.entry_id] = stream
+            self._hello_names[stream] = message.entry_id
+            return
+        peer_id = self._hello_names.get(stream)
+        if peer_id is None:
+            stream.abort()
+        elif isinstance(message, Capacity):
+            self._listener.handle_peer_capacity(peer_id, message.free, message.largest_free)
+        elif isinstance(message, ForwardedRequest):
+            self._listener.handle_peer_request(
+                peer_id, message.request_id, message.request, message.remaining_seconds
+            )
+        elif isinstance(message, KeyQuery):
+            self._listener.handle_key_query(peer_id, message.request_id, message.key)
+
+    def _handle_incoming_lost(self, stream: _Stream) -> None:
+        peer_id = self._hello_names.pop(stream, None)
+        if peer_id is not None and self._incoming.get(peer_id) is stream:
+            del self._incoming[peer_id]
--- /dev/null
+++ b/src/onyxspoke/net/stream.py
@@ -0,0 +1,133 @@
+"""Streams of typed msgpack messages over TCP.
+
+A stream that carries anything but a valid message, or one over the size bound, is
+closed; the peer on the other side then treats the connection as lost.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any, Generic, TypeVar
+
+import msgpack
+import msgspec
+from absl import logging
+from twisted.internet import reactor
+from twisted.internet.interfaces import ITCPTransport
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from onyxspoke.net.messages import Message
+
+MAXIMUM_MESSAGE_BYTES = 8 * 1024 * 1024
+MAXIMUM_UNSENT_BYTES = 32 * 1024 * 1024
+
+_encoder = msgspec.msgpack.Encoder()
+
+Incoming = TypeVar("Incoming", bound=Message)
+
+
+class MessageStream(Protocol, Generic[Incoming]):
+    """One TCP connection that carries typed messages both ways.
+
+    Parameters
+    ----------
+    incoming_type : type
+        The union of messages that the other side may send.
+    on_message : callable
+        Called with this stream and each message.
+    on_connected : callable, optional
+        Called with this stream once the connection is up.
+    on_lost : callable, optional
+        Called with this stream once the connection is gone.
+    delay_seconds : float
+        Emulated one-way delay of the link, for rehearsals on one machine.
+    """
+
+    def __init__(
+        self,
+        incoming_type: Any,
+        on_message: Callable[[MessageStream[Incoming], Incoming], None],
+        on_connected: Callable[[MessageStream[Incoming]], None] | None = None,
+        on_lost: Callable[[MessageStream[Incoming]], None] | None = None,
+        delay_seconds: float = 0.0,
+    ) -> None:
+        self._incoming_type = incoming_type
+        self._on_message = on_message
+        self._on_connected = on_connected
+        self._on_lost = on_lost
+        self._delay_seconds = delay_seconds
+        self._delayed: deque[bytes] = deque()
+        self._unpacker = msgpack.Unpacker(max_buffer_size=MAXIMUM_MESSAGE_BYTES, raw=False)
+        self.bytes_received = 0
+        self.bytes_sent = 0
+        self.is_open = False
+
+    def connectionMade(self) -> None:
+        """Start the stream; called by Twisted."""
+        self.is_open = True
+        if isinstance(self.transport, ITCPTransport) or hasattr(self.transport, "setTcpNoDelay"):
+            self.transport.setTcpNoDelay(True)
+        if self._on_connected is not None:
+            self._on_connected(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Decode what arrived; called by Twisted."""
+        self.bytes_received += len(data)
+        try:
+            self._unpacker.feed(data)
+            for raw in self._unpacker:
+                message = msgspec.convert(raw, self._incoming_type)
+                self._on_message(self, message)
+                if not self.is_open:
+                    return
+        except (msgspec.ValidationError, msgpack.UnpackException, ValueError) as error:
+            logging.warning("event=stream_protocol_error error=%r", str(error))
+            self.abort()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """End the stream; called by Twisted."""
+        self.is_open = False
+        self._delayed.clear()
+        if self._on_lost is not None:
+            self._on_lost(self)
+
+    def send(self, message: Message) -> None:
+        """Send one message; a stream whose reader has stalled is closed instead."""
+        if not self.is_open:
+            return
+        data = _encoder.encode(message)
+        self.bytes_sent += len(data)
+        if self._delay_seconds > 0:
+            self._delayed.append(data)
+            reactor.callLater(self._delay_seconds, self._write_delayed)
+        else:
+            self._write(data)
+
+    def close(self) -> None:
+        """Close the connection after what was sent."""
+        if self.transport is not None:
+            self.transport.loseConnection()
+
+    def abort(self) -> None:
+        """Drop the connection at once."""
+        self.is_open = False
+        if self.transport is not None:
+            self.transport.abortConnection()
+
+    def _write_delayed(self) -> None:
+        if self._delayed:
+            self._write(self._delayed.popleft())
+
+    def _write(self, data: bytes) -> None:
+        assert self.transport is not None
+        self.transport.write(data)
+        if self._unsent_bytes() > MAXIMUM_UNSENT_BYTES:
+            logging.warning("event=stream_reader_stalled unsent=%d", self._unsent_bytes())
+            self.abort()
+
+    def _unsent_bytes(self) -> int:
+        transport = self.transport
+        buffered = len(getattr(transport, "dataBuffer", b""))
+        return buffered + int(getattr(transport, "_tempDataLen", 0))
--- /dev/null
+++ b/src/onyxspoke/platform/service.py
@@ -0,0 +1,121 @@
+"""The platform stand-in as a Twisted service: log and machine list on one port."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from absl import logging
+from twisted.application.internet import TimerService
+from twisted.application.service import MultiService
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ServerEndpoint
+from twisted.internet.protocol import Factory
+
+from onyxspoke.net.messages import (
+    AppendDone,
+    AppendRequest,
+    EntryToPlatform,
+    LogRecordData,
+    MachineList,
+    MachineListRequest,
+    TailRecords,
+    TailRequest,
+)
+from onyxspoke.net.reactor_clock import MonotonicClock
+from onyxspoke.net.stream import MessageStream
+from onyxspoke.platform.log_store import LogStore, StoredRecord
+from onyxspoke.settings_file import CellSettings
+
+EXPIRY_INTERVAL_SECONDS = 1.0
+MAXIMUM_WAITING_APPENDS = 10_000
+_MILLISECONDS = 1_000.0
+
+_Stream = MessageStream[EntryToPlatform]
+
+
+@dataclass(frozen=True, slots=True)
+class _WaitingAppend:
+    stream: _Stream
+    request: AppendRequest
+
+
+class PlatformService(MultiService):
+    """Append-only log with a limited rate of appends, and a lagging machine list."""
+
+    def __init__(self, settings: CellSettings) -> None:
+        super().__init__()
+        self._settings = settings.platform
+        self._delay_seconds = settings.links.between_zones_ms / _MILLISECONDS
+        self._machines = settings.machines()
+        self._clock = MonotonicClock()
+        self._store = LogStore(self._settings.retention_seconds)
+        self._followers: dict[str, set[_Stream]] = {}
+        self._waiting: deque[_WaitingAppend] = deque()
+        self._is_appending = False
+        expiry = TimerService(EXPIRY_INTERVAL_SECONDS, self._expire)
+        expiry.setServiceParent(self)
+
+    def listen(self) -> Deferred[object]:
+        """Open the server socket."""
+        endpoint = TCP4ServerEndpoint(
+            reactor, self._settings.port, interface=str(self._settings.host)
+        )
+        listening: Deferred[object] = endpoint.listen(Factory.forProtocol(self._build_stream))
+        return listening
+
+    def _build_stream(self) -> _Stream:
+        return MessageStream(
+            EntryToPlatform,
+            self._handle_message,
+            on_lost=self._handle_lost,
+            delay_seconds=self._delay_seconds,
+        )
+
+    def _handle_message(self, stream: _Stream, message: EntryToPlatform) -> None:
+        if isinstance(message, AppendRequest):
+            self._enqueue(stream, message)
+        elif isinstance(message, TailRequest):
+            self._follow(stream, message)
+        elif isinstance(message, MachineListRequest):
+            lag = self._settings.machine_list_lag_seconds
+            reactor.callLater(lag, stream.send, MachineList(self._machines))
+
+    def _handle_lost(self, stream: _Stream) -> None:
+        for followers in self._followers.values():
+            followers.discard(stream)
+
+    def _follow(self, stream: _Stream, message: TailRequest) -> None:
+        self._followers.setdefault(message.stream, set()).add(stream)
+        records = self._store.read(message.stream, message.from_offset)
+        stream.send(self._to_tail(message.stream, records))
+
+    def _enqueue(self, stream: _Stream, request: AppendRequest) -> None:
+        if len(self._waiting) >= MAXIMUM_WAITING_APPENDS:
+            logging.warning("event=append_dropped waiting=%d", len(self._waiting))
+            return
+        self._waiting.append(_WaitingAppend(stream, request))
+        if not self._is_appending:
+            self._is_appending = True
+            reactor.callLater(self._settings.append_delay_ms / _MILLISECONDS, self._append_next)
+
+    def _append_next(self) -> None:
+        waiting = self._waiting.popleft()
+        request = waiting.request
+        record = self._store.append(request.stream, request.data, self._clock.now())
+        waiting.stream.send(AppendDone(request.append_id, record.offset))
+        tail = self._to_tail(request.stream, [record])
+        for follower in self._followers.get(request.stream, ()):
+            follower.send(tail)
+        if self._waiting:
+            reactor.callLater(1.0 / self._settings.appends_per_second, self._append_next)
+        else:
+            self._is_appending = False
+
+    def _to_tail(self, stream: str, records: list[StoredRecord]) -> TailRecords:
+        data = [LogRecordData(record.offset, record.data) for record in records]
+        return TailRecords(stream, self._store.first_kept(stream), data)
+
+    def _expire(self) -> None:
+        self._store.expire(self._clock.now())
--- /dev/null
+++ b/src/onyxspoke/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces through which the shell reaches the systems outside an entry."""
--- /dev/null
+++ b/src/onyxspoke/ports/peer.py
@@ -0,0 +1,65 @@
+"""Port to the other entries."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from onyxspoke.core.schema import Answer, EntryId, Resources, TaskRequest
+
+
+class PeerListener(Protocol):
+    """Receives what peers send."""
+
+    def handle_peer_connected(self, peer_id: EntryId) -> None:
+        """The stream to a peer is up."""
+
+    def handle_peer_disconnected(self, peer_id: EntryId) -> None:
+        """The stream to a peer was lost."""
+
+    def handle_peer_capacity(
+        self, peer_id: EntryId, free: Resources, largest_free: Resources
+    ) -> None:
+        """A peer advertised its free capacity."""
+
+    def handle_peer_request(
+        self,
+        peer_id: EntryId,
+        request_id: str,
+        request: TaskRequest,
+        remaining_seconds: float,
+    ) -> None:
+        """A peer forwarded a request."""
+
+    def handle_peer_answer(self, peer_id: EntryId, request_id: str, answer: Answer) -> None:
+        """A peer answered a forwarded request or a key query."""
+
+    def handle_key_query(self, peer_id: EntryId, request_id: str, key: str) -> None:
+        """A peer asks for the answer under a key."""
+
+
+class PeerPort(Protocol):
+    """Messages to peers; ``False`` means that nothing was sent."""
+
+    def connect_peer(self, peer_id: EntryId, host: str, port: int) -> None:
+        """Keep a stream to a peer."""
+
+    def disconnect_peer(self, peer_id: EntryId) -> None:
+        """Drop the stream to a peer."""
+
+    def forward_task(
+        self,
+        peer_id: EntryId,
+        request_id: str,
+        request: TaskRequest,
+        remaining_seconds: float,
+    ) -> bool:
+        """Hand a request to a peer."""
+
+    def query_key(self, peer_id: EntryId, request_id: str, key: str) -> bool:
+        """Ask a peer for the answer under a key."""
+
+    def answer_peer(self, peer_id: EntryId, request_id: str, answer: Answer) -> None:
+        """Answer what a peer sent."""
+
+    def advertise(self, free: Resources, largest_free: Resources) -> None:
+        """Tell all connected peers what is free."""
--- /dev/null
+++ b/src/onyxspoke/sim/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic simulation and scale measurements of the core."""
--- /dev/null
+++ b/src/onyxspoke/worker/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for workers: many hollow workers in one process."""
