Command line, settings check that names every fault, lint clean under strict types

Change: onyxspokectl; reference faults found on the parsed document so that type faults do not hide them; shared kit records moved below the tools that use them.

--- a/src/onyxspoke/cli/entry.py
+++ b/src/onyxspoke/cli/entry.py
@@ -4,8 +4,10 @@
 
 import signal
 import sys
+from typing import cast
 
 from twisted.internet import reactor
+from twisted.internet.interfaces import IReactorFromThreads
 
 from onyxspoke.cli.common import (
     ProcessRunner,
@@ -39,7 +41,7 @@
     service.shell.on_stopped = runner.stop
 
     def begin_stop(_signal: int, _frame: object) -> None:
-        reactor.callFromThread(service.shell.stop)
+        cast("IReactorFromThreads", reactor).callFromThread(service.shell.stop)
 
     reactor.callWhenRunning(lambda: signal.signal(signal.SIGTERM, begin_stop))
     sys.exit(runner.run(service.listen()))
--- a/src/onyxspoke/cli/load.py
+++ b/src/onyxspoke/cli/load.py
@@ -20,13 +20,13 @@
     make_parser,
 )
 from onyxspoke.core.codes import ExitCode
+from onyxspoke.kit.journal import read_journal
 from onyxspoke.load.audit import AuditReport, audit
 from onyxspoke.load.generator import LoadGenerator
 from onyxspoke.load.records import read_records, write_records
 from onyxspoke.load.report import format_table, make_report, plot
 from onyxspoke.net.reactor_clock import MonotonicClock
 from onyxspoke.settings_file import CellSettings, LoadSettings
-from onyxspoke.worker.journal import read_journal
 
 RECORDS_FILE = "submissions.jsonl"
 AUDIT_FILE = "audit.json"
--- a/src/onyxspoke/entry/caller_api.py
+++ b/src/onyxspoke/entry/caller_api.py
@@ -20,7 +20,14 @@
 from onyxspoke.entry.catalog import Catalog
 from onyxspoke.entry.shell import EntryShell
 from onyxspoke.entry.telemetry import Telemetry
-from onyxspoke.net.http import NO_RESULT, AnswerBody, CodedResource, read_json, read_query, write_json
+from onyxspoke.net.http import (
+    NO_RESULT,
+    AnswerBody,
+    CodedResource,
+    read_json,
+    read_query,
+    write_json,
+)
 from onyxspoke.ports.clock import Clock
 from onyxspoke.settings_file import LimitSettings
 
--- a/src/onyxspoke/entry/telemetry.py
+++ b/src/onyxspoke/entry/telemetry.py
@@ -10,14 +10,9 @@
 from statsd import StatsClient
 
 from onyxspoke.core.codes import ResultCode
+from onyxspoke.histograms import make_histogram, percentile_ms, record_seconds
 from onyxspoke.settings_file import StatsdSettings
 
-LOWEST_MICROSECONDS = 1
-HIGHEST_MICROSECONDS = 3_600_000_000
-SIGNIFICANT_DIGITS = 2
-_MICROSECONDS_PER_SECOND = 1_000_000
-_MICROSECONDS_PER_MILLISECOND = 1_000
-
 
 class HistogramSummary(msgspec.Struct, frozen=True):
     """Figures of one histogram, in milliseconds."""
@@ -60,26 +55,6 @@
     return client
 
 
-def make_histogram() -> HdrHistogram:
-    """Return an empty histogram of microseconds up to an hour."""
-    return HdrHistogram(LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
-
-
-def record_seconds(histogram: HdrHistogram, seconds: float) -> None:
-    """Record a duration, clamped to the histogram's range."""
-    microseconds = int(seconds * _MICROSECONDS_PER_SECOND)
-    clamped = min(max(microseconds, LOWEST_MICROSECONDS), HIGHEST_MICROSECONDS)
-    histogram.record_value(clamped)
-
-
-def percentile_ms(histogram: HdrHistogram, percentile: float) -> float:
-    """Return a percentile in milliseconds; 0 for an empty histogram."""
-    if histogram.get_total_count() == 0:
-        return 0.0
-    microseconds = histogram.get_value_at_percentile(percentile)
-    return float(microseconds) / _MICROSECONDS_PER_MILLISECOND
-
-
 class Telemetry:
     """Time to answer by tenant and class, and counts by code."""
 
--- /dev/null
+++ b/src/onyxspoke/kit/__init__.py
@@ -0,0 +1,1 @@
+"""Records that the parts of the rehearsal kit share."""
--- a/src/onyxspoke/load/audit.py
+++ b/src/onyxspoke/load/audit.py
@@ -5,12 +5,13 @@
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from itertools import pairwise
 
 import msgspec
 
 from onyxspoke.core.codes import OutcomeKind
+from onyxspoke.kit.journal import JournalEvent, JournalKind
 from onyxspoke.load.records import SubmissionRecord
-from onyxspoke.worker.journal import JournalEvent, JournalKind
 
 
 class AuditReport(msgspec.Struct, kw_only=True):
@@ -132,10 +133,7 @@
 
 def _overlap(runs: list[TaskRun]) -> bool:
     ordered = sorted(runs, key=lambda run: run.started_at)
-    return any(
-        later.started_at < earlier.ended_at
-        for earlier, later in zip(ordered, ordered[1:], strict=False)
-    )
+    return any(later.started_at < earlier.ended_at for earlier, later in pairwise(ordered))
 
 
 def _note(report: AuditReport, text: str) -> None:
--- a/src/onyxspoke/load/generator.py
+++ b/src/onyxspoke/load/generator.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Coroutine
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -15,12 +16,12 @@
 
 from onyxspoke.core.codes import OutcomeKind
 from onyxspoke.core.schema import TaskClass
+from onyxspoke.kit.hollow_work import HollowResult, HollowWork, digest_of
 from onyxspoke.load.http_client import CallerClient
 from onyxspoke.load.records import SubmissionRecord
 from onyxspoke.net.http import AnswerBody
 from onyxspoke.ports.clock import Clock
 from onyxspoke.settings_file import CellSettings, LoadClassSettings, LoadSettings
-from onyxspoke.worker.hollow_worker import HollowResult, HollowWork, digest_of
 
 JOB_WAIT_SECONDS = 5.0
 ANSWER_TIMEOUT_GRACE_SECONDS = 5.0
@@ -95,7 +96,7 @@
             for submission in self._draw():
                 done = ensureDeferred(submission)
                 outstanding.add(done)
-                done.addBoth(lambda _result, done=done: outstanding.discard(done))
+                done.addBoth(partial(_discard, outstanding, done))
             next_at += self._random.expovariate(self._load.requests_per_second)
         logging.info("event=load_submitted count=%d", self._counter)
         await gatherResults(list(outstanding))
@@ -189,6 +190,10 @@
             await deferLater(reactor, self._client_delay)
 
 
+def _discard(outstanding: set[Deferred[None]], done: Deferred[None], _result: object) -> None:
+    outstanding.discard(done)
+
+
 def _with_answer(record: SubmissionRecord, answer: AnswerBody, now: float) -> SubmissionRecord:
     digest, result_nonce = "", ""
     if answer.outcome == OutcomeKind.COMPLETED.value and bytes(answer.result):
--- a/src/onyxspoke/load/report.py
+++ b/src/onyxspoke/load/report.py
@@ -10,7 +10,7 @@
 from hdrh.histogram import HdrHistogram
 
 from onyxspoke.core.codes import OutcomeKind
-from onyxspoke.entry.telemetry import make_histogram, percentile_ms, record_seconds
+from onyxspoke.histograms import make_histogram, percentile_ms, record_seconds
 from onyxspoke.load.records import SubmissionRecord
 
 PLOTTED_PERCENTILES = (0, 10, 25, 50, 75, 90, 95, 99, 99.5, 99.9, 100)
--- a/src/onyxspoke/net/http.py
+++ b/src/onyxspoke/net/http.py
@@ -8,9 +8,9 @@
 import msgspec
 from absl import logging
 from twisted.internet import reactor
-from twisted.internet.address import IPv4Address, IPv6Address
-from twisted.internet.interfaces import IAddress, IDelayedCall, IProtocol
+from twisted.internet.interfaces import IAddress, IDelayedCall, ITransport
 from twisted.web.http import HTTPChannel
+from twisted.web.http import Request as HTTPRequest
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
@@ -89,7 +89,7 @@
         """Answer at once and close: the rest of the body is not read."""
         self._stop_timer()
         self._refused = True
-        transport = self.channel.transport
+        transport = cast("ITransport", self.channel.transport)
         body = encode_error(code)
         status = f"HTTP/1.1 {http_status(code)} {code.name}\r\n".encode()
         headers = (
@@ -113,12 +113,12 @@
         self._maximum_connections = maximum_connections
         self._connections = 0
 
-    def buildProtocol(self, addr: IAddress) -> IProtocol | None:
+    def buildProtocol(self, addr: IAddress | None) -> Any:
         """Return the channel of a new connection, or ``None`` to close it."""
         if self._connections >= self._maximum_connections:
             logging.warning("event=http_connection_refused limit=%d", self._maximum_connections)
             return None
-        channel = super().buildProtocol(cast("IPv4Address | IPv6Address", addr))
+        channel = super().buildProtocol(addr)
         self._connections += 1
         original = channel.connectionLost
 
@@ -127,9 +127,9 @@
             original(reason)
 
         channel.connectionLost = connection_lost
-        return cast("IProtocol", channel)
+        return channel
 
-    def log(self, request: Request) -> None:
+    def log(self, request: HTTPRequest) -> None:
         """Log no line a request: answers are counted in histograms instead."""
 
 
--- a/src/onyxspoke/net/stream.py
+++ b/src/onyxspoke/net/stream.py
@@ -8,7 +8,7 @@
 
 from collections import deque
 from collections.abc import Callable
-from typing import Any, Generic, TypeVar
+from typing import Any, Generic, TypeVar, cast
 
 import msgpack
 import msgspec
@@ -67,7 +67,7 @@
     def connectionMade(self) -> None:
         """Start the stream; called by Twisted."""
         self.is_open = True
-        if isinstance(self.transport, ITCPTransport) or hasattr(self.transport, "setTcpNoDelay"):
+        if ITCPTransport.providedBy(self.transport):
             self.transport.setTcpNoDelay(True)
         if self._on_connected is not None:
             self._on_connected(self)
@@ -114,7 +114,7 @@
         """Drop the connection at once."""
         self.is_open = False
         if self.transport is not None:
-            self.transport.abortConnection()
+            cast("ITCPTransport", self.transport).abortConnection()
 
     def _write_delayed(self) -> None:
         if self._delayed:
--- a/src/onyxspoke/settings_file.py
+++ b/src/onyxspoke/settings_file.py
@@ -21,6 +21,7 @@
     TaskClass,
     WorkerId,
 )
+from onyxspoke.settings_references import find_reference_faults
 
 Port = Field(gt=0, lt=65_536)
 TaskClassName = tuple[str, str]
@@ -41,8 +42,8 @@
 class LinkSettings(_Section):
     """Emulated one-way delays, in milliseconds; 0 on real networks."""
 
-    between_zones_ms: float = Field(0.0, ge=0, le=1_000)
-    to_clients_ms: float = Field(0.0, ge=0, le=1_000)
+    between_zones_ms: float = Field(default=0.0, ge=0, le=1_000)
+    to_clients_ms: float = Field(default=0.0, ge=0, le=1_000)
 
 
 class PlatformSettings(_Section):
@@ -50,19 +51,19 @@
 
     host: IPv4Address
     port: int = Port
-    appends_per_second: float = Field(200.0, gt=0)
-    append_delay_ms: float = Field(5.0, ge=0)
-    retention_seconds: float = Field(3_600.0, gt=0)
-    machine_list_lag_seconds: float = Field(1.0, ge=0)
+    appends_per_second: float = Field(default=200.0, gt=0)
+    append_delay_ms: float = Field(default=5.0, ge=0)
+    retention_seconds: float = Field(default=3_600.0, gt=0)
+    machine_list_lag_seconds: float = Field(default=1.0, ge=0)
 
 
 class LeaseSettings(_Section):
     """Times of entry leases, in seconds."""
 
-    lease_seconds: float = Field(5.0, gt=0)
-    margin_seconds: float = Field(1.0, gt=0)
-    settle_seconds: float = Field(1.0, ge=0)
-    renewal_seconds: float = Field(1.0, gt=0)
+    lease_seconds: float = Field(default=5.0, gt=0)
+    margin_seconds: float = Field(default=1.0, gt=0)
+    settle_seconds: float = Field(default=1.0, ge=0)
+    renewal_seconds: float = Field(default=1.0, gt=0)
 
     @model_validator(mode="after")
     def _check_renewal(self) -> LeaseSettings:
@@ -74,14 +75,14 @@
 class LimitSettings(_Section):
     """Bounds of what one entry takes on."""
 
-    body_bytes: int = Field(1_048_576, gt=0)
-    http_connections: int = Field(1_000, gt=0)
-    request_read_seconds: float = Field(10.0, gt=0)
-    queued_requests: int = Field(2_000, gt=0)
-    queued_bytes: int = Field(16_777_216, gt=0)
-    deadline_seconds: float = Field(86_400.0, gt=0)
-    append_interval_ms: float = Field(50.0, gt=0)
-    job_tasks: int = Field(64, gt=0)
+    body_bytes: int = Field(default=1_048_576, gt=0)
+    http_connections: int = Field(default=1_000, gt=0)
+    request_read_seconds: float = Field(default=10.0, gt=0)
+    queued_requests: int = Field(default=2_000, gt=0)
+    queued_bytes: int = Field(default=16_777_216, gt=0)
+    deadline_seconds: float = Field(default=86_400.0, gt=0)
+    append_interval_ms: float = Field(default=50.0, gt=0)
+    job_tasks: int = Field(default=64, gt=0)
 
 
 class StatsdSettings(_Section):
@@ -90,7 +91,7 @@
     host: IPv4Address
     port: int = Port
     prefix: str = "onyxspoke"
-    interval_seconds: float = Field(10.0, gt=0)
+    interval_seconds: float = Field(default=10.0, gt=0)
 
 
 class EntrySettings(_Section):
@@ -108,9 +109,9 @@
 
     processors: int = Field(gt=0)
     memory_mb: int = Field(gt=0)
-    accelerators: int = Field(0, ge=0)
-    slots: int = Field(8, gt=0)
-    connections: int = Field(64, gt=0)
+    accelerators: int = Field(default=0, ge=0)
+    slots: int = Field(default=8, gt=0)
+    connections: int = Field(default=64, gt=0)
 
     def to_resources(self) -> Resources:
         """Return the part that tasks take up."""
@@ -146,7 +147,7 @@
 
     processors: int = Field(ge=0)
     memory_mb: int = Field(ge=0)
-    accelerators: int = Field(0, ge=0)
+    accelerators: int = Field(default=0, ge=0)
 
 
 class TaskClassSettings(_Section):
@@ -154,7 +155,7 @@
 
     resources: TaskResourceSettings
     patience_seconds: float = Field(gt=0)
-    priority: str = Field("normal", pattern="^(urgent|normal|patient)$")
+    priority: str = Field(default="normal", pattern="^(urgent|normal|patient)$")
     repeatable: bool = True
     batch: bool = False
     generations: list[str] = []
@@ -172,7 +173,7 @@
 
     share: float = Field(gt=0)
     work_ms: float = Field(ge=0)
-    payload_bytes: int = Field(64, ge=0)
+    payload_bytes: int = Field(default=64, ge=0)
 
 
 class LoadSettings(_Section):
@@ -180,7 +181,7 @@
 
     requests_per_second: float = Field(gt=0)
     duration_seconds: float = Field(gt=0)
-    duplicate_share: float = Field(0.05, ge=0, le=1)
+    duplicate_share: float = Field(default=0.05, ge=0, le=1)
     classes: dict[str, dict[str, LoadClassSettings]]
 
 
@@ -189,10 +190,10 @@
 
     cell: str
     zones: dict[str, ZoneSettings]
-    links: LinkSettings = LinkSettings()
+    links: LinkSettings = Field(default_factory=LinkSettings)
     platform: PlatformSettings
-    lease: LeaseSettings = LeaseSettings()
-    limits: LimitSettings = LimitSettings()
+    lease: LeaseSettings = Field(default_factory=LeaseSettings)
+    limits: LimitSettings = Field(default_factory=LimitSettings)
     statsd: StatsdSettings | None = None
     entries: list[EntrySettings] = Field(min_length=1)
     workers: list[WorkerGroupSettings] = []
@@ -200,13 +201,6 @@
     services: dict[str, ServiceSettings] = Field(min_length=1)
     load: LoadSettings | None = None
 
-    @model_validator(mode="after")
-    def _check_references(self) -> CellSettings:
-        faults = [*self._zone_faults(), *self._load_faults()]
-        if faults:
-            raise ValueError("; ".join(faults))
-        return self
-
     def entry(self, name: str) -> EntrySettings | None:
         """Return the settings of an entry by its name."""
         return next((entry for entry in self.entries if entry.name == name), None)
@@ -231,23 +225,6 @@
             for class_name, entry in service.classes.items()
         }
 
-    def _zone_faults(self) -> Iterator[str]:
-        for index, entry in enumerate(self.entries):
-            if entry.zone not in self.zones:
-                yield f"entries.{index}.zone: expected a zone of this file, got {entry.zone!r}"
-        for index, group in enumerate(self.workers):
-            if group.zone not in self.zones:
-                yield f"workers.{index}.zone: expected a zone of this file, got {group.zone!r}"
-
-    def _load_faults(self) -> Iterator[str]:
-        if self.load is None:
-            return
-        catalog = self.catalog()
-        for service, classes in self.load.classes.items():
-            for name in classes:
-                if (service, name) not in catalog:
-                    yield f"load.classes.{service}.{name}: expected a task class of this file"
-
 
 def _to_task_class(
     service_name: str, class_name: str, service: ServiceSettings, entry: TaskClassSettings
@@ -281,16 +258,21 @@
     Raises
     ------
     SettingsFileError
-        If the file cannot be read, is not YAML, or breaks the schema.
+        If the file cannot be read, is not YAML, or breaks the schema; it names every
+        fault, references to things that the file does not define included.
     """
     try:
         document = yaml.safe_load(path.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
         raise SettingsFileError([f"{path}: {error}"]) from error
+    faults = list(find_reference_faults(document))
     try:
-        return CellSettings.model_validate(document)
+        settings = CellSettings.model_validate(document)
     except ValidationError as error:
-        raise SettingsFileError([f"{path}: {fault}" for fault in _describe(error)]) from error
+        faults = [*_describe(error), *faults]
+    if faults:
+        raise SettingsFileError([f"{path}: {fault}" for fault in faults])
+    return settings
 
 
 def _describe(error: ValidationError) -> Iterator[str]:
--- a/src/onyxspoke/worker/hollow_worker.py
+++ b/src/onyxspoke/worker/hollow_worker.py
@@ -11,7 +11,6 @@
 from typing import Protocol
 
 import msgspec
-import xxhash
 
 from onyxspoke.core.codes import ResultCode
 from onyxspoke.core.schema import (
@@ -23,6 +22,8 @@
     RunningTask,
     WorkerId,
 )
+from onyxspoke.kit.hollow_work import HollowResult, HollowWork, digest_of
+from onyxspoke.kit.journal import Journal, JournalEvent, JournalKind
 from onyxspoke.net.messages import (
     Attach,
     AttachRefused,
@@ -35,32 +36,11 @@
     TaskRefused,
 )
 from onyxspoke.ports.clock import Clock
-from onyxspoke.worker.journal import Journal, JournalEvent, JournalKind
 
 MAXIMUM_UNDELIVERED = 1_000
 _MILLISECONDS = 1_000.0
 
 
-class HollowWork(msgspec.Struct, frozen=True):
-    """Payload that hollow workers understand."""
-
-    nonce: str = ""
-    work_ms: float = 0.0
-    filler: str = ""
-
-
-class HollowResult(msgspec.Struct, frozen=True):
-    """Result of hollow work; the digest proves which payload was run."""
-
-    nonce: str
-    digest: str
-
-
-def digest_of(payload: bytes) -> str:
-    """Return the digest that the result of a payload carries."""
-    return xxhash.xxh3_64_hexdigest(payload)
-
-
 class Connection(Protocol):
     """Where replies go; in processes a message stream."""
 
--- a/src/onyxspoke/worker/service.py
+++ b/src/onyxspoke/worker/service.py
@@ -12,12 +12,12 @@
 from twisted.internet.protocol import Factory
 
 from onyxspoke.core.schema import MachineRecord
+from onyxspoke.kit.journal import FileJournal, Journal, NullJournal
 from onyxspoke.net.messages import EntryToWorker
 from onyxspoke.net.reactor_clock import MonotonicClock
 from onyxspoke.net.stream import MessageStream
 from onyxspoke.settings_file import CapacitySettings, CellSettings
 from onyxspoke.worker.hollow_worker import CallLater, HollowWorker
-from onyxspoke.worker.journal import FileJournal, Journal, NullJournal
 
 _MILLISECONDS = 1_000.0
 
