--- a/src/onyxspoke/cli/common.py
+++ b/src/onyxspoke/cli/common.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 from absl import logging
 from twisted.application.service import Service
@@ -90,7 +91,7 @@
         self._service = service
         self._exit_code = ExitCode.OK
 
-    def run(self, listening: Deferred[object]) -> ExitCode:
+    def run(self, listening: Deferred[Any]) -> ExitCode:
         """Run until the reactor stops.
 
         Parameters
--- a/src/onyxspoke/cli/entry.py
+++ b/src/onyxspoke/cli/entry.py
@@ -19,6 +19,8 @@
 )
 from onyxspoke.core.codes import ExitCode
 from onyxspoke.entry.service import EntryService
+from onyxspoke.net.network import tcp_network
+from onyxspoke.net.reactor_clock import MonotonicClock
 
 
 def main() -> None:
@@ -36,7 +38,7 @@
         print(f"--name: expected one of {names}", file=sys.stderr)
         sys.exit(ExitCode.USAGE)
     configure_logging(entry.name, verbose=arguments.verbose)
-    service = EntryService(settings, entry)
+    service = EntryService(settings, entry, tcp_network(reactor), MonotonicClock())
     runner = ProcessRunner(service)
     service.shell.on_stopped = runner.stop
 
--- a/src/onyxspoke/cli/platform.py
+++ b/src/onyxspoke/cli/platform.py
@@ -4,6 +4,8 @@
 
 import sys
 
+from twisted.internet import reactor
+
 from onyxspoke.cli.common import (
     ProcessRunner,
     add_settings_arguments,
@@ -12,6 +14,8 @@
     load_or_exit,
     make_parser,
 )
+from onyxspoke.net.network import tcp_network
+from onyxspoke.net.reactor_clock import MonotonicClock
 from onyxspoke.platform.service import PlatformService
 
 
@@ -24,7 +28,7 @@
     if arguments.check:
         exit_after_check(arguments.config)
     configure_logging("platform", verbose=arguments.verbose)
-    service = PlatformService(settings)
+    service = PlatformService(settings, tcp_network(reactor), MonotonicClock())
     sys.exit(ProcessRunner(service).run(service.listen()))
 
 
--- a/src/onyxspoke/cli/worker.py
+++ b/src/onyxspoke/cli/worker.py
@@ -5,6 +5,8 @@
 import sys
 from pathlib import Path
 
+from twisted.internet import reactor
+
 from onyxspoke.cli.common import (
     ProcessRunner,
     add_settings_arguments,
@@ -14,6 +16,9 @@
     make_parser,
 )
 from onyxspoke.core.codes import ExitCode
+from onyxspoke.kit.journal import FileJournal, Journal, NullJournal
+from onyxspoke.net.network import tcp_network
+from onyxspoke.net.reactor_clock import MonotonicClock
 from onyxspoke.worker.service import WorkerService
 
 
@@ -35,7 +40,10 @@
         print(f"--zone: expected a zone of the file, got {sorted(unknown)}", file=sys.stderr)
         sys.exit(ExitCode.USAGE)
     configure_logging("workers-" + "-".join(sorted(zones)), verbose=arguments.verbose)
-    service = WorkerService(settings, zones, arguments.journal)
+    journal: Journal = NullJournal()
+    if arguments.journal is not None:
+        journal = FileJournal(arguments.journal / f"workers-{'-'.join(sorted(zones))}.jsonl")
+    service = WorkerService(settings, zones, tcp_network(reactor), MonotonicClock(), journal)
     sys.exit(ProcessRunner(service).run(service.listen()))
 
 
--- a/src/onyxspoke/entry/service.py
+++ b/src/onyxspoke/entry/service.py
@@ -3,23 +3,17 @@
 from __future__ import annotations
 
 import secrets
+from typing import Any
 
 from absl import logging
 from twisted.application.internet import TimerService
 from twisted.application.service import MultiService
-from twisted.internet import reactor
 from twisted.internet.defer import Deferred
-from twisted.internet.endpoints import TCP4ServerEndpoint
 
-from onyxspoke.core.append_queue import AppendOptions
-from onyxspoke.core.context import CoreOptions
-from onyxspoke.core.log_records import LogStream
-from onyxspoke.core.ownership import LeaseOptions
-from onyxspoke.core.requests import QueueLimits
 from onyxspoke.core.scheduler import EntryScheduler
-from onyxspoke.core.schema import EntryIdentity
 from onyxspoke.entry.caller_api import CallerDesk, JobsResource, RequestsResource
 from onyxspoke.entry.catalog import Catalog
+from onyxspoke.entry.node import EntryNode, make_core_options, make_identity
 from onyxspoke.entry.operator_api import (
     HealthResource,
     HistogramsResource,
@@ -27,52 +21,13 @@
     StatusResource,
     WorkersResource,
 )
-from onyxspoke.entry.shell import EntryShell
 from onyxspoke.entry.telemetry import Telemetry, make_metrics_sink
-from onyxspoke.net.http import CodedResource, make_site
-from onyxspoke.net.log_client import LogClient
-from onyxspoke.net.machine_list_client import MachineListClient
-from onyxspoke.net.peer_network import PeerNetwork
-from onyxspoke.net.reactor_clock import MonotonicClock
-from onyxspoke.net.worker_client import WorkerClient
+from onyxspoke.net.http import BoundedSite, CodedResource, make_site
+from onyxspoke.net.network import Network
+from onyxspoke.ports.clock import Clock
 from onyxspoke.settings_file import CellSettings, EntrySettings
 
-TICK_SECONDS = 0.02
 INCARNATION_BYTES = 4
-_MILLISECONDS = 1_000.0
-
-
-def make_identity(settings: CellSettings, entry: EntrySettings) -> EntryIdentity:
-    """Return the identity of this run; it differs from that of every other run."""
-    incarnation = secrets.token_hex(INCARNATION_BYTES)
-    return EntryIdentity(
-        entry_id=f"{entry.name}.{incarnation}",
-        region=settings.zones[entry.zone].region,
-        zone=entry.zone,
-        peer_host=str(entry.host),
-        peer_port=entry.peer_port,
-    )
-
-
-def make_core_options(settings: CellSettings) -> CoreOptions:
-    """Return the core's options from the settings file."""
-    lease = settings.lease
-    limits = settings.limits
-    return CoreOptions(
-        lease=LeaseOptions(
-            lease_seconds=lease.lease_seconds,
-            margin_seconds=lease.margin_seconds,
-            settle_seconds=lease.settle_seconds,
-        ),
-        append=AppendOptions(
-            minimum_interval_seconds=limits.append_interval_ms / _MILLISECONDS,
-            renewal_interval_seconds=lease.renewal_seconds,
-        ),
-        queue=QueueLimits(
-            maximum_queued=limits.queued_requests,
-            maximum_queued_bytes=limits.queued_bytes,
-        ),
-    )
 
 
 class EntryService(MultiService):
@@ -84,56 +39,38 @@
         The whole settings file.
     entry : EntrySettings
         This entry's part of it.
+    network : Network
+        Connections and timers.
+    clock : Clock
+        Source of time.
     """
 
-    def __init__(self, settings: CellSettings, entry: EntrySettings) -> None:
+    def __init__(
+        self, settings: CellSettings, entry: EntrySettings, network: Network, clock: Clock
+    ) -> None:
         super().__init__()
         self._settings = settings
         self._entry = entry
-        self._clock = MonotonicClock()
-        identity = make_identity(settings, entry)
+        self._network = network
+        self._clock = clock
+        identity = make_identity(settings, entry, secrets.token_hex(INCARNATION_BYTES))
         scheduler = EntryScheduler(identity, make_core_options(settings))
-        self.shell = EntryShell(scheduler, self._clock)
+        self._node = EntryNode(settings, scheduler, network, clock)
+        self._node.setServiceParent(self)
+        self.shell = self._node.shell
         self.telemetry = Telemetry(make_metrics_sink(settings.statsd, entry.name))
-        self._delay_seconds = settings.links.between_zones_ms / _MILLISECONDS
-        self._peers = PeerNetwork(
-            identity.entry_id, str(entry.host), entry.peer_port, self.shell, self._delay_seconds
-        )
-        self._workers = WorkerClient(identity.entry_id, self.shell, self._delay_seconds)
-        self._add_services()
+        if settings.statsd is not None:
+            flushes = TimerService(settings.statsd.interval_seconds, self._flush_metrics)
+            flushes.setServiceParent(self)
 
-    def listen(self) -> Deferred[object]:
+    def listen(self) -> Deferred[Any]:
         """Open the server sockets; fails if an address is in use."""
-        listening: Deferred[object] = self._http_endpoint().listen(self._make_site())
-        listening.addCallback(lambda _port: self._peers.listen())
+        endpoint = self._network.endpoints.server(str(self._entry.host), self._entry.http_port)
+        listening: Deferred[Any] = endpoint.listen(self._make_site())
+        listening.addCallback(lambda _port: self._node.listen())
         return listening
 
-    def stopService(self) -> Deferred[None] | None:
-        """Close every connection."""
-        self._workers.close()
-        stopping: Deferred[None] | None = super().stopService()
-        return stopping
-
-    def _add_services(self) -> None:
-        platform = self._settings.platform
-        host = str(platform.host)
-        log = LogClient(host, platform.port, LogStream, self.shell, self._delay_seconds)
-        machine_list = MachineListClient(host, platform.port, self.shell, self._delay_seconds)
-        self.shell.connect_ports(log, self._workers, self._peers)
-        log.setServiceParent(self)
-        machine_list.setServiceParent(self)
-        self._peers.setServiceParent(self)
-        TimerService(TICK_SECONDS, self.shell.tick).setServiceParent(self)
-        if self._settings.statsd is not None:
-            interval = self._settings.statsd.interval_seconds
-            TimerService(interval, self._flush_metrics).setServiceParent(self)
-
-    def _http_endpoint(self) -> TCP4ServerEndpoint:
-        return TCP4ServerEndpoint(
-            reactor, self._entry.http_port, interface=str(self._entry.host), backlog=512
-        )
-
-    def _make_site(self) -> object:
+    def _make_site(self) -> BoundedSite:
         limits = self._settings.limits
         return make_site(
             self._make_root(),
--- a/src/onyxspoke/net/log_client.py
+++ b/src/onyxspoke/net/log_client.py
@@ -5,9 +5,7 @@
 from collections.abc import Iterable
 
 from absl import logging
-from twisted.application.internet import ClientService
-from twisted.internet import reactor
-from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.application.service import MultiService
 from twisted.internet.protocol import Factory
 
 from onyxspoke.core.codes import OnyxspokeError
@@ -22,18 +20,20 @@
     TailRecords,
     TailRequest,
 )
-from onyxspoke.net.retry import reconnect_delay
+from onyxspoke.net.network import Network
 from onyxspoke.net.stream import MessageStream
 from onyxspoke.ports.log import LogListener
 
 _Stream = MessageStream[PlatformToEntry]
 
 
-class LogClient(ClientService):
+class LogClient(MultiService):
     """Follows streams of the log and appends to them.
 
     Parameters
     ----------
+    network : Network
+        Connections and timers.
     host, port
         Address of the platform.
     streams : iterable of LogStream
@@ -46,6 +46,7 @@
 
     def __init__(
         self,
+        network: Network,
         host: str,
         port: int,
         streams: Iterable[LogStream],
@@ -59,9 +60,9 @@
         self._append_counter = 0
         self._connection: _Stream | None = None
         self.appends_sent = 0
-        endpoint = TCP4ClientEndpoint(reactor, host, port)
+        super().__init__()
         factory = Factory.forProtocol(self._build_stream)
-        super().__init__(endpoint, factory, retryPolicy=reconnect_delay)
+        network.keep_connected(host, port, factory).setServiceParent(self)
 
     @property
     def is_connected(self) -> bool:
--- a/src/onyxspoke/net/machine_list_client.py
+++ b/src/onyxspoke/net/machine_list_client.py
@@ -2,30 +2,33 @@
 
 from __future__ import annotations
 
-from twisted.application.internet import ClientService
-from twisted.internet import reactor
-from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.application.service import MultiService
 from twisted.internet.protocol import Factory
 
 from onyxspoke.net.messages import MachineList, MachineListRequest, PlatformToEntry
-from onyxspoke.net.retry import reconnect_delay
+from onyxspoke.net.network import Network
 from onyxspoke.net.stream import MessageStream
 from onyxspoke.ports.machine_list import MachineListListener
 
 _Stream = MessageStream[PlatformToEntry]
 
 
-class MachineListClient(ClientService):
+class MachineListClient(MultiService):
     """Subscribes to the machine list for as long as the service runs."""
 
     def __init__(
-        self, host: str, port: int, listener: MachineListListener, delay_seconds: float = 0.0
+        self,
+        network: Network,
+        host: str,
+        port: int,
+        listener: MachineListListener,
+        delay_seconds: float = 0.0,
     ) -> None:
         self._listener = listener
         self._delay_seconds = delay_seconds
-        endpoint = TCP4ClientEndpoint(reactor, host, port)
+        super().__init__()
         factory = Factory.forProtocol(self._build_stream)
-        super().__init__(endpoint, factory, retryPolicy=reconnect_delay)
+        network.keep_connected(host, port, factory).setServiceParent(self)
 
     def _build_stream(self) -> _Stream:
         return MessageStream(
--- a/src/onyxspoke/net/peer_network.py
+++ b/src/onyxspoke/net/peer_network.py
@@ -4,9 +4,7 @@
 
 from twisted.application.internet import ClientService
 from twisted.application.service import Service
-from twisted.internet import reactor
 from twisted.internet.defer import Deferred
-from twisted.internet.endpoints import TCP4ClientEndpoint, TCP4ServerEndpoint
 from twisted.internet.interfaces import IListeningPort
 from twisted.internet.protocol import Factory
 
@@ -19,7 +17,7 @@
     PeerHello,
     PeerMessage,
 )
-from onyxspoke.net.retry import reconnect_delay
+from onyxspoke.net.network import Network
 from onyxspoke.net.stream import MessageStream
 from onyxspoke.ports.peer import PeerListener
 
@@ -35,12 +33,14 @@
 
     def __init__(
         self,
+        network: Network,
         entry_id: EntryId,
         host: str,
         port: int,
         listener: PeerListener,
         delay_seconds: float = 0.0,
     ) -> None:
+        self._network = network
         self._entry_id = entry_id
         self._host = host
         self._port = port
@@ -54,7 +54,7 @@
 
     def listen(self) -> Deferred[IListeningPort]:
         """Open the server for the peers' streams."""
-        endpoint = TCP4ServerEndpoint(reactor, self._port, interface=self._host)
+        endpoint = self._network.endpoints.server(self._host, self._port)
         factory = Factory.forProtocol(self._build_incoming)
         listening: Deferred[IListeningPort] = endpoint.listen(factory)
         listening.addCallback(self._note_listening)
@@ -72,9 +72,8 @@
         """Keep a stream to a peer."""
         if peer_id in self._clients:
             return
-        endpoint = TCP4ClientEndpoint(reactor, host, port)
         factory = Factory.forProtocol(lambda: self._build_outgoing(peer_id))
-        client = ClientService(endpoint, factory, retryPolicy=reconnect_delay)
+        client = self._network.keep_connected(host, port, factory)
         self._clients[peer_id] = client
         client.startService()
 
--- a/src/onyxspoke/net/worker_client.py
+++ b/src/onyxspoke/net/worker_client.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass
 
 from absl import logging
-from twisted.internet import reactor
-from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory
 
 from onyxspoke.core.schema import (
@@ -27,11 +25,11 @@
     TaskRefused,
     WorkerToEntry,
 )
+from onyxspoke.net.network import Network
 from onyxspoke.net.stream import MessageStream
 from onyxspoke.ports.worker import WorkerListener
 
 _Stream = MessageStream[WorkerToEntry]
-_CONNECT_TIMEOUT_SECONDS = 2
 
 
 @dataclass(slots=True)
@@ -47,8 +45,13 @@
     """Connections to the workers that this entry owns or waits for."""
 
     def __init__(
-        self, entry_id: EntryId, listener: WorkerListener, delay_seconds: float = 0.0
+        self,
+        network: Network,
+        entry_id: EntryId,
+        listener: WorkerListener,
+        delay_seconds: float = 0.0,
     ) -> None:
+        self._network = network
         self._entry_id = entry_id
         self._listener = listener
         self._delay_seconds = delay_seconds
@@ -101,9 +104,7 @@
         connection.connecting = True
         worker_id = machine.worker_id
         factory = Factory.forProtocol(lambda: self._build_stream(worker_id))
-        endpoint = TCP4ClientEndpoint(
-            reactor, machine.host, machine.port, timeout=_CONNECT_TIMEOUT_SECONDS
-        )
+        endpoint = self._network.endpoints.client(machine.host, machine.port)
         connecting = endpoint.connect(factory)
         connecting.addErrback(lambda failure: self._handle_connect_failed(worker_id, failure))
 
--- a/src/onyxspoke/platform/service.py
+++ b/src/onyxspoke/platform/service.py
@@ -4,13 +4,12 @@
 
 from collections import deque
 from dataclasses import dataclass
+from typing import Any
 
 from absl import logging
 from twisted.application.internet import TimerService
 from twisted.application.service import MultiService
-from twisted.internet import reactor
 from twisted.internet.defer import Deferred
-from twisted.internet.endpoints import TCP4ServerEndpoint
 from twisted.internet.protocol import Factory
 
 from onyxspoke.net.messages import (
@@ -23,9 +22,10 @@
     TailRecords,
     TailRequest,
 )
-from onyxspoke.net.reactor_clock import MonotonicClock
+from onyxspoke.net.network import Network
 from onyxspoke.net.stream import MessageStream
 from onyxspoke.platform.log_store import LogStore, StoredRecord
+from onyxspoke.ports.clock import Clock
 from onyxspoke.settings_file import CellSettings
 
 EXPIRY_INTERVAL_SECONDS = 1.0
@@ -44,25 +44,27 @@
 class PlatformService(MultiService):
     """Append-only log with a limited rate of appends, and a lagging machine list."""
 
-    def __init__(self, settings: CellSettings) -> None:
+    def __init__(self, settings: CellSettings, network: Network, clock: Clock) -> None:
         super().__init__()
+        self._network = network
+        self._clock = clock
         self._settings = settings.platform
         self._delay_seconds = settings.links.between_zones_ms / _MILLISECONDS
         self._machines = settings.machines()
-        self._clock = MonotonicClock()
         self._store = LogStore(self._settings.retention_seconds)
-        self._followers: dict[str, set[_Stream]] = {}
+        # Followers in the order in which they came, so that a simulation repeats itself.
+        self._followers: dict[str, dict[_Stream, None]] = {}
         self._waiting: deque[_WaitingAppend] = deque()
         self._is_appending = False
         expiry = TimerService(EXPIRY_INTERVAL_SECONDS, self._expire)
+        expiry.clock = network.reactor
         expiry.setServiceParent(self)
 
-    def listen(self) -> Deferred[object]:
+    def listen(self) -> Deferred[Any]:
         """Open the server socket."""
-        endpoint = TCP4ServerEndpoint(
-            reactor, self._settings.port, interface=str(self._settings.host)
-        )
-        listening: Deferred[object] = endpoint.listen(Factory.forProtocol(self._build_stream))
+        host = str(self._settings.host)
+        endpoint = self._network.endpoints.server(host, self._settings.port)
+        listening: Deferred[Any] = endpoint.listen(Factory.forProtocol(self._build_stream))
         return listening
 
     def _build_stream(self) -> _Stream:
@@ -80,14 +82,14 @@
             self._follow(stream, message)
         elif isinstance(message, MachineListRequest):
             lag = self._settings.machine_list_lag_seconds
-            reactor.callLater(lag, stream.send, MachineList(self._machines))
+            self._network.reactor.callLater(lag, stream.send, MachineList(self._machines))
 
     def _handle_lost(self, stream: _Stream) -> None:
         for followers in self._followers.values():
-            followers.discard(stream)
+            followers.pop(stream, None)
 
     def _follow(self, stream: _Stream, message: TailRequest) -> None:
-        self._followers.setdefault(message.stream, set()).add(stream)
+        self._followers.setdefault(message.stream, {})[stream] = None
         records = self._store.read(message.stream, message.from_offset)
         stream.send(self._to_tail(message.stream, records))
 
@@ -98,7 +100,9 @@
         self._waiting.append(_WaitingAppend(stream, request))
         if not self._is_appending:
             self._is_appending = True
-            reactor.callLater(self._settings.append_delay_ms / _MILLISECONDS, self._append_next)
+            self._network.reactor.callLater(
+                self._settings.append_delay_ms / _MILLISECONDS, self._append_next
+            )
 
     def _append_next(self) -> None:
         waiting = self._waiting.popleft()
@@ -109,7 +113,9 @@
         for follower in self._followers.get(request.stream, ()):
             follower.send(tail)
         if self._waiting:
-            reactor.callLater(1.0 / self._settings.appends_per_second, self._append_next)
+            self._network.reactor.callLater(
+                1.0 / self._settings.appends_per_second, self._append_next
+            )
         else:
             self._is_appending = False
 
--- a/src/onyxspoke/worker/hollow_worker.py
+++ b/src/onyxspoke/worker/hollow_worker.py
@@ -126,6 +126,12 @@
         elif isinstance(message, StopTask):
             self._handle_stop(message)
 
+    def die(self) -> None:
+        """End every task without a word, as a machine does that loses power."""
+        for task in list(self._tasks.values()):
+            del self._tasks[task.attempt_id]
+            self._record(JournalKind.ENDED, task.attempt_id, task.nonce)
+
     def handle_disconnect(self, connection: Connection) -> None:
         """Forget a connection."""
         for entry_id, known in list(self._connections.items()):
--- a/src/onyxspoke/worker/service.py
+++ b/src/onyxspoke/worker/service.py
@@ -2,20 +2,18 @@
 
 from __future__ import annotations
 
-from pathlib import Path
-from typing import cast
+from typing import Any, cast
 
 from twisted.application.service import Service
-from twisted.internet import reactor
 from twisted.internet.defer import Deferred, gatherResults
-from twisted.internet.endpoints import TCP4ServerEndpoint
 from twisted.internet.protocol import Factory
 
 from onyxspoke.core.schema import MachineRecord
-from onyxspoke.kit.journal import FileJournal, Journal, NullJournal
+from onyxspoke.kit.journal import Journal
 from onyxspoke.net.messages import EntryToWorker
-from onyxspoke.net.reactor_clock import MonotonicClock
+from onyxspoke.net.network import Network
 from onyxspoke.net.stream import MessageStream
+from onyxspoke.ports.clock import Clock
 from onyxspoke.settings_file import CapacitySettings, CellSettings
 from onyxspoke.worker.hollow_worker import CallLater, HollowWorker
 
@@ -23,7 +21,7 @@
 
 
 class WorkerService(Service):
-    """The hollow workers of some zones.
+    """Some hollow workers, each with a port of its own.
 
     Parameters
     ----------
@@ -31,32 +29,47 @@
         The whole settings file.
     zones : set of str
         Which zones' workers run here.
-    journal_directory : Path or None
-        Where journals are written; ``None`` writes none.
+    network : Network
+        Connections and timers.
+    clock : Clock
+        Time of journal events.
+    journal : Journal
+        Records what the workers did.
     """
 
     def __init__(
-        self, settings: CellSettings, zones: set[str], journal_directory: Path | None
+        self,
+        settings: CellSettings,
+        zones: set[str],
+        network: Network,
+        clock: Clock,
+        journal: Journal,
     ) -> None:
+        self._network = network
+        self._clock = clock
+        self._journal = journal
         self._delay_seconds = settings.links.between_zones_ms / _MILLISECONDS
         self._machines = [machine for machine in settings.machines() if machine.zone in zones]
         self._capacities = settings.capacities()
-        self._clock = MonotonicClock()
-        self._journal: Journal = NullJournal()
-        if journal_directory is not None:
-            name = "-".join(sorted(zones))
-            self._journal = FileJournal(journal_directory / f"workers-{name}.jsonl")
+        self._workers: list[HollowWorker] = []
 
-    def listen(self) -> Deferred[object]:
+    def listen(self) -> Deferred[Any]:
         """Open a server socket for each worker."""
-        listening = [self._listen(machine) for machine in self._machines]
-        return cast("Deferred[object]", gatherResults(listening, consumeErrors=True))
+        listening = [self.listen_for(machine) for machine in self._machines]
+        return cast("Deferred[Any]", gatherResults(listening, consumeErrors=True))
 
-    def _listen(self, machine: MachineRecord) -> Deferred[object]:
+    def die(self) -> None:
+        """End every task on every worker, as a machine does that loses power."""
+        for worker in self._workers:
+            worker.die()
+
+    def listen_for(self, machine: MachineRecord) -> Deferred[Any]:
+        """Start one worker and open its server socket."""
         worker = self._make_worker(machine, self._capacities[machine.worker_id])
+        self._workers.append(worker)
         factory = Factory.forProtocol(lambda: self._build_stream(worker))
-        endpoint = TCP4ServerEndpoint(reactor, machine.port, interface=machine.host)
-        listening: Deferred[object] = endpoint.listen(factory)
+        endpoint = self._network.endpoints.server(machine.host, machine.port)
+        listening: Deferred[Any] = endpoint.listen(factory)
         return listening
 
     def _make_worker(self, machine: MachineRecord, capacity: CapacitySettings) -> HollowWorker:
@@ -65,7 +78,7 @@
             capacity.to_resources(),
             capacity.connections,
             self._clock,
-            cast("CallLater", reactor.callLater),
+            cast("CallLater", self._network.reactor.callLater),
             self._journal,
         )
 
