--- a/src/onyxspoke/cli/common.py
+++ b/src/onyxspoke/cli/common.py
@@ -21,7 +21,6 @@
 from onyxspoke.core.codes import ExitCode
 from onyxspoke.settings_file import CellSettings, SettingsFileError, load_settings
 
-
 #: Young objects before a collection, and collections before one of the next generation.
 GARBAGE_COLLECTION_THRESHOLDS = (2_000, 10, 100)
 
--- a/src/onyxspoke/core/append_queue.py
+++ b/src/onyxspoke/core/append_queue.py
@@ -95,6 +95,12 @@
         self._in_flight = InFlightBatch(batch, created_at=now, sent_at=now)
         return batch
 
+    def due_at(self) -> float | None:
+        """Return when waiting records may be sent; ``None`` if none wait for that alone."""
+        if not self._pending or self._in_flight is not None:
+            return None
+        return self._last_created_at + self._options.minimum_interval_seconds
+
     def handle_read(self, sequence: int) -> float | None:
         """Note that an own batch was read back.
 
--- a/src/onyxspoke/core/context.py
+++ b/src/onyxspoke/core/context.py
@@ -28,6 +28,8 @@
     queue: QueueLimits = QueueLimits()
     cell: CellLimits = CellLimits()
     advertise_interval_seconds: float = 0.2
+    advertise_silence_seconds: float = 1.0
+    advertisement_lifetime_seconds: float = 3.0
     plan_interval_seconds: float = 0.25
     reattach_interval_seconds: float = 0.5
     log_patience_seconds: float = 1.0
--- a/src/onyxspoke/core/ownership.py
+++ b/src/onyxspoke/core/ownership.py
@@ -12,7 +12,7 @@
 from onyxspoke.core.cell_state import CellState
 from onyxspoke.core.log_records import ClaimItem
 from onyxspoke.core.rendezvous import preferred
-from onyxspoke.core.schema import EntryIdentity, MachineRecord, WorkerId, WorkerListing
+from onyxspoke.core.schema import EntryId, EntryIdentity, MachineRecord, WorkerId, WorkerListing
 
 
 class LeaseOptions(msgspec.Struct, frozen=True, kw_only=True):
@@ -41,12 +41,30 @@
     releases: list[WorkerId]
 
 
+class PreferenceCache:
+    """Which live entry each worker prefers, computed anew only when either changes."""
+
+    def __init__(self) -> None:
+        self._live: list[EntryId] = []
+        self._preferred: dict[WorkerId, EntryId | None] = {}
+
+    def preferred(self, worker_id: WorkerId, live: list[EntryId]) -> EntryId | None:
+        """Return the entry that a worker prefers among the live ones."""
+        if live != self._live:
+            self._live = list(live)
+            self._preferred.clear()
+        if worker_id not in self._preferred:
+            self._preferred[worker_id] = preferred(worker_id, live)
+        return self._preferred[worker_id]
+
+
 def plan_ownership(
     identity: EntryIdentity,
     cell: CellState,
     machines: Iterable[MachineRecord],
     now: float,
     options: LeaseOptions,
+    cache: PreferenceCache,
 ) -> OwnershipPlan:
     """Compare wanted ownership with the folded one.
 
@@ -62,6 +80,8 @@
         This entry's monotonic clock.
     options : LeaseOptions
         Lease times.
+    cache : PreferenceCache
+        Remembers preferences from one plan to the next.
     """
     live = cell.live_members(identity.zone, now, options.lapse_seconds)
     claims: list[ClaimItem] = []
@@ -71,7 +91,7 @@
     for machine in machines:
         if machine.zone != identity.zone:
             continue
-        wanted_here = preferred(machine.worker_id, live) == identity.entry_id
+        wanted_here = cache.preferred(machine.worker_id, live) == identity.entry_id
         held_here = cell.holding_of(machine.worker_id).holder == identity.entry_id
         if held_here and not wanted_here:
             releases.append(machine.worker_id)
--- a/src/onyxspoke/core/ownership_keeper.py
+++ b/src/onyxspoke/core/ownership_keeper.py
@@ -5,7 +5,7 @@
 from onyxspoke.core.actions import AttachWorker, DetachWorker
 from onyxspoke.core.context import EntryContext
 from onyxspoke.core.log_records import ClaimItem, WorkerClaim, WorkerRelease
-from onyxspoke.core.ownership import plan_ownership
+from onyxspoke.core.ownership import PreferenceCache, plan_ownership
 from onyxspoke.core.schema import FencingToken, MachineRecord, Resources, RunningTask, WorkerId
 from onyxspoke.core.worker_table import OwnedWorker, WorkerState
 
@@ -15,6 +15,7 @@
 
     def __init__(self, context: EntryContext) -> None:
         self._context = context
+        self._preferences = PreferenceCache()
         self._claims_pending: set[WorkerId] = set()
         self._releases_pending: set[WorkerId] = set()
         self._attached: set[WorkerId] = set()
@@ -64,6 +65,7 @@
             context.machines.values(),
             now,
             context.options.lease,
+            self._preferences,
         )
         self._append_claims(plan.claims)
         self._append_releases(plan.releases)
--- a/src/onyxspoke/core/peer_table.py
+++ b/src/onyxspoke/core/peer_table.py
@@ -16,6 +16,7 @@
     host: str
     port: int
     connected: bool = False
+    valid_until: float = float("-inf")
     free: Resources = NO_RESOURCES
     largest_free: Resources = NO_RESOURCES
 
@@ -27,17 +28,18 @@
         self.peers: dict[EntryId, PeerState] = {}
 
     def handle_advertisement(
-        self, peer_id: EntryId, free: Resources, largest_free: Resources
+        self, peer_id: EntryId, free: Resources, largest_free: Resources, valid_until: float
     ) -> None:
         """Take a peer's word for its free capacity."""
         peer = self.peers.get(peer_id)
         if peer is not None:
             peer.free = free
             peer.largest_free = largest_free
+            peer.valid_until = valid_until
 
-    def choose(self, resources: Resources) -> PeerState | None:
+    def choose(self, resources: Resources, now: float) -> PeerState | None:
         """Return the connected peer with most free slots among those that may fit a task."""
-        return max(self._fitting(resources), key=lambda peer: peer.free.slots, default=None)
+        return max(self._fitting(resources, now), key=lambda peer: peer.free.slots, default=None)
 
     def note_forwarded(self, peer: PeerState, resources: Resources) -> None:
         """Count a task just sent against the peer's advertised capacity."""
@@ -49,10 +51,11 @@
         if peer is not None:
             peer.free = NO_RESOURCES
 
-    def _fitting(self, resources: Resources) -> Iterator[PeerState]:
+    def _fitting(self, resources: Resources, now: float) -> Iterator[PeerState]:
         for peer in self.peers.values():
             if (
                 peer.connected
+                and now < peer.valid_until
                 and resources.fits_in(peer.largest_free)
                 and resources.fits_in(peer.free)
             ):
--- a/src/onyxspoke/core/request_desk.py
+++ b/src/onyxspoke/core/request_desk.py
@@ -190,7 +190,7 @@
         if isinstance(request.origin, PeerOrigin):
             return False
         resources = request.request.task_class.resources
-        peer = self._context.peers.choose(resources)
+        peer = self._context.peers.choose(resources, now)
         if peer is None:
             return False
         request.transition(RequestState.FORWARDED)
--- a/src/onyxspoke/core/scheduler.py
+++ b/src/onyxspoke/core/scheduler.py
@@ -85,6 +85,8 @@
         self.jobs = JobRunner(self.context, self.desk)
         self.ownership = OwnershipKeeper(self.context)
         self._next_advertisement_at = float("-inf")
+        self._last_advertisement: AdvertiseCapacity | None = None
+        self._advertised_at = float("-inf")
         self._stop_reported = False
 
     # Requests and jobs
@@ -245,7 +247,8 @@
         self, peer_id: EntryId, free: Resources, largest_free: Resources, now: float
     ) -> list[Action]:
         """A peer advertised its free capacity."""
-        self.context.peers.handle_advertisement(peer_id, free, largest_free)
+        lifetime = self.context.options.advertisement_lifetime_seconds
+        self.context.peers.handle_advertisement(peer_id, free, largest_free, now + lifetime)
         self.desk.pump(now)
         return self._take_actions(now)
 
@@ -305,6 +308,15 @@
         self._next_advertisement_at = float("-inf")
         return self.stimulus_tick(now)
 
+    def flush_appends(self, now: float) -> list[Action]:
+        """Send waiting records whose time has come."""
+        return self._take_actions(now)
+
+    def next_append_at(self) -> float | None:
+        """Return when the shell should tick for the sake of waiting records."""
+        moments = [appends.due_at() for appends in self.context.appends.values()]
+        return min((moment for moment in moments if moment is not None), default=None)
+
     # Settings in force
 
     def resolve_task_class(self, task_class: TaskClass) -> TaskClass:
@@ -427,7 +439,16 @@
             free = self.context.workers.free_total()
             frees = [worker.free for worker in self.context.workers.usable()]
             largest = max(frees, key=lambda amount: amount.processors, default=NO_RESOURCES)
-        self.context.emit(AdvertiseCapacity(free, largest))
+        advertisement = AdvertiseCapacity(free, largest)
+        silent_for = now - self._advertised_at
+        if (
+            advertisement == self._last_advertisement
+            and silent_for < self.context.options.advertise_silence_seconds
+        ):
+            return
+        self._last_advertisement = advertisement
+        self._advertised_at = now
+        self.context.emit(advertisement)
 
     def _continue_stop(self, now: float) -> None:
         if not self.context.stopping or self._stop_reported:
--- a/src/onyxspoke/entry/node.py
+++ b/src/onyxspoke/entry/node.py
@@ -24,7 +24,7 @@
 from onyxspoke.ports.clock import Clock
 from onyxspoke.settings_file import CellSettings, EntrySettings
 
-DEFAULT_TICK_SECONDS = 0.02
+DEFAULT_TICK_SECONDS = 0.1
 _MILLISECONDS = 1_000.0
 
 
@@ -86,7 +86,7 @@
         tick_seconds: float = DEFAULT_TICK_SECONDS,
     ) -> None:
         super().__init__()
-        self.shell = EntryShell(scheduler, clock)
+        self.shell = EntryShell(scheduler, clock, network.reactor)
         identity = scheduler.context.identity
         host, port = str(settings.platform.host), settings.platform.port
         delay = settings.links.between_zones_ms / _MILLISECONDS
--- a/src/onyxspoke/entry/operator_api.py
+++ b/src/onyxspoke/entry/operator_api.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import msgspec
 from twisted.web.server import Request
 
@@ -12,6 +14,7 @@
 from onyxspoke.entry.shell import EntryShell
 from onyxspoke.entry.telemetry import Telemetry
 from onyxspoke.net.http import CodedResource, read_json, read_query, write_json
+from onyxspoke.net.stream import Traffic
 from onyxspoke.ports.clock import Clock
 
 SERVICE_UNAVAILABLE = 503
@@ -49,6 +52,9 @@
     attempts: int
     jobs: int
     connected_peers: int
+    cpu_seconds: float
+    stream_bytes_received: int
+    stream_bytes_sent: int
     members: list[MemberBody]
 
 
@@ -167,6 +173,9 @@
             attempts=len(context.attempts),
             jobs=self._shell.scheduler.jobs.running_count,
             connected_peers=sum(peer.connected for peer in context.peers.peers.values()),
+            cpu_seconds=time.process_time(),
+            stream_bytes_received=Traffic.received,
+            stream_bytes_sent=Traffic.sent,
             members=members,
         )
         write_json(request, body)
--- a/src/onyxspoke/entry/shell.py
+++ b/src/onyxspoke/entry/shell.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from absl import logging
+from twisted.internet.interfaces import IReactorTime
 
 from onyxspoke.core import actions as act
 from onyxspoke.core.codes import OnyxspokeError, ResultCode
@@ -44,11 +45,15 @@
         The core.
     clock : Clock
         Source of time for the core.
+    reactor : IReactorTime
+        Wakes the core when waiting records may be appended.
     """
 
-    def __init__(self, scheduler: EntryScheduler, clock: Clock) -> None:
+    def __init__(self, scheduler: EntryScheduler, clock: Clock, reactor: IReactorTime) -> None:
         self.scheduler = scheduler
         self._clock = clock
+        self._reactor = reactor
+        self._append_timer_set = False
         self._log: LogPort | None = None
         self._workers: WorkerPort | None = None
         self._peers: PeerPort | None = None
@@ -255,6 +260,20 @@
         """Carry out actions in order."""
         for action in actions:
             self._handlers[type(action)](action)
+        self._set_append_timer()
+
+    def _set_append_timer(self) -> None:
+        if self._append_timer_set:
+            return
+        due_at = self.scheduler.next_append_at()
+        if due_at is not None:
+            self._append_timer_set = True
+            delay = max(0.0, due_at - self._clock.now())
+            self._reactor.callLater(delay, self._handle_append_due)
+
+    def _handle_append_due(self) -> None:
+        self._append_timer_set = False
+        self.carry_out(self.scheduler.flush_appends(self._clock.now()))
 
     def _register_caller(self, on_answer: AnswerCallback) -> str:
         self._request_counter += 1
--- a/src/onyxspoke/net/stream.py
+++ b/src/onyxspoke/net/stream.py
@@ -28,6 +28,13 @@
 Incoming = TypeVar("Incoming", bound=Message)
 
 
+class Traffic:
+    """Bytes on all message streams of this process."""
+
+    received = 0
+    sent = 0
+
+
 class MessageStream(Protocol, Generic[Incoming]):
     """One TCP connection that carries typed messages both ways.
 
@@ -60,8 +67,6 @@
         self._delay_seconds = delay_seconds
         self._delayed: deque[bytes] = deque()
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAXIMUM_MESSAGE_BYTES, raw=False)
-        self.bytes_received = 0
-        self.bytes_sent = 0
         self.is_open = False
 
     def connectionMade(self) -> None:
@@ -74,7 +79,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Decode what arrived; called by Twisted."""
-        self.bytes_received += len(data)
+        Traffic.received += len(data)
         try:
             self._unpacker.feed(data)
             for raw in self._unpacker:
@@ -98,7 +103,7 @@
         if not self.is_open:
             return
         data = _encoder.encode(message)
-        self.bytes_sent += len(data)
+        Traffic.sent += len(data)
         if self._delay_seconds > 0:
             self._delayed.append(data)
             reactor.callLater(self._delay_seconds, self._write_delayed)
--- /dev/null
+++ b/src/onyxspoke/scale/__init__.py
@@ -0,0 +1,1 @@
+"""Measured slopes of cost, and the capacity page worked out from them."""
