--- a/scripts/scale.py
+++ b/scripts/scale.py
@@ -28,6 +28,8 @@
 REAL = ("127.1.0.1", 24101)
 PLATFORM_PORT = 24000
 HOLLOW_A_PROCESS = 20
+#: Enough that the real entry owns some, whatever the hash says.
+WORKERS_AN_ENTRY = 8
 UP_TIMEOUT_SECONDS = 60.0
 STOP_TIMEOUT_SECONDS = 15.0
 BODY = json.dumps(
@@ -196,7 +198,7 @@
     by_entries: list[tuple[int, Step]] = []
     by_workers: list[tuple[float, Step]] = []
     for entries in entry_counts:
-        with Cell(entries, worker_counts[0]) as cell:
+        with Cell(entries, max(worker_counts[0], WORKERS_AN_ENTRY * entries)) as cell:
             step = Step(cell, seconds)
         by_entries.append((entries, step))
         print_step(f"entries {entries}", step)
--- a/src/onyxspoke/core/actions.py
+++ b/src/onyxspoke/core/actions.py
@@ -13,6 +13,7 @@
     JobId,
     MachineRecord,
     Resources,
+    TaskName,
     TaskRequest,
     WorkerId,
 )
@@ -108,6 +109,45 @@
     largest_free: Resources
 
 
+class ProbeJobs(msgspec.Struct, frozen=True):
+    """Ask a peer which workers it owns and which tasks of jobs run there."""
+
+    peer_id: EntryId
+    probe_id: int
+    job_ids: list[JobId]
+
+
+class AnswerProbe(msgspec.Struct, frozen=True):
+    """Answer a peer's probe."""
+
+    peer_id: EntryId
+    probe_id: int
+    worker_ids: list[WorkerId]
+    running: list[TaskName]
+
+
+class PassTaskAnswer(msgspec.Struct, frozen=True):
+    """Pass the answer of a job's task to the entry that runs the job."""
+
+    peer_id: EntryId
+    task_name: TaskName
+    answer: Answer
+
+
+class RequestHoldover(msgspec.Struct, frozen=True):
+    """Ask a zone peer to promise that it claims nothing of ours for a lease."""
+
+    peer_id: EntryId
+    round_number: int
+
+
+class GrantHoldover(msgspec.Struct, frozen=True):
+    """Promise a zone peer to claim nothing of its own for a lease."""
+
+    peer_id: EntryId
+    round_number: int
+
+
 class JobFinished(msgspec.Struct, frozen=True):
     """A durable job has its answer in the log."""
 
@@ -137,6 +177,11 @@
     | ConnectPeer
     | DisconnectPeer
     | AdvertiseCapacity
+    | ProbeJobs
+    | AnswerProbe
+    | PassTaskAnswer
+    | RequestHoldover
+    | GrantHoldover
     | JobFinished
     | SettingsDecided
     | StopCompleted
--- a/src/onyxspoke/core/append_queue.py
+++ b/src/onyxspoke/core/append_queue.py
@@ -122,10 +122,11 @@
             self._failing_since = now
 
     def _is_due(self, now: float) -> bool:
-        since_last = now - self._last_created_at
+        # In the same form as due_at(), or rounding would make a timer fire in vain.
         if self._pending:
-            return since_last >= self._options.minimum_interval_seconds
-        return self._renews and since_last >= self._options.renewal_interval_seconds
+            return now >= self._last_created_at + self._options.minimum_interval_seconds
+        renewal_at = self._last_created_at + self._options.renewal_interval_seconds
+        return self._renews and now >= renewal_at
 
     def _retry(self, in_flight: InFlightBatch, now: float) -> LogBatch | None:
         if now - in_flight.sent_at < self._options.retry_interval_seconds:
--- a/src/onyxspoke/core/cell_state.py
+++ b/src/onyxspoke/core/cell_state.py
@@ -8,18 +8,23 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
 
 import msgspec
 
 from onyxspoke.core.log_records import (
     ClaimItem,
     JobAccepted,
+    JobAdopted,
     JobEnded,
+    JobReleased,
     KeyIntent,
     KeyRelease,
     LogBatch,
     LogRecord,
+    TaskStarting,
     WorkerClaim,
     WorkerDrain,
     WorkerRelease,
@@ -57,11 +62,16 @@
 
 @dataclass(slots=True)
 class JobEntry:
-    """A durable job; ``answer`` is ``None`` until it ended."""
+    """A durable job; ``answer`` is ``None`` until it ended, ``runner`` empty once released.
+
+    ``started`` names the tasks of an unrepeatable job that may have been started.
+    """
 
     job: JobSubmission
+    zone: str
     runner: EntryId
     answer: Answer | None = None
+    started: set[int] = field(default_factory=set)
 
 
 class CellLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -87,8 +97,21 @@
         self.draining: set[WorkerId] = set()
         self.keys: OrderedDict[str, KeyEntry] = OrderedDict()
         self.jobs: dict[JobId, JobEntry] = {}
+        self.open_jobs: dict[EntryId, dict[JobId, JobEntry]] = {}
         self._ended_jobs: OrderedDict[JobId, None] = OrderedDict()
         self.applied_offset: Offset = 0
+        self._handlers: dict[type, Callable[[Offset, EntryId, Any], None]] = {
+            WorkerClaim: self._apply_claims,
+            WorkerRelease: self._apply_release,
+            WorkerDrain: self._apply_drain,
+            KeyIntent: self._apply_key_intent,
+            KeyRelease: self._apply_key_release,
+            JobAccepted: self._apply_job_accepted,
+            TaskStarting: self._apply_task_starting,
+            JobAdopted: self._apply_job_adopted,
+            JobReleased: self._apply_job_released,
+            JobEnded: self._apply_job_ended,
+        }
 
     def apply(self, offset: Offset, batch: LogBatch, now: float) -> bool:
         """Fold one batch; return ``False`` if it is a repeat and changed nothing."""
@@ -113,7 +136,7 @@
 
     def forget_members(self, now: float, forget_seconds: float) -> None:
         """Drop members that hold nothing and have been silent for long."""
-        holders = {holding.holder for holding in self.holdings.values()}
+        holders = {holding.holder for holding in self.holdings.values()} | self.open_jobs.keys()
         silent = [
             member.entry_id
             for member in self.members.values()
@@ -139,30 +162,21 @@
         return True
 
     def _apply_record(self, offset: Offset, writer: EntryId, record: LogRecord) -> None:
-        if isinstance(record, WorkerClaim):
-            for item in record.items:
-                self._apply_claim(offset, writer, item)
-        elif isinstance(record, WorkerRelease):
-            self._apply_release(offset, writer, record)
-        elif isinstance(record, WorkerDrain):
-            self._apply_drain(record)
-        elif isinstance(record, KeyIntent):
-            self._apply_key_intent(writer, record)
-        elif isinstance(record, KeyRelease):
-            self._apply_key_release(writer, record)
-        elif isinstance(record, JobAccepted):
-            self.jobs.setdefault(record.job.job_id, JobEntry(record.job, writer))
-        elif isinstance(record, JobEnded):
-            self._apply_job_ended(record)
+        handler = self._handlers.get(type(record))
+        if handler is not None:
+            handler(offset, writer, record)
+
+    def _apply_claims(self, offset: Offset, writer: EntryId, record: WorkerClaim) -> None:
+        for item in record.items:
+            self._apply_claim(offset, writer, item)
 
     def _apply_claim(self, offset: Offset, writer: EntryId, item: ClaimItem) -> None:
         current = self.holding_of(item.worker_id)
         if current.epoch != item.expected_epoch:
             return
-        if current.holder not in ("", writer):
-            holder = self.members.get(current.holder)
-            if holder is not None and holder.last_offset != item.holder_renewal_offset:
-                return
+        is_foreign = current.holder not in ("", writer)
+        if is_foreign and self.has_appended_since(current.holder, item.holder_renewal_offset):
+            return
         self.holdings[item.worker_id] = Holding(holder=writer, epoch=offset)
 
     def _apply_release(self, offset: Offset, writer: EntryId, record: WorkerRelease) -> None:
@@ -170,29 +184,72 @@
             if self.holding_of(worker_id).holder == writer:
                 self.holdings[worker_id] = Holding(holder="", epoch=offset)
 
-    def _apply_drain(self, record: WorkerDrain) -> None:
+    def _apply_drain(self, _offset: Offset, _writer: EntryId, record: WorkerDrain) -> None:
         if record.draining:
             self.draining.add(record.worker_id)
         else:
             self.draining.discard(record.worker_id)
 
-    def _apply_key_intent(self, writer: EntryId, record: KeyIntent) -> None:
+    def _apply_key_intent(self, _offset: Offset, writer: EntryId, record: KeyIntent) -> None:
         if record.key in self.keys:
             return
         self.keys[record.key] = KeyEntry(holder=writer, fingerprint=record.fingerprint)
         if len(self.keys) > self._limits.maximum_keys:
             self.keys.popitem(last=False)
 
-    def _apply_key_release(self, writer: EntryId, record: KeyRelease) -> None:
+    def _apply_key_release(self, _offset: Offset, writer: EntryId, record: KeyRelease) -> None:
         entry = self.keys.get(record.key)
         if entry is not None and entry.holder == writer:
             del self.keys[record.key]
 
-    def _apply_job_ended(self, record: JobEnded) -> None:
+    def has_appended_since(self, entry_id: EntryId, offset: Offset) -> bool:
+        """Return whether an entry is known and has appended anything after an offset."""
+        member = self.members.get(entry_id)
+        return member is not None and member.last_offset != offset
+
+    def _apply_job_accepted(self, _offset: Offset, writer: EntryId, record: JobAccepted) -> None:
+        job_id = record.job.job_id
+        if job_id not in self.jobs:
+            entry = JobEntry(record.job, self.members[writer].zone, writer)
+            self.jobs[job_id] = entry
+            self.open_jobs.setdefault(writer, {})[job_id] = entry
+
+    def _apply_task_starting(self, _offset: Offset, writer: EntryId, record: TaskStarting) -> None:
+        entry = self.jobs.get(record.job_id)
+        if entry is not None and entry.runner == writer:
+            entry.started.add(record.task_index)
+
+    def _apply_job_adopted(self, _offset: Offset, writer: EntryId, record: JobAdopted) -> None:
+        entry = self.jobs.get(record.job_id)
+        if entry is None or entry.answer is not None or entry.runner != record.previous_runner:
+            return
+        if self.has_appended_since(record.previous_runner, record.runner_renewal_offset):
+            return
+        self._move_job(record.job_id, entry, writer)
+
+    def _apply_job_released(self, _offset: Offset, writer: EntryId, record: JobReleased) -> None:
+        entry = self.jobs.get(record.job_id)
+        if entry is not None and entry.answer is None and entry.runner == writer:
+            entry.started.clear()
+            self._move_job(record.job_id, entry, "")
+
+    def _move_job(self, job_id: JobId, entry: JobEntry, runner: EntryId) -> None:
+        self._close_job(job_id, entry)
+        entry.runner = runner
+        self.open_jobs.setdefault(runner, {})[job_id] = entry
+
+    def _close_job(self, job_id: JobId, entry: JobEntry) -> None:
+        jobs = self.open_jobs[entry.runner]
+        del jobs[job_id]
+        if not jobs:
+            del self.open_jobs[entry.runner]
+
+    def _apply_job_ended(self, _offset: Offset, writer: EntryId, record: JobEnded) -> None:
         entry = self.jobs.get(record.job_id)
-        if entry is None or entry.answer is not None:
+        if entry is None or entry.answer is not None or entry.runner != writer:
             return
         entry.answer = record.answer
+        self._close_job(record.job_id, entry)
         self._ended_jobs[record.job_id] = None
         if len(self._ended_jobs) > self._limits.maximum_ended_jobs:
             oldest, _ = self._ended_jobs.popitem(last=False)
--- a/src/onyxspoke/core/context.py
+++ b/src/onyxspoke/core/context.py
@@ -14,7 +14,7 @@
 from onyxspoke.core.ownership import LeaseOptions
 from onyxspoke.core.peer_table import PeerTable
 from onyxspoke.core.requests import ActiveRequest, QueueLimits
-from onyxspoke.core.schema import AttemptId, EntryIdentity, MachineRecord, WorkerId
+from onyxspoke.core.schema import AttemptId, EntryId, EntryIdentity, MachineRecord, WorkerId
 from onyxspoke.core.settings_tree import SettingsTree
 from onyxspoke.core.waiting_queue import WaitingQueue
 from onyxspoke.core.worker_table import WorkerTable
@@ -55,6 +55,9 @@
     attempts: dict[AttemptId, ActiveRequest] = field(default_factory=dict)
     actions: list[Action] = field(default_factory=list)
     lease_until: float = float("-inf")
+    log_read_at: float = float("-inf")
+    promised_until: dict[EntryId, float] = field(default_factory=dict)
+    claimed_from: set[EntryId] = field(default_factory=set)
     stopping: bool = False
 
     @property
--- a/src/onyxspoke/core/job_runner.py
+++ b/src/onyxspoke/core/job_runner.py
@@ -4,19 +4,39 @@
 
 from dataclasses import dataclass, field
 
+import msgspec
+
+from onyxspoke.core.actions import PassTaskAnswer
+from onyxspoke.core.cell_state import JobEntry
 from onyxspoke.core.codes import ResultCode
 from onyxspoke.core.context import EntryContext
-from onyxspoke.core.log_records import JobAccepted, JobEnded
+from onyxspoke.core.job_recovery import JobRecovery
+from onyxspoke.core.log_records import (
+    JobAccepted,
+    JobAdopted,
+    JobEnded,
+    JobReleased,
+    TaskStarting,
+)
+from onyxspoke.core.rendezvous import preferred
 from onyxspoke.core.request_desk import RequestDesk
-from onyxspoke.core.requests import ActiveRequest, JobOrigin
-from onyxspoke.core.schema import Answer, JobId, JobSubmission
+from onyxspoke.core.requests import ActiveRequest, JobOrigin, RequestState
+from onyxspoke.core.schema import (
+    Answer,
+    EntryId,
+    JobId,
+    JobSubmission,
+    Offset,
+    make_task_name,
+)
 
 
 @dataclass(slots=True)
 class JobProgress:
-    """A job that this entry runs."""
+    """A job that this entry runs; ``launched`` holds the tasks that it queued or found."""
 
-    job: JobSubmission
+    entry: JobEntry
+    launched: set[int] = field(default_factory=set)
     answers: dict[int, Answer] = field(default_factory=dict)
 
 
@@ -37,6 +57,8 @@
         self._desk = desk
         self._acceptances: dict[JobId, PendingAcceptance] = {}
         self._running: dict[JobId, JobProgress] = {}
+        self._adoptions: set[JobId] = set()
+        self.recovery = JobRecovery(context)
 
     @property
     def running_count(self) -> int:
@@ -53,8 +75,9 @@
         """Start a job whose record was read back; return the waiting request, if any."""
         entry = self._context.cell.jobs.get(job_id)
         pending = self._acceptances.pop(job_id, None)
-        if entry is not None and entry.runner == self._context.identity.entry_id:
-            self._start(entry.job, now)
+        if self._runs(entry) and job_id not in self._running:
+            assert entry is not None
+            self._start(entry, now)
         return None if pending is None else pending.request_id
 
     def give_up_acceptances(self, now: float) -> list[tuple[str, Answer]]:
@@ -80,43 +103,170 @@
         """Take the answer of one task; record the job's end with the last one."""
         progress = self._running.get(origin.job_id)
         if progress is None:
+            self._pass_on(origin, answer)
             return
-        progress.answers[origin.task_index] = answer
-        if len(progress.answers) < progress.job.task_count:
+        progress.answers.setdefault(origin.task_index, answer)
+        if len(progress.answers) < progress.entry.job.task_count:
             return
         del self._running[origin.job_id]
+        self.recovery.forget(origin.job_id)
         self._context.cell_appends.add(JobEnded(origin.job_id, _combine(progress)))
 
+    def handle_start_read(self, record: TaskStarting, now: float) -> None:
+        """Queue a task whose start is on record, if the job is still ours."""
+        request = self._context.requests.get(make_task_name(record.job_id, record.task_index))
+        if request is None or request.state is not RequestState.WAITING_FOR_LOG:
+            return
+        if self._runs(self._context.cell.jobs.get(record.job_id)):
+            self._desk.place_or_queue(request, now)
+
+    def handle_adoption_read(self, job_id: JobId, now: float) -> None:
+        """Recover a job, if the own adoption was accepted."""
+        self._adoptions.discard(job_id)
+        entry = self._context.cell.jobs.get(job_id)
+        if entry is None or not self._runs(entry) or job_id in self._running:
+            return
+        self._running[job_id] = JobProgress(entry)
+        self.recovery.begin(job_id, now)
+
+    def drop_lost(self) -> None:
+        """Forget the jobs that another entry has adopted."""
+        for job_id, progress in list(self._running.items()):
+            if progress.entry.answer is None and self._runs(progress.entry):
+                continue
+            del self._running[job_id]
+            self.recovery.forget(job_id)
+            for index in progress.launched:
+                request = self._context.requests.get(make_task_name(job_id, index))
+                if request is not None:
+                    self._abandon_if_unsent(request)
+
+    def keep(self, now: float) -> None:
+        """Adopt the jobs of lapsed runners, and go on with recoveries."""
+        if not self._context.stopping:
+            self._adopt(now)
+        self.recovery.keep(now)
+        self.continue_recovered(now)
+
+    def continue_recovered(self, now: float) -> None:
+        """Run what the last complete round of probes found running nowhere."""
+        for job_id, still_running in self.recovery.take_recovered().items():
+            progress = self._running[job_id]
+            progress.launched |= still_running
+            for index in range(progress.entry.job.task_count):
+                if index in progress.answers or index in progress.launched:
+                    continue
+                if index in progress.entry.started:
+                    # It may have run to its end on a worker whose word was lost.
+                    self.handle_task_answer(
+                        JobOrigin(job_id, index), Answer(code=ResultCode.WORKER_LOST)
+                    )
+                else:
+                    self._launch(progress, index, now)
+            if still_running - progress.answers.keys():
+                # Their answers come from their workers' owners; look again for lost ones.
+                progress.launched -= still_running
+                self.recovery.begin(job_id, now)
+
+    def release_unsent(self) -> None:
+        """Hand over, as part of a planned stop, the jobs of which nothing was sent."""
+        for job_id, progress in list(self._running.items()):
+            if progress.answers or self.recovery.is_recovering(job_id):
+                continue
+            names = [make_task_name(job_id, index) for index in progress.launched]
+            requests = [self._context.requests.get(name) for name in names]
+            if any(request is None or request.is_sent for request in requests):
+                continue
+            del self._running[job_id]
+            for request in requests:
+                assert request is not None
+                self._desk.abandon(request)
+            self._context.cell_appends.add(JobReleased(job_id))
+
     def cancel(self, job_id: JobId, now: float) -> bool:
         """Stop the tasks of a job that this entry runs; return whether it does."""
-        if job_id not in self._running:
+        progress = self._running.get(job_id)
+        if progress is None:
             return False
-        for request in list(self._context.requests.values()):
-            if isinstance(request.origin, JobOrigin) and request.origin.job_id == job_id:
+        for index in sorted(progress.launched):
+            request = self._context.requests.get(make_task_name(job_id, index))
+            if request is not None:
                 self._desk.cancel(request, now)
         return True
 
+    def _runs(self, entry: JobEntry | None) -> bool:
+        return entry is not None and entry.runner == self._context.identity.entry_id
+
+    def _pass_on(self, origin: JobOrigin, answer: Answer) -> None:
+        """Pass an answer to the entry that runs the job now."""
+        entry = self._context.cell.jobs.get(origin.job_id)
+        if entry is None or entry.answer is not None or not entry.runner or self._runs(entry):
+            return
+        name = make_task_name(origin.job_id, origin.task_index)
+        self._context.emit(PassTaskAnswer(entry.runner, name, answer))
+
+    def _abandon_if_unsent(self, request: ActiveRequest) -> None:
+        if not request.is_sent:
+            self._desk.abandon(request)
+
+    def _adopt(self, now: float) -> None:
+        context = self._context
+        lapse_seconds = context.options.lease.lapse_seconds
+        live = context.cell.live_members(context.identity.zone, now, lapse_seconds)
+        if context.identity.entry_id not in live:
+            return
+        for runner, entries in context.cell.open_jobs.items():
+            member = context.cell.members.get(runner)
+            lapsed = member is None or now - member.seen_at > lapse_seconds
+            if not lapsed or now < context.promised_until.get(runner, now):
+                continue
+            offset = 0 if member is None else member.last_offset
+            for job_id, entry in entries.items():
+                if entry.zone == context.identity.zone and job_id not in self._adoptions:
+                    self._adopt_if_preferred(job_id, runner, offset, live)
+
+    def _adopt_if_preferred(
+        self, job_id: JobId, runner: EntryId, offset: Offset, live: list[EntryId]
+    ) -> None:
+        if preferred(job_id, live) != self._context.identity.entry_id:
+            return
+        self._adoptions.add(job_id)
+        self._context.claimed_from.add(runner)
+        self._context.cell_appends.add(JobAdopted(job_id, runner, offset))
+
     def _is_log_down(self, now: float) -> bool:
         failing_for = self._context.cell_appends.failing_for(now)
         return failing_for >= self._context.options.log_patience_seconds
 
-    def _start(self, job: JobSubmission, now: float) -> None:
-        self._running[job.job_id] = JobProgress(job)
-        for index in range(job.task_count):
-            request = ActiveRequest(
-                request_id=f"{job.job_id}#{index}",
-                request=job.request,
-                origin=JobOrigin(job.job_id, index),
-                deadline=now + job.request.task_class.patience_seconds,
-                received_at=now,
-            )
-            self._desk.register(request)
+    def _start(self, entry: JobEntry, now: float) -> None:
+        job_id = entry.job.job_id
+        progress = self._running.setdefault(job_id, JobProgress(entry))
+        for index in range(entry.job.task_count):
+            self._launch(progress, index, now)
+
+    def _launch(self, progress: JobProgress, index: int, now: float) -> None:
+        """Queue one task; the start of an unrepeatable one is recorded first."""
+        job = progress.entry.job
+        name = make_task_name(job.job_id, index)
+        progress.launched.add(index)
+        request = ActiveRequest(
+            request_id=name,
+            request=msgspec.structs.replace(job.request, task_name=name),
+            origin=JobOrigin(job.job_id, index),
+            deadline=now + job.request.task_class.patience_seconds,
+            received_at=now,
+        )
+        self._desk.register(request)
+        if job.request.task_class.repeatable:
             self._desk.place_or_queue(request, now)
+        else:
+            request.transition(RequestState.WAITING_FOR_LOG)
+            self._context.cell_appends.add(TaskStarting(job.job_id, index))
 
 
 def _combine(progress: JobProgress) -> Answer:
     """Return the answer of a whole job: the results in order, or the first that failed."""
-    answers = [progress.answers[index] for index in range(progress.job.task_count)]
+    answers = [progress.answers[index] for index in range(progress.entry.job.task_count)]
     for answer in answers:
         if answer.code is not ResultCode.OK:
             return answer
--- a/src/onyxspoke/core/log_records.py
+++ b/src/onyxspoke/core/log_records.py
@@ -72,6 +72,31 @@
     job: JobSubmission
 
 
+class TaskStarting(msgspec.Struct, frozen=True, tag="task-start"):
+    """A task of an unrepeatable job is about to be sent to a worker for the first time."""
+
+    job_id: JobId
+    task_index: int
+
+
+class JobAdopted(msgspec.Struct, frozen=True, tag="job-adopt"):
+    """The writer runs a job from now on, because its runner lapsed or released it.
+
+    Accepted only if ``previous_runner`` still runs the job and has appended nothing after
+    ``runner_renewal_offset``.
+    """
+
+    job_id: JobId
+    previous_runner: EntryId
+    runner_renewal_offset: Offset
+
+
+class JobReleased(msgspec.Struct, frozen=True, tag="job-release"):
+    """The writer gives up a job of which it has sent no task to any worker."""
+
+    job_id: JobId
+
+
 class JobEnded(msgspec.Struct, frozen=True, tag="job-end"):
     """A batch job has its final answer."""
 
@@ -103,6 +128,9 @@
     | KeyIntent
     | KeyRelease
     | JobAccepted
+    | TaskStarting
+    | JobAdopted
+    | JobReleased
     | JobEnded
     | SettingsApply
 )
--- a/src/onyxspoke/core/ownership.py
+++ b/src/onyxspoke/core/ownership.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
@@ -65,6 +65,7 @@
     now: float,
     options: LeaseOptions,
     cache: PreferenceCache,
+    promised_until: Mapping[EntryId, float],
 ) -> OwnershipPlan:
     """Compare wanted ownership with the folded one.
 
@@ -82,6 +83,8 @@
         Lease times.
     cache : PreferenceCache
         Remembers preferences from one plan to the next.
+    promised_until : mapping
+        Until when this entry promised holders not to claim their workers.
     """
     live = cell.live_members(identity.zone, now, options.lapse_seconds)
     claims: list[ClaimItem] = []
@@ -96,6 +99,9 @@
         if held_here and not wanted_here:
             releases.append(machine.worker_id)
         elif wanted_here and not held_here and machine.listing is WorkerListing.LIVE:
+            holder = cell.holding_of(machine.worker_id).holder
+            if now < promised_until.get(holder, now):
+                continue
             claim = _claim_if_free(cell, machine.worker_id, now, options)
             if claim is not None:
                 claims.append(claim)
@@ -106,7 +112,7 @@
     cell: CellState, worker_id: WorkerId, now: float, options: LeaseOptions
 ) -> ClaimItem | None:
     holding = cell.holding_of(worker_id)
-    holder = cell.members.get(holder_id) if (holder_id := holding.holder) else None
+    holder = cell.members.get(holding.holder)
     if holder is None:
         return ClaimItem(worker_id, holding.epoch, 0)
     if now - holder.seen_at <= options.lapse_seconds:
--- a/src/onyxspoke/core/ownership_keeper.py
+++ b/src/onyxspoke/core/ownership_keeper.py
@@ -66,6 +66,7 @@
             now,
             context.options.lease,
             self._preferences,
+            context.promised_until,
         )
         self._append_claims(plan.claims)
         self._append_releases(plan.releases)
@@ -115,6 +116,8 @@
         fresh = [item for item in claims if item.worker_id not in self._claims_pending]
         if fresh:
             self._claims_pending.update(item.worker_id for item in fresh)
+            holding_of = self._context.cell.holding_of
+            self._context.claimed_from.update(holding_of(item.worker_id).holder for item in fresh)
             self._context.cell_appends.add(WorkerClaim(fresh))
 
     def _append_releases(self, worker_ids: list[WorkerId]) -> None:
@@ -130,6 +133,8 @@
     def handle_own_records(self, claims: list[ClaimItem], releases: list[WorkerId]) -> None:
         """Note that own claims and releases were read back, whatever the fold decided."""
         self._claims_pending.difference_update(item.worker_id for item in claims)
+        if not self._claims_pending:
+            self._context.claimed_from.clear()
         self._releases_pending.difference_update(releases)
 
     def _drop_lost(self) -> list[WorkerId]:
--- a/src/onyxspoke/core/peer_table.py
+++ b/src/onyxspoke/core/peer_table.py
@@ -15,6 +15,7 @@
     peer_id: EntryId
     host: str
     port: int
+    zone: str
     connected: bool = False
     valid_until: float = float("-inf")
     free: Resources = NO_RESOURCES
@@ -37,9 +38,14 @@
             peer.largest_free = largest_free
             peer.valid_until = valid_until
 
-    def choose(self, resources: Resources, now: float) -> PeerState | None:
-        """Return the connected peer with most free slots among those that may fit a task."""
-        return max(self._fitting(resources, now), key=lambda peer: peer.free.slots, default=None)
+    def choose(self, resources: Resources, zone: str, now: float) -> PeerState | None:
+        """Return the connected peer with most free slots among those that may fit a task.
+
+        Only peers of ``zone`` are considered, or all if it is empty.
+        """
+        return max(
+            self._fitting(resources, zone, now), key=lambda peer: peer.free.slots, default=None
+        )
 
     def note_forwarded(self, peer: PeerState, resources: Resources) -> None:
         """Count a task just sent against the peer's advertised capacity."""
@@ -51,10 +57,11 @@
         if peer is not None:
             peer.free = NO_RESOURCES
 
-    def _fitting(self, resources: Resources, now: float) -> Iterator[PeerState]:
+    def _fitting(self, resources: Resources, zone: str, now: float) -> Iterator[PeerState]:
         for peer in self.peers.values():
             if (
                 peer.connected
+                and zone in ("", peer.zone)
                 and now < peer.valid_until
                 and resources.fits_in(peer.largest_free)
                 and resources.fits_in(peer.free)
--- a/src/onyxspoke/core/request_desk.py
+++ b/src/onyxspoke/core/request_desk.py
@@ -10,7 +10,7 @@
 from onyxspoke.core.context import EntryContext
 from onyxspoke.core.placement import choose_worker
 from onyxspoke.core.requests import ActiveRequest, JobOrigin, PeerOrigin, RequestState
-from onyxspoke.core.schema import Answer, AttemptId, EntryId, TaskClass, WorkerId
+from onyxspoke.core.schema import Answer, AttemptId, EntryId, RunningTask, TaskClass, WorkerId
 from onyxspoke.core.worker_table import OwnedWorker
 
 _MINIMUM_COMPACTED_DEADLINES = 1_024
@@ -122,7 +122,7 @@
             request = self._context.requests.get(request_id)
             if request is None:
                 continue
-            if request.state in (RequestState.DISPATCHED, RequestState.FORWARDED):
+            if request.is_sent:
                 self._expire_sent(request, grace, now)
             elif request.state is RequestState.WAITING_FOR_HOLDER:
                 self.answer(request, Answer(code=ResultCode.KEY_HOLDER_UNREACHABLE), now)
@@ -134,8 +134,7 @@
 
     def hang_up(self, request: ActiveRequest, now: float) -> None:
         """Handle a caller that went away; what was sent runs on, for a retry by key."""
-        is_sent = request.state in (RequestState.DISPATCHED, RequestState.FORWARDED)
-        if not is_sent and not request.request.idempotency_key:
+        if not request.is_sent and not request.request.idempotency_key:
             self.answer(request, self.refusal(ResultCode.CANCELLED), now)
 
     def cancel(self, request: ActiveRequest, now: float) -> None:
@@ -145,6 +144,12 @@
         elif request.state is not RequestState.FORWARDED:
             self.answer(request, self.refusal(ResultCode.CANCELLED), now)
 
+    def abandon(self, request: ActiveRequest) -> None:
+        """Forget a task that another entry answers for now; what was sent runs on."""
+        request.transition(RequestState.ANSWERED)
+        self._context.queue.discard(request)
+        self._context.requests.pop(request.request_id, None)
+
     def answer(self, request: ActiveRequest, answer: Answer, now: float) -> None:
         """Give a request its one final answer."""
         request.transition(RequestState.ANSWERED)
@@ -174,7 +179,8 @@
         request.attempts += 1
         request.attempt_id = attempt_id
         request.worker_id = worker.worker_id
-        worker.reserve(attempt_id, request.request.task_class.resources)
+        resources = request.request.task_class.resources
+        worker.reserve(RunningTask(attempt_id, resources, request.request.task_name))
         context.attempts[attempt_id] = request
         context.emit(
             StartTask(
@@ -190,7 +196,11 @@
         if isinstance(request.origin, PeerOrigin):
             return False
         resources = request.request.task_class.resources
-        peer = self._context.peers.choose(resources, now)
+        # A job's tasks stay in its zone, where a new runner looks for them.
+        zone = self._context.identity.zone if isinstance(request.origin, JobOrigin) else ""
+        if zone and not self._context.holds_lease(now):
+            return False
+        peer = self._context.peers.choose(resources, zone, now)
         if peer is None:
             return False
         request.transition(RequestState.FORWARDED)
--- a/src/onyxspoke/core/requests.py
+++ b/src/onyxspoke/core/requests.py
@@ -81,6 +81,11 @@
     worker_id: WorkerId = ""
     peer_id: EntryId = ""
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether a worker or a peer may have the request now."""
+        return self.state in (RequestState.DISPATCHED, RequestState.FORWARDED)
+
     @property
     def priority(self) -> Priority:
         """Priority of the request's task class."""
--- a/src/onyxspoke/core/scheduler.py
+++ b/src/onyxspoke/core/scheduler.py
@@ -22,16 +22,19 @@
 )
 from onyxspoke.core.codes import ResultCode
 from onyxspoke.core.context import CoreOptions, make_context
+from onyxspoke.core.holdover import HoldoverKeeper
 from onyxspoke.core.job_runner import JobRunner
 from onyxspoke.core.key_guard import KeyGuard
 from onyxspoke.core.log_records import (
     JobAccepted,
+    JobAdopted,
     JobEnded,
     KeyIntent,
     LogBatch,
     LogRecord,
     LogStream,
     SettingsApply,
+    TaskStarting,
     WorkerClaim,
     WorkerDrain,
     WorkerRelease,
@@ -62,8 +65,10 @@
     Resources,
     RunningTask,
     TaskClass,
+    TaskName,
     TaskRequest,
     WorkerId,
+    split_task_name,
 )
 
 
@@ -84,6 +89,7 @@
         self.keys = KeyGuard(self.context, self.desk)
         self.jobs = JobRunner(self.context, self.desk)
         self.ownership = OwnershipKeeper(self.context)
+        self.holdover = HoldoverKeeper(self.context)
         self._next_advertisement_at = float("-inf")
         self._last_advertisement: AdvertiseCapacity | None = None
         self._advertised_at = float("-inf")
@@ -160,11 +166,19 @@
         return self._take_actions(now)
 
     def stimulus_task_ended(
-        self, worker_id: WorkerId, attempt_id: AttemptId, answer: Answer, now: float
+        self,
+        worker_id: WorkerId,
+        attempt_id: AttemptId,
+        answer: Answer,
+        task_name: TaskName,
+        now: float,
     ) -> list[Action]:
         """A worker says that an attempt ended."""
         self._release_capacity(worker_id, attempt_id)
-        self.desk.handle_task_ended(attempt_id, answer, now)
+        if attempt_id in self.context.attempts:
+            self.desk.handle_task_ended(attempt_id, answer, now)
+        elif task_name:
+            self.jobs.handle_task_answer(JobOrigin(*split_task_name(task_name)), answer)
         self.desk.pump(now)
         return self._take_actions(now)
 
@@ -184,6 +198,7 @@
         created_at = self.context.cell_appends.handle_read(batch.sequence) if own else None
         if not self.context.cell.apply(offset, batch, now):
             return self._take_actions(now)
+        self.context.log_read_at = now
         if created_at is not None:
             self.ownership.handle_own_batch(created_at, now)
         if own:
@@ -192,6 +207,7 @@
         for record in batch.records:
             if isinstance(record, JobEnded):
                 self.context.emit(JobFinished(record.job_id))
+        self.jobs.drop_lost()
         if _touches_ownership(batch.records):
             self.ownership.sync_with_log(now)
         self._sync_peer(batch)
@@ -266,6 +282,9 @@
         active = self._make_request(local_id, request, origin, remaining_seconds, now)
         if self.context.stopping:
             return self._refuse(active, ResultCode.ENTRY_STOPPING, now)
+        if request.task_name and not self._is_runner(peer_id, request.task_name):
+            # The job was adopted by another entry since the peer sent this.
+            return self._refuse(active, ResultCode.STALE_EPOCH, now)
         self.desk.place_or_queue(active, now)
         return self._take_actions(now)
 
@@ -286,12 +305,53 @@
             self.context.emit(AnswerPeer(peer_id, request_id, answer))
         return self._take_actions(now)
 
+    def stimulus_job_probe(
+        self, peer_id: EntryId, probe_id: int, job_ids: list[JobId], now: float
+    ) -> list[Action]:
+        """A peer that adopted jobs asks what of them runs on our workers."""
+        self.jobs.recovery.answer_probe(peer_id, probe_id, job_ids)
+        return self._take_actions(now)
+
+    def stimulus_job_probe_reply(
+        self,
+        peer_id: EntryId,
+        probe_id: int,
+        worker_ids: list[WorkerId],
+        running: list[TaskName],
+        now: float,
+    ) -> list[Action]:
+        """A peer answered a probe."""
+        self.jobs.recovery.handle_reply(peer_id, probe_id, worker_ids, running)
+        self.jobs.continue_recovered(now)
+        return self._take_actions(now)
+
+    def stimulus_task_answer(self, task_name: TaskName, answer: Answer, now: float) -> list[Action]:
+        """A peer passed on the answer of a task of a job that this entry runs."""
+        self.jobs.handle_task_answer(JobOrigin(*split_task_name(task_name)), answer)
+        return self._take_actions(now)
+
+    def stimulus_holdover_request(
+        self, peer_id: EntryId, round_number: int, now: float
+    ) -> list[Action]:
+        """A zone peer without the log asks for a promise."""
+        self.holdover.handle_request(peer_id, round_number, now)
+        return self._take_actions(now)
+
+    def stimulus_holdover_grant(
+        self, peer_id: EntryId, round_number: int, now: float
+    ) -> list[Action]:
+        """A zone peer promised to claim nothing of ours."""
+        self.holdover.handle_grant(peer_id, round_number)
+        return self._take_actions(now)
+
     # Time and stopping
 
     def stimulus_tick(self, now: float) -> list[Action]:
         """Some time has passed."""
         self.ownership.plan(now)
         self.ownership.reattach(now)
+        self.holdover.keep(now)
+        self.jobs.keep(now)
         self.keys.refuse_while_log_is_down(now)
         for request_id, answer in self.jobs.give_up_acceptances(now):
             self.context.emit(AnswerCaller(request_id, answer))
@@ -393,6 +453,10 @@
             if waiting is not None:
                 self.desk.answer(waiting, answer, now)
 
+    def _is_runner(self, peer_id: EntryId, task_name: TaskName) -> bool:
+        entry = self.context.cell.jobs.get(split_task_name(task_name)[0])
+        return entry is not None and entry.answer is None and entry.runner == peer_id
+
     def _release_capacity(self, worker_id: WorkerId, attempt_id: AttemptId) -> None:
         worker = self.context.workers.workers.get(worker_id)
         if worker is not None:
@@ -410,6 +474,10 @@
             if request_id is not None:
                 answer = Answer(code=ResultCode.ACCEPTED)
                 self.context.emit(AnswerCaller(request_id, answer))
+        elif isinstance(record, TaskStarting):
+            self.jobs.handle_start_read(record, now)
+        elif isinstance(record, JobAdopted):
+            self.jobs.handle_adoption_read(record.job_id, now)
 
     def _sync_peer(self, batch: LogBatch) -> None:
         """Know every member of the log as a peer."""
@@ -418,7 +486,7 @@
             return
         if batch.stopping:
             return
-        peers[batch.writer] = PeerState(batch.writer, batch.peer_host, batch.peer_port)
+        peers[batch.writer] = PeerState(batch.writer, batch.peer_host, batch.peer_port, batch.zone)
         self.context.emit(ConnectPeer(batch.writer, batch.peer_host, batch.peer_port))
 
     def _drop_lapsed_peers(self, now: float) -> None:
@@ -453,6 +521,7 @@
     def _continue_stop(self, now: float) -> None:
         if not self.context.stopping or self._stop_reported:
             return
+        self.jobs.release_unsent()
         busy = self.context.requests or self.context.attempts or self.jobs.running_count
         if busy:
             return
--- a/src/onyxspoke/core/schema.py
+++ b/src/onyxspoke/core/schema.py
@@ -16,6 +16,8 @@
 WorkerId = str
 AttemptId = str
 JobId = str
+#: Names one task of a job, ``JOB#INDEX``; empty for a request of a caller.
+TaskName = str
 Epoch = int
 Offset = int
 
@@ -100,12 +102,13 @@
 
 
 class TaskRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """One task that a caller wants run; ``payload`` is opaque to onyxspoke."""
+    """One task to run; ``payload`` is opaque to onyxspoke, workers repeat ``task_name``."""
 
     tenant: str
     task_class: TaskClass
     payload: bytes
     idempotency_key: str = ""
+    task_name: TaskName = ""
 
 
 class Answer(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -140,6 +143,7 @@
 
     attempt_id: AttemptId
     resources: Resources
+    task_name: TaskName = ""
 
 
 class MachineRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -170,3 +174,14 @@
     job_id: JobId
     request: TaskRequest
     task_count: int = 1
+
+
+def make_task_name(job_id: JobId, task_index: int) -> TaskName:
+    """Return the name of one task of a job."""
+    return f"{job_id}#{task_index}"
+
+
+def split_task_name(name: TaskName) -> tuple[JobId, int]:
+    """Return the job and the index that a task's name stands for."""
+    job_id, _, index = name.rpartition("#")
+    return job_id, int(index)
--- a/src/onyxspoke/core/worker_table.py
+++ b/src/onyxspoke/core/worker_table.py
@@ -49,7 +49,7 @@
     attach_sent_at: float = float("-inf")
     capacity: Resources = NO_RESOURCES
     free: Resources = NO_RESOURCES
-    tasks: dict[AttemptId, Resources] = field(default_factory=dict)
+    tasks: dict[AttemptId, RunningTask] = field(default_factory=dict)
     draining: bool = False
     occupied_share: float = 0.0
 
@@ -72,6 +72,11 @@
             and self.machine.listing is WorkerListing.LIVE
         )
 
+    @property
+    def is_known(self) -> bool:
+        """Whether what runs on it is known now."""
+        return self.state is WorkerState.ACTIVE
+
     def transition(self, target: WorkerState) -> None:
         """Move to another state; only moves of the table are allowed."""
         if target is self.state:
@@ -80,17 +85,17 @@
             raise ValueError(f"worker {self.worker_id}: {self.state.value} -> {target.value}")
         self.state = target
 
-    def reserve(self, attempt_id: AttemptId, resources: Resources) -> None:
+    def reserve(self, task: RunningTask) -> None:
         """Reserve capacity for an attempt."""
-        self.tasks[attempt_id] = resources
-        self._set_free(self.free.minus(resources))
+        self.tasks[task.attempt_id] = task
+        self._set_free(self.free.minus(task.resources))
 
     def release(self, attempt_id: AttemptId) -> bool:
         """Free what an attempt reserved; return whether it was known."""
-        resources = self.tasks.pop(attempt_id, None)
-        if resources is None:
+        task = self.tasks.pop(attempt_id, None)
+        if task is None:
             return False
-        self._set_free(self.free.plus(resources))
+        self._set_free(self.free.plus(task.resources))
         return True
 
     def load_inventory(self, capacity: Resources, running: Iterable[RunningTask]) -> None:
@@ -99,7 +104,7 @@
         self.tasks = {}
         self._set_free(capacity)
         for task in running:
-            self.reserve(task.attempt_id, task.resources)
+            self.reserve(task)
 
     def _set_free(self, free: Resources) -> None:
         self.free = free
--- a/src/onyxspoke/entry/shell.py
+++ b/src/onyxspoke/entry/shell.py
@@ -23,6 +23,7 @@
     Offset,
     Resources,
     RunningTask,
+    TaskName,
     TaskRequest,
     WorkerId,
 )
@@ -75,6 +76,11 @@
             act.ConnectPeer: self._connect_peer,
             act.DisconnectPeer: self._disconnect_peer,
             act.AdvertiseCapacity: self._advertise,
+            act.ProbeJobs: self._probe_jobs,
+            act.AnswerProbe: self._answer_probe,
+            act.PassTaskAnswer: self._pass_task_answer,
+            act.RequestHoldover: self._request_holdover,
+            act.GrantHoldover: self._grant_holdover,
             act.JobFinished: self._job_finished,
             act.SettingsDecided: self._settings_decided,
             act.StopCompleted: self._stop_completed,
@@ -198,10 +204,14 @@
         logging.info("event=worker_disconnected worker=%s", worker_id)
         self.carry_out(self.scheduler.stimulus_worker_disconnected(worker_id, self._clock.now()))
 
-    def handle_task_ended(self, worker_id: WorkerId, attempt_id: AttemptId, answer: Answer) -> None:
+    def handle_task_ended(
+        self, worker_id: WorkerId, attempt_id: AttemptId, answer: Answer, task_name: TaskName
+    ) -> None:
         """A task ended."""
         now = self._clock.now()
-        self.carry_out(self.scheduler.stimulus_task_ended(worker_id, attempt_id, answer, now))
+        self.carry_out(
+            self.scheduler.stimulus_task_ended(worker_id, attempt_id, answer, task_name, now)
+        )
 
     def handle_task_refused(
         self, worker_id: WorkerId, attempt_id: AttemptId, code: ResultCode
@@ -254,6 +264,39 @@
         now = self._clock.now()
         self.carry_out(self.scheduler.stimulus_key_query(peer_id, request_id, key, now))
 
+    def handle_job_probe(self, peer_id: EntryId, probe_id: int, job_ids: list[JobId]) -> None:
+        """A peer asks what runs on our workers."""
+        now = self._clock.now()
+        self.carry_out(self.scheduler.stimulus_job_probe(peer_id, probe_id, job_ids, now))
+
+    def handle_job_probe_reply(
+        self,
+        peer_id: EntryId,
+        probe_id: int,
+        worker_ids: list[WorkerId],
+        running: list[TaskName],
+    ) -> None:
+        """A peer answered a probe."""
+        now = self._clock.now()
+        self.carry_out(
+            self.scheduler.stimulus_job_probe_reply(peer_id, probe_id, worker_ids, running, now)
+        )
+
+    def handle_task_answer(self, task_name: TaskName, answer: Answer) -> None:
+        """A peer passed on the answer of a job's task."""
+        now = self._clock.now()
+        self.carry_out(self.scheduler.stimulus_task_answer(task_name, answer, now))
+
+    def handle_holdover_request(self, peer_id: EntryId, round_number: int) -> None:
+        """A zone peer asks for a promise."""
+        now = self._clock.now()
+        self.carry_out(self.scheduler.stimulus_holdover_request(peer_id, round_number, now))
+
+    def handle_holdover_grant(self, peer_id: EntryId, round_number: int) -> None:
+        """A zone peer gave its promise."""
+        now = self._clock.now()
+        self.carry_out(self.scheduler.stimulus_holdover_grant(peer_id, round_number, now))
+
     # Actions
 
     def carry_out(self, actions: list[act.Action]) -> None:
@@ -351,6 +394,26 @@
         assert self._peers is not None
         self._peers.advertise(action.free, action.largest_free)
 
+    def _probe_jobs(self, action: act.ProbeJobs) -> None:
+        assert self._peers is not None
+        self._peers.probe_jobs(action.peer_id, action.probe_id, action.job_ids)
+
+    def _answer_probe(self, action: act.AnswerProbe) -> None:
+        assert self._peers is not None
+        self._peers.answer_probe(action.peer_id, action.probe_id, action.worker_ids, action.running)
+
+    def _pass_task_answer(self, action: act.PassTaskAnswer) -> None:
+        assert self._peers is not None
+        self._peers.pass_task_answer(action.peer_id, action.task_name, action.answer)
+
+    def _request_holdover(self, action: act.RequestHoldover) -> None:
+        assert self._peers is not None
+        self._peers.request_holdover(action.peer_id, action.round_number)
+
+    def _grant_holdover(self, action: act.GrantHoldover) -> None:
+        assert self._peers is not None
+        self._peers.grant_holdover(action.peer_id, action.round_number)
+
     def _job_finished(self, action: act.JobFinished) -> None:
         for on_finished in self._job_waiters.pop(action.job_id, []):
             on_finished()
--- a/src/onyxspoke/net/messages.py
+++ b/src/onyxspoke/net/messages.py
@@ -14,10 +14,12 @@
     AttemptId,
     EntryId,
     FencingToken,
+    JobId,
     MachineRecord,
     Offset,
     Resources,
     RunningTask,
+    TaskName,
     TaskRequest,
     WorkerId,
 )
@@ -76,6 +78,7 @@
 
     attempt_id: AttemptId
     answer: Answer
+    task_name: TaskName = ""
 
 
 class TaskRefused(Message, frozen=True):
@@ -182,8 +185,53 @@
     answer: Answer
 
 
+class JobProbe(Message, frozen=True):
+    """Say which workers you own, and which tasks of these jobs run on them."""
+
+    probe_id: int
+    job_ids: list[JobId]
+
+
+class JobProbeReply(Message, frozen=True):
+    """The answer to a probe; workers that are not attached are left out."""
+
+    probe_id: int
+    worker_ids: list[WorkerId]
+    running: list[TaskName]
+
+
+class JobTaskAnswer(Message, frozen=True):
+    """A task of a job that the receiver runs ended on a worker of the sender."""
+
+    task_name: TaskName
+    answer: Answer
+
+
+class HoldoverRequest(Message, frozen=True):
+    """The log is away: promise to claim nothing of mine for a lease from now."""
+
+    round_number: int
+
+
+class HoldoverGrant(Message, frozen=True):
+    """The sender promises it."""
+
+    round_number: int
+
+
 EntryToWorker = Attach | StartTask | StopTask
 WorkerToEntry = Inventory | AttachRefused | TaskEnded | TaskRefused
 EntryToPlatform = AppendRequest | TailRequest | MachineListRequest
 PlatformToEntry = AppendDone | AppendRefused | TailRecords | MachineList
-PeerMessage = PeerHello | ForwardedRequest | KeyQuery | Capacity | PeerAnswer
+PeerMessage = (
+    PeerHello
+    | ForwardedRequest
+    | KeyQuery
+    | Capacity
+    | PeerAnswer
+    | JobProbe
+    | JobProbeReply
+    | JobTaskAnswer
+    | HoldoverRequest
+    | HoldoverGrant
+)
--- a/src/onyxspoke/net/peer_network.py
+++ b/src/onyxspoke/net/peer_network.py
@@ -8,11 +8,17 @@
 from twisted.internet.interfaces import IListeningPort
 from twisted.internet.protocol import Factory
 
-from onyxspoke.core.schema import Answer, EntryId, Resources, TaskRequest
+from onyxspoke.core.schema import Answer, EntryId, JobId, Resources, TaskName, TaskRequest, WorkerId
 from onyxspoke.net.messages import (
     Capacity,
     ForwardedRequest,
+    HoldoverGrant,
+    HoldoverRequest,
+    JobProbe,
+    JobProbeReply,
+    JobTaskAnswer,
     KeyQuery,
+    Message,
     PeerAnswer,
     PeerHello,
     PeerMessage,
@@ -91,25 +97,41 @@
         remaining_seconds: float,
     ) -> bool:
         """Hand a request to a peer; return ``False`` if nothing was sent."""
-        stream = self._outgoing.get(peer_id)
-        if stream is None:
-            return False
-        stream.send(ForwardedRequest(request_id, request, remaining_seconds))
-        return True
+        return self._send(peer_id, ForwardedRequest(request_id, request, remaining_seconds))
 
     def query_key(self, peer_id: EntryId, request_id: str, key: str) -> bool:
         """Ask a peer for the answer under a key; return ``False`` if nothing was sent."""
-        stream = self._outgoing.get(peer_id)
-        if stream is None:
-            return False
-        stream.send(KeyQuery(request_id, key))
-        return True
+        return self._send(peer_id, KeyQuery(request_id, key))
 
     def answer_peer(self, peer_id: EntryId, request_id: str, answer: Answer) -> None:
         """Answer what a peer sent; if its stream is gone, so is its interest."""
-        stream = self._incoming.get(peer_id)
-        if stream is not None:
-            stream.send(PeerAnswer(request_id, answer))
+        self._reply(peer_id, PeerAnswer(request_id, answer))
+
+    def probe_jobs(self, peer_id: EntryId, probe_id: int, job_ids: list[JobId]) -> None:
+        """Ask a peer which of its workers run tasks of jobs."""
+        self._send(peer_id, JobProbe(probe_id, job_ids))
+
+    def answer_probe(
+        self,
+        peer_id: EntryId,
+        probe_id: int,
+        worker_ids: list[WorkerId],
+        running: list[TaskName],
+    ) -> None:
+        """Answer a probe."""
+        self._reply(peer_id, JobProbeReply(probe_id, worker_ids, running))
+
+    def pass_task_answer(self, peer_id: EntryId, task_name: TaskName, answer: Answer) -> None:
+        """Pass the answer of a job's task to the entry that runs the job."""
+        self._send(peer_id, JobTaskAnswer(task_name, answer))
+
+    def request_holdover(self, peer_id: EntryId, round_number: int) -> None:
+        """Ask a zone peer for a promise not to claim our workers."""
+        self._send(peer_id, HoldoverRequest(round_number))
+
+    def grant_holdover(self, peer_id: EntryId, round_number: int) -> None:
+        """Give that promise."""
+        self._reply(peer_id, HoldoverGrant(round_number))
 
     def advertise(self, free: Resources, largest_free: Resources) -> None:
         """Tell all connected peers what is free."""
@@ -117,6 +139,20 @@
         for stream in self._outgoing.values():
             stream.send(message)
 
+    def _send(self, peer_id: EntryId, message: Message) -> bool:
+        """Send on the stream that this entry opened; return whether there is one."""
+        stream = self._outgoing.get(peer_id)
+        if stream is None:
+            return False
+        stream.send(message)
+        return True
+
+    def _reply(self, peer_id: EntryId, message: Message) -> None:
+        """Send on the stream that the peer opened."""
+        stream = self._incoming.get(peer_id)
+        if stream is not None:
+            stream.send(message)
+
     def _note_listening(self, listening: IListeningPort) -> IListeningPort:
         self._listening = listening
         return listening
@@ -143,6 +179,12 @@
     def _handle_reply(self, peer_id: EntryId, message: PeerMessage) -> None:
         if isinstance(message, PeerAnswer):
             self._listener.handle_peer_answer(peer_id, message.request_id, message.answer)
+        elif isinstance(message, JobProbeReply):
+            self._listener.handle_job_probe_reply(
+                peer_id, message.probe_id, message.worker_ids, message.running
+            )
+        elif isinstance(message, HoldoverGrant):
+            self._listener.handle_holdover_grant(peer_id, message.round_number)
 
     def _build_incoming(self) -> _Stream:
         return MessageStream(
@@ -168,6 +210,12 @@
             )
         elif isinstance(message, KeyQuery):
             self._listener.handle_key_query(peer_id, message.request_id, message.key)
+        elif isinstance(message, JobProbe):
+            self._listener.handle_job_probe(peer_id, message.probe_id, message.job_ids)
+        elif isinstance(message, JobTaskAnswer):
+            self._listener.handle_task_answer(message.task_name, message.answer)
+        elif isinstance(message, HoldoverRequest):
+            self._listener.handle_holdover_request(peer_id, message.round_number)
 
     def _handle_incoming_lost(self, stream: _Stream) -> None:
         peer_id = self._hello_names.pop(stream, None)
--- a/src/onyxspoke/net/worker_client.py
+++ b/src/onyxspoke/net/worker_client.py
@@ -143,7 +143,9 @@
 
     def _handle_message(self, worker_id: WorkerId, message: WorkerToEntry) -> None:
         if isinstance(message, TaskEnded):
-            self._listener.handle_task_ended(worker_id, message.attempt_id, message.answer)
+            self._listener.handle_task_ended(
+                worker_id, message.attempt_id, message.answer, message.task_name
+            )
         elif isinstance(message, TaskRefused):
             self._listener.handle_task_refused(worker_id, message.attempt_id, message.code)
         elif isinstance(message, Inventory):
--- a/src/onyxspoke/ports/worker.py
+++ b/src/onyxspoke/ports/worker.py
@@ -12,6 +12,7 @@
     MachineRecord,
     Resources,
     RunningTask,
+    TaskName,
     TaskRequest,
     WorkerId,
 )
@@ -32,7 +33,9 @@
     def handle_worker_disconnected(self, worker_id: WorkerId) -> None:
         """The connection to a worker was lost."""
 
-    def handle_task_ended(self, worker_id: WorkerId, attempt_id: AttemptId, answer: Answer) -> None:
+    def handle_task_ended(
+        self, worker_id: WorkerId, attempt_id: AttemptId, answer: Answer, task_name: TaskName
+    ) -> None:
         """A task ended, with its whole answer."""
 
     def handle_task_refused(
--- a/src/onyxspoke/scale/decision_cost.py
+++ b/src/onyxspoke/scale/decision_cost.py
@@ -66,7 +66,7 @@
     options = LeaseOptions()
     cache = PreferenceCache()
     return _microseconds(
-        lambda: plan_ownership(_IDENTITY, context.cell, machines, 0.0, options, cache), 40
+        lambda: plan_ownership(_IDENTITY, context.cell, machines, 0.0, options, cache, {}), 40
     )
 
 
--- a/src/onyxspoke/worker/hollow_worker.py
+++ b/src/onyxspoke/worker/hollow_worker.py
@@ -20,6 +20,7 @@
     FencingToken,
     Resources,
     RunningTask,
+    TaskName,
     WorkerId,
 )
 from onyxspoke.kit.hollow_work import HollowResult, HollowWork, digest_of
@@ -66,6 +67,7 @@
     entry_id: EntryId
     attempt_id: AttemptId
     resources: Resources
+    task_name: TaskName
     nonce: str
     digest: str
     call: CancellableCall | None = None
@@ -151,7 +153,10 @@
         self._connections[message.entry_id] = connection
         for ended in self._undelivered.pop(message.entry_id, []):
             connection.send(ended)
-        running = [RunningTask(task.attempt_id, task.resources) for task in self._tasks.values()]
+        running = [
+            RunningTask(task.attempt_id, task.resources, task.task_name)
+            for task in self._tasks.values()
+        ]
         connection.send(Inventory(self.worker_id, message.token, self.capacity, running))
 
     def _handle_start(self, connection: Connection, message: StartTask) -> None:
@@ -169,6 +174,7 @@
             entry_id=self._owner,
             attempt_id=message.attempt_id,
             resources=resources,
+            task_name=message.request.task_name,
             nonce=work.nonce,
             digest=digest_of(message.request.payload),
         )
@@ -191,7 +197,7 @@
         del self._tasks[task.attempt_id]
         self._free = self._free.plus(task.resources)
         self._record(JournalKind.ENDED, task.attempt_id, task.nonce)
-        ended = TaskEnded(task.attempt_id, answer)
+        ended = TaskEnded(task.attempt_id, answer, task.task_name)
         if self._owner != task.entry_id and self._owner in self._connections:
             self._connections[self._owner].send(ended)
         dispatcher = self._connections.get(task.entry_id)
