Exploration of fault schedules in virtual time, with every promise checked

Cause: promises are to be proved under kills, pauses, cuts, outages, lost answers, races. Change: faults by random schedule, racing operators, callers who retry under their key, a checker of settings, ownership and the audit, and shrinking of a failing schedule.

--- a/scripts/scale.py
+++ b/scripts/scale.py
@@ -60,6 +60,14 @@
         self.hollow: list[subprocess.Popen[bytes]] = []
 
     def __enter__(self) -> Cell:
+        try:
+            self._start_all()
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def _start_all(self) -> None:
         self.start("platform")
         self.start("worker")
         self.real = self.start("entry", "--name", "entry-0")
@@ -68,7 +76,6 @@
             arguments = ("--first", str(first), "--count", str(count))
             self.hollow.append(self.start("hollow_entries", *arguments))
         self.wait_until_up()
-        return self
 
     def __exit__(self, *_exception: object) -> None:
         for process in reversed(self.processes):
--- /dev/null
+++ b/src/onyxspoke/cli/sim.py
@@ -0,0 +1,66 @@
+"""``onyxspoke-sim``: the system in virtual time; explores fault schedules."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+
+from absl import logging
+
+from onyxspoke.cli.common import load_or_exit, make_parser
+from onyxspoke.core.codes import ExitCode
+from onyxspoke.load.audit import AuditReport, add_counts
+from onyxspoke.sim.explore import RunResult, run_schedule, shrink
+
+DEPLOYMENTS = Path("deploy")
+
+
+def main() -> None:
+    """Run the program."""
+    parser = make_parser("onyxspoke-sim", "Run the system on a virtual clock and network.")
+    commands = parser.add_subparsers(dest="command", required=True)
+    explore = commands.add_parser("explore", help="draw fault schedules and check every promise")
+    explore.add_argument("--deployment", default="klimaplan")
+    explore.add_argument("--config", type=Path, help="settings file (default: the deployment's)")
+    explore.add_argument("--first-seed", type=int, default=1)
+    explore.add_argument("--seeds", type=int, default=20)
+    arguments = parser.parse_args()
+    logging.set_verbosity(logging.DEBUG if arguments.verbose else logging.FATAL)
+    sys.exit(_explore(arguments))
+
+
+def _explore(arguments: argparse.Namespace) -> ExitCode:
+    config = arguments.config or DEPLOYMENTS / arguments.deployment / "cell.yaml"
+    settings = load_or_exit(config)
+    events = checks = 0
+    totals = AuditReport()
+    failing: list[RunResult] = []
+    for seed in range(arguments.first_seed, arguments.first_seed + arguments.seeds):
+        result = run_schedule(settings, seed)
+        events += result.events
+        add_counts(totals, result.report)
+        checks += result.checks
+        if result.violations:
+            failing.append(result)
+            print(f"seed {seed}: {len(result.violations)} violations", flush=True)
+    print(f"outcomes: {totals.summary()}")
+    if failing:
+        _print_smallest(shrink(settings, failing[0]))
+    print(
+        f"explore {settings.cell}: {arguments.seeds} seeds, {events} events,"
+        f" {checks} promises checked, {len(failing)} seeds with violations"
+    )
+    return ExitCode.AUDIT_VIOLATION if failing else ExitCode.OK
+
+
+def _print_smallest(result: RunResult) -> None:
+    print(f"smallest failing schedule, seed {result.seed}:")
+    for fault in result.faults:
+        print(f"  {fault.describe()}")
+    for violation in result.violations[:10]:
+        print(f"  -> {violation}")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/onyxspoke/load/audit.py
+++ b/src/onyxspoke/load/audit.py
@@ -81,6 +81,13 @@
     return report
 
 
+def add_counts(totals: AuditReport, report: AuditReport) -> None:
+    """Add the counts of one report to a total."""
+    for name in AuditReport.__struct_fields__:
+        if name != "examples":
+            setattr(totals, name, getattr(totals, name) + getattr(report, name))
+
+
 def collect_runs(events: Iterable[JournalEvent], report: AuditReport) -> dict[str, list[TaskRun]]:
     """Return the runs of each nonce; counts refusals for lack of room in ``report``."""
     runs: dict[str, list[TaskRun]] = defaultdict(list)
--- a/src/onyxspoke/platform/service.py
+++ b/src/onyxspoke/platform/service.py
@@ -12,6 +12,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Factory
 
+from onyxspoke.core.schema import MachineRecord
 from onyxspoke.net.messages import (
     AppendDone,
     AppendRequest,
@@ -41,6 +42,19 @@
     request: AppendRequest
 
 
+@dataclass(slots=True)
+class PlatformFaults:
+    """Faults that are injected now.
+
+    ``outage``: nothing is taken or sent.  ``extra_append_seconds``: each append takes that
+    much longer.  ``loses_answers``: an append is done, then the asker's connection drops.
+    """
+
+    outage: bool = False
+    extra_append_seconds: float = 0.0
+    loses_answers: bool = False
+
+
 class PlatformService(MultiService):
     """Append-only log with a limited rate of appends, and a lagging machine list."""
 
@@ -54,7 +68,10 @@
         self._store = LogStore(self._settings.retention_seconds)
         # Followers in the order in which they came, so that a simulation repeats itself.
         self._followers: dict[str, dict[_Stream, None]] = {}
+        self._streams: dict[_Stream, None] = {}
+        self._list_readers: dict[_Stream, None] = {}
         self._waiting: deque[_WaitingAppend] = deque()
+        self.faults = PlatformFaults()
         self._is_appending = False
         expiry = TimerService(EXPIRY_INTERVAL_SECONDS, self._expire)
         expiry.clock = network.reactor
@@ -71,20 +88,50 @@
         return MessageStream(
             EntryToPlatform,
             self._handle_message,
-            on_lost=self._handle_lost,
+            self._handle_connected,
+            self._handle_lost,
             delay_seconds=self._delay_seconds,
         )
 
+    def set_machines(self, machines: list[MachineRecord]) -> None:
+        """Change the machine list; readers see it after the lag."""
+        lag = self._settings.machine_list_lag_seconds
+        self._network.reactor.callLater(lag, self._publish_machines, machines)
+
+    def begin_outage(self) -> None:
+        """Drop every connection and take none until the outage ends."""
+        self.faults.outage = True
+        self._waiting.clear()
+        for stream in list(self._streams):
+            stream.abort()
+
+    def end_outage(self) -> None:
+        """Serve again."""
+        self.faults.outage = False
+
+    def _publish_machines(self, machines: list[MachineRecord]) -> None:
+        self._machines = machines
+        for stream in self._list_readers:
+            stream.send(MachineList(machines))
+
+    def _handle_connected(self, stream: _Stream) -> None:
+        if self.faults.outage:
+            stream.abort()
+        else:
+            self._streams[stream] = None
+
     def _handle_message(self, stream: _Stream, message: EntryToPlatform) -> None:
         if isinstance(message, AppendRequest):
             self._enqueue(stream, message)
         elif isinstance(message, TailRequest):
             self._follow(stream, message)
         elif isinstance(message, MachineListRequest):
-            lag = self._settings.machine_list_lag_seconds
-            self._network.reactor.callLater(lag, stream.send, MachineList(self._machines))
+            self._list_readers[stream] = None
+            stream.send(MachineList(self._machines))
 
     def _handle_lost(self, stream: _Stream) -> None:
+        self._streams.pop(stream, None)
+        self._list_readers.pop(stream, None)
         for followers in self._followers.values():
             followers.pop(stream, None)
 
@@ -105,19 +152,20 @@
             )
 
     def _append_next(self) -> None:
+        if not self._waiting:
+            self._is_appending = False
+            return
         waiting = self._waiting.popleft()
         request = waiting.request
         record = self._store.append(request.stream, request.data, self._clock.now())
+        if self.faults.loses_answers:
+            waiting.stream.abort()
         waiting.stream.send(AppendDone(request.append_id, record.offset))
         tail = self._to_tail(request.stream, [record])
         for follower in self._followers.get(request.stream, ()):
             follower.send(tail)
-        if self._waiting:
-            self._network.reactor.callLater(
-                1.0 / self._settings.appends_per_second, self._append_next
-            )
-        else:
-            self._is_appending = False
+        pause = 1.0 / self._settings.appends_per_second + self.faults.extra_append_seconds
+        self._network.reactor.callLater(pause, self._append_next)
 
     def _to_tail(self, stream: str, records: list[StoredRecord]) -> TailRecords:
         data = [LogRecordData(record.offset, record.data) for record in records]
--- a/src/onyxspoke/sim/cell.py
+++ b/src/onyxspoke/sim/cell.py
@@ -6,9 +6,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from onyxspoke.core.context import CoreOptions
 from onyxspoke.core.scheduler import EntryScheduler
-from onyxspoke.core.schema import EntryIdentity, MachineRecord
+from onyxspoke.core.schema import EntryIdentity, MachineRecord, WorkerListing
 from onyxspoke.entry.node import EntryNode, make_core_options, make_identity
 from onyxspoke.entry.shell import EntryShell
 from onyxspoke.kit.journal import JournalEvent
@@ -20,6 +22,7 @@
 
 PLATFORM_ZONE = "platform"
 DEFAULT_TICK_SECONDS = 0.05
+DEFAULT_BREAK_SECONDS = 3.0
 
 SchedulerFactory = Callable[[EntryIdentity, CoreOptions], EntryScheduler]
 
@@ -76,6 +79,10 @@
         Seeds everything that is random.
     make_scheduler : callable
         Makes the core of an entry; tests give a crippled one to see it caught.
+    tick_seconds : float
+        How often entries see the time when nothing else happens.
+    break_seconds : float
+        How long a connection outlives a cut of its link.
     """
 
     def __init__(
@@ -84,12 +91,13 @@
         seed: int,
         make_scheduler: SchedulerFactory = EntryScheduler,
         tick_seconds: float = DEFAULT_TICK_SECONDS,
+        break_seconds: float = DEFAULT_BREAK_SECONDS,
     ) -> None:
         self.settings = settings.model_copy(update={"links": type(settings.links)()})
         self.time = VirtualTime()
         self.random = random.Random(seed)
         delay = settings.links.between_zones_ms / 1_000
-        options = LinkOptions(delay_seconds=delay)
+        options = LinkOptions(delay_seconds=delay, break_seconds=break_seconds)
         self.network = VirtualNetwork(self.time, random.Random(seed + 1), options)
         self.journal = MemoryJournal()
         self._make_scheduler = make_scheduler
@@ -102,6 +110,7 @@
             self.platform_node.reactor,
         )
         self.workers: dict[str, SimulatedWorker] = {}
+        self._listed = {machine.worker_id: machine for machine in settings.machines()}
         self.entries: dict[str, SimulatedEntry] = {}
 
     def start(self) -> None:
@@ -160,6 +169,16 @@
         worker.node.die()
         self.network.drop_connections_of(worker.node)
 
+    def set_listing(self, worker_id: str, listing: WorkerListing | None) -> None:
+        """Change a worker's state in the machine list; ``None`` takes it off the list."""
+        if listing is None:
+            self._listed.pop(worker_id, None)
+        else:
+            machine = self.workers[worker_id].machine
+            self._listed[worker_id] = msgspec.structs.replace(machine, listing=listing)
+        machines = list(self._listed.values())
+        self.platform_node.run(lambda: self.platform.set_machines(machines))
+
     def up_entries(self) -> list[SimulatedEntry]:
         """Return the entries that run and are not paused."""
         return [entry for entry in self.entries.values() if entry.is_up and not entry.node.paused]
