Two faults that exploration found: answers on the wrong stream, a second submitter unanswered

Cause: (1) a restarted entry listens on its earlier run's address, so peers held two streams to it under two names and an answer could come back under the wrong one and be dropped: a job stayed forwarded for ever. (2) A job submitted twice under one key at one entry overwrote who waited for its acceptance. Change: the opener names the run it wants and counts as connected only once welcomed; jobs keep every submitter of a key, and a key with another body is told KEY_REUSED.

--- a/src/onyxspoke/core/job_runner.py
+++ b/src/onyxspoke/core/job_runner.py
@@ -40,13 +40,13 @@
     answers: dict[int, Answer] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class PendingAcceptance:
-    """A job whose record is on its way to the log, and the caller who waits for that."""
+    """A job whose record is on its way to the log, and the callers who wait for that."""
 
-    request_id: str
     record: JobAccepted
     deadline: float
+    request_ids: list[str]
 
 
 class JobRunner:
@@ -65,20 +65,36 @@
         """Number of jobs that this entry runs now."""
         return len(self._running)
 
-    def submit(self, request_id: str, job: JobSubmission, deadline: float) -> None:
-        """Record a job; the caller is answered when the record is read back."""
+    def submit(self, request_id: str, job: JobSubmission, deadline: float) -> Answer | None:
+        """Record a job; return the answer if it is known at once.
+
+        Otherwise the caller is answered when the record is read back.  A job that is
+        submitted again under its key is recorded once.
+        """
+        known = self._context.cell.jobs.get(job.job_id)
+        if known is not None:
+            return _acceptance_of(job, known.job)
+        pending = self._acceptances.get(job.job_id)
+        if pending is not None and pending.record.job != job:
+            return Answer(code=ResultCode.KEY_REUSED)
+        if pending is not None:
+            pending.request_ids.append(request_id)
+            return None
         record = JobAccepted(job)
-        self._acceptances[job.job_id] = PendingAcceptance(request_id, record, deadline)
+        self._acceptances[job.job_id] = PendingAcceptance(record, deadline, [request_id])
         self._context.cell_appends.add(record)
+        return None
 
-    def handle_accepted_read(self, job_id: JobId, now: float) -> str | None:
-        """Start a job whose record was read back; return the waiting request, if any."""
+    def handle_accepted_read(self, job_id: JobId, now: float) -> list[tuple[str, Answer]]:
+        """Start a job whose record was read back; return the answers of who waited."""
         entry = self._context.cell.jobs.get(job_id)
         pending = self._acceptances.pop(job_id, None)
-        if self._runs(entry) and job_id not in self._running:
-            assert entry is not None
+        if entry is not None and self._runs(entry) and job_id not in self._running:
             self._start(entry, now)
-        return None if pending is None else pending.request_id
+        if pending is None or entry is None:
+            return []
+        answer = _acceptance_of(pending.record.job, entry.job)
+        return [(request_id, answer) for request_id in pending.request_ids]
 
     def give_up_acceptances(self, now: float) -> list[tuple[str, Answer]]:
         """Return final answers for submissions that the log did not take in time.
@@ -96,7 +112,7 @@
             else:
                 continue
             del self._acceptances[job_id]
-            answers.append((pending.request_id, answer))
+            answers.extend((request_id, answer) for request_id in pending.request_ids)
         return answers
 
     def handle_task_answer(self, origin: JobOrigin, answer: Answer) -> None:
@@ -264,6 +280,13 @@
             self._context.cell_appends.add(TaskStarting(job.job_id, index))
 
 
+def _acceptance_of(submitted: JobSubmission, recorded: JobSubmission) -> Answer:
+    """Return what the submitter of a job is told, given the one on record under its name."""
+    if submitted == recorded:
+        return Answer(code=ResultCode.ACCEPTED)
+    return Answer(code=ResultCode.KEY_REUSED)
+
+
 def _combine(progress: JobProgress) -> Answer:
     """Return the answer of a whole job: the results in order, or the first that failed."""
     answers = [progress.answers[index] for index in range(progress.entry.job.task_count)]
--- a/src/onyxspoke/core/scheduler.py
+++ b/src/onyxspoke/core/scheduler.py
@@ -127,7 +127,9 @@
             answer = self.desk.refusal(ResultCode.ENTRY_STOPPING)
             self.context.emit(AnswerCaller(request_id, answer))
         else:
-            self.jobs.submit(request_id, job, now + patience_seconds)
+            known = self.jobs.submit(request_id, job, now + patience_seconds)
+            if known is not None:
+                self.context.emit(AnswerCaller(request_id, known))
         return self._take_actions(now)
 
     def stimulus_cancel_job(self, job_id: JobId, now: float) -> list[Action]:
@@ -470,9 +472,7 @@
         elif isinstance(record, KeyIntent):
             self.keys.handle_intent_read(record, now)
         elif isinstance(record, JobAccepted):
-            request_id = self.jobs.handle_accepted_read(record.job.job_id, now)
-            if request_id is not None:
-                answer = Answer(code=ResultCode.ACCEPTED)
+            for request_id, answer in self.jobs.handle_accepted_read(record.job.job_id, now):
                 self.context.emit(AnswerCaller(request_id, answer))
         elif isinstance(record, TaskStarting):
             self.jobs.handle_start_read(record, now)
--- a/src/onyxspoke/net/messages.py
+++ b/src/onyxspoke/net/messages.py
@@ -151,9 +151,17 @@
 
 
 class PeerHello(Message, frozen=True):
-    """Names the entry that opened the stream."""
+    """Names the entry that opened the stream, and the run of an entry that it wants.
+
+    A restarted entry listens where its earlier run did; it closes streams meant for that.
+    """
 
     entry_id: EntryId
+    wanted_id: EntryId
+
+
+class PeerWelcome(Message, frozen=True):
+    """The stream has reached the run of an entry that was wanted."""
 
 
 class ForwardedRequest(Message, frozen=True):
@@ -225,6 +233,7 @@
 PlatformToEntry = AppendDone | AppendRefused | TailRecords | MachineList
 PeerMessage = (
     PeerHello
+    | PeerWelcome
     | ForwardedRequest
     | KeyQuery
     | Capacity
--- a/src/onyxspoke/net/peer_network.py
+++ b/src/onyxspoke/net/peer_network.py
@@ -22,6 +22,7 @@
     PeerAnswer,
     PeerHello,
     PeerMessage,
+    PeerWelcome,
 )
 from onyxspoke.net.network import Network
 from onyxspoke.net.stream import MessageStream
@@ -160,24 +161,22 @@
     def _build_outgoing(self, peer_id: EntryId) -> _Stream:
         return MessageStream(
             PeerMessage,
-            lambda _stream, message: self._handle_reply(peer_id, message),
-            lambda stream: self._handle_outgoing_connected(peer_id, stream),
+            lambda stream, message: self._handle_reply(peer_id, stream, message),
+            lambda stream: stream.send(PeerHello(self._entry_id, peer_id)),
             lambda stream: self._handle_outgoing_lost(peer_id, stream),
             self._delay_seconds,
         )
 
-    def _handle_outgoing_connected(self, peer_id: EntryId, stream: _Stream) -> None:
-        self._outgoing[peer_id] = stream
-        stream.send(PeerHello(self._entry_id))
-        self._listener.handle_peer_connected(peer_id)
-
     def _handle_outgoing_lost(self, peer_id: EntryId, stream: _Stream) -> None:
         if self._outgoing.get(peer_id) is stream:
             del self._outgoing[peer_id]
             self._listener.handle_peer_disconnected(peer_id)
 
-    def _handle_reply(self, peer_id: EntryId, message: PeerMessage) -> None:
-        if isinstance(message, PeerAnswer):
+    def _handle_reply(self, peer_id: EntryId, stream: _Stream, message: PeerMessage) -> None:
+        if isinstance(message, PeerWelcome):
+            self._outgoing[peer_id] = stream
+            self._listener.handle_peer_connected(peer_id)
+        elif isinstance(message, PeerAnswer):
             self._listener.handle_peer_answer(peer_id, message.request_id, message.answer)
         elif isinstance(message, JobProbeReply):
             self._listener.handle_job_probe_reply(
@@ -196,8 +195,7 @@
 
     def _handle_incoming(self, stream: _Stream, message: PeerMessage) -> None:
         if isinstance(message, PeerHello):
-            self._incoming[message.entry_id] = stream
-            self._hello_names[stream] = message.entry_id
+            self._handle_hello(stream, message)
             return
         peer_id = self._hello_names.get(stream)
         if peer_id is None:
@@ -217,6 +215,14 @@
         elif isinstance(message, HoldoverRequest):
             self._listener.handle_holdover_request(peer_id, message.round_number)
 
+    def _handle_hello(self, stream: _Stream, message: PeerHello) -> None:
+        if message.wanted_id != self._entry_id:
+            stream.abort()
+            return
+        self._incoming[message.entry_id] = stream
+        self._hello_names[stream] = message.entry_id
+        stream.send(PeerWelcome())
+
     def _handle_incoming_lost(self, stream: _Stream) -> None:
         peer_id = self._hello_names.pop(stream, None)
         if peer_id is not None and self._incoming.get(peer_id) is stream:
