--- /dev/null
+++ b/features/steps/promise_steps.py
@@ -0,0 +1,214 @@
+"""Steps that run whole cells under fault schedules."""
+
+import random
+
+import msgspec
+from behave import then, when
+from settings_file_steps import deployment_path
+
+from onyxspoke.core.scheduler import EntryScheduler
+from onyxspoke.core.schema import FencingToken
+from onyxspoke.core.worker_table import OwnedWorker
+from onyxspoke.settings_file import load_settings
+from onyxspoke.sim.callers import Callers
+from onyxspoke.sim.cell import SimulatedCell
+from onyxspoke.sim.explore import run_schedule
+from onyxspoke.sim.faults import Fault, FaultInjector, FaultKind
+from onyxspoke.sim.operators import RacingOperators
+from onyxspoke.sim.promises import PromiseChecker, find_late_starts
+
+HIGHEST_TOKEN = FencingToken(2**60)
+EXPLORED_SEEDS = range(1, 41)
+
+
+class UnfencedWorker(OwnedWorker):
+    """Sends every command under a token that no worker refuses."""
+
+    @property
+    def token(self):
+        return HIGHEST_TOKEN
+
+
+class WithoutFencing(EntryScheduler):
+    def __init__(self, identity, options):
+        super().__init__(identity, options)
+        self.context.workers.worker_type = UnfencedWorker
+
+
+class WithoutKeyMemory(EntryScheduler):
+    """Runs every keyed request that comes, whoever holds the key."""
+
+    def __init__(self, identity, options):
+        super().__init__(identity, options)
+        self.keys.admit = self.desk.place_or_queue
+
+
+class WithoutLeaseMargin(EntryScheduler):
+    """Takes over from a holder whose lease still runs."""
+
+    def __init__(self, identity, options):
+        hasty = msgspec.structs.replace(options.lease, margin_seconds=-4.7)
+        super().__init__(identity, msgspec.structs.replace(options, lease=hasty))
+
+
+CRIPPLED = {
+    "fencing": WithoutFencing,
+    "key memory": WithoutKeyMemory,
+    "lease margin": WithoutLeaseMargin,
+}
+
+
+def parse_faults(text):
+    if text == "none":
+        return []
+    faults = []
+    for part in text.split(";"):
+        kind, target, _, at, _, duration = part.split()
+        faults.append(Fault(FaultKind(kind), target, float(at), float(duration)))
+    return faults
+
+
+class Run:
+    """A cell under ordinary load, watched, with faults that the scenario adds."""
+
+    def __init__(self, deployment, seed, load_seconds=26.0, rate=20.0):
+        self.settings = load_settings(deployment_path(deployment))
+        self.cell = SimulatedCell(self.settings, seed)
+        self.callers = Callers(self.cell, self.settings.load, random.Random(seed))
+        operators = RacingOperators(self.cell, random.Random(seed))
+        self.checker = PromiseChecker(self.cell, operators)
+        self.cell.start()
+        self.cell.time.run_until(4.0)
+        self.callers.submit_for(load_seconds, rate)
+        operators.submit_for(load_seconds)
+
+    def finish(self, context, until=75.0):
+        self.cell.time.run_until(until)
+        self.callers.close()
+        context.report = self.checker.judge(self.callers.records)
+        context.violations = self.checker.violations
+
+
+@when('the deployment "{name}" runs seed {seed:d} with these faults "{faults}"')
+def step_run_faults(context, name, seed, faults):
+    settings = load_settings(deployment_path(name))
+    result = run_schedule(settings, seed, parse_faults(faults))
+    context.report, context.violations = result.report, result.violations
+
+
+@when('the deployment "{name}" runs the schedule drawn from seed {seed:d}')
+def step_run_seed(context, name, seed):
+    result = run_schedule(load_settings(deployment_path(name)), seed)
+    context.result, context.violations = result, result.violations
+
+
+@when('the deployment "{name}" runs the schedule drawn from seed {seed:d} again')
+def step_run_seed_again(context, name, seed):
+    context.again = run_schedule(load_settings(deployment_path(name)), seed)
+
+
+@then("both runs are the same, event for event")
+def step_same(context):
+    assert context.result == context.again
+
+
+@when('seeds are explored for the deployment "{name}" without "{mechanism}"')
+def step_explore_crippled(context, name, mechanism):
+    settings = load_settings(deployment_path(name))
+    context.violations = []
+    for seed in EXPLORED_SEEDS:
+        result = run_schedule(settings, seed, None, CRIPPLED[mechanism])
+        if result.violations:
+            context.violations = result.violations
+            return
+
+
+@then("a promise is broken")
+def step_broken(context):
+    assert context.violations, "the exploration found nothing: it cannot fail"
+
+
+@then("no promise is broken")
+def step_unbroken(context):
+    assert context.violations == [], context.violations
+
+
+@then("at least {count:d} submissions are completed")
+def step_completed(context, count):
+    assert context.report.completed >= count, context.report.summary()
+
+
+@when('the entry "{name}" is killed')
+def step_kill(context, name):
+    context.cell.kill_entry(name)
+
+
+@then('every worker of the zone "{zone}" is attached by a live entry')
+def step_attached(context, zone):
+    attached = {
+        worker.worker_id
+        for entry in context.cell.up_entries()
+        for worker in entry.shell.scheduler.context.workers.usable()
+    }
+    machines = context.cell.settings.machines()
+    expected = {machine.worker_id for machine in machines if machine.zone == zone}
+    assert expected <= attached, expected - attached
+
+
+@when('every entry of "{name}" is stopped and replaced in turn under load')
+def step_roll(context, name):
+    run = Run(name, seed=21, load_seconds=60.0)
+    faults = [
+        Fault(FaultKind.STOP_ENTRY, entry.name, 6.0 + 8.0 * index, 4.0)
+        for index, entry in enumerate(run.settings.entries)
+    ]
+    FaultInjector(run.cell).schedule(faults)
+    run.finish(context, until=110.0)
+    context.replaced = len({entry.node.name for entry in run.cell.entries.values()})
+
+
+@then('no caller was told "unknown"')
+def step_no_unknown(context):
+    assert context.report.unknown == 0, context.report.summary()
+
+
+@when('a busy worker of "{name}" is listed as leaving')
+def step_leaving(context, name):
+    run = Run(name, seed=31, rate=60.0)
+    context.worker_id = run.settings.machines()[0].worker_id
+    context.listed_at = 12.0
+    faults = [Fault(FaultKind.LEAVING_WORKER, context.worker_id, context.listed_at, 60.0)]
+    FaultInjector(run.cell).schedule(faults)
+    run.finish(context)
+    context.run = run
+
+
+@then("it is given nothing from {seconds:d} seconds after the list says so")
+def step_nothing_new(context, seconds):
+    lag = context.run.settings.platform.machine_list_lag_seconds
+    cell, worker_id = context.run.cell, context.worker_id
+    assert find_late_starts(cell, worker_id, 0.0) > 0, "the worker was never busy"
+    listed_for_readers = context.listed_at + lag
+    assert find_late_starts(cell, worker_id, listed_for_readers + seconds) == 0
+
+
+@when('the zone "{zone}" of "{name}" is cut from the platform for {seconds:d} seconds')
+def step_cut_platform(context, zone, name, seconds):
+    run = Run(name, seed=41)
+    context.cut_at = 8.0
+    cut = Fault(FaultKind.CUT_ZONES, f"{zone}~platform", context.cut_at, float(seconds))
+    FaultInjector(run.cell).schedule([cut])
+    run.finish(context)
+    context.run, context.zone = run, zone
+
+
+@then("its workers are given work {seconds:d} seconds into the cut")
+def step_served(context, seconds):
+    machines = context.run.settings.machines()
+    names = {machine.worker_id for machine in machines if machine.zone == context.zone}
+    late = sum(
+        find_late_starts(context.run.cell, name, context.cut_at + seconds)
+        - find_late_starts(context.run.cell, name, context.cut_at + seconds + 5.0)
+        for name in names
+    )
+    assert late > 0, "nothing was started: the zone stood still"
--- a/src/onyxspoke/core/request_desk.py
+++ b/src/onyxspoke/core/request_desk.py
@@ -10,7 +10,15 @@
 from onyxspoke.core.context import EntryContext
 from onyxspoke.core.placement import choose_worker
 from onyxspoke.core.requests import ActiveRequest, JobOrigin, PeerOrigin, RequestState
-from onyxspoke.core.schema import Answer, AttemptId, EntryId, RunningTask, TaskClass, WorkerId
+from onyxspoke.core.schema import (
+    Answer,
+    AttemptId,
+    EntryId,
+    JobId,
+    RunningTask,
+    TaskClass,
+    WorkerId,
+)
 from onyxspoke.core.worker_table import OwnedWorker
 
 _MINIMUM_COMPACTED_DEADLINES = 1_024
@@ -217,6 +225,9 @@
         """Let a request that did not run wait again, within its budget of attempts."""
         request.peer_id = ""
         request.worker_id = ""
+        if isinstance(request.origin, JobOrigin) and not self._runs_job(request.origin.job_id):
+            self.abandon(request)  # Adopted by another entry while this one was paused.
+            return
         exhausted = request.attempts >= self._context.options.queue.maximum_attempts
         from_peer = isinstance(request.origin, PeerOrigin)
         if exhausted or from_peer or request.deadline <= now:
@@ -225,6 +236,10 @@
         request.transition(RequestState.QUEUED)
         self._context.queue.push(request)
 
+    def _runs_job(self, job_id: JobId) -> bool:
+        entry = self._context.cell.jobs.get(job_id)
+        return entry is not None and entry.runner == self._context.identity.entry_id
+
     def _take_attempt(self, attempt_id: AttemptId) -> ActiveRequest | None:
         request = self._context.attempts.pop(attempt_id, None)
         if request is None or request.attempt_id != attempt_id:
--- a/src/onyxspoke/core/worker_table.py
+++ b/src/onyxspoke/core/worker_table.py
@@ -128,12 +128,14 @@
 class WorkerTable:
     """All workers that this entry owns."""
 
+    worker_type = OwnedWorker
+
     def __init__(self) -> None:
         self.workers: dict[WorkerId, OwnedWorker] = {}
 
     def add(self, machine: MachineRecord, epoch: Epoch) -> OwnedWorker:
         """Start to own a worker under a new epoch."""
-        worker = OwnedWorker(machine, epoch)
+        worker = self.worker_type(machine, epoch)
         self.workers[machine.worker_id] = worker
         return worker
 
--- a/src/onyxspoke/sim/cell.py
+++ b/src/onyxspoke/sim/cell.py
@@ -157,6 +157,12 @@
         entry.was_paused = True
         entry.node.pause()
 
+    def pause_entry_at_write(self, name: str, marker: bytes) -> None:
+        """Pause an entry as it writes certain bytes, before they leave the process."""
+        entry = self.entries[name]
+        entry.was_paused = True
+        entry.node.pause_at_write_of = marker
+
     def stop_entry(self, name: str) -> None:
         """Ask an entry for a planned stop."""
         entry = self.entries[name]
--- a/src/onyxspoke/sim/faults.py
+++ b/src/onyxspoke/sim/faults.py
@@ -24,6 +24,7 @@
 
     KILL_ENTRY = "kill_entry"
     PAUSE_ENTRY = "pause_entry"
+    PAUSE_ENTRY_SENDING = "pause_entry_sending"
     STOP_ENTRY = "stop_entry"
     KILL_WORKER = "kill_worker"
     PAUSE_WORKER = "pause_worker"
@@ -47,6 +48,16 @@
         return f"{self.at:6.2f}s {self.kind.value} {self.target} for {self.duration:.2f}s"
 
 
+ENTRY_FAULTS = frozenset(
+    {
+        FaultKind.KILL_ENTRY,
+        FaultKind.PAUSE_ENTRY,
+        FaultKind.PAUSE_ENTRY_SENDING,
+        FaultKind.STOP_ENTRY,
+    }
+)
+
+
 def draw_schedule(cell: SimulatedCell, source: random.Random) -> list[Fault]:
     """Return some random faults in the order of their moments."""
     count = source.randint(1, MAXIMUM_FAULTS)
@@ -65,7 +76,7 @@
 
 
 def _draw_target(cell: SimulatedCell, kind: FaultKind, source: random.Random) -> str:
-    if kind in (FaultKind.KILL_ENTRY, FaultKind.PAUSE_ENTRY, FaultKind.STOP_ENTRY):
+    if kind in ENTRY_FAULTS:
         return source.choice([entry.name for entry in cell.settings.entries])
     if kind in (FaultKind.KILL_WORKER, FaultKind.PAUSE_WORKER, FaultKind.LEAVING_WORKER):
         return source.choice([machine.worker_id for machine in cell.settings.machines()])
@@ -75,6 +86,10 @@
     return PLATFORM_ZONE
 
 
+#: Stands in the bytes of every message that starts a task.
+TASK_START_MARKER = b"StartTask"
+
+
 class FaultInjector:
     """Carries out a schedule in a simulated cell, and mends everything in the end."""
 
@@ -83,6 +98,7 @@
         self._begin: dict[FaultKind, Callable[[str], None]] = {
             FaultKind.KILL_ENTRY: self._kill_entry,
             FaultKind.PAUSE_ENTRY: self._pause_entry,
+            FaultKind.PAUSE_ENTRY_SENDING: self._pause_entry_sending,
             FaultKind.STOP_ENTRY: self._stop_entry,
             FaultKind.KILL_WORKER: self._kill_worker,
             FaultKind.PAUSE_WORKER: self._pause_worker,
@@ -95,6 +111,7 @@
         self._end: dict[FaultKind, Callable[[str], None]] = {
             FaultKind.KILL_ENTRY: self._restart_entry,
             FaultKind.PAUSE_ENTRY: self._resume_entry,
+            FaultKind.PAUSE_ENTRY_SENDING: self._resume_entry,
             FaultKind.STOP_ENTRY: self._restart_entry,
             FaultKind.KILL_WORKER: self._restart_worker,
             FaultKind.PAUSE_WORKER: self._resume_worker,
@@ -121,6 +138,11 @@
         if self._cell.entries[name].is_up:
             self._cell.pause_entry(name)
 
+    def _pause_entry_sending(self, name: str) -> None:
+        """Pause with a task decided on, checked against the lease, and not yet sent."""
+        if self._cell.entries[name].is_up:
+            self._cell.pause_entry_at_write(name, TASK_START_MARKER)
+
     def _stop_entry(self, name: str) -> None:
         if self._cell.entries[name].is_up:
             self._cell.stop_entry(name)
@@ -134,7 +156,9 @@
             self._cell.start_entry(entry.settings)
 
     def _resume_entry(self, name: str) -> None:
-        self._cell.entries[name].node.resume()
+        node = self._cell.entries[name].node
+        node.pause_at_write_of = None
+        node.resume()
 
     def _kill_worker(self, worker_id: str) -> None:
         if self._cell.workers[worker_id].node.alive:
--- a/src/onyxspoke/sim/virtual_network.py
+++ b/src/onyxspoke/sim/virtual_network.py
@@ -123,10 +123,9 @@
         self, node: VirtualNode, address: tuple[str, int], factory: IProtocolFactory
     ) -> Deferred[IProtocol]:
         """Open a connection from a process to an address."""
-        done: Deferred[IProtocol] = Deferred()
-        attempt = _ConnectionAttempt(self, node, address, factory, done)
+        attempt = _ConnectionAttempt(self, node, address, factory)
         self.time.schedule(self.draw_delay(), attempt.arrive)
-        return done
+        return attempt.done
 
     def open_connection(self, client: VirtualNode, server: VirtualNode) -> VirtualConnection:
         """Return a new connection between two processes."""
@@ -153,13 +152,13 @@
         node: VirtualNode,
         address: tuple[str, int],
         factory: IProtocolFactory,
-        done: Deferred[IProtocol],
     ) -> None:
+        self.done: Deferred[IProtocol] = Deferred(lambda _done: self._cancel())
+        self._cancelled = False
         self._network = network
         self._node = node
         self._address = address
         self._factory = factory
-        self._done = done
 
     def arrive(self) -> None:
         """Reach the other side, or not."""
@@ -180,15 +179,22 @@
         time.schedule(delay, lambda: self._node.run(lambda: self._succeed(connection)))
 
     def _succeed(self, connection: VirtualConnection) -> None:
+        if self._cancelled:
+            connection.lose()
+            return
         if connection.is_lost:
             self._refuse()
             return
         protocol = connection.client.start(self._factory)
         if protocol is not None:
-            self._done.callback(protocol)
+            self.done.callback(protocol)
 
     def _refuse(self) -> None:
-        self._done.errback(Failure(ConnectionRefusedError()))
+        if not self._cancelled:
+            self.done.errback(Failure(ConnectionRefusedError()))
+
+    def _cancel(self) -> None:
+        self._cancelled = True
 
 
 class VirtualConnection:
@@ -275,7 +281,13 @@
         sent = self._connection.network.bytes_sent
         sent[self.node.name] = sent.get(self.node.name, 0) + len(data)
         self._outgoing.append(bytes(data))
-        if not self._connection.is_held:
+        marker = self.node.pause_at_write_of
+        if marker is not None and marker in data:
+            # The process stops with the bytes in its own buffer and sends them on waking.
+            self.node.pause_at_write_of = None
+            self.node.pause()
+            self.node.run(self.flush)
+        elif not self._connection.is_held:
             self.flush()
 
     def writeSequence(self, data: Iterable[bytes]) -> None:
@@ -284,6 +296,8 @@
 
     def flush(self) -> None:
         """Put waiting bytes on their way."""
+        if self._connection.is_held or self.node.paused:
+            return
         pieces = [*self._returned, *self._outgoing]
         self._returned.clear()
         self._outgoing.clear()
--- a/src/onyxspoke/sim/virtual_reactor.py
+++ b/src/onyxspoke/sim/virtual_reactor.py
@@ -116,6 +116,8 @@
         self.zone = zone
         self.alive = True
         self.paused = False
+        #: Pause when bytes that hold this are written, before they leave the process.
+        self.pause_at_write_of: bytes | None = None
         self._waiting: list[Callable[[], Any]] = []
         self.reactor = NodeReactor(time, self)
 
