Faults on real processes: kills, pauses, cuts, outages, lost answers, two at once

Change: scripts/faults.sh; switches of the platform stand-in by signal; cuts between zones enforced where connections are opened; callers wait for a job at any entry; a timeout counts as lost in the audit, no longer as unknown.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 BIN := .venv/bin
 DEPLOYMENT ?= klimaplan
 STEPS ?= full
+SEEDS ?= 200
 
-.PHONY: install demo test lint format bench clean
+.PHONY: install demo test lint format bench faults explore scale clean
 
 install: .venv/installed
 
@@ -33,5 +34,18 @@
 bench: install
 	scripts/bench.sh
 
+# Real processes under load, one fault or two at once a scenario.
+faults: install
+	scripts/faults.sh klimaplan
+	scripts/faults.sh motor-estudio
+
+# Random fault schedules in virtual time, on every core: SEEDS of each deployment.
+explore: install
+	scripts/explore.sh $(SEEDS)
+
+# Slopes of cost; STEPS=small takes under a minute, the full run also writes docs/CAPACITY.md.
+scale: install
+	$(BIN)/python scripts/scale.py $(STEPS)
+
 clean:
 	rm -rf .venv run build src/*.egg-info
--- a/src/onyxspoke/cli/entry.py
+++ b/src/onyxspoke/cli/entry.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import dataclasses
 import signal
 import sys
+from pathlib import Path
 from typing import cast
 
 from twisted.internet import reactor
 from twisted.internet.interfaces import IReactorFromThreads
+from twisted.internet.task import LoopingCall
 
 from onyxspoke.cli.common import (
     ProcessRunner,
@@ -19,8 +22,10 @@
 )
 from onyxspoke.core.codes import ExitCode
 from onyxspoke.entry.service import EntryService
-from onyxspoke.net.network import tcp_network
+from onyxspoke.net.link_cuts import POLL_SECONDS, CuttableEndpoints
+from onyxspoke.net.network import Network, tcp_network
 from onyxspoke.net.reactor_clock import MonotonicClock
+from onyxspoke.settings_file import CellSettings
 
 
 def main() -> None:
@@ -28,6 +33,9 @@
     parser = make_parser("onyxspoke-entry", "Run one entry of the cell.")
     add_settings_arguments(parser)
     parser.add_argument("--name", help="which entry of the settings file this process is")
+    parser.add_argument(
+        "--cuts", type=Path, metavar="FILE", help="rehearsals: zones that are cut from this entry"
+    )
     arguments = parser.parse_args()
     settings = load_or_exit(arguments.config)
     if arguments.check:
@@ -38,7 +46,10 @@
         print(f"--name: expected one of {names}", file=sys.stderr)
         sys.exit(ExitCode.USAGE)
     configure_logging(entry.name, verbose=arguments.verbose)
-    service = EntryService(settings, entry, tcp_network(reactor), MonotonicClock())
+    network = tcp_network(reactor)
+    if arguments.cuts is not None:
+        network = make_cuttable(network, settings, arguments.cuts)
+    service = EntryService(settings, entry, network, MonotonicClock())
     runner = ProcessRunner(service)
     service.shell.on_stopped = runner.stop
 
@@ -49,5 +60,13 @@
     sys.exit(runner.run(service.listen()))
 
 
+def make_cuttable(network: Network, settings: CellSettings, path: Path) -> Network:
+    """Return a network that obeys a file of cut zones."""
+    endpoints = CuttableEndpoints(network.endpoints, settings.zone_of_host(), path)
+    polls = LoopingCall(endpoints.poll)
+    reactor.callWhenRunning(polls.start, POLL_SECONDS)
+    return dataclasses.replace(network, endpoints=endpoints)
+
+
 if __name__ == "__main__":
     main()
--- a/src/onyxspoke/load/generator.py
+++ b/src/onyxspoke/load/generator.py
@@ -24,6 +24,8 @@
 from onyxspoke.settings_file import CellSettings, LoadClassSettings, LoadSettings
 
 JOB_WAIT_SECONDS = 5.0
+JOB_RETRY_SECONDS = 0.5
+MAXIMUM_JOB_SECONDS = 60.0
 ANSWER_TIMEOUT_GRACE_SECONDS = 5.0
 _MILLISECONDS = 1_000.0
 _WORK_JITTER = 0.5
@@ -149,6 +151,9 @@
         )
         try:
             record = await self._exchange(record, body, key, task_class.patience_seconds)
+        except TimeoutError:
+            # An entry that is up must have answered by now; the audit counts this as lost.
+            record = msgspec.structs.replace(record, error="timeout")
         except Exception as error:
             # Whatever breaks the exchange leaves the caller without an answer.
             record = msgspec.structs.replace(
@@ -170,16 +175,25 @@
         answer = await submitted
         if record.batch and answer.outcome == OutcomeKind.COMPLETED.value:
             record = msgspec.structs.replace(record, job_id=answer.job_id)
-            answer = await self._await_job(client, answer.job_id, patience_seconds)
+            answer = await self._await_job(record.entry, answer.job_id, patience_seconds)
         await self._link_delay()
         return _with_answer(record, answer, self._clock.now())
 
-    async def _await_job(
-        self, client: CallerClient, job_id: str, patience_seconds: float
-    ) -> AnswerBody:
-        give_up_at = self._clock.now() + patience_seconds
+    async def _await_job(self, entry: str, job_id: str, patience_seconds: float) -> AnswerBody:
+        """Wait for the end of a job, at any entry that knows it."""
+        give_up_at = self._clock.now() + min(patience_seconds, MAXIMUM_JOB_SECONDS)
         while self._clock.now() < give_up_at:
-            reply = await client.wait_for_job(job_id, JOB_WAIT_SECONDS)
+            try:
+                waiting = ensureDeferred(
+                    self._clients[entry].wait_for_job(job_id, JOB_WAIT_SECONDS)
+                )
+                waiting.addTimeout(2 * JOB_WAIT_SECONDS, reactor)
+                reply = await waiting
+            except Exception:
+                # The entry is gone or stuck; the job is in the log, so any other knows it.
+                entry = self._random.choice(self._entry_names)
+                await deferLater(reactor, JOB_RETRY_SECONDS)
+                continue
             if reply.answer is not None:
                 return reply.answer
         # An accepted job without an end is lost; the audit counts an empty outcome.
--- a/src/onyxspoke/platform/service.py
+++ b/src/onyxspoke/platform/service.py
@@ -31,6 +31,7 @@
 
 EXPIRY_INTERVAL_SECONDS = 1.0
 MAXIMUM_WAITING_APPENDS = 10_000
+SLOW_APPEND_SECONDS = 0.2
 _MILLISECONDS = 1_000.0
 
 _Stream = MessageStream[EntryToPlatform]
@@ -109,6 +110,25 @@
         """Serve again."""
         self.faults.outage = False
 
+    def switch_outage(self) -> None:
+        """Begin an outage, or end the present one."""
+        if self.faults.outage:
+            self.end_outage()
+        else:
+            self.begin_outage()
+        logging.info("event=fault outage=%s", self.faults.outage)
+
+    def switch_lost_answers(self) -> None:
+        """Begin to lose answers, or stop it."""
+        self.faults.loses_answers = not self.faults.loses_answers
+        logging.info("event=fault loses_answers=%s", self.faults.loses_answers)
+
+    def switch_slow_log(self) -> None:
+        """Make the log slow, or fast again."""
+        is_slow = self.faults.extra_append_seconds > 0
+        self.faults.extra_append_seconds = 0.0 if is_slow else SLOW_APPEND_SECONDS
+        logging.info("event=fault slow_log=%s", not is_slow)
+
     def _publish_machines(self, machines: list[MachineRecord]) -> None:
         self._machines = machines
         for stream in self._list_readers:
--- a/src/onyxspoke/settings_file.py
+++ b/src/onyxspoke/settings_file.py
@@ -23,6 +23,9 @@
 )
 from onyxspoke.settings_references import find_reference_faults
 
+#: Stands for the platform where zones are named.
+PLATFORM_ZONE = "platform"
+
 Port = Field(gt=0, lt=65_536)
 TaskClassName = tuple[str, str]
 
@@ -209,6 +212,13 @@
         """Return all workers."""
         return [machine for group in self.workers for machine in group.machines()]
 
+    def zone_of_host(self) -> dict[str, str]:
+        """Return the zone of each address of the file; the platform is one of its own."""
+        zones = {str(entry.host): entry.zone for entry in self.entries}
+        zones.update({str(group.host): group.zone for group in self.workers})
+        zones[str(self.platform.host)] = PLATFORM_ZONE
+        return zones
+
     def capacities(self) -> dict[WorkerId, CapacitySettings]:
         """Return what each worker has."""
         return {
--- a/src/onyxspoke/sim/cell.py
+++ b/src/onyxspoke/sim/cell.py
@@ -15,12 +15,11 @@
 from onyxspoke.entry.shell import EntryShell
 from onyxspoke.kit.journal import JournalEvent
 from onyxspoke.platform.service import PlatformService
-from onyxspoke.settings_file import CellSettings, EntrySettings
+from onyxspoke.settings_file import PLATFORM_ZONE, CellSettings, EntrySettings
 from onyxspoke.sim.virtual_network import LinkOptions, VirtualNetwork
 from onyxspoke.sim.virtual_reactor import VirtualNode, VirtualTime
 from onyxspoke.worker.service import WorkerService
 
-PLATFORM_ZONE = "platform"
 DEFAULT_TICK_SECONDS = 0.05
 DEFAULT_BREAK_SECONDS = 3.0
 
--- a/src/onyxspoke/sim/faults.py
+++ b/src/onyxspoke/sim/faults.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from onyxspoke.core.schema import WorkerListing
-from onyxspoke.sim.cell import PLATFORM_ZONE, SimulatedCell
+from onyxspoke.settings_file import PLATFORM_ZONE
+from onyxspoke.sim.cell import SimulatedCell
 
 FIRST_FAULT_SECONDS = 6.0
 LAST_FAULT_SECONDS = 26.0
