--- a/src/onyxspoke/net/log_client.py
+++ b/src/onyxspoke/net/log_client.py
@@ -53,6 +53,7 @@
         listener: LogListener,
         delay_seconds: float = 0.0,
     ) -> None:
+        self._network = network
         self._listener = listener
         self._delay_seconds = delay_seconds
         self._next_offsets: dict[LogStream, Offset] = dict.fromkeys(streams, 1)
@@ -87,6 +88,7 @@
             self._handle_connected,
             self._handle_lost,
             self._delay_seconds,
+            self._network.control_keepalive(),
         )
 
     def _handle_connected(self, stream: _Stream) -> None:
--- a/src/onyxspoke/net/machine_list_client.py
+++ b/src/onyxspoke/net/machine_list_client.py
@@ -24,6 +24,7 @@
         listener: MachineListListener,
         delay_seconds: float = 0.0,
     ) -> None:
+        self._network = network
         self._listener = listener
         self._delay_seconds = delay_seconds
         super().__init__()
@@ -36,6 +37,7 @@
             self._handle_message,
             lambda stream: stream.send(MachineListRequest()),
             delay_seconds=self._delay_seconds,
+            keepalive=self._network.control_keepalive(),
         )
 
     def _handle_message(self, _stream: _Stream, message: PlatformToEntry) -> None:
--- a/src/onyxspoke/net/messages.py
+++ b/src/onyxspoke/net/messages.py
@@ -29,6 +29,14 @@
     """Base of all messages; the class name is the tag."""
 
 
+class Ping(Message, frozen=True):
+    """Asks the other side of a stream for a sign of life."""
+
+
+class Pong(Message, frozen=True):
+    """The sign of life."""
+
+
 # Entry to worker
 
 
--- a/src/onyxspoke/net/network.py
+++ b/src/onyxspoke/net/network.py
@@ -18,11 +18,17 @@
     IStreamServerEndpoint,
 )
 
+from onyxspoke.net.stream import Keepalive
+
 CONNECT_TIMEOUT_SECONDS = 2
 LISTEN_BACKLOG = 512
 INITIAL_RETRY_DELAY_SECONDS = 0.1
 MAXIMUM_RETRY_DELAY_SECONDS = 2.0
 RETRY_GROWTH_FACTOR = 1.5
+CONTROL_PING_SECONDS = 2.0
+CONTROL_SILENCE_SECONDS = 5.0
+WORKER_PING_SECONDS = 5.0
+WORKER_SILENCE_SECONDS = 12.0
 
 
 class Endpoints(Protocol):
@@ -74,6 +80,14 @@
     endpoints: Endpoints
     retry_delay: Callable[[int], float]
 
+    def control_keepalive(self) -> Keepalive:
+        """Return how streams to the platform and to peers are watched."""
+        return Keepalive(self.reactor, CONTROL_PING_SECONDS, CONTROL_SILENCE_SECONDS)
+
+    def worker_keepalive(self) -> Keepalive:
+        """Return how streams to workers, of which an entry has many, are watched."""
+        return Keepalive(self.reactor, WORKER_PING_SECONDS, WORKER_SILENCE_SECONDS)
+
     def keep_connected(self, host: str, port: int, factory: IProtocolFactory) -> ClientService:
         """Return a service that keeps a connection while it runs."""
         endpoint = self.endpoints.client(host, port)
--- a/src/onyxspoke/net/peer_network.py
+++ b/src/onyxspoke/net/peer_network.py
@@ -165,6 +165,7 @@
             lambda stream: stream.send(PeerHello(self._entry_id, peer_id)),
             lambda stream: self._handle_outgoing_lost(peer_id, stream),
             self._delay_seconds,
+            self._network.control_keepalive(),
         )
 
     def _handle_outgoing_lost(self, peer_id: EntryId, stream: _Stream) -> None:
--- a/src/onyxspoke/net/stream.py
+++ b/src/onyxspoke/net/stream.py
@@ -8,17 +8,18 @@
 
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, Generic, TypeVar, cast
 
 import msgpack
 import msgspec
 from absl import logging
 from twisted.internet import reactor
-from twisted.internet.interfaces import ITCPTransport
+from twisted.internet.interfaces import IReactorTime, ITCPTransport
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from onyxspoke.net.messages import Message
+from onyxspoke.net.messages import Message, Ping, Pong
 
 MAXIMUM_MESSAGE_BYTES = 8 * 1024 * 1024
 MAXIMUM_UNSENT_BYTES = 32 * 1024 * 1024
@@ -28,6 +29,18 @@
 Incoming = TypeVar("Incoming", bound=Message)
 
 
+@dataclass(frozen=True, slots=True)
+class Keepalive:
+    """How the opener of a stream notices that the way is gone though no one said so.
+
+    ``timeout_seconds`` without any data from the other side ends the stream.
+    """
+
+    reactor: IReactorTime
+    interval_seconds: float
+    timeout_seconds: float
+
+
 class Traffic:
     """Bytes on all message streams of this process."""
 
@@ -50,6 +63,8 @@
         Called with this stream once the connection is gone.
     delay_seconds : float
         Emulated one-way delay of the link, for rehearsals on one machine.
+    keepalive : Keepalive, optional
+        Asks for signs of life and ends the stream without them.
     """
 
     def __init__(
@@ -59,8 +74,11 @@
         on_connected: Callable[[MessageStream[Incoming]], None] | None = None,
         on_lost: Callable[[MessageStream[Incoming]], None] | None = None,
         delay_seconds: float = 0.0,
+        keepalive: Keepalive | None = None,
     ) -> None:
-        self._incoming_type = incoming_type
+        self._incoming_type = incoming_type | Ping | Pong
+        self._keepalive = keepalive
+        self._data_at = 0.0
         self._on_message = on_message
         self._on_connected = on_connected
         self._on_lost = on_lost
@@ -74,17 +92,22 @@
         self.is_open = True
         if ITCPTransport.providedBy(self.transport):
             self.transport.setTcpNoDelay(True)
+        if self._keepalive is not None:
+            self._data_at = self._keepalive.reactor.seconds()
+            self._schedule_keepalive(self._keepalive)
         if self._on_connected is not None:
             self._on_connected(self)
 
     def dataReceived(self, data: bytes) -> None:
         """Decode what arrived; called by Twisted."""
         Traffic.received += len(data)
+        if self._keepalive is not None:
+            self._data_at = self._keepalive.reactor.seconds()
         try:
             self._unpacker.feed(data)
             for raw in self._unpacker:
                 message = msgspec.convert(raw, self._incoming_type)
-                self._on_message(self, message)
+                self._handle(message)
                 if not self.is_open:
                     return
         except (msgspec.ValidationError, msgpack.UnpackException, ValueError) as error:
@@ -121,6 +144,25 @@
         if self.transport is not None:
             cast("ITCPTransport", self.transport).abortConnection()
 
+    def _handle(self, message: Any) -> None:
+        if isinstance(message, Ping):
+            self.send(Pong())
+        elif not isinstance(message, Pong):
+            self._on_message(self, message)
+
+    def _schedule_keepalive(self, keepalive: Keepalive) -> None:
+        keepalive.reactor.callLater(keepalive.interval_seconds, self._keep_alive, keepalive)
+
+    def _keep_alive(self, keepalive: Keepalive) -> None:
+        if not self.is_open:
+            return
+        if keepalive.reactor.seconds() - self._data_at > keepalive.timeout_seconds:
+            logging.warning("event=stream_silent seconds=%.1f", keepalive.timeout_seconds)
+            self.abort()
+            return
+        self.send(Ping())
+        self._schedule_keepalive(keepalive)
+
     def _write_delayed(self) -> None:
         if self._delayed:
             self._write(self._delayed.popleft())
--- a/src/onyxspoke/net/worker_client.py
+++ b/src/onyxspoke/net/worker_client.py
@@ -115,6 +115,7 @@
             lambda stream: self._handle_connected(worker_id, stream),
             lambda stream: self._handle_lost(worker_id, stream),
             self._delay_seconds,
+            self._network.worker_keepalive(),
         )
 
     def _handle_connect_failed(self, worker_id: WorkerId, failure: object) -> None:
