--- a/src/onyxspoke/core/scheduler.py
+++ b/src/onyxspoke/core/scheduler.py
@@ -93,6 +93,7 @@
         self._next_advertisement_at = float("-inf")
         self._last_advertisement: AdvertiseCapacity | None = None
         self._advertised_at = float("-inf")
+        self._stop_began_at = float("-inf")
         self._stop_reported = False
 
     # Requests and jobs
@@ -366,7 +367,9 @@
 
     def stimulus_stop(self, now: float) -> list[Action]:
         """Begin a planned stop: take no new work, finish what is in progress."""
-        self.context.stopping = True
+        if not self.context.stopping:
+            self.context.stopping = True
+            self._stop_began_at = now
         self._next_advertisement_at = float("-inf")
         return self.stimulus_tick(now)
 
@@ -523,7 +526,9 @@
             return
         self.jobs.release_unsent()
         busy = self.context.requests or self.context.attempts or self.jobs.running_count
-        if busy:
+        # The balancer needs a moment to see the failed health check.
+        lingers = now < self._stop_began_at + self.context.options.stop_linger_seconds
+        if busy or lingers:
             return
         appends = self.context.cell_appends
         if self.context.workers.workers:
--- a/src/onyxspoke/load/generator.py
+++ b/src/onyxspoke/load/generator.py
@@ -12,11 +12,13 @@
 from absl import logging
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, ensureDeferred, gatherResults
+from twisted.internet.error import ConnectError
 from twisted.internet.task import deferLater
 
 from onyxspoke.core.codes import OutcomeKind
 from onyxspoke.core.schema import TaskClass
 from onyxspoke.kit.hollow_work import HollowResult, HollowWork, digest_of
+from onyxspoke.load.balancer import Balancer
 from onyxspoke.load.http_client import CallerClient
 from onyxspoke.load.records import SubmissionRecord
 from onyxspoke.net.http import AnswerBody
@@ -76,6 +78,7 @@
         self._clients = {
             entry.name: CallerClient(str(entry.host), entry.http_port) for entry in settings.entries
         }
+        self._balancer = Balancer(self._clients, self._random)
         catalog = settings.catalog()
         self._classes = [
             _WeightedClass(catalog[(service, name)], item)
@@ -88,6 +91,7 @@
 
     async def run(self) -> None:
         """Submit for the configured time, then wait for every answer and job."""
+        self._balancer.start()
         end_at = self._clock.now() + self._load.duration_seconds
         next_at = self._clock.now()
         outstanding: set[Deferred[None]] = set()
@@ -102,6 +106,7 @@
             next_at += self._random.expovariate(self._load.requests_per_second)
         logging.info("event=load_submitted count=%d", self._counter)
         await gatherResults(list(outstanding))
+        self._balancer.stop()
         for client in self._clients.values():
             await client.close()
 
@@ -115,7 +120,7 @@
         keyed = not chosen.task_class.repeatable
         twice = keyed and self._random.random() < self._load.duplicate_share
         copies = 2 if twice else 1
-        entries = self._random.sample(self._entry_names, min(copies, len(self._entry_names)))
+        entries = self._balancer.choose(copies)
         return [
             self._submit(chosen.task_class, nonce if keyed else "", nonce, tenant, payload, entry)
             for entry in entries
@@ -167,18 +172,36 @@
     async def _exchange(
         self, record: SubmissionRecord, body: bytes, key: str, patience_seconds: float
     ) -> SubmissionRecord:
-        client = self._clients[record.entry]
         path = "/v1/jobs" if record.batch else "/v1/requests"
         await self._link_delay()
-        submitted = ensureDeferred(client.submit(path, body, key))
-        submitted.addTimeout(patience_seconds + ANSWER_TIMEOUT_GRACE_SECONDS, reactor)
-        answer = await submitted
+        record, answer = await self._submit_somewhere(record, path, body, key, patience_seconds)
         if record.batch and answer.outcome == OutcomeKind.COMPLETED.value:
             record = msgspec.structs.replace(record, job_id=answer.job_id)
             answer = await self._await_job(record.entry, answer.job_id, patience_seconds)
         await self._link_delay()
         return _with_answer(record, answer, self._clock.now())
 
+    async def _submit_somewhere(
+        self,
+        record: SubmissionRecord,
+        path: str,
+        body: bytes,
+        key: str,
+        patience_seconds: float,
+    ) -> tuple[SubmissionRecord, AnswerBody]:
+        """Submit; where no connection opens, nothing was sent, and another entry is tried."""
+        for _ in range(len(self._entry_names)):
+            client = self._clients[record.entry]
+            submitted = ensureDeferred(client.submit(path, body, key))
+            submitted.addTimeout(patience_seconds + ANSWER_TIMEOUT_GRACE_SECONDS, reactor)
+            try:
+                return record, await submitted
+            except ConnectError:
+                self._balancer.note_unreachable(record.entry)
+                (entry,) = self._balancer.choose(1)
+                record = msgspec.structs.replace(record, entry=entry)
+        raise ConnectError(string="no entry accepts connections")
+
     async def _await_job(self, entry: str, job_id: str, patience_seconds: float) -> AnswerBody:
         """Wait for the end of a job, at any entry that knows it."""
         give_up_at = self._clock.now() + min(patience_seconds, MAXIMUM_JOB_SECONDS)
@@ -191,7 +214,7 @@
                 reply = await waiting
             except Exception:
                 # The entry is gone or stuck; the job is in the log, so any other knows it.
-                entry = self._random.choice(self._entry_names)
+                (entry,) = self._balancer.choose(1)
                 await deferLater(reactor, JOB_RETRY_SECONDS)
                 continue
             if reply.answer is not None:
--- a/src/onyxspoke/load/http_client.py
+++ b/src/onyxspoke/load/http_client.py
@@ -16,6 +16,7 @@
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 MAXIMUM_CONNECTIONS_PER_HOST = 512
+HEALTHY_STATUS = 200
 
 
 class JobReply(msgspec.Struct, kw_only=True):
@@ -77,6 +78,12 @@
         )
         return _answer_decoder.decode(await readBody(response))
 
+    async def is_serving(self) -> bool:
+        """Return whether the entry's health check succeeds."""
+        response = await self._agent.request(b"GET", f"{self._base}/v1/health".encode())
+        await readBody(response)
+        return bool(response.code == HEALTHY_STATUS)
+
     async def wait_for_job(self, job_id: str, seconds: float) -> JobReply:
         """Ask for a job, waiting at the entry for its end that long."""
         url = f"{self._base}/v1/jobs/{job_id}?wait={seconds}"
