--- a/features/promises.feature
+++ b/features/promises.feature
@@ -70,3 +70,15 @@
     When the zone "cba-a" of "motor-estudio" is cut from the platform for 20 seconds
     Then its workers are given work 15 seconds into the cut
     And no promise is broken
+
+  Scenario: Entries that start after the log has dropped old records know all that counts
+    When the log of "klimaplan" keeps 12 seconds and entries write a snapshot every 4
+    Then no promise is broken
+
+  Scenario: Without snapshots, dropped records break promises
+    When the log of "klimaplan" keeps 12 seconds and no entry writes a snapshot
+    Then a promise is broken
+
+  Scenario: A planned stop ends though the log is away
+    When the entry "sever-1" of "klimaplan" is stopped while the log is away
+    Then the entry has stopped within 12 seconds
--- a/features/steps/promise_steps.py
+++ b/features/steps/promise_steps.py
@@ -212,3 +212,45 @@
         for name in names
     )
     assert late > 0, "nothing was started: the zone stood still"
+
+
+RETENTION_FAULTS = (
+    "kill_entry sever-1 at 10 for 22; kill_entry juh-2 at 12 for 25; "
+    "pause_entry stred-1 at 14 for 20; stop_entry sever-3 at 16 for 20"
+)
+
+
+def run_with_retention(context, name, retention, snapshot_interval):
+    settings = load_settings(deployment_path(name))
+    platform = settings.platform.model_copy(update={"retention_seconds": retention})
+    limits = settings.limits.model_copy(update={"snapshot_interval_seconds": snapshot_interval})
+    settings = settings.model_copy(update={"platform": platform, "limits": limits})
+    result = run_schedule(settings, 61, parse_faults(RETENTION_FAULTS))
+    context.report, context.violations = result.report, result.violations
+
+
+@when('the log of "{name}" keeps {kept:d} seconds and entries write a snapshot every {every:d}')
+def step_snapshots(context, name, kept, every):
+    run_with_retention(context, name, float(kept), float(every))
+
+
+@when('the log of "{name}" keeps {kept:d} seconds and no entry writes a snapshot')
+def step_no_snapshots(context, name, kept):
+    run_with_retention(context, name, float(kept), 1e9)
+
+
+@when('the entry "{entry}" of "{name}" is stopped while the log is away')
+def step_stop_without_log(context, entry, name):
+    run = Run(name, seed=71, load_seconds=4.0)
+    run.cell.time.run_until(20.0)
+    run.cell.platform.begin_outage()
+    run.cell.stop_entry(entry)
+    context.stopped_at = run.cell.time.now()
+    context.run, context.entry_name = run, entry
+
+
+@then("the entry has stopped within {seconds:d} seconds")
+def step_has_stopped(context, seconds):
+    run = context.run
+    run.cell.time.run_until(context.stopped_at + seconds)
+    assert run.cell.entries[context.entry_name].stopped
--- a/src/onyxspoke/cli/entry.py
+++ b/src/onyxspoke/cli/entry.py
@@ -5,6 +5,7 @@
 import dataclasses
 import signal
 import sys
+from functools import partial
 from pathlib import Path
 from typing import cast
 
@@ -52,6 +53,7 @@
     service = EntryService(settings, entry, network, MonotonicClock())
     runner = ProcessRunner(service)
     service.shell.on_stopped = runner.stop
+    service.shell.on_state_lost = partial(runner.stop, ExitCode.STATE_LOST)
 
     def begin_stop(_signal: int, _frame: object) -> None:
         cast("IReactorFromThreads", reactor).callFromThread(service.shell.stop)
--- a/src/onyxspoke/core/actions.py
+++ b/src/onyxspoke/core/actions.py
@@ -160,6 +160,12 @@
     change_id: str
 
 
+class StateLost(msgspec.Struct, frozen=True):
+    """The log dropped records before they were read; only a fresh start can catch up."""
+
+    stream: LogStream
+
+
 class StopCompleted(msgspec.Struct, frozen=True):
     """A planned stop is complete; the process may exit."""
 
@@ -184,5 +190,6 @@
     | GrantHoldover
     | JobFinished
     | SettingsDecided
+    | StateLost
     | StopCompleted
 )
--- a/src/onyxspoke/core/append_queue.py
+++ b/src/onyxspoke/core/append_queue.py
@@ -45,6 +45,8 @@
         self._last_created_at = float("-inf")
         self._failing_since: float | None = None
         self.stopping = False
+        #: Nothing is sent before the reader has made sense of the log.
+        self.enabled = False
 
     def add(self, record: LogRecord) -> None:
         """Queue a record for the next batch."""
@@ -75,6 +77,8 @@
 
     def next_batch(self, now: float) -> LogBatch | None:
         """Return a batch to send now, or ``None``."""
+        if not self.enabled:
+            return None
         if self._in_flight is not None:
             return self._retry(self._in_flight, now)
         if not self._is_due(now):
@@ -97,7 +101,7 @@
 
     def due_at(self) -> float | None:
         """Return when waiting records may be sent; ``None`` if none wait for that alone."""
-        if not self._pending or self._in_flight is not None:
+        if not self.enabled or not self._pending or self._in_flight is not None:
             return None
         return self._last_created_at + self._options.minimum_interval_seconds
 
--- a/src/onyxspoke/core/cell_state.py
+++ b/src/onyxspoke/core/cell_state.py
@@ -30,6 +30,13 @@
     WorkerRelease,
 )
 from onyxspoke.core.schema import Answer, EntryId, Epoch, JobId, JobSubmission, Offset, WorkerId
+from onyxspoke.core.snapshot import (
+    CellSnapshot,
+    HoldingState,
+    JobState,
+    KeyState,
+    MemberState,
+)
 
 
 @dataclass(slots=True)
@@ -134,6 +141,76 @@
             if member.zone == zone and not member.stopping and now - member.seen_at < lapse_seconds
         ]
 
+    def all_live_members(self, now: float, lapse_seconds: float) -> list[EntryId]:
+        """Return the members of all zones that were heard of lately and are not stopping."""
+        return [
+            member.entry_id
+            for member in self.members.values()
+            if not member.stopping and now - member.seen_at < lapse_seconds
+        ]
+
+    def to_snapshot(self) -> CellSnapshot:
+        """Return the fold as records; local facts are left out."""
+        members = [
+            MemberState(
+                member.entry_id,
+                member.zone,
+                member.peer_host,
+                member.peer_port,
+                member.stopping,
+                member.last_sequence,
+                member.last_offset,
+            )
+            for member in self.members.values()
+        ]
+        holdings = [
+            HoldingState(worker_id, holding.holder, holding.epoch)
+            for worker_id, holding in self.holdings.items()
+        ]
+        keys = [KeyState(key, entry.holder, entry.fingerprint) for key, entry in self.keys.items()]
+        ended = [self.jobs[job_id] for job_id in self._ended_jobs]
+        running = [entry for jobs in self.open_jobs.values() for entry in jobs.values()]
+        jobs = [
+            JobState(entry.job, entry.zone, entry.runner, entry.answer, sorted(entry.started))
+            for entry in [*ended, *running]
+        ]
+        return CellSnapshot(members, holdings, sorted(self.draining), keys, jobs)
+
+    def load_snapshot(self, snapshot: CellSnapshot, covers: Offset, now: float) -> None:
+        """Replace the fold; every member counts as heard of now, so none is taken over early."""
+        self.applied_offset = covers
+        self.members = {
+            state.entry_id: Member(
+                entry_id=state.entry_id,
+                zone=state.zone,
+                peer_host=state.peer_host,
+                peer_port=state.peer_port,
+                stopping=state.stopping,
+                last_sequence=state.last_sequence,
+                last_offset=state.last_offset,
+                seen_at=now,
+            )
+            for state in snapshot.members
+        }
+        self.holdings = {
+            state.worker_id: Holding(state.holder, state.epoch) for state in snapshot.holdings
+        }
+        self.draining = set(snapshot.draining)
+        self.keys = OrderedDict(
+            (state.key, KeyEntry(state.holder, state.fingerprint)) for state in snapshot.keys
+        )
+        for state in snapshot.jobs:
+            self._load_job(state)
+
+    def _load_job(self, state: JobState) -> None:
+        job_id = state.job.job_id
+        entry = JobEntry(state.job, state.zone, state.runner, state.answer, set(state.started))
+        self.jobs[job_id] = entry
+        if state.answer is not None:
+            self._ended_jobs[job_id] = None
+        else:
+            self.open_jobs.setdefault(state.runner, {})[job_id] = entry
+
     def forget_members(self, now: float, forget_seconds: float) -> None:
         """Drop members that hold nothing and have been silent for long."""
         holders = {holding.holder for holding in self.holdings.values()} | self.open_jobs.keys()
--- a/src/onyxspoke/core/codes.py
+++ b/src/onyxspoke/core/codes.py
@@ -170,6 +170,7 @@
     CANNOT_LISTEN = 4
     UNREACHABLE = 5
     AUDIT_VIOLATION = 6
+    STATE_LOST = 7
 
 
 class OnyxspokeError(Exception):
--- a/src/onyxspoke/core/job_runner.py
+++ b/src/onyxspoke/core/job_runner.py
@@ -27,6 +27,7 @@
     JobId,
     JobSubmission,
     Offset,
+    WorkerId,
     make_task_name,
 )
 
@@ -155,7 +156,19 @@
             for index in progress.launched:
                 request = self._context.requests.get(make_task_name(job_id, index))
                 if request is not None:
-                    self._abandon_if_unsent(request)
+                    self._desk.abandon(request)
+
+    def look_for_tasks_on(self, worker_id: WorkerId, now: float) -> None:
+        """Recover the tasks on a worker that another entry owns and we no longer hear."""
+        for request in list(self._context.attempts.values()):
+            origin = request.origin
+            if request.worker_id != worker_id or not isinstance(origin, JobOrigin):
+                continue
+            self._desk.abandon(request)
+            progress = self._running.get(origin.job_id)
+            if progress is not None:
+                progress.launched.discard(origin.task_index)
+                self.recovery.begin(origin.job_id, now)
 
     def keep(self, now: float) -> None:
         """Adopt the jobs of lapsed runners, and go on with recoveries."""
@@ -221,10 +234,6 @@
         name = make_task_name(origin.job_id, origin.task_index)
         self._context.emit(PassTaskAnswer(entry.runner, name, answer))
 
-    def _abandon_if_unsent(self, request: ActiveRequest) -> None:
-        if not request.is_sent:
-            self._desk.abandon(request)
-
     def _adopt(self, now: float) -> None:
         context = self._context
         lapse_seconds = context.options.lease.lapse_seconds
--- a/src/onyxspoke/core/log_records.py
+++ b/src/onyxspoke/core/log_records.py
@@ -121,6 +121,16 @@
     changes: list[SettingChange]
 
 
+class SnapshotPart(msgspec.Struct, frozen=True, tag="snapshot"):
+    """One piece of a snapshot that holds the fold up to the offset ``covers``."""
+
+    snapshot_id: str
+    covers: Offset
+    index: int
+    count: int
+    data: bytes
+
+
 LogRecord = (
     WorkerClaim
     | WorkerRelease
@@ -133,6 +143,7 @@
     | JobReleased
     | JobEnded
     | SettingsApply
+    | SnapshotPart
 )
 
 
--- a/src/onyxspoke/core/ownership_keeper.py
+++ b/src/onyxspoke/core/ownership_keeper.py
@@ -100,12 +100,14 @@
         worker.transition(WorkerState.ACTIVE)
         return True
 
-    def handle_disconnect(self, worker_id: WorkerId) -> None:
-        """Note that the connection to a worker was lost."""
+    def handle_disconnect(self, worker_id: WorkerId) -> bool:
+        """Note that the connection to a worker was lost; return whether it is still ours."""
         self._attached.discard(worker_id)
         worker = self._context.workers.workers.get(worker_id)
-        if worker is not None:
-            worker.transition(WorkerState.DISCONNECTED)
+        if worker is None:
+            return False
+        worker.transition(WorkerState.DISCONNECTED)
+        return True
 
     def _has_settled(self, now: float) -> bool:
         if self._joined_at is None:
--- a/src/onyxspoke/core/request_desk.py
+++ b/src/onyxspoke/core/request_desk.py
@@ -78,13 +78,13 @@
 
     def handle_task_ended(self, attempt_id: AttemptId, answer: Answer, now: float) -> None:
         """Take a worker's word that an attempt ended."""
-        request = self._take_attempt(attempt_id)
+        request = self._context.attempts.pop(attempt_id, None)
         if request is not None:
             self.answer(request, answer, now)
 
     def handle_task_refused(self, attempt_id: AttemptId, code: ResultCode, now: float) -> None:
         """Take a worker's word that an attempt did not start."""
-        request = self._take_attempt(attempt_id)
+        request = self._context.attempts.pop(attempt_id, None)
         if request is not None:
             self._requeue(request, code, now)
 
@@ -114,14 +114,26 @@
     def handle_missing_attempts(
         self, worker_id: WorkerId, still_running: set[AttemptId], now: float
     ) -> None:
-        """Give up on attempts that a reattached worker does not know."""
-        for attempt_id, request in list(self._context.attempts.items()):
-            if request.worker_id != worker_id or attempt_id in still_running:
+        """Deal with attempts that a reattached worker does not run.
+
+        Answers that it kept came before its inventory, so these tasks are lost, and not
+        running.  A repeatable task of a job may run again; the rest may have run.
+        """
+        for request in self._attempts_on(worker_id):
+            if request.attempt_id in still_running:
                 continue
-            self._context.attempts.pop(attempt_id)
-            if request.state is RequestState.DISPATCHED:
+            may_repeat = request.request.task_class.repeatable
+            if isinstance(request.origin, JobOrigin) and may_repeat:
+                del self._context.attempts[request.attempt_id]
+                self._requeue(request, ResultCode.WORKER_LOST, now)
+            else:
                 self.answer(request, Answer(code=ResultCode.WORKER_LOST), now)
 
+    def give_up_attempts(self, worker_id: WorkerId, now: float) -> None:
+        """Give up on all attempts on a worker that will not be heard of again."""
+        for request in self._attempts_on(worker_id):
+            self.answer(request, Answer(code=ResultCode.WORKER_LOST), now)
+
     def expire(self, now: float) -> None:
         """Answer every request whose time is up."""
         grace = self._context.options.queue.answer_grace_seconds
@@ -154,15 +166,11 @@
 
     def abandon(self, request: ActiveRequest) -> None:
         """Forget a task that another entry answers for now; what was sent runs on."""
-        request.transition(RequestState.ANSWERED)
-        self._context.queue.discard(request)
-        self._context.requests.pop(request.request_id, None)
+        self._forget(request)
 
     def answer(self, request: ActiveRequest, answer: Answer, now: float) -> None:
         """Give a request its one final answer."""
-        request.transition(RequestState.ANSWERED)
-        self._context.queue.discard(request)
-        self._context.requests.pop(request.request_id, None)
+        self._forget(request)
         self._deliver(request, answer, now)
 
     def refusal(self, code: ResultCode) -> Answer:
@@ -236,18 +244,21 @@
         request.transition(RequestState.QUEUED)
         self._context.queue.push(request)
 
+    def _forget(self, request: ActiveRequest) -> None:
+        request.transition(RequestState.ANSWERED)
+        self._context.queue.discard(request)
+        self._context.requests.pop(request.request_id, None)
+        self._context.attempts.pop(request.attempt_id, None)
+
+    def _attempts_on(self, worker_id: WorkerId) -> list[ActiveRequest]:
+        return [
+            request for request in self._context.attempts.values() if request.worker_id == worker_id
+        ]
+
     def _runs_job(self, job_id: JobId) -> bool:
         entry = self._context.cell.jobs.get(job_id)
         return entry is not None and entry.runner == self._context.identity.entry_id
 
-    def _take_attempt(self, attempt_id: AttemptId) -> ActiveRequest | None:
-        request = self._context.attempts.pop(attempt_id, None)
-        if request is None or request.attempt_id != attempt_id:
-            return None
-        if request.state is not RequestState.DISPATCHED:
-            return None
-        return request
-
     def _expire_sent(self, request: ActiveRequest, grace: float, now: float) -> None:
         if isinstance(request.origin, JobOrigin):
             return
--- a/src/onyxspoke/core/scheduler.py
+++ b/src/onyxspoke/core/scheduler.py
@@ -14,33 +14,22 @@
     AnswerCaller,
     AnswerPeer,
     AppendBatch,
-    ConnectPeer,
     DisconnectPeer,
-    JobFinished,
-    SettingsDecided,
     StopCompleted,
 )
-from onyxspoke.core.codes import ResultCode
+from onyxspoke.core.codes import OutcomeKind, ResultCode
 from onyxspoke.core.context import CoreOptions, make_context
 from onyxspoke.core.holdover import HoldoverKeeper
 from onyxspoke.core.job_runner import JobRunner
 from onyxspoke.core.key_guard import KeyGuard
+from onyxspoke.core.log_follower import LogFollower
 from onyxspoke.core.log_records import (
-    JobAccepted,
-    JobAdopted,
-    JobEnded,
-    KeyIntent,
     LogBatch,
-    LogRecord,
     LogStream,
     SettingsApply,
-    TaskStarting,
-    WorkerClaim,
     WorkerDrain,
-    WorkerRelease,
 )
 from onyxspoke.core.ownership_keeper import OwnershipKeeper
-from onyxspoke.core.peer_table import PeerState
 from onyxspoke.core.request_desk import RequestDesk
 from onyxspoke.core.requests import (
     ActiveRequest,
@@ -68,6 +57,7 @@
     TaskName,
     TaskRequest,
     WorkerId,
+    is_task_name,
     split_task_name,
 )
 
@@ -90,10 +80,12 @@
         self.jobs = JobRunner(self.context, self.desk)
         self.ownership = OwnershipKeeper(self.context)
         self.holdover = HoldoverKeeper(self.context)
+        self.log = LogFollower(self.context, self.ownership, self.keys, self.jobs)
         self._next_advertisement_at = float("-inf")
         self._last_advertisement: AdvertiseCapacity | None = None
         self._advertised_at = float("-inf")
         self._stop_began_at = float("-inf")
+        self._released_at = float("-inf")
         self._stop_reported = False
 
     # Requests and jobs
@@ -144,7 +136,7 @@
         """The platform sent its machine list."""
         for worker_id in self.ownership.handle_machine_list(machines):
             self.context.workers.remove(worker_id)
-            self.desk.handle_missing_attempts(worker_id, set(), now)
+            self.desk.give_up_attempts(worker_id, now)
         self.ownership.sync_with_log(now)
         return self._take_actions(now)
 
@@ -165,7 +157,9 @@
 
     def stimulus_worker_disconnected(self, worker_id: WorkerId, now: float) -> list[Action]:
         """The connection to a worker was lost."""
-        self.ownership.handle_disconnect(worker_id)
+        if not self.ownership.handle_disconnect(worker_id):
+            self.jobs.look_for_tasks_on(worker_id, now)
+            self.desk.give_up_attempts(worker_id, now)
         return self._take_actions(now)
 
     def stimulus_task_ended(
@@ -195,38 +189,21 @@
 
     # Log
 
+    def stimulus_log_start(
+        self, stream: LogStream, first_kept: Offset, next_offset: Offset, now: float
+    ) -> list[Action]:
+        """The log tells from which offset on it keeps a stream; we want ``next_offset``."""
+        self.log.handle_start(stream, first_kept, next_offset)
+        return self._take_actions(now)
+
     def stimulus_cell_batch(self, offset: Offset, batch: LogBatch, now: float) -> list[Action]:
         """One batch of the cell stream was read."""
-        own = batch.writer == self.context.identity.entry_id
-        created_at = self.context.cell_appends.handle_read(batch.sequence) if own else None
-        if not self.context.cell.apply(offset, batch, now):
-            return self._take_actions(now)
-        self.context.log_read_at = now
-        if created_at is not None:
-            self.ownership.handle_own_batch(created_at, now)
-        if own:
-            for record in batch.records:
-                self._handle_own_record(record, now)
-        for record in batch.records:
-            if isinstance(record, JobEnded):
-                self.context.emit(JobFinished(record.job_id))
-        self.jobs.drop_lost()
-        if _touches_ownership(batch.records):
-            self.ownership.sync_with_log(now)
-        self._sync_peer(batch)
+        self.log.read_cell(offset, batch, now)
         return self._take_actions(now)
 
     def stimulus_settings_batch(self, offset: Offset, batch: LogBatch, now: float) -> list[Action]:
         """One batch of the settings stream was read."""
-        own = batch.writer == self.context.identity.entry_id
-        if own:
-            self.context.appends[LogStream.SETTINGS].handle_read(batch.sequence)
-        for record in batch.records:
-            if not isinstance(record, SettingsApply):
-                continue
-            self.context.settings.apply(offset, record)
-            if own:
-                self.context.emit(SettingsDecided(record.change_id))
+        self.log.read_settings(offset, batch, now)
         return self._take_actions(now)
 
     def stimulus_append_failed(self, stream: LogStream, now: float) -> list[Action]:
@@ -295,8 +272,11 @@
         self, peer_id: EntryId, request_id: str, answer: Answer, now: float
     ) -> list[Action]:
         """A peer answered a forwarded request or a key query."""
-        self.desk.handle_peer_answer(peer_id, request_id, answer, now)
-        self.desk.pump(now)
+        if request_id in self.context.requests:
+            self.desk.handle_peer_answer(peer_id, request_id, answer, now)
+            self.desk.pump(now)
+        elif is_task_name(request_id) and answer.outcome is not OutcomeKind.NOT_RUN:
+            self.jobs.handle_task_answer(JobOrigin(*split_task_name(request_id)), answer)
         return self._take_actions(now)
 
     def stimulus_key_query(
@@ -354,6 +334,7 @@
         self.ownership.plan(now)
         self.ownership.reattach(now)
         self.holdover.keep(now)
+        self.log.keep_snapshots(now)
         self.jobs.keep(now)
         self.keys.refuse_while_log_is_down(now)
         for request_id, answer in self.jobs.give_up_acceptances(now):
@@ -369,6 +350,8 @@
         """Begin a planned stop: take no new work, finish what is in progress."""
         if not self.context.stopping:
             self.context.stopping = True
+            # The others must know at once, or they would still leave workers to this entry.
+            self.context.cell_appends.stopping = True
             self._stop_began_at = now
         self._next_advertisement_at = float("-inf")
         return self.stimulus_tick(now)
@@ -467,31 +450,6 @@
         if worker is not None:
             worker.release(attempt_id)
 
-    def _handle_own_record(self, record: LogRecord, now: float) -> None:
-        if isinstance(record, WorkerClaim):
-            self.ownership.handle_own_records(record.items, [])
-        elif isinstance(record, WorkerRelease):
-            self.ownership.handle_own_records([], record.worker_ids)
-        elif isinstance(record, KeyIntent):
-            self.keys.handle_intent_read(record, now)
-        elif isinstance(record, JobAccepted):
-            for request_id, answer in self.jobs.handle_accepted_read(record.job.job_id, now):
-                self.context.emit(AnswerCaller(request_id, answer))
-        elif isinstance(record, TaskStarting):
-            self.jobs.handle_start_read(record, now)
-        elif isinstance(record, JobAdopted):
-            self.jobs.handle_adoption_read(record.job_id, now)
-
-    def _sync_peer(self, batch: LogBatch) -> None:
-        """Know every member of the log as a peer."""
-        peers = self.context.peers.peers
-        if batch.writer == self.context.identity.entry_id or batch.writer in peers:
-            return
-        if batch.stopping:
-            return
-        peers[batch.writer] = PeerState(batch.writer, batch.peer_host, batch.peer_port, batch.zone)
-        self.context.emit(ConnectPeer(batch.writer, batch.peer_host, batch.peer_port))
-
     def _drop_lapsed_peers(self, now: float) -> None:
         lapse_seconds = self.context.options.lease.lapse_seconds
         for peer_id, peer in list(self.context.peers.peers.items()):
@@ -525,17 +483,19 @@
         if not self.context.stopping or self._stop_reported:
             return
         self.jobs.release_unsent()
-        busy = self.context.requests or self.context.attempts or self.jobs.running_count
+        busy = self.context.requests or self.jobs.running_count
         # The balancer needs a moment to see the failed health check.
         lingers = now < self._stop_began_at + self.context.options.stop_linger_seconds
         if busy or lingers:
             return
         appends = self.context.cell_appends
         if self.context.workers.workers:
-            appends.stopping = True
+            self._released_at = now
             self.ownership.release_all()
-        # Without the log the release cannot be recorded, but then the lease lapses by itself.
-        elif appends.is_idle or not self.context.holds_lease(now):
+            return
+        # The release only speeds up the takeover: without the log it is not waited for long.
+        waited = now - self._released_at >= self.context.options.lease.lease_seconds
+        if appends.is_idle or waited:
             self._stop_reported = True
             self.context.emit(StopCompleted())
 
@@ -547,7 +507,3 @@
         actions = self.context.actions
         self.context.actions = []
         return actions
-
-
-def _touches_ownership(records: list[LogRecord]) -> bool:
-    return any(isinstance(record, WorkerClaim | WorkerRelease | WorkerDrain) for record in records)
--- a/src/onyxspoke/core/schema.py
+++ b/src/onyxspoke/core/schema.py
@@ -185,3 +185,8 @@
     """Return the job and the index that a task's name stands for."""
     job_id, _, index = name.rpartition("#")
     return job_id, int(index)
+
+
+def is_task_name(name: str) -> bool:
+    """Return whether a request's identifier names a task of a job."""
+    return "#" in name
--- a/src/onyxspoke/core/settings_tree.py
+++ b/src/onyxspoke/core/settings_tree.py
@@ -9,6 +9,7 @@
 
 from onyxspoke.core.log_records import SettingChange, SettingsApply
 from onyxspoke.core.schema import Offset
+from onyxspoke.core.snapshot import SettingsSnapshot, SettingState, VerdictState
 
 SettingScalar = bool | int | float | str
 _MAXIMUM_REMEMBERED_VERDICTS = 1_000
@@ -131,6 +132,14 @@
     return ""
 
 
+def _to_state(path: str, key: str, value: SettingValue) -> SettingState:
+    return SettingState(path, key, value.value, value.revision, value.operator)
+
+
+def _to_value(state: SettingState) -> SettingValue:
+    return SettingValue(state.value, state.revision, state.operator)
+
+
 class SettingsTree:
     """Fold of the settings stream."""
 
@@ -153,6 +162,33 @@
         if len(self._verdicts) > _MAXIMUM_REMEMBERED_VERDICTS:
             self._verdicts.popitem(last=False)
 
+    def to_snapshot(self) -> SettingsSnapshot:
+        """Return the fold as records, unset markers included."""
+        values = [
+            _to_state(path, key, value) for (path, key), value in sorted(self._values.items())
+        ]
+        verdicts = [
+            VerdictState(
+                change_id,
+                verdict.accepted,
+                verdict.revision,
+                verdict.conflict,
+                None if verdict.winner is None else _to_state("", "", verdict.winner),
+            )
+            for change_id, verdict in self._verdicts.items()
+        ]
+        return SettingsSnapshot(self.revision, values, verdicts)
+
+    def load_snapshot(self, snapshot: SettingsSnapshot) -> None:
+        """Replace the fold."""
+        self.revision = snapshot.revision
+        self._values = {(state.path, state.key): _to_value(state) for state in snapshot.values}
+        for state in snapshot.verdicts:
+            winner = None if state.winner is None else _to_value(state.winner)
+            self._verdicts[state.change_id] = SettingsVerdict(
+                state.accepted, state.revision, state.conflict, winner
+            )
+
     def verdict(self, change_id: str) -> SettingsVerdict | None:
         """Return the decision on a change, if it was folded."""
         return self._verdicts.get(change_id)
--- a/src/onyxspoke/entry/node.py
+++ b/src/onyxspoke/entry/node.py
@@ -53,6 +53,7 @@
             minimum_interval_seconds=limits.append_interval_ms / _MILLISECONDS,
             renewal_interval_seconds=lease.renewal_seconds,
         ),
+        snapshot_interval_seconds=limits.snapshot_interval_seconds,
         queue=QueueLimits(
             maximum_queued=limits.queued_requests,
             maximum_queued_bytes=limits.queued_bytes,
--- a/src/onyxspoke/entry/shell.py
+++ b/src/onyxspoke/entry/shell.py
@@ -62,6 +62,7 @@
         self._callers: dict[str, AnswerCallback] = {}
         self._job_waiters: dict[JobId, list[Callable[[], None]]] = {}
         self._verdict_waiters: dict[str, VerdictCallback] = {}
+        self.on_state_lost: Callable[[], None] = lambda: None
         self.on_stopped: Callable[[], None] = lambda: None
         self._handlers: dict[type, Callable[[Any], None]] = {
             act.StartTask: self._start_task,
@@ -83,6 +84,7 @@
             act.GrantHoldover: self._grant_holdover,
             act.JobFinished: self._job_finished,
             act.SettingsDecided: self._settings_decided,
+            act.StateLost: self._state_lost,
             act.StopCompleted: self._stop_completed,
         }
 
@@ -160,6 +162,11 @@
 
     # Listener of the log
 
+    def handle_log_start(self, stream: LogStream, first_kept: Offset, next_offset: Offset) -> None:
+        """The log keeps a stream from one offset on."""
+        now = self._clock.now()
+        self.carry_out(self.scheduler.stimulus_log_start(stream, first_kept, next_offset, now))
+
     def handle_log_batch(self, stream: LogStream, offset: Offset, batch: LogBatch) -> None:
         """One batch was read."""
         now = self._clock.now()
@@ -424,6 +431,10 @@
         if on_verdict is not None and verdict is not None:
             on_verdict(verdict)
 
+    def _state_lost(self, action: act.StateLost) -> None:
+        logging.error("event=log_records_missed stream=%s", action.stream.value)
+        self.on_state_lost()
+
     def _stop_completed(self, action: act.StopCompleted) -> None:
         logging.info("event=stop_completed")
         self.on_stopped()
--- a/src/onyxspoke/net/log_client.py
+++ b/src/onyxspoke/net/log_client.py
@@ -58,6 +58,7 @@
         self._delay_seconds = delay_seconds
         self._next_offsets: dict[LogStream, Offset] = dict.fromkeys(streams, 1)
         self._in_flight: dict[int, LogStream] = {}
+        self._started: set[LogStream] = set()
         self._append_counter = 0
         self._connection: _Stream | None = None
         self.appends_sent = 0
@@ -93,6 +94,7 @@
 
     def _handle_connected(self, stream: _Stream) -> None:
         self._connection = stream
+        self._started.clear()
         for name, offset in self._next_offsets.items():
             stream.send(TailRequest(name.value, offset))
 
@@ -116,6 +118,10 @@
 
     def _handle_records(self, message: TailRecords) -> None:
         name = LogStream(message.stream)
+        if name not in self._started:
+            self._started.add(name)
+            next_offset = self._next_offsets[name]
+            self._listener.handle_log_start(name, message.first_kept, next_offset)
         for record in message.records:
             if record.offset < self._next_offsets[name]:
                 continue
--- a/src/onyxspoke/ports/log.py
+++ b/src/onyxspoke/ports/log.py
@@ -11,6 +11,9 @@
 class LogListener(Protocol):
     """Receives what the log reports."""
 
+    def handle_log_start(self, stream: LogStream, first_kept: Offset, next_offset: Offset) -> None:
+        """The log keeps a stream from one offset on; this reader wants another next."""
+
     def handle_log_batch(self, stream: LogStream, offset: Offset, batch: LogBatch) -> None:
         """One batch was read, in order of offsets."""
 
--- a/src/onyxspoke/settings_file.py
+++ b/src/onyxspoke/settings_file.py
@@ -85,6 +85,7 @@
     queued_bytes: int = Field(default=16_777_216, gt=0)
     deadline_seconds: float = Field(default=86_400.0, gt=0)
     append_interval_ms: float = Field(default=50.0, gt=0)
+    snapshot_interval_seconds: float = Field(default=600.0, gt=0)
     job_tasks: int = Field(default=64, gt=0)
 
 
--- a/src/onyxspoke/sim/cell.py
+++ b/src/onyxspoke/sim/cell.py
@@ -21,6 +21,7 @@
 from onyxspoke.worker.service import WorkerService
 
 DEFAULT_TICK_SECONDS = 0.05
+RESTART_SECONDS = 0.5
 DEFAULT_BREAK_SECONDS = 3.0
 
 SchedulerFactory = Callable[[EntryIdentity, CoreOptions], EntryScheduler]
@@ -138,6 +139,7 @@
         network = self.network.network_of(node)
         service = EntryNode(self.settings, scheduler, network, node.reactor, self._tick_seconds)
         simulated = SimulatedEntry(entry, node, service)
+        service.shell.on_state_lost = lambda: self._restart(simulated)
         service.shell.on_stopped = lambda: self._handle_stopped(simulated)
         self.entries[entry.name] = simulated
         service.listen()
@@ -188,6 +190,11 @@
         """Return the entries that run and are not paused."""
         return [entry for entry in self.entries.values() if entry.is_up and not entry.node.paused]
 
+    def _restart(self, entry: SimulatedEntry) -> None:
+        """Begin anew, as a supervisor does with a process that exited."""
+        self.time.schedule(0.0, lambda: self._end_process(entry))
+        self.time.schedule(RESTART_SECONDS, lambda: self.start_entry(entry.settings))
+
     def _handle_stopped(self, entry: SimulatedEntry) -> None:
         entry.stopped = True
         entry.service.stopService()
