Settings: history, spread, dry run, apply from YAML, refusal without the log; their pages

Change: the rest of onyxspokectl config; each entry tells its revision with its advertisements and the accepting one times a change until the last live peer has it; a change that the log does not take in 5 s is withdrawn or given up as unknown; health says starting until the log makes sense; docs/SETTINGS.md from the schema.

--- a/scripts/make_codes_page.py
+++ b/scripts/make_codes_page.py
@@ -1,4 +1,4 @@
-"""Writes docs/CODES.md from the code; a test checks that the page is current."""
+"""Writes docs/CODES.md and docs/SETTINGS.md from the code; tests check them."""
 
 from __future__ import annotations
 
@@ -11,7 +11,9 @@
     http_status,
     outcome_of,
 )
+from onyxspoke.core.settings_tree import render_settings_page
 
+SETTINGS_PAGE = Path(__file__).resolve().parent.parent / "docs" / "SETTINGS.md"
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "CODES.md"
 
 HEAD = """# Result codes
@@ -34,6 +36,7 @@
     ]
     exits = [f"| {int(code)} | `{code.name}` |" for code in ExitCode]
     tail = "\n\n## Exit codes of the binaries\n\n| exit code | name |\n|---|---|\n"
+    SETTINGS_PAGE.write_text(render_settings_page(), encoding="utf-8")
     PAGE.write_text(HEAD + "\n".join(rows) + tail + "\n".join(exits) + "\n", encoding="utf-8")
 
 
--- a/scripts/scale.py
+++ b/scripts/scale.py
@@ -18,6 +18,7 @@
 
 from onyxspoke.scale.decision_cost import measure_decisions, measure_fold
 from onyxspoke.scale.page import CapacityData, write_page
+from onyxspoke.scale.plots import plot_slopes
 from onyxspoke.scale.slopes import Point, Slope, fit
 from onyxspoke.scale.state_cost import BUILDERS, StateCost
 
@@ -25,6 +26,7 @@
 RUN = ROOT / "run" / "scale"
 DATA_FILE = ROOT / "docs" / "capacity.json"
 PAGE_FILE = ROOT / "docs" / "CAPACITY.md"
+PLOT_FILE = ROOT / "docs" / "capacity.png"
 REAL = ("127.1.0.1", 24101)
 PLATFORM_PORT = 24000
 HOLLOW_A_PROCESS = 20
@@ -318,6 +320,7 @@
     if size == "full":
         DATA_FILE.write_bytes(msgspec.json.format(msgspec.json.encode(data)) + b"\n")
         write_page(data, PAGE_FILE)
+        plot_slopes(data, PLOT_FILE)
     return 0
 
 
--- a/src/onyxspoke/cli/control.py
+++ b/src/onyxspoke/cli/control.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import argparse
-import getpass
 import sys
 import urllib.parse
-import uuid
 from pathlib import Path
 from typing import Any
 
@@ -14,11 +12,11 @@
 
 from onyxspoke.cli.api_client import ApiClient, ApiError
 from onyxspoke.cli.common import exit_after_check, load_or_exit, make_parser
-from onyxspoke.cli.tables import print_table
+from onyxspoke.cli.config_commands import add_config_commands
+from onyxspoke.cli.tables import print_json, print_table
 from onyxspoke.core.codes import ExitCode
-from onyxspoke.core.settings_tree import SettingScalar
 from onyxspoke.entry.caller_api import SubmitBody
-from onyxspoke.entry.operator_api import ApplyBody, ChangeBody, DrainBody
+from onyxspoke.entry.operator_api import DrainBody
 
 DEFAULT_ENTRY = "http://127.0.11.1:21101"
 
@@ -55,7 +53,7 @@
     _add_submit(commands)
     _add_job(commands)
     _add_drain(commands)
-    _add_config(commands)
+    add_config_commands(commands)
     return parser
 
 
@@ -86,30 +84,8 @@
     drain.set_defaults(run=_drain)
 
 
-def _add_config(commands: Any) -> None:
-    config = commands.add_parser("config", help="the settings tree")
-    actions = config.add_subparsers(metavar="ACTION", required=True)
-    actions.add_parser("list", help="all that is set").set_defaults(run=_config_list)
-    for name, run in (("get", _config_get), ("explain", _config_explain)):
-        action = actions.add_parser(name)
-        action.add_argument("path", help="REGION[/ZONE[/SERVICE[/CLASS]]], or / for the root")
-        action.add_argument("key")
-        action.set_defaults(run=run)
-    change = actions.add_parser("set")
-    change.add_argument("path")
-    change.add_argument("key")
-    change.add_argument("value", help="JSON value, or a bare word")
-    change.add_argument("--revision", type=int, help="refuse if it was changed since")
-    change.set_defaults(run=_config_set)
-    unset = actions.add_parser("unset")
-    unset.add_argument("path")
-    unset.add_argument("key")
-    unset.add_argument("--revision", type=int, help="refuse if it was changed since")
-    unset.set_defaults(run=_config_unset)
-
-
 def _status(client: ApiClient, _arguments: argparse.Namespace) -> ExitCode:
-    _print_json(client.get("/v1/status"))
+    print_json(client.get("/v1/status"))
     return ExitCode.OK
 
 
@@ -136,79 +112,24 @@
         tasks=arguments.tasks,
     )
     path = "/v1/jobs" if arguments.job else "/v1/requests"
-    _print_json(client.post(path, body, arguments.key))
+    print_json(client.post(path, body, arguments.key))
     return ExitCode.OK
 
 
 def _job(client: ApiClient, arguments: argparse.Namespace) -> ExitCode:
     path = f"/v1/jobs/{urllib.parse.quote(arguments.job_id, safe='')}"
     if arguments.cancel:
-        _print_json(client.delete(path))
+        print_json(client.delete(path))
     else:
-        _print_json(client.get(f"{path}?wait={arguments.wait}"))
+        print_json(client.get(f"{path}?wait={arguments.wait}"))
     return ExitCode.OK
 
 
 def _drain(client: ApiClient, arguments: argparse.Namespace) -> ExitCode:
     path = f"/v1/workers/{urllib.parse.quote(arguments.worker_id, safe='')}/drain"
-    _print_json(client.post(path, DrainBody(draining=not arguments.undo)))
-    return ExitCode.OK
-
-
-def _config_list(client: ApiClient, _arguments: argparse.Namespace) -> ExitCode:
-    columns = ["path", "key", "value", "revision", "operator"]
-    print_table(columns, client.get("/v1/settings"))
-    return ExitCode.OK
-
-
-def _config_get(client: ApiClient, arguments: argparse.Namespace) -> ExitCode:
-    print(msgspec.json.encode(_resolve(client, arguments)["value"]).decode())
-    return ExitCode.OK
-
-
-def _config_explain(client: ApiClient, arguments: argparse.Namespace) -> ExitCode:
-    _print_json(_resolve(client, arguments))
+    print_json(client.post(path, DrainBody(draining=not arguments.undo)))
     return ExitCode.OK
 
 
-def _config_set(client: ApiClient, arguments: argparse.Namespace) -> ExitCode:
-    return _change(client, arguments, _parse_value(arguments.value))
-
-
-def _config_unset(client: ApiClient, arguments: argparse.Namespace) -> ExitCode:
-    return _change(client, arguments, None)
-
-
-def _change(
-    client: ApiClient, arguments: argparse.Namespace, value: SettingScalar | None
-) -> ExitCode:
-    change = ChangeBody(_path(arguments), arguments.key, value, arguments.revision)
-    body = ApplyBody(f"{uuid.uuid4()}", getpass.getuser(), [change])
-    _print_json(client.post("/v1/settings", body))
-    return ExitCode.OK
-
-
-def _resolve(client: ApiClient, arguments: argparse.Namespace) -> Any:
-    query = urllib.parse.urlencode({"path": _path(arguments), "key": arguments.key})
-    return client.get(f"/v1/settings?{query}")
-
-
-def _path(arguments: argparse.Namespace) -> str:
-    path: str = arguments.path
-    return path.strip("/")
-
-
-def _parse_value(text: str) -> SettingScalar:
-    try:
-        value: SettingScalar = msgspec.json.decode(text, type=bool | int | float | str)
-    except msgspec.MsgspecError:
-        return text
-    return value
-
-
-def _print_json(value: Any) -> None:
-    print(msgspec.json.format(msgspec.json.encode(value)).decode())
-
-
 if __name__ == "__main__":
     main()
--- a/src/onyxspoke/cli/tables.py
+++ b/src/onyxspoke/cli/tables.py
@@ -1,9 +1,11 @@
-"""Plain tables for a terminal."""
+"""Plain tables and JSON for a terminal."""
 
 from __future__ import annotations
 
 from typing import Any
 
+import msgspec
+
 
 def print_table(columns: list[str], rows: list[dict[str, Any]]) -> None:
     """Print the named columns of rows, each as wide as its widest value."""
@@ -25,3 +27,8 @@
     if isinstance(value, dict):
         return " ".join(f"{key}={item}" for key, item in value.items())
     return str(value)
+
+
+def print_json(value: Any) -> None:
+    """Print a value as indented JSON."""
+    print(msgspec.json.format(msgspec.json.encode(value)).decode())
--- a/src/onyxspoke/core/actions.py
+++ b/src/onyxspoke/core/actions.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from onyxspoke.core.codes import ResultCode
 from onyxspoke.core.log_records import LogBatch, LogStream
 from onyxspoke.core.schema import (
     Answer,
@@ -12,6 +13,7 @@
     FencingToken,
     JobId,
     MachineRecord,
+    Offset,
     Resources,
     TaskName,
     TaskRequest,
@@ -107,6 +109,7 @@
 
     free: Resources
     largest_free: Resources
+    settings_revision: Offset
 
 
 class ProbeJobs(msgspec.Struct, frozen=True):
@@ -160,6 +163,20 @@
     change_id: str
 
 
+class SettingsRefused(msgspec.Struct, frozen=True):
+    """An own change of settings is given up; the code tells whether it may still come true."""
+
+    change_id: str
+    code: ResultCode
+
+
+class SettingsInForce(msgspec.Struct, frozen=True):
+    """Every live entry has folded a revision, so many seconds after it was accepted."""
+
+    revision: Offset
+    seconds: float
+
+
 class StateLost(msgspec.Struct, frozen=True):
     """The log dropped records before they were read; only a fresh start can catch up."""
 
@@ -190,6 +207,8 @@
     | GrantHoldover
     | JobFinished
     | SettingsDecided
+    | SettingsInForce
+    | SettingsRefused
     | StateLost
     | StopCompleted
 )
--- a/src/onyxspoke/core/context.py
+++ b/src/onyxspoke/core/context.py
@@ -34,6 +34,7 @@
     reattach_interval_seconds: float = 0.5
     log_patience_seconds: float = 1.0
     retry_after_seconds: float = 1.0
+    settings_patience_seconds: float = 5.0
     snapshot_interval_seconds: float = 600.0
     stop_linger_seconds: float = 2.0
     maximum_ended_keys: int = 20_000
--- a/src/onyxspoke/core/log_follower.py
+++ b/src/onyxspoke/core/log_follower.py
@@ -32,6 +32,7 @@
 from onyxspoke.core.ownership_keeper import OwnershipKeeper
 from onyxspoke.core.peer_table import PeerState
 from onyxspoke.core.schema import Offset
+from onyxspoke.core.settings_watch import PendingChanges, SettingsWatch
 from onyxspoke.core.snapshot import CellSnapshot, SettingsSnapshot, StreamBootstrap
 from onyxspoke.core.snapshot_writer import SnapshotWriter
 
@@ -45,7 +46,11 @@
         ownership: OwnershipKeeper,
         keys: KeyGuard,
         jobs: JobRunner,
+        settings_watch: SettingsWatch,
+        pending_changes: PendingChanges,
     ) -> None:
+        self._pending_changes = pending_changes
+        self._settings_watch = settings_watch
         self._context = context
         self._ownership = ownership
         self._keys = keys
@@ -139,7 +144,19 @@
             elif isinstance(record, SettingsApply):
                 context.settings.apply(offset, record)
                 if own:
-                    context.emit(SettingsDecided(record.change_id))
+                    self._handle_own_change(record, now)
+
+    def _handle_own_change(self, record: SettingsApply, now: float) -> None:
+        self._pending_changes.handle_read(record.change_id)
+        verdict = self._context.settings.verdict(record.change_id)
+        if verdict is not None and verdict.accepted:
+            self._settings_watch.handle_accepted(verdict.revision, now)
+        self._context.emit(SettingsDecided(record.change_id))
+
+    @property
+    def has_started(self) -> bool:
+        """Whether both streams make sense, from their start or from a snapshot."""
+        return all(bootstrap.is_complete for bootstrap in self._bootstraps.values())
 
     def _handle_own_record(self, record: LogRecord, now: float) -> None:
         if isinstance(record, WorkerClaim):
--- a/src/onyxspoke/core/scheduler.py
+++ b/src/onyxspoke/core/scheduler.py
@@ -60,6 +60,7 @@
     is_task_name,
     split_task_name,
 )
+from onyxspoke.core.settings_watch import PendingChanges, SettingsWatch
 
 
 class EntryScheduler:
@@ -80,7 +81,16 @@
         self.jobs = JobRunner(self.context, self.desk)
         self.ownership = OwnershipKeeper(self.context)
         self.holdover = HoldoverKeeper(self.context)
-        self.log = LogFollower(self.context, self.ownership, self.keys, self.jobs)
+        self.settings_watch = SettingsWatch(self.context)
+        self.pending_changes = PendingChanges(self.context)
+        self.log = LogFollower(
+            self.context,
+            self.ownership,
+            self.keys,
+            self.jobs,
+            self.settings_watch,
+            self.pending_changes,
+        )
         self._next_advertisement_at = float("-inf")
         self._last_advertisement: AdvertiseCapacity | None = None
         self._advertised_at = float("-inf")
@@ -213,7 +223,7 @@
 
     def stimulus_settings_change(self, apply: SettingsApply, now: float) -> list[Action]:
         """An operator changes settings; the fold decides."""
-        self.context.appends[LogStream.SETTINGS].add(apply)
+        self.pending_changes.submit(apply, now)
         return self._take_actions(now)
 
     def stimulus_drain(self, worker_id: WorkerId, draining: bool, now: float) -> list[Action]:
@@ -240,9 +250,15 @@
         return self._take_actions(now)
 
     def stimulus_peer_capacity(
-        self, peer_id: EntryId, free: Resources, largest_free: Resources, now: float
+        self,
+        peer_id: EntryId,
+        free: Resources,
+        largest_free: Resources,
+        settings_revision: Offset,
+        now: float,
     ) -> list[Action]:
-        """A peer advertised its free capacity."""
+        """A peer advertised its free capacity and its settings revision."""
+        self.settings_watch.handle_peer_revision(peer_id, settings_revision, now)
         lifetime = self.context.options.advertisement_lifetime_seconds
         self.context.peers.handle_advertisement(peer_id, free, largest_free, now + lifetime)
         self.desk.pump(now)
@@ -335,6 +351,8 @@
         self.ownership.reattach(now)
         self.holdover.keep(now)
         self.log.keep_snapshots(now)
+        self.settings_watch.keep(now)
+        self.pending_changes.keep(now)
         self.jobs.keep(now)
         self.keys.refuse_while_log_is_down(now)
         for request_id, answer in self.jobs.give_up_acceptances(now):
@@ -468,7 +486,7 @@
             free = self.context.workers.free_total()
             frees = [worker.free for worker in self.context.workers.usable()]
             largest = max(frees, key=lambda amount: amount.processors, default=NO_RESOURCES)
-        advertisement = AdvertiseCapacity(free, largest)
+        advertisement = AdvertiseCapacity(free, largest, self.context.settings.revision)
         silent_for = now - self._advertised_at
         if (
             advertisement == self._last_advertisement
--- a/src/onyxspoke/core/settings_tree.py
+++ b/src/onyxspoke/core/settings_tree.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from enum import Enum
 
 import msgspec
@@ -12,7 +12,8 @@
 from onyxspoke.core.snapshot import SettingsSnapshot, SettingState, VerdictState
 
 SettingScalar = bool | int | float | str
-_MAXIMUM_REMEMBERED_VERDICTS = 1_000
+_MAXIMUM_REMEMBERED_VERDICTS = 5_000
+_MAXIMUM_HISTORY = 5_000
 
 
 class SettingKind(Enum):
@@ -95,6 +96,18 @@
     operator: str
 
 
+class HistoryItem(msgspec.Struct, frozen=True):
+    """One accepted change of one key."""
+
+    revision: Offset
+    change_id: str
+    operator: str
+    path: str
+    key: str
+    before: SettingScalar | None
+    after: SettingScalar | None
+
+
 def ancestors(path: str) -> list[str]:
     """Return the levels from the path itself up to the root, which is ``""``."""
     levels = [path] if path else []
@@ -146,6 +159,8 @@
     def __init__(self) -> None:
         self._values: dict[tuple[str, str], SettingValue] = {}
         self._verdicts: OrderedDict[str, SettingsVerdict] = OrderedDict()
+        #: Accepted changes since this reader's start or the snapshot that it loaded.
+        self.history: deque[HistoryItem] = deque(maxlen=_MAXIMUM_HISTORY)
         self.revision: Offset = 0
 
     def apply(self, offset: Offset, apply: SettingsApply) -> None:
@@ -155,8 +170,7 @@
         verdict = self._decide(offset, apply)
         if verdict.accepted:
             for change in apply.changes:
-                value = SettingValue(change.value, offset, apply.operator)
-                self._values[(change.path, change.key)] = value
+                self._set(offset, apply, change)
         self.revision = offset
         self._verdicts[apply.change_id] = verdict
         if len(self._verdicts) > _MAXIMUM_REMEMBERED_VERDICTS:
@@ -189,6 +203,22 @@
                 state.accepted, state.revision, state.conflict, winner
             )
 
+    def _set(self, offset: Offset, apply: SettingsApply, change: SettingChange) -> None:
+        before = self._values.get((change.path, change.key))
+        value = SettingValue(change.value, offset, apply.operator)
+        self._values[(change.path, change.key)] = value
+        self.history.append(
+            HistoryItem(
+                offset,
+                apply.change_id,
+                apply.operator,
+                change.path,
+                change.key,
+                None if before is None else before.value,
+                change.value,
+            )
+        )
+
     def verdict(self, change_id: str) -> SettingsVerdict | None:
         """Return the decision on a change, if it was folded."""
         return self._verdicts.get(change_id)
@@ -210,6 +240,19 @@
                 return ResolvedSetting(value.value, level, value.revision, value.operator)
         return None
 
+    def preview(self, path: str, key: str, changes: list[SettingChange]) -> SettingScalar | None:
+        """Return the value that would be in force at a path after some changes."""
+        changed = {change.path: change.value for change in changes if change.key == key}
+        for level in ancestors(path):
+            if level in changed:
+                value = changed[level]
+            else:
+                current = self._values.get((level, key))
+                value = None if current is None else current.value
+            if value is not None:
+                return value
+        return None
+
     def items(self) -> list[tuple[str, str, SettingValue]]:
         """Return all set values as (path, key, value), sorted."""
         return [
@@ -226,3 +269,23 @@
             if find_fault(change):
                 return SettingsVerdict(False, offset, change)
         return SettingsVerdict(True, offset)
+
+
+def render_settings_page() -> str:
+    """Return the page that documents every key, from the schema."""
+    rows = []
+    for definition in SETTING_DEFINITIONS.values():
+        allowed = ", ".join(f"`{choice}`" for choice in definition.choices)
+        if definition.minimum is not None or definition.maximum is not None:
+            allowed = f"{definition.minimum:g} to {definition.maximum:g}"
+        rows.append(
+            f"| `{definition.key}` | {definition.kind.value} | {allowed or '-'} "
+            f"| {definition.unit or '-'} | {definition.description} |"
+        )
+    head = (
+        "# Settings\n\nKeys of the settings tree, written from the schema by "
+        "`scripts/make_codes_page.py`. A key\nmay be set at any level: the root, a region, a "
+        "zone, a service in a zone, a class of work.\n\n"
+        "| key | type | allowed | unit | meaning |\n|---|---|---|---|---|\n"
+    )
+    return head + "\n".join(rows) + "\n"
--- a/src/onyxspoke/entry/api.py
+++ b/src/onyxspoke/entry/api.py
@@ -9,10 +9,10 @@
 from onyxspoke.entry.operator_api import (
     HealthResource,
     HistogramsResource,
-    SettingsResource,
     StatusResource,
     WorkersResource,
 )
+from onyxspoke.entry.settings_api import SettingsResource
 from onyxspoke.entry.shell import EntryShell
 from onyxspoke.entry.telemetry import Telemetry
 from onyxspoke.net.http import BoundedSite, CodedResource, make_site
@@ -31,7 +31,7 @@
     desk = CallerDesk(shell, Catalog(settings), settings.limits, telemetry, clock, reactor)
     limits = settings.limits
     return make_site(
-        _make_root(desk),
+        _make_root(desk, settings),
         reactor,
         maximum_body_bytes=limits.body_bytes,
         maximum_connections=limits.http_connections,
@@ -39,7 +39,7 @@
     )
 
 
-def _make_root(desk: CallerDesk) -> CodedResource:
+def _make_root(desk: CallerDesk, settings: CellSettings) -> CodedResource:
     shell = desk.shell
     version = CodedResource()
     version.putChild(b"requests", RequestsResource(desk))
@@ -47,7 +47,7 @@
     version.putChild(b"health", HealthResource(shell))
     version.putChild(b"status", StatusResource(shell, desk.clock))
     version.putChild(b"workers", WorkersResource(shell))
-    version.putChild(b"settings", SettingsResource(shell))
+    version.putChild(b"settings", SettingsResource(shell, settings, desk.clock))
     version.putChild(b"histograms", HistogramsResource(desk.telemetry))
     root = CodedResource()
     root.putChild(b"v1", version)
--- a/src/onyxspoke/entry/operator_api.py
+++ b/src/onyxspoke/entry/operator_api.py
@@ -7,13 +7,11 @@
 import msgspec
 from twisted.web.server import Request
 
-from onyxspoke.core.codes import OnyxspokeError, ResultCode, http_status
-from onyxspoke.core.log_records import SettingChange, SettingsApply
+from onyxspoke.core.codes import ResultCode, http_status
 from onyxspoke.core.schema import EntryId, Offset, Resources
-from onyxspoke.core.settings_tree import SettingScalar, SettingsVerdict, find_fault
 from onyxspoke.entry.shell import EntryShell
 from onyxspoke.entry.telemetry import Telemetry
-from onyxspoke.net.http import CodedResource, read_json, read_query, write_json
+from onyxspoke.net.http import CodedResource, read_json, write_json
 from onyxspoke.net.stream import Traffic
 from onyxspoke.ports.clock import Clock
 
@@ -80,46 +78,6 @@
     draining: bool = True
 
 
-class SettingBody(msgspec.Struct):
-    """One setting of the tree."""
-
-    path: str
-    key: str
-    value: SettingScalar | None
-    revision: Offset
-    operator: str = ""
-    level: str = ""
-
-
-class ChangeBody(msgspec.Struct, forbid_unknown_fields=True):
-    """One item of a settings change; without a revision the present one is taken."""
-
-    path: str
-    key: str
-    value: SettingScalar | None
-    expected_revision: Offset | None = None
-
-
-class ApplyBody(msgspec.Struct, forbid_unknown_fields=True):
-    """JSON body of an atomic settings change."""
-
-    change_id: str
-    operator: str
-    changes: list[ChangeBody]
-
-
-class VerdictBody(msgspec.Struct, omit_defaults=True):
-    """The fold's decision on a settings change."""
-
-    accepted: bool
-    code: int
-    code_name: str
-    revision: Offset
-    message: str = ""
-    winner: SettingBody | None = None
-
-
-_apply_decoder = msgspec.json.Decoder(ApplyBody)
 _drain_decoder = msgspec.json.Decoder(DrainBody)
 
 
@@ -136,6 +94,8 @@
         """Answer the balancer."""
         if self._shell.scheduler.context.stopping:
             write_json(request, HealthBody("stopping"), SERVICE_UNAVAILABLE)
+        elif not self._shell.scheduler.log.has_started:
+            write_json(request, HealthBody("starting"), SERVICE_UNAVAILABLE)
         else:
             write_json(request, HealthBody("serving"))
 
@@ -244,57 +204,6 @@
         write_json(request, body, http_status(ResultCode.ACCEPTED))
 
 
-class SettingsResource(CodedResource):
-    """``/v1/settings``: the settings tree."""
-
-    isLeaf = True
-
-    def __init__(self, shell: EntryShell) -> None:
-        super().__init__()
-        self._shell = shell
-
-    def handle_get(self, request: Request) -> None:
-        """List what is set; with ``?path=…&key=…`` resolve one setting."""
-        tree = self._shell.scheduler.context.settings
-        key = read_query(request, "key", "")
-        if not key:
-            bodies = [
-                SettingBody(path, name, value.value, value.revision, value.operator)
-                for path, name, value in tree.items()
-            ]
-            write_json(request, bodies)
-            return
-        path = read_query(request, "path", "")
-        resolved = tree.resolve(path, key)
-        revision = tree.revision_of(path, key)
-        body = SettingBody(path, key, None, revision)
-        if resolved is not None:
-            body = SettingBody(
-                path, key, resolved.value, revision, resolved.operator, resolved.level
-            )
-        write_json(request, body)
-
-    def handle_post(self, request: Request) -> None:
-        """Apply a change; answered once the fold has decided."""
-        body: ApplyBody = read_json(request, _apply_decoder)
-        apply = self._to_apply(body)
-        self._shell.change_settings(apply, lambda verdict: _write_verdict(request, verdict))
-
-    def _to_apply(self, body: ApplyBody) -> SettingsApply:
-        tree = self._shell.scheduler.context.settings
-        changes = []
-        for item in body.changes:
-            expected = item.expected_revision
-            if expected is None:
-                expected = tree.revision_of(item.path, item.key)
-            change = SettingChange(item.path, item.key, item.value, expected)
-            fault = find_fault(change)
-            if fault:
-                raise OnyxspokeError(ResultCode.SETTING_INVALID, fault)
-            changes.append(change)
-        return SettingsApply(body.change_id, body.operator, changes)
-
-
 class HistogramsResource(CodedResource):
     """``GET /v1/histograms``: time to answer by tenant and class."""
 
@@ -307,13 +216,3 @@
     def handle_get(self, request: Request) -> None:
         """List the figures."""
         write_json(request, self._telemetry.summaries())
-
-
-def _write_verdict(request: Request, verdict: SettingsVerdict) -> None:
-    code = ResultCode.OK if verdict.accepted else ResultCode.SETTING_CONFLICT
-    winner = None
-    if verdict.conflict is not None and verdict.winner is not None:
-        lost, won = verdict.conflict, verdict.winner
-        winner = SettingBody(lost.path, lost.key, won.value, won.revision, won.operator)
-    body = VerdictBody(verdict.accepted, int(code), code.name, verdict.revision, winner=winner)
-    write_json(request, body, http_status(code))
--- a/src/onyxspoke/entry/shell.py
+++ b/src/onyxspoke/entry/shell.py
@@ -35,6 +35,7 @@
 
 AnswerCallback = Callable[[Answer], None]
 VerdictCallback = Callable[[SettingsVerdict], None]
+RefusalCallback = Callable[[ResultCode], None]
 
 
 class EntryShell:
@@ -61,8 +62,9 @@
         self._request_counter = 0
         self._callers: dict[str, AnswerCallback] = {}
         self._job_waiters: dict[JobId, list[Callable[[], None]]] = {}
-        self._verdict_waiters: dict[str, VerdictCallback] = {}
+        self._verdict_waiters: dict[str, tuple[VerdictCallback, RefusalCallback]] = {}
         self.on_state_lost: Callable[[], None] = lambda: None
+        self.on_settings_in_force: Callable[[float], None] = lambda _seconds: None
         self.on_stopped: Callable[[], None] = lambda: None
         self._handlers: dict[type, Callable[[Any], None]] = {
             act.StartTask: self._start_task,
@@ -84,6 +86,8 @@
             act.GrantHoldover: self._grant_holdover,
             act.JobFinished: self._job_finished,
             act.SettingsDecided: self._settings_decided,
+            act.SettingsInForce: self._settings_in_force,
+            act.SettingsRefused: self._settings_refused,
             act.StateLost: self._state_lost,
             act.StopCompleted: self._stop_completed,
         }
@@ -140,9 +144,11 @@
         if not waiters:
             self._job_waiters.pop(job_id, None)
 
-    def change_settings(self, apply: SettingsApply, on_verdict: VerdictCallback) -> None:
-        """Change settings; ``on_verdict`` is called once the change was folded."""
-        self._verdict_waiters[apply.change_id] = on_verdict
+    def change_settings(
+        self, apply: SettingsApply, on_verdict: VerdictCallback, on_refused: RefusalCallback
+    ) -> None:
+        """Change settings; one callback is called, once the change was folded or given up."""
+        self._verdict_waiters[apply.change_id] = (on_verdict, on_refused)
         self.carry_out(self.scheduler.stimulus_settings_change(apply, self._clock.now()))
 
     def drain_worker(self, worker_id: WorkerId, *, draining: bool) -> None:
@@ -240,11 +246,19 @@
         self.carry_out(self.scheduler.stimulus_peer_disconnected(peer_id, self._clock.now()))
 
     def handle_peer_capacity(
-        self, peer_id: EntryId, free: Resources, largest_free: Resources
+        self,
+        peer_id: EntryId,
+        free: Resources,
+        largest_free: Resources,
+        settings_revision: Offset,
     ) -> None:
-        """A peer advertised its free capacity."""
+        """A peer advertised its free capacity and its settings revision."""
         now = self._clock.now()
-        self.carry_out(self.scheduler.stimulus_peer_capacity(peer_id, free, largest_free, now))
+        self.carry_out(
+            self.scheduler.stimulus_peer_capacity(
+                peer_id, free, largest_free, settings_revision, now
+            )
+        )
 
     def handle_peer_request(
         self,
@@ -399,7 +413,7 @@
 
     def _advertise(self, action: act.AdvertiseCapacity) -> None:
         assert self._peers is not None
-        self._peers.advertise(action.free, action.largest_free)
+        self._peers.advertise(action.free, action.largest_free, action.settings_revision)
 
     def _probe_jobs(self, action: act.ProbeJobs) -> None:
         assert self._peers is not None
@@ -426,11 +440,22 @@
             on_finished()
 
     def _settings_decided(self, action: act.SettingsDecided) -> None:
-        on_verdict = self._verdict_waiters.pop(action.change_id, None)
+        waiter = self._verdict_waiters.pop(action.change_id, None)
         verdict = self.scheduler.context.settings.verdict(action.change_id)
-        if on_verdict is not None and verdict is not None:
+        if waiter is not None and verdict is not None:
+            on_verdict, _ = waiter
             on_verdict(verdict)
 
+    def _settings_refused(self, action: act.SettingsRefused) -> None:
+        waiter = self._verdict_waiters.pop(action.change_id, None)
+        if waiter is not None:
+            _, on_refused = waiter
+            on_refused(action.code)
+
+    def _settings_in_force(self, action: act.SettingsInForce) -> None:
+        logging.info("event=settings_in_force revision=%d", action.revision)
+        self.on_settings_in_force(action.seconds)
+
     def _state_lost(self, action: act.StateLost) -> None:
         logging.error("event=log_records_missed stream=%s", action.stream.value)
         self.on_state_lost()
--- a/src/onyxspoke/net/messages.py
+++ b/src/onyxspoke/net/messages.py
@@ -188,10 +188,11 @@
 
 
 class Capacity(Message, frozen=True):
-    """What is free at the sender."""
+    """What is free at the sender, and the settings revision that it has folded."""
 
     free: Resources
     largest_free: Resources
+    settings_revision: Offset
 
 
 class PeerAnswer(Message, frozen=True):
--- a/src/onyxspoke/net/peer_network.py
+++ b/src/onyxspoke/net/peer_network.py
@@ -8,7 +8,16 @@
 from twisted.internet.interfaces import IListeningPort
 from twisted.internet.protocol import Factory
 
-from onyxspoke.core.schema import Answer, EntryId, JobId, Resources, TaskName, TaskRequest, WorkerId
+from onyxspoke.core.schema import (
+    Answer,
+    EntryId,
+    JobId,
+    Offset,
+    Resources,
+    TaskName,
+    TaskRequest,
+    WorkerId,
+)
 from onyxspoke.net.messages import (
     Capacity,
     ForwardedRequest,
@@ -134,9 +143,11 @@
         """Give that promise."""
         self._reply(peer_id, HoldoverGrant(round_number))
 
-    def advertise(self, free: Resources, largest_free: Resources) -> None:
-        """Tell all connected peers what is free."""
-        message = Capacity(free, largest_free)
+    def advertise(
+        self, free: Resources, largest_free: Resources, settings_revision: Offset
+    ) -> None:
+        """Tell all connected peers what is free, and the settings revision."""
+        message = Capacity(free, largest_free, settings_revision)
         for stream in self._outgoing.values():
             stream.send(message)
 
@@ -202,7 +213,9 @@
         if peer_id is None:
             stream.abort()
         elif isinstance(message, Capacity):
-            self._listener.handle_peer_capacity(peer_id, message.free, message.largest_free)
+            self._listener.handle_peer_capacity(
+                peer_id, message.free, message.largest_free, message.settings_revision
+            )
         elif isinstance(message, ForwardedRequest):
             self._listener.handle_peer_request(
                 peer_id, message.request_id, message.request, message.remaining_seconds
--- a/src/onyxspoke/ports/peer.py
+++ b/src/onyxspoke/ports/peer.py
@@ -8,6 +8,7 @@
     Answer,
     EntryId,
     JobId,
+    Offset,
     Resources,
     TaskName,
     TaskRequest,
@@ -25,9 +26,13 @@
         """The stream to a peer was lost."""
 
     def handle_peer_capacity(
-        self, peer_id: EntryId, free: Resources, largest_free: Resources
+        self,
+        peer_id: EntryId,
+        free: Resources,
+        largest_free: Resources,
+        settings_revision: Offset,
     ) -> None:
-        """A peer advertised its free capacity."""
+        """A peer advertised its free capacity and its settings revision."""
 
     def handle_peer_request(
         self,
@@ -111,5 +116,7 @@
     def grant_holdover(self, peer_id: EntryId, round_number: int) -> None:
         """Give that promise."""
 
-    def advertise(self, free: Resources, largest_free: Resources) -> None:
-        """Tell all connected peers what is free."""
+    def advertise(
+        self, free: Resources, largest_free: Resources, settings_revision: Offset
+    ) -> None:
+        """Tell all connected peers what is free, and the settings revision."""
--- a/src/onyxspoke/scale/page.py
+++ b/src/onyxspoke/scale/page.py
@@ -164,6 +164,7 @@
         f"{data.largest_workers} workers; state and single steps in a process of their own.\n\n"
         "| what | slope | fixed part | r2 | largest size measured |\n|---|---|---|---|---|\n"
         + "\n".join(rows)
+        + "\n\n![measured points and their lines](capacity.png)"
     )
 
 
@@ -335,8 +336,8 @@
 - The cell stream is one stream that every entry tails, and every entry keeps streams to all
   others: at {entries_at_target()} entries that is {traffic(data, entries_at_target()):.1f} KB/s.
 - No combiner: every entry appends for itself.
-- Usage reports of workers and heartbeats on idle worker streams do not exist yet; their traffic
-  and processor time will come on top.
+- Usage reports of workers do not exist yet; their traffic and processor time will come on top.
+- The size of a snapshot of the fold at this size, and its parts in the log, were not measured.
 - Jobs of a lost zone are not adopted by other zones.
 - The settings tree was measured for its memory only; in force within 11 s at this size was not
   run. Quotas of {TARGET_TENANTS} tenants are not built.
--- a/src/onyxspoke/sim/operators.py
+++ b/src/onyxspoke/sim/operators.py
@@ -5,6 +5,7 @@
 import random
 from functools import partial
 
+from onyxspoke.core.codes import ResultCode
 from onyxspoke.core.log_records import SettingChange, SettingsApply
 from onyxspoke.core.settings_tree import SettingsVerdict
 from onyxspoke.sim.cell import SimulatedCell
@@ -29,6 +30,7 @@
         zones = [f"{zone.region}/{name}" for name, zone in cell.settings.zones.items()]
         self._paths = [*zones, f"{zones[0]}/{service}"]
         self.submitted: dict[str, SettingsApply] = {}
+        self.refusals: dict[str, ResultCode] = {}
         self.verdicts: dict[str, SettingsVerdict] = {}
 
     def submit_for(self, seconds: float) -> None:
@@ -52,4 +54,5 @@
         apply = SettingsApply(change_id, "operator", [change])
         self.submitted[change_id] = apply
         learn = partial(self.verdicts.__setitem__, change_id)
-        entry.node.run(lambda: entry.shell.change_settings(apply, learn))
+        forget = partial(self.refusals.__setitem__, change_id)
+        entry.node.run(lambda: entry.shell.change_settings(apply, learn, forget))
--- a/src/onyxspoke/sim/promises.py
+++ b/src/onyxspoke/sim/promises.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from onyxspoke.core.codes import ResultCode
 from onyxspoke.core.schema import EntryId, Offset, WorkerId
 from onyxspoke.kit.journal import JournalKind
 from onyxspoke.load.audit import AuditReport, audit
@@ -59,6 +60,12 @@
         contents = {name: tree.items() for name, tree in trees.items()}
         if len({repr(items) for items in contents.values()}) > 1:
             self.violations.append(f"entries differ in settings: {sorted(contents)}")
+        for change_id, code in self._operators.refusals.items():
+            # "Not run" is said only of a change that no one will ever fold.
+            for name, tree in trees.items():
+                self.checks += 1
+                if code is ResultCode.LOG_UNAVAILABLE and tree.verdict(change_id) is not None:
+                    self.violations.append(f"{change_id}: refused but folded at {name}")
         for change_id, verdict in self._operators.verdicts.items():
             for name, tree in trees.items():
                 self.checks += 1
