Placement from an index of free capacity instead of a scan

Cause: a decision scanned every owned worker: 81 us at 100 workers, 14.5 ms at 15,000. Change: groups of like workers, buckets of equal free amounts sorted by occupied share; the scan stays as the naive version of the differential test and the benchmark.

--- a/src/onyxspoke/core/ownership_keeper.py
+++ b/src/onyxspoke/core/ownership_keeper.py
@@ -5,9 +5,9 @@
 from onyxspoke.core.actions import AttachWorker, DetachWorker
 from onyxspoke.core.context import EntryContext
 from onyxspoke.core.log_records import ClaimItem, WorkerClaim, WorkerRelease
+from onyxspoke.core.owned_worker import OwnedWorker, WorkerState
 from onyxspoke.core.ownership import PreferenceCache, plan_ownership
 from onyxspoke.core.schema import FencingToken, MachineRecord, Resources, RunningTask, WorkerId
-from onyxspoke.core.worker_table import OwnedWorker, WorkerState
 
 
 class OwnershipKeeper:
@@ -33,6 +33,7 @@
                 gone.append(worker.worker_id)
             else:
                 worker.machine = machine
+                context.workers.refresh(worker)
         return gone
 
     def handle_own_batch(self, created_at: float, now: float) -> None:
@@ -49,6 +50,7 @@
         self._adopt_claimed(now)
         for worker in self._context.workers.workers.values():
             worker.draining = worker.worker_id in self._context.cell.draining
+            self._context.workers.refresh(worker)
         return lost
 
     def plan(self, now: float) -> None:
@@ -98,6 +100,7 @@
             return False
         worker.load_inventory(capacity, running)
         worker.transition(WorkerState.ACTIVE)
+        self._context.workers.refresh(worker)
         return True
 
     def handle_disconnect(self, worker_id: WorkerId) -> bool:
@@ -107,6 +110,7 @@
         if worker is None:
             return False
         worker.transition(WorkerState.DISCONNECTED)
+        self._context.workers.refresh(worker)
         return True
 
     def _has_settled(self, now: float) -> bool:
@@ -167,6 +171,7 @@
         worker.attach_sent_at = now
         worker.session += 1
         worker.transition(WorkerState.ATTACHING)
+        self._context.workers.refresh(worker)
         self._attached.add(worker.worker_id)
         self._context.emit(AttachWorker(worker.machine, worker.token))
 
--- a/src/onyxspoke/core/request_desk.py
+++ b/src/onyxspoke/core/request_desk.py
@@ -8,7 +8,7 @@
 from onyxspoke.core.actions import ForwardTask, StartTask, StopTask
 from onyxspoke.core.codes import OutcomeKind, ResultCode
 from onyxspoke.core.context import EntryContext
-from onyxspoke.core.placement import choose_worker
+from onyxspoke.core.owned_worker import OwnedWorker
 from onyxspoke.core.requests import ActiveRequest, JobOrigin, PeerOrigin, RequestState
 from onyxspoke.core.schema import (
     Answer,
@@ -19,7 +19,6 @@
     TaskClass,
     WorkerId,
 )
-from onyxspoke.core.worker_table import OwnedWorker
 
 _MINIMUM_COMPACTED_DEADLINES = 1_024
 
@@ -180,7 +179,7 @@
     def _try_send(self, request: ActiveRequest, now: float) -> bool:
         task_class = request.request.task_class
         if self._context.holds_lease(now):
-            worker = choose_worker(task_class, self._context.workers.usable())
+            worker = self._context.workers.choose(task_class)
             if worker is not None:
                 self._dispatch(request, worker)
                 return True
@@ -196,7 +195,8 @@
         request.attempt_id = attempt_id
         request.worker_id = worker.worker_id
         resources = request.request.task_class.resources
-        worker.reserve(RunningTask(attempt_id, resources, request.request.task_name))
+        task = RunningTask(attempt_id, resources, request.request.task_name)
+        context.workers.reserve(worker, task)
         context.attempts[attempt_id] = request
         context.emit(
             StartTask(
--- a/src/onyxspoke/core/scheduler.py
+++ b/src/onyxspoke/core/scheduler.py
@@ -464,9 +464,7 @@
         return entry is not None and entry.answer is None and entry.runner == peer_id
 
     def _release_capacity(self, worker_id: WorkerId, attempt_id: AttemptId) -> None:
-        worker = self.context.workers.workers.get(worker_id)
-        if worker is not None:
-            worker.release(attempt_id)
+        self.context.workers.release(worker_id, attempt_id)
 
     def _drop_lapsed_peers(self, now: float) -> None:
         lapse_seconds = self.context.options.lease.lapse_seconds
--- a/src/onyxspoke/scale/decision_cost.py
+++ b/src/onyxspoke/scale/decision_cost.py
@@ -16,10 +16,10 @@
     decode_batch,
     encode_batch,
 )
+from onyxspoke.core.owned_worker import WorkerState
 from onyxspoke.core.ownership import LeaseOptions, PreferenceCache, plan_ownership
-from onyxspoke.core.placement import choose_worker
-from onyxspoke.core.schema import EntryIdentity, MachineRecord, Resources, TaskClass
-from onyxspoke.core.worker_table import OwnedWorker
+from onyxspoke.core.schema import EntryIdentity, MachineRecord, Resources, RunningTask, TaskClass
+from onyxspoke.core.worker_table import WorkerTable
 from onyxspoke.scale.slopes import Point, Slope, fit
 
 _MICROSECONDS = 1e6
@@ -45,10 +45,13 @@
     placement: list[Point] = []
     plan: list[Point] = []
     for count in (24, 100, 400, 1_600):
-        workers = [OwnedWorker(_machine(index), 1) for index in range(count)]
-        for worker in workers:
+        table = WorkerTable()
+        for index in range(count):
+            worker = table.add(_machine(index), 1)
             worker.load_inventory(Resources(64, 131_072, 0, 64), [])
-        cost = _microseconds(partial(choose_worker, _CLASS, workers))
+            worker.transition(WorkerState.ACTIVE)
+            table.refresh(worker)
+        cost = _microseconds(partial(_place_and_release, table))
         placement.append(Point(size=count, cost=cost))
         plan.append(Point(size=count, cost=_plan_cost(count)))
     return [
@@ -57,6 +60,14 @@
     ]
 
 
+def _place_and_release(table: WorkerTable) -> None:
+    """Choose, reserve and release, as a task's whole life does."""
+    worker = table.choose(_CLASS)
+    assert worker is not None
+    table.reserve(worker, RunningTask("a", _CLASS.resources))
+    table.release(worker.worker_id, "a")
+
+
 def _plan_cost(count: int) -> float:
     context = make_context(_IDENTITY, CoreOptions())
     for number in range(21):
--- a/src/onyxspoke/core/placement.py
+++ b/src/onyxspoke/scale/naive_placement.py
@@ -1,11 +1,11 @@
-"""Choice of a worker for one task: request in, decision out."""
+"""The naive choice of a worker: scan all of them."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 
+from onyxspoke.core.owned_worker import OwnedWorker
 from onyxspoke.core.schema import PlacementPolicy, TaskClass
-from onyxspoke.core.worker_table import OwnedWorker
 
 
 def choose_worker(task_class: TaskClass, workers: Iterable[OwnedWorker]) -> OwnedWorker | None:
