A keyed job is not called not run where another entry may have accepted it

Ruled out: a lost withdrawal (the record was never sent), the job's own run (it ran once). Change: without the log a keyed job is answered KEY_STATE_UNKNOWN, as keyed requests are; a stopping entry serves keyed jobs. Exploration sends 30% of keyed work twice, 5% before. Job acceptance moved to a module of its own; what the context can answer stands there once.

--- a/features/promises.feature
+++ b/features/promises.feature
@@ -36,6 +36,11 @@
       | motor-estudio | 166  |
       | motor-estudio | 172  |
 
+  Scenario: A keyed job is not called "not run" where another entry may have accepted it
+    When a keyed job goes to an entry without the log and to one with it
+    Then the one with the log accepts it
+    And the one without the log answers "unknown" with code 406
+
   Scenario: The same seed gives the same run
     When the deployment "klimaplan" runs the schedule drawn from seed 3
     And the deployment "klimaplan" runs the schedule drawn from seed 3 again
--- a/features/steps/promise_steps.py
+++ b/features/steps/promise_steps.py
@@ -1,13 +1,15 @@
 """Steps that run whole cells under fault schedules."""
 
 import random
+from functools import partial
 
 import msgspec
 from behave import then, when
 from settings_file_steps import deployment_path
 
+from onyxspoke.core.codes import ResultCode
 from onyxspoke.core.scheduler import EntryScheduler
-from onyxspoke.core.schema import FencingToken
+from onyxspoke.core.schema import FencingToken, JobSubmission, TaskRequest
 from onyxspoke.core.worker_table import OwnedWorker
 from onyxspoke.settings_file import load_settings
 from onyxspoke.sim.callers import Callers
@@ -254,3 +256,31 @@
     run = context.run
     run.cell.time.run_until(context.stopped_at + seconds)
     assert run.cell.entries[context.entry_name].stopped
+
+
+@when("a keyed job goes to an entry without the log and to one with it")
+def step_keyed_job(context):
+    run = Run("motor-estudio", seed=81, load_seconds=0.1)
+    cell = run.cell
+    cell.network.cut("cba-a", "platform")
+    task_class = run.settings.catalog()[("motor-estudio", "deck-build")]
+    request = TaskRequest(
+        tenant="schools", task_class=task_class, payload=b"{}", idempotency_key="k"
+    )
+    job = JobSubmission(job_id="job-k", request=request)
+    context.answers = {}
+    for name in ("cba-a-1", "vmaria-1"):
+        learn = partial(context.answers.__setitem__, name)
+        cell.entries[name].shell.submit_job(job, 8.0, learn)
+    cell.time.run_until(cell.time.now() + 20.0)
+
+
+@then("the one with the log accepts it")
+def step_accepted(context):
+    assert context.answers["vmaria-1"].code is ResultCode.ACCEPTED
+
+
+@then('the one without the log answers "{outcome}" with code {code:d}')
+def step_unknown_state(context, outcome, code):
+    answer = context.answers["cba-a-1"]
+    assert (answer.outcome.value, int(answer.code)) == (outcome, code), answer
--- a/scripts/bench_placement.py
+++ b/scripts/bench_placement.py
@@ -183,7 +183,8 @@
     for figure in figures:
         print(
             f"bench-placement: {figure['workers']:.0f} workers:"
-            f" median {figure['median_us']:.1f} us, p99 {figure['p99_us']:.1f} us, {figure['decisions_per_second']:.0f} decisions/s;"
+            f" median {figure['median_us']:.1f} us, p99 {figure['p99_us']:.1f} us,"
+            f" {figure['decisions_per_second']:.0f} decisions/s;"
             f" naive median {figure['naive_median_us']:.0f} us;"
             f" {figure['worker_bytes']:.0f} bytes a worker, {figure['task_bytes']:.0f} a task"
         )
--- a/src/onyxspoke/core/context.py
+++ b/src/onyxspoke/core/context.py
@@ -9,12 +9,13 @@
 from onyxspoke.core.actions import Action
 from onyxspoke.core.append_queue import AppendOptions, AppendQueue
 from onyxspoke.core.cell_state import CellLimits, CellState
+from onyxspoke.core.codes import ResultCode
 from onyxspoke.core.key_ledger import KeyLedger
 from onyxspoke.core.log_records import LogStream
 from onyxspoke.core.ownership import LeaseOptions
 from onyxspoke.core.peer_table import PeerTable
 from onyxspoke.core.requests import ActiveRequest, QueueLimits
-from onyxspoke.core.schema import AttemptId, EntryId, EntryIdentity, MachineRecord, WorkerId
+from onyxspoke.core.schema import Answer, AttemptId, EntryId, EntryIdentity, MachineRecord, WorkerId
 from onyxspoke.core.settings_tree import SettingsTree
 from onyxspoke.core.waiting_queue import WaitingQueue
 from onyxspoke.core.worker_table import WorkerTable
@@ -72,6 +73,14 @@
         """Decide on an action."""
         self.actions.append(action)
 
+    def log_is_down(self, now: float) -> bool:
+        """Return whether the log has not taken our batches for longer than our patience."""
+        return self.cell_appends.failing_for(now) >= self.options.log_patience_seconds
+
+    def refusal(self, code: ResultCode) -> Answer:
+        """Return an answer that gives a request up and says when to come back."""
+        return Answer(code=code, retry_after_seconds=self.options.retry_after_seconds)
+
     def holds_lease(self, now: float) -> bool:
         """Return whether this entry's lease is valid."""
         return now < self.lease_until
--- a/src/onyxspoke/core/job_runner.py
+++ b/src/onyxspoke/core/job_runner.py
@@ -1,4 +1,4 @@
-"""Durable batch jobs: accepted once logged, run task by task, their end recorded."""
+"""Runs durable batch jobs task by task, adopts those of lapsed runners, records their end."""
 
 from __future__ import annotations
 
@@ -12,7 +12,6 @@
 from onyxspoke.core.context import EntryContext
 from onyxspoke.core.job_recovery import JobRecovery
 from onyxspoke.core.log_records import (
-    JobAccepted,
     JobAdopted,
     JobEnded,
     JobReleased,
@@ -25,7 +24,6 @@
     Answer,
     EntryId,
     JobId,
-    JobSubmission,
     Offset,
     WorkerId,
     make_task_name,
@@ -41,22 +39,12 @@
     answers: dict[int, Answer] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class PendingAcceptance:
-    """A job whose record is on its way to the log, and the callers who wait for that."""
-
-    record: JobAccepted
-    deadline: float
-    request_ids: list[str]
-
-
 class JobRunner:
-    """Records jobs, runs their tasks and records their answers."""
+    """Runs the tasks of jobs and records the jobs' answers."""
 
     def __init__(self, context: EntryContext, desk: RequestDesk) -> None:
         self._context = context
         self._desk = desk
-        self._acceptances: dict[JobId, PendingAcceptance] = {}
         self._running: dict[JobId, JobProgress] = {}
         self._adoptions: set[JobId] = set()
         self.recovery = JobRecovery(context)
@@ -66,55 +54,11 @@
         """Number of jobs that this entry runs now."""
         return len(self._running)
 
-    def submit(self, request_id: str, job: JobSubmission, deadline: float) -> Answer | None:
-        """Record a job; return the answer if it is known at once.
-
-        Otherwise the caller is answered when the record is read back.  A job that is
-        submitted again under its key is recorded once.
-        """
-        known = self._context.cell.jobs.get(job.job_id)
-        if known is not None:
-            return _acceptance_of(job, known.job)
-        pending = self._acceptances.get(job.job_id)
-        if pending is not None and pending.record.job != job:
-            return Answer(code=ResultCode.KEY_REUSED)
-        if pending is not None:
-            pending.request_ids.append(request_id)
-            return None
-        record = JobAccepted(job)
-        self._acceptances[job.job_id] = PendingAcceptance(record, deadline, [request_id])
-        self._context.cell_appends.add(record)
-        return None
-
-    def handle_accepted_read(self, job_id: JobId, now: float) -> list[tuple[str, Answer]]:
-        """Start a job whose record was read back; return the answers of who waited."""
+    def handle_accepted_read(self, job_id: JobId, now: float) -> None:
+        """Start a job whose record was read back, if it is ours."""
         entry = self._context.cell.jobs.get(job_id)
-        pending = self._acceptances.pop(job_id, None)
         if entry is not None and self._runs(entry) and job_id not in self._running:
             self._start(entry, now)
-        if pending is None or entry is None:
-            return []
-        answer = _acceptance_of(pending.record.job, entry.job)
-        return [(request_id, answer) for request_id in pending.request_ids]
-
-    def give_up_acceptances(self, now: float) -> list[tuple[str, Answer]]:
-        """Return final answers for submissions that the log did not take in time.
-
-        A record that was never sent is withdrawn: the job is known not to run.
-        """
-        answers: list[tuple[str, Answer]] = []
-        for job_id, pending in list(self._acceptances.items()):
-            if now < pending.deadline and not self._is_log_down(now):
-                continue
-            if self._context.cell_appends.withdraw(pending.record):
-                answer = self._desk.refusal(ResultCode.LOG_UNAVAILABLE)
-            elif now >= pending.deadline:
-                answer = Answer(code=ResultCode.LOG_ANSWER_LOST)
-            else:
-                continue
-            del self._acceptances[job_id]
-            answers.extend((request_id, answer) for request_id in pending.request_ids)
-        return answers
 
     def handle_task_answer(self, origin: JobOrigin, answer: Answer) -> None:
         """Take the answer of one task; record the job's end with the last one."""
@@ -259,10 +203,6 @@
         self._context.claimed_from.add(runner)
         self._context.cell_appends.add(JobAdopted(job_id, runner, offset))
 
-    def _is_log_down(self, now: float) -> bool:
-        failing_for = self._context.cell_appends.failing_for(now)
-        return failing_for >= self._context.options.log_patience_seconds
-
     def _start(self, entry: JobEntry, now: float) -> None:
         job_id = entry.job.job_id
         progress = self._running.setdefault(job_id, JobProgress(entry))
@@ -289,13 +229,6 @@
             self._context.cell_appends.add(TaskStarting(job.job_id, index))
 
 
-def _acceptance_of(submitted: JobSubmission, recorded: JobSubmission) -> Answer:
-    """Return what the submitter of a job is told, given the one on record under its name."""
-    if submitted == recorded:
-        return Answer(code=ResultCode.ACCEPTED)
-    return Answer(code=ResultCode.KEY_REUSED)
-
-
 def _combine(progress: JobProgress) -> Answer:
     """Return the answer of a whole job: the results in order, or the first that failed."""
     answers = [progress.answers[index] for index in range(progress.entry.job.task_count)]
--- a/src/onyxspoke/core/key_guard.py
+++ b/src/onyxspoke/core/key_guard.py
@@ -54,7 +54,7 @@
             self._refuse(request, ResultCode.KEY_REUSED, now)
         elif entry is not None:
             self._ask_holder(request, key, entry.holder, now)
-        elif self._log_is_down(now):
+        elif self._context.log_is_down(now):
             self._refuse(request, ResultCode.KEY_STATE_UNKNOWN, now)
         else:
             self._record_intent(request, key, fingerprint)
@@ -95,7 +95,7 @@
 
     def refuse_while_log_is_down(self, now: float) -> None:
         """Give up the requests whose intent cannot be recorded; this entry did not run them."""
-        if not self._intents or not self._log_is_down(now):
+        if not self._intents or not self._context.log_is_down(now):
             return
         for key in list(self._intents):
             run = self._context.ledger.get(key)
@@ -103,10 +103,6 @@
             if request is not None and request.state is RequestState.WAITING_FOR_LOG:
                 self._refuse(request, ResultCode.KEY_STATE_UNKNOWN, now)
 
-    def _log_is_down(self, now: float) -> bool:
-        failing_for = self._context.cell_appends.failing_for(now)
-        return failing_for >= self._context.options.log_patience_seconds
-
     def _record_intent(self, request: ActiveRequest, key: str, fingerprint: int) -> None:
         request.transition(RequestState.WAITING_FOR_LOG)
         self._context.ledger.begin(key, request.request_id, fingerprint)
@@ -160,7 +156,7 @@
             self._context.cell_appends.add(KeyRelease(key))
 
     def _refuse(self, request: ActiveRequest, code: ResultCode, now: float) -> None:
-        self._desk.answer(request, self._desk.refusal(code), now)
+        self._desk.answer(request, self._context.refusal(code), now)
 
 
 def _did_not_run(answer: Answer) -> bool:
--- a/src/onyxspoke/core/log_follower.py
+++ b/src/onyxspoke/core/log_follower.py
@@ -12,6 +12,7 @@
     StateLost,
 )
 from onyxspoke.core.context import EntryContext
+from onyxspoke.core.job_acceptance import JobAcceptance
 from onyxspoke.core.job_runner import JobRunner
 from onyxspoke.core.key_guard import KeyGuard
 from onyxspoke.core.log_records import (
@@ -45,6 +46,7 @@
         context: EntryContext,
         ownership: OwnershipKeeper,
         keys: KeyGuard,
+        acceptance: JobAcceptance,
         jobs: JobRunner,
         settings_watch: SettingsWatch,
         pending_changes: PendingChanges,
@@ -54,6 +56,7 @@
         self._context = context
         self._ownership = ownership
         self._keys = keys
+        self._acceptance = acceptance
         self._jobs = jobs
         self._bootstraps = {stream: StreamBootstrap() for stream in LogStream}
         self._settings_offset: Offset = 0
@@ -166,7 +169,8 @@
         elif isinstance(record, KeyIntent):
             self._keys.handle_intent_read(record, now)
         elif isinstance(record, JobAccepted):
-            for request_id, answer in self._jobs.handle_accepted_read(record.job.job_id, now):
+            self._jobs.handle_accepted_read(record.job.job_id, now)
+            for request_id, answer in self._acceptance.handle_read(record.job.job_id):
                 self._context.emit(AnswerCaller(request_id, answer))
         elif isinstance(record, TaskStarting):
             self._jobs.handle_start_read(record, now)
--- a/src/onyxspoke/core/request_desk.py
+++ b/src/onyxspoke/core/request_desk.py
@@ -54,11 +54,11 @@
             return
         if isinstance(request.origin, PeerOrigin):
             # The peer waits better than we do: it sees all advertisements.
-            self.answer(request, self.refusal(ResultCode.NO_CAPACITY), now)
+            self.answer(request, self._context.refusal(ResultCode.NO_CAPACITY), now)
             return
         is_job = isinstance(request.origin, JobOrigin)
         if not is_job and not self._context.queue.has_room_for(len(request.request.payload)):
-            self.answer(request, self.refusal(ResultCode.QUEUE_FULL), now)
+            self.answer(request, self._context.refusal(ResultCode.QUEUE_FULL), now)
             return
         self._context.queue.push(request)
         self.pump(now)
@@ -146,22 +146,22 @@
             elif request.state is RequestState.WAITING_FOR_HOLDER:
                 self.answer(request, Answer(code=ResultCode.KEY_HOLDER_UNREACHABLE), now)
             elif request.state is RequestState.WAITING_FOR_LOG:
-                self.answer(request, self.refusal(ResultCode.KEY_STATE_UNKNOWN), now)
+                self.answer(request, self._context.refusal(ResultCode.KEY_STATE_UNKNOWN), now)
             else:
-                self.answer(request, self.refusal(ResultCode.DEADLINE_EXPIRED), now)
+                self.answer(request, self._context.refusal(ResultCode.DEADLINE_EXPIRED), now)
         self._compact_deadlines()
 
     def hang_up(self, request: ActiveRequest, now: float) -> None:
         """Handle a caller that went away; what was sent runs on, for a retry by key."""
         if not request.is_sent and not request.request.idempotency_key:
-            self.answer(request, self.refusal(ResultCode.CANCELLED), now)
+            self.answer(request, self._context.refusal(ResultCode.CANCELLED), now)
 
     def cancel(self, request: ActiveRequest, now: float) -> None:
         """Stop a request that is no longer wanted."""
         if request.state is RequestState.DISPATCHED:
             self._context.emit(StopTask(request.worker_id, request.attempt_id))
         elif request.state is not RequestState.FORWARDED:
-            self.answer(request, self.refusal(ResultCode.CANCELLED), now)
+            self.answer(request, self._context.refusal(ResultCode.CANCELLED), now)
 
     def abandon(self, request: ActiveRequest) -> None:
         """Forget a task that another entry answers for now; what was sent runs on."""
@@ -172,10 +172,6 @@
         self._forget(request)
         self._deliver(request, answer, now)
 
-    def refusal(self, code: ResultCode) -> Answer:
-        """Return an answer that gives a request up and says when to come back."""
-        return Answer(code=code, retry_after_seconds=self._context.options.retry_after_seconds)
-
     def _try_send(self, request: ActiveRequest, now: float) -> bool:
         task_class = request.request.task_class
         if self._context.holds_lease(now):
@@ -239,7 +235,7 @@
         exhausted = request.attempts >= self._context.options.queue.maximum_attempts
         from_peer = isinstance(request.origin, PeerOrigin)
         if exhausted or from_peer or request.deadline <= now:
-            self.answer(request, self.refusal(code), now)
+            self.answer(request, self._context.refusal(code), now)
             return
         request.transition(RequestState.QUEUED)
         self._context.queue.push(request)
--- a/src/onyxspoke/core/scheduler.py
+++ b/src/onyxspoke/core/scheduler.py
@@ -20,6 +20,7 @@
 from onyxspoke.core.codes import OutcomeKind, ResultCode
 from onyxspoke.core.context import CoreOptions, make_context
 from onyxspoke.core.holdover import HoldoverKeeper
+from onyxspoke.core.job_acceptance import JobAcceptance
 from onyxspoke.core.job_runner import JobRunner
 from onyxspoke.core.key_guard import KeyGuard
 from onyxspoke.core.log_follower import LogFollower
@@ -78,6 +79,7 @@
         self.context = make_context(identity, options)
         self.desk = RequestDesk(self.context, self._deliver)
         self.keys = KeyGuard(self.context, self.desk)
+        self.acceptance = JobAcceptance(self.context)
         self.jobs = JobRunner(self.context, self.desk)
         self.ownership = OwnershipKeeper(self.context)
         self.holdover = HoldoverKeeper(self.context)
@@ -87,6 +89,7 @@
             self.context,
             self.ownership,
             self.keys,
+            self.acceptance,
             self.jobs,
             self.settings_watch,
             self.pending_changes,
@@ -126,11 +129,11 @@
         self, request_id: str, job: JobSubmission, patience_seconds: float, now: float
     ) -> list[Action]:
         """A caller submits a durable job and waits for its acceptance."""
-        if self.context.stopping:
-            answer = self.desk.refusal(ResultCode.ENTRY_STOPPING)
+        if self.context.stopping and not job.request.idempotency_key:
+            answer = self.context.refusal(ResultCode.ENTRY_STOPPING)
             self.context.emit(AnswerCaller(request_id, answer))
         else:
-            known = self.jobs.submit(request_id, job, now + patience_seconds)
+            known = self.acceptance.submit(request_id, job, now + patience_seconds)
             if known is not None:
                 self.context.emit(AnswerCaller(request_id, known))
         return self._take_actions(now)
@@ -355,7 +358,7 @@
         self.pending_changes.keep(now)
         self.jobs.keep(now)
         self.keys.refuse_while_log_is_down(now)
-        for request_id, answer in self.jobs.give_up_acceptances(now):
+        for request_id, answer in self.acceptance.give_up(now):
             self.context.emit(AnswerCaller(request_id, answer))
         self.desk.expire(now)
         self.desk.pump(now)
@@ -434,7 +437,7 @@
         return active
 
     def _refuse(self, request: ActiveRequest, code: ResultCode, now: float) -> list[Action]:
-        self.desk.answer(request, self.desk.refusal(code), now)
+        self.desk.answer(request, self.context.refusal(code), now)
         return self._take_actions(now)
 
     def _deliver(self, request: ActiveRequest, answer: Answer, now: float) -> None:
--- a/src/onyxspoke/sim/explore.py
+++ b/src/onyxspoke/sim/explore.py
@@ -20,6 +20,7 @@
 END_SECONDS = 75.0
 REQUESTS_PER_SECOND = 14.0
 CROWDED_SLOTS = 2
+DUPLICATE_SHARE = 0.3
 WORK_FACTOR = 10.0
 BATCH_WORK_FACTOR = 20.0
 MAXIMUM_BREAK_SECONDS = 40.0
@@ -46,7 +47,7 @@
         }
         for service, items in settings.load.classes.items()
     }
-    load = settings.load.model_copy(update={"classes": classes})
+    load = settings.load.model_copy(update={"classes": classes, "duplicate_share": DUPLICATE_SHARE})
     return settings.model_copy(update={"workers": groups, "load": load})
 
 
