The scenario of the keyed job waits until a renewal is in flight

Cause: committed red: the job's record went out with the first batch after the cut, which is answered LOG_ANSWER_LOST, also unknown; the fault is with a record that waits unsent. Change: submit two seconds after the cut. Figures: fails with the old answer (LOG_UNAVAILABLE), passes with the new one. Conclusion: the test shows the fault.

--- a/features/steps/promise_steps.py
+++ b/features/steps/promise_steps.py
@@ -263,6 +263,8 @@
     run = Run("motor-estudio", seed=81, load_seconds=0.1)
     cell = run.cell
     cell.network.cut("cba-a", "platform")
+    # By now a renewal is on its way in vain, so the job's record waits unsent behind it.
+    cell.time.run_until(cell.time.now() + 2.0)
     task_class = run.settings.catalog()[("motor-estudio", "deck-build")]
     request = TaskRequest(
         tenant="schools", task_class=task_class, payload=b"{}", idempotency_key="k"
