Smaller scheduler; the fencing mutation is provoked by the fault that it guards against

Change: peer keeping, planned stop and settings in force are modules of their own; the fencing mutation runs with entries paused while sending; the injector restarts what was told to stop.

--- a/features/steps/promise_steps.py
+++ b/features/steps/promise_steps.py
@@ -70,6 +70,14 @@
     return faults
 
 
+#: Fencing is the last of three nets: only a command that left its process late meets it.
+PROVOKING_FAULTS = {
+    "fencing": parse_faults(
+        "pause_entry_sending sever-1 at 12 for 14; pause_entry_sending stred-2 at 12 for 14"
+    ),
+}
+
+
 class Run:
     """A cell under ordinary load, watched, with faults that the scenario adds."""
 
@@ -118,8 +126,9 @@
 def step_explore_crippled(context, name, mechanism):
     settings = load_settings(deployment_path(name))
     context.violations = []
+    faults = PROVOKING_FAULTS.get(mechanism)
     for seed in EXPLORED_SEEDS:
-        result = run_schedule(settings, seed, None, CRIPPLED[mechanism])
+        result = run_schedule(settings, seed, faults, CRIPPLED[mechanism])
         if result.violations:
             context.violations = result.violations
             return
--- a/src/onyxspoke/core/scheduler.py
+++ b/src/onyxspoke/core/scheduler.py
@@ -6,16 +6,11 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from onyxspoke.core.actions import (
     Action,
-    AdvertiseCapacity,
     AnswerCaller,
     AnswerPeer,
     AppendBatch,
-    DisconnectPeer,
-    StopCompleted,
 )
 from onyxspoke.core.codes import OutcomeKind, ResultCode
 from onyxspoke.core.context import CoreOptions, make_context
@@ -31,6 +26,8 @@
     WorkerDrain,
 )
 from onyxspoke.core.ownership_keeper import OwnershipKeeper
+from onyxspoke.core.peer_keeper import PeerKeeper
+from onyxspoke.core.planned_stop import PlannedStop
 from onyxspoke.core.request_desk import RequestDesk
 from onyxspoke.core.requests import (
     ActiveRequest,
@@ -50,11 +47,8 @@
     JobSubmission,
     MachineRecord,
     Offset,
-    PlacementPolicy,
-    Priority,
     Resources,
     RunningTask,
-    TaskClass,
     TaskName,
     TaskRequest,
     WorkerId,
@@ -94,12 +88,8 @@
             self.settings_watch,
             self.pending_changes,
         )
-        self._next_advertisement_at = float("-inf")
-        self._last_advertisement: AdvertiseCapacity | None = None
-        self._advertised_at = float("-inf")
-        self._stop_began_at = float("-inf")
-        self._released_at = float("-inf")
-        self._stop_reported = False
+        self.peers = PeerKeeper(self.context)
+        self.planned_stop = PlannedStop(self.context, self.ownership, self.jobs)
 
     # Requests and jobs
 
@@ -362,19 +352,14 @@
             self.context.emit(AnswerCaller(request_id, answer))
         self.desk.expire(now)
         self.desk.pump(now)
-        self._advertise(now)
-        self._drop_lapsed_peers(now)
-        self._continue_stop(now)
+        self.peers.keep(now)
+        self.planned_stop.keep(now)
         return self._take_actions(now)
 
     def stimulus_stop(self, now: float) -> list[Action]:
         """Begin a planned stop: take no new work, finish what is in progress."""
-        if not self.context.stopping:
-            self.context.stopping = True
-            # The others must know at once, or they would still leave workers to this entry.
-            self.context.cell_appends.stopping = True
-            self._stop_began_at = now
-        self._next_advertisement_at = float("-inf")
+        self.planned_stop.begin(now)
+        self.peers.advertise_soon()
         return self.stimulus_tick(now)
 
     def flush_appends(self, now: float) -> list[Action]:
@@ -386,36 +371,6 @@
         moments = [appends.due_at() for appends in self.context.appends.values()]
         return min((moment for moment in moments if moment is not None), default=None)
 
-    # Settings in force
-
-    def resolve_task_class(self, task_class: TaskClass) -> TaskClass:
-        """Return a task class with the settings in force at this entry's place in the tree."""
-        settings = self.context.settings
-        if settings.revision == 0:
-            return task_class
-        identity = self.context.identity
-        path = f"{identity.region}/{identity.zone}/{task_class.service}/{task_class.name}"
-        policy = settings.resolve(path, "placement.policy")
-        patience = settings.resolve(path, "task.patience_seconds")
-        priority = settings.resolve(path, "task.priority")
-        if policy is not None:
-            value = PlacementPolicy(policy.value)
-            task_class = msgspec.structs.replace(task_class, policy=value)
-        if patience is not None:
-            seconds = float(patience.value)
-            task_class = msgspec.structs.replace(task_class, patience_seconds=seconds)
-        if priority is not None:
-            level = Priority(int(priority.value))
-            task_class = msgspec.structs.replace(task_class, priority=level)
-        return task_class
-
-    def admits(self, task_class: TaskClass) -> bool:
-        """Return whether the settings let new work of a service in."""
-        identity = self.context.identity
-        path = f"{identity.region}/{identity.zone}/{task_class.service}/{task_class.name}"
-        admitted = self.context.settings.resolve(path, "service.admitted")
-        return admitted is None or bool(admitted.value)
-
     # Internals
 
     def _make_request(
@@ -469,55 +424,6 @@
     def _release_capacity(self, worker_id: WorkerId, attempt_id: AttemptId) -> None:
         self.context.workers.release(worker_id, attempt_id)
 
-    def _drop_lapsed_peers(self, now: float) -> None:
-        lapse_seconds = self.context.options.lease.lapse_seconds
-        for peer_id, peer in list(self.context.peers.peers.items()):
-            member = self.context.cell.members.get(peer_id)
-            gone = member is None or now - member.seen_at > lapse_seconds
-            if gone and not peer.connected:
-                del self.context.peers.peers[peer_id]
-                self.context.emit(DisconnectPeer(peer_id))
-
-    def _advertise(self, now: float) -> None:
-        if now < self._next_advertisement_at:
-            return
-        self._next_advertisement_at = now + self.context.options.advertise_interval_seconds
-        free, largest = NO_RESOURCES, NO_RESOURCES
-        if self.context.holds_lease(now) and not self.context.stopping:
-            free = self.context.workers.free_total()
-            frees = [worker.free for worker in self.context.workers.usable()]
-            largest = max(frees, key=lambda amount: amount.processors, default=NO_RESOURCES)
-        advertisement = AdvertiseCapacity(free, largest, self.context.settings.revision)
-        silent_for = now - self._advertised_at
-        if (
-            advertisement == self._last_advertisement
-            and silent_for < self.context.options.advertise_silence_seconds
-        ):
-            return
-        self._last_advertisement = advertisement
-        self._advertised_at = now
-        self.context.emit(advertisement)
-
-    def _continue_stop(self, now: float) -> None:
-        if not self.context.stopping or self._stop_reported:
-            return
-        self.jobs.release_unsent()
-        busy = self.context.requests or self.jobs.running_count
-        # The balancer needs a moment to see the failed health check.
-        lingers = now < self._stop_began_at + self.context.options.stop_linger_seconds
-        if busy or lingers:
-            return
-        appends = self.context.cell_appends
-        if self.context.workers.workers:
-            self._released_at = now
-            self.ownership.release_all()
-            return
-        # The release only speeds up the takeover: without the log it is not waited for long.
-        waited = now - self._released_at >= self.context.options.lease.lease_seconds
-        if appends.is_idle or waited:
-            self._stop_reported = True
-            self.context.emit(StopCompleted())
-
     def _take_actions(self, now: float) -> list[Action]:
         for stream, appends in self.context.appends.items():
             batch = appends.next_batch(now)
--- a/src/onyxspoke/sim/cell.py
+++ b/src/onyxspoke/sim/cell.py
@@ -47,6 +47,7 @@
     service: EntryNode
     stopped: bool = False
     was_paused: bool = False
+    stop_ordered: bool = False
 
     @property
     def shell(self) -> EntryShell:
@@ -167,6 +168,7 @@
     def stop_entry(self, name: str) -> None:
         """Ask an entry for a planned stop."""
         entry = self.entries[name]
+        entry.stop_ordered = True
         entry.node.run(entry.shell.stop)
 
     def kill_worker(self, worker_id: str) -> None:
--- a/src/onyxspoke/sim/faults.py
+++ b/src/onyxspoke/sim/faults.py
@@ -150,7 +150,7 @@
 
     def _restart_entry(self, name: str) -> None:
         entry = self._cell.entries[name]
-        if entry.is_up and entry.shell.scheduler.context.stopping:
+        if entry.is_up and entry.stop_ordered:
             # A planned stop takes as long as it takes; look again later.
             self._cell.time.schedule(1.0, lambda: self._restart_entry(name))
         elif not entry.is_up:
