--- a/features/steps/promise_steps.py
+++ b/features/steps/promise_steps.py
@@ -42,7 +42,7 @@
 
     def __init__(self, identity, options):
         super().__init__(identity, options)
-        self.keys.admit = self.desk.place_or_queue
+        self.keys.admit = self.dispatcher.place_or_queue
 
 
 class WithoutLeaseMargin(EntryScheduler):
--- a/scripts/bench_requests.py
+++ b/scripts/bench_requests.py
@@ -36,11 +36,11 @@
     return subprocess.Popen([sys.executable, "-m", *command], cwd=ROOT, stdout=log, stderr=log)
 
 
-def hammer(address: tuple[str, int], rate: float | None = None) -> list[dict[str, float]]:
+def run_clients(address: tuple[str, int], rate: float | None = None) -> list[dict[str, float]]:
     """Measure a server with several client processes at once."""
     host, port = address
     command = [
-        sys.executable, "-m", "onyxspoke.cli.hammer",
+        sys.executable, "-m", "onyxspoke.cli.load_client",
         "--host", host, "--port", str(port), "--body", BODY, "--seconds", str(SECONDS),
     ]  # fmt: skip
     if rate is not None:
@@ -85,12 +85,12 @@
     """Measure rates in turn, then latencies at half the entry's rate."""
     pairs = []
     for _ in range(ROUNDS):
-        bare, entry = rate_of(hammer(BARE)), rate_of(hammer(ENTRY))
+        bare, entry = rate_of(run_clients(BARE)), rate_of(run_clients(ENTRY))
         pairs.append((bare, entry))
         print(f"bare {bare:.0f}/s, entry {entry:.0f}/s, ratio {entry / bare:.3f}")
     ratio = statistics.median(entry / bare for bare, entry in pairs)
     half = statistics.median(entry for _, entry in pairs) / 2
-    latencies = [(hammer(BARE, half), hammer(ENTRY, half)) for _ in range(ROUNDS)]
+    latencies = [(run_clients(BARE, half), run_clients(ENTRY, half)) for _ in range(ROUNDS)]
     figures = {
         "bare_per_second": statistics.median(bare for bare, _ in pairs),
         "entry_per_second": half * 2,
--- a/scripts/scale.py
+++ b/scripts/scale.py
@@ -258,7 +258,8 @@
 def start_client(rate: float, seconds: float) -> subprocess.Popen[bytes]:
     """Start a client that submits at a rate for a while."""
     command = [
-        sys.executable, "-m", "onyxspoke.cli.hammer", "--host", REAL[0], "--port", str(REAL[1]),
+        sys.executable, "-m", "onyxspoke.cli.load_client",
+        "--host", REAL[0], "--port", str(REAL[1]),
         "--body", BODY, "--rate", str(rate), "--seconds", str(seconds + 1),
     ]  # fmt: skip
     return subprocess.Popen(command, cwd=ROOT, stdout=subprocess.DEVNULL)
--- a/src/onyxspoke/cli/hammer.py
+++ b/src/onyxspoke/cli/load_client.py
@@ -9,14 +9,14 @@
 
 from onyxspoke.cli.common import make_parser
 from onyxspoke.core.codes import ExitCode
-from onyxspoke.load.request_hammer import HammerReport, RequestHammer
+from onyxspoke.load.load_client import LoadClient, LoadClientReport
 
 WARM_UP_SECONDS = 1.0
 
 
 def main() -> None:
     """Run the program."""
-    parser = make_parser("onyxspoke.cli.hammer", "Measure an HTTP server.")
+    parser = make_parser("onyxspoke.cli.load_client", "Measure an HTTP server.")
     parser.add_argument("--host", required=True)
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--path", default="/v1/requests")
@@ -31,7 +31,7 @@
         f"POST {arguments.path} HTTP/1.1\r\nHost: {arguments.host}\r\n"
         f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
     )
-    hammer = RequestHammer(
+    client = LoadClient(
         arguments.host,
         arguments.port,
         head.encode() + body,
@@ -40,12 +40,12 @@
         arguments.seed,
     )
 
-    def report(result: HammerReport) -> None:
+    def report(result: LoadClientReport) -> None:
         print(msgspec.json.encode(result).decode())
         reactor.stop()
 
     def begin() -> None:
-        hammer.run(WARM_UP_SECONDS, arguments.seconds).addCallback(report)
+        client.run(WARM_UP_SECONDS, arguments.seconds).addCallback(report)
 
     reactor.callWhenRunning(begin)
     reactor.run()
--- a/src/onyxspoke/core/job_runner.py
+++ b/src/onyxspoke/core/job_runner.py
@@ -18,7 +18,7 @@
     TaskStarting,
 )
 from onyxspoke.core.rendezvous import preferred
-from onyxspoke.core.request_desk import RequestDesk
+from onyxspoke.core.request_dispatcher import RequestDispatcher
 from onyxspoke.core.requests import ActiveRequest, JobOrigin, RequestState
 from onyxspoke.core.schema import (
     Answer,
@@ -42,9 +42,9 @@
 class JobRunner:
     """Runs the tasks of jobs and records the jobs' answers."""
 
-    def __init__(self, context: EntryContext, desk: RequestDesk) -> None:
+    def __init__(self, context: EntryContext, dispatcher: RequestDispatcher) -> None:
         self._context = context
-        self._desk = desk
+        self._dispatcher = dispatcher
         self._running: dict[JobId, JobProgress] = {}
         self._adoptions: set[JobId] = set()
         self.recovery = JobRecovery(context)
@@ -79,7 +79,7 @@
         if request is None or request.state is not RequestState.WAITING_FOR_LOG:
             return
         if self._runs(self._context.cell.jobs.get(record.job_id)):
-            self._desk.place_or_queue(request, now)
+            self._dispatcher.place_or_queue(request, now)
 
     def handle_adoption_read(self, job_id: JobId, now: float) -> None:
         """Recover a job, if the own adoption was accepted."""
@@ -100,7 +100,7 @@
             for index in progress.launched:
                 request = self._context.requests.get(make_task_name(job_id, index))
                 if request is not None:
-                    self._desk.abandon(request)
+                    self._dispatcher.abandon(request)
 
     def look_for_tasks_on(self, worker_id: WorkerId, now: float) -> None:
         """Recover the tasks on a worker that another entry owns and we no longer hear."""
@@ -108,7 +108,7 @@
             origin = request.origin
             if request.worker_id != worker_id or not isinstance(origin, JobOrigin):
                 continue
-            self._desk.abandon(request)
+            self._dispatcher.abandon(request)
             progress = self._running.get(origin.job_id)
             if progress is not None:
                 progress.launched.discard(origin.task_index)
@@ -153,7 +153,7 @@
             del self._running[job_id]
             for request in requests:
                 assert request is not None
-                self._desk.abandon(request)
+                self._dispatcher.abandon(request)
             self._context.cell_appends.add(JobReleased(job_id))
 
     def cancel(self, job_id: JobId, now: float) -> bool:
@@ -164,7 +164,7 @@
         for index in sorted(progress.launched):
             request = self._context.requests.get(make_task_name(job_id, index))
             if request is not None:
-                self._desk.cancel(request, now)
+                self._dispatcher.cancel(request, now)
         return True
 
     def _runs(self, entry: JobEntry | None) -> bool:
@@ -221,9 +221,9 @@
             deadline=now + job.request.task_class.patience_seconds,
             received_at=now,
         )
-        self._desk.register(request)
+        self._dispatcher.register(request)
         if job.request.task_class.repeatable:
-            self._desk.place_or_queue(request, now)
+            self._dispatcher.place_or_queue(request, now)
         else:
             request.transition(RequestState.WAITING_FOR_LOG)
             self._context.cell_appends.add(TaskStarting(job.job_id, index))
--- a/src/onyxspoke/core/key_guard.py
+++ b/src/onyxspoke/core/key_guard.py
@@ -13,7 +13,7 @@
 from onyxspoke.core.context import EntryContext
 from onyxspoke.core.key_ledger import KeyRun, KeyWaiter
 from onyxspoke.core.log_records import KeyIntent, KeyRelease
-from onyxspoke.core.request_desk import RequestDesk
+from onyxspoke.core.request_dispatcher import RequestDispatcher
 from onyxspoke.core.requests import ActiveRequest, PeerOrigin, RequestState
 from onyxspoke.core.schema import Answer, EntryId, TaskRequest
 
@@ -36,9 +36,9 @@
 class KeyGuard:
     """Admits each key once and answers its repetitions."""
 
-    def __init__(self, context: EntryContext, desk: RequestDesk) -> None:
+    def __init__(self, context: EntryContext, dispatcher: RequestDispatcher) -> None:
         self._context = context
-        self._desk = desk
+        self._dispatcher = dispatcher
         self._intents: dict[str, KeyIntent] = {}
 
     def admit(self, request: ActiveRequest, now: float) -> None:
@@ -69,7 +69,7 @@
         if request is None:
             self._clean_up_unused_intent(intent.key, run, is_holder=is_holder)
         elif is_holder:
-            self._desk.place_or_queue(request, now)
+            self._dispatcher.place_or_queue(request, now)
         elif entry is not None:
             self._yield_to_holder(request, intent, entry.holder, now)
 
@@ -114,7 +114,7 @@
         if run.fingerprint != fingerprint:
             self._refuse(request, ResultCode.KEY_REUSED, now)
         elif run.answer is not None:
-            self._desk.answer(request, run.answer, now)
+            self._dispatcher.answer(request, run.answer, now)
         else:
             request.transition(RequestState.WAITING_FOR_HOLDER)
             run.waiters.append(KeyWaiter(request.request_id, request.origin))
@@ -123,7 +123,7 @@
         peer = self._context.peers.peers.get(holder)
         request.transition(RequestState.WAITING_FOR_HOLDER)
         if peer is None or not peer.connected:
-            self._desk.answer(request, Answer(code=ResultCode.KEY_HOLDER_UNREACHABLE), now)
+            self._dispatcher.answer(request, Answer(code=ResultCode.KEY_HOLDER_UNREACHABLE), now)
             return
         request.peer_id = holder
         self._context.emit(QueryKeyHolder(holder, request.request_id, key))
@@ -156,7 +156,7 @@
             self._context.cell_appends.add(KeyRelease(key))
 
     def _refuse(self, request: ActiveRequest, code: ResultCode, now: float) -> None:
-        self._desk.answer(request, self._context.refusal(code), now)
+        self._dispatcher.answer(request, self._context.refusal(code), now)
 
 
 def _did_not_run(answer: Answer) -> bool:
--- a/src/onyxspoke/core/request_desk.py
+++ b/src/onyxspoke/core/request_dispatcher.py
@@ -23,7 +23,7 @@
 _MINIMUM_COMPACTED_DEADLINES = 1_024
 
 
-class RequestDesk:
+class RequestDispatcher:
     """Moves requests through their states.
 
     Parameters
--- a/src/onyxspoke/core/scheduler.py
+++ b/src/onyxspoke/core/scheduler.py
@@ -28,7 +28,7 @@
 from onyxspoke.core.ownership_keeper import OwnershipKeeper
 from onyxspoke.core.peer_keeper import PeerKeeper
 from onyxspoke.core.planned_stop import PlannedStop
-from onyxspoke.core.request_desk import RequestDesk
+from onyxspoke.core.request_dispatcher import RequestDispatcher
 from onyxspoke.core.requests import (
     ActiveRequest,
     CallerOrigin,
@@ -71,10 +71,10 @@
 
     def __init__(self, identity: EntryIdentity, options: CoreOptions) -> None:
         self.context = make_context(identity, options)
-        self.desk = RequestDesk(self.context, self._deliver)
-        self.keys = KeyGuard(self.context, self.desk)
+        self.dispatcher = RequestDispatcher(self.context, self._deliver)
+        self.keys = KeyGuard(self.context, self.dispatcher)
         self.acceptance = JobAcceptance(self.context)
-        self.jobs = JobRunner(self.context, self.desk)
+        self.jobs = JobRunner(self.context, self.dispatcher)
         self.ownership = OwnershipKeeper(self.context)
         self.holdover = HoldoverKeeper(self.context)
         self.settings_watch = SettingsWatch(self.context)
@@ -105,14 +105,14 @@
         elif self.context.stopping:
             return self._refuse(active, ResultCode.ENTRY_STOPPING, now)
         else:
-            self.desk.place_or_queue(active, now)
+            self.dispatcher.place_or_queue(active, now)
         return self._take_actions(now)
 
     def stimulus_hang_up(self, request_id: str, now: float) -> list[Action]:
         """A caller went away without its answer."""
         request = self.context.requests.get(request_id)
         if request is not None:
-            self.desk.hang_up(request, now)
+            self.dispatcher.hang_up(request, now)
         return self._take_actions(now)
 
     def stimulus_job(
@@ -139,7 +139,7 @@
         """The platform sent its machine list."""
         for worker_id in self.ownership.handle_machine_list(machines):
             self.context.workers.remove(worker_id)
-            self.desk.give_up_attempts(worker_id, now)
+            self.dispatcher.give_up_attempts(worker_id, now)
         self.ownership.sync_with_log(now)
         return self._take_actions(now)
 
@@ -154,15 +154,15 @@
         """A worker accepted the token and says what it runs."""
         if self.ownership.handle_inventory(worker_id, token, capacity, running):
             still_running = {task.attempt_id for task in running}
-            self.desk.handle_missing_attempts(worker_id, still_running, now)
-            self.desk.pump(now)
+            self.dispatcher.handle_missing_attempts(worker_id, still_running, now)
+            self.dispatcher.pump(now)
         return self._take_actions(now)
 
     def stimulus_worker_disconnected(self, worker_id: WorkerId, now: float) -> list[Action]:
         """The connection to a worker was lost."""
         if not self.ownership.handle_disconnect(worker_id):
             self.jobs.look_for_tasks_on(worker_id, now)
-            self.desk.give_up_attempts(worker_id, now)
+            self.dispatcher.give_up_attempts(worker_id, now)
         return self._take_actions(now)
 
     def stimulus_task_ended(
@@ -176,10 +176,10 @@
         """A worker says that an attempt ended."""
         self._release_capacity(worker_id, attempt_id)
         if attempt_id in self.context.attempts:
-            self.desk.handle_task_ended(attempt_id, answer, now)
+            self.dispatcher.handle_task_ended(attempt_id, answer, now)
         elif task_name:
             self.jobs.handle_task_answer(JobOrigin(*split_task_name(task_name)), answer)
-        self.desk.pump(now)
+        self.dispatcher.pump(now)
         return self._take_actions(now)
 
     def stimulus_task_refused(
@@ -187,7 +187,7 @@
     ) -> list[Action]:
         """A worker, or the shell before sending, says that an attempt did not start."""
         self._release_capacity(worker_id, attempt_id)
-        self.desk.handle_task_refused(attempt_id, code, now)
+        self.dispatcher.handle_task_refused(attempt_id, code, now)
         return self._take_actions(now)
 
     # Log
@@ -239,7 +239,7 @@
         if peer is not None:
             peer.connected = False
             peer.free = NO_RESOURCES
-        self.desk.handle_peer_lost(peer_id, now)
+        self.dispatcher.handle_peer_lost(peer_id, now)
         return self._take_actions(now)
 
     def stimulus_peer_capacity(
@@ -254,7 +254,7 @@
         self.settings_watch.handle_peer_revision(peer_id, settings_revision, now)
         lifetime = self.context.options.advertisement_lifetime_seconds
         self.context.peers.handle_advertisement(peer_id, free, largest_free, now + lifetime)
-        self.desk.pump(now)
+        self.dispatcher.pump(now)
         return self._take_actions(now)
 
     def stimulus_peer_request(
@@ -274,7 +274,7 @@
         if request.task_name and not self._is_runner(peer_id, request.task_name):
             # The job was adopted by another entry since the peer sent this.
             return self._refuse(active, ResultCode.STALE_EPOCH, now)
-        self.desk.place_or_queue(active, now)
+        self.dispatcher.place_or_queue(active, now)
         return self._take_actions(now)
 
     def stimulus_peer_answer(
@@ -282,8 +282,8 @@
     ) -> list[Action]:
         """A peer answered a forwarded request or a key query."""
         if request_id in self.context.requests:
-            self.desk.handle_peer_answer(peer_id, request_id, answer, now)
-            self.desk.pump(now)
+            self.dispatcher.handle_peer_answer(peer_id, request_id, answer, now)
+            self.dispatcher.pump(now)
         elif is_task_name(request_id) and answer.outcome is not OutcomeKind.NOT_RUN:
             self.jobs.handle_task_answer(JobOrigin(*split_task_name(request_id)), answer)
         return self._take_actions(now)
@@ -350,8 +350,8 @@
         self.keys.refuse_while_log_is_down(now)
         for request_id, answer in self.acceptance.give_up(now):
             self.context.emit(AnswerCaller(request_id, answer))
-        self.desk.expire(now)
-        self.desk.pump(now)
+        self.dispatcher.expire(now)
+        self.dispatcher.pump(now)
         self.peers.keep(now)
         self.planned_stop.keep(now)
         return self._take_actions(now)
@@ -388,11 +388,11 @@
             deadline=now + patience_seconds,
             received_at=now,
         )
-        self.desk.register(active)
+        self.dispatcher.register(active)
         return active
 
     def _refuse(self, request: ActiveRequest, code: ResultCode, now: float) -> list[Action]:
-        self.desk.answer(request, self.context.refusal(code), now)
+        self.dispatcher.answer(request, self.context.refusal(code), now)
         return self._take_actions(now)
 
     def _deliver(self, request: ActiveRequest, answer: Answer, now: float) -> None:
@@ -415,7 +415,7 @@
                 continue
             waiting = self.context.requests.get(waiter.request_id)
             if waiting is not None:
-                self.desk.answer(waiting, answer, now)
+                self.dispatcher.answer(waiting, answer, now)
 
     def _is_runner(self, peer_id: EntryId, task_name: TaskName) -> bool:
         entry = self.context.cell.jobs.get(split_task_name(task_name)[0])
--- a/src/onyxspoke/entry/api.py
+++ b/src/onyxspoke/entry/api.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-from onyxspoke.entry.caller_api import CallerDesk, JobsResource, RequestsResource
+from onyxspoke.entry.caller_api import CallerApi, JobsResource, RequestsResource
 from onyxspoke.entry.catalog import Catalog
 from onyxspoke.entry.operator_api import (
     HealthResource,
@@ -28,10 +28,10 @@
     reactor: IReactorTime,
 ) -> BoundedSite:
     """Return the HTTP site of an entry."""
-    desk = CallerDesk(shell, Catalog(settings), settings.limits, telemetry, clock, reactor)
+    api = CallerApi(shell, Catalog(settings), settings.limits, telemetry, clock, reactor)
     limits = settings.limits
     return make_site(
-        _make_root(desk, settings),
+        _make_root(api, settings),
         reactor,
         maximum_body_bytes=limits.body_bytes,
         maximum_connections=limits.http_connections,
@@ -39,16 +39,16 @@
     )
 
 
-def _make_root(desk: CallerDesk, settings: CellSettings) -> CodedResource:
-    shell = desk.shell
+def _make_root(api: CallerApi, settings: CellSettings) -> CodedResource:
+    shell = api.shell
     version = CodedResource()
-    version.putChild(b"requests", RequestsResource(desk))
-    version.putChild(b"jobs", JobsResource(desk))
+    version.putChild(b"requests", RequestsResource(api))
+    version.putChild(b"jobs", JobsResource(api))
     version.putChild(b"health", HealthResource(shell))
-    version.putChild(b"status", StatusResource(shell, desk.clock))
+    version.putChild(b"status", StatusResource(shell, api.clock))
     version.putChild(b"workers", WorkersResource(shell))
-    version.putChild(b"settings", SettingsResource(shell, settings, desk.clock))
-    version.putChild(b"histograms", HistogramsResource(desk.telemetry))
+    version.putChild(b"settings", SettingsResource(shell, settings, api.clock))
+    version.putChild(b"histograms", HistogramsResource(api.telemetry))
     root = CodedResource()
     root.putChild(b"v1", version)
     return root
--- a/src/onyxspoke/entry/caller_api.py
+++ b/src/onyxspoke/entry/caller_api.py
@@ -60,7 +60,7 @@
 _submit_decoder = msgspec.json.Decoder(SubmitBody)
 
 
-class CallerDesk:
+class CallerApi:
     """What the caller resources share.
 
     Parameters
@@ -136,55 +136,55 @@
 
     isLeaf = True
 
-    def __init__(self, desk: CallerDesk) -> None:
+    def __init__(self, api: CallerApi) -> None:
         super().__init__()
-        self._desk = desk
+        self._api = api
 
     def handle_post(self, request: Request) -> None:
         """Submit; the HTTP answer is written when the outcome is known."""
-        desk = self._desk
-        body, task = desk.read_submission(request)
+        api = self._api
+        body, task = api.read_submission(request)
         if task.task_class.batch:
             raise RequestRefusedError(
                 ResultCode.MALFORMED_REQUEST, "a batch class is submitted to /v1/jobs"
             )
-        patience = desk.patience(body, task.task_class)
-        exchange = _Exchange(desk, request, task)
-        request_id = desk.shell.submit_request(task, patience, exchange.finish)
+        patience = api.patience(body, task.task_class)
+        exchange = _Exchange(api, request, task)
+        request_id = api.shell.submit_request(task, patience, exchange.finish)
         exchange.watch(request_id)
 
 
 class JobsResource(CodedResource):
     """``/v1/jobs``: submit durable jobs, ask for them and cancel them."""
 
-    def __init__(self, desk: CallerDesk) -> None:
+    def __init__(self, api: CallerApi) -> None:
         super().__init__()
-        self._desk = desk
+        self._api = api
         self._job_counter = 0
 
     def getChild(self, path: bytes, request: Request) -> CodedResource:
         """Return the resource of one job; called by Twisted."""
         if not path:
             return self
-        return JobResource(self._desk, path.decode("utf-8", "replace"))
+        return JobResource(self._api, path.decode("utf-8", "replace"))
 
     def handle_post(self, request: Request) -> None:
         """Submit a job; answered once the job is in the log."""
-        desk = self._desk
-        body, task = desk.read_submission(request)
+        api = self._api
+        body, task = api.read_submission(request)
         if not task.task_class.batch:
             raise RequestRefusedError(
                 ResultCode.MALFORMED_REQUEST, "a request class is submitted to /v1/requests"
             )
-        if not 1 <= body.tasks <= desk.limits.job_tasks:
+        if not 1 <= body.tasks <= api.limits.job_tasks:
             raise RequestRefusedError(
-                ResultCode.MALFORMED_REQUEST, f"tasks must be 1 to {desk.limits.job_tasks}"
+                ResultCode.MALFORMED_REQUEST, f"tasks must be 1 to {api.limits.job_tasks}"
             )
-        patience = desk.patience(body, task.task_class)
+        patience = api.patience(body, task.task_class)
         job_id = self._job_id(task)
         job = JobSubmission(job_id=job_id, request=task, task_count=body.tasks)
-        exchange = _Exchange(desk, request, task, job_id)
-        desk.shell.submit_job(job, min(patience, MAXIMUM_WAIT_SECONDS), exchange.finish)
+        exchange = _Exchange(api, request, task, job_id)
+        api.shell.submit_job(job, min(patience, MAXIMUM_WAIT_SECONDS), exchange.finish)
 
     def _job_id(self, task: TaskRequest) -> JobId:
         """Return the job's identifier; the same key gives the same job."""
@@ -192,7 +192,7 @@
             digest = xxhash.xxh3_128_hexdigest(f"{task.tenant}/{task.idempotency_key}".encode())
             return f"job-{digest}"
         self._job_counter += 1
-        return f"job-{self._desk.shell.entry_id}-{self._job_counter}"
+        return f"job-{self._api.shell.entry_id}-{self._job_counter}"
 
 
 class JobResource(CodedResource):
@@ -200,9 +200,9 @@
 
     isLeaf = True
 
-    def __init__(self, desk: CallerDesk, job_id: JobId) -> None:
+    def __init__(self, api: CallerApi, job_id: JobId) -> None:
         super().__init__()
-        self._desk = desk
+        self._api = api
         self._job_id = job_id
 
     def handle_get(self, request: Request) -> None:
@@ -212,12 +212,12 @@
         if body.answer is not None or wait <= 0:
             write_json(request, body)
             return
-        _JobWait(self, self._desk, request, self._job_id).begin(wait)
+        _JobWait(self, self._api, request, self._job_id).begin(wait)
 
     def handle_delete(self, request: Request) -> None:
         """Cancel the job."""
         self._describe()
-        self._desk.shell.cancel_job(self._job_id)
+        self._api.shell.cancel_job(self._job_id)
         write_json(request, self._describe(), http_status(ResultCode.ACCEPTED))
 
     def write_description(self, request: Request) -> None:
@@ -225,7 +225,7 @@
         write_json(request, self._describe())
 
     def _describe(self) -> JobBody:
-        entry = self._desk.shell.scheduler.context.cell.jobs.get(self._job_id)
+        entry = self._api.shell.scheduler.context.cell.jobs.get(self._job_id)
         if entry is None:
             raise OnyxspokeError(ResultCode.NO_SUCH_JOB, f"no job {self._job_id}")
         if entry.answer is None:
@@ -238,11 +238,11 @@
     """One HTTP request that waits for the end of a job."""
 
     def __init__(
-        self, resource: JobResource, desk: CallerDesk, request: Request, job_id: JobId
+        self, resource: JobResource, api: CallerApi, request: Request, job_id: JobId
     ) -> None:
         self._resource = resource
-        self._shell = desk.shell
-        self._reactor = desk.reactor
+        self._shell = api.shell
+        self._reactor = api.reactor
         self._request = request
         self._job_id = job_id
         self._done = False
@@ -274,13 +274,13 @@
     """One HTTP request that waits for the answer to a submission."""
 
     def __init__(
-        self, desk: CallerDesk, request: Request, task: TaskRequest, job_id: JobId = ""
+        self, api: CallerApi, request: Request, task: TaskRequest, job_id: JobId = ""
     ) -> None:
-        self._desk = desk
+        self._api = api
         self._request = request
         self._task = task
         self._job_id = job_id
-        self._started_at = desk.clock.now()
+        self._started_at = api.clock.now()
         self._request_id = ""
         self._finished = False
         self._gone = False
@@ -294,9 +294,9 @@
         """Write the final answer."""
         self._finished = True
         task_class = self._task.task_class
-        elapsed = self._desk.clock.now() - self._started_at
+        elapsed = self._api.clock.now() - self._started_at
         name = f"{task_class.service}/{task_class.name}"
-        self._desk.telemetry.record_answer(self._task.tenant, name, answer.code, elapsed)
+        self._api.telemetry.record_answer(self._task.tenant, name, answer.code, elapsed)
         if self._gone:
             return
         if answer.retry_after_seconds:
@@ -308,7 +308,7 @@
     def _handle_gone(self) -> None:
         self._gone = True
         if not self._finished and self._request_id:
-            self._desk.shell.hang_up(self._request_id)
+            self._api.shell.hang_up(self._request_id)
 
 
 def _to_body(answer: Answer, *, request_id: str = "", job_id: JobId = "") -> AnswerBody:
--- a/src/onyxspoke/load/request_hammer.py
+++ b/src/onyxspoke/load/load_client.py
@@ -19,7 +19,7 @@
 SUCCESS_STATUS = b"200"
 
 
-class HammerReport(msgspec.Struct, frozen=True):
+class LoadClientReport(msgspec.Struct, frozen=True):
     """What a measurement saw."""
 
     completed: int
@@ -33,15 +33,15 @@
 class _Connection(HTTPClient):
     """One kept-alive connection that carries one request at a time."""
 
-    def __init__(self, hammer: RequestHammer) -> None:
-        self._hammer = hammer
+    def __init__(self, client: LoadClient) -> None:
+        self._client = client
         self._began_at = 0.0
         self._succeeded = False
 
     def connectionMade(self) -> None:
         """Report for work; called by Twisted."""
         super().connectionMade()
-        self._hammer.handle_idle(self)
+        self._client.handle_idle(self)
 
     def send(self, request: bytes, began_at: float) -> None:
         """Send one request whose latency counts from ``began_at``."""
@@ -56,10 +56,10 @@
 
     def handleResponse(self, data: bytes) -> None:
         """Finish the exchange; called by Twisted."""
-        self._hammer.handle_response(self, self._began_at, succeeded=self._succeeded)
+        self._client.handle_response(self, self._began_at, succeeded=self._succeeded)
 
 
-class RequestHammer:
+class LoadClient:
     """Sends one request over and over.
 
     Parameters
@@ -100,9 +100,9 @@
         self._stopped = False
         self._counting = False
 
-    def run(self, warm_up_seconds: float, seconds: float) -> Deferred[HammerReport]:
+    def run(self, warm_up_seconds: float, seconds: float) -> Deferred[LoadClientReport]:
         """Run and return the report of the time after the warm-up."""
-        done: Deferred[HammerReport] = Deferred()
+        done: Deferred[LoadClientReport] = Deferred()
         endpoint = TCP4ClientEndpoint(reactor, self._host, self._port)
         factory = Factory.forProtocol(lambda: _Connection(self))
         for _ in range(self._connections):
@@ -148,11 +148,11 @@
     def _begin_counting(self) -> None:
         self._counting = True
 
-    def _finish(self, done: Deferred[HammerReport], seconds: float) -> None:
+    def _finish(self, done: Deferred[LoadClientReport], seconds: float) -> None:
         self._stopped = True
         self._counting = False
         done.callback(
-            HammerReport(
+            LoadClientReport(
                 completed=self._completed,
                 failed=self._failed,
                 seconds=seconds,
