--- a/src/onyxspoke/cli/control.py
+++ b/src/onyxspoke/cli/control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import os
 import sys
 import urllib.parse
 from pathlib import Path
@@ -33,6 +34,10 @@
         parser.error("a command is required")
     try:
         sys.exit(arguments.run(ApiClient(arguments.entry), arguments))
+    except BrokenPipeError:
+        # The reader, such as head, has seen enough; leave without a word.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        sys.exit(ExitCode.OK)
     except ApiError as error:
         print(error, file=sys.stderr)
         sys.exit(error.exit_code)
