Actions through ports stand apart from the shell

Change: entry/port_actions.py carries out what goes through a port; the shell keeps callers, operators and listeners.

--- a/src/onyxspoke/entry/shell.py
+++ b/src/onyxspoke/entry/shell.py
@@ -28,6 +28,7 @@
     WorkerId,
 )
 from onyxspoke.core.settings_tree import SettingsVerdict
+from onyxspoke.entry.port_actions import PortActions
 from onyxspoke.ports.clock import Clock
 from onyxspoke.ports.log import LogPort
 from onyxspoke.ports.peer import PeerPort
@@ -56,9 +57,6 @@
         self._clock = clock
         self._reactor = reactor
         self._append_timer_set = False
-        self._log: LogPort | None = None
-        self._workers: WorkerPort | None = None
-        self._peers: PeerPort | None = None
         self._request_counter = 0
         self._callers: dict[str, AnswerCallback] = {}
         self._job_waiters: dict[JobId, list[Callable[[], None]]] = {}
@@ -66,24 +64,10 @@
         self.on_state_lost: Callable[[], None] = lambda: None
         self.on_settings_in_force: Callable[[float], None] = lambda _seconds: None
         self.on_stopped: Callable[[], None] = lambda: None
+        self._port_actions = PortActions(clock, self)
         self._handlers: dict[type, Callable[[Any], None]] = {
-            act.StartTask: self._start_task,
+            **self._port_actions.handlers,
             act.AnswerCaller: self._answer_caller,
-            act.AnswerPeer: self._answer_peer,
-            act.ForwardTask: self._forward_task,
-            act.QueryKeyHolder: self._query_key_holder,
-            act.AppendBatch: self._append_batch,
-            act.AttachWorker: self._attach_worker,
-            act.DetachWorker: self._detach_worker,
-            act.StopTask: self._stop_task,
-            act.ConnectPeer: self._connect_peer,
-            act.DisconnectPeer: self._disconnect_peer,
-            act.AdvertiseCapacity: self._advertise,
-            act.ProbeJobs: self._probe_jobs,
-            act.AnswerProbe: self._answer_probe,
-            act.PassTaskAnswer: self._pass_task_answer,
-            act.RequestHoldover: self._request_holdover,
-            act.GrantHoldover: self._grant_holdover,
             act.JobFinished: self._job_finished,
             act.SettingsDecided: self._settings_decided,
             act.SettingsInForce: self._settings_in_force,
@@ -99,9 +83,7 @@
 
     def connect_ports(self, log: LogPort, workers: WorkerPort, peers: PeerPort) -> None:
         """Give the shell its adapters."""
-        self._log = log
-        self._workers = workers
-        self._peers = peers
+        self._port_actions.connect_ports(log, workers, peers)
 
     # What callers and operators do
 
@@ -345,96 +327,11 @@
         self._callers[request_id] = on_answer
         return request_id
 
-    def _start_task(self, action: act.StartTask) -> None:
-        assert self._workers is not None
-        # The last moment at which a lease that lapsed in a pause can be noticed.
-        if self._clock.now() >= action.not_after:
-            self._refuse_start(action, ResultCode.STALE_EPOCH)
-            return
-        sent = self._workers.start_task(
-            action.worker_id, action.token, action.attempt_id, action.request
-        )
-        if not sent:
-            self._refuse_start(action, ResultCode.NO_CAPACITY)
-
-    def _refuse_start(self, action: act.StartTask, code: ResultCode) -> None:
-        now = self._clock.now()
-        self.carry_out(
-            self.scheduler.stimulus_task_refused(action.worker_id, action.attempt_id, code, now)
-        )
-
     def _answer_caller(self, action: act.AnswerCaller) -> None:
         on_answer = self._callers.pop(action.request_id, None)
         if on_answer is not None:
             on_answer(action.answer)
 
-    def _answer_peer(self, action: act.AnswerPeer) -> None:
-        assert self._peers is not None
-        self._peers.answer_peer(action.peer_id, action.request_id, action.answer)
-
-    def _forward_task(self, action: act.ForwardTask) -> None:
-        assert self._peers is not None
-        sent = self._peers.forward_task(
-            action.peer_id, action.request_id, action.request, action.remaining_seconds
-        )
-        if not sent:
-            answer = Answer(code=ResultCode.PEER_UNREACHABLE)
-            self.handle_peer_answer(action.peer_id, action.request_id, answer)
-
-    def _query_key_holder(self, action: act.QueryKeyHolder) -> None:
-        assert self._peers is not None
-        if not self._peers.query_key(action.peer_id, action.request_id, action.key):
-            answer = Answer(code=ResultCode.KEY_HOLDER_UNREACHABLE)
-            self.handle_peer_answer(action.peer_id, action.request_id, answer)
-
-    def _append_batch(self, action: act.AppendBatch) -> None:
-        assert self._log is not None
-        self._log.append(action.stream, action.batch)
-
-    def _attach_worker(self, action: act.AttachWorker) -> None:
-        assert self._workers is not None
-        self._workers.attach(action.machine, action.token)
-
-    def _detach_worker(self, action: act.DetachWorker) -> None:
-        assert self._workers is not None
-        self._workers.detach(action.worker_id)
-
-    def _stop_task(self, action: act.StopTask) -> None:
-        assert self._workers is not None
-        self._workers.stop_task(action.worker_id, action.attempt_id)
-
-    def _connect_peer(self, action: act.ConnectPeer) -> None:
-        assert self._peers is not None
-        self._peers.connect_peer(action.peer_id, action.host, action.port)
-
-    def _disconnect_peer(self, action: act.DisconnectPeer) -> None:
-        assert self._peers is not None
-        self._peers.disconnect_peer(action.peer_id)
-
-    def _advertise(self, action: act.AdvertiseCapacity) -> None:
-        assert self._peers is not None
-        self._peers.advertise(action.free, action.largest_free, action.settings_revision)
-
-    def _probe_jobs(self, action: act.ProbeJobs) -> None:
-        assert self._peers is not None
-        self._peers.probe_jobs(action.peer_id, action.probe_id, action.job_ids)
-
-    def _answer_probe(self, action: act.AnswerProbe) -> None:
-        assert self._peers is not None
-        self._peers.answer_probe(action.peer_id, action.probe_id, action.worker_ids, action.running)
-
-    def _pass_task_answer(self, action: act.PassTaskAnswer) -> None:
-        assert self._peers is not None
-        self._peers.pass_task_answer(action.peer_id, action.task_name, action.answer)
-
-    def _request_holdover(self, action: act.RequestHoldover) -> None:
-        assert self._peers is not None
-        self._peers.request_holdover(action.peer_id, action.round_number)
-
-    def _grant_holdover(self, action: act.GrantHoldover) -> None:
-        assert self._peers is not None
-        self._peers.grant_holdover(action.peer_id, action.round_number)
-
     def _job_finished(self, action: act.JobFinished) -> None:
         for on_finished in self._job_waiters.pop(action.job_id, []):
             on_finished()
