--- a/src/onyxspoke/core/log_follower.py
+++ b/src/onyxspoke/core/log_follower.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 
 from onyxspoke.core.actions import (
@@ -34,7 +36,12 @@
 from onyxspoke.core.peer_table import PeerState
 from onyxspoke.core.schema import Offset
 from onyxspoke.core.settings_watch import PendingChanges, SettingsWatch
-from onyxspoke.core.snapshot import CellSnapshot, SettingsSnapshot, StreamBootstrap
+from onyxspoke.core.snapshot import (
+    CellSnapshot,
+    LoadedSnapshot,
+    SettingsSnapshot,
+    StreamBootstrap,
+)
 from onyxspoke.core.snapshot_writer import SnapshotWriter
 
 
@@ -75,36 +82,44 @@
 
     def read_cell(self, offset: Offset, batch: LogBatch, now: float) -> None:
         """Take one batch of the cell stream."""
-        bootstrap = self._bootstraps[LogStream.CELL]
+        self._read(LogStream.CELL, self._load_cell, self._fold_cell, offset, batch, now)
+
+    def read_settings(self, offset: Offset, batch: LogBatch, now: float) -> None:
+        """Take one batch of the settings stream."""
+        self._read(LogStream.SETTINGS, self._load_settings, self._fold_settings, offset, batch, now)
+
+    def _read(
+        self,
+        stream: LogStream,
+        load: Callable[[LoadedSnapshot, float], None],
+        fold: Callable[[Offset, LogBatch, float], None],
+        offset: Offset,
+        batch: LogBatch,
+        now: float,
+    ) -> None:
+        """Fold a batch, or keep it until a snapshot makes sense of the stream."""
+        bootstrap = self._bootstraps[stream]
         if bootstrap.is_complete:
-            self._fold_cell(offset, batch, now)
+            fold(offset, batch, now)
             return
         loaded = bootstrap.read(offset, batch)
         if loaded is None:
             return
+        load(loaded, now)
+        for kept_offset, kept in bootstrap.take_kept(loaded.covers):
+            fold(kept_offset, kept, now)
+        self._context.appends[stream].enabled = True
+
+    def _load_cell(self, loaded: LoadedSnapshot, now: float) -> None:
         snapshot = msgspec.msgpack.decode(loaded.data, type=CellSnapshot)
         self._context.cell.load_snapshot(snapshot, loaded.covers, now)
         for member in snapshot.members:
             self._know_peer(member.entry_id, member.zone, member.peer_host, member.peer_port)
-        for kept_offset, kept in bootstrap.take_kept(loaded.covers):
-            self._fold_cell(kept_offset, kept, now)
-        self._context.appends[LogStream.CELL].enabled = True
 
-    def read_settings(self, offset: Offset, batch: LogBatch, now: float) -> None:
-        """Take one batch of the settings stream."""
-        bootstrap = self._bootstraps[LogStream.SETTINGS]
-        if bootstrap.is_complete:
-            self._fold_settings(offset, batch, now)
-            return
-        loaded = bootstrap.read(offset, batch)
-        if loaded is None:
-            return
+    def _load_settings(self, loaded: LoadedSnapshot, _now: float) -> None:
         snapshot = msgspec.msgpack.decode(loaded.data, type=SettingsSnapshot)
         self._context.settings.load_snapshot(snapshot)
         self._settings_offset = loaded.covers
-        for kept_offset, kept in bootstrap.take_kept(loaded.covers):
-            self._fold_settings(kept_offset, kept, now)
-        self._context.appends[LogStream.SETTINGS].enabled = True
 
     def keep_snapshots(self, now: float) -> None:
         """Write snapshots when the last ones have grown old."""
--- a/src/onyxspoke/sim/virtual_network.py
+++ b/src/onyxspoke/sim/virtual_network.py
@@ -385,8 +385,9 @@
         return _ServerEndpoint(self._network, self._node, (host, port))
 
 
-@implementer(IStreamClientEndpoint)
-class _ClientEndpoint:
+class _Endpoint:
+    """An address, as one process sees it."""
+
     def __init__(
         self, network: VirtualNetwork, node: VirtualNode, address: tuple[str, int]
     ) -> None:
@@ -394,19 +395,15 @@
         self._node = node
         self._address = address
 
+
+@implementer(IStreamClientEndpoint)
+class _ClientEndpoint(_Endpoint):
     def connect(self, protocolFactory: IProtocolFactory) -> Deferred[IProtocol]:
         return self._network.connect(self._node, self._address, protocolFactory)
 
 
 @implementer(IStreamServerEndpoint)
-class _ServerEndpoint:
-    def __init__(
-        self, network: VirtualNetwork, node: VirtualNode, address: tuple[str, int]
-    ) -> None:
-        self._network = network
-        self._node = node
-        self._address = address
-
+class _ServerEndpoint(_Endpoint):
     def listen(self, protocolFactory: IProtocolFactory) -> Deferred[IListeningPort]:
         self._network.listen(self._node, self._address, protocolFactory)
         return succeed(_VirtualPort(self._network, self._address))
