--- a/src/onyxspoke/cli/common.py
+++ b/src/onyxspoke/cli/common.py
@@ -1,65 +1,23 @@
-"""What all binaries share: arguments, checked settings, logging and exit codes."""
+"""What the binaries of a cell share: its checked settings file."""
 
 from __future__ import annotations
 
 import argparse
-import gc
-import logging as standard_logging
 import sys
-import time
 from pathlib import Path
-from typing import Any
 
-from absl import logging
-from twisted.application.service import Service
-from twisted.internet import reactor
-from twisted.internet.defer import Deferred
-from twisted.internet.error import CannotListenError
-from twisted.python.failure import Failure
-
-from onyxspoke import __version__
+from onyxspoke.cli.process import ProcessRunner, configure_logging, make_parser
 from onyxspoke.core.codes import ExitCode
 from onyxspoke.settings_file import CellSettings, SettingsFileError, load_settings
 
-#: Young objects before a collection, and collections before one of the next generation.
-GARBAGE_COLLECTION_THRESHOLDS = (2_000, 10, 100)
-
-
-class KeyValueFormatter(standard_logging.Formatter):
-    """One line of key=value pairs for each event."""
-
-    def __init__(self, process_name: str) -> None:
-        super().__init__()
-        self._process_name = process_name
-
-    def format(self, record: standard_logging.LogRecord) -> str:
-        """Return the line of a record."""
-        moment = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
-        level = record.levelname.lower()
-        line = (
-            f"time={moment}.{int(record.msecs):03d}Z level={level}"
-            f" process={self._process_name} {record.getMessage()}"
-        )
-        if record.exc_info:
-            line += f" exception={self.formatException(record.exc_info)!r}"
-        return line
-
-
-def configure_logging(process_name: str, *, verbose: bool) -> None:
-    """Send log lines to standard error."""
-    logging.use_absl_handler()
-    handler = logging.get_absl_handler()
-    handler.setFormatter(KeyValueFormatter(process_name))
-    handler.python_handler.stream = sys.stderr
-    logging.set_verbosity(logging.DEBUG if verbose else logging.INFO)
-
-
-def make_parser(program: str, description: str) -> argparse.ArgumentParser:
-    """Return a parser with the arguments that all binaries take."""
-    parser = argparse.ArgumentParser(prog=program, description=description)
-    parser.add_argument("--version", action="version", version=__version__)
-    parser.add_argument("--verbose", action="store_true", help="log more")
-    return parser
+__all__ = [
+    "ProcessRunner",
+    "add_settings_arguments",
+    "configure_logging",
+    "exit_after_check",
+    "load_or_exit",
+    "make_parser",
+]
 
 
 def add_settings_arguments(parser: argparse.ArgumentParser) -> None:
@@ -86,54 +44,3 @@
     """Report that a settings file is valid and exit."""
     print(f"{path}: valid")
     sys.exit(ExitCode.OK)
-
-
-def tune_garbage_collection() -> None:
-    """Keep collections short: what was imported is never looked at again."""
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GARBAGE_COLLECTION_THRESHOLDS)
-
-
-class ProcessRunner:
-    """Runs one service in the reactor and turns its end into an exit code."""
-
-    def __init__(self, service: Service) -> None:
-        self._service = service
-        self._exit_code = ExitCode.OK
-
-    def run(self, listening: Deferred[Any]) -> ExitCode:
-        """Run until the reactor stops.
-
-        Parameters
-        ----------
-        listening : Deferred
-            Fires once the service's sockets are open.
-        """
-        listening.addCallbacks(self._start, self._fail_to_listen)
-        reactor.addSystemEventTrigger("before", "shutdown", self._stop_service)
-        reactor.run()
-        return self._exit_code
-
-    def stop(self, exit_code: ExitCode = ExitCode.OK) -> None:
-        """Stop the reactor."""
-        self._exit_code = exit_code
-        if reactor.running:
-            reactor.stop()
-        else:
-            reactor.callWhenRunning(reactor.stop)
-
-    def _start(self, _listening: object) -> None:
-        tune_garbage_collection()
-        logging.info("event=started")
-        self._service.startService()
-
-    def _fail_to_listen(self, failure: Failure) -> None:
-        logging.error("event=start_failed error=%r", failure.getErrorMessage())
-        cannot_listen = failure.check(CannotListenError) is not None
-        self.stop(ExitCode.CANNOT_LISTEN if cannot_listen else ExitCode.FAILED)
-
-    def _stop_service(self) -> object:
-        if self._service.running:
-            return self._service.stopService()
-        return None
--- /dev/null
+++ b/src/onyxspoke/cli/node.py
@@ -0,0 +1,169 @@
+"""``onyxspoke-node``: schedules jobs on the institute's platform."""
+
+from __future__ import annotations
+
+import os
+import random
+import secrets
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Any, cast
+
+from absl import logging
+from twisted.application.service import MultiService
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorFromThreads
+
+from onyxspoke.cli.process import ProcessRunner, configure_logging, make_parser
+from onyxspoke.core.codes import ExitCode
+from onyxspoke.core.shard.election import NodeIdentity
+from onyxspoke.net.http import make_site
+from onyxspoke.net.http_client import HttpClient
+from onyxspoke.net.network import Network, TcpEndpoints
+from onyxspoke.net.reactor_clock import MonotonicClock
+from onyxspoke.node.node import Node, NodePorts
+from onyxspoke.node.settings import NodeSettings, SettingsError
+from onyxspoke.platform.advice import AdviceClient
+from onyxspoke.platform.configuration import ConfigurationFeed
+from onyxspoke.platform.directory import WorkerDirectory
+from onyxspoke.platform.ingress import IngressResource, ReadinessResource
+from onyxspoke.platform.settings import PATH_VARIABLE, PlatformSettings, load_settings
+from onyxspoke.platform.store import StoreClient
+from onyxspoke.platform.workers import WorkerOrders
+
+CONNECT_SECONDS = 0.5
+LIFE_BYTES = 6
+MAXIMUM_BODY_BYTES = 262_144
+MAXIMUM_CONNECTIONS = 3_000
+READ_SECONDS = 3.0
+#: Kept back of the time to stop, for the process to end in.
+STOP_RESERVE_SECONDS = 1.0
+_MILLISECONDS = 1_000.0
+
+
+def main() -> None:
+    """Run the program."""
+    parser = make_parser("onyxspoke-node", "Run one node of the scheduler.")
+    parser.add_argument(
+        "--config",
+        type=Path,
+        default=os.environ.get(PATH_VARIABLE),
+        help=f"settings file; by default the one that {PATH_VARIABLE} names",
+    )
+    parser.add_argument("--check", action="store_true", help="check the settings and exit")
+    arguments = parser.parse_args()
+    if arguments.config is None:
+        print(f"--config: missing, and {PATH_VARIABLE} is not set", file=sys.stderr)
+        sys.exit(ExitCode.USAGE)
+    settings = load_or_exit(Path(arguments.config))
+    if arguments.check:
+        print(f"{arguments.config}: valid")
+        sys.exit(ExitCode.OK)
+    configure_logging(settings.node.node_name, verbose=arguments.verbose, stream=sys.stdout)
+    sys.exit(run(settings))
+
+
+def load_or_exit(path: Path) -> PlatformSettings:
+    """Return the settings, or print every fault and exit with ``SETTINGS_INVALID``."""
+    try:
+        return load_settings(path)
+    except SettingsError as error:
+        for fault in error.faults:
+            print(fault, file=sys.stderr)
+        sys.exit(ExitCode.SETTINGS_INVALID)
+
+
+def make_node(settings: PlatformSettings) -> Node:
+    """Return the node, joined to the platform."""
+    network = Network(reactor, TcpEndpoints(reactor, CONNECT_SECONDS), lambda _attempt: 1.0)
+    client = HttpClient(reactor, network.endpoints)
+    store = StoreClient(client, settings.store.address)
+    own = settings.node
+    identity = NodeIdentity(
+        life=f"{own.node_name}.{secrets.token_hex(LIFE_BYTES)}",
+        host=own.host,
+        port=own.peer_port,
+        zone=own.zone,
+        weight=own.weight,
+    )
+    ports = NodePorts(
+        store=store,
+        orders=WorkerOrders(client),
+        directory=WorkerDirectory(store, reactor),
+        advice=AdviceClient(client, settings.advice),
+        configuration=ConfigurationFeed(store, reactor),
+    )
+    return Node(
+        own,
+        identity,
+        network,
+        MonotonicClock(),
+        lambda: time.time() * _MILLISECONDS,
+        random.SystemRandom().random,
+        ports,
+    )
+
+
+class NodeService(MultiService):
+    """The node with its server sockets."""
+
+    def __init__(self, node: Node, settings: NodeSettings, network_endpoints: TcpEndpoints) -> None:
+        super().__init__()
+        self._node = node
+        self._settings = settings
+        self._endpoints = network_endpoints
+        node.setServiceParent(self)
+
+    def listen(self) -> Deferred[Any]:
+        """Open every server socket."""
+        listening = self._node.listen()
+        listening.addCallback(lambda _port: self._listen_callers())
+        listening.addCallback(lambda _port: self._listen_readiness())
+        return listening
+
+    def _listen_callers(self) -> Deferred[Any]:
+        site = make_site(
+            IngressResource(self._node),
+            reactor,
+            maximum_body_bytes=MAXIMUM_BODY_BYTES,
+            maximum_connections=MAXIMUM_CONNECTIONS,
+            read_timeout_seconds=READ_SECONDS,
+        )
+        address = self._settings.callers
+        return self._endpoints.server(address.host, address.port).listen(site)
+
+    def _listen_readiness(self) -> Deferred[Any]:
+        site = make_site(
+            ReadinessResource(lambda: self._node.is_ready),
+            reactor,
+            maximum_body_bytes=MAXIMUM_BODY_BYTES,
+            maximum_connections=MAXIMUM_CONNECTIONS,
+            read_timeout_seconds=READ_SECONDS,
+        )
+        address = self._settings.readiness
+        return self._endpoints.server(address.host, address.port).listen(site)
+
+
+def run(settings: PlatformSettings) -> ExitCode:
+    """Run a node until it is stopped."""
+    node = make_node(settings)
+    service = NodeService(node, settings.node, TcpEndpoints(reactor, CONNECT_SECONDS))
+    runner = ProcessRunner(service)
+
+    def begin_stop() -> None:
+        logging.info("event=stopping")
+        node.begin_stop()
+        reactor.callLater(settings.node.stop_grace_seconds - STOP_RESERVE_SECONDS, runner.stop)
+
+    def handle_signal(_signal: int, _frame: object) -> None:
+        cast("IReactorFromThreads", reactor).callFromThread(begin_stop)
+
+    reactor.callWhenRunning(lambda: signal.signal(signal.SIGTERM, handle_signal))
+    return runner.run(service.listen())
+
+
+if __name__ == "__main__":
+    main()
--- a/src/onyxspoke/cli/platform.py
+++ b/src/onyxspoke/cli/platform.py
@@ -19,9 +19,9 @@
     load_or_exit,
     make_parser,
 )
+from onyxspoke.kit.platform.service import PlatformService
 from onyxspoke.net.network import tcp_network
 from onyxspoke.net.reactor_clock import MonotonicClock
-from onyxspoke.platform.service import PlatformService
 
 
 def main() -> None:
--- /dev/null
+++ b/src/onyxspoke/core/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of several steps: what callers hand in, how far each is, what outlives a process."""
--- /dev/null
+++ b/src/onyxspoke/core/jobs/book.py
@@ -0,0 +1,301 @@
+"""All jobs of one shard: accepted, advanced by what becomes of their runs, remembered.
+
+Every change that must outlive the holder marks its job as dirty; the commit queue of the
+shard takes the marks and writes the records.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from enum import Enum
+
+from onyxspoke.core.jobs.model import JobId, JobSpec, QueuePolicy, StepKey, TaskKey
+from onyxspoke.core.jobs.progress import JobProgress, StepProgress, TaskProgress
+from onyxspoke.core.jobs.records import ProgressRecord, restore_progress
+from onyxspoke.core.jobs.states import JobState, TaskState
+
+#: Repetitions of one job that may be under way at once.
+MAXIMUM_OPEN_REPETITIONS = 64
+
+
+class Submission(Enum):
+    """What came of handing a job in."""
+
+    NEW = "new"
+    KNOWN = "known"
+    CANCELLED_BEFORE = "cancelled_before"
+
+
+class JobBook:
+    """The jobs of one shard.
+
+    Parameters
+    ----------
+    status_seconds : float
+        For how long a finished job is remembered.
+    """
+
+    def __init__(self, status_seconds: float) -> None:
+        self._status_seconds = status_seconds
+        self.jobs: dict[JobId, JobProgress] = {}
+        self.startable: dict[StepKey, StepProgress] = {}
+        self.dirty: dict[JobId, None] = {}
+        #: Cancels that came before the job did; the value tells when.
+        self.cancelled_before: dict[JobId, float] = {}
+        #: Set until it is known what a former holder left running.
+        self.is_recovering = False
+        self._scheduled: dict[JobId, JobProgress] = {}
+        self._finished: dict[JobId, None] = {}
+
+    # Callers
+
+    def submit(self, spec: JobSpec, now: float) -> Submission:
+        """Take a job in; the same identifier again changes nothing."""
+        if spec.job_id in self.jobs:
+            return Submission.KNOWN
+        if spec.job_id in self.cancelled_before:
+            return Submission.CANCELLED_BEFORE
+        job = JobProgress(spec, now)
+        self.jobs[spec.job_id] = job
+        self.dirty[spec.job_id] = None
+        if spec.schedule.count > 0:
+            self._scheduled[spec.job_id] = job
+        else:
+            self._begin_repetition(job, 0, now)
+        return Submission.NEW
+
+    def withdraw(self, job_id: JobId) -> None:
+        """Forget a job whose record was never sent to the store."""
+        job = self.jobs.pop(job_id)
+        self.dirty.pop(job_id, None)
+        self._drop_steps(job)
+        self._scheduled.pop(job_id, None)
+
+    def cancel(self, job_id: JobId, now: float) -> JobProgress | None:
+        """Cancel a job; one not known is remembered as cancelled, should it come yet."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            self.cancelled_before.setdefault(job_id, now)
+            self.dirty[job_id] = None
+            return None
+        if not job.state.is_final:
+            self._finish(job, JobState.CANCELLED, now)
+        return job
+
+    def waiting_count(self, queue: str) -> int:
+        """Return how many accepted jobs of a queue have not begun."""
+        return sum(
+            1
+            for job in self.jobs.values()
+            if job.spec.queue.name == queue
+            and job.committed_state is not None
+            and not job.begun
+            and not job.state.is_final
+        )
+
+    # Recovery
+
+    def restore(self, spec: JobSpec, record: ProgressRecord | None, now: float) -> None:
+        """Take in what the store holds of a job."""
+        job = JobProgress(spec, now)
+        job.spec_is_stored = True
+        job.committed_state = JobState.QUEUED
+        self.jobs[spec.job_id] = job
+        if record is not None:
+            restore_progress(job, record, now)
+        if job.state.is_final:
+            self._finished[spec.job_id] = None
+            return
+        if spec.schedule.count > 0:
+            self._scheduled[spec.job_id] = job
+        elif 0 not in job.repetitions:
+            job.begin_repetition(0, now)
+        for step in job.steps():
+            self._recount_dependencies(step, now)
+            self._put_in_doubt(step)
+            self._refresh(step)
+        self._finish_if_done(job, now)
+
+    def restore_finished(self, job_id: JobId, record: ProgressRecord, now: float) -> None:
+        """Take in a finished job, or an early cancel, of which only the progress is kept."""
+        if not record.was_submitted:
+            self.cancelled_before[job_id] = now
+            return
+        spec = _placeholder_spec(job_id)
+        job = JobProgress(spec, now)
+        restore_progress(job, record, now)
+        self.jobs[job_id] = job
+        self._finished[job_id] = None
+
+    def settle_doubt(self, now: float) -> None:
+        """Let every task wait again that no worker turned out to run."""
+        for job in self.jobs.values():
+            for step in job.steps():
+                if step.in_doubt:
+                    self._settle_step(step, now)
+
+    # Tasks
+
+    def task_started(self, task: TaskProgress, now: float) -> None:
+        """A run of a task was decided on, or found on a worker."""
+        task.move_to(TaskState.ACTIVE)
+        job = task.step.job
+        if not job.begun:
+            job.begun = True
+            if job.state is JobState.QUEUED:
+                job.move_to(JobState.RUNNING, now)
+                self.dirty[job.job_id] = None
+        self._refresh(task.step)
+
+    def task_waits(self, task: TaskProgress) -> None:
+        """A run ended otherwise than well, or never began."""
+        task.move_to(TaskState.WAITING)
+        self._refresh(task.step)
+
+    def task_done(self, task: TaskProgress, now: float) -> None:
+        """A run of a task ended well."""
+        if task.state is TaskState.DONE:
+            return
+        task.move_to(TaskState.DONE)
+        step = task.step
+        self.dirty[step.job.job_id] = None
+        self._refresh(step)
+        if step.is_done:
+            self._unblock_dependents(step, now)
+            self._finish_if_done(step.job, now)
+
+    def task_failed(self, task: TaskProgress, number: int, now: float) -> None:
+        """A run of a task ended ``failed``; the job fails with the last attempt."""
+        step = task.step
+        numbers = step.failed_gang_runs if step.spec.gang else task.failed_runs
+        if number in numbers or step.spec.long_running:
+            return
+        numbers.append(number)
+        self.dirty[step.job.job_id] = None
+        self._fail_if_hopeless(step, len(numbers), now)
+
+    def note_checkpoint(self, task: TaskProgress, checkpoint: str) -> None:
+        """Remember from where a task may resume."""
+        if checkpoint and checkpoint != task.checkpoint:
+            task.checkpoint = checkpoint
+            self.dirty[task.step.job.job_id] = None
+
+    def find_task(self, key: TaskKey) -> TaskProgress | None:
+        """Return a task by its name."""
+        job = self.jobs.get(key.job_id)
+        return None if job is None else job.find_task(key)
+
+    # Time
+
+    def keep(self, now: float, wall_ms: float, early_ms: float) -> None:
+        """Begin repetitions that are due; forget what was finished long ago.
+
+        Parameters
+        ----------
+        wall_ms : float
+            Time of day, counted from 1970.
+        early_ms : float
+            How far ahead of its time a repetition may begin.
+        """
+        for job in list(self._scheduled.values()):
+            self._begin_due(job, now, wall_ms + early_ms)
+        horizon = now - self._status_seconds
+        for job_id in list(self._finished):
+            if self.jobs[job_id].final_at > horizon:
+                break
+            del self._finished[job_id]
+            del self.jobs[job_id]
+            self.dirty[job_id] = None
+        for job_id, at in list(self.cancelled_before.items()):
+            if at <= horizon:
+                del self.cancelled_before[job_id]
+                self.dirty[job_id] = None
+
+    def startable_steps(self) -> Iterator[StepProgress]:
+        """Return steps some task of which may be started."""
+        return iter(self.startable.values())
+
+    # Internals
+
+    def _begin_due(self, job: JobProgress, now: float, until_ms: float) -> None:
+        schedule = job.spec.schedule
+        for repetition in range(schedule.count):
+            if len(job.repetitions) >= MAXIMUM_OPEN_REPETITIONS:
+                return
+            if schedule.start_at_ms + repetition * schedule.interval_ms > until_ms:
+                return
+            if repetition in job.repetitions or repetition in job.done_repetitions:
+                continue
+            self._begin_repetition(job, repetition, now)
+
+    def _begin_repetition(self, job: JobProgress, repetition: int, now: float) -> None:
+        for step in job.begin_repetition(repetition, now):
+            if self.is_recovering and job.spec_is_stored:
+                self._put_in_doubt(step)
+            self._refresh(step)
+
+    def _refresh(self, step: StepProgress) -> None:
+        if step.is_startable:
+            self.startable[step.key] = step
+        else:
+            self.startable.pop(step.key, None)
+
+    def _unblock_dependents(self, done: StepProgress, now: float) -> None:
+        for step in done.job.repetitions[done.key.repetition]:
+            if done.key.step in step.spec.depends_on:
+                step.blocked_by -= 1
+                step.ready_at = now
+                self._refresh(step)
+
+    def _recount_dependencies(self, step: StepProgress, now: float) -> None:
+        steps = step.job.repetitions[step.key.repetition]
+        step.blocked_by = sum(1 for number in step.spec.depends_on if not steps[number].is_done)
+        step.ready_at = now
+
+    def _put_in_doubt(self, step: StepProgress) -> None:
+        for task in step.tasks:
+            if task.state is TaskState.WAITING:
+                task.move_to(TaskState.IN_DOUBT)
+
+    def _settle_step(self, step: StepProgress, now: float) -> None:
+        for task in step.tasks:
+            if task.state is TaskState.IN_DOUBT:
+                task.move_to(TaskState.WAITING)
+        step.ready_at = now
+        self._refresh(step)
+
+    def _fail_if_hopeless(self, step: StepProgress, failures: int, now: float) -> None:
+        job = step.job
+        if failures >= job.spec.queue.max_attempts and not job.state.is_final:
+            self._finish(job, JobState.FAILED, now)
+
+    def _finish_if_done(self, job: JobProgress, now: float) -> None:
+        for repetition, steps in list(job.repetitions.items()):
+            if job.spec.schedule.count > 0 and all(step.is_done for step in steps):
+                del job.repetitions[repetition]
+                job.done_repetitions.add(repetition)
+                self.dirty[job.job_id] = None
+        if job.state.is_final:
+            return
+        if job.spec.schedule.count > 0:
+            is_done = len(job.done_repetitions) >= job.spec.schedule.count
+        else:
+            is_done = all(step.is_done for step in job.steps())
+        if is_done:
+            self._finish(job, JobState.COMPLETED, now)
+
+    def _finish(self, job: JobProgress, state: JobState, now: float) -> None:
+        job.move_to(state, now)
+        self.dirty[job.job_id] = None
+        self._scheduled.pop(job.job_id, None)
+        self._finished[job.job_id] = None
+        self._drop_steps(job)
+
+    def _drop_steps(self, job: JobProgress) -> None:
+        for step in job.steps():
+            self.startable.pop(step.key, None)
+
+
+def _placeholder_spec(job_id: JobId) -> JobSpec:
+    """Return a specification for a finished job; its own was dropped with its end."""
+    return JobSpec(job_id=job_id, queue=QueuePolicy(name="", service=""), payload="", steps=())
--- /dev/null
+++ b/src/onyxspoke/core/jobs/policy.py
@@ -0,0 +1,35 @@
+"""Queues and services in force, as a shard's holder needs them."""
+
+from __future__ import annotations
+
+import msgspec
+
+from onyxspoke.core.jobs.model import JobSpec, QueuePolicy
+
+
+class ServicePolicy(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """A service: a pool of workers.
+
+    Attributes
+    ----------
+    checks_room : bool
+        Its workers reject what does not fit.
+    is_spare : bool
+        Its machines are off and run nothing.
+    """
+
+    name: str
+    checks_room: bool = False
+    is_spare: bool = False
+
+
+class PolicySet(msgspec.Struct, frozen=True, kw_only=True):
+    """One version of the operator's configuration, without what only the ingress needs."""
+
+    version: int = 0
+    queues: dict[str, QueuePolicy] = {}
+    services: dict[str, ServicePolicy] = {}
+
+    def queue_of(self, job: JobSpec) -> QueuePolicy:
+        """Return a job's queue as it is now; one that was dropped, as the job met it."""
+        return self.queues.get(job.queue.name, job.queue)
--- /dev/null
+++ b/src/onyxspoke/core/jobs/progress.py
@@ -0,0 +1,221 @@
+"""How far jobs, steps and tasks are; no decision, only what follows from what happened."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from onyxspoke.core.jobs.model import JobId, JobSpec, StepKey, StepSpec, TaskKey, WorkerId
+from onyxspoke.core.jobs.states import (
+    JobState,
+    TaskState,
+    check_job_transition,
+    check_task_transition,
+)
+
+if TYPE_CHECKING:
+    from onyxspoke.core.placement.runs import Run
+
+_MILLISECONDS = 1_000.0
+
+
+class TaskProgress:
+    """One task.
+
+    Attributes
+    ----------
+    failed_runs : list of int
+        Numbers of the runs that ended ``failed``; an end that is told twice counts once.
+    checkpoint : str
+        Opaque text from which work may resume; empty for none.
+    run : Run or None
+        The run that stands for the task now.
+    failed_on : WorkerId
+        Worker of the latest failure, to try another one next.
+    """
+
+    __slots__ = ("checkpoint", "failed_on", "failed_runs", "index", "run", "state", "step")
+
+    def __init__(self, step: StepProgress, index: int) -> None:
+        self.step = step
+        self.index = index
+        self.state = TaskState.WAITING
+        self.failed_runs: list[int] = []
+        self.checkpoint = ""
+        self.run: Run | None = None
+        self.failed_on: WorkerId = ""
+
+    @property
+    def key(self) -> TaskKey:
+        """The task's name."""
+        return TaskKey(*self.step.key, self.index)
+
+    def move_to(self, state: TaskState) -> None:
+        """Change the state and keep the step's counts true."""
+        if state is self.state:
+            return
+        check_task_transition(self.state, state)
+        self.step.count_move(self, self.state, state)
+        self.state = state
+
+
+class StepProgress:
+    """One step of one repetition.
+
+    Attributes
+    ----------
+    waiting : dict of int to None
+        Indexes of tasks that may be started, in order.
+    blocked_by : int
+        Earlier steps that are not done yet.
+    ready_at : float
+        When the last of them ended, in the reader's seconds.
+    failed_gang_runs : list of int
+        Numbers of the runs of the whole gang in which a member failed.
+    last_number : int
+        Highest run number that is known of any task of the step.
+    """
+
+    __slots__ = (
+        "blocked_by",
+        "done_count",
+        "failed_gang_runs",
+        "in_doubt",
+        "job",
+        "key",
+        "last_number",
+        "ready_at",
+        "spec",
+        "tasks",
+        "waiting",
+    )
+
+    def __init__(self, job: JobProgress, key: StepKey, spec: StepSpec, now: float) -> None:
+        self.job = job
+        self.key = key
+        self.spec = spec
+        self.tasks = [TaskProgress(self, index) for index in range(spec.task_count)]
+        self.waiting: dict[int, None] = dict.fromkeys(range(spec.task_count))
+        self.in_doubt = 0
+        self.done_count = 0
+        self.blocked_by = len(spec.depends_on)
+        self.ready_at = now
+        self.failed_gang_runs: list[int] = []
+        self.last_number = 0
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every task has ended well."""
+        return self.done_count == len(self.tasks)
+
+    @property
+    def is_startable(self) -> bool:
+        """Whether some task may be started now."""
+        return bool(self.waiting) and self.blocked_by == 0 and not self.job.state.is_final
+
+    def count_move(self, task: TaskProgress, old: TaskState, new: TaskState) -> None:
+        """Keep the counts when a task changes its state."""
+        if old is TaskState.WAITING:
+            self.waiting.pop(task.index, None)
+        elif old is TaskState.IN_DOUBT:
+            self.in_doubt -= 1
+        if new is TaskState.WAITING:
+            self.waiting[task.index] = None
+        elif new is TaskState.IN_DOUBT:
+            self.in_doubt += 1
+        elif new is TaskState.DONE:
+            self.done_count += 1
+
+
+class JobProgress:
+    """One job.
+
+    Attributes
+    ----------
+    committed_state : JobState or None
+        What the store holds, and so what may be shown; ``None`` before the first commit.
+    repetitions : dict of int to list of StepProgress
+        Steps by repetition; of a job with times, only those that are due and not done.
+    begun : bool
+        Whether any task was ever started, as far as is known here.
+    accepted_at : float
+        The reader's seconds of the acceptance, or of the recovery from the store.
+    """
+
+    __slots__ = (
+        "accepted_at",
+        "begun",
+        "committed_state",
+        "done_repetitions",
+        "final_at",
+        "repetitions",
+        "spec",
+        "spec_is_stored",
+        "state",
+    )
+
+    def __init__(self, spec: JobSpec, now: float) -> None:
+        self.spec = spec
+        self.state = JobState.QUEUED
+        self.committed_state: JobState | None = None
+        self.repetitions: dict[int, list[StepProgress]] = {}
+        self.done_repetitions: set[int] = set()
+        self.begun = False
+        self.accepted_at = now
+        self.final_at = 0.0
+        self.spec_is_stored = False
+
+    @property
+    def job_id(self) -> JobId:
+        """The job's name."""
+        return self.spec.job_id
+
+    def begin_repetition(self, repetition: int, now: float) -> list[StepProgress]:
+        """Lay out the steps of a repetition that is due."""
+        steps = [
+            StepProgress(self, StepKey(self.job_id, repetition, number), step, now)
+            for number, step in enumerate(self.spec.steps)
+        ]
+        self.repetitions[repetition] = steps
+        return steps
+
+    def steps(self) -> list[StepProgress]:
+        """Return the steps of every repetition that is under way."""
+        return [step for steps in self.repetitions.values() for step in steps]
+
+    def find_step(self, key: StepKey) -> StepProgress | None:
+        """Return a step by its name."""
+        steps = self.repetitions.get(key.repetition)
+        if steps is None or key.step >= len(steps):
+            return None
+        return steps[key.step]
+
+    def find_task(self, key: TaskKey) -> TaskProgress | None:
+        """Return a task by its name."""
+        step = self.find_step(key.step_key)
+        if step is None or key.task_index >= len(step.tasks):
+            return None
+        return step.tasks[key.task_index]
+
+    def move_to(self, state: JobState, now: float) -> None:
+        """Change the state; a final one stays."""
+        if state is self.state:
+            return
+        check_job_transition(self.state, state)
+        self.state = state
+        if state.is_final:
+            self.final_at = now
+
+    def objective_seconds(self) -> float:
+        """Return within how long the job should be done, by its own estimates."""
+        queue = self.spec.queue
+        chain = longest_chain_ms(self.spec)
+        return (queue.stretch * chain + queue.target_latency_ms) / _MILLISECONDS
+
+
+def longest_chain_ms(spec: JobSpec) -> float:
+    """Return the estimated work along the longest chain of steps that depend on each other."""
+    longest: list[float] = []
+    for step in spec.steps:
+        before = max((longest[number] for number in step.depends_on), default=0.0)
+        longest.append(before + step.estimated_ms)
+    return max(longest, default=0.0)
--- /dev/null
+++ b/src/onyxspoke/core/jobs/records.py
@@ -0,0 +1,164 @@
+"""What of a job outlives its holder, and how it is encoded.
+
+A job has a record of its specification, written once, and one of its progress, written
+again whenever something that must not be forgotten happens.  Both are msgpack arrays.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+from onyxspoke.core.jobs.model import JobId, JobSpec, StepKey
+from onyxspoke.core.jobs.progress import JobProgress, StepProgress
+from onyxspoke.core.jobs.states import JobState, TaskState
+
+SPEC_PREFIX = "job-spec/"
+PROGRESS_PREFIX = "job/"
+
+
+class StepRecord(msgspec.Struct, array_like=True):
+    """What is kept of one step: which tasks are done, failed runs and checkpoints by index."""
+
+    repetition: int
+    step: int
+    done: bytes
+    failed_runs: dict[int, list[int]]
+    checkpoints: dict[int, str]
+    failed_gang_runs: list[int]
+
+
+class ProgressRecord(msgspec.Struct, array_like=True):
+    """What is kept of a job's progress.
+
+    ``was_submitted`` is false for a cancel that came before its job.
+    """
+
+    state: int
+    done_repetitions: list[int]
+    steps: list[StepRecord]
+    was_submitted: bool = True
+
+
+class JobRecordKind(Enum):
+    """Which record of a job a key names."""
+
+    SPEC = SPEC_PREFIX
+    PROGRESS = PROGRESS_PREFIX
+
+
+class RecordFormatError(Exception):
+    """A record that this version cannot read; the key is in the message."""
+
+
+_encoder = msgspec.msgpack.Encoder()
+_spec_decoder = msgspec.msgpack.Decoder(JobSpec)
+_progress_decoder = msgspec.msgpack.Decoder(ProgressRecord)
+
+
+def spec_key(job_id: JobId) -> str:
+    """Return the key of a job's specification."""
+    return SPEC_PREFIX + job_id
+
+
+def progress_key(job_id: JobId) -> str:
+    """Return the key of a job's progress."""
+    return PROGRESS_PREFIX + job_id
+
+
+def encode_spec(spec: JobSpec) -> bytes:
+    """Return the record of a specification."""
+    return _encoder.encode(spec)
+
+
+def decode_spec(key: str, data: bytes) -> JobSpec:
+    """Return the specification in a record; raise :class:`RecordFormatError`."""
+    try:
+        return _spec_decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise RecordFormatError(f"{key}: {error}") from error
+
+
+def encode_progress(job: JobProgress) -> bytes:
+    """Return the record of a job's progress as it is now."""
+    steps = []
+    if not job.state.is_final:
+        steps = [_step_record(step) for step in job.steps() if _has_progress(step)]
+    record = ProgressRecord(int(job.state), sorted(job.done_repetitions), steps)
+    return _encoder.encode(record)
+
+
+def decode_progress(key: str, data: bytes) -> ProgressRecord:
+    """Return the progress in a record; raise :class:`RecordFormatError`."""
+    try:
+        return _progress_decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise RecordFormatError(f"{key}: {error}") from error
+
+
+def restore_progress(job: JobProgress, record: ProgressRecord, now: float) -> None:
+    """Bring a job to where its record says that it was.
+
+    Tasks that are not done are in doubt: the former holder may have started them.
+    """
+    job.done_repetitions = set(record.done_repetitions)
+    state = JobState(record.state)
+    job.committed_state = state
+    if state is not JobState.QUEUED:
+        job.begun = state is JobState.RUNNING
+        job.move_to(state, now)
+    if state.is_final:
+        return
+    for kept in record.steps:
+        if kept.repetition not in job.repetitions:
+            job.begin_repetition(kept.repetition, now)
+        step = job.find_step(StepKey(job.job_id, kept.repetition, kept.step))
+        if step is not None:
+            _restore_step(step, kept)
+
+
+def _restore_step(step: StepProgress, kept: StepRecord) -> None:
+    step.failed_gang_runs = list(kept.failed_gang_runs)
+    for index in _read_bitmap(kept.done, len(step.tasks)):
+        step.tasks[index].move_to(TaskState.DONE)
+    for index, numbers in kept.failed_runs.items():
+        step.tasks[index].failed_runs = list(numbers)
+    for index, checkpoint in kept.checkpoints.items():
+        step.tasks[index].checkpoint = checkpoint
+
+
+def _has_progress(step: StepProgress) -> bool:
+    if step.done_count or step.failed_gang_runs:
+        return True
+    return any(task.failed_runs or task.checkpoint for task in step.tasks)
+
+
+def _step_record(step: StepProgress) -> StepRecord:
+    open_tasks = [task for task in step.tasks if task.state is not TaskState.DONE]
+    return StepRecord(
+        repetition=step.key.repetition,
+        step=step.key.step,
+        done=_make_bitmap(step),
+        failed_runs={task.index: task.failed_runs for task in open_tasks if task.failed_runs},
+        checkpoints={task.index: task.checkpoint for task in open_tasks if task.checkpoint},
+        failed_gang_runs=step.failed_gang_runs,
+    )
+
+
+def _make_bitmap(step: StepProgress) -> bytes:
+    bits = 0
+    for task in step.tasks:
+        if task.state is TaskState.DONE:
+            bits |= 1 << task.index
+    return bits.to_bytes((len(step.tasks) + 7) // 8, "little")
+
+
+def _read_bitmap(data: bytes, count: int) -> list[int]:
+    bits = int.from_bytes(data, "little")
+    return [index for index in range(count) if bits >> index & 1]
+
+
+def encode_cancelled_before() -> bytes:
+    """Return the record of a cancel that came before its job."""
+    return _encoder.encode(ProgressRecord(int(JobState.CANCELLED), [], [], was_submitted=False))
--- /dev/null
+++ b/src/onyxspoke/core/jobs/states.py
@@ -0,0 +1,102 @@
+"""States of jobs, tasks and runs, and which may follow which."""
+
+from __future__ import annotations
+
+from enum import Enum, IntEnum
+
+
+class JobState(IntEnum):
+    """How far a job is; the numbers stand in records."""
+
+    QUEUED = 0
+    RUNNING = 1
+    COMPLETED = 2
+    FAILED = 3
+    CANCELLED = 4
+
+    @property
+    def is_final(self) -> bool:
+        """Whether nothing more will happen to the job."""
+        return self >= JobState.COMPLETED
+
+
+class TaskState(IntEnum):
+    """How far a task is."""
+
+    WAITING = 0
+    ACTIVE = 1
+    IN_DOUBT = 2
+    DONE = 3
+
+
+class RunState(IntEnum):
+    """How far a run is.
+
+    ``STARTING``: the order was sent.  ``UNCERTAIN``: it was not answered.  ``RUNNING``: the
+    worker has it.  ``STOPPING``: a stop was sent.  ``ENDED``: its room is free.
+    """
+
+    STARTING = 0
+    UNCERTAIN = 1
+    RUNNING = 2
+    STOPPING = 3
+    ENDED = 4
+
+
+class RunEnd(Enum):
+    """How a run ended, by its worker's word or by what is certain without it."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+    NOT_STARTED = "not_started"
+    ABANDONED = "abandoned"
+
+
+JOB_TRANSITIONS: dict[JobState, frozenset[JobState]] = {
+    JobState.QUEUED: frozenset(JobState) - {JobState.QUEUED},
+    JobState.RUNNING: frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED}),
+    JobState.COMPLETED: frozenset(),
+    JobState.FAILED: frozenset(),
+    JobState.CANCELLED: frozenset(),
+}
+
+TASK_TRANSITIONS: dict[TaskState, frozenset[TaskState]] = {
+    TaskState.WAITING: frozenset({TaskState.ACTIVE, TaskState.IN_DOUBT, TaskState.DONE}),
+    TaskState.ACTIVE: frozenset({TaskState.WAITING, TaskState.DONE}),
+    TaskState.IN_DOUBT: frozenset({TaskState.WAITING, TaskState.ACTIVE, TaskState.DONE}),
+    TaskState.DONE: frozenset(),
+}
+
+RUN_TRANSITIONS: dict[RunState, frozenset[RunState]] = {
+    RunState.STARTING: frozenset(RunState) - {RunState.STARTING},
+    RunState.UNCERTAIN: frozenset({RunState.RUNNING, RunState.STOPPING, RunState.ENDED}),
+    RunState.RUNNING: frozenset({RunState.STOPPING, RunState.ENDED}),
+    RunState.STOPPING: frozenset({RunState.ENDED}),
+    RunState.ENDED: frozenset(),
+}
+
+
+class IllegalTransitionError(Exception):
+    """A state was to follow one that it must not follow: a fault in onyxspoke itself."""
+
+
+def check_job_transition(old: JobState, new: JobState) -> None:
+    """Raise :class:`IllegalTransitionError` unless ``new`` may follow ``old``."""
+    if new not in JOB_TRANSITIONS[old]:
+        raise IllegalTransitionError(f"job {old.name} -> {new.name}")
+
+
+def check_task_transition(old: TaskState, new: TaskState) -> None:
+    """Raise :class:`IllegalTransitionError` unless ``new`` may follow ``old``."""
+    if new not in TASK_TRANSITIONS[old]:
+        raise IllegalTransitionError(f"task {old.name} -> {new.name}")
+
+
+def check_run_transition(old: RunState, new: RunState) -> None:
+    """Raise :class:`IllegalTransitionError` unless ``new`` may follow ``old``."""
+    if new not in RUN_TRANSITIONS[old]:
+        raise IllegalTransitionError(f"run {old.name} -> {new.name}")
--- /dev/null
+++ b/src/onyxspoke/core/jobs/validation.py
@@ -0,0 +1,59 @@
+"""Checks of jobs that callers hand in; each fault is named."""
+
+from __future__ import annotations
+
+from onyxspoke.core.codes import RequestRefusedError, ResultCode
+from onyxspoke.core.jobs.model import JobSpec, StepSpec
+
+MAXIMUM_PAYLOAD_BYTES = 4_000
+MAXIMUM_STEPS = 100
+MAXIMUM_TASKS = 10_000
+MAXIMUM_REPETITIONS = 100_000
+JOB_ID_LENGTH = 16
+_HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
+
+
+def check_job(job: JobSpec) -> None:
+    """Raise :class:`RequestRefusedError` with ``MALFORMED_REQUEST`` for a job with a fault."""
+    if len(job.job_id) != JOB_ID_LENGTH or not _HEX_DIGITS.issuperset(job.job_id):
+        _refuse(f"identifier: expected {JOB_ID_LENGTH} hexadecimal digits")
+    if len(job.payload.encode()) > MAXIMUM_PAYLOAD_BYTES:
+        _refuse(f"payload: at most {MAXIMUM_PAYLOAD_BYTES} bytes")
+    if not 1 <= len(job.steps) <= MAXIMUM_STEPS:
+        _refuse(f"steps: 1 to {MAXIMUM_STEPS} are allowed")
+    if sum(max(step.task_count, 0) for step in job.steps) > MAXIMUM_TASKS:
+        _refuse(f"steps: at most {MAXIMUM_TASKS} tasks in all")
+    _check_schedule(job)
+    for number, step in enumerate(job.steps):
+        _check_step(number, step)
+
+
+def _check_schedule(job: JobSpec) -> None:
+    schedule = job.schedule
+    if not 0 <= schedule.count <= MAXIMUM_REPETITIONS:
+        _refuse(f"schedule: 0 to {MAXIMUM_REPETITIONS} repetitions are allowed")
+    if schedule.start_at_ms < 0 or schedule.interval_ms < 0:
+        _refuse("schedule: times must not be negative")
+
+
+def _check_step(number: int, step: StepSpec) -> None:
+    if step.task_count < 1:
+        _refuse(f"step {number}: needs at least one task")
+    amounts = (
+        step.processors_milli,
+        step.memory_mb,
+        step.accelerators,
+        step.estimated_ms,
+        step.spread_limit,
+        step.target_ms,
+    )
+    if min(amounts) < 0:
+        _refuse(f"step {number}: amounts must not be negative")
+    if any(not 0 <= earlier < number for earlier in step.depends_on):
+        _refuse(f"step {number}: may depend on earlier steps only")
+    if len(set(step.depends_on)) != len(step.depends_on):
+        _refuse(f"step {number}: names a dependency twice")
+
+
+def _refuse(message: str) -> None:
+    raise RequestRefusedError(ResultCode.MALFORMED_REQUEST, message)
--- /dev/null
+++ b/src/onyxspoke/core/placement/advice_desk.py
@@ -0,0 +1,216 @@
+"""Advice on which workers may run a step: whom to ask, through whom, and what was said.
+
+The advice service works for each calling machine on one call at a time, so calls are spread
+over the entries.  Long calls keep to a part of them, so that short ones, which are the urgent
+ones, seldom wait behind a long one.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from onyxspoke.core.jobs.model import AdvicePolicy, StepKey, WorkerId
+from onyxspoke.core.jobs.progress import StepProgress
+from onyxspoke.core.shard.orders import AdviceOutcome, AdviceResult
+
+_MILLISECONDS = 1_000.0
+#: Workers in one call at most; the service's bound.
+MAXIMUM_WORKERS_ASKED = 100
+#: Calls that may be under way through one entry.
+MAXIMUM_CALLS_EACH = 2
+#: A ticket is not used in its last moments.
+TICKET_MARGIN_SECONDS = 0.08
+#: Calls at most so long may go through any entry.
+SHORT_CALL_SECONDS = 0.04
+#: Calls at most so long leave the first entries to the short ones.
+MEDIUM_CALL_SECONDS = 0.25
+#: Share of the entries that only short calls use, and that short and medium ones use.
+SHORT_ONLY_SHARE = 0.28
+SHORT_OR_MEDIUM_SHARE = 0.55
+#: A call is given up when it takes so much longer than it should.
+OVERDUE_FACTOR = 3.0
+OVERDUE_SECONDS = 1.5
+#: Pause after a refused or unanswered call before the step is asked about again.
+RETRY_SECONDS = 0.1
+
+
+@dataclass(slots=True)
+class HeldTicket:
+    """A ticket and the holder's second after which it is not used."""
+
+    text: str
+    use_before: float
+
+
+@dataclass(slots=True)
+class StepAdvice:
+    """What is known about one step: tickets of the good workers, and those asked about."""
+
+    tickets: dict[WorkerId, HeldTicket] = field(default_factory=dict)
+    asked: set[WorkerId] = field(default_factory=set)
+    is_asking: bool = False
+    retry_at: float = 0.0
+
+    def valid_ticket(self, worker_id: WorkerId, now: float) -> str | None:
+        """Return the ticket for a worker, if it may still be used."""
+        held = self.tickets.get(worker_id)
+        if held is None or now >= held.use_before:
+            return None
+        return held.text
+
+    def may_run_on(self, worker_id: WorkerId) -> bool:
+        """Return whether a worker is good for the step, or was not asked about yet."""
+        return worker_id in self.tickets or worker_id not in self.asked
+
+
+@dataclass(slots=True)
+class _Advisor:
+    name: str
+    free_at: float = 0.0
+    calls: int = 0
+
+
+@dataclass(slots=True)
+class AdviceCall:
+    """One call that is wanted or under way."""
+
+    call_id: int
+    step: StepKey
+    worker_ids: tuple[WorkerId, ...]
+    seconds: float
+    rank: tuple[float, ...]
+    advisor: str = ""
+    overdue_at: float = math.inf
+
+
+class AdviceDesk:
+    """Keeps advice by step and hands out the calls."""
+
+    def __init__(self) -> None:
+        self._steps: dict[StepKey, StepAdvice] = {}
+        self._advisors: dict[str, _Advisor] = {}
+        self._waiting: dict[int, AdviceCall] = {}
+        self._under_way: dict[int, AdviceCall] = {}
+        self._last_call_id = 0
+
+    def set_advisors(self, names: list[str], now: float) -> None:
+        """Take the entries through which calls can go; calls of the others are lost."""
+        for name in names:
+            self._advisors.setdefault(name, _Advisor(name))
+        gone = [name for name in self._advisors if name not in names]
+        for name in gone:
+            del self._advisors[name]
+        for call in [call for call in self._under_way.values() if call.advisor in gone]:
+            self._give_up(call, now)
+
+    def advice_on(self, step: StepProgress) -> StepAdvice:
+        """Return what is known about a step."""
+        advice = self._steps.get(step.key)
+        if advice is None:
+            advice = self._steps[step.key] = StepAdvice()
+        return advice
+
+    def forget(self, key: StepKey) -> None:
+        """Drop what is known about a step that needs no more tickets."""
+        self._steps.pop(key, None)
+        for call in [call for call in self._waiting.values() if call.step == key]:
+            del self._waiting[call.call_id]
+
+    def want(
+        self,
+        step: StepProgress,
+        policy: AdvicePolicy,
+        worker_ids: list[WorkerId],
+        rank: tuple[float, ...],
+        now: float,
+    ) -> None:
+        """Ask about a step, unless that is under way; the lowest rank is asked first."""
+        advice = self.advice_on(step)
+        if advice.is_asking or now < advice.retry_at or not worker_ids:
+            return
+        chosen = tuple(worker_ids[:MAXIMUM_WORKERS_ASKED])
+        seconds = (policy.decide_ms + policy.per_item_ms * len(chosen)) / _MILLISECONDS
+        self._last_call_id += 1
+        call = AdviceCall(self._last_call_id, step.key, chosen, seconds, rank)
+        advice.is_asking = True
+        self._waiting[call.call_id] = call
+
+    def dispatch(self, now: float) -> list[AdviceCall]:
+        """Return the calls to be made now, each with its advisor."""
+        for call in [call for call in self._under_way.values() if now >= call.overdue_at]:
+            self._give_up(call, now)
+        started = []
+        for call in sorted(self._waiting.values(), key=lambda waiting: waiting.rank):
+            advisor = self._choose_advisor(call, now)
+            if advisor is None:
+                continue
+            del self._waiting[call.call_id]
+            self._begin(call, advisor, now)
+            started.append(call)
+        return started
+
+    def handle_result(self, call_id: int, result: AdviceResult, now: float) -> StepKey | None:
+        """Take an answer; return the step that it is about, if that is still wanted."""
+        call = self._under_way.get(call_id)
+        if call is None:
+            return None
+        if result.outcome is not AdviceOutcome.ANSWERED:
+            self._give_up(call, now)
+            return None
+        self._end(call, now)
+        advice = self._steps.get(call.step)
+        if advice is None:
+            return None
+        advice.is_asking = False
+        advice.asked.update(call.worker_ids)
+        use_before = now + result.validity_ms / _MILLISECONDS - TICKET_MARGIN_SECONDS
+        for ticket in result.tickets:
+            advice.tickets[ticket.worker_id] = HeldTicket(ticket.text, use_before)
+        return call.step
+
+    def drop_ticket(self, step: StepKey, worker_id: WorkerId) -> None:
+        """A worker refused a ticket; it is not used again."""
+        advice = self._steps.get(step)
+        if advice is not None and worker_id in advice.tickets:
+            advice.tickets[worker_id].use_before = 0.0
+
+    def _choose_advisor(self, call: AdviceCall, now: float) -> _Advisor | None:
+        advisors = list(self._advisors.values())
+        if call.seconds > MEDIUM_CALL_SECONDS:
+            reserved = int(SHORT_OR_MEDIUM_SHARE * len(advisors))
+        elif call.seconds > SHORT_CALL_SECONDS:
+            reserved = int(SHORT_ONLY_SHARE * len(advisors))
+        else:
+            reserved = 0
+        open_ones = [
+            advisor for advisor in advisors[reserved:] if advisor.calls < MAXIMUM_CALLS_EACH
+        ]
+        if not open_ones:
+            return None
+        best = min(open_ones, key=lambda advisor: max(advisor.free_at, now))
+        if best.free_at - now > call.seconds:
+            return None
+        return best
+
+    def _begin(self, call: AdviceCall, advisor: _Advisor, now: float) -> None:
+        call.advisor = advisor.name
+        advisor.calls += 1
+        advisor.free_at = max(advisor.free_at, now) + call.seconds
+        call.overdue_at = advisor.free_at + (OVERDUE_FACTOR - 1) * call.seconds + OVERDUE_SECONDS
+        self._under_way[call.call_id] = call
+
+    def _end(self, call: AdviceCall, now: float) -> None:
+        del self._under_way[call.call_id]
+        advisor = self._advisors.get(call.advisor)
+        if advisor is not None:
+            advisor.calls -= 1
+            if advisor.calls == 0:
+                advisor.free_at = now
+
+    def _give_up(self, call: AdviceCall, now: float) -> None:
+        self._end(call, now)
+        advice = self._steps.get(call.step)
+        if advice is not None:
+            advice.is_asking = False
+            advice.retry_at = now + RETRY_SECONDS
--- /dev/null
+++ b/src/onyxspoke/core/placement/runs.py
@@ -0,0 +1,115 @@
+"""Runs of tasks on workers, one by one or in gangs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from onyxspoke.core.jobs.model import Needs, RunKey
+from onyxspoke.core.jobs.progress import StepProgress, TaskProgress
+from onyxspoke.core.jobs.states import RunState, check_run_transition
+
+if TYPE_CHECKING:
+    from onyxspoke.core.placement.workers import Worker
+
+
+class GangRun:
+    """One run of a whole gang: its members share the number.
+
+    Attributes
+    ----------
+    members : list of Run
+        Every run of the gang, ended or not.
+    is_broken : bool
+        A member ended otherwise than well, or never began: the others are to end too.
+    counts_as_failure : bool
+        A member ended ``failed``.
+    """
+
+    __slots__ = ("counts_as_failure", "is_broken", "members", "number", "step")
+
+    def __init__(self, step: StepProgress, number: int) -> None:
+        self.step = step
+        self.number = number
+        self.members: list[Run] = []
+        self.is_broken = False
+        self.counts_as_failure = False
+
+    @property
+    def is_over(self) -> bool:
+        """Whether no member can still be at work."""
+        return all(member.state is RunState.ENDED for member in self.members)
+
+
+class Run:
+    """One start of one task on one worker; it holds the worker's room until it has ended.
+
+    Attributes
+    ----------
+    until_ms : int
+        Worker's clock after which the order to start is void.
+    sent_at : float
+        When the order was sent, in the holder's seconds.
+    confirmed_at : float
+        When the worker first said that it has the run; 0 before.
+    percent : int
+        Progress by the worker's word.
+    moved_at : float
+        When the percentage last rose.
+    usage : int
+        Rough figure of the worker: processors in use, or the tail of answer times.
+    settle_step : int
+        How many looks and stops have been sent to settle an unanswered order.
+    """
+
+    __slots__ = (
+        "confirmed_at",
+        "gang",
+        "moved_at",
+        "needs",
+        "number",
+        "percent",
+        "sent_at",
+        "state",
+        "stop_answered_at",
+        "stop_sent_at",
+        "task",
+        "until_ms",
+        "usage",
+        "worker",
+    )
+
+    def __init__(
+        self,
+        task: TaskProgress,
+        number: int,
+        worker: Worker,
+        now: float,
+        gang: GangRun | None = None,
+    ) -> None:
+        self.task = task
+        self.number = number
+        self.worker = worker
+        self.needs: Needs = task.step.spec.needs
+        self.state = RunState.STARTING
+        self.gang = gang
+        self.until_ms = 0
+        self.sent_at = now
+        self.confirmed_at = 0.0
+        self.stop_sent_at = 0.0
+        self.stop_answered_at = 0.0
+        self.percent = 0
+        self.moved_at = now
+        self.usage = 0
+        if gang is not None:
+            gang.members.append(self)
+
+    @property
+    def key(self) -> RunKey:
+        """The run's name."""
+        return RunKey(self.task.key, self.number)
+
+    def move_to(self, state: RunState) -> None:
+        """Change the state."""
+        if state is not self.state:
+            check_run_transition(self.state, state)
+            self.state = state
--- /dev/null
+++ b/src/onyxspoke/core/placement/workers.py
@@ -0,0 +1,250 @@
+"""Workers as a shard's holder knows them: listing, contact, lease and room."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+
+from onyxspoke.core.jobs.model import Needs, RunKey, WorkerId
+from onyxspoke.core.jobs.states import RunEnd
+from onyxspoke.core.placement.runs import Run
+
+_MILLISECONDS = 1_000.0
+#: Ends remembered of each worker.
+REMEMBERED_ENDS = 400
+#: A worker's steady clock may run this much slower than ours.
+SLOWEST_CLOCK_FACTOR = 1.02
+
+
+class WorkerListing(Enum):
+    """What the platform's directory says of a worker."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class WorkerContact(Enum):
+    """What the holder knows of what a worker runs.
+
+    ``UNSETTLED``: it may run anything.  ``SETTLED``: it has answered under this holder's
+    token, and every run on it is known.  ``SILENT``: settled before, but it does not answer.
+    ``OVER``: its life is over, and so is everything it ran.
+    """
+
+    UNSETTLED = "unsettled"
+    SETTLED = "settled"
+    SILENT = "silent"
+    OVER = "over"
+
+
+CONTACT_TRANSITIONS: dict[WorkerContact, frozenset[WorkerContact]] = {
+    WorkerContact.UNSETTLED: frozenset({WorkerContact.SETTLED, WorkerContact.OVER}),
+    WorkerContact.SETTLED: frozenset({WorkerContact.SILENT, WorkerContact.OVER}),
+    WorkerContact.SILENT: frozenset({WorkerContact.SETTLED, WorkerContact.OVER}),
+    WorkerContact.OVER: frozenset({WorkerContact.SETTLED}),
+}
+
+
+class WorkerRecord(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """One life of a worker, as the platform's directory lists it.
+
+    Attributes
+    ----------
+    remaining_ms : int
+        Time that a draining worker has left at least.
+    """
+
+    worker_id: WorkerId
+    host: str
+    port: int
+    service: str
+    zone: str
+    capacity: Needs
+    kind: str = ""
+    rack: str = ""
+    labels: tuple[str, ...] = ()
+    listing: WorkerListing = WorkerListing.READY
+    remaining_ms: int = 0
+    machine: str = ""
+
+
+class WorkerClock:
+    """A worker's steady clock, read from its answers and estimated in between."""
+
+    __slots__ = ("_read_at", "_read_ms", "is_known")
+
+    def __init__(self) -> None:
+        self._read_ms = 0
+        self._read_at = 0.0
+        self.is_known = False
+
+    @property
+    def last_ms(self) -> int:
+        """The latest reading."""
+        return self._read_ms
+
+    def read(self, clock_ms: int, now: float) -> None:
+        """Take a reading; answers may pass each other, so only a later one counts."""
+        if clock_ms >= self._read_ms:
+            self._read_ms = clock_ms
+            self._read_at = now
+            self.is_known = True
+
+    def estimate_ms(self, now: float) -> int:
+        """Return what the clock shows now, or a little more."""
+        return self._read_ms + int((now - self._read_at) * _MILLISECONDS)
+
+    def moment_past(self, clock_ms: int) -> float:
+        """Return the holder's second by which the clock has certainly passed a reading."""
+        ahead = (clock_ms - self._read_ms) / _MILLISECONDS
+        return self._read_at + ahead * SLOWEST_CLOCK_FACTOR
+
+
+@dataclass(slots=True)
+class HoldInFlight:
+    """A hold that is not answered yet; ``sent_at`` is 0 where there is none."""
+
+    sent_at: float = 0.0
+    number: int = 0
+
+
+class Worker:
+    """One life of a worker.
+
+    Attributes
+    ----------
+    runs : dict of RunKey to Run
+        Everything that may run there, each holding room.
+    seen_through : int
+        Ends up to this number were taken in; each is told to the worker once committed.
+    told_through : int
+        Ends up to this number are committed, so that the worker may forget them.
+    unsettled_until : float
+        The holder's second by which any lease that a former holder granted is over.
+    is_recorded : bool
+        The store names it as a worker that may run something for the shard.
+    was_used_before : bool
+        A former holder may have started runs there.
+    lease_until_ms : int
+        Worker's clock until which this holder may have let things run.
+    retry_at : float
+        Not offered before this second, after a refusal.
+    listed_clock_ms : int
+        Worker's clock of the latest list of runs that was taken in.
+    ended_runs : dict of RunKey to RunEnd
+        Runs that are over, so that an older answer does not bring them back.
+    misses : int
+        Holds in a row without an answer.
+    """
+
+    def __init__(self, record: WorkerRecord, unsettled_until: float) -> None:
+        self.record = record
+        self.contact = WorkerContact.UNSETTLED
+        self.listing = record.listing
+        self.draining_since = 0.0
+        self.clock = WorkerClock()
+        self.runs: dict[RunKey, Run] = {}
+        self.free_processors = record.capacity.processors_milli
+        self.free_memory = record.capacity.memory_mb
+        self.free_accelerators = record.capacity.accelerators
+        self.seen_through = 0
+        self.told_through = 0
+        self.is_recorded = False
+        self.was_used_before = False
+        self.unsettled_until = unsettled_until
+        self.lease_until_ms = 0
+        self.retry_at = 0.0
+        self.answered_at = 0.0
+        self.listed_clock_ms = 0
+        self.ended_runs: dict[RunKey, RunEnd] = {}
+        self.long_hold = HoldInFlight()
+        self.quick_hold = HoldInFlight()
+        self.next_hold_at = 0.0
+        self.wants_look = False
+        self.misses = 0
+        self.silent_since = 0.0
+
+    @property
+    def worker_id(self) -> WorkerId:
+        """The life's name."""
+        return self.record.worker_id
+
+    def move_to(self, contact: WorkerContact) -> None:
+        """Change what is known of the worker."""
+        if contact is not self.contact:
+            assert contact in CONTACT_TRANSITIONS[self.contact]
+            self.contact = contact
+
+    def is_offered(self, now: float) -> bool:
+        """Return whether runs may be started there."""
+        return (
+            self.contact is WorkerContact.SETTLED
+            and self.listing is WorkerListing.READY
+            and self.is_recorded
+            and now >= self.retry_at
+        )
+
+    def fits(self, needs: Needs) -> bool:
+        """Return whether there is room."""
+        return (
+            needs.processors_milli <= self.free_processors
+            and needs.memory_mb <= self.free_memory
+            and needs.accelerators <= self.free_accelerators
+        )
+
+    def add(self, run: Run) -> None:
+        """Reserve room for a run."""
+        self.runs[run.key] = run
+        self.free_processors -= run.needs.processors_milli
+        self.free_memory -= run.needs.memory_mb
+        self.free_accelerators -= run.needs.accelerators
+
+    def remove(self, run: Run) -> None:
+        """Free the room of a run that has ended."""
+        if self.runs.pop(run.key, None) is None:
+            return
+        self.free_processors += run.needs.processors_milli
+        self.free_memory += run.needs.memory_mb
+        self.free_accelerators += run.needs.accelerators
+
+    def note_ended(self, key: RunKey, end: RunEnd) -> None:
+        """Remember a run that is over, so that an older answer does not bring it back."""
+        self.ended_runs[key] = end
+        if len(self.ended_runs) > REMEMBERED_ENDS:
+            del self.ended_runs[next(iter(self.ended_runs))]
+
+    def extend_lease(self, until_ms: int) -> None:
+        """Take into account that everything there may now run until a reading."""
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+
+    def lease_over_at(self) -> float:
+        """Return the holder's second after which nothing of before can still run there."""
+        if self.contact is WorkerContact.UNSETTLED or not self.clock.is_known:
+            return self.unsettled_until
+        return self.clock.moment_past(self.lease_until_ms)
+
+
+class WorkerTable:
+    """All lives of workers that may run something for this shard."""
+
+    def __init__(self) -> None:
+        self.workers: dict[WorkerId, Worker] = {}
+
+    def offered(self, service: str, now: float) -> list[Worker]:
+        """Return the workers of a service to which runs may go."""
+        return [
+            worker
+            for worker in self.workers.values()
+            if worker.record.service == service and worker.is_offered(now)
+        ]
+
+    def unsettled(self) -> list[Worker]:
+        """Return workers that may run what a former holder started there."""
+        return [
+            worker
+            for worker in self.workers.values()
+            if worker.contact is WorkerContact.UNSETTLED and worker.was_used_before
+        ]
--- /dev/null
+++ b/src/onyxspoke/core/shard/__init__.py
@@ -0,0 +1,1 @@
+"""One holder for each shard of a cell: election, commit, recovery, orders to workers."""
--- /dev/null
+++ b/src/onyxspoke/core/shard/actions.py
@@ -0,0 +1,120 @@
+"""Instructions that a shard's holder gives to the shell."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+from onyxspoke.core.jobs.model import RunKey, StepKey, WorkerId
+from onyxspoke.core.shard.calls import CallReply
+from onyxspoke.core.shard.log_records import ShardAppend
+
+Token = int
+FieldValue = str | int | float
+
+
+class SendAppend(msgspec.Struct, frozen=True):
+    """Append to the shard's partition."""
+
+    append: ShardAppend
+
+
+class WorkerAddress(msgspec.Struct, frozen=True):
+    """Where one life of a worker is reached."""
+
+    worker_id: WorkerId
+    host: str
+    port: int
+
+
+class SendHold(msgspec.Struct, frozen=True):
+    """Fence a worker, extend what runs there, and ask what runs and what ended.
+
+    ``until_ms`` is 0 where nothing is to be extended; ``wait_ms`` is for how long the answer
+    may wait for an end.
+    """
+
+    address: WorkerAddress
+    token: Token
+    last_seen: int
+    until_ms: int
+    wait_ms: int
+    number: int
+
+
+class SendStart(msgspec.Struct, frozen=True):
+    """Start a run; void after ``until_ms`` on the worker's clock."""
+
+    address: WorkerAddress
+    token: Token
+    run: RunKey
+    payload: str
+    until_ms: int
+    checkpoint: str = ""
+    ticket: str = ""
+
+
+class SendStop(msgspec.Struct, frozen=True):
+    """Stop a run; a run that is not there yet will never be."""
+
+    address: WorkerAddress
+    token: Token
+    run: RunKey
+
+
+class AskAdvice(msgspec.Struct, frozen=True):
+    """Let one of the entries ask the advice service about a step."""
+
+    call_id: int
+    advisor: str
+    step: StepKey
+    worker_ids: tuple[WorkerId, ...]
+
+
+class ReplyToCall(msgspec.Struct, frozen=True):
+    """Answer a call that an entry passed on."""
+
+    call_id: int
+    reply: CallReply
+
+
+class DropWorkerConnections(msgspec.Struct, frozen=True):
+    """A life of a worker is over; its connections are of no more use."""
+
+    address: WorkerAddress
+
+
+class StepDownReason(Enum):
+    """Why a holder gives its shard up."""
+
+    STORE_FENCED = "store_fenced"
+    WORKER_FENCED = "worker_fenced"
+    OUT_OF_SEQUENCE = "out_of_sequence"
+    PLANNED = "planned"
+
+
+class StepDown(msgspec.Struct, frozen=True):
+    """The shard is no longer ours; nothing more is to be sent for it."""
+
+    reason: StepDownReason
+
+
+class Decision(msgspec.Struct, frozen=True):
+    """One line for the log: what was decided or believed, and from what."""
+
+    event: str
+    fields: tuple[tuple[str, FieldValue], ...] = ()
+
+
+ShardAction = (
+    SendAppend
+    | SendHold
+    | SendStart
+    | SendStop
+    | AskAdvice
+    | ReplyToCall
+    | DropWorkerConnections
+    | StepDown
+    | Decision
+)
--- /dev/null
+++ b/src/onyxspoke/core/shard/calls.py
@@ -0,0 +1,72 @@
+"""Calls of clients as an entry passes them on to a shard's holder, and the replies."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+from onyxspoke.core.jobs.model import JobId, JobSpec
+
+
+class SubmitCall(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Hand a job in; the same identifier again stays one job."""
+
+    job: JobSpec
+
+
+class CancelCall(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Cancel a job."""
+
+    job_id: JobId
+
+
+class StateCall(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Ask for a job's state."""
+
+    job_id: JobId
+
+
+class WaitingCall(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Ask how many accepted jobs of a queue have not begun."""
+
+    queue: str
+
+
+Call = SubmitCall | CancelCall | StateCall | WaitingCall
+
+
+class ReplyCode(Enum):
+    """What a holder replies.
+
+    ``REFUSED``: not taken, and it never runs.  ``NOT_HOLDER``: ask another.  ``UNKNOWN``: it
+    may have been done; ask again.
+    """
+
+    OK = "ok"
+    NO_SUCH_JOB = "no_such_job"
+    REFUSED = "refused"
+    NOT_HOLDER = "not_holder"
+    UNKNOWN = "unknown"
+
+
+class CallReply(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """The reply to a call.
+
+    Attributes
+    ----------
+    state : str
+        The job's state as a word, for :class:`StateCall`.
+    waiting : int
+        For :class:`WaitingCall`.
+    retry_after_seconds : float
+        When to come back, for ``REFUSED``.
+    reason : str
+        Why, for logs.
+    """
+
+    code: ReplyCode
+    state: str = ""
+    waiting: int = 0
+    retry_after_seconds: float = 0.0
+    reason: str = ""
--- /dev/null
+++ b/src/onyxspoke/core/shard/commit.py
@@ -0,0 +1,149 @@
+"""Commits of a shard's state: one append in flight, effects only after it.
+
+What a change promises to the outside (a job accepted, an end noted, a state shown) is an
+effect that waits here until the append that says so is acknowledged.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from onyxspoke.core.shard.log_records import (
+    AppendOutcome,
+    AppendResult,
+    ShardAppend,
+    ShardId,
+    ShardRecord,
+)
+
+#: Pause between two appends, so that what happens close together shares one.
+MINIMUM_INTERVAL_SECONDS = 0.012
+#: The claim is renewed when nothing else was appended for so long.
+RENEWAL_SECONDS = 0.8
+#: Pause before an append that was refused or not answered is sent again.
+RETRY_SECONDS = (0.02, 0.08, 0.2, 0.4)
+MAXIMUM_BATCH_BYTES = 1_000_000
+#: An append that is open for longer means that the store is in trouble.
+TROUBLE_SECONDS = 0.6
+
+Effect = Callable[[float], None]
+
+
+@dataclass(slots=True)
+class _Batch:
+    append: ShardAppend
+    effects: list[Effect]
+    opened_at: float
+    attempts: int = 1
+    retry_at: float | None = None
+
+
+@dataclass(slots=True)
+class CommitQueue:
+    """Takes records and effects, and sends them in order.
+
+    Attributes
+    ----------
+    proof_at : float
+        When the latest append that succeeded was sent: the shard was ours then.
+    """
+
+    shard: ShardId
+    epoch: int
+    next_sequence: int
+    proof_at: float
+    collect: Callable[[int], list[ShardRecord]]
+    renew: Callable[[], ShardRecord]
+    is_dirty: Callable[[], bool]
+    _effects: list[Effect] = field(default_factory=list)
+    _batch: _Batch | None = None
+    _last_sent_at: float = 0.0
+
+    @property
+    def in_trouble_since(self) -> float | None:
+        """When the append that is open was first sent, or ``None`` if none is."""
+        return None if self._batch is None else self._batch.opened_at
+
+    def is_in_trouble(self, now: float) -> bool:
+        """Return whether the store keeps an append open for unusually long."""
+        return self._batch is not None and now - self._batch.opened_at > TROUBLE_SECONDS
+
+    def after_commit(self, effect: Effect) -> None:
+        """Have an effect once everything marked so far is acknowledged."""
+        if self._batch is not None and not self._effects and not self.is_dirty():
+            self._batch.effects.append(effect)
+        else:
+            self._effects.append(effect)
+
+    def take_effects_back(self) -> list[Effect]:
+        """Return and drop the effects that no append carries yet."""
+        effects, self._effects = self._effects, []
+        return effects
+
+    def next_append(self, now: float) -> ShardAppend | None:
+        """Return what is to be sent now, if anything."""
+        if self._batch is not None:
+            return self._retry(self._batch, now)
+        if now - self._last_sent_at < MINIMUM_INTERVAL_SECONDS:
+            return None
+        if self._effects and not self.is_dirty():
+            self._have_effects(now)
+        is_due = now - max(self._last_sent_at, self.proof_at) >= RENEWAL_SECONDS
+        if not (self.is_dirty() or is_due):
+            return None
+        records = self.collect(MAXIMUM_BATCH_BYTES)
+        if not records or is_due:
+            records.append(self.renew())
+        effects = self._effects
+        if self.is_dirty():
+            # What did not fit goes with the next append, and so do all effects.
+            effects = []
+        else:
+            self._effects = []
+        append = ShardAppend(
+            shard=self.shard, epoch=self.epoch, sequence=self.next_sequence, records=records
+        )
+        self.next_sequence += 1
+        self._batch = _Batch(append, effects, now)
+        self._last_sent_at = now
+        return append
+
+    def next_moment(self) -> float | None:
+        """Return when :meth:`next_append` may have something to send, if nothing comes in."""
+        if self._batch is not None:
+            return self._batch.retry_at
+        if self._effects or self.is_dirty():
+            return self._last_sent_at + MINIMUM_INTERVAL_SECONDS
+        return None
+
+    def handle_result(self, result: AppendResult, now: float) -> bool:
+        """Take the answer to the append in flight; return whether the shard is still ours."""
+        batch = self._batch
+        if batch is None:
+            return True
+        if result.outcome is AppendOutcome.DONE:
+            self._batch = None
+            # A repeat may be answered as the first time, so only the first sending proves.
+            self.proof_at = max(self.proof_at, batch.opened_at)
+            for effect in batch.effects:
+                effect(now)
+            return True
+        if result.outcome in (AppendOutcome.NOT_DONE, AppendOutcome.UNKNOWN):
+            pause = RETRY_SECONDS[min(batch.attempts, len(RETRY_SECONDS)) - 1]
+            batch.retry_at = now + pause
+            return True
+        return False
+
+    def _have_effects(self, now: float) -> None:
+        effects, self._effects = self._effects, []
+        for effect in effects:
+            effect(now)
+
+    def _retry(self, batch: _Batch, now: float) -> ShardAppend | None:
+        if batch.retry_at is None or now < batch.retry_at:
+            return None
+        batch.retry_at = None
+        batch.attempts += 1
+        self._last_sent_at = now
+        return batch.append
--- /dev/null
+++ b/src/onyxspoke/core/shard/context.py
@@ -0,0 +1,109 @@
+"""What the parts of a shard's holder share."""
+
+from __future__ import annotations
+
+import msgspec
+
+from onyxspoke.core.jobs.book import JobBook
+from onyxspoke.core.jobs.policy import PolicySet
+from onyxspoke.core.placement.advice_desk import AdviceDesk
+from onyxspoke.core.placement.workers import Worker, WorkerTable
+from onyxspoke.core.shard.actions import (
+    Decision,
+    FieldValue,
+    ShardAction,
+    StepDown,
+    StepDownReason,
+    WorkerAddress,
+)
+from onyxspoke.core.shard.commit import CommitQueue
+
+
+class ShardOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds that the platform sets, and our own timings.
+
+    Attributes
+    ----------
+    maximum_hold_ms : int
+        Longest lease that a worker grants.
+    stop_grace_ms : int
+        Longest time that a stop takes at a worker.
+    status_seconds : float
+        For how long a finished job is remembered.
+    early_ms : float
+        How far ahead of its time a repetition may begin.
+    start_validity_ms : int
+        An order to start is void so long after it was sent.
+    hold_wait_ms : int
+        For how long a worker's answer may wait for an end.
+    hold_pause_seconds : float
+        Pause between two looks at a worker, so that ends close together share one.
+    proof_seconds : float
+        For how long after the latest proof of holding orders may be given.
+    refusal_retry_seconds : float
+        When a refused caller is told to come back.
+    """
+
+    maximum_hold_ms: int = 6_000
+    stop_grace_ms: int = 1_000
+    status_seconds: float = 120.0
+    early_ms: float = 0.0
+    start_validity_ms: int = 1_200
+    hold_wait_ms: int = 1_000
+    hold_pause_seconds: float = 0.03
+    proof_seconds: float = 4.0
+    refusal_retry_seconds: float = 1.0
+
+
+class ShardContext:
+    """State of a shard's holder, and the instructions it has not handed out yet.
+
+    Parameters
+    ----------
+    options : ShardOptions
+        Bounds and timings.
+    token : int
+        Fencing token of the claim.
+    commit : CommitQueue
+        Writes the state.
+    """
+
+    def __init__(self, options: ShardOptions, token: int) -> None:
+        self.options = options
+        self.token = token
+        self.book = JobBook(options.status_seconds)
+        self.table = WorkerTable()
+        self.desk = AdviceDesk()
+        self.policy = PolicySet()
+        self.commit: CommitQueue
+        self.actions: list[ShardAction] = []
+        self.wants_placement = False
+        self.is_over = False
+        #: Set while the process may have been paused and the shard may be another's.
+        self.is_unproven = False
+
+    def emit(self, action: ShardAction) -> None:
+        """Hand an instruction to the shell."""
+        self.actions.append(action)
+
+    def log(self, event: str, **fields: FieldValue) -> None:
+        """Write one line about a decision."""
+        self.actions.append(Decision(event, tuple(fields.items())))
+
+    def step_down(self, reason: StepDownReason) -> None:
+        """Give the shard up; nothing is ordered any more."""
+        if not self.is_over:
+            self.is_over = True
+            self.actions.append(StepDown(reason))
+
+    def may_order(self, now: float) -> bool:
+        """Return whether the shard is surely still ours, so that workers may be ordered."""
+        if self.is_over or self.is_unproven:
+            return False
+        return now - self.commit.proof_at < self.options.proof_seconds
+
+
+def address_of(worker: Worker) -> WorkerAddress:
+    """Return where a worker is reached."""
+    record = worker.record
+    return WorkerAddress(record.worker_id, record.host, record.port)
--- /dev/null
+++ b/src/onyxspoke/core/shard/election.py
@@ -0,0 +1,437 @@
+"""Who holds a shard: one claim in the store, found, followed, watched and replaced.
+
+A claim is an append to the shard's partition under the condition that it ends where the
+claimant saw it end.  Its epoch, one more than that end, fences every earlier holder's writes
+and is the token that fences their orders, so it is unique and rises by construction.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+
+import msgspec
+
+from onyxspoke.core.shard.log_records import (
+    CLAIM_KEY,
+    AppendOutcome,
+    AppendResult,
+    ClaimRecord,
+    ShardAppend,
+    ShardId,
+    ShardRecord,
+    encode_claim,
+)
+
+#: Pause before the claim is read again after the store gave no answer.
+READ_RETRY_SECONDS = 0.2
+#: Pause between looks at whether the partition's end still moves.
+WATCH_SECONDS = 0.4
+#: A holder whose partition rests for so long is taken for dead or cut off.
+REST_SECONDS = 1.6
+#: Pause between attempts to reach a holder that is alive but does not answer us.
+RECONNECT_SECONDS = 0.8
+#: Between the turns of two claimants.
+TURN_SECONDS = 0.1
+#: Claimants of a shard that nobody holds draw their turn up to here.
+FIRST_TURN_SECONDS = 0.06
+CLAIM_RETRY_SECONDS = 0.1
+#: A claim that is not answered is given up, and read back, after so many attempts.
+MAXIMUM_CLAIM_ATTEMPTS = 8
+#: A follower that hears nothing for so long doubts its holder.
+SILENCE_SECONDS = 1.0
+#: First sequences are drawn from up to here, so that two claimants never share one.
+SEQUENCE_RANGE = 2**40
+
+
+class ElectionState(Enum):
+    """What a node does about a shard."""
+
+    READING = "reading"
+    CONNECTING = "connecting"
+    FOLLOWING = "following"
+    WATCHING = "watching"
+    WAITING_TURN = "waiting_turn"
+    CLAIMING = "claiming"
+    HOLDING = "holding"
+
+
+class LossReason(Enum):
+    """How a connection to a peer ended, or failed.
+
+    ``REFUSED``: nobody listens there.  ``CLOSED``: it was closed or reset.  ``SILENT``:
+    nothing was heard in time.
+    """
+
+    REFUSED = "refused"
+    CLOSED = "closed"
+    SILENT = "silent"
+
+
+class NodeIdentity(msgspec.Struct, frozen=True, array_like=True):
+    """One life of a node's process, and where its peers reach it."""
+
+    life: str
+    host: str
+    port: int
+    zone: str = ""
+    #: Processor share; larger nodes are to hold shards.
+    weight: float = 1.0
+
+
+class ReadClaim(msgspec.Struct, frozen=True):
+    """Read the claim and the partition's end."""
+
+
+class ConnectToHolder(msgspec.Struct, frozen=True):
+    """Have a stream to a node."""
+
+    host: str
+    port: int
+
+
+class SendClaim(msgspec.Struct, frozen=True):
+    """Append a claim."""
+
+    append: ShardAppend
+
+
+class BecomeHolder(msgspec.Struct, frozen=True):
+    """The claim stands; ``former_dead_since`` is known where the former holder has ended."""
+
+    claim: ClaimRecord
+    next_sequence: int
+    claimed_at: float
+    former_dead_since: float | None
+
+
+class HolderChanged(msgspec.Struct, frozen=True):
+    """Another node holds the shard, or nobody that is known (``claim`` is ``None``)."""
+
+    claim: ClaimRecord | None
+
+
+class ElectionNote(msgspec.Struct, frozen=True):
+    """One line for the log."""
+
+    state: ElectionState
+    reason: str
+    token: int
+
+
+#: States in which what the holder's node says, or does not, counts.
+_LOOKING_AT_HOLDER = frozenset(
+    {ElectionState.FOLLOWING, ElectionState.CONNECTING, ElectionState.WATCHING}
+)
+
+ElectionAction = (
+    ReadClaim | ConnectToHolder | SendClaim | BecomeHolder | HolderChanged | ElectionNote
+)
+
+
+class Election:
+    """Finds, follows, watches and replaces the holder of one shard.
+
+    Parameters
+    ----------
+    shard : int
+        Which shard.
+    identity : NodeIdentity
+        This process.
+    draw : callable
+        Returns a random number of at least 0 and below 1.
+    started_at : float
+        When this process began; earlier lives on this host ended before.
+    """
+
+    def __init__(
+        self,
+        shard: ShardId,
+        identity: NodeIdentity,
+        draw: Callable[[], float],
+        started_at: float,
+    ) -> None:
+        self._shard = shard
+        self._identity = identity
+        self._draw = draw
+        self._started_at = started_at
+        self.state = ElectionState.READING
+        self.claim: ClaimRecord | None = None
+        self._end = -1
+        self._members: list[NodeIdentity] = []
+        self._due_at = 0.0
+        self._is_reading = False
+        self._heard_at = 0.0
+        self._moved_at = 0.0
+        self._dead_since: float | None = None
+        self._suspects_death = False
+        self._pending: ShardAppend | None = None
+        self._pending_claim: ClaimRecord | None = None
+        self._claim_sent_at = 0.0
+        self._claim_attempts = 0
+        self._may_claim = True
+        self.actions: list[ElectionAction] = []
+
+    # Stimuli
+
+    def start(self, now: float) -> None:
+        """Begin to look for the holder."""
+        self._read(now, "started")
+
+    def rest(self) -> None:
+        """Claim nothing any more: the process is about to stop."""
+        self._may_claim = False
+
+    def set_members(self, members: list[NodeIdentity]) -> None:
+        """Take the nodes that the holder knows; they set the order of turns."""
+        self._members = members
+
+    def handle_claim_read(
+        self, is_known: bool, claim: ClaimRecord | None, end: int, now: float
+    ) -> None:
+        """The store told the claim and the end, or gave no answer."""
+        self._is_reading = False
+        if self.state in (ElectionState.HOLDING, ElectionState.CLAIMING):
+            return
+        if not is_known:
+            self._due_at = now + READ_RETRY_SECONDS
+            return
+        has_moved = end != self._end
+        self._end = end
+        if has_moved:
+            self._moved_at = now
+        if self._is_new(claim):
+            self._adopt_claim(claim, now)
+        elif self.state is ElectionState.WATCHING:
+            self._watch_on(now)
+        elif self.state is ElectionState.READING:
+            self._decide(now)
+
+    def handle_peer_status(self, peer: NodeIdentity, claim: ClaimRecord | None, now: float) -> None:
+        """A peer tells which claim it holds or follows, if any."""
+        if self.state in (ElectionState.HOLDING, ElectionState.CLAIMING):
+            return
+        if claim is not None and self._is_new(claim) and claim.host != self._identity.host:
+            self._adopt_told_claim(peer, claim, now)
+            return
+        known = self.claim
+        if known is None or peer.host != known.host:
+            return
+        if claim is not None and claim.token == known.token and peer.life == known.life:
+            self._follow(now, known)
+        elif self.state in _LOOKING_AT_HOLDER:
+            if peer.life != known.life:
+                self._dead_since = now
+            self._suspects_death = True
+            self._read(now, "holder_let_go")
+
+    def handle_peer_lost(self, host: str, reason: LossReason, now: float) -> None:
+        """The stream to a peer ended, or none came about."""
+        claim = self.claim
+        if claim is None or host != claim.host:
+            return
+        if self.state not in _LOOKING_AT_HOLDER:
+            return
+        if reason is LossReason.REFUSED:
+            self._suspects_death = True
+            self._read(now, "holder_refuses")
+        elif reason is LossReason.CLOSED and self.state is ElectionState.FOLLOWING:
+            self._connect(now, "stream_closed")
+        elif self.state is not ElectionState.WATCHING:
+            self._watch(now, "holder_silent")
+
+    def handle_append_result(self, result: AppendResult, now: float) -> None:
+        """The store answered the claim, or did not."""
+        if self.state is not ElectionState.CLAIMING:
+            return
+        if result.outcome is AppendOutcome.DONE:
+            self._win(now)
+        elif result.outcome in (AppendOutcome.UNKNOWN, AppendOutcome.NOT_DONE):
+            if self._claim_attempts >= MAXIMUM_CLAIM_ATTEMPTS:
+                self._read(now, "claim_unanswered")
+            else:
+                self._due_at = now + CLAIM_RETRY_SECONDS
+        else:
+            self._suspects_death = False
+            self._read(now, f"claim_{result.outcome.value}")
+
+    def handle_step_down(self, now: float) -> None:
+        """Look for the holder again: it is no longer this process."""
+        self._pending = None
+        self._read(now, "stepped_down")
+
+    def tick(self, now: float) -> None:
+        """Some time has passed."""
+        if self.state is ElectionState.FOLLOWING:
+            if now - self._heard_at > SILENCE_SECONDS:
+                self._watch(now, "heartbeat_missing")
+            return
+        if now < self._due_at:
+            return
+        if self.state is ElectionState.READING and not self._is_reading:
+            self._send_read(now)
+        elif self.state is ElectionState.WATCHING:
+            self._look_again(now)
+        elif self.state is ElectionState.CONNECTING:
+            self._watch(now, "connecting_takes_long")
+        elif self.state is ElectionState.WAITING_TURN:
+            self._claim(now)
+        elif self.state is ElectionState.CLAIMING and self._pending is not None:
+            self._send_claim(now)
+
+    def take_actions(self) -> list[ElectionAction]:
+        """Return the instructions not handed out yet."""
+        actions, self.actions = self.actions, []
+        return actions
+
+    # Decisions
+
+    def _is_new(self, claim: ClaimRecord | None) -> bool:
+        if claim is None:
+            return False
+        return self.claim is None or claim.token > self.claim.token
+
+    def _adopt_claim(self, claim: ClaimRecord | None, now: float) -> None:
+        assert claim is not None
+        self.claim = claim
+        self._dead_since = None
+        self._suspects_death = False
+        if claim.host == self._identity.host:
+            # An earlier life on this host, or a claim of ours that landed late.
+            if claim.life != self._identity.life:
+                self._dead_since = self._started_at
+            self._wait_turn(now, 0.0, "own_earlier_claim")
+        else:
+            self._connect(now, "claim_read")
+
+    def _adopt_told_claim(self, peer: NodeIdentity, claim: ClaimRecord, now: float) -> None:
+        self.claim = claim
+        self._dead_since = None
+        self._suspects_death = False
+        if claim.life == peer.life:
+            self._follow(now, claim)
+        else:
+            self._connect(now, "claim_told")
+
+    def _follow(self, now: float, claim: ClaimRecord) -> None:
+        self._heard_at = now
+        if self.state is not ElectionState.FOLLOWING:
+            self._move(ElectionState.FOLLOWING, now, "holder_answers")
+            self.actions.append(HolderChanged(claim))
+
+    def _decide(self, now: float) -> None:
+        """The claim is as it was: replace it if its holder is thought dead."""
+        claim = self.claim
+        if claim is None:
+            self._wait_turn(now, self._draw() * FIRST_TURN_SECONDS, "nobody_claimed")
+        elif claim.host == self._identity.host:
+            self._wait_turn(now, 0.0, "own_earlier_claim")
+        elif self._suspects_death:
+            self._wait_turn(now, self._turn_delay(claim), "holder_gone")
+        else:
+            self._connect(now, "claim_unchanged")
+
+    def _watch_on(self, now: float) -> None:
+        if now - self._moved_at >= REST_SECONDS:
+            claim = self.claim
+            assert claim is not None
+            self._wait_turn(now, self._turn_delay(claim), "partition_rests")
+        else:
+            self._due_at = now + WATCH_SECONDS
+
+    def _turn_delay(self, claim: ClaimRecord) -> float:
+        """Return how long to leave the claim to nodes that come before us."""
+        candidates = [member for member in self._members if member.host != claim.host]
+        order = sorted(candidates, key=lambda member: (-member.weight, member.life))
+        for position, member in enumerate(order):
+            if member.host == self._identity.host:
+                return position * TURN_SECONDS
+        return len(order) * TURN_SECONDS + self._draw() * TURN_SECONDS
+
+    # Steps
+
+    def _move(self, state: ElectionState, now: float, reason: str) -> None:
+        self.state = state
+        token = self.claim.token if self.claim is not None else 0
+        self.actions.append(ElectionNote(state, reason, token))
+
+    def _read(self, now: float, reason: str) -> None:
+        if self.state is not ElectionState.READING:
+            self._move(ElectionState.READING, now, reason)
+            self.actions.append(HolderChanged(None))
+        if not self._is_reading:
+            self._send_read(now)
+
+    def _send_read(self, now: float) -> None:
+        self._is_reading = True
+        self.actions.append(ReadClaim())
+
+    def _connect(self, now: float, reason: str) -> None:
+        claim = self.claim
+        assert claim is not None
+        self._move(ElectionState.CONNECTING, now, reason)
+        self._due_at = now + SILENCE_SECONDS
+        self.actions.append(HolderChanged(None))
+        self.actions.append(ConnectToHolder(claim.host, claim.port))
+
+    def _watch(self, now: float, reason: str) -> None:
+        self._move(ElectionState.WATCHING, now, reason)
+        self._moved_at = now
+        self.actions.append(HolderChanged(None))
+        self._look_again(now)
+
+    def _look_again(self, now: float) -> None:
+        claim = self.claim
+        assert claim is not None
+        self._due_at = now + WATCH_SECONDS
+        if not self._is_reading:
+            self._send_read(now)
+        self.actions.append(ConnectToHolder(claim.host, claim.port))
+
+    def _wait_turn(self, now: float, delay: float, reason: str) -> None:
+        if not self._may_claim:
+            self._due_at = now + RECONNECT_SECONDS
+            self._move(ElectionState.READING, now, "resting")
+            return
+        self._move(ElectionState.WAITING_TURN, now, reason)
+        self._due_at = now + delay
+        if delay <= 0:
+            self._claim(now)
+
+    def _claim(self, now: float) -> None:
+        identity = self._identity
+        token = self._end + 1
+        claim = ClaimRecord(life=identity.life, host=identity.host, port=identity.port, token=token)
+        self._pending_claim = claim
+        self._pending = ShardAppend(
+            shard=self._shard,
+            epoch=token,
+            sequence=1 + int(self._draw() * SEQUENCE_RANGE),
+            records=[ShardRecord(CLAIM_KEY, encode_claim(claim))],
+            expected_end=self._end,
+        )
+        self._claim_attempts = 0
+        self._move(ElectionState.CLAIMING, now, "claims")
+        self._claim_sent_at = now
+        self._send_claim(now)
+
+    def _send_claim(self, now: float) -> None:
+        assert self._pending is not None
+        self._claim_attempts += 1
+        self._due_at = now + 60.0
+        self.actions.append(SendClaim(self._pending))
+
+    def _win(self, now: float) -> None:
+        assert self._pending is not None
+        assert self._pending_claim is not None
+        self.claim = self._pending_claim
+        pending, self._pending = self._pending, None
+        self._move(ElectionState.HOLDING, now, "claim_stands")
+        self.actions.append(
+            BecomeHolder(
+                claim=self._pending_claim,
+                next_sequence=pending.sequence + 1,
+                claimed_at=self._claim_sent_at,
+                former_dead_since=self._dead_since,
+            )
+        )
--- /dev/null
+++ b/src/onyxspoke/core/shard/journal.py
@@ -0,0 +1,156 @@
+"""A holder's state as records of its partition, and back again."""
+
+from __future__ import annotations
+
+import msgspec
+
+from onyxspoke.core.jobs.model import JobId
+from onyxspoke.core.jobs.progress import JobProgress
+from onyxspoke.core.jobs.records import (
+    PROGRESS_PREFIX,
+    SPEC_PREFIX,
+    ProgressRecord,
+    RecordFormatError,
+    decode_progress,
+    decode_spec,
+    encode_cancelled_before,
+    encode_progress,
+    encode_spec,
+    progress_key,
+    spec_key,
+)
+from onyxspoke.core.jobs.states import JobState
+from onyxspoke.core.placement.workers import WorkerRecord
+from onyxspoke.core.shard.context import ShardContext
+from onyxspoke.core.shard.log_records import (
+    CLAIM_KEY,
+    WORKER_PREFIX,
+    ClaimRecord,
+    ShardRecord,
+    encode_claim,
+)
+from onyxspoke.core.shard.worker_keeper import WorkerKeeper
+
+_worker_decoder = msgspec.msgpack.Decoder(WorkerRecord)
+
+
+class RecordCollector:
+    """Turns what has changed into records."""
+
+    def __init__(self, context: ShardContext, workers: WorkerKeeper, claim: ClaimRecord) -> None:
+        self._context = context
+        self._workers = workers
+        self._claim = claim
+
+    def is_dirty(self) -> bool:
+        """Return whether something has changed that no append carries yet."""
+        return bool(self._context.book.dirty) or self._workers.is_dirty
+
+    def renew(self) -> ShardRecord:
+        """Return the claim's record, written anew."""
+        self._claim = msgspec.structs.replace(self._claim, renewal=self._claim.renewal + 1)
+        return ShardRecord(CLAIM_KEY, encode_claim(self._claim))
+
+    def collect(self, maximum_bytes: int) -> list[ShardRecord]:
+        """Return the records of what has changed, and forget that it has."""
+        records = self._workers.collect_records()
+        dirty = self._context.book.dirty
+        size = 0
+        while dirty and size < maximum_bytes:
+            job_id = next(iter(dirty))
+            del dirty[job_id]
+            for record in self._job_records(job_id):
+                records.append(record)
+                size += len(record.key) + len(record.value)
+        return records
+
+    def _job_records(self, job_id: JobId) -> list[ShardRecord]:
+        book = self._context.book
+        job = book.jobs.get(job_id)
+        if job is None:
+            value = encode_cancelled_before() if job_id in book.cancelled_before else b""
+            return [ShardRecord(progress_key(job_id), value)]
+        records = []
+        if job.state.is_final and job.spec_is_stored:
+            records.append(ShardRecord(spec_key(job_id), b""))
+            job.spec_is_stored = False
+        elif not job.state.is_final and not job.spec_is_stored:
+            records.append(ShardRecord(spec_key(job_id), encode_spec(job.spec)))
+            job.spec_is_stored = True
+        if job.state is not JobState.QUEUED or job.committed_state is not None:
+            records.append(ShardRecord(progress_key(job_id), encode_progress(job)))
+        self._context.commit.after_commit(_MarkCommitted(self._context, job, job.state))
+        return records
+
+
+class _MarkCommitted:
+    """Once a job's record is committed, its state may be shown."""
+
+    def __init__(self, context: ShardContext, job: JobProgress, state: JobState) -> None:
+        self._context = context
+        self._job = job
+        self._state = state
+
+    def __call__(self, now: float) -> None:
+        if self._job.committed_state is not self._state:
+            self._job.committed_state = self._state
+            if self._state.is_final:
+                self._context.log(
+                    "job_ended",
+                    job=self._job.job_id,
+                    state=self._state.name.lower(),
+                    seconds=round(now - self._job.accepted_at, 3),
+                )
+
+
+def restore_records(
+    context: ShardContext, workers: WorkerKeeper, records: list[ShardRecord], now: float
+) -> None:
+    """Bring a new holder to what the records say; one that cannot be read is named and kept."""
+    progress: dict[JobId, ProgressRecord] = {}
+    specs: dict[JobId, bytes] = {}
+    for record in records:
+        if record.key.startswith(SPEC_PREFIX):
+            specs[record.key.removeprefix(SPEC_PREFIX)] = record.value
+        elif record.key.startswith(PROGRESS_PREFIX):
+            _read_progress(context, record, progress)
+        elif record.key.startswith(WORKER_PREFIX):
+            _restore_worker(context, workers, record, now)
+    for job_id, data in specs.items():
+        _restore_job(context, job_id, data, progress.pop(job_id, None), now)
+    for job_id, kept in progress.items():
+        context.book.restore_finished(job_id, kept, now)
+    context.log("state_restored", jobs=len(context.book.jobs), records=len(records))
+
+
+def _read_progress(
+    context: ShardContext, record: ShardRecord, progress: dict[JobId, ProgressRecord]
+) -> None:
+    try:
+        kept = decode_progress(record.key, record.value)
+    except RecordFormatError as error:
+        context.log("record_unreadable", key=record.key, error=str(error))
+        return
+    progress[record.key.removeprefix(PROGRESS_PREFIX)] = kept
+
+
+def _restore_job(
+    context: ShardContext, job_id: JobId, data: bytes, kept: ProgressRecord | None, now: float
+) -> None:
+    try:
+        spec = decode_spec(spec_key(job_id), data)
+    except RecordFormatError as error:
+        context.log("record_unreadable", key=spec_key(job_id), error=str(error))
+        return
+    context.book.restore(spec, kept, now)
+
+
+def _restore_worker(
+    context: ShardContext, workers: WorkerKeeper, record: ShardRecord, now: float
+) -> None:
+    try:
+        worker = _worker_decoder.decode(record.value)
+    except msgspec.MsgspecError as error:
+        context.log("record_unreadable", key=record.key, error=str(error))
+        return
+    workers.restore(worker, now)
--- /dev/null
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -0,0 +1,309 @@
+"""The holder of one shard: stimuli in, actions out.
+
+It exists only while its process holds the shard; what it knows comes from the store's
+records, from the workers, and from what it is told.
+"""
+
+from __future__ import annotations
+
+from onyxspoke.core.jobs.book import Submission
+from onyxspoke.core.jobs.model import RunKey, WorkerId
+from onyxspoke.core.jobs.policy import PolicySet
+from onyxspoke.core.jobs.progress import JobProgress
+from onyxspoke.core.placement.placer import Placer
+from onyxspoke.core.placement.workers import WorkerRecord
+from onyxspoke.core.shard.actions import (
+    AskAdvice,
+    ReplyToCall,
+    SendAppend,
+    ShardAction,
+    StepDownReason,
+)
+from onyxspoke.core.shard.calls import (
+    Call,
+    CallReply,
+    CancelCall,
+    ReplyCode,
+    StateCall,
+    SubmitCall,
+)
+from onyxspoke.core.shard.commit import CommitQueue
+from onyxspoke.core.shard.context import ShardContext, ShardOptions
+from onyxspoke.core.shard.journal import RecordCollector, restore_records
+from onyxspoke.core.shard.log_records import (
+    AppendOutcome,
+    AppendResult,
+    ClaimRecord,
+    ShardId,
+    ShardRecord,
+)
+from onyxspoke.core.shard.orders import AdviceResult, HoldResult, OrderResult
+from onyxspoke.core.shard.run_keeper import RunKeeper
+from onyxspoke.core.shard.worker_keeper import WorkerKeeper
+
+#: The loop stood still for longer: the process may have been paused.
+STALL_SECONDS = 0.7
+
+
+class ShardScheduler:
+    """Decides for one shard.
+
+    Parameters
+    ----------
+    shard : int
+        Which shard.
+    claim : ClaimRecord
+        Our claim, as it stands in the store.
+    next_sequence : int
+        Number of the next append of our epoch.
+    claimed_at : float
+        When the claim was sent.
+    options : ShardOptions
+        Bounds and timings.
+    """
+
+    def __init__(
+        self,
+        shard: ShardId,
+        claim: ClaimRecord,
+        next_sequence: int,
+        claimed_at: float,
+        options: ShardOptions,
+    ) -> None:
+        self.context = ShardContext(options, claim.token)
+        self._options = options
+        self.runs = RunKeeper(self.context)
+        self.workers = WorkerKeeper(
+            self.context, self.runs, former_orders_until=claimed_at + options.proof_seconds
+        )
+        self._collector = RecordCollector(self.context, self.workers, claim)
+        self.context.commit = CommitQueue(
+            shard=shard,
+            epoch=claim.token,
+            next_sequence=next_sequence,
+            proof_at=claimed_at,
+            collect=self._collector.collect,
+            renew=self._collector.renew,
+            is_dirty=self._collector.is_dirty,
+        )
+        self._placer = Placer(self.context.table, self.context.desk)
+        self._last_flush_at = claimed_at
+        self._is_recovered = False
+
+    # Recovery
+
+    def recover(self, records: list[ShardRecord], now: float) -> list[ShardAction]:
+        """Take in everything that the store holds of the shard."""
+        self.context.book.is_recovering = True
+        restore_records(self.context, self.workers, records, now)
+        self._is_recovered = True
+        self._last_flush_at = now
+        return self.flush(now)
+
+    def former_holder_is_dead(self, since: float) -> None:
+        """The former holder's process is known to have ended by then."""
+        self.workers.handle_advice_of_death(since)
+
+    # The platform
+
+    def stimulus_policy(self, policy: PolicySet, now: float) -> None:
+        """The operator's configuration changed."""
+        self.context.policy = policy
+        self.context.wants_placement = True
+
+    def stimulus_workers_listed(
+        self, records: list[WorkerRecord], is_whole: bool, now: float
+    ) -> None:
+        """The directory lists these workers."""
+        self.workers.handle_listed(records, is_whole, now)
+
+    def stimulus_worker_unlisted(self, worker_id: WorkerId, now: float) -> None:
+        """The directory lists a worker no longer."""
+        self.workers.handle_unlisted(worker_id, now)
+
+    def stimulus_advisors(self, names: list[str], now: float) -> None:
+        """These entries can carry calls for advice."""
+        self.context.desk.set_advisors(names, now)
+
+    # Answers
+
+    def stimulus_hold_result(
+        self, worker_id: WorkerId, number: int, result: HoldResult, now: float
+    ) -> None:
+        """A worker answered a hold, or did not."""
+        worker = self.context.table.workers.get(worker_id)
+        if worker is not None and not self.context.is_over:
+            self.workers.handle_hold_result(worker, number, result, now)
+
+    def stimulus_start_result(
+        self, worker_id: WorkerId, run: RunKey, result: OrderResult, now: float
+    ) -> None:
+        """A worker answered an order to start, or did not."""
+        if self._check_fence(result):
+            worker = self.context.table.workers.get(worker_id)
+            if worker is not None:
+                self.runs.handle_start_result(worker, run, result, now)
+
+    def stimulus_stop_result(
+        self, worker_id: WorkerId, run: RunKey, result: OrderResult, now: float
+    ) -> None:
+        """A worker answered an order to stop, or did not."""
+        if self._check_fence(result):
+            worker = self.context.table.workers.get(worker_id)
+            if worker is not None:
+                self.runs.handle_stop_result(worker, run, result, now)
+
+    def stimulus_advice_result(self, call_id: int, result: AdviceResult, now: float) -> None:
+        """The advice service answered, or did not."""
+        if self.context.desk.handle_result(call_id, result, now) is not None:
+            self.context.wants_placement = True
+
+    def stimulus_append_result(self, result: AppendResult, now: float) -> None:
+        """The store answered the append in flight, or did not."""
+        if self.context.is_over:
+            return
+        if self.context.commit.handle_result(result, now):
+            if result.outcome is AppendOutcome.DONE:
+                self.context.is_unproven = False
+            return
+        is_fenced = result.outcome is AppendOutcome.FENCED
+        reason = StepDownReason.STORE_FENCED if is_fenced else StepDownReason.OUT_OF_SEQUENCE
+        self.context.step_down(reason)
+
+    # Calls
+
+    def stimulus_call(self, call_id: int, call: Call, now: float) -> None:
+        """An entry passes on a client's call."""
+        if isinstance(call, SubmitCall):
+            self._submit(call_id, call, now)
+        elif isinstance(call, CancelCall):
+            self._cancel(call_id, call, now)
+        elif isinstance(call, StateCall):
+            self._reply(call_id, self._state_of(call))
+        else:
+            waiting = self.context.book.waiting_count(call.queue)
+            self._reply(call_id, CallReply(code=ReplyCode.OK, waiting=waiting))
+
+    def _submit(self, call_id: int, call: SubmitCall, now: float) -> None:
+        book, commit = self.context.book, self.context.commit
+        job_id = call.job.job_id
+        if job_id not in book.jobs and commit.is_in_trouble(now):
+            self.context.log("job_refused", job=job_id, reason="store_in_trouble")
+            self._refuse(call_id, "store_in_trouble")
+            return
+        outcome = book.submit(call.job, now)
+        self.context.wants_placement = True
+        if outcome is Submission.NEW:
+            self.context.log(
+                "job_taken",
+                job=job_id,
+                queue=call.job.queue.name,
+                steps=len(call.job.steps),
+                tasks=sum(step.task_count for step in call.job.steps),
+                policy=self.context.policy.version,
+            )
+        commit.after_commit(_Accept(self.context, call_id, job_id))
+
+    def _cancel(self, call_id: int, call: CancelCall, now: float) -> None:
+        job = self.context.book.cancel(call.job_id, now)
+        is_known = job is not None
+        self.context.log("job_cancel", job=call.job_id, known=int(is_known))
+        if job is not None:
+            self.runs.stop_job_runs(job.steps(), now, "job_cancelled")
+        self.context.wants_placement = True
+        code = ReplyCode.OK if is_known else ReplyCode.NO_SUCH_JOB
+        self.context.commit.after_commit(_Reply(self.context, call_id, CallReply(code=code)))
+
+    def _state_of(self, call: StateCall) -> CallReply:
+        job = self.context.book.jobs.get(call.job_id)
+        if job is None or job.committed_state is None:
+            return CallReply(code=ReplyCode.NO_SUCH_JOB)
+        return CallReply(code=ReplyCode.OK, state=_shown_state(job))
+
+    def _refuse(self, call_id: int, reason: str) -> None:
+        retry = self._options.refusal_retry_seconds
+        reply = CallReply(code=ReplyCode.REFUSED, retry_after_seconds=retry, reason=reason)
+        self._reply(call_id, reply)
+
+    def _reply(self, call_id: int, reply: CallReply) -> None:
+        self.context.emit(ReplyToCall(call_id, reply))
+
+    # Time
+
+    def stimulus_tick(self, now: float, wall_ms: float) -> None:
+        """Some time has passed; ``wall_ms`` is the time of day, counted from 1970."""
+        if self.context.is_over or not self._is_recovered:
+            return
+        if now - self._last_flush_at > STALL_SECONDS:
+            self.context.log("stalled", seconds=round(now - self._last_flush_at, 2))
+            self.context.is_unproven = True
+        self.context.book.keep(now, wall_ms, self._options.early_ms)
+        self.workers.keep(now)
+        self.runs.keep(now)
+        self.context.wants_placement = True
+
+    def flush(self, now: float) -> list[ShardAction]:
+        """Place what can be placed, commit what is due, and hand out the instructions."""
+        context = self.context
+        if not context.is_over and self._is_recovered:
+            self._last_flush_at = now
+            if context.wants_placement and context.may_order(now):
+                context.wants_placement = False
+                self._place(now)
+            append = context.commit.next_append(now)
+            if append is not None:
+                context.emit(SendAppend(append))
+        actions, context.actions = context.actions, []
+        return actions
+
+    def next_moment(self) -> float | None:
+        """Return when :meth:`flush` is to be called though nothing comes in."""
+        return self.context.commit.next_moment()
+
+    def _place(self, now: float) -> None:
+        context = self.context
+        steps = list(context.book.startable_steps())
+        for plan in self._placer.plan(steps, context.policy, now):
+            self.runs.start(plan, now)
+        for call in context.desk.dispatch(now):
+            context.emit(AskAdvice(call.call_id, call.advisor, call.step, call.worker_ids))
+
+    def _check_fence(self, result: OrderResult) -> bool:
+        """Step down if a worker has seen a higher token; return whether to go on."""
+        if self.context.is_over:
+            return False
+        if result.outcome.is_fence:
+            self.context.step_down(StepDownReason.WORKER_FENCED)
+            return False
+        return True
+
+
+class _Accept:
+    """Once a job's record is committed, its caller is told."""
+
+    def __init__(self, context: ShardContext, call_id: int, job_id: str) -> None:
+        self._context = context
+        self._call_id = call_id
+        self._job_id = job_id
+
+    def __call__(self, now: float) -> None:
+        self._context.log("job_accepted", job=self._job_id)
+        self._context.emit(ReplyToCall(self._call_id, CallReply(code=ReplyCode.OK)))
+
+
+class _Reply:
+    """Once what it says is committed, a caller is told."""
+
+    def __init__(self, context: ShardContext, call_id: int, reply: CallReply) -> None:
+        self._context = context
+        self._call_id = call_id
+        self._reply = reply
+
+    def __call__(self, now: float) -> None:
+        self._context.emit(ReplyToCall(self._call_id, self._reply))
+
+
+def _shown_state(job: JobProgress) -> str:
+    """Return what may be shown: what is committed, and whether anything has begun."""
+    assert job.committed_state is not None
+    return job.committed_state.name.lower()
--- a/src/onyxspoke/platform/service.py
+++ b/src/onyxspoke/kit/platform/service.py
@@ -13,6 +13,7 @@
 from twisted.internet.protocol import Factory
 
 from onyxspoke.core.schema import MachineRecord
+from onyxspoke.kit.platform.log_store import LogStore, StoredRecord
 from onyxspoke.net.messages import (
     AppendDone,
     AppendRequest,
@@ -25,7 +26,6 @@
 )
 from onyxspoke.net.network import Network
 from onyxspoke.net.stream import MessageStream
-from onyxspoke.platform.log_store import LogStore, StoredRecord
 from onyxspoke.ports.clock import Clock
 from onyxspoke.settings_file import CellSettings
 
--- /dev/null
+++ b/src/onyxspoke/net/http_client.py
@@ -0,0 +1,317 @@
+"""HTTP/1.1 client: kept connections, one call at a time on each, every call timed.
+
+The parser is ``httptools``; ``twisted.web``'s agent costs several times the processor time
+of a call, and a shard's holder makes some hundred calls a second.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol as TypingProtocol
+from typing import cast
+
+import httptools
+import msgspec
+from twisted.internet.interfaces import (
+    IDelayedCall,
+    IProtocolFactory,
+    IReactorTime,
+    ITCPTransport,
+)
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from onyxspoke.net.network import Endpoints
+
+#: Connections to one address at most.
+MAXIMUM_CONNECTIONS = 8
+#: Calls that wait for a connection to one address at most.
+MAXIMUM_WAITING = 512
+#: A connection that is not up after so long is given up.
+CONNECT_SECONDS = 0.6
+MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
+
+
+class HttpAnswer(msgspec.Struct, frozen=True):
+    """What came of a call.
+
+    Attributes
+    ----------
+    status : int
+        Status of the answer; 0 where none came.
+    was_sent : bool
+        Whether any of the call may have reached the other side.
+    """
+
+    status: int
+    body: bytes = b""
+    was_sent: bool = True
+    headers: dict[bytes, bytes] = {}
+
+
+NOT_SENT = HttpAnswer(0, was_sent=False)
+NO_ANSWER = HttpAnswer(0)
+
+OnAnswer = Callable[[HttpAnswer], None]
+
+
+class _Call:
+    """One call, from the queue to its answer."""
+
+    __slots__ = ("_on_answer", "connection", "data", "is_over", "timer", "wants_headers")
+
+    def __init__(self, data: bytes, on_answer: OnAnswer) -> None:
+        self.data = data
+        self._on_answer = on_answer
+        self.timer: IDelayedCall | None = None
+        self.connection: _Connection | None = None
+        self.is_over = False
+
+    def finish(self, answer: HttpAnswer) -> None:
+        """Hand the answer over, once."""
+        if self.is_over:
+            return
+        self.is_over = True
+        timer, self.timer = self.timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+        self._on_answer(answer)
+
+
+class _Connection(Protocol):
+    """One connection; it carries one call at a time."""
+
+    def __init__(self, pool: _AddressPool) -> None:
+        self._pool = pool
+        self._call: _Call | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._body: list[bytes] = []
+        self._headers: dict[bytes, bytes] = {}
+        self.is_open = False
+
+    def connectionMade(self) -> None:
+        """Begin to carry calls; called by Twisted."""
+        self.is_open = True
+        cast("ITCPTransport", self.transport).setTcpNoDelay(True)
+        self._pool.handle_open(self)
+
+    def carry(self, call: _Call) -> None:
+        """Send a call."""
+        self._call = call
+        call.connection = self
+        self._parser = httptools.HttpResponseParser(self)
+        self._body = []
+        self._headers = {}
+        assert self.transport is not None
+        self.transport.write(call.data)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Parse what arrived; called by Twisted."""
+        if self._parser is None:
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.abort()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header; called by the parser."""
+        self._headers[name.lower()] = value
+
+    def on_body(self, data: bytes) -> None:
+        """Keep a part of the body; called by the parser."""
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Hand the answer over; called by the parser."""
+        parser, self._parser = self._parser, None
+        call, self._call = self._call, None
+        if parser is None or call is None:
+            return
+        answer = HttpAnswer(parser.get_status_code(), b"".join(self._body), headers=self._headers)
+        is_kept = parser.should_keep_alive()
+        if not is_kept:
+            self.abort()
+        call.finish(answer)
+        if is_kept:
+            self._pool.handle_idle(self)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """End the connection; called by Twisted."""
+        self.is_open = False
+        call, self._call = self._call, None
+        self._pool.handle_lost(self)
+        if call is not None:
+            call.finish(NO_ANSWER)
+
+    def abort(self) -> None:
+        """Drop the connection at once; the call on it gets no answer."""
+        self.is_open = False
+        if self.transport is not None:
+            cast("ITCPTransport", self.transport).abortConnection()
+
+
+class _AddressPool:
+    """Connections to one address and the calls that wait for one."""
+
+    def __init__(self, client: HttpClient, host: str, port: int) -> None:
+        self._client = client
+        self._host = host
+        self._port = port
+        self._idle: list[_Connection] = []
+        self._open = 0
+        self._connecting = 0
+        self._waiting: deque[_Call] = deque()
+
+    def send(self, call: _Call) -> None:
+        """Send a call on an idle connection, or have it wait for one."""
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_open:
+                connection.carry(call)
+                return
+        if len(self._waiting) >= MAXIMUM_WAITING:
+            call.finish(NOT_SENT)
+            return
+        self._waiting.append(call)
+        if self._connecting < len(self._waiting) and self._total() < MAXIMUM_CONNECTIONS:
+            self._connect()
+
+    def handle_open(self, connection: _Connection) -> None:
+        """A connection is up."""
+        self._connecting -= 1
+        self._open += 1
+        self.handle_idle(connection)
+
+    def handle_idle(self, connection: _Connection) -> None:
+        """A connection can carry a call."""
+        while self._waiting:
+            call = self._waiting.popleft()
+            if not call.is_over:
+                connection.carry(call)
+                return
+        if connection.is_open:
+            self._idle.append(connection)
+
+    def handle_lost(self, connection: _Connection) -> None:
+        """A connection is gone."""
+        self._open -= 1
+        if connection in self._idle:
+            self._idle.remove(connection)
+        if self._waiting and self._connecting == 0:
+            self._connect()
+
+    def close(self) -> None:
+        """Close idle connections."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.abort()
+
+    def _total(self) -> int:
+        return self._open + self._connecting
+
+    def _connect(self) -> None:
+        self._connecting += 1
+        attempt = self._client.connect(self._host, self._port, lambda: _Connection(self))
+        attempt.addErrback(self._handle_failed)
+
+    def _handle_failed(self, _failure: Failure) -> None:
+        self._connecting -= 1
+        if self._connecting or self._open:
+            return
+        waiting, self._waiting = self._waiting, deque()
+        for call in waiting:
+            call.finish(NOT_SENT)
+
+
+class _Attempt(TypingProtocol):
+    def addErrback(self, callback: Callable[[Failure], None]) -> object:
+        """Call back if the connection does not come about."""
+
+
+class HttpClient:
+    """Calls to any number of addresses.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Times calls.
+    endpoints : Endpoints
+        Makes connections.
+    """
+
+    def __init__(self, reactor: IReactorTime, endpoints: Endpoints) -> None:
+        self._reactor = reactor
+        self._endpoints = endpoints
+        self._pools: dict[tuple[str, int, str], _AddressPool] = {}
+
+    def call(
+        self,
+        host: str,
+        port: int,
+        request: bytes,
+        timeout_seconds: float,
+        on_answer: OnAnswer,
+        lane: str = "",
+    ) -> None:
+        """Make a call; ``on_answer`` is called once, within the timeout.
+
+        A call that is not answered in time ends its connection, because whatever comes on it
+        later would be taken for the answer to another call.
+
+        Parameters
+        ----------
+        request : bytes
+            The whole request, as :func:`encode_request` returns it.
+        lane : str
+            Calls of different lanes share no connection.
+        """
+        key = (host, port, lane)
+        pool = self._pools.get(key)
+        if pool is None:
+            pool = self._pools[key] = _AddressPool(self, host, port)
+        call = _Call(request, on_answer)
+        call.timer = self._reactor.callLater(timeout_seconds, self._expire, call)
+        pool.send(call)
+
+    def close(self, host: str, port: int) -> None:
+        """Forget an address."""
+        for key in [key for key in self._pools if key[:2] == (host, port)]:
+            self._pools.pop(key).close()
+
+    def connect(self, host: str, port: int, build: Callable[[], _Connection]) -> _Attempt:
+        """Open one connection."""
+        factory = cast("IProtocolFactory", Factory.forProtocol(build))
+        return self._endpoints.client(host, port).connect(factory)
+
+    def _expire(self, call: _Call) -> None:
+        call.timer = None
+        if call.is_over:
+            return
+        connection = call.connection
+        call.finish(NOT_SENT if connection is None else NO_ANSWER)
+        if connection is not None:
+            connection.abort()
+
+
+def encode_request(
+    method: str, target: str, host: str, body: bytes | None = None, headers: str = ""
+) -> bytes:
+    """Return a whole request.
+
+    Parameters
+    ----------
+    target : str
+        Path and query.
+    headers : str
+        Further header lines, each with its line end.
+    """
+    if body is None:
+        return f"{method} {target} HTTP/1.1\r\nHost: {host}\r\n{headers}\r\n".encode()
+    head = (
+        f"{method} {target} HTTP/1.1\r\nHost: {host}\r\n{headers}"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
--- a/src/onyxspoke/net/network.py
+++ b/src/onyxspoke/net/network.py
@@ -48,14 +48,19 @@
     ----------
     reactor
         The Twisted reactor.
+    connect_timeout_seconds : float
+        A connection that is not up after so long is given up.
     """
 
-    def __init__(self, reactor: object) -> None:
+    def __init__(
+        self, reactor: object, connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS
+    ) -> None:
         self._reactor = reactor
+        self._connect_timeout_seconds = connect_timeout_seconds
 
     def client(self, host: str, port: int) -> IStreamClientEndpoint:
         """Return an endpoint that connects to an address."""
-        return TCP4ClientEndpoint(self._reactor, host, port, timeout=CONNECT_TIMEOUT_SECONDS)
+        return TCP4ClientEndpoint(self._reactor, host, port, timeout=self._connect_timeout_seconds)
 
     def server(self, host: str, port: int) -> IStreamServerEndpoint:
         """Return an endpoint that listens on an address."""
--- /dev/null
+++ b/src/onyxspoke/node/call_router.py
@@ -0,0 +1,132 @@
+"""Takes clients' calls to the holder of their shard, wherever it is, within their time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from onyxspoke.core.shard.calls import Call, CallReply, ReplyCode, SubmitCall
+from onyxspoke.core.shard.log_records import ShardId
+
+#: A call that no holder has seen is refused after so long.
+NO_HOLDER_SECONDS = 1.5
+#: When a caller is told to come back while there is no holder.
+RETRY_AFTER_SECONDS = 1.0
+#: Pause before a call goes to the same holder again, after it said that it is none.
+REPEAT_SECONDS = 0.05
+
+OnReply = Callable[[CallReply], None]
+#: Sends a call to the present holder; returns whether it left.
+Sender = Callable[[ShardId, int, Call], bool]
+
+
+class _PendingCall:
+    __slots__ = (
+        "call",
+        "deadline",
+        "is_away",
+        "on_reply",
+        "retry_at",
+        "shard",
+        "since",
+        "was_sent",
+    )
+
+    def __init__(
+        self, shard: ShardId, call: Call, on_reply: OnReply, now: float, deadline: float
+    ) -> None:
+        self.shard = shard
+        self.call = call
+        self.on_reply = on_reply
+        self.since = now
+        self.deadline = deadline
+        self.is_away = False
+        self.was_sent = False
+        self.retry_at = 0.0
+
+
+class CallRouter:
+    """Calls on their way.
+
+    Parameters
+    ----------
+    send : callable
+        Sends a call to the present holder.
+    """
+
+    def __init__(self, send: Sender) -> None:
+        self._send = send
+        self._pending: dict[int, _PendingCall] = {}
+        self._last_id = 0
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    def submit(
+        self, shard: ShardId, call: Call, on_reply: OnReply, now: float, deadline: float
+    ) -> int:
+        """Take a call; ``on_reply`` is called once, by the deadline."""
+        self._last_id += 1
+        call_id = self._last_id
+        self._pending[call_id] = _PendingCall(shard, call, on_reply, now, deadline)
+        self._try(call_id, now)
+        return call_id
+
+    def handle_reply(self, call_id: int, reply: CallReply, now: float) -> None:
+        """The holder replied."""
+        pending = self._pending.get(call_id)
+        if pending is None:
+            return
+        if reply.code is ReplyCode.NOT_HOLDER:
+            pending.is_away = False
+            pending.retry_at = now + REPEAT_SECONDS
+            return
+        self._finish(call_id, reply)
+
+    def handle_holder_lost(self, shard: ShardId) -> None:
+        """Replies to what was sent to the holder of a shard will not come."""
+        for pending in self._pending.values():
+            if pending.shard == shard and pending.is_away:
+                pending.is_away = False
+
+    def handle_holder_found(self, shard: ShardId, now: float) -> None:
+        """A shard has a holder that can be reached."""
+        for call_id, pending in list(self._pending.items()):
+            if pending.shard == shard and not pending.is_away:
+                self._try(call_id, now)
+
+    def keep(self, now: float) -> None:
+        """Repeat calls whose holder was none; answer those whose time is over."""
+        for call_id, pending in list(self._pending.items()):
+            if now >= pending.deadline:
+                self._finish(call_id, self._late_reply(pending))
+            elif not pending.is_away:
+                if not pending.was_sent and now - pending.since > NO_HOLDER_SECONDS:
+                    self._finish(call_id, self._late_reply(pending))
+                elif now >= pending.retry_at:
+                    self._try(call_id, now)
+
+    def _try(self, call_id: int, now: float) -> None:
+        pending = self._pending[call_id]
+        if now < pending.retry_at:
+            return
+        pending.retry_at = now + REPEAT_SECONDS
+        # Marked first: a holder in this process may reply at once.
+        pending.is_away = True
+        was_sent = pending.was_sent
+        pending.was_sent = True
+        if not self._send(pending.shard, call_id, pending.call):
+            pending.is_away = False
+            pending.was_sent = was_sent
+
+    def _late_reply(self, pending: _PendingCall) -> CallReply:
+        if isinstance(pending.call, SubmitCall) and not pending.was_sent:
+            return CallReply(
+                code=ReplyCode.REFUSED,
+                retry_after_seconds=RETRY_AFTER_SECONDS,
+                reason="no_holder",
+            )
+        return CallReply(code=ReplyCode.UNKNOWN, reason="no_reply")
+
+    def _finish(self, call_id: int, reply: CallReply) -> None:
+        pending = self._pending.pop(call_id)
+        pending.on_reply(reply)
--- /dev/null
+++ b/src/onyxspoke/node/messages.py
@@ -0,0 +1,122 @@
+"""Messages between nodes; each stream carries them both ways."""
+
+from __future__ import annotations
+
+from onyxspoke.core.jobs.model import StepKey, WorkerId
+from onyxspoke.core.shard.calls import Call, CallReply
+from onyxspoke.core.shard.election import NodeIdentity
+from onyxspoke.core.shard.log_records import (
+    AppendResult,
+    ClaimRecord,
+    NewestPage,
+    ShardAppend,
+    ShardId,
+)
+from onyxspoke.core.shard.orders import AdviceResult
+from onyxspoke.net.messages import Message
+
+
+class Hello(Message, frozen=True):
+    """Who the sender is; the first message either way."""
+
+    identity: NodeIdentity
+
+
+class Status(Message, frozen=True):
+    """Heartbeat: the claims that the sender holds or follows, and its configuration.
+
+    ``can_reach_store`` tells whether the store served the sender lately.
+    """
+
+    claims: list[tuple[ShardId, ClaimRecord]]
+    configuration_version: int
+    can_reach_store: bool
+
+
+class Members(Message, frozen=True):
+    """The nodes that a holder knows, itself included."""
+
+    members: list[NodeIdentity]
+
+
+class CallForward(Message, frozen=True):
+    """A client's call, passed on to the holder of its shard."""
+
+    shard: ShardId
+    call_id: int
+    call: Call
+
+
+class CallAnswer(Message, frozen=True):
+    """The holder's reply to a call."""
+
+    call_id: int
+    reply: CallReply
+
+
+class AdviceForward(Message, frozen=True):
+    """Ask the advice service from the receiver's machine."""
+
+    shard: ShardId
+    call_id: int
+    step: StepKey
+    worker_ids: tuple[WorkerId, ...]
+
+
+class AdviceAnswer(Message, frozen=True):
+    """What the advice service said."""
+
+    shard: ShardId
+    call_id: int
+    result: AdviceResult
+
+
+class ConfigurationCopy(Message, frozen=True):
+    """A configuration that the receiver does not have yet, as the sender read it."""
+
+    raw: bytes
+
+
+class AppendRelay(Message, frozen=True):
+    """Make a call to the store for a node that the store turns away."""
+
+    relay_id: int
+    append: ShardAppend
+
+
+class AppendRelayAnswer(Message, frozen=True):
+    """What the store said."""
+
+    relay_id: int
+    result: AppendResult
+
+
+class NewestRelay(Message, frozen=True):
+    """Read from the store for a node that the store turns away."""
+
+    relay_id: int
+    shard: ShardId
+    after_key: str
+
+
+class NewestRelayAnswer(Message, frozen=True):
+    """What the store said."""
+
+    relay_id: int
+    page: NewestPage
+
+
+NodeMessage = (
+    Hello
+    | Status
+    | Members
+    | CallForward
+    | CallAnswer
+    | AdviceForward
+    | AdviceAnswer
+    | ConfigurationCopy
+    | AppendRelay
+    | AppendRelayAnswer
+    | NewestRelay
+    | NewestRelayAnswer
+)
--- /dev/null
+++ b/src/onyxspoke/node/peers.py
@@ -0,0 +1,186 @@
+"""Streams between nodes: opened towards holders, watched for silence."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from twisted.application.service import Service
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionRefusedError as RefusedError
+from twisted.internet.error import TimeoutError as ConnectTimeoutError
+from twisted.internet.interfaces import IListeningPort
+from twisted.internet.protocol import Factory
+from twisted.python.failure import Failure
+
+from onyxspoke.core.shard.election import LossReason, NodeIdentity
+from onyxspoke.net.network import Network
+from onyxspoke.net.stream import MessageStream
+from onyxspoke.node.messages import Hello, NodeMessage
+
+#: A stream on which nothing is heard for so long is ended.
+SILENCE_SECONDS = 1.0
+
+_Stream = MessageStream[NodeMessage]
+
+
+class PeerListener(Protocol):
+    """Receives what happens on the streams."""
+
+    def handle_peer_up(self, link: PeerLink) -> None:
+        """A peer has said who it is."""
+
+    def handle_peer_message(self, link: PeerLink, message: NodeMessage) -> None:
+        """A peer sent a message."""
+
+    def handle_peer_lost(self, host: str, link: PeerLink | None, reason: LossReason) -> None:
+        """A stream ended, or none came about."""
+
+
+class PeerLink:
+    """One stream to a peer.
+
+    Attributes
+    ----------
+    identity : NodeIdentity or None
+        Who the peer is, once it has said so.
+    is_outgoing : bool
+        Whether this node opened the stream.
+    """
+
+    def __init__(self, host: str, is_outgoing: bool) -> None:
+        self.host = host
+        self.is_outgoing = is_outgoing
+        self.identity: NodeIdentity | None = None
+        self.heard_at = 0.0
+        self.configuration_version = 0
+        self.can_reach_store = False
+        self.stream: _Stream | None = None
+
+    @property
+    def is_up(self) -> bool:
+        """Whether messages can be sent."""
+        return self.stream is not None and self.stream.is_open and self.identity is not None
+
+    def send(self, message: NodeMessage) -> None:
+        """Send a message, if the stream is open."""
+        if self.stream is not None:
+            self.stream.send(message)
+
+    def abort(self) -> None:
+        """Drop the stream."""
+        if self.stream is not None:
+            self.stream.abort()
+
+
+class PeerLinks(Service):
+    """All streams of one node."""
+
+    def __init__(self, network: Network, identity: NodeIdentity, listener: PeerListener) -> None:
+        self._network = network
+        self._identity = identity
+        self._listener = listener
+        self.outgoing: dict[str, PeerLink] = {}
+        self.incoming: dict[str, PeerLink] = {}
+        self._listening: IListeningPort | None = None
+
+    def listen(self) -> Deferred[IListeningPort]:
+        """Open the server for the peers' streams."""
+        endpoint = self._network.endpoints.server(self._identity.host, self._identity.port)
+        listening: Deferred[IListeningPort] = endpoint.listen(
+            Factory.forProtocol(self._build_incoming)
+        )
+        listening.addCallback(self._note_listening)
+        return listening
+
+    def stopService(self) -> None:
+        """Close every stream."""
+        super().stopService()
+        if self._listening is not None:
+            self._listening.stopListening()
+        for link in [*self.outgoing.values(), *self.incoming.values()]:
+            link.abort()
+
+    def connect(self, host: str, port: int) -> None:
+        """Have a stream to a node, unless there is one or it is being opened."""
+        if host in self.outgoing or host == self._identity.host:
+            return
+        link = PeerLink(host, is_outgoing=True)
+        self.outgoing[host] = link
+        endpoint = self._network.endpoints.client(host, port)
+        attempt = endpoint.connect(Factory.forProtocol(lambda: self._build_stream(link)))
+        attempt.addErrback(lambda failure: self._handle_failed(link, failure))
+
+    def up_links(self) -> list[PeerLink]:
+        """Return one open link for each peer, preferring those that the peer opened."""
+        links = {link.host: link for link in self.outgoing.values() if link.is_up}
+        links.update({link.host: link for link in self.incoming.values() if link.is_up})
+        return list(links.values())
+
+    def link_to(self, host: str) -> PeerLink | None:
+        """Return an open link to a host."""
+        for links in (self.outgoing, self.incoming):
+            link = links.get(host)
+            if link is not None and link.is_up:
+                return link
+        return None
+
+    def end_silent(self, now: float) -> None:
+        """End streams on which nothing was heard for too long."""
+        for link in [*self.outgoing.values(), *self.incoming.values()]:
+            if link.heard_at and now - link.heard_at > SILENCE_SECONDS:
+                self._forget(link, LossReason.SILENT)
+                link.abort()
+
+    def _build_incoming(self) -> _Stream:
+        return self._build_stream(PeerLink("", is_outgoing=False))
+
+    def _build_stream(self, link: PeerLink) -> _Stream:
+        return MessageStream(
+            NodeMessage,
+            lambda _stream, message: self._handle_message(link, message),
+            lambda stream: self._handle_connected(link, stream),
+            lambda _stream: self._forget(link, LossReason.CLOSED),
+        )
+
+    def _handle_connected(self, link: PeerLink, stream: _Stream) -> None:
+        link.stream = stream
+        link.heard_at = self._network.reactor.seconds()
+        stream.send(Hello(self._identity))
+
+    def _handle_message(self, link: PeerLink, message: NodeMessage) -> None:
+        link.heard_at = self._network.reactor.seconds()
+        if isinstance(message, Hello):
+            self._handle_hello(link, message.identity)
+        elif link.identity is None:
+            link.abort()
+        else:
+            self._listener.handle_peer_message(link, message)
+
+    def _handle_hello(self, link: PeerLink, identity: NodeIdentity) -> None:
+        link.identity = identity
+        if not link.is_outgoing:
+            link.host = identity.host
+            former = self.incoming.get(identity.host)
+            self.incoming[identity.host] = link
+            if former is not None:
+                former.abort()
+        self._listener.handle_peer_up(link)
+
+    def _handle_failed(self, link: PeerLink, failure: Failure) -> None:
+        if failure.check(RefusedError):
+            reason = LossReason.REFUSED
+        elif failure.check(ConnectTimeoutError):
+            reason = LossReason.SILENT
+        else:
+            reason = LossReason.CLOSED
+        self._forget(link, reason)
+
+    def _forget(self, link: PeerLink, reason: LossReason) -> None:
+        links = self.outgoing if link.is_outgoing else self.incoming
+        if links.get(link.host) is link:
+            del links[link.host]
+            self._listener.handle_peer_lost(link.host, link, reason)
+
+    def _note_listening(self, listening: IListeningPort) -> IListeningPort:
+        self._listening = listening
+        return listening
--- /dev/null
+++ b/src/onyxspoke/node/seat.py
@@ -0,0 +1,396 @@
+"""A node's part in one shard: its election, and the scheduler while it holds the shard."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from absl import logging
+
+from onyxspoke.core.jobs.policy import PolicySet
+from onyxspoke.core.placement.workers import WorkerRecord
+from onyxspoke.core.shard.actions import (
+    AskAdvice,
+    Decision,
+    DropWorkerConnections,
+    ReplyToCall,
+    SendAppend,
+    SendHold,
+    SendStart,
+    SendStop,
+    ShardAction,
+    StepDown,
+    StepDownReason,
+)
+from onyxspoke.core.shard.calls import Call, CallReply, ReplyCode
+from onyxspoke.core.shard.context import ShardOptions
+from onyxspoke.core.shard.election import (
+    BecomeHolder,
+    ConnectToHolder,
+    Election,
+    ElectionNote,
+    ElectionState,
+    HolderChanged,
+    NodeIdentity,
+    ReadClaim,
+    SendClaim,
+)
+from onyxspoke.core.shard.log_records import (
+    BEFORE_CLAIM_KEY,
+    CLAIM_KEY,
+    AppendResult,
+    ClaimRecord,
+    NewestPage,
+    ShardId,
+    ShardRecord,
+    decode_claim,
+)
+from onyxspoke.core.shard.orders import AdviceResult
+from onyxspoke.core.shard.scheduler import ShardScheduler
+from onyxspoke.ports.clock import Clock
+from onyxspoke.ports.shard_log import ShardLogPort
+from onyxspoke.ports.worker_directory import WorkerDirectoryPort
+from onyxspoke.ports.worker_orders import WorkerOrdersPort
+
+OnReply = Callable[[CallReply], None]
+#: Pause before a page that the store did not give is read again.
+PAGE_RETRY_SECONDS = 0.1
+
+
+class SeatListener(Protocol):
+    """What a seat needs of its node."""
+
+    def handle_holder_changed(self, shard: ShardId, claim: ClaimRecord | None) -> None:
+        """Another node holds the shard, or nobody that can be reached."""
+
+    def handle_holding(self, shard: ShardId, is_holding: bool) -> None:
+        """Take note that this node has begun, or ceased, to decide for the shard."""
+
+    def connect_peer(self, host: str, port: int) -> None:
+        """Have a stream to a node."""
+
+    def ask_advice(self, shard: ShardId, action: AskAdvice) -> None:
+        """Have an entry ask the advice service."""
+
+    def wake(self, shard: ShardId, delay: float) -> None:
+        """Call :meth:`ShardSeat.flush` after a delay."""
+
+    def retry(self, delay: float, function: Callable[[], None]) -> None:
+        """Call a function after a delay."""
+
+
+class ShardSeat:
+    """One shard, as this node takes part in it.
+
+    Parameters
+    ----------
+    shard : int
+        Which shard.
+    identity : NodeIdentity
+        This process.
+    options : ShardOptions
+        Bounds and timings of a holder.
+    clock : Clock
+        Source of time.
+    draw : callable
+        Returns a random number of at least 0 and below 1.
+    ports
+        The store, the workers and their directory.
+    listener : SeatListener
+        The node.
+    """
+
+    def __init__(
+        self,
+        shard: ShardId,
+        identity: NodeIdentity,
+        options: ShardOptions,
+        clock: Clock,
+        draw: Callable[[], float],
+        store: ShardLogPort,
+        orders: WorkerOrdersPort,
+        directory: WorkerDirectoryPort,
+        listener: SeatListener,
+    ) -> None:
+        self.shard = shard
+        self._options = options
+        self._clock = clock
+        self._store = store
+        self._orders = orders
+        self._directory = directory
+        self._listener = listener
+        self.election = Election(shard, identity, draw, clock.now())
+        self.scheduler: ShardScheduler | None = None
+        self._policy = PolicySet()
+        self._gathered: list[ShardRecord] = []
+        self._replies: dict[int, OnReply] = {}
+        self._last_call_id = 0
+        self._is_ready = False
+        self._handlers: dict[type[ShardAction], Callable[[ShardScheduler, Any], None]] = {
+            Decision: lambda _scheduler, action: _log_decision(shard, action),
+            SendHold: self._send_hold,
+            SendStart: self._send_start,
+            SendStop: self._send_stop,
+            SendAppend: self._send_append,
+            AskAdvice: lambda _scheduler, action: listener.ask_advice(shard, action),
+            ReplyToCall: self._reply,
+            DropWorkerConnections: lambda _scheduler, action: orders.drop(action.address),
+            StepDown: lambda _scheduler, action: self.step_down(action.reason),
+        }
+
+    @property
+    def held_claim(self) -> ClaimRecord | None:
+        """Our claim, while this node decides for the shard."""
+        return self.election.claim if self._is_ready else None
+
+    # Stimuli
+
+    def start(self) -> None:
+        """Begin to take part."""
+        self.election.start(self._clock.now())
+        self.carry_out_election()
+
+    def set_policy(self, policy: PolicySet) -> None:
+        """Take the operator's configuration."""
+        self._policy = policy
+        if self.scheduler is not None:
+            self.scheduler.stimulus_policy(policy, self._clock.now())
+            self._wake()
+
+    def set_advisors(self, names: list[str]) -> None:
+        """Take the entries that can carry calls for advice."""
+        if self.scheduler is not None:
+            self.scheduler.stimulus_advisors(names, self._clock.now())
+
+    def handle_call(self, call: Call, on_reply: OnReply) -> None:
+        """Take a client's call; ``on_reply`` may never be called if the shard is lost."""
+        if not self._is_ready or self.scheduler is None:
+            on_reply(CallReply(code=ReplyCode.NOT_HOLDER))
+            return
+        self._last_call_id += 1
+        self._replies[self._last_call_id] = on_reply
+        self.scheduler.stimulus_call(self._last_call_id, call, self._clock.now())
+        self._wake()
+
+    def handle_advice_result(self, call_id: int, result: AdviceResult) -> None:
+        """The advice service answered, or did not."""
+        if self.scheduler is not None:
+            self.scheduler.stimulus_advice_result(call_id, result, self._clock.now())
+            self._wake()
+
+    def tick(self, wall_ms: float) -> None:
+        """Some time has passed."""
+        now = self._clock.now()
+        self.election.tick(now)
+        self.carry_out_election()
+        if self.scheduler is not None and self._is_ready:
+            self.scheduler.stimulus_tick(now, wall_ms)
+            self.flush()
+
+    def flush(self) -> None:
+        """Carry out what the scheduler has decided."""
+        scheduler = self.scheduler
+        if scheduler is None or not self._is_ready:
+            return
+        for action in scheduler.flush(self._clock.now()):
+            self._carry_out(action)
+            if self.scheduler is not scheduler:
+                return
+        moment = scheduler.next_moment()
+        if moment is not None:
+            self._listener.wake(self.shard, max(0.0, moment - self._clock.now()))
+
+    def step_down(self, reason: StepDownReason) -> None:
+        """Give the shard up, if it is held."""
+        if self.scheduler is None:
+            return
+        logging.info("event=step_down shard=%d reason=%s", self.shard, reason.value)
+        self.scheduler = None
+        self._replies.clear()
+        self._directory.stop_watching()
+        if self._is_ready:
+            self._is_ready = False
+            self._listener.handle_holding(self.shard, False)
+        self.election.handle_step_down(self._clock.now())
+        self.carry_out_election()
+
+    # Election
+
+    def carry_out_election(self) -> None:
+        """Carry out what the election has decided."""
+        for action in self.election.take_actions():
+            if isinstance(action, ReadClaim):
+                self._store.read_newest(self.shard, BEFORE_CLAIM_KEY, self._take_claim_page)
+            elif isinstance(action, ConnectToHolder):
+                self._listener.connect_peer(action.host, action.port)
+            elif isinstance(action, SendClaim):
+                self._store.append(action.append, self._take_claim_result)
+            elif isinstance(action, BecomeHolder):
+                self._begin_holding(action)
+            elif isinstance(action, HolderChanged):
+                self._listener.handle_holder_changed(self.shard, action.claim)
+            else:
+                self._log_note(action)
+
+    def _take_claim_page(self, page: NewestPage) -> None:
+        claim = next(
+            (decode_claim(item.value) for item in page.records if item.key == CLAIM_KEY), None
+        )
+        self.election.handle_claim_read(page.is_known, claim, page.end, self._clock.now())
+        self.carry_out_election()
+
+    def _take_claim_result(self, result: AppendResult) -> None:
+        self.election.handle_append_result(result, self._clock.now())
+        self.carry_out_election()
+
+    def _log_note(self, note: ElectionNote) -> None:
+        logging.info(
+            "event=election shard=%d state=%s reason=%s token=%d",
+            self.shard,
+            note.state.value,
+            note.reason,
+            note.token,
+        )
+
+    # Taking over
+
+    def _begin_holding(self, action: BecomeHolder) -> None:
+        scheduler = ShardScheduler(
+            self.shard, action.claim, action.next_sequence, action.claimed_at, self._options
+        )
+        if action.former_dead_since is not None:
+            scheduler.former_holder_is_dead(action.former_dead_since)
+        self.scheduler = scheduler
+        self._gathered = []
+        self._read_state(scheduler, "")
+
+    def _read_state(self, scheduler: ShardScheduler, after_key: str) -> None:
+        if self.scheduler is scheduler:
+            self._store.read_newest(
+                self.shard, after_key, lambda page: self._take_state(scheduler, after_key, page)
+            )
+
+    def _take_state(self, scheduler: ShardScheduler, after_key: str, page: NewestPage) -> None:
+        if self.scheduler is not scheduler:
+            return
+        if not page.is_known:
+            self._listener.retry(PAGE_RETRY_SECONDS, lambda: self._read_state(scheduler, after_key))
+            return
+        self._gathered += page.records
+        if page.has_more and page.records:
+            self._read_state(scheduler, page.records[-1].key)
+            return
+        records, self._gathered = self._gathered, []
+        if not self._is_ours(records):
+            self.step_down(StepDownReason.STORE_FENCED)
+            return
+        self._finish_takeover(scheduler, records)
+
+    def _is_ours(self, records: list[ShardRecord]) -> bool:
+        """Return whether the claim that stands in the store is ours."""
+        ours = self.election.claim
+        for record in records:
+            if record.key == CLAIM_KEY:
+                claim = decode_claim(record.value)
+                return claim is not None and ours is not None and claim.life == ours.life
+        return False
+
+    def _finish_takeover(self, scheduler: ShardScheduler, records: list[ShardRecord]) -> None:
+        now = self._clock.now()
+        self._is_ready = True
+        scheduler.stimulus_policy(self._policy, now)
+        for action in scheduler.recover(records, now):
+            self._carry_out(action)
+        self._directory.watch(self)
+        self._listener.handle_holding(self.shard, True)
+        self._wake()
+
+    # Directory
+
+    def handle_workers_listed(self, records: list[WorkerRecord], is_whole: bool) -> None:
+        """The directory lists these workers."""
+        if self.scheduler is not None:
+            self.scheduler.stimulus_workers_listed(records, is_whole, self._clock.now())
+            self._wake()
+
+    def handle_worker_unlisted(self, worker_id: str) -> None:
+        """The directory lists a worker no longer."""
+        if self.scheduler is not None:
+            self.scheduler.stimulus_worker_unlisted(worker_id, self._clock.now())
+            self._wake()
+
+    # Actions
+
+    def _carry_out(self, action: ShardAction) -> None:
+        scheduler = self.scheduler
+        if scheduler is None:
+            return
+        handler = self._handlers[type(action)]
+        handler(scheduler, action)
+
+    def _reply(self, _scheduler: ShardScheduler, action: ReplyToCall) -> None:
+        on_reply = self._replies.pop(action.call_id, None)
+        if on_reply is not None:
+            on_reply(action.reply)
+
+    def _send_hold(self, scheduler: ShardScheduler, action: SendHold) -> None:
+        worker_id = action.address.worker_id
+        self._orders.hold(
+            action,
+            lambda result: self._feed(
+                scheduler,
+                lambda now: scheduler.stimulus_hold_result(worker_id, action.number, result, now),
+            ),
+        )
+
+    def _send_start(self, scheduler: ShardScheduler, action: SendStart) -> None:
+        worker_id = action.address.worker_id
+        self._orders.start(
+            action,
+            lambda result: self._feed(
+                scheduler,
+                lambda now: scheduler.stimulus_start_result(worker_id, action.run, result, now),
+            ),
+        )
+
+    def _send_stop(self, scheduler: ShardScheduler, action: SendStop) -> None:
+        worker_id = action.address.worker_id
+        self._orders.stop(
+            action,
+            lambda result: self._feed(
+                scheduler,
+                lambda now: scheduler.stimulus_stop_result(worker_id, action.run, result, now),
+            ),
+        )
+
+    def _send_append(self, scheduler: ShardScheduler, action: SendAppend) -> None:
+        self._store.append(
+            action.append,
+            lambda result: self._feed(
+                scheduler, lambda now: scheduler.stimulus_append_result(result, now)
+            ),
+        )
+
+    def _feed(self, scheduler: ShardScheduler, stimulus: Callable[[float], None]) -> None:
+        """Give an answer to the scheduler that asked, if it is still the one."""
+        if self.scheduler is scheduler:
+            stimulus(self._clock.now())
+            self._wake()
+
+    def _wake(self) -> None:
+        self._listener.wake(self.shard, 0.0)
+
+    @property
+    def is_holding(self) -> bool:
+        """Whether this node decides for the shard now."""
+        return self._is_ready
+
+    @property
+    def is_following(self) -> bool:
+        """Whether the holder is another node that answers."""
+        return self.election.state is ElectionState.FOLLOWING
+
+
+def _log_decision(shard: ShardId, decision: Decision) -> None:
+    fields = " ".join(f"{name}={value}" for name, value in decision.fields)
+    logging.info("event=%s shard=%d %s", decision.event, shard, fields)
--- /dev/null
+++ b/src/onyxspoke/node/settings.py
@@ -0,0 +1,61 @@
+"""What a node is told at its start, in the product's own terms."""
+
+from __future__ import annotations
+
+import msgspec
+
+from onyxspoke.core.shard.context import ShardOptions
+
+
+class SettingsError(Exception):
+    """Settings that are missing or out of range; ``faults`` names each one."""
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = faults
+
+
+class Address(msgspec.Struct, frozen=True):
+    """An IP address and a port."""
+
+    host: str
+    port: int
+
+
+class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of one node.
+
+    Attributes
+    ----------
+    node_name : str
+        Name of the machine.
+    host : str
+        The machine's own address.
+    callers : Address
+        Where callers connect.
+    readiness : Address
+        Where the balancer asks whether to send callers.
+    peer_port, metrics_port, operator_port : int
+        Ports on ``host`` for peers, for metrics, and for the product's own interface.
+    seeds : tuple of str
+        Hosts of nodes that may be there already.
+    stop_grace_seconds : float
+        Time from the signal to stop until the process is killed.
+    shard_options : ShardOptions
+        Bounds of the platform for a shard's holder.
+    weight : float
+        Processor share.
+    """
+
+    node_name: str
+    host: str
+    zone: str
+    callers: Address
+    readiness: Address
+    peer_port: int
+    metrics_port: int
+    operator_port: int
+    seeds: tuple[str, ...] = ()
+    stop_grace_seconds: float = 6.0
+    shard_options: ShardOptions = ShardOptions()
+    weight: float = 1.0
--- a/src/onyxspoke/platform/__init__.py
+++ b/src/onyxspoke/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-in for the platform: append-only log and machine list."""
+"""Adapter to the institute's platform: names, formats and calls; it decides nothing."""
--- /dev/null
+++ b/src/onyxspoke/platform/ingress.py
@@ -0,0 +1,238 @@
+"""The platform's callers over HTTP: jobs handed in, asked for, cancelled and counted."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+import msgspec
+from twisted.web.server import NOT_DONE_YET, Request
+
+from onyxspoke.core.codes import OnyxspokeError, ResultCode
+from onyxspoke.core.jobs.model import JobSpec, QueuePolicy, Schedule, StepSpec
+from onyxspoke.core.jobs.validation import check_job
+from onyxspoke.core.routing import RouteEntry
+from onyxspoke.core.shard.calls import (
+    Call,
+    CallReply,
+    CancelCall,
+    ReplyCode,
+    StateCall,
+    SubmitCall,
+    WaitingCall,
+)
+from onyxspoke.net.http import CodedResource, write_error, write_json
+from onyxspoke.node.node import Node
+
+DEADLINE_HEADER = "request-deadline-ms"
+#: An answer is sent so long before the caller's time is over.
+DEADLINE_SLACK_SECONDS = 0.1
+_MILLISECONDS = 1_000.0
+_OK = 200
+_BAD_REQUEST = 400
+_NOT_FOUND = 404
+_GONE = 410
+_UNAVAILABLE = 503
+_GATEWAY_TIMEOUT = 504
+
+
+class _StepBody(msgspec.Struct, rename="camel"):
+    count: int = 0
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimated_ms: float = 0
+    depends_on: list[int] = []
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    requirements: str = ""
+    affinity: str = ""
+    anti_affinity: int = 0
+    allow_duplicates: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = 0
+    fills: bool = False
+    may_miss: int | None = None
+
+
+class _JobBody(msgspec.Struct, rename="camel"):
+    spec: str
+    steps: list[_StepBody]
+    repeat_count: int = 0
+    start_at_ms: int = 0
+    interval_ms: int = 0
+
+
+class _StateAnswer(msgspec.Struct):
+    state: str
+
+
+class _WaitingAnswer(msgspec.Struct):
+    waiting: int
+
+
+class _EmptyAnswer(msgspec.Struct):
+    """An answer without anything to tell."""
+
+
+_decoder = msgspec.json.Decoder(_JobBody)
+_EMPTY = _EmptyAnswer()
+
+
+class IngressResource(CodedResource):
+    """Everything under the callers' address."""
+
+    isLeaf = True
+
+    def __init__(self, node: Node) -> None:
+        super().__init__()
+        self._node = node
+
+    def render(self, request: Request) -> int:
+        """Find the route and pass the call on; called by Twisted."""
+        if self._node.configuration is None:
+            _write_unavailable(request, 1.0)
+            return NOT_DONE_YET
+        path = request.path.decode("ascii", "replace")
+        host = request.getHeader("host") or ""
+        route = self._node.routes.find(host, path)
+        if route is None:
+            write_error(request, OnyxspokeError(ResultCode.NO_SUCH_PATH))
+            return NOT_DONE_YET
+        return self._render_route(request, route, path[len(route.path_prefix) :])
+
+    def _render_route(self, request: Request, route: RouteEntry, name: str) -> int:
+        try:
+            call = self._read_call(request, route, name)
+        except OnyxspokeError as error:
+            write_error(request, error)
+            return NOT_DONE_YET
+        exchange = _Exchange(request, call)
+        seconds = _patience(request, route)
+        self._node.submit_call(name, call, exchange.finish, seconds)
+        return NOT_DONE_YET
+
+    def _read_call(self, request: Request, route: RouteEntry, name: str) -> Call:
+        method = request.method
+        if method == b"GET":
+            return StateCall(name) if name else WaitingCall(route.queue)
+        if not name:
+            raise OnyxspokeError(ResultCode.METHOD_NOT_ALLOWED)
+        if method == b"DELETE":
+            return CancelCall(name)
+        if method == b"POST":
+            assert request.content is not None
+            assert self._node.configuration is not None
+            queue = self._node.configuration.policy.queues[route.queue]
+            return SubmitCall(decode_job(name, queue, request.content.read()))
+        raise OnyxspokeError(ResultCode.METHOD_NOT_ALLOWED)
+
+
+class _Exchange:
+    """One HTTP request that waits for its reply."""
+
+    def __init__(self, request: Request, call: Call) -> None:
+        self._request = request
+        self._call = call
+        self._is_gone = False
+        request.notifyFinish().addErrback(self._handle_gone)
+
+    def finish(self, reply: CallReply) -> None:
+        """Write the answer."""
+        if self._is_gone:
+            return
+        request = self._request
+        if reply.code is ReplyCode.OK:
+            write_json(request, self._body(reply))
+        elif reply.code is ReplyCode.NO_SUCH_JOB:
+            write_json(request, _EMPTY, _GONE)
+        elif reply.code is ReplyCode.REFUSED:
+            _write_unavailable(request, reply.retry_after_seconds)
+        else:
+            write_json(request, _EMPTY, _GATEWAY_TIMEOUT)
+
+    def _body(self, reply: CallReply) -> msgspec.Struct:
+        if isinstance(self._call, StateCall):
+            return _StateAnswer(reply.state)
+        if isinstance(self._call, WaitingCall):
+            return _WaitingAnswer(reply.waiting)
+        return _EMPTY
+
+    def _handle_gone(self, _failure: object) -> None:
+        self._is_gone = True
+
+
+class ReadinessResource(CodedResource):
+    """Answers the balancer's question whether to send callers here."""
+
+    isLeaf = True
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        super().__init__()
+        self._is_ready = is_ready
+
+    def handle_get(self, request: Request) -> None:
+        """Answer."""
+        write_json(request, _EMPTY, _OK if self._is_ready() else _UNAVAILABLE)
+
+
+def decode_job(job_id: str, queue: QueuePolicy, data: bytes) -> JobSpec:
+    """Return the checked job in a body.
+
+    Raises
+    ------
+    OnyxspokeError
+        With ``MALFORMED_REQUEST``, naming the field.
+    """
+    try:
+        body = _decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise OnyxspokeError(ResultCode.MALFORMED_REQUEST, str(error)) from error
+    job = JobSpec(
+        job_id=job_id,
+        queue=queue,
+        payload=body.spec,
+        steps=tuple(_to_step(step) for step in body.steps),
+        schedule=Schedule(body.repeat_count, body.start_at_ms, body.interval_ms),
+    )
+    check_job(job)
+    return job
+
+
+def _to_step(body: _StepBody) -> StepSpec:
+    return StepSpec(
+        task_count=body.count,
+        processors_milli=body.cpu,
+        memory_mb=body.mem_mb,
+        accelerators=body.gpu,
+        estimated_ms=int(body.estimated_ms),
+        depends_on=tuple(body.depends_on),
+        checkpointing=body.checkpointing,
+        gang=body.gang,
+        same_rack=body.same_rack,
+        required_label=body.requirements,
+        preferred_rack=body.affinity,
+        spread_limit=body.anti_affinity,
+        allow_duplicates=body.allow_duplicates,
+        long_running=body.long_running,
+        image=body.image,
+        target_ms=int(body.target_ms),
+        fills=body.fills,
+        disruption_budget=-1 if body.may_miss is None else body.may_miss,
+    )
+
+
+def _patience(request: Request, route: RouteEntry) -> float:
+    """Return for how many seconds the call may take."""
+    text = request.getHeader(DEADLINE_HEADER) or ""
+    milliseconds = float(route.timeout_ms)
+    if text.isdigit():
+        milliseconds = min(milliseconds, float(text))
+    return max(milliseconds / _MILLISECONDS - DEADLINE_SLACK_SECONDS, DEADLINE_SLACK_SECONDS)
+
+
+def _write_unavailable(request: Request, retry_after_seconds: float) -> None:
+    request.setHeader(b"retry-after", str(max(1, math.ceil(retry_after_seconds))).encode())
+    write_json(request, _EMPTY, _UNAVAILABLE)
--- /dev/null
+++ b/src/onyxspoke/platform/workers.py
@@ -0,0 +1,231 @@
+"""Orders to workers over HTTP; implements ``WorkerOrdersPort``."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from onyxspoke.core.jobs.model import RunKey, TaskKey
+from onyxspoke.core.jobs.states import RunEnd
+from onyxspoke.core.shard.actions import SendHold, SendStart, SendStop, WorkerAddress
+from onyxspoke.core.shard.orders import (
+    EndReport,
+    HoldResult,
+    OrderOutcome,
+    OrderResult,
+    RunningReport,
+)
+from onyxspoke.net.http_client import HttpAnswer, HttpClient, encode_request
+
+ORDER_SECONDS = 0.3
+#: Added to the time that an answer may wait for an end.
+HOLD_SLACK_SECONDS = 0.3
+#: A list of ends this long may have been cut off.
+MAXIMUM_ENDS = 500
+
+_HTTP_OK = 200
+_HTTP_INVALID = 400
+_HTTP_CONFLICT = 409
+_HTTP_OTHER_LIFE = 421
+_HTTP_UNHEALTHY = frozenset({429, 503})
+_MILLISECONDS = 1_000.0
+_REASONS = {
+    "fence": OrderOutcome.FENCED,
+    "old": OrderOutcome.STALE,
+    "late": OrderOutcome.EXPIRED,
+    "room": OrderOutcome.NO_ROOM,
+    "ticket": OrderOutcome.NO_TICKET,
+}
+_FIRST_COLUMNS = 4
+
+
+class _StartBody(msgspec.Struct, rename="camel", omit_defaults=True):
+    task: str
+    run: int
+    spec: str
+    until_ms: int
+    fencing_token: int
+    checkpoint: str = ""
+    ticket: str = ""
+
+
+class _StopBody(msgspec.Struct, rename="camel"):
+    task: str
+    run: int
+    fencing_token: int
+
+
+class _HoldBody(msgspec.Struct, rename="camel", omit_defaults=True):
+    fencing_token: int
+    last_seen: int
+    until_ms: int = 0
+    wait_ms: int = 0
+
+
+class _OrderAnswer(msgspec.Struct, rename="camel"):
+    clock_ms: int = 0
+    reason: str = ""
+
+
+class _HoldAnswer(msgspec.Struct, rename="camel"):
+    clock_ms: int = 0
+    running: list[list[Any]] = []
+    ended: list[list[Any]] = []
+
+
+_encoder = msgspec.json.Encoder()
+_order_decoder = msgspec.json.Decoder(_OrderAnswer)
+_hold_decoder = msgspec.json.Decoder(_HoldAnswer)
+
+
+class WorkerOrders:
+    """Sends orders to workers.
+
+    Holds have connections of their own, because one of them may wait for an end.
+    """
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    def hold(self, order: SendHold, on_result: Callable[[HoldResult], None]) -> None:
+        """Fence, extend and look."""
+        body = _HoldBody(order.token, order.last_seen, order.until_ms, order.wait_ms)
+        timeout = order.wait_ms / _MILLISECONDS + HOLD_SLACK_SECONDS
+        lane = "wait" if order.wait_ms else "look"
+        self._send(
+            order.address,
+            "hold",
+            _encoder.encode(body),
+            timeout,
+            lambda answer: on_result(read_hold(answer)),
+            lane,
+        )
+
+    def start(self, order: SendStart, on_result: Callable[[OrderResult], None]) -> None:
+        """Start a run."""
+        body = _StartBody(
+            encode_task(order.run.task),
+            order.run.number,
+            order.payload,
+            order.until_ms,
+            order.token,
+            order.checkpoint,
+            order.ticket,
+        )
+        self._send_order(order.address, "run-start", _encoder.encode(body), on_result)
+
+    def stop(self, order: SendStop, on_result: Callable[[OrderResult], None]) -> None:
+        """Stop a run."""
+        body = _StopBody(encode_task(order.run.task), order.run.number, order.token)
+        self._send_order(order.address, "run-stop", _encoder.encode(body), on_result)
+
+    def drop(self, address: WorkerAddress) -> None:
+        """Close the connections to a life that is over."""
+        self._client.close(address.host, address.port)
+
+    def _send_order(
+        self,
+        address: WorkerAddress,
+        name: str,
+        body: bytes,
+        on_result: Callable[[OrderResult], None],
+    ) -> None:
+        self._send(
+            address,
+            name,
+            body,
+            ORDER_SECONDS,
+            lambda answer: on_result(read_order(answer)),
+            "look",
+        )
+
+    def _send(
+        self,
+        address: WorkerAddress,
+        name: str,
+        body: bytes,
+        timeout: float,
+        on_answer: Callable[[HttpAnswer], None],
+        lane: str,
+    ) -> None:
+        request = encode_request(
+            "POST",
+            f"/onyxspoke/{name}",
+            f"{address.host}:{address.port}",
+            body,
+            f"Content-Type: application/json\r\nExpected-Instance: {address.worker_id}\r\n",
+        )
+        self._client.call(address.host, address.port, request, timeout, on_answer, lane)
+
+
+def encode_task(task: TaskKey) -> str:
+    """Return a task's name on the wire."""
+    return f"{task.job_id}.{task.repetition}.{task.step}.{task.task_index}"
+
+
+def decode_task(name: str) -> TaskKey:
+    """Return the task that a name on the wire stands for; raise ``ValueError``."""
+    job_id, repetition, step, index = name.split(".")
+    return TaskKey(job_id, int(repetition), int(step), int(index))
+
+
+def read_order(answer: HttpAnswer) -> OrderResult:
+    """Return what an answer to a start or a stop says."""
+    outcome = _outcome_without_body(answer)
+    if outcome is not None:
+        return OrderResult(outcome)
+    try:
+        body = _order_decoder.decode(answer.body or b"{}")
+    except msgspec.MsgspecError:
+        return OrderResult(OrderOutcome.NO_ANSWER)
+    if answer.status == _HTTP_OK:
+        return OrderResult(OrderOutcome.DONE, body.clock_ms)
+    return OrderResult(_REASONS.get(body.reason, OrderOutcome.INVALID), body.clock_ms)
+
+
+def read_hold(answer: HttpAnswer) -> HoldResult:
+    """Return what an answer to a hold says."""
+    outcome = _outcome_without_body(answer)
+    if outcome is not None:
+        return HoldResult(outcome)
+    try:
+        if answer.status != _HTTP_OK:
+            reason = _order_decoder.decode(answer.body or b"{}").reason
+            return HoldResult(_REASONS.get(reason, OrderOutcome.INVALID))
+        body = _hold_decoder.decode(answer.body)
+        return HoldResult(
+            OrderOutcome.DONE,
+            clock_ms=body.clock_ms,
+            running=[_to_running(row) for row in body.running],
+            ended=[_to_end(row) for row in body.ended],
+            is_whole=len(body.ended) < MAXIMUM_ENDS,
+        )
+    except (msgspec.MsgspecError, ValueError, IndexError, TypeError):
+        return HoldResult(OrderOutcome.NO_ANSWER)
+
+
+def _outcome_without_body(answer: HttpAnswer) -> OrderOutcome | None:
+    if answer.status == 0:
+        return OrderOutcome.NO_ANSWER if answer.was_sent else OrderOutcome.NOT_SENT
+    if answer.status == _HTTP_OTHER_LIFE:
+        return OrderOutcome.OTHER_LIFE
+    if answer.status in _HTTP_UNHEALTHY:
+        return OrderOutcome.UNHEALTHY
+    if answer.status == _HTTP_INVALID:
+        return OrderOutcome.INVALID
+    if answer.status not in (_HTTP_OK, _HTTP_CONFLICT):
+        return OrderOutcome.NO_ANSWER
+    return None
+
+
+def _to_running(row: list[Any]) -> RunningReport:
+    task, run, checkpoint, percent = row[:_FIRST_COLUMNS]
+    usage = int(row[_FIRST_COLUMNS]) if len(row) > _FIRST_COLUMNS else 0
+    return RunningReport(RunKey(decode_task(task), run), checkpoint, int(percent), usage)
+
+
+def _to_end(row: list[Any]) -> EndReport:
+    number, task, run, end, checkpoint = row
+    return EndReport(number, RunKey(decode_task(task), run), RunEnd(end), checkpoint)
--- /dev/null
+++ b/src/onyxspoke/ports/configuration.py
@@ -0,0 +1,51 @@
+"""Port to the operator's configuration: versions that only rise, each one whole."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+
+from onyxspoke.core.jobs.policy import PolicySet
+from onyxspoke.core.routing import RouteEntry
+
+
+class IngressLimits(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """Bounds on what callers may send, and how slowly."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 262_144
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+class CellConfiguration(msgspec.Struct, frozen=True, kw_only=True):
+    """One version of the operator's configuration.
+
+    ``raw`` is the configuration as it was read, so that it can be passed on to peers.
+    """
+
+    policy: PolicySet
+    routes: tuple[RouteEntry, ...] = ()
+    limits: IngressLimits = IngressLimits()
+    raw: bytes = b""
+
+    @property
+    def version(self) -> int:
+        """The version; 0 before the first one."""
+        return self.policy.version
+
+
+class ConfigurationPort(Protocol):
+    """The operator's configuration."""
+
+    def watch(self, on_configuration: Callable[[CellConfiguration], None]) -> None:
+        """Report the configuration and each later version, as soon as it is there."""
+
+    def decode(self, raw: bytes) -> CellConfiguration:
+        """Read a configuration that a peer passed on; raise :class:`ConfigurationError`."""
+
+
+class ConfigurationError(Exception):
+    """A configuration that cannot be read; the message names the field."""
--- /dev/null
+++ b/src/onyxspoke/ports/worker_directory.py
@@ -0,0 +1,28 @@
+"""Port to the platform's directory of workers."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from onyxspoke.core.jobs.model import WorkerId
+from onyxspoke.core.placement.workers import WorkerRecord
+
+
+class WorkerDirectoryListener(Protocol):
+    """Receives the directory and its changes."""
+
+    def handle_workers_listed(self, records: list[WorkerRecord], is_whole: bool) -> None:
+        """These workers are listed; a whole list also tells which are not."""
+
+    def handle_worker_unlisted(self, worker_id: WorkerId) -> None:
+        """A worker is listed no longer."""
+
+
+class WorkerDirectoryPort(Protocol):
+    """The directory; it is watched only while a shard is held."""
+
+    def watch(self, listener: WorkerDirectoryListener) -> None:
+        """Begin to report; the whole list comes first."""
+
+    def stop_watching(self) -> None:
+        """Report no more."""
--- a/src/onyxspoke/sim/cell.py
+++ b/src/onyxspoke/sim/cell.py
@@ -14,7 +14,7 @@
 from onyxspoke.entry.node import EntryNode, make_core_options, make_identity
 from onyxspoke.entry.shell import EntryShell
 from onyxspoke.kit.journal import JournalEvent
-from onyxspoke.platform.service import PlatformService
+from onyxspoke.kit.platform.service import PlatformService
 from onyxspoke.settings_file import PLATFORM_ZONE, CellSettings, EntrySettings
 from onyxspoke.sim.virtual_network import LinkOptions, VirtualNetwork
 from onyxspoke.sim.virtual_reactor import VirtualNode, VirtualTime
