--- a/src/onyxspoke/cli/node.py
+++ b/src/onyxspoke/cli/node.py
@@ -25,6 +25,7 @@
 from onyxspoke.net.network import Network, TcpEndpoints
 from onyxspoke.net.reactor_clock import MonotonicClock
 from onyxspoke.node.node import Node, NodePorts
+from onyxspoke.node.planned_stop import PlannedStop
 from onyxspoke.node.settings import NodeSettings, SettingsError
 from onyxspoke.platform.advice import AdviceClient
 from onyxspoke.platform.configuration import ConfigurationFeed
@@ -39,8 +40,6 @@
 MAXIMUM_BODY_BYTES = 262_144
 MAXIMUM_CONNECTIONS = 3_000
 READ_SECONDS = 3.0
-#: Kept back of the time to stop, for the process to end in.
-STOP_RESERVE_SECONDS = 1.0
 _MILLISECONDS = 1_000.0
 
 
@@ -63,7 +62,7 @@
         print(f"{arguments.config}: valid")
         sys.exit(ExitCode.OK)
     configure_logging(settings.node.node_name, verbose=arguments.verbose, stream=sys.stdout)
-    sys.exit(run(settings))
+    sys.exit(run(settings, Path(arguments.config)))
 
 
 def load_or_exit(path: Path) -> PlatformSettings:
@@ -147,21 +146,36 @@
         return self._endpoints.server(address.host, address.port).listen(site)
 
 
-def run(settings: PlatformSettings) -> ExitCode:
+def reload_settings(node: Node, path: Path) -> None:
+    """Take from the settings file what may change in a running process: the seeds."""
+    try:
+        settings = load_settings(path)
+    except SettingsError as error:
+        logging.error("event=reload_failed faults=%r", str(error))
+        return
+    node.settings = settings.node
+    logging.info("event=reloaded seeds=%d", len(settings.node.seeds))
+
+
+def run(settings: PlatformSettings, path: Path) -> ExitCode:
     """Run a node until it is stopped."""
     node = make_node(settings)
     service = NodeService(node, settings.node, TcpEndpoints(reactor, CONNECT_SECONDS))
     runner = ProcessRunner(service)
 
-    def begin_stop() -> None:
-        logging.info("event=stopping")
-        node.begin_stop()
-        reactor.callLater(settings.node.stop_grace_seconds - STOP_RESERVE_SECONDS, runner.stop)
+    stop = PlannedStop(node, reactor, lambda: len(node.router), runner.stop)
+
+    def handle_terminate(_signal: int, _frame: object) -> None:
+        cast("IReactorFromThreads", reactor).callFromThread(stop.begin)
+
+    def handle_hangup(_signal: int, _frame: object) -> None:
+        cast("IReactorFromThreads", reactor).callFromThread(reload_settings, node, path)
 
-    def handle_signal(_signal: int, _frame: object) -> None:
-        cast("IReactorFromThreads", reactor).callFromThread(begin_stop)
+    def install_handlers() -> None:
+        signal.signal(signal.SIGTERM, handle_terminate)
+        signal.signal(signal.SIGHUP, handle_hangup)
 
-    reactor.callWhenRunning(lambda: signal.signal(signal.SIGTERM, handle_signal))
+    reactor.callWhenRunning(install_handlers)
     return runner.run(service.listen())
 
 
--- a/src/onyxspoke/core/jobs/book.py
+++ b/src/onyxspoke/core/jobs/book.py
@@ -134,6 +134,14 @@
                 if step.in_doubt:
                     self._settle_step(step, now)
 
+    def mark_committed(self, job: JobProgress, state: JobState) -> None:
+        """The store has the job in this state; with its first commit it may be started."""
+        is_first = job.committed_state is None
+        job.committed_state = state
+        if is_first:
+            for step in job.steps():
+                self._refresh(step)
+
     # Tasks
 
     def task_started(self, task: TaskProgress, now: float) -> None:
--- a/src/onyxspoke/core/jobs/progress.py
+++ b/src/onyxspoke/core/jobs/progress.py
@@ -109,8 +109,14 @@
 
     @property
     def is_startable(self) -> bool:
-        """Whether some task may be started now."""
-        return bool(self.waiting) and self.blocked_by == 0 and not self.job.state.is_final
+        """Whether some task may be started now.
+
+        Nothing of a job is started before the store has it: a new holder would not know
+        what such runs are, and would start them again when the job is handed in again.
+        """
+        job = self.job
+        is_open = job.committed_state is not None and not job.state.is_final
+        return bool(self.waiting) and self.blocked_by == 0 and is_open
 
     def count_move(self, task: TaskProgress, old: TaskState, new: TaskState) -> None:
         """Keep the counts when a task changes its state."""
--- a/src/onyxspoke/core/placement/workers.py
+++ b/src/onyxspoke/core/placement/workers.py
@@ -118,6 +118,9 @@
     ----------
     runs : dict of RunKey to Run
         Everything that may run there, each holding room.
+    strays : dict of RunKey to float
+        Runs there that stand for no task of the shard, and when their stop was sent; they
+        take room that is not known, so nothing is started beside them.
     seen_through : int
         Ends up to this number were taken in; each is told to the worker once committed.
     told_through : int
@@ -147,6 +150,7 @@
         self.draining_since = 0.0
         self.clock = WorkerClock()
         self.runs: dict[RunKey, Run] = {}
+        self.strays: dict[RunKey, float] = {}
         self.free_processors = record.capacity.processors_milli
         self.free_memory = record.capacity.memory_mb
         self.free_accelerators = record.capacity.accelerators
@@ -184,6 +188,7 @@
             self.contact is WorkerContact.SETTLED
             and self.listing is WorkerListing.READY
             and self.is_recorded
+            and not self.strays
             and now >= self.retry_at
         )
 
--- a/src/onyxspoke/core/shard/journal.py
+++ b/src/onyxspoke/core/shard/journal.py
@@ -93,7 +93,8 @@
 
     def __call__(self, now: float) -> None:
         if self._job.committed_state is not self._state:
-            self._job.committed_state = self._state
+            self._context.book.mark_committed(self._job, self._state)
+            self._context.wants_placement = True
             if self._state.is_final:
                 self._context.log(
                     "job_ended",
--- a/src/onyxspoke/core/shard/run_keeper.py
+++ b/src/onyxspoke/core/shard/run_keeper.py
@@ -131,6 +131,10 @@
     def stop_stray(self, worker: Worker, key: RunKey, now: float) -> None:
         """Order the end of a run that stands for no task of this shard."""
         context = self._context
+        sent_at = worker.strays.get(key)
+        if sent_at is not None and now - sent_at < STOP_RETRY_SECONDS:
+            return
+        worker.strays[key] = now
         if context.may_order(now):
             context.log("stray_stop", worker=worker.worker_id, task=_name(key), run=key.number)
             context.emit(SendStop(address_of(worker), context.token, key))
@@ -180,6 +184,9 @@
         for running in result.running:
             listed.add(running.run)
             self._take_running(worker, running, now)
+        for key in [key for key in worker.strays if key not in listed]:
+            del worker.strays[key]
+            self._context.wants_placement = True
         if result.is_whole:
             self._find_missing(worker, listed, result.clock_ms, sent_at, now)
 
--- a/src/onyxspoke/net/http.py
+++ b/src/onyxspoke/net/http.py
@@ -172,6 +172,12 @@
     request.finish()
 
 
+def close_after(request: Request) -> None:
+    """Have the connection closed after a request's answer, and say so in it."""
+    request.setHeader(b"connection", b"close")
+    request.channel.persistent = False
+
+
 def write_error(request: Request, error: OnyxspokeError) -> None:
     """Finish a request with a coded error."""
     code = error.code
--- a/src/onyxspoke/node/messages.py
+++ b/src/onyxspoke/node/messages.py
@@ -25,16 +25,18 @@
 class Status(Message, frozen=True):
     """Heartbeat: the claims that the sender holds or follows, and its configuration.
 
-    ``can_reach_store`` tells whether the store served the sender lately.
+    ``can_reach_store`` tells whether the store served the sender lately, ``may_hold``
+    whether the sender would take a shard over.
     """
 
     claims: list[tuple[ShardId, ClaimRecord]]
     configuration_version: int
     can_reach_store: bool
+    may_hold: bool
 
 
 class Members(Message, frozen=True):
-    """The nodes that a holder knows, itself included."""
+    """The nodes that could take over from a holder."""
 
     members: list[NodeIdentity]
 
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -134,7 +134,6 @@
         self.seats: dict[ShardId, ShardSeat] = {FIRST_SHARD: seat}
         self._wakes: dict[ShardId, IDelayedCall] = {}
         self._holders: dict[ShardId, ClaimRecord] = {}
-        self._members: list[NodeIdentity] = [identity]
         self._listeners: list[Callable[[CellConfiguration], None]] = []
         self._seeds_at = 0.0
         self._handlers: dict[type[NodeMessage], Callable[[PeerLink, Any], None]] = {
@@ -175,6 +174,7 @@
     def begin_stop(self) -> None:
         """Hand the shards over and claim nothing more; calls are still carried."""
         self.is_stopping = True
+        self._send_heartbeats()
         for seat in self.seats.values():
             seat.election.rest()
             seat.step_down(StepDownReason.PLANNED)
@@ -342,6 +342,9 @@
     def _take_status(self, link: PeerLink, message: Status) -> None:
         assert link.identity is not None
         link.can_reach_store = message.can_reach_store
+        if link.may_hold is not message.may_hold:
+            link.may_hold = message.may_hold
+            self._tell_advisors()
         link.configuration_version = max(link.configuration_version, message.configuration_version)
         self._offer_configuration(link)
         now = self._clock.now()
@@ -366,23 +369,20 @@
 
     def _tell_advisors(self) -> None:
         """Let the seats know through which entries advice can be asked."""
-        identities = [self.identity]
-        for link in self.peers.incoming.values():
-            if link.is_up and link.identity is not None:
-                identities.append(link.identity)
+        links = [link for link in self.peers.incoming.values() if link.is_up]
+        lives = [link.identity.life for link in links if link.identity is not None]
+        members = [link.identity for link in links if link.identity and link.may_hold]
         for seat in self.seats.values():
             if seat.is_holding:
-                seat.set_advisors([identity.life for identity in identities])
-                self._members = identities
-                seat.election.set_members(identities)
-                for link in self.peers.incoming.values():
-                    link.send(Members(identities))
+                seat.set_advisors([self.identity.life, *lives])
+                seat.election.set_members(members)
+                for link in links:
+                    link.send(Members(members))
 
     def _take_advice(self, _link: PeerLink, message: AdviceAnswer) -> None:
         self.seats[message.shard].handle_advice_result(message.call_id, message.result)
 
     def _take_members(self, _link: PeerLink, message: Members) -> None:
-        self._members = message.members
         for seat in self.seats.values():
             seat.election.set_members(message.members)
 
@@ -413,4 +413,4 @@
             if claim is not None:
                 claims.append((shard, claim))
         version = self.configuration.version if self.configuration is not None else 0
-        return Status(claims, version, self.store.is_reachable)
+        return Status(claims, version, self.store.is_reachable, not self.is_stopping)
--- a/src/onyxspoke/node/peers.py
+++ b/src/onyxspoke/node/peers.py
@@ -54,6 +54,7 @@
         self.heard_at = 0.0
         self.configuration_version = 0
         self.can_reach_store = False
+        self.may_hold = True
         self.stream: _Stream | None = None
 
     @property
--- a/src/onyxspoke/platform/ingress.py
+++ b/src/onyxspoke/platform/ingress.py
@@ -21,7 +21,7 @@
     SubmitCall,
     WaitingCall,
 )
-from onyxspoke.net.http import CodedResource, write_error, write_json
+from onyxspoke.net.http import CodedResource, close_after, write_error, write_json
 from onyxspoke.node.node import Node
 
 DEADLINE_HEADER = "request-deadline-ms"
@@ -92,6 +92,8 @@
 
     def render(self, request: Request) -> int:
         """Find the route and pass the call on; called by Twisted."""
+        if self._node.is_stopping:
+            close_after(request)
         if self._node.configuration is None:
             _write_unavailable(request, 1.0)
             return NOT_DONE_YET
