--- /dev/null
+++ b/features/steps/job_promise_steps.py
@@ -0,0 +1,127 @@
+"""Steps that play jobs over fault schedules in virtual time."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from typing import Any
+from unittest import mock
+
+from behave import then, when
+
+from onyxspoke.core.jobs.progress import StepProgress
+from onyxspoke.core.placement.workers import Worker
+from onyxspoke.core.shard.commit import CommitQueue
+from onyxspoke.core.shard.worker_keeper import WorkerKeeper
+from onyxspoke.kit.jobs.audit import Violation
+from onyxspoke.kit.jobs.workers import FakeWorker
+from onyxspoke.sim.explore_jobs import JobRunReport, play
+
+
+@when("jobs are played over seeds {first:d} to {last:d} without faults")
+def _play_calm(context: Any, first: int, last: int) -> None:
+    context.job_reports = [play(seed, []) for seed in range(first, last + 1)]
+
+
+@when("jobs are played over seeds {first:d} to {last:d} with drawn faults")
+def _play_faults(context: Any, first: int, last: int) -> None:
+    context.job_reports = [play(seed) for seed in range(first, last + 1)]
+
+
+@when('jobs are played over seed {seed:d} without "{mechanism}"')
+def _play_without(context: Any, seed: int, mechanism: str) -> None:
+    with _WITHOUT[mechanism]():
+        context.job_reports = [play(seed)]
+
+
+@then("nothing that must hold is broken")
+def _nothing_broken(context: Any) -> None:
+    assert all(report.checks for report in context.job_reports)
+    broken = [report for report in context.job_reports if report.findings]
+    assert not broken, "\n".join(_describe(report) for report in broken)
+
+
+@then('"{violation}" is found')
+def _is_found(context: Any, violation: str) -> None:
+    found = {item.violation for report in context.job_reports for item in report.findings}
+    assert Violation(violation) in found, found
+
+
+@then("at least {count:d} jobs were completed")
+def _completed(context: Any, count: int) -> None:
+    completed = sum(report.counts.get("end_completed", 0) for report in context.job_reports)
+    assert completed >= count, completed
+
+
+def _describe(report: JobRunReport) -> str:
+    lines = [f"seed {report.seed}: {report.schedule}"]
+    lines += [f"  {item.at:.2f} {item.violation.value} {item.detail}" for item in report.findings]
+    return "\n".join(lines)
+
+
+def _start_before_commit(step: StepProgress) -> bool:
+    return bool(step.waiting) and step.blocked_by == 0 and not step.job.state.is_final
+
+
+@contextmanager
+def _without_commit_before_start() -> Iterator[None]:
+    with mock.patch.object(StepProgress, "is_startable", property(_start_before_commit)):
+        yield
+
+
+@contextmanager
+def _without_fencing() -> Iterator[None]:
+    with mock.patch.object(FakeWorker, "_take_token", lambda self, token: True):
+        yield
+
+
+@contextmanager
+def _without_leases() -> Iterator[None]:
+    with mock.patch.object(Worker, "lease_over_at", lambda self: 0.0):
+        yield
+
+
+@contextmanager
+def _without_stray_room() -> Iterator[None]:
+    original = Worker.is_offered
+
+    def is_offered(worker: Worker, now: float) -> bool:
+        strays, worker.strays = worker.strays, {}
+        try:
+            return original(worker, now)
+        finally:
+            worker.strays = strays
+
+    with ExitStack() as stack:
+        stack.enter_context(_without_commit_before_start())
+        stack.enter_context(mock.patch.object(Worker, "is_offered", is_offered))
+        yield
+
+
+@contextmanager
+def _without_proof() -> Iterator[None]:
+    def reply_at_once(queue: CommitQueue, effect: Any) -> None:
+        effect(queue.proof_at)
+
+    with mock.patch.object(CommitQueue, "after_proof", reply_at_once):
+        yield
+
+
+@contextmanager
+def _without_commit_before_noting() -> Iterator[None]:
+    def note_at_once(keeper: WorkerKeeper, worker: Worker, now: float) -> None:
+        worker.told_through = worker.seen_through
+        worker.next_hold_at = now + 0.03
+
+    with mock.patch.object(WorkerKeeper, "_after_answer", note_at_once):
+        yield
+
+
+_WITHOUT = {
+    "starts only after the commit": _without_commit_before_start,
+    "fencing tokens at workers": _without_fencing,
+    "the end of leases": _without_leases,
+    "room of stray runs": _without_stray_room,
+    "proof before unknown jobs": _without_proof,
+    "ends noted only after the commit": _without_commit_before_noting,
+}
--- a/src/onyxspoke/core/shard/commit.py
+++ b/src/onyxspoke/core/shard/commit.py
@@ -57,6 +57,7 @@
     renew: Callable[[], ShardRecord]
     is_dirty: Callable[[], bool]
     _effects: list[Effect] = field(default_factory=list)
+    _proofs: list[Effect] = field(default_factory=list)
     _batch: _Batch | None = None
     _last_sent_at: float = 0.0
 
@@ -76,31 +77,28 @@
         else:
             self._effects.append(effect)
 
-    def take_effects_back(self) -> list[Effect]:
-        """Return and drop the effects that no append carries yet."""
-        effects, self._effects = self._effects, []
-        return effects
+    def after_proof(self, effect: Effect) -> None:
+        """Have an effect once an append sent from now on shows that the shard is still ours."""
+        self._proofs.append(effect)
 
     def next_append(self, now: float) -> ShardAppend | None:
         """Return what is to be sent now, if anything."""
         if self._batch is not None:
             return self._retry(self._batch, now)
-        if now - self._last_sent_at < MINIMUM_INTERVAL_SECONDS:
+        if now < self._last_sent_at + MINIMUM_INTERVAL_SECONDS:
             return None
         if self._effects and not self.is_dirty():
             self._have_effects(now)
         is_due = now - max(self._last_sent_at, self.proof_at) >= RENEWAL_SECONDS
-        if not (self.is_dirty() or is_due):
+        if not (self.is_dirty() or is_due or self._proofs):
             return None
         records = self.collect(MAXIMUM_BATCH_BYTES)
         if not records or is_due:
             records.append(self.renew())
-        effects = self._effects
-        if self.is_dirty():
-            # What did not fit goes with the next append, and so do all effects.
-            effects = []
-        else:
-            self._effects = []
+        effects, self._proofs = self._proofs, []
+        if not self.is_dirty():
+            # Otherwise what did not fit goes with the next append, and so do the effects.
+            effects, self._effects = self._effects + effects, []
         append = ShardAppend(
             shard=self.shard, epoch=self.epoch, sequence=self.next_sequence, records=records
         )
@@ -113,7 +111,7 @@
         """Return when :meth:`next_append` may have something to send, if nothing comes in."""
         if self._batch is not None:
             return self._batch.retry_at
-        if self._effects or self.is_dirty():
+        if self._effects or self._proofs or self.is_dirty():
             return self._last_sent_at + MINIMUM_INTERVAL_SECONDS
         return None
 
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -179,7 +179,7 @@
         elif isinstance(call, CancelCall):
             self._cancel(call_id, call, now)
         elif isinstance(call, StateCall):
-            self._reply(call_id, self._state_of(call))
+            self._tell_state(call_id, call)
         else:
             waiting = self.context.book.waiting_count(call.queue)
             self._reply(call_id, CallReply(code=ReplyCode.OK, waiting=waiting))
@@ -214,11 +214,14 @@
         code = ReplyCode.OK if is_known else ReplyCode.NO_SUCH_JOB
         self.context.commit.after_commit(_Reply(self.context, call_id, CallReply(code=code)))
 
-    def _state_of(self, call: StateCall) -> CallReply:
+    def _tell_state(self, call_id: int, call: StateCall) -> None:
         job = self.context.book.jobs.get(call.job_id)
         if job is None or job.committed_state is None:
-            return CallReply(code=ReplyCode.NO_SUCH_JOB)
-        return CallReply(code=ReplyCode.OK, state=_shown_state(job))
+            # Another holder may have accepted it, unless the shard is still ours.
+            unknown = CallReply(code=ReplyCode.NO_SUCH_JOB)
+            self.context.commit.after_proof(_Reply(self.context, call_id, unknown))
+            return
+        self._reply(call_id, CallReply(code=ReplyCode.OK, state=_shown_state(job)))
 
     def _refuse(self, call_id: int, reason: str) -> None:
         retry = self._options.refusal_retry_seconds
--- /dev/null
+++ b/src/onyxspoke/kit/jobs/audit.py
@@ -0,0 +1,258 @@
+"""Checks what must always hold of jobs, from what callers and workers have seen."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+
+from onyxspoke.core.jobs.model import JobId, JobSpec, Needs, RunKey, StepKey, TaskKey, WorkerId
+from onyxspoke.core.jobs.states import RunEnd
+from onyxspoke.core.shard.calls import CallReply, ReplyCode
+from onyxspoke.kit.jobs.timers import Timers
+from onyxspoke.kit.jobs.workers import FakeWorker
+
+#: A task of a cancelled job may start so long after the cancel was acknowledged.
+CANCEL_SECONDS = 3.0
+
+
+class Violation(Enum):
+    """What must never happen."""
+
+    OVER_CAPACITY = "over_capacity"
+    TWO_RUNS = "two_runs"
+    RUN_AFTER_DONE = "run_after_done"
+    DEPENDENCY = "dependency"
+    LABEL = "label"
+    SPREAD = "spread"
+    ATTEMPTS = "attempts"
+    GANG_ALONE = "gang_alone"
+    UNKNOWN_JOB = "unknown_job"
+    PAYLOAD = "payload"
+    AFTER_CANCEL = "after_cancel"
+    REFUSED_RAN = "refused_ran"
+    SHOWN_COMPLETED = "shown_completed"
+    ACCEPTED_UNKNOWN = "accepted_unknown"
+    FAILED_WITHOUT_CAUSE = "failed_without_cause"
+    NOT_FINISHED = "not_finished"
+
+
+@dataclass(slots=True)
+class Finding:
+    """One violation."""
+
+    at: float
+    violation: Violation
+    detail: str
+
+
+@dataclass(slots=True)
+class _JobFacts:
+    spec: JobSpec
+    replies: Counter[ReplyCode] = field(default_factory=Counter)
+    accepted_at: float | None = None
+    cancelled_at: float | None = None
+    cancel_sent: bool = False
+    has_started: bool = False
+
+
+@dataclass(slots=True)
+class _TaskFacts:
+    running: dict[tuple[WorkerId, RunKey], None] = field(default_factory=dict)
+    is_done: bool = False
+    failed: set[RunKey] = field(default_factory=set)
+    #: Ends ``done`` that may still be noted, by run; the value tells that a start followed.
+    open_done: dict[RunKey, bool] = field(default_factory=dict)
+    is_done_noted: bool = False
+
+
+class JobAudit:
+    """Takes in everything that callers and workers see; keeps what is wrong."""
+
+    def __init__(self, timers: Timers) -> None:
+        self._timers = timers
+        self.findings: list[Finding] = []
+        self.jobs: dict[JobId, _JobFacts] = {}
+        self._tasks: dict[TaskKey, _TaskFacts] = {}
+        self._taken: dict[WorkerId, dict[RunKey, Needs]] = {}
+        self._done_in_step: Counter[StepKey] = Counter()
+        self.counts: Counter[str] = Counter()
+        self.checks = 0
+
+    # Callers
+
+    def handle_submitted(self, spec: JobSpec) -> None:
+        """A caller hands a job in, perhaps again."""
+        self.jobs.setdefault(spec.job_id, _JobFacts(spec))
+
+    def handle_submit_reply(self, job_id: JobId, reply: CallReply | None) -> None:
+        """A caller was answered, or not at all."""
+        facts = self.jobs[job_id]
+        code = ReplyCode.UNKNOWN if reply is None else reply.code
+        facts.replies[code] += 1
+        self.counts[f"submit_{code.value}"] += 1
+        if code is ReplyCode.OK and facts.accepted_at is None:
+            facts.accepted_at = self._timers.now()
+
+    def handle_cancel_sent(self, job_id: JobId) -> None:
+        """A caller cancels a job."""
+        self.jobs[job_id].cancel_sent = True
+
+    def handle_cancel_reply(self, job_id: JobId, reply: CallReply) -> None:
+        """The cancel was answered."""
+        if reply.code in (ReplyCode.OK, ReplyCode.NO_SUCH_JOB):
+            facts = self.jobs[job_id]
+            if facts.cancelled_at is None:
+                facts.cancelled_at = self._timers.now()
+
+    def handle_state_reply(self, job_id: JobId, reply: CallReply) -> None:
+        """A caller was told a job's state."""
+        self.checks += 1
+        facts = self.jobs[job_id]
+        if reply.code is ReplyCode.NO_SUCH_JOB:
+            if facts.accepted_at is not None and not facts.cancel_sent:
+                self._find(Violation.ACCEPTED_UNKNOWN, job_id)
+        elif reply.code is ReplyCode.OK:
+            self._check_state(facts, reply.state)
+
+    def check_finished(self, job_id: JobId, state: str) -> None:
+        """At the end, every accepted job is to be in a final state."""
+        facts = self.jobs[job_id]
+        if facts.accepted_at is None:
+            return
+        self.checks += 1
+        self.counts[f"end_{state}"] += 1
+        if state not in ("completed", "failed", "cancelled"):
+            self._find(Violation.NOT_FINISHED, f"{job_id} is {state}")
+
+    # Workers
+
+    def handle_started(self, worker: FakeWorker, run: RunKey, payload: str, node: str) -> None:
+        """A run was started on a node's order."""
+        self.checks += 1
+        self.counts["starts"] += 1
+        facts = self.jobs.get(run.task.job_id)
+        if facts is None:
+            self._find(Violation.UNKNOWN_JOB, f"{run} by {node}")
+            return
+        facts.has_started = True
+        if payload != facts.spec.payload:
+            self._find(Violation.PAYLOAD, f"{run} by {node}")
+        self._check_room(worker, run, facts, node)
+        self._check_task(worker, run, facts, node)
+        self._check_place(worker, run, facts, node)
+
+    def handle_ended(self, worker: FakeWorker, run: RunKey, end: RunEnd) -> None:
+        """A run ended."""
+        self.counts[f"run_{end.value}"] += 1
+        self._taken.get(worker.worker_id, {}).pop(run, None)
+        task = self._task(run.task)
+        task.running.pop((worker.worker_id, run), None)
+        if end is RunEnd.DONE:
+            task.open_done[run] = False
+            if not task.is_done:
+                task.is_done = True
+                self._done_in_step[run.task.step_key] += 1
+        elif end is RunEnd.FAILED:
+            task.failed.add(run)
+
+    def handle_noted(self, worker: FakeWorker, run: RunKey, end: RunEnd) -> None:
+        """A node told the worker that an end was noted."""
+        task = self._task(run.task)
+        if end is RunEnd.DONE and run in task.open_done:
+            if task.open_done.pop(run):
+                self._find(Violation.RUN_AFTER_DONE, f"{run} was noted after another start")
+            task.is_done_noted = True
+
+    def handle_lapsed(self, worker: FakeWorker) -> None:
+        """What ended on the worker before its lease ran out may no longer count."""
+        for task in self._tasks.values():
+            for run in [run for run in task.open_done if _ran_on(run, worker)]:
+                del task.open_done[run]
+
+    # Checks
+
+    def _check_room(self, worker: FakeWorker, run: RunKey, facts: _JobFacts, node: str) -> None:
+        needs = facts.spec.steps[run.task.step].needs
+        taken = self._taken.setdefault(worker.worker_id, {})
+        taken[run] = needs
+        capacity = worker.record.capacity
+        for index in range(len(capacity)):
+            if sum(item[index] for item in taken.values()) > capacity[index]:
+                self._find(Violation.OVER_CAPACITY, f"{run} on {worker.worker_id} by {node}")
+                return
+
+    def _check_task(self, worker: FakeWorker, run: RunKey, facts: _JobFacts, node: str) -> None:
+        task = self._task(run.task)
+        step = facts.spec.steps[run.task.step]
+        if task.running:
+            self._find(Violation.TWO_RUNS, f"{run} by {node}, beside {list(task.running)}")
+        task.running[(worker.worker_id, run)] = None
+        if task.is_done_noted:
+            self._find(Violation.RUN_AFTER_DONE, f"{run} by {node}")
+        for done in task.open_done:
+            task.open_done[done] = True
+        if len(task.failed) >= facts.spec.queue.max_attempts and not step.gang:
+            self._find(Violation.ATTEMPTS, f"{run} by {node}")
+        for number in step.depends_on:
+            earlier = StepKey(run.task.job_id, run.task.repetition, number)
+            if self._done_in_step[earlier] < facts.spec.steps[number].task_count:
+                self._find(Violation.DEPENDENCY, f"{run} by {node}")
+        cancelled_at = facts.cancelled_at
+        if cancelled_at is not None and self._timers.now() > cancelled_at + CANCEL_SECONDS:
+            self._find(Violation.AFTER_CANCEL, f"{run} by {node}")
+
+    def _check_place(self, worker: FakeWorker, run: RunKey, facts: _JobFacts, node: str) -> None:
+        step = facts.spec.steps[run.task.step]
+        if step.required_label and step.required_label not in worker.record.labels:
+            self._find(Violation.LABEL, f"{run} on {worker.worker_id} by {node}")
+        if step.spread_limit:
+            beside = [
+                key
+                for key in self._taken[worker.worker_id]
+                if key.task.step_key == run.task.step_key
+            ]
+            if len(beside) > step.spread_limit:
+                self._find(Violation.SPREAD, f"{run} on {worker.worker_id} by {node}")
+
+    def _check_state(self, facts: _JobFacts, state: str) -> None:
+        spec = facts.spec
+        if state == "completed":
+            for number, step in enumerate(spec.steps):
+                for repetition in range(max(1, spec.schedule.count)):
+                    key = StepKey(spec.job_id, repetition, number)
+                    if self._done_in_step[key] < step.task_count:
+                        self._find(Violation.SHOWN_COMPLETED, f"{key}")
+        elif state == "failed" and not self._has_cause_to_fail(spec):
+            self._find(Violation.FAILED_WITHOUT_CAUSE, spec.job_id)
+
+    def _has_cause_to_fail(self, spec: JobSpec) -> bool:
+        failed_gang_runs: dict[StepKey, set[int]] = {}
+        for key, task in self._tasks.items():
+            if key.job_id != spec.job_id:
+                continue
+            if len(task.failed) >= spec.queue.max_attempts:
+                return True
+            numbers = failed_gang_runs.setdefault(key.step_key, set())
+            numbers.update(run.number for run in task.failed)
+        return any(
+            len(numbers) >= spec.queue.max_attempts and spec.steps[key.step].gang
+            for key, numbers in failed_gang_runs.items()
+        )
+
+    def check_refused(self) -> None:
+        """At the end, no job ran of which every attempt to hand it in was refused."""
+        for job_id, facts in self.jobs.items():
+            self.checks += 1
+            if facts.has_started and set(facts.replies) == {ReplyCode.REFUSED}:
+                self._find(Violation.REFUSED_RAN, job_id)
+
+    def _task(self, key: TaskKey) -> _TaskFacts:
+        return self._tasks.setdefault(key, _TaskFacts())
+
+    def _find(self, violation: Violation, detail: str) -> None:
+        self.findings.append(Finding(self._timers.now(), violation, detail))
+
+
+def _ran_on(run: RunKey, worker: FakeWorker) -> bool:
+    return worker.has_listed(run)
--- /dev/null
+++ b/src/onyxspoke/kit/jobs/platform.py
@@ -0,0 +1,171 @@
+"""Stand-ins for the directory of workers, the configuration and the advice service."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from onyxspoke.core.jobs.model import StepKey, WorkerId
+from onyxspoke.core.placement.workers import WorkerRecord
+from onyxspoke.core.shard.orders import AdviceOutcome, AdviceResult, Ticket
+from onyxspoke.kit.jobs.timers import Path, Timers
+from onyxspoke.ports.configuration import CellConfiguration, ConfigurationError
+from onyxspoke.ports.worker_directory import WorkerDirectoryListener
+
+STORE = "store"
+
+
+class FakeDirectory:
+    """The directory itself."""
+
+    def __init__(self) -> None:
+        self.records: dict[WorkerId, WorkerRecord] = {}
+        self.watchers: list[FakeDirectoryClient] = []
+
+    def list(self, record: WorkerRecord) -> None:
+        """List a worker, or change what is listed."""
+        self.records[record.worker_id] = record
+        for watcher in list(self.watchers):
+            watcher.send_record(record)
+
+    def drop(self, worker_id: WorkerId) -> None:
+        """List a worker no longer."""
+        if self.records.pop(worker_id, None) is not None:
+            for watcher in list(self.watchers):
+                watcher.send_drop(worker_id)
+
+
+class FakeDirectoryClient:
+    """The directory as one node reaches it; implements ``WorkerDirectoryPort``."""
+
+    def __init__(self, directory: FakeDirectory, path: Path) -> None:
+        self._directory = directory
+        self._path = path
+        self._listener: WorkerDirectoryListener | None = None
+
+    def watch(self, listener: WorkerDirectoryListener) -> None:
+        """Begin to report; the whole list comes first."""
+        self._listener = listener
+        self._path.to_outside(STORE, self._send_all)
+
+    def stop_watching(self) -> None:
+        """Report no more."""
+        self._listener = None
+        if self in self._directory.watchers:
+            self._directory.watchers.remove(self)
+
+    def send_record(self, record: WorkerRecord) -> None:
+        """Report a change."""
+        self._report(lambda listener: listener.handle_workers_listed([record], False))
+
+    def send_drop(self, worker_id: WorkerId) -> None:
+        """Report that a worker is listed no longer."""
+        self._report(lambda listener: listener.handle_worker_unlisted(worker_id))
+
+    def _send_all(self) -> None:
+        if self not in self._directory.watchers:
+            self._directory.watchers.append(self)
+        records = list(self._directory.records.values())
+        self._report(lambda listener: listener.handle_workers_listed(records, True))
+
+    def _report(self, report: Callable[[WorkerDirectoryListener], None]) -> None:
+        def arrive() -> None:
+            if self._listener is not None:
+                report(self._listener)
+
+        self._path.to_node(STORE, arrive)
+
+
+class FakeConfiguration:
+    """The configuration itself."""
+
+    def __init__(self, configuration: CellConfiguration) -> None:
+        self.configuration = configuration
+        self.watchers: list[FakeConfigurationClient] = []
+
+    def put(self, configuration: CellConfiguration) -> None:
+        """Put a version in force."""
+        self.configuration = configuration
+        for watcher in self.watchers:
+            watcher.send()
+
+
+class FakeConfigurationClient:
+    """The configuration as one node reaches it; implements ``ConfigurationPort``."""
+
+    def __init__(self, feed: FakeConfiguration, path: Path) -> None:
+        self._feed = feed
+        self._path = path
+        self._on_configuration: Callable[[CellConfiguration], None] | None = None
+
+    def watch(self, on_configuration: Callable[[CellConfiguration], None]) -> None:
+        """Report the configuration and each later version."""
+        self._on_configuration = on_configuration
+        self._feed.watchers.append(self)
+        self.send()
+
+    def decode(self, raw: bytes) -> CellConfiguration:
+        """Return the configuration that a copy stands for."""
+        if raw != self._feed.configuration.raw:
+            raise ConfigurationError("not the present version")
+        return self._feed.configuration
+
+    def send(self) -> None:
+        """Report the present version."""
+        configuration = self._feed.configuration
+
+        def arrive() -> None:
+            if self._on_configuration is not None:
+                self._on_configuration(configuration)
+
+        self._path.to_node(STORE, arrive)
+
+
+class FakeAdvice:
+    """The advice service: a share of the workers is good for a step, and that never changes."""
+
+    def __init__(
+        self, timers: Timers, good_share: float, seconds: float, always_good: tuple[str, ...] = ()
+    ) -> None:
+        self.timers = timers
+        self.good_share = good_share
+        #: Beginnings of names of workers that are good for every step, so that each has room.
+        self.always_good = always_good
+        self.seconds = seconds
+        self.validity_ms = 1_500.0
+
+    def is_good(self, step: StepKey, worker_id: WorkerId) -> bool:
+        """Return whether a worker may run a step."""
+        if worker_id.startswith(self.always_good):
+            return True
+        return random.Random(f"{step}/{worker_id}").random() < self.good_share
+
+
+class FakeAdviceClient:
+    """The service as one node reaches it; implements ``AdvicePort``."""
+
+    def __init__(self, service: FakeAdvice, path: Path) -> None:
+        self._service = service
+        self._path = path
+        self._free_at = 0.0
+
+    def ask(
+        self,
+        step: StepKey,
+        worker_ids: tuple[WorkerId, ...],
+        on_result: Callable[[AdviceResult], None],
+    ) -> None:
+        """Ask which of the workers may run a step; calls of one node wait for each other."""
+        service = self._service
+        now = service.timers.now()
+        self._free_at = max(self._free_at, now) + service.seconds
+        good = [worker_id for worker_id in worker_ids if service.is_good(step, worker_id)]
+        tickets = [Ticket(worker_id, f"{step}") for worker_id in good]
+        result = AdviceResult(AdviceOutcome.ANSWERED, tickets, service.validity_ms)
+
+        def answer() -> None:
+            self._path.to_node("advice", lambda: on_result(result))
+
+        self._path.to_outside(
+            "advice", lambda: service.timers.schedule(self._free_at - now, answer)
+        )
--- /dev/null
+++ b/src/onyxspoke/kit/jobs/store.py
@@ -0,0 +1,180 @@
+"""Stand-in for the platform's store: keyed partitions, conditions, epochs, lost answers."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+from onyxspoke.core.shard.log_records import (
+    AppendOutcome,
+    AppendResult,
+    NewestPage,
+    ShardAppend,
+    ShardId,
+    ShardRecord,
+)
+from onyxspoke.kit.jobs.timers import Path, Timers
+
+STORE = "store"
+CALL_SECONDS = 0.004
+TIMEOUT_SECONDS = 0.5
+PAGE_RECORDS = 500
+REMEMBERED_APPENDS = 5
+
+Result = TypeVar("Result")
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """Faults that are injected now.
+
+    ``is_down``: nothing is answered or done.  ``refuses``: nodes that are turned away.
+    ``extra_seconds``: every call takes so much longer.  ``loses_share``: share of the appends
+    that are done and not answered; ``late_seconds``: those are done so much later instead.
+    """
+
+    is_down: bool = False
+    refuses: set[str] = field(default_factory=set)
+    extra_seconds: float = 0.0
+    loses_share: float = 0.0
+    late_seconds: float = 0.0
+
+
+@dataclass(slots=True)
+class _Partition:
+    end: int = 0
+    epoch: int = 0
+    sequence: int = 0
+    newest: dict[str, bytes] = field(default_factory=dict)
+    answers: dict[int, AppendResult] = field(default_factory=dict)
+
+
+class FakeStore:
+    """The store itself; every call here is done at once."""
+
+    def __init__(self, timers: Timers, source: random.Random) -> None:
+        self.timers = timers
+        self.random = source
+        self.faults = StoreFaults()
+        self._partitions: dict[ShardId, _Partition] = {}
+        self.appends = 0
+
+    def append(self, append: ShardAppend) -> AppendResult:
+        """Append under the conditions that the append carries."""
+        self.appends += 1
+        partition = self._partitions.setdefault(append.shard, _Partition())
+        if append.epoch < partition.epoch:
+            return AppendResult(AppendOutcome.FENCED)
+        if append.epoch == partition.epoch:
+            if append.sequence in partition.answers:
+                return partition.answers[append.sequence]
+            if append.sequence != partition.sequence + 1:
+                return AppendResult(AppendOutcome.OUT_OF_SEQUENCE)
+        if append.expected_end not in (-1, partition.end):
+            return AppendResult(AppendOutcome.MOVED, end=partition.end)
+        if append.epoch > partition.epoch:
+            partition.answers.clear()
+        partition.epoch = append.epoch
+        partition.sequence = append.sequence
+        offset = partition.end
+        for record in append.records:
+            partition.end += 1
+            if record.value:
+                partition.newest[record.key] = record.value
+            else:
+                partition.newest.pop(record.key, None)
+        result = AppendResult(AppendOutcome.DONE, offset, partition.end)
+        partition.answers[append.sequence] = result
+        while len(partition.answers) > REMEMBERED_APPENDS:
+            del partition.answers[next(iter(partition.answers))]
+        return result
+
+    def read_newest(self, shard: ShardId, after_key: str) -> NewestPage:
+        """Return the newest records of the keys behind one."""
+        partition = self._partitions.setdefault(shard, _Partition())
+        keys = sorted(key for key in partition.newest if key > after_key)
+        page = keys[:PAGE_RECORDS]
+        records = [ShardRecord(key, partition.newest[key]) for key in page]
+        return NewestPage(True, records, len(keys) > len(page), partition.end)
+
+
+class FakeStoreClient:
+    """The store as one node reaches it; implements ``ShardLogPort``."""
+
+    def __init__(self, store: FakeStore, node_name: str, path: Path) -> None:
+        self._store = store
+        self._node_name = node_name
+        self._path = path
+
+    def append(self, append: ShardAppend, on_result: Callable[[AppendResult], None]) -> None:
+        """Append; an answer that is lost turns up as unknown after the timeout."""
+        faults = self._store.faults
+        exchange = _Exchange(self._path, self._store.timers, on_result)
+        exchange.expire(AppendResult(AppendOutcome.UNKNOWN))
+
+        def arrive() -> None:
+            if faults.is_down:
+                return
+            if self._node_name in faults.refuses:
+                exchange.answer(AppendResult(AppendOutcome.NOT_DONE))
+                return
+            is_lost = self._store.random.random() < faults.loses_share
+            delay = CALL_SECONDS + faults.extra_seconds
+            delay += faults.late_seconds if is_lost else 0.0
+            self._store.timers.schedule(delay, lambda: carry_out(is_lost))
+
+        def carry_out(is_lost: bool) -> None:
+            if faults.is_down:
+                return
+            result = self._store.append(append)
+            if not is_lost:
+                exchange.answer(result)
+
+        self._path.to_outside(STORE, arrive)
+
+    def read_newest(
+        self, shard: ShardId, after_key: str, on_page: Callable[[NewestPage], None]
+    ) -> None:
+        """Read; an answer that is lost turns up as not known after the timeout."""
+        faults = self._store.faults
+        exchange = _Exchange(self._path, self._store.timers, on_page)
+        exchange.expire(NewestPage(is_known=False))
+
+        def arrive() -> None:
+            if faults.is_down:
+                return
+            if self._node_name in faults.refuses:
+                exchange.answer(NewestPage(is_known=False))
+                return
+            self._store.timers.schedule(CALL_SECONDS + faults.extra_seconds, carry_out)
+
+        def carry_out() -> None:
+            if not faults.is_down:
+                exchange.answer(self._store.read_newest(shard, after_key))
+
+        self._path.to_outside(STORE, arrive)
+
+
+class _Exchange(Generic[Result]):
+    """One call: the first of its answer and its timeout counts."""
+
+    def __init__(self, path: Path, timers: Timers, on_result: Callable[[Result], None]) -> None:
+        self._path = path
+        self._timers = timers
+        self._on_result = on_result
+        self._is_over = False
+
+    def answer(self, result: Result) -> None:
+        self._path.to_node(STORE, lambda: self._finish(result))
+
+    def expire(self, result: Result) -> None:
+        self._timers.schedule(
+            TIMEOUT_SECONDS, lambda: self._path.to_node("", lambda: self._finish(result))
+        )
+
+    def _finish(self, result: Result) -> None:
+        if not self._is_over:
+            self._is_over = True
+            self._on_result(result)
--- /dev/null
+++ b/src/onyxspoke/sim/explore_jobs.py
@@ -0,0 +1,49 @@
+"""Plays fault schedules over jobs in virtual time and checks what must always hold."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from onyxspoke.kit.jobs.audit import Finding
+from onyxspoke.kit.jobs.workers import WorkOptions
+from onyxspoke.sim.job_callers import JobCallers
+from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster
+from onyxspoke.sim.job_faults import FaultInjector, ScheduledFault, draw_schedule
+
+SETTLE_SECONDS = 2.0
+TRAFFIC_SECONDS = 14.0
+FINISH_SECONDS = 25.0
+JOBS_PER_SECOND = 4.0
+MAXIMUM_FAULTS = 4
+
+
+@dataclass(slots=True)
+class JobRunReport:
+    """What one schedule showed."""
+
+    seed: int
+    schedule: list[ScheduledFault]
+    findings: list[Finding]
+    counts: dict[str, int]
+    checks: int
+    events: int
+
+
+def play(seed: int, schedule: list[ScheduledFault] | None = None) -> JobRunReport:
+    """Play one schedule; by default the one that the seed draws."""
+    if schedule is None:
+        count = 1 + seed % MAXIMUM_FAULTS
+        schedule = draw_schedule(seed, TRAFFIC_SECONDS, count)
+    work = WorkOptions(seed=seed, failing_share=0.02)
+    cluster = JobCluster(ClusterOptions(seed=seed, with_advice=seed % 3 != 0, work=work))
+    cluster.start()
+    cluster.run(SETTLE_SECONDS)
+    callers = JobCallers(cluster, JOBS_PER_SECOND)
+    callers.run_for(TRAFFIC_SECONDS)
+    FaultInjector(cluster, seed).schedule(schedule)
+    cluster.run(TRAFFIC_SECONDS + FINISH_SECONDS)
+    callers.check_all()
+    audit = cluster.audit
+    return JobRunReport(
+        seed, schedule, audit.findings, dict(audit.counts), audit.checks, cluster.time.events
+    )
--- /dev/null
+++ b/src/onyxspoke/sim/job_cluster.py
@@ -0,0 +1,288 @@
+"""Nodes in virtual time over stand-ins for everything outside them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from typing import Any
+
+from msgspec.structs import replace
+
+from onyxspoke.core.jobs.model import AdvicePolicy, Needs, QueuePolicy
+from onyxspoke.core.jobs.policy import PolicySet, ServicePolicy
+from onyxspoke.core.placement.workers import WorkerListing, WorkerRecord
+from onyxspoke.core.shard.calls import Call, CallReply
+from onyxspoke.core.shard.context import ShardOptions
+from onyxspoke.core.shard.election import NodeIdentity
+from onyxspoke.kit.jobs.audit import JobAudit
+from onyxspoke.kit.jobs.platform import (
+    FakeAdvice,
+    FakeAdviceClient,
+    FakeConfiguration,
+    FakeConfigurationClient,
+    FakeDirectory,
+    FakeDirectoryClient,
+)
+from onyxspoke.kit.jobs.store import FakeStore, FakeStoreClient
+from onyxspoke.kit.jobs.workers import FakeWorkerOrders, FakeWorkerPool, WorkOptions
+from onyxspoke.node.node import Node, NodePorts
+from onyxspoke.node.settings import Address, NodeSettings
+from onyxspoke.ports.configuration import CellConfiguration
+from onyxspoke.sim.virtual_network import LinkOptions, VirtualNetwork
+from onyxspoke.sim.virtual_reactor import VirtualNode, VirtualTime
+
+PEER_PORT = 7_700
+SERVICE = "service"
+DELAY_SECONDS = 0.0005
+START_SECONDS = 0.25
+RACK_SIZE = 4
+WORKER_CAPACITY = Needs(16_000, 32_768, 0)
+_MILLISECONDS = 1_000.0
+
+
+@dataclass(slots=True)
+class ClusterOptions:
+    """Size and nature of a simulated cluster."""
+
+    seed: int = 1
+    nodes: int = 4
+    workers: int = 8
+    with_advice: bool = True
+    work: WorkOptions | None = None
+
+
+class SimulatedPath:
+    """The way between one node's life and the stand-ins; implements ``Path``."""
+
+    def __init__(self, cluster: JobCluster, node: VirtualNode, host: str) -> None:
+        self._cluster = cluster
+        self._node = node
+        self._host = host
+
+    def to_outside(self, target: str, function: Callable[[], Any]) -> None:
+        """Run a function at a stand-in, unless the way to it is cut."""
+        if self._node.alive and not self._cluster.is_cut(self._host, target):
+            self._cluster.time.schedule(DELAY_SECONDS, function)
+
+    def to_node(self, source: str, function: Callable[[], Any]) -> None:
+        """Run a function in the node, unless the way from there is cut."""
+        if not self._cluster.is_cut(self._host, source):
+            self._cluster.time.schedule(DELAY_SECONDS, lambda: self._node.run(function))
+
+
+@dataclass(slots=True)
+class SimulatedNode:
+    """One life of a node's process."""
+
+    name: str
+    host: str
+    process: VirtualNode
+    node: Node
+
+    @property
+    def is_up(self) -> bool:
+        """Whether the process runs and is not paused."""
+        return self.process.alive and not self.process.paused
+
+    @property
+    def is_holding(self) -> bool:
+        """Whether the node decides for the first shard."""
+        return self.is_up and self.node.seats[0].is_holding
+
+
+class JobCluster:
+    """All nodes of a cell, and the stand-ins outside."""
+
+    def __init__(self, options: ClusterOptions) -> None:
+        self.options = options
+        self.time = VirtualTime()
+        self.random = random.Random(options.seed)
+        self.network = VirtualNetwork(
+            self.time, random.Random(options.seed + 1), LinkOptions(DELAY_SECONDS, 0.0002, 2.0)
+        )
+        work = options.work if options.work is not None else WorkOptions(seed=options.seed)
+        self.audit = JobAudit(self.time)
+        self.store = FakeStore(self.time, random.Random(options.seed + 2))
+        self.pool = FakeWorkerPool(self.time, random.Random(options.seed + 3), self.audit, work)
+        self.directory = FakeDirectory()
+        self.advice = FakeAdvice(
+            self.time, good_share=0.5, seconds=0.01, always_good=("w0.", "w1.", "w2.", "w3.")
+        )
+        self.configuration = FakeConfiguration(make_configuration(1, options.with_advice))
+        self.nodes: dict[str, SimulatedNode] = {}
+        self._cuts: set[frozenset[str]] = set()
+        self._lives = 0
+        self._worker_lives = 0
+
+    # Building
+
+    def start(self) -> None:
+        """Start every worker and every node."""
+        for index in range(self.options.workers):
+            self.add_worker(index)
+        for index in range(self.options.nodes):
+            self.start_node(f"node-{index}")
+
+    def add_worker(self, index: int) -> WorkerRecord:
+        """Start a new life of a worker."""
+        self._worker_lives += 1
+        rack = f"r1-{index // RACK_SIZE}"
+        record = WorkerRecord(
+            worker_id=f"w{index}.{self._worker_lives}",
+            host=f"10.9.0.{index}",
+            port=8_000,
+            service=SERVICE,
+            zone="zone",
+            capacity=WORKER_CAPACITY,
+            kind="ab"[index % 2],
+            rack=rack,
+            labels=("ab"[index % 2], rack),
+        )
+        self.pool.add(record)
+        self.directory.list(record)
+        return record
+
+    def start_node(self, name: str) -> SimulatedNode:
+        """Start a life of a node."""
+        self._lives += 1
+        host = f"host-{name}"
+        # Every host is a zone of its own, so that single hosts can be cut off.
+        process = VirtualNode(self.time, f"{name}.{self._lives}", host)
+        path = SimulatedPath(self, process, host)
+        identity = NodeIdentity(life=process.name, host=host, port=PEER_PORT)
+        ports = NodePorts(
+            store=FakeStoreClient(self.store, name, path),
+            orders=FakeWorkerOrders(self.pool, name, path),
+            directory=FakeDirectoryClient(self.directory, path),
+            advice=FakeAdviceClient(self.advice, path),
+            configuration=FakeConfigurationClient(self.configuration, path),
+        )
+        node = Node(
+            make_node_settings(name, host),
+            identity,
+            self.network.network_of(process),
+            process.reactor,
+            lambda: self.time.now() * _MILLISECONDS,
+            random.Random(f"{self.options.seed}/{process.name}").random,
+            ports,
+        )
+        simulated = SimulatedNode(name, host, process, node)
+        self.nodes[name] = simulated
+        node.listen()
+        self.time.schedule(START_SECONDS, lambda: process.run(node.startService))
+        return simulated
+
+    # Faults
+
+    def is_cut(self, first: str, second: str) -> bool:
+        """Return whether nothing gets through between two places."""
+        return frozenset((first, second)) in self._cuts
+
+    def cut(self, host: str, places: list[str]) -> None:
+        """Cut a host off from places: other hosts, workers, the store."""
+        for place in places:
+            self._cuts.add(frozenset((host, place)))
+            self.network.cut(host, place)
+
+    def heal(self, host: str, places: list[str]) -> None:
+        """Restore the ways between a host and places."""
+        for place in places:
+            self._cuts.discard(frozenset((host, place)))
+            self.network.heal(host, place)
+
+    def kill_node(self, name: str) -> None:
+        """End a node's process without notice; its connections are reset."""
+        node = self.nodes[name]
+        node.process.die()
+        self.network.drop_connections_of(node.process)
+
+    def power_off_node(self, name: str) -> None:
+        """End a node's process and its machine; its connections fall silent."""
+        self.nodes[name].process.die()
+
+    def kill_worker(self, worker_id: str) -> None:
+        """End a worker's life; the directory notices later."""
+        self.pool.workers[worker_id].die()
+        self.time.schedule(4.5, lambda: self.directory.drop(worker_id))
+
+    def drain_worker(self, worker_id: str, seconds: float) -> None:
+        """Let a worker leave."""
+        record = self.directory.records.get(worker_id)
+        if record is None:
+            return
+        remaining_ms = int(seconds * _MILLISECONDS)
+        self.directory.list(
+            replace(record, listing=WorkerListing.DRAINING, remaining_ms=remaining_ms)
+        )
+        self.time.schedule(seconds, partial(self.kill_worker, worker_id))
+
+    # Looking
+
+    def holder(self) -> SimulatedNode | None:
+        """Return the node that decides for the first shard."""
+        for node in self.nodes.values():
+            if node.is_holding:
+                return node
+        return None
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        self.time.run_until(self.time.now() + seconds)
+
+    def call(
+        self,
+        node: SimulatedNode,
+        job_id: str,
+        call: Call,
+        on_reply: Callable[[CallReply | None], None],
+        seconds: float = 3.0,
+    ) -> None:
+        """Make a call at a node; ``None`` is told where its process ends first."""
+        is_over = False
+
+        def finish(reply: CallReply | None) -> None:
+            nonlocal is_over
+            if not is_over:
+                is_over = True
+                on_reply(reply)
+
+        node.process.run(lambda: node.node.submit_call(job_id, call, finish, seconds))
+        self.time.schedule(seconds + 0.2, lambda: finish(None))
+
+
+def make_configuration(version: int, with_advice: bool) -> CellConfiguration:
+    """Return a configuration with three queues."""
+    advice = AdvicePolicy(5.0, 0.2, 1_500.0) if with_advice else None
+    queues = {
+        name: QueuePolicy(
+            name=name,
+            service=SERVICE,
+            priority=priority,
+            max_attempts=3,
+            stretch=2.0,
+            target_latency_ms=500,
+            advice=advice,
+        )
+        for priority, name in enumerate(("urgent", "normal", "patient"))
+    }
+    policy = PolicySet(
+        version=version, queues=queues, services={SERVICE: ServicePolicy(name=SERVICE)}
+    )
+    return CellConfiguration(policy=policy, raw=str(version).encode())
+
+
+def make_node_settings(name: str, host: str) -> NodeSettings:
+    """Return the settings of a simulated node."""
+    return NodeSettings(
+        node_name=name,
+        host=host,
+        zone="zone",
+        callers=Address(host, 80),
+        readiness=Address(host, 81),
+        peer_port=PEER_PORT,
+        metrics_port=PEER_PORT + 1,
+        operator_port=PEER_PORT + 2,
+        shard_options=ShardOptions(stop_grace_ms=200),
+    )
--- /dev/null
+++ b/src/onyxspoke/sim/job_faults.py
@@ -0,0 +1,229 @@
+"""Faults of a simulated cluster, and schedules of them drawn from a seed."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from functools import partial
+
+from onyxspoke.sim.job_cluster import JobCluster, SimulatedNode
+
+STORE = "store"
+
+
+class JobFault(Enum):
+    """What may be done to a cluster; the targets are drawn, most often the holder."""
+
+    KILL_NODE = "kill_node"
+    POWER_OFF_NODE = "power_off_node"
+    PAUSE_NODE = "pause_node"
+    STOP_NODE = "stop_node"
+    CUT_NODE_FROM_STORE = "cut_node_from_store"
+    CUT_NODE_FROM_NODES = "cut_node_from_nodes"
+    CUT_NODE_FROM_WORKERS = "cut_node_from_workers"
+    CUT_NODE_FROM_ALL = "cut_node_from_all"
+    KILL_ALL_NODES = "kill_all_nodes"
+    STORE_DOWN = "store_down"
+    STORE_SLOW = "store_slow"
+    STORE_REFUSES = "store_refuses"
+    STORE_LOSES = "store_loses"
+    STORE_LATE = "store_late"
+    KILL_WORKER = "kill_worker"
+    DRAIN_WORKER = "drain_worker"
+    WORKERS_LATE = "workers_late"
+    WORKERS_HANG = "workers_hang"
+    WORKERS_FAIL = "workers_fail"
+
+
+@dataclass(frozen=True, slots=True)
+class ScheduledFault:
+    """One fault of a schedule."""
+
+    at: float
+    fault: JobFault
+    seconds: float
+
+
+def draw_schedule(seed: int, length: float, count: int) -> list[ScheduledFault]:
+    """Return a schedule; the same seed gives the same one."""
+    source = random.Random(f"schedule/{seed}")
+    faults = [
+        ScheduledFault(
+            round(source.uniform(1.0, length), 2),
+            source.choice(list(JobFault)),
+            round(source.uniform(0.5, 7.0), 2),
+        )
+        for _ in range(count)
+    ]
+    return sorted(faults, key=lambda item: item.at)
+
+
+class FaultInjector:
+    """Carries a schedule out."""
+
+    def __init__(self, cluster: JobCluster, seed: int) -> None:
+        self._cluster = cluster
+        self._random = random.Random(f"targets/{seed}")
+        self._actions: dict[JobFault, Callable[[float], None]] = {
+            JobFault.KILL_NODE: self._kill_node,
+            JobFault.POWER_OFF_NODE: self._power_off_node,
+            JobFault.PAUSE_NODE: self._pause_node,
+            JobFault.STOP_NODE: self._stop_node,
+            JobFault.CUT_NODE_FROM_STORE: partial(self._cut_node, [STORE], False, False),
+            JobFault.CUT_NODE_FROM_NODES: partial(self._cut_node, [], True, False),
+            JobFault.CUT_NODE_FROM_WORKERS: partial(self._cut_node, [], False, True),
+            JobFault.CUT_NODE_FROM_ALL: partial(self._cut_node, [STORE], True, True),
+            JobFault.KILL_ALL_NODES: self._kill_all_nodes,
+            JobFault.STORE_DOWN: self._store_down,
+            JobFault.STORE_SLOW: self._store_slow,
+            JobFault.STORE_REFUSES: self._store_refuses,
+            JobFault.STORE_LOSES: partial(self._store_loses, 0.0),
+            JobFault.STORE_LATE: partial(self._store_loses, 2.0),
+            JobFault.KILL_WORKER: self._kill_worker,
+            JobFault.DRAIN_WORKER: self._drain_worker,
+            JobFault.WORKERS_LATE: self._workers_late,
+            JobFault.WORKERS_HANG: self._workers_hang,
+            JobFault.WORKERS_FAIL: self._workers_fail,
+        }
+
+    def schedule(self, faults: list[ScheduledFault]) -> None:
+        """Have the faults happen in their time."""
+        for fault in faults:
+            self._cluster.time.schedule(fault.at, partial(self.inject, fault.fault, fault.seconds))
+
+    def inject(self, fault: JobFault, seconds: float) -> None:
+        """Have one fault happen now."""
+        self._actions[fault](seconds)
+
+    # Nodes
+
+    def _choose_node(self) -> SimulatedNode | None:
+        """Return the holder in most cases, else any node that is up."""
+        holder = self._cluster.holder()
+        if holder is not None and self._random.random() < 0.7:  # noqa: PLR2004
+            return holder
+        up = [node for node in self._cluster.nodes.values() if node.is_up]
+        return self._random.choice(up) if up else None
+
+    def _kill_node(self, seconds: float) -> None:
+        node = self._choose_node()
+        if node is not None:
+            self._cluster.kill_node(node.name)
+            self._later(0.5, partial(self._restart, node))
+
+    def _power_off_node(self, seconds: float) -> None:
+        node = self._choose_node()
+        if node is not None:
+            self._cluster.power_off_node(node.name)
+            self._later(seconds, partial(self._restart, node))
+
+    def _pause_node(self, seconds: float) -> None:
+        node = self._choose_node()
+        if node is not None:
+            node.process.pause()
+            self._later(seconds, node.process.resume)
+
+    def _stop_node(self, seconds: float) -> None:
+        node = self._choose_node()
+        if node is None:
+            return
+        node.process.run(node.node.begin_stop)
+        self._later(3.0, partial(self._cluster.kill_node, node.name))
+        self._later(3.5, partial(self._restart, node))
+
+    def _kill_all_nodes(self, seconds: float) -> None:
+        for node in list(self._cluster.nodes.values()):
+            if node.process.alive:
+                self._cluster.kill_node(node.name)
+                self._later(seconds, partial(self._restart, node))
+
+    def _cut_node(
+        self, places: list[str], from_nodes: bool, from_workers: bool, seconds: float
+    ) -> None:
+        node = self._choose_node()
+        if node is None:
+            return
+        cut = list(places)
+        if from_nodes:
+            cut += [other.host for other in self._cluster.nodes.values() if other is not node]
+        if from_workers:
+            cut += [worker_id for worker_id in self._cluster.pool.workers]
+        self._cluster.cut(node.host, cut)
+        self._later(seconds, partial(self._cluster.heal, node.host, cut))
+
+    def _restart(self, node: SimulatedNode) -> None:
+        present = self._cluster.nodes[node.name]
+        if present is node or not present.process.alive:
+            if present.process.alive:
+                self._cluster.kill_node(node.name)
+            self._cluster.start_node(node.name)
+
+    # Store
+
+    def _store_down(self, seconds: float) -> None:
+        faults = self._cluster.store.faults
+        faults.is_down = True
+        self._later(seconds, lambda: setattr(faults, "is_down", False))
+
+    def _store_slow(self, seconds: float) -> None:
+        faults = self._cluster.store.faults
+        faults.extra_seconds = 0.25
+        self._later(seconds, lambda: setattr(faults, "extra_seconds", 0.0))
+
+    def _store_refuses(self, seconds: float) -> None:
+        node = self._choose_node()
+        if node is None:
+            return
+        refuses = self._cluster.store.faults.refuses
+        refuses.add(node.name)
+        self._later(seconds, lambda: refuses.discard(node.name))
+
+    def _store_loses(self, late_seconds: float, seconds: float) -> None:
+        faults = self._cluster.store.faults
+        faults.loses_share = 0.35
+        faults.late_seconds = late_seconds
+        self._later(seconds, lambda: setattr(faults, "loses_share", 0.0))
+
+    # Workers
+
+    def _choose_workers(self, share: float) -> list[str]:
+        up = [worker.worker_id for worker in self._cluster.pool.workers.values() if worker.is_up]
+        return self._random.sample(up, max(1, int(len(up) * share)))
+
+    def _kill_worker(self, seconds: float) -> None:
+        for worker_id in self._choose_workers(0.2):
+            self._cluster.kill_worker(worker_id)
+            self._later(seconds, partial(self._replace_worker, worker_id))
+
+    def _drain_worker(self, seconds: float) -> None:
+        for worker_id in self._choose_workers(0.2):
+            self._cluster.drain_worker(worker_id, 2.5)
+            self._later(2.5 + seconds, partial(self._replace_worker, worker_id))
+
+    def _replace_worker(self, worker_id: str) -> None:
+        index = int(worker_id.partition(".")[0].removeprefix("w"))
+        self._cluster.add_worker(index)
+
+    def _workers_late(self, seconds: float) -> None:
+        for worker in list(self._cluster.pool.workers.values()):
+            worker.faults.late_share = 0.1
+            self._later(seconds, partial(setattr, worker.faults, "late_share", 0.0))
+
+    def _workers_hang(self, seconds: float) -> None:
+        for worker_id in self._choose_workers(0.2):
+            worker = self._cluster.pool.workers[worker_id]
+            worker.faults.hangs = True
+            # What stands still does so for good; the worker is replaced.
+            self._later(seconds, partial(self._cluster.kill_worker, worker_id))
+            self._later(seconds + 0.5, partial(self._replace_worker, worker_id))
+
+    def _workers_fail(self, seconds: float) -> None:
+        for worker_id in self._choose_workers(0.2):
+            worker = self._cluster.pool.workers[worker_id]
+            worker.faults.fails_all = True
+            self._later(seconds, partial(setattr, worker.faults, "fails_all", False))
+
+    def _later(self, seconds: float, function: Callable[[], object]) -> None:
+        self._cluster.time.schedule(seconds, function)
--- a/src/onyxspoke/sim/virtual_network.py
+++ b/src/onyxspoke/sim/virtual_network.py
@@ -15,6 +15,7 @@
 from twisted.internet.address import IPv4Address
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.error import ConnectionLost, ConnectionRefusedError
+from twisted.internet.error import TimeoutError as ConnectTimeoutError
 from twisted.internet.interfaces import (
     IAddress,
     IListeningPort,
@@ -167,7 +168,7 @@
         if listener is None or not listener.node.alive:
             time.schedule(self._network.draw_delay(), lambda: self._node.run(self._refuse))
         elif self._network.is_cut(self._node, listener.node):
-            time.schedule(CONNECT_TIMEOUT_SECONDS, lambda: self._node.run(self._refuse))
+            time.schedule(CONNECT_TIMEOUT_SECONDS, lambda: self._node.run(self._expire))
         else:
             self._accept(listener)
 
@@ -193,6 +194,10 @@
         if not self._cancelled:
             self.done.errback(Failure(ConnectionRefusedError()))
 
+    def _expire(self) -> None:
+        if not self._cancelled:
+            self.done.errback(Failure(ConnectTimeoutError()))
+
     def _cancel(self) -> None:
         self._cancelled = True
 
