A holder that the store turns away relays through peers, then hands its shard over

After 0.8 s the shard goes to a node that the store serves, so that the directory of workers is read.

--- a/src/onyxspoke/core/shard/actions.py
+++ b/src/onyxspoke/core/shard/actions.py
@@ -92,6 +92,7 @@
     WORKER_FENCED = "worker_fenced"
     OUT_OF_SEQUENCE = "out_of_sequence"
     PLANNED = "planned"
+    STORE_AWAY = "store_away"
 
 
 class StepDown(msgspec.Struct, frozen=True):
--- a/src/onyxspoke/core/shard/election.py
+++ b/src/onyxspoke/core/shard/election.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from enum import Enum
 
@@ -169,7 +170,7 @@
         self._pending_claim: ClaimRecord | None = None
         self._claim_sent_at = 0.0
         self._claim_attempts = 0
-        self._may_claim = True
+        self._rest_until = -math.inf
         self.actions: list[ElectionAction] = []
 
     # Stimuli
@@ -178,9 +179,9 @@
         """Begin to look for the holder."""
         self._read(now, "started")
 
-    def rest(self) -> None:
-        """Claim nothing any more: the process is about to stop."""
-        self._may_claim = False
+    def rest_until(self, moment: float) -> None:
+        """Claim nothing before a moment: others are to take over."""
+        self._rest_until = moment
 
     def set_members(self, members: list[NodeIdentity]) -> None:
         """Take the nodes that the holder knows; they set the order of turns."""
@@ -389,7 +390,7 @@
         self.actions.append(ConnectToHolder(claim.host, claim.port))
 
     def _wait_turn(self, now: float, delay: float, reason: str) -> None:
-        if not self._may_claim:
+        if now < self._rest_until:
             self._due_at = now + RECONNECT_SECONDS
             self._move(ElectionState.READING, now, "resting")
             return
--- a/src/onyxspoke/kit/jobs/platform.py
+++ b/src/onyxspoke/kit/jobs/platform.py
@@ -8,11 +8,13 @@
 from onyxspoke.core.jobs.model import StepKey, WorkerId
 from onyxspoke.core.placement.workers import WorkerRecord
 from onyxspoke.core.shard.orders import AdviceOutcome, AdviceResult, Ticket
+from onyxspoke.kit.jobs.store import FakeStore
 from onyxspoke.kit.jobs.timers import Path, Timers
 from onyxspoke.ports.configuration import CellConfiguration, ConfigurationError
 from onyxspoke.ports.worker_directory import WorkerDirectoryListener
 
 STORE = "store"
+POLL_SECONDS = 0.5
 
 
 class FakeDirectory:
@@ -77,10 +79,11 @@
 
 
 class FakeConfiguration:
-    """The configuration itself."""
+    """The configuration itself, kept in the store."""
 
-    def __init__(self, configuration: CellConfiguration) -> None:
+    def __init__(self, configuration: CellConfiguration, store: FakeStore) -> None:
         self.configuration = configuration
+        self.store = store
         self.watchers: list[FakeConfigurationClient] = []
 
     def put(self, configuration: CellConfiguration) -> None:
@@ -93,16 +96,24 @@
 class FakeConfigurationClient:
     """The configuration as one node reaches it; implements ``ConfigurationPort``."""
 
-    def __init__(self, feed: FakeConfiguration, path: Path) -> None:
+    def __init__(self, feed: FakeConfiguration, node_name: str, path: Path) -> None:
         self._feed = feed
+        self._node_name = node_name
         self._path = path
         self._on_configuration: Callable[[CellConfiguration], None] | None = None
+        self._on_contact: Callable[[bool], None] | None = None
 
-    def watch(self, on_configuration: Callable[[CellConfiguration], None]) -> None:
+    def watch(
+        self,
+        on_configuration: Callable[[CellConfiguration], None],
+        on_contact: Callable[[bool], None],
+    ) -> None:
         """Report the configuration and each later version."""
         self._on_configuration = on_configuration
+        self._on_contact = on_contact
         self._feed.watchers.append(self)
         self.send()
+        self._poll()
 
     def decode(self, raw: bytes) -> CellConfiguration:
         """Return the configuration that a copy stands for."""
@@ -110,6 +121,32 @@
             raise ConfigurationError("not the present version")
         return self._feed.configuration
 
+    def _poll(self) -> None:
+        """Tell now and then whether the store serves the node."""
+        store = self._feed.store
+        is_heard = False
+
+        def arrive() -> None:
+            is_served = not store.faults.is_down and self._node_name not in store.faults.refuses
+            self._path.to_node(STORE, lambda: hear(is_served))
+
+        def hear(is_served: bool) -> None:
+            nonlocal is_heard
+            is_heard = True
+            self._tell(is_served)
+
+        def expire() -> None:
+            if not is_heard:
+                self._tell(False)
+            self._poll()
+
+        self._path.to_outside(STORE, arrive)
+        store.timers.schedule(POLL_SECONDS, lambda: self._path.to_node("", expire))
+
+    def _tell(self, is_served: bool) -> None:
+        if self._on_contact is not None:
+            self._on_contact(is_served)
+
     def send(self) -> None:
         """Report the present version."""
         configuration = self._feed.configuration
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from functools import partial
 from typing import Any
@@ -54,6 +55,10 @@
 #: The only shard of a small cell.
 FIRST_SHARD: ShardId = 0
 SEED_RETRY_SECONDS = 1.0
+#: A holder that the store turns away for so long leaves its shards to another node.
+HANDOVER_SECONDS = 0.8
+#: It claims nothing, and hands over nothing more, for so long after.
+HANDOVER_PAUSE_SECONDS = 4.0
 
 OnReply = Callable[[CallReply], None]
 
@@ -136,6 +141,7 @@
         self._holders: dict[ShardId, ClaimRecord] = {}
         self._listeners: list[Callable[[CellConfiguration], None]] = []
         self._seeds_at = 0.0
+        self._handover_at = 0.0
         self._handlers: dict[type[NodeMessage], Callable[[PeerLink, Any], None]] = {
             Status: self._take_status,
             CallForward: self._serve_call,
@@ -166,7 +172,7 @@
 
     def startService(self) -> None:
         """Begin to take part; called by Twisted."""
-        self._ports.configuration.watch(self.handle_configuration)
+        self._ports.configuration.watch(self.handle_configuration, self.store.note_contact)
         for seat in self.seats.values():
             seat.start()
         super().startService()
@@ -176,7 +182,7 @@
         self.is_stopping = True
         self._send_heartbeats()
         for seat in self.seats.values():
-            seat.election.rest()
+            seat.election.rest_until(math.inf)
             seat.step_down(StepDownReason.PLANNED)
         self._send_heartbeats()
 
@@ -393,6 +399,7 @@
         wall_ms = self._wall_ms()
         for seat in self.seats.values():
             seat.tick(wall_ms)
+        self._hand_over_if_turned_away(now)
         self.peers.end_silent(now)
         self.store.keep(now)
         self.router.keep(now)
@@ -401,6 +408,18 @@
             for seed in self.settings.seeds:
                 self.connect_peer(seed, self.settings.peer_port)
 
+    def _hand_over_if_turned_away(self, now: float) -> None:
+        """Leave the shards to a node that the store serves, while it does not serve this one."""
+        if self.store.away_seconds() < HANDOVER_SECONDS or now < self._handover_at:
+            return
+        if not any(link.can_reach_store and link.may_hold for link in self.peers.up_links()):
+            return
+        self._handover_at = now + HANDOVER_PAUSE_SECONDS
+        for seat in self.seats.values():
+            if seat.is_holding:
+                seat.election.rest_until(now + HANDOVER_PAUSE_SECONDS)
+                seat.step_down(StepDownReason.STORE_AWAY)
+
     def _send_heartbeats(self) -> None:
         status = self._status()
         for link in self.peers.up_links():
@@ -413,4 +432,5 @@
             if claim is not None:
                 claims.append((shard, claim))
         version = self.configuration.version if self.configuration is not None else 0
-        return Status(claims, version, self.store.is_reachable, not self.is_stopping)
+        is_reachable = self.store.is_reachable
+        return Status(claims, version, is_reachable, is_reachable and not self.is_stopping)
--- a/src/onyxspoke/node/store_gateway.py
+++ b/src/onyxspoke/node/store_gateway.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 from absl import logging
@@ -67,8 +68,9 @@
         self._store = store
         self._clock = clock
         self._peers = peers
-        self._served_at = float("-inf")
-        self._turned_away_at = float("-inf")
+        self._served_at = -math.inf
+        self._turned_away_at = -math.inf
+        self._away_since = math.inf
         self._is_away = False
         self._relays: dict[int, _Relay] = {}
         self._last_relay_id = 0
@@ -79,6 +81,14 @@
         """Whether the store served this node directly lately."""
         return not self._is_away and self._clock.now() - self._served_at < REACHABLE_SECONDS
 
+    def note_contact(self, is_served: bool) -> None:
+        """Take note of whether the store served another call of this node."""
+        self._note(is_served)
+
+    def away_seconds(self) -> float:
+        """Return for how long the store has not served this node directly; 0 if it does."""
+        return max(0.0, self._clock.now() - self._away_since)
+
     def append(self, append: ShardAppend, on_result: OnAppend) -> None:
         """Append, directly or through a peer."""
         if self._prefers_relay() and self._relay_append(append, on_result):
@@ -170,7 +180,8 @@
 
     def _choose_peer(self) -> PeerLink | None:
         """Return a peer that the store serves, in turn."""
-        able = [link for link in self._peers() if link.can_reach_store]
+        links = self._peers()
+        able = [link for link in links if link.can_reach_store] or links
         if not able:
             return None
         self._next_peer += 1
@@ -180,8 +191,10 @@
         now = self._clock.now()
         if is_served:
             self._served_at = now
+            self._away_since = math.inf
         else:
             self._turned_away_at = now
+            self._away_since = min(self._away_since, now)
         if self._is_away is is_served:
             self._is_away = not is_served
             event = "dependency_regained" if is_served else "dependency_lost"
--- a/src/onyxspoke/platform/configuration.py
+++ b/src/onyxspoke/platform/configuration.py
@@ -72,9 +72,14 @@
         self._feed = TopicFeed(store, reactor, OPERATOR_TOPIC, self._take)
         self._on_configuration: Callable[[CellConfiguration], None] | None = None
 
-    def watch(self, on_configuration: Callable[[CellConfiguration], None]) -> None:
+    def watch(
+        self,
+        on_configuration: Callable[[CellConfiguration], None],
+        on_contact: Callable[[bool], None],
+    ) -> None:
         """Report the configuration and each later version."""
         self._on_configuration = on_configuration
+        self._feed.on_contact = on_contact
         self._feed.start()
 
     def decode(self, raw: bytes) -> CellConfiguration:
--- a/src/onyxspoke/platform/feeds.py
+++ b/src/onyxspoke/platform/feeds.py
@@ -52,6 +52,7 @@
         self._gathered: list[ShardRecord] = []
         self._generation = 0
         self._is_reachable: bool | None = None
+        self.on_contact: Callable[[bool], None] | None = None
 
     def start(self) -> None:
         """Begin; records read before are read again."""
@@ -119,6 +120,8 @@
         self._reactor.callLater(self._pause_seconds, self._read_on, generation)
 
     def _note_reachable(self, is_reachable: bool) -> None:
+        if self.on_contact is not None:
+            self.on_contact(is_reachable)
         if is_reachable is not self._is_reachable:
             self._is_reachable = is_reachable
             event = "dependency_regained" if is_reachable else "dependency_lost"
--- a/src/onyxspoke/ports/configuration.py
+++ b/src/onyxspoke/ports/configuration.py
@@ -40,8 +40,15 @@
 class ConfigurationPort(Protocol):
     """The operator's configuration."""
 
-    def watch(self, on_configuration: Callable[[CellConfiguration], None]) -> None:
-        """Report the configuration and each later version, as soon as it is there."""
+    def watch(
+        self,
+        on_configuration: Callable[[CellConfiguration], None],
+        on_contact: Callable[[bool], None],
+    ) -> None:
+        """Report the configuration and each later version, as soon as it is there.
+
+        ``on_contact`` is told of every read whether the store answered it.
+        """
 
     def decode(self, raw: bytes) -> CellConfiguration:
         """Read a configuration that a peer passed on; raise :class:`ConfigurationError`."""
--- a/src/onyxspoke/sim/job_cluster.py
+++ b/src/onyxspoke/sim/job_cluster.py
@@ -110,7 +110,9 @@
         self.advice = FakeAdvice(
             self.time, good_share=0.5, seconds=0.01, always_good=("w0.", "w1.", "w2.", "w3.")
         )
-        self.configuration = FakeConfiguration(make_configuration(1, options.with_advice))
+        self.configuration = FakeConfiguration(
+            make_configuration(1, options.with_advice), self.store
+        )
         self.nodes: dict[str, SimulatedNode] = {}
         self._cuts: set[frozenset[str]] = set()
         self._lives = 0
@@ -157,7 +159,7 @@
             orders=FakeWorkerOrders(self.pool, name, path),
             directory=FakeDirectoryClient(self.directory, path),
             advice=FakeAdviceClient(self.advice, path),
-            configuration=FakeConfigurationClient(self.configuration, path),
+            configuration=FakeConfigurationClient(self.configuration, name, path),
         )
         node = Node(
             make_node_settings(name, host),
