Refusals at once while the store is silent; no hand-over to nodes that reach it no better

Now it hands over only after a relayed call was served. Jobs not yet sent to the store are refused once an append is open for 0.15 s (or three times the latest one). While every node that was connected says that the store is away, orders go on.

--- a/src/onyxspoke/core/shard/commit.py
+++ b/src/onyxspoke/core/shard/commit.py
@@ -24,8 +24,10 @@
 #: Pause before an append that was refused or not answered is sent again.
 RETRY_SECONDS = (0.02, 0.08, 0.2, 0.4)
 MAXIMUM_BATCH_BYTES = 1_000_000
-#: An append that is open for longer means that the store is in trouble.
-TROUBLE_SECONDS = 0.6
+#: An append that is open for longer than this, and than some times the latest one took,
+#: means that the store is in trouble.
+TROUBLE_SECONDS = 0.15
+TROUBLE_FACTOR = 3.0
 
 Effect = Callable[[float], None]
 
@@ -60,6 +62,7 @@
     _proofs: list[Effect] = field(default_factory=list)
     _batch: _Batch | None = None
     _last_sent_at: float = 0.0
+    _latest_seconds: float = 0.0
 
     @property
     def in_trouble_since(self) -> float | None:
@@ -68,7 +71,10 @@
 
     def is_in_trouble(self, now: float) -> bool:
         """Return whether the store keeps an append open for unusually long."""
-        return self._batch is not None and now - self._batch.opened_at > TROUBLE_SECONDS
+        if self._batch is None:
+            return False
+        bound = max(TROUBLE_SECONDS, TROUBLE_FACTOR * self._latest_seconds)
+        return now - self._batch.opened_at > bound
 
     def after_commit(self, effect: Effect) -> None:
         """Have an effect once everything marked so far is acknowledged."""
@@ -122,6 +128,7 @@
             return True
         if result.outcome is AppendOutcome.DONE:
             self._batch = None
+            self._latest_seconds = now - batch.opened_at if batch.attempts == 1 else 0.0
             # A repeat may be answered as the first time, so only the first sending proves.
             self.proof_at = max(self.proof_at, batch.opened_at)
             for effect in batch.effects:
--- a/src/onyxspoke/core/shard/context.py
+++ b/src/onyxspoke/core/shard/context.py
@@ -79,6 +79,8 @@
         self.actions: list[ShardAction] = []
         self.wants_placement = False
         self.is_over = False
+        #: Until then nobody can claim the shard, because no node reaches the store.
+        self.unclaimable_until = 0.0
         #: Set while the process may have been paused and the shard may be another's.
         self.is_unproven = False
 
@@ -100,7 +102,8 @@
         """Return whether the shard is surely still ours, so that workers may be ordered."""
         if self.is_over or self.is_unproven:
             return False
-        return now - self.commit.proof_at < self.options.proof_seconds
+        proven_until = self.commit.proof_at + self.options.proof_seconds
+        return now < max(proven_until, self.unclaimable_until)
 
 
 def address_of(worker: Worker) -> WorkerAddress:
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -89,6 +89,8 @@
         self._placer = Placer(self.context.table, self.context.desk)
         self._last_flush_at = claimed_at
         self._is_recovered = False
+        #: Callers whose jobs were taken since the latest append was sent.
+        self._unsent: dict[int, _Accept] = {}
 
     # Recovery
 
@@ -125,6 +127,10 @@
         """These entries can carry calls for advice."""
         self.context.desk.set_advisors(names, now)
 
+    def stimulus_store_unreachable(self, until: float) -> None:
+        """No node reaches the store, so that nobody can claim the shard until then."""
+        self.context.unclaimable_until = until
+
     # Answers
 
     def stimulus_hold_result(
@@ -202,7 +208,10 @@
                 tasks=sum(step.task_count for step in call.job.steps),
                 policy=self.context.policy.version,
             )
-        commit.after_commit(_Accept(self.context, call_id, job_id))
+        accept = _Accept(self.context, call_id, job_id)
+        if outcome is Submission.NEW:
+            self._unsent[call_id] = accept
+        commit.after_commit(accept)
 
     def _cancel(self, call_id: int, call: CancelCall, now: float) -> None:
         job = self.context.book.cancel(call.job_id, now)
@@ -223,6 +232,17 @@
             return
         self._reply(call_id, CallReply(code=ReplyCode.OK, state=_shown_state(job)))
 
+    def _refuse_unsent(self) -> None:
+        """Refuse the jobs of which no append that was sent says anything."""
+        book = self.context.book
+        for accept in list(self._unsent.values()):
+            if accept.job_id in book.dirty and book.jobs[accept.job_id].committed_state is None:
+                book.withdraw(accept.job_id)
+                accept.is_refused = True
+                self.context.log("job_refused", job=accept.job_id, reason="store_in_trouble")
+                self._refuse(accept.call_id, "store_in_trouble")
+        self._unsent.clear()
+
     def _refuse(self, call_id: int, reason: str) -> None:
         retry = self._options.refusal_retry_seconds
         reply = CallReply(code=ReplyCode.REFUSED, retry_after_seconds=retry, reason=reason)
@@ -240,6 +260,8 @@
         if now - self._last_flush_at > STALL_SECONDS:
             self.context.log("stalled", seconds=round(now - self._last_flush_at, 2))
             self.context.is_unproven = True
+        if self._unsent and self.context.commit.is_in_trouble(now):
+            self._refuse_unsent()
         self.context.book.keep(now, wall_ms, self._options.early_ms)
         self.workers.keep(now)
         self.runs.keep(now)
@@ -255,6 +277,7 @@
                 self._place(now)
             append = context.commit.next_append(now)
             if append is not None:
+                self._unsent.clear()
                 context.emit(SendAppend(append))
         actions, context.actions = context.actions, []
         return actions
@@ -286,12 +309,14 @@
 
     def __init__(self, context: ShardContext, call_id: int, job_id: str) -> None:
         self._context = context
-        self._call_id = call_id
-        self._job_id = job_id
+        self.call_id = call_id
+        self.job_id = job_id
+        self.is_refused = False
 
     def __call__(self, now: float) -> None:
-        self._context.log("job_accepted", job=self._job_id)
-        self._context.emit(ReplyToCall(self._call_id, CallReply(code=ReplyCode.OK)))
+        if not self.is_refused:
+            self._context.log("job_accepted", job=self.job_id)
+            self._context.emit(ReplyToCall(self.call_id, CallReply(code=ReplyCode.OK)))
 
 
 class _Reply:
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -59,6 +59,8 @@
 HANDOVER_SECONDS = 0.8
 #: It claims nothing, and hands over nothing more, for so long after.
 HANDOVER_PAUSE_SECONDS = 4.0
+#: What a peer said of the store counts for so long.
+FRESH_SECONDS = 0.6
 
 OnReply = Callable[[CallReply], None]
 
@@ -142,6 +144,8 @@
         self._listeners: list[Callable[[CellConfiguration], None]] = []
         self._seeds_at = 0.0
         self._handover_at = 0.0
+        #: Hosts that were connected when the store last served this node, and since.
+        self._claimants: set[str] = set()
         self._handlers: dict[type[NodeMessage], Callable[[PeerLink, Any], None]] = {
             Status: self._take_status,
             CallForward: self._serve_call,
@@ -400,6 +404,7 @@
         for seat in self.seats.values():
             seat.tick(wall_ms)
         self._hand_over_if_turned_away(now)
+        self._note_if_nobody_reaches_store(now)
         self.peers.end_silent(now)
         self.store.keep(now)
         self.router.keep(now)
@@ -412,7 +417,7 @@
         """Leave the shards to a node that the store serves, while it does not serve this one."""
         if self.store.away_seconds() < HANDOVER_SECONDS or now < self._handover_at:
             return
-        if not any(link.can_reach_store and link.may_hold for link in self.peers.up_links()):
+        if not self.store.is_relayed():
             return
         self._handover_at = now + HANDOVER_PAUSE_SECONDS
         for seat in self.seats.values():
@@ -420,6 +425,22 @@
                 seat.election.rest_until(now + HANDOVER_PAUSE_SECONDS)
                 seat.step_down(StepDownReason.STORE_AWAY)
 
+    def _note_if_nobody_reaches_store(self, now: float) -> None:
+        """Tell the seats while every node that could claim says that the store is away."""
+        linked = {link.host for link in self.peers.up_links()}
+        if self.store.is_reachable:
+            self._claimants = linked
+            return
+        # One that was lost since may reach the store, and claim.
+        self._claimants |= linked
+        for host in self._claimants:
+            link = self.peers.link_to(host)
+            is_fresh = link is not None and now - link.heard_at < FRESH_SECONDS
+            if link is None or not is_fresh or link.can_reach_store:
+                return
+        for seat in self.seats.values():
+            seat.note_store_unreachable(now + FRESH_SECONDS)
+
     def _send_heartbeats(self) -> None:
         status = self._status()
         for link in self.peers.up_links():
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -162,6 +162,11 @@
         if self.scheduler is not None:
             self.scheduler.stimulus_advisors(names, self._clock.now())
 
+    def note_store_unreachable(self, until: float) -> None:
+        """No node reaches the store, so that nobody can claim the shard until then."""
+        if self.scheduler is not None:
+            self.scheduler.stimulus_store_unreachable(until)
+
     def handle_call(self, call: Call, on_reply: OnReply) -> None:
         """Take a client's call; ``on_reply`` may never be called if the shard is lost."""
         if not self._is_ready or self.scheduler is None:
--- a/src/onyxspoke/node/store_gateway.py
+++ b/src/onyxspoke/node/store_gateway.py
@@ -36,6 +36,9 @@
 #: A relayed call that is not answered is given up after so long.
 RELAY_SECONDS = 0.8
 
+#: The store counts as reachable through peers for so long after it served a relayed call.
+RELAYED_SECONDS = 0.6
+
 OnAppend = Callable[[AppendResult], None]
 OnPage = Callable[[NewestPage], None]
 
@@ -75,6 +78,7 @@
         self._relays: dict[int, _Relay] = {}
         self._last_relay_id = 0
         self._next_peer = 0
+        self._relayed_at = -math.inf
 
     @property
     def is_reachable(self) -> bool:
@@ -89,6 +93,10 @@
         """Return for how long the store has not served this node directly; 0 if it does."""
         return max(0.0, self._clock.now() - self._away_since)
 
+    def is_relayed(self) -> bool:
+        """Return whether the store served a call of ours through a peer just now."""
+        return self._clock.now() - self._relayed_at < RELAYED_SECONDS
+
     def append(self, append: ShardAppend, on_result: OnAppend) -> None:
         """Append, directly or through a peer."""
         if self._prefers_relay() and self._relay_append(append, on_result):
@@ -107,7 +115,7 @@
         """Make an append for a peer."""
 
         def answer(result: AppendResult) -> None:
-            self._note(result.outcome not in (AppendOutcome.NOT_DONE, AppendOutcome.UNKNOWN))
+            self._note(_is_served(result))
             link.send(AppendRelayAnswer(message.relay_id, result))
 
         self._store.append(message.append, answer)
@@ -127,9 +135,14 @@
         if relay is None:
             return
         if isinstance(message, AppendRelayAnswer):
+            if _is_served(message.result):
+                self._relayed_at = self._clock.now()
             if relay.on_append is not None:
                 relay.on_append(message.result)
-        elif relay.on_page is not None:
+            return
+        if message.page.is_known:
+            self._relayed_at = self._clock.now()
+        if relay.on_page is not None:
             relay.on_page(message.page)
 
     def keep(self, now: float) -> None:
@@ -144,7 +157,7 @@
                 relay.on_page(NewestPage(is_known=False))
 
     def _take_append(self, append: ShardAppend, result: AppendResult, on_result: OnAppend) -> None:
-        is_served = result.outcome not in (AppendOutcome.NOT_DONE, AppendOutcome.UNKNOWN)
+        is_served = _is_served(result)
         self._note(is_served)
         if is_served or not self._relay_append(append, on_result):
             on_result(result)
@@ -199,3 +212,7 @@
             self._is_away = not is_served
             event = "dependency_regained" if is_served else "dependency_lost"
             logging.info("event=%s dependency=store call=shard_log", event)
+
+
+def _is_served(result: AppendResult) -> bool:
+    return result.outcome not in (AppendOutcome.NOT_DONE, AppendOutcome.UNKNOWN)
