--- a/src/onyxspoke/core/shard/commit.py
+++ b/src/onyxspoke/core/shard/commit.py
@@ -20,9 +20,9 @@
 #: Pause between two appends, so that what happens close together shares one.
 MINIMUM_INTERVAL_SECONDS = 0.012
 #: The claim is renewed when nothing else was appended for so long.
-RENEWAL_SECONDS = 0.8
+RENEWAL_SECONDS = 0.35
 #: Pause before an append that was refused or not answered is sent again.
-RETRY_SECONDS = (0.02, 0.08, 0.2, 0.4)
+RETRY_SECONDS = (0.02, 0.06, 0.12)
 MAXIMUM_BATCH_BYTES = 1_000_000
 #: An append that is open for longer than this, and than some times the latest one took,
 #: means that the store is in trouble.
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -51,7 +51,7 @@
 from onyxspoke.ports.worker_orders import WorkerOrdersPort
 
 TICK_SECONDS = 0.02
-HEARTBEAT_SECONDS = 0.25
+HEARTBEAT_SECONDS = 0.2
 #: The only shard of a small cell.
 FIRST_SHARD: ShardId = 0
 SEED_RETRY_SECONDS = 1.0
--- a/src/onyxspoke/node/peers.py
+++ b/src/onyxspoke/node/peers.py
@@ -18,7 +18,7 @@
 from onyxspoke.node.messages import Hello, NodeMessage
 
 #: A stream on which nothing is heard for so long is ended.
-SILENCE_SECONDS = 1.0
+SILENCE_SECONDS = 0.8
 
 _Stream = MessageStream[NodeMessage]
 
--- a/src/onyxspoke/node/store_gateway.py
+++ b/src/onyxspoke/node/store_gateway.py
@@ -193,8 +193,7 @@
 
     def _choose_peer(self) -> PeerLink | None:
         """Return a peer that the store serves, in turn."""
-        links = self._peers()
-        able = [link for link in links if link.can_reach_store] or links
+        able = [link for link in self._peers() if link.can_reach_store]
         if not able:
             return None
         self._next_peer += 1
--- a/src/onyxspoke/platform/workers.py
+++ b/src/onyxspoke/platform/workers.py
@@ -19,9 +19,9 @@
 )
 from onyxspoke.net.http_client import HttpAnswer, HttpClient, encode_request
 
-ORDER_SECONDS = 0.3
+ORDER_SECONDS = 0.2
 #: Added to the time that an answer may wait for an end.
-HOLD_SLACK_SECONDS = 0.3
+HOLD_SLACK_SECONDS = 0.2
 #: A list of ends this long may have been cut off.
 MAXIMUM_ENDS = 500
 
