--- a/features/job_promises.feature
+++ b/features/job_promises.feature
@@ -24,6 +24,13 @@
       | 71   |
       | 94   |
 
+    Examples: a caller who asked twice was told "accepted" of a job refused to the other
+      | seed |
+      | 98   |
+      | 199  |
+      | 459  |
+      | 543  |
+
   Scenario Outline: Without <mechanism> something is broken
     When jobs are played over seed <seed> without "<mechanism>"
     Then "<violation>" is found
--- a/scripts/explore.sh
+++ b/scripts/explore.sh
@@ -12,3 +12,7 @@
     done
 done | xargs -P "$(nproc)" -L 1 bash -c \
     '"$0" explore --deployment "$1" --first-seed "$2" --seeds "$3"' "$bin/onyxspoke-sim"
+for ((first = 1; first <= seeds; first += chunk)); do
+    echo "$first $((seeds - first + 1 < chunk ? seeds - first + 1 : chunk))"
+done | xargs -P "$(nproc)" -L 1 bash -c \
+    '"$0" explore-jobs --first-seed "$1" --seeds "$2"' "$bin/onyxspoke-sim"
--- a/src/onyxspoke/cli/sim.py
+++ b/src/onyxspoke/cli/sim.py
@@ -12,7 +12,9 @@
 from onyxspoke.core.codes import ExitCode
 from onyxspoke.load.audit import AuditReport, add_counts
 from onyxspoke.sim.explore import RunResult, run_schedule, shrink
+from onyxspoke.sim.explore_jobs import play
 
+SHOWN_FINDINGS = 10
 DEPLOYMENTS = Path("deploy")
 
 
@@ -25,9 +27,14 @@
     explore.add_argument("--config", type=Path, help="settings file (default: the deployment's)")
     explore.add_argument("--first-seed", type=int, default=1)
     explore.add_argument("--seeds", type=int, default=20)
+    jobs = commands.add_parser("explore-jobs", help="the same for jobs of several steps")
+    jobs.add_argument("--first-seed", type=int, default=1)
+    jobs.add_argument("--seeds", type=int, default=20)
     arguments = parser.parse_args()
     logging.set_verbosity(logging.DEBUG if arguments.verbose else logging.FATAL)
-    sys.exit(_explore(arguments))
+    sys.exit(
+        _explore_jobs(arguments) if arguments.command == "explore-jobs" else _explore(arguments)
+    )
 
 
 def _explore(arguments: argparse.Namespace) -> ExitCode:
@@ -54,6 +61,26 @@
     return ExitCode.AUDIT_VIOLATION if failing else ExitCode.OK
 
 
+def _explore_jobs(arguments: argparse.Namespace) -> ExitCode:
+    events = checks = failing = 0
+    for seed in range(arguments.first_seed, arguments.first_seed + arguments.seeds):
+        report = play(seed)
+        events += report.events
+        checks += report.checks
+        if not report.findings:
+            continue
+        failing += 1
+        faults = ", ".join(f"{item.fault.value} at {item.at}" for item in report.schedule)
+        print(f"seed {seed}: {faults}")
+        for finding in report.findings[:SHOWN_FINDINGS]:
+            print(f"  -> {finding.at:.2f} {finding.violation.value} {finding.detail}", flush=True)
+    print(
+        f"explore jobs: {arguments.seeds} seeds, {events} events,"
+        f" {checks} promises checked, {failing} seeds with violations"
+    )
+    return ExitCode.AUDIT_VIOLATION if failing else ExitCode.OK
+
+
 def _print_smallest(result: RunResult) -> None:
     print(f"smallest failing schedule, seed {result.seed}:")
     for fault in result.faults:
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -89,7 +89,7 @@
         self._placer = Placer(self.context.table, self.context.desk)
         self._last_flush_at = claimed_at
         self._is_recovered = False
-        #: Callers whose jobs were taken since the latest append was sent.
+        #: Callers whose jobs no append that was sent has.
         self._unsent: dict[int, _Accept] = {}
 
     # Recovery
@@ -209,7 +209,7 @@
                 policy=self.context.policy.version,
             )
         accept = _Accept(self.context, call_id, job_id)
-        if outcome is Submission.NEW:
+        if job_id in book.dirty:
             self._unsent[call_id] = accept
         commit.after_commit(accept)
 
@@ -235,14 +235,26 @@
     def _refuse_unsent(self) -> None:
         """Refuse the jobs of which no append that was sent says anything."""
         book = self.context.book
-        for accept in list(self._unsent.values()):
-            if accept.job_id in book.dirty and book.jobs[accept.job_id].committed_state is None:
+        withdrawn = set()
+        for accept in self._unsent.values():
+            job = book.jobs.get(accept.job_id)
+            if job is not None and job.committed_state is None and not job.spec_is_stored:
                 book.withdraw(accept.job_id)
+                withdrawn.add(accept.job_id)
+            if accept.job_id in withdrawn:
                 accept.is_refused = True
                 self.context.log("job_refused", job=accept.job_id, reason="store_in_trouble")
                 self._refuse(accept.call_id, "store_in_trouble")
         self._unsent.clear()
 
+    def _forget_sent(self) -> None:
+        """Forget callers whose jobs an append that was sent has, so that they may be kept."""
+        jobs = self.context.book.jobs
+        for call_id, accept in list(self._unsent.items()):
+            job = jobs.get(accept.job_id)
+            if job is None or job.spec_is_stored:
+                del self._unsent[call_id]
+
     def _refuse(self, call_id: int, reason: str) -> None:
         retry = self._options.refusal_retry_seconds
         reply = CallReply(code=ReplyCode.REFUSED, retry_after_seconds=retry, reason=reason)
@@ -277,7 +289,7 @@
                 self._place(now)
             append = context.commit.next_append(now)
             if append is not None:
-                self._unsent.clear()
+                self._forget_sent()
                 context.emit(SendAppend(append))
         actions, context.actions = context.actions, []
         return actions
--- a/src/onyxspoke/kit/jobs/audit.py
+++ b/src/onyxspoke/kit/jobs/audit.py
@@ -60,7 +60,12 @@
 class _TaskFacts:
     running: dict[tuple[WorkerId, RunKey], None] = field(default_factory=dict)
     is_done: bool = False
+    #: Runs that ended ``failed``: all of them, those that may still be noted, those noted.
     failed: set[RunKey] = field(default_factory=set)
+    open_failed: set[RunKey] = field(default_factory=set)
+    noted_failed: set[RunKey] = field(default_factory=set)
+    #: For each start, the failed runs that were noted then, or might yet be.
+    failed_before_start: list[set[RunKey]] = field(default_factory=list)
     #: Ends ``done`` that may still be noted, by run; the value tells that a start followed.
     open_done: dict[RunKey, bool] = field(default_factory=dict)
     is_done_noted: bool = False
@@ -155,6 +160,7 @@
                 self._done_in_step[run.task.step_key] += 1
         elif end is RunEnd.FAILED:
             task.failed.add(run)
+            task.open_failed.add(run)
 
     def handle_noted(self, worker: FakeWorker, run: RunKey, end: RunEnd) -> None:
         """A node told the worker that an end was noted."""
@@ -163,12 +169,17 @@
             if task.open_done.pop(run):
                 self._find(Violation.RUN_AFTER_DONE, f"{run} was noted after another start")
             task.is_done_noted = True
+        if end is RunEnd.FAILED and run in task.open_failed:
+            task.open_failed.discard(run)
+            task.noted_failed.add(run)
+            self._check_attempts(run, task)
 
     def handle_lapsed(self, worker: FakeWorker) -> None:
         """What ended on the worker before its lease ran out may no longer count."""
         for task in self._tasks.values():
             for run in [run for run in task.open_done if _ran_on(run, worker)]:
                 del task.open_done[run]
+            task.open_failed -= {run for run in task.open_failed if _ran_on(run, worker)}
 
     # Checks
 
@@ -192,8 +203,8 @@
             self._find(Violation.RUN_AFTER_DONE, f"{run} by {node}")
         for done in task.open_done:
             task.open_done[done] = True
-        if len(task.failed) >= facts.spec.queue.max_attempts and not step.gang:
-            self._find(Violation.ATTEMPTS, f"{run} by {node}")
+        task.failed_before_start.append(task.noted_failed | task.open_failed)
+        self._check_attempts(run, task)
         for number in step.depends_on:
             earlier = StepKey(run.task.job_id, run.task.repetition, number)
             if self._done_in_step[earlier] < facts.spec.steps[number].task_count:
@@ -202,6 +213,15 @@
         if cancelled_at is not None and self._timers.now() > cancelled_at + CANCEL_SECONDS:
             self._find(Violation.AFTER_CANCEL, f"{run} by {node}")
 
+    def _check_attempts(self, run: RunKey, task: _TaskFacts) -> None:
+        """No start comes after the last attempt, counted by ends that are ever noted."""
+        spec = self.jobs[run.task.job_id].spec
+        if spec.steps[run.task.step].gang:
+            return
+        for failed in task.failed_before_start:
+            if len(failed & task.noted_failed) >= spec.queue.max_attempts:
+                self._find(Violation.ATTEMPTS, f"{run}")
+
     def _check_place(self, worker: FakeWorker, run: RunKey, facts: _JobFacts, node: str) -> None:
         step = facts.spec.steps[run.task.step]
         if step.required_label and step.required_label not in worker.record.labels:
