--- a/src/onyxspoke/cli/node.py
+++ b/src/onyxspoke/cli/node.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import time
+from functools import partial
 from pathlib import Path
 from typing import Any, cast
 
@@ -20,7 +21,7 @@
 from onyxspoke.cli.process import ProcessRunner, configure_logging, make_parser
 from onyxspoke.core.codes import ExitCode
 from onyxspoke.core.shard.election import NodeIdentity
-from onyxspoke.net.http import make_site
+from onyxspoke.net.bounded_http import BoundedSite, HttpLimits
 from onyxspoke.net.http_client import HttpClient
 from onyxspoke.net.network import Network, TcpEndpoints
 from onyxspoke.net.reactor_clock import MonotonicClock
@@ -34,12 +35,11 @@
 from onyxspoke.platform.settings import PATH_VARIABLE, PlatformSettings, load_settings
 from onyxspoke.platform.store import StoreClient
 from onyxspoke.platform.workers import WorkerOrders
+from onyxspoke.ports.configuration import CellConfiguration
 
 CONNECT_SECONDS = 0.5
 LIFE_BYTES = 6
-MAXIMUM_BODY_BYTES = 262_144
 MAXIMUM_CONNECTIONS = 3_000
-READ_SECONDS = 3.0
 _MILLISECONDS = 1_000.0
 
 
@@ -124,28 +124,28 @@
         return listening
 
     def _listen_callers(self) -> Deferred[Any]:
-        site = make_site(
-            IngressResource(self._node),
-            reactor,
-            maximum_body_bytes=MAXIMUM_BODY_BYTES,
-            maximum_connections=MAXIMUM_CONNECTIONS,
-            read_timeout_seconds=READ_SECONDS,
-        )
+        limits = HttpLimits(connections=MAXIMUM_CONNECTIONS)
+        self._node.on_configuration(partial(apply_limits, limits))
+        site = BoundedSite(IngressResource(self._node), reactor, limits)
         address = self._settings.callers
         return self._endpoints.server(address.host, address.port).listen(site)
 
     def _listen_readiness(self) -> Deferred[Any]:
-        site = make_site(
-            ReadinessResource(lambda: self._node.is_ready),
-            reactor,
-            maximum_body_bytes=MAXIMUM_BODY_BYTES,
-            maximum_connections=MAXIMUM_CONNECTIONS,
-            read_timeout_seconds=READ_SECONDS,
-        )
+        site = BoundedSite(ReadinessResource(lambda: self._node.is_ready), reactor, HttpLimits())
         address = self._settings.readiness
         return self._endpoints.server(address.host, address.port).listen(site)
 
 
+def apply_limits(limits: HttpLimits, configuration: CellConfiguration) -> None:
+    """Have the callers' site keep the bounds of a configuration."""
+    bounds = configuration.limits
+    limits.header_bytes = bounds.header_bytes
+    limits.body_bytes = bounds.body_bytes
+    limits.header_seconds = bounds.header_timeout_ms / _MILLISECONDS
+    limits.idle_seconds = bounds.idle_timeout_ms / _MILLISECONDS
+    limits.read_seconds = max(limits.header_seconds, limits.idle_seconds)
+
+
 def reload_settings(node: Node, path: Path) -> None:
     """Take from the settings file what may change in a running process: the seeds."""
     try:
--- a/src/onyxspoke/core/jobs/book.py
+++ b/src/onyxspoke/core/jobs/book.py
@@ -156,7 +156,7 @@
         self._refresh(task.step)
 
     def task_waits(self, task: TaskProgress) -> None:
-        """A run ended otherwise than well, or never began."""
+        """A run ended otherwise than well, or never began, or is to be started again."""
         task.move_to(TaskState.WAITING)
         self._refresh(task.step)
 
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -74,8 +74,8 @@
         if not workers:
             return None
         if step.spec.gang:
-            return self._place_gang(step, workers, tickets, room)
-        return self._place_tasks(step, workers, tickets, room)
+            return self._place_gang(step, workers, tickets, room, now)
+        return self._place_tasks(step, workers, tickets, room, now)
 
     def _tickets(
         self,
@@ -105,18 +105,21 @@
         workers: list[Worker],
         tickets: dict[str, str],
         room: _ScratchRoom,
+        now: float,
     ) -> StepPlacement | None:
         needs = step.spec.needs
         placements = []
         counts = _counts_on_workers(step)
         for index in step.waiting:
             task = step.tasks[index]
-            worker = _choose_worker(task, workers, room, counts)
+            worker = _choose_worker(task, workers, room, counts, now)
             if worker is None:
                 break
             room.take(worker, needs)
             counts[worker.worker_id] = counts.get(worker.worker_id, 0) + 1
             placements.append(Placement(task, worker, tickets[worker.worker_id]))
+            if worker.health.is_on_trial(now):
+                workers = [other for other in workers if other is not worker]
         return StepPlacement(step, placements) if placements else None
 
     def _place_gang(
@@ -125,15 +128,17 @@
         workers: list[Worker],
         tickets: dict[str, str],
         room: _ScratchRoom,
+        now: float,
     ) -> StepPlacement | None:
         if len(step.waiting) < len(step.tasks):
             return None
+        workers = [worker for worker in workers if not worker.health.is_on_trial(now)]
         trial = room.copy()
         needs = step.spec.needs
         counts: dict[str, int] = {}
         placements = []
         for task in step.tasks:
-            worker = _choose_worker(task, workers, trial, counts)
+            worker = _choose_worker(task, workers, trial, counts, now)
             if worker is None:
                 return None
             trial.take(worker, needs)
@@ -237,12 +242,16 @@
 
 
 def _choose_worker(
-    task: TaskProgress, workers: list[Worker], room: _ScratchRoom, counts: dict[str, int]
+    task: TaskProgress,
+    workers: list[Worker],
+    room: _ScratchRoom,
+    counts: dict[str, int],
+    now: float,
 ) -> Worker | None:
     """Return the best worker with room: near the data, not just failed on, tightest fit."""
     spec = task.step.spec
     best: Worker | None = None
-    best_score: tuple[int, int, int] | None = None
+    best_score: tuple[int, int, int, int] | None = None
     for worker in workers:
         if not room.fits(worker, spec.needs):
             continue
@@ -251,6 +260,7 @@
         is_far = int(bool(spec.preferred_rack) and worker.record.rack != spec.preferred_rack)
         score = (
             int(task.failed_on == worker.worker_id),
+            int(worker.health.is_doubtful(now)),
             is_far,
             room.free_processors(worker),
         )
--- a/src/onyxspoke/core/placement/workers.py
+++ b/src/onyxspoke/core/placement/workers.py
@@ -9,6 +9,7 @@
 
 from onyxspoke.core.jobs.model import Needs, RunKey, WorkerId
 from onyxspoke.core.jobs.states import RunEnd
+from onyxspoke.core.placement.health import WorkerHealth
 from onyxspoke.core.placement.runs import Run
 
 _MILLISECONDS = 1_000.0
@@ -116,8 +117,12 @@
 
     Attributes
     ----------
+    leaves_at : float
+        The holder's second until which a draining worker stays at least.
     runs : dict of RunKey to Run
         Everything that may run there, each holding room.
+    health : WorkerHealth
+        What its runs tell of it; one on trial gets one run at a time.
     strays : dict of RunKey to float
         Runs there that stand for no task of the shard, and when their stop was sent; they
         take room that is not known, so nothing is started beside them.
@@ -147,9 +152,10 @@
         self.record = record
         self.contact = WorkerContact.UNSETTLED
         self.listing = record.listing
-        self.draining_since = 0.0
+        self.leaves_at = 0.0
         self.clock = WorkerClock()
         self.runs: dict[RunKey, Run] = {}
+        self.health = WorkerHealth()
         self.strays: dict[RunKey, float] = {}
         self.free_processors = record.capacity.processors_milli
         self.free_memory = record.capacity.memory_mb
@@ -190,6 +196,8 @@
             and self.is_recorded
             and not self.strays
             and now >= self.retry_at
+            and not self.health.is_avoided(now)
+            and not (self.runs and self.health.is_on_trial(now))
         )
 
     def fits(self, needs: Needs) -> bool:
--- a/src/onyxspoke/core/shard/run_keeper.py
+++ b/src/onyxspoke/core/shard/run_keeper.py
@@ -7,7 +7,7 @@
 from onyxspoke.core.jobs.states import JobState, RunEnd, RunState, TaskState
 from onyxspoke.core.placement.placer import Placement, StepPlacement
 from onyxspoke.core.placement.runs import GangRun, Run
-from onyxspoke.core.placement.workers import Worker
+from onyxspoke.core.placement.workers import Worker, WorkerContact
 from onyxspoke.core.shard.actions import SendStart, SendStop
 from onyxspoke.core.shard.context import ShardContext, address_of
 from onyxspoke.core.shard.orders import (
@@ -27,6 +27,14 @@
 REFUSED_SECONDS = 0.5
 
 
+#: A run without progress for so long, and this share of its estimate more, stands still.
+STALL_SECONDS = 1.6
+STALL_ESTIMATE_SHARE = 0.2
+#: A gang may take so much longer to begin.
+GANG_START_SECONDS = 3.0
+_MILLISECONDS = 1_000.0
+
+
 class RunKeeper:
     """Keeps every run of the shard."""
 
@@ -151,12 +159,24 @@
             worker.wants_look = worker.wants_look or not run.confirmed_at
 
     def keep(self, now: float) -> None:
-        """Send unanswered stops again; settle unanswered starts by a stop."""
+        """Send unanswered stops again; stop runs that stand still or must move."""
+        self._stop_stalled(now)
         for run in list(self._stopping.values()):
             is_answered = run.stop_answered_at > run.stop_sent_at
             if not is_answered and now - run.stop_sent_at >= STOP_RETRY_SECONDS:
                 self._send_stop(run, now)
 
+    def _stop_stalled(self, now: float) -> None:
+        """Stop runs that make no progress, so that they go on elsewhere."""
+        for worker in self._context.table.workers.values():
+            if worker.contact is not WorkerContact.SETTLED:
+                continue
+            for run in list(worker.runs.values()):
+                if run.state is RunState.RUNNING and is_stalled(run, worker.answered_at):
+                    self._context.log("worker_avoided", worker=worker.worker_id, reason="stalled")
+                    worker.health.avoid(now)
+                    self.stop(run, now, "stalled")
+
     def stop_job_runs(self, steps: list[StepProgress], now: float, reason: str) -> None:
         """Order the end of everything that runs for these steps."""
         for step in steps:
@@ -214,7 +234,8 @@
             run=report.run.number,
             how=report.end.value,
         )
-        if report.end is RunEnd.DONE and task.run is None:
+        is_for_good = report.end is RunEnd.DONE and not step.spec.long_running
+        if is_for_good and task.run is None:
             self._complete(task, now)
         elif report.end is RunEnd.FAILED:
             task.failed_on = worker.worker_id
@@ -229,7 +250,7 @@
             return
         if run.state in (RunState.STARTING, RunState.UNCERTAIN):
             self._confirm(run, now)
-        if report.percent > run.percent:
+        if report.percent != run.percent:
             run.percent = report.percent
             run.moved_at = now
         run.usage = report.usage
@@ -326,6 +347,10 @@
         if end is RunEnd.FAILED:
             task.failed_on = worker.worker_id
             self._context.book.task_failed(task, run.number, now)
+            if worker.health.note_failure(task.step.job.job_id, now):
+                self._context.log("worker_avoided", worker=worker.worker_id, reason="failures")
+        elif end is RunEnd.DONE:
+            worker.health.note_success()
         if run.gang is not None:
             self._end_gang_member(run, run.gang, end, now)
         elif end is RunEnd.DONE:
@@ -335,7 +360,7 @@
         self._stop_if_final(task.step, now)
 
     def _end_gang_member(self, run: Run, gang: GangRun, end: RunEnd, now: float) -> None:
-        if end is RunEnd.DONE:
+        if end is RunEnd.DONE and not gang.step.spec.long_running:
             self._complete(run.task, now)
             return
         step = gang.step
@@ -353,6 +378,9 @@
     def _complete(self, task: TaskProgress, now: float) -> None:
         """Note that a task ended well; of a gang, one such end stands for all."""
         step = task.step
+        if step.spec.long_running:
+            self._context.book.task_waits(task)
+            return
         tasks = step.tasks if step.spec.gang else [task]
         for ended in tasks:
             if ended.state is not TaskState.DONE:
@@ -408,6 +436,21 @@
     return task.step.tasks[0] if task.step.spec.gang else task
 
 
+def is_stalled(run: Run, seen_at: float) -> bool:
+    """Return whether a run has made no progress for longer than a slow worker would take.
+
+    ``seen_at`` is when its progress was last told.  Tasks that run until they are stopped
+    tell no progress; members of a gang wait for each other at first.
+    """
+    step = run.task.step.spec
+    if step.long_running or not run.confirmed_at:
+        return False
+    bound = STALL_SECONDS + STALL_ESTIMATE_SHARE * step.estimated_ms / _MILLISECONDS
+    if step.gang and run.percent == 0:
+        bound += GANG_START_SECONDS
+    return seen_at - run.moved_at > bound
+
+
 def _name(key: RunKey) -> str:
     task = key.task
     return f"{task.job_id}.{task.repetition}.{task.step}.{task.task_index}"
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -29,6 +29,7 @@
 )
 from onyxspoke.core.shard.commit import CommitQueue
 from onyxspoke.core.shard.context import ShardContext, ShardOptions
+from onyxspoke.core.shard.evacuation import Evacuation
 from onyxspoke.core.shard.journal import RecordCollector, restore_records
 from onyxspoke.core.shard.log_records import (
     AppendOutcome,
@@ -76,6 +77,7 @@
         self.workers = WorkerKeeper(
             self.context, self.runs, former_orders_until=claimed_at + options.proof_seconds
         )
+        self._evacuation = Evacuation(self.context, self.runs)
         self._collector = RecordCollector(self.context, self.workers, claim)
         self.context.commit = CommitQueue(
             shard=shard,
@@ -277,6 +279,7 @@
         self.context.book.keep(now, wall_ms, self._options.early_ms)
         self.workers.keep(now)
         self.runs.keep(now)
+        self._evacuation.keep(now)
         self.context.wants_placement = True
 
     def flush(self, now: float) -> list[ShardAction]:
--- a/src/onyxspoke/core/shard/worker_keeper.py
+++ b/src/onyxspoke/core/shard/worker_keeper.py
@@ -93,7 +93,7 @@
             self._log(worker, "worker_listed", host=record.host, rack=record.rack)
         if worker.listing is not record.listing:
             if record.listing is WorkerListing.DRAINING:
-                worker.draining_since = now
+                worker.leaves_at = now + record.remaining_ms / _MILLISECONDS
             worker.listing = record.listing
             self._log(worker, "worker_listing", listing=record.listing.value)
         worker.record = record
--- a/src/onyxspoke/entry/api.py
+++ b/src/onyxspoke/entry/api.py
@@ -15,7 +15,8 @@
 from onyxspoke.entry.settings_api import SettingsResource
 from onyxspoke.entry.shell import EntryShell
 from onyxspoke.entry.telemetry import Telemetry
-from onyxspoke.net.http import BoundedSite, CodedResource, make_site
+from onyxspoke.net.bounded_http import BoundedSite, HttpLimits
+from onyxspoke.net.http import CodedResource
 from onyxspoke.ports.clock import Clock
 from onyxspoke.settings_file import CellSettings
 
@@ -30,13 +31,13 @@
     """Return the HTTP site of an entry."""
     api = CallerApi(shell, Catalog(settings), settings.limits, telemetry, clock, reactor)
     limits = settings.limits
-    return make_site(
-        _make_root(api, settings),
-        reactor,
-        maximum_body_bytes=limits.body_bytes,
-        maximum_connections=limits.http_connections,
-        read_timeout_seconds=limits.request_read_seconds,
+    bounds = HttpLimits(
+        body_bytes=limits.body_bytes,
+        connections=limits.http_connections,
+        header_seconds=limits.request_read_seconds,
+        read_seconds=limits.request_read_seconds,
     )
+    return BoundedSite(_make_root(api, settings), reactor, bounds)
 
 
 def _make_root(api: CallerApi, settings: CellSettings) -> CodedResource:
--- a/src/onyxspoke/net/http.py
+++ b/src/onyxspoke/net/http.py
@@ -1,4 +1,4 @@
-"""HTTP over ``twisted.web``: bounded requests, JSON bodies and coded errors."""
+"""HTTP over ``twisted.web``: JSON bodies and coded errors."""
 
 from __future__ import annotations
 
@@ -7,11 +7,8 @@
 
 import msgspec
 from absl import logging
-from twisted.internet.interfaces import IAddress, IDelayedCall, IReactorTime, ITransport
-from twisted.web.http import HTTPChannel
-from twisted.web.http import Request as HTTPRequest
 from twisted.web.resource import Resource
-from twisted.web.server import NOT_DONE_YET, Request, Site
+from twisted.web.server import NOT_DONE_YET, Request
 
 from onyxspoke.core.codes import OnyxspokeError, ResultCode, http_status, outcome_of
 
@@ -38,122 +35,6 @@
     worker_id: str = ""
 
 
-class BoundedRequest(Request):
-    """A request whose body size and time to arrive are bounded."""
-
-    reactor: IReactorTime
-    maximum_body_bytes: int
-    read_timeout_seconds: float
-
-    def __init__(self, channel: HTTPChannel, *args: Any, **kwargs: Any) -> None:
-        super().__init__(channel, *args, **kwargs)
-        self._body_bytes = 0
-        self._refused = False
-        self._read_timer: IDelayedCall | None = self.reactor.callLater(
-            self.read_timeout_seconds, self._handle_read_timeout
-        )
-
-    def gotLength(self, length: int | None) -> None:
-        """Refuse a body that announces more than the bound; called by Twisted."""
-        if length is not None and length > self.maximum_body_bytes:
-            self._refuse(ResultCode.BODY_TOO_LARGE)
-            return
-        super().gotLength(length)
-
-    def handleContentChunk(self, data: bytes) -> None:
-        """Refuse a body that turns out larger than the bound; called by Twisted."""
-        if self._refused:
-            return
-        self._body_bytes += len(data)
-        if self._body_bytes > self.maximum_body_bytes:
-            self._refuse(ResultCode.BODY_TOO_LARGE)
-            return
-        super().handleContentChunk(data)
-
-    def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
-        """Serve a request that arrived whole; called by Twisted."""
-        self._stop_timer()
-        if not self._refused:
-            super().requestReceived(command, path, version)
-
-    def connectionLost(self, reason: Any) -> None:
-        """Forget a request whose connection is gone; called by Twisted."""
-        self._stop_timer()
-        super().connectionLost(reason)
-
-    def _handle_read_timeout(self) -> None:
-        self._read_timer = None
-        self._refuse(ResultCode.REQUEST_TIMEOUT)
-
-    def _refuse(self, code: ResultCode) -> None:
-        """Answer at once and close: the rest of the body is not read."""
-        self._stop_timer()
-        self._refused = True
-        transport = cast("ITransport", self.channel.transport)
-        body = encode_error(code)
-        status = f"HTTP/1.1 {http_status(code)} {code.name}\r\n".encode()
-        headers = (
-            b"Content-Type: application/json\r\nConnection: close\r\n"
-            b"Content-Length: %d\r\n\r\n" % len(body)
-        )
-        transport.write(status + headers + body)
-        self.channel.loseConnection()
-
-    def _stop_timer(self) -> None:
-        timer, self._read_timer = self._read_timer, None
-        if timer is not None and timer.active():
-            timer.cancel()
-
-
-class BoundedSite(Site):
-    """A site that refuses connections beyond a bound."""
-
-    def __init__(self, resource: Resource, maximum_connections: int, **kwargs: Any) -> None:
-        super().__init__(resource, timeout=IDLE_TIMEOUT_SECONDS, **kwargs)
-        self._maximum_connections = maximum_connections
-        self._connections = 0
-
-    def buildProtocol(self, addr: IAddress | None) -> Any:
-        """Return the channel of a new connection, or ``None`` to close it."""
-        if self._connections >= self._maximum_connections:
-            logging.warning("event=http_connection_refused limit=%d", self._maximum_connections)
-            return None
-        channel = super().buildProtocol(addr)
-        self._connections += 1
-        original = channel.connectionLost
-
-        def connection_lost(reason: Any) -> None:
-            self._connections -= 1
-            original(reason)
-
-        channel.connectionLost = connection_lost
-        return channel
-
-    def log(self, request: HTTPRequest) -> None:
-        """Log no line a request: answers are counted in histograms instead."""
-
-
-def make_site(
-    resource: Resource,
-    reactor: IReactorTime,
-    *,
-    maximum_body_bytes: int,
-    maximum_connections: int,
-    read_timeout_seconds: float,
-) -> BoundedSite:
-    """Return a site whose requests are bounded."""
-    bounded = type(
-        "ConfiguredRequest",
-        (BoundedRequest,),
-        {
-            "reactor": reactor,
-            "maximum_body_bytes": maximum_body_bytes,
-            "read_timeout_seconds": read_timeout_seconds,
-        },
-    )
-    return BoundedSite(resource, maximum_connections, requestFactory=bounded, reactor=reactor)
-
-
 def encode_error(code: ResultCode, message: str = "") -> bytes:
     """Return the JSON body of an error."""
     body = AnswerBody(
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -61,6 +61,7 @@
 HANDOVER_PAUSE_SECONDS = 4.0
 #: What a peer said of the store counts for so long.
 FRESH_SECONDS = 0.6
+_MILLISECONDS = 1_000.0
 
 OnReply = Callable[[CallReply], None]
 
@@ -352,6 +353,7 @@
     def _take_status(self, link: PeerLink, message: Status) -> None:
         assert link.identity is not None
         link.can_reach_store = message.can_reach_store
+        link.wall_offset_ms = message.wall_ms - self._clock.now() * _MILLISECONDS
         if link.may_hold is not message.may_hold:
             link.may_hold = message.may_hold
             self._tell_advisors()
@@ -398,9 +400,16 @@
 
     # Time
 
+    def time_of_day_ms(self) -> float:
+        """Return the time of day on which most nodes agree; single clocks may jump."""
+        steady_ms = self._clock.now() * _MILLISECONDS
+        offsets = [link.wall_offset_ms for link in self.peers.up_links() if link.wall_offset_ms]
+        offsets.append(self._wall_ms() - steady_ms)
+        return steady_ms + sorted(offsets)[(len(offsets) - 1) // 2]
+
     def _tick(self) -> None:
         now = self._clock.now()
-        wall_ms = self._wall_ms()
+        wall_ms = self.time_of_day_ms()
         for seat in self.seats.values():
             seat.tick(wall_ms)
         self._hand_over_if_turned_away(now)
@@ -454,4 +463,5 @@
                 claims.append((shard, claim))
         version = self.configuration.version if self.configuration is not None else 0
         is_reachable = self.store.is_reachable
-        return Status(claims, version, is_reachable, is_reachable and not self.is_stopping)
+        may_hold = is_reachable and not self.is_stopping
+        return Status(claims, version, is_reachable, may_hold, self._wall_ms())
