--- a/src/onyxspoke/net/bounded_http.py
+++ b/src/onyxspoke/net/bounded_http.py
@@ -150,7 +150,7 @@
             reactor=reactor,
         )
         # The plain channel in place of the one that may also speak HTTP/2.
-        self.protocol = cast("Any", BoundedChannel)
+        self.protocol = BoundedChannel  # type: ignore[method-assign,assignment]
         self._reactor_time = reactor
         self.limits = limits
         self._connections = 0
