--- a/src/onyxspoke/cli/node.py
+++ b/src/onyxspoke/cli/node.py
@@ -13,18 +13,23 @@
 from typing import Any, cast
 
 from absl import logging
+from twisted.application.internet import TimerService
 from twisted.application.service import MultiService
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorFromThreads
+from twisted.web.server import Request
 
 from onyxspoke.cli.process import ProcessRunner, configure_logging, make_parser
 from onyxspoke.core.codes import ExitCode
 from onyxspoke.core.shard.election import NodeIdentity
 from onyxspoke.net.bounded_http import BoundedSite, HttpLimits
+from onyxspoke.net.http import CodedResource
 from onyxspoke.net.http_client import HttpClient
+from onyxspoke.net.log_stream import BoundedLogStream
 from onyxspoke.net.network import Network, TcpEndpoints
 from onyxspoke.net.reactor_clock import MonotonicClock
+from onyxspoke.node.metrics import CONTENT_TYPE, NodeMetrics
 from onyxspoke.node.node import Node, NodePorts
 from onyxspoke.node.planned_stop import PlannedStop
 from onyxspoke.node.settings import NodeSettings, SettingsError
@@ -40,6 +45,12 @@
 CONNECT_SECONDS = 0.5
 LIFE_BYTES = 6
 MAXIMUM_CONNECTIONS = 3_000
+#: As ``metrics`` in the deploy file says.
+METRICS_PORT = 9_464
+#: A body may take so long after the time of its head.
+BODY_SECONDS = 4.0
+#: Log lines are written so often.
+DRAIN_SECONDS = 0.02
 _MILLISECONDS = 1_000.0
 
 
@@ -61,8 +72,11 @@
     if arguments.check:
         print(f"{arguments.config}: valid")
         sys.exit(ExitCode.OK)
-    configure_logging(settings.node.node_name, verbose=arguments.verbose, stream=sys.stdout)
-    sys.exit(run(settings, Path(arguments.config)))
+    lines = BoundedLogStream(sys.stdout.fileno())
+    configure_logging(settings.node.node_name, verbose=arguments.verbose, stream=lines)
+    exit_code = run(settings, Path(arguments.config), lines)
+    lines.drain()
+    sys.exit(exit_code)
 
 
 def load_or_exit(path: Path) -> PlatformSettings:
@@ -109,18 +123,27 @@
 class NodeService(MultiService):
     """The node with its server sockets."""
 
-    def __init__(self, node: Node, settings: NodeSettings, network_endpoints: TcpEndpoints) -> None:
+    def __init__(
+        self,
+        node: Node,
+        settings: NodeSettings,
+        network_endpoints: TcpEndpoints,
+        lines: BoundedLogStream,
+    ) -> None:
         super().__init__()
         self._node = node
         self._settings = settings
         self._endpoints = network_endpoints
+        self._lines = lines
         node.setServiceParent(self)
+        TimerService(DRAIN_SECONDS, lines.drain).setServiceParent(self)
 
     def listen(self) -> Deferred[Any]:
         """Open every server socket."""
         listening = self._node.listen()
         listening.addCallback(lambda _port: self._listen_callers())
         listening.addCallback(lambda _port: self._listen_readiness())
+        listening.addCallback(lambda _port: self._listen_metrics())
         return listening
 
     def _listen_callers(self) -> Deferred[Any]:
@@ -135,6 +158,32 @@
         address = self._settings.readiness
         return self._endpoints.server(address.host, address.port).listen(site)
 
+    def _listen_metrics(self) -> Deferred[Any]:
+        root = CodedResource()
+        root.putChild(b"metrics", MetricsResource(self._node.metrics, self._lines))
+        site = BoundedSite(root, reactor, HttpLimits())
+        return self._endpoints.server(self._settings.host, METRICS_PORT).listen(site)
+
+
+class MetricsResource(CodedResource):
+    """``GET /metrics``: the node's figures as text."""
+
+    isLeaf = True
+
+    def __init__(self, metrics: NodeMetrics, lines: BoundedLogStream) -> None:
+        super().__init__()
+        self._metrics = metrics
+        self._lines = lines
+
+    def handle_get(self, request: Request) -> None:
+        """Tell the figures."""
+        self._metrics.set_log_lines(self._lines.written, self._lines.dropped)
+        body = self._metrics.render()
+        request.setHeader(b"content-type", CONTENT_TYPE)
+        request.setHeader(b"content-length", str(len(body)).encode())
+        request.write(body)
+        request.finish()
+
 
 def apply_limits(limits: HttpLimits, configuration: CellConfiguration) -> None:
     """Have the callers' site keep the bounds of a configuration."""
@@ -143,7 +192,7 @@
     limits.body_bytes = bounds.body_bytes
     limits.header_seconds = bounds.header_timeout_ms / _MILLISECONDS
     limits.idle_seconds = bounds.idle_timeout_ms / _MILLISECONDS
-    limits.read_seconds = max(limits.header_seconds, limits.idle_seconds)
+    limits.read_seconds = limits.header_seconds + BODY_SECONDS
 
 
 def reload_settings(node: Node, path: Path) -> None:
@@ -157,10 +206,10 @@
     logging.info("event=reloaded seeds=%d", len(settings.node.seeds))
 
 
-def run(settings: PlatformSettings, path: Path) -> ExitCode:
+def run(settings: PlatformSettings, path: Path, lines: BoundedLogStream) -> ExitCode:
     """Run a node until it is stopped."""
     node = make_node(settings)
-    service = NodeService(node, settings.node, TcpEndpoints(reactor, CONNECT_SECONDS))
+    service = NodeService(node, settings.node, TcpEndpoints(reactor, CONNECT_SECONDS), lines)
     runner = ProcessRunner(service)
 
     stop = PlannedStop(node, reactor, lambda: len(node.router), runner.stop)
--- a/src/onyxspoke/cli/process.py
+++ b/src/onyxspoke/cli/process.py
@@ -7,7 +7,7 @@
 import logging as standard_logging
 import sys
 import time
-from typing import Any, TextIO
+from typing import Any, Protocol
 
 from absl import flags, logging
 from twisted.application.service import Service
@@ -23,6 +23,16 @@
 GARBAGE_COLLECTION_THRESHOLDS = (2_000, 10, 100)
 
 
+class LogStream(Protocol):
+    """Where log lines go."""
+
+    def write(self, text: str, /) -> int:
+        """Take a line."""
+
+    def flush(self) -> None:
+        """Write what was taken."""
+
+
 class KeyValueFormatter(standard_logging.Formatter):
     """One line of key=value pairs for each event."""
 
@@ -43,7 +53,7 @@
         return line
 
 
-def configure_logging(process_name: str, *, verbose: bool, stream: TextIO | None = None) -> None:
+def configure_logging(process_name: str, *, verbose: bool, stream: LogStream | None = None) -> None:
     """Send log lines to a stream; by default to standard error."""
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
--- a/src/onyxspoke/core/placement/workers.py
+++ b/src/onyxspoke/core/placement/workers.py
@@ -254,6 +254,10 @@
             if worker.record.service == service and worker.is_offered(now)
         ]
 
+    def run_count(self) -> int:
+        """Return how many runs hold room."""
+        return sum(len(worker.runs) for worker in self.workers.values())
+
     def unsettled(self) -> list[Worker]:
         """Return workers that may run what a former holder started there."""
         return [
--- a/src/onyxspoke/core/shard/calls.py
+++ b/src/onyxspoke/core/shard/calls.py
@@ -35,6 +35,28 @@
 
 Call = SubmitCall | CancelCall | StateCall | WaitingCall
 
+#: Names of the calls in logs and figures.
+CALL_NAMES: dict[type[Call], str] = {
+    SubmitCall: "submit",
+    CancelCall: "cancel",
+    StateCall: "state",
+    WaitingCall: "waiting",
+}
+
+
+def job_of(call: Call) -> JobId:
+    """Return the job that a call is about, or nothing."""
+    if isinstance(call, SubmitCall):
+        return call.job.job_id
+    return "" if isinstance(call, WaitingCall) else call.job_id
+
+
+def queue_of(call: Call) -> str:
+    """Return the queue that a call names, or nothing."""
+    if isinstance(call, SubmitCall):
+        return call.job.queue.name
+    return call.queue if isinstance(call, WaitingCall) else ""
+
 
 class ReplyCode(Enum):
     """What a holder replies.
--- a/src/onyxspoke/core/shard/run_keeper.py
+++ b/src/onyxspoke/core/shard/run_keeper.py
@@ -68,6 +68,16 @@
         worker.extend_lease(run.until_ms)
         context.book.task_started(task, now)
         job = task.step.job
+        context.log(
+            "run_start",
+            worker=worker.worker_id,
+            task=_name(run.key),
+            run=number,
+            waited_ms=int((now - task.step.ready_at) * _MILLISECONDS),
+            free_cpu=worker.free_processors,
+            look_age_ms=int((now - worker.answered_at) * _MILLISECONDS),
+            policy=context.policy.version,
+        )
         context.emit(
             SendStart(
                 address=address_of(worker),
--- a/src/onyxspoke/net/bounded_http.py
+++ b/src/onyxspoke/net/bounded_http.py
@@ -181,6 +181,8 @@
 
 def refuse_and_close(channel: HTTPChannel, code: ResultCode) -> None:
     """Answer with a coded error at once and close the connection."""
+    if getattr(channel.transport, "disconnecting", False):
+        return
     transport = cast("ITransport", channel.transport)
     body = encode_error(code)
     status = f"HTTP/1.1 {http_status(code)} {code.name}\r\n".encode()
--- /dev/null
+++ b/src/onyxspoke/net/log_stream.py
@@ -0,0 +1,81 @@
+"""A log's stream that never blocks: bounded in lines a second and in bytes not yet written."""
+
+from __future__ import annotations
+
+import os
+import time
+from collections.abc import Callable
+
+#: Lines a second at most; a burst may use the room of the second before.
+LINES_PER_SECOND = 1_500
+BURST_LINES = 3_000
+#: Bytes that wait to be written at most.
+MAXIMUM_WAITING_BYTES = 512 * 1024
+#: Bytes after which a write is tried at once.
+EAGER_BYTES = 32 * 1024
+
+
+class BoundedLogStream:
+    """Looks like a text stream to a log handler; lines over the bounds are counted instead.
+
+    Parameters
+    ----------
+    file_descriptor : int
+        Where lines go; it is made non-blocking.
+    clock : callable
+        Returns steady seconds.
+    """
+
+    def __init__(self, file_descriptor: int, clock: Callable[[], float] = time.monotonic) -> None:
+        os.set_blocking(file_descriptor, False)
+        self._file_descriptor = file_descriptor
+        self._clock = clock
+        self._waiting = bytearray()
+        self._allowance = float(BURST_LINES)
+        self._refilled_at = clock()
+        self.written = 0
+        self.dropped = 0
+        self._reported = 0
+
+    def write(self, text: str) -> int:
+        """Take a line, or count it as dropped."""
+        if not self._may_take(len(text)):
+            self.dropped += 1
+            return len(text)
+        self.written += 1
+        self._waiting += text.encode("utf-8", "replace")
+        if len(self._waiting) >= EAGER_BYTES:
+            self.drain()
+        return len(text)
+
+    def flush(self) -> None:
+        """Do nothing: lines are written by :meth:`drain`."""
+
+    def drain(self) -> None:
+        """Write what the reader takes now."""
+        if self.dropped > self._reported and self._waiting_room():
+            count = self.dropped - self._reported
+            self._reported = self.dropped
+            self._waiting += f"event=log_lines_dropped count={count}\n".encode()
+        while self._waiting:
+            try:
+                written = os.write(self._file_descriptor, self._waiting)
+            except BlockingIOError:
+                return
+            except OSError:
+                self._waiting.clear()
+                return
+            del self._waiting[:written]
+
+    def _may_take(self, length: int) -> bool:
+        now = self._clock()
+        gained = (now - self._refilled_at) * LINES_PER_SECOND
+        self._allowance = min(BURST_LINES, self._allowance + gained)
+        self._refilled_at = now
+        if self._allowance < 1 or len(self._waiting) + length > MAXIMUM_WAITING_BYTES:
+            return False
+        self._allowance -= 1
+        return True
+
+    def _waiting_room(self) -> bool:
+        return len(self._waiting) < MAXIMUM_WAITING_BYTES // 2
--- /dev/null
+++ b/src/onyxspoke/node/metrics.py
@@ -0,0 +1,55 @@
+"""Counters and latency histograms of a node, told in the text form of Prometheus."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+#: Upper bounds of the histograms' buckets, in seconds.
+BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0)
+CONTENT_TYPE = b"text/plain; version=0.0.4"
+
+
+class NodeMetrics:
+    """The figures of one node; one registry for each, so that many live in one process."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        registry = self._registry
+        self.decisions = Counter(
+            "onyxspoke_decisions", "Decisions and beliefs, by event", ["event"], registry=registry
+        )
+        self.replies = Counter(
+            "onyxspoke_replies", "Replies to callers, by call and code", ["call", "code"],
+            registry=registry,
+        )  # fmt: skip
+        self.reply_seconds = Histogram(
+            "onyxspoke_reply_seconds", "Time to a reply, by queue and call", ["queue", "call"],
+            buckets=BUCKETS, registry=registry,
+        )  # fmt: skip
+        self.job_seconds = Histogram(
+            "onyxspoke_job_seconds", "Time from acceptance to the end, by queue and state",
+            ["queue", "state"], buckets=BUCKETS, registry=registry,
+        )  # fmt: skip
+        self.wait_seconds = Histogram(
+            "onyxspoke_first_start_seconds", "Time from acceptance to the first start, by queue",
+            ["queue"], buckets=BUCKETS, registry=registry,
+        )  # fmt: skip
+        self.holding = Gauge("onyxspoke_shards_held", "Shards held", registry=registry)
+        self.ready = Gauge("onyxspoke_ready", "Whether callers are served", registry=registry)
+        self.store = Gauge(
+            "onyxspoke_store_reachable", "Whether the store serves this node", registry=registry
+        )
+        self.jobs = Gauge("onyxspoke_jobs", "Jobs known to the holder", registry=registry)
+        self.runs = Gauge("onyxspoke_runs", "Runs holding room", registry=registry)
+        self._lines = Gauge(
+            "onyxspoke_log_lines", "Log lines, by fate", ["fate"], registry=registry
+        )
+
+    def set_log_lines(self, written: int, dropped: int) -> None:
+        """Take the log's counts."""
+        self._lines.labels("written").set(written)
+        self._lines.labels("dropped").set(dropped)
+
+    def render(self) -> bytes:
+        """Return all figures as text."""
+        return generate_latest(self._registry)
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -15,7 +15,7 @@
 
 from onyxspoke.core.routing import RouteTable
 from onyxspoke.core.shard.actions import AskAdvice, StepDownReason
-from onyxspoke.core.shard.calls import Call, CallReply, ReplyCode
+from onyxspoke.core.shard.calls import CALL_NAMES, Call, CallReply, ReplyCode, job_of, queue_of
 from onyxspoke.core.shard.election import LossReason, NodeIdentity
 from onyxspoke.core.shard.log_records import ClaimRecord, ShardId
 from onyxspoke.core.shard.orders import AdviceOutcome, AdviceResult
@@ -35,6 +35,7 @@
     NodeMessage,
     Status,
 )
+from onyxspoke.node.metrics import NodeMetrics
 from onyxspoke.node.peers import PeerLink, PeerLinks
 from onyxspoke.node.seat import ShardSeat
 from onyxspoke.node.settings import NodeSettings
@@ -121,6 +122,7 @@
         self.configuration: CellConfiguration | None = None
         self.routes = RouteTable([])
         self.is_stopping = False
+        self.metrics = NodeMetrics()
         self._network = network
         self._clock = clock
         self._wall_ms = wall_ms
@@ -138,6 +140,7 @@
             ports.orders,
             ports.directory,
             self,
+            self.metrics,
         )
         self.seats: dict[ShardId, ShardSeat] = {FIRST_SHARD: seat}
         self._wakes: dict[ShardId, IDelayedCall] = {}
@@ -207,7 +210,24 @@
     def submit_call(self, job_id: str, call: Call, on_reply: OnReply, seconds: float) -> None:
         """Carry a client's call to the holder of the job's shard."""
         now = self._clock.now()
-        self.router.submit(self._shard_of(job_id), call, on_reply, now, now + seconds)
+        take = partial(self._finish_call, call, on_reply, now)
+        self.router.submit(self._shard_of(job_id), call, take, now, now + seconds)
+
+    def _finish_call(self, call: Call, on_reply: OnReply, since: float, reply: CallReply) -> None:
+        name = CALL_NAMES[type(call)]
+        self.metrics.replies.labels(name, reply.code.value).inc()
+        seconds = self._clock.now() - since
+        self.metrics.reply_seconds.labels(queue_of(call), name).observe(seconds)
+        if reply.code in (ReplyCode.REFUSED, ReplyCode.UNKNOWN):
+            logging.info(
+                "event=call_given_up call=%s job=%s code=%s reason=%s seconds=%.3f",
+                name,
+                job_of(call),
+                reply.code.value,
+                reply.reason,
+                seconds,
+            )
+        on_reply(reply)
 
     def _shard_of(self, _job_id: str) -> ShardId:
         return FIRST_SHARD
@@ -414,6 +434,7 @@
             seat.tick(wall_ms)
         self._hand_over_if_turned_away(now)
         self._note_if_nobody_reaches_store(now)
+        self._set_gauges()
         self.peers.end_silent(now)
         self.store.keep(now)
         self.router.keep(now)
@@ -450,6 +471,14 @@
         for seat in self.seats.values():
             seat.note_store_unreachable(now + FRESH_SECONDS)
 
+    def _set_gauges(self) -> None:
+        held = [seat.scheduler for seat in self.seats.values() if seat.is_holding]
+        self.metrics.holding.set(len(held))
+        self.metrics.ready.set(self.is_ready)
+        self.metrics.store.set(self.store.is_reachable)
+        self.metrics.jobs.set(sum(len(item.context.book.jobs) for item in held if item))
+        self.metrics.runs.set(sum(item.context.table.run_count() for item in held if item))
+
     def _send_heartbeats(self) -> None:
         status = self._status()
         for link in self.peers.up_links():
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -47,6 +47,7 @@
 )
 from onyxspoke.core.shard.orders import AdviceResult
 from onyxspoke.core.shard.scheduler import ShardScheduler
+from onyxspoke.node.metrics import NodeMetrics
 from onyxspoke.ports.clock import Clock
 from onyxspoke.ports.shard_log import ShardLogPort
 from onyxspoke.ports.worker_directory import WorkerDirectoryPort
@@ -98,6 +99,8 @@
         The store, the workers and their directory.
     listener : SeatListener
         The node.
+    metrics : NodeMetrics
+        Counts decisions.
     """
 
     def __init__(
@@ -111,8 +114,10 @@
         orders: WorkerOrdersPort,
         directory: WorkerDirectoryPort,
         listener: SeatListener,
+        metrics: NodeMetrics,
     ) -> None:
         self.shard = shard
+        self._metrics = metrics
         self._options = options
         self._clock = clock
         self._store = store
@@ -127,7 +132,7 @@
         self._last_call_id = 0
         self._is_ready = False
         self._handlers: dict[type[ShardAction], Callable[[ShardScheduler, Any], None]] = {
-            Decision: lambda _scheduler, action: _log_decision(shard, action),
+            Decision: lambda _scheduler, action: self._log_decision(action),
             SendHold: self._send_hold,
             SendStart: self._send_start,
             SendStop: self._send_stop,
@@ -338,6 +343,11 @@
         if on_reply is not None:
             on_reply(action.reply)
 
+    def _log_decision(self, decision: Decision) -> None:
+        self._metrics.decisions.labels(decision.event).inc()
+        fields = " ".join(f"{name}={value}" for name, value in decision.fields)
+        logging.info("event=%s shard=%d %s", decision.event, self.shard, fields)
+
     def _send_hold(self, scheduler: ShardScheduler, action: SendHold) -> None:
         worker_id = action.address.worker_id
         self._orders.hold(
@@ -394,8 +404,3 @@
     def is_following(self) -> bool:
         """Whether the holder is another node that answers."""
         return self.election.state is ElectionState.FOLLOWING
-
-
-def _log_decision(shard: ShardId, decision: Decision) -> None:
-    fields = " ".join(f"{name}={value}" for name, value in decision.fields)
-    logging.info("event=%s shard=%d %s", decision.event, shard, fields)
