The product's own interface of a node, onyxspokectl steps/node/explain-log, paces, tests

- /v1 on the operator port hands in, shows, cancels and counts the same jobs; status.
- explain-log follows one name through the logs of all nodes.
- Tasks that fill are slowed by the tails of what serves beside them.

--- /dev/null
+++ b/features/node_tools.feature
@@ -0,0 +1,112 @@
+Feature: The parts of a product around a node: interface, settings, logs, tools
+
+  Scenario: The product's own interface hands in the same jobs
+    Given a running cluster with the product's own interface
+    When an operator posts to "/v1/queues/normal/jobs/00000000000000d1"
+      """
+      {"payload":"plan","steps":[{"task_count":2,"processors_milli":500,"memory_mb":64,"estimated_ms":300}]}
+      """
+    And 6 seconds pass in the cluster
+    And an operator gets "/v1/jobs/00000000000000d1"
+    And 0.5 seconds pass in the cluster
+    Then the front's answer has status 200 and the field "state" is "completed"
+
+  Scenario Outline: The product's own interface refuses with a code
+    Given a running cluster with the product's own interface
+    When an operator posts to "<path>" the body <body>
+    Then the front's answer has status <status> and code <code>
+
+    Examples:
+      | path                                      | body                                        | status | code |
+      | /v1/queues/nothing/jobs/00000000000000d1  | {"payload":"x","steps":[{"task_count":1}]}  | 404    | 212  |
+      | /v1/queues/normal/jobs/00000000000000d1   | {"payload":"x","steps":[{"tasks":1}]}       | 400    | 200  |
+      | /v1/queues/normal/jobs/zz                 | {"payload":"x","steps":[{"task_count":1}]}  | 400    | 200  |
+      | /v1/queues/normal                         | {}                                          | 404    | 205  |
+
+  Scenario: A node tells what it knows
+    Given a running cluster with the product's own interface
+    When an operator gets "/v1/status"
+    Then the front's answer has status 200 and the field "is_ready" is "True"
+    And it names 1 shard and its holder
+
+  Scenario: Every fault of a settings file is named
+    When the settings are read
+      """
+      nodeName=front-1
+      ip=10.1.0.13
+      zone=z
+      bindAddresses.front=10.1.0.13
+      bindAddresses.readiness=10.1.0.13:8167
+      internalPortRange=7720,7721
+      limits.cpuShare=much
+      limits.cores=2
+      platform.address=10.200.1.7:8169
+      platform.parts=0
+      """
+    Then the settings' faults name
+      | fault                                         |
+      | internalPortRange: needs 3 ports              |
+      | bindAddresses.front: expected HOST:PORT       |
+      | limits.cpuShare: expected a number            |
+      | platform.parts: 0 is not within 1             |
+      | bounds.graceS: missing                        |
+      | bounds.maxHoldMs: missing                     |
+      | heartbeatMs: missing                          |
+
+  Scenario: A whole settings file is read, and what is not known is passed over
+    When the settings are read
+      """
+      nodeName=front-hala-sever-1
+      ip=10.1.0.13
+      zone=hala-sever
+      bindAddresses.front=10.1.0.13:8161
+      bindAddresses.readiness=10.1.0.13:8167
+      internalPortRange=7720,7735
+      seeds=10.1.0.13:8166,10.2.0.30:8166
+      limits.cpuShare=0.537
+      limits.cores=2
+      heartbeatMs=1500
+      bounds.graceS=6
+      bounds.maxHoldMs=6000
+      bounds.stopGraceMs=200
+      bounds.status_s=120
+      advice=10.200.1.9:8169
+      platform.address=10.200.1.7:8169
+      platform.parts=24
+      platform.record_bytes=262144
+      platform.call_bytes=2097152
+      cloudApi.address=10.200.0.79:8169
+      unknown.field=7
+      """
+    Then the node "front-hala-sever-1" has peers at port 7720, metrics at 9464 and seeds "10.1.0.13,10.2.0.30"
+
+  Scenario: A log never blocks, and says what it dropped
+    Given a log stream to a pipe that nobody reads
+    When 20000 lines of 100 bytes are written at once
+    Then the writer was not held up, and at most 3000 lines were taken
+    When the pipe is read and 10 seconds pass
+    Then the log says how many lines it dropped
+
+  Scenario: One name is followed through the logs of several nodes
+    Given logs of two nodes
+      """
+      time=2026-12-02T12:00:01.000Z level=info process=a event=job_taken shard=0 job=00000000000000e1
+      time=2026-12-02T12:00:03.000Z level=info process=b event=run_adopted shard=0 task=00000000000000e1.0.0.0
+      time=2026-12-02T12:00:02.000Z level=info process=a event=stopping requests=0
+      time=2026-12-02T12:00:02.500Z level=info process=b event=job_taken shard=0 job=00000000000000e2
+      a line that is none of ours
+      """
+    When "00000000000000e1" is explained with changes of belief
+    Then the events shown are "job_taken stopping run_adopted"
+
+  Scenario: What fills is slowed before what serves is over its target for long
+    When a serving task with target 100 ms runs for 30 seconds beside 3 tasks that fill and disturb
+    Then its tail is never over the target for 4 seconds in a row
+    And what fills gets some work done
+
+  Scenario: A worker that fails everything is avoided after two jobs, then tried again
+    Given a worker's record of its runs
+    When runs of the jobs "a" and "b" fail there
+    Then it is avoided for 1.5 seconds, and then on trial
+    When a run ends well there
+    Then it is neither avoided nor on trial
--- /dev/null
+++ b/features/steps/node_tools_steps.py
@@ -0,0 +1,190 @@
+"""Steps for the parts of a product around a node."""
+
+import os
+import time
+
+from behave import given, then, when
+from job_ingress_steps import _cluster, _send
+
+from onyxspoke.cli.explain_log import parse_line, select_lines
+from onyxspoke.cli.node import METRICS_PORT
+from onyxspoke.core.placement.health import WorkerHealth
+from onyxspoke.core.placement.pacing import WorkerPace
+from onyxspoke.net.log_stream import BoundedLogStream
+from onyxspoke.node.operator_api import make_operator_site
+from onyxspoke.node.settings import SettingsError
+from onyxspoke.platform.settings import parse_settings
+
+LINE = "x" * 99 + "\n"
+
+
+@given("a running cluster with the product's own interface")
+def _operators(context):
+    _cluster(context)
+    context.site = make_operator_site(context.simulated.node, context.simulated.process.reactor)
+
+
+@when('an operator posts to "{path}"')
+def _operator_posts(context, path):
+    _send(context, f"POST {path}", context.text)
+
+
+@when('an operator posts to "{path}" the body {body}')
+def _operator_posts_body(context, path, body):
+    _send(context, f"POST {path}", body)
+
+
+@when('an operator gets "{path}"')
+def _operator_gets(context, path):
+    _send(context, f"GET {path}")
+
+
+@then("it names {count:d} shard and its holder")
+def _names_holder(context, count):
+    shards = context.exchange.body["shards"]
+    assert len(shards) == count
+    assert shards[0]["holder"] == context.cluster.holder().node.identity.life
+
+
+@when("the settings are read")
+def _read_settings(context):
+    try:
+        context.settings = parse_settings(context.text)
+        context.faults = []
+    except SettingsError as error:
+        context.faults = error.faults
+
+
+@then("the settings' faults name")
+def _faults(context):
+    for row in context.table:
+        assert any(fault.startswith(row["fault"]) for fault in context.faults), (
+            row["fault"],
+            context.faults,
+        )
+
+
+@then('the node "{name}" has peers at port {port:d}, metrics at {metrics:d} and seeds "{seeds}"')
+def _settings(context, name, port, metrics, seeds):
+    assert not context.faults, context.faults
+    node = context.settings.node
+    assert (node.node_name, node.peer_port) == (name, port)
+    assert ",".join(node.seeds) == seeds
+    assert metrics == METRICS_PORT
+
+
+@given("a log stream to a pipe that nobody reads")
+def _pipe(context):
+    context.reader, writer = os.pipe()
+    context.now = 100.0
+    context.stream = BoundedLogStream(writer, lambda: context.now)
+
+
+@when("{count:d} lines of 100 bytes are written at once")
+def _write_lines(context, count):
+    context.began = time.monotonic()
+    for _ in range(count):
+        context.stream.write(LINE)
+    context.stream.drain()
+
+
+@then("the writer was not held up, and at most {count:d} lines were taken")
+def _not_held_up(context, count):
+    assert context.stream.written <= count
+    assert context.stream.written + context.stream.dropped == 20_000
+
+
+@when("the pipe is read and {seconds:d} seconds pass")
+def _read_pipe(context, seconds):
+    context.now += seconds
+    os.set_blocking(context.reader, False)
+    context.text_read = b""
+    for _ in range(100):
+        context.stream.drain()
+        try:
+            context.text_read += os.read(context.reader, 1 << 20)
+        except BlockingIOError:
+            break
+
+
+@then("the log says how many lines it dropped")
+def _says_dropped(context):
+    expected = f"event=log_lines_dropped count={context.stream.dropped}".encode()
+    assert expected in context.text_read
+
+
+@given("logs of two nodes")
+def _logs(context):
+    lines = [parse_line(text) for text in context.text.splitlines()]
+    context.lines = sorted((line for line in lines if line), key=lambda line: line.moment)
+
+
+@when('"{name}" is explained with changes of belief')
+def _explain(context, name):
+    context.shown = select_lines(context.lines, name, with_beliefs=True)
+
+
+@then('the events shown are "{events}"')
+def _events(context, events):
+    assert [line.event for line in context.shown] == events.split()
+
+
+@when(
+    "a serving task with target {target:d} ms runs for {seconds:d} seconds beside {count:d} tasks"
+    " that fill and disturb"
+)
+def _serve_beside(context, target, seconds, count):
+    """Play the worker's reaction: the tail follows the pace, half a second late."""
+    pace = WorkerPace()
+    context.longest_over = context.work = 0.0
+    over = 0.0
+    figures = [pace.percent] * 5
+    step = 0.1
+    for index in range(int(seconds / step)):
+        disturbed = sum(figures) / len(figures)
+        tail = 40 + count * 0.5 * disturbed
+        over = over + step if tail > target else 0.0
+        context.longest_over = max(context.longest_over, over)
+        if index % 3 == 0:
+            pace.adapt(tail / target, 10.0 + index * step)
+        figures = [*figures[1:], pace.percent]
+        context.work += pace.percent * step
+
+
+@then("its tail is never over the target for {seconds:d} seconds in a row")
+def _never_over(context, seconds):
+    assert context.longest_over < seconds, context.longest_over
+
+
+@then("what fills gets some work done")
+def _fills(context):
+    assert context.work > 0
+
+
+@given("a worker's record of its runs")
+def _health(context):
+    context.health = WorkerHealth()
+
+
+@when('runs of the jobs "{first}" and "{second}" fail there')
+def _fail(context, first, second):
+    context.health.note_failure(first, 100.0)
+    context.health.note_failure(second, 100.0)
+
+
+@then("it is avoided for {seconds:g} seconds, and then on trial")
+def _avoided(context, seconds):
+    assert context.health.is_avoided(100.0 + seconds - 0.01)
+    assert not context.health.is_avoided(100.0 + seconds)
+    assert context.health.is_on_trial(100.0 + seconds)
+
+
+@when("a run ends well there")
+def _ends_well(context):
+    context.health.note_success()
+
+
+@then("it is neither avoided nor on trial")
+def _is_well(context):
+    assert not context.health.is_avoided(101.0)
+    assert not context.health.is_on_trial(101.0)
--- a/src/onyxspoke/cli/control.py
+++ b/src/onyxspoke/cli/control.py
@@ -14,6 +14,8 @@
 from onyxspoke.cli.api_client import ApiClient, ApiError
 from onyxspoke.cli.common import exit_after_check, load_or_exit, make_parser
 from onyxspoke.cli.config_commands import add_config_commands
+from onyxspoke.cli.explain_log import add_explain_command
+from onyxspoke.cli.step_commands import add_step_commands
 from onyxspoke.cli.tables import print_json, print_table
 from onyxspoke.core.codes import ExitCode
 from onyxspoke.entry.caller_api import SubmitBody
@@ -46,7 +48,7 @@
 def _make_parser() -> argparse.ArgumentParser:
     parser = make_parser("onyxspokectl", "Look at and steer a cell, and submit work to it.")
     parser.add_argument(
-        "--entry", default=DEFAULT_ENTRY, metavar="URL", help="an entry or the balancer"
+        "--entry", default=DEFAULT_ENTRY, metavar="URL", help="an entry, the balancer, or a node"
     )
     parser.add_argument("--config", type=Path, metavar="FILE.yaml", help="settings file to check")
     parser.add_argument("--check", action="store_true", help="check the settings and exit")
@@ -59,6 +61,8 @@
     _add_job(commands)
     _add_drain(commands)
     add_config_commands(commands)
+    add_step_commands(commands)
+    add_explain_command(commands)
     return parser
 
 
--- a/src/onyxspoke/cli/node.py
+++ b/src/onyxspoke/cli/node.py
@@ -31,6 +31,7 @@
 from onyxspoke.net.reactor_clock import MonotonicClock
 from onyxspoke.node.metrics import CONTENT_TYPE, NodeMetrics
 from onyxspoke.node.node import Node, NodePorts
+from onyxspoke.node.operator_api import make_operator_site
 from onyxspoke.node.planned_stop import PlannedStop
 from onyxspoke.node.settings import NodeSettings, SettingsError
 from onyxspoke.platform.advice import AdviceClient
@@ -144,6 +145,7 @@
         listening.addCallback(lambda _port: self._listen_callers())
         listening.addCallback(lambda _port: self._listen_readiness())
         listening.addCallback(lambda _port: self._listen_metrics())
+        listening.addCallback(lambda _port: self._listen_operators())
         return listening
 
     def _listen_callers(self) -> Deferred[Any]:
@@ -158,6 +160,11 @@
         address = self._settings.readiness
         return self._endpoints.server(address.host, address.port).listen(site)
 
+    def _listen_operators(self) -> Deferred[Any]:
+        site = make_operator_site(self._node, reactor)
+        own = self._settings
+        return self._endpoints.server(own.host, own.operator_port).listen(site)
+
     def _listen_metrics(self) -> Deferred[Any]:
         root = CodedResource()
         root.putChild(b"metrics", MetricsResource(self._node.metrics, self._lines))
--- a/src/onyxspoke/core/codes.py
+++ b/src/onyxspoke/core/codes.py
@@ -38,6 +38,7 @@
     KEY_REUSED = 209
     NEVER_FITS = 210
     REQUEST_TIMEOUT = 211
+    NO_SUCH_QUEUE = 212
 
     NO_CAPACITY = 300
     QUEUE_FULL = 301
@@ -51,6 +52,7 @@
     TOO_MANY_CONNECTIONS = 309
     PEER_UNREACHABLE = 310
     WORKER_LEAVING = 311
+    NO_HOLDER = 312
 
     WORKER_LOST = 400
     PEER_LOST = 401
@@ -59,6 +61,7 @@
     KEY_HOLDER_UNREACHABLE = 404
     TASK_FAILED = 405
     KEY_STATE_UNKNOWN = 406
+    HOLDER_UNKNOWN = 407
 
     SETTING_CONFLICT = 500
     SETTING_INVALID = 501
@@ -84,6 +87,7 @@
     ResultCode.KEY_REUSED: "The idempotency key was used before with a different request.",
     ResultCode.NEVER_FITS: "No worker of the cell could ever hold a task of this size.",
     ResultCode.REQUEST_TIMEOUT: "The request was not received completely in time.",
+    ResultCode.NO_SUCH_QUEUE: "The queue is not in the configuration.",
     ResultCode.NO_CAPACITY: "No worker has room now.",
     ResultCode.QUEUE_FULL: "The waiting queue is at its bound.",
     ResultCode.DEADLINE_EXPIRED: "The deadline passed, or cannot be met, before a worker was free.",
@@ -96,6 +100,7 @@
     ResultCode.TOO_MANY_CONNECTIONS: "The worker or entry has no connection left.",
     ResultCode.PEER_UNREACHABLE: "The peer could not be reached before anything was sent.",
     ResultCode.WORKER_LEAVING: "The worker is leaving and takes no new work.",
+    ResultCode.NO_HOLDER: "No node can take the job now; it was not taken and never runs.",
     ResultCode.WORKER_LOST: "The worker was lost after the task was sent to it.",
     ResultCode.PEER_LOST: "The peer entry was lost after the request was forwarded.",
     ResultCode.ANSWER_OVERDUE: "The task was sent; no answer came within the grace period.",
@@ -105,6 +110,7 @@
     ResultCode.KEY_STATE_UNKNOWN: (
         "The log is away, so it cannot be told whether the key has run; ask again."
     ),
+    ResultCode.HOLDER_UNKNOWN: "The call may have reached a holder; ask again.",
     ResultCode.SETTING_CONFLICT: "Another change was accepted first; the winning value is given.",
     ResultCode.SETTING_INVALID: "The setting's key or value is not allowed by the schema.",
     ResultCode.SETTINGS_FILE_INVALID: "The settings file has faults; each one is listed.",
@@ -119,6 +125,7 @@
     ResultCode.BODY_TOO_LARGE: 413,
     ResultCode.NO_SUCH_JOB: 404,
     ResultCode.NO_SUCH_PATH: 404,
+    ResultCode.NO_SUCH_QUEUE: 404,
     ResultCode.NO_SUCH_WORKER: 404,
     ResultCode.METHOD_NOT_ALLOWED: 405,
     ResultCode.REQUEST_TIMEOUT: 408,
--- a/src/onyxspoke/core/placement/runs.py
+++ b/src/onyxspoke/core/placement/runs.py
@@ -57,8 +57,8 @@
         When the percentage last rose.
     usage : int
         Rough figure of the worker: processors in use, or the tail of answer times.
-    settle_step : int
-        How many looks and stops have been sent to settle an unanswered order.
+    pace_percent, pace_wanted : int
+        Share at which the run may work: as acknowledged, and as last ordered.
     """
 
     __slots__ = (
@@ -67,6 +67,9 @@
         "moved_at",
         "needs",
         "number",
+        "pace_percent",
+        "pace_sent_at",
+        "pace_wanted",
         "percent",
         "sent_at",
         "state",
@@ -100,6 +103,9 @@
         self.percent = 0
         self.moved_at = now
         self.usage = 0
+        self.pace_percent = 100
+        self.pace_wanted = 100
+        self.pace_sent_at = 0.0
         if gang is not None:
             gang.members.append(self)
 
--- a/src/onyxspoke/core/placement/workers.py
+++ b/src/onyxspoke/core/placement/workers.py
@@ -8,8 +8,9 @@
 import msgspec
 
 from onyxspoke.core.jobs.model import Needs, RunKey, WorkerId
-from onyxspoke.core.jobs.states import RunEnd
+from onyxspoke.core.jobs.states import RunEnd, RunState
 from onyxspoke.core.placement.health import WorkerHealth
+from onyxspoke.core.placement.pacing import FULL_PERCENT, WorkerPace
 from onyxspoke.core.placement.runs import Run
 
 _MILLISECONDS = 1_000.0
@@ -156,6 +157,7 @@
         self.clock = WorkerClock()
         self.runs: dict[RunKey, Run] = {}
         self.health = WorkerHealth()
+        self.pace = WorkerPace()
         self.strays: dict[RunKey, float] = {}
         self.free_processors = record.capacity.processors_milli
         self.free_memory = record.capacity.memory_mb
@@ -223,6 +225,32 @@
         self.free_memory += run.needs.memory_mb
         self.free_accelerators += run.needs.accelerators
 
+    def has_fillers(self) -> bool:
+        """Return whether something fills here beside something that serves."""
+        fills = serves = False
+        for run in self.runs.values():
+            spec = run.task.step.spec
+            fills = fills or spec.fills
+            serves = serves or spec.target_ms > 0
+        return fills and (serves or self.pace.percent < FULL_PERCENT)
+
+    def serving_pressure(self) -> float:
+        """Return the worst tail of a serving task here, as a share of its target."""
+        worst = 0.0
+        for run in self.runs.values():
+            target = run.task.step.spec.target_ms
+            if target > 0 and run.state is RunState.RUNNING:
+                worst = max(worst, run.usage / target)
+        return worst
+
+    def filling_runs(self) -> list[Run]:
+        """Return the runs here that fill what the others leave."""
+        return [
+            run
+            for run in self.runs.values()
+            if run.task.step.spec.fills and run.state is RunState.RUNNING
+        ]
+
     def note_ended(self, key: RunKey, end: RunEnd) -> None:
         """Remember a run that is over, so that an older answer does not bring it back."""
         self.ended_runs[key] = end
--- a/src/onyxspoke/core/shard/actions.py
+++ b/src/onyxspoke/core/shard/actions.py
@@ -63,6 +63,15 @@
     run: RunKey
 
 
+class SendPace(msgspec.Struct, frozen=True):
+    """Let a run work, and disturb others, at a share of its speed."""
+
+    address: WorkerAddress
+    token: Token
+    run: RunKey
+    percent: int
+
+
 class AskAdvice(msgspec.Struct, frozen=True):
     """Let one of the entries ask the advice service about a step."""
 
@@ -113,6 +122,7 @@
     | SendHold
     | SendStart
     | SendStop
+    | SendPace
     | AskAdvice
     | ReplyToCall
     | DropWorkerConnections
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -16,6 +16,7 @@
     AskAdvice,
     ReplyToCall,
     SendAppend,
+    SendPace,
     ShardAction,
     StepDownReason,
 )
@@ -38,12 +39,20 @@
     ShardId,
     ShardRecord,
 )
-from onyxspoke.core.shard.orders import AdviceResult, HoldResult, OrderResult
+from onyxspoke.core.shard.orders import (
+    AdviceResult,
+    HoldResult,
+    OrderOutcome,
+    OrderResult,
+)
+from onyxspoke.core.shard.pace_keeper import PaceKeeper
 from onyxspoke.core.shard.run_keeper import RunKeeper
 from onyxspoke.core.shard.worker_keeper import WorkerKeeper
 
 #: The loop stood still for longer: the process may have been paused.
 STALL_SECONDS = 0.7
+#: Between two looks at what changes slowly: schedules, progress, leaving workers, paces.
+ROUND_SECONDS = 0.05
 
 
 class ShardScheduler:
@@ -77,6 +86,7 @@
         self.workers = WorkerKeeper(
             self.context, self.runs, former_orders_until=claimed_at + options.proof_seconds
         )
+        self._paces = PaceKeeper(self.context)
         self._evacuation = Evacuation(self.context, self.runs)
         self._collector = RecordCollector(self.context, self.workers, claim)
         self.context.commit = CommitQueue(
@@ -91,6 +101,7 @@
         self._placer = Placer(self.context.table, self.context.desk)
         self._last_flush_at = claimed_at
         self._is_recovered = False
+        self._next_round_at = 0.0
         #: Callers whose jobs no append that was sent has.
         self._unsent: dict[int, _Accept] = {}
 
@@ -161,6 +172,14 @@
             if worker is not None:
                 self.runs.handle_stop_result(worker, run, result, now)
 
+    def stimulus_pace_result(self, order: SendPace, result: OrderResult, now: float) -> None:
+        """A worker answered a change of pace, or did not."""
+        if self._check_fence(result):
+            worker = self.context.table.workers.get(order.address.worker_id)
+            if worker is not None:
+                is_done = result.outcome is OrderOutcome.DONE
+                self._paces.handle_result(worker, order.run, order.percent, is_done)
+
     def stimulus_advice_result(self, call_id: int, result: AdviceResult, now: float) -> None:
         """The advice service answered, or did not."""
         if self.context.desk.handle_result(call_id, result, now) is not None:
@@ -276,10 +295,17 @@
             self.context.is_unproven = True
         if self._unsent and self.context.commit.is_in_trouble(now):
             self._refuse_unsent()
-        self.context.book.keep(now, wall_ms, self._options.early_ms)
         self.workers.keep(now)
+        if now >= self._next_round_at:
+            self._next_round_at = now + ROUND_SECONDS
+            self._keep_slowly(now, wall_ms)
+
+    def _keep_slowly(self, now: float, wall_ms: float) -> None:
+        """Look at everything that need not be looked at on every tick."""
+        self.context.book.keep(now, wall_ms, self._options.early_ms)
         self.runs.keep(now)
         self._evacuation.keep(now)
+        self._paces.keep(now)
         self.context.wants_placement = True
 
     def flush(self, now: float) -> list[ShardAction]:
--- a/src/onyxspoke/core/shard/worker_keeper.py
+++ b/src/onyxspoke/core/shard/worker_keeper.py
@@ -27,6 +27,8 @@
 MISSES_TO_SILENCE = 2
 #: Pause before a worker that answered as unhealthy is looked at again.
 UNHEALTHY_PAUSE_SECONDS = 0.3
+#: For how long an answer may wait where tasks that fill are kept at their pace.
+FIGURES_WAIT_MS = 300
 #: Added to every bound on a former holder's leases.
 LEASE_MARGIN_SECONDS = 0.25
 
@@ -154,6 +156,9 @@
             is_committed = worker.told_through >= worker.seen_through
             may_wait = is_settled and is_committed and worker.misses == 0
             wait_ms = self._context.options.hold_wait_ms if may_wait else 0
+            if worker.has_fillers():
+                # Figures of what serves are wanted more often than ends come.
+                wait_ms = min(wait_ms, FIGURES_WAIT_MS)
             self._send_hold(worker, worker.long_hold, now, wait_ms=wait_ms)
 
     def _send_hold(self, worker: Worker, hold: HoldInFlight, now: float, wait_ms: int) -> None:
--- a/src/onyxspoke/kit/jobs/audit.py
+++ b/src/onyxspoke/kit/jobs/audit.py
@@ -78,7 +78,7 @@
         self._timers = timers
         self.findings: list[Finding] = []
         self.jobs: dict[JobId, _JobFacts] = {}
-        self._tasks: dict[TaskKey, _TaskFacts] = {}
+        self.tasks: dict[TaskKey, _TaskFacts] = {}
         self._taken: dict[WorkerId, dict[RunKey, Needs]] = {}
         self._done_in_step: Counter[StepKey] = Counter()
         self.counts: Counter[str] = Counter()
@@ -176,7 +176,7 @@
 
     def handle_lapsed(self, worker: FakeWorker) -> None:
         """What ended on the worker before its lease ran out may no longer count."""
-        for task in self._tasks.values():
+        for task in self.tasks.values():
             for run in [run for run in task.open_done if _ran_on(run, worker)]:
                 del task.open_done[run]
             task.open_failed -= {run for run in task.open_failed if _ran_on(run, worker)}
@@ -248,7 +248,7 @@
 
     def _has_cause_to_fail(self, spec: JobSpec) -> bool:
         failed_gang_runs: dict[StepKey, set[int]] = {}
-        for key, task in self._tasks.items():
+        for key, task in self.tasks.items():
             if key.job_id != spec.job_id:
                 continue
             if len(task.failed) >= spec.queue.max_attempts:
@@ -268,7 +268,7 @@
                 self._find(Violation.REFUSED_RAN, job_id)
 
     def _task(self, key: TaskKey) -> _TaskFacts:
-        return self._tasks.setdefault(key, _TaskFacts())
+        return self.tasks.setdefault(key, _TaskFacts())
 
     def _find(self, violation: Violation, detail: str) -> None:
         self.findings.append(Finding(self._timers.now(), violation, detail))
--- a/src/onyxspoke/kit/jobs/workers.py
+++ b/src/onyxspoke/kit/jobs/workers.py
@@ -14,7 +14,13 @@
 from onyxspoke.core.jobs.model import JobId, JobSpec, RunKey, StepKey, TaskKey, WorkerId
 from onyxspoke.core.jobs.states import RunEnd
 from onyxspoke.core.placement.workers import WorkerRecord
-from onyxspoke.core.shard.actions import SendHold, SendStart, SendStop, WorkerAddress
+from onyxspoke.core.shard.actions import (
+    SendHold,
+    SendPace,
+    SendStart,
+    SendStop,
+    WorkerAddress,
+)
 from onyxspoke.core.shard.orders import (
     EndReport,
     HoldResult,
@@ -78,14 +84,14 @@
 
 
 class _FakeRun:
-    __slots__ = ("began_at", "done_seconds", "is_stopping", "key", "seconds", "started_at")
+    __slots__ = ("began_at", "is_stopping", "key", "pace", "seconds", "started_at")
 
     def __init__(self, key: RunKey, now: float, seconds: float) -> None:
         self.key = key
         self.started_at = now
         self.began_at: float | None = None
         self.seconds = seconds
-        self.done_seconds = 0.0
+        self.pace = _FULL_PERCENT
         self.is_stopping = False
 
     def percent(self, now: float) -> int:
@@ -239,6 +245,16 @@
             self._pool.timers.schedule(delay, lambda: self.end(order.run, RunEnd.STOPPED))
         return self._answer(OrderOutcome.DONE)
 
+    def set_pace(self, order: SendPace) -> OrderResult:
+        """Change the pace of a run."""
+        if not self._take_token(order.token):
+            return self._answer(OrderOutcome.FENCED)
+        run = self.runs.get(order.run)
+        if run is None:
+            return self._answer(OrderOutcome.STALE)
+        run.pace = order.percent
+        return self._answer(OrderOutcome.DONE)
+
     def hold(self, order: SendHold, on_result: Callable[[HoldResult], None]) -> None:
         """Fence, extend and look; the answer may wait for an end."""
         if not self._take_token(order.token):
@@ -372,6 +388,10 @@
         """Stop a run."""
         self._order(order.address, lambda worker: worker.stop(order), on_result)
 
+    def pace(self, order: SendPace, on_result: Callable[[OrderResult], None]) -> None:
+        """Change the pace of a run."""
+        self._order(order.address, lambda worker: worker.set_pace(order), on_result)
+
     def drop(self, address: WorkerAddress) -> None:
         """Do nothing: there are no connections."""
 
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -16,6 +16,7 @@
     ReplyToCall,
     SendAppend,
     SendHold,
+    SendPace,
     SendStart,
     SendStop,
     ShardAction,
@@ -136,6 +137,7 @@
             SendHold: self._send_hold,
             SendStart: self._send_start,
             SendStop: self._send_stop,
+            SendPace: self._send_pace,
             SendAppend: self._send_append,
             AskAdvice: lambda _scheduler, action: listener.ask_advice(shard, action),
             ReplyToCall: self._reply,
@@ -378,6 +380,14 @@
             ),
         )
 
+    def _send_pace(self, scheduler: ShardScheduler, action: SendPace) -> None:
+        self._orders.pace(
+            action,
+            lambda result: self._feed(
+                scheduler, lambda now: scheduler.stimulus_pace_result(action, result, now)
+            ),
+        )
+
     def _send_append(self, scheduler: ShardScheduler, action: SendAppend) -> None:
         self._store.append(
             action.append,
--- a/src/onyxspoke/platform/workers.py
+++ b/src/onyxspoke/platform/workers.py
@@ -9,7 +9,13 @@
 
 from onyxspoke.core.jobs.model import RunKey, TaskKey
 from onyxspoke.core.jobs.states import RunEnd
-from onyxspoke.core.shard.actions import SendHold, SendStart, SendStop, WorkerAddress
+from onyxspoke.core.shard.actions import (
+    SendHold,
+    SendPace,
+    SendStart,
+    SendStop,
+    WorkerAddress,
+)
 from onyxspoke.core.shard.orders import (
     EndReport,
     HoldResult,
@@ -57,6 +63,13 @@
     fencing_token: int
 
 
+class _PaceBody(msgspec.Struct, rename="camel"):
+    task: str
+    run: int
+    percent: int
+    fencing_token: int
+
+
 class _HoldBody(msgspec.Struct, rename="camel", omit_defaults=True):
     fencing_token: int
     last_seen: int
@@ -121,6 +134,12 @@
         body = _StopBody(encode_task(order.run.task), order.run.number, order.token)
         self._send_order(order.address, "run-stop", _encoder.encode(body), on_result)
 
+    def pace(self, order: SendPace, on_result: Callable[[OrderResult], None]) -> None:
+        """Change the pace of a run."""
+        task = encode_task(order.run.task)
+        body = _PaceBody(task, order.run.number, order.percent, order.token)
+        self._send_order(order.address, "pace", _encoder.encode(body), on_result)
+
     def drop(self, address: WorkerAddress) -> None:
         """Close the connections to a life that is over."""
         self._client.close(address.host, address.port)
--- a/src/onyxspoke/ports/worker_orders.py
+++ b/src/onyxspoke/ports/worker_orders.py
@@ -5,7 +5,13 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from onyxspoke.core.shard.actions import SendHold, SendStart, SendStop, WorkerAddress
+from onyxspoke.core.shard.actions import (
+    SendHold,
+    SendPace,
+    SendStart,
+    SendStop,
+    WorkerAddress,
+)
 from onyxspoke.core.shard.orders import HoldResult, OrderResult
 
 
@@ -21,5 +27,8 @@
     def stop(self, order: SendStop, on_result: Callable[[OrderResult], None]) -> None:
         """Stop a run."""
 
+    def pace(self, order: SendPace, on_result: Callable[[OrderResult], None]) -> None:
+        """Change the pace of a run."""
+
     def drop(self, address: WorkerAddress) -> None:
         """Close the connections to a life that is over."""
