--- a/src/onyxspoke/core/jobs/book.py
+++ b/src/onyxspoke/core/jobs/book.py
@@ -138,7 +138,9 @@
         """The store has the job in this state; with its first commit it may be started."""
         is_first = job.committed_state is None
         job.committed_state = state
-        if is_first:
+        if state.is_final:
+            job.shrink()
+        elif is_first:
             for step in job.steps():
                 self._refresh(step)
 
@@ -168,7 +170,7 @@
         step = task.step
         self.dirty[step.job.job_id] = None
         self._refresh(step)
-        if step.is_done:
+        if step.is_done and not step.job.state.is_final:
             self._unblock_dependents(step, now)
             self._finish_if_done(step.job, now)
 
--- a/src/onyxspoke/core/jobs/progress.py
+++ b/src/onyxspoke/core/jobs/progress.py
@@ -211,6 +211,11 @@
         if state.is_final:
             self.final_at = now
 
+    def shrink(self) -> None:
+        """Drop what a job that is over needs no more; runs that still stop keep their own."""
+        self.repetitions = {}
+        self.spec = JobSpec(job_id=self.job_id, queue=self.spec.queue, payload="", steps=())
+
     def objective_seconds(self) -> float:
         """Return within how long the job should be done, by its own estimates."""
         queue = self.spec.queue
--- a/src/onyxspoke/core/placement/advice_desk.py
+++ b/src/onyxspoke/core/placement/advice_desk.py
@@ -93,6 +93,8 @@
         self._waiting: dict[int, AdviceCall] = {}
         self._under_way: dict[int, AdviceCall] = {}
         self._last_call_id = 0
+        #: Steps whose call was given up, and from when on they may be asked about again.
+        self._retries: dict[StepKey, float] = {}
 
     def set_advisors(self, names: list[str], now: float) -> None:
         """Take the entries through which calls can go; calls of the others are lost."""
@@ -111,6 +113,10 @@
             advice = self._steps[step.key] = StepAdvice()
         return advice
 
+    def known_advice(self, key: StepKey) -> StepAdvice | None:
+        """Return what is known about a step, if it was ever asked about."""
+        return self._steps.get(key)
+
     def forget(self, key: StepKey) -> None:
         """Drop what is known about a step that needs no more tickets."""
         self._steps.pop(key, None)
@@ -169,6 +175,13 @@
             advice.tickets[ticket.worker_id] = HeldTicket(ticket.text, use_before)
         return call.step
 
+    def take_due_retries(self, now: float) -> list[StepKey]:
+        """Return the steps whose call was given up, and that may be asked about again."""
+        due = [step for step, retry_at in self._retries.items() if now >= retry_at]
+        for step in due:
+            del self._retries[step]
+        return due
+
     def drop_ticket(self, step: StepKey, worker_id: WorkerId) -> None:
         """A worker refused a ticket; it is not used again."""
         advice = self._steps.get(step)
@@ -214,3 +227,4 @@
         if advice is not None:
             advice.is_asking = False
             advice.retry_at = now + RETRY_SECONDS
+            self._retries[call.step] = advice.retry_at
--- a/src/onyxspoke/core/placement/workers.py
+++ b/src/onyxspoke/core/placement/workers.py
@@ -141,6 +141,8 @@
         Worker's clock until which this holder may have let things run.
     retry_at : float
         Not offered before this second, after a refusal.
+    gained_at : int
+        Change number of the table when the worker last gained room or came into use.
     listed_clock_ms : int
         Worker's clock of the latest list of runs that was taken in.
     ended_runs : dict of RunKey to RunEnd
@@ -171,6 +173,8 @@
         self.retry_at = 0.0
         self.answered_at = 0.0
         self.listed_clock_ms = 0
+        self.gained_at = 0
+        self.was_offered = False
         self.ended_runs: dict[RunKey, RunEnd] = {}
         self.long_hold = HoldInFlight()
         self.quick_hold = HoldInFlight()
@@ -273,6 +277,27 @@
 
     def __init__(self) -> None:
         self.workers: dict[WorkerId, Worker] = {}
+        #: Rises whenever some worker gains room or comes into use.
+        self.change_number = 0
+
+    def note_gain(self, worker: Worker) -> None:
+        """A worker has gained room, or come into use."""
+        self.change_number += 1
+        worker.gained_at = self.change_number
+
+    def note_availability(self, now: float) -> None:
+        """Take note of workers that have come into use, for whatever reason."""
+        for worker in self.workers.values():
+            is_offered = worker.is_offered(now)
+            if is_offered and not worker.was_offered:
+                self.note_gain(worker)
+            worker.was_offered = is_offered
+
+    def changed_since(self, number: int) -> list[Worker]:
+        """Return the workers that have gained room, or come into use, since a change."""
+        if number == self.change_number:
+            return []
+        return [worker for worker in self.workers.values() if worker.gained_at > number]
 
     def offered(self, service: str, now: float) -> list[Worker]:
         """Return the workers of a service to which runs may go."""
--- a/src/onyxspoke/core/shard/run_keeper.py
+++ b/src/onyxspoke/core/shard/run_keeper.py
@@ -349,6 +349,7 @@
         self._stopping.pop(run.key, None)
         worker = run.worker
         worker.remove(run)
+        self._context.table.note_gain(worker)
         worker.note_ended(run.key, end)
         task = run.task
         if task.run is run:
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -10,7 +10,7 @@
 from onyxspoke.core.jobs.model import RunKey, WorkerId
 from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.jobs.progress import JobProgress
-from onyxspoke.core.placement.placer import Placer
+from onyxspoke.core.placement.placer import MAXIMUM_PLACEMENTS, Placer
 from onyxspoke.core.placement.workers import WorkerRecord
 from onyxspoke.core.shard.actions import (
     AskAdvice,
@@ -124,6 +124,7 @@
     def stimulus_policy(self, policy: PolicySet, now: float) -> None:
         """The operator's configuration changed."""
         self.context.policy = policy
+        self._placer.reconsider_all()
         self.context.wants_placement = True
 
     def stimulus_workers_listed(
@@ -182,7 +183,9 @@
 
     def stimulus_advice_result(self, call_id: int, result: AdviceResult, now: float) -> None:
         """The advice service answered, or did not."""
-        if self.context.desk.handle_result(call_id, result, now) is not None:
+        step = self.context.desk.handle_result(call_id, result, now)
+        if step is not None:
+            self._placer.reconsider(step)
             self.context.wants_placement = True
 
     def stimulus_append_result(self, result: AppendResult, now: float) -> None:
@@ -329,9 +332,14 @@
 
     def _place(self, now: float) -> None:
         context = self.context
+        for step in context.desk.take_due_retries(now):
+            self._placer.reconsider(step)
         steps = list(context.book.startable_steps())
-        for plan in self._placer.plan(steps, context.policy, now):
+        plans = self._placer.plan(steps, context.policy, now)
+        for plan in plans:
             self.runs.start(plan, now)
+        # A long plan was cut off; the rest follows.
+        context.wants_placement = sum(len(item.placements) for item in plans) >= MAXIMUM_PLACEMENTS
         for call in context.desk.dispatch(now):
             context.emit(AskAdvice(call.call_id, call.advisor, call.step, call.worker_ids))
 
