--- a/src/onyxspoke/core/shard/run_keeper.py
+++ b/src/onyxspoke/core/shard/run_keeper.py
@@ -135,7 +135,8 @@
         """Order the end of a run, again and again until it has ended."""
         if run.state is RunState.ENDED or run.key in self._stopping:
             return
-        self._log_run("run_stop", run, reason=reason)
+        still_ms = int((now - run.moved_at) * _MILLISECONDS)
+        self._log_run("run_stop", run, reason=reason, percent=run.percent, still_ms=still_ms)
         run.move_to(RunState.STOPPING)
         self._stopping[run.key] = run
         self._send_stop(run, now)
@@ -451,15 +452,17 @@
     """Return whether a run has made no progress for longer than a slow worker would take.
 
     ``seen_at`` is when its progress was last told.  Tasks that run until they are stopped
-    tell no progress; members of a gang wait for each other at first.
+    tell no progress; members of a gang wait for each other at the start and at the end.
     """
     step = run.task.step.spec
     if step.long_running or not run.confirmed_at:
         return False
     bound = STALL_SECONDS + STALL_ESTIMATE_SHARE * step.estimated_ms / _MILLISECONDS
-    if step.gang and run.percent == 0:
-        bound += GANG_START_SECONDS
-    return seen_at - run.moved_at > bound
+    moved_at = run.moved_at
+    if run.gang is not None:
+        moved_at = max(member.moved_at for member in run.gang.members)
+        bound += GANG_START_SECONDS if run.percent == 0 else 0.0
+    return seen_at - moved_at > bound
 
 
 def _name(key: RunKey) -> str:
