--- a/features/steps/platform_codec_steps.py
+++ b/features/steps/platform_codec_steps.py
@@ -106,7 +106,7 @@
     append = ShardAppend(
         shard=shard, epoch=epoch, sequence=sequence, records=records, expected_end=end
     )
-    StoreClient(_record(context), Address("10.200.1.7", 8169)).append(append, lambda _r: None)
+    StoreClient(_record(context), Address("10.200.1.7", 8169)).append(append, 0.5, lambda _r: None)
 
 
 @then('the call is "{line}" with the body')
--- a/src/onyxspoke/core/shard/actions.py
+++ b/src/onyxspoke/core/shard/actions.py
@@ -15,9 +15,10 @@
 
 
 class SendAppend(msgspec.Struct, frozen=True):
-    """Append to the shard's partition."""
+    """Append to the shard's partition; unknown without an answer in time."""
 
     append: ShardAppend
+    patience_seconds: float
 
 
 class WorkerAddress(msgspec.Struct, frozen=True):
--- a/src/onyxspoke/core/shard/commit.py
+++ b/src/onyxspoke/core/shard/commit.py
@@ -23,6 +23,9 @@
 RENEWAL_SECONDS = 0.35
 #: Pause before an append that was refused or not answered is sent again.
 RETRY_SECONDS = (0.02, 0.06, 0.12)
+#: For how long an answer is waited for, by attempt; longer after a slow append.
+PATIENCE_SECONDS = (0.2, 0.2, 0.5, 0.2, 0.2, 0.9)
+PATIENCE_FACTOR = 3.0
 MAXIMUM_BATCH_BYTES = 1_000_000
 #: An append that is open for longer than this, and than some times the latest one took,
 #: means that the store is in trouble.
@@ -37,6 +40,7 @@
     append: ShardAppend
     effects: list[Effect]
     opened_at: float
+    sent_at: float
     attempts: int = 1
     retry_at: float | None = None
 
@@ -109,10 +113,21 @@
             shard=self.shard, epoch=self.epoch, sequence=self.next_sequence, records=records
         )
         self.next_sequence += 1
-        self._batch = _Batch(append, effects, now)
+        self._batch = _Batch(append, effects, now, now)
         self._last_sent_at = now
         return append
 
+    def patience_seconds(self) -> float:
+        """Return for how long the append in flight is waited for.
+
+        A store that is silent is asked again soon, because it may be back; one that is slow
+        answers a repeat no sooner than the first time, so now and then it is given longer.
+        """
+        if self._batch is None:
+            return PATIENCE_SECONDS[0]
+        usual = PATIENCE_SECONDS[(self._batch.attempts - 1) % len(PATIENCE_SECONDS)]
+        return max(usual, PATIENCE_FACTOR * self._latest_seconds)
+
     def next_moment(self) -> float | None:
         """Return when :meth:`next_append` may have something to send, if nothing comes in."""
         if self._batch is not None:
@@ -128,7 +143,7 @@
             return True
         if result.outcome is AppendOutcome.DONE:
             self._batch = None
-            self._latest_seconds = now - batch.opened_at if batch.attempts == 1 else 0.0
+            self._latest_seconds = now - batch.sent_at
             # A repeat may be answered as the first time, so only the first sending proves.
             self.proof_at = max(self.proof_at, batch.opened_at)
             for effect in batch.effects:
@@ -150,5 +165,6 @@
             return None
         batch.retry_at = None
         batch.attempts += 1
+        batch.sent_at = now
         self._last_sent_at = now
         return batch.append
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -322,7 +322,7 @@
             append = context.commit.next_append(now)
             if append is not None:
                 self._forget_sent()
-                context.emit(SendAppend(append))
+                context.emit(SendAppend(append, context.commit.patience_seconds()))
         actions, context.actions = context.actions, []
         return actions
 
--- a/src/onyxspoke/kit/jobs/store.py
+++ b/src/onyxspoke/kit/jobs/store.py
@@ -108,11 +108,16 @@
         self._node_name = node_name
         self._path = path
 
-    def append(self, append: ShardAppend, on_result: Callable[[AppendResult], None]) -> None:
+    def append(
+        self,
+        append: ShardAppend,
+        patience_seconds: float,
+        on_result: Callable[[AppendResult], None],
+    ) -> None:
         """Append; an answer that is lost turns up as unknown after the timeout."""
         faults = self._store.faults
         exchange = _Exchange(self._path, self._store.timers, on_result)
-        exchange.expire(AppendResult(AppendOutcome.UNKNOWN))
+        exchange.expire(patience_seconds, AppendResult(AppendOutcome.UNKNOWN))
 
         def arrive() -> None:
             if faults.is_down:
@@ -140,7 +145,7 @@
         """Read; an answer that is lost turns up as not known after the timeout."""
         faults = self._store.faults
         exchange = _Exchange(self._path, self._store.timers, on_page)
-        exchange.expire(NewestPage(is_known=False))
+        exchange.expire(TIMEOUT_SECONDS, NewestPage(is_known=False))
 
         def arrive() -> None:
             if faults.is_down:
@@ -169,10 +174,8 @@
     def answer(self, result: Result) -> None:
         self._path.to_node(STORE, lambda: self._finish(result))
 
-    def expire(self, result: Result) -> None:
-        self._timers.schedule(
-            TIMEOUT_SECONDS, lambda: self._path.to_node("", lambda: self._finish(result))
-        )
+    def expire(self, seconds: float, result: Result) -> None:
+        self._timers.schedule(seconds, lambda: self._path.to_node("", lambda: self._finish(result)))
 
     def _finish(self, result: Result) -> None:
         if not self._is_over:
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -57,6 +57,8 @@
 OnReply = Callable[[CallReply], None]
 #: Pause before a page that the store did not give is read again.
 PAGE_RETRY_SECONDS = 0.1
+#: For how long the answer to a claim is waited for.
+CLAIM_SECONDS = 0.5
 
 
 class SeatListener(Protocol):
@@ -236,7 +238,7 @@
             elif isinstance(action, ConnectToHolder):
                 self._listener.connect_peer(action.host, action.port)
             elif isinstance(action, SendClaim):
-                self._store.append(action.append, self._take_claim_result)
+                self._store.append(action.append, CLAIM_SECONDS, self._take_claim_result)
             elif isinstance(action, BecomeHolder):
                 self._begin_holding(action)
             elif isinstance(action, HolderChanged):
@@ -391,6 +393,7 @@
     def _send_append(self, scheduler: ShardScheduler, action: SendAppend) -> None:
         self._store.append(
             action.append,
+            action.patience_seconds,
             lambda result: self._feed(
                 scheduler, lambda now: scheduler.stimulus_append_result(result, now)
             ),
--- a/src/onyxspoke/node/store_gateway.py
+++ b/src/onyxspoke/node/store_gateway.py
@@ -35,6 +35,8 @@
 DIRECT_RETRY_SECONDS = 0.5
 #: A relayed call that is not answered is given up after so long.
 RELAY_SECONDS = 0.8
+#: A call that is made for a peer may take so long.
+RELAYED_CALL_SECONDS = 0.5
 
 #: The store counts as reachable through peers for so long after it served a relayed call.
 RELAYED_SECONDS = 0.6
@@ -97,11 +99,13 @@
         """Return whether the store served a call of ours through a peer just now."""
         return self._clock.now() - self._relayed_at < RELAYED_SECONDS
 
-    def append(self, append: ShardAppend, on_result: OnAppend) -> None:
+    def append(self, append: ShardAppend, patience_seconds: float, on_result: OnAppend) -> None:
         """Append, directly or through a peer."""
         if self._prefers_relay() and self._relay_append(append, on_result):
             return
-        self._store.append(append, lambda result: self._take_append(append, result, on_result))
+        self._store.append(
+            append, patience_seconds, lambda result: self._take_append(append, result, on_result)
+        )
 
     def read_newest(self, shard: ShardId, after_key: str, on_page: OnPage) -> None:
         """Read, directly or through a peer."""
@@ -118,7 +122,7 @@
             self._note(_is_served(result))
             link.send(AppendRelayAnswer(message.relay_id, result))
 
-        self._store.append(message.append, answer)
+        self._store.append(message.append, RELAYED_CALL_SECONDS, answer)
 
     def serve_read(self, link: PeerLink, message: NewestRelay) -> None:
         """Make a read for a peer."""
--- a/src/onyxspoke/platform/store.py
+++ b/src/onyxspoke/platform/store.py
@@ -25,7 +25,7 @@
 WORKER_TOPIC = "keyed.servers"
 STATUS_TOPIC = "keyed.status"
 
-APPEND_SECONDS = 0.5
+STATUS_SECONDS = 0.5
 READ_SECONDS = 0.8
 #: Added to the time that a read may wait for a record.
 WAIT_SLACK_SECONDS = 0.6
@@ -86,7 +86,12 @@
         self._address = address
         self._host = f"{address.host}:{address.port}"
 
-    def append(self, append: ShardAppend, on_result: Callable[[AppendResult], None]) -> None:
+    def append(
+        self,
+        append: ShardAppend,
+        patience_seconds: float,
+        on_result: Callable[[AppendResult], None],
+    ) -> None:
         """Append records to a shard's partition."""
         query = (
             f"topic={SHARD_TOPIC}&part={append.shard}&producer=shard-{append.shard}"
@@ -96,7 +101,7 @@
             query += f"&at={append.expected_end}"
         body = b"".join(encode_keyed_record(record) for record in append.records)
         request = encode_request("POST", f"/onyxspoke/log-append?{query}", self._host, body)
-        self._call(request, APPEND_SECONDS, lambda answer: on_result(read_append(answer)), "w")
+        self._call(request, patience_seconds, lambda answer: on_result(read_append(answer)), "w")
 
     def read_newest(
         self, shard: ShardId, after_key: str, on_page: Callable[[NewestPage], None]
@@ -129,7 +134,7 @@
         target = f"/onyxspoke/log-append?topic={STATUS_TOPIC}&part=0"
         request = encode_request("POST", target, self._host, body)
         self._call(
-            request, APPEND_SECONDS, lambda answer: on_result(answer.status == _HTTP_OK), "w"
+            request, STATUS_SECONDS, lambda answer: on_result(answer.status == _HTTP_OK), "w"
         )
 
     def _call(
--- a/src/onyxspoke/ports/shard_log.py
+++ b/src/onyxspoke/ports/shard_log.py
@@ -11,8 +11,16 @@
 class ShardLogPort(Protocol):
     """The store, as a node reaches it; every call is answered once, at worst as unknown."""
 
-    def append(self, append: ShardAppend, on_result: Callable[[AppendResult], None]) -> None:
-        """Append records under the conditions that they carry."""
+    def append(
+        self,
+        append: ShardAppend,
+        patience_seconds: float,
+        on_result: Callable[[AppendResult], None],
+    ) -> None:
+        """Append records under the conditions that they carry.
+
+        Without an answer within ``patience_seconds`` the outcome is unknown.
+        """
 
     def read_newest(
         self, shard: ShardId, after_key: str, on_page: Callable[[NewestPage], None]
