--- a/src/onyxspoke/core/placement/workers.py
+++ b/src/onyxspoke/core/placement/workers.py
@@ -139,6 +139,8 @@
         A former holder may have started runs there.
     lease_until_ms : int
         Worker's clock until which this holder may have let things run.
+    doubted_at : float
+        When an order was not answered, until a later look is; 0 otherwise.
     retry_at : float
         Not offered before this second, after a refusal.
     gained_at : int
@@ -171,6 +173,7 @@
         self.unsettled_until = unsettled_until
         self.lease_until_ms = 0
         self.retry_at = 0.0
+        self.doubted_at = 0.0
         self.answered_at = 0.0
         self.listed_clock_ms = 0
         self.gained_at = 0
@@ -201,6 +204,7 @@
             and self.listing is WorkerListing.READY
             and self.is_recorded
             and not self.strays
+            and not self.doubted_at
             and now >= self.retry_at
             and not self.health.is_avoided(now)
             and not (self.runs and self.health.is_on_trial(now))
--- a/src/onyxspoke/core/shard/run_keeper.py
+++ b/src/onyxspoke/core/shard/run_keeper.py
@@ -110,7 +110,9 @@
         if outcome is OrderOutcome.NO_ANSWER:
             if run.state is RunState.STARTING:
                 run.move_to(RunState.UNCERTAIN)
+            # Nothing more goes there until it has answered a look.
             worker.wants_look = True
+            worker.doubted_at = now
             self._log_run("start_unanswered", run)
             return
         if outcome in CERTAINLY_NOT_DONE:
--- a/src/onyxspoke/core/shard/worker_keeper.py
+++ b/src/onyxspoke/core/shard/worker_keeper.py
@@ -202,6 +202,8 @@
 
     def _take_answer(self, worker: Worker, result: HoldResult, sent_at: float, now: float) -> None:
         worker.clock.read(result.clock_ms, now)
+        if sent_at >= worker.doubted_at:
+            worker.doubted_at = 0.0
         worker.misses = 0
         worker.answered_at = now
         was_settled = worker.contact is WorkerContact.SETTLED
--- a/src/onyxspoke/node/call_router.py
+++ b/src/onyxspoke/node/call_router.py
@@ -7,8 +7,10 @@
 from onyxspoke.core.shard.calls import Call, CallReply, ReplyCode, SubmitCall
 from onyxspoke.core.shard.log_records import ShardId
 
-#: A call that no holder has seen is refused after so long.
-NO_HOLDER_SECONDS = 1.5
+#: A call that no holder has seen is refused after so long: a new holder may come soon...
+NO_HOLDER_SECONDS = 1.0
+#: ... but not to a node that reaches neither a holder nor the store.
+CUT_OFF_SECONDS = 0.25
 #: When a caller is told to come back while there is no holder.
 RETRY_AFTER_SECONDS = 1.0
 #: Pause before a call goes to the same holder again, after it said that it is none.
@@ -94,13 +96,17 @@
             if pending.shard == shard and not pending.is_away:
                 self._try(call_id, now)
 
-    def keep(self, now: float) -> None:
-        """Repeat calls whose holder was none; answer those whose time is over."""
+    def keep(self, now: float, is_cut_off: bool) -> None:
+        """Repeat calls whose holder was none; answer those whose time is over.
+
+        ``is_cut_off`` tells that this node reaches neither a holder nor the store.
+        """
+        bound = CUT_OFF_SECONDS if is_cut_off else NO_HOLDER_SECONDS
         for call_id, pending in list(self._pending.items()):
             if now >= pending.deadline:
                 self._finish(call_id, self._late_reply(pending))
             elif not pending.is_away:
-                if not pending.was_sent and now - pending.since > NO_HOLDER_SECONDS:
+                if not pending.was_sent and now - pending.since > bound:
                     self._finish(call_id, self._late_reply(pending))
                 elif now >= pending.retry_at:
                     self._try(call_id, now)
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -437,7 +437,7 @@
         self._set_gauges()
         self.peers.end_silent(now)
         self.store.keep(now)
-        self.router.keep(now)
+        self.router.keep(now, is_cut_off=not self.store.is_reachable)
         if self.configuration is None and now >= self._seeds_at:
             self._seeds_at = now + SEED_RETRY_SECONDS
             for seed in self.settings.seeds:
