--- a/features/node_tools.feature
+++ b/features/node_tools.feature
@@ -110,3 +110,7 @@
     Then it is avoided for 1.5 seconds, and then on trial
     When a run ends well there
     Then it is neither avoided nor on trial
+
+  Scenario: Timers run on the steady clock, whatever the time of day does
+    When the reactor of a process is set up
+    Then its timers run on the steady clock
--- a/features/steps/node_tools_steps.py
+++ b/features/steps/node_tools_steps.py
@@ -5,9 +5,11 @@
 
 from behave import given, then, when
 from job_ingress_steps import _cluster, _send
+from twisted.internet import reactor
 
 from onyxspoke.cli.explain_log import parse_line, select_lines
 from onyxspoke.cli.node import METRICS_PORT
+from onyxspoke.cli.process import use_steady_timers
 from onyxspoke.core.placement.health import WorkerHealth
 from onyxspoke.core.placement.pacing import WorkerPace
 from onyxspoke.net.log_stream import BoundedLogStream
@@ -188,3 +190,18 @@
 def _is_well(context):
     assert not context.health.is_avoided(101.0)
     assert not context.health.is_on_trial(101.0)
+
+
+@when("the reactor of a process is set up")
+def _steady(context):
+    use_steady_timers()
+
+
+@then("its timers run on the steady clock")
+def _steady_timers(context):
+    before = time.monotonic()
+    assert before <= reactor.seconds() <= time.monotonic()
+    call = reactor.callLater(10.0, lambda: None)
+    remaining = call.getTime() - time.monotonic()
+    call.cancel()
+    assert 0 < remaining <= 10.0
--- a/src/onyxspoke/cli/node.py
+++ b/src/onyxspoke/cli/node.py
@@ -20,7 +20,7 @@
 from twisted.internet.interfaces import IReactorFromThreads
 from twisted.web.server import Request
 
-from onyxspoke.cli.process import ProcessRunner, configure_logging, make_parser
+from onyxspoke.cli.process import ProcessRunner, configure_logging, make_parser, use_steady_timers
 from onyxspoke.core.codes import ExitCode
 from onyxspoke.core.shard.election import NodeIdentity
 from onyxspoke.net.bounded_http import BoundedSite, HttpLimits
@@ -215,6 +215,7 @@
 
 def run(settings: PlatformSettings, path: Path, lines: BoundedLogStream) -> ExitCode:
     """Run a node until it is stopped."""
+    use_steady_timers()
     node = make_node(settings)
     service = NodeService(node, settings.node, TcpEndpoints(reactor, CONNECT_SECONDS), lines)
     runner = ProcessRunner(service)
--- a/src/onyxspoke/cli/process.py
+++ b/src/onyxspoke/cli/process.py
@@ -71,6 +71,14 @@
     return parser
 
 
+def use_steady_timers() -> None:
+    """Have the reactor's timers run on the steady clock.
+
+    Twisted takes the time of day, which may jump: timers would stand still, or all fire.
+    """
+    vars(reactor)["seconds"] = time.monotonic
+
+
 def tune_garbage_collection() -> None:
     """Keep collections short: what was imported is never looked at again."""
     gc.collect()
@@ -82,6 +90,7 @@
     """Runs one service in the reactor and turns its end into an exit code."""
 
     def __init__(self, service: Service) -> None:
+        use_steady_timers()
         self._service = service
         self._exit_code = ExitCode.OK
 
--- a/src/onyxspoke/node/messages.py
+++ b/src/onyxspoke/node/messages.py
@@ -26,13 +26,15 @@
     """Heartbeat: the claims that the sender holds or follows, and its configuration.
 
     ``can_reach_store`` tells whether the store served the sender lately, ``may_hold``
-    whether the sender would take a shard over, ``wall_ms`` its time of day.
+    whether the sender would take a shard over, ``is_isolated`` that it has lost both the
+    store and peers, ``wall_ms`` is its time of day.
     """
 
     claims: list[tuple[ShardId, ClaimRecord]]
     configuration_version: int
     can_reach_store: bool
     may_hold: bool
+    is_isolated: bool
     wall_ms: float
 
 
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -147,6 +147,7 @@
         self._holders: dict[ShardId, ClaimRecord] = {}
         self._listeners: list[Callable[[CellConfiguration], None]] = []
         self._seeds_at = 0.0
+        self._was_ready = False
         self._handover_at = 0.0
         #: Hosts that were connected when the store last served this node, and since.
         self._claimants: set[str] = set()
@@ -203,7 +204,25 @@
         """Whether callers can be served here."""
         if self.is_stopping or self.configuration is None:
             return False
-        return all(seat.is_holding or seat.is_following for seat in self.seats.values())
+        return all(self._is_served(shard) for shard in self.seats)
+
+    def _is_served(self, shard: ShardId) -> bool:
+        """Return whether a shard has a holder that can be reached and can accept jobs."""
+        seat = self.seats[shard]
+        if seat.is_holding:
+            return not self.is_isolated
+        claim = self._holders.get(shard)
+        if claim is None or not seat.is_following:
+            return False
+        link = self.peers.link_to(claim.host)
+        return link is not None and not link.is_isolated
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether the store and some peers were lost: others are better off, and go on."""
+        if self.store.is_reachable or self.store.is_relayed():
+            return False
+        return any(self.peers.link_to(host) is None for host in self._claimants)
 
     # Calls
 
@@ -373,6 +392,7 @@
     def _take_status(self, link: PeerLink, message: Status) -> None:
         assert link.identity is not None
         link.can_reach_store = message.can_reach_store
+        link.is_isolated = message.is_isolated
         link.wall_offset_ms = message.wall_ms - self._clock.now() * _MILLISECONDS
         if link.may_hold is not message.may_hold:
             link.may_hold = message.may_hold
@@ -474,7 +494,11 @@
     def _set_gauges(self) -> None:
         held = [seat.scheduler for seat in self.seats.values() if seat.is_holding]
         self.metrics.holding.set(len(held))
-        self.metrics.ready.set(self.is_ready)
+        is_ready = self.is_ready
+        self.metrics.ready.set(is_ready)
+        if is_ready is not self._was_ready:
+            self._was_ready = is_ready
+            logging.info("event=readiness ready=%d isolated=%d", is_ready, self.is_isolated)
         self.metrics.store.set(self.store.is_reachable)
         self.metrics.jobs.set(sum(len(item.context.book.jobs) for item in held if item))
         self.metrics.runs.set(sum(item.context.table.run_count() for item in held if item))
@@ -493,4 +517,4 @@
         version = self.configuration.version if self.configuration is not None else 0
         is_reachable = self.store.is_reachable
         may_hold = is_reachable and not self.is_stopping
-        return Status(claims, version, is_reachable, may_hold, self._wall_ms())
+        return Status(claims, version, is_reachable, may_hold, self.is_isolated, self._wall_ms())
--- a/src/onyxspoke/node/peers.py
+++ b/src/onyxspoke/node/peers.py
@@ -55,6 +55,7 @@
         self.configuration_version = 0
         self.can_reach_store = False
         self.may_hold = True
+        self.is_isolated = False
         #: The peer's time of day less our steady clock, in milliseconds.
         self.wall_offset_ms = 0.0
         self.stream: _Stream | None = None
--- a/src/onyxspoke/platform/ingress.py
+++ b/src/onyxspoke/platform/ingress.py
@@ -92,7 +92,8 @@
 
     def render(self, request: Request) -> int:
         """Find the route and pass the call on; called by Twisted."""
-        if self._node.is_stopping:
+        if not self._node.is_ready:
+            # The caller is to come back through the balancer, to a node that is.
             close_after(request)
         if self._node.configuration is None:
             _write_unavailable(request, 1.0)
