Mechanisms of jobs are taken out under the very fault that they guard against

Ruled out: that the mechanisms have become needless; with the fault brought about directly both violations show at once (over_capacity where a cancelled run outlives its holder; accepted_unknown where a cut-off holder is asked for its successor's job).

'Room of stray runs' no longer takes out a second mechanism beside it.

--- a/features/job_promises.feature
+++ b/features/job_promises.feature
@@ -40,6 +40,41 @@
       | starts only after the commit     | 5     | run_after_done   |
       | fencing tokens at workers        | 120   | two_runs         |
       | the end of leases                | 27    | two_runs         |
-      | room of stray runs               | 50    | over_capacity    |
-      | proof before unknown jobs        | 1     | accepted_unknown |
       | ends noted only after the commit | 3     | run_after_done   |
+
+  Scenario: A former holder that is cut off does not call its successor's jobs unknown
+    Given a cluster with 2 worker(s)
+    When the holder is cut off from everything but its callers
+    And another node holds the shard
+    And a job that takes all of its worker is accepted
+    And the former holder is asked for the job
+    Then the cluster has broken nothing
+
+  Scenario: Without proof before unknown jobs it does
+    Given a cluster with 2 worker(s), without "proof before unknown jobs"
+    When the holder is cut off from everything but its callers
+    And another node holds the shard
+    And a job that takes all of its worker is accepted
+    And the former holder is asked for the job
+    Then the cluster has broken "accepted_unknown"
+
+  Scenario: Nothing is started beside a run that stands for no task
+    Given a cluster with 1 worker(s)
+    And a job that takes all of its worker is at work
+    When the holder is cut off from the workers
+    And the job is cancelled
+    And the holder is killed
+    And another node holds the shard
+    And another such job is handed in
+    Then the cluster has broken nothing
+    And the other job runs in the end
+
+  Scenario: Without room of stray runs something is
+    Given a cluster with 1 worker(s), without "room of stray runs"
+    And a job that takes all of its worker is at work
+    When the holder is cut off from the workers
+    And the job is cancelled
+    And the holder is killed
+    And another node holds the shard
+    And another such job is handed in
+    Then the cluster has broken "over_capacity"
--- a/features/node_tools.feature
+++ b/features/node_tools.feature
@@ -114,3 +114,7 @@
   Scenario: Timers run on the steady clock, whatever the time of day does
     When the reactor of a process is set up
     Then its timers run on the steady clock
+
+  Scenario: Nothing outside the adapter knows the platform's names
+    When the sources outside the adapter are searched for the platform's names
+    Then none is found
--- /dev/null
+++ b/features/steps/job_directed_steps.py
@@ -0,0 +1,149 @@
+"""Steps that bring about just the fault that one mechanism guards against, in virtual time."""
+
+from __future__ import annotations
+
+from contextlib import ExitStack
+from typing import Any
+
+from behave import given, then, when
+from job_promise_steps import WITHOUT
+
+from onyxspoke.core.jobs.model import JobSpec, StepSpec
+from onyxspoke.core.shard.calls import Call, CallReply, CancelCall, ReplyCode, StateCall, SubmitCall
+from onyxspoke.kit.jobs.audit import Violation
+from onyxspoke.kit.jobs.workers import WorkOptions
+from onyxspoke.sim.job_cluster import WORKER_CAPACITY, ClusterOptions, JobCluster, SimulatedNode
+from onyxspoke.sim.job_faults import STORE
+
+SETTLE_SECONDS = 2.0
+FIRST_JOB = "00000000000000a1"
+SECOND_JOB = "00000000000000a2"
+
+
+def _start_cluster(context: Any, workers: int) -> None:
+    work = WorkOptions(seed=5, shortest_seconds=8.0, longest_seconds=8.0)
+    options = ClusterOptions(seed=5, workers=workers, with_advice=False, work=work)
+    context.cluster = JobCluster(options)
+    context.cluster.start()
+    context.cluster.run(SETTLE_SECONDS)
+    context.holder = context.cluster.holder()
+
+
+@given("a cluster with {count:d} worker(s)")
+def _cluster(context: Any, count: int) -> None:
+    _start_cluster(context, count)
+
+
+@given('a cluster with {count:d} worker(s), without "{mechanism}"')
+def _cluster_without(context: Any, count: int, mechanism: str) -> None:
+    stack = ExitStack()
+    context.add_cleanup(stack.close)
+    stack.enter_context(WITHOUT[mechanism]())
+    _start_cluster(context, count)
+
+
+def _whole_worker_job(context: Any, job_id: str) -> JobSpec:
+    """Return a job of one task that takes all of a worker."""
+    policy = context.cluster.configuration.configuration.policy
+    step = StepSpec(
+        task_count=1,
+        processors_milli=WORKER_CAPACITY.processors_milli,
+        memory_mb=WORKER_CAPACITY.memory_mb,
+        estimated_ms=8_000,
+    )
+    queue = policy.queues["normal"]
+    return JobSpec(job_id=job_id, queue=queue, payload=f"payload-{job_id}", steps=(step,))
+
+
+def _call(context: Any, node: SimulatedNode, job_id: str, call: Call) -> CallReply | None:
+    replies: list[CallReply | None] = []
+    context.cluster.call(node, job_id, call, replies.append, seconds=1.0)
+    context.cluster.run(1.5)
+    return replies[0]
+
+
+def _submit(context: Any, job_id: str) -> None:
+    cluster = context.cluster
+    spec = _whole_worker_job(context, job_id)
+    cluster.pool.specs[job_id] = spec
+    cluster.audit.handle_submitted(spec)
+    reply = _call(context, cluster.holder(), job_id, SubmitCall(spec))
+    cluster.audit.handle_submit_reply(job_id, reply)
+    assert reply is not None
+    assert reply.code is ReplyCode.OK, reply
+
+
+@given("a job that takes all of its worker is at work")
+@when("a job that takes all of its worker is accepted")
+def _first_job(context: Any) -> None:
+    _submit(context, FIRST_JOB)
+
+
+@when("another such job is handed in")
+def _second_job(context: Any) -> None:
+    _submit(context, SECOND_JOB)
+    context.cluster.run(2.0)
+
+
+@when("the holder is cut off from everything but its callers")
+def _cut_off(context: Any) -> None:
+    cluster, holder = context.cluster, context.holder
+    peers = [node.host for node in cluster.nodes.values() if node is not holder]
+    cluster.cut(holder.host, [STORE, *peers, *cluster.pool.workers])
+
+
+@when("the holder is cut off from the workers")
+def _cut_workers(context: Any) -> None:
+    context.cluster.cut(context.holder.host, list(context.cluster.pool.workers))
+
+
+@when("the job is cancelled")
+def _cancel(context: Any) -> None:
+    cluster = context.cluster
+    cluster.audit.handle_cancel_sent(FIRST_JOB)
+    reply = _call(context, cluster.holder(), FIRST_JOB, CancelCall(FIRST_JOB))
+    assert reply is not None
+    cluster.audit.handle_cancel_reply(FIRST_JOB, reply)
+
+
+@when("the holder is killed")
+def _kill(context: Any) -> None:
+    context.cluster.kill_node(context.holder.name)
+
+
+@when("another node holds the shard")
+def _other_holder(context: Any) -> None:
+    cluster = context.cluster
+    for _ in range(100):
+        if any(node.is_holding and node is not context.holder for node in cluster.nodes.values()):
+            break
+        cluster.run(0.1)
+    others = [node for node in cluster.nodes.values() if node is not context.holder]
+    context.successor = next(node for node in others if node.is_holding)
+    # What the former holder still believes is not what the cluster goes by.
+    cluster.holder = lambda: context.successor
+
+
+@when("the former holder is asked for the job")
+def _ask_former(context: Any) -> None:
+    reply = _call(context, context.holder, FIRST_JOB, StateCall(FIRST_JOB))
+    if reply is not None:
+        context.cluster.audit.handle_state_reply(FIRST_JOB, reply)
+
+
+@then("the cluster has broken nothing")
+def _nothing_broken(context: Any) -> None:
+    assert context.cluster.audit.checks
+    assert not context.cluster.audit.findings, context.cluster.audit.findings
+
+
+@then('the cluster has broken "{name}"')
+def _broken(context: Any, name: str) -> None:
+    found = {finding.violation for finding in context.cluster.audit.findings}
+    assert Violation(name) in found, found
+
+
+@then("the other job runs in the end")
+def _runs(context: Any) -> None:
+    context.cluster.run(8.0)
+    assert context.cluster.audit.jobs[SECOND_JOB].has_started
--- a/features/steps/job_promise_steps.py
+++ b/features/steps/job_promise_steps.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager
+from contextlib import contextmanager
 from typing import Any
 from unittest import mock
 
@@ -34,7 +34,7 @@
 def _play_without(context: Any, first: int, mechanism: str, name: str) -> None:
     violation = Violation(name)
     context.seeds_played = 0
-    with _WITHOUT[mechanism]():
+    with WITHOUT[mechanism]():
         for seed in range(first, first + MAXIMUM_SEEDS):
             context.seeds_played += 1
             if any(item.violation is violation for item in play(seed).findings):
@@ -99,9 +99,7 @@
         finally:
             worker.strays = strays
 
-    with ExitStack() as stack:
-        stack.enter_context(_without_commit_before_start())
-        stack.enter_context(mock.patch.object(Worker, "is_offered", is_offered))
+    with mock.patch.object(Worker, "is_offered", is_offered):
         yield
 
 
@@ -124,7 +122,8 @@
         yield
 
 
-_WITHOUT = {
+#: What takes a mechanism out, by its name in the features.
+WITHOUT = {
     "starts only after the commit": _without_commit_before_start,
     "fencing tokens at workers": _without_fencing,
     "the end of leases": _without_leases,
--- a/features/steps/node_tools_steps.py
+++ b/features/steps/node_tools_steps.py
@@ -2,6 +2,7 @@
 
 import os
 import time
+from pathlib import Path
 
 from behave import given, then, when
 from job_ingress_steps import _cluster, _send
@@ -17,6 +18,26 @@
 from onyxspoke.node.settings import SettingsError
 from onyxspoke.platform.settings import parse_settings
 
+#: Paths, headers and fields of the platform's pages.
+PLATFORM_NAMES = (
+    "/onyxspoke/",
+    "keyed.",
+    "fencingToken",
+    "Fencing-Token",
+    "Expected-Instance",
+    "Request-Deadline-Ms",
+    "untilMs",
+    "lastSeen",
+    "clockMs",
+    "dependsOn",
+    "privateKey",
+    "pathPrefix",
+    "maxHoldMs",
+    "antiAffinity",
+    "mayMiss",
+    "perItemMs",
+    "bindAddresses",
+)
 LINE = "x" * 99 + "\n"
 
 
@@ -205,3 +226,20 @@
     remaining = call.getTime() - time.monotonic()
     call.cancel()
     assert 0 < remaining <= 10.0
+
+
+@when("the sources outside the adapter are searched for the platform's names")
+def _search(context):
+    source = Path(__file__).resolve().parents[2] / "src" / "onyxspoke"
+    context.found = [
+        f"{path.relative_to(source)}: {name}"
+        for path in sorted(source.rglob("*.py"))
+        if path.relative_to(source).parts[0] != "platform"
+        for name in PLATFORM_NAMES
+        if name in path.read_text(encoding="utf-8")
+    ]
+
+
+@then("none is found")
+def _none_found(context):
+    assert not context.found, context.found
