A silent store: cancels and questions are answered at once; calls have a module of their own

Ruled out: that the holder still had hope; its append was open for seconds. Now such a call is answered 504 with the time to come back as soon as an append is open for 0.4 s (beyond three times the latest append, so that a slow store is not taken for a silent one). A cancel stays in the book and is committed later: a test asks for it after the store is back. Submissions whose record was sent still wait, because they may yet be accepted; those of which nothing was sent are refused as before.

The scenario of the former holder pauses it now, because one that is cut off no longer gets as far as the proof.

--- a/features/job_ingress.feature
+++ b/features/job_ingress.feature
@@ -126,6 +126,36 @@
     And the front's answer says when to come back
     And 0 runs were started
 
+  Scenario Outline: While the store is silent, what cannot be known is said at once: <what>
+    Given the store is silent
+    When a caller posts to "/normal/00000000000000b1" a small job
+    And a caller posts to "/normal/00000000000000b2" a small job
+    And <wait> seconds pass in the cluster
+    And a caller <what> "/normal/00000000000000b9"
+    And 0.9 seconds pass in the cluster
+    Then the front's answer has status 504
+    And the front's answer says when to come back
+
+    Examples: asked before it is plain that the store is silent, and after
+      | what    | wait |
+      | gets    | 0.05 |
+      | gets    | 1.5  |
+      | deletes | 0.05 |
+      | deletes | 1.5  |
+
+  Scenario: A cancel of which the store could not be told is not forgotten
+    When a caller posts to "/normal/00000000000000b4" a small job
+    And 0.05 seconds pass in the cluster
+    Given the store is silent
+    When a caller deletes "/normal/00000000000000b4"
+    And 1 seconds pass in the cluster
+    Then the front's answer has status 504
+    Given the store answers again
+    When 1 seconds pass in the cluster
+    And a caller gets "/normal/00000000000000b4"
+    And 0.1 seconds pass in the cluster
+    Then the front's answer has status 200 and the field "state" is "cancelled"
+
   Scenario: A stopping node lets its callers finish and says that it is not ready
     When a caller posts to "/normal/00000000000000c1" a small job
     And the node is told to stop
--- a/features/job_promises.feature
+++ b/features/job_promises.feature
@@ -42,20 +42,20 @@
       | the end of leases                | 27    | two_runs         |
       | ends noted only after the commit | 3     | run_after_done   |
 
-  Scenario: A former holder that is cut off does not call its successor's jobs unknown
+  Scenario: A former holder that wakes up does not call its successor's jobs unknown
     Given a cluster with 2 worker(s)
-    When the holder is cut off from everything but its callers
+    When the holder is paused
     And another node holds the shard
     And a job that takes all of its worker is accepted
-    And the former holder is asked for the job
+    And the former holder wakes up and is asked for the job
     Then the cluster has broken nothing
 
   Scenario: Without proof before unknown jobs it does
     Given a cluster with 2 worker(s), without "proof before unknown jobs"
-    When the holder is cut off from everything but its callers
+    When the holder is paused
     And another node holds the shard
     And a job that takes all of its worker is accepted
-    And the former holder is asked for the job
+    And the former holder wakes up and is asked for the job
     Then the cluster has broken "accepted_unknown"
 
   Scenario: Nothing is started beside a run that stands for no task
--- a/features/steps/job_directed_steps.py
+++ b/features/steps/job_directed_steps.py
@@ -13,7 +13,6 @@
 from onyxspoke.kit.jobs.audit import Violation
 from onyxspoke.kit.jobs.workers import WorkOptions
 from onyxspoke.sim.job_cluster import WORKER_CAPACITY, ClusterOptions, JobCluster, SimulatedNode
-from onyxspoke.sim.job_faults import STORE
 
 SETTLE_SECONDS = 2.0
 FIRST_JOB = "00000000000000a1"
@@ -85,11 +84,9 @@
     context.cluster.run(2.0)
 
 
-@when("the holder is cut off from everything but its callers")
-def _cut_off(context: Any) -> None:
-    cluster, holder = context.cluster, context.holder
-    peers = [node.host for node in cluster.nodes.values() if node is not holder]
-    cluster.cut(holder.host, [STORE, *peers, *cluster.pool.workers])
+@when("the holder is paused")
+def _pause(context: Any) -> None:
+    context.holder.process.pause()
 
 
 @when("the holder is cut off from the workers")
@@ -124,8 +121,9 @@
     cluster.holder = lambda: context.successor
 
 
-@when("the former holder is asked for the job")
+@when("the former holder wakes up and is asked for the job")
 def _ask_former(context: Any) -> None:
+    context.holder.process.resume()
     reply = _call(context, context.holder, FIRST_JOB, StateCall(FIRST_JOB))
     if reply is not None:
         context.cluster.audit.handle_state_reply(FIRST_JOB, reply)
--- a/features/steps/job_ingress_steps.py
+++ b/features/steps/job_ingress_steps.py
@@ -48,6 +48,11 @@
     context.cluster.store.faults.is_down = True
 
 
+@given("the store answers again")
+def _answers_again(context):
+    context.cluster.store.faults.is_down = False
+
+
 def _send(context, line, body="", host=HOST, length=None):
     context.exchange = Exchange(context.site)
     size = len(body) if length is None else length
--- /dev/null
+++ b/src/onyxspoke/core/shard/call_desk.py
@@ -0,0 +1,221 @@
+"""Callers' calls at a shard's holder: taken in, answered once their record is committed.
+
+While the store does not answer, nothing new can be promised.  A job of which no append that
+was sent says anything is refused; a cancel, or a question about a job that is not known here,
+is answered as unknown.  Both at once, so that the caller may try elsewhere or come back.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from onyxspoke.core.jobs.book import Submission
+from onyxspoke.core.jobs.model import JobId, JobSpec
+from onyxspoke.core.shard.actions import ReplyToCall
+from onyxspoke.core.shard.calls import (
+    Call,
+    CallReply,
+    CancelCall,
+    ReplyCode,
+    StateCall,
+    SubmitCall,
+    WaitingCall,
+)
+from onyxspoke.core.shard.context import ShardContext
+from onyxspoke.core.shard.run_keeper import RunKeeper
+
+#: An append that is open for so long, beyond trouble, leaves what waits for it unknown.
+SILENCE_SECONDS = 0.4
+_IN_TROUBLE = "store_in_trouble"
+
+
+class CallDesk:
+    """Answers the calls that reach a holder.
+
+    Parameters
+    ----------
+    context : ShardContext
+        State of the holder.
+    runs : RunKeeper
+        Stops the runs of a cancelled job.
+    """
+
+    def __init__(self, context: ShardContext, runs: RunKeeper) -> None:
+        self._context = context
+        self._runs = runs
+        #: Callers whose jobs no append that was sent has.
+        self._unsent: dict[int, _PendingReply] = {}
+        #: Callers whose answer waits for an append and may as well be "unknown".
+        self._unproven: dict[int, _PendingReply] = {}
+
+    def handle_call(self, call_id: int, call: Call, now: float) -> None:
+        """An entry passes on a client's call."""
+        if isinstance(call, SubmitCall):
+            self._submit(call_id, call.job, now)
+        elif isinstance(call, CancelCall):
+            self._cancel(call_id, call.job_id, now)
+        elif isinstance(call, StateCall):
+            self._tell_state(call_id, call.job_id, now)
+        else:
+            self._tell_waiting(call_id, call)
+
+    def keep(self, now: float) -> None:
+        """Answer at once those whom the store keeps waiting."""
+        if self._unsent and self._context.commit.is_in_trouble(now):
+            self._refuse_unsent()
+        if self._unproven and self._is_silent(now):
+            for pending in self._unproven.values():
+                pending.answer(_unknown(self._retry_seconds))
+            self._unproven.clear()
+
+    def note_append_sent(self) -> None:
+        """Keep the jobs that an append which was sent has: they can no longer be refused."""
+        jobs = self._context.book.jobs
+        for call_id, pending in list(self._unsent.items()):
+            job = jobs.get(pending.job_id)
+            if job is None or job.spec_is_stored:
+                del self._unsent[call_id]
+
+    # Calls
+
+    def _submit(self, call_id: int, spec: JobSpec, now: float) -> None:
+        context = self._context
+        book = context.book
+        job_id = spec.job_id
+        if job_id not in book.jobs and context.commit.is_in_trouble(now):
+            self._refuse(_PendingReply(context, call_id, job_id))
+            return
+        outcome = book.submit(spec, now)
+        context.wants_placement = True
+        if outcome is Submission.NEW:
+            self._log_taken(spec)
+        pending = _PendingReply(context, call_id, job_id, "job_accepted")
+        if job_id in book.dirty:
+            self._unsent[call_id] = pending
+        context.commit.after_commit(pending.confirm(CallReply(code=ReplyCode.OK)))
+
+    def _log_taken(self, spec: JobSpec) -> None:
+        self._context.log(
+            "job_taken",
+            job=spec.job_id,
+            queue=spec.queue.name,
+            steps=len(spec.steps),
+            tasks=sum(step.task_count for step in spec.steps),
+            policy=self._context.policy.version,
+        )
+
+    def _cancel(self, call_id: int, job_id: JobId, now: float) -> None:
+        context = self._context
+        job = context.book.cancel(job_id, now)
+        context.log("job_cancel", job=job_id, known=int(job is not None))
+        if job is not None:
+            self._runs.stop_job_runs(job.steps(), now, "job_cancelled")
+        context.wants_placement = True
+        code = ReplyCode.OK if job is not None else ReplyCode.NO_SUCH_JOB
+        self._reply_later(call_id, job_id, CallReply(code=code), context.commit.after_commit, now)
+
+    def _tell_state(self, call_id: int, job_id: JobId, now: float) -> None:
+        context = self._context
+        job = context.book.jobs.get(job_id)
+        if job is not None and job.committed_state is not None:
+            state = job.committed_state.name.lower()
+            context.emit(ReplyToCall(call_id, CallReply(code=ReplyCode.OK, state=state)))
+            return
+        # Another holder may have accepted it, unless the shard is still ours.
+        reply = CallReply(code=ReplyCode.NO_SUCH_JOB)
+        self._reply_later(call_id, job_id, reply, context.commit.after_proof, now)
+
+    def _tell_waiting(self, call_id: int, call: WaitingCall) -> None:
+        waiting = self._context.book.waiting_count(call.queue)
+        self._context.emit(ReplyToCall(call_id, CallReply(code=ReplyCode.OK, waiting=waiting)))
+
+    # Answers
+
+    def _reply_later(
+        self,
+        call_id: int,
+        job_id: JobId,
+        reply: CallReply,
+        wait: Callable[[Callable[[float], None]], None],
+        now: float,
+    ) -> None:
+        """Answer once the store has acknowledged an append, or that it is not known."""
+        pending = _PendingReply(self._context, call_id, job_id)
+        if self._is_silent(now):
+            pending.answer(_unknown(self._retry_seconds))
+            return
+        self._unproven[call_id] = pending
+
+        def confirm(moment: float) -> None:
+            self._unproven.pop(call_id, None)
+            pending.confirm(reply)(moment)
+
+        wait(confirm)
+
+    def _refuse_unsent(self) -> None:
+        """Refuse the jobs of which no append that was sent says anything."""
+        book = self._context.book
+        withdrawn = set()
+        for pending in self._unsent.values():
+            job = book.jobs.get(pending.job_id)
+            if job is not None and job.committed_state is None and not job.spec_is_stored:
+                book.withdraw(pending.job_id)
+                withdrawn.add(pending.job_id)
+            if pending.job_id in withdrawn:
+                self._refuse(pending)
+        self._unsent.clear()
+
+    def _refuse(self, pending: _PendingReply) -> None:
+        self._context.log("job_refused", job=pending.job_id, reason=_IN_TROUBLE)
+        reply = CallReply(
+            code=ReplyCode.REFUSED,
+            retry_after_seconds=self._retry_seconds,
+            reason=_IN_TROUBLE,
+        )
+        pending.answer(reply)
+
+    @property
+    def _retry_seconds(self) -> float:
+        return self._context.options.refusal_retry_seconds
+
+    def _is_silent(self, now: float) -> bool:
+        return self._context.commit.is_in_trouble(now, SILENCE_SECONDS)
+
+
+class _PendingReply:
+    """A caller who is answered once.
+
+    Parameters
+    ----------
+    event : str
+        Logged with the job when the answer is confirmed; nothing is where it is empty.
+    """
+
+    def __init__(self, context: ShardContext, call_id: int, job_id: JobId, event: str = "") -> None:
+        self._context = context
+        self._call_id = call_id
+        self._event = event
+        self._is_answered = False
+        self.job_id = job_id
+
+    def answer(self, reply: CallReply) -> None:
+        """Answer now, unless that was done."""
+        if not self._is_answered:
+            self._is_answered = True
+            self._context.emit(ReplyToCall(self._call_id, reply))
+
+    def confirm(self, reply: CallReply) -> Callable[[float], None]:
+        """Return the effect that answers once an append is acknowledged."""
+
+        def effect(now: float) -> None:
+            if not self._is_answered and self._event:
+                self._context.log(self._event, job=self.job_id)
+            self.answer(reply)
+
+        return effect
+
+
+def _unknown(retry_after_seconds: float) -> CallReply:
+    return CallReply(
+        code=ReplyCode.UNKNOWN, retry_after_seconds=retry_after_seconds, reason=_IN_TROUBLE
+    )
--- a/src/onyxspoke/core/shard/calls.py
+++ b/src/onyxspoke/core/shard/calls.py
@@ -82,7 +82,7 @@
     waiting : int
         For :class:`WaitingCall`.
     retry_after_seconds : float
-        When to come back, for ``REFUSED``.
+        When to come back, for ``REFUSED`` and ``UNKNOWN``.
     reason : str
         Why, for logs.
     """
--- a/src/onyxspoke/core/shard/commit.py
+++ b/src/onyxspoke/core/shard/commit.py
@@ -73,11 +73,11 @@
         """When the append that is open was first sent, or ``None`` if none is."""
         return None if self._batch is None else self._batch.opened_at
 
-    def is_in_trouble(self, now: float) -> bool:
-        """Return whether the store keeps an append open for unusually long."""
+    def is_in_trouble(self, now: float, bound_seconds: float = TROUBLE_SECONDS) -> bool:
+        """Return whether the store keeps an append open for longer than it should."""
         if self._batch is None:
             return False
-        bound = max(TROUBLE_SECONDS, TROUBLE_FACTOR * self._latest_seconds)
+        bound = max(bound_seconds, TROUBLE_FACTOR * self._latest_seconds)
         return now - self._batch.opened_at > bound
 
     def after_commit(self, effect: Effect) -> None:
--- a/src/onyxspoke/platform/ingress.py
+++ b/src/onyxspoke/platform/ingress.py
@@ -96,7 +96,7 @@
             # The caller is to come back through the balancer, to a node that is.
             close_after(request)
         if self._node.configuration is None:
-            _write_unavailable(request, 1.0)
+            _write_later(request, 1.0, _UNAVAILABLE)
             return NOT_DONE_YET
         path = request.path.decode("ascii", "replace")
         host = request.getHeader("host") or ""
@@ -152,9 +152,9 @@
         elif reply.code is ReplyCode.NO_SUCH_JOB:
             write_json(request, _EMPTY, _GONE)
         elif reply.code is ReplyCode.REFUSED:
-            _write_unavailable(request, reply.retry_after_seconds)
+            _write_later(request, reply.retry_after_seconds, _UNAVAILABLE)
         else:
-            write_json(request, _EMPTY, _GATEWAY_TIMEOUT)
+            _write_later(request, reply.retry_after_seconds, _GATEWAY_TIMEOUT)
 
     def _body(self, reply: CallReply) -> msgspec.Struct:
         if isinstance(self._call, StateCall):
@@ -236,6 +236,7 @@
     return max(milliseconds / _MILLISECONDS - DEADLINE_SLACK_SECONDS, DEADLINE_SLACK_SECONDS)
 
 
-def _write_unavailable(request: Request, retry_after_seconds: float) -> None:
+def _write_later(request: Request, retry_after_seconds: float, status: int) -> None:
+    """Answer that the caller is to come back."""
     request.setHeader(b"retry-after", str(max(1, math.ceil(retry_after_seconds))).encode())
-    write_json(request, _EMPTY, _UNAVAILABLE)
+    write_json(request, _EMPTY, status)
