Gangs hold the room that they wait for, and keep their tickets; a known job is told at once

Its tickets ran out 1.5 s after advice, and no new ones were asked for while one was left; meanwhile smaller tasks took the room that came free. First starts of the gangs: p50 3.7 s, p95 16.8 s, at 80% of the cell's processors. Ruled out: advice (44 entries, 342 s of calls in 48 s), the holder's processor (0.37 cores at most), and room as such.

Now a waiting gang holds the room that it could use, worked out at each look and taken again in passes between; what is more urgent still goes first, what comes after does not. At most a fifth of a service's processors is held beside the first gang's, and nothing for a gang that no empty cell could hold. Once 60% of its room is there its tickets are renewed all the time. All workers are asked about in calls side by side. A gang that is slower over several racks waits for one rack, half its estimate at most. A worker on trial on which nothing was tried for 3 s is trusted again.

--- a/features/job_ingress.feature
+++ b/features/job_ingress.feature
@@ -143,6 +143,16 @@
       | deletes | 0.05 |
       | deletes | 1.5  |
 
+  Scenario: While the store is silent, a job that it has is still told to be accepted
+    When a caller posts to "/normal/00000000000000b5" a small job
+    And 0.05 seconds pass in the cluster
+    Given the store is silent
+    When a caller posts to "/normal/00000000000000b1" a small job
+    And 1 seconds pass in the cluster
+    And a caller posts to "/normal/00000000000000b5" a small job
+    And 0.05 seconds pass in the cluster
+    Then the front's answer has status 200
+
   Scenario: A cancel of which the store could not be told is not forgotten
     When a caller posts to "/normal/00000000000000b4" a small job
     And 0.05 seconds pass in the cluster
--- a/features/job_promises.feature
+++ b/features/job_promises.feature
@@ -31,6 +31,12 @@
       | 459  |
       | 543  |
 
+    Examples: a gang waited for ever: for workers it never asked about, or that nobody tried again
+      | seed |
+      | 136  |
+      | 1079 |
+      | 1667 |
+
   Scenario Outline: Without <mechanism> something is broken
     When jobs are played over seeds from <first> without "<mechanism>" until "<violation>" is found
     Then it is found within 40 seeds
--- /dev/null
+++ b/features/placement.feature
@@ -0,0 +1,144 @@
+Feature: Which waiting tasks start, and where
+
+  The placer is a pure function: workers with room, steps in order, advice. Nothing of this needs
+  a cluster.
+
+  Background:
+    Given workers "a", "b" and "c" of 10 processors each
+
+  Scenario: Urgent queues go first, then older jobs
+    Given a waiting step "old" of 3 tasks of 9 processors, priority 1
+    And a waiting step "urgent" of 1 task of 9 processors, priority 0
+    When a pass of placement is made
+    Then "urgent" starts 1 task
+    And "old" starts 2 tasks
+
+  Scenario: A gang starts whole or not at all
+    Given a waiting gang "gang" of 4 tasks of 6 processors, priority 1
+    When a pass of placement is made
+    Then "gang" starts 0 tasks
+
+  Scenario: What comes after a waiting gang does not take the room that it waits for
+    Given "a" runs a task of 10 processors
+    And a waiting gang "gang" of 3 tasks of 8 processors, priority 1
+    And a waiting step "small" of 5 tasks of 2 processors, priority 2
+    When a pass of placement is made
+    Then "gang" starts 0 tasks
+    And "small" starts 2 tasks
+    When the task on "a" has ended
+    And a pass of placement is made
+    Then "gang" starts 3 tasks
+
+  Scenario: The room is held in passes that do not look at the gang again
+    Given "a" runs a task of 10 processors
+    And a waiting gang "gang" of 3 tasks of 8 processors, priority 1
+    When a pass of placement is made
+    Given a waiting step "small" of 5 tasks of 2 processors, priority 2
+    When a pass of placement is made
+    Then "small" starts 2 tasks
+
+  Scenario: What is more urgent takes the room all the same
+    Given "a" runs a task of 10 processors
+    And a waiting gang "gang" of 3 tasks of 8 processors, priority 1
+    When a pass of placement is made
+    Given a waiting step "urgent" of 2 tasks of 9 processors, priority 0
+    When a pass of placement is made
+    Then "urgent" starts 2 tasks
+
+  Scenario: Held room is given back when the gang waits no longer
+    Given "a" runs a task of 10 processors
+    And a waiting gang "gang" of 3 tasks of 8 processors, priority 1
+    And a waiting step "small" of 5 tasks of 2 processors, priority 2
+    When a pass of placement is made
+    Then "small" starts 2 tasks
+    When "gang" waits no longer
+    And a pass of placement is made
+    Then "small" starts 3 tasks
+
+  Scenario: A gang that no empty cell could hold keeps nothing from others
+    Given a waiting gang "gang" of 4 tasks of 8 processors, priority 1
+    And a waiting step "small" of 3 tasks of 9 processors, priority 2
+    When a pass of placement is made
+    Then "small" starts 3 tasks
+
+  Scenario: Of several waiting gangs only some hold room
+    Given "a" runs a task of 10 processors
+    And a waiting gang "first" of 3 tasks of 5 processors, priority 1
+    And a waiting gang "huge" of 3 tasks of 10 processors, priority 1
+    And a waiting step "small" of 3 tasks of 4 processors, priority 2
+    When a pass of placement is made
+    Then "first" starts 3 tasks
+    And "huge" starts 0 tasks
+    And "small" starts 1 task
+
+  Scenario: A gang that is slow over several racks waits for one
+    Given workers "d" and "e" of 10 processors each in rack "two"
+    And "a" runs a task of 10 processors
+    And "b" runs a task of 10 processors
+    And a waiting gang of one rack "near" of 2 tasks of 8 processors, priority 1
+    When a pass of placement is made
+    Then "near" starts 2 tasks
+    And they are on "d" and "e"
+
+  Scenario: It does not wait for one rack for ever
+    Given workers "d" of 10 processors each in rack "two"
+    And "a" runs a task of 10 processors
+    And "b" runs a task of 10 processors
+    And a waiting gang of one rack "near" of 2 tasks of 8 processors, priority 1
+    When a pass of placement is made
+    Then "near" starts 0 tasks
+    When 3 seconds pass before a pass of placement
+    Then "near" starts 2 tasks
+
+  Scenario: A gang asks about every worker at once, in calls side by side
+    Given 90 more workers of 10 processors each
+    And 3 entries that ask for advice, which takes 500 ms and 10 ms a worker
+    And a waiting gang "gang" of 4 tasks of 8 processors, priority 1
+    When a pass of placement is made
+    Then 2 calls for advice go out, about 93 workers
+
+  Scenario: Tickets are renewed for a gang that has most of its room
+    Given 3 entries that ask for advice, which takes 500 ms and 10 ms a worker
+    And "a" runs a task of 10 processors
+    And a waiting gang "gang" of 3 tasks of 8 processors, priority 1
+    When a pass of placement is made
+    And advice says that every worker is good for "gang" for 1500 ms
+    And 1.2 seconds pass before a pass of placement
+    Then 1 call for advice goes out, about 2 workers
+
+  Scenario: None are asked for while most of its room is missing
+    Given 3 entries that ask for advice, which takes 500 ms and 10 ms a worker
+    And "a" runs a task of 10 processors
+    And "b" runs a task of 10 processors
+    And a waiting gang "gang" of 3 tasks of 8 processors, priority 1
+    When a pass of placement is made
+    And advice says that every worker is good for "gang" for 1500 ms
+    And 1.2 seconds pass before a pass of placement
+    Then 0 calls for advice go out
+
+  Scenario: A gang asks about workers that came into use since, while it lacks room
+    Given 3 entries that ask for advice, which takes 500 ms and 10 ms a worker
+    And a waiting gang "gang" of 3 tasks of 8 processors, priority 1
+    When a pass of placement is made
+    And advice says that no worker is good for "gang"
+    Given workers "d" of 10 processors each in rack "two"
+    When a pass of placement is made
+    Then 1 call for advice goes out, about 1 workers
+
+  Scenario: A gang is not kept for ever from a worker on which nothing else is tried
+    Given "a" failed the runs of 2 jobs
+    And a waiting gang "gang" of 3 tasks of 8 processors, priority 1
+    When 2 seconds pass before a pass of placement
+    Then "gang" starts 0 tasks
+    When 4 seconds pass before a pass of placement
+    Then "gang" starts 3 tasks
+
+  Scenario: A gang that has most of its room asks about workers that came into use, too
+    Given 3 entries that ask for advice, which takes 500 ms and 10 ms a worker
+    And "a" runs a task of 10 processors
+    And a waiting gang "gang" of 3 tasks of 8 processors, priority 1
+    When a pass of placement is made
+    And advice says that every worker is good for "gang" for 1500 ms
+    Given workers "d" of 10 processors each in rack "two"
+    When 1.2 seconds pass before a pass of placement
+    Then 1 call for advice goes out, about 3 workers
--- /dev/null
+++ b/features/steps/placement_steps.py
@@ -0,0 +1,223 @@
+"""Steps that place waiting tasks on workers, without a cluster."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given, then, when
+
+from onyxspoke.core.jobs.model import AdvicePolicy, JobSpec, Needs, QueuePolicy, StepSpec
+from onyxspoke.core.jobs.policy import PolicySet
+from onyxspoke.core.jobs.progress import JobProgress, StepProgress
+from onyxspoke.core.jobs.states import JobState, RunState, TaskState
+from onyxspoke.core.placement.advice_desk import AdviceDesk
+from onyxspoke.core.placement.placer import Placer
+from onyxspoke.core.placement.runs import Run
+from onyxspoke.core.placement.workers import Worker, WorkerContact, WorkerRecord, WorkerTable
+from onyxspoke.core.shard.orders import AdviceOutcome, AdviceResult, Ticket
+
+MILLI = 1_000
+ESTIMATED_MS = 2_000
+SERVICE = "service"
+
+
+class _Scene:
+    """Workers, waiting steps and a placer."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.table = WorkerTable()
+        self.desk = AdviceDesk()
+        self.placer = Placer(self.table, self.desk)
+        self.advice: AdvicePolicy | None = None
+        self.steps: dict[str, StepProgress] = {}
+        self.runs: dict[str, Run] = {}
+        self.started: dict[str, list[Run]] = {}
+        self.calls: list[Any] = []
+
+    def add_worker(self, name: str, processors: int, rack: str = "one") -> None:
+        record = WorkerRecord(
+            worker_id=name,
+            host=name,
+            port=1,
+            service=SERVICE,
+            zone="zone",
+            capacity=Needs(processors * MILLI, 64_000, 0),
+            rack=rack,
+        )
+        worker = Worker(record, unsettled_until=0.0)
+        worker.move_to(WorkerContact.SETTLED)
+        worker.is_recorded = True
+        self.table.workers[name] = worker
+
+    def add_step(
+        self, name: str, count: int, processors: int, priority: int, **traits: bool
+    ) -> StepProgress:
+        queue = QueuePolicy(
+            name=f"queue-{priority}", service=SERVICE, priority=priority, advice=self.advice
+        )
+        spec = StepSpec(
+            task_count=count,
+            processors_milli=processors * MILLI,
+            memory_mb=100,
+            estimated_ms=ESTIMATED_MS,
+            **traits,
+        )
+        job = JobProgress(JobSpec(job_id=name, queue=queue, payload="", steps=(spec,)), self.now)
+        job.committed_state = JobState.QUEUED
+        step = job.begin_repetition(0, self.now)[0]
+        self.steps[name] = step
+        self.now += 0.001
+        return step
+
+    def start(self, step: StepProgress, index: int, worker: Worker) -> Run:
+        task = step.tasks[index]
+        run = Run(task, 1, worker, self.now)
+        task.run = run
+        task.move_to(TaskState.ACTIVE)
+        worker.add(run)
+        return run
+
+    def make_pass(self) -> None:
+        waiting = [step for step in self.steps.values() if step.waiting]
+        self.started = {}
+        for plan in self.placer.plan(waiting, PolicySet(), self.now):
+            runs = [self.start(plan.step, item.task.index, item.worker) for item in plan.placements]
+            self.started[plan.step.job.job_id] = runs
+        self.calls = self.desk.dispatch(self.now)
+
+
+@given("workers {names} of {processors:d} processors each")
+def _workers(context: Any, names: str, processors: int) -> None:
+    context.scene = getattr(context, "scene", None) or _Scene()
+    for name in _names(names):
+        context.scene.add_worker(name, processors)
+
+
+@given('workers {names} of {processors:d} processors each in rack "{rack}"')
+def _workers_in_rack(context: Any, names: str, processors: int, rack: str) -> None:
+    for name in _names(names):
+        context.scene.add_worker(name, processors, rack)
+
+
+@given("{count:d} more workers of {processors:d} processors each")
+def _more_workers(context: Any, count: int, processors: int) -> None:
+    for number in range(count):
+        context.scene.add_worker(f"more-{number:03}", processors)
+
+
+@given("{count:d} entries that ask for advice, which takes {decide:d} ms and {each:d} ms a worker")
+def _advisors(context: Any, count: int, decide: int, each: int) -> None:
+    scene = context.scene
+    scene.advice = AdvicePolicy(decide, each, 1_500.0)
+    scene.desk.set_advisors([f"entry-{number}" for number in range(count)], scene.now)
+
+
+@given('a waiting step "{name}" of {count:d} task of {processors:d} processors, priority {rank:d}')
+@given('a waiting step "{name}" of {count:d} tasks of {processors:d} processors, priority {rank:d}')
+def _step(context: Any, name: str, count: int, processors: int, rank: int) -> None:
+    context.scene.add_step(name, count, processors, rank)
+
+
+@given('a waiting gang "{name}" of {count:d} tasks of {processors:d} processors, priority {rank:d}')
+def _gang(context: Any, name: str, count: int, processors: int, rank: int) -> None:
+    context.scene.add_step(name, count, processors, rank, gang=True)
+
+
+@given(
+    'a waiting gang of one rack "{name}" of {count:d} tasks of {processors:d} processors,'
+    " priority {rank:d}"
+)
+def _rack_gang(context: Any, name: str, count: int, processors: int, rank: int) -> None:
+    context.scene.add_step(name, count, processors, rank, gang=True, same_rack=True)
+
+
+@given('"{worker}" runs a task of {processors:d} processors')
+def _running(context: Any, worker: str, processors: int) -> None:
+    scene = context.scene
+    step = scene.add_step(f"running-{worker}", 1, processors, 0)
+    scene.runs[worker] = scene.start(step, 0, scene.table.workers[worker])
+
+
+@given('"{worker}" failed the runs of {count:d} jobs')
+def _failed(context: Any, worker: str, count: int) -> None:
+    scene = context.scene
+    for number in range(count):
+        scene.table.workers[worker].health.note_failure(f"job-{number}", scene.now)
+
+
+@when('the task on "{worker}" has ended')
+def _ended(context: Any, worker: str) -> None:
+    scene = context.scene
+    run = scene.runs.pop(worker)
+    run.move_to(RunState.ENDED)
+    run.worker.remove(run)
+    run.task.move_to(TaskState.DONE)
+    scene.table.note_gain(run.worker)
+
+
+@when('"{name}" waits no longer')
+def _waits_no_longer(context: Any, name: str) -> None:
+    del context.scene.steps[name]
+
+
+@when("a pass of placement is made")
+def _pass(context: Any) -> None:
+    context.scene.make_pass()
+
+
+@when("{seconds:g} seconds pass before a pass of placement")
+def _later_pass(context: Any, seconds: float) -> None:
+    context.scene.now += seconds
+    context.scene.placer.reconsider_all()
+    context.scene.make_pass()
+
+
+@when('advice says that every worker is good for "{name}" for {validity:d} ms')
+def _advice(context: Any, name: str, validity: int) -> None:
+    scene = context.scene
+    assert scene.calls
+    for call in scene.calls:
+        tickets = [Ticket(worker_id, "ticket") for worker_id in call.worker_ids]
+        result = AdviceResult(AdviceOutcome.ANSWERED, tickets, float(validity))
+        scene.desk.handle_result(call.call_id, result, scene.now)
+    scene.placer.reconsider(scene.steps[name].key)
+
+
+@when('advice says that no worker is good for "{name}"')
+def _no_advice(context: Any, name: str) -> None:
+    scene = context.scene
+    for call in scene.calls:
+        result = AdviceResult(AdviceOutcome.ANSWERED, [], 1_500.0)
+        scene.desk.handle_result(call.call_id, result, scene.now)
+    scene.placer.reconsider(scene.steps[name].key)
+
+
+@then('"{name}" starts {count:d} task')
+@then('"{name}" starts {count:d} tasks')
+def _starts(context: Any, name: str, count: int) -> None:
+    runs = context.scene.started.get(name, [])
+    assert len(runs) == count, [run.worker.worker_id for run in runs]
+    context.latest = runs
+
+
+@then("they are on {names}")
+def _are_on(context: Any, names: str) -> None:
+    assert sorted(run.worker.worker_id for run in context.latest) == _names(names)
+
+
+@then("{count:d} calls for advice go out, about {workers:d} workers")
+@then("{count:d} call for advice goes out, about {workers:d} workers")
+def _calls(context: Any, count: int, workers: int) -> None:
+    calls = context.scene.calls
+    assert len(calls) == count, calls
+    assert sum(len(call.worker_ids) for call in calls) == workers, calls
+
+
+@then("{count:d} calls for advice go out")
+def _call_count(context: Any, count: int) -> None:
+    assert len(context.scene.calls) == count, context.scene.calls
+
+
+def _names(text: str) -> list[str]:
+    return sorted(part.strip('" ') for part in text.replace(" and ", ",").split(",") if part)
--- a/src/onyxspoke/core/placement/advice_desk.py
+++ b/src/onyxspoke/core/placement/advice_desk.py
@@ -17,6 +17,8 @@
 _MILLISECONDS = 1_000.0
 #: Workers in one call at most; the service's bound.
 MAXIMUM_WORKERS_ASKED = 100
+#: Workers in one of several calls about a step at least, where there are as many.
+MINIMUM_WORKERS_ASKED = 24
 #: Calls that may be under way through one entry.
 MAXIMUM_CALLS_EACH = 2
 #: A ticket is not used in its last moments.
@@ -49,9 +51,14 @@
 
     tickets: dict[WorkerId, HeldTicket] = field(default_factory=dict)
     asked: set[WorkerId] = field(default_factory=set)
-    is_asking: bool = False
+    open_calls: int = 0
     retry_at: float = 0.0
 
+    @property
+    def is_asking(self) -> bool:
+        """Whether a call about the step waits or is under way."""
+        return self.open_calls > 0
+
     def valid_ticket(self, worker_id: WorkerId, now: float) -> str | None:
         """Return the ticket for a worker, if it may still be used."""
         held = self.tickets.get(worker_id)
@@ -135,12 +142,12 @@
         advice = self.advice_on(step)
         if advice.is_asking or now < advice.retry_at or not worker_ids:
             return
-        chosen = tuple(worker_ids[:MAXIMUM_WORKERS_ASKED])
-        seconds = (policy.decide_ms + policy.per_item_ms * len(chosen)) / _MILLISECONDS
-        self._last_call_id += 1
-        call = AdviceCall(self._last_call_id, step.key, chosen, seconds, rank)
-        advice.is_asking = True
-        self._waiting[call.call_id] = call
+        for chosen in _batches(step, policy, worker_ids):
+            seconds = (policy.decide_ms + policy.per_item_ms * len(chosen)) / _MILLISECONDS
+            self._last_call_id += 1
+            call = AdviceCall(self._last_call_id, step.key, chosen, seconds, rank)
+            advice.open_calls += 1
+            self._waiting[call.call_id] = call
 
     def dispatch(self, now: float) -> list[AdviceCall]:
         """Return the calls to be made now, each with its advisor."""
@@ -168,7 +175,7 @@
         advice = self._steps.get(call.step)
         if advice is None:
             return None
-        advice.is_asking = False
+        advice.open_calls -= 1
         advice.asked.update(call.worker_ids)
         use_before = now + result.validity_ms / _MILLISECONDS - TICKET_MARGIN_SECONDS
         for ticket in result.tickets:
@@ -225,6 +232,24 @@
         self._end(call, now)
         advice = self._steps.get(call.step)
         if advice is not None:
-            advice.is_asking = False
+            advice.open_calls -= 1
             advice.retry_at = now + RETRY_SECONDS
             self._retries[call.step] = advice.retry_at
+
+
+def _batches(
+    step: StepProgress, policy: AdvicePolicy, worker_ids: list[WorkerId]
+) -> list[tuple[WorkerId, ...]]:
+    """Return the workers to ask about, by call.
+
+    Most steps do well with the workers of one call.  A gang wants to know all of them, and
+    sooner than one call after the other: so its calls go side by side, each of a size at which
+    the share that every call takes and the share of its workers are about alike.
+    """
+    if not step.spec.gang:
+        return [tuple(worker_ids[:MAXIMUM_WORKERS_ASKED])]
+    balanced = int(policy.decide_ms / policy.per_item_ms) if policy.per_item_ms else len(worker_ids)
+    most = min(MAXIMUM_WORKERS_ASKED, max(balanced, MINIMUM_WORKERS_ASKED))
+    count = -(-len(worker_ids) // most)
+    size = -(-len(worker_ids) // count)
+    return [tuple(worker_ids[at : at + size]) for at in range(0, len(worker_ids), size)]
--- a/src/onyxspoke/core/placement/health.py
+++ b/src/onyxspoke/core/placement/health.py
@@ -14,6 +14,8 @@
 #: For how long a worker is avoided, at first and at most; it doubles each time.
 FIRST_AVOID_SECONDS = 1.5
 LONGEST_AVOID_SECONDS = 6.0
+#: Where nothing was tried for so long since, a worker is trusted again.
+TRIAL_SECONDS = 3.0
 
 
 class WorkerHealth:
@@ -55,7 +57,9 @@
 
     def is_on_trial(self, now: float) -> bool:
         """Return whether the worker was avoided and has not run anything well since."""
-        return len(self._failed_jobs) >= FAILURES_TO_AVOID and not self.is_avoided(now)
+        if len(self._failed_jobs) < FAILURES_TO_AVOID:
+            return False
+        return 0 <= now - self._avoided_until < TRIAL_SECONDS
 
     def is_doubtful(self, now: float) -> bool:
         """Return whether other workers are to be preferred."""
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -4,14 +4,24 @@
 
 from dataclasses import dataclass
 
-from onyxspoke.core.jobs.model import Needs, QueuePolicy, StepKey
+from onyxspoke.core.jobs.model import AdvicePolicy, Needs, QueuePolicy, StepKey
 from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.jobs.progress import StepProgress, TaskProgress
 from onyxspoke.core.placement.advice_desk import AdviceDesk, StepAdvice
+from onyxspoke.core.placement.reservations import GangReservations, MemberSlots, can_ever_fit
+from onyxspoke.core.placement.room import ScratchRoom
 from onyxspoke.core.placement.workers import Worker, WorkerTable
 
 #: Tasks placed in one pass at most, so that a pass stays short.
 MAXIMUM_PLACEMENTS = 200
+#: Tickets for a gang are asked for once so much of its room is there.
+ASKING_SHARE = 0.6
+#: Tickets that run out so soon after the answer to a call are asked for anew.
+RENEWAL_SECONDS = 0.1
+#: A gang that is slower over several racks waits for one rack, for so long at most, as a
+#: share of its estimate.
+ONE_RACK_PATIENCE_SHARE = 0.5
+_MILLISECONDS = 1_000.0
 
 
 @dataclass(slots=True)
@@ -35,7 +45,8 @@
     """Places waiting tasks in order of their queues' priority and their jobs' age.
 
     A step that found no room is looked at again only when a worker that is good for it has
-    gained room since: so a pass costs little however long the waiting line is.
+    gained room since: so a pass costs little however long the waiting line is.  A gang that
+    waits holds the room that it could use, so that what comes after it does not take it.
     """
 
     def __init__(self, table: WorkerTable, desk: AdviceDesk) -> None:
@@ -43,6 +54,7 @@
         self._desk = desk
         #: Change number of the table at which a step was last looked at in vain.
         self._blocked_at: dict[StepKey, int] = {}
+        self._reservations = GangReservations(table)
 
     def reconsider(self, key: StepKey) -> None:
         """Look at a step anew: what is known of it has changed."""
@@ -58,8 +70,9 @@
         Room is tracked in a scratch copy; nothing of the workers is changed.
         """
         self._table.note_availability(now)
+        self._reservations.drop_others({step.key for step in steps})
         plan: list[StepPlacement] = []
-        room = _ScratchRoom()
+        room = ScratchRoom()
         offers = _Offers(self._table, now)
         changes = _Changes(self._table)
         blocked_at: dict[StepKey, int] = {}
@@ -74,31 +87,79 @@
                     count += len(placed.placements)
                     if count >= MAXIMUM_PLACEMENTS:
                         return plan
+            else:
+                self._reservations.hold_again(step, room)
             blocked_at[step.key] = self._table.change_number
         self._blocked_at = blocked_at
         return plan
 
     def _place_step(
-        self, step: StepProgress, queue: QueuePolicy, offer: _Offer, room: _ScratchRoom, now: float
+        self, step: StepProgress, queue: QueuePolicy, offer: _Offer, room: ScratchRoom, now: float
     ) -> StepPlacement | None:
+        if step.spec.gang:
+            return self._place_gang(step, queue, offer, room, now)
         may_fit = offer.may_fit(step.spec.needs)
-        if queue.advice is None:
-            candidates = [_Candidate(worker, "") for worker in offer.workers.values()]
-        else:
+        candidates = self._candidates(step, queue, offer, now)
+        if queue.advice is not None:
             advice = self._desk.advice_on(step)
-            candidates = _with_tickets(advice, offer, now)
             if not advice.is_asking:
                 ask = _workers_to_ask(step, advice, offer, bool(candidates), may_fit, room)
                 self._desk.want(step, queue.advice, ask, step_rank_of(step, queue), now)
         if not may_fit or not candidates:
             return None
-        label = step.spec.required_label
-        if label:
-            candidates = [item for item in candidates if label in item.worker.record.labels]
-        if step.spec.gang:
-            return _place_gang(step, candidates, room, now)
         return _place_tasks(step, candidates, room, now)
 
+    def _candidates(
+        self, step: StepProgress, queue: QueuePolicy, offer: _Offer, now: float
+    ) -> list[_Candidate]:
+        """Return the workers on which the step may be started now."""
+        if queue.advice is None:
+            candidates = [_Candidate(worker, "") for worker in offer.workers.values()]
+        else:
+            candidates = _with_tickets(self._desk.advice_on(step), offer, now)
+        return [item for item in candidates if _has_label(item.worker, step)]
+
+    # Gangs
+
+    def _place_gang(
+        self, step: StepProgress, queue: QueuePolicy, offer: _Offer, room: ScratchRoom, now: float
+    ) -> StepPlacement | None:
+        if len(step.waiting) < len(step.tasks):
+            return None
+        candidates = self._candidates(step, queue, offer, now)
+        candidates = [item for item in candidates if not item.worker.health.is_on_trial(now)]
+        tickets = {item.worker.worker_id: item.ticket for item in candidates}
+        members = _choose_for_gang(step, [item.worker for item in candidates], room, now)
+        if members is not None:
+            self._reservations.drop(step.key)
+            return _start_gang(step, members, tickets, room)
+        self._hold_for_gang(step, queue, offer, room, now)
+        return None
+
+    def _hold_for_gang(
+        self, step: StepProgress, queue: QueuePolicy, offer: _Offer, room: ScratchRoom, now: float
+    ) -> None:
+        """Hold the room that there is, and ask for what is missing to use it."""
+        advice = self._desk.advice_on(step) if queue.advice is not None else None
+        workers = [
+            worker
+            for worker in offer.workers.values()
+            if _has_label(worker, step)
+            and not worker.health.is_on_trial(now)
+            and (advice is None or worker.worker_id in advice.tickets)
+        ]
+        slots = _slots_of(step, workers, room, now)
+        if queue.advice is not None and advice is not None and not advice.is_asking:
+            ask = _workers_to_ask_for_gang(step, queue.advice, advice, offer, slots, now)
+            self._desk.want(step, queue.advice, ask, step_rank_of(step, queue), now)
+        may_hold = self._reservations.holds(step.key) or self._reservations.is_within_share(
+            offer.processors_milli
+        )
+        if may_hold and can_ever_fit(step, workers):
+            self._reservations.hold(step, _first_members(slots, len(step.tasks)), room)
+        else:
+            self._reservations.drop(step.key)
+
 
 class _Changes:
     """The workers that have gained room, or come into use, since a change number."""
@@ -146,6 +207,8 @@
         self.workers = {worker.worker_id: worker for worker in workers}
         self._most_processors = max((worker.free_processors for worker in workers), default=-1)
         self._most_memory = max((worker.free_memory for worker in workers), default=-1)
+        #: Of all its workers together.
+        self.processors_milli = sum(worker.record.capacity.processors_milli for worker in workers)
 
     def may_fit(self, needs: Needs) -> bool:
         """Return whether some worker might have room; a quick look, before any plan."""
@@ -172,7 +235,7 @@
 
 
 def _place_tasks(
-    step: StepProgress, candidates: list[_Candidate], room: _ScratchRoom, now: float
+    step: StepProgress, candidates: list[_Candidate], room: ScratchRoom, now: float
 ) -> StepPlacement | None:
     needs = step.spec.needs
     placements = []
@@ -191,63 +254,111 @@
     return StepPlacement(step, placements) if placements else None
 
 
-def _place_gang(
-    step: StepProgress, candidates: list[_Candidate], room: _ScratchRoom, now: float
-) -> StepPlacement | None:
-    if len(step.waiting) < len(step.tasks):
+def _has_label(worker: Worker, step: StepProgress) -> bool:
+    label = step.spec.required_label
+    return not label or label in worker.record.labels
+
+
+def _slots_of(
+    step: StepProgress, workers: list[Worker], room: ScratchRoom, now: float
+) -> list[MemberSlots]:
+    """Return how many members each worker has room for, the best workers first."""
+    spec = step.spec
+    failed_on = {task.failed_on for task in step.tasks}
+    bound = min(spec.spread_limit or len(step.tasks), len(step.tasks))
+    ranked = []
+    for worker in workers:
+        count = min(bound, room.slots(worker, spec.needs))
+        if count > 0:
+            score = (
+                int(worker.worker_id in failed_on),
+                int(worker.health.is_doubtful(now)),
+                int(_is_far(worker, step)),
+                room.free_processors(worker),
+                worker.worker_id,
+            )
+            ranked.append((score, MemberSlots(worker, count)))
+    ranked.sort(key=lambda item: item[0])
+    return [slots for _score, slots in ranked]
+
+
+def _first_members(slots: list[MemberSlots], count: int) -> list[MemberSlots]:
+    """Return the first so many members' room, or all where there is less."""
+    chosen = []
+    for item in slots:
+        if count <= 0:
+            break
+        chosen.append(MemberSlots(item.worker, min(item.count, count)))
+        count -= item.count
+    return chosen
+
+
+def _total(slots: list[MemberSlots]) -> int:
+    return sum(item.count for item in slots)
+
+
+def _choose_for_gang(
+    step: StepProgress, workers: list[Worker], room: ScratchRoom, now: float
+) -> list[MemberSlots] | None:
+    """Return room for every member, in one rack where that matters, or ``None``."""
+    slots = _slots_of(step, workers, room, now)
+    members = len(step.tasks)
+    if _total(slots) < members:
         return None
-    candidates = [item for item in candidates if not item.worker.health.is_on_trial(now)]
-    trial = room.copy()
-    needs = step.spec.needs
-    counts: dict[str, int] = {}
-    placements = []
-    for task in step.tasks:
-        chosen = _choose(task, candidates, trial, counts, now)
-        if chosen is None:
+    if step.spec.same_rack:
+        racks: dict[str, list[MemberSlots]] = {}
+        for item in slots:
+            racks.setdefault(item.worker.record.rack, []).append(item)
+        fitting = [items for items in racks.values() if _total(items) >= members]
+        if fitting:
+            slots = min(fitting, key=_total)
+        elif now - step.ready_at < _one_rack_patience(step):
             return None
-        worker = chosen.worker
-        trial.take(worker, needs)
-        counts[worker.worker_id] = counts.get(worker.worker_id, 0) + 1
-        placements.append(Placement(task, worker, chosen.ticket))
-    room.replace_by(trial)
-    return StepPlacement(step, placements)
-
+    return _first_members(slots, members)
 
-class _ScratchRoom:
-    """Room that a plan has taken so far, by worker."""
 
-    def __init__(self) -> None:
-        self._taken: dict[str, Needs] = {}
+def _one_rack_patience(step: StepProgress) -> float:
+    return ONE_RACK_PATIENCE_SHARE * step.spec.estimated_ms / _MILLISECONDS
 
-    def fits(self, worker: Worker, needs: Needs) -> bool:
-        taken = self._taken.get(worker.worker_id)
-        if taken is None:
-            return worker.fits(needs)
-        return (
-            taken.processors_milli + needs.processors_milli <= worker.free_processors
-            and taken.memory_mb + needs.memory_mb <= worker.free_memory
-            and taken.accelerators + needs.accelerators <= worker.free_accelerators
-        )
 
-    def free_processors(self, worker: Worker) -> int:
-        taken = self._taken.get(worker.worker_id)
-        return worker.free_processors - (taken.processors_milli if taken else 0)
+def _start_gang(
+    step: StepProgress, members: list[MemberSlots], tickets: dict[str, str], room: ScratchRoom
+) -> StepPlacement:
+    placements = []
+    tasks = iter(step.tasks)
+    for item in members:
+        room.take(item.worker, step.spec.needs, item.count)
+        ticket = tickets[item.worker.worker_id]
+        placements += [Placement(next(tasks), item.worker, ticket) for _ in range(item.count)]
+    return StepPlacement(step, placements)
 
-    def take(self, worker: Worker, needs: Needs) -> None:
-        taken = self._taken.get(worker.worker_id, Needs())
-        self._taken[worker.worker_id] = Needs(
-            taken.processors_milli + needs.processors_milli,
-            taken.memory_mb + needs.memory_mb,
-            taken.accelerators + needs.accelerators,
-        )
 
-    def copy(self) -> _ScratchRoom:
-        scratch = _ScratchRoom()
-        scratch._taken = dict(self._taken)
-        return scratch
+def _workers_to_ask_for_gang(
+    step: StepProgress,
+    policy: AdvicePolicy,
+    advice: StepAdvice,
+    offer: _Offer,
+    slots: list[MemberSlots],
+    now: float,
+) -> list[str]:
+    """Return the workers whose tickets a gang lacks.
 
-    def replace_by(self, other: _ScratchRoom) -> None:
-        self._taken = other._taken
+    All are asked about at first.  Later it is those that have room: while some is missing, the
+    workers that came into use since; once most of it is there, the good ones for new tickets.
+    """
+    unknown = offer.workers.keys() - advice.asked
+    if len(unknown) * 2 > len(offer.workers):
+        return sorted(unknown)
+    asked: list[str] = []
+    if _total(slots) < len(step.tasks):
+        needs = step.spec.needs
+        asked = sorted(name for name in unknown if offer.workers[name].fits(needs))
+    if _total(slots) < ASKING_SHARE * len(step.tasks):
+        return asked
+    seconds = (policy.decide_ms + policy.per_item_ms * len(slots)) / _MILLISECONDS
+    needed_until = now + seconds + RENEWAL_SECONDS
+    good = [item.worker.worker_id for item in slots]
+    return asked + [name for name in good if advice.tickets[name].use_before < needed_until]
 
 
 def step_rank(step: StepProgress, policy: PolicySet) -> tuple[float, ...]:
@@ -266,7 +377,7 @@
     offer: _Offer,
     has_tickets: bool,
     may_fit: bool,
-    room: _ScratchRoom,
+    room: ScratchRoom,
 ) -> list[str]:
     """Return the workers about which advice is missing and would help."""
     unknown = offer.workers.keys() - advice.asked
@@ -280,16 +391,12 @@
         for worker_id, worker in offer.workers.items()
         if advice.may_run_on(worker_id) and room.fits(worker, needs)
     ]
-    if step.spec.gang and _gang_room(useful, needs, room) < len(step.tasks):
-        return []
     return [worker.worker_id for worker in useful]
 
 
-def _gang_room(workers: list[Worker], needs: Needs, room: _ScratchRoom) -> int:
-    """Return roughly how many members have room, by processors."""
-    if needs.processors_milli == 0:
-        return len(workers)
-    return sum(room.free_processors(worker) // needs.processors_milli for worker in workers)
+def _is_far(worker: Worker, step: StepProgress) -> bool:
+    rack = step.spec.preferred_rack
+    return bool(rack) and worker.record.rack != rack
 
 
 def _counts_on_workers(step: StepProgress) -> dict[str, int]:
@@ -305,7 +412,7 @@
 def _choose(
     task: TaskProgress,
     candidates: list[_Candidate],
-    room: _ScratchRoom,
+    room: ScratchRoom,
     counts: dict[str, int],
     now: float,
 ) -> _Candidate | None:
@@ -319,11 +426,10 @@
             continue
         if spec.spread_limit and counts.get(worker.worker_id, 0) >= spec.spread_limit:
             continue
-        is_far = int(bool(spec.preferred_rack) and worker.record.rack != spec.preferred_rack)
         score = (
             int(task.failed_on == worker.worker_id),
             int(worker.health.is_doubtful(now)),
-            is_far,
+            int(_is_far(worker, task.step)),
             room.free_processors(worker),
         )
         if best_score is None or score < best_score:
--- /dev/null
+++ b/src/onyxspoke/core/placement/reservations.py
@@ -0,0 +1,92 @@
+"""Room kept back for gangs that wait for more of it, so that smaller tasks do not take it.
+
+A gang starts only when every member has room.  Without a reservation tasks that need less go
+past it again and again, and a large gang waits for as long as the cell is busy.  What is held
+is worked out anew whenever a gang is looked at; in between the same room is held again.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from onyxspoke.core.jobs.model import StepKey
+from onyxspoke.core.jobs.progress import StepProgress
+from onyxspoke.core.placement.room import ScratchRoom, slots_within
+from onyxspoke.core.placement.workers import Worker, WorkerTable
+
+#: Share of a service's processors that waiting gangs may hold, the first gang apart.
+HELD_SHARE = 0.2
+
+
+@dataclass(slots=True)
+class MemberSlots:
+    """So many members of a gang on one worker."""
+
+    worker: Worker
+    count: int
+
+
+@dataclass(slots=True)
+class _Holding:
+    step: StepProgress
+    slots: list[MemberSlots]
+
+    @property
+    def processors_milli(self) -> int:
+        return sum(item.count for item in self.slots) * self.step.spec.needs.processors_milli
+
+
+class GangReservations:
+    """What is held, by the step that waits for it."""
+
+    def __init__(self, table: WorkerTable) -> None:
+        self._table = table
+        self._held: dict[StepKey, _Holding] = {}
+
+    def holds(self, key: StepKey) -> bool:
+        """Return whether room is held for a step."""
+        return key in self._held
+
+    def hold(self, step: StepProgress, slots: list[MemberSlots], room: ScratchRoom) -> None:
+        """Hold room, instead of what was held for the step before."""
+        former = self._held.get(step.key)
+        self._held[step.key] = _Holding(step, slots)
+        if former is not None:
+            self._release(former, {item.worker.worker_id for item in slots})
+        self.hold_again(step, room)
+
+    def hold_again(self, step: StepProgress, room: ScratchRoom) -> None:
+        """Hold in a new pass what is held already."""
+        holding = self._held.get(step.key)
+        if holding is not None:
+            for item in holding.slots:
+                room.take(item.worker, step.spec.needs, item.count)
+
+    def drop(self, key: StepKey) -> None:
+        """Hold nothing more for a step."""
+        holding = self._held.pop(key, None)
+        if holding is not None:
+            self._release(holding, set())
+
+    def drop_others(self, waiting: set[StepKey]) -> None:
+        """Hold nothing more for steps that wait no longer."""
+        for key in [key for key in self._held if key not in waiting]:
+            self.drop(key)
+
+    def is_within_share(self, total_processors_milli: int) -> bool:
+        """Return whether one more gang may hold room in a service of this size."""
+        held = sum(holding.processors_milli for holding in self._held.values())
+        return held <= HELD_SHARE * total_processors_milli
+
+    def _release(self, holding: _Holding, kept: set[str]) -> None:
+        """Let the steps that found no room look again at what is held no more."""
+        for item in holding.slots:
+            if item.worker.worker_id not in kept:
+                self._table.note_gain(item.worker)
+
+
+def can_ever_fit(step: StepProgress, workers: list[Worker]) -> bool:
+    """Return whether a gang has room on these workers when nothing else runs there."""
+    needs = step.spec.needs
+    room = sum(slots_within(worker.record.capacity, needs) for worker in workers)
+    return room >= len(step.tasks)
--- /dev/null
+++ b/src/onyxspoke/core/placement/room.py
@@ -0,0 +1,59 @@
+"""Room as one pass of placement sees it: what workers have free, less what the pass has taken."""
+
+from __future__ import annotations
+
+import sys
+
+from onyxspoke.core.jobs.model import Needs
+from onyxspoke.core.placement.workers import Worker
+
+#: More tasks than any step has.
+_UNBOUNDED = sys.maxsize
+
+
+class ScratchRoom:
+    """Room that a pass has taken so far, by worker; nothing of the workers is changed."""
+
+    def __init__(self) -> None:
+        self._taken: dict[str, Needs] = {}
+
+    def fits(self, worker: Worker, needs: Needs) -> bool:
+        """Return whether a worker has room left for one more task."""
+        taken = self._taken.get(worker.worker_id)
+        if taken is None:
+            return worker.fits(needs)
+        return (
+            taken.processors_milli + needs.processors_milli <= worker.free_processors
+            and taken.memory_mb + needs.memory_mb <= worker.free_memory
+            and taken.accelerators + needs.accelerators <= worker.free_accelerators
+        )
+
+    def slots(self, worker: Worker, needs: Needs) -> int:
+        """Return for how many more tasks a worker has room left."""
+        taken = self._taken.get(worker.worker_id, Needs())
+        free = Needs(
+            worker.free_processors - taken.processors_milli,
+            worker.free_memory - taken.memory_mb,
+            worker.free_accelerators - taken.accelerators,
+        )
+        return slots_within(free, needs)
+
+    def free_processors(self, worker: Worker) -> int:
+        """Return a worker's processors that are left, in thousandths."""
+        taken = self._taken.get(worker.worker_id)
+        return worker.free_processors - (taken.processors_milli if taken else 0)
+
+    def take(self, worker: Worker, needs: Needs, count: int = 1) -> None:
+        """Take room for so many tasks."""
+        taken = self._taken.get(worker.worker_id, Needs())
+        self._taken[worker.worker_id] = Needs(
+            taken.processors_milli + count * needs.processors_milli,
+            taken.memory_mb + count * needs.memory_mb,
+            taken.accelerators + count * needs.accelerators,
+        )
+
+
+def slots_within(room: Needs, needs: Needs) -> int:
+    """Return how many tasks with these needs go into a room."""
+    counts = [max(0, have) // need for have, need in zip(room, needs, strict=True) if need > 0]
+    return min(counts, default=_UNBOUNDED)
--- a/src/onyxspoke/core/shard/call_desk.py
+++ b/src/onyxspoke/core/shard/call_desk.py
@@ -82,7 +82,12 @@
         context = self._context
         book = context.book
         job_id = spec.job_id
-        if job_id not in book.jobs and context.commit.is_in_trouble(now):
+        known = book.jobs.get(job_id)
+        if known is not None and known.committed_state is not None:
+            # The store has it, whoever holds the shard by now.
+            context.emit(ReplyToCall(call_id, CallReply(code=ReplyCode.OK)))
+            return
+        if known is None and context.commit.is_in_trouble(now):
             self._refuse(_PendingReply(context, call_id, job_id))
             return
         outcome = book.submit(spec, now)
--- a/src/onyxspoke/core/shard/commit.py
+++ b/src/onyxspoke/core/shard/commit.py
@@ -20,7 +20,7 @@
 #: Pause between two appends, so that what happens close together shares one.
 MINIMUM_INTERVAL_SECONDS = 0.012
 #: The claim is renewed when nothing else was appended for so long.
-RENEWAL_SECONDS = 0.35
+RENEWAL_SECONDS = 0.25
 #: Pause before an append that was refused or not answered is sent again.
 RETRY_SECONDS = (0.02, 0.06, 0.12)
 #: For how long an answer is waited for, by attempt; longer after a slow append.
--- a/src/onyxspoke/core/shard/election.py
+++ b/src/onyxspoke/core/shard/election.py
@@ -29,7 +29,7 @@
 #: Pause between looks at whether the partition's end still moves.
 WATCH_SECONDS = 0.15
 #: A holder whose partition rests for so long is taken for dead or cut off.
-REST_SECONDS = 0.8
+REST_SECONDS = 0.6
 #: Pause between attempts to reach a holder that is alive but does not answer us.
 RECONNECT_SECONDS = 0.8
 #: Between the turns of two claimants.
@@ -40,7 +40,7 @@
 #: A claim that is not answered is given up, and read back, after so many attempts.
 MAXIMUM_CLAIM_ATTEMPTS = 8
 #: A follower that hears nothing for so long doubts its holder.
-SILENCE_SECONDS = 0.6
+SILENCE_SECONDS = 0.5
 #: First sequences are drawn from up to here, so that two claimants never share one.
 SEQUENCE_RANGE = 2**40
 
