What waits is ordered by whether it can still be on time; its age outlives holders

Before: by priority, then by age. After an outage the backlog of late jobs went first and made the new ones late, too. Now, within a priority: jobs that can still be done within their objective by the time that they can afford to wait, then the late ones, last those past three times their objective. The time of acceptance is kept with the job (time of day, agreed among nodes), so that a new holder does not take every job for new.

--- a/features/job_promises.feature
+++ b/features/job_promises.feature
@@ -84,3 +84,11 @@
     And another node holds the shard
     And another such job is handed in
     Then the cluster has broken "over_capacity"
+
+  Scenario: How long a job has waited outlives its holder
+    Given a cluster with 1 worker(s)
+    And a job that takes all of its worker is at work
+    And another such job is handed in
+    When the holder is killed
+    And another node holds the shard
+    Then the successor knows since when the other job waits
--- a/features/placement.feature
+++ b/features/placement.feature
@@ -13,6 +13,27 @@
     Then "urgent" starts 1 task
     And "old" starts 2 tasks
 
+  Scenario: Jobs that can be on time go before those that can only be late
+    Given a waiting step "late" of 2 tasks of 9 processors, priority 1, handed in 5 seconds ago
+    And a waiting step "fresh" of 2 tasks of 9 processors, priority 1, handed in 0 seconds ago
+    When a pass of placement is made
+    Then "fresh" starts 2 tasks
+    And "late" starts 1 task
+
+  Scenario: Of those that can be on time, the one that can wait least goes first
+    Given a waiting step "patient" of 2 tasks of 9 processors, priority 1, handed in 0.5 seconds ago
+    And a waiting step "pressing" of 2 tasks of 9 processors, priority 1, handed in 2 seconds ago
+    When a pass of placement is made
+    Then "pressing" starts 2 tasks
+    And "patient" starts 1 task
+
+  Scenario: Jobs for which nobody waits any more go last, but they go
+    Given a waiting step "expired" of 1 task of 9 processors, priority 1, handed in 60 seconds ago
+    And a waiting step "late" of 2 tasks of 9 processors, priority 1, handed in 5 seconds ago
+    When a pass of placement is made
+    Then "late" starts 2 tasks
+    And "expired" starts 1 task
+
   Scenario: A gang starts whole or not at all
     Given a waiting gang "gang" of 4 tasks of 6 processors, priority 1
     When a pass of placement is made
--- a/features/steps/job_directed_steps.py
+++ b/features/steps/job_directed_steps.py
@@ -15,6 +15,7 @@
 from onyxspoke.sim.job_cluster import WORKER_CAPACITY, ClusterOptions, JobCluster, SimulatedNode
 
 SETTLE_SECONDS = 2.0
+CLOSE_SECONDS = 0.1
 FIRST_JOB = "00000000000000a1"
 SECOND_JOB = "00000000000000a2"
 
@@ -78,12 +79,21 @@
     _submit(context, FIRST_JOB)
 
 
+@given("another such job is handed in")
 @when("another such job is handed in")
 def _second_job(context: Any) -> None:
+    context.second_at = context.cluster.time.now()
     _submit(context, SECOND_JOB)
     context.cluster.run(2.0)
 
 
+@then("the successor knows since when the other job waits")
+def _knows_age(context: Any) -> None:
+    scheduler = context.successor.node.seats[0].scheduler
+    kept = scheduler.context.book.jobs[SECOND_JOB].accepted_at
+    assert abs(kept - context.second_at) < CLOSE_SECONDS, (kept, context.second_at)
+
+
 @when("the holder is paused")
 def _pause(context: Any) -> None:
     context.holder.process.pause()
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -51,10 +51,20 @@
         self.table.workers[name] = worker
 
     def add_step(
-        self, name: str, count: int, processors: int, priority: int, **traits: bool
+        self,
+        name: str,
+        count: int,
+        processors: int,
+        priority: int,
+        age_seconds: float = 0.0,
+        **traits: bool,
     ) -> StepProgress:
         queue = QueuePolicy(
-            name=f"queue-{priority}", service=SERVICE, priority=priority, advice=self.advice
+            name=f"queue-{priority}",
+            service=SERVICE,
+            priority=priority,
+            stretch=2.0,
+            advice=self.advice,
         )
         spec = StepSpec(
             task_count=count,
@@ -63,7 +73,8 @@
             estimated_ms=ESTIMATED_MS,
             **traits,
         )
-        job = JobProgress(JobSpec(job_id=name, queue=queue, payload="", steps=(spec,)), self.now)
+        accepted_at = self.now - age_seconds
+        job = JobProgress(JobSpec(job_id=name, queue=queue, payload="", steps=(spec,)), accepted_at)
         job.committed_state = JobState.QUEUED
         step = job.begin_repetition(0, self.now)[0]
         self.steps[name] = step
@@ -119,6 +130,18 @@
     context.scene.add_step(name, count, processors, rank)
 
 
+@given(
+    'a waiting step "{name}" of {count:d} task of {processors:d} processors, priority {rank:d},'
+    " handed in {age:g} seconds ago"
+)
+@given(
+    'a waiting step "{name}" of {count:d} tasks of {processors:d} processors, priority {rank:d},'
+    " handed in {age:g} seconds ago"
+)
+def _old_step(context: Any, name: str, count: int, processors: int, rank: int, age: float) -> None:
+    context.scene.add_step(name, count, processors, rank, age_seconds=age)
+
+
 @given('a waiting gang "{name}" of {count:d} tasks of {processors:d} processors, priority {rank:d}')
 def _gang(context: Any, name: str, count: int, processors: int, rank: int) -> None:
     context.scene.add_step(name, count, processors, rank, gang=True)
--- a/src/onyxspoke/core/jobs/book.py
+++ b/src/onyxspoke/core/jobs/book.py
@@ -95,9 +95,11 @@
 
     # Recovery
 
-    def restore(self, spec: JobSpec, record: ProgressRecord | None, now: float) -> None:
+    def restore(
+        self, spec: JobSpec, record: ProgressRecord | None, accepted_at: float, now: float
+    ) -> None:
         """Take in what the store holds of a job."""
-        job = JobProgress(spec, now)
+        job = JobProgress(spec, accepted_at)
         job.spec_is_stored = True
         job.committed_state = JobState.QUEUED
         self.jobs[spec.job_id] = job
--- a/src/onyxspoke/core/jobs/model.py
+++ b/src/onyxspoke/core/jobs/model.py
@@ -136,10 +136,18 @@
 
 
 class JobSpec(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """A job as its caller handed it in, and the policy in force then."""
+    """A job as its caller handed it in, and the policy in force then.
+
+    Attributes
+    ----------
+    accepted_at_ms : int
+        Time of day at which a holder took it, counted from 1970; clocks may jump, so it only
+        orders what waits.
+    """
 
     job_id: JobId
     queue: QueuePolicy
     payload: str
     steps: tuple[StepSpec, ...]
     schedule: Schedule = Schedule()
+    accepted_at_ms: int = 0
--- a/src/onyxspoke/core/jobs/progress.py
+++ b/src/onyxspoke/core/jobs/progress.py
@@ -73,11 +73,17 @@
         Numbers of the runs of the whole gang in which a member failed.
     last_number : int
         Highest run number that is known of any task of the step.
+    due_at : float
+        When the job was accepted, or the repetition fell due, in the reader's seconds.
+    chain_seconds : float
+        Estimated work from this step to the end of the job, along the longest chain.
     """
 
     __slots__ = (
         "blocked_by",
+        "chain_seconds",
         "done_count",
+        "due_at",
         "failed_gang_runs",
         "in_doubt",
         "job",
@@ -89,8 +95,12 @@
         "waiting",
     )
 
-    def __init__(self, job: JobProgress, key: StepKey, spec: StepSpec, now: float) -> None:
+    def __init__(
+        self, job: JobProgress, key: StepKey, spec: StepSpec, chain_seconds: float, now: float
+    ) -> None:
         self.job = job
+        self.due_at = job.accepted_at if job.spec.schedule.count == 0 else now
+        self.chain_seconds = chain_seconds
         self.key = key
         self.spec = spec
         self.tasks = [TaskProgress(self, index) for index in range(spec.task_count)]
@@ -144,7 +154,9 @@
     begun : bool
         Whether any task was ever started, as far as is known here.
     accepted_at : float
-        The reader's seconds of the acceptance, or of the recovery from the store.
+        The reader's seconds of the acceptance.
+    objective_seconds : float
+        Within how long the job should be done, by its own estimates.
     """
 
     __slots__ = (
@@ -153,6 +165,7 @@
         "committed_state",
         "done_repetitions",
         "final_at",
+        "objective_seconds",
         "repetitions",
         "spec",
         "spec_is_stored",
@@ -167,6 +180,7 @@
         self.done_repetitions: set[int] = set()
         self.begun = False
         self.accepted_at = now
+        self.objective_seconds = _objective_seconds(spec)
         self.final_at = 0.0
         self.spec_is_stored = False
 
@@ -177,8 +191,15 @@
 
     def begin_repetition(self, repetition: int, now: float) -> list[StepProgress]:
         """Lay out the steps of a repetition that is due."""
+        chains = chains_ms(self.spec)
         steps = [
-            StepProgress(self, StepKey(self.job_id, repetition, number), step, now)
+            StepProgress(
+                self,
+                StepKey(self.job_id, repetition, number),
+                step,
+                chains[number] / _MILLISECONDS,
+                now,
+            )
             for number, step in enumerate(self.spec.steps)
         ]
         self.repetitions[repetition] = steps
@@ -216,17 +237,19 @@
         self.repetitions = {}
         self.spec = JobSpec(job_id=self.job_id, queue=self.spec.queue, payload="", steps=())
 
-    def objective_seconds(self) -> float:
-        """Return within how long the job should be done, by its own estimates."""
-        queue = self.spec.queue
-        chain = longest_chain_ms(self.spec)
-        return (queue.stretch * chain + queue.target_latency_ms) / _MILLISECONDS
 
+def _objective_seconds(spec: JobSpec) -> float:
+    chain = max(chains_ms(spec), default=0.0)
+    return (spec.queue.stretch * chain + spec.queue.target_latency_ms) / _MILLISECONDS
 
-def longest_chain_ms(spec: JobSpec) -> float:
-    """Return the estimated work along the longest chain of steps that depend on each other."""
-    longest: list[float] = []
-    for step in spec.steps:
-        before = max((longest[number] for number in step.depends_on), default=0.0)
-        longest.append(before + step.estimated_ms)
-    return max(longest, default=0.0)
+
+def chains_ms(spec: JobSpec) -> list[float]:
+    """Return the estimated work from each step to the job's end, along the longest chain."""
+    after = [0.0] * len(spec.steps)
+    chains = [0.0] * len(spec.steps)
+    for number in range(len(spec.steps) - 1, -1, -1):
+        step = spec.steps[number]
+        chains[number] = step.estimated_ms + after[number]
+        for earlier in step.depends_on:
+            after[earlier] = max(after[earlier], chains[number])
+    return chains
--- a/src/onyxspoke/core/placement/advice_desk.py
+++ b/src/onyxspoke/core/placement/advice_desk.py
@@ -12,6 +12,7 @@
 
 from onyxspoke.core.jobs.model import AdvicePolicy, StepKey, WorkerId
 from onyxspoke.core.jobs.progress import StepProgress
+from onyxspoke.core.placement.queue_order import StepRank
 from onyxspoke.core.shard.orders import AdviceOutcome, AdviceResult
 
 _MILLISECONDS = 1_000.0
@@ -86,7 +87,7 @@
     step: StepKey
     worker_ids: tuple[WorkerId, ...]
     seconds: float
-    rank: tuple[float, ...]
+    rank: StepRank
     advisor: str = ""
     overdue_at: float = math.inf
 
@@ -135,7 +136,7 @@
         step: StepProgress,
         policy: AdvicePolicy,
         worker_ids: list[WorkerId],
-        rank: tuple[float, ...],
+        rank: StepRank,
         now: float,
     ) -> None:
         """Ask about a step, unless that is under way; the lowest rank is asked first."""
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -8,6 +8,7 @@
 from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.jobs.progress import StepProgress, TaskProgress
 from onyxspoke.core.placement.advice_desk import AdviceDesk, StepAdvice
+from onyxspoke.core.placement.queue_order import step_rank, step_rank_of
 from onyxspoke.core.placement.reservations import GangReservations, MemberSlots, can_ever_fit
 from onyxspoke.core.placement.room import ScratchRoom
 from onyxspoke.core.placement.workers import Worker, WorkerTable
@@ -42,7 +43,7 @@
 
 
 class Placer:
-    """Places waiting tasks in order of their queues' priority and their jobs' age.
+    """Places waiting tasks in their order; see ``queue_order``.
 
     A step that found no room is looked at again only when a worker that is good for it has
     gained room since: so a pass costs little however long the waiting line is.  A gang that
@@ -77,7 +78,7 @@
         changes = _Changes(self._table)
         blocked_at: dict[StepKey, int] = {}
         count = 0
-        for step in sorted(steps, key=lambda item: step_rank(item, policy)):
+        for step in sorted(steps, key=lambda item: step_rank(item, policy, now)):
             since = self._blocked_at.get(step.key)
             if since is None or changes.may_help(step, since, self._desk):
                 queue = policy.queue_of(step.job.spec)
@@ -104,7 +105,7 @@
             advice = self._desk.advice_on(step)
             if not advice.is_asking:
                 ask = _workers_to_ask(step, advice, offer, bool(candidates), may_fit, room)
-                self._desk.want(step, queue.advice, ask, step_rank_of(step, queue), now)
+                self._desk.want(step, queue.advice, ask, step_rank_of(step, queue, now), now)
         if not may_fit or not candidates:
             return None
         return _place_tasks(step, candidates, room, now)
@@ -151,7 +152,7 @@
         slots = _slots_of(step, workers, room, now)
         if queue.advice is not None and advice is not None and not advice.is_asking:
             ask = _workers_to_ask_for_gang(step, queue.advice, advice, offer, slots, now)
-            self._desk.want(step, queue.advice, ask, step_rank_of(step, queue), now)
+            self._desk.want(step, queue.advice, ask, step_rank_of(step, queue, now), now)
         may_hold = self._reservations.holds(step.key) or self._reservations.is_within_share(
             offer.processors_milli
         )
@@ -361,16 +362,6 @@
     return asked + [name for name in good if advice.tickets[name].use_before < needed_until]
 
 
-def step_rank(step: StepProgress, policy: PolicySet) -> tuple[float, ...]:
-    """Return the place of a step in the waiting line; the lowest goes first."""
-    return step_rank_of(step, policy.queue_of(step.job.spec))
-
-
-def step_rank_of(step: StepProgress, queue: QueuePolicy) -> tuple[float, ...]:
-    """Return the place of a step in the waiting line, given its queue."""
-    return (queue.priority, step.job.accepted_at, step.key.step)
-
-
 def _workers_to_ask(
     step: StepProgress,
     advice: StepAdvice,
--- /dev/null
+++ b/src/onyxspoke/core/placement/queue_order.py
@@ -0,0 +1,64 @@
+"""The order in which waiting steps are placed.
+
+A queue's priority comes first.  Within it come the steps whose jobs can still be done within
+their objective, by the time that they can afford to wait; then those that can only be late;
+last those that are so late that nobody waits for them any more.  Without the last two a backlog
+of late jobs would make every new one late, too.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import NamedTuple
+
+from onyxspoke.core.jobs.model import QueuePolicy
+from onyxspoke.core.jobs.policy import PolicySet
+from onyxspoke.core.jobs.progress import StepProgress
+
+#: A job is of use until so many times its objective.
+EXPIRY_FACTOR = 3.0
+#: Estimates may be too high; a job counts as late when this share of them no longer fits.
+CERTAIN_SHARE = 0.7
+
+
+class Lateness(IntEnum):
+    """Whether a job can still be of use; the lowest goes first."""
+
+    ON_TIME = 0
+    LATE = 1
+    EXPIRED = 2
+
+
+class StepRank(NamedTuple):
+    """A step's place in the waiting line; the lowest goes first.
+
+    ``latest_start`` is the second by which it should start, ``step`` its number in the job.
+    """
+
+    priority: int
+    lateness: Lateness
+    latest_start: float
+    step: int
+
+
+def step_rank(step: StepProgress, policy: PolicySet, now: float) -> StepRank:
+    """Return a step's place, under the policy in force."""
+    return step_rank_of(step, policy.queue_of(step.job.spec), now)
+
+
+def step_rank_of(step: StepProgress, queue: QueuePolicy, now: float) -> StepRank:
+    """Return a step's place, given its queue."""
+    objective = step.job.objective_seconds
+    latest_start = step.due_at + objective - step.chain_seconds
+    return StepRank(queue.priority, _lateness(step, objective, now), latest_start, step.key.step)
+
+
+def _lateness(step: StepProgress, objective: float, now: float) -> Lateness:
+    if step.spec.long_running:
+        return Lateness.ON_TIME
+    earliest_end = now + CERTAIN_SHARE * step.chain_seconds
+    if earliest_end <= step.due_at + objective:
+        return Lateness.ON_TIME
+    if earliest_end <= step.due_at + EXPIRY_FACTOR * objective:
+        return Lateness.LATE
+    return Lateness.EXPIRED
--- a/src/onyxspoke/core/shard/call_desk.py
+++ b/src/onyxspoke/core/shard/call_desk.py
@@ -9,6 +9,8 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from onyxspoke.core.jobs.book import Submission
 from onyxspoke.core.jobs.model import JobId, JobSpec
 from onyxspoke.core.shard.actions import ReplyToCall
@@ -90,6 +92,7 @@
         if known is None and context.commit.is_in_trouble(now):
             self._refuse(_PendingReply(context, call_id, job_id))
             return
+        spec = msgspec.structs.replace(spec, accepted_at_ms=context.wall_ms(now))
         outcome = book.submit(spec, now)
         context.wants_placement = True
         if outcome is Submission.NEW:
--- a/src/onyxspoke/core/shard/context.py
+++ b/src/onyxspoke/core/shard/context.py
@@ -18,6 +18,8 @@
 )
 from onyxspoke.core.shard.commit import CommitQueue
 
+_MILLISECONDS = 1_000.0
+
 
 class ShardOptions(msgspec.Struct, frozen=True, kw_only=True):
     """Bounds that the platform sets, and our own timings.
@@ -81,6 +83,8 @@
         self.is_over = False
         #: Until then nobody can claim the shard, because no node reaches the store.
         self.unclaimable_until = 0.0
+        #: Time of day less the holder's seconds, in milliseconds, once it is known.
+        self.wall_offset_ms: float | None = None
         #: Set while the process may have been paused and the shard may be another's.
         self.is_unproven = False
 
@@ -92,6 +96,12 @@
         """Write one line about a decision."""
         self.actions.append(Decision(event, tuple(fields.items())))
 
+    def wall_ms(self, now: float) -> int:
+        """Return the time of day, counted from 1970; 0 while it is not known."""
+        if self.wall_offset_ms is None:
+            return 0
+        return int(now * _MILLISECONDS + self.wall_offset_ms)
+
     def step_down(self, reason: StepDownReason) -> None:
         """Give the shard up; nothing is ordered any more."""
         if not self.is_over:
--- a/src/onyxspoke/core/shard/journal.py
+++ b/src/onyxspoke/core/shard/journal.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from onyxspoke.core.jobs.model import JobId
+from onyxspoke.core.jobs.model import JobId, JobSpec
 from onyxspoke.core.jobs.progress import JobProgress
 from onyxspoke.core.jobs.records import (
     PROGRESS_PREFIX,
@@ -31,6 +31,9 @@
 )
 from onyxspoke.core.shard.worker_keeper import WorkerKeeper
 
+#: A job that waits is not taken for older than this, whatever the clocks say.
+LONGEST_AGE_SECONDS = 600.0
+_MILLISECONDS = 1_000.0
 _worker_decoder = msgspec.msgpack.Decoder(WorkerRecord)
 
 
@@ -143,7 +146,15 @@
     except RecordFormatError as error:
         context.log("record_unreadable", key=spec_key(job_id), error=str(error))
         return
-    context.book.restore(spec, kept, now)
+    context.book.restore(spec, kept, now - _age_seconds(context, spec, now), now)
+
+
+def _age_seconds(context: ShardContext, spec: JobSpec, now: float) -> float:
+    """Return how long ago a job was accepted, as far as the time of day can be trusted."""
+    if not spec.accepted_at_ms:
+        return 0.0
+    age = (context.wall_ms(now) - spec.accepted_at_ms) / _MILLISECONDS
+    return min(max(0.0, age), LONGEST_AGE_SECONDS)
 
 
 def _restore_worker(
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -44,6 +44,7 @@
 STALL_SECONDS = 0.7
 #: Between two looks at what changes slowly: schedules, progress, leaving workers, paces.
 ROUND_SECONDS = 0.05
+_MILLISECONDS = 1_000.0
 
 
 class ShardScheduler:
@@ -97,8 +98,9 @@
 
     # Recovery
 
-    def recover(self, records: list[ShardRecord], now: float) -> list[ShardAction]:
+    def recover(self, records: list[ShardRecord], now: float, wall_ms: float) -> list[ShardAction]:
         """Take in everything that the store holds of the shard."""
+        self.context.wall_offset_ms = wall_ms - now * _MILLISECONDS
         self.context.book.is_recovering = True
         restore_records(self.context, self.workers, records, now)
         self._is_recovered = True
@@ -202,6 +204,7 @@
         """Some time has passed; ``wall_ms`` is the time of day, counted from 1970."""
         if self.context.is_over or not self._is_recovered:
             return
+        self.context.wall_offset_ms = wall_ms - now * _MILLISECONDS
         if now - self._last_flush_at > STALL_SECONDS:
             self.context.log("stalled", seconds=round(now - self._last_flush_at, 2))
             self.context.is_unproven = True
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -76,6 +76,9 @@
     def ask_advice(self, shard: ShardId, action: AskAdvice) -> None:
         """Have an entry ask the advice service."""
 
+    def time_of_day_ms(self) -> float:
+        """Return the time of day on which most nodes agree."""
+
     def wake(self, shard: ShardId, delay: float) -> None:
         """Call :meth:`ShardSeat.flush` after a delay."""
 
@@ -313,7 +316,7 @@
         now = self._clock.now()
         self._is_ready = True
         scheduler.stimulus_policy(self._policy, now)
-        for action in scheduler.recover(records, now):
+        for action in scheduler.recover(records, now, self._listener.time_of_day_ms()):
             self._carry_out(action)
         self._directory.watch(self)
         self._listener.handle_holding(self.shard, True)
