Takeover with many nodes: turns are bounded and looked through; a new holder tells the others

The first one claimed 20 ms after the kill; the others claimed in vain, one each 0.1 s, and took their callers' jobs only after that: up to 3.7 s later. Ruled out: the store (4 ms an answer) and the new holder, which was ready at once.

Now a waiting node reads the claim each 0.2 s, a turn is at most 1 s away, a claim that was read unchanged but with a partition that grew is not replaced, and a new holder opens streams to the nodes that its predecessor named. Streams count for advice whoever opened them.

--- /dev/null
+++ b/features/election.feature
@@ -0,0 +1,41 @@
+Feature: Who holds a shard, as one node sees it
+
+  Scenario: A node that waits for its turn looks whether another one has claimed
+    Given a follower that comes 30th among those who could take over
+    When its holder lets go
+    Then it waits for its turn
+    When 0.3 seconds pass for the node
+    Then it reads the claim
+    When the claim that it reads is another node's
+    Then it connects to that node
+
+  Scenario: The longest wait for a turn is bounded, however many nodes there are
+    Given a follower that comes 300th among those who could take over
+    When its holder lets go
+    And 1.1 seconds pass for the node
+    Then it claims
+
+  Scenario: A holder that goes on writing is not replaced by a node that waits for its turn
+    Given a follower that comes 30th among those who could take over
+    When its holder lets go
+    And 0.3 seconds pass for the node
+    And the partition that it reads has grown
+    Then it connects to that node
+
+  Scenario: A node that waits for its turn follows the new holder that tells it so
+    Given a follower that comes 30th among those who could take over
+    When its holder lets go
+    And another node tells that it holds the shard
+    Then it follows that node
+
+  Scenario: A node that still follows the former holder turns to the new one
+    Given a follower that comes 30th among those who could take over
+    When another node tells that it holds the shard
+    Then it follows that node
+    And calls go to that node from now on
+
+  Scenario: A new holder tells the nodes that waited for their turns
+    Given a cluster of 12 nodes
+    When the holder of the cluster is killed
+    And 0.4 seconds pass in that cluster
+    Then every other node of it is ready
--- a/features/job_ingress.feature
+++ b/features/job_ingress.feature
@@ -153,6 +153,19 @@
     And 0.05 seconds pass in the cluster
     Then the front's answer has status 200
 
+  Scenario: A cancel outlives its job where that is refused
+    Given the store is silent
+    When a caller posts to "/normal/00000000000000b1" a small job
+    And 0.05 seconds pass in the cluster
+    And a caller posts to "/normal/00000000000000b6" a small job
+    And a caller deletes "/normal/00000000000000b6"
+    And 1 seconds pass in the cluster
+    Given the store answers again
+    When 1 seconds pass in the cluster
+    And a caller posts to "/normal/00000000000000b6" a small job
+    And 1 seconds pass in the cluster
+    Then 1 run was started
+
   Scenario: A cancel of which the store could not be told is not forgotten
     When a caller posts to "/normal/00000000000000b4" a small job
     And 0.05 seconds pass in the cluster
--- a/features/job_promises.feature
+++ b/features/job_promises.feature
@@ -37,6 +37,14 @@
       | 1079 |
       | 1667 |
 
+    Examples: nodes that followed the former holder went on sending their calls to it
+      | seed |
+      | 4842 |
+
+    Examples: a cancel was forgotten with its job, which was refused, and ran when it came again
+      | seed |
+      | 8038 |
+
   Scenario Outline: Without <mechanism> something is broken
     When jobs are played over seeds from <first> without "<mechanism>" until "<violation>" is found
     Then it is found within 40 seeds
--- a/src/onyxspoke/core/jobs/book.py
+++ b/src/onyxspoke/core/jobs/book.py
@@ -65,11 +65,15 @@
         return Submission.NEW
 
     def withdraw(self, job_id: JobId) -> None:
-        """Forget a job whose record was never sent to the store."""
+        """Forget a job whose record was never sent to the store, but not that it was cancelled."""
         job = self.jobs.pop(job_id)
         self.dirty.pop(job_id, None)
         self._drop_steps(job)
         self._scheduled.pop(job_id, None)
+        self._finished.pop(job_id, None)
+        if job.state is JobState.CANCELLED:
+            self.cancelled_before[job_id] = job.final_at
+            self.dirty[job_id] = None
 
     def cancel(self, job_id: JobId, now: float) -> JobProgress | None:
         """Cancel a job; one not known is remembered as cancelled, should it come yet."""
--- a/src/onyxspoke/core/shard/election.py
+++ b/src/onyxspoke/core/shard/election.py
@@ -32,8 +32,11 @@
 REST_SECONDS = 0.6
 #: Pause between attempts to reach a holder that is alive but does not answer us.
 RECONNECT_SECONDS = 0.8
-#: Between the turns of two claimants.
+#: Between the turns of two claimants, and the longest wait for a turn.
 TURN_SECONDS = 0.1
+LONGEST_TURN_SECONDS = 1.0
+#: Pause between looks at whether another node has claimed, while a turn is waited for.
+TURN_LOOK_SECONDS = 0.2
 #: Claimants of a shard that nobody holds draw their turn up to here.
 FIRST_TURN_SECONDS = 0.06
 CLAIM_RETRY_SECONDS = 0.1
@@ -159,9 +162,11 @@
         self.state = ElectionState.READING
         self.claim: ClaimRecord | None = None
         self._end = -1
-        self._members: list[NodeIdentity] = []
+        #: Nodes that could take over, by the word of the holder.
+        self.members: list[NodeIdentity] = []
         self._due_at = 0.0
         self._is_reading = False
+        self._looked_at = 0.0
         self._heard_at = 0.0
         self._moved_at = 0.0
         self._dead_since: float | None = None
@@ -185,7 +190,7 @@
 
     def set_members(self, members: list[NodeIdentity]) -> None:
         """Take the nodes that the holder knows; they set the order of turns."""
-        self._members = members
+        self.members = members
 
     def handle_claim_read(
         self, is_known: bool, claim: ClaimRecord | None, end: int, now: float
@@ -205,6 +210,9 @@
             self._adopt_claim(claim, now)
         elif self.state is ElectionState.WATCHING:
             self._watch_on(now)
+        elif self.state is ElectionState.WAITING_TURN and has_moved:
+            self._suspects_death = False
+            self._connect(now, "holder_writes")
         elif self.state is ElectionState.READING:
             self._decide(now)
 
@@ -268,6 +276,7 @@
                 self._watch(now, "heartbeat_missing")
             return
         if now < self._due_at:
+            self._look_while_waiting(now)
             return
         if self.state is ElectionState.READING and not self._is_reading:
             self._send_read(now)
@@ -280,6 +289,13 @@
         elif self.state is ElectionState.CLAIMING and self._pending is not None:
             self._send_claim(now)
 
+    def _look_while_waiting(self, now: float) -> None:
+        """See whether a node with an earlier turn has claimed."""
+        if self.state is not ElectionState.WAITING_TURN or self._is_reading:
+            return
+        if now - self._looked_at >= TURN_LOOK_SECONDS:
+            self._send_read(now)
+
     def take_actions(self) -> list[ElectionAction]:
         """Return the instructions not handed out yet."""
         actions, self.actions = self.actions, []
@@ -309,10 +325,13 @@
         self.claim = claim
         self._dead_since = None
         self._suspects_death = False
-        if claim.life == peer.life:
-            self._follow(now, claim)
-        else:
+        if claim.life != peer.life:
             self._connect(now, "claim_told")
+            return
+        if self.state is ElectionState.FOLLOWING:
+            # It was another node until now.
+            self.actions.append(HolderChanged(claim))
+        self._follow(now, claim)
 
     def _follow(self, now: float, claim: ClaimRecord) -> None:
         self._heard_at = now
@@ -342,12 +361,13 @@
 
     def _turn_delay(self, claim: ClaimRecord) -> float:
         """Return how long to leave the claim to nodes that come before us."""
-        candidates = [member for member in self._members if member.host != claim.host]
+        candidates = [member for member in self.members if member.host != claim.host]
         order = sorted(candidates, key=lambda member: (-member.weight, member.life))
         for position, member in enumerate(order):
             if member.host == self._identity.host:
-                return position * TURN_SECONDS
-        return len(order) * TURN_SECONDS + self._draw() * TURN_SECONDS
+                return min(position * TURN_SECONDS, LONGEST_TURN_SECONDS)
+        delay = len(order) * TURN_SECONDS + self._draw() * TURN_SECONDS
+        return min(delay, LONGEST_TURN_SECONDS)
 
     # Steps
 
@@ -365,6 +385,7 @@
 
     def _send_read(self, now: float) -> None:
         self._is_reading = True
+        self._looked_at = now
         self.actions.append(ReadClaim())
 
     def _connect(self, now: float, reason: str) -> None:
--- a/src/onyxspoke/kit/jobs/platform.py
+++ b/src/onyxspoke/kit/jobs/platform.py
@@ -20,7 +20,8 @@
 class FakeDirectory:
     """The directory itself."""
 
-    def __init__(self) -> None:
+    def __init__(self, timers: Timers) -> None:
+        self.timers = timers
         self.records: dict[WorkerId, WorkerRecord] = {}
         self.watchers: list[FakeDirectoryClient] = []
 
@@ -28,52 +29,60 @@
         """List a worker, or change what is listed."""
         self.records[record.worker_id] = record
         for watcher in list(self.watchers):
-            watcher.send_record(record)
+            watcher.look()
 
     def drop(self, worker_id: WorkerId) -> None:
         """List a worker no longer."""
         if self.records.pop(worker_id, None) is not None:
             for watcher in list(self.watchers):
-                watcher.send_drop(worker_id)
+                watcher.look()
 
 
 class FakeDirectoryClient:
-    """The directory as one node reaches it; implements ``WorkerDirectoryPort``."""
+    """The directory as one node reaches it; implements ``WorkerDirectoryPort``.
+
+    It tells the whole list at every change, and now and then, because the way there may have
+    been cut meanwhile.
+    """
 
     def __init__(self, directory: FakeDirectory, path: Path) -> None:
         self._directory = directory
         self._path = path
         self._listener: WorkerDirectoryListener | None = None
+        self._generation = 0
 
     def watch(self, listener: WorkerDirectoryListener) -> None:
-        """Begin to report; the whole list comes first."""
+        """Begin to report."""
         self._listener = listener
-        self._path.to_outside(STORE, self._send_all)
+        self._generation += 1
+        self._directory.watchers.append(self)
+        self._poll(self._generation)
 
     def stop_watching(self) -> None:
         """Report no more."""
         self._listener = None
+        self._generation += 1
         if self in self._directory.watchers:
             self._directory.watchers.remove(self)
 
-    def send_record(self, record: WorkerRecord) -> None:
-        """Report a change."""
-        self._report(lambda listener: listener.handle_workers_listed([record], False))
+    def look(self) -> None:
+        """Tell what the directory lists."""
+        self._path.to_outside(STORE, self._send_all)
 
-    def send_drop(self, worker_id: WorkerId) -> None:
-        """Report that a worker is listed no longer."""
-        self._report(lambda listener: listener.handle_worker_unlisted(worker_id))
+    def _poll(self, generation: int) -> None:
+        if generation != self._generation:
+            return
+        self.look()
+        self._directory.timers.schedule(
+            POLL_SECONDS, lambda: self._path.to_node("", lambda: self._poll(generation))
+        )
 
     def _send_all(self) -> None:
-        if self not in self._directory.watchers:
-            self._directory.watchers.append(self)
         records = list(self._directory.records.values())
-        self._report(lambda listener: listener.handle_workers_listed(records, True))
 
-    def _report(self, report: Callable[[WorkerDirectoryListener], None]) -> None:
         def arrive() -> None:
             if self._listener is not None:
-                report(self._listener)
+                self._listener.handle_workers_listed(records, True)
 
         self._path.to_node(STORE, arrive)
 
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -282,6 +282,9 @@
         self.router.handle_holder_lost(shard)
         if is_holding:
             self._holders.pop(shard, None)
+            # Those who wait for their turn to claim hear it sooner than they would read it.
+            for member in self.seats[shard].election.members:
+                self.connect_peer(member.host, member.port)
             self._tell_advisors()
             self.router.handle_holder_found(shard, self._clock.now())
         self._send_heartbeats()
@@ -301,8 +304,8 @@
                 partial(self.seats[shard].handle_advice_result, action.call_id),
             )
             return
-        for link in self.peers.incoming.values():
-            if link.is_up and link.identity is not None and link.identity.life == action.advisor:
+        for link in self.peers.up_links():
+            if link.identity is not None and link.identity.life == action.advisor:
                 message = AdviceForward(shard, action.call_id, action.step, action.worker_ids)
                 link.send(message)
                 return
@@ -364,15 +367,14 @@
     def handle_peer_up(self, link: PeerLink) -> None:
         """A peer has said who it is."""
         link.send(self._status())
-        if not link.is_outgoing:
-            self._tell_advisors()
+        self._tell_advisors()
         assert link.identity is not None
         logging.info("event=peer_up peer=%s life=%s", link.host, link.identity.life)
 
     def handle_peer_lost(self, host: str, link: PeerLink | None, reason: LossReason) -> None:
         """A stream ended, or none came about."""
         logging.info("event=peer_lost peer=%s reason=%s", host, reason.value)
-        if link is not None and not link.is_outgoing:
+        if link is not None:
             self._tell_advisors()
         if self.peers.link_to(host) is not None:
             return
@@ -421,7 +423,7 @@
 
     def _tell_advisors(self) -> None:
         """Let the seats know through which entries advice can be asked."""
-        links = [link for link in self.peers.incoming.values() if link.is_up]
+        links = self.peers.up_links()
         lives = [link.identity.life for link in links if link.identity is not None]
         members = [link.identity for link in links if link.identity and link.may_hold]
         for seat in self.seats.values():
--- a/src/onyxspoke/sim/job_cluster.py
+++ b/src/onyxspoke/sim/job_cluster.py
@@ -106,7 +106,7 @@
         self.audit = JobAudit(self.time)
         self.store = FakeStore(self.time, random.Random(options.seed + 2))
         self.pool = FakeWorkerPool(self.time, random.Random(options.seed + 3), self.audit, work)
-        self.directory = FakeDirectory()
+        self.directory = FakeDirectory(self.time)
         self.advice = FakeAdvice(
             self.time, good_share=0.5, seconds=0.01, always_good=("w0.", "w1.", "w2.", "w3.")
         )
--- a/src/onyxspoke/sim/virtual_network.py
+++ b/src/onyxspoke/sim/virtual_network.py
@@ -175,9 +175,11 @@
     def _accept(self, listener: _Listener) -> None:
         connection = self._network.open_connection(self._node, listener.node)
         delay = self._network.draw_delay()
-        listener.node.run(lambda: connection.server.start(listener.factory))
         time = self._network.time
+        # What the server says at once comes behind the word that it has accepted.
+        connection.server.send_after(time.now() + delay)
         time.schedule(delay, lambda: self._node.run(lambda: self._succeed(connection)))
+        listener.node.run(lambda: connection.server.start(listener.factory))
 
     def _succeed(self, connection: VirtualConnection) -> None:
         if self._cancelled:
@@ -269,6 +271,10 @@
         self._closing = False
         self._notified = False
 
+    def send_after(self, moment: float) -> None:
+        """Let nothing that is sent from here arrive before a moment."""
+        self._last_arrival = max(self._last_arrival, moment)
+
     def start(self, factory: IProtocolFactory) -> IProtocol | None:
         """Make the protocol of this side."""
         protocol = factory.buildProtocol(cast("IAddress", _PLACEHOLDER_ADDRESS))
