Shards: their number is read from the store; each has its holder; heartbeats by size of the cell

Cause: one holder for the whole cell.

The holder of the first shard lays a new cell out, once, by the number of workers (240 a shard at most, whole racks, none with under half of its part) and writes the layout beside its claim. Every node reads it there or hears it from a peer; until then it takes nothing. Jobs belong to shards by a hash of their name, workers by their rack. One reading of the directory serves all shards of a node; counts of waiting jobs are summed over the shards. A node leaves shards that nobody holds to nodes that hold fewer and are larger. A holder names eight successors for each shard, larger ones first, in another order for each shard, and not more often than its heartbeats go. Followers of a cell of over 50 nodes send heartbeats less often, and say how often.

--- a/features/job_promises.feature
+++ b/features/job_promises.feature
@@ -45,53 +45,94 @@
       | seed |
       | 8038 |
 
-  Scenario Outline: Without <mechanism> something is broken
-    When jobs are played over seeds from <first> without "<mechanism>" until "<violation>" is found
-    Then it is found within 40 seeds
+  Scenario Outline: A start that arrives after its holder was replaced - <cluster>
+    Given <cluster>
+    When the workers take orders 0.8 seconds late
+    And a job that takes all of its worker is accepted, and 0.1 seconds pass
+    And the workers take orders in time
+    And the holder is killed
+    And another node holds the shard
+    And 5 seconds pass in that cell
+    Then the cluster has broken <what>
 
     Examples:
-      | mechanism                        | first | violation        |
-      | starts only after the commit     | 5     | run_after_done   |
-      | fencing tokens at workers        | 120   | two_runs         |
-      | the end of leases                | 27    | two_runs         |
-      | ends noted only after the commit | 3     | run_after_done   |
-
-  Scenario: A former holder that wakes up does not call its successor's jobs unknown
-    Given a cluster with 2 worker(s)
-    When the holder is paused
+      | cluster                                                         | what       |
+      | a cluster with 2 worker(s)                                      | nothing    |
+      | a cluster with 2 worker(s), without "fencing tokens at workers" | "two_runs" |
+
+  Scenario Outline: A worker that is cut off runs on - <cluster>
+    Given <cluster>
+    And a job that takes all of its worker is at work
+    When the holder is cut off from the worker that runs it
+    And 3 seconds pass in that cell
+    Then the cluster has broken <what>
+
+    Examples:
+      | cluster                                                 | what       |
+      | a cluster with 2 worker(s)                              | nothing    |
+      | a cluster with 2 worker(s), without "the end of leases" | "two_runs" |
+
+  Scenario Outline: A holder is lost before a job's record is in the store - <cluster>
+    Given <cluster>
+    And its tasks take 0.4 seconds
+    When the store falls silent
+    And the first job is handed in, and 1.5 seconds pass
+    And the holder is killed
+    And the store answers again in that cell
     And another node holds the shard
-    And a job that takes all of its worker is accepted
-    And the former holder wakes up and is asked for the job
-    Then the cluster has broken nothing
+    And the first job is handed in, and 2 seconds pass
+    Then the cluster has broken <what>
+
+    Examples:
+      | cluster                                                            | what             |
+      | a cluster with 2 worker(s)                                         | nothing          |
+      | a cluster with 2 worker(s), without "starts only after the commit" | "run_after_done" |
+
+  Scenario Outline: A holder is lost before an end is in the store - <cluster>
+    Given <cluster>
+    And its tasks take 2 seconds
+    And a job that takes all of its worker is at work
+    When the store falls silent
+    And 2.5 seconds pass in that cell
+    And the holder is killed
+    And the store answers again in that cell
+    And another node holds the shard
+    And 4 seconds pass in that cell
+    Then the cluster has broken <what>
+
+    Examples:
+      | cluster                                                                | what             |
+      | a cluster with 2 worker(s)                                             | nothing          |
+      | a cluster with 2 worker(s), without "ends noted only after the commit" | "run_after_done" |
 
-  Scenario: Without proof before unknown jobs it does
-    Given a cluster with 2 worker(s), without "proof before unknown jobs"
+  Scenario Outline: A former holder wakes up and is asked for its successor's job - <cluster>
+    Given <cluster>
     When the holder is paused
     And another node holds the shard
     And a job that takes all of its worker is accepted
     And the former holder wakes up and is asked for the job
-    Then the cluster has broken "accepted_unknown"
+    Then the cluster has broken <what>
 
-  Scenario: Nothing is started beside a run that stands for no task
-    Given a cluster with 1 worker(s)
+    Examples:
+      | cluster                                                         | what               |
+      | a cluster with 2 worker(s)                                      | nothing            |
+      | a cluster with 2 worker(s), without "proof before unknown jobs" | "accepted_unknown" |
+
+  Scenario Outline: A cancelled run outlives its holder - <cluster>
+    Given <cluster>
     And a job that takes all of its worker is at work
     When the holder is cut off from the workers
     And the job is cancelled
     And the holder is killed
     And another node holds the shard
     And another such job is handed in
-    Then the cluster has broken nothing
+    Then the cluster has broken <what>
     And the other job runs in the end
 
-  Scenario: Without room of stray runs something is
-    Given a cluster with 1 worker(s), without "room of stray runs"
-    And a job that takes all of its worker is at work
-    When the holder is cut off from the workers
-    And the job is cancelled
-    And the holder is killed
-    And another node holds the shard
-    And another such job is handed in
-    Then the cluster has broken "over_capacity"
+    Examples:
+      | cluster                                                  | what            |
+      | a cluster with 1 worker(s)                               | nothing         |
+      | a cluster with 1 worker(s), without "room of stray runs" | "over_capacity" |
 
   Scenario: How long a job has waited outlives its holder
     Given a cluster with 1 worker(s)
--- a/features/steps/job_directed_steps.py
+++ b/features/steps/job_directed_steps.py
@@ -94,6 +94,68 @@
     assert abs(kept - context.second_at) < CLOSE_SECONDS, (kept, context.second_at)
 
 
+@given("its tasks take {seconds:g} seconds")
+def _take(context: Any, seconds: float) -> None:
+    work = context.cluster.pool.work
+    work.shortest_seconds = work.longest_seconds = seconds
+
+
+@when("the workers take orders {seconds:g} seconds late")
+def _late(context: Any, seconds: float) -> None:
+    for worker in context.cluster.pool.workers.values():
+        worker.faults.late_share = 1.0
+        worker.faults.late_seconds = seconds
+
+
+@when("the workers take orders in time")
+def _in_time(context: Any) -> None:
+    for worker in context.cluster.pool.workers.values():
+        worker.faults.late_share = 0.0
+
+
+@when("the first job is handed in, and {seconds:g} seconds pass")
+def _hand_in(context: Any, seconds: float) -> None:
+    cluster = context.cluster
+    spec = _whole_worker_job(context, FIRST_JOB)
+    cluster.pool.specs[FIRST_JOB] = spec
+    cluster.audit.handle_submitted(spec)
+
+    def take(reply: CallReply | None) -> None:
+        cluster.audit.handle_submit_reply(FIRST_JOB, reply)
+
+    cluster.call(cluster.holder(), FIRST_JOB, SubmitCall(spec), take, seconds=1.0)
+    cluster.run(seconds)
+
+
+@when("a job that takes all of its worker is accepted, and {seconds:g} seconds pass")
+def _accepted(context: Any, seconds: float) -> None:
+    _hand_in(context, seconds)
+    assert context.cluster.audit.jobs[FIRST_JOB].accepted_at is not None
+
+
+@when("the store falls silent")
+def _silent(context: Any) -> None:
+    context.cluster.store.faults.is_down = True
+
+
+@when("the store answers again in that cell")
+def _answers(context: Any) -> None:
+    context.cluster.store.faults.is_down = False
+
+
+@when("{seconds:g} seconds pass in that cell")
+def _pass(context: Any, seconds: float) -> None:
+    context.cluster.run(seconds)
+
+
+@when("the holder is cut off from the worker that runs it")
+def _cut_worker(context: Any) -> None:
+    workers = context.cluster.pool.workers.values()
+    busy = [worker.worker_id for worker in workers if worker.runs]
+    assert len(busy) == 1
+    context.cluster.cut(context.holder.host, busy)
+
+
 @when("the holder is paused")
 def _pause(context: Any) -> None:
     context.holder.process.pause()
--- /dev/null
+++ b/features/steps/shard_steps.py
@@ -0,0 +1,243 @@
+"""Steps about the division of a cell into shards."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+from behave import given, then, when
+
+from onyxspoke.core.jobs.model import JobSpec, Needs, StepSpec
+from onyxspoke.core.placement.workers import WorkerRecord
+from onyxspoke.core.shard.calls import CallReply, ReplyCode, SubmitCall, WaitingCall
+from onyxspoke.core.shard.election import NodeIdentity
+from onyxspoke.core.shard.layout import plan_layout
+from onyxspoke.kit.jobs.workers import WorkOptions
+from onyxspoke.node.messages import Members
+from onyxspoke.node.peers import PeerLink
+from onyxspoke.node.succession import choose_successors
+from onyxspoke.sim.explore_jobs import make_options, play
+from onyxspoke.sim.job_cluster import JobCluster
+
+QUEUE = "normal"
+SETTLE_SECONDS = 2.0
+CLOSE_SECONDS = 0.01
+
+
+def _record(number: int, rack: str) -> WorkerRecord:
+    return WorkerRecord(
+        worker_id=f"w{number}",
+        host=f"h{number}",
+        port=1,
+        service="service",
+        zone="zone",
+        capacity=Needs(1, 1, 0),
+        rack=rack,
+    )
+
+
+@given("{count:d} workers in racks of {size:d} over {rows:d} rows")
+def _workers(context: Any, count: int, size: int, rows: int) -> None:
+    racks = [f"r{number // size % rows}-{number // size // rows}" for number in range(count)]
+    context.workers = [_record(number, rack) for number, rack in enumerate(racks)]
+
+
+@when("the cell is laid out with {size:d} workers a shard and {most:d} shards at most")
+def _lay_out(context: Any, size: int, most: int) -> None:
+    context.layout = plan_layout(context.workers, size, most)
+
+
+@then("it has {count:d} shards")
+def _shards(context: Any, count: int) -> None:
+    assert context.layout.shard_count == count, context.layout
+
+
+@then("no shard has less than half of an even part of the workers")
+def _even(context: Any) -> None:
+    layout = context.layout
+    sizes = Counter(layout.shard_of_worker(worker) for worker in context.workers)
+    even = len(context.workers) / layout.shard_count
+    assert all(sizes[shard] >= even / 2 for shard in layout.shards()), sizes
+
+
+@then("the workers of a rack share a shard")
+def _racks(context: Any) -> None:
+    shards: dict[str, set[int]] = {}
+    for worker in context.workers:
+        shards.setdefault(worker.rack, set()).add(context.layout.shard_of_worker(worker))
+    assert all(len(found) == 1 for found in shards.values())
+
+
+@then("of {count:d} jobs each shard gets between {low:d} and {high:d}")
+def _jobs(context: Any, count: int, low: int, high: int) -> None:
+    sizes = Counter(context.layout.shard_of_job(f"{number:016x}") for number in range(count))
+    assert all(low <= size <= high for size in sizes.values()), sizes
+
+
+@given("a cluster of three shards")
+def _cluster(context: Any) -> None:
+    work = WorkOptions(seed=4)
+    context.cluster = JobCluster(make_options(4, work, shards=3))
+    context.cluster.start()
+    context.cluster.run(SETTLE_SECONDS)
+
+
+@then("every node knows {count:d} shards")
+def _knows(context: Any, count: int) -> None:
+    layouts = [node.node.layout for node in context.cluster.nodes.values()]
+    assert all(layout and layout.shard_count == count for layout in layouts), layouts
+
+
+@when("all its nodes are killed and start again")
+def _kill_all(context: Any) -> None:
+    names = list(context.cluster.nodes)
+    for name in names:
+        context.cluster.kill_node(name)
+    for name in names:
+        context.cluster.start_node(name)
+    context.cluster.run(SETTLE_SECONDS)
+
+
+@then("each shard has one holder, and {count:d} nodes at least hold one")
+def _one_holder(context: Any, count: int) -> None:
+    holders = [
+        (shard, node.name)
+        for node in context.cluster.nodes.values()
+        for shard, seat in node.node.seats.items()
+        if seat.is_holding
+    ]
+    assert sorted(shard for shard, _name in holders) == [0, 1, 2], holders
+    assert len({name for _shard, name in holders}) >= count, holders
+
+
+@given("no worker of it can be reached")
+def _cut_workers(context: Any) -> None:
+    cluster = context.cluster
+    for node in cluster.nodes.values():
+        cluster.cut(node.host, list(cluster.pool.workers))
+    cluster.run(SETTLE_SECONDS)
+
+
+def _make_job(context: Any, number: int) -> JobSpec:
+    queue = context.cluster.configuration.configuration.policy.queues[QUEUE]
+    step = StepSpec(task_count=1, processors_milli=100, memory_mb=10, estimated_ms=500)
+    return JobSpec(job_id=f"{number:016x}", queue=queue, payload="p", steps=(step,))
+
+
+@when("{count:d} jobs are handed in there")
+def _hand_in(context: Any, count: int) -> None:
+    cluster = context.cluster
+    replies: list[CallReply | None] = []
+    node = next(iter(cluster.nodes.values()))
+    for number in range(count):
+        job = _make_job(context, number)
+        cluster.pool.specs[job.job_id] = job
+        cluster.audit.handle_submitted(job)
+        cluster.call(node, job.job_id, SubmitCall(job), replies.append)
+    cluster.run(1.0)
+    assert [reply.code for reply in replies if reply] == [ReplyCode.OK] * count, replies
+
+
+@then("{count:d} jobs wait, whichever node is asked")
+def _waiting(context: Any, count: int) -> None:
+    cluster = context.cluster
+    for node in cluster.nodes.values():
+        replies: list[CallReply | None] = []
+        cluster.call(node, "", WaitingCall(QUEUE), replies.append)
+        cluster.run(0.5)
+        assert replies[0] is not None
+        assert replies[0].waiting == count, replies
+
+
+@when("a node that does not know the layout is asked to take a job")
+def _ask_without_layout(context: Any) -> None:
+    node = next(iter(context.cluster.nodes.values()))
+    node.node.layout = None
+    job = _make_job(context, 1)
+    context.replies = []
+    context.cluster.call(node, job.job_id, SubmitCall(job), context.replies.append)
+    context.not_ready = not node.node.is_ready
+
+
+@then("it refuses, and says when to come back")
+def _refuses(context: Any) -> None:
+    reply = context.replies[0]
+    assert reply.code is ReplyCode.REFUSED, reply
+    assert reply.retry_after_seconds > 0
+    assert context.not_ready
+
+
+@when("the holder of one of them loses its power")
+def _power_off(context: Any) -> None:
+    nodes = context.cluster.nodes.values()
+    held = {node.name: sum(seat.is_holding for seat in node.node.seats.values()) for node in nodes}
+    context.lost = next(name for name, count in held.items() if count == 1)
+    context.cluster.power_off_node(context.lost)
+
+
+@when("{seconds:g} seconds pass there")
+def _pass(context: Any, seconds: float) -> None:
+    context.cluster.run(seconds)
+
+
+@then("the other nodes are ready")
+def _others_ready(context: Any) -> None:
+    nodes = [node for name, node in context.cluster.nodes.items() if name != context.lost]
+    assert all(node.node.is_ready for node in nodes)
+
+
+@when("jobs are played over seeds {first:d} to {last:d} with drawn faults, in three shards")
+def _play(context: Any, first: int, last: int) -> None:
+    context.job_reports = [play(seed, shards=3) for seed in range(first, last + 1)]
+
+
+@given("{small:d} small nodes and {large:d} large ones that could take over")
+def _links(context: Any, small: int, large: int) -> None:
+    weights = [0.5] * small + [2.0] * large
+    context.links = []
+    for number, weight in enumerate(weights):
+        link = PeerLink(f"h{number}", is_outgoing=False)
+        link.identity = NodeIdentity(f"n{number}.1", f"h{number}", 1, weight=weight)
+        context.links.append(link)
+
+
+@then("the successors in each of {shards:d} shards are {count:d}, the large ones first")
+def _successors(context: Any, shards: int, count: int) -> None:
+    context.first = set()
+    for shard in range(shards):
+        chosen = choose_successors(shard, context.links)
+        assert len(chosen) == count
+        weights = [node.weight for node in chosen]
+        assert weights == sorted(weights, reverse=True)
+        context.first.add(chosen[0].life)
+
+
+@then("at least {count:d} nodes come first in some shard")
+def _first_differ(context: Any, count: int) -> None:
+    assert len(context.first) >= count, context.first
+
+
+@given("a follower in a cell of {count:d} nodes")
+def _follower(context: Any, count: int) -> None:
+    _cluster(context)
+    nodes = context.cluster.nodes.values()
+    follower = next(
+        node for node in nodes if not any(seat.is_holding for seat in node.node.seats.values())
+    )
+    link = PeerLink("h", is_outgoing=True)
+    follower.node.handle_peer_message(link, Members(0, [], count))
+    context.follower = follower
+
+
+@then("it sends a heartbeat each {seconds:g} seconds")
+def _interval(context: Any, seconds: float) -> None:
+    # The holders of the cluster go on telling their own count.
+    context.interval = context.follower.node.heartbeat_interval()
+    assert abs(context.interval - seconds) < CLOSE_SECONDS, context.interval
+
+
+@then("its stream is ended after {seconds:g} seconds of silence")
+def _silence(context: Any, seconds: float) -> None:
+    link = PeerLink("h", is_outgoing=False)
+    link.note_interval(context.interval)
+    assert abs(link.silence_seconds - seconds) < CLOSE_SECONDS, link.silence_seconds
--- a/src/onyxspoke/core/shard/actions.py
+++ b/src/onyxspoke/core/shard/actions.py
@@ -8,6 +8,7 @@
 
 from onyxspoke.core.jobs.model import RunKey, StepKey, WorkerId
 from onyxspoke.core.shard.calls import CallReply
+from onyxspoke.core.shard.layout import CellLayout
 from onyxspoke.core.shard.log_records import ShardAppend
 
 Token = int
@@ -89,6 +90,12 @@
     reply: CallReply
 
 
+class LayoutKnown(msgspec.Struct, frozen=True):
+    """The store holds the cell's layout."""
+
+    layout: CellLayout
+
+
 class DropWorkerConnections(msgspec.Struct, frozen=True):
     """A life of a worker is over; its connections are of no more use."""
 
@@ -127,6 +134,7 @@
     | AskAdvice
     | ReplyToCall
     | DropWorkerConnections
+    | LayoutKnown
     | StepDown
     | Decision
 )
--- a/src/onyxspoke/core/shard/context.py
+++ b/src/onyxspoke/core/shard/context.py
@@ -17,6 +17,7 @@
     WorkerAddress,
 )
 from onyxspoke.core.shard.commit import CommitQueue
+from onyxspoke.core.shard.layout import CellLayout
 
 _MILLISECONDS = 1_000.0
 
@@ -81,6 +82,8 @@
         self.actions: list[ShardAction] = []
         self.wants_placement = False
         self.is_over = False
+        #: The cell's layout, until an append carries it.
+        self.new_layout: CellLayout | None = None
         #: Until then nobody can claim the shard, because no node reaches the store.
         self.unclaimable_until = 0.0
         #: Time of day less the holder's seconds, in milliseconds, once it is known.
--- a/src/onyxspoke/core/shard/election.py
+++ b/src/onyxspoke/core/shard/election.py
@@ -146,6 +146,8 @@
         Returns a random number of at least 0 and below 1.
     started_at : float
         When this process began; earlier lives on this host ended before.
+    handicap : callable
+        Returns for how many seconds this node leaves a shard that nobody holds to others.
     """
 
     def __init__(
@@ -154,15 +156,17 @@
         identity: NodeIdentity,
         draw: Callable[[], float],
         started_at: float,
+        handicap: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._shard = shard
         self._identity = identity
         self._draw = draw
         self._started_at = started_at
+        self._handicap = handicap
         self.state = ElectionState.READING
         self.claim: ClaimRecord | None = None
         self._end = -1
-        #: Nodes that could take over, by the word of the holder.
+        #: Nodes that are to take over, by the word of the holder, in the order of their turns.
         self.members: list[NodeIdentity] = []
         self._due_at = 0.0
         self._is_reading = False
@@ -189,7 +193,7 @@
         self._rest_until = moment
 
     def set_members(self, members: list[NodeIdentity]) -> None:
-        """Take the nodes that the holder knows; they set the order of turns."""
+        """Take the nodes that are to take over, in the order of their turns."""
         self.members = members
 
     def handle_claim_read(
@@ -343,7 +347,8 @@
         """The claim is as it was: replace it if its holder is thought dead."""
         claim = self.claim
         if claim is None:
-            self._wait_turn(now, self._draw() * FIRST_TURN_SECONDS, "nobody_claimed")
+            delay = self._handicap() + self._draw() * FIRST_TURN_SECONDS
+            self._wait_turn(now, delay, "nobody_claimed")
         elif claim.host == self._identity.host:
             self._wait_turn(now, 0.0, "own_earlier_claim")
         elif self._suspects_death:
@@ -361,12 +366,10 @@
 
     def _turn_delay(self, claim: ClaimRecord) -> float:
         """Return how long to leave the claim to nodes that come before us."""
-        candidates = [member for member in self.members if member.host != claim.host]
-        order = sorted(candidates, key=lambda member: (-member.weight, member.life))
-        for position, member in enumerate(order):
-            if member.host == self._identity.host:
-                return min(position * TURN_SECONDS, LONGEST_TURN_SECONDS)
-        delay = len(order) * TURN_SECONDS + self._draw() * TURN_SECONDS
+        candidates = [member.host for member in self.members if member.host != claim.host]
+        if self._identity.host in candidates:
+            return min(candidates.index(self._identity.host) * TURN_SECONDS, LONGEST_TURN_SECONDS)
+        delay = (len(candidates) + self._draw()) * TURN_SECONDS
         return min(delay, LONGEST_TURN_SECONDS)
 
     # Steps
--- a/src/onyxspoke/core/shard/journal.py
+++ b/src/onyxspoke/core/shard/journal.py
@@ -21,7 +21,9 @@
 )
 from onyxspoke.core.jobs.states import JobState
 from onyxspoke.core.placement.workers import WorkerRecord
+from onyxspoke.core.shard.actions import LayoutKnown
 from onyxspoke.core.shard.context import ShardContext
+from onyxspoke.core.shard.layout import encode_layout, find_layout
 from onyxspoke.core.shard.log_records import (
     CLAIM_KEY,
     WORKER_PREFIX,
@@ -47,7 +49,8 @@
 
     def is_dirty(self) -> bool:
         """Return whether something has changed that no append carries yet."""
-        return bool(self._context.book.dirty) or self._workers.is_dirty
+        context = self._context
+        return bool(context.book.dirty) or self._workers.is_dirty or context.new_layout is not None
 
     def renew(self) -> ShardRecord:
         """Return the claim's record, written anew."""
@@ -56,7 +59,7 @@
 
     def collect(self, maximum_bytes: int) -> list[ShardRecord]:
         """Return the records of what has changed, and forget that it has."""
-        records = self._workers.collect_records()
+        records = self._layout_records() + self._workers.collect_records()
         dirty = self._context.book.dirty
         size = 0
         while dirty and size < maximum_bytes:
@@ -67,6 +70,14 @@
                 size += len(record.key) + len(record.value)
         return records
 
+    def _layout_records(self) -> list[ShardRecord]:
+        context = self._context
+        layout, context.new_layout = context.new_layout, None
+        if layout is None:
+            return []
+        context.commit.after_commit(lambda _now: context.emit(LayoutKnown(layout)))
+        return [encode_layout(layout)]
+
     def _job_records(self, job_id: JobId) -> list[ShardRecord]:
         book = self._context.book
         job = book.jobs.get(job_id)
@@ -111,6 +122,9 @@
     context: ShardContext, workers: WorkerKeeper, records: list[ShardRecord], now: float
 ) -> None:
     """Bring a new holder to what the records say; one that cannot be read is named and kept."""
+    layout = find_layout(records)
+    if layout is not None:
+        context.emit(LayoutKnown(layout))
     progress: dict[JobId, ProgressRecord] = {}
     specs: dict[JobId, bytes] = {}
     for record in records:
--- a/src/onyxspoke/core/shard/log_records.py
+++ b/src/onyxspoke/core/shard/log_records.py
@@ -8,8 +8,10 @@
 
 ShardId = int
 
-#: Sorts behind every other key, so that it can be read without the rest.
+#: The claim and the cell's layout sort behind every other key, so that they can be read
+#: without the rest.
 CLAIM_KEY = "~claim"
+LAYOUT_KEY = "~layout"
 #: The greatest key before the claim's.
 BEFORE_CLAIM_KEY = "~"
 WORKER_PREFIX = "worker/"
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -23,6 +23,7 @@
 from onyxspoke.core.shard.context import ShardContext, ShardOptions
 from onyxspoke.core.shard.evacuation import Evacuation
 from onyxspoke.core.shard.journal import RecordCollector, restore_records
+from onyxspoke.core.shard.layout import CellLayout
 from onyxspoke.core.shard.log_records import (
     AppendOutcome,
     AppendResult,
@@ -111,6 +112,10 @@
         """The former holder's process is known to have ended by then."""
         self.workers.handle_advice_of_death(since)
 
+    def stimulus_layout(self, layout: CellLayout) -> None:
+        """Write the layout of a new cell; it is told once the store has it."""
+        self.context.new_layout = layout
+
     # The platform
 
     def stimulus_policy(self, policy: PolicySet, now: float) -> None:
--- a/src/onyxspoke/net/stream.py
+++ b/src/onyxspoke/net/stream.py
@@ -123,9 +123,13 @@
 
     def send(self, message: Message) -> None:
         """Send one message; a stream whose reader has stalled is closed instead."""
+        if self.is_open:
+            self.send_encoded(encode_message(message))
+
+    def send_encoded(self, data: bytes) -> None:
+        """Send a message that goes to many streams and was encoded once for all."""
         if not self.is_open:
             return
-        data = _encoder.encode(message)
         Traffic.sent += len(data)
         if self._delay_seconds > 0:
             self._delayed.append(data)
@@ -178,3 +182,8 @@
         transport = self.transport
         buffered = len(getattr(transport, "dataBuffer", b""))
         return buffered + int(getattr(transport, "_tempDataLen", 0))
+
+
+def encode_message(message: Message) -> bytes:
+    """Return a message as it goes over a stream."""
+    return _encoder.encode(message)
--- /dev/null
+++ b/src/onyxspoke/node/advice_exchange.py
@@ -0,0 +1,73 @@
+"""Calls to the advice service, made by the holder's own machine or by its peers'.
+
+The service works for each calling machine on one call at a time, so a holder spreads its calls
+over the nodes that are connected to it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+
+from onyxspoke.core.shard.actions import AskAdvice
+from onyxspoke.core.shard.log_records import ShardId
+from onyxspoke.core.shard.orders import AdviceOutcome, AdviceResult
+from onyxspoke.node.messages import AdviceAnswer, AdviceForward
+from onyxspoke.node.peers import PeerLink, PeerLinks
+from onyxspoke.ports.advice import AdvicePort
+
+#: Takes an answer to the shard that asked.
+OnAdvice = Callable[[ShardId, int, AdviceResult], None]
+
+
+class AdviceExchange:
+    """Carries calls for advice between nodes.
+
+    Parameters
+    ----------
+    port : AdvicePort
+        The service, as this machine reaches it.
+    own_life : str
+        This node's own name among the advisors.
+    peers : PeerLinks
+        Streams to the others.
+    on_result : callable
+        Takes an answer.
+    """
+
+    def __init__(
+        self, port: AdvicePort, own_life: str, peers: PeerLinks, on_result: OnAdvice
+    ) -> None:
+        self._port = port
+        self._own_life = own_life
+        self._peers = peers
+        self._on_result = on_result
+
+    def advisors(self) -> list[str]:
+        """Return the lives of the nodes through which calls can go."""
+        links = self._peers.up_links()
+        return [self._own_life, *(link.identity.life for link in links if link.identity)]
+
+    def ask(self, shard: ShardId, action: AskAdvice) -> None:
+        """Have the advisor of a call ask."""
+        take = partial(self._on_result, shard, action.call_id)
+        if action.advisor == self._own_life:
+            self._port.ask(action.step, action.worker_ids, take)
+            return
+        for link in self._peers.up_links():
+            if link.identity is not None and link.identity.life == action.advisor:
+                link.send(AdviceForward(shard, action.call_id, action.step, action.worker_ids))
+                return
+        take(AdviceResult(AdviceOutcome.NO_ANSWER))
+
+    def serve(self, link: PeerLink, message: AdviceForward) -> None:
+        """Ask for a peer."""
+
+        def answer(result: AdviceResult) -> None:
+            link.send(AdviceAnswer(message.shard, message.call_id, result))
+
+        self._port.ask(message.step, message.worker_ids, answer)
+
+    def take(self, _link: PeerLink, message: AdviceAnswer) -> None:
+        """A peer tells what the service said."""
+        self._on_result(message.shard, message.call_id, message.result)
--- a/src/onyxspoke/node/messages.py
+++ b/src/onyxspoke/node/messages.py
@@ -27,10 +27,13 @@
 
     ``can_reach_store`` tells whether the store served the sender lately, ``may_hold``
     whether the sender would take a shard over, ``is_isolated`` that it has lost both the
-    store and peers, ``wall_ms`` is its time of day.
+    store and peers, ``wall_ms`` is its time of day.  ``shard_count`` is 0 while the sender
+    does not know the cell's layout; ``interval_seconds`` tells when the next one comes.
     """
 
     claims: list[tuple[ShardId, ClaimRecord]]
+    shard_count: int
+    interval_seconds: float
     configuration_version: int
     can_reach_store: bool
     may_hold: bool
@@ -39,9 +42,11 @@
 
 
 class Members(Message, frozen=True):
-    """The nodes that could take over from a holder."""
+    """The nodes that are to take over from a shard's holder, in order, and how many there are."""
 
+    shard: ShardId
     members: list[NodeIdentity]
+    node_count: int
 
 
 class CallForward(Message, frozen=True):
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -15,12 +15,26 @@
 
 from onyxspoke.core.routing import RouteTable
 from onyxspoke.core.shard.actions import AskAdvice, StepDownReason
-from onyxspoke.core.shard.calls import CALL_NAMES, Call, CallReply, ReplyCode, job_of, queue_of
+from onyxspoke.core.shard.calls import (
+    CALL_NAMES,
+    Call,
+    CallReply,
+    ReplyCode,
+    SubmitCall,
+    WaitingCall,
+    job_of,
+    queue_of,
+)
 from onyxspoke.core.shard.election import LossReason, NodeIdentity
+from onyxspoke.core.shard.layout import FIRST_SHARD, CellLayout, plan_layout
 from onyxspoke.core.shard.log_records import ClaimRecord, ShardId
-from onyxspoke.core.shard.orders import AdviceOutcome, AdviceResult
+from onyxspoke.core.shard.orders import AdviceResult
 from onyxspoke.net.network import Network
-from onyxspoke.node.call_router import CallRouter
+from onyxspoke.net.stream import encode_message
+from onyxspoke.node.advice_exchange import AdviceExchange
+from onyxspoke.node.agreed_time import agreed_time_ms
+from onyxspoke.node.call_router import RETRY_AFTER_SECONDS, CallRouter
+from onyxspoke.node.directory_hub import DirectoryHub
 from onyxspoke.node.messages import (
     AdviceAnswer,
     AdviceForward,
@@ -40,6 +54,8 @@
 from onyxspoke.node.seat import ShardSeat
 from onyxspoke.node.settings import NodeSettings
 from onyxspoke.node.store_gateway import StoreGateway
+from onyxspoke.node.succession import Succession, tell_successors
+from onyxspoke.node.waiting_sum import WaitingSum
 from onyxspoke.ports.advice import AdvicePort
 from onyxspoke.ports.clock import Clock
 from onyxspoke.ports.configuration import (
@@ -53,15 +69,25 @@
 
 TICK_SECONDS = 0.02
 HEARTBEAT_SECONDS = 0.2
-#: The only shard of a small cell.
-FIRST_SHARD: ShardId = 0
+#: In a cell of more nodes, followers send their heartbeats less often in proportion.
+NODES_AT_FULL_RATE = 50
 SEED_RETRY_SECONDS = 1.0
+#: A new cell is laid out once its workers have been listed for so long ...
+LAYOUT_SETTLE_SECONDS = 0.4
+#: ... or, where there are none, for so long.
+EMPTY_LAYOUT_SECONDS = 3.0
+#: How long a node leaves a shard that nobody holds to others: for each one that it holds ...
+HELD_HANDICAP_SECONDS = 0.15
+#: ... where it is smaller than one processor ...
+SMALL_HANDICAP_SECONDS = 0.1
+#: ... and up to so long for each node of the cell, so that few claim at once.
+NODE_HANDICAP_SECONDS = 0.001
 #: A holder that the store turns away for so long leaves its shards to another node.
 HANDOVER_SECONDS = 0.8
 #: It claims nothing, and hands over nothing more, for so long after.
 HANDOVER_PAUSE_SECONDS = 4.0
-#: What a peer said of the store counts for so long.
-FRESH_SECONDS = 0.6
+#: That no node reaches the store holds for so long.
+UNREACHABLE_SECONDS = 0.6
 _MILLISECONDS = 1_000.0
 
 OnReply = Callable[[CallReply], None]
@@ -120,43 +146,38 @@
         self.settings = settings
         self.identity = identity
         self.configuration: CellConfiguration | None = None
+        self.layout: CellLayout | None = None
         self.routes = RouteTable([])
         self.is_stopping = False
         self.metrics = NodeMetrics()
         self._network = network
         self._clock = clock
         self._wall_ms = wall_ms
+        self._draw = draw
         self._ports = ports
         self.peers = PeerLinks(network, identity, self)
         self.store = StoreGateway(ports.store, clock, self.peers.up_links)
         self.router = CallRouter(self._send_call)
-        seat = ShardSeat(
-            FIRST_SHARD,
-            identity,
-            settings.shard_options,
-            clock,
-            draw,
-            self.store,
-            ports.orders,
-            ports.directory,
-            self,
-            self.metrics,
-        )
-        self.seats: dict[ShardId, ShardSeat] = {FIRST_SHARD: seat}
+        self._directory = DirectoryHub(ports.directory, clock)
+        self._advice = AdviceExchange(ports.advice, identity.life, self.peers, self._take_advice)
+        self._succession = Succession()
+        self.seats: dict[ShardId, ShardSeat] = {FIRST_SHARD: self._make_seat(FIRST_SHARD)}
         self._wakes: dict[ShardId, IDelayedCall] = {}
         self._holders: dict[ShardId, ClaimRecord] = {}
         self._listeners: list[Callable[[CellConfiguration], None]] = []
         self._seeds_at = 0.0
         self._was_ready = False
         self._handover_at = 0.0
+        self._node_count = 1
+        self._heartbeat_at = 0.0
         #: Hosts that were connected when the store last served this node, and since.
         self._claimants: set[str] = set()
         self._handlers: dict[type[NodeMessage], Callable[[PeerLink, Any], None]] = {
             Status: self._take_status,
             CallForward: self._serve_call,
             CallAnswer: lambda _link, message: self._take_reply(message.call_id, message.reply),
-            AdviceForward: self._serve_advice,
-            AdviceAnswer: self._take_advice,
+            AdviceForward: self._advice.serve,
+            AdviceAnswer: self._advice.take,
             ConfigurationCopy: self._take_copy,
             Members: self._take_members,
             AppendRelay: self.store.serve_append,
@@ -166,7 +187,7 @@
         }
         for seconds, function in (
             (TICK_SECONDS, self._tick),
-            (HEARTBEAT_SECONDS, self._send_heartbeats),
+            (HEARTBEAT_SECONDS, self._beat),
         ):
             timer = TimerService(seconds, function)
             timer.clock = network.reactor
@@ -182,7 +203,7 @@
     def startService(self) -> None:
         """Begin to take part; called by Twisted."""
         self._ports.configuration.watch(self.handle_configuration, self.store.note_contact)
-        for seat in self.seats.values():
+        for seat in list(self.seats.values()):
             seat.start()
         super().startService()
 
@@ -201,10 +222,11 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether callers can be served here."""
-        if self.is_stopping or self.configuration is None:
+        """Whether callers can be served here, in half of the shards at least."""
+        if self.is_stopping or self.configuration is None or self.layout is None:
             return False
-        return all(self._is_served(shard) for shard in self.seats)
+        served = sum(self._is_served(shard) for shard in self.seats)
+        return served * 2 >= len(self.seats)
 
     def _is_served(self, shard: ShardId) -> bool:
         """Return whether a shard has a holder that can be reached and can accept jobs."""
@@ -224,13 +246,72 @@
             return False
         return any(self.peers.link_to(host) is None for host in self._claimants)
 
+    # Layout
+
+    def handle_layout(self, layout: CellLayout) -> None:
+        """The store holds the cell's layout, or a peer tells it."""
+        if self.layout is not None:
+            return
+        self.layout = layout
+        logging.info("event=layout shards=%d", layout.shard_count)
+        self._directory.set_layout(layout)
+        for shard in layout.shards():
+            if shard not in self.seats:
+                seat = self.seats[shard] = self._make_seat(shard)
+                if self.configuration is not None:
+                    seat.set_policy(self.configuration.policy)
+                seat.start()
+
+    def _plan_layout_if_new(self) -> None:
+        """Lay a new cell out, as the holder of its first shard."""
+        seat = self.seats[FIRST_SHARD]
+        if self.layout is not None or not seat.is_holding:
+            return
+        workers = self._directory.workers()
+        patience = LAYOUT_SETTLE_SECONDS if workers else EMPTY_LAYOUT_SECONDS
+        if self._directory.listed_seconds() >= patience:
+            settings = self.settings
+            seat.plan_layout(plan_layout(workers, settings.workers_a_shard, settings.most_shards))
+
+    def _make_seat(self, shard: ShardId) -> ShardSeat:
+        return ShardSeat(
+            shard,
+            self.identity,
+            self.settings.shard_options,
+            self._clock,
+            self._draw,
+            self.store,
+            self._ports.orders,
+            self._directory.of_shard(shard),
+            self,
+            self.metrics,
+            self._handicap,
+        )
+
+    def _handicap(self) -> float:
+        """Return how long to leave a shard that nobody holds to nodes that suit better."""
+        seconds = HELD_HANDICAP_SECONDS * len(self._held_shards())
+        seconds += NODE_HANDICAP_SECONDS * self._node_count * self._draw()
+        return seconds + (SMALL_HANDICAP_SECONDS if self.identity.weight < 1.0 else 0.0)
+
+    def _held_shards(self) -> list[ShardId]:
+        return [shard for shard, seat in self.seats.items() if seat.is_holding]
+
     # Calls
 
     def submit_call(self, job_id: str, call: Call, on_reply: OnReply, seconds: float) -> None:
         """Carry a client's call to the holder of the job's shard."""
         now = self._clock.now()
         take = partial(self._finish_call, call, on_reply, now)
-        self.router.submit(self._shard_of(job_id), call, take, now, now + seconds)
+        layout = self.layout
+        if layout is None:
+            take(_reply_without_layout(call))
+        elif isinstance(call, WaitingCall):
+            total = WaitingSum(layout.shard_count, take)
+            for shard in layout.shards():
+                self.router.submit(shard, call, total.add, now, now + seconds)
+        else:
+            self.router.submit(layout.shard_of_job(job_id), call, take, now, now + seconds)
 
     def _finish_call(self, call: Call, on_reply: OnReply, since: float, reply: CallReply) -> None:
         name = CALL_NAMES[type(call)]
@@ -248,9 +329,6 @@
             )
         on_reply(reply)
 
-    def _shard_of(self, _job_id: str) -> ShardId:
-        return FIRST_SHARD
-
     def _send_call(self, shard: ShardId, call_id: int, call: Call) -> bool:
         seat = self.seats[shard]
         if seat.is_holding:
@@ -285,7 +363,7 @@
             # Those who wait for their turn to claim hear it sooner than they would read it.
             for member in self.seats[shard].election.members:
                 self.connect_peer(member.host, member.port)
-            self._tell_advisors()
+            self._note_peers_changed()
             self.router.handle_holder_found(shard, self._clock.now())
         self._send_heartbeats()
 
@@ -297,20 +375,10 @@
 
     def ask_advice(self, shard: ShardId, action: AskAdvice) -> None:
         """Have an entry ask the advice service."""
-        if action.advisor == self.identity.life:
-            self._ports.advice.ask(
-                action.step,
-                action.worker_ids,
-                partial(self.seats[shard].handle_advice_result, action.call_id),
-            )
-            return
-        for link in self.peers.up_links():
-            if link.identity is not None and link.identity.life == action.advisor:
-                message = AdviceForward(shard, action.call_id, action.step, action.worker_ids)
-                link.send(message)
-                return
-        result = AdviceResult(AdviceOutcome.NO_ANSWER)
-        self.seats[shard].handle_advice_result(action.call_id, result)
+        self._advice.ask(shard, action)
+
+    def _take_advice(self, shard: ShardId, call_id: int, result: AdviceResult) -> None:
+        self.seats[shard].handle_advice_result(call_id, result)
 
     def wake(self, shard: ShardId, delay: float) -> None:
         """Flush a seat after a delay, or sooner if that was asked for already."""
@@ -367,7 +435,7 @@
     def handle_peer_up(self, link: PeerLink) -> None:
         """A peer has said who it is."""
         link.send(self._status())
-        self._tell_advisors()
+        self._note_peers_changed()
         assert link.identity is not None
         logging.info("event=peer_up peer=%s life=%s", link.host, link.identity.life)
 
@@ -375,10 +443,10 @@
         """A stream ended, or none came about."""
         logging.info("event=peer_lost peer=%s reason=%s", host, reason.value)
         if link is not None:
-            self._tell_advisors()
+            self._note_peers_changed()
         if self.peers.link_to(host) is not None:
             return
-        for shard, seat in self.seats.items():
+        for shard, seat in list(self.seats.items()):
             claim = self._holders.get(shard)
             if claim is not None and claim.host == host:
                 self.router.handle_holder_lost(shard)
@@ -396,14 +464,17 @@
         link.can_reach_store = message.can_reach_store
         link.is_isolated = message.is_isolated
         link.wall_offset_ms = message.wall_ms - self._clock.now() * _MILLISECONDS
+        link.note_interval(message.interval_seconds)
+        if message.shard_count:
+            self.handle_layout(CellLayout(message.shard_count))
         if link.may_hold is not message.may_hold:
             link.may_hold = message.may_hold
-            self._tell_advisors()
+            self._note_peers_changed()
         link.configuration_version = max(link.configuration_version, message.configuration_version)
         self._offer_configuration(link)
         now = self._clock.now()
         claims = dict(message.claims)
-        for shard, seat in self.seats.items():
+        for shard, seat in list(self.seats.items()):
             seat.election.handle_peer_status(link.identity, claims.get(shard), now)
             seat.carry_out_election()
 
@@ -414,46 +485,33 @@
             return
         seat.handle_call(message.call, lambda reply: link.send(CallAnswer(message.call_id, reply)))
 
-    def _serve_advice(self, link: PeerLink, message: AdviceForward) -> None:
-        self._ports.advice.ask(
-            message.step,
-            message.worker_ids,
-            lambda result: link.send(AdviceAnswer(message.shard, message.call_id, result)),
-        )
-
-    def _tell_advisors(self) -> None:
-        """Let the seats know through which entries advice can be asked."""
-        links = self.peers.up_links()
-        lives = [link.identity.life for link in links if link.identity is not None]
-        members = [link.identity for link in links if link.identity and link.may_hold]
-        for seat in self.seats.values():
-            if seat.is_holding:
-                seat.set_advisors([self.identity.life, *lives])
-                seat.election.set_members(members)
-                for link in links:
-                    link.send(Members(members))
-
-    def _take_advice(self, _link: PeerLink, message: AdviceAnswer) -> None:
-        self.seats[message.shard].handle_advice_result(message.call_id, message.result)
+    def _note_peers_changed(self) -> None:
+        """Let the seats know through which nodes advice can be asked."""
+        self._succession.note_change()
+        held = self._held_shards()
+        if held:
+            advisors = self._advice.advisors()
+            for shard in held:
+                self.seats[shard].set_advisors(advisors)
 
     def _take_members(self, _link: PeerLink, message: Members) -> None:
-        for seat in self.seats.values():
+        self._node_count = message.node_count
+        seat = self.seats.get(message.shard)
+        if seat is not None:
             seat.election.set_members(message.members)
 
     # Time
 
     def time_of_day_ms(self) -> float:
         """Return the time of day on which most nodes agree; single clocks may jump."""
-        steady_ms = self._clock.now() * _MILLISECONDS
-        offsets = [link.wall_offset_ms for link in self.peers.up_links() if link.wall_offset_ms]
-        offsets.append(self._wall_ms() - steady_ms)
-        return steady_ms + sorted(offsets)[(len(offsets) - 1) // 2]
+        return agreed_time_ms(self._clock.now(), self._wall_ms(), self.peers.up_links())
 
     def _tick(self) -> None:
         now = self._clock.now()
         wall_ms = self.time_of_day_ms()
-        for seat in self.seats.values():
+        for seat in list(self.seats.values()):
             seat.tick(wall_ms)
+        self._plan_layout_if_new()
         self._hand_over_if_turned_away(now)
         self._note_if_nobody_reaches_store(now)
         self._set_gauges()
@@ -487,11 +545,10 @@
         self._claimants |= linked
         for host in self._claimants:
             link = self.peers.link_to(host)
-            is_fresh = link is not None and now - link.heard_at < FRESH_SECONDS
-            if link is None or not is_fresh or link.can_reach_store:
+            if link is None or not link.was_heard_lately(now) or link.can_reach_store:
                 return
         for seat in self.seats.values():
-            seat.note_store_unreachable(now + FRESH_SECONDS)
+            seat.note_store_unreachable(now + UNREACHABLE_SECONDS)
 
     def _set_gauges(self) -> None:
         held = [seat.scheduler for seat in self.seats.values() if seat.is_holding]
@@ -505,10 +562,28 @@
         self.metrics.jobs.set(sum(len(item.context.book.jobs) for item in held if item))
         self.metrics.runs.set(sum(item.context.table.run_count() for item in held if item))
 
+    # Heartbeats
+
+    def _beat(self) -> None:
+        now = self._clock.now()
+        if now + HEARTBEAT_SECONDS / 2 >= self._heartbeat_at:
+            self._heartbeat_at = now + self.heartbeat_interval()
+            self._send_heartbeats()
+        links = self.peers.up_links()
+        for shard, successors in self._succession.take_news(self._held_shards(), links).items():
+            self.seats[shard].election.set_members(successors)
+            tell_successors(links, shard, successors)
+
+    def heartbeat_interval(self) -> float:
+        """Return how often heartbeats go out: a holder's are what its followers wait for."""
+        if self._held_shards():
+            return HEARTBEAT_SECONDS
+        return HEARTBEAT_SECONDS * max(1.0, self._node_count / NODES_AT_FULL_RATE)
+
     def _send_heartbeats(self) -> None:
-        status = self._status()
+        status = encode_message(self._status())
         for link in self.peers.up_links():
-            link.send(status)
+            link.send_encoded(status)
 
     def _status(self) -> Status:
         claims = []
@@ -516,7 +591,20 @@
             claim = seat.held_claim or self._holders.get(shard)
             if claim is not None:
                 claims.append((shard, claim))
-        version = self.configuration.version if self.configuration is not None else 0
         is_reachable = self.store.is_reachable
-        may_hold = is_reachable and not self.is_stopping
-        return Status(claims, version, is_reachable, may_hold, self.is_isolated, self._wall_ms())
+        return Status(
+            claims=claims,
+            shard_count=self.layout.shard_count if self.layout is not None else 0,
+            interval_seconds=self.heartbeat_interval(),
+            configuration_version=self.configuration.version if self.configuration else 0,
+            can_reach_store=is_reachable,
+            may_hold=is_reachable and not self.is_stopping,
+            is_isolated=self.is_isolated,
+            wall_ms=self._wall_ms(),
+        )
+
+
+def _reply_without_layout(call: Call) -> CallReply:
+    """Return the reply while it is not known which shard a job belongs to."""
+    code = ReplyCode.REFUSED if isinstance(call, SubmitCall) else ReplyCode.UNKNOWN
+    return CallReply(code=code, retry_after_seconds=RETRY_AFTER_SECONDS, reason="no_layout")
--- a/src/onyxspoke/node/peers.py
+++ b/src/onyxspoke/node/peers.py
@@ -19,6 +19,10 @@
 
 #: A stream on which nothing is heard for so long is ended.
 SILENCE_SECONDS = 0.8
+#: Or for so many of its peer's intervals, where those are long.
+INTERVALS_TO_SILENCE = 4.0
+#: What a peer said counts for this share of the time after which its stream is ended.
+FRESH_SHARE = 0.75
 
 _Stream = MessageStream[NodeMessage]
 
@@ -56,6 +60,8 @@
         self.can_reach_store = False
         self.may_hold = True
         self.is_isolated = False
+        #: For how long the peer may be silent before the stream is ended.
+        self.silence_seconds = SILENCE_SECONDS
         #: The peer's time of day less our steady clock, in milliseconds.
         self.wall_offset_ms = 0.0
         self.stream: _Stream | None = None
@@ -65,11 +71,24 @@
         """Whether messages can be sent."""
         return self.stream is not None and self.stream.is_open and self.identity is not None
 
+    def note_interval(self, seconds: float) -> None:
+        """The peer says that it sends something this often."""
+        self.silence_seconds = max(SILENCE_SECONDS, INTERVALS_TO_SILENCE * seconds)
+
+    def was_heard_lately(self, now: float) -> bool:
+        """Return whether what the peer said last still counts."""
+        return now - self.heard_at < FRESH_SHARE * self.silence_seconds
+
     def send(self, message: NodeMessage) -> None:
         """Send a message, if the stream is open."""
         if self.stream is not None:
             self.stream.send(message)
 
+    def send_encoded(self, data: bytes) -> None:
+        """Send a message that was encoded once for many peers."""
+        if self.stream is not None:
+            self.stream.send_encoded(data)
+
     def abort(self) -> None:
         """Drop the stream."""
         if self.stream is not None:
@@ -131,7 +150,7 @@
     def end_silent(self, now: float) -> None:
         """End streams on which nothing was heard for too long."""
         for link in [*self.outgoing.values(), *self.incoming.values()]:
-            if link.heard_at and now - link.heard_at > SILENCE_SECONDS:
+            if link.heard_at and now - link.heard_at > link.silence_seconds:
                 self._forget(link, LossReason.SILENT)
                 link.abort()
 
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -13,6 +13,7 @@
     AskAdvice,
     Decision,
     DropWorkerConnections,
+    LayoutKnown,
     ReplyToCall,
     SendAppend,
     SendHold,
@@ -36,6 +37,7 @@
     ReadClaim,
     SendClaim,
 )
+from onyxspoke.core.shard.layout import CellLayout, find_layout
 from onyxspoke.core.shard.log_records import (
     BEFORE_CLAIM_KEY,
     CLAIM_KEY,
@@ -70,6 +72,9 @@
     def handle_holding(self, shard: ShardId, is_holding: bool) -> None:
         """Take note that this node has begun, or ceased, to decide for the shard."""
 
+    def handle_layout(self, layout: CellLayout) -> None:
+        """The store holds the cell's layout."""
+
     def connect_peer(self, host: str, port: int) -> None:
         """Have a stream to a node."""
 
@@ -107,6 +112,8 @@
         The node.
     metrics : NodeMetrics
         Counts decisions.
+    handicap : callable
+        Returns for how many seconds this node leaves a shard that nobody holds to others.
     """
 
     def __init__(
@@ -121,6 +128,7 @@
         directory: WorkerDirectoryPort,
         listener: SeatListener,
         metrics: NodeMetrics,
+        handicap: Callable[[], float],
     ) -> None:
         self.shard = shard
         self._metrics = metrics
@@ -130,7 +138,7 @@
         self._orders = orders
         self._directory = directory
         self._listener = listener
-        self.election = Election(shard, identity, draw, clock.now())
+        self.election = Election(shard, identity, draw, clock.now(), handicap)
         self.scheduler: ShardScheduler | None = None
         self._policy = PolicySet()
         self._gathered: list[ShardRecord] = []
@@ -146,6 +154,7 @@
             SendAppend: self._send_append,
             AskAdvice: lambda _scheduler, action: listener.ask_advice(shard, action),
             ReplyToCall: self._reply,
+            LayoutKnown: lambda _scheduler, action: listener.handle_layout(action.layout),
             DropWorkerConnections: lambda _scheduler, action: orders.drop(action.address),
             StepDown: lambda _scheduler, action: self.step_down(action.reason),
         }
@@ -174,6 +183,12 @@
         if self.scheduler is not None:
             self.scheduler.stimulus_advisors(names, self._clock.now())
 
+    def plan_layout(self, layout: CellLayout) -> None:
+        """Have the layout of a new cell written, while this node holds its first shard."""
+        if self.scheduler is not None and self._is_ready:
+            self.scheduler.stimulus_layout(layout)
+            self._wake()
+
     def note_store_unreachable(self, until: float) -> None:
         """No node reaches the store, so that nobody can claim the shard until then."""
         if self.scheduler is not None:
@@ -253,6 +268,9 @@
         claim = next(
             (decode_claim(item.value) for item in page.records if item.key == CLAIM_KEY), None
         )
+        layout = find_layout(page.records)
+        if layout is not None:
+            self._listener.handle_layout(layout)
         self.election.handle_claim_read(page.is_known, claim, page.end, self._clock.now())
         self.carry_out_election()
 
--- a/src/onyxspoke/node/settings.py
+++ b/src/onyxspoke/node/settings.py
@@ -44,7 +44,11 @@
     shard_options : ShardOptions
         Bounds of the platform for a shard's holder.
     weight : float
-        Processor share.
+        Processor share; larger nodes are to hold shards.
+    workers_a_shard : int
+        A new cell gets so many shards that each has about so many workers at most.
+    most_shards : int
+        Partitions that the store gives us.
     """
 
     node_name: str
@@ -59,3 +63,5 @@
     stop_grace_seconds: float = 6.0
     shard_options: ShardOptions = ShardOptions()
     weight: float = 1.0
+    workers_a_shard: int = 240
+    most_shards: int = 24
--- a/src/onyxspoke/platform/settings.py
+++ b/src/onyxspoke/platform/settings.py
@@ -139,6 +139,7 @@
         shard_options=_read_options(reader),
         weight=reader.fraction("limits.cpuShare", 0.0, 1_000.0)
         * reader.whole("limits.cores", 1, 1_000),
+        most_shards=reader.whole("platform.parts", 1, 1_000_000),
     )
     settings = PlatformSettings(
         node=node,
