Large cells: a new cell waits for its workers; the store's rates bound what nodes ask; streams both ways

Now it is laid out once no further worker has come for a heartbeat of the directory, 6 s after the first at the latest.

--- /dev/null
+++ b/features/large_cells.feature
@@ -0,0 +1,51 @@
+Feature: A cell of many nodes and shards, at a store that takes only so many calls
+
+  Scenario: A new cell is laid out only once its workers have ceased to come
+    Given a new cell of 4 workers and 4 workers a shard
+    When 8 more workers come to it, one each 0.3 seconds
+    And 2 seconds pass in the large cell
+    Then it is laid out in 3 shards
+
+  Scenario: Every shard of a new cell gets its holder, and the store turns nobody away
+    Given a large cell of 40 nodes and 6 shards, whose store takes 100 writes and 500 reads a second
+    When 4 seconds pass in the large cell
+    Then each of its shards has one holder, and 4 nodes at least hold one
+    And every node of it is ready
+    And the store turned away no write and 60 reads at most
+
+  Scenario: Half of the holders are lost at once, and the store turns nobody away
+    Given a large cell of 40 nodes and 6 shards, whose store takes 100 writes and 500 reads a second
+    When 4 seconds pass in the large cell
+    And three holders of it lose their power
+    And 4 seconds pass in the large cell
+    Then each of its shards has one holder, and 4 nodes at least hold one
+    And every node of it is ready
+    And the store turned away no write and 60 reads at most
+
+  Scenario: Most nodes are lost at once, those that were to take over among them
+    Given a large cell of 40 nodes and 6 shards, whose store takes 100 writes and 500 reads a second
+    When 4 seconds pass in the large cell
+    And all but 8 of its nodes lose their power, the holders first
+    And 8 seconds pass in the large cell
+    Then each of its shards has one holder, and 3 nodes at least hold one
+    And every node of it is ready
+
+  Scenario: Holders of many shards leave the store room for each other
+    Given a large cell of 8 nodes and 6 shards, whose store takes 100 writes and 500 reads a second
+    When 4 seconds pass in the large cell
+    And 400 jobs are handed in to it over 4 seconds
+    And 3 seconds pass in the large cell
+    Then all of these jobs were accepted
+    And the store turned away no write and 60 reads at most
+
+  Scenario: What a node tells its peers does not grow with the number of shards
+    Given a large cell of 12 nodes and 6 shards, whose store takes 100 writes and 500 reads a second
+    When 8 seconds pass in the large cell
+    Then a follower's heartbeat names no claim, and a holder's only its own
+
+  Scenario: Nodes that called each other at once keep both their streams
+    Given a large cell of 12 nodes and 6 shards, whose store takes 100 writes and 500 reads a second
+    When 4 seconds pass in the large cell
+    And its streams are counted
+    And 3 seconds pass in the large cell
+    Then no stream of it was lost
--- a/features/node_tools.feature
+++ b/features/node_tools.feature
@@ -52,6 +52,7 @@
       | bounds.graceS: missing                        |
       | bounds.maxHoldMs: missing                     |
       | heartbeatMs: missing                          |
+      | platform.writes_per_s: missing                |
 
   Scenario: A whole settings file is read, and what is not known is passed over
     When the settings are read
@@ -73,6 +74,8 @@
       advice=10.200.1.9:8169
       platform.address=10.200.1.7:8169
       platform.parts=24
+      platform.writes_per_s=600
+      platform.reads_per_s=2000
       platform.record_bytes=262144
       platform.call_bytes=2097152
       cloudApi.address=10.200.0.79:8169
--- /dev/null
+++ b/features/steps/large_cell_steps.py
@@ -0,0 +1,173 @@
+"""Steps about cells of many nodes and shards."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+from behave import given, then, when
+
+from onyxspoke.core.jobs.model import JobSpec, StepSpec
+from onyxspoke.core.shard.calls import CallReply, ReplyCode, SubmitCall
+from onyxspoke.core.shard.store_budget import StoreBudget
+from onyxspoke.kit.jobs.workers import WorkOptions
+from onyxspoke.node.peers import PeerLink
+from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster, SimulatedNode
+
+QUEUE = "normal"
+WORKERS_A_SHARD = 3
+
+
+@given("a new cell of {workers:d} workers and {part:d} workers a shard")
+def _new_cell(context: Any, workers: int, part: int) -> None:
+    context.cluster = JobCluster(
+        ClusterOptions(
+            seed=5, nodes=3, workers=workers, rack_size=part, kinds="a", workers_a_shard=part
+        )
+    )
+    context.cluster.start()
+
+
+@when("{count:d} more workers come to it, one each {seconds:g} seconds")
+def _come(context: Any, count: int, seconds: float) -> None:
+    cluster = context.cluster
+    for _ in range(count):
+        cluster.run(seconds)
+        cluster.add_worker(len(cluster.directory.records))
+
+
+@when("{seconds:g} seconds pass in the large cell")
+def _pass(context: Any, seconds: float) -> None:
+    context.cluster.run(seconds)
+
+
+@then("it is laid out in {count:d} shards")
+def _laid_out(context: Any, count: int) -> None:
+    layouts = [node.node.layout for node in context.cluster.nodes.values()]
+    assert all(layout and layout.shard_count == count for layout in layouts), layouts
+
+
+@given(
+    "a large cell of {nodes:d} nodes and {shards:d} shards, "
+    "whose store takes {writes:d} writes and {reads:d} reads a second"
+)
+def _large_cell(context: Any, nodes: int, shards: int, writes: int, reads: int) -> None:
+    context.shard_count = shards
+    context.cluster = JobCluster(
+        ClusterOptions(
+            seed=6,
+            nodes=nodes,
+            workers=shards * WORKERS_A_SHARD,
+            rack_size=WORKERS_A_SHARD,
+            kinds="a",
+            workers_a_shard=WORKERS_A_SHARD,
+            always_good=("w",),
+            work=WorkOptions(seed=6),
+            store_budget=StoreBudget(writes_per_second=writes, reads_per_second=reads),
+        )
+    )
+    context.cluster.start()
+
+
+def _holders(nodes: Iterable[SimulatedNode]) -> list[tuple[int, str]]:
+    return sorted(
+        (shard, node.name)
+        for node in nodes
+        if node.is_up
+        for shard, seat in node.node.seats.items()
+        if seat.is_holding
+    )
+
+
+@then("each of its shards has one holder, and {count:d} nodes at least hold one")
+def _one_holder(context: Any, count: int) -> None:
+    holders = _holders(context.cluster.nodes.values())
+    assert [shard for shard, _name in holders] == list(range(context.shard_count)), holders
+    assert len({name for _shard, name in holders}) >= count, holders
+
+
+@then("every node of it is ready")
+def _ready(context: Any) -> None:
+    nodes = [node for node in context.cluster.nodes.values() if node.is_up]
+    assert all(node.node.is_ready for node in nodes), [
+        node.name for node in nodes if not node.node.is_ready
+    ]
+
+
+@then("the store turned away no write and {reads:d} reads at most")
+def _turned_away(context: Any, reads: int) -> None:
+    store = context.cluster.store
+    assert store.writes.turned_away == 0, store.writes.turned_away
+    assert store.reads.turned_away <= reads, store.reads.turned_away
+
+
+@when("three holders of it lose their power")
+def _lose_holders(context: Any) -> None:
+    names = list(dict.fromkeys(name for _shard, name in _holders(context.cluster.nodes.values())))
+    for name in names[:3]:
+        context.cluster.power_off_node(name)
+
+
+@when("all but {count:d} of its nodes lose their power, the holders first")
+def _lose_most(context: Any, count: int) -> None:
+    cluster = context.cluster
+    holding = {name for _shard, name in _holders(cluster.nodes.values())}
+    named = {
+        member.host
+        for node in cluster.nodes.values()
+        for seat in node.node.seats.values()
+        for member in seat.election.members
+    }
+    ordered = sorted(
+        cluster.nodes.values(),
+        key=lambda node: (node.name not in holding, node.host not in named, node.name),
+    )
+    for node in ordered[: len(ordered) - count]:
+        cluster.power_off_node(node.name)
+
+
+@when("{count:d} jobs are handed in to it over {seconds:g} seconds")
+def _hand_in(context: Any, count: int, seconds: float) -> None:
+    cluster = context.cluster
+    context.replies = []
+    context.expected = count
+    nodes = list(cluster.nodes.values())
+    queue = cluster.configuration.configuration.policy.queues[QUEUE]
+    step = StepSpec(task_count=1, processors_milli=100, memory_mb=10, estimated_ms=300)
+    for number in range(count):
+        job = JobSpec(job_id=f"{number:016x}", queue=queue, payload="p", steps=(step,))
+        cluster.pool.specs[job.job_id] = job
+        cluster.audit.handle_submitted(job)
+        cluster.call(
+            nodes[number % len(nodes)], job.job_id, SubmitCall(job), context.replies.append
+        )
+        cluster.run(seconds / count)
+
+
+@then("all of these jobs were accepted")
+def _accepted(context: Any) -> None:
+    codes = [reply.code for reply in context.replies if isinstance(reply, CallReply)]
+    assert codes == [ReplyCode.OK] * context.expected, codes
+
+
+@then("a follower's heartbeat names no claim, and a holder's only its own")
+def _heartbeats(context: Any) -> None:
+    for node in context.cluster.nodes.values():
+        held = {shard for shard, seat in node.node.seats.items() if seat.is_holding}
+        named = {shard for shard, _claim in node.node.heartbeat().claims}
+        assert named == held, (node.name, named, held)
+
+
+@when("its streams are counted")
+def _count_streams(context: Any) -> None:
+    context.streams = _streams(context.cluster.nodes.values())
+
+
+@then("no stream of it was lost")
+def _no_stream_lost(context: Any) -> None:
+    lost = context.streams - _streams(context.cluster.nodes.values())
+    assert not lost, len(lost)
+
+
+def _streams(nodes: Iterable[SimulatedNode]) -> set[PeerLink]:
+    return {link for node in nodes for link in node.node.peers.all_up_links()}
--- a/src/onyxspoke/core/placement/advice_desk.py
+++ b/src/onyxspoke/core/placement/advice_desk.py
@@ -8,11 +8,13 @@
 from __future__ import annotations
 
 import math
+import zlib
 from dataclasses import dataclass, field
 
 from onyxspoke.core.jobs.model import AdvicePolicy, StepKey, WorkerId
 from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.placement.queue_order import StepRank
+from onyxspoke.core.shard.log_records import ShardId
 from onyxspoke.core.shard.orders import AdviceOutcome, AdviceResult
 
 _MILLISECONDS = 1_000.0
@@ -75,6 +77,7 @@
 @dataclass(slots=True)
 class _Advisor:
     name: str
+    preference: int
     free_at: float = 0.0
     calls: int = 0
 
@@ -93,9 +96,16 @@
 
 
 class AdviceDesk:
-    """Keeps advice by step and hands out the calls."""
+    """Keeps advice by step and hands out the calls.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    shard : int
+        Whose holder asks; holders of other shards use the same entries.
+    """
+
+    def __init__(self, shard: ShardId = 0) -> None:
+        self._shard = shard
         self._steps: dict[StepKey, StepAdvice] = {}
         self._advisors: dict[str, _Advisor] = {}
         self._waiting: dict[int, AdviceCall] = {}
@@ -105,13 +115,14 @@
         self._retries: dict[StepKey, float] = {}
 
     def set_advisors(self, names: list[str], now: float) -> None:
-        """Take the entries through which calls can go; calls of the others are lost."""
-        for name in names:
-            self._advisors.setdefault(name, _Advisor(name))
-        gone = [name for name in self._advisors if name not in names]
-        for name in gone:
-            del self._advisors[name]
-        for call in [call for call in self._under_way.values() if call.advisor in gone]:
+        """Take the entries through which calls can go, the holder first; others' are lost."""
+        former = self._advisors
+        self._advisors = {
+            name: former.get(name) or _Advisor(name, self._preference(name, position))
+            for position, name in enumerate(names)
+        }
+        lost = [call for call in self._under_way.values() if call.advisor not in self._advisors]
+        for call in lost:
             self._give_up(call, now)
 
     def advice_on(self, step: StepProgress) -> StepAdvice:
@@ -209,11 +220,19 @@
         ]
         if not open_ones:
             return None
-        best = min(open_ones, key=lambda advisor: max(advisor.free_at, now))
+        best = min(open_ones, key=lambda advisor: (max(advisor.free_at, now), advisor.preference))
         if best.free_at - now > call.seconds:
             return None
         return best
 
+    def _preference(self, name: str, position: int) -> int:
+        """Return an advisor's place among those that are equally free; the lowest comes first.
+
+        The holder itself is nearest; the others are in another order for each shard, whose
+        holders do not know of each other's calls.
+        """
+        return zlib.crc32(f"{self._shard}/{name}".encode()) if position else -1
+
     def _begin(self, call: AdviceCall, advisor: _Advisor, now: float) -> None:
         call.advisor = advisor.name
         advisor.calls += 1
--- a/src/onyxspoke/core/shard/commit.py
+++ b/src/onyxspoke/core/shard/commit.py
@@ -53,6 +53,8 @@
     ----------
     proof_at : float
         When the latest append that succeeded was sent: the shard was ours then.
+    interval_seconds : float
+        Pause between two appends at least.
     """
 
     shard: ShardId
@@ -62,6 +64,7 @@
     collect: Callable[[int], list[ShardRecord]]
     renew: Callable[[], ShardRecord]
     is_dirty: Callable[[], bool]
+    interval_seconds: float = MINIMUM_INTERVAL_SECONDS
     _effects: list[Effect] = field(default_factory=list)
     _proofs: list[Effect] = field(default_factory=list)
     _batch: _Batch | None = None
@@ -95,7 +98,7 @@
         """Return what is to be sent now, if anything."""
         if self._batch is not None:
             return self._retry(self._batch, now)
-        if now < self._last_sent_at + MINIMUM_INTERVAL_SECONDS:
+        if now < self._last_sent_at + self.interval_seconds:
             return None
         if self._effects and not self.is_dirty():
             self._have_effects(now)
@@ -133,7 +136,7 @@
         if self._batch is not None:
             return self._batch.retry_at
         if self._effects or self._proofs or self.is_dirty():
-            return self._last_sent_at + MINIMUM_INTERVAL_SECONDS
+            return self._last_sent_at + self.interval_seconds
         return None
 
     def handle_result(self, result: AppendResult, now: float) -> bool:
--- a/src/onyxspoke/core/shard/context.py
+++ b/src/onyxspoke/core/shard/context.py
@@ -18,6 +18,7 @@
 )
 from onyxspoke.core.shard.commit import CommitQueue
 from onyxspoke.core.shard.layout import CellLayout
+from onyxspoke.core.shard.log_records import ShardId
 
 _MILLISECONDS = 1_000.0
 
@@ -67,16 +68,18 @@
         Bounds and timings.
     token : int
         Fencing token of the claim.
+    shard : int
+        Which shard.
     commit : CommitQueue
         Writes the state.
     """
 
-    def __init__(self, options: ShardOptions, token: int) -> None:
+    def __init__(self, options: ShardOptions, token: int, shard: ShardId = 0) -> None:
         self.options = options
         self.token = token
         self.book = JobBook(options.status_seconds)
         self.table = WorkerTable()
-        self.desk = AdviceDesk()
+        self.desk = AdviceDesk(shard)
         self.policy = PolicySet()
         self.commit: CommitQueue
         self.actions: list[ShardAction] = []
--- a/src/onyxspoke/core/shard/election.py
+++ b/src/onyxspoke/core/shard/election.py
@@ -23,6 +23,7 @@
     ShardRecord,
     encode_claim,
 )
+from onyxspoke.core.shard.store_budget import StorePacing
 
 #: Pause before the claim is read again after the store gave no answer.
 READ_RETRY_SECONDS = 0.15
@@ -37,8 +38,12 @@
 LONGEST_TURN_SECONDS = 1.0
 #: Pause between looks at whether another node has claimed, while a turn is waited for.
 TURN_LOOK_SECONDS = 0.2
+#: A node that is not to take over claims only by a look that is no older.
+FRESH_LOOK_SECONDS = 0.1
 #: Claimants of a shard that nobody holds draw their turn up to here.
 FIRST_TURN_SECONDS = 0.06
+#: Smaller nodes leave a shard that nobody ever held to larger ones for so long.
+SMALL_NODE_SECONDS = 0.1
 CLAIM_RETRY_SECONDS = 0.1
 #: A claim that is not answered is given up, and read back, after so many attempts.
 MAXIMUM_CLAIM_ATTEMPTS = 8
@@ -147,7 +152,7 @@
     started_at : float
         When this process began; earlier lives on this host ended before.
     handicap : callable
-        Returns for how many seconds this node leaves a shard that nobody holds to others.
+        Returns for how many seconds this node leaves a shard to nodes that hold fewer.
     """
 
     def __init__(
@@ -168,6 +173,8 @@
         self._end = -1
         #: Nodes that are to take over, by the word of the holder, in the order of their turns.
         self.members: list[NodeIdentity] = []
+        self._pacing = StorePacing()
+        self._turn_handicap = 0.0
         self._due_at = 0.0
         self._is_reading = False
         self._looked_at = 0.0
@@ -196,6 +203,10 @@
         """Take the nodes that are to take over, in the order of their turns."""
         self.members = members
 
+    def set_pacing(self, pacing: StorePacing) -> None:
+        """Take how often the store may be called by nodes that are not to take over."""
+        self._pacing = pacing
+
     def handle_claim_read(
         self, is_known: bool, claim: ClaimRecord | None, end: int, now: float
     ) -> None:
@@ -204,7 +215,7 @@
         if self.state in (ElectionState.HOLDING, ElectionState.CLAIMING):
             return
         if not is_known:
-            self._due_at = now + READ_RETRY_SECONDS
+            self._due_at = now + self._pause(READ_RETRY_SECONDS)
             return
         has_moved = end != self._end
         self._end = end
@@ -289,15 +300,31 @@
         elif self.state is ElectionState.CONNECTING:
             self._watch(now, "connecting_takes_long")
         elif self.state is ElectionState.WAITING_TURN:
-            self._claim(now)
+            self._claim_or_look(now)
         elif self.state is ElectionState.CLAIMING and self._pending is not None:
             self._send_claim(now)
 
+    def _claim_or_look(self, now: float) -> None:
+        """Claim, unless others may have claimed since the last look; a look costs less.
+
+        A node that has taken over another shard meanwhile leaves this one to others.
+        """
+        handicap = self._handicap()
+        if handicap > self._turn_handicap:
+            self._due_at = now + handicap - self._turn_handicap
+            self._turn_handicap = handicap
+        elif not self._is_named and now - self._looked_at > FRESH_LOOK_SECONDS:
+            self._due_at = now + FRESH_LOOK_SECONDS / 2
+            if not self._is_reading:
+                self._send_read(now)
+        else:
+            self._claim(now)
+
     def _look_while_waiting(self, now: float) -> None:
         """See whether a node with an earlier turn has claimed."""
         if self.state is not ElectionState.WAITING_TURN or self._is_reading:
             return
-        if now - self._looked_at >= TURN_LOOK_SECONDS:
+        if now - self._looked_at >= self._pause(TURN_LOOK_SECONDS):
             self._send_read(now)
 
     def take_actions(self) -> list[ElectionAction]:
@@ -347,8 +374,7 @@
         """The claim is as it was: replace it if its holder is thought dead."""
         claim = self.claim
         if claim is None:
-            delay = self._handicap() + self._draw() * FIRST_TURN_SECONDS
-            self._wait_turn(now, delay, "nobody_claimed")
+            self._wait_turn(now, self._first_turn_delay(), "nobody_claimed")
         elif claim.host == self._identity.host:
             self._wait_turn(now, 0.0, "own_earlier_claim")
         elif self._suspects_death:
@@ -362,15 +388,34 @@
             assert claim is not None
             self._wait_turn(now, self._turn_delay(claim), "partition_rests")
         else:
-            self._due_at = now + WATCH_SECONDS
+            self._due_at = now + self._pause(WATCH_SECONDS)
+
+    @property
+    def _is_named(self) -> bool:
+        """Whether this node is to take over, by the word of the holder."""
+        return any(member.host == self._identity.host for member in self.members)
+
+    def _pause(self, seconds: float) -> float:
+        """Return the pause before the next look, longer at nodes that are not to take over."""
+        return seconds if self._is_named else max(seconds, self._pacing.look_seconds)
 
     def _turn_delay(self, claim: ClaimRecord) -> float:
         """Return how long to leave the claim to nodes that come before us."""
         candidates = [member.host for member in self.members if member.host != claim.host]
         if self._identity.host in candidates:
             return min(candidates.index(self._identity.host) * TURN_SECONDS, LONGEST_TURN_SECONDS)
-        delay = (len(candidates) + self._draw()) * TURN_SECONDS
-        return min(delay, LONGEST_TURN_SECONDS)
+        delay = min((len(candidates) + self._draw()) * TURN_SECONDS, LONGEST_TURN_SECONDS)
+        return delay + self._draw() * self._pacing.look_seconds
+
+    def _first_turn_delay(self) -> float:
+        """Return how long to leave a shard that nobody ever held to others."""
+        hosts = [member.host for member in self.members]
+        if self._identity.host in hosts:
+            return self._handicap() + hosts.index(self._identity.host) * TURN_SECONDS
+        delay = LONGEST_TURN_SECONDS if hosts else self._handicap()
+        if self._identity.weight < 1.0:
+            delay += SMALL_NODE_SECONDS
+        return delay + self._draw() * max(FIRST_TURN_SECONDS, self._pacing.look_seconds)
 
     # Steps
 
@@ -408,7 +453,7 @@
     def _look_again(self, now: float) -> None:
         claim = self.claim
         assert claim is not None
-        self._due_at = now + WATCH_SECONDS
+        self._due_at = now + self._pause(WATCH_SECONDS)
         if not self._is_reading:
             self._send_read(now)
         self.actions.append(ConnectToHolder(claim.host, claim.port))
@@ -419,6 +464,7 @@
             self._move(ElectionState.READING, now, "resting")
             return
         self._move(ElectionState.WAITING_TURN, now, reason)
+        self._turn_handicap = self._handicap()
         self._due_at = now + delay
         if delay <= 0:
             self._claim(now)
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -19,7 +19,7 @@
 )
 from onyxspoke.core.shard.call_desk import CallDesk
 from onyxspoke.core.shard.calls import Call
-from onyxspoke.core.shard.commit import CommitQueue
+from onyxspoke.core.shard.commit import MINIMUM_INTERVAL_SECONDS, CommitQueue
 from onyxspoke.core.shard.context import ShardContext, ShardOptions
 from onyxspoke.core.shard.evacuation import Evacuation
 from onyxspoke.core.shard.journal import RecordCollector, restore_records
@@ -73,7 +73,7 @@
         claimed_at: float,
         options: ShardOptions,
     ) -> None:
-        self.context = ShardContext(options, claim.token)
+        self.context = ShardContext(options, claim.token, shard)
         self._options = options
         self.runs = RunKeeper(self.context)
         self.workers = WorkerKeeper(
@@ -112,6 +112,10 @@
         """The former holder's process is known to have ended by then."""
         self.workers.handle_advice_of_death(since)
 
+    def set_commit_interval(self, seconds: float) -> None:
+        """Take the pause between two appends that the store's rates ask for."""
+        self.context.commit.interval_seconds = max(seconds, MINIMUM_INTERVAL_SECONDS)
+
     def stimulus_layout(self, layout: CellLayout) -> None:
         """Write the layout of a new cell; it is told once the store has it."""
         self.context.new_layout = layout
--- a/src/onyxspoke/kit/jobs/store.py
+++ b/src/onyxspoke/kit/jobs/store.py
@@ -15,6 +15,7 @@
     ShardId,
     ShardRecord,
 )
+from onyxspoke.core.shard.store_budget import StoreBudget
 from onyxspoke.kit.jobs.timers import Path, Timers
 
 STORE = "store"
@@ -51,13 +52,49 @@
     answers: dict[int, AppendResult] = field(default_factory=dict)
 
 
+class _Rate:
+    """Calls of one kind within the present second; those beyond the rate are turned away."""
+
+    def __init__(self, calls_per_second: float) -> None:
+        self._calls_per_second = calls_per_second
+        self._second = -1
+        self._taken = 0
+        self.turned_away = 0
+
+    def take(self, now: float) -> bool:
+        """Return whether one more call is served."""
+        if int(now) != self._second:
+            self._second = int(now)
+            self._taken = 0
+        self._taken += 1
+        if self._taken <= self._calls_per_second:
+            return True
+        self.turned_away += 1
+        return False
+
+
 class FakeStore:
-    """The store itself; every call here is done at once."""
+    """The store itself; every call here is done at once.
+
+    Parameters
+    ----------
+    timers : Timers
+        Virtual time.
+    source : random.Random
+        Draws which answers are lost.
+    budget : StoreBudget
+        Calls beyond it are turned away.
+    """
 
-    def __init__(self, timers: Timers, source: random.Random) -> None:
+    def __init__(
+        self, timers: Timers, source: random.Random, budget: StoreBudget | None = None
+    ) -> None:
+        budget = budget if budget is not None else StoreBudget()
         self.timers = timers
         self.random = source
         self.faults = StoreFaults()
+        self.writes = _Rate(budget.writes_per_second)
+        self.reads = _Rate(budget.reads_per_second)
         self._partitions: dict[ShardId, _Partition] = {}
         self.appends = 0
 
@@ -122,7 +159,8 @@
         def arrive() -> None:
             if faults.is_down:
                 return
-            if self._node_name in faults.refuses:
+            is_within_rate = self._store.writes.take(self._store.timers.now())
+            if self._node_name in faults.refuses or not is_within_rate:
                 exchange.answer(AppendResult(AppendOutcome.NOT_DONE))
                 return
             is_lost = self._store.random.random() < faults.loses_share
@@ -150,7 +188,8 @@
         def arrive() -> None:
             if faults.is_down:
                 return
-            if self._node_name in faults.refuses:
+            is_within_rate = self._store.reads.take(self._store.timers.now())
+            if self._node_name in faults.refuses or not is_within_rate:
                 exchange.answer(NewestPage(is_known=False))
                 return
             self._store.timers.schedule(CALL_SECONDS + faults.extra_seconds, carry_out)
--- a/src/onyxspoke/node/advice_exchange.py
+++ b/src/onyxspoke/node/advice_exchange.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Callable
 from functools import partial
 
@@ -44,9 +45,12 @@
         self._on_result = on_result
 
     def advisors(self) -> list[str]:
-        """Return the lives of the nodes through which calls can go."""
-        links = self._peers.up_links()
-        return [self._own_life, *(link.identity.life for link in links if link.identity)]
+        """Return the lives of the nodes through which calls can go, this one's first.
+
+        The others are in the same order at every holder.
+        """
+        lives = [link.identity.life for link in self._peers.up_links() if link.identity]
+        return [self._own_life, *sorted(lives, key=lambda life: zlib.crc32(life.encode()))]
 
     def ask(self, shard: ShardId, action: AskAdvice) -> None:
         """Have the advisor of a call ask."""
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -26,15 +26,18 @@
     queue_of,
 )
 from onyxspoke.core.shard.election import LossReason, NodeIdentity
-from onyxspoke.core.shard.layout import FIRST_SHARD, CellLayout, plan_layout
+from onyxspoke.core.shard.layout import FIRST_SHARD, CellLayout
 from onyxspoke.core.shard.log_records import ClaimRecord, ShardId
 from onyxspoke.core.shard.orders import AdviceResult
+from onyxspoke.core.shard.store_budget import pace_calls
 from onyxspoke.net.network import Network
 from onyxspoke.net.stream import encode_message
 from onyxspoke.node.advice_exchange import AdviceExchange
 from onyxspoke.node.agreed_time import agreed_time_ms
 from onyxspoke.node.call_router import RETRY_AFTER_SECONDS, CallRouter
 from onyxspoke.node.directory_hub import DirectoryHub
+from onyxspoke.node.heartbeat import HEARTBEAT_SECONDS, HeartbeatSchedule
+from onyxspoke.node.layout_planner import LayoutPlanner
 from onyxspoke.node.messages import (
     AdviceAnswer,
     AdviceForward,
@@ -54,7 +57,7 @@
 from onyxspoke.node.seat import ShardSeat
 from onyxspoke.node.settings import NodeSettings
 from onyxspoke.node.store_gateway import StoreGateway
-from onyxspoke.node.succession import Succession, tell_successors
+from onyxspoke.node.succession import Succession, choose_successors, tell_successors
 from onyxspoke.node.waiting_sum import WaitingSum
 from onyxspoke.ports.advice import AdvicePort
 from onyxspoke.ports.clock import Clock
@@ -68,20 +71,9 @@
 from onyxspoke.ports.worker_orders import WorkerOrdersPort
 
 TICK_SECONDS = 0.02
-HEARTBEAT_SECONDS = 0.2
-#: In a cell of more nodes, followers send their heartbeats less often in proportion.
-NODES_AT_FULL_RATE = 50
 SEED_RETRY_SECONDS = 1.0
-#: A new cell is laid out once its workers have been listed for so long ...
-LAYOUT_SETTLE_SECONDS = 0.4
-#: ... or, where there are none, for so long.
-EMPTY_LAYOUT_SECONDS = 3.0
-#: How long a node leaves a shard that nobody holds to others: for each one that it holds ...
+#: How long a node leaves a shard to others for each one that it holds.
 HELD_HANDICAP_SECONDS = 0.15
-#: ... where it is smaller than one processor ...
-SMALL_HANDICAP_SECONDS = 0.1
-#: ... and up to so long for each node of the cell, so that few claim at once.
-NODE_HANDICAP_SECONDS = 0.001
 #: A holder that the store turns away for so long leaves its shards to another node.
 HANDOVER_SECONDS = 0.8
 #: It claims nothing, and hands over nothing more, for so long after.
@@ -159,6 +151,7 @@
         self.store = StoreGateway(ports.store, clock, self.peers.up_links)
         self.router = CallRouter(self._send_call)
         self._directory = DirectoryHub(ports.directory, clock)
+        self._planner = LayoutPlanner(settings, self._directory, clock)
         self._advice = AdviceExchange(ports.advice, identity.life, self.peers, self._take_advice)
         self._succession = Succession()
         self.seats: dict[ShardId, ShardSeat] = {FIRST_SHARD: self._make_seat(FIRST_SHARD)}
@@ -168,8 +161,7 @@
         self._seeds_at = 0.0
         self._was_ready = False
         self._handover_at = 0.0
-        self._node_count = 1
-        self._heartbeat_at = 0.0
+        self._schedule = HeartbeatSchedule()
         #: Hosts that were connected when the store last served this node, and since.
         self._claimants: set[str] = set()
         self._handlers: dict[type[NodeMessage], Callable[[PeerLink, Any], None]] = {
@@ -260,18 +252,39 @@
                 seat = self.seats[shard] = self._make_seat(shard)
                 if self.configuration is not None:
                     seat.set_policy(self.configuration.policy)
-                seat.start()
+        if self.seats[FIRST_SHARD].is_holding:
+            self._name_first_holders(layout)
+        self._set_pacing()
+        for shard in layout.shards():
+            if shard != FIRST_SHARD:
+                self.seats[shard].start()
 
     def _plan_layout_if_new(self) -> None:
         """Lay a new cell out, as the holder of its first shard."""
         seat = self.seats[FIRST_SHARD]
-        if self.layout is not None or not seat.is_holding:
-            return
-        workers = self._directory.workers()
-        patience = LAYOUT_SETTLE_SECONDS if workers else EMPTY_LAYOUT_SECONDS
-        if self._directory.listed_seconds() >= patience:
-            settings = self.settings
-            seat.plan_layout(plan_layout(workers, settings.workers_a_shard, settings.most_shards))
+        if self.layout is None and seat.is_holding:
+            layout = self._planner.plan()
+            if layout is not None:
+                seat.plan_layout(layout)
+
+    def _name_first_holders(self, layout: CellLayout) -> None:
+        """Tell the peers who is to claim each shard of a new cell."""
+        links = self.peers.up_links()
+        self._schedule.node_count = len(links) + 1
+        # With the layout, so that the peers know of the shards.
+        self._send_heartbeats()
+        for shard in layout.shards():
+            if shard != FIRST_SHARD:
+                successors = choose_successors(shard, links)
+                self.seats[shard].election.set_members(successors)
+                tell_successors(links, shard, successors)
+
+    def _set_pacing(self) -> None:
+        """Have the seats keep to what the store takes from a cell of this size."""
+        shard_count = self.layout.shard_count if self.layout is not None else 1
+        pacing = pace_calls(self.settings.store_budget, self._schedule.node_count, shard_count)
+        for seat in self.seats.values():
+            seat.set_pacing(pacing)
 
     def _make_seat(self, shard: ShardId) -> ShardSeat:
         return ShardSeat(
@@ -289,10 +302,8 @@
         )
 
     def _handicap(self) -> float:
-        """Return how long to leave a shard that nobody holds to nodes that suit better."""
-        seconds = HELD_HANDICAP_SECONDS * len(self._held_shards())
-        seconds += NODE_HANDICAP_SECONDS * self._node_count * self._draw()
-        return seconds + (SMALL_HANDICAP_SECONDS if self.identity.weight < 1.0 else 0.0)
+        """Return how long to leave a shard to nodes that hold fewer."""
+        return HELD_HANDICAP_SECONDS * len(self._held_shards())
 
     def _held_shards(self) -> list[ShardId]:
         return [shard for shard, seat in self.seats.items() if seat.is_holding]
@@ -353,6 +364,7 @@
                 self.router.handle_holder_lost(shard)
             return
         self._holders[shard] = claim
+        self._schedule.note_claim_changed(shard, self._clock.now())
         self.router.handle_holder_found(shard, self._clock.now())
 
     def handle_holding(self, shard: ShardId, is_holding: bool) -> None:
@@ -434,7 +446,7 @@
 
     def handle_peer_up(self, link: PeerLink) -> None:
         """A peer has said who it is."""
-        link.send(self._status())
+        link.send(self.heartbeat(is_first=True))
         self._note_peers_changed()
         assert link.identity is not None
         logging.info("event=peer_up peer=%s life=%s", link.host, link.identity.life)
@@ -495,7 +507,9 @@
                 self.seats[shard].set_advisors(advisors)
 
     def _take_members(self, _link: PeerLink, message: Members) -> None:
-        self._node_count = message.node_count
+        if message.node_count != self._schedule.node_count:
+            self._schedule.node_count = message.node_count
+            self._set_pacing()
         seat = self.seats.get(message.shard)
         if seat is not None:
             seat.election.set_members(message.members)
@@ -566,8 +580,7 @@
 
     def _beat(self) -> None:
         now = self._clock.now()
-        if now + HEARTBEAT_SECONDS / 2 >= self._heartbeat_at:
-            self._heartbeat_at = now + self.heartbeat_interval()
+        if self._schedule.take_due(bool(self._held_shards()), now):
             self._send_heartbeats()
         links = self.peers.up_links()
         for shard, successors in self._succession.take_news(self._held_shards(), links).items():
@@ -575,25 +588,26 @@
             tell_successors(links, shard, successors)
 
     def heartbeat_interval(self) -> float:
-        """Return how often heartbeats go out: a holder's are what its followers wait for."""
-        if self._held_shards():
-            return HEARTBEAT_SECONDS
-        return HEARTBEAT_SECONDS * max(1.0, self._node_count / NODES_AT_FULL_RATE)
+        """Return how often heartbeats go out."""
+        return self._schedule.interval(bool(self._held_shards()))
 
     def _send_heartbeats(self) -> None:
-        status = encode_message(self._status())
-        for link in self.peers.up_links():
+        status = encode_message(self.heartbeat())
+        # On every stream, because one that is silent is ended.
+        for link in self.peers.all_up_links():
             link.send_encoded(status)
 
-    def _status(self) -> Status:
-        claims = []
+    def heartbeat(self, is_first: bool = False) -> Status:
+        """Return what a peer is told now; the first time it is all that this node knows."""
+        claims = {}
         for shard, seat in self.seats.items():
             claim = seat.held_claim or self._holders.get(shard)
             if claim is not None:
-                claims.append((shard, claim))
+                claims[shard] = claim
         is_reachable = self.store.is_reachable
+        now = self._clock.now()
         return Status(
-            claims=claims,
+            claims=self._schedule.select(claims, self._held_shards(), is_first, now),
             shard_count=self.layout.shard_count if self.layout is not None else 0,
             interval_seconds=self.heartbeat_interval(),
             configuration_version=self.configuration.version if self.configuration else 0,
--- a/src/onyxspoke/node/peers.py
+++ b/src/onyxspoke/node/peers.py
@@ -139,6 +139,10 @@
         links.update({link.host: link for link in self.incoming.values() if link.is_up})
         return list(links.values())
 
+    def all_up_links(self) -> list[PeerLink]:
+        """Return every open link: two nodes that called each other at once have two."""
+        return [link for link in [*self.outgoing.values(), *self.incoming.values()] if link.is_up]
+
     def link_to(self, host: str) -> PeerLink | None:
         """Return an open link to a host."""
         for links in (self.outgoing, self.incoming):
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -50,6 +50,7 @@
 )
 from onyxspoke.core.shard.orders import AdviceResult
 from onyxspoke.core.shard.scheduler import ShardScheduler
+from onyxspoke.core.shard.store_budget import StorePacing
 from onyxspoke.node.metrics import NodeMetrics
 from onyxspoke.ports.clock import Clock
 from onyxspoke.ports.shard_log import ShardLogPort
@@ -141,6 +142,7 @@
         self.election = Election(shard, identity, draw, clock.now(), handicap)
         self.scheduler: ShardScheduler | None = None
         self._policy = PolicySet()
+        self._pacing = StorePacing()
         self._gathered: list[ShardRecord] = []
         self._replies: dict[int, OnReply] = {}
         self._last_call_id = 0
@@ -178,6 +180,13 @@
             self.scheduler.stimulus_policy(policy, self._clock.now())
             self._wake()
 
+    def set_pacing(self, pacing: StorePacing) -> None:
+        """Take how often the store may be called in a cell of this size."""
+        self._pacing = pacing
+        self.election.set_pacing(pacing)
+        if self.scheduler is not None:
+            self.scheduler.set_commit_interval(pacing.commit_seconds)
+
     def set_advisors(self, names: list[str]) -> None:
         """Take the entries that can carry calls for advice."""
         if self.scheduler is not None:
@@ -293,6 +302,7 @@
         scheduler = ShardScheduler(
             self.shard, action.claim, action.next_sequence, action.claimed_at, self._options
         )
+        scheduler.set_commit_interval(self._pacing.commit_seconds)
         if action.former_dead_since is not None:
             scheduler.former_holder_is_dead(action.former_dead_since)
         self.scheduler = scheduler
--- a/src/onyxspoke/node/settings.py
+++ b/src/onyxspoke/node/settings.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from onyxspoke.core.shard.context import ShardOptions
+from onyxspoke.core.shard.store_budget import StoreBudget
 
 
 class SettingsError(Exception):
@@ -49,6 +50,10 @@
         A new cell gets so many shards that each has about so many workers at most.
     most_shards : int
         Partitions that the store gives us.
+    layout_settle_seconds : float
+        A new cell is laid out once no further worker has been listed for so long.
+    store_budget : StoreBudget
+        Calls a second that the store takes from all nodes together.
     """
 
     node_name: str
@@ -65,3 +70,5 @@
     weight: float = 1.0
     workers_a_shard: int = 240
     most_shards: int = 24
+    layout_settle_seconds: float = 0.4
+    store_budget: StoreBudget = StoreBudget()
--- a/src/onyxspoke/platform/settings.py
+++ b/src/onyxspoke/platform/settings.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from onyxspoke.core.shard.context import ShardOptions
+from onyxspoke.core.shard.store_budget import StoreBudget
 from onyxspoke.node.settings import Address, NodeSettings, SettingsError
 
 #: Environment variable that holds the path of the settings file.
@@ -19,6 +20,7 @@
 OPERATOR_PORT_INDEX = 2
 PORTS_NEEDED = 3
 HIGHEST_PORT = 65_535
+_MILLISECONDS = 1_000.0
 
 Value = TypeVar("Value")
 
@@ -125,6 +127,7 @@
     """Return the checked settings; fields that are not known are passed over."""
     reader = _Reader(_split_lines(text))
     ports = reader.ports("internalPortRange")
+    heartbeat_ms = reader.whole("heartbeatMs", 1, 3_600_000)
     node = NodeSettings(
         node_name=reader.text("nodeName"),
         host=reader.text("ip"),
@@ -140,13 +143,18 @@
         weight=reader.fraction("limits.cpuShare", 0.0, 1_000.0)
         * reader.whole("limits.cores", 1, 1_000),
         most_shards=reader.whole("platform.parts", 1, 1_000_000),
+        layout_settle_seconds=heartbeat_ms / _MILLISECONDS,
+        store_budget=StoreBudget(
+            writes_per_second=reader.fraction("platform.writes_per_s", 1.0, 1e9),
+            reads_per_second=reader.fraction("platform.reads_per_s", 1.0, 1e9),
+        ),
     )
     settings = PlatformSettings(
         node=node,
         store=_read_store(reader),
         advice=reader.optional_address("advice"),
         cloud=reader.optional_address("cloudApi.address"),
-        heartbeat_ms=reader.whole("heartbeatMs", 1, 3_600_000),
+        heartbeat_ms=heartbeat_ms,
     )
     if reader.faults:
         raise SettingsError(reader.faults)
--- a/src/onyxspoke/sim/job_cluster.py
+++ b/src/onyxspoke/sim/job_cluster.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
 
@@ -16,6 +16,7 @@
 from onyxspoke.core.shard.calls import Call, CallReply
 from onyxspoke.core.shard.context import ShardOptions
 from onyxspoke.core.shard.election import NodeIdentity
+from onyxspoke.core.shard.store_budget import StoreBudget
 from onyxspoke.kit.jobs.audit import JobAudit
 from onyxspoke.kit.jobs.platform import (
     FakeAdvice,
@@ -55,6 +56,7 @@
     rack_size: int = 4
     kinds: str = "ab"
     workers_a_shard: int = 240
+    store_budget: StoreBudget = field(default_factory=StoreBudget)
     always_good: tuple[str, ...] = ALWAYS_GOOD
 
 
@@ -109,7 +111,7 @@
         )
         work = options.work if options.work is not None else WorkOptions(seed=options.seed)
         self.audit = JobAudit(self.time)
-        self.store = FakeStore(self.time, random.Random(options.seed + 2))
+        self.store = FakeStore(self.time, random.Random(options.seed + 2), options.store_budget)
         self.pool = FakeWorkerPool(self.time, random.Random(options.seed + 3), self.audit, work)
         self.directory = FakeDirectory(self.time)
         self.advice = FakeAdvice(
@@ -169,7 +171,7 @@
             configuration=FakeConfigurationClient(self.configuration, name, path),
         )
         node = Node(
-            make_node_settings(name, host, options.workers_a_shard),
+            make_node_settings(name, host, options),
             identity,
             self.network.network_of(process),
             process.reactor,
@@ -289,7 +291,7 @@
     return CellConfiguration(policy=policy, raw=str(version).encode())
 
 
-def make_node_settings(name: str, host: str, workers_a_shard: int = 240) -> NodeSettings:
+def make_node_settings(name: str, host: str, options: ClusterOptions) -> NodeSettings:
     """Return the settings of a simulated node."""
     return NodeSettings(
         node_name=name,
@@ -301,5 +303,6 @@
         metrics_port=PEER_PORT + 1,
         operator_port=PEER_PORT + 2,
         shard_options=ShardOptions(stop_grace_ms=200),
-        workers_a_shard=workers_a_shard,
+        workers_a_shard=options.workers_a_shard,
+        store_budget=options.store_budget,
     )
