--- a/src/onyxspoke/cli/node.py
+++ b/src/onyxspoke/cli/node.py
@@ -30,7 +30,8 @@
 from onyxspoke.net.network import Network, TcpEndpoints
 from onyxspoke.net.reactor_clock import MonotonicClock
 from onyxspoke.node.metrics import CONTENT_TYPE, NodeMetrics
-from onyxspoke.node.node import Node, NodePorts
+from onyxspoke.node.node import Node
+from onyxspoke.node.node_ports import NodePorts
 from onyxspoke.node.operator_api import make_operator_site
 from onyxspoke.node.planned_stop import PlannedStop
 from onyxspoke.node.settings import NodeSettings, SettingsError
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -15,16 +15,7 @@
 
 from onyxspoke.core.routing import RouteTable
 from onyxspoke.core.shard.actions import AskAdvice, StepDownReason
-from onyxspoke.core.shard.calls import (
-    CALL_NAMES,
-    Call,
-    CallReply,
-    ReplyCode,
-    SubmitCall,
-    WaitingCall,
-    job_of,
-    queue_of,
-)
+from onyxspoke.core.shard.calls import Call, CallReply, ReplyCode
 from onyxspoke.core.shard.election import LossReason, NodeIdentity
 from onyxspoke.core.shard.layout import FIRST_SHARD, CellLayout
 from onyxspoke.core.shard.log_records import ClaimRecord, ShardId
@@ -34,7 +25,8 @@
 from onyxspoke.net.stream import encode_message
 from onyxspoke.node.advice_exchange import AdviceExchange
 from onyxspoke.node.agreed_time import agreed_time_ms
-from onyxspoke.node.call_router import RETRY_AFTER_SECONDS, CallRouter
+from onyxspoke.node.call_gate import CallGate
+from onyxspoke.node.call_router import CallRouter, OnReply
 from onyxspoke.node.directory_hub import DirectoryHub
 from onyxspoke.node.heartbeat import HEARTBEAT_SECONDS, HeartbeatSchedule
 from onyxspoke.node.layout_planner import LayoutPlanner
@@ -53,55 +45,27 @@
     Status,
 )
 from onyxspoke.node.metrics import NodeMetrics
+from onyxspoke.node.node_ports import NodePorts
 from onyxspoke.node.peers import PeerLink, PeerLinks
 from onyxspoke.node.seat import ShardSeat
 from onyxspoke.node.settings import NodeSettings
 from onyxspoke.node.store_gateway import StoreGateway
+from onyxspoke.node.store_watch import HANDOVER_PAUSE_SECONDS, StoreWatch
 from onyxspoke.node.succession import Succession, choose_successors, tell_successors
-from onyxspoke.node.waiting_sum import WaitingSum
-from onyxspoke.ports.advice import AdvicePort
 from onyxspoke.ports.clock import Clock
 from onyxspoke.ports.configuration import (
     CellConfiguration,
     ConfigurationError,
-    ConfigurationPort,
 )
-from onyxspoke.ports.shard_log import ShardLogPort
-from onyxspoke.ports.worker_directory import WorkerDirectoryPort
-from onyxspoke.ports.worker_orders import WorkerOrdersPort
 
 TICK_SECONDS = 0.02
 SEED_RETRY_SECONDS = 1.0
 #: How long a node leaves a shard to others for each one that it holds.
 HELD_HANDICAP_SECONDS = 0.15
-#: A holder that the store turns away for so long leaves its shards to another node.
-HANDOVER_SECONDS = 0.8
-#: It claims nothing, and hands over nothing more, for so long after.
-HANDOVER_PAUSE_SECONDS = 4.0
 #: That no node reaches the store holds for so long.
 UNREACHABLE_SECONDS = 0.6
 _MILLISECONDS = 1_000.0
 
-OnReply = Callable[[CallReply], None]
-
-
-class NodePorts:
-    """What a node reaches outside itself."""
-
-    def __init__(
-        self,
-        store: ShardLogPort,
-        orders: WorkerOrdersPort,
-        directory: WorkerDirectoryPort,
-        advice: AdvicePort,
-        configuration: ConfigurationPort,
-    ) -> None:
-        self.store = store
-        self.orders = orders
-        self.directory = directory
-        self.advice = advice
-        self.configuration = configuration
-
 
 class Node(MultiService):
     """One life of a node's process.
@@ -150,6 +114,8 @@
         self.peers = PeerLinks(network, identity, self)
         self.store = StoreGateway(ports.store, clock, self.peers.up_links)
         self.router = CallRouter(self._send_call)
+        self._gate = CallGate(self.router, lambda: self.layout, clock, self.metrics)
+        self._store_watch = StoreWatch(self.store, self.peers)
         self._directory = DirectoryHub(ports.directory, clock)
         self._planner = LayoutPlanner(settings, self._directory, clock)
         self._advice = AdviceExchange(ports.advice, identity.life, self.peers, self._take_advice)
@@ -160,10 +126,7 @@
         self._listeners: list[Callable[[CellConfiguration], None]] = []
         self._seeds_at = 0.0
         self._was_ready = False
-        self._handover_at = 0.0
         self._schedule = HeartbeatSchedule()
-        #: Hosts that were connected when the store last served this node, and since.
-        self._claimants: set[str] = set()
         self._handlers: dict[type[NodeMessage], Callable[[PeerLink, Any], None]] = {
             Status: self._take_status,
             CallForward: self._serve_call,
@@ -234,9 +197,7 @@
     @property
     def is_isolated(self) -> bool:
         """Whether the store and some peers were lost: others are better off, and go on."""
-        if self.store.is_reachable or self.store.is_relayed():
-            return False
-        return any(self.peers.link_to(host) is None for host in self._claimants)
+        return self._store_watch.is_isolated
 
     # Layout
 
@@ -312,33 +273,7 @@
 
     def submit_call(self, job_id: str, call: Call, on_reply: OnReply, seconds: float) -> None:
         """Carry a client's call to the holder of the job's shard."""
-        now = self._clock.now()
-        take = partial(self._finish_call, call, on_reply, now)
-        layout = self.layout
-        if layout is None:
-            take(_reply_without_layout(call))
-        elif isinstance(call, WaitingCall):
-            total = WaitingSum(layout.shard_count, take)
-            for shard in layout.shards():
-                self.router.submit(shard, call, total.add, now, now + seconds)
-        else:
-            self.router.submit(layout.shard_of_job(job_id), call, take, now, now + seconds)
-
-    def _finish_call(self, call: Call, on_reply: OnReply, since: float, reply: CallReply) -> None:
-        name = CALL_NAMES[type(call)]
-        self.metrics.replies.labels(name, reply.code.value).inc()
-        seconds = self._clock.now() - since
-        self.metrics.reply_seconds.labels(queue_of(call), name).observe(seconds)
-        if reply.code in (ReplyCode.REFUSED, ReplyCode.UNKNOWN):
-            logging.info(
-                "event=call_given_up call=%s job=%s code=%s reason=%s seconds=%.3f",
-                name,
-                job_of(call),
-                reply.code.value,
-                reply.reason,
-                seconds,
-            )
-        on_reply(reply)
+        self._gate.submit(job_id, call, on_reply, seconds)
 
     def _send_call(self, shard: ShardId, call_id: int, call: Call) -> bool:
         seat = self.seats[shard]
@@ -526,8 +461,7 @@
         for seat in list(self.seats.values()):
             seat.tick(wall_ms)
         self._plan_layout_if_new()
-        self._hand_over_if_turned_away(now)
-        self._note_if_nobody_reaches_store(now)
+        self._follow_store(now)
         self._set_gauges()
         self.peers.end_silent(now)
         self.store.keep(now)
@@ -537,32 +471,16 @@
             for seed in self.settings.seeds:
                 self.connect_peer(seed, self.settings.peer_port)
 
-    def _hand_over_if_turned_away(self, now: float) -> None:
-        """Leave the shards to a node that the store serves, while it does not serve this one."""
-        if self.store.away_seconds() < HANDOVER_SECONDS or now < self._handover_at:
-            return
-        if not self.store.is_relayed():
-            return
-        self._handover_at = now + HANDOVER_PAUSE_SECONDS
-        for seat in self.seats.values():
-            if seat.is_holding:
-                seat.election.rest_until(now + HANDOVER_PAUSE_SECONDS)
-                seat.step_down(StepDownReason.STORE_AWAY)
-
-    def _note_if_nobody_reaches_store(self, now: float) -> None:
-        """Tell the seats while every node that could claim says that the store is away."""
-        linked = {link.host for link in self.peers.up_links()}
-        if self.store.is_reachable:
-            self._claimants = linked
-            return
-        # One that was lost since may reach the store, and claim.
-        self._claimants |= linked
-        for host in self._claimants:
-            link = self.peers.link_to(host)
-            if link is None or not link.was_heard_lately(now) or link.can_reach_store:
-                return
-        for seat in self.seats.values():
-            seat.note_store_unreachable(now + UNREACHABLE_SECONDS)
+    def _follow_store(self, now: float) -> None:
+        """Let the seats know what follows from whether the store can be reached."""
+        if self._store_watch.take_handover(now):
+            for seat in self.seats.values():
+                if seat.is_holding:
+                    seat.election.rest_until(now + HANDOVER_PAUSE_SECONDS)
+                    seat.step_down(StepDownReason.STORE_AWAY)
+        if self._store_watch.nobody_reaches_store(now):
+            for seat in self.seats.values():
+                seat.note_store_unreachable(now + UNREACHABLE_SECONDS)
 
     def _set_gauges(self) -> None:
         held = [seat.scheduler for seat in self.seats.values() if seat.is_holding]
@@ -616,9 +534,3 @@
             is_isolated=self.is_isolated,
             wall_ms=self._wall_ms(),
         )
-
-
-def _reply_without_layout(call: Call) -> CallReply:
-    """Return the reply while it is not known which shard a job belongs to."""
-    code = ReplyCode.REFUSED if isinstance(call, SubmitCall) else ReplyCode.UNKNOWN
-    return CallReply(code=code, retry_after_seconds=RETRY_AFTER_SECONDS, reason="no_layout")
--- a/src/onyxspoke/sim/job_cluster.py
+++ b/src/onyxspoke/sim/job_cluster.py
@@ -28,7 +28,8 @@
 )
 from onyxspoke.kit.jobs.store import FakeStore, FakeStoreClient
 from onyxspoke.kit.jobs.workers import FakeWorkerOrders, FakeWorkerPool, WorkOptions
-from onyxspoke.node.node import Node, NodePorts
+from onyxspoke.node.node import Node
+from onyxspoke.node.node_ports import NodePorts
 from onyxspoke.node.settings import Address, NodeSettings
 from onyxspoke.ports.configuration import CellConfiguration
 from onyxspoke.sim.virtual_network import LinkOptions, VirtualNetwork
