A slow store: a new holder knows how slow it is, and no shard goes to a node that is served no sooner

Cause 1: each new holder began with the patience of a prompt store (0.2 s), took its first append for unanswered and refused what came. It now starts from how long its claim took. Cause 2: a holder left its shard to 'a node that the store serves' because calls through peers were answered, but they had taken as long as its own would have. It does so now only where a peer was answered within 0.18 s. Ruled out: the fence and the turns (each claim took one attempt), the workers (all settled).

--- a/features/node_tools.feature
+++ b/features/node_tools.feature
@@ -90,6 +90,11 @@
     When the pipe is read and 10 seconds pass
     Then the log says how many lines it dropped
 
+  Scenario: A log that the process closes as it ends has written everything
+    Given a log stream to a pipe that nobody reads
+    When 3 lines of 100 bytes are written and the logging library closes the stream
+    Then the pipe holds 3 lines
+
   Scenario: One name is followed through the logs of several nodes
     Given logs of two nodes
       """
--- /dev/null
+++ b/features/slow_store.feature
@@ -0,0 +1,30 @@
+Feature: A store that answers all nodes, and slowly
+
+  A holder waits 0.2 seconds for an answer as a rule.
+
+  Scenario Outline: A holder stays, because no other node would be served sooner: <slow>
+    Given a cluster of 5 nodes whose store takes <slow> seconds an answer
+    When jobs are handed in there for 6 seconds
+    Then the shard had no more than 1 holder
+    And no job of the last 5 seconds was refused
+
+    Examples:
+      | slow |
+      | 0.19 |
+      | 0.26 |
+      | 0.42 |
+
+  Scenario Outline: Nodes that are stopped in turn hand the shard on, and it is served in between: <slow>
+    Given a cluster of 5 nodes whose store takes <slow> seconds an answer
+    When jobs are handed in there for 2 seconds
+    And the holder there is stopped as planned
+    And jobs are handed in there for 4 seconds
+    Then the shard had no more than 2 holders
+    And no job of the last 3 seconds was refused
+    And every accepted job there was answered within <bound> seconds
+
+    Examples:
+      | slow | bound |
+      | 0.19 | 1.4   |
+      | 0.26 | 1.6   |
+      | 0.42 | 2.4   |
--- a/features/steps/node_tools_steps.py
+++ b/features/steps/node_tools_steps.py
@@ -117,6 +117,18 @@
     assert context.stream.written + context.stream.dropped == 20_000
 
 
+@when("{count:d} lines of 100 bytes are written and the logging library closes the stream")
+def _write_and_close(context, count):
+    for _ in range(count):
+        context.stream.write(LINE)
+    context.stream.close()
+
+
+@then("the pipe holds {count:d} lines")
+def _holds_lines(context, count):
+    assert os.read(context.reader, 1 << 20) == LINE.encode() * count
+
+
 @when("the pipe is read and {seconds:d} seconds pass")
 def _read_pipe(context, seconds):
     context.now += seconds
--- /dev/null
+++ b/features/steps/slow_store_steps.py
@@ -0,0 +1,86 @@
+"""Steps about a store that answers slowly."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given, then, when
+
+from onyxspoke.core.jobs.model import JobSpec, StepSpec
+from onyxspoke.core.shard.calls import CallReply, ReplyCode, SubmitCall
+from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster
+
+QUEUE = "normal"
+JOBS_PER_SECOND = 10
+SETTLE_SECONDS = 2.0
+FINISH_SECONDS = 3.0
+
+
+@given("a cluster of {count:d} nodes whose store takes {seconds:g} seconds an answer")
+def _cluster(context: Any, count: int, seconds: float) -> None:
+    context.cluster = JobCluster(ClusterOptions(seed=3, nodes=count, workers=6))
+    context.cluster.start()
+    context.cluster.run(SETTLE_SECONDS)
+    context.cluster.store.faults.extra_seconds = seconds
+    context.holders = set()
+    #: When each job was handed in, when it was answered, and how.
+    context.replies = []
+    context.submitted = 0
+
+
+def _hand_in(context: Any) -> None:
+    cluster = context.cluster
+    nodes = [node for node in cluster.nodes.values() if not node.node.is_stopping]
+    queue = cluster.configuration.configuration.policy.queues[QUEUE]
+    step = StepSpec(task_count=1, processors_milli=100, memory_mb=10, estimated_ms=300)
+    context.submitted += 1
+    job = JobSpec(job_id=f"{context.submitted:016x}", queue=queue, payload="p", steps=(step,))
+    cluster.pool.specs[job.job_id] = job
+    cluster.audit.handle_submitted(job)
+    since = cluster.time.now()
+
+    def take(reply: CallReply | None) -> None:
+        code = reply.code if reply is not None else None
+        context.replies.append((since, cluster.time.now(), code))
+
+    node = nodes[context.submitted % len(nodes)]
+    cluster.call(node, job.job_id, SubmitCall(job), take)
+
+
+@when("jobs are handed in there for {seconds:g} seconds")
+def _hand_in_for(context: Any, seconds: float) -> None:
+    for _ in range(int(seconds * JOBS_PER_SECOND)):
+        _hand_in(context)
+        context.cluster.run(1.0 / JOBS_PER_SECOND)
+        holder = context.cluster.holder()
+        if holder is not None:
+            context.holders.add(holder.process.name)
+    context.ended_at = context.cluster.time.now()
+
+
+@when("the holder there is stopped as planned")
+def _stop_holder(context: Any) -> None:
+    holder = context.cluster.holder()
+    holder.process.run(holder.node.begin_stop)
+
+
+@then("the shard had no more than {count:d} holder")
+@then("the shard had no more than {count:d} holders")
+def _holders(context: Any, count: int) -> None:
+    assert 1 <= len(context.holders) <= count, context.holders
+
+
+@then("no job of the last {seconds:g} seconds was refused")
+def _none_refused(context: Any, seconds: float) -> None:
+    context.cluster.run(FINISH_SECONDS)
+    late = [reply for reply in context.replies if reply[0] >= context.ended_at - seconds]
+    assert late
+    refused = [reply for reply in late if reply[2] is not ReplyCode.OK]
+    assert not refused, refused
+
+
+@then("every accepted job there was answered within {seconds:g} seconds")
+def _in_time(context: Any, seconds: float) -> None:
+    accepted = [reply for reply in context.replies if reply[2] is ReplyCode.OK]
+    slow = [reply for reply in accepted if reply[1] - reply[0] > seconds]
+    assert not slow, slow
--- a/src/onyxspoke/core/shard/commit.py
+++ b/src/onyxspoke/core/shard/commit.py
@@ -55,6 +55,8 @@
         When the latest append that succeeded was sent: the shard was ours then.
     interval_seconds : float
         Pause between two appends at least.
+    latest_seconds : float
+        How long the store took for its latest answer to this node.
     """
 
     shard: ShardId
@@ -65,11 +67,11 @@
     renew: Callable[[], ShardRecord]
     is_dirty: Callable[[], bool]
     interval_seconds: float = MINIMUM_INTERVAL_SECONDS
+    latest_seconds: float = 0.0
     _effects: list[Effect] = field(default_factory=list)
     _proofs: list[Effect] = field(default_factory=list)
     _batch: _Batch | None = None
     _last_sent_at: float = 0.0
-    _latest_seconds: float = 0.0
 
     @property
     def in_trouble_since(self) -> float | None:
@@ -80,7 +82,7 @@
         """Return whether the store keeps an append open for longer than it should."""
         if self._batch is None:
             return False
-        bound = max(bound_seconds, TROUBLE_FACTOR * self._latest_seconds)
+        bound = max(bound_seconds, TROUBLE_FACTOR * self.latest_seconds)
         return now - self._batch.opened_at > bound
 
     def after_commit(self, effect: Effect) -> None:
@@ -129,7 +131,7 @@
         if self._batch is None:
             return PATIENCE_SECONDS[0]
         usual = PATIENCE_SECONDS[(self._batch.attempts - 1) % len(PATIENCE_SECONDS)]
-        return max(usual, PATIENCE_FACTOR * self._latest_seconds)
+        return max(usual, PATIENCE_FACTOR * self.latest_seconds)
 
     def next_moment(self) -> float | None:
         """Return when :meth:`next_append` may have something to send, if nothing comes in."""
@@ -146,7 +148,7 @@
             return True
         if result.outcome is AppendOutcome.DONE:
             self._batch = None
-            self._latest_seconds = now - batch.sent_at
+            self.latest_seconds = now - batch.sent_at
             # A repeat may be answered as the first time, so only the first sending proves.
             self.proof_at = max(self.proof_at, batch.opened_at)
             for effect in batch.effects:
--- a/src/onyxspoke/core/shard/election.py
+++ b/src/onyxspoke/core/shard/election.py
@@ -106,11 +106,15 @@
 
 
 class BecomeHolder(msgspec.Struct, frozen=True):
-    """The claim stands; ``former_dead_since`` is known where the former holder has ended."""
+    """The claim stands; ``former_dead_since`` is known where the former holder has ended.
+
+    ``store_seconds`` is how long the store took to answer the claim.
+    """
 
     claim: ClaimRecord
     next_sequence: int
     claimed_at: float
+    store_seconds: float
     former_dead_since: float | None
 
 
@@ -185,6 +189,7 @@
         self._pending: ShardAppend | None = None
         self._pending_claim: ClaimRecord | None = None
         self._claim_sent_at = 0.0
+        self._claim_last_sent_at = 0.0
         self._claim_attempts = 0
         self._rest_until = -math.inf
         self.actions: list[ElectionAction] = []
@@ -489,6 +494,7 @@
     def _send_claim(self, now: float) -> None:
         assert self._pending is not None
         self._claim_attempts += 1
+        self._claim_last_sent_at = now
         self._due_at = now + 60.0
         self.actions.append(SendClaim(self._pending))
 
@@ -503,6 +509,7 @@
                 claim=self._pending_claim,
                 next_sequence=pending.sequence + 1,
                 claimed_at=self._claim_sent_at,
+                store_seconds=now - self._claim_last_sent_at,
                 former_dead_since=self._dead_since,
             )
         )
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -61,6 +61,8 @@
         Number of the next append of our epoch.
     claimed_at : float
         When the claim was sent.
+    store_seconds : float
+        How long the store took to answer the claim.
     options : ShardOptions
         Bounds and timings.
     """
@@ -71,6 +73,7 @@
         claim: ClaimRecord,
         next_sequence: int,
         claimed_at: float,
+        store_seconds: float,
         options: ShardOptions,
     ) -> None:
         self.context = ShardContext(options, claim.token, shard)
@@ -91,6 +94,7 @@
             collect=self._collector.collect,
             renew=self._collector.renew,
             is_dirty=self._collector.is_dirty,
+            latest_seconds=store_seconds,
         )
         self._placer = Placer(self.context.table, self.context.desk)
         self._last_flush_at = claimed_at
--- a/src/onyxspoke/kit/jobs/platform.py
+++ b/src/onyxspoke/kit/jobs/platform.py
@@ -15,6 +15,10 @@
 
 STORE = "store"
 POLL_SECONDS = 0.5
+#: A question for a later configuration is answered after so long, if there is none, ...
+LONG_POLL_SECONDS = 1.0
+#: ... and given up so much later.
+LONG_POLL_SLACK_SECONDS = 0.6
 
 
 class FakeDirectory:
@@ -131,26 +135,34 @@
         return self._feed.configuration
 
     def _poll(self) -> None:
-        """Tell now and then whether the store serves the node."""
+        """Tell after each question whether the store answered it; it is asked again then."""
         store = self._feed.store
-        is_heard = False
+        is_over = False
 
         def arrive() -> None:
-            is_served = not store.faults.is_down and self._node_name not in store.faults.refuses
-            self._path.to_node(STORE, lambda: hear(is_served))
+            if store.faults.is_down:
+                return
+            if self._node_name in store.faults.refuses:
+                self._path.to_node(STORE, lambda: end(False))
+                return
+            store.timers.schedule(LONG_POLL_SECONDS + store.faults.extra_seconds, answer)
 
-        def hear(is_served: bool) -> None:
-            nonlocal is_heard
-            is_heard = True
+        def answer() -> None:
+            if not store.faults.is_down:
+                self._path.to_node(STORE, lambda: end(True))
+
+        def end(is_served: bool) -> None:
+            nonlocal is_over
+            if is_over:
+                return
+            is_over = True
             self._tell(is_served)
-
-        def expire() -> None:
-            if not is_heard:
-                self._tell(False)
-            self._poll()
+            pause = 0.0 if is_served else POLL_SECONDS
+            store.timers.schedule(pause, lambda: self._path.to_node("", self._poll))
 
         self._path.to_outside(STORE, arrive)
-        store.timers.schedule(POLL_SECONDS, lambda: self._path.to_node("", expire))
+        patience = LONG_POLL_SECONDS + LONG_POLL_SLACK_SECONDS
+        store.timers.schedule(patience, lambda: self._path.to_node("", lambda: end(False)))
 
     def _tell(self, is_served: bool) -> None:
         if self._on_contact is not None:
--- a/src/onyxspoke/net/log_stream.py
+++ b/src/onyxspoke/net/log_stream.py
@@ -51,6 +51,10 @@
     def flush(self) -> None:
         """Do nothing: lines are written by :meth:`drain`."""
 
+    def close(self) -> None:
+        """Write what can be written; called by the logging library when the process ends."""
+        self.drain()
+
     def drain(self) -> None:
         """Write what the reader takes now."""
         if self.dropped > self._reported and self._waiting_room():
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -300,7 +300,12 @@
 
     def _begin_holding(self, action: BecomeHolder) -> None:
         scheduler = ShardScheduler(
-            self.shard, action.claim, action.next_sequence, action.claimed_at, self._options
+            self.shard,
+            action.claim,
+            action.next_sequence,
+            action.claimed_at,
+            action.store_seconds,
+            self._options,
         )
         scheduler.set_commit_interval(self._pacing.commit_seconds)
         if action.former_dead_since is not None:
--- a/src/onyxspoke/node/store_gateway.py
+++ b/src/onyxspoke/node/store_gateway.py
@@ -41,6 +41,9 @@
 #: The store counts as reachable through peers for so long after it served a relayed call.
 RELAYED_SECONDS = 0.6
 
+#: A relayed call that took longer was not served sooner than a direct one would be.
+PROMPT_SECONDS = 0.18
+
 OnAppend = Callable[[AppendResult], None]
 OnPage = Callable[[NewestPage], None]
 
@@ -81,6 +84,8 @@
         self._last_relay_id = 0
         self._next_peer = 0
         self._relayed_at = -math.inf
+        #: How long the latest call took that the store served through a peer.
+        self._relay_seconds = 0.0
 
     @property
     def is_reachable(self) -> bool:
@@ -99,6 +104,10 @@
         """Return whether the store served a call of ours through a peer just now."""
         return self._clock.now() - self._relayed_at < RELAYED_SECONDS
 
+    def serves_peers_sooner(self) -> bool:
+        """Return whether peers get answers within the time that this node waited in vain."""
+        return self.is_relayed() and self._relay_seconds < PROMPT_SECONDS
+
     def append(self, append: ShardAppend, patience_seconds: float, on_result: OnAppend) -> None:
         """Append, directly or through a peer."""
         if self._prefers_relay() and self._relay_append(append, on_result):
@@ -140,12 +149,12 @@
             return
         if isinstance(message, AppendRelayAnswer):
             if _is_served(message.result):
-                self._relayed_at = self._clock.now()
+                self._note_relayed(relay)
             if relay.on_append is not None:
                 relay.on_append(message.result)
             return
         if message.page.is_known:
-            self._relayed_at = self._clock.now()
+            self._note_relayed(relay)
         if relay.on_page is not None:
             relay.on_page(message.page)
 
@@ -203,6 +212,11 @@
         self._next_peer += 1
         return able[self._next_peer % len(able)]
 
+    def _note_relayed(self, relay: _Relay) -> None:
+        now = self._clock.now()
+        self._relayed_at = now
+        self._relay_seconds = now - relay.sent_at
+
     def _note(self, is_served: bool) -> None:
         now = self._clock.now()
         if is_served:
--- a/src/onyxspoke/node/store_watch.py
+++ b/src/onyxspoke/node/store_watch.py
@@ -40,7 +40,7 @@
         """Return whether to leave the shards to nodes that the store serves, once each time."""
         if self._store.away_seconds() < HANDOVER_SECONDS or now < self._handover_at:
             return False
-        if not self._store.is_relayed():
+        if not self._store.serves_peers_sooner():
             return False
         self._handover_at = now + HANDOVER_PAUSE_SECONDS
         return True
