Large cells: a quiet node does little; successors and configurations are told only where they are new

A profile of 60 nodes and 13 shards in virtual time: half in ticks (readiness of every shard, the agreed time of day and silent peers 50 times a second), a sixth in heartbeats. Now: what changes slowly is looked at each 0.1 s; seats that follow are not ticked; a quiet node of a large cell ticks each 0.1 s; logs are drained when something waits; a holder tells all its peers who is to take over only when that changes (it did at every coming and going of any of 300); a new configuration is left to be read from the store by the nodes that it serves.

--- a/features/large_cells.feature
+++ b/features/large_cells.feature
@@ -49,3 +49,18 @@
     And its streams are counted
     And 3 seconds pass in the large cell
     Then no stream of it was lost
+
+  Scenario: Who is to take over is told to those who come, and to all only when it changes
+    Given a holder that has told 200 peers who is to take over
+    When a small node comes
+    Then only that node is told
+    When a larger node than all others comes
+    Then all of its peers are told
+
+  Scenario: Nodes that the store serves read a new configuration there and pass it on to nobody
+    Given a large cell of 12 nodes and 6 shards, whose store takes 100 writes and 500 reads a second
+    When 4 seconds pass in the large cell
+    And its configuration changes while one node is cut off from the store
+    And 4 seconds pass in the large cell
+    Then every node of it has the new configuration
+    And copies of it were sent to the node that was cut off, and to no other
--- a/features/steps/large_cell_steps.py
+++ b/features/steps/large_cell_steps.py
@@ -4,15 +4,24 @@
 
 from collections.abc import Iterable
 from typing import Any
+from unittest import mock
 
 from behave import given, then, when
 
 from onyxspoke.core.jobs.model import JobSpec, StepSpec
 from onyxspoke.core.shard.calls import CallReply, ReplyCode, SubmitCall
+from onyxspoke.core.shard.election import NodeIdentity
 from onyxspoke.core.shard.store_budget import StoreBudget
 from onyxspoke.kit.jobs.workers import WorkOptions
+from onyxspoke.node.messages import ConfigurationCopy, NodeMessage
 from onyxspoke.node.peers import PeerLink
-from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster, SimulatedNode
+from onyxspoke.node.succession import Succession
+from onyxspoke.sim.job_cluster import (
+    ClusterOptions,
+    JobCluster,
+    SimulatedNode,
+    make_configuration,
+)
 
 QUEUE = "normal"
 WORKERS_A_SHARD = 3
@@ -171,3 +180,78 @@
 
 def _streams(nodes: Iterable[SimulatedNode]) -> set[PeerLink]:
     return {link for node in nodes for link in node.node.peers.all_up_links()}
+
+
+def _link(number: int, weight: float) -> PeerLink:
+    link = PeerLink(f"h{number}", is_outgoing=False)
+    link.identity = NodeIdentity(f"n{number}.1", f"h{number}", 1, weight=weight)
+    return link
+
+
+@given("a holder that has told {count:d} peers who is to take over")
+def _told(context: Any, count: int) -> None:
+    context.links = [_link(number, 1.0) for number in range(count)]
+    context.succession = Succession()
+    context.succession.note_change()
+    [(_message, receivers)] = context.succession.take_news([0], context.links)
+    assert receivers == context.links
+
+
+@when("a small node comes")
+def _small_comes(context: Any) -> None:
+    context.new = _link(len(context.links), 0.5)
+    context.links.append(context.new)
+    context.succession.note_change()
+
+
+@when("a larger node than all others comes")
+def _large_comes(context: Any) -> None:
+    context.links.append(_link(len(context.links), 2.0))
+    context.succession.note_change()
+
+
+@then("only that node is told")
+def _one_told(context: Any) -> None:
+    [(_message, receivers)] = context.succession.take_news([0], context.links)
+    assert receivers == [context.new]
+
+
+@then("all of its peers are told")
+def _all_told(context: Any) -> None:
+    [(message, receivers)] = context.succession.take_news([0], context.links)
+    assert receivers == context.links
+    assert message.members[0].weight == max(node.weight for node in message.members)
+
+
+@when("its configuration changes while one node is cut off from the store")
+def _change_configuration(context: Any) -> None:
+    cluster = context.cluster
+    holding = {name for _shard, name in _holders(cluster.nodes.values())}
+    lost = next(node for node in cluster.nodes.values() if node.name not in holding)
+    context.lost_host = lost.host
+    cluster.cut(lost.host, ["store"])
+    cluster.run(3.0)
+    context.copies = []
+    send = PeerLink.send
+
+    def count(link: PeerLink, message: NodeMessage) -> None:
+        if isinstance(message, ConfigurationCopy):
+            context.copies.append(link.host)
+        send(link, message)
+
+    patch = mock.patch.object(PeerLink, "send", count)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    cluster.configuration.put(make_configuration(2, with_advice=True))
+
+
+@then("every node of it has the new configuration")
+def _has_configuration(context: Any) -> None:
+    versions = {node.name: node.node.configuration for node in context.cluster.nodes.values()}
+    assert all(found and found.version == 2 for found in versions.values()), versions
+
+
+@then("copies of it were sent to the node that was cut off, and to no other")
+def _copies(context: Any) -> None:
+    assert context.copies
+    assert set(context.copies) == {context.lost_host}, context.copies
--- a/src/onyxspoke/cli/node.py
+++ b/src/onyxspoke/cli/node.py
@@ -13,11 +13,10 @@
 from typing import Any, cast
 
 from absl import logging
-from twisted.application.internet import TimerService
 from twisted.application.service import MultiService
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IReactorFromThreads
+from twisted.internet.interfaces import IReactorFromThreads, IReactorTime
 from twisted.web.server import Request
 
 from onyxspoke.cli.process import ProcessRunner, configure_logging, make_parser, use_steady_timers
@@ -51,7 +50,7 @@
 METRICS_PORT = 9_464
 #: A body may take so long after the time of its head.
 BODY_SECONDS = 4.0
-#: Log lines are written so often.
+#: Log lines are written so long after the first that waits.
 DRAIN_SECONDS = 0.02
 _MILLISECONDS = 1_000.0
 
@@ -138,7 +137,9 @@
         self._endpoints = network_endpoints
         self._lines = lines
         node.setServiceParent(self)
-        TimerService(DRAIN_SECONDS, lines.drain).setServiceParent(self)
+        lines.on_waiting = partial(
+            cast("IReactorTime", reactor).callLater, DRAIN_SECONDS, lines.drain
+        )
 
     def listen(self) -> Deferred[Any]:
         """Open every server socket."""
--- a/src/onyxspoke/core/shard/election.py
+++ b/src/onyxspoke/core/shard/election.py
@@ -289,6 +289,14 @@
         self._pending = None
         self._read(now, "stepped_down")
 
+    def is_held_by(self, host: str) -> bool:
+        """Return whether the claim that is known is that of a host."""
+        return self.claim is not None and self.claim.host == host
+
+    def is_quiet(self, now: float) -> bool:
+        """Return whether the passing of time changes nothing."""
+        return self.state is ElectionState.FOLLOWING and now - self._heard_at <= SILENCE_SECONDS
+
     def tick(self, now: float) -> None:
         """Some time has passed."""
         if self.state is ElectionState.FOLLOWING:
--- a/src/onyxspoke/net/log_stream.py
+++ b/src/onyxspoke/net/log_stream.py
@@ -36,6 +36,8 @@
         self.written = 0
         self.dropped = 0
         self._reported = 0
+        #: Called when lines begin to wait; it is to have :meth:`drain` called soon.
+        self.on_waiting: Callable[[], object] = lambda: None
 
     def write(self, text: str) -> int:
         """Take a line, or count it as dropped."""
@@ -43,6 +45,8 @@
             self.dropped += 1
             return len(text)
         self.written += 1
+        if not self._waiting:
+            self.on_waiting()
         self._waiting += text.encode("utf-8", "replace")
         if len(self._waiting) >= EAGER_BYTES:
             self.drain()
@@ -65,6 +69,7 @@
             try:
                 written = os.write(self._file_descriptor, self._waiting)
             except BlockingIOError:
+                self.on_waiting()
                 return
             except OSError:
                 self._waiting.clear()
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -59,9 +59,13 @@
 )
 
 TICK_SECONDS = 0.02
+#: Between two looks at what changes slowly: silent peers, the store, time of day, gauges.
+ROUND_SECONDS = 0.1
 SEED_RETRY_SECONDS = 1.0
 #: How long a node leaves a shard to others for each one that it holds.
 HELD_HANDICAP_SECONDS = 0.15
+#: A peer that the store serves is left to read a new configuration there for so long.
+OFFER_SECONDS = 0.3
 #: That no node reaches the store holds for so long.
 UNREACHABLE_SECONDS = 0.6
 _MILLISECONDS = 1_000.0
@@ -126,6 +130,10 @@
         self._listeners: list[Callable[[CellConfiguration], None]] = []
         self._seeds_at = 0.0
         self._was_ready = False
+        self._round_at = 0.0
+        self._configured_at = 0.0
+        #: The time of day on which most nodes agree, less steady time, in milliseconds.
+        self._time_offset_ms = 0.0
         self._schedule = HeartbeatSchedule()
         self._handlers: dict[type[NodeMessage], Callable[[PeerLink, Any], None]] = {
             Status: self._take_status,
@@ -140,13 +148,10 @@
             AppendRelayAnswer: lambda _link, message: self.store.handle_relay_answer(message),
             NewestRelayAnswer: lambda _link, message: self.store.handle_relay_answer(message),
         }
-        for seconds, function in (
-            (TICK_SECONDS, self._tick),
-            (HEARTBEAT_SECONDS, self._beat),
-        ):
-            timer = TimerService(seconds, function)
-            timer.clock = network.reactor
-            timer.setServiceParent(self)
+        self._next_tick: IDelayedCall | None = None
+        beat = TimerService(HEARTBEAT_SECONDS, self._beat)
+        beat.clock = network.reactor
+        beat.setServiceParent(self)
         self.peers.setServiceParent(self)
 
     # Life
@@ -161,6 +166,12 @@
         for seat in list(self.seats.values()):
             seat.start()
         super().startService()
+        self._tick()
+
+    def stopService(self) -> Any:
+        """Take no more part; called by Twisted."""
+        self._cancel_tick()
+        return super().stopService()
 
     def begin_stop(self) -> None:
         """Hand the shards over and claim nothing more; calls are still carried."""
@@ -238,7 +249,7 @@
             if shard != FIRST_SHARD:
                 successors = choose_successors(shard, links)
                 self.seats[shard].election.set_members(successors)
-                tell_successors(links, shard, successors)
+                tell_successors(links, Members(shard, successors, len(links) + 1))
 
     def _set_pacing(self) -> None:
         """Have the seats keep to what the store takes from a cell of this size."""
@@ -295,6 +306,8 @@
     def handle_holder_changed(self, shard: ShardId, claim: ClaimRecord | None) -> None:
         """Another node holds a shard, or nobody that can be reached."""
         if claim is None:
+            if self._next_tick is not None:
+                self._tick_in(TICK_SECONDS)
             if self._holders.pop(shard, None) is not None:
                 self.router.handle_holder_lost(shard)
             return
@@ -359,8 +372,10 @@
             seat.set_policy(configuration.policy)
         for listener in self._listeners:
             listener(configuration)
+        self._configured_at = self._clock.now()
         for link in self.peers.up_links():
-            self._offer_configuration(link)
+            if not link.can_reach_store:
+                self._offer_configuration(link)
 
     def _offer_configuration(self, link: PeerLink) -> None:
         known = self.configuration
@@ -368,6 +383,12 @@
             link.configuration_version = known.version
             link.send(ConfigurationCopy(known.raw))
 
+    def _offer_if_behind(self, link: PeerLink) -> None:
+        """Offer the configuration to a peer that still has not read it from the store itself."""
+        age = self._clock.now() - self._configured_at
+        if not link.can_reach_store or age > OFFER_SECONDS:
+            self._offer_configuration(link)
+
     def _take_copy(self, link: PeerLink, message: ConfigurationCopy) -> None:
         try:
             configuration = self._ports.configuration.decode(message.raw)
@@ -418,12 +439,14 @@
             link.may_hold = message.may_hold
             self._note_peers_changed()
         link.configuration_version = max(link.configuration_version, message.configuration_version)
-        self._offer_configuration(link)
+        self._offer_if_behind(link)
         now = self._clock.now()
         claims = dict(message.claims)
         for shard, seat in list(self.seats.items()):
-            seat.election.handle_peer_status(link.identity, claims.get(shard), now)
-            seat.carry_out_election()
+            claim = claims.get(shard)
+            if claim is not None or seat.election.is_held_by(link.host):
+                seat.election.handle_peer_status(link.identity, claim, now)
+                seat.carry_out_election()
 
     def _serve_call(self, link: PeerLink, message: CallForward) -> None:
         seat = self.seats.get(message.shard)
@@ -456,16 +479,41 @@
         return agreed_time_ms(self._clock.now(), self._wall_ms(), self.peers.up_links())
 
     def _tick(self) -> None:
+        # First, so that a fault below ends one tick and not all.
+        self._tick_in(TICK_SECONDS)
         now = self._clock.now()
-        wall_ms = self.time_of_day_ms()
+        if now >= self._round_at:
+            self._round_at = now + ROUND_SECONDS
+            self._keep_slowly(now)
+        wall_ms = now * _MILLISECONDS + self._time_offset_ms
         for seat in list(self.seats.values()):
-            seat.tick(wall_ms)
+            if not seat.is_quiet(now):
+                seat.tick(wall_ms)
+        self.store.keep(now)
+        self.router.keep(now, is_cut_off=not self.store.is_reachable)
+        if self._is_quiet(now):
+            self._tick_in(min(ROUND_SECONDS, TICK_SECONDS * len(self.seats)))
+
+    def _is_quiet(self, now: float) -> bool:
+        """Return whether the passing of time changes nothing, so that ticks may be rarer."""
+        return not len(self.router) and all(seat.is_quiet(now) for seat in self.seats.values())
+
+    def _tick_in(self, seconds: float) -> None:
+        self._cancel_tick()
+        self._next_tick = self._network.reactor.callLater(seconds, self._tick)
+
+    def _cancel_tick(self) -> None:
+        if self._next_tick is not None and self._next_tick.active():
+            self._next_tick.cancel()
+        self._next_tick = None
+
+    def _keep_slowly(self, now: float) -> None:
+        """Look at everything that need not be looked at on every tick."""
+        self._time_offset_ms = self.time_of_day_ms() - now * _MILLISECONDS
         self._plan_layout_if_new()
         self._follow_store(now)
         self._set_gauges()
         self.peers.end_silent(now)
-        self.store.keep(now)
-        self.router.keep(now, is_cut_off=not self.store.is_reachable)
         if self.configuration is None and now >= self._seeds_at:
             self._seeds_at = now + SEED_RETRY_SECONDS
             for seed in self.settings.seeds:
@@ -501,9 +549,9 @@
         if self._schedule.take_due(bool(self._held_shards()), now):
             self._send_heartbeats()
         links = self.peers.up_links()
-        for shard, successors in self._succession.take_news(self._held_shards(), links).items():
-            self.seats[shard].election.set_members(successors)
-            tell_successors(links, shard, successors)
+        for message, receivers in self._succession.take_news(self._held_shards(), links):
+            self.seats[message.shard].election.set_members(message.members)
+            tell_successors(receivers, message)
 
     def heartbeat_interval(self) -> float:
         """Return how often heartbeats go out."""
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -219,6 +219,10 @@
             self.scheduler.stimulus_advice_result(call_id, result, self._clock.now())
             self._wake()
 
+    def is_quiet(self, now: float) -> bool:
+        """Return whether the passing of time changes nothing here."""
+        return self.scheduler is None and self.election.is_quiet(now)
+
     def tick(self, wall_ms: float) -> None:
         """Some time has passed."""
         now = self._clock.now()
--- a/src/onyxspoke/node/succession.py
+++ b/src/onyxspoke/node/succession.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import zlib
+from dataclasses import dataclass
 
 from onyxspoke.core.shard.election import NodeIdentity
 from onyxspoke.core.shard.log_records import ShardId
@@ -12,6 +13,8 @@
 
 #: Nodes that are named for each shard; the others wait longer than any of them.
 SUCCESSOR_COUNT = 8
+#: A change of the number of nodes by up to this share is not worth a message to all.
+COUNT_TOLERANCE = 0.1
 
 
 def choose_successors(shard: ShardId, links: list[PeerLink]) -> list[NodeIdentity]:
@@ -33,6 +36,7 @@
 
     def __init__(self) -> None:
         self._is_due = False
+        self._told: dict[ShardId, _Told] = {}
 
     def note_change(self) -> None:
         """Take note that a peer has come, gone or changed."""
@@ -40,16 +44,45 @@
 
     def take_news(
         self, held: list[ShardId], links: list[PeerLink]
-    ) -> dict[ShardId, list[NodeIdentity]]:
-        """Return the successors in each held shard, if they are to be told now."""
+    ) -> list[tuple[Members, list[PeerLink]]]:
+        """Return what is to be told now, and to whom: the new peers, or all of them."""
         if not self._is_due or not held:
-            return {}
+            return []
         self._is_due = False
-        return {shard: choose_successors(shard, links) for shard in held}
-
-
-def tell_successors(links: list[PeerLink], shard: ShardId, successors: list[NodeIdentity]) -> None:
-    """Tell the peers."""
-    data = encode_message(Members(shard, successors, node_count=len(links) + 1))
+        self._told = {shard: told for shard, told in self._told.items() if shard in held}
+        return [news for shard in held if (news := self._take_news_of(shard, links)) is not None]
+
+    def _take_news_of(
+        self, shard: ShardId, links: list[PeerLink]
+    ) -> tuple[Members, list[PeerLink]] | None:
+        members = choose_successors(shard, links)
+        node_count = len(links) + 1
+        told = self._told.get(shard)
+        lives = {link.identity.life for link in links if link.identity is not None}
+        if told is None or told.is_outdated(members, node_count):
+            self._told[shard] = _Told(members, node_count, lives)
+            return Members(shard, members, node_count), links
+        new = [link for link in links if link.identity and link.identity.life not in told.lives]
+        told.lives = lives
+        return (Members(shard, members, node_count), new) if new else None
+
+
+@dataclass(slots=True)
+class _Told:
+    """What was told of one shard, and to which lives."""
+
+    members: list[NodeIdentity]
+    node_count: int
+    lives: set[str]
+
+    def is_outdated(self, members: list[NodeIdentity], node_count: int) -> bool:
+        """Return whether everybody is to be told again."""
+        change = abs(node_count - self.node_count)
+        return members != self.members or change > COUNT_TOLERANCE * self.node_count
+
+
+def tell_successors(links: list[PeerLink], message: Members) -> None:
+    """Tell peers who is to take over."""
+    data = encode_message(message)
     for link in links:
         link.send_encoded(data)
