Large cells: a holder's heartbeats go often to its successors, seldom to the others, who hear news at once

Only the eight successors of a shard have to notice soon that its holder is gone; they get one each 0.2 s, all others each second at most, and a holder that hears of another's successor tells its peers at once. Silence is counted in intervals. A node whose reach of the store changes says so at once, too: what peers say of it counts for longer where heartbeats are rare. 70 nodes, 4 shards in virtual time: all ready 1.6 s after a power loss.

--- a/features/large_cells.feature
+++ b/features/large_cells.feature
@@ -64,3 +64,13 @@
     And 4 seconds pass in the large cell
     Then every node of it has the new configuration
     And copies of it were sent to the node that was cut off, and to no other
+
+  Scenario: In a large cell those who are to take over notice a lost holder, and all others hear it
+    Given a large cell of 70 nodes and 4 shards, whose store takes 300 writes and 1500 reads a second
+    When 5 seconds pass in the large cell
+    Then a holder's heartbeats go to its successors each 0.2 seconds, to others each 0.28 seconds
+    When a holder of it loses its power
+    And 1.6 seconds pass in the large cell
+    Then each of its shards has one holder, and 3 nodes at least hold one
+    And every node of it is ready
+    And the store turned away no write and 0 reads at most
--- a/features/steps/large_cell_steps.py
+++ b/features/steps/large_cell_steps.py
@@ -25,6 +25,7 @@
 
 QUEUE = "normal"
 WORKERS_A_SHARD = 3
+TOLERANCE_SECONDS = 0.01
 
 
 @given("a new cell of {workers:d} workers and {part:d} workers a shard")
@@ -163,7 +164,7 @@
 def _heartbeats(context: Any) -> None:
     for node in context.cluster.nodes.values():
         held = {shard for shard, seat in node.node.seats.items() if seat.is_holding}
-        named = {shard for shard, _claim in node.node.heartbeat().claims}
+        named = {shard for shard, _claim in node.node.heartbeat(1.0).claims}
         assert named == held, (node.name, named, held)
 
 
@@ -255,3 +256,27 @@
 def _copies(context: Any) -> None:
     assert context.copies
     assert set(context.copies) == {context.lost_host}, context.copies
+
+
+@then(
+    "a holder's heartbeats go to its successors each {often:g} seconds, "
+    "to others each {seldom:g} seconds"
+)
+def _intervals(context: Any, often: float, seldom: float) -> None:
+    cluster = context.cluster
+    shard, name = _holders(cluster.nodes.values())[0]
+    holder = cluster.nodes[name].node
+    named = {member.life for member in holder.seats[shard].election.members}
+    now = cluster.time.now()
+    links = holder.peers.all_up_links()
+    holder._send_heartbeats(links)
+    for link in links:
+        expected = often if link.identity.life in named else seldom
+        assert abs(link.heartbeat_due_at - now - expected) < TOLERANCE_SECONDS, link.host
+    assert {link.identity.life in named for link in links} == {True, False}
+
+
+@when("a holder of it loses its power")
+def _lose_holder(context: Any) -> None:
+    _shard, name = _holders(context.cluster.nodes.values())[0]
+    context.cluster.power_off_node(name)
--- a/src/onyxspoke/core/shard/election.py
+++ b/src/onyxspoke/core/shard/election.py
@@ -47,8 +47,9 @@
 CLAIM_RETRY_SECONDS = 0.1
 #: A claim that is not answered is given up, and read back, after so many attempts.
 MAXIMUM_CLAIM_ATTEMPTS = 8
-#: A follower that hears nothing for so long doubts its holder.
+#: A follower that hears nothing for so long, and so many intervals, doubts its holder.
 SILENCE_SECONDS = 0.5
+INTERVALS_TO_SILENCE = 2.5
 #: First sequences are drawn from up to here, so that two claimants never share one.
 SEQUENCE_RANGE = 2**40
 
@@ -183,6 +184,7 @@
         self._is_reading = False
         self._looked_at = 0.0
         self._heard_at = 0.0
+        self._silence_seconds = SILENCE_SECONDS
         self._moved_at = 0.0
         self._dead_since: float | None = None
         self._suspects_death = False
@@ -236,8 +238,14 @@
         elif self.state is ElectionState.READING:
             self._decide(now)
 
-    def handle_peer_status(self, peer: NodeIdentity, claim: ClaimRecord | None, now: float) -> None:
-        """A peer tells which claim it holds or follows, if any."""
+    def handle_peer_status(
+        self,
+        peer: NodeIdentity,
+        claim: ClaimRecord | None,
+        now: float,
+        interval_seconds: float = 0.0,
+    ) -> None:
+        """A peer tells which claim it holds or follows, if any, and when it will tell again."""
         if self.state in (ElectionState.HOLDING, ElectionState.CLAIMING):
             return
         if claim is not None and self._is_new(claim) and claim.host != self._identity.host:
@@ -247,6 +255,7 @@
         if known is None or peer.host != known.host:
             return
         if claim is not None and claim.token == known.token and peer.life == known.life:
+            self._silence_seconds = max(SILENCE_SECONDS, INTERVALS_TO_SILENCE * interval_seconds)
             self._follow(now, known)
         elif self.state in _LOOKING_AT_HOLDER:
             if peer.life != known.life:
@@ -295,12 +304,14 @@
 
     def is_quiet(self, now: float) -> bool:
         """Return whether the passing of time changes nothing."""
-        return self.state is ElectionState.FOLLOWING and now - self._heard_at <= SILENCE_SECONDS
+        return (
+            self.state is ElectionState.FOLLOWING and now - self._heard_at <= self._silence_seconds
+        )
 
     def tick(self, now: float) -> None:
         """Some time has passed."""
         if self.state is ElectionState.FOLLOWING:
-            if now - self._heard_at > SILENCE_SECONDS:
+            if now - self._heard_at > self._silence_seconds:
                 self._watch(now, "heartbeat_missing")
             return
         if now < self._due_at:
@@ -367,6 +378,7 @@
 
     def _adopt_told_claim(self, peer: NodeIdentity, claim: ClaimRecord, now: float) -> None:
         self.claim = claim
+        self._silence_seconds = SILENCE_SECONDS
         self._dead_since = None
         self._suspects_death = False
         if claim.life != peer.life:
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -132,6 +132,7 @@
         self._was_ready = False
         self._round_at = 0.0
         self._configured_at = 0.0
+        self._told_reachable = False
         #: The time of day on which most nodes agree, less steady time, in milliseconds.
         self._time_offset_ms = 0.0
         self._schedule = HeartbeatSchedule()
@@ -402,7 +403,8 @@
 
     def handle_peer_up(self, link: PeerLink) -> None:
         """A peer has said who it is."""
-        link.send(self.heartbeat(is_first=True))
+        # The next one, which tells the true interval, follows soon.
+        link.send(self.heartbeat(HEARTBEAT_SECONDS, is_first=True))
         self._note_peers_changed()
         assert link.identity is not None
         logging.info("event=peer_up peer=%s life=%s", link.host, link.identity.life)
@@ -445,7 +447,9 @@
         for shard, seat in list(self.seats.items()):
             claim = claims.get(shard)
             if claim is not None or seat.election.is_held_by(link.host):
-                seat.election.handle_peer_status(link.identity, claim, now)
+                seat.election.handle_peer_status(
+                    link.identity, claim, now, message.interval_seconds
+                )
                 seat.carry_out_election()
 
     def _serve_call(self, link: PeerLink, message: CallForward) -> None:
@@ -485,6 +489,8 @@
         if now >= self._round_at:
             self._round_at = now + ROUND_SECONDS
             self._keep_slowly(now)
+        if self._schedule.take_news(now) and self._held_shards():
+            self._send_heartbeats()
         wall_ms = now * _MILLISECONDS + self._time_offset_ms
         for seat in list(self.seats.values()):
             if not seat.is_quiet(now):
@@ -521,6 +527,8 @@
 
     def _follow_store(self, now: float) -> None:
         """Let the seats know what follows from whether the store can be reached."""
+        if self.store.is_reachable is not self._told_reachable:
+            self._send_heartbeats()
         if self._store_watch.take_handover(now):
             for seat in self.seats.values():
                 if seat.is_holding:
@@ -546,39 +554,52 @@
 
     def _beat(self) -> None:
         now = self._clock.now()
-        if self._schedule.take_due(bool(self._held_shards()), now):
-            self._send_heartbeats()
+        self._send_heartbeats(self._schedule.select_due(self.peers.all_up_links(), now))
         links = self.peers.up_links()
         for message, receivers in self._succession.take_news(self._held_shards(), links):
             self.seats[message.shard].election.set_members(message.members)
             tell_successors(receivers, message)
 
-    def heartbeat_interval(self) -> float:
-        """Return how often heartbeats go out."""
-        return self._schedule.interval(bool(self._held_shards()))
-
-    def _send_heartbeats(self) -> None:
-        status = encode_message(self.heartbeat())
-        # On every stream, because one that is silent is ended.
-        for link in self.peers.all_up_links():
-            link.send_encoded(status)
-
-    def heartbeat(self, is_first: bool = False) -> Status:
-        """Return what a peer is told now; the first time it is all that this node knows."""
+    def _send_heartbeats(self, links: list[PeerLink] | None = None) -> None:
+        """Send heartbeats, by default on every stream, because one that is silent is ended."""
+        now = self._clock.now()
+        held = self._held_shards()
+        successors = {node.life for shard in held for node in self.seats[shard].election.members}
+        encoded: dict[float, bytes] = {}
+        for link in self.peers.all_up_links() if links is None else links:
+            assert link.identity is not None
+            interval = self._schedule.interval(bool(held), link.identity.life in successors)
+            if interval not in encoded:
+                encoded[interval] = encode_message(self.heartbeat(interval))
+            link.heartbeat_due_at = now + interval
+            link.send_encoded(encoded[interval])
+
+    def heartbeat(self, interval_seconds: float, is_first: bool = False) -> Status:
+        """Return what a peer is told now; the first time it is all that this node knows.
+
+        Parameters
+        ----------
+        interval_seconds : float
+            When the next one comes, at the latest.
+        """
         claims = {}
         for shard, seat in self.seats.items():
             claim = seat.held_claim or self._holders.get(shard)
             if claim is not None:
                 claims[shard] = claim
-        is_reachable = self.store.is_reachable
+        is_reachable = self._told_reachable = self.store.is_reachable
         now = self._clock.now()
         return Status(
-            claims=self._schedule.select(claims, self._held_shards(), is_first, now),
+            claims=self._schedule.select_claims(claims, self._held_shards(), is_first, now),
             shard_count=self.layout.shard_count if self.layout is not None else 0,
-            interval_seconds=self.heartbeat_interval(),
+            interval_seconds=interval_seconds,
             configuration_version=self.configuration.version if self.configuration else 0,
             can_reach_store=is_reachable,
             may_hold=is_reachable and not self.is_stopping,
             is_isolated=self.is_isolated,
             wall_ms=self._wall_ms(),
         )
+
+    def heartbeat_interval(self) -> float:
+        """Return how often heartbeats go out to a peer that is not to take over."""
+        return self._schedule.interval(bool(self._held_shards()), is_successor=False)
--- a/src/onyxspoke/node/peers.py
+++ b/src/onyxspoke/node/peers.py
@@ -56,6 +56,8 @@
         self.is_outgoing = is_outgoing
         self.identity: NodeIdentity | None = None
         self.heard_at = 0.0
+        #: When the next heartbeat is to be sent on the stream.
+        self.heartbeat_due_at = 0.0
         self.configuration_version = 0
         self.can_reach_store = False
         self.may_hold = True
