--- a/scripts/explore.sh
+++ b/scripts/explore.sh
@@ -15,4 +15,4 @@
 for ((first = 1; first <= seeds; first += chunk)); do
     echo "$first $((seeds - first + 1 < chunk ? seeds - first + 1 : chunk))"
 done | xargs -P "$(nproc)" -L 1 bash -c \
-    '"$0" explore-jobs --first-seed "$1" --seeds "$2"' "$bin/onyxspoke-sim"
+    '"$0" explore-jobs --first-seed "$1" --seeds "$2" --shards "${SHARDS:-1}"' "$bin/onyxspoke-sim"
--- a/src/onyxspoke/cli/sim.py
+++ b/src/onyxspoke/cli/sim.py
@@ -30,6 +30,7 @@
     jobs = commands.add_parser("explore-jobs", help="the same for jobs of several steps")
     jobs.add_argument("--first-seed", type=int, default=1)
     jobs.add_argument("--seeds", type=int, default=20)
+    jobs.add_argument("--shards", type=int, default=1, help="shards of the cell (default: 1)")
     arguments = parser.parse_args()
     logging.set_verbosity(logging.DEBUG if arguments.verbose else logging.FATAL)
     sys.exit(
@@ -64,7 +65,7 @@
 def _explore_jobs(arguments: argparse.Namespace) -> ExitCode:
     events = checks = failing = 0
     for seed in range(arguments.first_seed, arguments.first_seed + arguments.seeds):
-        report = play(seed)
+        report = play(seed, shards=arguments.shards)
         events += report.events
         checks += report.checks
         if not report.findings:
