A configuration that a peer can read itself is passed on only after a second

After those 0.3 s the holder sent each of 42 peers its copy, 13 MB a version, which filled its own link: workers fell silent, starts were unanswered, heartbeats missing.

--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -64,8 +64,9 @@
 SEED_RETRY_SECONDS = 1.0
 #: How long a node leaves a shard to others for each one that it holds.
 HELD_HANDICAP_SECONDS = 0.15
-#: A peer that the store serves is left to read a new configuration there for so long.
-OFFER_SECONDS = 0.3
+#: A peer that the store serves is left to read a new configuration there for so long: copies of
+#: a large one to every peer would fill a holder's link.
+OFFER_SECONDS = 1.0
 #: That no node reaches the store holds for so long.
 UNREACHABLE_SECONDS = 0.6
 _MILLISECONDS = 1_000.0
@@ -375,8 +376,7 @@
             listener(configuration)
         self._configured_at = self._clock.now()
         for link in self.peers.up_links():
-            if not link.can_reach_store:
-                self._offer_configuration(link)
+            self._offer_if_behind(link)
 
     def _offer_configuration(self, link: PeerLink) -> None:
         known = self.configuration
