--- a/features/election.feature
+++ b/features/election.feature
@@ -39,3 +39,14 @@
     When the holder of the cluster is killed
     And 0.4 seconds pass in that cluster
     Then every other node of it is ready
+
+  Scenario Outline: A node that nobody named claims in the end, however slow the store: <seconds>
+    Given a node that nobody named and that takes the holder for lost
+    When 3 seconds pass for it, each look being answered after <seconds> seconds
+    Then it claims
+
+    Examples:
+      | seconds |
+      | 0.004   |
+      | 0.12    |
+      | 0.4     |
--- a/features/steps/election_steps.py
+++ b/features/steps/election_steps.py
@@ -11,6 +11,7 @@
     Election,
     ElectionState,
     HolderChanged,
+    LossReason,
     NodeIdentity,
     ReadClaim,
     SendClaim,
@@ -139,3 +140,30 @@
     nodes = [node for name, node in context.cluster.nodes.items() if name != context.killed]
     late = [node.name for node in nodes if not node.node.is_ready]
     assert not late, late
+
+
+@given("a node that nobody named and that takes the holder for lost")
+def _unnamed(context: Any) -> None:
+    context.now = 10.0
+    election = context.election = Election(0, OWN, lambda: 0.5, 0.0)
+    election.start(context.now)
+    election.handle_claim_read(True, _claim_of(HOLDER, 7), END, context.now)
+    election.handle_peer_status(HOLDER, _claim_of(HOLDER, 7), context.now)
+    election.handle_peer_lost(HOLDER.host, LossReason.REFUSED, context.now)
+    context.actions = []
+
+
+@when("{seconds:g} seconds pass for it, each look being answered after {delay:g} seconds")
+def _pass_with_looks(context: Any, seconds: float, delay: float) -> None:
+    election = context.election
+    until = context.now + seconds
+    answers = []
+    while context.now < until:
+        context.now += TICK_SECONDS
+        election.tick(context.now)
+        actions = election.take_actions()
+        context.actions += actions
+        answers += [context.now + delay for action in actions if isinstance(action, ReadClaim)]
+        if answers and answers[0] <= context.now:
+            answers.pop(0)
+            election.handle_claim_read(True, _claim_of(HOLDER, 7), END, context.now)
