Settings are read by meaning: a name's case and underscores don't matter

Change: platform/settings_reader.py folds names; two spellings that disagree are a fault naming both; a missing rate of the store or size of the machine takes a default and a warning; faults name the file. Ruled out: deploy/wire.toml, which would pin names on the users' side, since a deployment that renames others would stop us again; nothing else of the settings differs between the sites (wire).

--- a/features/node_tools.feature
+++ b/features/node_tools.feature
@@ -52,7 +52,36 @@
       | bounds.graceS: missing                        |
       | bounds.maxHoldMs: missing                     |
       | heartbeatMs: missing                          |
-      | platform.writes_per_s: missing                |
+    And the file is named with each fault when it is read from disk
+
+  Scenario Outline: A setting is found under any spelling of its name
+    When a settings file is read whose store takes "<writes>" and "<reads>"
+    Then the store is known to take 800 writes and 2000 reads a second
+    And no default was taken
+
+    Examples:
+      | writes                     | reads                      |
+      | platform.writes_per_s=800  | platform.reads_per_s=2000  |
+      | platform.writesPerS=800    | platform.readsPerS=2000    |
+      | platform.WritesPer_s=800   | PLATFORM.READS_PER_S=2000  |
+
+  Scenario: Two spellings of one name that disagree are a fault that names both
+    When a settings file is read whose store takes "platform.writes_per_s=800" and "platform.writesPerS=600"
+    Then the settings' faults name
+      | fault                                                          |
+      | platform.writes_per_s: '800', but platform.writesPerS says '600' |
+
+  Scenario: Two spellings of one name that agree are no fault
+    When a settings file is read whose store takes "platform.writes_per_s=800" and "platform.writesPerS=800"
+    Then the settings are valid
+
+  Scenario: A setting with a sensible default is not fatal when missing
+    When a settings file is read whose store takes "" and ""
+    Then the store is known to take 600 writes and 2000 reads a second
+    And the defaults taken name
+      | warning                                |
+      | platform.writes_per_s: missing, 600.0  |
+      | platform.reads_per_s: missing, 2000.0  |
 
   Scenario: A whole settings file is read, and what is not known is passed over
     When the settings are read
--- a/features/steps/node_tools_steps.py
+++ b/features/steps/node_tools_steps.py
@@ -1,6 +1,7 @@
 """Steps for the parts of a product around a node."""
 
 import os
+import tempfile
 import time
 from pathlib import Path
 
@@ -16,7 +17,7 @@
 from onyxspoke.net.log_stream import BoundedLogStream
 from onyxspoke.node.operator_api import make_operator_site
 from onyxspoke.node.settings import SettingsError
-from onyxspoke.platform.settings import parse_settings
+from onyxspoke.platform.settings import load_settings, parse_settings
 
 #: Paths, headers and fields of the platform's pages.
 PLATFORM_NAMES = (
@@ -39,6 +40,26 @@
     "bindAddresses",
 )
 LINE = "x" * 99 + "\n"
+#: A node's settings but for the rates of the store.
+SETTINGS_WITHOUT_RATES = """
+nodeName=front-1
+ip=10.1.0.13
+zone=zone-a
+bindAddresses.front=10.1.0.13:8161
+bindAddresses.readiness=10.1.0.13:8167
+internalPortRange=7720,7735
+limits.cpuShare=0.5
+limits.cores=2
+heartbeatMs=1500
+bounds.graceS=6
+bounds.maxHoldMs=6000
+bounds.stopGraceMs=200
+bounds.status_s=120
+platform.address=10.200.1.7:8169
+platform.parts=24
+platform.record_bytes=262144
+platform.call_bytes=2097152
+"""
 
 
 @given("a running cluster with the product's own interface")
@@ -72,6 +93,7 @@
 @when("the settings are read")
 def _read_settings(context):
     try:
+        context.settings_text = context.text
         context.settings = parse_settings(context.text)
         context.faults = []
     except SettingsError as error:
@@ -87,6 +109,51 @@
         )
 
 
+@when('a settings file is read whose store takes "{writes}" and "{reads}"')
+@when('a settings file is read whose store takes "" and ""')
+def _read_store_settings(context, writes="", reads=""):
+    context.text = "\n".join([SETTINGS_WITHOUT_RATES, writes, reads])
+    _read_settings(context)
+
+
+@then("the store is known to take {writes:d} writes and {reads:d} reads a second")
+def _store_rates(context, writes, reads):
+    assert not context.faults, context.faults
+    budget = context.settings.node.store_budget
+    assert (budget.writes_per_second, budget.reads_per_second) == (writes, reads)
+
+
+@then("no default was taken")
+def _no_default(context):
+    assert context.settings.warnings == ()
+
+
+@then("the settings are valid")
+def _valid(context):
+    assert not context.faults, context.faults
+
+
+@then("the defaults taken name")
+def _defaults(context):
+    expected = [row["warning"] for row in context.table]
+    assert len(context.settings.warnings) == len(expected)
+    for warning, start in zip(context.settings.warnings, expected, strict=True):
+        assert warning.startswith(start), warning
+
+
+@then("the file is named with each fault when it is read from disk")
+def _file_named(context):
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "boot.conf"
+        path.write_text(context.settings_text, encoding="utf-8")
+        try:
+            load_settings(path)
+        except SettingsError as error:
+            assert all(fault.startswith(f"{path}: ") for fault in error.faults), error.faults
+        else:
+            raise AssertionError("the settings were taken")
+
+
 @then('the node "{name}" has peers at port {port:d}, metrics at {metrics:d} and seeds "{seeds}"')
 def _settings(context, name, port, metrics, seeds):
     assert not context.faults, context.faults
--- a/src/onyxspoke/cli/node.py
+++ b/src/onyxspoke/cli/node.py
@@ -71,10 +71,14 @@
         sys.exit(ExitCode.USAGE)
     settings = load_or_exit(Path(arguments.config))
     if arguments.check:
+        for warning in settings.warnings:
+            print(f"{arguments.config}: warning: {warning}", file=sys.stderr)
         print(f"{arguments.config}: valid")
         sys.exit(ExitCode.OK)
     lines = BoundedLogStream(sys.stdout.fileno())
     configure_logging(settings.node.node_name, verbose=arguments.verbose, stream=lines)
+    for warning in settings.warnings:
+        logging.warning("event=setting_assumed detail=%r", warning)
     exit_code = run(settings, Path(arguments.config), lines)
     lines.drain()
     sys.exit(exit_code)
--- a/src/onyxspoke/platform/settings.py
+++ b/src/onyxspoke/platform/settings.py
@@ -1,16 +1,15 @@
-"""Reads the platform's settings file: lines of the form ``a.b=value``."""
+"""The platform's settings file, read into the node's own terms."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from pathlib import Path
-from typing import TypeVar
 
 import msgspec
 
 from onyxspoke.core.shard.context import ShardOptions
 from onyxspoke.core.shard.store_budget import StoreBudget
 from onyxspoke.node.settings import Address, NodeSettings, SettingsError
+from onyxspoke.platform.settings_reader import SettingsReader
 
 #: Environment variable that holds the path of the settings file.
 PATH_VARIABLE = "ONYXSPOKE_CONFIG"
@@ -19,10 +18,14 @@
 METRICS_PORT_INDEX = 1
 OPERATOR_PORT_INDEX = 2
 PORTS_NEEDED = 3
-HIGHEST_PORT = 65_535
 _MILLISECONDS = 1_000.0
-
-Value = TypeVar("Value")
+#: Assumed where a file doesn't tell the store's rates: the lowest that a user's sheet names.
+#: Too low a figure only slows a large cell's appends; too high a one has calls turned away.
+DEFAULT_WRITES_PER_SECOND = 600.0
+DEFAULT_READS_PER_SECOND = 2_000.0
+#: Assumed where a file doesn't tell the machine's size: the weight only ranks claimants.
+DEFAULT_CPU_SHARE = 1.0
+DEFAULT_CORES = 1
 
 
 class StoreSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -35,77 +38,17 @@
 
 
 class PlatformSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """Everything that the settings file tells: the node's own part, and the outside systems."""
+    """Everything that the settings file tells: the node's own part, and the outside systems.
+
+    ``warnings`` names each setting that is missing and whose default was taken.
+    """
 
     node: NodeSettings
     store: StoreSettings
     advice: Address | None
     cloud: Address | None
     heartbeat_ms: int
-
-
-class _Reader:
-    """Reads typed values by their names and gathers every fault."""
-
-    def __init__(self, values: dict[str, str]) -> None:
-        self._values = values
-        self.faults: list[str] = []
-
-    def text(self, name: str) -> str:
-        value = self._values.get(name, "")
-        if not value:
-            self.faults.append(f"{name}: missing")
-        return value
-
-    def texts(self, name: str) -> tuple[str, ...]:
-        value = self._values.get(name, "")
-        return tuple(part for part in value.split(",") if part)
-
-    def whole(self, name: str, low: int, high: int) -> int:
-        return self._number(name, int, low, high)
-
-    def fraction(self, name: str, low: float, high: float) -> float:
-        return self._number(name, float, low, high)
-
-    def address(self, name: str) -> Address:
-        return self._parse_address(name, self.text(name))
-
-    def optional_address(self, name: str) -> Address | None:
-        value = self._values.get(name, "")
-        return self._parse_address(name, value) if value else None
-
-    def ports(self, name: str) -> tuple[int, ...]:
-        parts = self.texts(name)
-        try:
-            first, last = (int(part) for part in parts)
-        except ValueError:
-            self.faults.append(f"{name}: expected FIRST,LAST")
-            return (0,) * PORTS_NEEDED
-        if last - first + 1 < PORTS_NEEDED:
-            self.faults.append(f"{name}: needs {PORTS_NEEDED} ports")
-        return tuple(range(first, first + PORTS_NEEDED))
-
-    def _number(self, name: str, convert: Callable[[str], Value], low: Value, high: Value) -> Value:
-        text = self.text(name)
-        if not text:
-            return low
-        try:
-            value = convert(text)
-        except ValueError:
-            self.faults.append(f"{name}: expected a number, got {text!r}")
-            return low
-        if not low <= value <= high:  # type: ignore[operator]
-            self.faults.append(f"{name}: {text} is not within {low} and {high}")
-            return low
-        return value
-
-    def _parse_address(self, name: str, value: str) -> Address:
-        host, _, port = value.rpartition(":")
-        if not host or not port.isdigit() or not 0 < int(port) <= HIGHEST_PORT:
-            if value:
-                self.faults.append(f"{name}: expected HOST:PORT, got {value!r}")
-            return Address("", 0)
-        return Address(host, int(port))
+    warnings: tuple[str, ...] = ()
 
 
 def load_settings(path: Path) -> PlatformSettings:
@@ -120,13 +63,16 @@
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError([f"{path}: {error}"]) from error
-    return parse_settings(text)
+    try:
+        return parse_settings(text)
+    except SettingsError as error:
+        raise SettingsError([f"{path}: {fault}" for fault in error.faults]) from error
 
 
 def parse_settings(text: str) -> PlatformSettings:
     """Return the checked settings; fields that are not known are passed over."""
-    reader = _Reader(_split_lines(text))
-    ports = reader.ports("internalPortRange")
+    reader = SettingsReader(text)
+    ports = reader.ports("internalPortRange", PORTS_NEEDED)
     heartbeat_ms = reader.whole("heartbeatMs", 1, 3_600_000)
     node = NodeSettings(
         node_name=reader.text("nodeName"),
@@ -140,13 +86,17 @@
         seeds=tuple(seed.rpartition(":")[0] for seed in reader.texts("seeds")),
         stop_grace_seconds=reader.fraction("bounds.graceS", 0.0, 3_600.0),
         shard_options=_read_options(reader),
-        weight=reader.fraction("limits.cpuShare", 0.0, 1_000.0)
-        * reader.whole("limits.cores", 1, 1_000),
+        weight=reader.fraction_or("limits.cpuShare", 0.0, 1_000.0, DEFAULT_CPU_SHARE)
+        * reader.whole_or("limits.cores", 1, 1_000, DEFAULT_CORES),
         most_shards=reader.whole("platform.parts", 1, 1_000_000),
         layout_settle_seconds=heartbeat_ms / _MILLISECONDS,
         store_budget=StoreBudget(
-            writes_per_second=reader.fraction("platform.writes_per_s", 1.0, 1e9),
-            reads_per_second=reader.fraction("platform.reads_per_s", 1.0, 1e9),
+            writes_per_second=reader.fraction_or(
+                "platform.writes_per_s", 1.0, 1e9, DEFAULT_WRITES_PER_SECOND
+            ),
+            reads_per_second=reader.fraction_or(
+                "platform.reads_per_s", 1.0, 1e9, DEFAULT_READS_PER_SECOND
+            ),
         ),
     )
     settings = PlatformSettings(
@@ -155,13 +105,14 @@
         advice=reader.optional_address("advice"),
         cloud=reader.optional_address("cloudApi.address"),
         heartbeat_ms=heartbeat_ms,
+        warnings=tuple(reader.warnings),
     )
     if reader.faults:
         raise SettingsError(reader.faults)
     return settings
 
 
-def _read_options(reader: _Reader) -> ShardOptions:
+def _read_options(reader: SettingsReader) -> ShardOptions:
     return ShardOptions(
         maximum_hold_ms=reader.whole("bounds.maxHoldMs", 100, 3_600_000),
         stop_grace_ms=reader.whole("bounds.stopGraceMs", 0, 600_000),
@@ -169,19 +120,10 @@
     )
 
 
-def _read_store(reader: _Reader) -> StoreSettings:
+def _read_store(reader: SettingsReader) -> StoreSettings:
     return StoreSettings(
         address=reader.address("platform.address"),
         partitions=reader.whole("platform.parts", 1, 1_000_000),
         record_bytes=reader.whole("platform.record_bytes", 1_024, 1 << 30),
         call_bytes=reader.whole("platform.call_bytes", 1_024, 1 << 30),
     )
-
-
-def _split_lines(text: str) -> dict[str, str]:
-    values = {}
-    for line in text.splitlines():
-        name, separator, value = line.partition("=")
-        if separator:
-            values[name.strip()] = value.strip()
-    return values
