onyxspokectl account: where the time of jobs went, from the logs of all nodes

Cause: which phase makes jobs late had to be found by reading logs job by job. Change: account/ walks each job's critical path back from its end through the logs of all nodes and splits it into record, advice, room, takeover, lost runs, work and shown; the command prints them by queue, by second and for the worst jobs. job_taken tells stretch and target, and each answer of the advice service is a line of its own, because both are needed for it.

--- a/src/onyxspoke/cli/control.py
+++ b/src/onyxspoke/cli/control.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from onyxspoke.cli.account_command import add_account_command
 from onyxspoke.cli.api_client import ApiClient, ApiError
 from onyxspoke.cli.common import exit_after_check, load_or_exit, make_parser
 from onyxspoke.cli.config_commands import add_config_commands
@@ -63,6 +64,7 @@
     add_config_commands(commands)
     add_step_commands(commands)
     add_explain_command(commands)
+    add_account_command(commands)
     return parser
 
 
--- a/src/onyxspoke/core/shard/call_desk.py
+++ b/src/onyxspoke/core/shard/call_desk.py
@@ -109,6 +109,8 @@
             queue=spec.queue.name,
             steps=len(spec.steps),
             tasks=sum(step.task_count for step in spec.steps),
+            stretch=spec.queue.stretch,
+            target_ms=int(spec.queue.target_latency_ms),
             policy=self._context.policy.version,
         )
 
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -190,6 +190,9 @@
         """The advice service answered, or did not."""
         step = self.context.desk.handle_result(call_id, result, now)
         if step is not None:
+            name = f"{step.job_id}.{step.repetition}.{step.step}"
+            asked = len(self.context.desk.known_asked(step))
+            self.context.log("advice", step=name, good=len(result.tickets), asked=asked)
             self._placer.reconsider(step)
             self.context.wants_placement = True
 
