A worker that leaves with nothing to do is no longer on record

Change: once a worker is leaving or unlisted and runs nothing, its record is dropped; listed again, it is written again before anything starts there. Ruled out: taking a refused connection for a worker's end (a cut may refuse connections, too). The new scenario is red without it.

--- a/features/job_promises.feature
+++ b/features/job_promises.feature
@@ -134,6 +134,19 @@
       | a cluster with 1 worker(s)                               | nothing         |
       | a cluster with 1 worker(s), without "room of stray runs" | "over_capacity" |
 
+  Scenario: A worker that left with nothing to do keeps no new holder waiting
+    Given a cluster with 2 worker(s)
+    And its tasks take 6 seconds
+    When one of its workers leaves, and is gone after 1 second
+    And 2 seconds pass in that cell
+    And a job that takes all of its worker is accepted
+    And another such job is handed in
+    And the holder is killed
+    And another node holds the shard
+    And 2 seconds pass in that cell
+    Then the other job has begun
+    And the cluster has broken nothing
+
   Scenario: How long a job has waited outlives its holder
     Given a cluster with 1 worker(s)
     And a job that takes all of its worker is at work
--- a/features/steps/job_directed_steps.py
+++ b/features/steps/job_directed_steps.py
@@ -213,6 +213,18 @@
     assert Violation(name) in found, found
 
 
+@when("one of its workers leaves, and is gone after {seconds:g} second")
+def _leave(context: Any, seconds: float) -> None:
+    workers = context.cluster.pool.workers.values()
+    idle = next(worker.worker_id for worker in workers if not worker.runs)
+    context.cluster.drain_worker(idle, seconds)
+
+
+@then("the other job has begun")
+def _has_begun(context: Any) -> None:
+    assert context.cluster.audit.jobs[SECOND_JOB].has_started
+
+
 @then("the other job runs in the end")
 def _runs(context: Any) -> None:
     context.cluster.run(8.0)
--- a/src/onyxspoke/core/shard/worker_keeper.py
+++ b/src/onyxspoke/core/shard/worker_keeper.py
@@ -58,6 +58,7 @@
         self._unrecorded: dict[WorkerId, Worker] = {}
         self._dropped: dict[WorkerId, None] = {}
         self._settled_once = False
+        self._directory_is_known = False
         self._hold_counter = 0
 
     # Directory
@@ -74,6 +75,7 @@
         for record in records:
             self._take_listing(record, now)
         if is_whole:
+            self._directory_is_known = True
             listed = {record.worker_id for record in records}
             for worker in list(self._context.table.workers.values()):
                 if worker.worker_id not in listed:
@@ -99,6 +101,10 @@
             worker.listing = record.listing
             self._log(worker, "worker_listing", listing=record.listing.value)
         worker.record = record
+        if record.listing is WorkerListing.READY and not worker.is_recorded:
+            # Its record may have been dropped when it was emptied; it is of use again.
+            self._dropped.pop(record.worker_id, None)
+            self._unrecorded[record.worker_id] = worker
         self._context.wants_placement = True
 
     def _add(self, record: WorkerRecord) -> Worker:
@@ -145,8 +151,24 @@
                 self._end_life(worker, now, "lease_over")
                 continue
             self._hold_if_due(worker, now)
+            self._drop_record_if_emptied(worker)
         self._settle_if_known(now)
 
+    def _drop_record_if_emptied(self, worker: Worker) -> None:
+        """Drop the record of a worker that runs nothing and is offered nothing any more.
+
+        A new holder waits for the answer, or the end of the lease, of every worker on record
+        before it starts what may run there already.  A worker that leaves answers no more, and
+        its lease is the longest that there is.
+        """
+        is_known = worker.contact in (WorkerContact.SETTLED, WorkerContact.SILENT)
+        is_empty = not worker.runs and not worker.strays
+        is_leaving = self._directory_is_known and worker.listing is not WorkerListing.READY
+        if worker.is_recorded and is_known and is_empty and is_leaving:
+            worker.is_recorded = False
+            self._dropped[worker.worker_id] = None
+            self._log(worker, "worker_emptied", listing=worker.listing.value)
+
     def _hold_if_due(self, worker: Worker, now: float) -> None:
         if worker.wants_look and not worker.quick_hold.sent_at:
             worker.wants_look = False
