Steps that find no room ask ahead, hold room, and have later queues give way

Change: core/placement/room_seeker.py looks after waiting steps, one worker at a time: tickets are asked for so that they come with the room, room that comes within 0.6 s is held, and where none comes within 1 s, preemption.py chooses checkpointed runs of later queues to be stopped, as few as needed. Nothing gives way before the ticket is there, for what stays put by itself, or for a job that nobody waits for any more. Reservations now serve single steps as well as gangs.

--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -28,7 +28,7 @@
         self.now = 100.0
         self.table = WorkerTable()
         self.desk = AdviceDesk()
-        self.placer = Placer(self.table, self.desk)
+        self.placer = Placer(self.table, self.desk, stop_seconds=0.4)
         self.advice: AdvicePolicy | None = None
         self.steps: dict[str, StepProgress] = {}
         self.runs: dict[str, Run] = {}
--- /dev/null
+++ b/features/steps/preemption_steps.py
@@ -0,0 +1,168 @@
+"""Steps about runs that give way to more urgent work, without a cluster."""
+
+from __future__ import annotations
+
+import random
+from itertools import combinations
+from typing import Any
+
+from behave import given, then, when
+from placement_steps import MILLI, _Scene
+
+from onyxspoke.core.jobs.model import Needs
+from onyxspoke.core.jobs.policy import PolicySet
+from onyxspoke.core.jobs.states import RunState
+from onyxspoke.core.placement.preemption import choose_preemption
+from onyxspoke.core.placement.room import ScratchRoom, slots_within
+from onyxspoke.core.shard.orders import AdviceOutcome, AdviceResult, Ticket
+
+TRAITS: dict[str, dict[str, bool]] = {
+    "with checkpoints": {"checkpointing": True},
+    "without them": {},
+    "lasting": {"checkpointing": True, "long_running": True},
+}
+
+
+@given(
+    '"{worker}" is at work on "{name}" of {processors:d} processors,'
+    " priority {priority:d}, {traits}"
+)
+def _at_work(
+    context: Any, worker: str, name: str, processors: int, priority: int, traits: str
+) -> None:
+    scene = context.scene
+    step = scene.add_step(name, 1, processors, priority, **TRAITS[traits])
+    run = scene.start(step, 0, scene.table.workers[worker])
+    run.move_to(RunState.RUNNING)
+    run.confirmed_at = scene.now
+    scene.runs[name] = context.run = run
+
+
+@given("it has {seconds:g} seconds to go")
+@when("it has {seconds:g} seconds to go")
+def _to_go(context: Any, seconds: float) -> None:
+    context.run.confirmed_at = context.scene.now - 2.0 + seconds
+
+
+@when('"{name}" has been stopped')
+def _stopped(context: Any, name: str) -> None:
+    run = context.scene.runs[name]
+    run.move_to(RunState.ENDED)
+    run.worker.remove(run)
+    context.scene.table.note_gain(run.worker)
+
+
+@when('the advice is that "{name}" may run on "{worker}"')
+def _advice(context: Any, name: str, worker: str) -> None:
+    scene = context.scene
+    call = next(call for call in scene.calls if call.step.job_id == name)
+    tickets = [Ticket(worker, "ticket")]
+    result = AdviceResult(AdviceOutcome.ANSWERED, tickets, validity_ms=2_000)
+    scene.placer.reconsider(scene.desk.handle_result(call.call_id, result, scene.now))
+
+
+@then('"{victim}" gives way to "{step}"')
+def _gives_way(context: Any, victim: str, step: str) -> None:
+    evictions = context.scene.placer.take_evictions()
+    found = [
+        (run.task.step.job.job_id, eviction.step.job.job_id)
+        for eviction in evictions
+        for run in eviction.preemption.runs
+    ]
+    assert found == [(victim, step)], found
+
+
+@then("nothing gives way")
+def _nothing(context: Any) -> None:
+    assert context.scene.placer.take_evictions() == []
+
+
+@then(
+    '"{name}" of {processors:d} processors, priority {priority:d},'
+    " that comes now does not take the room"
+)
+def _not_taken(context: Any, name: str, processors: int, priority: int) -> None:
+    scene = context.scene
+    scene.add_step(name, 1, processors, priority)
+    scene.make_pass()
+    assert name not in scene.started, scene.started
+
+
+@then('advice on "{name}" and "{worker}" is asked for')
+def _asked(context: Any, name: str, worker: str) -> None:
+    calls = [(call.step.job_id, call.worker_ids) for call in context.scene.calls]
+    assert (name, (worker,)) in calls, calls
+
+
+@when("preemption is chosen in {count:d} random cells")
+def _random_cells(context: Any, count: int) -> None:
+    context.cells = [_random_cell(random.Random(seed)) for seed in range(count)]
+
+
+def _random_cell(rng: random.Random) -> Any:
+    """Return a cell, what is wanted, what was chosen, and whether a naive search finds room."""
+    scene = _Scene()
+    for index in range(rng.randint(1, 3)):
+        name = f"w{index}"
+        scene.add_worker(name, rng.randint(4, 16))
+        worker = scene.table.workers[name]
+        for number in range(rng.randint(0, 5)):
+            processors = rng.randint(1, 6)
+            if processors * MILLI > worker.free_processors:
+                continue
+            traits = TRAITS[rng.choice(list(TRAITS))]
+            step = scene.add_step(f"{name}-{number}", 1, processors, rng.randint(0, 2), **traits)
+            run = scene.start(step, 0, worker)
+            run.move_to(RunState.RUNNING)
+            run.confirmed_at = scene.now - rng.choice([0.0, 0.5, 1.7])
+    needs = Needs(rng.randint(3, 16) * MILLI, 100, 0)
+    workers = [item for item in scene.table.workers.values() if not item.fits(needs)]
+    found = choose_preemption(1, needs, workers, ScratchRoom(), PolicySet(), scene.now)
+    return scene, needs, found, any(_naive(worker, needs, scene.now) for worker in workers)
+
+
+def _naive(worker: Any, needs: Needs, now: float) -> bool:
+    """Try every set of runs that may give way, beside those that end within a moment."""
+    soon, movable = [], []
+    for run in worker.runs.values():
+        spec = run.task.step.spec
+        left = 2.0 - (now - run.confirmed_at)
+        if not spec.long_running and left < 0.6:
+            soon.append(run)
+        elif (
+            spec.checkpointing
+            and not spec.long_running
+            and run.task.step.job.spec.queue.priority > 1
+        ):
+            movable.append(run)
+    for size in range(len(movable) + 1):
+        for chosen in combinations(movable, size):
+            freed = sum(run.needs.processors_milli for run in [*soon, *chosen])
+            if worker.free_processors + freed >= needs.processors_milli:
+                # Where nothing has to give way, nothing does.
+                return size > 0
+    return False
+
+
+@then("it is found just where trying every set of runs finds one")
+def _same(context: Any) -> None:
+    found_any = 0
+    for _scene, needs, found, naive in context.cells:
+        assert (found is not None) == naive, (needs, found, naive)
+        found_any += found is not None
+    assert found_any > len(context.cells) // 20
+
+
+@then("no run gives way that need not")
+def _needed(context: Any) -> None:
+    for scene, needs, found, _naive_found in context.cells:
+        if found is None:
+            continue
+        free = found.worker.free_processors
+        for run in found.worker.runs.values():
+            left = 2.0 - (scene.now - run.confirmed_at)
+            if run in found.runs or (not run.task.step.spec.long_running and left < 0.6):
+                free += run.needs.processors_milli
+        for run in found.runs:
+            left = Needs(free - run.needs.processors_milli, 1_000_000, 0)
+            assert slots_within(left, needs) == 0, (needs, found)
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from onyxspoke.core.jobs.model import AdvicePolicy, Needs, QueuePolicy, StepKey
@@ -9,12 +10,17 @@
 from onyxspoke.core.jobs.progress import StepProgress, TaskProgress
 from onyxspoke.core.placement.advice_desk import AdviceDesk, StepAdvice
 from onyxspoke.core.placement.queue_order import step_rank, step_rank_of
-from onyxspoke.core.placement.reservations import GangReservations, MemberSlots, can_ever_fit
+from onyxspoke.core.placement.reservations import MemberSlots, RoomReservations, can_ever_fit
 from onyxspoke.core.placement.room import ScratchRoom
+from onyxspoke.core.placement.room_seeker import Eviction, RoomSeeker
 from onyxspoke.core.placement.workers import Worker, WorkerTable
 
 #: Tasks placed in one pass at most, so that a pass stays short.
 MAXIMUM_PLACEMENTS = 200
+#: A step that waits for room is looked at again after so long, in seconds.
+LOOK_AGAIN_SECONDS = 0.2
+#: Steps that are looked after in one pass while they wait, so that a pass stays short.
+MAXIMUM_LOOKED_AHEAD = 12
 #: Tickets for a gang are asked for once so much of its room is there.
 ASKING_SHARE = 0.6
 #: Tickets that run out so soon after the answer to a call are asked for anew.
@@ -50,12 +56,20 @@
     waits holds the room that it could use, so that what comes after it does not take it.
     """
 
-    def __init__(self, table: WorkerTable, desk: AdviceDesk) -> None:
+    def __init__(self, table: WorkerTable, desk: AdviceDesk, stop_seconds: float) -> None:
         self._table = table
         self._desk = desk
         #: Change number of the table at which a step was last looked at in vain.
         self._blocked_at: dict[StepKey, int] = {}
-        self._reservations = GangReservations(table)
+        self._reservations = RoomReservations(table)
+        self._seeker = RoomSeeker(desk, self._reservations, stop_seconds)
+        #: When a step that waits for room is looked at next, though none was gained.
+        self._look_again_at: dict[StepKey, float] = {}
+
+    def take_evictions(self) -> list[Eviction]:
+        """Return the runs that are to give way since the last call."""
+        evictions, self._seeker.evictions = self._seeker.evictions, []
+        return evictions
 
     def reconsider(self, key: StepKey) -> None:
         """Look at a step anew: what is known of it has changed."""
@@ -71,18 +85,27 @@
         Room is tracked in a scratch copy; nothing of the workers is changed.
         """
         self._table.note_availability(now)
-        self._reservations.drop_others({step.key for step in steps})
+        waiting = {step.key for step in steps}
+        self._reservations.drop_others(waiting)
+        for key in self._look_again_at.keys() - waiting:
+            del self._look_again_at[key]
         plan: list[StepPlacement] = []
         room = ScratchRoom()
         offers = _Offers(self._table, now)
         changes = _Changes(self._table)
         blocked_at: dict[StepKey, int] = {}
+        looked_ahead = 0
         count = 0
         for step in sorted(steps, key=lambda item: step_rank(item, policy, now)):
             since = self._blocked_at.get(step.key)
-            if since is None or changes.may_help(step, since, self._desk):
+            may_look_ahead = not step.spec.gang and looked_ahead < MAXIMUM_LOOKED_AHEAD
+            is_due = may_look_ahead and now >= self._look_again_at.get(step.key, math.inf)
+            if since is None or is_due or changes.may_help(step, since, self._desk):
                 queue = policy.queue_of(step.job.spec)
-                placed = self._place_step(step, queue, offers.of(queue.service), room, now)
+                offer = offers.of(queue.service)
+                placed = self._place_step(step, queue, offer, room, now)
+                if may_look_ahead:
+                    looked_ahead += self._look_ahead(step, queue, placed, offer, room, policy, now)
                 if placed is not None:
                     plan.append(placed)
                     count += len(placed.placements)
@@ -120,6 +143,36 @@
             candidates = _with_tickets(self._desk.advice_on(step), offer, now)
         return [item for item in candidates if _has_label(item.worker, step)]
 
+    def _look_ahead(
+        self,
+        step: StepProgress,
+        queue: QueuePolicy,
+        placed: StepPlacement | None,
+        offer: _Offer,
+        room: ScratchRoom,
+        policy: PolicySet,
+        now: float,
+    ) -> int:
+        """Look after a step of which tasks still wait; return 1 if that was so, or 0."""
+        self._look_again_at.pop(step.key, None)
+        if placed is not None and len(placed.placements) == len(step.waiting):
+            self._reservations.drop(step.key)
+            return 0
+        self._look_again_at[step.key] = now + LOOK_AGAIN_SECONDS
+        advice = self._desk.advice_on(step) if queue.advice is not None else None
+        counts = _counts_on_workers(step)
+        workers = [
+            worker
+            for worker in offer.workers.values()
+            if (advice is None or worker.worker_id in advice.tickets)
+            and _has_label(worker, step)
+            and not worker.health.is_doubtful(now)
+            and counts.get(worker.worker_id, 0) < (step.spec.spread_limit or len(step.tasks))
+        ]
+        total = offer.processors_milli
+        self._seeker.seek(step, queue, workers, total, room, policy, now)
+        return 1
+
     # Gangs
 
     def _place_gang(
--- /dev/null
+++ b/src/onyxspoke/core/placement/preemption.py
@@ -0,0 +1,114 @@
+"""Which runs give way to a more urgent task: a pure function of what runs and what is wanted.
+
+Only runs of a queue that comes later give way, and only where stopping them loses next to
+nothing: those that keep checkpoints.  Tasks that last and members of gangs stay.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from onyxspoke.core.jobs.model import Needs
+from onyxspoke.core.jobs.policy import PolicySet
+from onyxspoke.core.jobs.states import RunState
+from onyxspoke.core.placement.forecast import remaining_seconds
+from onyxspoke.core.placement.room import ScratchRoom, slots_within
+from onyxspoke.core.placement.runs import Run
+from onyxspoke.core.placement.workers import Worker
+
+#: A run that ends by itself so soon is left alone, in seconds: a stop takes about as long.
+SOON_SECONDS = 0.6
+#: What an accelerator counts beside processors when work is weighed, in thousandths of one.
+ACCELERATOR_MILLI = 8_000
+
+
+@dataclass(slots=True)
+class Preemption:
+    """Runs to be stopped on one worker, and what restoring them costs in thousandths of a core."""
+
+    worker: Worker
+    runs: list[Run]
+    weight: int
+
+
+def choose_preemption(
+    priority: int,
+    needs: Needs,
+    workers: list[Worker],
+    room: ScratchRoom,
+    policy: PolicySet,
+    now: float,
+) -> Preemption | None:
+    """Return the least work whose stop makes room for one task on one of these workers.
+
+    Parameters
+    ----------
+    priority : int
+        Of the queue that wants the room; runs of later queues, with a higher number, give way.
+    """
+    best: Preemption | None = None
+    for worker in workers:
+        found = _choose_on(worker, priority, needs, room, policy, now)
+        if found is not None and (best is None or found.weight < best.weight):
+            best = found
+    return best
+
+
+def _choose_on(
+    worker: Worker,
+    priority: int,
+    needs: Needs,
+    room: ScratchRoom,
+    policy: PolicySet,
+    now: float,
+) -> Preemption | None:
+    free = room.free(worker)
+    victims = []
+    for run in worker.runs.values():
+        if run.state is RunState.STOPPING or _ends_soon(run, now):
+            free = _plus(free, run.needs)
+        elif _may_give_way(run, priority, policy):
+            victims.append(run)
+    victims.sort(key=lambda run: (-_priority_of(run, policy), _weight(run), run.key))
+    chosen = []
+    for run in victims:
+        if slots_within(free, needs) > 0:
+            break
+        chosen.append(run)
+        free = _plus(free, run.needs)
+    if not chosen or slots_within(free, needs) == 0:
+        return None
+    for run in list(chosen):
+        without = Needs(*(have - less for have, less in zip(free, run.needs, strict=True)))
+        if slots_within(without, needs) > 0:
+            chosen.remove(run)
+            free = without
+    return Preemption(worker, chosen, sum(_weight(run) for run in chosen))
+
+
+def _may_give_way(run: Run, priority: int, policy: PolicySet) -> bool:
+    step = run.task.step.spec
+    return (
+        run.state is RunState.RUNNING
+        and run.gang is None
+        and step.checkpointing
+        and not step.long_running
+        and not step.fills
+        and _priority_of(run, policy) > priority
+    )
+
+
+def _ends_soon(run: Run, now: float) -> bool:
+    return run.state is RunState.RUNNING and remaining_seconds(run, now) < SOON_SECONDS
+
+
+def _priority_of(run: Run, policy: PolicySet) -> int:
+    return policy.queue_of(run.task.step.job.spec).priority
+
+
+def _weight(run: Run) -> int:
+    return run.needs.processors_milli + ACCELERATOR_MILLI * run.needs.accelerators
+
+
+def _plus(free: Needs, freed: Needs) -> Needs:
+    return Needs(*(have + more for have, more in zip(free, freed, strict=True)))
--- a/src/onyxspoke/core/placement/reservations.py
+++ b/src/onyxspoke/core/placement/reservations.py
@@ -36,7 +36,7 @@
         return sum(item.count for item in self.slots) * self.step.spec.needs.processors_milli
 
 
-class GangReservations:
+class RoomReservations:
     """What is held, by the step that waits for it."""
 
     def __init__(self, table: WorkerTable) -> None:
--- a/src/onyxspoke/core/placement/room.py
+++ b/src/onyxspoke/core/placement/room.py
@@ -28,15 +28,18 @@
             and taken.accelerators + needs.accelerators <= worker.free_accelerators
         )
 
-    def slots(self, worker: Worker, needs: Needs) -> int:
-        """Return for how many more tasks a worker has room left."""
+    def free(self, worker: Worker) -> Needs:
+        """Return what a worker has left; below zero where more is held than there is."""
         taken = self._taken.get(worker.worker_id, Needs())
-        free = Needs(
+        return Needs(
             worker.free_processors - taken.processors_milli,
             worker.free_memory - taken.memory_mb,
             worker.free_accelerators - taken.accelerators,
         )
-        return slots_within(free, needs)
+
+    def slots(self, worker: Worker, needs: Needs) -> int:
+        """Return for how many more tasks a worker has room left."""
+        return slots_within(self.free(worker), needs)
 
     def free_processors(self, worker: Worker) -> int:
         """Return a worker's processors that are left, in thousandths."""
--- /dev/null
+++ b/src/onyxspoke/core/placement/room_seeker.py
@@ -0,0 +1,146 @@
+"""What is done for a step that found no room: ask ahead, hold room, have others give way.
+
+One worker at a time: the one that has room soonest.  Tickets for it are asked for so that the
+answer is there when the room is; room that is there, or comes within a moment, is held, so that
+what comes later does not take it; and where none comes soon, later queues give way.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from onyxspoke.core.jobs.model import QueuePolicy
+from onyxspoke.core.jobs.policy import PolicySet
+from onyxspoke.core.jobs.progress import StepProgress
+from onyxspoke.core.placement.advice_desk import AdviceDesk
+from onyxspoke.core.placement.forecast import room_expected_at
+from onyxspoke.core.placement.preemption import Preemption, choose_preemption
+from onyxspoke.core.placement.queue_order import Lateness, step_rank_of
+from onyxspoke.core.placement.reservations import MemberSlots, RoomReservations
+from onyxspoke.core.placement.room import ScratchRoom
+from onyxspoke.core.placement.workers import Worker
+
+#: Room that is expected within so long is held, in seconds.
+HOLD_AHEAD_SECONDS = 0.6
+#: Others give way only where room would come later than this, in seconds; a stop, the look that
+#: shows its end and the restart of what was stopped take about as long.
+GAIN_SECONDS = 1.0
+#: A ticket is asked for anew where it would run out before the room is there and so long after.
+TICKET_RESERVE_SECONDS = 0.45
+_MILLISECONDS = 1_000.0
+
+
+@dataclass(slots=True)
+class Eviction:
+    """Runs that give way to a step."""
+
+    step: StepProgress
+    preemption: Preemption
+
+
+class RoomSeeker:
+    """Looks after steps that wait for room.
+
+    Parameters
+    ----------
+    stop_seconds : float
+        How long a stop takes at most.
+    """
+
+    def __init__(
+        self, desk: AdviceDesk, reservations: RoomReservations, stop_seconds: float
+    ) -> None:
+        self._desk = desk
+        self._reservations = reservations
+        self._stop_seconds = stop_seconds
+        self.evictions: list[Eviction] = []
+
+    def seek(
+        self,
+        step: StepProgress,
+        queue: QueuePolicy,
+        workers: list[Worker],
+        total_processors_milli: int,
+        room: ScratchRoom,
+        policy: PolicySet,
+        now: float,
+    ) -> None:
+        """Look after a step; ``workers`` are those that may run it, room or not."""
+        needs = step.spec.needs
+        forecasts = sorted(
+            (room_expected_at(worker, needs, room, self._stop_seconds, now), worker.worker_id)
+            for worker in workers
+        )
+        if not forecasts:
+            self._reservations.drop(step.key)
+            return
+        by_id = {worker.worker_id: worker for worker in workers}
+        soonest_at, soonest_id = forecasts[0]
+        soonest = by_id[soonest_id]
+        self._ask_ahead(step, queue, forecasts, now)
+        if soonest_at - now > GAIN_SECONDS:
+            made = self._make_room(step, queue, workers, room, policy, now)
+            if made is not None:
+                soonest, soonest_at = made, now + self._stop_seconds
+        may_hold = self._reservations.holds(step.key) or self._reservations.is_within_share(
+            total_processors_milli
+        )
+        if may_hold and soonest_at - now <= HOLD_AHEAD_SECONDS:
+            self._reservations.hold(step, [MemberSlots(soonest, 1)], room)
+        else:
+            self._reservations.drop(step.key)
+
+    def _ask_ahead(
+        self, step: StepProgress, queue: QueuePolicy, forecasts: list[tuple[float, str]], now: float
+    ) -> None:
+        """Ask for tickets so early that they are there with the room."""
+        if queue.advice is None:
+            return
+        advice = self._desk.advice_on(step)
+        if advice.is_asking:
+            return
+        call_ms = queue.advice.decide_ms + queue.advice.per_item_ms * len(forecasts)
+        answer_at = now + call_ms / _MILLISECONDS
+        names = [
+            name
+            for at, name in forecasts
+            if at <= answer_at + TICKET_RESERVE_SECONDS
+            and advice.tickets[name].use_before < max(at, now) + TICKET_RESERVE_SECONDS
+        ]
+        self._desk.want(step, queue.advice, names, step_rank_of(step, queue, now), now)
+
+    def _make_room(
+        self,
+        step: StepProgress,
+        queue: QueuePolicy,
+        workers: list[Worker],
+        room: ScratchRoom,
+        policy: PolicySet,
+        now: float,
+    ) -> Worker | None:
+        """Have later queues give way; return where, or ``None`` if that does not help."""
+        if step_rank_of(step, queue, now).lateness is Lateness.EXPIRED:
+            return None
+        if queue.advice is not None:
+            tickets = self._desk.advice_on(step).tickets
+            usable_until = now + self._stop_seconds + TICKET_RESERVE_SECONDS
+            ready = [
+                worker for worker in workers if tickets[worker.worker_id].use_before > usable_until
+            ]
+            if not ready:
+                self._ask_for(step, queue, workers, now)
+                return None
+            workers = ready
+        found = choose_preemption(queue.priority, step.spec.needs, workers, room, policy, now)
+        if found is None:
+            return None
+        self.evictions.append(Eviction(step, found))
+        return found.worker
+
+    def _ask_for(
+        self, step: StepProgress, queue: QueuePolicy, workers: list[Worker], now: float
+    ) -> None:
+        advice = self._desk.advice_on(step)
+        if queue.advice is not None and not advice.is_asking:
+            names = [worker.worker_id for worker in workers]
+            self._desk.want(step, queue.advice, names, step_rank_of(step, queue, now), now)
--- a/src/onyxspoke/core/shard/evacuation.py
+++ b/src/onyxspoke/core/shard/evacuation.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from onyxspoke.core.jobs.states import RunState
+from onyxspoke.core.placement.forecast import remaining_seconds
 from onyxspoke.core.placement.runs import Run
 from onyxspoke.core.placement.workers import Worker, WorkerContact, WorkerListing
 from onyxspoke.core.shard.context import ShardContext
@@ -15,11 +16,8 @@
 
 #: Kept back of a leaving worker's time, for the stop and its answer to get through.
 RESERVE_SECONDS = 0.5
-#: Progress from which the remaining time is judged.
-TELLING_PERCENT = 5
 #: A run should take so much longer than judged before it is given up.
 CAUTION_FACTOR = 1.15
-_FULL_PERCENT = 100
 _MILLISECONDS = 1_000.0
 
 
@@ -50,13 +48,3 @@
             return True
         stop_seconds = self._context.options.stop_grace_ms / _MILLISECONDS + RESERVE_SECONDS
         return left < stop_seconds
-
-
-def remaining_seconds(run: Run, now: float) -> float:
-    """Return about how long a run still takes, by its progress or else by its estimate."""
-    estimate = run.task.step.spec.estimated_ms / _MILLISECONDS
-    elapsed = now - run.confirmed_at
-    if run.percent >= TELLING_PERCENT:
-        whole = elapsed / run.percent * _FULL_PERCENT
-        return max(0.0, whole - elapsed)
-    return max(0.0, estimate - elapsed)
--- a/src/onyxspoke/core/shard/run_keeper.py
+++ b/src/onyxspoke/core/shard/run_keeper.py
@@ -6,6 +6,7 @@
 from onyxspoke.core.jobs.progress import StepProgress, TaskProgress
 from onyxspoke.core.jobs.states import JobState, RunEnd, RunState, TaskState
 from onyxspoke.core.placement.placer import Placement, StepPlacement
+from onyxspoke.core.placement.room_seeker import Eviction
 from onyxspoke.core.placement.runs import GangRun, Run
 from onyxspoke.core.placement.workers import Worker, WorkerContact
 from onyxspoke.core.shard.actions import SendStart, SendStop
@@ -143,6 +144,13 @@
         self._stopping[run.key] = run
         self._send_stop(run, now)
 
+    def preempt(self, eviction: Eviction, now: float) -> None:
+        """Order the end of runs that give way to a more urgent step."""
+        key = eviction.step.key
+        for run in eviction.preemption.runs:
+            self._log_run("run_preempted", run, by=f"{key.job_id}.{key.repetition}.{key.step}")
+            self.stop(run, now, "preempted")
+
     def _send_stop(self, run: Run, now: float) -> None:
         run.stop_sent_at = now
         context = self._context
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -96,7 +96,8 @@
             is_dirty=self._collector.is_dirty,
             latest_seconds=store_seconds,
         )
-        self._placer = Placer(self.context.table, self.context.desk)
+        stop_seconds = options.stop_grace_ms / _MILLISECONDS
+        self._placer = Placer(self.context.table, self.context.desk, stop_seconds)
         self._last_flush_at = claimed_at
         self._is_recovered = False
         self._next_round_at = 0.0
@@ -265,6 +266,8 @@
         plans = self._placer.plan(steps, context.policy, now)
         for plan in plans:
             self.runs.start(plan, now)
+        for eviction in self._placer.take_evictions():
+            self.runs.preempt(eviction, now)
         # A long plan was cut off; the rest follows.
         context.wants_placement = sum(len(item.placements) for item in plans) >= MAXIMUM_PLACEMENTS
         for call in context.desk.dispatch(now):
