Waits at workers are short while answers are being lost; preemption spares jobs that would be late for it

Changes: (1) for 2 s after an answer of a worker in contact was lost, looks wait 200 ms; logged as answers_lost. (2) of the runs that may give way those with most slack do, and none whose job could be on time and would not be. The tests of preemption got jobs with time to spare, and one without.

--- a/features/preemption.feature
+++ b/features/preemption.feature
@@ -25,6 +25,13 @@
       | work that would be lost    | 2        | without them     |
       | a task that lasts          | 2        | lasting          |
 
+  Scenario: A run whose job would be late for it stays
+    Given "a" is at work on "later" of 6 processors, priority 2, with checkpoints
+    And its job has no time to lose
+    And a waiting step "urgent" of 1 task of 9 processors, priority 1
+    When a pass of placement is made
+    Then nothing gives way
+
   Scenario: A run that ends by itself within a moment is waited for
     Given "a" is at work on "later" of 6 processors, priority 2, with checkpoints
     And it has 0.3 seconds to go
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -57,13 +57,14 @@
         processors: int,
         priority: int,
         age_seconds: float = 0.0,
+        stretch: float = 2.0,
         **traits: bool,
     ) -> StepProgress:
         queue = QueuePolicy(
             name=f"queue-{priority}",
             service=SERVICE,
             priority=priority,
-            stretch=2.0,
+            stretch=stretch,
             advice=self.advice,
         )
         spec = StepSpec(
--- a/features/steps/preemption_steps.py
+++ b/features/steps/preemption_steps.py
@@ -21,6 +21,15 @@
     "without them": {},
     "lasting": {"checkpointing": True, "long_running": True},
 }
+#: Times its work that a job may take: one that can wait, and one that can not.
+PATIENT, PRESSED = 4.0, 2.0
+WORK_SECONDS = 2.0
+RESTART_SECONDS = 3.0
+
+
+@given("its job has no time to lose")
+def _pressed(context: Any) -> None:
+    context.run.task.step.job.objective_seconds = PRESSED * WORK_SECONDS
 
 
 @given(
@@ -31,7 +40,7 @@
     context: Any, worker: str, name: str, processors: int, priority: int, traits: str
 ) -> None:
     scene = context.scene
-    step = scene.add_step(name, 1, processors, priority, **TRAITS[traits])
+    step = scene.add_step(name, 1, processors, priority, stretch=PATIENT, **TRAITS[traits])
     run = scene.start(step, 0, scene.table.workers[worker])
     run.move_to(RunState.RUNNING)
     run.confirmed_at = scene.now
@@ -110,8 +119,15 @@
             processors = rng.randint(1, 6)
             if processors * MILLI > worker.free_processors:
                 continue
-            traits = TRAITS[rng.choice(list(TRAITS))]
-            step = scene.add_step(f"{name}-{number}", 1, processors, rng.randint(0, 2), **traits)
+            traits = TRAITS[rng.choice([*TRAITS, "with checkpoints", "with checkpoints"])]
+            step = scene.add_step(
+                f"{name}-{number}",
+                1,
+                processors,
+                rng.choice([0, 1, 2, 2]),
+                stretch=rng.choice([PATIENT, PRESSED]),
+                **traits,
+            )
             run = scene.start(step, 0, worker)
             run.move_to(RunState.RUNNING)
             run.confirmed_at = scene.now - rng.choice([0.0, 0.5, 1.7])
@@ -126,12 +142,15 @@
     soon, movable = [], []
     for run in worker.runs.values():
         spec = run.task.step.spec
-        left = 2.0 - (now - run.confirmed_at)
+        left = WORK_SECONDS - (now - run.confirmed_at)
+        step = run.task.step
+        slack = step.due_at + step.job.objective_seconds - now - left
         if not spec.long_running and left < 0.6:
             soon.append(run)
         elif (
             spec.checkpointing
             and not spec.long_running
+            and not 0.0 < slack < RESTART_SECONDS
             and run.task.step.job.spec.queue.priority > 1
         ):
             movable.append(run)
--- a/src/onyxspoke/core/placement/preemption.py
+++ b/src/onyxspoke/core/placement/preemption.py
@@ -18,6 +18,9 @@
 
 #: A run that ends by itself so soon is left alone, in seconds: a stop takes about as long.
 SOON_SECONDS = 0.6
+#: A run that was stopped is back where it was after about so long, in seconds: the stop, the wait
+#: for other room, and the restoring.
+RESTART_SECONDS = 3.0
 #: What an accelerator counts beside processors when work is weighed, in thousandths of one.
 ACCELERATOR_MILLI = 8_000
 
@@ -67,9 +70,9 @@
     for run in worker.runs.values():
         if run.state is RunState.STOPPING or _ends_soon(run, now):
             free = _plus(free, run.needs)
-        elif _may_give_way(run, priority, policy):
+        elif _may_give_way(run, priority, policy) and not _would_be_late(run, now):
             victims.append(run)
-    victims.sort(key=lambda run: (-_priority_of(run, policy), _weight(run), run.key))
+    victims.sort(key=lambda run: (-_priority_of(run, policy), -_slack(run, now), run.key))
     chosen = []
     for run in victims:
         if slots_within(free, needs) > 0:
@@ -98,6 +101,18 @@
     )
 
 
+def _slack(run: Run, now: float) -> float:
+    """Return how long a run's job could still wait and be on time, in seconds."""
+    step = run.task.step
+    objective_at = step.due_at + step.job.objective_seconds
+    return objective_at - now - remaining_seconds(run, now)
+
+
+def _would_be_late(run: Run, now: float) -> bool:
+    """Return whether a job that can be on time would not be, were this run stopped."""
+    return 0.0 < _slack(run, now) < RESTART_SECONDS
+
+
 def _ends_soon(run: Run, now: float) -> bool:
     return run.state is RunState.RUNNING and remaining_seconds(run, now) < SOON_SECONDS
 
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -169,6 +169,8 @@
             worker = self.context.table.workers.get(worker_id)
             if worker is not None:
                 self.runs.handle_start_result(worker, run, result, now)
+                if result.outcome is OrderOutcome.NO_ANSWER:
+                    self.workers.note_answer_lost(now)
 
     def stimulus_stop_result(
         self, worker_id: WorkerId, run: RunKey, result: OrderResult, now: float
--- a/src/onyxspoke/core/shard/worker_keeper.py
+++ b/src/onyxspoke/core/shard/worker_keeper.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from onyxspoke.core.jobs.model import WorkerId
@@ -29,6 +31,11 @@
 UNHEALTHY_PAUSE_SECONDS = 0.3
 #: For how long an answer may wait where tasks that fill are kept at their pace.
 FIGURES_WAIT_MS = 300
+#: For how long an answer may wait while answers are being lost: a lost one hides a worker's ends
+#: for as long as it was to wait...
+LOSSY_WAIT_MS = 200
+#: ... and for how long after a lost answer that is so, in seconds.
+LOSSY_SECONDS = 2.0
 #: Added to every bound on a former holder's leases.
 LEASE_MARGIN_SECONDS = 0.25
 
@@ -60,6 +67,8 @@
         self._settled_once = False
         self._directory_is_known = False
         self._hold_counter = 0
+        #: When an answer of a worker that was in contact was last lost.
+        self._answer_lost_at = -math.inf
 
     # Directory
 
@@ -178,6 +187,8 @@
             is_committed = worker.told_through >= worker.seen_through
             may_wait = is_settled and is_committed and worker.misses == 0
             wait_ms = self._context.options.hold_wait_ms if may_wait else 0
+            if now - self._answer_lost_at < LOSSY_SECONDS and worker.runs:
+                wait_ms = min(wait_ms, LOSSY_WAIT_MS)
             if worker.has_fillers():
                 # Figures of what serves are wanted more often than ends come.
                 wait_ms = min(wait_ms, FIGURES_WAIT_MS)
@@ -253,6 +264,8 @@
 
     def _take_miss(self, worker: Worker, outcome: OrderOutcome, now: float) -> None:
         worker.misses += 1
+        if outcome is OrderOutcome.NO_ANSWER and worker.contact is WorkerContact.SETTLED:
+            self.note_answer_lost(now)
         if outcome is OrderOutcome.UNHEALTHY:
             worker.next_hold_at = now + UNHEALTHY_PAUSE_SECONDS
         elif worker.misses < MISSES_TO_SILENCE:
@@ -265,6 +278,12 @@
             lease_left = round(worker.lease_over_at() - now, 2)
             self._log(worker, "worker_silent", outcome=outcome.value, lease_left=lease_left)
 
+    def note_answer_lost(self, now: float) -> None:
+        """An answer of a worker that is in contact did not come: look more often for a while."""
+        if now - self._answer_lost_at >= LOSSY_SECONDS:
+            self._context.log("answers_lost", wait_ms=LOSSY_WAIT_MS)
+        self._answer_lost_at = now
+
     # Ends of lives
 
     def _end_life(self, worker: Worker, now: float, reason: str) -> None:
