A large configuration reaches nodes on slow links; the keeper of configurations stands by itself

Their read of the newest records (630 kB) was given up after 0.8 s, each time; copies of 470 kB from the holder held up the heartbeats behind them, so the stream counted as silent after 0.8 s, ended, and began anew with the next copy: 299 streams lost as silent in 15 s. Ruled out: the store (it served the large nodes in 0.6 s), processor time (trial without it).

--- a/features/steps/job_ingress_steps.py
+++ b/features/steps/job_ingress_steps.py
@@ -40,7 +40,7 @@
 
 @given("a node without a configuration")
 def _no_configuration(context):
-    context.simulated.node.configuration = None
+    context.simulated.node.configurations.current = None
 
 
 @given("the store is silent")
--- a/src/onyxspoke/cli/node.py
+++ b/src/onyxspoke/cli/node.py
@@ -156,7 +156,7 @@
 
     def _listen_callers(self) -> Deferred[Any]:
         limits = HttpLimits(connections=MAXIMUM_CONNECTIONS)
-        self._node.on_configuration(partial(apply_limits, limits))
+        self._node.configurations.listen(partial(apply_limits, limits))
         site = BoundedSite(IngressResource(self._node), reactor, limits)
         address = self._settings.callers
         return self._endpoints.server(address.host, address.port).listen(site)
--- a/src/onyxspoke/net/http_client.py
+++ b/src/onyxspoke/net/http_client.py
@@ -31,6 +31,11 @@
 #: A connection that is not up after so long is given up.
 CONNECT_SECONDS = 0.6
 MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
+#: An answer of which something came within so long, in seconds, is still under way: a large one
+#: takes its time on a slow link, and asked for again would take as long again.
+PROGRESS_SECONDS = 0.5
+#: But not for longer than this beyond the call's own time, in seconds.
+LONGEST_ANSWER_SECONDS = 8.0
 
 
 class HttpAnswer(msgspec.Struct, frozen=True):
@@ -59,10 +64,11 @@
 class _Call:
     """One call, from the queue to its answer."""
 
-    __slots__ = ("_on_answer", "connection", "data", "is_over", "timer", "wants_headers")
+    __slots__ = ("_on_answer", "connection", "data", "is_over", "latest_at", "timer")
 
-    def __init__(self, data: bytes, on_answer: OnAnswer) -> None:
+    def __init__(self, data: bytes, on_answer: OnAnswer, latest_at: float) -> None:
         self.data = data
+        self.latest_at = latest_at
         self._on_answer = on_answer
         self.timer: IDelayedCall | None = None
         self.connection: _Connection | None = None
@@ -89,6 +95,8 @@
         self._body: list[bytes] = []
         self._headers: dict[bytes, bytes] = {}
         self.is_open = False
+        #: When something of an answer came last.
+        self.data_at = 0.0
 
     def connectionMade(self) -> None:
         """Begin to carry calls; called by Twisted."""
@@ -103,6 +111,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._body = []
         self._headers = {}
+        self.data_at = 0.0
         assert self.transport is not None
         self.transport.write(call.data)
 
@@ -111,6 +120,7 @@
         if self._parser is None:
             self.abort()
             return
+        self.data_at = self._pool.now()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -165,6 +175,10 @@
         self._connecting = 0
         self._waiting: deque[_Call] = deque()
 
+    def now(self) -> float:
+        """Return the reactor's second."""
+        return self._client.now()
+
     def send(self, call: _Call) -> None:
         """Send a call on an idle connection, or have it wait for one."""
         while self._idle:
@@ -256,7 +270,9 @@
         on_answer: OnAnswer,
         lane: str = "",
     ) -> None:
-        """Make a call; ``on_answer`` is called once, within the timeout.
+        """Make a call; ``on_answer`` is called once.
+
+        That is within the timeout, or later where an answer has begun by then and goes on coming.
 
         A call that is not answered in time ends its connection, because whatever comes on it
         later would be taken for the answer to another call.
@@ -272,10 +288,15 @@
         pool = self._pools.get(key)
         if pool is None:
             pool = self._pools[key] = _AddressPool(self, host, port)
-        call = _Call(request, on_answer)
+        latest_at = self.now() + timeout_seconds + LONGEST_ANSWER_SECONDS
+        call = _Call(request, on_answer, latest_at)
         call.timer = self._reactor.callLater(timeout_seconds, self._expire, call)
         pool.send(call)
 
+    def now(self) -> float:
+        """Return the reactor's second."""
+        return self._reactor.seconds()
+
     def close(self, host: str, port: int) -> None:
         """Forget an address."""
         for key in [key for key in self._pools if key[:2] == (host, port)]:
@@ -291,10 +312,18 @@
         if call.is_over:
             return
         connection = call.connection
+        if connection is not None and self._is_coming(call, connection):
+            call.timer = self._reactor.callLater(PROGRESS_SECONDS, self._expire, call)
+            return
         call.finish(NOT_SENT if connection is None else NO_ANSWER)
         if connection is not None:
             connection.abort()
 
+    def _is_coming(self, call: _Call, connection: _Connection) -> bool:
+        """Return whether an answer is under way."""
+        now = self.now()
+        return now < call.latest_at and now - connection.data_at < PROGRESS_SECONDS
+
 
 def encode_request(
     method: str, target: str, host: str, body: bytes | None = None, headers: str = ""
--- a/src/onyxspoke/net/stream.py
+++ b/src/onyxspoke/net/stream.py
@@ -65,6 +65,8 @@
         Emulated one-way delay of the link, for rehearsals on one machine.
     keepalive : Keepalive, optional
         Asks for signs of life and ends the stream without them.
+    on_data : callable, optional
+        Called whenever bytes come, also those of a message that is not whole yet.
     """
 
     def __init__(
@@ -75,9 +77,11 @@
         on_lost: Callable[[MessageStream[Incoming]], None] | None = None,
         delay_seconds: float = 0.0,
         keepalive: Keepalive | None = None,
+        on_data: Callable[[], None] | None = None,
     ) -> None:
         self._incoming_type = incoming_type | Ping | Pong
         self._keepalive = keepalive
+        self._on_data = on_data
         self._data_at = 0.0
         self._on_message = on_message
         self._on_connected = on_connected
@@ -101,6 +105,8 @@
     def dataReceived(self, data: bytes) -> None:
         """Decode what arrived; called by Twisted."""
         Traffic.received += len(data)
+        if self._on_data is not None:
+            self._on_data()
         if self._keepalive is not None:
             self._data_at = self._keepalive.reactor.seconds()
         try:
--- a/src/onyxspoke/node/messages.py
+++ b/src/onyxspoke/node/messages.py
@@ -82,9 +82,12 @@
 
 
 class ConfigurationCopy(Message, frozen=True):
-    """A configuration that the receiver does not have yet, as the sender read it."""
+    """A configuration that the receiver does not have yet, as the sender read it.
 
-    raw: bytes
+    ``compressed`` is in zlib's format.
+    """
+
+    compressed: bytes
 
 
 class AppendRelay(Message, frozen=True):
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -13,7 +13,6 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IDelayedCall
 
-from onyxspoke.core.routing import RouteTable
 from onyxspoke.core.shard.actions import AskAdvice, StepDownReason
 from onyxspoke.core.shard.calls import Call, CallReply, ReplyCode
 from onyxspoke.core.shard.election import LossReason, NodeIdentity
@@ -27,6 +26,7 @@
 from onyxspoke.node.agreed_time import agreed_time_ms
 from onyxspoke.node.call_gate import CallGate
 from onyxspoke.node.call_router import CallRouter, OnReply
+from onyxspoke.node.configuration_keeper import ConfigurationKeeper
 from onyxspoke.node.directory_hub import DirectoryHub
 from onyxspoke.node.heartbeat import HEARTBEAT_SECONDS, HeartbeatSchedule
 from onyxspoke.node.layout_planner import LayoutPlanner
@@ -53,10 +53,7 @@
 from onyxspoke.node.store_watch import HANDOVER_PAUSE_SECONDS, StoreWatch
 from onyxspoke.node.succession import Succession, choose_successors, tell_successors
 from onyxspoke.ports.clock import Clock
-from onyxspoke.ports.configuration import (
-    CellConfiguration,
-    ConfigurationError,
-)
+from onyxspoke.ports.configuration import CellConfiguration
 
 TICK_SECONDS = 0.02
 #: Between two looks at what changes slowly: silent peers, the store, time of day, gauges.
@@ -64,9 +61,6 @@
 SEED_RETRY_SECONDS = 1.0
 #: How long a node leaves a shard to others for each one that it holds.
 HELD_HANDICAP_SECONDS = 0.15
-#: A peer that the store serves is left to read a new configuration there for so long: copies of
-#: a large one to every peer would fill a holder's link.
-OFFER_SECONDS = 1.0
 #: That no node reaches the store holds for so long.
 UNREACHABLE_SECONDS = 0.6
 _MILLISECONDS = 1_000.0
@@ -106,9 +100,7 @@
         super().__init__()
         self.settings = settings
         self.identity = identity
-        self.configuration: CellConfiguration | None = None
         self.layout: CellLayout | None = None
-        self.routes = RouteTable([])
         self.is_stopping = False
         self.metrics = NodeMetrics()
         self._network = network
@@ -117,6 +109,8 @@
         self._draw = draw
         self._ports = ports
         self.peers = PeerLinks(network, identity, self)
+        self.configurations = ConfigurationKeeper(ports.configuration, clock, self.peers.up_links)
+        self.configurations.listen(self._set_policy)
         self.store = StoreGateway(ports.store, clock, self.peers.up_links)
         self.router = CallRouter(self._send_call)
         self._gate = CallGate(self.router, lambda: self.layout, clock, self.metrics)
@@ -128,11 +122,9 @@
         self.seats: dict[ShardId, ShardSeat] = {FIRST_SHARD: self._make_seat(FIRST_SHARD)}
         self._wakes: dict[ShardId, IDelayedCall] = {}
         self._holders: dict[ShardId, ClaimRecord] = {}
-        self._listeners: list[Callable[[CellConfiguration], None]] = []
         self._seeds_at = 0.0
         self._was_ready = False
         self._round_at = 0.0
-        self._configured_at = 0.0
         self._told_reachable = False
         #: The time of day on which most nodes agree, less steady time, in milliseconds.
         self._time_offset_ms = 0.0
@@ -143,7 +135,7 @@
             CallAnswer: lambda _link, message: self._take_reply(message.call_id, message.reply),
             AdviceForward: self._advice.serve,
             AdviceAnswer: self._advice.take,
-            ConfigurationCopy: self._take_copy,
+            ConfigurationCopy: self.configurations.take_copy,
             Members: self._take_members,
             AppendRelay: self.store.serve_append,
             NewestRelay: self.store.serve_read,
@@ -164,7 +156,7 @@
 
     def startService(self) -> None:
         """Begin to take part; called by Twisted."""
-        self._ports.configuration.watch(self.handle_configuration, self.store.note_contact)
+        self.configurations.watch(self.store.note_contact)
         for seat in list(self.seats.values()):
             seat.start()
         super().startService()
@@ -184,9 +176,14 @@
             seat.step_down(StepDownReason.PLANNED)
         self._send_heartbeats()
 
-    def on_configuration(self, listener: Callable[[CellConfiguration], None]) -> None:
-        """Have a listener called with each version."""
-        self._listeners.append(listener)
+    def _set_policy(self, configuration: CellConfiguration) -> None:
+        for seat in self.seats.values():
+            seat.set_policy(configuration.policy)
+
+    @property
+    def configuration(self) -> CellConfiguration | None:
+        """The version of the configuration in force, if any is known."""
+        return self.configurations.current
 
     @property
     def is_ready(self) -> bool:
@@ -356,49 +353,6 @@
         """Call a function after a delay."""
         self._network.reactor.callLater(delay, function)
 
-    # Configuration
-
-    def handle_configuration(self, configuration: CellConfiguration) -> None:
-        """Take a version of the configuration, unless a later one is in force."""
-        known = self.configuration
-        if known is not None and configuration.version <= known.version:
-            return
-        self.configuration = configuration
-        self.routes = RouteTable(configuration.routes)
-        logging.info(
-            "event=configuration version=%d routes=%d",
-            configuration.version,
-            len(configuration.routes),
-        )
-        for seat in self.seats.values():
-            seat.set_policy(configuration.policy)
-        for listener in self._listeners:
-            listener(configuration)
-        self._configured_at = self._clock.now()
-        for link in self.peers.up_links():
-            self._offer_if_behind(link)
-
-    def _offer_configuration(self, link: PeerLink) -> None:
-        known = self.configuration
-        if known is not None and link.configuration_version < known.version:
-            link.configuration_version = known.version
-            link.send(ConfigurationCopy(known.raw))
-
-    def _offer_if_behind(self, link: PeerLink) -> None:
-        """Offer the configuration to a peer that still has not read it from the store itself."""
-        age = self._clock.now() - self._configured_at
-        if not link.can_reach_store or age > OFFER_SECONDS:
-            self._offer_configuration(link)
-
-    def _take_copy(self, link: PeerLink, message: ConfigurationCopy) -> None:
-        try:
-            configuration = self._ports.configuration.decode(message.raw)
-        except ConfigurationError as error:
-            logging.error("event=configuration_copy_unreadable error=%r", str(error))
-            return
-        link.configuration_version = max(link.configuration_version, configuration.version)
-        self.handle_configuration(configuration)
-
     # Peers
 
     def handle_peer_up(self, link: PeerLink) -> None:
@@ -441,7 +395,7 @@
             link.may_hold = message.may_hold
             self._note_peers_changed()
         link.configuration_version = max(link.configuration_version, message.configuration_version)
-        self._offer_if_behind(link)
+        self.configurations.offer_if_behind(link)
         now = self._clock.now()
         claims = dict(message.claims)
         for shard, seat in list(self.seats.items()):
@@ -593,7 +547,7 @@
             claims=self._schedule.select_claims(claims, self._held_shards(), is_first, now),
             shard_count=self.layout.shard_count if self.layout is not None else 0,
             interval_seconds=interval_seconds,
-            configuration_version=self.configuration.version if self.configuration else 0,
+            configuration_version=self.configurations.version,
             can_reach_store=is_reachable,
             may_hold=is_reachable and not self.is_stopping,
             is_isolated=self.is_isolated,
--- a/src/onyxspoke/node/peers.py
+++ b/src/onyxspoke/node/peers.py
@@ -56,9 +56,13 @@
         self.is_outgoing = is_outgoing
         self.identity: NodeIdentity | None = None
         self.heard_at = 0.0
+        #: When bytes came last, also those of a large message that is still under way.
+        self.data_at = 0.0
         #: When the next heartbeat is to be sent on the stream.
         self.heartbeat_due_at = 0.0
         self.configuration_version = 0
+        #: Since when the peer's configuration is known to be older than ours.
+        self.behind_since: float | None = None
         self.can_reach_store = False
         self.may_hold = True
         self.is_isolated = False
@@ -156,7 +160,7 @@
     def end_silent(self, now: float) -> None:
         """End streams on which nothing was heard for too long."""
         for link in [*self.outgoing.values(), *self.incoming.values()]:
-            if link.heard_at and now - link.heard_at > link.silence_seconds:
+            if link.heard_at and now - max(link.heard_at, link.data_at) > link.silence_seconds:
                 self._forget(link, LossReason.SILENT)
                 link.abort()
 
@@ -169,8 +173,12 @@
             lambda _stream, message: self._handle_message(link, message),
             lambda stream: self._handle_connected(link, stream),
             lambda _stream: self._forget(link, LossReason.CLOSED),
+            on_data=lambda: self._note_data(link),
         )
 
+    def _note_data(self, link: PeerLink) -> None:
+        link.data_at = self._network.reactor.seconds()
+
     def _handle_connected(self, link: PeerLink, stream: _Stream) -> None:
         link.stream = stream
         link.heard_at = self._network.reactor.seconds()
--- a/src/onyxspoke/platform/ingress.py
+++ b/src/onyxspoke/platform/ingress.py
@@ -100,7 +100,7 @@
             return NOT_DONE_YET
         path = request.path.decode("ascii", "replace")
         host = request.getHeader("host") or ""
-        route = self._node.routes.find(host, path)
+        route = self._node.configurations.routes.find(host, path)
         if route is None:
             write_error(request, OnyxspokeError(ResultCode.NO_SUCH_PATH))
             return NOT_DONE_YET
