The tasks of a step go to one worker where they fit, and to one zone elsewhere

Hypothesis: a job is done when its last task is, so the fewer workers and zones a step is spread over, the fewer jobs a crash, a hang, a lost answer or a cut touches.

--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -3,16 +3,23 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 
 from onyxspoke.core.jobs.model import AdvicePolicy, Needs, QueuePolicy, StepKey
 from onyxspoke.core.jobs.policy import PolicySet
-from onyxspoke.core.jobs.progress import StepProgress, TaskProgress
+from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.placement.advice_desk import AdviceDesk, StepAdvice
 from onyxspoke.core.placement.queue_order import step_rank, step_rank_of
 from onyxspoke.core.placement.reservations import MemberSlots, RoomReservations, can_ever_fit
 from onyxspoke.core.placement.room import ScratchRoom
 from onyxspoke.core.placement.room_seeker import Eviction, RoomSeeker
+from onyxspoke.core.placement.spreading import (
+    Candidate,
+    Placement,
+    StepPlacement,
+    counts_on_workers,
+    is_far,
+    place_tasks,
+)
 from onyxspoke.core.placement.workers import Worker, WorkerTable
 
 #: Tasks placed in one pass at most, so that a pass stays short.
@@ -31,23 +38,6 @@
 _MILLISECONDS = 1_000.0
 
 
-@dataclass(slots=True)
-class Placement:
-    """One task and the worker that is to run it."""
-
-    task: TaskProgress
-    worker: Worker
-    ticket: str
-
-
-@dataclass(slots=True)
-class StepPlacement:
-    """Tasks of one step to start now; of a gang, all or none."""
-
-    step: StepProgress
-    placements: list[Placement]
-
-
 class Placer:
     """Places waiting tasks in their order; see ``queue_order``.
 
@@ -131,14 +121,14 @@
                 self._desk.want(step, queue.advice, ask, step_rank_of(step, queue, now), now)
         if not may_fit or not candidates:
             return None
-        return _place_tasks(step, candidates, room, now)
+        return place_tasks(step, candidates, room, now)
 
     def _candidates(
         self, step: StepProgress, queue: QueuePolicy, offer: _Offer, now: float
-    ) -> list[_Candidate]:
+    ) -> list[Candidate]:
         """Return the workers on which the step may be started now."""
         if queue.advice is None:
-            candidates = [_Candidate(worker, "") for worker in offer.workers.values()]
+            candidates = [Candidate(worker, "") for worker in offer.workers.values()]
         else:
             candidates = _with_tickets(self._desk.advice_on(step), offer, now)
         return [item for item in candidates if _has_label(item.worker, step)]
@@ -160,7 +150,7 @@
             return 0
         self._look_again_at[step.key] = now + LOOK_AGAIN_SECONDS
         advice = self._desk.advice_on(step) if queue.advice is not None else None
-        counts = _counts_on_workers(step)
+        counts = counts_on_workers(step)
         workers = [
             worker
             for worker in offer.workers.values()
@@ -271,43 +261,15 @@
         )
 
 
-@dataclass(slots=True)
-class _Candidate:
-    """A worker that may run a step, and the leave to do so."""
-
-    worker: Worker
-    ticket: str
-
-
-def _with_tickets(advice: StepAdvice, offer: _Offer, now: float) -> list[_Candidate]:
+def _with_tickets(advice: StepAdvice, offer: _Offer, now: float) -> list[Candidate]:
     candidates = []
     for worker_id, held in advice.tickets.items():
         worker = offer.workers.get(worker_id)
         if worker is not None and now < held.use_before:
-            candidates.append(_Candidate(worker, held.text))
+            candidates.append(Candidate(worker, held.text))
     return candidates
 
 
-def _place_tasks(
-    step: StepProgress, candidates: list[_Candidate], room: ScratchRoom, now: float
-) -> StepPlacement | None:
-    needs = step.spec.needs
-    placements = []
-    counts = _counts_on_workers(step)
-    for index in step.waiting:
-        task = step.tasks[index]
-        chosen = _choose(task, candidates, room, counts, now)
-        if chosen is None:
-            break
-        worker = chosen.worker
-        room.take(worker, needs)
-        counts[worker.worker_id] = counts.get(worker.worker_id, 0) + 1
-        placements.append(Placement(task, worker, chosen.ticket))
-        if worker.health.is_on_trial(now):
-            candidates = [item for item in candidates if item is not chosen]
-    return StepPlacement(step, placements) if placements else None
-
-
 def _has_label(worker: Worker, step: StepProgress) -> bool:
     label = step.spec.required_label
     return not label or label in worker.record.labels
@@ -327,7 +289,7 @@
             score = (
                 int(worker.worker_id in failed_on),
                 int(worker.health.is_doubtful(now)),
-                int(_is_far(worker, step)),
+                int(is_far(worker, step)),
                 room.free_processors(worker),
                 worker.worker_id,
             )
@@ -436,46 +398,3 @@
         if advice.may_run_on(worker_id) and room.fits(worker, needs)
     ]
     return [worker.worker_id for worker in useful]
-
-
-def _is_far(worker: Worker, step: StepProgress) -> bool:
-    rack = step.spec.preferred_rack
-    return bool(rack) and worker.record.rack != rack
-
-
-def _counts_on_workers(step: StepProgress) -> dict[str, int]:
-    counts: dict[str, int] = {}
-    if step.spec.spread_limit:
-        for task in step.tasks:
-            if task.run is not None:
-                worker_id = task.run.worker.worker_id
-                counts[worker_id] = counts.get(worker_id, 0) + 1
-    return counts
-
-
-def _choose(
-    task: TaskProgress,
-    candidates: list[_Candidate],
-    room: ScratchRoom,
-    counts: dict[str, int],
-    now: float,
-) -> _Candidate | None:
-    """Return the best worker with room: near the data, not just failed on, tightest fit."""
-    spec = task.step.spec
-    best: _Candidate | None = None
-    best_score: tuple[int, int, int, int] | None = None
-    for candidate in candidates:
-        worker = candidate.worker
-        if not room.fits(worker, spec.needs):
-            continue
-        if spec.spread_limit and counts.get(worker.worker_id, 0) >= spec.spread_limit:
-            continue
-        score = (
-            int(task.failed_on == worker.worker_id),
-            int(worker.health.is_doubtful(now)),
-            int(_is_far(worker, task.step)),
-            room.free_processors(worker),
-        )
-        if best_score is None or score < best_score:
-            best, best_score = candidate, score
-    return best
--- /dev/null
+++ b/src/onyxspoke/core/placement/spreading.py
@@ -0,0 +1,135 @@
+"""Which workers the tasks of one step go to: few workers, and few zones.
+
+A job is done when its last task is, so one worker that crashes, hangs or is cut off holds up every
+job with a task there.  The fewer workers and zones a step is spread over, the fewer jobs a fault
+touches: so all of its tasks go to one worker where they fit, and to one zone elsewhere.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from onyxspoke.core.jobs.progress import StepProgress, TaskProgress
+from onyxspoke.core.placement.room import ScratchRoom
+from onyxspoke.core.placement.workers import Worker
+
+
+@dataclass(slots=True)
+class Placement:
+    """One task and the worker that is to run it."""
+
+    task: TaskProgress
+    worker: Worker
+    ticket: str
+
+
+@dataclass(slots=True)
+class StepPlacement:
+    """Tasks of one step to start now; of a gang, all or none."""
+
+    step: StepProgress
+    placements: list[Placement]
+
+
+@dataclass(slots=True)
+class Candidate:
+    """A worker that may run a step, and the leave to do so."""
+
+    worker: Worker
+    ticket: str
+
+
+def place_tasks(
+    step: StepProgress, candidates: list[Candidate], room: ScratchRoom, now: float
+) -> StepPlacement | None:
+    """Return where the waiting tasks of a step start now, as far as there is room."""
+    waiting = [step.tasks[index] for index in step.waiting]
+    counts = counts_on_workers(step)
+    zones = {task.run.worker.record.zone for task in step.tasks if task.run is not None}
+    left = list(candidates)
+    placements: list[Placement] = []
+    while waiting and left:
+        best: Candidate | None = None
+        best_score: tuple[int, ...] | None = None
+        best_tasks: list[TaskProgress] = []
+        for candidate in left:
+            tasks = _tasks_for(candidate.worker, step, waiting, counts, room, now)
+            if not tasks:
+                continue
+            score = _score(candidate.worker, step, tasks, len(waiting), zones, room, now)
+            if best_score is None or score < best_score:
+                best, best_score, best_tasks = candidate, score, tasks
+        if best is None:
+            break
+        room.take(best.worker, step.spec.needs, len(best_tasks))
+        placements += [Placement(task, best.worker, best.ticket) for task in best_tasks]
+        zones.add(best.worker.record.zone)
+        chosen = {task.index for task in best_tasks}
+        waiting = [task for task in waiting if task.index not in chosen]
+        left = [candidate for candidate in left if candidate is not best]
+    return StepPlacement(step, placements) if placements else None
+
+
+def _tasks_for(
+    worker: Worker,
+    step: StepProgress,
+    waiting: list[TaskProgress],
+    counts: dict[str, int],
+    room: ScratchRoom,
+    now: float,
+) -> list[TaskProgress]:
+    """Return the tasks that would go to a worker, those that did not just fail there first."""
+    bound = min(room.slots(worker, step.spec.needs), len(waiting))
+    if step.spec.spread_limit:
+        bound = min(bound, step.spec.spread_limit - counts.get(worker.worker_id, 0))
+    if worker.health.is_on_trial(now):
+        bound = min(bound, 1)
+    if bound <= 0:
+        return []
+    elsewhere = [task for task in waiting if task.failed_on != worker.worker_id]
+    return (elsewhere or waiting)[:bound]
+
+
+def _score(
+    worker: Worker,
+    step: StepProgress,
+    tasks: list[TaskProgress],
+    waiting_count: int,
+    zones: set[str],
+    room: ScratchRoom,
+    now: float,
+) -> tuple[int, ...]:
+    """Return how well a worker suits; the lowest is best.
+
+    Of equal ones the fullest worker is taken, so that room for wide tasks stays whole.  Where a
+    step takes accelerators, which are scarce, that goes before keeping its tasks together.
+    """
+    free = room.free(worker)
+    needs_accelerators = step.spec.needs.accelerators > 0
+    is_apart = bool(zones) and worker.record.zone not in zones
+    return (
+        int(tasks[0].failed_on == worker.worker_id),
+        int(worker.health.is_doubtful(now)),
+        int(is_far(worker, step)),
+        free.accelerators if needs_accelerators else 0,
+        int(is_apart),
+        int(len(tasks) < waiting_count),
+        free.processors_milli,
+    )
+
+
+def is_far(worker: Worker, step: StepProgress) -> bool:
+    """Return whether a worker is in another rack than the step's data."""
+    rack = step.spec.preferred_rack
+    return bool(rack) and worker.record.rack != rack
+
+
+def counts_on_workers(step: StepProgress) -> dict[str, int]:
+    """Return how many tasks of a step run on each worker, where their spread is bounded."""
+    counts: dict[str, int] = {}
+    if step.spec.spread_limit:
+        for task in step.tasks:
+            if task.run is not None:
+                worker_id = task.run.worker.worker_id
+                counts[worker_id] = counts.get(worker_id, 0) + 1
+    return counts
--- a/src/onyxspoke/core/shard/run_keeper.py
+++ b/src/onyxspoke/core/shard/run_keeper.py
@@ -5,9 +5,9 @@
 from onyxspoke.core.jobs.model import RunKey, StepKey
 from onyxspoke.core.jobs.progress import StepProgress, TaskProgress
 from onyxspoke.core.jobs.states import JobState, RunEnd, RunState, TaskState
-from onyxspoke.core.placement.placer import Placement, StepPlacement
 from onyxspoke.core.placement.room_seeker import Eviction
 from onyxspoke.core.placement.runs import GangRun, Run
+from onyxspoke.core.placement.spreading import Placement, StepPlacement
 from onyxspoke.core.placement.workers import Worker, WorkerContact
 from onyxspoke.core.shard.actions import SendStart, SendStop
 from onyxspoke.core.shard.context import ShardContext, address_of
