--- a/features/job_promises.feature
+++ b/features/job_promises.feature
@@ -134,6 +134,39 @@
       | a cluster with 1 worker(s)                               | nothing         |
       | a cluster with 1 worker(s), without "room of stray runs" | "over_capacity" |
 
+  Scenario Outline: An urgent job makes room for itself, and nothing is lost by it - <event>
+    Given a cluster with 1 worker(s)
+    And a patient job with checkpoints takes all of its worker
+    When an urgent job that needs all of it is handed in, and <moment> seconds pass
+    And <event>
+    And 3 seconds pass in that cell
+    Then the other job has begun
+    And both jobs are done in the end
+    And the cluster has broken nothing
+
+    Examples:
+      | moment | event                                                |
+      | 0.5    | nothing else happens                                 |
+      | 0.02   | the holder is killed, and another node holds the shard |
+      | 0.06   | the holder is killed, and another node holds the shard |
+      | 0.15   | the holder is killed, and another node holds the shard |
+      | 0.6    | the holder is killed, and another node holds the shard |
+
+  Scenario Outline: A start that comes late to a worker where a run gives way breaks nothing
+    Given a cluster with 1 worker(s)
+    And a patient job with checkpoints takes all of its worker
+    When the workers take orders <late> seconds late
+    And an urgent job that needs all of it is handed in, and 3 seconds pass
+    And the workers take orders in time
+    And 3 seconds pass in that cell
+    Then both jobs are done in the end
+    And the cluster has broken nothing
+
+    Examples:
+      | late |
+      | 0.3  |
+      | 1.5  |
+
   Scenario Outline: An entry of a worker that lapsed while the store was away - <state>
     Given a cluster with 1 worker(s)
     And its tasks take 1 seconds
--- a/features/steps/job_directed_steps.py
+++ b/features/steps/job_directed_steps.py
@@ -42,7 +42,9 @@
     _start_cluster(context, count)
 
 
-def _whole_worker_job(context: Any, job_id: str) -> JobSpec:
+def _whole_worker_job(
+    context: Any, job_id: str, queue_name: str = "normal", checkpointing: bool = False
+) -> JobSpec:
     """Return a job of one task that takes all of a worker."""
     policy = context.cluster.configuration.configuration.policy
     step = StepSpec(
@@ -50,8 +52,9 @@
         processors_milli=WORKER_CAPACITY.processors_milli,
         memory_mb=WORKER_CAPACITY.memory_mb,
         estimated_ms=8_000,
+        checkpointing=checkpointing,
     )
-    queue = policy.queues["normal"]
+    queue = policy.queues[queue_name]
     return JobSpec(job_id=job_id, queue=queue, payload=f"payload-{job_id}", steps=(step,))
 
 
@@ -62,9 +65,9 @@
     return replies[0]
 
 
-def _submit(context: Any, job_id: str) -> None:
+def _submit(context: Any, job_id: str, **traits: Any) -> None:
     cluster = context.cluster
-    spec = _whole_worker_job(context, job_id)
+    spec = _whole_worker_job(context, job_id, **traits)
     cluster.pool.specs[job_id] = spec
     cluster.audit.handle_submitted(spec)
     reply = _call(context, cluster.holder(), job_id, SubmitCall(spec))
@@ -79,6 +82,45 @@
     _submit(context, FIRST_JOB)
 
 
+@given("a patient job with checkpoints takes all of its worker")
+def _patient_job(context: Any) -> None:
+    _submit(context, FIRST_JOB, queue_name="patient", checkpointing=True)
+
+
+@when("an urgent job that needs all of it is handed in, and {seconds:g} seconds pass")
+def _urgent_job(context: Any, seconds: float) -> None:
+    cluster = context.cluster
+    spec = _whole_worker_job(context, SECOND_JOB, "urgent")
+    cluster.pool.specs[SECOND_JOB] = spec
+    cluster.audit.handle_submitted(spec)
+
+    def take(reply: CallReply | None) -> None:
+        cluster.audit.handle_submit_reply(SECOND_JOB, reply)
+
+    cluster.call(cluster.holder(), SECOND_JOB, SubmitCall(spec), take, seconds=1.0)
+    cluster.run(seconds)
+
+
+@when("nothing else happens")
+def _nothing_else(context: Any) -> None:
+    """Leave everything as it is."""
+
+
+@when("the holder is killed, and another node holds the shard")
+def _kill_and_replace(context: Any) -> None:
+    _kill(context)
+    _other_holder(context)
+
+
+@then("both jobs are done in the end")
+def _both_done(context: Any) -> None:
+    context.cluster.run(25.0)
+    for job_id in (FIRST_JOB, SECOND_JOB):
+        reply = _call(context, context.cluster.holder(), job_id, StateCall(job_id))
+        assert reply is not None
+        assert reply.state == "completed", (job_id, reply)
+
+
 @given("another such job is handed in")
 @when("another such job is handed in")
 def _second_job(context: Any) -> None:
