Tickets are no longer asked for ahead of the room: that was worth nothing

So it goes, with its scenario; in its place one says that a ticket that would not last is asked for anew before anything gives way.

--- a/features/preemption.feature
+++ b/features/preemption.feature
@@ -77,15 +77,18 @@
     And a pass of placement is made
     Then "later" gives way to "urgent"
 
-  Scenario: A ticket that runs out before the room is there is renewed ahead of it
+  Scenario: A ticket that would not last is asked for anew before anything gives way
     Given 9 entries that ask for advice, which takes 500 ms and 10 ms a worker
-    And "a" is at work on "other" of 6 processors, priority 1, with checkpoints
+    And "a" is at work on "other" of 6 processors, priority 2, with checkpoints
     And a waiting step "urgent" of 1 task of 9 processors, priority 1
-    When a pass of placement is made
-    And the advice is that "urgent" may run on "a"
-    Given it has 1.8 seconds to go
-    When 1.4 seconds pass before a pass of placement
-    Then advice on "urgent" and "a" is asked for
+    When the advice on "urgent" has come, 1.4 seconds ago
+    And it has 1.8 seconds to go
+    And a pass of placement is made
+    Then nothing gives way
+    And advice on "urgent" and "a" is asked for
+    When the advice is that "urgent" may run on "a"
+    And a pass of placement is made
+    Then "other" gives way to "urgent"
 
   Scenario: Whatever the cell looks like, a naive search finds no room that we do not
     When preemption is chosen in 2000 random cells
--- a/features/steps/preemption_steps.py
+++ b/features/steps/preemption_steps.py
@@ -50,7 +50,7 @@
 @given("it has {seconds:g} seconds to go")
 @when("it has {seconds:g} seconds to go")
 def _to_go(context: Any, seconds: float) -> None:
-    context.run.confirmed_at = context.scene.now - 2.0 + seconds
+    context.run.confirmed_at = context.scene.now - WORK_SECONDS + seconds
 
 
 @when('"{name}" has been stopped')
@@ -70,6 +70,16 @@
     scene.placer.reconsider(scene.desk.handle_result(call.call_id, result, scene.now))
 
 
+@when('the advice on "{name}" has come, {seconds:g} seconds ago')
+def _advised_before(context: Any, name: str, seconds: float) -> None:
+    scene = context.scene
+    # Nothing can give way yet: the run ends within a moment.
+    _to_go(context, 0.3)
+    scene.make_pass()
+    _advice(context, name, "a")
+    scene.now += seconds
+
+
 @then('"{victim}" gives way to "{step}"')
 def _gives_way(context: Any, victim: str, step: str) -> None:
     evictions = context.scene.placer.take_evictions()
--- a/src/onyxspoke/core/placement/room_seeker.py
+++ b/src/onyxspoke/core/placement/room_seeker.py
@@ -1,8 +1,8 @@
-"""What is done for a step that found no room: ask ahead, hold room, have others give way.
+"""What is done for a step that found no room: hold room, have others give way.
 
-One worker at a time: the one that has room soonest.  Tickets for it are asked for so that the
-answer is there when the room is; room that is there, or comes within a moment, is held, so that
-what comes later does not take it; and where none comes soon, later queues give way.
+One worker at a time: the one that has room soonest.  Room that is there, or comes within a
+moment, is held, so that what comes later does not take it; and where none comes soon, later
+queues give way, once there is a ticket for the room that they make.
 """
 
 from __future__ import annotations
@@ -25,9 +25,9 @@
 #: Others give way only where room would come later than this, in seconds; a stop, the look that
 #: shows its end and the restart of what was stopped take about as long.
 GAIN_SECONDS = 1.0
-#: A ticket is asked for anew where it would run out before the room is there and so long after.
+#: Others give way only for a ticket that is good for the stop and so much longer, in seconds: the
+#: look that shows their end, and the order to start.
 TICKET_RESERVE_SECONDS = 0.45
-_MILLISECONDS = 1_000.0
 
 
 @dataclass(slots=True)
@@ -77,7 +77,6 @@
         by_id = {worker.worker_id: worker for worker in workers}
         soonest_at, soonest_id = forecasts[0]
         soonest = by_id[soonest_id]
-        self._ask_ahead(step, queue, forecasts, now)
         if soonest_at - now > GAIN_SECONDS:
             made = self._make_room(step, queue, workers, room, policy, now)
             if made is not None:
@@ -90,25 +89,6 @@
         else:
             self._reservations.drop(step.key)
 
-    def _ask_ahead(
-        self, step: StepProgress, queue: QueuePolicy, forecasts: list[tuple[float, str]], now: float
-    ) -> None:
-        """Ask for tickets so early that they are there with the room."""
-        if queue.advice is None:
-            return
-        advice = self._desk.advice_on(step)
-        if advice.is_asking:
-            return
-        call_ms = queue.advice.decide_ms + queue.advice.per_item_ms * len(forecasts)
-        answer_at = now + call_ms / _MILLISECONDS
-        names = [
-            name
-            for at, name in forecasts
-            if at <= answer_at + TICKET_RESERVE_SECONDS
-            and advice.tickets[name].use_before < max(at, now) + TICKET_RESERVE_SECONDS
-        ]
-        self._desk.want(step, queue.advice, names, step_rank_of(step, queue, now), now)
-
     def _make_room(
         self,
         step: StepProgress,
