--- a/features/preemption.feature
+++ b/features/preemption.feature
@@ -40,6 +40,13 @@
     Then nothing gives way
     And "small" of 4 processors, priority 2, that comes now does not take the room
 
+  Scenario: A run that went on from its checkpoint is not taken to end soon for its progress
+    Given "a" is at work on "later" of 6 processors, priority 2, with checkpoints
+    And it went on from its checkpoint 0.1 seconds ago, at 25 percent
+    And a waiting step "urgent" of 1 task of 9 processors, priority 1
+    When a pass of placement is made
+    Then "later" gives way to "urgent"
+
   Scenario: Only as much gives way as is needed
     Given "a" is at work on "first" of 4 processors, priority 2, with checkpoints
     And "a" is at work on "second" of 5 processors, priority 2, with checkpoints
--- a/features/steps/preemption_steps.py
+++ b/features/steps/preemption_steps.py
@@ -53,6 +53,14 @@
     context.run.confirmed_at = context.scene.now - WORK_SECONDS + seconds
 
 
+@given("it went on from its checkpoint {seconds:g} seconds ago, at {percent:d} percent")
+def _resumed(context: Any, seconds: float, percent: int) -> None:
+    run = context.run
+    run.is_resumed = True
+    run.percent = percent
+    run.confirmed_at = run.moved_at = context.scene.now - seconds
+
+
 @when('"{name}" has been stopped')
 def _stopped(context: Any, name: str) -> None:
     run = context.scene.runs[name]
--- a/src/onyxspoke/core/placement/advice_desk.py
+++ b/src/onyxspoke/core/placement/advice_desk.py
@@ -136,7 +136,7 @@
         """Return what is known about a step, if it was ever asked about."""
         return self._steps.get(key)
 
-    def known_asked(self, key: StepKey) -> set[WorkerId]:
+    def workers_asked(self, key: StepKey) -> set[WorkerId]:
         """Return the workers about which the answers on a step were received."""
         advice = self._steps.get(key)
         return set() if advice is None else advice.asked
--- a/src/onyxspoke/core/placement/forecast.py
+++ b/src/onyxspoke/core/placement/forecast.py
@@ -21,6 +21,9 @@
     if run.task.step.spec.long_running:
         return math.inf
     estimate = run.task.step.spec.estimated_ms / _MILLISECONDS
+    if run.is_resumed:
+        left = estimate * (_FULL_PERCENT - run.percent) / _FULL_PERCENT
+        return max(0.0, left - (now - run.moved_at))
     elapsed = now - run.confirmed_at
     if run.percent >= TELLING_PERCENT:
         whole = elapsed / run.percent * _FULL_PERCENT
--- a/src/onyxspoke/core/placement/runs.py
+++ b/src/onyxspoke/core/placement/runs.py
@@ -53,6 +53,9 @@
         When the worker first said that it has the run; 0 before.
     percent : int
         Progress by the worker's word.
+    is_resumed : bool
+        Its work began in an earlier run, or before this holder: its progress does not count from
+        its start.
     moved_at : float
         When the percentage last rose.
     usage : int
@@ -64,6 +67,7 @@
     __slots__ = (
         "confirmed_at",
         "gang",
+        "is_resumed",
         "moved_at",
         "needs",
         "number",
@@ -101,6 +105,7 @@
         self.stop_sent_at = 0.0
         self.stop_answered_at = 0.0
         self.percent = 0
+        self.is_resumed = False
         self.moved_at = now
         self.usage = 0
         self.pace_percent = 100
--- a/src/onyxspoke/core/shard/run_keeper.py
+++ b/src/onyxspoke/core/shard/run_keeper.py
@@ -64,6 +64,7 @@
         task, worker = placement.task, placement.worker
         run = Run(task, number, worker, now, gang)
         run.until_ms = worker.clock.estimate_ms(now) + context.options.start_validity_ms
+        run.is_resumed = bool(_checkpoint_of(task))
         task.run = run
         worker.add(run)
         worker.extend_lease(run.until_ms)
@@ -304,6 +305,7 @@
         run.move_to(RunState.RUNNING)
         run.confirmed_at = now
         run.percent = report.percent
+        run.is_resumed = True
         step.last_number = max(step.last_number, run.number)
         task.run = run
         if report.checkpoint:
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -196,7 +196,7 @@
         step = self.context.desk.handle_result(call_id, result, now)
         if step is not None:
             name = f"{step.job_id}.{step.repetition}.{step.step}"
-            asked = len(self.context.desk.known_asked(step))
+            asked = len(self.context.desk.workers_asked(step))
             self.context.log("advice", step=name, good=len(result.tickets), asked=asked)
             self._placer.reconsider(step)
             self.context.wants_placement = True
