--- a/features/job_promises.feature
+++ b/features/job_promises.feature
@@ -182,6 +182,17 @@
       | 0.5     | begun     |
       | 3.5     | not begun |
 
+  Scenario: A worker whose entry goes while the store is well gets nothing new, and ends what it has
+    Given a cluster with 1 worker(s)
+    And its tasks take 3 seconds
+    And a job that takes all of its worker is at work
+    When the entries of its workers go, though they serve on
+    And another such job is handed in
+    And 4 seconds pass in that cell
+    Then the other job has not begun
+    And the first job is done
+    And the cluster has broken nothing
+
   Scenario: A worker that left with nothing to do keeps no new holder waiting
     Given a cluster with 2 worker(s)
     And its tasks take 6 seconds
--- a/features/steps/job_directed_steps.py
+++ b/features/steps/job_directed_steps.py
@@ -269,6 +269,24 @@
     context.cluster.store.faults.is_down = False
 
 
+@when("the entries of its workers go, though they serve on")
+def _entries_go(context: Any) -> None:
+    for worker_id in list(context.cluster.pool.workers):
+        context.cluster.directory.drop(worker_id)
+
+
+@then("the other job has not begun")
+def _has_not_begun(context: Any) -> None:
+    assert not context.cluster.audit.jobs[SECOND_JOB].has_started
+
+
+@then("the first job is done")
+def _first_done(context: Any) -> None:
+    reply = _call(context, context.cluster.holder(), FIRST_JOB, StateCall(FIRST_JOB))
+    assert reply is not None
+    assert reply.state == "completed", reply
+
+
 @then("the first job has {state}")
 def _first_has(context: Any, state: str) -> None:
     assert context.cluster.audit.jobs[FIRST_JOB].has_started is (state == "begun")
