--- a/features/steps/job_directed_steps.py
+++ b/features/steps/job_directed_steps.py
@@ -82,6 +82,19 @@
     _submit(context, FIRST_JOB)
 
 
+def _send(context: Any, spec: JobSpec, seconds: float) -> None:
+    """Hand a job in without waiting for its answer, and let some time pass."""
+    cluster = context.cluster
+    cluster.pool.specs[spec.job_id] = spec
+    cluster.audit.handle_submitted(spec)
+
+    def take(reply: CallReply | None) -> None:
+        cluster.audit.handle_submit_reply(spec.job_id, reply)
+
+    cluster.call(cluster.holder(), spec.job_id, SubmitCall(spec), take, seconds=1.0)
+    cluster.run(seconds)
+
+
 @given("a patient job with checkpoints takes all of its worker")
 def _patient_job(context: Any) -> None:
     _submit(context, FIRST_JOB, queue_name="patient", checkpointing=True)
@@ -89,16 +102,7 @@
 
 @when("an urgent job that needs all of it is handed in, and {seconds:g} seconds pass")
 def _urgent_job(context: Any, seconds: float) -> None:
-    cluster = context.cluster
-    spec = _whole_worker_job(context, SECOND_JOB, "urgent")
-    cluster.pool.specs[SECOND_JOB] = spec
-    cluster.audit.handle_submitted(spec)
-
-    def take(reply: CallReply | None) -> None:
-        cluster.audit.handle_submit_reply(SECOND_JOB, reply)
-
-    cluster.call(cluster.holder(), SECOND_JOB, SubmitCall(spec), take, seconds=1.0)
-    cluster.run(seconds)
+    _send(context, _whole_worker_job(context, SECOND_JOB, "urgent"), seconds)
 
 
 @when("nothing else happens")
@@ -157,16 +161,7 @@
 
 @when("the first job is handed in, and {seconds:g} seconds pass")
 def _hand_in(context: Any, seconds: float) -> None:
-    cluster = context.cluster
-    spec = _whole_worker_job(context, FIRST_JOB)
-    cluster.pool.specs[FIRST_JOB] = spec
-    cluster.audit.handle_submitted(spec)
-
-    def take(reply: CallReply | None) -> None:
-        cluster.audit.handle_submit_reply(FIRST_JOB, reply)
-
-    cluster.call(cluster.holder(), FIRST_JOB, SubmitCall(spec), take, seconds=1.0)
-    cluster.run(seconds)
+    _send(context, _whole_worker_job(context, FIRST_JOB), seconds)
 
 
 @when("a job that takes all of its worker is accepted, and {seconds:g} seconds pass")
