A winner is left the time to hear that it has won

The winner's heartbeat names no claim yet, which was taken for letting go, and the node claimed over it: four holders in 3.2 s, each fenced by the next.

--- a/features/election.feature
+++ b/features/election.feature
@@ -34,6 +34,23 @@
     Then it follows that node
     And calls go to that node from now on
 
+  Scenario: A node that lost the race leaves the winner the time to hear that it has won
+    Given a follower that comes 2th among those who could take over
+    When its holder lets go
+    And the claim that it reads is another node's
+    And that node says nothing of a claim
+    And 0.2 seconds pass for the node
+    Then it does not claim
+    When another node tells that it holds the shard
+    Then it follows that node
+
+  Scenario: A winner that says nothing of its claim for a second has let go
+    Given a follower that comes 2th among those who could take over
+    When its holder lets go
+    And the claim that it reads is another node's
+    And that node says nothing of a claim for 1.1 seconds
+    Then it reads the claim
+
   Scenario: A new holder tells the nodes that waited for their turns
     Given a cluster of 12 nodes
     When the holder of the cluster is killed
--- a/features/steps/election_steps.py
+++ b/features/steps/election_steps.py
@@ -82,6 +82,27 @@
     context.actions = context.election.take_actions()
 
 
+@when("that node says nothing of a claim")
+def _says_nothing(context: Any) -> None:
+    context.election.handle_peer_status(OTHER, None, context.now)
+    if ReadClaim() in context.election.take_actions():
+        # It was taken for letting go: the store still has its claim.
+        claim = _claim_of(OTHER, END + 1)
+        context.election.handle_claim_read(True, claim, END + 1, context.now)
+
+
+@when("that node says nothing of a claim for {seconds:g} seconds")
+def _says_nothing_for(context: Any, seconds: float) -> None:
+    context.now += seconds
+    context.election.handle_peer_status(OTHER, None, context.now)
+    context.actions = context.election.take_actions()
+
+
+@then("it does not claim")
+def _does_not_claim(context: Any) -> None:
+    assert not any(isinstance(action, SendClaim) for action in context.actions), context.actions
+
+
 @then("it waits for its turn")
 def _waits(context: Any) -> None:
     assert context.election.state is ElectionState.WAITING_TURN
