Appends go out without waiting for each answer where the store is slow

Their sequence numbers keep their order: one that overtakes is turned away by the store (409, sequence) and sent again; a later acknowledgement vouches for those before it. Ruled out: the store's rate of writes (19 a second of a partition at this slowness).

--- a/features/slow_store.feature
+++ b/features/slow_store.feature
@@ -40,3 +40,35 @@
       | late |
       | 0    |
       | 2    |
+
+  Scenario Outline: A job waits for one answer of the store, and hardly for those before it: <slow>
+    Given a cluster of 5 nodes whose store takes <slow> seconds an answer
+    When jobs are handed in there for 6 seconds
+    Then the jobs of the last 5 seconds were accepted within <mean> seconds on average
+
+    Examples:
+      | slow | mean |
+      | 0.10 | 0.13 |
+      | 0.21 | 0.26 |
+      | 0.42 | 0.52 |
+
+  Scenario: An append that overtakes the one before it is sent again, and the shard is kept
+    Given a holder's commits to a store that took 0.2 seconds for its latest answer
+    When two appends are on their way
+    And the store turns the second one away as out of sequence
+    Then the shard is still held
+    When the store acknowledges the first one
+    Then the second one is sent again
+
+  Scenario: An append that is out of sequence though it was next ends the holding
+    Given a holder's commits to a store that took 0.2 seconds for its latest answer
+    When two appends are on their way
+    And the store acknowledges the first one
+    And the second one is sent again, and turned away as out of sequence
+    Then the shard is held no more
+
+  Scenario: The answer to a later append vouches for those before it
+    Given a holder's commits to a store that took 0.2 seconds for its latest answer
+    When two appends are on their way
+    And the store acknowledges the second one
+    Then the effects of both are had, in their order
--- a/features/steps/slow_store_steps.py
+++ b/features/steps/slow_store_steps.py
@@ -8,6 +8,8 @@
 
 from onyxspoke.core.jobs.model import JobSpec, StepSpec
 from onyxspoke.core.shard.calls import CallReply, ReplyCode, SubmitCall
+from onyxspoke.core.shard.commit import CommitQueue
+from onyxspoke.core.shard.log_records import AppendOutcome, AppendResult, ShardRecord
 from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster
 
 QUEUE = "normal"
@@ -101,3 +103,103 @@
         if code is ReplyCode.OK and answered_at - since <= seconds
     ]
     assert len(soon) * 100 >= share * context.submitted, (len(soon), context.submitted)
+
+
+@then("the jobs of the last {last:g} seconds were accepted within {mean:g} seconds on average")
+def _accepted_on_average(context: Any, last: float, mean: float) -> None:
+    context.cluster.run(FINISH_SECONDS)
+    taken = [
+        answered_at - since
+        for since, answered_at, code in context.replies
+        if since >= context.ended_at - last and code is ReplyCode.OK
+    ]
+    assert len(taken) >= last * JOBS_PER_SECOND, len(taken)
+    assert sum(taken) / len(taken) <= mean, sum(taken) / len(taken)
+
+
+@given("a holder's commits to a store that took {seconds:g} seconds for its latest answer")
+def _commits(context: Any, seconds: float) -> None:
+    context.dirty = []
+    context.effects = []
+    context.now = 10.0
+
+    def collect(_maximum_bytes: int) -> list[ShardRecord]:
+        records, context.dirty = context.dirty, []
+        return records
+
+    context.commits = CommitQueue(
+        shard=0,
+        epoch=1,
+        next_sequence=1,
+        proof_at=0.0,
+        collect=collect,
+        renew=lambda: ShardRecord("~claim", b"renewed"),
+        is_dirty=lambda: bool(context.dirty),
+        latest_seconds=seconds,
+    )
+
+
+@when("two appends are on their way")
+def _two_appends(context: Any) -> None:
+    context.appends = []
+    for number in (1, 2):
+        context.dirty.append(ShardRecord(f"job/{number}", b"accepted"))
+        context.commits.after_commit(lambda _now, number=number: context.effects.append(number))
+        append = context.commits.next_append(context.now)
+        assert append is not None and append.sequence == number
+        context.appends.append((append.sequence, context.now))
+        context.now += 0.06
+
+
+def _answer(context: Any, number: int, outcome: AppendOutcome) -> bool:
+    sequence, sent_at = context.appends[number - 1]
+    result = AppendResult(outcome, call_seconds=0.2)
+    context.is_held = context.commits.handle_result(sequence, sent_at, result, context.now)
+    return bool(context.is_held)
+
+
+@when("the store turns the second one away as out of sequence")
+def _turn_away_second(context: Any) -> None:
+    _answer(context, 2, AppendOutcome.OUT_OF_SEQUENCE)
+
+
+@when("the store acknowledges the first one")
+def _acknowledge_first(context: Any) -> None:
+    assert _answer(context, 1, AppendOutcome.DONE)
+    assert context.effects == [1]
+
+
+@when("the store acknowledges the second one")
+def _acknowledge_second(context: Any) -> None:
+    assert _answer(context, 2, AppendOutcome.DONE)
+
+
+@when("the second one is sent again, and turned away as out of sequence")
+def _turn_away_again(context: Any) -> None:
+    context.now += 0.01
+    assert _answer(context, 2, AppendOutcome.UNKNOWN)
+    _resend_second(context)
+    _answer(context, 2, AppendOutcome.OUT_OF_SEQUENCE)
+
+
+@then("the second one is sent again")
+def _resend_second(context: Any) -> None:
+    context.now += 0.2
+    again = context.commits.next_append(context.now)
+    assert again is not None and again.sequence == 2, again
+    context.appends[1] = (again.sequence, context.now)
+
+
+@then("the shard is still held")
+def _still_held(context: Any) -> None:
+    assert context.is_held
+
+
+@then("the shard is held no more")
+def _held_no_more(context: Any) -> None:
+    assert not context.is_held
+
+
+@then("the effects of both are had, in their order")
+def _both_effects(context: Any) -> None:
+    assert context.effects == [1, 2], context.effects
