Silent connections cost one call; what was asked on a lost stream is asked again

Change: a call that hears nothing in its time closes every idle connection to that address on which nothing came since; a lost stream gives up its calls for advice at once and has its calls sent again. The simulation's network can silence, reset and lose pieces; three new kinds of fault in the exploration.

--- a/src/onyxspoke/net/http_client.py
+++ b/src/onyxspoke/net/http_client.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable
 from typing import Protocol as TypingProtocol
@@ -64,7 +65,7 @@
 class _Call:
     """One call, from the queue to its answer."""
 
-    __slots__ = ("_on_answer", "connection", "data", "is_over", "latest_at", "timer")
+    __slots__ = ("_on_answer", "connection", "data", "is_over", "latest_at", "sent_at", "timer")
 
     def __init__(self, data: bytes, on_answer: OnAnswer, latest_at: float) -> None:
         self.data = data
@@ -72,6 +73,7 @@
         self._on_answer = on_answer
         self.timer: IDelayedCall | None = None
         self.connection: _Connection | None = None
+        self.sent_at = 0.0
         self.is_over = False
 
     def finish(self, answer: HttpAnswer) -> None:
@@ -95,12 +97,18 @@
         self._body: list[bytes] = []
         self._headers: dict[bytes, bytes] = {}
         self.is_open = False
-        #: When something of an answer came last.
+        #: When something came last, or the connection was made.
         self.data_at = 0.0
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Host and port of the other side."""
+        return self._pool.address
+
     def connectionMade(self) -> None:
         """Begin to carry calls; called by Twisted."""
         self.is_open = True
+        self.data_at = self._pool.now()
         cast("ITCPTransport", self.transport).setTcpNoDelay(True)
         self._pool.handle_open(self)
 
@@ -111,7 +119,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._body = []
         self._headers = {}
-        self.data_at = 0.0
+        call.sent_at = self._pool.now()
         assert self.transport is not None
         self.transport.write(call.data)
 
@@ -168,8 +176,7 @@
 
     def __init__(self, client: HttpClient, host: str, port: int) -> None:
         self._client = client
-        self._host = host
-        self._port = port
+        self.address = (host, port)
         self._idle: list[_Connection] = []
         self._open = 0
         self._connecting = 0
@@ -219,16 +226,23 @@
 
     def close(self) -> None:
         """Close idle connections."""
+        self.close_unheard(math.inf)
+
+    def close_unheard(self, since: float) -> None:
+        """Close idle connections on which nothing has come since a moment."""
         idle, self._idle = self._idle, []
         for connection in idle:
-            connection.abort()
+            if connection.data_at <= since:
+                connection.abort()
+            else:
+                self._idle.append(connection)
 
     def _total(self) -> int:
         return self._open + self._connecting
 
     def _connect(self) -> None:
         self._connecting += 1
-        attempt = self._client.connect(self._host, self._port, lambda: _Connection(self))
+        attempt = self._client.connect(*self.address, lambda: _Connection(self))
         attempt.addErrback(self._handle_failed)
 
     def _handle_failed(self, _failure: Failure) -> None:
@@ -315,14 +329,27 @@
         if connection is not None and self._is_coming(call, connection):
             call.timer = self._reactor.callLater(PROGRESS_SECONDS, self._expire, call)
             return
-        call.finish(NOT_SENT if connection is None else NO_ANSWER)
         if connection is not None:
             connection.abort()
+            if connection.data_at <= call.sent_at:
+                self._close_unheard(connection, call.sent_at)
+        call.finish(NOT_SENT if connection is None else NO_ANSWER)
+
+    def _close_unheard(self, silent: _Connection, since: float) -> None:
+        """Close what else may have fallen silent with a connection, without a sign.
+
+        Otherwise each kept connection would cost one call its time, one after the other.
+        """
+        address = silent.address
+        for key, pool in self._pools.items():
+            if key[:2] == address:
+                pool.close_unheard(since)
 
     def _is_coming(self, call: _Call, connection: _Connection) -> bool:
         """Return whether an answer is under way."""
         now = self.now()
-        return now < call.latest_at and now - connection.data_at < PROGRESS_SECONDS
+        has_begun = connection.data_at > call.sent_at
+        return has_begun and now < call.latest_at and now - connection.data_at < PROGRESS_SECONDS
 
 
 def encode_request(
--- a/src/onyxspoke/node/advice_exchange.py
+++ b/src/onyxspoke/node/advice_exchange.py
@@ -43,6 +43,8 @@
         self._own_life = own_life
         self._peers = peers
         self._on_result = on_result
+        #: Calls that were passed on to a peer, by the stream on which its answer comes.
+        self._passed_on: dict[PeerLink, set[tuple[ShardId, int]]] = {}
 
     def advisors(self) -> list[str]:
         """Return the lives of the nodes through which calls can go, this one's first.
@@ -60,6 +62,7 @@
             return
         for link in self._peers.up_links():
             if link.identity is not None and link.identity.life == action.advisor:
+                self._passed_on.setdefault(link, set()).add((shard, action.call_id))
                 link.send(AdviceForward(shard, action.call_id, action.step, action.worker_ids))
                 return
         take(AdviceResult(AdviceOutcome.NO_ANSWER))
@@ -72,6 +75,12 @@
 
         self._port.ask(message.step, message.worker_ids, answer)
 
-    def take(self, _link: PeerLink, message: AdviceAnswer) -> None:
+    def handle_link_lost(self, link: PeerLink) -> None:
+        """Answers to what was passed on over a stream will not come."""
+        for shard, call_id in self._passed_on.pop(link, set()):
+            self._on_result(shard, call_id, AdviceResult(AdviceOutcome.NO_ANSWER))
+
+    def take(self, link: PeerLink, message: AdviceAnswer) -> None:
         """A peer tells what the service said."""
+        self._passed_on.get(link, set()).discard((message.shard, message.call_id))
         self._on_result(message.shard, message.call_id, message.result)
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -368,15 +368,23 @@
         logging.info("event=peer_lost peer=%s reason=%s", host, reason.value)
         if link is not None:
             self._note_peers_changed()
+            self._give_up_exchanges(link)
         if self.peers.link_to(host) is not None:
             return
-        for shard, seat in list(self.seats.items()):
-            claim = self._holders.get(shard)
-            if claim is not None and claim.host == host:
-                self.router.handle_holder_lost(shard)
+        for seat in list(self.seats.values()):
             seat.election.handle_peer_lost(host, reason, self._clock.now())
             seat.carry_out_election()
 
+    def _give_up_exchanges(self, link: PeerLink) -> None:
+        """Send elsewhere, or again, what was asked on a stream that is lost.
+
+        Its answers come on no other stream, also where there is another one to the same node.
+        """
+        self._advice.handle_link_lost(link)
+        for shard, claim in self._holders.items():
+            if claim.host == link.host:
+                self.router.handle_holder_lost(shard)
+
     def handle_peer_message(self, link: PeerLink, message: NodeMessage) -> None:
         """A peer sent a message."""
         handler = self._handlers.get(type(message))
--- a/src/onyxspoke/sim/job_faults.py
+++ b/src/onyxspoke/sim/job_faults.py
@@ -13,6 +13,10 @@
 STORE = "store"
 #: Share of the faults of nodes that strike one which decides for a shard.
 HOLDER_SHARE = 0.7
+#: Share of the connections between nodes that are reset at once.
+RESET_SHARE = 0.55
+#: Share of the pieces between nodes that are lost on their way at first.
+LOSS_SHARE = 0.05
 
 
 class JobFault(Enum):
@@ -27,6 +31,9 @@
     CUT_NODE_FROM_WORKERS = "cut_node_from_workers"
     CUT_NODE_FROM_ALL = "cut_node_from_all"
     KILL_ALL_NODES = "kill_all_nodes"
+    SILENCE_CONNECTIONS = "silence_connections"
+    RESET_CONNECTIONS = "reset_connections"
+    LOSSY_LINKS = "lossy_links"
     STORE_DOWN = "store_down"
     STORE_SLOW = "store_slow"
     STORE_REFUSES = "store_refuses"
@@ -78,6 +85,9 @@
             JobFault.CUT_NODE_FROM_WORKERS: partial(self._cut_node, [], False, True),
             JobFault.CUT_NODE_FROM_ALL: partial(self._cut_node, [STORE], True, True),
             JobFault.KILL_ALL_NODES: self._kill_all_nodes,
+            JobFault.SILENCE_CONNECTIONS: self._silence_connections,
+            JobFault.RESET_CONNECTIONS: self._reset_connections,
+            JobFault.LOSSY_LINKS: self._lose_pieces,
             JobFault.STORE_DOWN: self._store_down,
             JobFault.STORE_SLOW: self._store_slow,
             JobFault.STORE_REFUSES: self._store_refuses,
@@ -155,6 +165,19 @@
         self._cluster.cut(node.host, cut)
         self._later(seconds, partial(self._cluster.heal, node.host, cut))
 
+    # Connections between nodes
+
+    def _silence_connections(self, seconds: float) -> None:
+        self._cluster.network.silence_connections()
+
+    def _reset_connections(self, seconds: float) -> None:
+        self._cluster.network.reset_connections(RESET_SHARE)
+
+    def _lose_pieces(self, seconds: float) -> None:
+        network = self._cluster.network
+        network.loss_share = LOSS_SHARE
+        self._later(seconds, lambda: setattr(network, "loss_share", 0.0))
+
     def _restart(self, node: SimulatedNode) -> None:
         present = self._cluster.nodes[node.name]
         if present is node or not present.process.alive:
--- a/src/onyxspoke/sim/virtual_network.py
+++ b/src/onyxspoke/sim/virtual_network.py
@@ -2,7 +2,8 @@
 
 Bytes keep their order on a connection.  While a link is cut its bytes are held, as a
 transport would retransmit them; a connection that is cut for longer than the break
-time is lost on both sides.
+time is lost on both sides.  A connection that is silenced carries nothing more, and neither
+side is told; new ones work.  A lossy network delivers some pieces late, as they are sent again.
 """
 
 from __future__ import annotations
@@ -44,6 +45,8 @@
     delay_seconds: float = 0.0005
     jitter_seconds: float = 0.0005
     break_seconds: float = 3.0
+    #: After how long a lost piece is sent again.
+    resend_seconds: float = 0.2
 
 
 @dataclass(slots=True)
@@ -74,6 +77,8 @@
         self._connection_counter = 0
         self._cuts: set[frozenset[str]] = set()
         self.bytes_sent: dict[str, int] = {}
+        #: Share of the pieces that are lost on their way at first.
+        self.loss_share = 0.0
 
     def network_of(self, node: VirtualNode) -> Network:
         """Return the network as the adapters of one process see it."""
@@ -106,9 +111,23 @@
             if node in (connection.client.node, connection.server.node):
                 connection.lose()
 
+    def silence_connections(self) -> None:
+        """Let no open connection carry anything more, without a sign; new ones work."""
+        for connection in self._connections.values():
+            connection.is_silent = True
+
+    def reset_connections(self, share: float) -> None:
+        """End a share of the open connections; both sides are told."""
+        for connection in list(self._connections.values()):
+            if self._random.random() < share:
+                connection.lose()
+
     def draw_delay(self) -> float:
         """Return the one-way delay of one piece of data."""
-        return self.options.delay_seconds + self._random.random() * self.options.jitter_seconds
+        delay = self.options.delay_seconds + self._random.random() * self.options.jitter_seconds
+        if self.loss_share > 0 and self._random.random() < self.loss_share:
+            delay += self.options.resend_seconds
+        return delay
 
     def listen(
         self, node: VirtualNode, address: tuple[str, int], factory: IProtocolFactory
@@ -217,6 +236,7 @@
         self.network = network
         self.is_lost = False
         self.is_held = False
+        self.is_silent = False
         self._id = connection_id
         self._break_number = 0
         self.client = _End(self, client)
@@ -242,10 +262,16 @@
             self.client.flush()
             self.server.flush()
 
-    def lose(self) -> None:
-        """End the connection; both sides learn of it a little later."""
+    def lose(self, closer: _End | None = None) -> None:
+        """End the connection; both sides learn of it a little later.
+
+        Of a silent one only the side that closes it learns.
+        """
         if self.is_lost:
             return
+        if self.is_silent and closer is not None:
+            closer.notify_lost()
+            return
         self.is_lost = True
         self.network.forget(self._id)
         for end in (self.client, self.server):
@@ -314,6 +340,8 @@
         self._outgoing.clear()
         if not pieces:
             return
+        if self._connection.is_silent:
+            return
         network = self._connection.network
         arrival = max(network.time.now() + network.draw_delay(), self._last_arrival)
         self._last_arrival = arrival
@@ -325,12 +353,12 @@
         if not self._closing:
             self._closing = True
             delay = max(0.0, self._last_arrival - self._connection.network.time.now())
-            self._connection.network.time.schedule(delay, self._connection.lose)
+            self._connection.network.time.schedule(delay, lambda: self._connection.lose(self))
 
     def abortConnection(self) -> None:
         """Close at once."""
         self._closing = True
-        self._connection.lose()
+        self._connection.lose(self)
 
     def notify_lost(self) -> None:
         """Tell the protocol, a little later, that the connection is gone."""
@@ -347,7 +375,8 @@
             # The cut caught these bytes on the way; they are sent again after it.
             self._returned.append(data)
             return
-        self.other.node.run(lambda: self.other.receive(data))
+        if not self._connection.is_silent:
+            self.other.node.run(lambda: self.other.receive(data))
 
     def receive(self, data: bytes) -> None:
         """Give bytes to the protocol."""
