A job waits until a worker has it; a winner is left the time to hear that it has won

Change 1: it has begun once a worker says that it has, or had, a run of it. The scenario with a holder that is cut off from its workers is red without the change (0 said to wait where 1 does). Cause 2, the known red: a node that lost the race for a shard takes the winner's heartbeat, which names no claim yet, for letting go.

--- a/features/job_promises.feature
+++ b/features/job_promises.feature
@@ -213,3 +213,17 @@
     When the holder is killed
     And another node holds the shard
     Then the successor knows since when the other job waits
+
+  Scenario: A job of which no worker has taken an order is still one that waits
+    Given a cluster with 1 worker(s)
+    And its tasks take 2 seconds
+    When the holder is cut off from the workers
+    And the first job is handed in, and 0.6 seconds pass
+    Then 1 job is said to wait in the queue "normal"
+    And the first job has not begun
+
+  Scenario: A job that a worker has taken waits no longer
+    Given a cluster with 1 worker(s)
+    And its tasks take 2 seconds
+    When the first job is handed in, and 0.6 seconds pass
+    Then 0 jobs are said to wait in the queue "normal"
--- a/features/steps/job_directed_steps.py
+++ b/features/steps/job_directed_steps.py
@@ -9,7 +9,15 @@
 from job_promise_steps import WITHOUT
 
 from onyxspoke.core.jobs.model import JobSpec, StepSpec
-from onyxspoke.core.shard.calls import Call, CallReply, CancelCall, ReplyCode, StateCall, SubmitCall
+from onyxspoke.core.shard.calls import (
+    Call,
+    CallReply,
+    CancelCall,
+    ReplyCode,
+    StateCall,
+    SubmitCall,
+    WaitingCall,
+)
 from onyxspoke.kit.jobs.audit import Violation
 from onyxspoke.kit.jobs.workers import WorkOptions
 from onyxspoke.sim.job_cluster import WORKER_CAPACITY, ClusterOptions, JobCluster, SimulatedNode
@@ -296,3 +304,11 @@
 def _runs(context: Any) -> None:
     context.cluster.run(8.0)
     assert context.cluster.audit.jobs[SECOND_JOB].has_started
+
+
+@then('{count:d} job is said to wait in the queue "{queue}"')
+@then('{count:d} jobs are said to wait in the queue "{queue}"')
+def _said_to_wait(context: Any, count: int, queue: str) -> None:
+    reply = _call(context, context.cluster.holder(), "", WaitingCall(queue))
+    assert reply is not None and reply.code is ReplyCode.OK, reply
+    assert reply.waiting == count, reply
--- a/src/onyxspoke/core/jobs/book.py
+++ b/src/onyxspoke/core/jobs/book.py
@@ -152,17 +152,24 @@
 
     # Tasks
 
-    def task_started(self, task: TaskProgress, now: float) -> None:
+    def task_started(self, task: TaskProgress) -> None:
         """A run of a task was decided on, or found on a worker."""
         task.move_to(TaskState.ACTIVE)
-        job = task.step.job
-        if not job.begun:
-            job.begun = True
-            if job.state is JobState.QUEUED:
-                job.move_to(JobState.RUNNING, now)
-                self.dirty[job.job_id] = None
         self._refresh(task.step)
 
+    def task_begun(self, task: TaskProgress, now: float) -> None:
+        """A worker said that it has, or had, a run of a task: its job waits no longer.
+
+        An order alone says nothing: it may be turned away, or never arrive.
+        """
+        job = task.step.job
+        if job.begun:
+            return
+        job.begun = True
+        if job.state is JobState.QUEUED:
+            job.move_to(JobState.RUNNING, now)
+            self.dirty[job.job_id] = None
+
     def task_waits(self, task: TaskProgress) -> None:
         """A run ended otherwise than well, or never began, or is to be started again."""
         task.move_to(TaskState.WAITING)
--- a/src/onyxspoke/core/jobs/progress.py
+++ b/src/onyxspoke/core/jobs/progress.py
@@ -152,7 +152,7 @@
     repetitions : dict of int to list of StepProgress
         Steps by repetition; of a job with times, only those that are due and not done.
     begun : bool
-        Whether any task was ever started, as far as is known here.
+        Whether a worker ever had a run of any task, as far as is known here.
     accepted_at : float
         The reader's seconds of the acceptance.
     objective_seconds : float
--- a/src/onyxspoke/core/shard/election.py
+++ b/src/onyxspoke/core/shard/election.py
@@ -50,6 +50,10 @@
 #: A follower that hears nothing for so long, and so many intervals, doubts its holder.
 SILENCE_SECONDS = 0.5
 INTERVALS_TO_SILENCE = 2.5
+#: A claimant may not know yet that its claim stands when others read it: until it has said so
+#: once, its silence about it is no letting go for so long after the claim was read, in seconds.
+#: A store that takes 0.4 s an answer needs about half of it.
+UNCONFIRMED_SECONDS = 1.0
 #: First sequences are drawn from up to here, so that two claimants never share one.
 SEQUENCE_RANGE = 2**40
 
@@ -185,6 +189,8 @@
         self._looked_at = 0.0
         self._heard_at = 0.0
         self._silence_seconds = SILENCE_SECONDS
+        #: When the claim was read that its holder has not told us of yet.
+        self._unconfirmed_since = -math.inf
         self._moved_at = 0.0
         self._dead_since: float | None = None
         self._suspects_death = False
@@ -260,6 +266,8 @@
         elif self.state in _LOOKING_AT_HOLDER:
             if peer.life != known.life:
                 self._dead_since = now
+            elif now - self._unconfirmed_since < UNCONFIRMED_SECONDS:
+                return
             self._suspects_death = True
             self._read(now, "holder_let_go")
 
@@ -366,6 +374,7 @@
     def _adopt_claim(self, claim: ClaimRecord | None, now: float) -> None:
         assert claim is not None
         self.claim = claim
+        self._unconfirmed_since = now
         self._dead_since = None
         self._suspects_death = False
         if claim.host == self._identity.host:
@@ -391,6 +400,7 @@
 
     def _follow(self, now: float, claim: ClaimRecord) -> None:
         self._heard_at = now
+        self._unconfirmed_since = -math.inf
         if self.state is not ElectionState.FOLLOWING:
             self._move(ElectionState.FOLLOWING, now, "holder_answers")
             self.actions.append(HolderChanged(claim))
--- a/src/onyxspoke/core/shard/run_keeper.py
+++ b/src/onyxspoke/core/shard/run_keeper.py
@@ -68,7 +68,7 @@
         task.run = run
         worker.add(run)
         worker.extend_lease(run.until_ms)
-        context.book.task_started(task, now)
+        context.book.task_started(task)
         job = task.step.job
         context.log(
             "run_start",
@@ -235,6 +235,7 @@
     def _take_end(self, worker: Worker, report: EndReport, now: float) -> None:
         run = worker.runs.get(report.run)
         if run is not None:
+            self._context.book.task_begun(run.task, now)
             self._note_checkpoint(run.task, report.checkpoint)
             self._log_end(run, report)
             self.end_run(run, report.end, now)
@@ -248,6 +249,7 @@
             return
         step = task.step
         step.last_number = max(step.last_number, report.run.number)
+        self._context.book.task_begun(task, now)
         self._note_checkpoint(task, report.checkpoint)
         self._context.log(
             "end_recovered",
@@ -311,7 +313,8 @@
         if report.checkpoint:
             _checkpoint_holder(task).checkpoint = report.checkpoint
         worker.add(run)
-        self._context.book.task_started(task, now)
+        self._context.book.task_started(task)
+        self._context.book.task_begun(task, now)
         self._log_run("run_adopted", run)
         if gang is not None and gang.is_broken:
             self.stop(run, now, "gang_broken")
@@ -345,6 +348,7 @@
         run.move_to(RunState.RUNNING)
         run.confirmed_at = now
         run.moved_at = now
+        self._context.book.task_begun(run.task, now)
 
     # Ends
 
--- a/src/onyxspoke/core/shard/worker_register.py
+++ b/src/onyxspoke/core/shard/worker_register.py
@@ -181,6 +181,8 @@
         is_leaving = self._directory_is_known and worker.listing is not WorkerListing.READY
         if worker.is_recorded and is_known and is_empty and is_leaving:
             worker.is_recorded = False
+            # A record that is to be written once more must not come after the drop.
+            self._unrecorded.pop(worker.worker_id, None)
             self._dropped[worker.worker_id] = None
             _log(self._context, worker, "worker_emptied", listing=worker.listing.value)
 
