--- a/src/onyxspoke/core/jobs/progress.py
+++ b/src/onyxspoke/core/jobs/progress.py
@@ -63,6 +63,8 @@
 
     Attributes
     ----------
+    needs : Needs
+        What one task reserves of a worker's room.
     waiting : dict of int to None
         Indexes of tasks that may be started, in order.
     blocked_by : int
@@ -89,6 +91,7 @@
         "job",
         "key",
         "last_number",
+        "needs",
         "ready_at",
         "spec",
         "tasks",
@@ -103,6 +106,7 @@
         self.chain_seconds = chain_seconds
         self.key = key
         self.spec = spec
+        self.needs = spec.needs
         self.tasks = [TaskProgress(self, index) for index in range(spec.task_count)]
         self.waiting: dict[int, None] = dict.fromkeys(range(spec.task_count))
         self.in_doubt = 0
--- a/src/onyxspoke/core/placement/forecast.py
+++ b/src/onyxspoke/core/placement/forecast.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import math
+from operator import itemgetter
 
-from onyxspoke.core.jobs.model import Needs
+from onyxspoke.core.jobs.model import Needs, WorkerId
 from onyxspoke.core.jobs.states import RunState
-from onyxspoke.core.placement.room import ScratchRoom, slots_within
+from onyxspoke.core.placement.room import ScratchRoom
 from onyxspoke.core.placement.runs import Run
 from onyxspoke.core.placement.workers import Worker
 
@@ -31,25 +32,55 @@
     return max(0.0, estimate - elapsed)
 
 
-def room_expected_at(
-    worker: Worker, needs: Needs, room: ScratchRoom, stop_seconds: float, now: float
-) -> float:
-    """Return when a worker will have room for one more task; infinity where that is not known.
+class RoomForecast:
+    """When workers will have room, as one pass of placement sees it.
 
-    A run that is being stopped takes ``stop_seconds`` at most.
+    Parameters
+    ----------
+    stop_seconds : float
+        How long a stop takes at most.
+    now : float
+        The moment of the pass.
     """
-    free = room.free(worker)
-    if slots_within(free, needs) > 0:
-        return now
-    ends = sorted(
-        ((_expected_end(run, stop_seconds, now), run) for run in worker.runs.values()),
-        key=lambda item: item[0],
+
+    def __init__(self, stop_seconds: float, now: float) -> None:
+        self._stop_seconds = stop_seconds
+        self._now = now
+        #: Ends of a worker's runs, the soonest first, and what each frees.
+        self._ends: dict[WorkerId, list[tuple[float, Needs]]] = {}
+
+    def room_expected_at(self, worker: Worker, needs: Needs, room: ScratchRoom) -> float:
+        """Return when a worker will have room for one more task; infinity if not known."""
+        processors, memory, accelerators = room.free(worker)
+        if _fits(processors, memory, accelerators, needs):
+            return self._now
+        for at, freed in self._ends_on(worker):
+            processors += freed.processors_milli
+            memory += freed.memory_mb
+            accelerators += freed.accelerators
+            if _fits(processors, memory, accelerators, needs):
+                return at
+        return math.inf
+
+    def _ends_on(self, worker: Worker) -> list[tuple[float, Needs]]:
+        ends = self._ends.get(worker.worker_id)
+        if ends is None:
+            ends = [
+                (_expected_end(run, self._stop_seconds, self._now), run.needs)
+                for run in worker.runs.values()
+            ]
+            ends.sort(key=itemgetter(0))
+            self._ends[worker.worker_id] = ends
+        return ends
+
+
+def _fits(processors: int, memory: int, accelerators: int, needs: Needs) -> bool:
+    # What is not needed may be held by more than there is.
+    return (
+        needs.processors_milli <= max(0, processors)
+        and needs.memory_mb <= max(0, memory)
+        and needs.accelerators <= max(0, accelerators)
     )
-    for at, run in ends:
-        free = Needs(*(have + freed for have, freed in zip(free, run.needs, strict=True)))
-        if slots_within(free, needs) > 0:
-            return at
-    return math.inf
 
 
 def _expected_end(run: Run, stop_seconds: float, now: float) -> float:
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -81,7 +81,8 @@
             del self._look_again_at[key]
         plan: list[StepPlacement] = []
         room = ScratchRoom()
-        offers = _Offers(self._table, now)
+        self._seeker.begin_pass(now)
+        offers = _Offers(self._table)
         changes = _Changes(self._table)
         blocked_at: dict[StepKey, int] = {}
         looked_ahead = 0
@@ -112,7 +113,7 @@
     ) -> StepPlacement | None:
         if step.spec.gang:
             return self._place_gang(step, queue, offer, room, now)
-        may_fit = offer.may_fit(step.spec.needs)
+        may_fit = offer.may_fit(step.needs)
         candidates = self._candidates(step, queue, offer, now)
         if queue.advice is not None:
             advice = self._desk.advice_on(step)
@@ -219,7 +220,7 @@
             changed = self._since[since] = self._table.changed_since(since)
         if not changed:
             return False
-        needs = step.spec.needs
+        needs = step.needs
         advice = desk.known_advice(step.key)
         for worker in changed:
             if worker.fits(needs) and (advice is None or advice.may_run_on(worker.worker_id)):
@@ -230,16 +231,15 @@
 class _Offers:
     """The workers to which runs may go, by service."""
 
-    def __init__(self, table: WorkerTable, now: float) -> None:
+    def __init__(self, table: WorkerTable) -> None:
         self._table = table
-        self._now = now
         self._by_service: dict[str, _Offer] = {}
 
     def of(self, service: str) -> _Offer:
         """Return the offer of a service."""
         offer = self._by_service.get(service)
         if offer is None:
-            offer = _Offer(self._table.offered(service, self._now))
+            offer = _Offer(self._table.offered(service))
             self._by_service[service] = offer
         return offer
 
@@ -284,7 +284,7 @@
     bound = min(spec.spread_limit or len(step.tasks), len(step.tasks))
     ranked = []
     for worker in workers:
-        count = min(bound, room.slots(worker, spec.needs))
+        count = min(bound, room.slots(worker, step.needs))
         if count > 0:
             score = (
                 int(worker.worker_id in failed_on),
@@ -343,7 +343,7 @@
     placements = []
     tasks = iter(step.tasks)
     for item in members:
-        room.take(item.worker, step.spec.needs, item.count)
+        room.take(item.worker, step.needs, item.count)
         ticket = tickets[item.worker.worker_id]
         placements += [Placement(next(tasks), item.worker, ticket) for _ in range(item.count)]
     return StepPlacement(step, placements)
@@ -367,7 +367,7 @@
         return sorted(unknown)
     asked: list[str] = []
     if _total(slots) < len(step.tasks):
-        needs = step.spec.needs
+        needs = step.needs
         asked = sorted(name for name in unknown if offer.workers[name].fits(needs))
     if _total(slots) < ASKING_SHARE * len(step.tasks):
         return asked
@@ -391,7 +391,7 @@
         return sorted(unknown)
     if has_tickets or not may_fit:
         return []
-    needs = step.spec.needs
+    needs = step.needs
     useful = [
         worker
         for worker_id, worker in offer.workers.items()
--- a/src/onyxspoke/core/placement/reservations.py
+++ b/src/onyxspoke/core/placement/reservations.py
@@ -33,7 +33,7 @@
 
     @property
     def processors_milli(self) -> int:
-        return sum(item.count for item in self.slots) * self.step.spec.needs.processors_milli
+        return sum(item.count for item in self.slots) * self.step.needs.processors_milli
 
 
 class RoomReservations:
@@ -60,7 +60,7 @@
         holding = self._held.get(step.key)
         if holding is not None:
             for item in holding.slots:
-                room.take(item.worker, step.spec.needs, item.count)
+                room.take(item.worker, step.needs, item.count)
 
     def drop(self, key: StepKey) -> None:
         """Hold nothing more for a step."""
@@ -87,6 +87,6 @@
 
 def can_ever_fit(step: StepProgress, workers: list[Worker]) -> bool:
     """Return whether a gang has room on these workers when nothing else runs there."""
-    needs = step.spec.needs
+    needs = step.needs
     room = sum(slots_within(worker.record.capacity, needs) for worker in workers)
     return room >= len(step.tasks)
--- a/src/onyxspoke/core/placement/room.py
+++ b/src/onyxspoke/core/placement/room.py
@@ -30,7 +30,9 @@
 
     def free(self, worker: Worker) -> Needs:
         """Return what a worker has left; below zero where more is held than there is."""
-        taken = self._taken.get(worker.worker_id, Needs())
+        taken = self._taken.get(worker.worker_id)
+        if taken is None:
+            return Needs(worker.free_processors, worker.free_memory, worker.free_accelerators)
         return Needs(
             worker.free_processors - taken.processors_milli,
             worker.free_memory - taken.memory_mb,
@@ -58,5 +60,11 @@
 
 def slots_within(room: Needs, needs: Needs) -> int:
     """Return how many tasks with these needs go into a room."""
-    counts = [max(0, have) // need for have, need in zip(room, needs, strict=True) if need > 0]
-    return min(counts, default=_UNBOUNDED)
+    count = _UNBOUNDED
+    if needs.processors_milli > 0:
+        count = room.processors_milli // needs.processors_milli
+    if needs.memory_mb > 0:
+        count = min(count, room.memory_mb // needs.memory_mb)
+    if needs.accelerators > 0:
+        count = min(count, room.accelerators // needs.accelerators)
+    return max(0, count)
--- a/src/onyxspoke/core/placement/room_seeker.py
+++ b/src/onyxspoke/core/placement/room_seeker.py
@@ -13,7 +13,7 @@
 from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.placement.advice_desk import AdviceDesk
-from onyxspoke.core.placement.forecast import room_expected_at
+from onyxspoke.core.placement.forecast import RoomForecast
 from onyxspoke.core.placement.preemption import Preemption, choose_preemption
 from onyxspoke.core.placement.queue_order import Lateness, step_rank_of
 from onyxspoke.core.placement.reservations import MemberSlots, RoomReservations
@@ -53,8 +53,13 @@
         self._desk = desk
         self._reservations = reservations
         self._stop_seconds = stop_seconds
+        self._forecast = RoomForecast(stop_seconds, 0.0)
         self.evictions: list[Eviction] = []
 
+    def begin_pass(self, now: float) -> None:
+        """Forget what was expected in an earlier pass of placement."""
+        self._forecast = RoomForecast(self._stop_seconds, now)
+
     def seek(
         self,
         step: StepProgress,
@@ -66,9 +71,9 @@
         now: float,
     ) -> None:
         """Look after a step; ``workers`` are those that may run it, room or not."""
-        needs = step.spec.needs
+        needs = step.needs
         forecasts = sorted(
-            (room_expected_at(worker, needs, room, self._stop_seconds, now), worker.worker_id)
+            (self._forecast.room_expected_at(worker, needs, room), worker.worker_id)
             for worker in workers
         )
         if not forecasts:
@@ -111,7 +116,7 @@
                 self._ask_for(step, queue, workers, now)
                 return None
             workers = ready
-        found = choose_preemption(queue.priority, step.spec.needs, workers, room, policy, now)
+        found = choose_preemption(queue.priority, step.needs, workers, room, policy, now)
         if found is None:
             return None
         self.evictions.append(Eviction(step, found))
--- a/src/onyxspoke/core/placement/runs.py
+++ b/src/onyxspoke/core/placement/runs.py
@@ -96,7 +96,7 @@
         self.task = task
         self.number = number
         self.worker = worker
-        self.needs: Needs = task.step.spec.needs
+        self.needs: Needs = task.step.needs
         self.state = RunState.STARTING
         self.gang = gang
         self.until_ms = 0
--- a/src/onyxspoke/core/placement/spreading.py
+++ b/src/onyxspoke/core/placement/spreading.py
@@ -61,7 +61,7 @@
                 best, best_score, best_tasks = candidate, score, tasks
         if best is None:
             break
-        room.take(best.worker, step.spec.needs, len(best_tasks))
+        room.take(best.worker, step.needs, len(best_tasks))
         placements += [Placement(task, best.worker, best.ticket) for task in best_tasks]
         zones.add(best.worker.record.zone)
         chosen = {task.index for task in best_tasks}
@@ -79,7 +79,7 @@
     now: float,
 ) -> list[TaskProgress]:
     """Return the tasks that would go to a worker, those that did not just fail there first."""
-    bound = min(room.slots(worker, step.spec.needs), len(waiting))
+    bound = min(room.slots(worker, step.needs), len(waiting))
     if step.spec.spread_limit:
         bound = min(bound, step.spec.spread_limit - counts.get(worker.worker_id, 0))
     if worker.health.is_on_trial(now):
@@ -105,7 +105,7 @@
     step takes accelerators, which are scarce, that goes before keeping its tasks together.
     """
     free = room.free(worker)
-    needs_accelerators = step.spec.needs.accelerators > 0
+    needs_accelerators = step.needs.accelerators > 0
     is_apart = bool(zones) and worker.record.zone not in zones
     return (
         int(tasks[0].failed_on == worker.worker_id),
--- a/src/onyxspoke/core/placement/workers.py
+++ b/src/onyxspoke/core/placement/workers.py
@@ -156,6 +156,8 @@
     """
 
     def __init__(self, record: WorkerRecord, unsettled_until: float) -> None:
+        #: The life's name.
+        self.worker_id = record.worker_id
         self.record = record
         self.contact = WorkerContact.UNSETTLED
         self.listing = record.listing
@@ -189,11 +191,6 @@
         self.misses = 0
         self.silent_since = 0.0
 
-    @property
-    def worker_id(self) -> WorkerId:
-        """The life's name."""
-        return self.record.worker_id
-
     def move_to(self, contact: WorkerContact) -> None:
         """Change what is known of the worker."""
         if contact is not self.contact:
@@ -284,6 +281,8 @@
 
     def __init__(self) -> None:
         self.workers: dict[WorkerId, Worker] = {}
+        #: Those to which runs may go, by service, as they were last looked at.
+        self._offered: dict[str, list[Worker]] = {}
         #: Rises whenever some worker gains room or comes into use.
         self.change_number = 0
 
@@ -293,11 +292,14 @@
         worker.gained_at = self.change_number
 
     def note_availability(self, now: float) -> None:
-        """Take note of workers that have come into use, for whatever reason."""
+        """Take note of the workers that are in use, and of those that have come into use."""
+        self._offered.clear()
         for worker in self.workers.values():
             is_offered = worker.is_offered(now)
-            if is_offered and not worker.was_offered:
-                self.note_gain(worker)
+            if is_offered:
+                self._offered.setdefault(worker.record.service, []).append(worker)
+                if not worker.was_offered:
+                    self.note_gain(worker)
             worker.was_offered = is_offered
 
     def changed_since(self, number: int) -> list[Worker]:
@@ -306,13 +308,9 @@
             return []
         return [worker for worker in self.workers.values() if worker.gained_at > number]
 
-    def offered(self, service: str, now: float) -> list[Worker]:
-        """Return the workers of a service to which runs may go."""
-        return [
-            worker
-            for worker in self.workers.values()
-            if worker.record.service == service and worker.is_offered(now)
-        ]
+    def offered(self, service: str) -> list[Worker]:
+        """Return the workers of a service to which runs may go; see ``note_availability``."""
+        return self._offered.get(service, [])
 
     def run_count(self) -> int:
         """Return how many runs hold room."""
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -46,6 +46,8 @@
 STALL_SECONDS = 0.7
 #: Between two looks at what changes slowly: schedules, progress, leaving workers, paces.
 ROUND_SECONDS = 0.05
+#: Between two passes of placement, so that in a busy cell what happens close together shares one.
+PLACEMENT_PAUSE_SECONDS = 0.005
 _MILLISECONDS = 1_000.0
 
 
@@ -103,6 +105,9 @@
         self._last_flush_at = claimed_at
         self._is_recovered = False
         self._next_round_at = 0.0
+        self._next_placement_at = 0.0
+        #: Whether a pass of placement is wanted that is to come a little later.
+        self._is_placement_put_off = False
 
     # Recovery
 
@@ -250,9 +255,7 @@
         context = self.context
         if not context.is_over and self._is_recovered:
             self._last_flush_at = now
-            if context.wants_placement and context.may_order(now):
-                context.wants_placement = False
-                self._place(now)
+            self._place_if_due(now)
             append = context.commit.next_append(now)
             if append is not None:
                 self._calls.note_append_sent()
@@ -262,7 +265,19 @@
 
     def next_moment(self) -> float | None:
         """Return when :meth:`flush` is to be called though nothing comes in."""
-        return self.context.commit.next_moment()
+        moment = self.context.commit.next_moment()
+        if not self._is_placement_put_off:
+            return moment
+        return self._next_placement_at if moment is None else min(moment, self._next_placement_at)
+
+    def _place_if_due(self, now: float) -> None:
+        context = self.context
+        is_wanted = context.wants_placement and context.may_order(now)
+        self._is_placement_put_off = is_wanted and now < self._next_placement_at
+        if is_wanted and not self._is_placement_put_off:
+            self._next_placement_at = now + PLACEMENT_PAUSE_SECONDS
+            context.wants_placement = False
+            self._place(now)
 
     def _place(self, now: float) -> None:
         context = self.context
