--- a/src/onyxspoke/node/settings.py
+++ b/src/onyxspoke/node/settings.py
@@ -68,7 +68,7 @@
     stop_grace_seconds: float = 6.0
     shard_options: ShardOptions = ShardOptions()
     weight: float = 1.0
-    workers_a_shard: int = 240
+    workers_a_shard: int = 400
     most_shards: int = 24
     layout_settle_seconds: float = 0.4
     store_budget: StoreBudget = StoreBudget()
--- a/src/onyxspoke/sim/job_cluster.py
+++ b/src/onyxspoke/sim/job_cluster.py
@@ -56,7 +56,7 @@
     work: WorkOptions | None = None
     rack_size: int = 4
     kinds: str = "ab"
-    workers_a_shard: int = 240
+    workers_a_shard: int = 400
     store_budget: StoreBudget = field(default_factory=StoreBudget)
     always_good: tuple[str, ...] = ALWAYS_GOOD
 
