A small node leaves its shards to a larger one; short calls for advice keep clear of long ones

Change 1: a holder that sees a node with twice its processor or more, there for 2 s, steps down for it. Change 2: short calls go first to the entries that only short ones use, the same at all holders; a call is asked elsewhere once it took half as long again as it should and 0.3 s more, and a late answer counts.

--- a/features/large_cells.feature
+++ b/features/large_cells.feature
@@ -74,3 +74,25 @@
     Then each of its shards has one holder, and 3 nodes at least hold one
     And every node of it is ready
     And the store turned away no write and 0 reads at most
+
+  Scenario: A small node that took the shard over leaves it to a larger one
+    Given a cell of 5 nodes, 1 of them large
+    When the large node loses its power
+    And 3 seconds pass in the large cell
+    Then a small node of it holds the shard
+    When the large node starts again
+    And 5 seconds pass in the large cell, with jobs handed in
+    Then the large node of it holds the shard
+    And the shard has had 3 holders
+    And all of these jobs were accepted
+
+  Scenario: Among nodes of one size the shard stays where it is
+    Given a cell of 5 nodes, 0 of them large
+    When 8 seconds pass in the large cell
+    Then the shard has had 1 holder
+
+  Scenario: In a busy cell what happens close together shares a pass of placement
+    Given a cell of 3 nodes, 0 of them large
+    When 400 jobs are handed in to it over 1 seconds, and the passes of placement are counted
+    Then there were 210 passes at most
+    And all of these jobs were accepted
--- a/features/steps/large_cell_steps.py
+++ b/features/steps/large_cell_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 
 from onyxspoke.core.jobs.model import JobSpec, StepSpec
+from onyxspoke.core.placement.placer import Placer
 from onyxspoke.core.shard.calls import CallReply, ReplyCode, SubmitCall
 from onyxspoke.core.shard.election import NodeIdentity
 from onyxspoke.core.shard.store_budget import StoreBudget
@@ -280,3 +281,101 @@
 def _lose_holder(context: Any) -> None:
     _shard, name = _holders(context.cluster.nodes.values())[0]
     context.cluster.power_off_node(name)
+
+
+@given("a cell of {nodes:d} nodes, {large:d} of them large")
+def _cell_of_sizes(context: Any, nodes: int, large: int) -> None:
+    context.cluster = JobCluster(
+        ClusterOptions(seed=7, nodes=nodes, workers=6, large_nodes=large, with_advice=False)
+    )
+    context.holders = []
+    context.replies = []
+    context.expected = 0
+    context.cluster.start()
+    # A new cell's shard may go to a small node first.
+    context.cluster.run(6.0)
+    _follow_holders(context, 0.1)
+
+
+def _follow_holders(context: Any, seconds: float) -> None:
+    """Let time pass and note who holds the shard."""
+    for _ in range(int(seconds / 0.05)):
+        context.cluster.run(0.05)
+        holder = context.cluster.holder()
+        if holder is not None and holder.process.name not in context.holders[-1:]:
+            context.holders.append(holder.process.name)
+
+
+@when("the large node loses its power")
+def _large_dies(context: Any) -> None:
+    assert context.cluster.holder().name == "node-0"
+    context.cluster.power_off_node("node-0")
+    _follow_holders(context, 3.0)
+
+
+@then("a small node of it holds the shard")
+def _small_holds(context: Any) -> None:
+    assert context.cluster.holder().name != "node-0"
+
+
+@when("the large node starts again")
+def _large_starts(context: Any) -> None:
+    context.cluster.start_node("node-0")
+
+
+def _submit_one(context: Any) -> None:
+    cluster = context.cluster
+    context.expected += 1
+    queue = cluster.configuration.configuration.policy.queues[QUEUE]
+    step = StepSpec(task_count=1, processors_milli=100, memory_mb=10, estimated_ms=300)
+    job = JobSpec(job_id=f"{context.expected:016x}", queue=queue, payload="p", steps=(step,))
+    cluster.pool.specs[job.job_id] = job
+    cluster.audit.handle_submitted(job)
+    nodes = [node for node in cluster.nodes.values() if node.is_up]
+    node = nodes[context.expected % len(nodes)]
+    cluster.call(node, job.job_id, SubmitCall(job), context.replies.append)
+
+
+@when("{seconds:g} seconds pass in the large cell, with jobs handed in")
+def _pass_with_jobs(context: Any, seconds: float) -> None:
+    context.cluster.run(0.5)
+    for _ in range(int(seconds * 10)):
+        _submit_one(context)
+        _follow_holders(context, 0.1)
+    context.cluster.run(1.0)
+
+
+@then("the large node of it holds the shard")
+def _large_holds(context: Any) -> None:
+    assert context.cluster.holder().name == "node-0", context.holders
+
+
+@then("the shard has had {count:d} holder")
+@then("the shard has had {count:d} holders")
+def _had_holders(context: Any, count: int) -> None:
+    _follow_holders(context, 0.1)
+    assert len(context.holders) == count, context.holders
+
+
+@when(
+    "{count:d} jobs are handed in to it over {seconds:d} seconds, "
+    "and the passes of placement are counted"
+)
+def _count_passes(context: Any, count: int, seconds: int) -> None:
+    context.passes = 0
+    plan = Placer.plan
+
+    def counted(placer: Placer, *arguments: Any) -> Any:
+        context.passes += 1
+        return plan(placer, *arguments)
+
+    with mock.patch.object(Placer, "plan", counted):
+        for _ in range(count):
+            _submit_one(context)
+            context.cluster.run(seconds / count)
+    context.cluster.run(1.0)
+
+
+@then("there were {count:d} passes at most")
+def _passes(context: Any, count: int) -> None:
+    assert 0 < context.passes <= count, context.passes
--- a/src/onyxspoke/core/placement/advice_desk.py
+++ b/src/onyxspoke/core/placement/advice_desk.py
@@ -33,9 +33,12 @@
 #: Share of the entries that only short calls use, and that short and medium ones use.
 SHORT_ONLY_SHARE = 0.28
 SHORT_OR_MEDIUM_SHARE = 0.55
-#: A call is given up when it takes so much longer than it should.
-OVERDUE_FACTOR = 3.0
-OVERDUE_SECONDS = 1.5
+#: A call is asked elsewhere when it takes so much longer than it should, and so many seconds more;
+#: its answer is of use all the same should it come yet.
+OVERDUE_FACTOR = 1.5
+OVERDUE_SECONDS = 0.3
+#: An answer that comes later than this after its call was given up, in seconds, is of no use.
+LATE_ANSWER_SECONDS = 10.0
 #: Pause after a refused or unanswered call before the step is asked about again.
 RETRY_SECONDS = 0.1
 
@@ -76,8 +79,11 @@
 
 @dataclass(slots=True)
 class _Advisor:
+    """An entry that carries calls; ``position`` is its place among all of them."""
+
     name: str
     preference: int
+    position: int
     free_at: float = 0.0
     calls: int = 0
 
@@ -92,6 +98,7 @@
     seconds: float
     rank: StepRank
     advisor: str = ""
+    begun_at: float = 0.0
     overdue_at: float = math.inf
 
 
@@ -110,6 +117,10 @@
         self._advisors: dict[str, _Advisor] = {}
         self._waiting: dict[int, AdviceCall] = {}
         self._under_way: dict[int, AdviceCall] = {}
+        #: Calls that were given up, whose answers may come yet.
+        self._given_up: dict[int, AdviceCall] = {}
+        #: How long the latest answer took, as a share of what the policy says.
+        self._slowness = 1.0
         self._last_call_id = 0
         #: Steps whose call was given up, and from when on they may be asked about again.
         self._retries: dict[StepKey, float] = {}
@@ -117,10 +128,12 @@
     def set_advisors(self, names: list[str], now: float) -> None:
         """Take the entries through which calls can go, the holder first; others' are lost."""
         former = self._advisors
-        self._advisors = {
-            name: former.get(name) or _Advisor(name, self._preference(name, position))
-            for position, name in enumerate(names)
-        }
+        self._advisors = {}
+        for position, name in enumerate(names):
+            advisor = former.get(name) or _Advisor(name, 0, position)
+            advisor.position = position
+            advisor.preference = self._preference(name, position)
+            self._advisors[name] = advisor
         lost = [call for call in self._under_way.values() if call.advisor not in self._advisors]
         for call in lost:
             self._give_up(call, now)
@@ -170,6 +183,7 @@
         """Return the calls to be made now, each with its advisor."""
         for call in [call for call in self._under_way.values() if now >= call.overdue_at]:
             self._give_up(call, now)
+        self._forget_given_up(now)
         started = []
         for call in sorted(self._waiting.values(), key=lambda waiting: waiting.rank):
             advisor = self._choose_advisor(call, now)
@@ -183,16 +197,23 @@
     def handle_result(self, call_id: int, result: AdviceResult, now: float) -> StepKey | None:
         """Take an answer; return the step that it is about, if that is still wanted."""
         call = self._under_way.get(call_id)
+        is_late = call is None
+        if call is None:
+            call = self._given_up.pop(call_id, None)
         if call is None:
             return None
         if result.outcome is not AdviceOutcome.ANSWERED:
-            self._give_up(call, now)
+            if not is_late:
+                self._give_up(call, now)
             return None
-        self._end(call, now)
         advice = self._steps.get(call.step)
+        if not is_late:
+            self._slowness = max(0.0, now - call.begun_at) / max(call.seconds, SHORT_CALL_SECONDS)
+            self._end(call, now)
         if advice is None:
             return None
-        advice.open_calls -= 1
+        if not is_late:
+            advice.open_calls -= 1
         advice.asked.update(call.worker_ids)
         use_before = now + result.validity_ms / _MILLISECONDS - TICKET_MARGIN_SECONDS
         for ticket in result.tickets:
@@ -213,20 +234,17 @@
             advice.tickets[worker_id].use_before = 0.0
 
     def _choose_advisor(self, call: AdviceCall, now: float) -> _Advisor | None:
-        advisors = list(self._advisors.values())
-        if call.seconds > MEDIUM_CALL_SECONDS:
-            reserved = int(SHORT_OR_MEDIUM_SHARE * len(advisors))
-        elif call.seconds > SHORT_CALL_SECONDS:
-            reserved = int(SHORT_ONLY_SHARE * len(advisors))
-        else:
-            reserved = 0
-        open_ones = [
-            advisor for advisor in advisors[reserved:] if advisor.calls < MAXIMUM_CALLS_EACH
-        ]
-        if not open_ones:
-            return None
-        best = min(open_ones, key=lambda advisor: (max(advisor.free_at, now), advisor.preference))
-        if best.free_at - now > call.seconds:
+        first, behind = _places_for(call.seconds, len(self._advisors))
+        best: _Advisor | None = None
+        best_score = (math.inf, 0, 0)
+        for advisor in self._advisors.values():
+            if advisor.position < first or advisor.calls >= MAXIMUM_CALLS_EACH:
+                continue
+            is_elsewhere = int(advisor.position >= behind)
+            score = (max(advisor.free_at, now), is_elsewhere, advisor.preference)
+            if score < best_score:
+                best, best_score = advisor, score
+        if best is None or best.free_at - now > call.seconds:
             return None
         return best
 
@@ -242,7 +260,9 @@
         call.advisor = advisor.name
         advisor.calls += 1
         advisor.free_at = max(advisor.free_at, now) + call.seconds
-        call.overdue_at = advisor.free_at + (OVERDUE_FACTOR - 1) * call.seconds + OVERDUE_SECONDS
+        call.begun_at = advisor.free_at - call.seconds
+        expected = call.seconds * max(1.0, self._slowness)
+        call.overdue_at = call.begun_at + OVERDUE_FACTOR * expected + OVERDUE_SECONDS
         self._under_way[call.call_id] = call
 
     def _end(self, call: AdviceCall, now: float) -> None:
@@ -253,8 +273,14 @@
             if advisor.calls == 0:
                 advisor.free_at = now
 
+    def _forget_given_up(self, now: float) -> None:
+        horizon = now - LATE_ANSWER_SECONDS
+        for call_id in [key for key, call in self._given_up.items() if call.overdue_at < horizon]:
+            del self._given_up[call_id]
+
     def _give_up(self, call: AdviceCall, now: float) -> None:
         self._end(call, now)
+        self._given_up[call.call_id] = call
         advice = self._steps.get(call.step)
         if advice is not None:
             advice.open_calls -= 1
@@ -262,6 +288,22 @@
             self._retries[call.step] = advice.retry_at
 
 
+def _places_for(seconds: float, count: int) -> tuple[int, int]:
+    """Return the places of the entries that are for calls of a length: the first, and behind.
+
+    Entries before the first carry no such calls; those behind do when the others are busy.  They
+    are the same for every holder, because holders do not know of each other's calls: a short one
+    that went where another holder's long one is under way would wait for it.
+    """
+    short_only = int(SHORT_ONLY_SHARE * count)
+    short_or_medium = int(SHORT_OR_MEDIUM_SHARE * count)
+    if seconds > MEDIUM_CALL_SECONDS:
+        return short_or_medium, count
+    if seconds > SHORT_CALL_SECONDS:
+        return short_only, max(short_or_medium, short_only + 1)
+    return 0, max(short_only, 1)
+
+
 def _batches(
     step: StepProgress, policy: AdvicePolicy, worker_ids: list[WorkerId]
 ) -> list[tuple[WorkerId, ...]]:
--- a/src/onyxspoke/core/shard/actions.py
+++ b/src/onyxspoke/core/shard/actions.py
@@ -110,6 +110,7 @@
     OUT_OF_SEQUENCE = "out_of_sequence"
     PLANNED = "planned"
     STORE_AWAY = "store_away"
+    LARGER_NODE = "larger_node"
 
 
 class StepDown(msgspec.Struct, frozen=True):
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -47,6 +47,7 @@
 from onyxspoke.node.metrics import NodeMetrics
 from onyxspoke.node.node_ports import NodePorts
 from onyxspoke.node.peers import PeerLink, PeerLinks
+from onyxspoke.node.resettlement import STEADY_SECONDS, has_larger_peer
 from onyxspoke.node.seat import ShardSeat
 from onyxspoke.node.settings import NodeSettings
 from onyxspoke.node.store_gateway import StoreGateway
@@ -480,6 +481,7 @@
         self._time_offset_ms = self.time_of_day_ms() - now * _MILLISECONDS
         self._plan_layout_if_new()
         self._follow_store(now)
+        self._leave_to_larger(now)
         self._set_gauges()
         self.peers.end_silent(now)
         if self.configuration is None and now >= self._seeds_at:
@@ -500,6 +502,20 @@
             for seat in self.seats.values():
                 seat.note_store_unreachable(now + UNREACHABLE_SECONDS)
 
+    def _leave_to_larger(self, now: float) -> None:
+        """Leave the shards that were held for a while to a much larger node, if one is there."""
+        seats = [
+            seat
+            for seat in self.seats.values()
+            if seat.is_holding and now - seat.held_since >= STEADY_SECONDS
+        ]
+        if not seats or not self.store.is_reachable:
+            return
+        if has_larger_peer(self.identity.weight, self.peers.up_links(), now):
+            for seat in seats:
+                seat.election.rest_until(now + HANDOVER_PAUSE_SECONDS)
+                seat.step_down(StepDownReason.LARGER_NODE)
+
     def _set_gauges(self) -> None:
         held = [seat.scheduler for seat in self.seats.values() if seat.is_holding]
         self.metrics.holding.set(len(held))
--- a/src/onyxspoke/node/peers.py
+++ b/src/onyxspoke/node/peers.py
@@ -56,6 +56,8 @@
         self.is_outgoing = is_outgoing
         self.identity: NodeIdentity | None = None
         self.heard_at = 0.0
+        #: When the peer said who it is.
+        self.up_at = 0.0
         #: When bytes came last, also those of a large message that is still under way.
         self.data_at = 0.0
         #: When the next heartbeat is to be sent on the stream.
@@ -195,6 +197,7 @@
 
     def _handle_hello(self, link: PeerLink, identity: NodeIdentity) -> None:
         link.identity = identity
+        link.up_at = link.heard_at
         if not link.is_outgoing:
             link.host = identity.host
             former = self.incoming.get(identity.host)
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -147,6 +147,8 @@
         self._replies: dict[int, OnReply] = {}
         self._last_call_id = 0
         self._is_ready = False
+        #: Since when this node decides for the shard, if it does.
+        self.held_since = 0.0
         self._handlers: dict[type[ShardAction], Callable[[ShardScheduler, Any], None]] = {
             Decision: lambda _scheduler, action: self._log_decision(action),
             SendHold: self._send_hold,
@@ -352,6 +354,7 @@
     def _finish_takeover(self, scheduler: ShardScheduler, records: list[ShardRecord]) -> None:
         now = self._clock.now()
         self._is_ready = True
+        self.held_since = now
         scheduler.stimulus_policy(self._policy, now)
         for action in scheduler.recover(records, now, self._listener.time_of_day_ms()):
             self._carry_out(action)
--- a/src/onyxspoke/sim/job_cluster.py
+++ b/src/onyxspoke/sim/job_cluster.py
@@ -39,6 +39,7 @@
 SERVICE = "service"
 DELAY_SECONDS = 0.0005
 START_SECONDS = 0.25
+LARGE_WEIGHT = 4.0
 WORKER_CAPACITY = Needs(16_000, 32_768, 0)
 #: Workers on which every step may run, so that none waits for good.
 ALWAYS_GOOD = ("w0.", "w1.", "w2.", "w3.")
@@ -47,7 +48,11 @@
 
 @dataclass(slots=True)
 class ClusterOptions:
-    """Size and nature of a simulated cluster; ``kinds`` holds one letter a kind of worker."""
+    """Size and nature of a simulated cluster.
+
+    ``kinds`` holds one letter a kind of worker; ``large_nodes`` of the nodes, the first ones, have
+    four times the processor of the others.
+    """
 
     seed: int = 1
     nodes: int = 4
@@ -59,6 +64,7 @@
     workers_a_shard: int = 400
     store_budget: StoreBudget = field(default_factory=StoreBudget)
     always_good: tuple[str, ...] = ALWAYS_GOOD
+    large_nodes: int = 0
 
 
 class SimulatedPath:
@@ -163,7 +169,9 @@
         process = VirtualNode(self.time, f"{name}.{self._lives}", host)
         options = self.options
         path = SimulatedPath(self, process, host)
-        identity = NodeIdentity(life=process.name, host=host, port=PEER_PORT)
+        is_large = int(name.rpartition("-")[2]) < options.large_nodes
+        weight = LARGE_WEIGHT if is_large else 1.0
+        identity = NodeIdentity(life=process.name, host=host, port=PEER_PORT, weight=weight)
         ports = NodePorts(
             store=FakeStoreClient(self.store, name, path),
             orders=FakeWorkerOrders(self.pool, name, path),
