Every waiting step is looked at again in time; looks at gangs cost less

One that waits for one rack, or is kept from a worker on trial, waits for time alone: nobody came back to it in a cell that had fallen quiet. The tests had made the placer look at everything anew, which the product never does. Change: every step that waits is looked at once a second whatever is known; what only that finds is logged (step_overlooked, code 603). A gang that may hold no room is looked at each 0.1 s at most; slots are worked out once a look, from the workers with tickets; passes are rarer the more steps wait (5 to 25 ms). Beside it: an entry through which a call for advice was not answered comes last for a second.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -163,3 +163,44 @@
     Given workers "d" of 10 processors each in rack "two"
     When 1.2 seconds pass before a pass of placement
     Then 1 call for advice goes out, about 3 workers
+
+  Scenario: A gang of one rack is looked at again though nothing has changed
+    Given workers "d" of 10 processors each in rack "two"
+    And "a" runs a task of 10 processors
+    And "b" runs a task of 10 processors
+    And a waiting gang of one rack "near" of 2 tasks of 8 processors, priority 1
+    When a pass of placement is made
+    Then "near" starts 0 tasks
+    When 3 seconds pass, of which nothing is told, before a pass of placement
+    Then "near" starts 2 tasks
+    And only the sweep found "near"
+
+  Scenario: A gang kept from a worker on trial is looked at again once the trial is over
+    Given "a" failed the runs of 2 jobs
+    And a waiting gang "gang" of 3 tasks of 8 processors, priority 1
+    When a pass of placement is made
+    And 2 seconds pass, of which nothing is told, before a pass of placement
+    Then "gang" starts 0 tasks
+    When 4 seconds pass, of which nothing is told, before a pass of placement
+    Then "gang" starts 3 tasks
+
+  Scenario: Short calls for advice leave entries alone that another holder's long ones use
+    Given 20 entries that ask for advice, which takes 600 ms and 9 ms a worker
+    And a waiting gang "gang" of 3 tasks of 8 processors, priority 1
+    When a pass of placement is made
+    Then the call for advice on "gang" goes through none of the first 11 entries
+    Given the advice takes 10 ms and 1 ms a worker
+    And a waiting step "urgent" of 1 task of 8 processors, priority 0
+    When a pass of placement is made
+    Then the call for advice on "urgent" goes through one of the first 5 entries
+
+  Scenario: A short call that is not answered is soon asked elsewhere, and its answer counts though late
+    Given 20 entries that ask for advice, which takes 10 ms and 1 ms a worker
+    And a waiting step "urgent" of 1 task of 8 processors, priority 0
+    When a pass of placement is made
+    And 0.36 seconds pass, of which nothing is told, before a pass of placement
+    And 0.11 seconds pass, of which nothing is told, before a pass of placement
+    Then the call for advice on "urgent" goes through another entry
+    When the first call is answered, that every worker is good for 1500 ms
+    And a pass of placement is made
+    Then "urgent" starts 1 task
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -34,6 +34,7 @@
         self.runs: dict[str, Run] = {}
         self.started: dict[str, list[Run]] = {}
         self.calls: list[Any] = []
+        self.first_calls: list[Any] = []
 
     def add_worker(self, name: str, processors: int, rack: str = "one") -> None:
         record = WorkerRecord(
@@ -245,3 +246,57 @@
 
 def _names(text: str) -> list[str]:
     return sorted(part.strip('" ') for part in text.replace(" and ", ",").split(",") if part)
+
+
+@when("{seconds:g} seconds pass, of which nothing is told, before a pass of placement")
+def _silent_pass(context: Any, seconds: float) -> None:
+    scene = context.scene
+    scene.now += seconds
+    scene.first_calls = scene.calls or scene.first_calls
+    for key in scene.desk.take_due_retries(scene.now):
+        scene.placer.reconsider(key)
+    scene.make_pass()
+
+
+@then('only the sweep found "{name}"')
+def _only_sweep(context: Any, name: str) -> None:
+    found = [step.job.job_id for step in context.scene.placer.take_overlooked()]
+    assert found == [name], found
+
+
+@given("the advice takes {decide:d} ms and {each:d} ms a worker")
+def _advice_takes(context: Any, decide: int, each: int) -> None:
+    context.scene.advice = AdvicePolicy(decide, each, 1_500.0)
+
+
+def _position(context: Any, name: str) -> int:
+    [call] = [call for call in context.scene.calls if call.step.job_id == name]
+    return int(call.advisor.rpartition("-")[2])
+
+
+@then('the call for advice on "{name}" goes through none of the first {count:d} entries')
+def _not_among_first(context: Any, name: str, count: int) -> None:
+    assert _position(context, name) >= count, _position(context, name)
+
+
+@then('the call for advice on "{name}" goes through one of the first {count:d} entries')
+def _among_first(context: Any, name: str, count: int) -> None:
+    assert _position(context, name) < count, _position(context, name)
+
+
+@then('the call for advice on "{name}" goes through another entry')
+def _another_entry(context: Any, name: str) -> None:
+    [first] = context.scene.first_calls
+    [second] = [call for call in context.scene.calls if call.step.job_id == name]
+    assert second.advisor != first.advisor, first.advisor
+
+
+@when("the first call is answered, that every worker is good for {validity:d} ms")
+def _first_answered(context: Any, validity: int) -> None:
+    scene = context.scene
+    [first] = scene.first_calls
+    tickets = [Ticket(name, f"ticket-{name}") for name in first.worker_ids]
+    result = AdviceResult(AdviceOutcome.ANSWERED, tickets, validity)
+    key = scene.desk.handle_result(first.call_id, result, scene.now)
+    assert key is not None
+    scene.placer.reconsider(key)
--- a/src/onyxspoke/core/codes.py
+++ b/src/onyxspoke/core/codes.py
@@ -70,6 +70,7 @@
     PROTOCOL_ERROR = 600
     FRAME_TOO_LARGE = 601
     INTERNAL_ERROR = 602
+    STEP_OVERLOOKED = 603
 
 
 CODE_DESCRIPTIONS: dict[ResultCode, str] = {
@@ -117,6 +118,9 @@
     ResultCode.PROTOCOL_ERROR: "A message stream carried something that is not a message.",
     ResultCode.FRAME_TOO_LARGE: "A message exceeds the stream's bound.",
     ResultCode.INTERNAL_ERROR: "A fault in onyxspoke itself; please report it.",
+    ResultCode.STEP_OVERLOOKED: (
+        "Only the holder's sweep found that a step could start; it starts now. Please report it."
+    ),
 }
 
 _HTTP_STATUS_BY_CODE: dict[ResultCode, int] = {
--- a/src/onyxspoke/core/placement/advice_desk.py
+++ b/src/onyxspoke/core/placement/advice_desk.py
@@ -37,6 +37,8 @@
 #: its answer is of use all the same should it come yet.
 OVERDUE_FACTOR = 1.5
 OVERDUE_SECONDS = 0.3
+#: An entry through which a call was not answered comes last for so long, in seconds.
+DOUBT_SECONDS = 1.0
 #: An answer that comes later than this after its call was given up, in seconds, is of no use.
 LATE_ANSWER_SECONDS = 10.0
 #: Pause after a refused or unanswered call before the step is asked about again.
@@ -86,6 +88,7 @@
     position: int
     free_at: float = 0.0
     calls: int = 0
+    doubted_until: float = 0.0
 
 
 @dataclass(slots=True)
@@ -236,12 +239,14 @@
     def _choose_advisor(self, call: AdviceCall, now: float) -> _Advisor | None:
         first, behind = _places_for(call.seconds, len(self._advisors))
         best: _Advisor | None = None
-        best_score = (math.inf, 0, 0)
+        best_score = (1, math.inf, 0, 0)
         for advisor in self._advisors.values():
             if advisor.position < first or advisor.calls >= MAXIMUM_CALLS_EACH:
                 continue
             is_elsewhere = int(advisor.position >= behind)
-            score = (max(advisor.free_at, now), is_elsewhere, advisor.preference)
+            is_doubted = int(now < advisor.doubted_until)
+            free_at = max(advisor.free_at, now)
+            score = (is_doubted, free_at, is_elsewhere, advisor.preference)
             if score < best_score:
                 best, best_score = advisor, score
         if best is None or best.free_at - now > call.seconds:
@@ -280,6 +285,9 @@
 
     def _give_up(self, call: AdviceCall, now: float) -> None:
         self._end(call, now)
+        advisor = self._advisors.get(call.advisor)
+        if advisor is not None:
+            advisor.doubted_until = now + DOUBT_SECONDS
         self._given_up[call.call_id] = call
         advice = self._steps.get(call.step)
         if advice is not None:
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -26,6 +26,11 @@
 MAXIMUM_PLACEMENTS = 200
 #: A step that waits for room is looked at again after so long, in seconds.
 LOOK_AGAIN_SECONDS = 0.2
+#: Every other waiting step is looked at again after so long, in seconds, whatever is known of it:
+#: what was told, or lost, may have left it behind.
+SWEEP_SECONDS = 1.0
+#: A gang that holds no room needs all of it at once, and is looked at so often at most, in seconds.
+GANG_PAUSE_SECONDS = 0.1
 #: Steps that are looked after in one pass while they wait, so that a pass stays short.
 MAXIMUM_LOOKED_AHEAD = 12
 #: Tickets for a gang are asked for once so much of its room is there.
@@ -55,12 +60,20 @@
         self._seeker = RoomSeeker(desk, self._reservations, stop_seconds)
         #: When a step that waits for room is looked at next, though none was gained.
         self._look_again_at: dict[StepKey, float] = {}
+        #: When a gang that holds no room is looked at next, at the earliest.
+        self._gang_look_at: dict[StepKey, float] = {}
+        self._overlooked: list[StepProgress] = []
 
     def take_evictions(self) -> list[Eviction]:
         """Return the runs that are to give way since the last call."""
         evictions, self._seeker.evictions = self._seeker.evictions, []
         return evictions
 
+    def take_overlooked(self) -> list[StepProgress]:
+        """Return the steps that only the sweep found startable since the last call."""
+        overlooked, self._overlooked = self._overlooked, []
+        return overlooked
+
     def reconsider(self, key: StepKey) -> None:
         """Look at a step anew: what is known of it has changed."""
         self._blocked_at.pop(key, None)
@@ -77,8 +90,9 @@
         self._table.note_availability(now)
         waiting = {step.key for step in steps}
         self._reservations.drop_others(waiting)
-        for key in self._look_again_at.keys() - waiting:
-            del self._look_again_at[key]
+        for moments in (self._look_again_at, self._gang_look_at):
+            for key in moments.keys() - waiting:
+                del moments[key]
         plan: list[StepPlacement] = []
         room = ScratchRoom()
         self._seeker.begin_pass(now)
@@ -89,14 +103,22 @@
         count = 0
         for step in sorted(steps, key=lambda item: step_rank(item, policy, now)):
             since = self._blocked_at.get(step.key)
+            if since is not None and now < self._gang_look_at.get(step.key, -math.inf):
+                # What has changed meanwhile is looked at then.
+                blocked_at[step.key] = since
+                continue
             may_look_ahead = not step.spec.gang and looked_ahead < MAXIMUM_LOOKED_AHEAD
-            is_due = may_look_ahead and now >= self._look_again_at.get(step.key, math.inf)
-            if since is None or is_due or changes.may_help(step, since, self._desk):
+            is_due = now >= self._look_again_at.get(step.key, math.inf)
+            is_new = since is None or changes.may_help(step, since, self._desk)
+            if is_new or is_due:
                 queue = policy.queue_of(step.job.spec)
                 offer = offers.of(queue.service)
                 placed = self._place_step(step, queue, offer, room, now)
+                self._look_again_at[step.key] = now + SWEEP_SECONDS
                 if may_look_ahead:
                     looked_ahead += self._look_ahead(step, queue, placed, offer, room, policy, now)
+                elif placed is not None and not is_new:
+                    self._overlooked.append(step)
                 if placed is not None:
                     plan.append(placed)
                     count += len(placed.placements)
@@ -112,7 +134,12 @@
         self, step: StepProgress, queue: QueuePolicy, offer: _Offer, room: ScratchRoom, now: float
     ) -> StepPlacement | None:
         if step.spec.gang:
-            return self._place_gang(step, queue, offer, room, now)
+            placed = self._place_gang(step, queue, offer, room, now)
+            if placed is None and not self._reservations.holds(step.key):
+                self._gang_look_at[step.key] = now + GANG_PAUSE_SECONDS
+            else:
+                self._gang_look_at.pop(step.key, None)
+            return placed
         may_fit = offer.may_fit(step.needs)
         candidates = self._candidates(step, queue, offer, now)
         if queue.advice is not None:
@@ -145,18 +172,20 @@
         now: float,
     ) -> int:
         """Look after a step of which tasks still wait; return 1 if that was so, or 0."""
-        self._look_again_at.pop(step.key, None)
         if placed is not None and len(placed.placements) == len(step.waiting):
             self._reservations.drop(step.key)
             return 0
         self._look_again_at[step.key] = now + LOOK_AGAIN_SECONDS
         advice = self._desk.advice_on(step) if queue.advice is not None else None
         counts = counts_on_workers(step)
+        if advice is None:
+            offered = list(offer.workers.values())
+        else:
+            offered = [offer.workers[name] for name in advice.tickets if name in offer.workers]
         workers = [
             worker
-            for worker in offer.workers.values()
-            if (advice is None or worker.worker_id in advice.tickets)
-            and _has_label(worker, step)
+            for worker in offered
+            if _has_label(worker, step)
             and not worker.health.is_doubtful(now)
             and counts.get(worker.worker_id, 0) < (step.spec.spread_limit or len(step.tasks))
         ]
@@ -171,29 +200,32 @@
     ) -> StepPlacement | None:
         if len(step.waiting) < len(step.tasks):
             return None
-        candidates = self._candidates(step, queue, offer, now)
-        candidates = [item for item in candidates if not item.worker.health.is_on_trial(now)]
-        tickets = {item.worker.worker_id: item.ticket for item in candidates}
-        members = _choose_for_gang(step, [item.worker for item in candidates], room, now)
+        advice = self._desk.advice_on(step) if queue.advice is not None else None
+        workers = _workers_for_gang(step, advice, offer, now)
+        slots = _slots_of(step, workers, room, now)
+        usable = slots
+        if advice is not None:
+            held = advice.tickets
+            usable = [item for item in slots if now < held[item.worker.worker_id].use_before]
+        members = _choose_for_gang(step, usable, now)
         if members is not None:
             self._reservations.drop(step.key)
-            return _start_gang(step, members, tickets, room)
-        self._hold_for_gang(step, queue, offer, room, now)
+            return _start_gang(step, members, advice, room)
+        self._hold_for_gang(step, queue, offer, workers, slots, room, now)
         return None
 
     def _hold_for_gang(
-        self, step: StepProgress, queue: QueuePolicy, offer: _Offer, room: ScratchRoom, now: float
+        self,
+        step: StepProgress,
+        queue: QueuePolicy,
+        offer: _Offer,
+        workers: list[Worker],
+        slots: list[MemberSlots],
+        room: ScratchRoom,
+        now: float,
     ) -> None:
         """Hold the room that there is, and ask for what is missing to use it."""
         advice = self._desk.advice_on(step) if queue.advice is not None else None
-        workers = [
-            worker
-            for worker in offer.workers.values()
-            if _has_label(worker, step)
-            and not worker.health.is_on_trial(now)
-            and (advice is None or worker.worker_id in advice.tickets)
-        ]
-        slots = _slots_of(step, workers, room, now)
         if queue.advice is not None and advice is not None and not advice.is_asking:
             ask = _workers_to_ask_for_gang(step, queue.advice, advice, offer, slots, now)
             self._desk.want(step, queue.advice, ask, step_rank_of(step, queue, now), now)
@@ -275,6 +307,21 @@
     return not label or label in worker.record.labels
 
 
+def _workers_for_gang(
+    step: StepProgress, advice: StepAdvice | None, offer: _Offer, now: float
+) -> list[Worker]:
+    """Return the workers that may run a gang's members, whether there is room or not."""
+    if advice is None:
+        workers = list(offer.workers.values())
+    else:
+        workers = [offer.workers[name] for name in advice.tickets if name in offer.workers]
+    return [
+        worker
+        for worker in workers
+        if _has_label(worker, step) and not worker.health.is_on_trial(now)
+    ]
+
+
 def _slots_of(
     step: StepProgress, workers: list[Worker], room: ScratchRoom, now: float
 ) -> list[MemberSlots]:
@@ -314,10 +361,9 @@
 
 
 def _choose_for_gang(
-    step: StepProgress, workers: list[Worker], room: ScratchRoom, now: float
+    step: StepProgress, slots: list[MemberSlots], now: float
 ) -> list[MemberSlots] | None:
     """Return room for every member, in one rack where that matters, or ``None``."""
-    slots = _slots_of(step, workers, room, now)
     members = len(step.tasks)
     if _total(slots) < members:
         return None
@@ -338,13 +384,13 @@
 
 
 def _start_gang(
-    step: StepProgress, members: list[MemberSlots], tickets: dict[str, str], room: ScratchRoom
+    step: StepProgress, members: list[MemberSlots], advice: StepAdvice | None, room: ScratchRoom
 ) -> StepPlacement:
     placements = []
     tasks = iter(step.tasks)
     for item in members:
         room.take(item.worker, step.needs, item.count)
-        ticket = tickets[item.worker.worker_id]
+        ticket = "" if advice is None else advice.tickets[item.worker.worker_id].text
         placements += [Placement(next(tasks), item.worker, ticket) for _ in range(item.count)]
     return StepPlacement(step, placements)
 
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+from onyxspoke.core.codes import ResultCode
 from onyxspoke.core.jobs.model import RunKey, WorkerId
 from onyxspoke.core.jobs.policy import PolicySet
+from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.placement.placer import MAXIMUM_PLACEMENTS, Placer
 from onyxspoke.core.placement.workers import WorkerRecord
 from onyxspoke.core.shard.actions import (
@@ -48,6 +50,10 @@
 ROUND_SECONDS = 0.05
 #: Between two passes of placement, so that in a busy cell what happens close together shares one.
 PLACEMENT_PAUSE_SECONDS = 0.005
+#: The more steps wait, the longer a pass takes and the rarer they are: so much for each step, ...
+PLACEMENT_PAUSE_A_STEP_SECONDS = 0.0001
+#: ... up to here.
+LONGEST_PLACEMENT_PAUSE_SECONDS = 0.025
 _MILLISECONDS = 1_000.0
 
 
@@ -275,7 +281,6 @@
         is_wanted = context.wants_placement and context.may_order(now)
         self._is_placement_put_off = is_wanted and now < self._next_placement_at
         if is_wanted and not self._is_placement_put_off:
-            self._next_placement_at = now + PLACEMENT_PAUSE_SECONDS
             context.wants_placement = False
             self._place(now)
 
@@ -284,9 +289,13 @@
         for step in context.desk.take_due_retries(now):
             self._placer.reconsider(step)
         steps = list(context.book.startable_steps())
+        pause = PLACEMENT_PAUSE_SECONDS + PLACEMENT_PAUSE_A_STEP_SECONDS * len(steps)
+        self._next_placement_at = now + min(pause, LONGEST_PLACEMENT_PAUSE_SECONDS)
         plans = self._placer.plan(steps, context.policy, now)
         for plan in plans:
             self.runs.start(plan, now)
+        for overlooked in self._placer.take_overlooked():
+            self._log_overlooked(overlooked, now)
         for eviction in self._placer.take_evictions():
             self.runs.preempt(eviction, now)
         # A long plan was cut off; the rest follows.
@@ -294,6 +303,16 @@
         for call in context.desk.dispatch(now):
             context.emit(AskAdvice(call.call_id, call.advisor, call.step, call.worker_ids))
 
+    def _log_overlooked(self, step: StepProgress, now: float) -> None:
+        key = step.key
+        self.context.log(
+            "step_overlooked",
+            code=int(ResultCode.STEP_OVERLOOKED),
+            step=f"{key.job_id}.{key.repetition}.{key.step}",
+            tasks=len(step.tasks),
+            waited_ms=int((now - step.ready_at) * _MILLISECONDS),
+        )
+
     def _check_fence(self, result: OrderResult) -> bool:
         """Step down if a worker has seen a higher token; return whether to go on."""
         if self.context.is_over:
--- a/src/onyxspoke/node/resettlement.py
+++ b/src/onyxspoke/node/resettlement.py
@@ -11,8 +11,8 @@
 
 #: A node leaves its shards to one whose processor is so many times as large.
 LARGER_FACTOR = 2.0
-#: Both have been there for so long, in seconds: a node that has just come may go again, and a change
-#: of holder costs up to a second.
+#: Both have been there for so long, in seconds: a node that has just come may go again, and a
+#: change of holder costs up to a second.
 STEADY_SECONDS = 2.0
 
 
