--- /dev/null
+++ b/src/onyxspoke/core/placement/gang_placer.py
@@ -0,0 +1,189 @@
+"""Where gangs start: all members at once, or none; what there is of their room is held meanwhile."""
+
+from __future__ import annotations
+
+from onyxspoke.core.jobs.model import AdvicePolicy, QueuePolicy
+from onyxspoke.core.jobs.progress import StepProgress
+from onyxspoke.core.placement.advice_desk import AdviceDesk, StepAdvice
+from onyxspoke.core.placement.offer import Offer, has_label
+from onyxspoke.core.placement.queue_order import step_rank_of
+from onyxspoke.core.placement.reservations import MemberSlots, RoomReservations, can_ever_fit
+from onyxspoke.core.placement.room import ScratchRoom
+from onyxspoke.core.placement.spreading import Placement, StepPlacement, is_far
+from onyxspoke.core.placement.workers import Worker
+
+#: Tickets for a gang are asked for once so much of its room is there.
+ASKING_SHARE = 0.6
+#: Tickets that run out so soon after the answer to a call are asked for anew.
+RENEWAL_SECONDS = 0.1
+#: A gang that is slower over several racks waits for one rack, for so long at most, as a
+#: share of its estimate.
+ONE_RACK_PATIENCE_SHARE = 0.5
+_MILLISECONDS = 1_000.0
+
+
+class GangPlacer:
+    """Places gangs, asks for their tickets and holds their room."""
+
+    def __init__(self, desk: AdviceDesk, reservations: RoomReservations) -> None:
+        self._desk = desk
+        self._reservations = reservations
+
+    def place(
+        self, step: StepProgress, queue: QueuePolicy, offer: Offer, room: ScratchRoom, now: float
+    ) -> StepPlacement | None:
+        """Return where a gang starts now, or ``None``; then room may be held for it."""
+        if len(step.waiting) < len(step.tasks):
+            return None
+        advice = self._desk.advice_on(step) if queue.advice is not None else None
+        workers = _workers_for_gang(step, advice, offer, now)
+        slots = _slots_of(step, workers, room, now)
+        usable = slots
+        if advice is not None:
+            held = advice.tickets
+            usable = [item for item in slots if now < held[item.worker.worker_id].use_before]
+        members = _choose_for_gang(step, usable, now)
+        if members is not None:
+            self._reservations.drop(step.key)
+            return _start_gang(step, members, advice, room)
+        self._hold(step, queue, offer, workers, slots, room, now)
+        return None
+
+    def _hold(
+        self,
+        step: StepProgress,
+        queue: QueuePolicy,
+        offer: Offer,
+        workers: list[Worker],
+        slots: list[MemberSlots],
+        room: ScratchRoom,
+        now: float,
+    ) -> None:
+        """Hold the room that there is, and ask for what is missing to use it."""
+        advice = self._desk.advice_on(step) if queue.advice is not None else None
+        if queue.advice is not None and advice is not None and not advice.is_asking:
+            ask = _workers_to_ask_for_gang(step, queue.advice, advice, offer, slots, now)
+            self._desk.want(step, queue.advice, ask, step_rank_of(step, queue, now), now)
+        may_hold = self._reservations.holds(step.key) or self._reservations.is_within_share(
+            offer.processors_milli
+        )
+        if may_hold and can_ever_fit(step, workers):
+            self._reservations.hold(step, _first_members(slots, len(step.tasks)), room)
+        else:
+            self._reservations.drop(step.key)
+
+
+def _workers_for_gang(
+    step: StepProgress, advice: StepAdvice | None, offer: Offer, now: float
+) -> list[Worker]:
+    """Return the workers that may run a gang's members, whether there is room or not."""
+    if advice is None:
+        workers = list(offer.workers.values())
+    else:
+        workers = [offer.workers[name] for name in advice.tickets if name in offer.workers]
+    return [
+        worker
+        for worker in workers
+        if has_label(worker, step) and not worker.health.is_on_trial(now)
+    ]
+
+
+def _slots_of(
+    step: StepProgress, workers: list[Worker], room: ScratchRoom, now: float
+) -> list[MemberSlots]:
+    """Return how many members each worker has room for, the best workers first."""
+    spec = step.spec
+    failed_on = {task.failed_on for task in step.tasks}
+    bound = min(spec.spread_limit or len(step.tasks), len(step.tasks))
+    ranked = []
+    for worker in workers:
+        count = min(bound, room.slots(worker, step.needs))
+        if count > 0:
+            score = (
+                int(worker.worker_id in failed_on),
+                int(worker.health.is_doubtful(now)),
+                int(is_far(worker, step)),
+                room.free_processors(worker),
+                worker.worker_id,
+            )
+            ranked.append((score, MemberSlots(worker, count)))
+    ranked.sort(key=lambda item: item[0])
+    return [slots for _score, slots in ranked]
+
+
+def _first_members(slots: list[MemberSlots], count: int) -> list[MemberSlots]:
+    """Return the first so many members' room, or all where there is less."""
+    chosen = []
+    for item in slots:
+        if count <= 0:
+            break
+        chosen.append(MemberSlots(item.worker, min(item.count, count)))
+        count -= item.count
+    return chosen
+
+
+def _total(slots: list[MemberSlots]) -> int:
+    return sum(item.count for item in slots)
+
+
+def _choose_for_gang(
+    step: StepProgress, slots: list[MemberSlots], now: float
+) -> list[MemberSlots] | None:
+    """Return room for every member, in one rack where that matters, or ``None``."""
+    members = len(step.tasks)
+    if _total(slots) < members:
+        return None
+    if step.spec.same_rack:
+        racks: dict[str, list[MemberSlots]] = {}
+        for item in slots:
+            racks.setdefault(item.worker.record.rack, []).append(item)
+        fitting = [items for items in racks.values() if _total(items) >= members]
+        if fitting:
+            slots = min(fitting, key=_total)
+        elif now - step.ready_at < _one_rack_patience(step):
+            return None
+    return _first_members(slots, members)
+
+
+def _one_rack_patience(step: StepProgress) -> float:
+    return ONE_RACK_PATIENCE_SHARE * step.spec.estimated_ms / _MILLISECONDS
+
+
+def _start_gang(
+    step: StepProgress, members: list[MemberSlots], advice: StepAdvice | None, room: ScratchRoom
+) -> StepPlacement:
+    placements = []
+    tasks = iter(step.tasks)
+    for item in members:
+        room.take(item.worker, step.needs, item.count)
+        ticket = "" if advice is None else advice.tickets[item.worker.worker_id].text
+        placements += [Placement(next(tasks), item.worker, ticket) for _ in range(item.count)]
+    return StepPlacement(step, placements)
+
+
+def _workers_to_ask_for_gang(
+    step: StepProgress,
+    policy: AdvicePolicy,
+    advice: StepAdvice,
+    offer: Offer,
+    slots: list[MemberSlots],
+    now: float,
+) -> list[str]:
+    """Return the workers whose tickets a gang lacks.
+
+    All are asked about at first.  Later it is those that have room: while some is missing, the
+    workers that came into use since; once most of it is there, the good ones for new tickets.
+    """
+    unknown = offer.workers.keys() - advice.asked
+    if len(unknown) * 2 > len(offer.workers):
+        return sorted(unknown)
+    asked: list[str] = []
+    if _total(slots) < len(step.tasks):
+        needs = step.needs
+        asked = sorted(name for name in unknown if offer.workers[name].fits(needs))
+    if _total(slots) < ASKING_SHARE * len(step.tasks):
+        return asked
+    seconds = (policy.decide_ms + policy.per_item_ms * len(slots)) / _MILLISECONDS
+    needed_until = now + seconds + RENEWAL_SECONDS
+    good = [item.worker.worker_id for item in slots]
+    return asked + [name for name in good if advice.tickets[name].use_before < needed_until]
