Gangs ask about single new workers only now and then

Change: while most of a gang's room is missing, workers that came into use are asked about each 3 s at most, together. Ruled out: asking less for gangs that have most of their room (those ask for both in one).

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -204,3 +204,18 @@
     When the first call is answered, that every worker is good for 1500 ms
     And a pass of placement is made
     Then "urgent" starts 1 task
+
+  Scenario: While most of its room is missing, a gang asks about single workers only now and then
+    Given 3 entries that ask for advice, which takes 500 ms and 10 ms a worker
+    And a waiting gang "gang" of 3 tasks of 8 processors, priority 1
+    When a pass of placement is made
+    And advice says that no worker is good for "gang"
+    Given workers "d" of 10 processors each in rack "two"
+    When a pass of placement is made
+    Then 1 call for advice goes out, about 1 workers
+    When advice says that no worker is good for "gang"
+    Given workers "e" of 10 processors each in rack "two"
+    When a pass of placement is made
+    Then 0 calls for advice go out
+    When 3.1 seconds pass, of which nothing is told, before a pass of placement
+    Then 1 call for advice goes out, about 1 workers
--- a/src/onyxspoke/core/placement/advice_desk.py
+++ b/src/onyxspoke/core/placement/advice_desk.py
@@ -61,6 +61,8 @@
     asked: set[WorkerId] = field(default_factory=set)
     open_calls: int = 0
     retry_at: float = 0.0
+    #: When workers that came into use since were last asked about by themselves.
+    unknown_asked_at: float = -math.inf
 
     @property
     def is_asking(self) -> bool:
--- a/src/onyxspoke/core/placement/gang_placer.py
+++ b/src/onyxspoke/core/placement/gang_placer.py
@@ -1,4 +1,4 @@
-"""Where gangs start: all members at once, or none; what there is of their room is held meanwhile."""
+"""Where gangs start: all members at once, or none; what there is of their room is held."""
 
 from __future__ import annotations
 
@@ -16,6 +16,9 @@
 ASKING_SHARE = 0.6
 #: Tickets that run out so soon after the answer to a call are asked for anew.
 RENEWAL_SECONDS = 0.1
+#: While most of its room is missing, workers that came into use are asked about so often at most,
+#: in seconds: a call about one of them keeps tickets from being renewed for as long as it takes.
+UNKNOWN_PAUSE_SECONDS = 3.0
 #: A gang that is slower over several racks waits for one rack, for so long at most, as a
 #: share of its estimate.
 ONE_RACK_PATIENCE_SHARE = 0.5
@@ -182,6 +185,9 @@
         needs = step.needs
         asked = sorted(name for name in unknown if offer.workers[name].fits(needs))
     if _total(slots) < ASKING_SHARE * len(step.tasks):
+        if not asked or now < advice.unknown_asked_at + UNKNOWN_PAUSE_SECONDS:
+            return []
+        advice.unknown_asked_at = now
         return asked
     seconds = (policy.decide_ms + policy.per_item_ms * len(slots)) / _MILLISECONDS
     needed_until = now + seconds + RENEWAL_SECONDS
