Others give way to a gang that has held room in vain

Change: a gang holds the room that comes in a moment, too (runs that are being stopped, or end within 0.6 s); one that has held room for a second has later queues' runs with checkpoints give way for all of its missing members, or for none, if it can be on time then; its tickets are renewed meanwhile. Figures: three new scenarios; the first is red without.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -219,3 +219,32 @@
     Then 0 calls for advice go out
     When 3.1 seconds pass, of which nothing is told, before a pass of placement
     Then 1 call for advice goes out, about 1 workers
+
+  Scenario: Others give way to a gang that has held room in vain, and it starts once they have
+    Given "a" runs a task with checkpoints of 10 processors, priority 2
+    And "b" runs a task with checkpoints of 10 processors, priority 2
+    And a waiting gang "gang" of 3 tasks of 8 processors, priority 1
+    When a pass of placement is made
+    Then nothing gives way to a gang
+    When 1.1 seconds pass, of which nothing is told, before a pass of placement
+    Then 2 runs give way to the gang
+    When 0.1 seconds pass, of which nothing is told, before a pass of placement
+    Then nothing gives way to a gang
+    When they have ended, and a pass of placement is made
+    Then "gang" starts 3 tasks
+
+  Scenario: Nothing gives way to a gang that could not start all the same
+    Given "a" runs a task with checkpoints of 10 processors, priority 2
+    And "b" runs a task of 10 processors
+    And a waiting gang "gang" of 3 tasks of 8 processors, priority 1
+    When a pass of placement is made
+    And 1.1 seconds pass, of which nothing is told, before a pass of placement
+    Then nothing gives way to a gang
+
+  Scenario: Nothing gives way to a gang that would be late all the same
+    Given "a" runs a task with checkpoints of 10 processors, priority 2
+    And "b" runs a task with checkpoints of 10 processors, priority 2
+    And a waiting gang "gang" of 3 tasks of 8 processors, priority 1
+    When a pass of placement is made
+    And 1.7 seconds pass, of which nothing is told, before a pass of placement
+    Then nothing gives way to a gang
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -300,3 +300,47 @@
     key = scene.desk.handle_result(first.call_id, result, scene.now)
     assert key is not None
     scene.placer.reconsider(key)
+
+
+@given(
+    '"{worker}" runs a task with checkpoints of {processors:d} processors, priority {priority:d}'
+)
+def _runs_with_checkpoints(context: Any, worker: str, processors: int, priority: int) -> None:
+    scene = context.scene
+    step = scene.add_step(
+        f"patient-{worker}", 1, processors, priority, stretch=20.0, checkpointing=True
+    )
+    run = scene.start(step, 0, scene.table.workers[worker])
+    run.move_to(RunState.RUNNING)
+    run.confirmed_at = scene.now
+
+
+def _evictions(context: Any) -> list[Run]:
+    found = context.scene.placer.take_evictions()
+    for eviction in found:
+        assert eviction.step.job.job_id == "gang"
+    return [run for eviction in found for run in eviction.preemption.runs]
+
+
+@then("nothing gives way to a gang")
+def _nothing_gives_way(context: Any) -> None:
+    assert not _evictions(context)
+
+
+@then("{count:d} runs give way to the gang")
+def _give_way(context: Any, count: int) -> None:
+    context.stopping = _evictions(context)
+    assert len(context.stopping) == count, context.stopping
+    for run in context.stopping:
+        run.move_to(RunState.STOPPING)
+        run.stop_sent_at = context.scene.now
+
+
+@when("they have ended, and a pass of placement is made")
+def _they_have_ended(context: Any) -> None:
+    scene = context.scene
+    for run in context.stopping:
+        run.worker.remove(run)
+        scene.table.note_gain(run.worker)
+    scene.now += 0.3
+    scene.make_pass()
--- a/src/onyxspoke/core/placement/gang_placer.py
+++ b/src/onyxspoke/core/placement/gang_placer.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from onyxspoke.core.jobs.model import AdvicePolicy, QueuePolicy
+from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.placement.advice_desk import AdviceDesk, StepAdvice
 from onyxspoke.core.placement.offer import Offer, has_label
+from onyxspoke.core.placement.preemption import Preemption, choose_preemption, freed_soon
 from onyxspoke.core.placement.queue_order import step_rank_of
 from onyxspoke.core.placement.reservations import MemberSlots, RoomReservations, can_ever_fit
 from onyxspoke.core.placement.room import ScratchRoom
+from onyxspoke.core.placement.room_seeker import Eviction
 from onyxspoke.core.placement.spreading import Placement, StepPlacement, is_far
 from onyxspoke.core.placement.workers import Worker
 
@@ -22,18 +25,38 @@
 #: A gang that is slower over several racks waits for one rack, for so long at most, as a
 #: share of its estimate.
 ONE_RACK_PATIENCE_SHARE = 0.5
+#: Others give way to a gang that has held room for so long in vain, in seconds.
+PATIENCE_SECONDS = 1.0
+#: Between the end of what gives way and the gang's start, in seconds: the look, and the order.
+START_SECONDS = 0.3
 _MILLISECONDS = 1_000.0
 
 
 class GangPlacer:
-    """Places gangs, asks for their tickets and holds their room."""
+    """Places gangs, asks for their tickets, holds their room and has others give way to them.
 
-    def __init__(self, desk: AdviceDesk, reservations: RoomReservations) -> None:
+    Parameters
+    ----------
+    stop_seconds : float
+        How long a stop takes at most.
+    """
+
+    def __init__(
+        self, desk: AdviceDesk, reservations: RoomReservations, stop_seconds: float
+    ) -> None:
         self._desk = desk
         self._reservations = reservations
+        self._stop_seconds = stop_seconds
+        self.evictions: list[Eviction] = []
 
     def place(
-        self, step: StepProgress, queue: QueuePolicy, offer: Offer, room: ScratchRoom, now: float
+        self,
+        step: StepProgress,
+        queue: QueuePolicy,
+        offer: Offer,
+        room: ScratchRoom,
+        policy: PolicySet,
+        now: float,
     ) -> StepPlacement | None:
         """Return where a gang starts now, or ``None``; then room may be held for it."""
         if len(step.waiting) < len(step.tasks):
@@ -49,31 +72,93 @@
         if members is not None:
             self._reservations.drop(step.key)
             return _start_gang(step, members, advice, room)
-        self._hold(step, queue, offer, workers, slots, room, now)
+        may_hold = self._reservations.holds(step.key) or self._reservations.is_within_share(
+            offer.processors_milli
+        )
+        if may_hold and can_ever_fit(step, workers):
+            slots = self._room_to_hold(step, queue, workers, slots, room, policy, now)
+            self._reservations.hold(step, slots, room, now)
+        else:
+            self._reservations.drop(step.key)
+        self._ask(step, queue, offer, slots, now)
         return None
 
-    def _hold(
+    def _ask(
         self,
         step: StepProgress,
         queue: QueuePolicy,
         offer: Offer,
-        workers: list[Worker],
         slots: list[MemberSlots],
-        room: ScratchRoom,
         now: float,
     ) -> None:
-        """Hold the room that there is, and ask for what is missing to use it."""
-        advice = self._desk.advice_on(step) if queue.advice is not None else None
-        if queue.advice is not None and advice is not None and not advice.is_asking:
+        """Ask for the tickets that are missing to use the room that there is, or will be soon."""
+        if queue.advice is None:
+            return
+        advice = self._desk.advice_on(step)
+        if not advice.is_asking:
             ask = _workers_to_ask_for_gang(step, queue.advice, advice, offer, slots, now)
             self._desk.want(step, queue.advice, ask, step_rank_of(step, queue, now), now)
-        may_hold = self._reservations.holds(step.key) or self._reservations.is_within_share(
-            offer.processors_milli
-        )
-        if may_hold and can_ever_fit(step, workers):
-            self._reservations.hold(step, _first_members(slots, len(step.tasks)), room)
-        else:
-            self._reservations.drop(step.key)
+
+    def _room_to_hold(
+        self,
+        step: StepProgress,
+        queue: QueuePolicy,
+        workers: list[Worker],
+        slots: list[MemberSlots],
+        room: ScratchRoom,
+        policy: PolicySet,
+        now: float,
+    ) -> list[MemberSlots]:
+        """Return the room to hold: what there is, what comes in a moment, what others leave."""
+        members = len(step.tasks)
+        held = _first_members(slots, members)
+        missing = members - _total(held)
+        if missing <= 0:
+            return held
+        soon = _first_members(_slots_soon(step, workers, room, now), missing)
+        held += soon
+        missing -= _total(soon)
+        if missing > 0 and self._may_others_give_way(step, queue, now):
+            busy = {item.worker.worker_id for item in soon}
+            idle = [worker for worker in workers if worker.worker_id not in busy]
+            held += self._make_room(step, queue, idle, missing, room, policy, now)
+        return held
+
+    def _may_others_give_way(self, step: StepProgress, queue: QueuePolicy, now: float) -> bool:
+        """Return whether a gang has waited long enough, and may be on time with others' room."""
+        held_since = self._reservations.held_since(step.key)
+        if held_since is None or now - held_since < PATIENCE_SECONDS:
+            return False
+        latest_start = step_rank_of(step, queue, now).latest_start
+        return now + self._stop_seconds + START_SECONDS <= latest_start
+
+    def _make_room(
+        self,
+        step: StepProgress,
+        queue: QueuePolicy,
+        workers: list[Worker],
+        missing: int,
+        room: ScratchRoom,
+        policy: PolicySet,
+        now: float,
+    ) -> list[MemberSlots]:
+        """Have runs of later queues give way for all missing members, or none of them.
+
+        Returns
+        -------
+        list of MemberSlots
+            Where there will be room.
+        """
+        chosen: list[Preemption] = []
+        left = list(workers)
+        while len(chosen) < missing:
+            found = choose_preemption(queue.priority, step.needs, left, room, policy, now)
+            if found is None:
+                return []
+            chosen.append(found)
+            left = [worker for worker in left if worker is not found.worker]
+        self.evictions += [Eviction(step, preemption) for preemption in chosen]
+        return [MemberSlots(preemption.worker, 1) for preemption in chosen]
 
 
 def _workers_for_gang(
@@ -114,6 +199,22 @@
     return [slots for _score, slots in ranked]
 
 
+def _slots_soon(
+    step: StepProgress, workers: list[Worker], room: ScratchRoom, now: float
+) -> list[MemberSlots]:
+    """Return for how many more members workers will have room in a moment."""
+    bound = min(step.spec.spread_limit or len(step.tasks), len(step.tasks))
+    found = []
+    for worker in workers:
+        freed = freed_soon(worker, now)
+        if any(freed):
+            present = min(bound, room.slots(worker, step.needs))
+            count = min(bound, room.slots(worker, step.needs, freed)) - present
+            if count > 0:
+                found.append(MemberSlots(worker, count))
+    return found
+
+
 def _first_members(slots: list[MemberSlots], count: int) -> list[MemberSlots]:
     """Return the first so many members' room, or all where there is less."""
     chosen = []
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -50,7 +50,7 @@
         self._blocked_at: dict[StepKey, int] = {}
         self._reservations = RoomReservations(table)
         self._seeker = RoomSeeker(desk, self._reservations, stop_seconds)
-        self._gangs = GangPlacer(desk, self._reservations)
+        self._gangs = GangPlacer(desk, self._reservations, stop_seconds)
         #: When a step that waits for room is looked at next, though none was gained.
         self._look_again_at: dict[StepKey, float] = {}
         #: When a gang that holds no room is looked at next, at the earliest.
@@ -59,7 +59,8 @@
 
     def take_evictions(self) -> list[Eviction]:
         """Return the runs that are to give way since the last call."""
-        evictions, self._seeker.evictions = self._seeker.evictions, []
+        evictions = self._seeker.evictions + self._gangs.evictions
+        self._seeker.evictions, self._gangs.evictions = [], []
         return evictions
 
     def take_overlooked(self) -> list[StepProgress]:
@@ -106,7 +107,7 @@
             if is_new or is_due:
                 queue = policy.queue_of(step.job.spec)
                 offer = offers.of(queue.service)
-                placed = self._place_step(step, queue, offer, room, now)
+                placed = self._place_step(step, queue, offer, room, policy, now)
                 self._look_again_at[step.key] = now + SWEEP_SECONDS
                 if may_look_ahead:
                     looked_ahead += self._look_ahead(step, queue, placed, offer, room, policy, now)
@@ -124,10 +125,16 @@
         return plan
 
     def _place_step(
-        self, step: StepProgress, queue: QueuePolicy, offer: Offer, room: ScratchRoom, now: float
+        self,
+        step: StepProgress,
+        queue: QueuePolicy,
+        offer: Offer,
+        room: ScratchRoom,
+        policy: PolicySet,
+        now: float,
     ) -> StepPlacement | None:
         if step.spec.gang:
-            placed = self._gangs.place(step, queue, offer, room, now)
+            placed = self._gangs.place(step, queue, offer, room, policy, now)
             if placed is None and not self._reservations.holds(step.key):
                 self._gang_look_at[step.key] = now + GANG_PAUSE_SECONDS
             else:
--- a/src/onyxspoke/core/placement/preemption.py
+++ b/src/onyxspoke/core/placement/preemption.py
@@ -57,6 +57,15 @@
     return best
 
 
+def freed_soon(worker: Worker, now: float) -> Needs:
+    """Return the room on a worker that runs free which are being stopped, or end in a moment."""
+    freed = Needs()
+    for run in worker.runs.values():
+        if run.state is RunState.STOPPING or _ends_soon(run, now):
+            freed = _plus(freed, run.needs)
+    return freed
+
+
 def _choose_on(
     worker: Worker,
     priority: int,
--- a/src/onyxspoke/core/placement/reservations.py
+++ b/src/onyxspoke/core/placement/reservations.py
@@ -30,6 +30,7 @@
 class _Holding:
     step: StepProgress
     slots: list[MemberSlots]
+    since: float
 
     @property
     def processors_milli(self) -> int:
@@ -47,10 +48,18 @@
         """Return whether room is held for a step."""
         return key in self._held
 
-    def hold(self, step: StepProgress, slots: list[MemberSlots], room: ScratchRoom) -> None:
+    def held_since(self, key: StepKey) -> float | None:
+        """Return since when room is held for a step, if any is."""
+        holding = self._held.get(key)
+        return None if holding is None else holding.since
+
+    def hold(
+        self, step: StepProgress, slots: list[MemberSlots], room: ScratchRoom, now: float
+    ) -> None:
         """Hold room, instead of what was held for the step before."""
         former = self._held.get(step.key)
-        self._held[step.key] = _Holding(step, slots)
+        since = now if former is None else former.since
+        self._held[step.key] = _Holding(step, slots, since)
         if former is not None:
             self._release(former, {item.worker.worker_id for item in slots})
         self.hold_again(step, room)
--- a/src/onyxspoke/core/placement/room.py
+++ b/src/onyxspoke/core/placement/room.py
@@ -39,9 +39,12 @@
             worker.free_accelerators - taken.accelerators,
         )
 
-    def slots(self, worker: Worker, needs: Needs) -> int:
-        """Return for how many more tasks a worker has room left."""
-        return slots_within(self.free(worker), needs)
+    def slots(self, worker: Worker, needs: Needs, more: Needs | None = None) -> int:
+        """Return for how many more tasks a worker has room left, with ``more`` room than now."""
+        free = self.free(worker)
+        if more is not None:
+            free = Needs(*(have + added for have, added in zip(free, more, strict=True)))
+        return slots_within(free, needs)
 
     def free_processors(self, worker: Worker) -> int:
         """Return a worker's processors that are left, in thousandths."""
--- a/src/onyxspoke/core/placement/room_seeker.py
+++ b/src/onyxspoke/core/placement/room_seeker.py
@@ -90,7 +90,7 @@
             total_processors_milli
         )
         if may_hold and soonest_at - now <= HOLD_AHEAD_SECONDS:
-            self._reservations.hold(step, [MemberSlots(soonest, 1)], room)
+            self._reservations.hold(step, [MemberSlots(soonest, 1)], room, now)
         else:
             self._reservations.drop(step.key)
 
