--- a/src/onyxspoke/core/placement/advice_desk.py
+++ b/src/onyxspoke/core/placement/advice_desk.py
@@ -202,27 +202,29 @@
     def handle_result(self, call_id: int, result: AdviceResult, now: float) -> StepKey | None:
         """Take an answer; return the step that it is about, if that is still wanted."""
         call = self._under_way.get(call_id)
-        is_late = call is None
         if call is None:
-            call = self._given_up.pop(call_id, None)
-        if call is None:
-            return None
+            return self._handle_late_result(call_id, result, now)
         if result.outcome is not AdviceOutcome.ANSWERED:
-            if not is_late:
-                self._give_up(call, now)
+            self._give_up(call, now)
             return None
+        self._slowness = max(0.0, now - call.begun_at) / max(call.seconds, SHORT_CALL_SECONDS)
+        self._end(call, now)
         advice = self._steps.get(call.step)
-        if not is_late:
-            self._slowness = max(0.0, now - call.begun_at) / max(call.seconds, SHORT_CALL_SECONDS)
-            self._end(call, now)
         if advice is None:
             return None
-        if not is_late:
-            advice.open_calls -= 1
-        advice.asked.update(call.worker_ids)
-        use_before = now + result.validity_ms / _MILLISECONDS - TICKET_MARGIN_SECONDS
-        for ticket in result.tickets:
-            advice.tickets[ticket.worker_id] = HeldTicket(ticket.text, use_before)
+        advice.open_calls -= 1
+        _note_answer(advice, call, result, now)
+        return call.step
+
+    def _handle_late_result(self, call_id: int, result: AdviceResult, now: float) -> StepKey | None:
+        """Take the answer to a call that was given up: its tickets are as good as any."""
+        call = self._given_up.pop(call_id, None)
+        if call is None or result.outcome is not AdviceOutcome.ANSWERED:
+            return None
+        advice = self._steps.get(call.step)
+        if advice is None:
+            return None
+        _note_answer(advice, call, result, now)
         return call.step
 
     def take_due_retries(self, now: float) -> list[StepKey]:
@@ -298,6 +300,14 @@
             self._retries[call.step] = advice.retry_at
 
 
+def _note_answer(advice: StepAdvice, call: AdviceCall, result: AdviceResult, now: float) -> None:
+    """Keep what an answer says of the workers that were asked about."""
+    advice.asked.update(call.worker_ids)
+    use_before = now + result.validity_ms / _MILLISECONDS - TICKET_MARGIN_SECONDS
+    for ticket in result.tickets:
+        advice.tickets[ticket.worker_id] = HeldTicket(ticket.text, use_before)
+
+
 def _places_for(seconds: float, count: int) -> tuple[int, int]:
     """Return the places of the entries that are for calls of a length: the first, and behind.
 
