--- a/src/onyxspoke/core/codes.py
+++ b/src/onyxspoke/core/codes.py
@@ -119,7 +119,7 @@
     ResultCode.FRAME_TOO_LARGE: "A message exceeds the stream's bound.",
     ResultCode.INTERNAL_ERROR: "A fault in onyxspoke itself; please report it.",
     ResultCode.STEP_OVERLOOKED: (
-        "Only the holder's sweep found that a step could start; it starts now. Please report it."
+        "Only the holder's sweep of waiting steps found that a step could start; it starts now."
     ),
 }
 
