--- a/features/placement.feature
+++ b/features/placement.feature
@@ -248,3 +248,10 @@
     When a pass of placement is made
     And 1.7 seconds pass, of which nothing is told, before a pass of placement
     Then nothing gives way to a gang
+
+  Scenario: A gang goes to few workers, because the loss of any of them breaks it off
+    Given workers "d" of 30 processors each in rack "one"
+    And a waiting gang "gang" of 3 tasks of 8 processors, priority 1
+    When a pass of placement is made
+    Then "gang" starts 3 tasks
+    And "gang" runs on 1 worker
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -344,3 +344,9 @@
         scene.table.note_gain(run.worker)
     scene.now += 0.3
     scene.make_pass()
+
+
+@then('"{name}" runs on {count:d} worker')
+def _on_workers(context: Any, name: str, count: int) -> None:
+    workers = {run.worker.worker_id for run in context.scene.started[name]}
+    assert len(workers) == count, workers
--- a/src/onyxspoke/core/placement/gang_placer.py
+++ b/src/onyxspoke/core/placement/gang_placer.py
@@ -179,7 +179,11 @@
 def _slots_of(
     step: StepProgress, workers: list[Worker], room: ScratchRoom, now: float
 ) -> list[MemberSlots]:
-    """Return how many members each worker has room for, the best workers first."""
+    """Return how many members each worker has room for, the best workers first.
+
+    Those with room for most members come first: a gang is broken off by the loss of any of its
+    workers, so that it is to have few.
+    """
     spec = step.spec
     failed_on = {task.failed_on for task in step.tasks}
     bound = min(spec.spread_limit or len(step.tasks), len(step.tasks))
@@ -191,6 +195,7 @@
                 int(worker.worker_id in failed_on),
                 int(worker.health.is_doubtful(now)),
                 int(is_far(worker, step)),
+                -count,
                 room.free_processors(worker),
                 worker.worker_id,
             )
