The scenario of short calls for advice is red without its mechanism

Change: five urgent steps at once must use the first five entries, one each; stricter than before. Red with calls sent anywhere, green as it stands. No code of the product changes.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -190,9 +190,9 @@
     When a pass of placement is made
     Then the call for advice on "gang" goes through none of the first 11 entries
     Given the advice takes 10 ms and 1 ms a worker
-    And a waiting step "urgent" of 1 task of 8 processors, priority 0
+    And 5 waiting steps of 1 task of 8 processors, priority 0
     When a pass of placement is made
-    Then the call for advice on "urgent" goes through one of the first 5 entries
+    Then their calls for advice go through the first 5 entries, one each
 
   Scenario: A short call that is not answered is soon asked elsewhere, and its answer counts though late
     Given 20 entries that ask for advice, which takes 10 ms and 1 ms a worker
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -279,9 +279,16 @@
     assert _position(context, name) >= count, _position(context, name)
 
 
-@then('the call for advice on "{name}" goes through one of the first {count:d} entries')
-def _among_first(context: Any, name: str, count: int) -> None:
-    assert _position(context, name) < count, _position(context, name)
+@given("{count:d} waiting steps of 1 task of {processors:d} processors, priority {rank:d}")
+def _several_steps(context: Any, count: int, processors: int, rank: int) -> None:
+    for number in range(count):
+        context.scene.add_step(f"urgent-{number}", 1, processors, rank)
+
+
+@then("their calls for advice go through the first {count:d} entries, one each")
+def _one_each_of_first(context: Any, count: int) -> None:
+    positions = [_position(context, f"urgent-{number}") for number in range(count)]
+    assert sorted(positions) == list(range(count)), positions
 
 
 @then('the call for advice on "{name}" goes through another entry')
