--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -15,11 +15,15 @@
 from onyxspoke.core.placement.runs import Run
 from onyxspoke.core.placement.workers import Worker, WorkerContact, WorkerRecord, WorkerTable
 from onyxspoke.core.shard.orders import AdviceOutcome, AdviceResult, Ticket
+from onyxspoke.core.tenants.ledger import QuotaLedger, QuotaPass
 
 MILLI = 1_000
 ESTIMATED_MS = 2_000
 SERVICE = "service"
 
+#: A cell without tenants.
+NO_QUOTAS = QuotaPass({}, QuotaLedger(), {})
+
 
 class _Scene:
     """Workers, waiting steps and a placer."""
@@ -94,7 +98,7 @@
     def make_pass(self) -> None:
         waiting = [step for step in self.steps.values() if step.waiting]
         self.started = {}
-        for plan in self.placer.plan(waiting, PolicySet(), self.now):
+        for plan in self.placer.plan(waiting, PolicySet(), NO_QUOTAS, self.now):
             runs = [self.start(plan.step, item.task.index, item.worker) for item in plan.placements]
             self.started[plan.step.job.job_id] = runs
         self.calls = self.desk.dispatch(self.now)
--- /dev/null
+++ b/features/steps/tenant_steps.py
@@ -0,0 +1,463 @@
+"""Steps about tenants: keys, quotas and shares, without a network."""
+
+from __future__ import annotations
+
+import logging as standard_logging
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from typing import Any
+from unittest import mock
+
+import msgspec
+from behave import given, then, when
+from http_steps import Exchange
+from job_directed_steps import FIRST_JOB, SETTLE_SECONDS
+from job_ingress_steps import HOST, QUEUES, SMALL_JOB, _serve
+
+from onyxspoke.core.jobs.model import JobSpec, Needs, QueuePolicy, StepSpec
+from onyxspoke.core.jobs.progress import JobProgress
+from onyxspoke.core.jobs.records import decode_progress, decode_spec
+from onyxspoke.core.jobs.states import JobState
+from onyxspoke.core.placement.queue_order import step_rank_of
+from onyxspoke.core.routing import RouteEntry
+from onyxspoke.core.shard import scheduler
+from onyxspoke.core.shard.calls import CallReply, ReplyCode, StateCall, SubmitCall
+from onyxspoke.core.tenants.keys import Credential, KeyRing, judge_key
+from onyxspoke.core.tenants.ledger import QuotaLedger, QuotaPass
+from onyxspoke.core.tenants.policy import TenantPolicy
+from onyxspoke.core.tenants.shares import ShareMeter
+from onyxspoke.kit.jobs.audit import Violation
+from onyxspoke.kit.jobs.workers import WorkOptions
+from onyxspoke.platform.configuration import decode_configuration
+from onyxspoke.ports.configuration import CellConfiguration
+from onyxspoke.sim.explore_jobs import play
+from onyxspoke.sim.job_cluster import (
+    WORKER_CAPACITY,
+    ClusterOptions,
+    JobCluster,
+    key_of,
+    make_configuration,
+)
+
+TRUSTED_SECONDS = 9.0
+TENANTS = tuple(
+    TenantPolicy(name=name, weight=100.0, quota=Needs(processors, 0, 0))
+    for name, processors in (("large", 0), ("small", 2 * WORKER_CAPACITY.processors_milli))
+)
+
+# Keys
+
+
+@given('keys of which "{key}" is one')
+def _keys(context: Any, key: str) -> None:
+    context.ring = KeyRing({key: "someone"}, is_required=True)
+
+
+@then('a call with the key "{key}", {age:g} s after the last proof, {looked}, is "{verdict}"')
+@then('a call with the key "", {age:g} s after the last proof, {looked}, is "{verdict}"')
+def _verdict(context: Any, age: float, looked: str, verdict: str, key: str = "") -> None:
+    was_looked_at = looked == "after a look"
+    found = judge_key(Credential(key), context.ring, age, TRUSTED_SECONDS, was_looked_at)
+    assert found.value == verdict, found
+
+
+@then('the key "{key}" is named in logs without any part of it')
+def _fingerprint(context: Any, key: str) -> None:
+    name = Credential(key).fingerprint
+    parts = {key[at : at + 4] for at in range(len(key) - 3)}
+    assert not any(part in name for part in parts), name
+
+
+@then('the keys "{first}" and "{second}" have different names there')
+def _differ(context: Any, first: str, second: str) -> None:
+    assert Credential(first).fingerprint != Credential(second).fingerprint
+
+
+def _with_routes(configuration: CellConfiguration, anonymous: str = "") -> CellConfiguration:
+    routes = tuple(RouteEntry(name, HOST, f"/{name}/", 3_000, name == anonymous) for name in QUEUES)
+    return msgspec.structs.replace(configuration, routes=routes)
+
+
+@given("a cell whose callers need keys")
+@given('a cell whose callers need keys, but on "{anonymous}"')
+def _cell_with_keys(context: Any, anonymous: str = "") -> None:
+    context.anonymous = anonymous
+    options = ClusterOptions(seed=3, nodes=3, with_advice=False, tenants=TENANTS)
+    cluster = context.cluster = JobCluster(options)
+    configuration = _with_routes(cluster.configuration.configuration, anonymous)
+    cluster.configuration.configuration = configuration
+    cluster.start()
+    cluster.run(SETTLE_SECONDS)
+    _serve(context, next(node for node in cluster.nodes.values() if not node.is_holding))
+    context.client = context.simulated.node.configurations._port
+
+
+def _request(context: Any, method: str, header: str, queue: str = "normal", body: str = "") -> Any:
+    exchange = Exchange(context.site)
+    shown = "" if header == "nothing" else f"Authorization: {header}\r\n"
+    length = f"Content-Length: {len(body)}\r\n" if body else ""
+    head = f"{method} /{queue}/{FIRST_JOB} HTTP/1.1\r\nHost: {HOST}\r\n{shown}{length}\r\n"
+    exchange.send(head.encode() + body.encode())
+    return exchange
+
+
+def _ask(context: Any, method: str, header: str, queue: str = "normal", body: str = "") -> None:
+    context.exchange = _request(context, method, header, queue, body)
+    context.cluster.run(0.5)
+
+
+@when('a caller shows "{header}" and hands a job in')
+def _shows(context: Any, header: str) -> None:
+    _ask(context, "POST", header, body=SMALL_JOB)
+
+
+@when('a caller shows "{header}" and hands a job in to "{queue}"')
+def _shows_to(context: Any, header: str, queue: str) -> None:
+    _ask(context, "POST", header, queue, SMALL_JOB)
+
+
+@when('a caller of "{tenant}" hands a job in')
+@when('a caller of "{tenant}" hands the job in')
+def _hands_in(context: Any, tenant: str) -> None:
+    _ask(context, "POST", f"Token {key_of(tenant)}", body=SMALL_JOB)
+
+
+@when('a caller of "{tenant}" asks for the job')
+def _asks(context: Any, tenant: str) -> None:
+    _ask(context, "GET", f"Token {key_of(tenant)}")
+
+
+@when('a caller of "{tenant}" cancels the job')
+def _cancels(context: Any, tenant: str) -> None:
+    _ask(context, "DELETE", f"Token {key_of(tenant)}")
+
+
+@then('the job is known as one of "{tenant}"')
+def _job_of(context: Any, tenant: str) -> None:
+    book = context.cluster.holder().node.seats[0].scheduler.context.book
+    assert book.jobs[FIRST_JOB].spec.tenant == tenant
+
+
+@when("its job ends, and another node takes over")
+def _ends_and_moves(context: Any) -> None:
+    cluster = context.cluster
+    cluster.run(4.0)
+    holder = cluster.holder()
+    cluster.kill_node(holder.name)
+    cluster.run(3.0)
+    assert cluster.holder() is not None
+    _serve(context, next(node for node in cluster.nodes.values() if node.is_up))
+
+
+@given('a version with a key of "{tenant}" that this node has not heard of')
+def _newer_version(context: Any, tenant: str) -> None:
+    feed = context.cluster.configuration
+    tenants = (*TENANTS, TenantPolicy(name=tenant, weight=10.0))
+    # Put there without telling the nodes.
+    feed.configuration = _with_routes(make_configuration(2, False, tenants))
+
+
+@then("the newest version was looked at {count:d} time")
+def _looked(context: Any, count: int) -> None:
+    assert context.client.looks == count, context.client.looks
+
+
+@when("{count:d} callers show wrong keys within {seconds:d} seconds")
+def _flood(context: Any, count: int, seconds: int) -> None:
+    context.flood = []
+    for number in range(count):
+        exchange = _request(context, "POST", f"Token wrong-{number}", body=SMALL_JOB)
+        context.flood.append((context.cluster.time.now(), exchange))
+        context.cluster.run(seconds / count)
+
+
+@then("all of them are turned away with status 401 within {seconds:g} seconds")
+def _turned_away(context: Any, seconds: float) -> None:
+    context.cluster.run(seconds)
+    assert all(exchange.status == 401 for _at, exchange in context.flood)
+
+
+@then("the newest version was looked at {count:d} times at most")
+def _looked_at_most(context: Any, count: int) -> None:
+    assert 0 < context.client.looks <= count, context.client.looks
+
+
+@when('the key of "{tenant}" is withdrawn, and {seconds:g} seconds pass')
+def _withdrawn(context: Any, tenant: str, seconds: float) -> None:
+    left = tuple(item for item in TENANTS if item.name != tenant)
+    configuration = make_configuration(2, False, left)
+    context.cluster.configuration.put(_with_routes(configuration))
+    context.cluster.run(seconds)
+
+
+@when("the node hears nothing of the configuration for {seconds:g} seconds")
+def _hears_nothing(context: Any, seconds: float) -> None:
+    cluster = context.cluster
+    others = [node.host for node in cluster.nodes.values() if node is not context.simulated]
+    cluster.cut(context.simulated.host, ["store", *others])
+    cluster.run(seconds)
+
+
+@given('a configuration in which the tenants "{first}" and "{second}" name one key')
+def _two_tenants(context: Any, first: str, second: str) -> None:
+    tenants = [{"name": name, "apiKeys": ["k1"]} for name in (first, second)]
+    raw = msgspec.json.encode({"version": 3, "routes": [], "tenants": tenants})
+    standard_logging.disable(standard_logging.WARNING)
+    try:
+        context.keys = decode_configuration(raw).keys
+    finally:
+        standard_logging.disable(standard_logging.NOTSET)
+
+
+@then('the key is the one of "{tenant}"')
+def _key_is(context: Any, tenant: str) -> None:
+    assert context.keys.is_required
+    assert context.keys.tenant_of(Credential("k1")) == tenant
+
+
+@given("the records of a job and of a finished job as they were without tenants")
+def _old_records(context: Any) -> None:
+    queue = ["q", "s", 0, 1, 1.0, 0, None]
+    step = [2, 1_000, 256]
+    context.old_spec = msgspec.msgpack.encode([FIRST_JOB, queue, "text", [step], [0, 0, 0], 17])
+    context.old_progress = msgspec.msgpack.encode([int(JobState.COMPLETED), [], [], True])
+
+
+@then("they are read, and no tenant's")
+def _read_old(context: Any) -> None:
+    spec = decode_spec("key", context.old_spec)
+    assert (spec.accepted_at_ms, spec.tenant, spec.is_beyond_share) == (17, "", False)
+    assert decode_progress("key", context.old_progress).tenant == ""
+
+
+# Quotas
+
+
+@contextmanager
+def _without_count() -> Iterator[None]:
+    with mock.patch.object(QuotaLedger, "add", lambda _ledger, _tenant, _needs: None):
+        yield
+
+
+@contextmanager
+def _without_count_in_pass() -> Iterator[None]:
+    with mock.patch.object(QuotaPass, "take", lambda _pass, _tenant, _needs, _count: None):
+        yield
+
+
+@contextmanager
+def _without_doubt() -> Iterator[None]:
+    with mock.patch.object(scheduler, "find_doubts", lambda _jobs, _workers: {}):
+        yield
+
+
+WITHOUT = {
+    "the count of what runs": _without_count,
+    "the count within one pass": _without_count_in_pass,
+    "the doubt": _without_doubt,
+}
+
+
+def _play(context: Any, first: int, last: int, shards: int = 1) -> None:
+    context.job_reports = [
+        play(seed, shards=shards, with_tenants=True) for seed in range(first, last + 1)
+    ]
+
+
+@when("jobs of three tenants are played over seeds {first:d} to {last:d} with drawn faults")
+def _play_tenants(context: Any, first: int, last: int) -> None:
+    _play(context, first, last)
+
+
+@when(
+    "jobs of three tenants are played over seeds {first:d} to {last:d} with drawn faults"
+    " in {shards:d} shards"
+)
+def _play_shards(context: Any, first: int, last: int, shards: int) -> None:
+    _play(context, first, last, shards)
+
+
+@when(
+    "jobs of three tenants are played over seeds {first:d} to {last:d} with drawn faults,"
+    ' without "{mechanism}"'
+)
+def _play_without(context: Any, first: int, last: int, mechanism: str) -> None:
+    with WITHOUT[mechanism]():
+        _play(context, first, last)
+
+
+@then('"{name}" is broken')
+def _is_broken(context: Any, name: str) -> None:
+    found = {item.violation for report in context.job_reports for item in report.findings}
+    assert Violation(name) in found, found
+
+
+@given("a cluster of tenants with {count:d} workers")
+def _tenant_cluster(context: Any, count: int) -> None:
+    work = WorkOptions(seed=5, shortest_seconds=8.0, longest_seconds=8.0)
+    options = ClusterOptions(
+        seed=5, workers=count, with_advice=False, work=work, tenants=TENANTS, rack_size=count
+    )
+    context.cluster = JobCluster(options)
+    context.cluster.start()
+    context.cluster.run(SETTLE_SECONDS)
+    context.holder = context.cluster.holder()
+
+
+@given('a cluster of tenants with {count:d} workers, without "{mechanism}"')
+def _tenant_cluster_without(context: Any, count: int, mechanism: str) -> None:
+    stack = ExitStack()
+    context.add_cleanup(stack.close)
+    stack.enter_context(WITHOUT[mechanism]())
+    _tenant_cluster(context, count)
+
+
+def _job(context: Any, number: int, tenant: str, tasks: int = 1, gang: bool = False) -> JobSpec:
+    policy = context.cluster.configuration.configuration.policy
+    step = StepSpec(
+        task_count=tasks,
+        processors_milli=WORKER_CAPACITY.processors_milli,
+        memory_mb=1_024,
+        estimated_ms=8_000,
+        gang=gang,
+    )
+    job_id = f"{number:016x}"
+    return JobSpec(
+        job_id=job_id,
+        queue=policy.queues["normal"],
+        payload=f"payload-{job_id}",
+        steps=(step,),
+        tenant=tenant,
+    )
+
+
+def _hand_in(context: Any, spec: JobSpec) -> None:
+    cluster = context.cluster
+    cluster.pool.specs[spec.job_id] = spec
+    cluster.audit.handle_submitted(spec)
+    holder = next(node for node in cluster.nodes.values() if node.is_holding)
+
+    def take(reply: CallReply | None) -> None:
+        cluster.audit.handle_submit_reply(spec.job_id, reply)
+
+    cluster.call(holder, spec.job_id, SubmitCall(spec), take)
+    cluster.run(0.5)
+    assert cluster.audit.jobs[spec.job_id].accepted_at is not None
+
+
+def _has_begun(context: Any, number: int) -> bool:
+    return context.cluster.audit.jobs[f"{number:016x}"].has_started
+
+
+@given("two jobs of a tenant with a quota of two workers are at work")
+def _two_at_work(context: Any) -> None:
+    for number in (1, 2):
+        _hand_in(context, _job(context, number, "small"))
+    context.cluster.run(1.0)
+    assert _has_begun(context, 1) and _has_begun(context, 2)
+
+
+@when("the holder is killed, and its successor cannot reach the workers that run them")
+def _kill_and_cut(context: Any) -> None:
+    cluster = context.cluster
+    busy = [worker.worker_id for worker in cluster.pool.workers.values() if worker.runs]
+    for node in cluster.nodes.values():
+        cluster.cut(node.host, busy)
+    cluster.kill_node(context.holder.name)
+    cluster.run(2.0)
+
+
+@when("two more jobs of that tenant are handed in, and {seconds:d} seconds pass")
+def _two_more(context: Any, seconds: int) -> None:
+    for number in (3, 4):
+        _hand_in(context, _job(context, number, "small"))
+    context.cluster.run(seconds)
+
+
+@then("a job of another tenant begins")
+def _another_begins(context: Any) -> None:
+    _hand_in(context, _job(context, 5, "large"))
+    context.cluster.run(1.0)
+    assert _has_begun(context, 5)
+
+
+@when(
+    "a job of {tasks:d} tasks, each as large as a worker, is handed in for a tenant"
+    " with two workers"
+)
+def _wide_job(context: Any, tasks: int) -> None:
+    _hand_in(context, _job(context, 1, "small", tasks))
+
+
+@then("the job is done in the end, never more than {most:d} tasks at once")
+def _waves(context: Any, most: int) -> None:
+    cluster = context.cluster
+    for _ in range(400):
+        cluster.run(0.1)
+        running = sum(len(worker.runs) for worker in cluster.pool.workers.values())
+        assert running <= most, running
+    replies: list[CallReply | None] = []
+    holder = cluster.holder()
+    cluster.call(holder, f"{1:016x}", StateCall(f"{1:016x}", "small"), replies.append)
+    cluster.run(1.0)
+    assert replies[0] is not None and replies[0].code is ReplyCode.OK
+    assert replies[0].state == "completed", replies
+
+
+@when("a gang of {tasks:d} such tasks is handed in for that tenant")
+def _gang(context: Any, tasks: int) -> None:
+    _hand_in(context, _job(context, 3, "small", tasks, gang=True))
+
+
+@then("the gang begins only after both have ended")
+def _gang_after(context: Any) -> None:
+    cluster = context.cluster
+    cluster.run(4.0)
+    assert not _has_begun(context, 3)
+    cluster.run(10.0)
+    assert _has_begun(context, 3)
+    assert not cluster.audit.findings, cluster.audit.findings
+
+
+# Shares
+
+
+@given("a tenant of weight {weight:g}")
+def _weight(context: Any, weight: float) -> None:
+    context.tenant = TenantPolicy(name="one", weight=weight)
+
+
+@when("it hands in {count:d} jobs within {seconds:g} s in a cell of {shards:d} shards")
+def _hands_in_many(context: Any, count: int, seconds: float, shards: int) -> None:
+    meter = ShareMeter()
+    moments = [seconds * (number + 1) / count for number in range(count)]
+    context.owed = sum(meter.take(context.tenant, shards, 50.0 + at) for at in moments)
+
+
+@then("{count:d} of them are owed to it")
+def _owed(context: Any, count: int) -> None:
+    assert abs(context.owed - count) <= 1, context.owed
+
+
+@given("waiting steps")
+def _waiting(context: Any) -> None:
+    context.ranked = []
+    for row in context.table:
+        queue = QueuePolicy(
+            name="q", service="s", priority=int(row["priority"]), target_latency_ms=1_000
+        )
+        spec = JobSpec(
+            job_id=row["name"],
+            queue=queue,
+            payload="",
+            steps=(StepSpec(task_count=1, estimated_ms=1_000),),
+            is_beyond_share=row["beyond"] == "yes",
+        )
+        job = JobProgress(spec, 100.0 - float(row["late by"]))
+        step = job.begin_repetition(0, 100.0)[0]
+        context.ranked.append((step_rank_of(step, queue, 100.0), row["name"]))
+
+
+@then('they come in the order "{names}"')
+def _order(context: Any, names: str) -> None:
+    assert ", ".join(name for _rank, name in sorted(context.ranked)) == names
--- a/src/onyxspoke/core/codes.py
+++ b/src/onyxspoke/core/codes.py
@@ -39,6 +39,8 @@
     NEVER_FITS = 210
     REQUEST_TIMEOUT = 211
     NO_SUCH_QUEUE = 212
+    MISSING_KEY = 213
+    UNKNOWN_KEY = 214
 
     NO_CAPACITY = 300
     QUEUE_FULL = 301
@@ -53,6 +55,7 @@
     PEER_UNREACHABLE = 310
     WORKER_LEAVING = 311
     NO_HOLDER = 312
+    KEYS_UNPROVEN = 313
 
     WORKER_LOST = 400
     PEER_LOST = 401
@@ -89,6 +92,8 @@
     ResultCode.NEVER_FITS: "No worker of the cell could ever hold a task of this size.",
     ResultCode.REQUEST_TIMEOUT: "The request was not received completely in time.",
     ResultCode.NO_SUCH_QUEUE: "The queue is not in the configuration.",
+    ResultCode.MISSING_KEY: "The queue wants a key, and none that can be read came with the call.",
+    ResultCode.UNKNOWN_KEY: "No tenant of the newest configuration has this key.",
     ResultCode.NO_CAPACITY: "No worker has room now.",
     ResultCode.QUEUE_FULL: "The waiting queue is at its bound.",
     ResultCode.DEADLINE_EXPIRED: "The deadline passed, or cannot be met, before a worker was free.",
@@ -102,6 +107,9 @@
     ResultCode.PEER_UNREACHABLE: "The peer could not be reached before anything was sent.",
     ResultCode.WORKER_LEAVING: "The worker is leaving and takes no new work.",
     ResultCode.NO_HOLDER: "No node can take the job now; it was not taken and never runs.",
+    ResultCode.KEYS_UNPROVEN: (
+        "The configuration here may be too old to tell whose the key is; the call did nothing."
+    ),
     ResultCode.WORKER_LOST: "The worker was lost after the task was sent to it.",
     ResultCode.PEER_LOST: "The peer entry was lost after the request was forwarded.",
     ResultCode.ANSWER_OVERDUE: "The task was sent; no answer came within the grace period.",
@@ -131,6 +139,8 @@
     ResultCode.NO_SUCH_PATH: 404,
     ResultCode.NO_SUCH_QUEUE: 404,
     ResultCode.NO_SUCH_WORKER: 404,
+    ResultCode.MISSING_KEY: 401,
+    ResultCode.UNKNOWN_KEY: 401,
     ResultCode.METHOD_NOT_ALLOWED: 405,
     ResultCode.REQUEST_TIMEOUT: 408,
     ResultCode.KEY_REUSED: 422,
--- a/src/onyxspoke/core/jobs/book.py
+++ b/src/onyxspoke/core/jobs/book.py
@@ -7,12 +7,15 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from dataclasses import dataclass
 from enum import Enum
 
 from onyxspoke.core.jobs.model import JobId, JobSpec, QueuePolicy, StepKey, TaskKey
 from onyxspoke.core.jobs.progress import JobProgress, StepProgress, TaskProgress
 from onyxspoke.core.jobs.records import ProgressRecord, restore_progress
 from onyxspoke.core.jobs.states import JobState, TaskState
+from onyxspoke.core.tenants.keys import may_see
+from onyxspoke.core.tenants.policy import TenantName
 
 #: Repetitions of one job that may be under way at once.
 MAXIMUM_OPEN_REPETITIONS = 64
@@ -26,6 +29,14 @@
     CANCELLED_BEFORE = "cancelled_before"
 
 
+@dataclass(frozen=True, slots=True)
+class EarlyCancel:
+    """A cancel that came before its job: whose it was, and when it came."""
+
+    tenant: TenantName
+    at: float
+
+
 class JobBook:
     """The jobs of one shard.
 
@@ -40,8 +51,8 @@
         self.jobs: dict[JobId, JobProgress] = {}
         self.startable: dict[StepKey, StepProgress] = {}
         self.dirty: dict[JobId, None] = {}
-        #: Cancels that came before the job did; the value tells when.
-        self.cancelled_before: dict[JobId, float] = {}
+        #: Cancels that came before the job did.
+        self.cancelled_before: dict[JobId, EarlyCancel] = {}
         #: Set until it is known what a former holder left running.
         self.is_recovering = False
         self._scheduled: dict[JobId, JobProgress] = {}
@@ -53,7 +64,7 @@
         """Take a job in; the same identifier again changes nothing."""
         if spec.job_id in self.jobs:
             return Submission.KNOWN
-        if spec.job_id in self.cancelled_before:
+        if self.was_cancelled_before(spec):
             return Submission.CANCELLED_BEFORE
         job = JobProgress(spec, now)
         self.jobs[spec.job_id] = job
@@ -64,6 +75,11 @@
             self._begin_repetition(job, 0, now)
         return Submission.NEW
 
+    def was_cancelled_before(self, spec: JobSpec) -> bool:
+        """Return whether a cancel by the job's tenant came before the job did."""
+        cancel = self.cancelled_before.get(spec.job_id)
+        return cancel is not None and may_see(cancel.tenant, spec.tenant)
+
     def withdraw(self, job_id: JobId) -> None:
         """Forget a job whose record was never sent to the store, but not that it was cancelled."""
         job = self.jobs.pop(job_id)
@@ -72,15 +88,24 @@
         self._scheduled.pop(job_id, None)
         self._finished.pop(job_id, None)
         if job.state is JobState.CANCELLED:
-            self.cancelled_before[job_id] = job.final_at
+            self.cancelled_before[job_id] = EarlyCancel(job.spec.tenant, job.final_at)
             self.dirty[job_id] = None
 
-    def cancel(self, job_id: JobId, now: float) -> JobProgress | None:
-        """Cancel a job; one not known is remembered as cancelled, should it come yet."""
+    def find_visible(self, job_id: JobId, tenant: TenantName) -> JobProgress | None:
+        """Return a job, unless it is another tenant's."""
         job = self.jobs.get(job_id)
+        return job if job is not None and may_see(job.spec.tenant, tenant) else None
+
+    def cancel(self, job_id: JobId, tenant: TenantName, now: float) -> JobProgress | None:
+        """Cancel a job; one not known is remembered as cancelled, should it come yet.
+
+        Another tenant's job is not known to the caller, and stays as it is.
+        """
+        job = self.find_visible(job_id, tenant)
         if job is None:
-            self.cancelled_before.setdefault(job_id, now)
-            self.dirty[job_id] = None
+            if job_id not in self.jobs:
+                self.cancelled_before.setdefault(job_id, EarlyCancel(tenant, now))
+                self.dirty[job_id] = None
             return None
         if not job.state.is_final:
             self._finish(job, JobState.CANCELLED, now)
@@ -125,9 +150,9 @@
     def restore_finished(self, job_id: JobId, record: ProgressRecord, now: float) -> None:
         """Take in a finished job, or an early cancel, of which only the progress is kept."""
         if not record.was_submitted:
-            self.cancelled_before[job_id] = now
+            self.cancelled_before[job_id] = EarlyCancel(record.tenant, now)
             return
-        spec = _placeholder_spec(job_id)
+        spec = _placeholder_spec(job_id, record.tenant)
         job = JobProgress(spec, now)
         restore_progress(job, record, now)
         self.jobs[job_id] = job
@@ -229,8 +254,8 @@
             del self._finished[job_id]
             del self.jobs[job_id]
             self.dirty[job_id] = None
-        for job_id, at in list(self.cancelled_before.items()):
-            if at <= horizon:
+        for job_id, cancel in list(self.cancelled_before.items()):
+            if cancel.at <= horizon:
                 del self.cancelled_before[job_id]
                 self.dirty[job_id] = None
 
@@ -319,6 +344,7 @@
             self.startable.pop(step.key, None)
 
 
-def _placeholder_spec(job_id: JobId) -> JobSpec:
+def _placeholder_spec(job_id: JobId, tenant: TenantName) -> JobSpec:
     """Return a specification for a finished job; its own was dropped with its end."""
-    return JobSpec(job_id=job_id, queue=QueuePolicy(name="", service=""), payload="", steps=())
+    queue = QueuePolicy(name="", service="")
+    return JobSpec(job_id=job_id, queue=queue, payload="", steps=(), tenant=tenant)
--- a/src/onyxspoke/core/jobs/model.py
+++ b/src/onyxspoke/core/jobs/model.py
@@ -143,6 +143,10 @@
     accepted_at_ms : int
         Time of day at which a holder took it, counted from 1970; clocks may jump, so it only
         orders what waits.
+    tenant : str
+        For whom it runs; empty where there are no tenants.
+    is_beyond_share : bool
+        Its tenant had handed in more than its weight; what others are owed goes first.
     """
 
     job_id: JobId
@@ -151,3 +155,5 @@
     steps: tuple[StepSpec, ...]
     schedule: Schedule = Schedule()
     accepted_at_ms: int = 0
+    tenant: str = ""
+    is_beyond_share: bool = False
--- a/src/onyxspoke/core/jobs/policy.py
+++ b/src/onyxspoke/core/jobs/policy.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from onyxspoke.core.jobs.model import JobSpec, QueuePolicy
+from onyxspoke.core.tenants.policy import TenantName, TenantPolicy
 
 
 class ServicePolicy(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -29,6 +30,7 @@
     version: int = 0
     queues: dict[str, QueuePolicy] = {}
     services: dict[str, ServicePolicy] = {}
+    tenants: dict[TenantName, TenantPolicy] = {}
 
     def queue_of(self, job: JobSpec) -> QueuePolicy:
         """Return a job's queue as it is now; one that was dropped, as the job met it."""
--- a/src/onyxspoke/core/jobs/progress.py
+++ b/src/onyxspoke/core/jobs/progress.py
@@ -239,7 +239,10 @@
     def shrink(self) -> None:
         """Drop what a job that is over needs no more; runs that still stop keep their own."""
         self.repetitions = {}
-        self.spec = JobSpec(job_id=self.job_id, queue=self.spec.queue, payload="", steps=())
+        spec = self.spec
+        self.spec = JobSpec(
+            job_id=self.job_id, queue=spec.queue, payload="", steps=(), tenant=spec.tenant
+        )
 
 
 def _objective_seconds(spec: JobSpec) -> float:
--- a/src/onyxspoke/core/jobs/records.py
+++ b/src/onyxspoke/core/jobs/records.py
@@ -13,6 +13,7 @@
 from onyxspoke.core.jobs.model import JobId, JobSpec, StepKey
 from onyxspoke.core.jobs.progress import JobProgress, StepProgress
 from onyxspoke.core.jobs.states import JobState, TaskState
+from onyxspoke.core.tenants.policy import TenantName
 
 SPEC_PREFIX = "job-spec/"
 PROGRESS_PREFIX = "job/"
@@ -32,13 +33,15 @@
 class ProgressRecord(msgspec.Struct, array_like=True):
     """What is kept of a job's progress.
 
-    ``was_submitted`` is false for a cancel that came before its job.
+    ``was_submitted`` is false for a cancel that came before its job.  ``tenant`` is empty in
+    records written where there were no tenants.
     """
 
     state: int
     done_repetitions: list[int]
     steps: list[StepRecord]
     was_submitted: bool = True
+    tenant: TenantName = ""
 
 
 class JobRecordKind(Enum):
@@ -85,7 +88,8 @@
     steps = []
     if not job.state.is_final:
         steps = [_step_record(step) for step in job.steps() if _has_progress(step)]
-    record = ProgressRecord(int(job.state), sorted(job.done_repetitions), steps)
+    done = sorted(job.done_repetitions)
+    record = ProgressRecord(int(job.state), done, steps, tenant=job.spec.tenant)
     return _encoder.encode(record)
 
 
@@ -159,6 +163,7 @@
     return [index for index in range(count) if bits >> index & 1]
 
 
-def encode_cancelled_before() -> bytes:
-    """Return the record of a cancel that came before its job."""
-    return _encoder.encode(ProgressRecord(int(JobState.CANCELLED), [], [], was_submitted=False))
+def encode_cancelled_before(tenant: TenantName) -> bytes:
+    """Return the record of a tenant's cancel that came before its job."""
+    state = int(JobState.CANCELLED)
+    return _encoder.encode(ProgressRecord(state, [], [], was_submitted=False, tenant=tenant))
--- a/src/onyxspoke/core/placement/gang_placer.py
+++ b/src/onyxspoke/core/placement/gang_placer.py
@@ -129,8 +129,10 @@
         held_since = self._reservations.held_since(step.key)
         if held_since is None or now - held_since < PATIENCE_SECONDS:
             return False
-        latest_start = step_rank_of(step, queue, now).latest_start
-        return now + self._stop_seconds + START_SECONDS <= latest_start
+        rank = step_rank_of(step, queue, now)
+        if rank.is_beyond_share:
+            return False
+        return now + self._stop_seconds + START_SECONDS <= rank.latest_start
 
     def _make_room(
         self,
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -21,6 +21,7 @@
     place_tasks,
 )
 from onyxspoke.core.placement.workers import Worker, WorkerTable
+from onyxspoke.core.tenants.ledger import QuotaPass
 
 #: Tasks placed in one pass at most, so that a pass stays short.
 MAXIMUM_PLACEMENTS = 200
@@ -56,6 +57,8 @@
         #: When a gang that holds no room is looked at next, at the earliest.
         self._gang_look_at: dict[StepKey, float] = {}
         self._overlooked: list[StepProgress] = []
+        #: Steps that were last looked at when their tenants could start nothing of them.
+        self._over_quota: set[StepKey] = set()
 
     def take_evictions(self) -> list[Eviction]:
         """Return the runs that are to give way since the last call."""
@@ -76,27 +79,31 @@
         """Look at every step anew."""
         self._blocked_at.clear()
 
-    def plan(self, steps: list[StepProgress], policy: PolicySet, now: float) -> list[StepPlacement]:
+    def plan(
+        self, steps: list[StepProgress], policy: PolicySet, quotas: QuotaPass, now: float
+    ) -> list[StepPlacement]:
         """Return what starts now, with the room already taken into account.
 
         Room is tracked in a scratch copy; nothing of the workers is changed.
         """
         self._table.note_availability(now)
-        waiting = {step.key for step in steps}
-        self._reservations.drop_others(waiting)
-        for moments in (self._look_again_at, self._gang_look_at):
-            for key in moments.keys() - waiting:
-                del moments[key]
+        self._forget_others({step.key for step in steps})
         plan: list[StepPlacement] = []
         room = ScratchRoom()
         self._seeker.begin_pass(now)
         offers = _Offers(self._table)
         changes = _Changes(self._table)
         blocked_at: dict[StepKey, int] = {}
+        was_over_quota, self._over_quota = self._over_quota, set()
         looked_ahead = 0
         count = 0
         for step in sorted(steps, key=lambda item: step_rank(item, policy, now)):
-            since = self._blocked_at.get(step.key)
+            most = _tasks_within_quota(step, quotas)
+            if most == 0:
+                self._reservations.drop(step.key)
+                self._over_quota.add(step.key)
+                continue
+            since = None if step.key in was_over_quota else self._blocked_at.get(step.key)
             if since is not None and now < self._gang_look_at.get(step.key, -math.inf):
                 # What has changed meanwhile is looked at then.
                 blocked_at[step.key] = since
@@ -107,14 +114,17 @@
             if is_new or is_due:
                 queue = policy.queue_of(step.job.spec)
                 offer = offers.of(queue.service)
-                placed = self._place_step(step, queue, offer, room, policy, now)
+                placed = self._place_step(step, queue, offer, room, policy, most, now)
                 self._look_again_at[step.key] = now + SWEEP_SECONDS
                 if may_look_ahead:
-                    looked_ahead += self._look_ahead(step, queue, placed, offer, room, policy, now)
+                    looked_ahead += self._look_ahead(
+                        step, queue, placed, offer, room, policy, most, now
+                    )
                 elif placed is not None and not is_new:
                     self._overlooked.append(step)
                 if placed is not None:
                     plan.append(placed)
+                    quotas.take(step.job.spec.tenant, step.needs, len(placed.placements))
                     count += len(placed.placements)
                     if count >= MAXIMUM_PLACEMENTS:
                         return plan
@@ -124,6 +134,13 @@
         self._blocked_at = blocked_at
         return plan
 
+    def _forget_others(self, waiting: set[StepKey]) -> None:
+        """Drop what is kept of steps that wait no longer."""
+        self._reservations.drop_others(waiting)
+        for moments in (self._look_again_at, self._gang_look_at):
+            for key in moments.keys() - waiting:
+                del moments[key]
+
     def _place_step(
         self,
         step: StepProgress,
@@ -131,6 +148,7 @@
         offer: Offer,
         room: ScratchRoom,
         policy: PolicySet,
+        most: int,
         now: float,
     ) -> StepPlacement | None:
         if step.spec.gang:
@@ -149,7 +167,7 @@
                 self._desk.want(step, queue.advice, ask, step_rank_of(step, queue, now), now)
         if not may_fit or not candidates:
             return None
-        return place_tasks(step, candidates, room, now)
+        return place_tasks(step, candidates, room, most, now)
 
     def _candidates(
         self, step: StepProgress, queue: QueuePolicy, offer: Offer, now: float
@@ -169,10 +187,11 @@
         offer: Offer,
         room: ScratchRoom,
         policy: PolicySet,
+        most: int,
         now: float,
     ) -> int:
-        """Look after a step of which tasks still wait; return 1 if that was so, or 0."""
-        if placed is not None and len(placed.placements) == len(step.waiting):
+        """Look after a step of which tasks still wait for room; return 1 if that was so, or 0."""
+        if placed is not None and len(placed.placements) == min(most, len(step.waiting)):
             self._reservations.drop(step.key)
             return 0
         self._look_again_at[step.key] = now + LOOK_AGAIN_SECONDS
@@ -232,6 +251,17 @@
         return offer
 
 
+def _tasks_within_quota(step: StepProgress, quotas: QuotaPass) -> int:
+    """Return how many of a step's waiting tasks its tenant may start; of a gang all, or none."""
+    tenant = step.job.spec.tenant
+    if not tenant:
+        return len(step.waiting)
+    slots = quotas.slots(tenant, step.needs)
+    if step.spec.gang:
+        return len(step.tasks) if slots >= len(step.tasks) else 0
+    return min(slots, len(step.waiting))
+
+
 def _with_tickets(advice: StepAdvice, offer: Offer, now: float) -> list[Candidate]:
     candidates = []
     for worker_id, held in advice.tickets.items():
--- a/src/onyxspoke/core/placement/preemption.py
+++ b/src/onyxspoke/core/placement/preemption.py
@@ -8,11 +8,12 @@
 
 from dataclasses import dataclass
 
+from onyxspoke.core.jobs.amounts import minus, plus, slots_within
 from onyxspoke.core.jobs.model import Needs
 from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.jobs.states import RunState
 from onyxspoke.core.placement.forecast import remaining_seconds
-from onyxspoke.core.placement.room import ScratchRoom, slots_within
+from onyxspoke.core.placement.room import ScratchRoom
 from onyxspoke.core.placement.runs import Run
 from onyxspoke.core.placement.workers import Worker
 
@@ -62,7 +63,7 @@
     freed = Needs()
     for run in worker.runs.values():
         if run.state is RunState.STOPPING or _ends_soon(run, now):
-            freed = _plus(freed, run.needs)
+            freed = plus(freed, run.needs)
     return freed
 
 
@@ -78,7 +79,7 @@
     victims = []
     for run in worker.runs.values():
         if run.state is RunState.STOPPING or _ends_soon(run, now):
-            free = _plus(free, run.needs)
+            free = plus(free, run.needs)
         elif _may_give_way(run, priority, policy) and not _would_be_late(run, now):
             victims.append(run)
     victims.sort(key=lambda run: (-_priority_of(run, policy), -_slack(run, now), run.key))
@@ -87,11 +88,11 @@
         if slots_within(free, needs) > 0:
             break
         chosen.append(run)
-        free = _plus(free, run.needs)
+        free = plus(free, run.needs)
     if not chosen or slots_within(free, needs) == 0:
         return None
     for run in list(chosen):
-        without = Needs(*(have - less for have, less in zip(free, run.needs, strict=True)))
+        without = minus(free, run.needs)
         if slots_within(without, needs) > 0:
             chosen.remove(run)
             free = without
@@ -132,7 +133,3 @@
 
 def _weight(run: Run) -> int:
     return run.needs.processors_milli + ACCELERATOR_MILLI * run.needs.accelerators
-
-
-def _plus(free: Needs, freed: Needs) -> Needs:
-    return Needs(*(have + more for have, more in zip(free, freed, strict=True)))
--- a/src/onyxspoke/core/placement/queue_order.py
+++ b/src/onyxspoke/core/placement/queue_order.py
@@ -1,6 +1,7 @@
 """The order in which waiting steps are placed.
 
-A queue's priority comes first.  Within it come the steps whose jobs can still be done within
+What tenants are owed comes before what they send beyond their weights.  Then comes a queue's
+priority.  Within it come the steps whose jobs can still be done within
 their objective, by the time that they can afford to wait; then those that can only be late;
 last those that are so late that nobody waits for them any more.  Without the last two a backlog
 of late jobs would make every new one late, too.
@@ -32,9 +33,11 @@
 class StepRank(NamedTuple):
     """A step's place in the waiting line; the lowest goes first.
 
-    ``latest_start`` is the second by which it should start, ``step`` its number in the job.
+    ``is_beyond_share`` says that its tenant had handed in more than it is owed, ``latest_start`` is
+    the second by which it should start, ``step`` its number in the job.
     """
 
+    is_beyond_share: bool
     priority: int
     lateness: Lateness
     latest_start: float
@@ -50,7 +53,13 @@
     """Return a step's place, given its queue."""
     objective = step.job.objective_seconds
     latest_start = step.due_at + objective - step.chain_seconds
-    return StepRank(queue.priority, _lateness(step, objective, now), latest_start, step.key.step)
+    return StepRank(
+        step.job.spec.is_beyond_share,
+        queue.priority,
+        _lateness(step, objective, now),
+        latest_start,
+        step.key.step,
+    )
 
 
 def _lateness(step: StepProgress, objective: float, now: float) -> Lateness:
--- a/src/onyxspoke/core/placement/reservations.py
+++ b/src/onyxspoke/core/placement/reservations.py
@@ -9,9 +9,10 @@
 
 from dataclasses import dataclass
 
+from onyxspoke.core.jobs.amounts import slots_within
 from onyxspoke.core.jobs.model import StepKey
 from onyxspoke.core.jobs.progress import StepProgress
-from onyxspoke.core.placement.room import ScratchRoom, slots_within
+from onyxspoke.core.placement.room import ScratchRoom
 from onyxspoke.core.placement.workers import Worker, WorkerTable
 
 #: Share of a service's processors that waiting gangs may hold, the first gang apart.
--- a/src/onyxspoke/core/placement/room.py
+++ b/src/onyxspoke/core/placement/room.py
@@ -2,14 +2,10 @@
 
 from __future__ import annotations
 
-import sys
-
+from onyxspoke.core.jobs.amounts import minus, plus, slots_within, times
 from onyxspoke.core.jobs.model import Needs
 from onyxspoke.core.placement.workers import Worker
 
-#: More tasks than any step has.
-_UNBOUNDED = sys.maxsize
-
 
 class ScratchRoom:
     """Room that a pass has taken so far, by worker; nothing of the workers is changed."""
@@ -33,17 +29,14 @@
         taken = self._taken.get(worker.worker_id)
         if taken is None:
             return Needs(worker.free_processors, worker.free_memory, worker.free_accelerators)
-        return Needs(
-            worker.free_processors - taken.processors_milli,
-            worker.free_memory - taken.memory_mb,
-            worker.free_accelerators - taken.accelerators,
-        )
+        have = Needs(worker.free_processors, worker.free_memory, worker.free_accelerators)
+        return minus(have, taken)
 
     def slots(self, worker: Worker, needs: Needs, more: Needs | None = None) -> int:
         """Return for how many more tasks a worker has room left, with ``more`` room than now."""
         free = self.free(worker)
         if more is not None:
-            free = Needs(*(have + added for have, added in zip(free, more, strict=True)))
+            free = plus(free, more)
         return slots_within(free, needs)
 
     def free_processors(self, worker: Worker) -> int:
@@ -54,20 +47,4 @@
     def take(self, worker: Worker, needs: Needs, count: int = 1) -> None:
         """Take room for so many tasks."""
         taken = self._taken.get(worker.worker_id, Needs())
-        self._taken[worker.worker_id] = Needs(
-            taken.processors_milli + count * needs.processors_milli,
-            taken.memory_mb + count * needs.memory_mb,
-            taken.accelerators + count * needs.accelerators,
-        )
-
-
-def slots_within(room: Needs, needs: Needs) -> int:
-    """Return how many tasks with these needs go into a room."""
-    count = _UNBOUNDED
-    if needs.processors_milli > 0:
-        count = room.processors_milli // needs.processors_milli
-    if needs.memory_mb > 0:
-        count = min(count, room.memory_mb // needs.memory_mb)
-    if needs.accelerators > 0:
-        count = min(count, room.accelerators // needs.accelerators)
-    return max(0, count)
+        self._taken[worker.worker_id] = plus(taken, times(needs, count))
--- a/src/onyxspoke/core/placement/room_seeker.py
+++ b/src/onyxspoke/core/placement/room_seeker.py
@@ -104,7 +104,8 @@
         now: float,
     ) -> Worker | None:
         """Have later queues give way; return where, or ``None`` if that does not help."""
-        if step_rank_of(step, queue, now).lateness is Lateness.EXPIRED:
+        rank = step_rank_of(step, queue, now)
+        if rank.is_beyond_share or rank.lateness is Lateness.EXPIRED:
             return None
         if queue.advice is not None:
             tickets = self._desk.advice_on(step).tickets
--- a/src/onyxspoke/core/placement/spreading.py
+++ b/src/onyxspoke/core/placement/spreading.py
@@ -40,10 +40,10 @@
 
 
 def place_tasks(
-    step: StepProgress, candidates: list[Candidate], room: ScratchRoom, now: float
+    step: StepProgress, candidates: list[Candidate], room: ScratchRoom, most: int, now: float
 ) -> StepPlacement | None:
-    """Return where the waiting tasks of a step start now, as far as there is room."""
-    waiting = [step.tasks[index] for index in step.waiting]
+    """Return where waiting tasks of a step, at most so many, start now, as far as there is room."""
+    waiting = [step.tasks[index] for index in step.waiting][:most]
     counts = counts_on_workers(step)
     zones = {task.run.worker.record.zone for task in step.tasks if task.run is not None}
     left = list(candidates)
--- a/src/onyxspoke/core/routing.py
+++ b/src/onyxspoke/core/routing.py
@@ -8,12 +8,16 @@
 
 
 class RouteEntry(msgspec.Struct, frozen=True):
-    """One route: callers of ``host`` whose path begins with ``path_prefix``."""
+    """One route: callers of ``host`` whose path begins with ``path_prefix``.
+
+    ``allows_anonymous`` says that its callers need no key.
+    """
 
     queue: str
     host: str
     path_prefix: str
     timeout_ms: int
+    allows_anonymous: bool = False
 
 
 class RouteTable:
--- a/src/onyxspoke/core/shard/call_desk.py
+++ b/src/onyxspoke/core/shard/call_desk.py
@@ -25,10 +25,12 @@
 )
 from onyxspoke.core.shard.context import ShardContext
 from onyxspoke.core.shard.run_keeper import RunKeeper
+from onyxspoke.core.tenants.keys import may_see
 
 #: An append that is open for so long, beyond trouble, leaves what waits for it unknown.
 SILENCE_SECONDS = 0.4
 _IN_TROUBLE = "store_in_trouble"
+_ANOTHER_TENANTS = "identifier_of_another_tenant"
 
 
 class CallDesk:
@@ -55,9 +57,9 @@
         if isinstance(call, SubmitCall):
             self._submit(call_id, call.job, now)
         elif isinstance(call, CancelCall):
-            self._cancel(call_id, call.job_id, now)
+            self._cancel(call_id, call, now)
         elif isinstance(call, StateCall):
-            self._tell_state(call_id, call.job_id, now)
+            self._tell_state(call_id, call, now)
         else:
             self._tell_waiting(call_id, call)
 
@@ -85,6 +87,9 @@
         book = context.book
         job_id = spec.job_id
         known = book.jobs.get(job_id)
+        if known is not None and not may_see(known.spec.tenant, spec.tenant):
+            self._refuse(_PendingReply(context, call_id, job_id), _ANOTHER_TENANTS)
+            return
         if known is not None and known.committed_state is not None:
             # The store has it, whoever holds the shard by now.
             context.emit(ReplyToCall(call_id, CallReply(code=ReplyCode.OK)))
@@ -93,6 +98,8 @@
             self._refuse(_PendingReply(context, call_id, job_id))
             return
         spec = msgspec.structs.replace(spec, accepted_at_ms=context.wall_ms(now))
+        if known is None and not book.was_cancelled_before(spec):
+            spec = self._mark_share(spec, now)
         outcome = book.submit(spec, now)
         context.wants_placement = True
         if outcome is Submission.NEW:
@@ -102,11 +109,20 @@
             self._unsent[call_id] = pending
         context.commit.after_commit(pending.confirm(CallReply(code=ReplyCode.OK)))
 
+    def _mark_share(self, spec: JobSpec, now: float) -> JobSpec:
+        """Return a new job with the mark whether its tenant is owed it."""
+        context = self._context
+        policy = context.policy.tenants.get(spec.tenant)
+        is_owed = context.shares.take(policy, context.shard_count, now)
+        return msgspec.structs.replace(spec, is_beyond_share=not is_owed)
+
     def _log_taken(self, spec: JobSpec) -> None:
         self._context.log(
             "job_taken",
             job=spec.job_id,
             queue=spec.queue.name,
+            tenant=spec.tenant,
+            beyond_share=int(spec.is_beyond_share),
             steps=len(spec.steps),
             tasks=sum(step.task_count for step in spec.steps),
             stretch=spec.queue.stretch,
@@ -114,9 +130,10 @@
             policy=self._context.policy.version,
         )
 
-    def _cancel(self, call_id: int, job_id: JobId, now: float) -> None:
+    def _cancel(self, call_id: int, call: CancelCall, now: float) -> None:
         context = self._context
-        job = context.book.cancel(job_id, now)
+        job_id = call.job_id
+        job = context.book.cancel(job_id, call.tenant, now)
         context.log("job_cancel", job=job_id, known=int(job is not None))
         if job is not None:
             self._runs.stop_job_runs(job.steps(), now, "job_cancelled")
@@ -124,9 +141,10 @@
         code = ReplyCode.OK if job is not None else ReplyCode.NO_SUCH_JOB
         self._reply_later(call_id, job_id, CallReply(code=code), context.commit.after_commit, now)
 
-    def _tell_state(self, call_id: int, job_id: JobId, now: float) -> None:
+    def _tell_state(self, call_id: int, call: StateCall, now: float) -> None:
         context = self._context
-        job = context.book.jobs.get(job_id)
+        job_id = call.job_id
+        job = context.book.find_visible(job_id, call.tenant)
         if job is not None and job.committed_state is not None:
             state = job.committed_state.name.lower()
             context.emit(ReplyToCall(call_id, CallReply(code=ReplyCode.OK, state=state)))
@@ -175,12 +193,12 @@
                 self._refuse(pending)
         self._unsent.clear()
 
-    def _refuse(self, pending: _PendingReply) -> None:
-        self._context.log("job_refused", job=pending.job_id, reason=_IN_TROUBLE)
+    def _refuse(self, pending: _PendingReply, reason: str = _IN_TROUBLE) -> None:
+        self._context.log("job_refused", job=pending.job_id, reason=reason)
         reply = CallReply(
             code=ReplyCode.REFUSED,
             retry_after_seconds=self._retry_seconds,
-            reason=_IN_TROUBLE,
+            reason=reason,
         )
         pending.answer(reply)
 
--- a/src/onyxspoke/core/shard/calls.py
+++ b/src/onyxspoke/core/shard/calls.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from onyxspoke.core.jobs.model import JobId, JobSpec
+from onyxspoke.core.tenants.policy import TenantName
 
 
 class SubmitCall(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -16,15 +17,17 @@
 
 
 class CancelCall(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """Cancel a job."""
+    """Cancel a job; only one of the caller's tenant is known to it."""
 
     job_id: JobId
+    tenant: TenantName = ""
 
 
 class StateCall(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """Ask for a job's state."""
+    """Ask for a job's state; only one of the caller's tenant is known to it."""
 
     job_id: JobId
+    tenant: TenantName = ""
 
 
 class WaitingCall(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/src/onyxspoke/core/shard/context.py
+++ b/src/onyxspoke/core/shard/context.py
@@ -19,6 +19,8 @@
 from onyxspoke.core.shard.commit import CommitQueue
 from onyxspoke.core.shard.layout import CellLayout
 from onyxspoke.core.shard.log_records import ShardId
+from onyxspoke.core.tenants.ledger import QuotaLedger
+from onyxspoke.core.tenants.shares import ShareMeter
 
 _MILLISECONDS = 1_000.0
 
@@ -80,6 +82,10 @@
         self.book = JobBook(options.status_seconds)
         self.table = WorkerTable()
         self.desk = AdviceDesk(shard)
+        self.ledger = QuotaLedger()
+        self.shares = ShareMeter()
+        #: Shards of the cell, which share every tenant's quota and weight.
+        self.shard_count = 1
         self.policy = PolicySet()
         self.commit: CommitQueue
         self.actions: list[ShardAction] = []
--- a/src/onyxspoke/core/shard/journal.py
+++ b/src/onyxspoke/core/shard/journal.py
@@ -82,7 +82,8 @@
         book = self._context.book
         job = book.jobs.get(job_id)
         if job is None:
-            value = encode_cancelled_before() if job_id in book.cancelled_before else b""
+            cancel = book.cancelled_before.get(job_id)
+            value = b"" if cancel is None else encode_cancelled_before(cancel.tenant)
             return [ShardRecord(progress_key(job_id), value)]
         records = []
         if job.state.is_final and job.spec_is_stored:
--- a/src/onyxspoke/core/shard/run_keeper.py
+++ b/src/onyxspoke/core/shard/run_keeper.py
@@ -66,7 +66,7 @@
         run.until_ms = worker.clock.estimate_ms(now) + context.options.start_validity_ms
         run.is_resumed = bool(_checkpoint_of(task))
         task.run = run
-        worker.add(run)
+        self._hold_room(run)
         worker.extend_lease(run.until_ms)
         context.book.task_started(task)
         job = task.step.job
@@ -92,6 +92,11 @@
             )
         )
 
+    def _hold_room(self, run: Run) -> None:
+        """Count a run on its worker and for its tenant, until its end is certain."""
+        run.worker.add(run)
+        self._context.ledger.add(run.task.step.job.spec.tenant, run.needs)
+
     def _next_number(self, step: StepProgress) -> int:
         base = self._context.token * NUMBERS_A_TOKEN
         step.last_number = max(step.last_number + 1, base)
@@ -312,7 +317,7 @@
         task.run = run
         if report.checkpoint:
             _checkpoint_holder(task).checkpoint = report.checkpoint
-        worker.add(run)
+        self._hold_room(run)
         self._context.book.task_started(task)
         self._context.book.task_begun(task, now)
         self._log_run("run_adopted", run)
@@ -366,6 +371,7 @@
         self._stopping.pop(run.key, None)
         worker = run.worker
         worker.remove(run)
+        self._context.ledger.remove(run.task.step.job.spec.tenant, run.needs)
         self._context.table.note_gain(worker)
         worker.note_ended(run.key, end)
         task = run.task
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from onyxspoke.core.codes import ResultCode
-from onyxspoke.core.jobs.model import RunKey, WorkerId
+from onyxspoke.core.jobs.model import Needs, RunKey, WorkerId
 from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.placement.placer import MAXIMUM_PLACEMENTS, Placer
@@ -43,6 +43,9 @@
 from onyxspoke.core.shard.run_keeper import RunKeeper
 from onyxspoke.core.shard.worker_keeper import WorkerKeeper
 from onyxspoke.core.shard.worker_register import WorkerRegister
+from onyxspoke.core.tenants.doubts import find_doubts
+from onyxspoke.core.tenants.ledger import QuotaPass
+from onyxspoke.core.tenants.policy import TenantName
 
 #: The loop stood still for longer: the process may have been paused.
 STALL_SECONDS = 0.7
@@ -143,9 +146,14 @@
     def stimulus_policy(self, policy: PolicySet, now: float) -> None:
         """The operator's configuration changed."""
         self.context.policy = policy
+        self.context.shares.keep_only(set(policy.tenants))
         self._placer.reconsider_all()
         self.context.wants_placement = True
 
+    def stimulus_shard_count(self, count: int) -> None:
+        """The cell has so many shards, which share every tenant's quota and weight."""
+        self.context.shard_count = count
+
     def stimulus_workers_listed(
         self, records: list[WorkerRecord], is_whole: bool, now: float
     ) -> None:
@@ -291,7 +299,7 @@
         steps = list(context.book.startable_steps())
         pause = PLACEMENT_PAUSE_SECONDS + PLACEMENT_PAUSE_A_STEP_SECONDS * len(steps)
         self._next_placement_at = now + min(pause, LONGEST_PLACEMENT_PAUSE_SECONDS)
-        plans = self._placer.plan(steps, context.policy, now)
+        plans = self._placer.plan(steps, context.policy, self._quotas(), now)
         for plan in plans:
             self.runs.start(plan, now)
         for overlooked in self._placer.take_overlooked():
@@ -303,6 +311,15 @@
         for call in context.desk.dispatch(now):
             context.emit(AskAdvice(call.call_id, call.advisor, call.step, call.worker_ids))
 
+    def _quotas(self) -> QuotaPass:
+        """Return what tenants may still start."""
+        context = self.context
+        tenants = context.policy.tenants
+        doubts: dict[TenantName, Needs] = {}
+        if tenants and context.book.is_recovering:
+            doubts = find_doubts(context.book.jobs.values(), context.table.unsettled())
+        return QuotaPass(tenants, context.ledger, doubts, context.shard_count)
+
     def _log_overlooked(self, step: StepProgress, now: float) -> None:
         key = step.key
         self.context.log(
--- a/src/onyxspoke/kit/jobs/audit.py
+++ b/src/onyxspoke/kit/jobs/audit.py
@@ -6,14 +6,18 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from onyxspoke.core.jobs.amounts import minus, plus
 from onyxspoke.core.jobs.model import JobId, JobSpec, Needs, RunKey, StepKey, TaskKey, WorkerId
 from onyxspoke.core.jobs.states import RunEnd
 from onyxspoke.core.shard.calls import CallReply, ReplyCode
+from onyxspoke.core.tenants.policy import TenantName
 from onyxspoke.kit.jobs.timers import Timers
 from onyxspoke.kit.jobs.workers import FakeWorker
 
 #: A task of a cancelled job may start so long after the cancel was acknowledged.
 CANCEL_SECONDS = 3.0
+#: What a tenant has running may exceed its quota by a tenth, and by one task.
+QUOTA_OVERAGE = 1.1
 
 
 class Violation(Enum):
@@ -35,6 +39,7 @@
     ACCEPTED_UNKNOWN = "accepted_unknown"
     FAILED_WITHOUT_CAUSE = "failed_without_cause"
     NOT_FINISHED = "not_finished"
+    QUOTA = "quota"
 
 
 @dataclass(slots=True)
@@ -81,6 +86,9 @@
         self.tasks: dict[TaskKey, _TaskFacts] = {}
         self._taken: dict[WorkerId, dict[RunKey, Needs]] = {}
         self._done_in_step: Counter[StepKey] = Counter()
+        #: The highest quota of each tenant among the configurations that may be in force.
+        self.quotas: dict[TenantName, Needs] = {}
+        self._running_of: dict[TenantName, Needs] = {}
         self.counts: Counter[str] = Counter()
         self.checks = 0
 
@@ -144,13 +152,18 @@
         if payload != facts.spec.payload:
             self._find(Violation.PAYLOAD, f"{run} by {node}")
         self._check_room(worker, run, facts, node)
+        self._check_quota(run, facts, node)
         self._check_task(worker, run, facts, node)
         self._check_place(worker, run, facts, node)
 
     def handle_ended(self, worker: FakeWorker, run: RunKey, end: RunEnd) -> None:
         """A run ended."""
         self.counts[f"run_{end.value}"] += 1
-        self._taken.get(worker.worker_id, {}).pop(run, None)
+        needs = self._taken.get(worker.worker_id, {}).pop(run, None)
+        facts = self.jobs.get(run.task.job_id)
+        if needs is not None and facts is not None:
+            tenant = facts.spec.tenant
+            self._running_of[tenant] = minus(self._running_of.get(tenant, Needs()), needs)
         task = self._task(run.task)
         task.running.pop((worker.worker_id, run), None)
         if end is RunEnd.DONE:
@@ -193,6 +206,16 @@
                 self._find(Violation.OVER_CAPACITY, f"{run} on {worker.worker_id} by {node}")
                 return
 
+    def _check_quota(self, run: RunKey, facts: _JobFacts, node: str) -> None:
+        """No start brings a tenant over its quota, a tenth more, and one task more."""
+        tenant = facts.spec.tenant
+        needs = facts.spec.steps[run.task.step].needs
+        self._running_of[tenant] = running = plus(self._running_of.get(tenant, Needs()), needs)
+        for amount, most, one in zip(running, self.quotas.get(tenant, Needs()), needs, strict=True):
+            if most and amount > most * QUOTA_OVERAGE + one:
+                self._find(Violation.QUOTA, f"{run} of {tenant} by {node}: {running}")
+                return
+
     def _check_task(self, worker: FakeWorker, run: RunKey, facts: _JobFacts, node: str) -> None:
         task = self._task(run.task)
         step = facts.spec.steps[run.task.step]
--- a/src/onyxspoke/kit/jobs/platform.py
+++ b/src/onyxspoke/kit/jobs/platform.py
@@ -19,6 +19,8 @@
 LONG_POLL_SECONDS = 1.0
 #: ... and given up so much later.
 LONG_POLL_SLACK_SECONDS = 0.6
+#: A single read is given up after so long.
+LOOK_SECONDS = 0.6
 
 
 class FakeDirectory:
@@ -115,6 +117,8 @@
         self._path = path
         self._on_configuration: Callable[[CellConfiguration], None] | None = None
         self._on_contact: Callable[[bool], None] | None = None
+        #: How often the newest version was asked for by itself.
+        self.looks = 0
 
     def watch(
         self,
@@ -128,6 +132,31 @@
         self.send()
         self._poll()
 
+    def look(self, on_done: Callable[[bool], None]) -> None:
+        """Read the newest version now; without an answer it is given up."""
+        store = self._feed.store
+        self.looks += 1
+        is_over = False
+
+        def arrive() -> None:
+            if self._node_name in store.faults.refuses:
+                self._path.to_node(STORE, lambda: end(False))
+            elif not store.faults.is_down:
+                store.timers.schedule(store.faults.extra_seconds, answer)
+
+        def answer() -> None:
+            self.send()
+            self._path.to_node(STORE, lambda: end(True))
+
+        def end(is_done: bool) -> None:
+            nonlocal is_over
+            if not is_over:
+                is_over = True
+                on_done(is_done)
+
+        self._path.to_outside(STORE, arrive)
+        store.timers.schedule(LOOK_SECONDS, lambda: self._path.to_node("", lambda: end(False)))
+
     def decode(self, raw: bytes) -> CellConfiguration:
         """Return the configuration that a copy stands for."""
         if raw != self._feed.configuration.raw:
--- a/src/onyxspoke/node/configuration_keeper.py
+++ b/src/onyxspoke/node/configuration_keeper.py
@@ -7,12 +7,14 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from collections.abc import Callable
 
 from absl import logging
 
 from onyxspoke.core.routing import RouteTable
+from onyxspoke.core.tenants.keys import KeyRing
 from onyxspoke.node.messages import ConfigurationCopy
 from onyxspoke.node.peers import PeerLink
 from onyxspoke.ports.clock import Clock
@@ -61,15 +63,42 @@
         self._up_links = up_links
         self._listeners: list[OnConfiguration] = []
         self._copy: ConfigurationCopy | None = None
+        #: When the version in force was last known to be the newest, in the node's seconds.
+        self.proven_at = -math.inf
 
     @property
     def version(self) -> int:
         """Version in force; 0 while there is none."""
         return self.current.version if self.current is not None else 0
 
+    @property
+    def keys(self) -> KeyRing:
+        """Callers' keys of the version in force."""
+        return self.current.keys if self.current is not None else KeyRing()
+
     def watch(self, on_contact: Callable[[bool], None]) -> None:
         """Begin to read versions from the store."""
-        self._port.watch(self.take, on_contact)
+
+        def note(is_answered: bool) -> None:
+            if is_answered:
+                self.note_proof(self._clock.now())
+            on_contact(is_answered)
+
+        self._port.watch(self.take, note)
+
+    def note_proof(self, moment: float) -> None:
+        """The version in force was the newest at some moment."""
+        self.proven_at = max(self.proven_at, moment)
+
+    def look(self, on_done: Callable[[bool], None]) -> None:
+        """Read the newest version from the store now, and say if that was done."""
+
+        def note(is_done: bool) -> None:
+            if is_done:
+                self.note_proof(self._clock.now())
+            on_done(is_done)
+
+        self._port.look(note)
 
     def listen(self, listener: OnConfiguration) -> None:
         """Have a listener called with each version."""
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -29,6 +29,7 @@
 from onyxspoke.node.configuration_keeper import ConfigurationKeeper
 from onyxspoke.node.directory_hub import DirectoryHub
 from onyxspoke.node.heartbeat import HEARTBEAT_SECONDS, HeartbeatSchedule
+from onyxspoke.node.key_gate import KeyGate
 from onyxspoke.node.layout_planner import LayoutPlanner
 from onyxspoke.node.messages import (
     AdviceAnswer,
@@ -64,6 +65,8 @@
 HELD_HANDICAP_SECONDS = 0.15
 #: That no node reaches the store holds for so long.
 UNREACHABLE_SECONDS = 0.6
+#: A peer that the store serves may itself be so far behind the newest configuration, in seconds.
+PEER_PROOF_SECONDS = 1.6
 _MILLISECONDS = 1_000.0
 
 
@@ -114,6 +117,7 @@
         self.configurations.listen(self._set_policy)
         self.store = StoreGateway(ports.store, clock, self.peers.up_links)
         self.router = CallRouter(self._send_call)
+        self.keys = KeyGate(self.configurations, clock, self.retry, settings.key_trust_seconds)
         self._gate = CallGate(self.router, lambda: self.layout, clock, self.metrics)
         self._store_watch = StoreWatch(self.store, self.peers)
         self._directory = DirectoryHub(ports.directory, clock)
@@ -224,6 +228,8 @@
                 seat = self.seats[shard] = self._make_seat(shard)
                 if self.configuration is not None:
                     seat.set_policy(self.configuration.policy)
+        for seat in self.seats.values():
+            seat.set_shard_count(layout.shard_count)
         if self.seats[FIRST_SHARD].is_holding:
             self._name_first_holders(layout)
         self._set_pacing()
@@ -406,6 +412,8 @@
         link.configuration_version = max(link.configuration_version, message.configuration_version)
         self.configurations.offer_if_behind(link)
         now = self._clock.now()
+        if message.can_reach_store and message.configuration_version <= self.configurations.version:
+            self.configurations.note_proof(now - PEER_PROOF_SECONDS)
         claims = dict(message.claims)
         for shard, seat in list(self.seats.items()):
             claim = claims.get(shard)
--- a/src/onyxspoke/node/operator_api.py
+++ b/src/onyxspoke/node/operator_api.py
@@ -73,6 +73,7 @@
     payload: str
     steps: list[StepBody]
     schedule: ScheduleBody | None = None
+    tenant: str = ""
 
 
 class JobAnswer(msgspec.Struct, omit_defaults=True):
@@ -260,6 +261,7 @@
         payload=body.payload,
         steps=tuple(StepSpec(**msgspec.structs.asdict(step)) for step in body.steps),
         schedule=schedule,
+        tenant=body.tenant,
     )
     check_job(job)
     return job
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -143,6 +143,7 @@
         self.scheduler: ShardScheduler | None = None
         self._policy = PolicySet()
         self._pacing = StorePacing()
+        self._shard_count = 1
         self._gathered: list[ShardRecord] = []
         self._replies: dict[int, OnReply] = {}
         self._last_call_id = 0
@@ -189,6 +190,12 @@
         if self.scheduler is not None:
             self.scheduler.set_commit_interval(pacing.commit_seconds)
 
+    def set_shard_count(self, count: int) -> None:
+        """Take how many shards the cell has."""
+        self._shard_count = count
+        if self.scheduler is not None:
+            self.scheduler.stimulus_shard_count(count)
+
     def set_advisors(self, names: list[str]) -> None:
         """Take the entries that can carry calls for advice."""
         if self.scheduler is not None:
@@ -314,6 +321,7 @@
             self._options,
         )
         scheduler.set_commit_interval(self._pacing.commit_seconds)
+        scheduler.stimulus_shard_count(self._shard_count)
         if action.former_dead_since is not None:
             scheduler.former_holder_is_dead(action.former_dead_since)
         self.scheduler = scheduler
--- a/src/onyxspoke/node/settings.py
+++ b/src/onyxspoke/node/settings.py
@@ -54,6 +54,8 @@
         A new cell is laid out once no further worker has been listed for so long.
     store_budget : StoreBudget
         Calls a second that the store takes from all nodes together.
+    key_trust_seconds : float
+        For how long callers' keys are gone by without word that the configuration is the newest.
     """
 
     node_name: str
@@ -72,3 +74,4 @@
     most_shards: int = 24
     layout_settle_seconds: float = 0.4
     store_budget: StoreBudget = StoreBudget()
+    key_trust_seconds: float = 9.0
--- a/src/onyxspoke/platform/configuration.py
+++ b/src/onyxspoke/platform/configuration.py
@@ -8,10 +8,13 @@
 from absl import logging
 from twisted.internet.interfaces import IReactorTime
 
-from onyxspoke.core.jobs.model import AdvicePolicy, QueuePolicy
+from onyxspoke.core.jobs.model import AdvicePolicy, Needs, QueuePolicy
 from onyxspoke.core.jobs.policy import PolicySet, ServicePolicy
 from onyxspoke.core.routing import RouteEntry
 from onyxspoke.core.shard.log_records import ShardRecord
+from onyxspoke.core.tenants.keys import Credential, KeyRing
+from onyxspoke.core.tenants.policy import TenantName, TenantPolicy
+from onyxspoke.platform.directory import CapacityEntry
 from onyxspoke.platform.feeds import TopicFeed
 from onyxspoke.platform.store import OPERATOR_TOPIC, StoreClient
 from onyxspoke.ports.configuration import (
@@ -40,6 +43,7 @@
     max_attempts: int = 1
     stretch: float = 1.0
     advice: _AdviceEntry | None = None
+    allow_anonymous: bool = False
 
 
 class _ServiceEntry(msgspec.Struct, rename="camel"):
@@ -48,6 +52,13 @@
     spare: bool = False
 
 
+class _TenantEntry(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    weight: float = 1.0
+    max_count: CapacityEntry = msgspec.field(default_factory=CapacityEntry)
+
+
 class _LimitsEntry(msgspec.Struct, rename="camel"):
     max_header_bytes: int = 16_384
     max_body_bytes: int = 262_144
@@ -60,6 +71,8 @@
     routes: list[_RouteEntry] = []
     services: list[_ServiceEntry] = []
     limits: _LimitsEntry = msgspec.field(default_factory=_LimitsEntry)
+    #: A cell whose configuration has no such list has no tenants, and asks for no keys.
+    tenants: list[_TenantEntry] | None = None
 
 
 _decoder = msgspec.json.Decoder(_ConfigEntry)
@@ -82,6 +95,10 @@
         self._feed.on_contact = on_contact
         self._feed.start()
 
+    def look(self, on_done: Callable[[bool], None]) -> None:
+        """Read the newest version now."""
+        self._feed.look(on_done)
+
     def decode(self, raw: bytes) -> CellConfiguration:
         """Read a configuration that a peer passed on."""
         return decode_configuration(raw)
@@ -109,6 +126,7 @@
             version=entry.version,
             queues={route.name: _to_queue(route) for route in entry.routes},
             services={service.name: _to_service(service) for service in entry.services},
+            tenants={tenant.name: _to_tenant(tenant) for tenant in entry.tenants or []},
         ),
         routes=tuple(
             RouteEntry(
@@ -116,9 +134,11 @@
                 host=route.host,
                 path_prefix=route.path_prefix,
                 timeout_ms=route.timeout_ms,
+                allows_anonymous=route.allow_anonymous,
             )
             for route in entry.routes
         ),
+        keys=_to_keys(entry.tenants),
         limits=IngressLimits(
             header_bytes=limits.max_header_bytes,
             body_bytes=limits.max_body_bytes,
@@ -145,6 +165,26 @@
     )
 
 
+def _to_tenant(tenant: _TenantEntry) -> TenantPolicy:
+    most = tenant.max_count
+    quota = Needs(most.processors_milli, most.memory_mb, most.gpu)
+    return TenantPolicy(name=tenant.name, weight=tenant.weight, quota=quota)
+
+
+def _to_keys(tenants: list[_TenantEntry] | None) -> KeyRing:
+    keys: dict[str, TenantName] = {}
+    for tenant in tenants or []:
+        for key in tenant.api_keys:
+            if keys.setdefault(key, tenant.name) != tenant.name:
+                logging.warning(
+                    "event=key_of_two_tenants key=%s kept_for=%s also_of=%s",
+                    Credential(key).fingerprint,
+                    keys[key],
+                    tenant.name,
+                )
+    return KeyRing(keys, is_required=tenants is not None)
+
+
 def _to_service(service: _ServiceEntry) -> ServicePolicy:
     return ServicePolicy(
         name=service.name, checks_room=service.admission_check, is_spare=service.spare
--- a/src/onyxspoke/platform/feeds.py
+++ b/src/onyxspoke/platform/feeds.py
@@ -13,6 +13,8 @@
 RETRY_SECONDS = 0.25
 #: A read waits for so long, so that a connection that is cut silently is noticed soon.
 WAIT_MS = 1_000
+#: Single reads have a connection of their own, because that of the feed waits for records.
+LOOK_LANE = "look"
 
 #: Called with records, and whether they are all that the topic holds.
 OnRecords = Callable[[list[ShardRecord], bool], None]
@@ -68,6 +70,33 @@
         """Report nothing more."""
         self._generation += 1
 
+    def look(self, on_done: Callable[[bool], None]) -> None:
+        """Read what was appended since the last read, now, and say whether that was done.
+
+        The records are reported as any others; the read that is under way reports them again.
+        """
+        generation = self._generation
+
+        def take(answer: TailAnswer) -> None:
+            if answer.is_gone:
+                self._store.read_newest_of(self._topic, 0, "", take_page)
+            else:
+                report(answer.is_known, answer.records)
+
+        def take_page(page: NewestPage) -> None:
+            report(page.is_known and not page.has_more, page.records)
+
+        def report(is_known: bool, records: list[ShardRecord]) -> None:
+            is_done = is_known and generation == self._generation
+            if is_done and records:
+                self._on_records(records, False)
+            on_done(is_done)
+
+        if self._offset < 0:
+            on_done(False)
+            return
+        self._store.read_tail(self._topic, self._offset, 0, take, lane=LOOK_LANE)
+
     def _read_all(self, generation: int) -> None:
         self._gathered = []
         self._read_page(generation, "")
--- a/src/onyxspoke/platform/ingress.py
+++ b/src/onyxspoke/platform/ingress.py
@@ -21,10 +21,22 @@
     SubmitCall,
     WaitingCall,
 )
+from onyxspoke.core.tenants.keys import Credential, KeyVerdict
+from onyxspoke.core.tenants.policy import TenantName
 from onyxspoke.net.http import CodedResource, close_after, write_error, write_json
 from onyxspoke.node.node import Node
 
 DEADLINE_HEADER = "request-deadline-ms"
+AUTHORIZATION_HEADER = "authorization"
+KEY_SCHEME = "token"
+MAXIMUM_KEY_LENGTH = 512
+#: When a caller whose key cannot be judged here is told to come back, in seconds.
+UNPROVEN_RETRY_SECONDS = 1.0
+_KEY_CODES = {
+    KeyVerdict.MISSING: ResultCode.MISSING_KEY,
+    KeyVerdict.UNKNOWN: ResultCode.UNKNOWN_KEY,
+    KeyVerdict.UNPROVEN: ResultCode.KEYS_UNPROVEN,
+}
 #: An answer is sent so long before the caller's time is over.
 DEADLINE_SLACK_SECONDS = 0.1
 _MILLISECONDS = 1_000.0
@@ -114,7 +126,18 @@
             return NOT_DONE_YET
         exchange = _Exchange(request, call)
         seconds = _patience(request, route)
-        self._node.submit_call(name, call, exchange.finish, seconds)
+        if route.allows_anonymous or not self._node.configurations.keys.is_required:
+            self._node.submit_call(name, call, exchange.finish, seconds)
+            return NOT_DONE_YET
+
+        def take(verdict: KeyVerdict, tenant: TenantName) -> None:
+            if verdict is KeyVerdict.ADMITTED:
+                owned = _for_tenant(call, tenant)
+                self._node.submit_call(name, owned, exchange.finish, seconds)
+            else:
+                exchange.refuse(verdict)
+
+        self._node.keys.admit(read_credential(request), route.queue, take)
         return NOT_DONE_YET
 
     def _read_call(self, request: Request, route: RouteEntry, name: str) -> Call:
@@ -156,6 +179,15 @@
         else:
             _write_later(request, reply.retry_after_seconds, _GATEWAY_TIMEOUT)
 
+    def refuse(self, verdict: KeyVerdict) -> None:
+        """Answer that the caller's key does not admit it."""
+        if self._is_gone:
+            return
+        if verdict is KeyVerdict.UNPROVEN:
+            seconds = str(math.ceil(UNPROVEN_RETRY_SECONDS)).encode()
+            self._request.setHeader(b"retry-after", seconds)
+        write_error(self._request, OnyxspokeError(_KEY_CODES[verdict]))
+
     def _body(self, reply: CallReply) -> msgspec.Struct:
         if isinstance(self._call, StateCall):
             return _StateAnswer(reply.state)
@@ -167,6 +199,23 @@
         self._is_gone = True
 
 
+def _for_tenant(call: Call, tenant: TenantName) -> Call:
+    """Return a call as one of the tenant whose key came with it."""
+    if isinstance(call, SubmitCall):
+        return SubmitCall(msgspec.structs.replace(call.job, tenant=tenant))
+    if isinstance(call, WaitingCall):
+        return call
+    return msgspec.structs.replace(call, tenant=tenant)
+
+
+def read_credential(request: Request) -> Credential:
+    """Return the key that came with a request; an empty one where none can be read."""
+    scheme, _, key = (request.getHeader(AUTHORIZATION_HEADER) or "").strip().partition(" ")
+    key = key.strip()
+    is_readable = scheme.lower() == KEY_SCHEME and key.isascii() and key.isprintable()
+    return Credential(key if is_readable and len(key) <= MAXIMUM_KEY_LENGTH else "")
+
+
 class ReadinessResource(CodedResource):
     """Answers the balancer's question whether to send callers here."""
 
--- a/src/onyxspoke/platform/settings.py
+++ b/src/onyxspoke/platform/settings.py
@@ -26,6 +26,10 @@
 #: Assumed where a file doesn't tell the machine's size: the weight only ranks claimants.
 DEFAULT_CPU_SHARE = 1.0
 DEFAULT_CORES = 1
+#: Assumed where a file doesn't tell how soon a change is to be in force, and how much later where
+#: the store is disturbed: the shortest that a user's sheet names.
+DEFAULT_APPLY_MS = 2_000
+DEFAULT_STRETCH_MS = 5_000
 
 
 class StoreSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -90,6 +94,7 @@
         * reader.whole_or("limits.cores", 1, 1_000, DEFAULT_CORES),
         most_shards=reader.whole("platform.parts", 1, 1_000_000),
         layout_settle_seconds=heartbeat_ms / _MILLISECONDS,
+        key_trust_seconds=_read_key_trust(reader),
         store_budget=StoreBudget(
             writes_per_second=reader.fraction_or(
                 "platform.writes_per_s", 1.0, 1e9, DEFAULT_WRITES_PER_SECOND
@@ -120,6 +125,13 @@
     )
 
 
+def _read_key_trust(reader: SettingsReader) -> float:
+    """Return for how long a node whose configuration may be behind goes by its keys."""
+    apply_ms = reader.whole_or("bounds.configApplyMs", 0, 3_600_000, DEFAULT_APPLY_MS)
+    stretch_ms = reader.whole_or("bounds.maxStretchMs", 0, 3_600_000, DEFAULT_STRETCH_MS)
+    return (apply_ms + stretch_ms) / _MILLISECONDS
+
+
 def _read_store(reader: SettingsReader) -> StoreSettings:
     return StoreSettings(
         address=reader.address("platform.address"),
--- a/src/onyxspoke/platform/store.py
+++ b/src/onyxspoke/platform/store.py
@@ -120,13 +120,21 @@
         self._call(request, READ_SECONDS, lambda answer: on_page(read_page(answer)), "r")
 
     def read_tail(
-        self, topic: str, offset: int, wait_ms: int, on_answer: Callable[[TailAnswer], None]
+        self,
+        topic: str,
+        offset: int,
+        wait_ms: int,
+        on_answer: Callable[[TailAnswer], None],
+        lane: str = "",
     ) -> None:
-        """Read the records of a topic's only partition from an offset on."""
+        """Read the records of a topic's only partition from an offset on.
+
+        Calls of one ``lane``, by default that of the topic, wait for each other.
+        """
         target = f"/onyxspoke/log-read?topic={topic}&part=0&from={offset}&waitMs={wait_ms}"
         request = encode_request("GET", target, self._host)
         timeout = wait_ms / _MILLISECONDS + WAIT_SLACK_SECONDS
-        self._call(request, timeout, lambda answer: on_answer(read_tail(answer)), topic)
+        self._call(request, timeout, lambda answer: on_answer(read_tail(answer)), lane or topic)
 
     def put_status(self, name: str, value: bytes, on_result: Callable[[bool], None]) -> None:
         """Write the newest record under a name that the operator reads."""
--- a/src/onyxspoke/ports/configuration.py
+++ b/src/onyxspoke/ports/configuration.py
@@ -9,6 +9,7 @@
 
 from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.routing import RouteEntry
+from onyxspoke.core.tenants.keys import KeyRing
 
 
 class IngressLimits(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -28,6 +29,7 @@
 
     policy: PolicySet
     routes: tuple[RouteEntry, ...] = ()
+    keys: KeyRing = KeyRing()
     limits: IngressLimits = IngressLimits()
     raw: bytes = b""
 
@@ -50,6 +52,9 @@
         ``on_contact`` is told of every read whether the store answered it.
         """
 
+    def look(self, on_done: Callable[[bool], None]) -> None:
+        """Read the newest version now, and report it if it is new; then say if that was done."""
+
     def decode(self, raw: bytes) -> CellConfiguration:
         """Read a configuration that a peer passed on; raise :class:`ConfigurationError`."""
 
--- a/src/onyxspoke/sim/explore_jobs.py
+++ b/src/onyxspoke/sim/explore_jobs.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from onyxspoke.core.jobs.model import Needs
+from onyxspoke.core.tenants.policy import TenantPolicy
 from onyxspoke.kit.jobs.audit import Finding
 from onyxspoke.kit.jobs.workers import WorkOptions
 from onyxspoke.sim.job_callers import JobCallers
@@ -31,13 +33,21 @@
     events: int
 
 
-def play(seed: int, schedule: list[ScheduledFault] | None = None, shards: int = 1) -> JobRunReport:
+def play(
+    seed: int,
+    schedule: list[ScheduledFault] | None = None,
+    shards: int = 1,
+    with_tenants: bool = False,
+) -> JobRunReport:
     """Play one schedule; by default the one that the seed draws."""
     if schedule is None:
         count = 1 + seed % MAXIMUM_FAULTS
-        schedule = draw_schedule(seed, TRAFFIC_SECONDS, count)
+        schedule = draw_schedule(seed, TRAFFIC_SECONDS, count, with_tenants)
     work = WorkOptions(seed=seed, failing_share=0.02)
-    cluster = JobCluster(make_options(seed, work, shards))
+    options = make_options(seed, work, shards)
+    if with_tenants:
+        options.tenants = make_tenants(shards)
+    cluster = JobCluster(options)
     cluster.start()
     cluster.run(SETTLE_SECONDS)
     callers = JobCallers(cluster, JOBS_PER_SECOND)
@@ -51,6 +61,18 @@
     )
 
 
+def make_tenants(shards: int) -> tuple[TenantPolicy, ...]:
+    """Return three tenants whose quotas bind: the smallest has room for little more than a gang."""
+    return tuple(
+        TenantPolicy(name=name, weight=weight, quota=Needs(shards * processors, shards * 48_000, 0))
+        for name, weight, processors in (
+            ("large", 3.0, 60_000),
+            ("middle", 2.0, 40_000),
+            ("small", 1.0, 30_000),
+        )
+    )
+
+
 def make_options(seed: int, work: WorkOptions, shards: int) -> ClusterOptions:
     """Return the options of a cluster with so many shards."""
     options = ClusterOptions(seed=seed, with_advice=seed % 3 != 0, work=work)
--- a/src/onyxspoke/sim/job_callers.py
+++ b/src/onyxspoke/sim/job_callers.py
@@ -7,6 +7,7 @@
 
 from onyxspoke.core.jobs.model import JobSpec, StepSpec
 from onyxspoke.core.shard.calls import CallReply, CancelCall, ReplyCode, StateCall, SubmitCall
+from onyxspoke.core.tenants.policy import TenantName
 from onyxspoke.sim.job_cluster import JobCluster, SimulatedNode
 
 MAXIMUM_ATTEMPTS = 5
@@ -43,6 +44,7 @@
         self._cancel_share = cancel_share
         self._repeat_share = repeat_share
         self._random = random.Random(cluster.options.seed + 10)
+        self._tenants = random.Random(cluster.options.seed + 11)
         self._count = 0
         self.hopeless_share = 0.01
 
@@ -150,7 +152,17 @@
         steps = [self._make_step(0)]
         if draw.random() < TWO_STEP_SHARE:
             steps.append(self._make_step(1))
-        return JobSpec(job_id=job_id, queue=queue, payload=f"payload-{job_id}", steps=tuple(steps))
+        return JobSpec(
+            job_id=job_id,
+            queue=queue,
+            payload=f"payload-{job_id}",
+            steps=tuple(steps),
+            tenant=self._draw_tenant(),
+        )
+
+    def _draw_tenant(self) -> TenantName:
+        tenants = self._cluster.options.tenants
+        return self._tenants.choice(tenants).name if tenants else ""
 
     def _make_step(self, number: int) -> StepSpec:
         draw = self._random
--- a/src/onyxspoke/sim/job_cluster.py
+++ b/src/onyxspoke/sim/job_cluster.py
@@ -17,6 +17,8 @@
 from onyxspoke.core.shard.context import ShardOptions
 from onyxspoke.core.shard.election import NodeIdentity
 from onyxspoke.core.shard.store_budget import StoreBudget
+from onyxspoke.core.tenants.keys import KeyRing
+from onyxspoke.core.tenants.policy import TenantName, TenantPolicy
 from onyxspoke.kit.jobs.audit import JobAudit
 from onyxspoke.kit.jobs.platform import (
     FakeAdvice,
@@ -39,6 +41,8 @@
 SERVICE = "service"
 DELAY_SECONDS = 0.0005
 START_SECONDS = 0.25
+#: A configuration is in force everywhere after so long, longer where the store is disturbed.
+APPLY_SECONDS = 12.0
 LARGE_WEIGHT = 4.0
 WORKER_CAPACITY = Needs(16_000, 32_768, 0)
 #: Workers on which every step may run, so that none waits for good.
@@ -65,6 +69,7 @@
     store_budget: StoreBudget = field(default_factory=StoreBudget)
     always_good: tuple[str, ...] = ALWAYS_GOOD
     large_nodes: int = 0
+    tenants: tuple[TenantPolicy, ...] = ()
 
 
 class SimulatedPath:
@@ -125,8 +130,9 @@
             self.time, good_share=0.5, seconds=0.01, always_good=options.always_good
         )
         self.configuration = FakeConfiguration(
-            make_configuration(1, options.with_advice), self.store
+            make_configuration(1, options.with_advice, options.tenants), self.store
         )
+        self.audit.quotas = {tenant.name: tenant.quota for tenant in options.tenants}
         self.nodes: dict[str, SimulatedNode] = {}
         self._cuts: set[frozenset[str]] = set()
         self._lives = 0
@@ -194,6 +200,29 @@
         self.time.schedule(START_SECONDS, lambda: process.run(node.startService))
         return simulated
 
+    def change_quotas(self, factor: float) -> None:
+        """Put a version in force in which every tenant has so many times its first quota.
+
+        For a while the former version may still be gone by.
+        """
+        former = self.configuration.configuration
+        tenants = tuple(
+            replace(tenant, quota=Needs(*(int(amount * factor) for amount in tenant.quota)))
+            for tenant in self.options.tenants
+        )
+        version = former.version + 1
+        self.configuration.put(make_configuration(version, self.options.with_advice, tenants))
+        now = {tenant.name: tenant.quota for tenant in tenants}
+        for name, quota in now.items():
+            before = self.audit.quotas[name]
+            self.audit.quotas[name] = Needs(*map(max, quota, before))
+        self.time.schedule(APPLY_SECONDS, partial(self._forget_quotas, version, now))
+
+    def _forget_quotas(self, version: int, now: dict[TenantName, Needs]) -> None:
+        """Go by a version alone, unless there is a later one by now."""
+        if self.configuration.configuration.version == version:
+            self.audit.quotas = now
+
     # Faults
 
     def is_cut(self, first: str, second: str) -> bool:
@@ -279,7 +308,9 @@
         self.time.schedule(seconds + 0.2, lambda: finish(None))
 
 
-def make_configuration(version: int, with_advice: bool) -> CellConfiguration:
+def make_configuration(
+    version: int, with_advice: bool, tenants: tuple[TenantPolicy, ...] = ()
+) -> CellConfiguration:
     """Return a configuration with three queues."""
     advice = AdvicePolicy(5.0, 0.2, 1_500.0) if with_advice else None
     queues = {
@@ -295,9 +326,18 @@
         for priority, name in enumerate(("urgent", "normal", "patient"))
     }
     policy = PolicySet(
-        version=version, queues=queues, services={SERVICE: ServicePolicy(name=SERVICE)}
+        version=version,
+        queues=queues,
+        services={SERVICE: ServicePolicy(name=SERVICE)},
+        tenants={tenant.name: tenant for tenant in tenants},
     )
-    return CellConfiguration(policy=policy, raw=str(version).encode())
+    keys = KeyRing({key_of(tenant.name): tenant.name for tenant in tenants}, bool(tenants))
+    return CellConfiguration(policy=policy, keys=keys, raw=str(version).encode())
+
+
+def key_of(tenant: TenantName) -> str:
+    """Return the key of a simulated tenant."""
+    return f"key-of-{tenant}"
 
 
 def make_node_settings(name: str, host: str, options: ClusterOptions) -> NodeSettings:
--- a/src/onyxspoke/sim/job_faults.py
+++ b/src/onyxspoke/sim/job_faults.py
@@ -17,6 +17,9 @@
 RESET_SHARE = 0.55
 #: Share of the pieces between nodes that are lost on their way at first.
 LOSS_SHARE = 0.05
+#: Of tenants' first quotas, what is left after a fall, and what there is after a rise.
+FALLEN_QUOTA = 0.7
+RISEN_QUOTA = 1.5
 
 
 class JobFault(Enum):
@@ -44,6 +47,8 @@
     WORKERS_LATE = "workers_late"
     WORKERS_HANG = "workers_hang"
     WORKERS_FAIL = "workers_fail"
+    QUOTAS_FALL = "quotas_fall"
+    QUOTAS_RISE = "quotas_rise"
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,13 +60,20 @@
     seconds: float
 
 
-def draw_schedule(seed: int, length: float, count: int) -> list[ScheduledFault]:
+#: What only a cell with tenants can be struck by.
+OF_TENANTS = (JobFault.QUOTAS_FALL, JobFault.QUOTAS_RISE)
+
+
+def draw_schedule(
+    seed: int, length: float, count: int, with_tenants: bool = False
+) -> list[ScheduledFault]:
     """Return a schedule; the same seed gives the same one."""
+    kinds = [fault for fault in JobFault if with_tenants or fault not in OF_TENANTS]
     source = random.Random(f"schedule/{seed}")
     faults = [
         ScheduledFault(
             round(source.uniform(1.0, length), 2),
-            source.choice(list(JobFault)),
+            source.choice(kinds),
             round(source.uniform(0.5, 7.0), 2),
         )
         for _ in range(count)
@@ -98,6 +110,8 @@
             JobFault.WORKERS_LATE: self._workers_late,
             JobFault.WORKERS_HANG: self._workers_hang,
             JobFault.WORKERS_FAIL: self._workers_fail,
+            JobFault.QUOTAS_FALL: partial(self._change_quotas, FALLEN_QUOTA),
+            JobFault.QUOTAS_RISE: partial(self._change_quotas, RISEN_QUOTA),
         }
 
     def schedule(self, faults: list[ScheduledFault]) -> None:
@@ -250,5 +264,10 @@
             worker.faults.fails_all = True
             self._later(seconds, partial(setattr, worker.faults, "fails_all", False))
 
+    # Operators
+
+    def _change_quotas(self, factor: float, seconds: float) -> None:
+        self._cluster.change_quotas(factor)
+
     def _later(self, seconds: float, function: Callable[[], object]) -> None:
         self._cluster.time.schedule(seconds, function)
