Advice is asked for as few workers as are likely to do; entries are divided by the load of calls

Change: steps ask about workers with most room until they are likely to have twice what is needed, 24 at least (advice_choice.py); the share of good ones is learned by queue; entries kept for short and medium calls follow the observed load (advice_places.py); jobs for which nobody waits any more come last across queues.

--- a/features/tenants.feature
+++ b/features/tenants.feature
@@ -193,4 +193,4 @@
       | patient  | 2        | no     | -5      |
       | urgent   | 0        | no     | -5      |
       | expired  | 0        | no     | 60      |
-    Then they come in the order "urgent, expired, patient, flood"
+    Then they come in the order "urgent, patient, flood, expired"
--- /dev/null
+++ b/src/onyxspoke/core/placement/advice_choice.py
@@ -0,0 +1,144 @@
+"""About which workers advice is asked: as few as are likely to have the room that is needed.
+
+A call for advice takes longer the more workers it names, and each entry carries one call at a
+time.  So while the line for advice is long, a step that asks about every worker holds up all
+others; while it is short, knowing more workers costs nobody anything.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable, Iterable
+
+from onyxspoke.core.jobs.amounts import slots_within
+from onyxspoke.core.jobs.model import AdvicePolicy, WorkerId
+from onyxspoke.core.jobs.progress import StepProgress
+from onyxspoke.core.placement.advice_desk import StepAdvice
+from onyxspoke.core.placement.offer import Offer, has_label
+from onyxspoke.core.placement.room import ScratchRoom
+from onyxspoke.core.placement.workers import Worker
+
+#: Room that is asked about, as a multiple of what is needed, where there is so much: the service
+#: turns down workers in clusters, and others take some of the room while it answers.
+ROOM_FACTOR = 2.0
+#: The same of the whole capacity, where there is not enough room yet: about half of a busy cell is
+#: taken, and a gang needs its room in one moment.
+CAPACITY_FACTOR = 4.0
+#: The same while the line for advice is long.
+PRESSED_CAPACITY_FACTOR = 2.0
+#: Workers in a first call at least, where there are as many: a call's own share makes up most of a
+#: smaller one, and a step that has to wait for room is to have some choice.
+FEWEST_ASKED = 24
+#: Workers that came into use, or gained room, are asked about again after so many times what the
+#: call takes: a step that waits asks for at most a fifth of the time.
+PAUSE_FACTOR = 5.0
+_MILLISECONDS = 1_000.0
+
+SlotsOf = Callable[[Worker], int]
+
+
+class AdviceChooser:
+    """Chooses workers to ask about for one step, as one pass of placement sees them.
+
+    Parameters
+    ----------
+    step : StepProgress
+        The step that waits.
+    offer : Offer
+        The workers of its service.
+    room : ScratchRoom
+        What they have left.
+    good_share : float
+        Share of the workers that is expected to be good for it.
+    """
+
+    def __init__(
+        self, step: StepProgress, offer: Offer, room: ScratchRoom, good_share: float
+    ) -> None:
+        self._step = step
+        self._offer = offer
+        self._room = room
+        self._good_share = good_share
+        spread = step.spec.spread_limit or len(step.tasks)
+        self._bound = min(spread, len(step.tasks))
+
+    def unknown(self, most: int, advice: StepAdvice, is_pressed: bool) -> list[WorkerId]:
+        """Return whom to ask about for a step of which ``most`` tasks may start."""
+        workers = self._not_asked(advice)
+        wanted = most * ROOM_FACTOR
+        chosen, found = self._until_enough(workers, wanted, self._slots_now)
+        if found < wanted:
+            # There is not enough room for all yet: the step will wait for some.
+            factor = PRESSED_CAPACITY_FACTOR if is_pressed else CAPACITY_FACTOR
+            chosen, _found = self._until_enough(workers, most * factor, self._slots_ever)
+        return _names(chosen)
+
+    def unknown_with_room(self, missing: int, advice: StepAdvice) -> list[WorkerId]:
+        """Return others that have room now, enough for so many tasks that lack it."""
+        workers = [worker for worker in self._not_asked(advice) if self._slots_now(worker) > 0]
+        chosen, _found = self._until_enough(workers, missing * ROOM_FACTOR, self._slots_now)
+        return _names(chosen)
+
+    def all_unknown(self, advice: StepAdvice) -> list[WorkerId]:
+        """Return all that were not asked about."""
+        return sorted(_names(self._not_asked(advice)))
+
+    def again(self, missing: int, advice: StepAdvice, now: float) -> list[WorkerId]:
+        """Return good workers with room whose tickets have run out, enough for so many tasks."""
+        names: list[WorkerId] = []
+        for worker_id, held in advice.tickets.items():
+            worker = self._offer.workers.get(worker_id)
+            if worker is None or now < held.use_before:
+                continue
+            slots = self._slots_now(worker)
+            if slots > 0:
+                names.append(worker_id)
+                missing -= slots
+                if missing <= 0:
+                    break
+        return names
+
+    def _not_asked(self, advice: StepAdvice) -> list[Worker]:
+        return [
+            worker
+            for worker_id, worker in self._offer.workers.items()
+            if worker_id not in advice.asked and has_label(worker, self._step)
+        ]
+
+    def _until_enough(
+        self, workers: list[Worker], wanted: float, slots_of: SlotsOf
+    ) -> tuple[list[Worker], float]:
+        """Return the best workers until they are likely to have so much room, and how much."""
+        found = 0.0
+        chosen: list[Worker] = []
+        for worker in sorted(workers, key=self._order):
+            if found >= wanted and len(chosen) >= FEWEST_ASKED:
+                break
+            chosen.append(worker)
+            found += self._good_share * slots_of(worker)
+        return chosen, found
+
+    def _order(self, worker: Worker) -> tuple[int, int]:
+        """Return a worker's place: most room now first, others in an order of each step's own."""
+        name = f"{self._step.key.job_id}/{worker.worker_id}"
+        return -self._slots_now(worker), zlib.crc32(name.encode())
+
+    def _slots_now(self, worker: Worker) -> int:
+        return min(self._bound, self._room.slots(worker, self._step.needs))
+
+    def _slots_ever(self, worker: Worker) -> int:
+        return min(self._bound, slots_within(worker.record.capacity, self._step.needs))
+
+
+def pause_seconds(policy: AdvicePolicy, count: int) -> float:
+    """Return how long after a call about others the next one is made."""
+    return PAUSE_FACTOR * call_seconds(policy, count)
+
+
+def call_seconds(policy: AdvicePolicy, count: int) -> float:
+    """Return how long a call about so many workers takes."""
+    return (policy.decide_ms + policy.per_item_ms * count) / _MILLISECONDS
+
+
+def _names(workers: Iterable[Worker]) -> list[WorkerId]:
+    return [worker.worker_id for worker in workers]
--- a/src/onyxspoke/core/placement/advice_desk.py
+++ b/src/onyxspoke/core/placement/advice_desk.py
@@ -1,8 +1,7 @@
 """Advice on which workers may run a step: whom to ask, through whom, and what was said.
 
 The advice service works for each calling machine on one call at a time, so calls are spread
-over the entries.  Long calls keep to a part of them, so that short ones, which are the urgent
-ones, seldom wait behind a long one.
+over the entries; see ``advice_places`` for which entry carries which call.
 """
 
 from __future__ import annotations
@@ -13,6 +12,7 @@
 
 from onyxspoke.core.jobs.model import AdvicePolicy, StepKey, WorkerId
 from onyxspoke.core.jobs.progress import StepProgress
+from onyxspoke.core.placement.advice_places import SHORT_CALL_SECONDS, AdvicePlaces
 from onyxspoke.core.placement.queue_order import StepRank
 from onyxspoke.core.shard.log_records import ShardId
 from onyxspoke.core.shard.orders import AdviceOutcome, AdviceResult
@@ -26,13 +26,6 @@
 MAXIMUM_CALLS_EACH = 2
 #: A ticket is not used in its last moments.
 TICKET_MARGIN_SECONDS = 0.08
-#: Calls at most so long may go through any entry.
-SHORT_CALL_SECONDS = 0.04
-#: Calls at most so long leave the first entries to the short ones.
-MEDIUM_CALL_SECONDS = 0.25
-#: Share of the entries that only short calls use, and that short and medium ones use.
-SHORT_ONLY_SHARE = 0.28
-SHORT_OR_MEDIUM_SHARE = 0.55
 #: A call is asked elsewhere when it takes so much longer than it should, and so many seconds more;
 #: its answer is of use all the same should it come yet.
 OVERDUE_FACTOR = 1.5
@@ -41,6 +34,12 @@
 DOUBT_SECONDS = 1.0
 #: An answer that comes later than this after its call was given up, in seconds, is of no use.
 LATE_ANSWER_SECONDS = 10.0
+#: The line is long where a call would wait for more than this share of a ticket's life.
+PRESSED_SHARE = 0.4
+#: Of what was learned of the share of good workers, so much is kept at each answer.
+GOOD_SHARE_KEPT = 0.95
+#: The share is never taken for lower, so that a few bad answers don't have everybody asked about.
+LOWEST_GOOD_SHARE = 0.05
 #: Pause after a refused or unanswered call before the step is asked about again.
 RETRY_SECONDS = 0.1
 
@@ -99,6 +98,7 @@
 
     call_id: int
     step: StepKey
+    queue: str
     worker_ids: tuple[WorkerId, ...]
     seconds: float
     rank: StepRank
@@ -107,6 +107,25 @@
     overdue_at: float = math.inf
 
 
+@dataclass(slots=True)
+class _GoodShare:
+    """Which share of the workers is good for the steps of one queue.
+
+    Starts at a half of a few; what was learned from long ago counts less and less.
+    """
+
+    good: float = 12.0
+    asked: float = 24.0
+
+    @property
+    def value(self) -> float:
+        return max(self.good / self.asked, LOWEST_GOOD_SHARE)
+
+    def note(self, call: AdviceCall, result: AdviceResult) -> None:
+        self.good = self.good * GOOD_SHARE_KEPT + len(result.tickets)
+        self.asked = self.asked * GOOD_SHARE_KEPT + len(call.worker_ids)
+
+
 class AdviceDesk:
     """Keeps advice by step and hands out the calls.
 
@@ -127,6 +146,9 @@
         #: How long the latest answer took, as a share of what the policy says.
         self._slowness = 1.0
         self._last_call_id = 0
+        #: Which share of the workers is good, by queue.
+        self._shares: dict[str, _GoodShare] = {}
+        self._places = AdvicePlaces()
         #: Steps whose call was given up, and from when on they may be asked about again.
         self._retries: dict[StepKey, float] = {}
 
@@ -159,6 +181,25 @@
         advice = self._steps.get(key)
         return set() if advice is None else advice.asked
 
+    def good_share(self, queue: str) -> float:
+        """Return which share of the workers is good for a queue's steps, by the answers so far."""
+        return self._shares.get(queue, _GoodShare()).value
+
+    def is_pressed(self, policy: AdvicePolicy, now: float) -> bool:
+        """Return whether a call about many workers would have to wait for others of its kind.
+
+        It would where the entries that carry such calls have more to do already than a ticket
+        may wait for the rest of its gang.
+        """
+        seconds = (policy.decide_ms + policy.per_item_ms * MINIMUM_WORKERS_ASKED) / _MILLISECONDS
+        first, _behind = self._places.places_for(seconds, len(self._advisors), now)
+        carriers = [item for item in self._advisors.values() if item.position >= first]
+        if not carriers:
+            return False
+        ahead = sum(max(0.0, item.free_at - now) for item in carriers)
+        ahead += sum(call.seconds for call in self._waiting.values())
+        return ahead / len(carriers) > PRESSED_SHARE * policy.validity_ms / _MILLISECONDS
+
     def forget(self, key: StepKey) -> None:
         """Drop what is known about a step that needs no more tickets."""
         self._steps.pop(key, None)
@@ -180,8 +221,10 @@
         for chosen in _batches(step, policy, worker_ids):
             seconds = (policy.decide_ms + policy.per_item_ms * len(chosen)) / _MILLISECONDS
             self._last_call_id += 1
-            call = AdviceCall(self._last_call_id, step.key, chosen, seconds, rank)
+            queue = step.job.spec.queue.name
+            call = AdviceCall(self._last_call_id, step.key, queue, chosen, seconds, rank)
             advice.open_calls += 1
+            self._places.note_call(seconds, now)
             self._waiting[call.call_id] = call
 
     def dispatch(self, now: float) -> list[AdviceCall]:
@@ -213,6 +256,7 @@
         if advice is None:
             return None
         advice.open_calls -= 1
+        self._shares.setdefault(call.queue, _GoodShare()).note(call, result)
         _note_answer(advice, call, result, now)
         return call.step
 
@@ -241,7 +285,7 @@
             advice.tickets[worker_id].use_before = 0.0
 
     def _choose_advisor(self, call: AdviceCall, now: float) -> _Advisor | None:
-        first, behind = _places_for(call.seconds, len(self._advisors))
+        first, behind = self._places.places_for(call.seconds, len(self._advisors), now)
         best: _Advisor | None = None
         best_score = (1, math.inf, 0, 0)
         for advisor in self._advisors.values():
@@ -308,22 +352,6 @@
         advice.tickets[ticket.worker_id] = HeldTicket(ticket.text, use_before)
 
 
-def _places_for(seconds: float, count: int) -> tuple[int, int]:
-    """Return the places of the entries that are for calls of a length: the first, and behind.
-
-    Entries before the first carry no such calls; those behind do when the others are busy.  They
-    are the same for every holder, because holders do not know of each other's calls: a short one
-    that went where another holder's long one is under way would wait for it.
-    """
-    short_only = int(SHORT_ONLY_SHARE * count)
-    short_or_medium = int(SHORT_OR_MEDIUM_SHARE * count)
-    if seconds > MEDIUM_CALL_SECONDS:
-        return short_or_medium, count
-    if seconds > SHORT_CALL_SECONDS:
-        return short_only, max(short_or_medium, short_only + 1)
-    return 0, max(short_only, 1)
-
-
 def _batches(
     step: StepProgress, policy: AdvicePolicy, worker_ids: list[WorkerId]
 ) -> list[tuple[WorkerId, ...]]:
--- a/src/onyxspoke/core/placement/gang_placer.py
+++ b/src/onyxspoke/core/placement/gang_placer.py
@@ -5,6 +5,7 @@
 from onyxspoke.core.jobs.model import AdvicePolicy, QueuePolicy
 from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.jobs.progress import StepProgress
+from onyxspoke.core.placement.advice_choice import FEWEST_ASKED, AdviceChooser
 from onyxspoke.core.placement.advice_desk import AdviceDesk, StepAdvice
 from onyxspoke.core.placement.offer import Offer, has_label
 from onyxspoke.core.placement.preemption import Preemption, choose_preemption, freed_soon
@@ -80,7 +81,7 @@
             self._reservations.hold(step, slots, room, now)
         else:
             self._reservations.drop(step.key)
-        self._ask(step, queue, offer, slots, now)
+        self._ask(step, queue, offer, slots, room, now)
         return None
 
     def _ask(
@@ -89,6 +90,7 @@
         queue: QueuePolicy,
         offer: Offer,
         slots: list[MemberSlots],
+        room: ScratchRoom,
         now: float,
     ) -> None:
         """Ask for the tickets that are missing to use the room that there is, or will be soon."""
@@ -96,7 +98,11 @@
             return
         advice = self._desk.advice_on(step)
         if not advice.is_asking:
-            ask = _workers_to_ask_for_gang(step, queue.advice, advice, offer, slots, now)
+            chooser = AdviceChooser(step, offer, room, self._desk.good_share(queue.name))
+            is_pressed = self._desk.is_pressed(queue.advice, now)
+            ask = _workers_to_ask_for_gang(
+                step, queue.advice, advice, offer, slots, chooser, is_pressed, now
+            )
             self._desk.want(step, queue.advice, ask, step_rank_of(step, queue, now), now)
 
     def _room_to_hold(
@@ -278,26 +284,36 @@
     advice: StepAdvice,
     offer: Offer,
     slots: list[MemberSlots],
+    chooser: AdviceChooser,
+    is_pressed: bool,
     now: float,
 ) -> list[str]:
     """Return the workers whose tickets a gang lacks.
 
-    All are asked about at first.  Later it is those that have room: while some is missing, the
-    workers that came into use since; once most of it is there, the good ones for new tickets.
+    All are asked about at first, or while the line for advice is long only so many as are likely
+    to do, and others if they cannot do.  Later it is those that have room: while some is missing,
+    workers that were not asked about; once most of it is there, the good ones for new tickets.
     """
-    unknown = offer.workers.keys() - advice.asked
-    if len(unknown) * 2 > len(offer.workers):
-        return sorted(unknown)
+    members = len(step.tasks)
+    known_good = [offer.workers[name] for name in advice.tickets if name in offer.workers]
+    is_due = now >= advice.unknown_asked_at + UNKNOWN_PAUSE_SECONDS
+    unknown_count = len(offer.workers.keys() - advice.asked)
+    if not can_ever_fit(step, known_good) and (is_due or unknown_count >= FEWEST_ASKED):
+        if unknown_count < FEWEST_ASKED and advice.asked:
+            advice.unknown_asked_at = now
+        if is_pressed:
+            return chooser.unknown(members, advice, is_pressed)
+        return chooser.all_unknown(advice)
     asked: list[str] = []
-    if _total(slots) < len(step.tasks):
-        needs = step.needs
-        asked = sorted(name for name in unknown if offer.workers[name].fits(needs))
-    if _total(slots) < ASKING_SHARE * len(step.tasks):
-        if not asked or now < advice.unknown_asked_at + UNKNOWN_PAUSE_SECONDS:
+    missing = members - _total(slots)
+    if missing > 0:
+        asked = chooser.unknown_with_room(missing, advice)
+    if _total(slots) < (1.0 if is_pressed else ASKING_SHARE) * members:
+        if not asked or not is_due:
             return []
         advice.unknown_asked_at = now
         return asked
     seconds = (policy.decide_ms + policy.per_item_ms * len(slots)) / _MILLISECONDS
     needed_until = now + seconds + RENEWAL_SECONDS
-    good = [item.worker.worker_id for item in slots]
-    return asked + [name for name in good if advice.tickets[name].use_before < needed_until]
+    names = [item.worker.worker_id for item in slots]
+    return asked + [name for name in names if advice.tickets[name].use_before < needed_until]
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -4,9 +4,10 @@
 
 import math
 
-from onyxspoke.core.jobs.model import QueuePolicy, StepKey
+from onyxspoke.core.jobs.model import AdvicePolicy, QueuePolicy, StepKey
 from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.jobs.progress import StepProgress
+from onyxspoke.core.placement.advice_choice import AdviceChooser, pause_seconds
 from onyxspoke.core.placement.advice_desk import AdviceDesk, StepAdvice
 from onyxspoke.core.placement.gang_placer import GangPlacer
 from onyxspoke.core.placement.offer import Offer, has_label
@@ -163,7 +164,10 @@
         if queue.advice is not None:
             advice = self._desk.advice_on(step)
             if not advice.is_asking:
-                ask = _workers_to_ask(step, advice, offer, bool(candidates), may_fit, room)
+                chooser = AdviceChooser(step, offer, room, self._desk.good_share(queue.name))
+                ask = _workers_to_ask(
+                    step, queue.advice, advice, chooser, candidates, room, most, now
+                )
                 self._desk.want(step, queue.advice, ask, step_rank_of(step, queue, now), now)
         if not may_fit or not candidates:
             return None
@@ -273,22 +277,23 @@
 
 def _workers_to_ask(
     step: StepProgress,
+    policy: AdvicePolicy,
     advice: StepAdvice,
-    offer: Offer,
-    has_tickets: bool,
-    may_fit: bool,
+    chooser: AdviceChooser,
+    candidates: list[Candidate],
     room: ScratchRoom,
+    most: int,
+    now: float,
 ) -> list[str]:
-    """Return the workers about which advice is missing and would help."""
-    unknown = offer.workers.keys() - advice.asked
-    if len(unknown) * 2 > len(offer.workers):
-        return sorted(unknown)
-    if has_tickets or not may_fit:
+    """Return the workers about which advice is missing and would help, for ``most`` tasks."""
+    if not advice.tickets:
+        return chooser.unknown(most, advice, is_pressed=False)
+    missing = most - sum(room.slots(item.worker, step.needs) for item in candidates)
+    if missing <= 0:
         return []
-    needs = step.needs
-    useful = [
-        worker
-        for worker_id, worker in offer.workers.items()
-        if advice.may_run_on(worker_id) and room.fits(worker, needs)
-    ]
-    return [worker.worker_id for worker in useful]
+    again = chooser.again(missing, advice, now)
+    if again or now < advice.unknown_asked_at:
+        return again
+    others = chooser.unknown_with_room(missing, advice)
+    advice.unknown_asked_at = now + pause_seconds(policy, len(others))
+    return others
--- a/src/onyxspoke/core/placement/queue_order.py
+++ b/src/onyxspoke/core/placement/queue_order.py
@@ -1,10 +1,10 @@
-"""The order in which waiting steps are placed.
+"""The order in which waiting steps are placed, and advice is asked for them.
 
-What tenants are owed comes before what they send beyond their weights.  Then comes a queue's
-priority.  Within it come the steps whose jobs can still be done within
-their objective, by the time that they can afford to wait; then those that can only be late;
-last those that are so late that nobody waits for them any more.  Without the last two a backlog
-of late jobs would make every new one late, too.
+Last of all come jobs that are so late that nobody waits for them any more, of every queue: while
+much waits, one of them would only make another late, whose caller still waits.  Before them comes
+what tenants sent beyond their weights, and before that what they are owed.  Within these a queue's
+priority comes first; within a queue the steps whose jobs can still be done within their objective,
+by the time that they can afford to wait, and then those that can only be late.
 """
 
 from __future__ import annotations
@@ -33,10 +33,12 @@
 class StepRank(NamedTuple):
     """A step's place in the waiting line; the lowest goes first.
 
-    ``is_beyond_share`` says that its tenant had handed in more than it is owed, ``latest_start`` is
-    the second by which it should start, ``step`` its number in the job.
+    ``is_expired`` says that nobody waits for its job any more, ``is_beyond_share`` that its tenant
+    had handed in more than it is owed, ``latest_start`` is the second by which it should start,
+    ``step`` its number in the job.
     """
 
+    is_expired: bool
     is_beyond_share: bool
     priority: int
     lateness: Lateness
@@ -53,10 +55,12 @@
     """Return a step's place, given its queue."""
     objective = step.job.objective_seconds
     latest_start = step.due_at + objective - step.chain_seconds
+    lateness = _lateness(step, objective, now)
     return StepRank(
+        lateness is Lateness.EXPIRED,
         step.job.spec.is_beyond_share,
         queue.priority,
-        _lateness(step, objective, now),
+        lateness,
         latest_start,
         step.key.step,
     )
