Starts are on record before they are ordered; a successor is in doubt only about what an unreachable worker may run

Change: a task's worker stands in its job's record (group commit) before the start is ordered; the holder marks the partition with its token (~starts), so that after a holder of a version without such records everything is in doubt as before. A successor lets a task wait again as soon as the worker on record has answered, or at once if there is none. Runs are PLANNED until then; a plan whose ticket, worker or holder is no longer good is withdrawn.

Ruled out: records after the order (a start whose record is lost would run twice), zones a job may run in (single silent workers still stop all), starting without records while the store is away (would need proof from clocks); so nothing new starts while the store is wholly away.

Without the record the directed scenario runs a task twice; the scenario of a stray run takes 0.6 s for a stop, because a start is ordered one append later now.

--- a/features/job_promises.feature
+++ b/features/job_promises.feature
@@ -120,6 +120,7 @@
 
   Scenario Outline: A cancelled run outlives its holder - <cluster>
     Given <cluster>
+    And its workers take 0.6 seconds to stop a run
     And a job that takes all of its worker is at work
     When the holder is cut off from the workers
     And the job is cancelled
@@ -134,6 +135,34 @@
       | a cluster with 1 worker(s)                               | nothing         |
       | a cluster with 1 worker(s), without "room of stray runs" | "over_capacity" |
 
+  Scenario Outline: A holder is lost, and its successor does not reach the worker of a job - <cluster>
+    Given <cluster>
+    And a job that takes all of its worker is at work
+    When the holder is killed, and its successor cannot reach the worker that runs it
+    And 3 seconds pass in that cell
+    Then the cluster has broken <what>
+
+    Examples:
+      | cluster                                                   | what       |
+      | a cluster with 2 worker(s)                                | nothing    |
+      | a cluster with 2 worker(s), without "the record of starts" | "two_runs" |
+
+  Scenario Outline: What waited while a holder was lost begins, though one worker is not reached - <cluster>
+    Given <cluster>
+    And a job that takes all of its worker is at work
+    And the other workers take no orders
+    And another such job is handed in
+    When the holder is killed, and its successor cannot reach the worker that runs it
+    And the other workers take orders again
+    And 1 seconds pass in that cell
+    Then the other job <has begun>
+    And the cluster has broken nothing
+
+    Examples: with the record, and as after a holder of a version that kept none
+      | cluster                                                         | has begun     |
+      | a cluster with 2 worker(s)                                      | has begun     |
+      | a cluster with 2 worker(s), without "the mark of recorded starts" | has not begun |
+
   Scenario Outline: An urgent job makes room for itself, and nothing is lost by it - <event>
     Given a cluster with 1 worker(s)
     And a patient job with checkpoints takes all of its worker
--- a/features/steps/job_directed_steps.py
+++ b/features/steps/job_directed_steps.py
@@ -193,6 +193,37 @@
     context.cluster.run(seconds)
 
 
+@given("its workers take {seconds:g} seconds to stop a run")
+def _stop_takes(context: Any, seconds: float) -> None:
+    context.cluster.pool.stop_grace_seconds = seconds
+
+
+@when("the holder is killed, and its successor cannot reach the worker that runs it")
+def _kill_and_cut(context: Any) -> None:
+    cluster = context.cluster
+    busy = [worker.worker_id for worker in cluster.pool.workers.values() if worker.runs]
+    assert len(busy) == 1
+    for node in cluster.nodes.values():
+        cluster.cut(node.host, busy)
+    cluster.kill_node(context.holder.name)
+    _other_holder(context)
+
+
+@given("the other workers take no orders")
+def _no_orders(context: Any) -> None:
+    workers = context.cluster.pool.workers.values()
+    idle = [worker.worker_id for worker in workers if not worker.runs]
+    context.idle = [(node.host, idle) for node in context.cluster.nodes.values()]
+    for host, names in context.idle:
+        context.cluster.cut(host, names)
+
+
+@when("the other workers take orders again")
+def _orders_again(context: Any) -> None:
+    for host, names in context.idle:
+        context.cluster.heal(host, names)
+
+
 @when("the holder is cut off from the worker that runs it")
 def _cut_worker(context: Any) -> None:
     workers = context.cluster.pool.workers.values()
--- a/features/steps/job_promise_steps.py
+++ b/features/steps/job_promise_steps.py
@@ -9,9 +9,13 @@
 
 from behave import then, when
 
+from onyxspoke.core.jobs import records
 from onyxspoke.core.jobs.progress import StepProgress
+from onyxspoke.core.placement.spreading import StepPlacement
 from onyxspoke.core.placement.workers import Worker
+from onyxspoke.core.shard import scheduler
 from onyxspoke.core.shard.commit import CommitQueue
+from onyxspoke.core.shard.run_keeper import RunKeeper
 from onyxspoke.core.shard.worker_keeper import WorkerKeeper
 from onyxspoke.kit.jobs.workers import FakeWorker
 from onyxspoke.sim.explore_jobs import JobRunReport, play
@@ -52,7 +56,22 @@
 
 @contextmanager
 def _without_commit_before_start() -> Iterator[None]:
-    with mock.patch.object(StepProgress, "is_startable", property(_start_before_commit)):
+    original = RunKeeper.start
+
+    def start(keeper: RunKeeper, plan: StepPlacement, now: float) -> None:
+        original(keeper, plan, now)
+        keeper.order_starts([item.task.run for item in plan.placements if item.task.run], now)
+
+    with (
+        mock.patch.object(StepProgress, "is_startable", property(_start_before_commit)),
+        mock.patch.object(RunKeeper, "start", start),
+    ):
+        yield
+
+
+@contextmanager
+def _without_record_of_starts() -> Iterator[None]:
+    with mock.patch.object(records, "_placements", lambda _step, _tasks: {}):
         yield
 
 
@@ -102,9 +121,17 @@
         yield
 
 
+@contextmanager
+def _without_mark() -> Iterator[None]:
+    with mock.patch.object(scheduler, "starts_are_recorded", lambda _records, _token: False):
+        yield
+
+
 #: What takes a mechanism out, by its name in the features.
 WITHOUT = {
     "starts only after the commit": _without_commit_before_start,
+    "the record of starts": _without_record_of_starts,
+    "the mark of recorded starts": _without_mark,
     "fencing tokens at workers": _without_fencing,
     "the end of leases": _without_leases,
     "room of stray runs": _without_stray_room,
--- a/src/onyxspoke/core/jobs/book.py
+++ b/src/onyxspoke/core/jobs/book.py
@@ -10,7 +10,14 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from onyxspoke.core.jobs.model import JobId, JobSpec, QueuePolicy, StepKey, TaskKey
+from onyxspoke.core.jobs.model import (
+    JobId,
+    JobSpec,
+    QueuePolicy,
+    StepKey,
+    TaskKey,
+    WorkerId,
+)
 from onyxspoke.core.jobs.progress import JobProgress, StepProgress, TaskProgress
 from onyxspoke.core.jobs.records import ProgressRecord, restore_progress
 from onyxspoke.core.jobs.states import JobState, TaskState
@@ -55,6 +62,11 @@
         self.cancelled_before: dict[JobId, EarlyCancel] = {}
         #: Set until it is known what a former holder left running.
         self.is_recovering = False
+        #: Whether former holders recorded each start before they ordered it, so that only tasks
+        #: that are on record with a worker may run there.
+        self.starts_are_recorded = False
+        #: Tasks in doubt, by the worker that may run them.
+        self._doubted_on: dict[WorkerId, list[TaskProgress]] = {}
         self._scheduled: dict[JobId, JobProgress] = {}
         self._finished: dict[JobId, None] = {}
 
@@ -143,7 +155,7 @@
             job.begin_repetition(0, now)
         for step in job.steps():
             self._recount_dependencies(step, now)
-            self._put_in_doubt(step)
+            self._doubt_restored(step)
             self._refresh(step)
         self._finish_if_done(job, now)
 
@@ -158,6 +170,29 @@
         self.jobs[job_id] = job
         self._finished[job_id] = None
 
+    def doubted_workers(self) -> list[WorkerId]:
+        """Return the workers that may run tasks which are in doubt."""
+        return list(self._doubted_on)
+
+    def settle_worker(self, worker_id: WorkerId, now: float) -> list[StepProgress]:
+        """Let the tasks wait again that a worker might have run and does not.
+
+        Returns
+        -------
+        list of StepProgress
+            Their steps.
+        """
+        steps: dict[StepKey, StepProgress] = {}
+        for task in self._doubted_on.pop(worker_id, ()):
+            step = task.step
+            steps[step.key] = step
+            if task.state is TaskState.IN_DOUBT:
+                task.placed_on = ""
+                task.move_to(TaskState.WAITING)
+                step.ready_at = now
+                self._refresh(step)
+        return list(steps.values())
+
     def settle_doubt(self, now: float) -> None:
         """Let every task wait again that no worker turned out to run."""
         for job in self.jobs.values():
@@ -278,7 +313,7 @@
 
     def _begin_repetition(self, job: JobProgress, repetition: int, now: float) -> None:
         for step in job.begin_repetition(repetition, now):
-            if self.is_recovering and job.spec_is_stored:
+            if self.is_recovering and job.spec_is_stored and not self.starts_are_recorded:
                 self._put_in_doubt(step)
             self._refresh(step)
 
@@ -300,6 +335,16 @@
         step.blocked_by = sum(1 for number in step.spec.depends_on if not steps[number].is_done)
         step.ready_at = now
 
+    def _doubt_restored(self, step: StepProgress) -> None:
+        """Put in doubt what a former holder may have started of a step."""
+        if not self.starts_are_recorded:
+            self._put_in_doubt(step)
+            return
+        for task in step.tasks:
+            if task.placed_on and task.state is TaskState.WAITING:
+                task.move_to(TaskState.IN_DOUBT)
+                self._doubted_on.setdefault(task.placed_on, []).append(task)
+
     def _put_in_doubt(self, step: StepProgress) -> None:
         for task in step.tasks:
             if task.state is TaskState.WAITING:
@@ -308,6 +353,7 @@
     def _settle_step(self, step: StepProgress, now: float) -> None:
         for task in step.tasks:
             if task.state is TaskState.IN_DOUBT:
+                task.placed_on = ""
                 task.move_to(TaskState.WAITING)
         step.ready_at = now
         self._refresh(step)
--- a/src/onyxspoke/core/jobs/progress.py
+++ b/src/onyxspoke/core/jobs/progress.py
@@ -31,9 +31,21 @@
         The run that stands for the task now.
     failed_on : WorkerId
         Worker of the latest failure, to try another one next.
+    placed_on : WorkerId
+        The worker that may have a run of it, by this holder's or a former one's record; empty
+        where none can.
     """
 
-    __slots__ = ("checkpoint", "failed_on", "failed_runs", "index", "run", "state", "step")
+    __slots__ = (
+        "checkpoint",
+        "failed_on",
+        "failed_runs",
+        "index",
+        "placed_on",
+        "run",
+        "state",
+        "step",
+    )
 
     def __init__(self, step: StepProgress, index: int) -> None:
         self.step = step
@@ -43,6 +55,7 @@
         self.checkpoint = ""
         self.run: Run | None = None
         self.failed_on: WorkerId = ""
+        self.placed_on: WorkerId = ""
 
     @property
     def key(self) -> TaskKey:
--- a/src/onyxspoke/core/jobs/records.py
+++ b/src/onyxspoke/core/jobs/records.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from onyxspoke.core.jobs.model import JobId, JobSpec, StepKey
-from onyxspoke.core.jobs.progress import JobProgress, StepProgress
+from onyxspoke.core.jobs.model import JobId, JobSpec, StepKey, WorkerId
+from onyxspoke.core.jobs.progress import JobProgress, StepProgress, TaskProgress
 from onyxspoke.core.jobs.states import JobState, TaskState
 from onyxspoke.core.tenants.policy import TenantName
 
@@ -20,7 +20,11 @@
 
 
 class StepRecord(msgspec.Struct, array_like=True):
-    """What is kept of one step: which tasks are done, failed runs and checkpoints by index."""
+    """What is kept of one step: which tasks are done, failed runs and checkpoints by index.
+
+    ``placed`` tells by worker which tasks it may have a run of: it stands here before the worker is
+    ordered to start any, so that a new holder knows which tasks a silent worker may run.
+    """
 
     repetition: int
     step: int
@@ -28,6 +32,7 @@
     failed_runs: dict[int, list[int]]
     checkpoints: dict[int, str]
     failed_gang_runs: list[int]
+    placed: dict[WorkerId, bytes] = {}
 
 
 class ProgressRecord(msgspec.Struct, array_like=True):
@@ -130,12 +135,16 @@
         step.tasks[index].failed_runs = list(numbers)
     for index, checkpoint in kept.checkpoints.items():
         step.tasks[index].checkpoint = checkpoint
+    for worker_id, tasks in kept.placed.items():
+        for index in _read_bitmap(tasks, len(step.tasks)):
+            if step.tasks[index].state is not TaskState.DONE:
+                step.tasks[index].placed_on = worker_id
 
 
 def _has_progress(step: StepProgress) -> bool:
     if step.done_count or step.failed_gang_runs:
         return True
-    return any(task.failed_runs or task.checkpoint for task in step.tasks)
+    return any(task.failed_runs or task.checkpoint or task.placed_on for task in step.tasks)
 
 
 def _step_record(step: StepProgress) -> StepRecord:
@@ -143,18 +152,26 @@
     return StepRecord(
         repetition=step.key.repetition,
         step=step.key.step,
-        done=_make_bitmap(step),
+        done=_make_bitmap(step, [t.index for t in step.tasks if t.state is TaskState.DONE]),
         failed_runs={task.index: task.failed_runs for task in open_tasks if task.failed_runs},
         checkpoints={task.index: task.checkpoint for task in open_tasks if task.checkpoint},
         failed_gang_runs=step.failed_gang_runs,
+        placed=_placements(step, open_tasks),
     )
 
 
-def _make_bitmap(step: StepProgress) -> bytes:
+def _placements(step: StepProgress, open_tasks: list[TaskProgress]) -> dict[WorkerId, bytes]:
+    by_worker: dict[WorkerId, list[int]] = {}
+    for task in open_tasks:
+        if task.placed_on:
+            by_worker.setdefault(task.placed_on, []).append(task.index)
+    return {worker_id: _make_bitmap(step, tasks) for worker_id, tasks in by_worker.items()}
+
+
+def _make_bitmap(step: StepProgress, tasks: list[int]) -> bytes:
     bits = 0
-    for task in step.tasks:
-        if task.state is TaskState.DONE:
-            bits |= 1 << task.index
+    for index in tasks:
+        bits |= 1 << index
     return bits.to_bytes((len(step.tasks) + 7) // 8, "little")
 
 
--- a/src/onyxspoke/core/jobs/states.py
+++ b/src/onyxspoke/core/jobs/states.py
@@ -32,15 +32,17 @@
 class RunState(IntEnum):
     """How far a run is.
 
-    ``STARTING``: the order was sent.  ``UNCERTAIN``: it was not answered.  ``RUNNING``: the
-    worker has it.  ``STOPPING``: a stop was sent.  ``ENDED``: its room is free.
+    ``PLANNED``: room is held, and nothing was ordered yet.  ``STARTING``: the order was sent.
+    ``UNCERTAIN``: it was not answered.  ``RUNNING``: the worker has it.  ``STOPPING``: a stop was
+    sent.  ``ENDED``: its room is free.
     """
 
-    STARTING = 0
-    UNCERTAIN = 1
-    RUNNING = 2
-    STOPPING = 3
-    ENDED = 4
+    PLANNED = 0
+    STARTING = 1
+    UNCERTAIN = 2
+    RUNNING = 3
+    STOPPING = 4
+    ENDED = 5
 
 
 class RunEnd(Enum):
@@ -72,7 +74,9 @@
 }
 
 RUN_TRANSITIONS: dict[RunState, frozenset[RunState]] = {
-    RunState.STARTING: frozenset(RunState) - {RunState.STARTING},
+    # One that is found on a worker was ordered by a former holder.
+    RunState.PLANNED: frozenset({RunState.STARTING, RunState.RUNNING, RunState.ENDED}),
+    RunState.STARTING: frozenset(RunState) - {RunState.PLANNED, RunState.STARTING},
     RunState.UNCERTAIN: frozenset({RunState.RUNNING, RunState.STOPPING, RunState.ENDED}),
     RunState.RUNNING: frozenset({RunState.STOPPING, RunState.ENDED}),
     RunState.STOPPING: frozenset({RunState.ENDED}),
--- a/src/onyxspoke/core/placement/runs.py
+++ b/src/onyxspoke/core/placement/runs.py
@@ -97,7 +97,7 @@
         self.number = number
         self.worker = worker
         self.needs: Needs = task.step.needs
-        self.state = RunState.STARTING
+        self.state = RunState.PLANNED
         self.gang = gang
         self.until_ms = 0
         self.sent_at = now
--- a/src/onyxspoke/core/shard/election.py
+++ b/src/onyxspoke/core/shard/election.py
@@ -113,7 +113,8 @@
 class BecomeHolder(msgspec.Struct, frozen=True):
     """The claim stands; ``former_dead_since`` is known where the former holder has ended.
 
-    ``store_seconds`` is how long the store took to answer the claim.
+    ``store_seconds`` is how long the store took to answer the claim; ``former_token`` is that of
+    the claim which it replaces, 0 where there was none.
     """
 
     claim: ClaimRecord
@@ -121,6 +122,7 @@
     claimed_at: float
     store_seconds: float
     former_dead_since: float | None
+    former_token: int = 0
 
 
 class HolderChanged(msgspec.Struct, frozen=True):
@@ -199,6 +201,7 @@
         self._claim_sent_at = 0.0
         self._claim_last_sent_at = 0.0
         self._claim_attempts = 0
+        self._former_token = 0
         self._rest_until = -math.inf
         self.actions: list[ElectionAction] = []
 
@@ -507,6 +510,8 @@
     def _claim(self, now: float) -> None:
         identity = self._identity
         token = self._end + 1
+        # The claim that was read with this end, or was told of before: the end would have moved.
+        self._former_token = self.claim.token if self.claim is not None else 0
         claim = ClaimRecord(life=identity.life, host=identity.host, port=identity.port, token=token)
         self._pending_claim = claim
         self._pending = ShardAppend(
@@ -541,5 +546,6 @@
                 claimed_at=self._claim_sent_at,
                 store_seconds=now - self._claim_last_sent_at,
                 former_dead_since=self._dead_since,
+                former_token=self._former_token,
             )
         )
--- a/src/onyxspoke/core/shard/journal.py
+++ b/src/onyxspoke/core/shard/journal.py
@@ -26,6 +26,7 @@
 from onyxspoke.core.shard.layout import encode_layout, find_layout
 from onyxspoke.core.shard.log_records import (
     CLAIM_KEY,
+    STARTS_KEY,
     WORKER_PREFIX,
     ClaimRecord,
     ShardRecord,
@@ -46,11 +47,17 @@
         self._context = context
         self._register = register
         self._claim = claim
+        self._has_marked = False
 
     def is_dirty(self) -> bool:
         """Return whether something has changed that no append carries yet."""
         context = self._context
-        return bool(context.book.dirty) or self._register.is_dirty or context.new_layout is not None
+        return (
+            bool(context.book.dirty)
+            or self._register.is_dirty
+            or context.new_layout is not None
+            or self._is_marker_due()
+        )
 
     def renew(self) -> ShardRecord:
         """Return the claim's record, written anew."""
@@ -68,8 +75,21 @@
             for record in self._job_records(job_id):
                 records.append(record)
                 size += len(record.key) + len(record.value)
+        if self._is_marker_due():
+            self._has_marked = True
+            records.append(ShardRecord(STARTS_KEY, str(self._claim.token).encode()))
         return records
 
+    def _is_marker_due(self) -> bool:
+        """Return whether it may be written now that all starts are on record.
+
+        Where former holders did not record them, that is once all that they started is known, and
+        no record of it waits to be written.
+        """
+        book = self._context.book
+        is_known = book.starts_are_recorded or not book.is_recovering
+        return is_known and not self._has_marked and not book.dirty
+
     def _layout_records(self) -> list[ShardRecord]:
         context = self._context
         layout, context.new_layout = context.new_layout, None
@@ -119,6 +139,18 @@
                 )
 
 
+def starts_are_recorded(records: list[ShardRecord], former_token: int) -> bool:
+    """Return whether every start that a former holder ordered is on record.
+
+    It is where the last of them, whose claim had this token, marked the partition so; one of a
+    version that does not record starts leaves the mark of another token.
+    """
+    if former_token == 0:
+        return True
+    marks = [record.value for record in records if record.key == STARTS_KEY]
+    return marks == [str(former_token).encode()]
+
+
 def restore_records(
     context: ShardContext, register: WorkerRegister, records: list[ShardRecord], now: float
 ) -> None:
--- a/src/onyxspoke/core/shard/log_records.py
+++ b/src/onyxspoke/core/shard/log_records.py
@@ -12,6 +12,8 @@
 #: without the rest.
 CLAIM_KEY = "~claim"
 LAYOUT_KEY = "~layout"
+#: Token of the latest holder under which every start is on record before it is ordered.
+STARTS_KEY = "~starts"
 #: The greatest key before the claim's.
 BEFORE_CLAIM_KEY = "~"
 WORKER_PREFIX = "worker/"
--- a/src/onyxspoke/core/shard/run_keeper.py
+++ b/src/onyxspoke/core/shard/run_keeper.py
@@ -8,7 +8,7 @@
 from onyxspoke.core.placement.room_seeker import Eviction
 from onyxspoke.core.placement.runs import GangRun, Run
 from onyxspoke.core.placement.spreading import Placement, StepPlacement
-from onyxspoke.core.placement.workers import Worker, WorkerContact
+from onyxspoke.core.placement.workers import Worker, WorkerContact, WorkerListing
 from onyxspoke.core.shard.actions import SendStart, SendStop
 from onyxspoke.core.shard.context import ShardContext, address_of
 from onyxspoke.core.shard.orders import (
@@ -47,34 +47,80 @@
     # Starting
 
     def start(self, plan: StepPlacement, now: float) -> None:
-        """Reserve room for the tasks of a step and order the starts."""
+        """Reserve room for the tasks of a step; order the starts once they are on record.
+
+        Without the record a new holder could not tell which tasks a worker that it does not reach
+        may run, and would leave all that wait alone until the worker's lease is over: 6 s in
+        which, after a cut zone had taken the holder, next to nothing started.
+        """
         step = plan.step
         gang = None
         if step.spec.gang:
             gang = GangRun(step, self._next_number(step))
             self._gangs[step.key] = gang
+        runs = []
         for placement in plan.placements:
             number = gang.number if gang is not None else self._next_number(step)
-            self._start_one(placement, number, gang, now)
+            runs.append(self._plan_one(placement, number, gang, now))
+        self._context.book.dirty[step.job.job_id] = None
+        self._context.commit.after_commit(_OrderStarts(self, runs))
 
-    def _start_one(
-        self, placement: Placement, number: int, gang: GangRun | None, now: float
-    ) -> None:
-        context = self._context
+    def _plan_one(self, placement: Placement, number: int, gang: GangRun | None, now: float) -> Run:
+        """Reserve room for one run."""
         task, worker = placement.task, placement.worker
         run = Run(task, number, worker, now, gang)
-        run.until_ms = worker.clock.estimate_ms(now) + context.options.start_validity_ms
         run.is_resumed = bool(_checkpoint_of(task))
         task.run = run
         self._hold_room(run)
+        self._context.book.task_started(task)
+        return run
+
+    def order_starts(self, runs: list[Run], now: float) -> None:
+        """Order starts that are on record now, of a gang all or none."""
+        ready = [run for run in runs if self._may_order(run, now)]
+        withdrawn = [run for run in runs if run not in ready]
+        if withdrawn and runs[0].gang is not None:
+            ready, withdrawn = [], runs
+        for run in withdrawn:
+            if run.state is RunState.PLANNED:
+                self._log_run("start_withdrawn", run)
+                self.end_run(run, RunEnd.NOT_STARTED, now)
+        for run in ready:
+            self._order_start(run, now)
+
+    def _may_order(self, run: Run, now: float) -> bool:
+        """Return whether a planned run may still be started."""
+        context = self._context
+        worker = run.worker
+        return (
+            run.state is RunState.PLANNED
+            and context.may_order(now)
+            and worker.contact is WorkerContact.SETTLED
+            and worker.listing is WorkerListing.READY
+            and not worker.doubted_at
+            and self._ticket(run, now) is not None
+        )
+
+    def _ticket(self, run: Run, now: float) -> str | None:
+        """Return the leave to start a run, empty where none is needed."""
+        step = run.task.step
+        if self._context.policy.queue_of(step.job.spec).advice is None:
+            return ""
+        return self._context.desk.advice_on(step).valid_ticket(run.worker.worker_id, now)
+
+    def _order_start(self, run: Run, now: float) -> None:
+        context = self._context
+        task, worker = run.task, run.worker
+        run.move_to(RunState.STARTING)
+        run.sent_at = run.moved_at = now
+        run.until_ms = worker.clock.estimate_ms(now) + context.options.start_validity_ms
         worker.extend_lease(run.until_ms)
-        context.book.task_started(task)
         job = task.step.job
         context.log(
             "run_start",
             worker=worker.worker_id,
             task=_name(run.key),
-            run=number,
+            run=run.number,
             waited_ms=int((now - task.step.ready_at) * _MILLISECONDS),
             free_cpu=worker.free_processors,
             look_age_ms=int((now - worker.answered_at) * _MILLISECONDS),
@@ -88,13 +134,14 @@
                 payload=job.spec.payload,
                 until_ms=run.until_ms,
                 checkpoint=_checkpoint_of(task),
-                ticket=placement.ticket,
+                ticket=self._ticket(run, now) or "",
             )
         )
 
     def _hold_room(self, run: Run) -> None:
         """Count a run on its worker and for its tenant, until its end is certain."""
         run.worker.add(run)
+        run.task.placed_on = run.worker.worker_id
         self._context.ledger.add(run.task.step.job.spec.tenant, run.needs)
 
     def _next_number(self, step: StepProgress) -> int:
@@ -144,6 +191,10 @@
         """Order the end of a run, again and again until it has ended."""
         if run.state is RunState.ENDED or run.key in self._stopping:
             return
+        if run.state is RunState.PLANNED:
+            self._log_run("start_withdrawn", run, reason=reason)
+            self.end_run(run, RunEnd.NOT_STARTED, now)
+            return
         still_ms = int((now - run.moved_at) * _MILLISECONDS)
         self._log_run("run_stop", run, reason=reason, percent=run.percent, still_ms=still_ms)
         run.move_to(RunState.STOPPING)
@@ -317,6 +368,9 @@
         task.run = run
         if report.checkpoint:
             _checkpoint_holder(task).checkpoint = report.checkpoint
+        if task.placed_on != worker.worker_id:
+            # A later holder is to know it, too.
+            self._context.book.dirty[step.job.job_id] = None
         self._hold_room(run)
         self._context.book.task_started(task)
         self._context.book.task_begun(task, now)
@@ -337,7 +391,7 @@
     ) -> None:
         """Settle runs that a worker neither runs nor lists as ended."""
         for run in list(worker.runs.values()):
-            if run.key in listed:
+            if run.key in listed or run.state is RunState.PLANNED:
                 continue
             if run.confirmed_at:
                 if run.confirmed_at < sent_at:
@@ -377,6 +431,7 @@
         task = run.task
         if task.run is run:
             task.run = None
+            task.placed_on = ""
         self._context.wants_placement = True
         if end is RunEnd.FAILED:
             task.failed_on = worker.worker_id
@@ -434,9 +489,26 @@
 
     # Recovery
 
-    def repair_gangs(self, now: float) -> None:
-        """Once all runs are known, end gangs of which members are missing."""
-        for gang in list(self._gangs.values()):
+    def settle_worker(self, worker: Worker, now: float) -> None:
+        """What a worker runs is known: draw the consequences for what it might have run."""
+        steps = self._context.book.settle_worker(worker.worker_id, now)
+        if steps:
+            self._context.wants_placement = True
+        keys = {step.key for step in steps if not step.in_doubt}
+        self.repair_gangs(now, keys)
+
+    def repair_gangs(self, now: float, keys: set[StepKey] | None = None) -> None:
+        """Once all runs of them are known, end gangs of which members are missing.
+
+        Parameters
+        ----------
+        keys : set of StepKey
+            Whose runs are known; by default all.
+        """
+        gangs = self._gangs if keys is None else {key: self._gangs.get(key) for key in keys}
+        for gang in list(gangs.values()):
+            if gang is None:
+                continue
             if len(gang.members) < len(gang.step.tasks) and not gang.step.is_done:
                 gang.is_broken = True
             if gang.is_broken:
@@ -460,6 +532,17 @@
         self._log_run("run_ended", run, how=report.end.value, number=report.number)
 
 
+class _OrderStarts:
+    """Once starts are on record, they are ordered."""
+
+    def __init__(self, keeper: RunKeeper, runs: list[Run]) -> None:
+        self._keeper = keeper
+        self._runs = runs
+
+    def __call__(self, now: float) -> None:
+        self._keeper.order_starts(self._runs, now)
+
+
 def _checkpoint_of(task: TaskProgress) -> str:
     """Return from where a start resumes."""
     return _checkpoint_holder(task).checkpoint if task.step.spec.checkpointing else ""
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -24,7 +24,11 @@
 from onyxspoke.core.shard.commit import MINIMUM_INTERVAL_SECONDS, CommitQueue
 from onyxspoke.core.shard.context import ShardContext, ShardOptions
 from onyxspoke.core.shard.evacuation import Evacuation
-from onyxspoke.core.shard.journal import RecordCollector, restore_records
+from onyxspoke.core.shard.journal import (
+    RecordCollector,
+    restore_records,
+    starts_are_recorded,
+)
 from onyxspoke.core.shard.layout import CellLayout
 from onyxspoke.core.shard.log_records import (
     AppendOutcome,
@@ -120,11 +124,24 @@
 
     # Recovery
 
-    def recover(self, records: list[ShardRecord], now: float, wall_ms: float) -> list[ShardAction]:
-        """Take in everything that the store holds of the shard."""
+    def recover(
+        self, records: list[ShardRecord], former_token: int, now: float, wall_ms: float
+    ) -> list[ShardAction]:
+        """Take in everything that the store holds of the shard.
+
+        Parameters
+        ----------
+        former_token : int
+            Of the claim that ours replaced; 0 where there was none.
+        """
+        self.context.book.starts_are_recorded = starts_are_recorded(records, former_token)
         self.context.wall_offset_ms = wall_ms - now * _MILLISECONDS
         self.context.book.is_recovering = True
         restore_records(self.context, self.register, records, now)
+        for worker_id in self.context.book.doubted_workers():
+            if worker_id not in self.context.table.workers:
+                # Its record was dropped when it was certain that it ran nothing more.
+                self.context.book.settle_worker(worker_id, now)
         self._is_recovered = True
         self._last_flush_at = now
         return self.flush(now)
--- a/src/onyxspoke/core/shard/worker_keeper.py
+++ b/src/onyxspoke/core/shard/worker_keeper.py
@@ -137,6 +137,8 @@
         self._runs.reconcile(worker, result, sent_at, now)
         if not was_settled:
             self._settle(worker, result, now)
+        if result.is_whole:
+            self._runs.settle_worker(worker, now)
         self._after_answer(worker, now)
 
     def _settle(self, worker: Worker, result: HoldResult, now: float) -> None:
@@ -186,6 +188,7 @@
         worker.move_to(WorkerContact.OVER)
         self._log(worker, "worker_over", reason=reason, runs=len(worker.runs))
         self._runs.abandon_all(worker, now)
+        self._runs.settle_worker(worker, now)
         self._context.wants_placement = True
         if reason == "other_life":
             worker.listing = WorkerListing.GONE
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -145,6 +145,7 @@
         self._pacing = StorePacing()
         self._shard_count = 1
         self._gathered: list[ShardRecord] = []
+        self._former_token = 0
         self._replies: dict[int, OnReply] = {}
         self._last_call_id = 0
         self._is_ready = False
@@ -326,6 +327,7 @@
             scheduler.former_holder_is_dead(action.former_dead_since)
         self.scheduler = scheduler
         self._gathered = []
+        self._former_token = action.former_token
         self._read_state(scheduler, "")
 
     def _read_state(self, scheduler: ShardScheduler, after_key: str) -> None:
@@ -364,7 +366,8 @@
         self._is_ready = True
         self.held_since = now
         scheduler.stimulus_policy(self._policy, now)
-        for action in scheduler.recover(records, now, self._listener.time_of_day_ms()):
+        wall_ms = self._listener.time_of_day_ms()
+        for action in scheduler.recover(records, self._former_token, now, wall_ms):
             self._carry_out(action)
         self._directory.watch(self)
         self._listener.handle_holding(self.shard, True)
