Starts are planned while a job's own record is under way; the load of the line for advice as a test

Cause: since starts are recorded first, a slow store (0.17 s an answer and more) costs an urgent job two appends in a row before it starts. Change: the plan, and with it the call for advice, no longer waits for the job's own record; the order does, because the start's record is in a later append or the same one. Jobs that are refused have their plans withdrawn first.

--- a/src/onyxspoke/core/jobs/progress.py
+++ b/src/onyxspoke/core/jobs/progress.py
@@ -136,14 +136,13 @@
 
     @property
     def is_startable(self) -> bool:
-        """Whether some task may be started now.
+        """Whether the start of some task may be planned now.
 
-        Nothing of a job is started before the store has it: a new holder would not know
-        what such runs are, and would start them again when the job is handed in again.
+        A start is ordered only once the store has it, and with it the job.  That it is planned
+        before lets advice be asked for, and the start's record be sent, while the job's own record
+        is under way: at a slow store each append that is waited for costs 0.2 s and more.
         """
-        job = self.job
-        is_open = job.committed_state is not None and not job.state.is_final
-        return bool(self.waiting) and self.blocked_by == 0 and is_open
+        return bool(self.waiting) and self.blocked_by == 0 and not self.job.state.is_final
 
     def count_move(self, task: TaskProgress, old: TaskState, new: TaskState) -> None:
         """Keep the counts when a task changes its state."""
--- a/src/onyxspoke/core/jobs/records.py
+++ b/src/onyxspoke/core/jobs/records.py
@@ -141,6 +141,13 @@
                 step.tasks[index].placed_on = worker_id
 
 
+def has_progress(job: JobProgress) -> bool:
+    """Return whether there is anything to keep of a job beside its specification."""
+    if job.state is not JobState.QUEUED or job.committed_state is not None:
+        return True
+    return any(_has_progress(step) for step in job.steps())
+
+
 def _has_progress(step: StepProgress) -> bool:
     if step.done_count or step.failed_gang_runs:
         return True
--- a/src/onyxspoke/core/placement/advice_choice.py
+++ b/src/onyxspoke/core/placement/advice_choice.py
@@ -1,8 +1,8 @@
 """About which workers advice is asked: as few as are likely to have the room that is needed.
 
 A call for advice takes longer the more workers it names, and each entry carries one call at a
-time.  So while the line for advice is long, a step that asks about every worker holds up all
-others; while it is short, knowing more workers costs nobody anything.
+time.  A call about a hundred workers is a long one, and waits behind those of gangs: in a cell of
+299 workers the steps of one queue hardly ran at all.
 """
 
 from __future__ import annotations
@@ -24,8 +24,6 @@
 #: The same of the whole capacity, where there is not enough room yet: about half of a busy cell is
 #: taken, and a gang needs its room in one moment.
 CAPACITY_FACTOR = 4.0
-#: The same while the line for advice is long.
-PRESSED_CAPACITY_FACTOR = 2.0
 #: Workers in a first call at least, where there are as many: a call's own share makes up most of a
 #: smaller one, and a step that has to wait for room is to have some choice.
 FEWEST_ASKED = 24
@@ -62,15 +60,15 @@
         spread = step.spec.spread_limit or len(step.tasks)
         self._bound = min(spread, len(step.tasks))
 
-    def unknown(self, most: int, advice: StepAdvice, is_pressed: bool) -> list[WorkerId]:
+    def unknown(self, most: int, advice: StepAdvice) -> list[WorkerId]:
         """Return whom to ask about for a step of which ``most`` tasks may start."""
         workers = self._not_asked(advice)
         wanted = most * ROOM_FACTOR
         chosen, found = self._until_enough(workers, wanted, self._slots_now)
         if found < wanted:
             # There is not enough room for all yet: the step will wait for some.
-            factor = PRESSED_CAPACITY_FACTOR if is_pressed else CAPACITY_FACTOR
-            chosen, _found = self._until_enough(workers, most * factor, self._slots_ever)
+            wanted = most * CAPACITY_FACTOR
+            chosen, _found = self._until_enough(workers, wanted, self._slots_ever)
         return _names(chosen)
 
     def unknown_with_room(self, missing: int, advice: StepAdvice) -> list[WorkerId]:
--- a/src/onyxspoke/core/placement/advice_desk.py
+++ b/src/onyxspoke/core/placement/advice_desk.py
@@ -34,8 +34,6 @@
 DOUBT_SECONDS = 1.0
 #: An answer that comes later than this after its call was given up, in seconds, is of no use.
 LATE_ANSWER_SECONDS = 10.0
-#: The line is long where a call would wait for more than this share of a ticket's life.
-PRESSED_SHARE = 0.4
 #: Of what was learned of the share of good workers, so much is kept at each answer.
 GOOD_SHARE_KEPT = 0.95
 #: The share is never taken for lower, so that a few bad answers don't have everybody asked about.
@@ -185,21 +183,6 @@
         """Return which share of the workers is good for a queue's steps, by the answers so far."""
         return self._shares.get(queue, _GoodShare()).value
 
-    def is_pressed(self, policy: AdvicePolicy, now: float) -> bool:
-        """Return whether a call about many workers would have to wait for others of its kind.
-
-        It would where the entries that carry such calls have more to do already than a ticket
-        may wait for the rest of its gang.
-        """
-        seconds = (policy.decide_ms + policy.per_item_ms * MINIMUM_WORKERS_ASKED) / _MILLISECONDS
-        first, _behind = self._places.places_for(seconds, len(self._advisors), now)
-        carriers = [item for item in self._advisors.values() if item.position >= first]
-        if not carriers:
-            return False
-        ahead = sum(max(0.0, item.free_at - now) for item in carriers)
-        ahead += sum(call.seconds for call in self._waiting.values())
-        return ahead / len(carriers) > PRESSED_SHARE * policy.validity_ms / _MILLISECONDS
-
     def forget(self, key: StepKey) -> None:
         """Drop what is known about a step that needs no more tickets."""
         self._steps.pop(key, None)
--- a/src/onyxspoke/core/placement/gang_placer.py
+++ b/src/onyxspoke/core/placement/gang_placer.py
@@ -99,10 +99,7 @@
         advice = self._desk.advice_on(step)
         if not advice.is_asking:
             chooser = AdviceChooser(step, offer, room, self._desk.good_share(queue.name))
-            is_pressed = self._desk.is_pressed(queue.advice, now)
-            ask = _workers_to_ask_for_gang(
-                step, queue.advice, advice, offer, slots, chooser, is_pressed, now
-            )
+            ask = _workers_to_ask_for_gang(step, queue.advice, advice, offer, slots, chooser, now)
             self._desk.want(step, queue.advice, ask, step_rank_of(step, queue, now), now)
 
     def _room_to_hold(
@@ -285,14 +282,14 @@
     offer: Offer,
     slots: list[MemberSlots],
     chooser: AdviceChooser,
-    is_pressed: bool,
     now: float,
 ) -> list[str]:
     """Return the workers whose tickets a gang lacks.
 
-    All are asked about at first, or while the line for advice is long only so many as are likely
-    to do, and others if they cannot do.  Later it is those that have room: while some is missing,
-    workers that were not asked about; once most of it is there, the good ones for new tickets.
+    All are asked about at first: a gang needs room on many good workers in one moment.  Asking
+    about twice the capacity that it needs while the line for advice was long cost a tenth of all
+    that was served on busy days.  Later it is those that have room: while some is missing, workers
+    that were not asked about; once most of it is there, the good ones for new tickets.
     """
     members = len(step.tasks)
     known_good = [offer.workers[name] for name in advice.tickets if name in offer.workers]
@@ -301,14 +298,12 @@
     if not can_ever_fit(step, known_good) and (is_due or unknown_count >= FEWEST_ASKED):
         if unknown_count < FEWEST_ASKED and advice.asked:
             advice.unknown_asked_at = now
-        if is_pressed:
-            return chooser.unknown(members, advice, is_pressed)
         return chooser.all_unknown(advice)
     asked: list[str] = []
     missing = members - _total(slots)
     if missing > 0:
         asked = chooser.unknown_with_room(missing, advice)
-    if _total(slots) < (1.0 if is_pressed else ASKING_SHARE) * members:
+    if _total(slots) < ASKING_SHARE * members:
         if not asked or not is_due:
             return []
         advice.unknown_asked_at = now
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -287,7 +287,7 @@
 ) -> list[str]:
     """Return the workers about which advice is missing and would help, for ``most`` tasks."""
     if not advice.tickets:
-        return chooser.unknown(most, advice, is_pressed=False)
+        return chooser.unknown(most, advice)
     missing = most - sum(room.slots(item.worker, step.needs) for item in candidates)
     if missing <= 0:
         return []
--- a/src/onyxspoke/core/shard/call_desk.py
+++ b/src/onyxspoke/core/shard/call_desk.py
@@ -66,7 +66,7 @@
     def keep(self, now: float) -> None:
         """Answer at once those whom the store keeps waiting."""
         if self._unsent and self._context.commit.is_in_trouble(now):
-            self._refuse_unsent()
+            self._refuse_unsent(now)
         if self._unproven and self._is_silent(now):
             for pending in self._unproven.values():
                 pending.answer(_unknown(self._retry_seconds))
@@ -180,13 +180,14 @@
 
         wait(confirm)
 
-    def _refuse_unsent(self) -> None:
+    def _refuse_unsent(self, now: float) -> None:
         """Refuse the jobs of which no append that was sent says anything."""
         book = self._context.book
         withdrawn = set()
         for pending in self._unsent.values():
             job = book.jobs.get(pending.job_id)
             if job is not None and job.committed_state is None and not job.spec_is_stored:
+                self._runs.stop_job_runs(job.steps(), now, "job_refused")
                 book.withdraw(pending.job_id)
                 withdrawn.add(pending.job_id)
             if pending.job_id in withdrawn:
--- a/src/onyxspoke/core/shard/journal.py
+++ b/src/onyxspoke/core/shard/journal.py
@@ -16,6 +16,7 @@
     encode_cancelled_before,
     encode_progress,
     encode_spec,
+    has_progress,
     progress_key,
     spec_key,
 )
@@ -112,7 +113,7 @@
         elif not job.state.is_final and not job.spec_is_stored:
             records.append(ShardRecord(spec_key(job_id), encode_spec(job.spec)))
             job.spec_is_stored = True
-        if job.state is not JobState.QUEUED or job.committed_state is not None:
+        if has_progress(job):
             records.append(ShardRecord(progress_key(job_id), encode_progress(job)))
         self._context.commit.after_commit(_MarkCommitted(self._context, job, job.state))
         return records
