What a record says has its effect with its own append, also while others are on their way

Cause: effects that are registered while records are collected (an end may be shown) went to the append before, when that one was still open at a slow store and nothing else was dirty: a job could be shown as completed before the store had it. Found by reading, while ends in logs of a slow store were followed; the missing ends in those logs are lines that were lost, not jobs. Change: what is registered during the collection waits for the append that carries it. The scenario failed before.

--- a/features/slow_store.feature
+++ b/features/slow_store.feature
@@ -72,3 +72,10 @@
     When two appends are on their way
     And the store acknowledges the second one
     Then the effects of both are had, in their order
+
+  Scenario: What a record says has its effect with its own append, not with the one before it
+    Given a holder's commits to a store that took 0.2 seconds for its latest answer
+    When two appends are on their way, whose effects come with their records
+    And the store acknowledges the first one
+    And the store acknowledges the second one
+    Then the effects of both are had, in their order
--- a/features/steps/slow_store_steps.py
+++ b/features/steps/slow_store_steps.py
@@ -151,6 +151,26 @@
         context.now += 0.06
 
 
+@when("two appends are on their way, whose effects come with their records")
+def _two_appends_with_records(context: Any) -> None:
+    collect = context.commits.collect
+
+    def collect_with_effect(maximum_bytes: int) -> list[ShardRecord]:
+        records = collect(maximum_bytes)
+        number = len(context.appends) + 1
+        context.commits.after_commit(lambda _now: context.effects.append(number))
+        return records
+
+    context.appends = []
+    context.commits.collect = collect_with_effect
+    for number in (1, 2):
+        context.dirty.append(ShardRecord(f"job/{number}", b"ended"))
+        append = context.commits.next_append(context.now)
+        assert append is not None and append.sequence == number
+        context.appends.append((append.sequence, context.now))
+        context.now += 0.06
+
+
 def _answer(context: Any, number: int, outcome: AppendOutcome) -> bool:
     sequence, sent_at = context.appends[number - 1]
     result = AppendResult(outcome, call_seconds=0.2)
--- a/src/onyxspoke/core/shard/commit.py
+++ b/src/onyxspoke/core/shard/commit.py
@@ -91,6 +91,7 @@
     _proofs: list[Effect] = field(default_factory=list)
     #: Appends without an answer, in the order of their sequence numbers.
     _open: list[_Batch] = field(default_factory=list)
+    _is_collecting: bool = False
     _last_sent_at: float = 0.0
     _last_opened_at: float = 0.0
     #: The append that was handed out last.
@@ -104,8 +105,13 @@
         return now - self._open[0].opened_at > bound
 
     def after_commit(self, effect: Effect) -> None:
-        """Have an effect once everything marked so far is acknowledged."""
-        if self._open and not self._effects and not self.is_dirty():
+        """Have an effect once everything marked so far is acknowledged.
+
+        While records are collected, what is marked is on its way out with the next append, though
+        nothing is dirty any more.
+        """
+        is_sent = self._open and not self._is_collecting and not self._effects
+        if is_sent and not self.is_dirty():
             self._open[-1].effects.append(effect)
         else:
             self._effects.append(effect)
@@ -198,7 +204,9 @@
         return self._last_opened_at + pause
 
     def _open_batch(self, is_renewal_due: bool, now: float) -> ShardAppend:
+        self._is_collecting = True
         records = self.collect(MAXIMUM_BATCH_BYTES)
+        self._is_collecting = False
         if not records or is_renewal_due:
             records.append(self.renew())
         effects, self._proofs = self._proofs, []
