Operators see tenants: ctl, interface, histograms, and the phases quota and share of the account

onyxspokectl tenants and GET /v1/tenants tell of each tenant what runs, waits, its quota, the steps that it holds back and what was owed; histograms by queue and tenant (100 names at most, the rest together; the two by queue were declared and never observed before); onyxspokectl account splits the wait for a quota and the wait behind what others are owed from the wait for room, with a table by tenant; step_over_quota in the log, quota_ms with each start.

--- a/features/account.feature
+++ b/features/account.feature
@@ -62,6 +62,32 @@
     When an operator asks for their account
     Then the answer names "forms", "00000000000000e1" and "record=1"
 
+  Scenario: A job that waited for its tenant's quota, and one that was beyond its tenant's weight
+    Given the logs of several nodes
+      """
+      time=2026-12-02T12:00:00.000Z level=info process=a event=job_taken shard=0 job=00000000000000e1 queue=forms tenant=one beyond_share=0 steps=1 tasks=1 stretch=1.0 target_ms=1000 policy=5
+      time=2026-12-02T12:00:00.000Z level=info process=a event=job_accepted shard=0 job=00000000000000e1
+      time=2026-12-02T12:00:00.000Z level=info process=a event=job_taken shard=0 job=00000000000000e2 queue=forms tenant=two beyond_share=1 steps=1 tasks=1 stretch=1.0 target_ms=1000 policy=5
+      time=2026-12-02T12:00:00.000Z level=info process=a event=job_accepted shard=0 job=00000000000000e2
+      time=2026-12-02T12:00:04.000Z level=info process=a event=run_start shard=0 worker=w task=00000000000000e1.0.0.0 run=1 quota_ms=3000
+      time=2026-12-02T12:00:05.000Z level=info process=a event=run_ended shard=0 worker=w task=00000000000000e1.0.0.0 run=1 state=running how=done number=1
+      time=2026-12-02T12:00:05.000Z level=info process=a event=job_ended shard=0 job=00000000000000e1 state=completed seconds=5.0
+      time=2026-12-02T12:00:06.000Z level=info process=a event=run_start shard=0 worker=w task=00000000000000e2.0.0.0 run=1 quota_ms=0
+      time=2026-12-02T12:00:07.000Z level=info process=a event=run_ended shard=0 worker=w task=00000000000000e2.0.0.0 run=1 state=running how=done number=2
+      time=2026-12-02T12:00:07.000Z level=info process=a event=job_ended shard=0 job=00000000000000e2 state=completed seconds=7.0
+      """
+    When they are accounted for
+    Then job "00000000000000e1" was "late"
+    And its seconds are
+      | quota | room | work |
+      | 3.00  | 1.00 | 1.00 |
+    Then job "00000000000000e2" was "late"
+    And its seconds are
+      | share | work |
+      | 6.00  | 1.00 |
+    When an operator asks for their account
+    Then the answer names "tenant", "two" and "quota=1"
+
   Scenario: Logs without a job
     Given the logs of several nodes
       """
--- a/features/steps/tenant_steps.py
+++ b/features/steps/tenant_steps.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import argparse
+import io
 import logging as standard_logging
+import re
 from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager
+from contextlib import ExitStack, contextmanager, redirect_stdout
 from typing import Any
 from unittest import mock
 
@@ -14,6 +17,7 @@
 from job_directed_steps import FIRST_JOB, SETTLE_SECONDS
 from job_ingress_steps import HOST, QUEUES, SMALL_JOB, _serve
 
+from onyxspoke.cli import step_commands
 from onyxspoke.core.jobs.model import JobSpec, Needs, QueuePolicy, StepSpec
 from onyxspoke.core.jobs.progress import JobProgress
 from onyxspoke.core.jobs.records import decode_progress, decode_spec
@@ -21,6 +25,7 @@
 from onyxspoke.core.placement.queue_order import step_rank_of
 from onyxspoke.core.routing import RouteEntry
 from onyxspoke.core.shard import scheduler
+from onyxspoke.core.shard.actions import JobEnded
 from onyxspoke.core.shard.calls import CallReply, ReplyCode, StateCall, SubmitCall
 from onyxspoke.core.tenants.keys import Credential, KeyRing, judge_key
 from onyxspoke.core.tenants.ledger import QuotaLedger, QuotaPass
@@ -28,6 +33,8 @@
 from onyxspoke.core.tenants.shares import ShareMeter
 from onyxspoke.kit.jobs.audit import Violation
 from onyxspoke.kit.jobs.workers import WorkOptions
+from onyxspoke.node.metrics import NodeMetrics
+from onyxspoke.node.operator_api import describe_tenants
 from onyxspoke.platform.configuration import decode_configuration
 from onyxspoke.ports.configuration import CellConfiguration
 from onyxspoke.sim.explore_jobs import play
@@ -331,7 +338,7 @@
     )
 
 
-def _hand_in(context: Any, spec: JobSpec) -> None:
+def _send(context: Any, spec: JobSpec) -> None:
     cluster = context.cluster
     cluster.pool.specs[spec.job_id] = spec
     cluster.audit.handle_submitted(spec)
@@ -341,6 +348,11 @@
         cluster.audit.handle_submit_reply(spec.job_id, reply)
 
     cluster.call(holder, spec.job_id, SubmitCall(spec), take)
+
+
+def _hand_in(context: Any, spec: JobSpec) -> None:
+    cluster = context.cluster
+    _send(context, spec)
     cluster.run(0.5)
     assert cluster.audit.jobs[spec.job_id].accepted_at is not None
 
@@ -404,6 +416,16 @@
     assert replies[0].state == "completed", replies
 
 
+@when(
+    "{jobs:d} jobs of {tasks:d} tasks, each as large as a worker, are handed in at once"
+    " for a tenant with two workers"
+)
+def _at_once(context: Any, jobs: int, tasks: int) -> None:
+    for number in range(1, jobs + 1):
+        _send(context, _job(context, number, "small", tasks))
+    context.cluster.run(2.0)
+
+
 @when("a gang of {tasks:d} such tasks is handed in for that tenant")
 def _gang(context: Any, tasks: int) -> None:
     _hand_in(context, _job(context, 3, "small", tasks, gang=True))
@@ -419,6 +441,64 @@
     assert not cluster.audit.findings, cluster.audit.findings
 
 
+@when("a job of {tasks:d} tasks, each as large as a worker, waits for that tenant's quota")
+def _waits_for_quota(context: Any, tasks: int) -> None:
+    _hand_in(context, _job(context, 3, "small", tasks))
+    context.cluster.run(0.5)
+
+
+@then(
+    'the holder tells of "{tenant}" {running:d} running and {waiting:d} waiting jobs,'
+    " all of its quota used, and {steps:d} step held back"
+)
+def _tells_tenant(context: Any, tenant: str, running: int, waiting: int, steps: int) -> None:
+    answer = describe_tenants(context.cluster.holder().node)
+    context.tenants_answer = answer
+    found = next(item for item in answer.tenants if item.tenant == tenant)
+    assert (found.running_jobs, found.waiting_jobs) == (running, waiting), found
+    assert found.share_of_quota == 1.0, found
+    assert found.over_quota_steps == steps, found
+
+
+class _Client:
+    """Answers the command line as a node would."""
+
+    def __init__(self, answer: Any) -> None:
+        self._answer = answer
+
+    def get(self, path: str) -> Any:
+        assert path == "/v1/tenants", path
+        return msgspec.json.decode(msgspec.json.encode(self._answer))
+
+
+@then('the command "tenants" names "{tenant}", its quota as used up, and {owed:d} jobs owed')
+def _command(context: Any, tenant: str, owed: int) -> None:
+    output = io.StringIO()
+    arguments = argparse.Namespace(json=False, sort="quota")
+    with redirect_stdout(output):
+        step_commands._tenants(_Client(context.tenants_answer), arguments)
+    lines = output.getvalue().splitlines()
+    header = lines[1].split()
+    row = dict(zip(header, lines[2].split(), strict=False))
+    assert row["tenant"] == tenant, lines
+    assert float(row["of_quota"]) == 1.0, row
+    assert int(row["owed"]) == owed, row
+
+
+@when("the jobs of {count:d} tenants have ended")
+def _many_tenants(context: Any, count: int) -> None:
+    context.metrics = NodeMetrics()
+    for number in range(count):
+        context.metrics.note_ended(JobEnded("q", f"tenant-{number}", "completed", 1.0))
+
+
+@then("the figures name {count:d} tenants, the rest together")
+def _figures(context: Any, count: int) -> None:
+    text = context.metrics.render().decode()
+    names = set(re.findall(r'onyxspoke_job_seconds_count\{[^}]*tenant="([^"]*)"', text))
+    assert len(names) == count and "(other)" in names, len(names)
+
+
 # Shares
 
 
--- a/features/tenants.feature
+++ b/features/tenants.feature
@@ -144,7 +144,16 @@
     Examples:
       | mechanism                    | seeds  |
       | the count of what runs       | 1 to 2 |
-      | the count within one pass    | 1 to 8 |
+
+  Scenario Outline: Jobs that are placed in one pass share their tenant's quota - <cluster>
+    Given <cluster>
+    When 3 jobs of 2 tasks, each as large as a worker, are handed in at once for a tenant with two workers
+    Then the cluster has broken <what>
+
+    Examples:
+      | cluster                                                                | what    |
+      | a cluster of tenants with 6 workers                                    | nothing |
+      | a cluster of tenants with 6 workers, without "the count within one pass" | "quota" |
 
   Scenario Outline: A successor cannot see what runs on workers that it does not reach - <cluster>
     Given <cluster>
@@ -194,3 +203,16 @@
       | urgent   | 0        | no     | -5      |
       | expired  | 0        | no     | 60      |
     Then they come in the order "urgent, patient, flood, expired"
+
+  # What operators see
+
+  Scenario: A node tells what it knows of each tenant
+    Given a cluster of tenants with 6 workers
+    And two jobs of a tenant with a quota of two workers are at work
+    When a job of 6 tasks, each as large as a worker, waits for that tenant's quota
+    Then the holder tells of "small" 2 running and 1 waiting jobs, all of its quota used, and 1 step held back
+    And the command "tenants" names "small", its quota as used up, and 3 jobs owed
+
+  Scenario: Tenants are counted by name, but not too many of them
+    When the jobs of 150 tenants have ended
+    Then the figures name 101 tenants, the rest together
--- a/src/onyxspoke/account/phases.py
+++ b/src/onyxspoke/account/phases.py
@@ -17,6 +17,8 @@
 
     RECORD = "record"  # until the store had it
     ADVICE = "advice"  # until the first advice on the step
+    QUOTA = "quota"  # while its tenant had all running that it may
+    SHARE = "share"  # behind what others are owed, for jobs beyond their tenants' weights
     ROOM = "room"  # until a worker was free for it
     TAKEOVER = "takeover"  # while a new holder did not know yet what runs
     LOST_RUNS = "lost_runs"  # in runs that did not end well
@@ -45,6 +47,7 @@
 
     job_id: str
     queue: str
+    tenant: str
     taken_at: float
     objective_seconds: float
     seconds: float
@@ -75,7 +78,9 @@
         phases = _phases(job, taken_at, job.ended_at, takeovers)
     objective = job.stretch * phases.get(Phase.WORK, 0.0) + job.target_seconds
     outcome = _outcome(job, is_met=seconds <= objective)
-    return JobAccount(job.job_id, job.queue, taken_at, objective, seconds, outcome, phases)
+    return JobAccount(
+        job.job_id, job.queue, job.tenant, taken_at, objective, seconds, outcome, phases
+    )
 
 
 def _outcome(job: JobTrail, is_met: bool) -> Outcome:
@@ -144,7 +149,8 @@
 ) -> None:
     since = ready_at
     for run in runs:
-        _account_gap(job, name, since, run.started_at, takeovers, costs)
+        quota_seconds = run.quota_seconds if run is runs[0] else 0.0
+        _account_gap(job, name, since, run.started_at, quota_seconds, takeovers, costs)
         ended_at = run.ended_at if run.ended_at is not None else run.started_at
         phase = Phase.WORK if run.how == "done" else Phase.LOST_RUNS
         costs[phase] += max(0.0, ended_at - max(run.started_at, since))
@@ -156,18 +162,23 @@
     name: TaskName,
     since: float,
     until: float,
+    quota_seconds: float,
     takeovers: list[Takeover],
     costs: dict[Phase, float],
 ) -> None:
-    """Split the time before a run: changes of holder, the first advice, and room."""
+    """Split the time before a run: changes of holder, the quota, the first advice, and room."""
     gap = until - since
     if gap <= 0.0:
         return
     lost = sum(max(0.0, min(until, end) - max(since, start)) for start, end in takeovers)
     lost = min(lost, gap)
     costs[Phase.TAKEOVER] += lost
+    held_back = min(quota_seconds, gap - lost)
+    costs[Phase.QUOTA] += held_back
+    lost += held_back
     moments = job.advice.get((name.repetition, name.step), [])
     advised_at = min(moments, default=since)
     waited = min(max(0.0, min(until, advised_at) - since), gap - lost)
     costs[Phase.ADVICE] += waited
-    costs[Phase.ROOM] += gap - lost - waited
+    phase = Phase.SHARE if job.is_beyond_share else Phase.ROOM
+    costs[phase] += gap - lost - waited
--- a/src/onyxspoke/account/trails.py
+++ b/src/onyxspoke/account/trails.py
@@ -28,6 +28,8 @@
     started_at: float
     ended_at: float | None = None
     how: str = ""
+    #: For how long its step had waited for its tenant's quota.
+    quota_seconds: float = 0.0
 
 
 @dataclass(slots=True)
@@ -36,6 +38,9 @@
 
     job_id: str
     queue: str = "?"
+    tenant: str = ""
+    #: Its tenant had handed in more than it is owed.
+    is_beyond_share: bool = False
     #: The objective is this many times the work of the longest chain, and the target more.
     stretch: float = 1.0
     target_seconds: float = 0.0
@@ -100,6 +105,8 @@
         if event == "job_taken" and job.taken_at is None:
             job.taken_at = moment
             job.queue = pairs.get("queue", "?")
+            job.tenant = pairs.get("tenant", "")
+            job.is_beyond_share = pairs.get("beyond_share") == "1"
             job.stretch = float(pairs.get("stretch", "1"))
             job.target_seconds = int(pairs.get("target_ms", "0")) / 1_000.0
         elif event == "job_accepted" and job.accepted_at is None:
@@ -115,7 +122,8 @@
         runs = self._job(job_id).runs.setdefault(name, {})
         number = int(pairs.get("run", "0"))
         if event in ("run_start", "run_adopted"):
-            runs.setdefault(number, RunTrail(moment))
+            quota_seconds = int(pairs.get("quota_ms", "0")) / 1_000.0
+            runs.setdefault(number, RunTrail(moment, quota_seconds=quota_seconds))
         elif number in runs and runs[number].ended_at is None:
             if event in ("run_ended", "end_recovered"):
                 runs[number].ended_at, runs[number].how = moment, pairs.get("how", "?")
--- a/src/onyxspoke/cli/account_command.py
+++ b/src/onyxspoke/cli/account_command.py
@@ -45,6 +45,7 @@
         print("account: no job in these logs", file=sys.stderr)
         return ExitCode.FAILED
     _print_queues(accounts)
+    _print_tenants(accounts)
     _print_windows(accounts)
     _print_worst(accounts, arguments.worst)
     if arguments.plot is not None:
@@ -73,6 +74,21 @@
     print_table([*columns, *(f"{phase.value}_s" for phase in Phase)], rows)
 
 
+def _print_tenants(accounts: list[JobAccount]) -> None:
+    """Print the same by tenant, those with most late jobs first, if the logs name any."""
+    tenants = {account.tenant for account in accounts if account.tenant}
+    if not tenants:
+        return
+    rows = [
+        _row({"tenant": name}, [account for account in accounts if account.tenant == name])
+        for name in sorted(tenants)
+    ]
+    rows.sort(key=lambda row: -row[Outcome.LATE.value])
+    print()
+    columns = ["tenant", "jobs", *(item.value for item in Outcome)]
+    print_table([*columns, *(f"{phase.value}_s" for phase in Phase)], rows)
+
+
 def _row(head: dict[str, Any], accounts: list[JobAccount]) -> dict[str, Any]:
     """Return counts by outcome, and the seconds by phase of the late jobs."""
     outcomes = Counter(account.outcome for account in accounts)
--- a/src/onyxspoke/cli/step_commands.py
+++ b/src/onyxspoke/cli/step_commands.py
@@ -25,6 +25,27 @@
     "free_processors_milli",
     "free_memory_mb",
 ]
+_MILLI = 1_000.0
+_TENANT_COLUMNS = [
+    "tenant",
+    "shard",
+    "weight",
+    "running_jobs",
+    "waiting_jobs",
+    "cores",
+    "memory_mb",
+    "accelerators",
+    "of_quota",
+    "over_quota_steps",
+    "owed",
+    "beyond",
+]
+_TENANT_ORDERS = {
+    "used": "cores",
+    "quota": "of_quota",
+    "waiting": "waiting_jobs",
+    "beyond": "beyond",
+}
 _SHARD_COLUMNS = ["shard", "state", "holder", "token", "jobs", "runs"]
 
 
@@ -33,6 +54,12 @@
     node = commands.add_parser("node", help="what a node knows: shards, workers, peers")
     node.add_argument("--json", action="store_true", help="everything, as JSON")
     node.set_defaults(run=_node)
+    tenants = commands.add_parser(
+        "tenants", help="what runs and waits of each tenant, its quota, and what it was owed"
+    )
+    tenants.add_argument("--sort", choices=sorted(_TENANT_ORDERS), default="used")
+    tenants.add_argument("--json", action="store_true", help="everything, as JSON")
+    tenants.set_defaults(run=_tenants)
     steps = commands.add_parser("steps", help="jobs of several steps")
     actions = steps.add_subparsers(metavar="ACTION", required=True)
     submit = actions.add_parser("submit", help="hand a job in from a YAML file")
@@ -65,6 +92,30 @@
     return ExitCode.OK
 
 
+def _tenants(client: ApiClient, arguments: argparse.Namespace) -> ExitCode:
+    answer = client.get("/v1/tenants")
+    if arguments.json:
+        print_json(answer)
+        return ExitCode.OK
+    held = ", ".join(str(shard) for shard in answer["held_shards"]) or "none"
+    print(f"shards held by this node: {held} (of {answer['shard_count']})")
+    rows = [_tenant_row(item) for item in answer["tenants"]]
+    rows.sort(key=lambda row: (-row[_TENANT_ORDERS[arguments.sort]], row["tenant"]))
+    print_table(_TENANT_COLUMNS, rows)
+    return ExitCode.OK
+
+
+def _tenant_row(item: dict[str, Any]) -> dict[str, Any]:
+    shares = [have / most for have, most in zip(item["used"], item["quota"], strict=True) if most]
+    return {
+        **item,
+        "cores": item["used"][0] / _MILLI,
+        "memory_mb": item["used"][1],
+        "accelerators": item["used"][2],
+        "of_quota": max(shares, default=0.0),
+    }
+
+
 def _submit(client: ApiClient, arguments: argparse.Namespace) -> ExitCode:
     try:
         body = yaml.safe_load(arguments.file.read_text(encoding="utf-8"))
--- a/src/onyxspoke/core/jobs/progress.py
+++ b/src/onyxspoke/core/jobs/progress.py
@@ -92,6 +92,10 @@
         When the job was accepted, or the repetition fell due, in the reader's seconds.
     chain_seconds : float
         Estimated work from this step to the end of the job, along the longest chain.
+    over_quota_since : float or None
+        Since when nothing of it may start because its tenant's quota is used up.
+    over_quota_seconds : float
+        For how long that was so before.
     """
 
     __slots__ = (
@@ -105,6 +109,8 @@
         "key",
         "last_number",
         "needs",
+        "over_quota_seconds",
+        "over_quota_since",
         "ready_at",
         "spec",
         "tasks",
@@ -128,6 +134,20 @@
         self.ready_at = now
         self.failed_gang_runs: list[int] = []
         self.last_number = 0
+        self.over_quota_since: float | None = None
+        self.over_quota_seconds = 0.0
+
+    def note_quota(self, is_over: bool, now: float) -> bool:
+        """Take note whether its tenant's quota holds the step back; return whether that is new."""
+        if is_over:
+            is_new = self.over_quota_since is None
+            if is_new:
+                self.over_quota_since = now
+            return is_new
+        if self.over_quota_since is not None:
+            self.over_quota_seconds += now - self.over_quota_since
+            self.over_quota_since = None
+        return False
 
     @property
     def is_done(self) -> bool:
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -58,8 +58,8 @@
         #: When a gang that holds no room is looked at next, at the earliest.
         self._gang_look_at: dict[StepKey, float] = {}
         self._overlooked: list[StepProgress] = []
-        #: Steps that were last looked at when their tenants could start nothing of them.
-        self._over_quota: set[StepKey] = set()
+        #: Steps that came to wait for their tenants' quotas since the last call.
+        self._newly_over_quota: list[StepProgress] = []
 
     def take_evictions(self) -> list[Eviction]:
         """Return the runs that are to give way since the last call."""
@@ -72,6 +72,11 @@
         overlooked, self._overlooked = self._overlooked, []
         return overlooked
 
+    def take_newly_over_quota(self) -> list[StepProgress]:
+        """Return the steps that came to wait for their tenants' quotas since the last call."""
+        steps, self._newly_over_quota = self._newly_over_quota, []
+        return steps
+
     def reconsider(self, key: StepKey) -> None:
         """Look at a step anew: what is known of it has changed."""
         self._blocked_at.pop(key, None)
@@ -95,16 +100,17 @@
         offers = _Offers(self._table)
         changes = _Changes(self._table)
         blocked_at: dict[StepKey, int] = {}
-        was_over_quota, self._over_quota = self._over_quota, set()
         looked_ahead = 0
         count = 0
         for step in sorted(steps, key=lambda item: step_rank(item, policy, now)):
             most = _tasks_within_quota(step, quotas)
+            was_over_quota = step.over_quota_since is not None
+            if step.note_quota(most == 0, now):
+                self._newly_over_quota.append(step)
             if most == 0:
                 self._reservations.drop(step.key)
-                self._over_quota.add(step.key)
                 continue
-            since = None if step.key in was_over_quota else self._blocked_at.get(step.key)
+            since = None if was_over_quota else self._blocked_at.get(step.key)
             if since is not None and now < self._gang_look_at.get(step.key, -math.inf):
                 # What has changed meanwhile is looked at then.
                 blocked_at[step.key] = since
--- a/src/onyxspoke/core/shard/actions.py
+++ b/src/onyxspoke/core/shard/actions.py
@@ -102,6 +102,23 @@
     address: WorkerAddress
 
 
+class JobEnded(msgspec.Struct, frozen=True):
+    """The store has the end of a job; for figures."""
+
+    queue: str
+    tenant: str
+    state: str
+    seconds: float
+
+
+class JobBegun(msgspec.Struct, frozen=True):
+    """A worker has the first run of a job; for figures."""
+
+    queue: str
+    tenant: str
+    seconds: float
+
+
 class StepDownReason(Enum):
     """Why a holder gives its shard up."""
 
@@ -135,6 +152,8 @@
     | AskAdvice
     | ReplyToCall
     | DropWorkerConnections
+    | JobBegun
+    | JobEnded
     | LayoutKnown
     | StepDown
     | Decision
--- a/src/onyxspoke/core/shard/journal.py
+++ b/src/onyxspoke/core/shard/journal.py
@@ -22,7 +22,7 @@
 )
 from onyxspoke.core.jobs.states import JobState
 from onyxspoke.core.placement.workers import WorkerRecord
-from onyxspoke.core.shard.actions import LayoutKnown
+from onyxspoke.core.shard.actions import JobEnded, LayoutKnown
 from onyxspoke.core.shard.context import ShardContext
 from onyxspoke.core.shard.layout import encode_layout, find_layout
 from onyxspoke.core.shard.log_records import (
@@ -132,12 +132,14 @@
             self._context.book.mark_committed(self._job, self._state)
             self._context.wants_placement = True
             if self._state.is_final:
-                self._context.log(
-                    "job_ended",
-                    job=self._job.job_id,
-                    state=self._state.name.lower(),
-                    seconds=round(now - self._job.accepted_at, 3),
-                )
+                self._tell_end(now)
+
+    def _tell_end(self, now: float) -> None:
+        job = self._job
+        state = self._state.name.lower()
+        seconds = round(now - job.accepted_at, 3)
+        self._context.log("job_ended", job=job.job_id, state=state, seconds=seconds)
+        self._context.emit(JobEnded(job.spec.queue.name, job.spec.tenant, state, seconds))
 
 
 def starts_are_recorded(records: list[ShardRecord], former_token: int) -> bool:
--- a/src/onyxspoke/core/shard/run_keeper.py
+++ b/src/onyxspoke/core/shard/run_keeper.py
@@ -9,7 +9,7 @@
 from onyxspoke.core.placement.runs import GangRun, Run
 from onyxspoke.core.placement.spreading import Placement, StepPlacement
 from onyxspoke.core.placement.workers import Worker, WorkerContact, WorkerListing
-from onyxspoke.core.shard.actions import SendStart, SendStop
+from onyxspoke.core.shard.actions import JobBegun, SendStart, SendStop
 from onyxspoke.core.shard.context import ShardContext, address_of
 from onyxspoke.core.shard.orders import (
     CERTAINLY_NOT_DONE,
@@ -122,6 +122,7 @@
             task=_name(run.key),
             run=run.number,
             waited_ms=int((now - task.step.ready_at) * _MILLISECONDS),
+            quota_ms=int(task.step.over_quota_seconds * _MILLISECONDS),
             free_cpu=worker.free_processors,
             look_age_ms=int((now - worker.answered_at) * _MILLISECONDS),
             policy=context.policy.version,
@@ -407,6 +408,13 @@
         run.move_to(RunState.RUNNING)
         run.confirmed_at = now
         run.moved_at = now
+        self._note_begun(run, now)
+
+    def _note_begun(self, run: Run, now: float) -> None:
+        job = run.task.step.job
+        if not job.begun:
+            seconds = now - job.accepted_at
+            self._context.emit(JobBegun(job.spec.queue.name, job.spec.tenant, seconds))
         self._context.book.task_begun(run.task, now)
 
     # Ends
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -321,6 +321,8 @@
             self.runs.start(plan, now)
         for overlooked in self._placer.take_overlooked():
             self._log_overlooked(overlooked, now)
+        for held_back in self._placer.take_newly_over_quota():
+            self._log_over_quota(held_back)
         for eviction in self._placer.take_evictions():
             self.runs.preempt(eviction, now)
         # A long plan was cut off; the rest follows.
@@ -347,6 +349,22 @@
             waited_ms=int((now - step.ready_at) * _MILLISECONDS),
         )
 
+    def _log_over_quota(self, step: StepProgress) -> None:
+        key = step.key
+        tenant = step.job.spec.tenant
+        used = self.context.ledger.used(tenant)
+        policy = self.context.policy.tenants.get(tenant)
+        self.context.log(
+            "step_over_quota",
+            step=f"{key.job_id}.{key.repetition}.{key.step}",
+            tenant=tenant,
+            tasks=len(step.waiting),
+            used_cpu=used.processors_milli,
+            used_mb=used.memory_mb,
+            quota_cpu=policy.quota.processors_milli if policy is not None else 0,
+            quota_mb=policy.quota.memory_mb if policy is not None else 0,
+        )
+
     def _check_fence(self, result: OrderResult) -> bool:
         """Step down if a worker has seen a higher token; return whether to go on."""
         if self.context.is_over:
--- /dev/null
+++ b/src/onyxspoke/core/shard/tenant_summary.py
@@ -0,0 +1,76 @@
+"""What a holder knows of each tenant: what runs, what waits, its quota, and what it was owed."""
+
+from __future__ import annotations
+
+import msgspec
+
+from onyxspoke.core.jobs.model import Needs
+from onyxspoke.core.shard.context import ShardContext
+from onyxspoke.core.tenants.ledger import QuotaPass
+from onyxspoke.core.tenants.policy import TenantName
+
+
+class TenantSummary(msgspec.Struct, kw_only=True):
+    """One tenant in one shard.
+
+    Attributes
+    ----------
+    running_jobs, waiting_jobs : int
+        Open jobs of which something has begun, and of which nothing has.
+    used : Needs
+        What its runs take, those in doubt and being stopped among them.
+    quota : Needs
+        This shard's part of its quota; 0 sets no limit.
+    over_quota_steps : int
+        Steps that wait because its quota is used up.
+    owed, beyond : int
+        Jobs handed in within its weight, and beyond, since this holder began.
+    """
+
+    tenant: TenantName
+    weight: float
+    running_jobs: int = 0
+    waiting_jobs: int = 0
+    used: Needs = Needs()
+    quota: Needs = Needs()
+    over_quota_steps: int = 0
+    owed: int = 0
+    beyond: int = 0
+
+    @property
+    def share_of_quota(self) -> float:
+        """The largest share that it uses of any amount of its quota; 0 where there is no limit."""
+        shares = [have / most for have, most in zip(self.used, self.quota, strict=True) if most]
+        return max(shares, default=0.0)
+
+
+def summarise_tenants(context: ShardContext) -> list[TenantSummary]:
+    """Return what is known of every tenant of the configuration, in order of their names."""
+    policies = context.policy.tenants
+    quotas = QuotaPass(policies, context.ledger, {}, context.shard_count)
+    summaries = {
+        name: TenantSummary(
+            tenant=name,
+            weight=policy.weight,
+            used=context.ledger.used(name),
+            quota=_limits(quotas.part_of(name), policy.quota),
+            owed=context.shares.owed_count(name),
+            beyond=context.shares.beyond_count(name),
+        )
+        for name, policy in policies.items()
+    }
+    for job in context.book.jobs.values():
+        found = summaries.get(job.spec.tenant)
+        if found is None or job.state.is_final:
+            continue
+        if job.begun:
+            found.running_jobs += 1
+        else:
+            found.waiting_jobs += 1
+        found.over_quota_steps += sum(step.over_quota_since is not None for step in job.steps())
+    return [summaries[name] for name in sorted(summaries)]
+
+
+def _limits(part: Needs, quota: Needs) -> Needs:
+    """Return a shard's part of a quota, with 0 where the quota sets no limit."""
+    return Needs(*(own if whole else 0 for own, whole in zip(part, quota, strict=True)))
--- a/src/onyxspoke/core/tenants/shares.py
+++ b/src/onyxspoke/core/tenants/shares.py
@@ -20,6 +20,8 @@
 class _Bucket:
     jobs: float
     filled_at: float
+    owed: int = 0
+    beyond: int = 0
 
 
 class ShareMeter:
@@ -48,10 +50,22 @@
         bucket.jobs = min(most, bucket.jobs + gained)
         bucket.filled_at = now
         if bucket.jobs < 1.0:
+            bucket.beyond += 1
             return False
         bucket.jobs -= 1.0
+        bucket.owed += 1
         return True
 
+    def owed_count(self, name: TenantName) -> int:
+        """Return how many jobs of a tenant were owed to it."""
+        bucket = self._buckets.get(name)
+        return 0 if bucket is None else bucket.owed
+
+    def beyond_count(self, name: TenantName) -> int:
+        """Return how many jobs a tenant handed in beyond its weight."""
+        bucket = self._buckets.get(name)
+        return 0 if bucket is None else bucket.beyond
+
     def keep_only(self, names: set[TenantName]) -> None:
         """Forget tenants that left the configuration."""
         for name in self._buckets.keys() - names:
--- a/src/onyxspoke/node/key_gate.py
+++ b/src/onyxspoke/node/key_gate.py
@@ -15,6 +15,7 @@
 from onyxspoke.core.tenants.keys import Credential, KeyVerdict, judge_key
 from onyxspoke.core.tenants.policy import TenantName
 from onyxspoke.node.configuration_keeper import ConfigurationKeeper
+from onyxspoke.node.metrics import NodeMetrics
 from onyxspoke.ports.clock import Clock
 
 #: Between two looks for keys that are not known, in seconds: four reads a second and node.
@@ -46,6 +47,8 @@
         Calls a function after so many seconds.
     trusted_seconds : float
         For how long keys are gone by without proof that they are the newest.
+    metrics : NodeMetrics
+        Counts verdicts.
     """
 
     def __init__(
@@ -54,7 +57,9 @@
         clock: Clock,
         call_later: Callable[[float, Callable[[], None]], None],
         trusted_seconds: float,
+        metrics: NodeMetrics,
     ) -> None:
+        self._metrics = metrics
         self._configurations = configurations
         self._clock = clock
         self._call_later = call_later
@@ -62,7 +67,6 @@
         self._waiting: list[_Waiting] = []
         self._is_looking = False
         self._look_at = 0.0
-        self.counts: dict[KeyVerdict, int] = dict.fromkeys(KeyVerdict, 0)
 
     def admit(self, credential: Credential, queue: str, on_verdict: OnVerdict) -> None:
         """Tell whose a key is, at once or after a look at the newest configuration."""
@@ -108,7 +112,7 @@
         self._configurations.look(take)
 
     def _tell(self, waiting: _Waiting, verdict: KeyVerdict) -> None:
-        self.counts[verdict] += 1
+        self._metrics.keys.labels(verdict.value).inc()
         tenant = self._configurations.keys.tenant_of(waiting.credential) or ""
         if verdict is not KeyVerdict.ADMITTED:
             age = self._clock.now() - self._configurations.proven_at
--- a/src/onyxspoke/node/metrics.py
+++ b/src/onyxspoke/node/metrics.py
@@ -4,8 +4,13 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+from onyxspoke.core.shard.actions import JobBegun, JobEnded
+
 #: Upper bounds of the histograms' buckets, in seconds.
 BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0)
+#: Tenants that are counted by name; what comes after is counted together.
+MAXIMUM_TENANTS = 100
+OTHER_TENANTS = "(other)"
 CONTENT_TYPE = b"text/plain; version=0.0.4"
 
 
@@ -27,13 +32,18 @@
             buckets=BUCKETS, registry=registry,
         )  # fmt: skip
         self.job_seconds = Histogram(
-            "onyxspoke_job_seconds", "Time from acceptance to the end, by queue and state",
-            ["queue", "state"], buckets=BUCKETS, registry=registry,
+            "onyxspoke_job_seconds", "Time from acceptance to the end, by queue, tenant and state",
+            ["queue", "tenant", "state"], buckets=BUCKETS, registry=registry,
         )  # fmt: skip
         self.wait_seconds = Histogram(
-            "onyxspoke_first_start_seconds", "Time from acceptance to the first start, by queue",
-            ["queue"], buckets=BUCKETS, registry=registry,
+            "onyxspoke_first_start_seconds",
+            "Time from acceptance to the first start, by queue and tenant",
+            ["queue", "tenant"], buckets=BUCKETS, registry=registry,
         )  # fmt: skip
+        self.keys = Counter(
+            "onyxspoke_keys", "Callers' keys, by what was found", ["verdict"], registry=registry
+        )
+        self._tenants: set[str] = set()
         self.holding = Gauge("onyxspoke_shards_held", "Shards held", registry=registry)
         self.ready = Gauge("onyxspoke_ready", "Whether callers are served", registry=registry)
         self.store = Gauge(
@@ -45,6 +55,25 @@
             "onyxspoke_log_lines", "Log lines, by fate", ["fate"], registry=registry
         )
 
+    def note_begun(self, job: JobBegun) -> None:
+        """A job had its first run."""
+        labels = (job.queue, self._tenant_label(job.tenant))
+        self.wait_seconds.labels(*labels).observe(max(0.0, job.seconds))
+
+    def note_ended(self, job: JobEnded) -> None:
+        """A job came to its end."""
+        labels = (job.queue, self._tenant_label(job.tenant), job.state)
+        self.job_seconds.labels(*labels).observe(max(0.0, job.seconds))
+
+    def _tenant_label(self, tenant: str) -> str:
+        """Return the name under which a tenant is counted, of which there are not too many."""
+        if tenant in self._tenants:
+            return tenant
+        if len(self._tenants) >= MAXIMUM_TENANTS:
+            return OTHER_TENANTS
+        self._tenants.add(tenant)
+        return tenant
+
     def set_log_lines(self, written: int, dropped: int) -> None:
         """Take the log's counts."""
         self._lines.labels("written").set(written)
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -117,7 +117,9 @@
         self.configurations.listen(self._set_policy)
         self.store = StoreGateway(ports.store, clock, self.peers.up_links)
         self.router = CallRouter(self._send_call)
-        self.keys = KeyGate(self.configurations, clock, self.retry, settings.key_trust_seconds)
+        self.keys = KeyGate(
+            self.configurations, clock, self.retry, settings.key_trust_seconds, self.metrics
+        )
         self._gate = CallGate(self.router, lambda: self.layout, clock, self.metrics)
         self._store_watch = StoreWatch(self.store, self.peers)
         self._directory = DirectoryHub(ports.directory, clock)
--- a/src/onyxspoke/node/operator_api.py
+++ b/src/onyxspoke/node/operator_api.py
@@ -5,6 +5,7 @@
 GET    /v1/jobs/ID                a job's state
 DELETE /v1/jobs/ID                cancel a job
 GET    /v1/status                 what this node holds or follows, and its workers
+GET    /v1/tenants                what the shards that this node holds know of each tenant
 """
 
 from __future__ import annotations
@@ -28,6 +29,7 @@
     SubmitCall,
     WaitingCall,
 )
+from onyxspoke.core.shard.tenant_summary import TenantSummary, summarise_tenants
 from onyxspoke.net.bounded_http import BoundedSite, HttpLimits
 from onyxspoke.net.http import CodedResource, read_json, write_error, write_json
 from onyxspoke.node.node import Node
@@ -121,6 +123,20 @@
     workers: list[WorkerStatus]
 
 
+class ShardTenant(TenantSummary, kw_only=True):
+    """A tenant, as the holder of one shard knows it."""
+
+    shard: int
+
+
+class TenantsAnswer(msgspec.Struct):
+    """What the shards that a node holds know of each tenant, and how many shards there are."""
+
+    held_shards: list[int]
+    shard_count: int
+    tenants: list[ShardTenant]
+
+
 _decoder = msgspec.json.Decoder(JobBody)
 
 
@@ -130,6 +146,7 @@
     version.putChild(b"queues", QueuesResource(node))
     version.putChild(b"jobs", JobsResource(node))
     version.putChild(b"status", StatusResource(node))
+    version.putChild(b"tenants", TenantsResource(node))
     root = CodedResource()
     root.putChild(b"v1", version)
     return BoundedSite(root, reactor, HttpLimits())
@@ -192,6 +209,36 @@
         write_json(request, describe_node(self._node))
 
 
+class TenantsResource(CodedResource):
+    """``/v1/tenants``."""
+
+    isLeaf = True
+
+    def __init__(self, node: Node) -> None:
+        super().__init__()
+        self._node = node
+
+    def handle_get(self, request: Request) -> None:
+        """Tell what the shards held here know of each tenant."""
+        write_json(request, describe_tenants(self._node))
+
+
+def describe_tenants(node: Node) -> TenantsAnswer:
+    """Return what the shards that a node holds know of each tenant."""
+    held = {
+        shard: seat.scheduler.context
+        for shard, seat in node.seats.items()
+        if seat.is_holding and seat.scheduler is not None
+    }
+    tenants = [
+        ShardTenant(shard=shard, **msgspec.structs.asdict(summary))
+        for shard, context in held.items()
+        for summary in summarise_tenants(context)
+    ]
+    shard_count = node.layout.shard_count if node.layout is not None else 0
+    return TenantsAnswer(held_shards=list(held), shard_count=shard_count, tenants=tenants)
+
+
 def describe_node(node: Node) -> NodeStatus:
     """Return what a node knows."""
     configuration = node.configuration
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -13,6 +13,8 @@
     AskAdvice,
     Decision,
     DropWorkerConnections,
+    JobBegun,
+    JobEnded,
     LayoutKnown,
     ReplyToCall,
     SendAppend,
@@ -161,6 +163,8 @@
             AskAdvice: lambda _scheduler, action: listener.ask_advice(shard, action),
             ReplyToCall: self._reply,
             LayoutKnown: lambda _scheduler, action: listener.handle_layout(action.layout),
+            JobBegun: lambda _scheduler, action: metrics.note_begun(action),
+            JobEnded: lambda _scheduler, action: metrics.note_ended(action),
             DropWorkerConnections: lambda _scheduler, action: orders.drop(action.address),
             StepDown: lambda _scheduler, action: self.step_down(action.reason),
         }
