--- a/features/steps/differential_steps.py
+++ b/features/steps/differential_steps.py
@@ -32,7 +32,7 @@
 from onyxspoke.core.waiting_queue import WaitingQueue
 from onyxspoke.core.worker_table import WorkerTable
 from onyxspoke.kit.hollow_work import digest_of
-from onyxspoke.scale.naive_placement import choose_worker
+from onyxspoke.kit.naive_placement import choose_worker
 from onyxspoke.settings_file import load_settings
 from onyxspoke.sim.callers import Callers
 from onyxspoke.sim.cell import SimulatedCell
--- a/scripts/bench_placement.py
+++ b/scripts/bench_placement.py
@@ -22,8 +22,7 @@
     TaskClass,
 )
 from onyxspoke.core.worker_table import WorkerTable
-from onyxspoke.scale.naive_placement import choose_worker
-from onyxspoke.scale.state_cost import resident_bytes
+from onyxspoke.kit.naive_placement import choose_worker
 
 RUN = Path(__file__).resolve().parent.parent / "run"
 SIZES = (24, 1_000, 15_000)
@@ -66,6 +65,15 @@
 )
 
 
+_PAGE_BYTES = 4_096
+
+
+def resident_bytes() -> int:
+    """Return the resident memory of this process."""
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * _PAGE_BYTES
+
+
 def make_table(count: int) -> WorkerTable:
     """Return a table of so many free workers."""
     table = WorkerTable()
--- a/src/onyxspoke/scale/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Measured slopes of cost, and the capacity page worked out from them."""
--- a/src/onyxspoke/sim/__init__.py
+++ b/src/onyxspoke/sim/__init__.py
@@ -1,1 +1,1 @@
-"""Deterministic simulation and scale measurements of the core."""
+"""Deterministic simulation."""
