--- a/features/steps/election_steps.py
+++ b/features/steps/election_steps.py
@@ -6,9 +6,9 @@
 
 from behave import given, then, when
 
-from onyxspoke.core.shard.election import (
+from onyxspoke.core.shard.election import Election
+from onyxspoke.core.shard.election_actions import (
     ConnectToHolder,
-    Election,
     ElectionState,
     HolderChanged,
     LossReason,
--- a/features/steps/job_promise_steps.py
+++ b/features/steps/job_promise_steps.py
@@ -15,7 +15,7 @@
 from onyxspoke.core.placement.workers import Worker
 from onyxspoke.core.shard import scheduler
 from onyxspoke.core.shard.commit import CommitQueue
-from onyxspoke.core.shard.run_keeper import RunKeeper
+from onyxspoke.core.shard.run_starter import RunStarter
 from onyxspoke.core.shard.worker_keeper import WorkerKeeper
 from onyxspoke.kit.jobs.workers import FakeWorker
 from onyxspoke.sim.explore_jobs import JobRunReport, play
@@ -56,15 +56,15 @@
 
 @contextmanager
 def _without_commit_before_start() -> Iterator[None]:
-    original = RunKeeper.start
+    original = RunStarter.start
 
-    def start(keeper: RunKeeper, plan: StepPlacement, now: float) -> None:
-        original(keeper, plan, now)
-        keeper.order_starts([item.task.run for item in plan.placements if item.task.run], now)
+    def start(starter: RunStarter, plan: StepPlacement, now: float) -> None:
+        original(starter, plan, now)
+        starter.order_starts([item.task.run for item in plan.placements if item.task.run], now)
 
     with (
         mock.patch.object(StepProgress, "is_startable", property(_start_before_commit)),
-        mock.patch.object(RunKeeper, "start", start),
+        mock.patch.object(RunStarter, "start", start),
     ):
         yield
 
--- a/features/steps/large_cell_steps.py
+++ b/features/steps/large_cell_steps.py
@@ -11,7 +11,7 @@
 from onyxspoke.core.jobs.model import JobSpec, StepSpec
 from onyxspoke.core.placement.placer import Placer
 from onyxspoke.core.shard.calls import CallReply, ReplyCode, SubmitCall
-from onyxspoke.core.shard.election import NodeIdentity
+from onyxspoke.core.shard.election_actions import NodeIdentity
 from onyxspoke.core.shard.store_budget import StoreBudget
 from onyxspoke.kit.jobs.workers import WorkOptions
 from onyxspoke.node.messages import ConfigurationCopy, NodeMessage
--- a/features/steps/slow_link_steps.py
+++ b/features/steps/slow_link_steps.py
@@ -9,7 +9,7 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
-from onyxspoke.core.shard.election import NodeIdentity
+from onyxspoke.core.shard.election_actions import NodeIdentity
 from onyxspoke.net.http_client import HttpAnswer, HttpClient, encode_request
 from onyxspoke.net.stream import encode_message
 from onyxspoke.node.configuration_keeper import ConfigurationKeeper
--- a/src/onyxspoke/cli/node.py
+++ b/src/onyxspoke/cli/node.py
@@ -21,7 +21,7 @@
 
 from onyxspoke.cli.process import ProcessRunner, configure_logging, make_parser, use_steady_timers
 from onyxspoke.core.codes import ExitCode
-from onyxspoke.core.shard.election import NodeIdentity
+from onyxspoke.core.shard.election_actions import NodeIdentity
 from onyxspoke.net.bounded_http import BoundedSite, HttpLimits
 from onyxspoke.net.http import CodedResource
 from onyxspoke.net.http_client import HttpClient
--- a/src/onyxspoke/core/jobs/progress.py
+++ b/src/onyxspoke/core/jobs/progress.py
@@ -292,3 +292,13 @@
         for earlier in step.depends_on:
             after[earlier] = max(after[earlier], chains[number])
     return chains
+
+
+def checkpoint_of(task: TaskProgress) -> str:
+    """Return from where a start resumes; empty for the beginning."""
+    return checkpoint_holder(task).checkpoint if task.step.spec.checkpointing else ""
+
+
+def checkpoint_holder(task: TaskProgress) -> TaskProgress:
+    """Return the task that keeps the checkpoint; of a gang, the first one for all."""
+    return task.step.tasks[0] if task.step.spec.gang else task
--- a/src/onyxspoke/core/placement/gang_placer.py
+++ b/src/onyxspoke/core/placement/gang_placer.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from onyxspoke.core.jobs.model import AdvicePolicy, QueuePolicy
-from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.placement.advice_choice import FEWEST_ASKED, AdviceChooser
 from onyxspoke.core.placement.advice_desk import AdviceDesk, StepAdvice
 from onyxspoke.core.placement.offer import Offer, has_label
+from onyxspoke.core.placement.placement_pass import PlacementPass
 from onyxspoke.core.placement.preemption import Preemption, choose_preemption, freed_soon
 from onyxspoke.core.placement.queue_order import step_rank_of
 from onyxspoke.core.placement.reservations import MemberSlots, RoomReservations, can_ever_fit
@@ -55,33 +55,33 @@
         step: StepProgress,
         queue: QueuePolicy,
         offer: Offer,
-        room: ScratchRoom,
-        policy: PolicySet,
-        now: float,
+        current: PlacementPass,
     ) -> StepPlacement | None:
-        """Return where a gang starts now, or ``None``; then room may be held for it."""
+        """Return where a gang starts current.now, or ``None``; then room may be held for it."""
         if len(step.waiting) < len(step.tasks):
             return None
         advice = self._desk.advice_on(step) if queue.advice is not None else None
-        workers = _workers_for_gang(step, advice, offer, now)
-        slots = _slots_of(step, workers, room, now)
+        workers = _workers_for_gang(step, advice, offer, current.now)
+        slots = _slots_of(step, workers, current.room, current.now)
         usable = slots
         if advice is not None:
             held = advice.tickets
-            usable = [item for item in slots if now < held[item.worker.worker_id].use_before]
-        members = _choose_for_gang(step, usable, now)
+            usable = [
+                item for item in slots if current.now < held[item.worker.worker_id].use_before
+            ]
+        members = _choose_for_gang(step, usable, current.now)
         if members is not None:
             self._reservations.drop(step.key)
-            return _start_gang(step, members, advice, room)
+            return _start_gang(step, members, advice, current.room)
         may_hold = self._reservations.holds(step.key) or self._reservations.is_within_share(
             offer.processors_milli
         )
         if may_hold and can_ever_fit(step, workers):
-            slots = self._room_to_hold(step, queue, workers, slots, room, policy, now)
-            self._reservations.hold(step, slots, room, now)
+            slots = self._room_to_hold(step, queue, workers, slots, current)
+            self._reservations.hold(step, slots, current.room, current.now)
         else:
             self._reservations.drop(step.key)
-        self._ask(step, queue, offer, slots, room, now)
+        self._ask(step, queue, offer, slots, current)
         return None
 
     def _ask(
@@ -90,17 +90,20 @@
         queue: QueuePolicy,
         offer: Offer,
         slots: list[MemberSlots],
-        room: ScratchRoom,
-        now: float,
+        current: PlacementPass,
     ) -> None:
         """Ask for the tickets that are missing to use the room that there is, or will be soon."""
         if queue.advice is None:
             return
         advice = self._desk.advice_on(step)
         if not advice.is_asking:
-            chooser = AdviceChooser(step, offer, room, self._desk.good_share(queue.name))
-            ask = _workers_to_ask_for_gang(step, queue.advice, advice, offer, slots, chooser, now)
-            self._desk.want(step, queue.advice, ask, step_rank_of(step, queue, now), now)
+            chooser = AdviceChooser(step, offer, current.room, self._desk.good_share(queue.name))
+            ask = _workers_to_ask_for_gang(
+                step, queue.advice, advice, offer, slots, chooser, current.now
+            )
+            self._desk.want(
+                step, queue.advice, ask, step_rank_of(step, queue, current.now), current.now
+            )
 
     def _room_to_hold(
         self,
@@ -108,9 +111,7 @@
         queue: QueuePolicy,
         workers: list[Worker],
         slots: list[MemberSlots],
-        room: ScratchRoom,
-        policy: PolicySet,
-        now: float,
+        current: PlacementPass,
     ) -> list[MemberSlots]:
         """Return the room to hold: what there is, what comes in a moment, what others leave."""
         members = len(step.tasks)
@@ -118,13 +119,13 @@
         missing = members - _total(held)
         if missing <= 0:
             return held
-        soon = _first_members(_slots_soon(step, workers, room, now), missing)
+        soon = _first_members(_slots_soon(step, workers, current.room, current.now), missing)
         held += soon
         missing -= _total(soon)
-        if missing > 0 and self._may_others_give_way(step, queue, now):
+        if missing > 0 and self._may_others_give_way(step, queue, current.now):
             busy = {item.worker.worker_id for item in soon}
             idle = [worker for worker in workers if worker.worker_id not in busy]
-            held += self._make_room(step, queue, idle, missing, room, policy, now)
+            held += self._make_room(step, queue, idle, missing, current)
         return held
 
     def _may_others_give_way(self, step: StepProgress, queue: QueuePolicy, now: float) -> bool:
@@ -143,9 +144,7 @@
         queue: QueuePolicy,
         workers: list[Worker],
         missing: int,
-        room: ScratchRoom,
-        policy: PolicySet,
-        now: float,
+        current: PlacementPass,
     ) -> list[MemberSlots]:
         """Have runs of later queues give way for all missing members, or none of them.
 
@@ -157,7 +156,9 @@
         chosen: list[Preemption] = []
         left = list(workers)
         while len(chosen) < missing:
-            found = choose_preemption(queue.priority, step.needs, left, room, policy, now)
+            found = choose_preemption(
+                queue.priority, step.needs, left, current.room, current.policy, current.now
+            )
             if found is None:
                 return []
             chosen.append(found)
--- /dev/null
+++ b/src/onyxspoke/core/placement/placement_pass.py
@@ -0,0 +1,31 @@
+"""What the parts of one pass of placement share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from onyxspoke.core.jobs.policy import PolicySet
+from onyxspoke.core.placement.room import ScratchRoom
+from onyxspoke.core.tenants.ledger import QuotaPass
+
+
+@dataclass(slots=True)
+class PlacementPass:
+    """One pass over the waiting steps.
+
+    Attributes
+    ----------
+    policy : PolicySet
+        The configuration in force.
+    quotas : QuotaPass
+        What tenants may still start.
+    now : float
+        The moment of the pass.
+    room : ScratchRoom
+        What the pass has taken or held so far.
+    """
+
+    policy: PolicySet
+    quotas: QuotaPass
+    now: float
+    room: ScratchRoom = field(default_factory=ScratchRoom)
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -11,6 +11,7 @@
 from onyxspoke.core.placement.advice_desk import AdviceDesk, StepAdvice
 from onyxspoke.core.placement.gang_placer import GangPlacer
 from onyxspoke.core.placement.offer import Offer, has_label
+from onyxspoke.core.placement.placement_pass import PlacementPass
 from onyxspoke.core.placement.queue_order import step_rank, step_rank_of
 from onyxspoke.core.placement.reservations import RoomReservations
 from onyxspoke.core.placement.room import ScratchRoom
@@ -95,7 +96,7 @@
         self._table.note_availability(now)
         self._forget_others({step.key for step in steps})
         plan: list[StepPlacement] = []
-        room = ScratchRoom()
+        current = PlacementPass(policy, quotas, now)
         self._seeker.begin_pass(now)
         offers = _Offers(self._table)
         changes = _Changes(self._table)
@@ -121,12 +122,10 @@
             if is_new or is_due:
                 queue = policy.queue_of(step.job.spec)
                 offer = offers.of(queue.service)
-                placed = self._place_step(step, queue, offer, room, policy, most, now)
+                placed = self._place_step(step, queue, offer, current, most)
                 self._look_again_at[step.key] = now + SWEEP_SECONDS
                 if may_look_ahead:
-                    looked_ahead += self._look_ahead(
-                        step, queue, placed, offer, room, policy, most, now
-                    )
+                    looked_ahead += self._look_ahead(step, queue, placed, offer, current, most)
                 elif placed is not None and not is_new:
                     self._overlooked.append(step)
                 if placed is not None:
@@ -136,7 +135,7 @@
                     if count >= MAXIMUM_PLACEMENTS:
                         return plan
             else:
-                self._reservations.hold_again(step, room)
+                self._reservations.hold_again(step, current.room)
             blocked_at[step.key] = self._table.change_number
         self._blocked_at = blocked_at
         return plan
@@ -153,31 +152,33 @@
         step: StepProgress,
         queue: QueuePolicy,
         offer: Offer,
-        room: ScratchRoom,
-        policy: PolicySet,
+        current: PlacementPass,
         most: int,
-        now: float,
     ) -> StepPlacement | None:
         if step.spec.gang:
-            placed = self._gangs.place(step, queue, offer, room, policy, now)
+            placed = self._gangs.place(step, queue, offer, current)
             if placed is None and not self._reservations.holds(step.key):
-                self._gang_look_at[step.key] = now + GANG_PAUSE_SECONDS
+                self._gang_look_at[step.key] = current.now + GANG_PAUSE_SECONDS
             else:
                 self._gang_look_at.pop(step.key, None)
             return placed
         may_fit = offer.may_fit(step.needs)
-        candidates = self._candidates(step, queue, offer, now)
+        candidates = self._candidates(step, queue, offer, current.now)
         if queue.advice is not None:
             advice = self._desk.advice_on(step)
             if not advice.is_asking:
-                chooser = AdviceChooser(step, offer, room, self._desk.good_share(queue.name))
+                chooser = AdviceChooser(
+                    step, offer, current.room, self._desk.good_share(queue.name)
+                )
                 ask = _workers_to_ask(
-                    step, queue.advice, advice, chooser, candidates, room, most, now
+                    step, queue.advice, advice, chooser, candidates, current.room, most, current.now
+                )
+                self._desk.want(
+                    step, queue.advice, ask, step_rank_of(step, queue, current.now), current.now
                 )
-                self._desk.want(step, queue.advice, ask, step_rank_of(step, queue, now), now)
         if not may_fit or not candidates:
             return None
-        return place_tasks(step, candidates, room, most, now)
+        return place_tasks(step, candidates, current.room, most, current.now)
 
     def _candidates(
         self, step: StepProgress, queue: QueuePolicy, offer: Offer, now: float
@@ -195,16 +196,14 @@
         queue: QueuePolicy,
         placed: StepPlacement | None,
         offer: Offer,
-        room: ScratchRoom,
-        policy: PolicySet,
+        current: PlacementPass,
         most: int,
-        now: float,
     ) -> int:
         """Look after a step of which tasks still wait for room; return 1 if that was so, or 0."""
         if placed is not None and len(placed.placements) == min(most, len(step.waiting)):
             self._reservations.drop(step.key)
             return 0
-        self._look_again_at[step.key] = now + LOOK_AGAIN_SECONDS
+        self._look_again_at[step.key] = current.now + LOOK_AGAIN_SECONDS
         advice = self._desk.advice_on(step) if queue.advice is not None else None
         counts = counts_on_workers(step)
         if advice is None:
@@ -215,11 +214,11 @@
             worker
             for worker in offered
             if has_label(worker, step)
-            and not worker.health.is_doubtful(now)
+            and not worker.health.is_doubtful(current.now)
             and counts.get(worker.worker_id, 0) < (step.spec.spread_limit or len(step.tasks))
         ]
         total = offer.processors_milli
-        self._seeker.seek(step, queue, workers, total, room, policy, now)
+        self._seeker.seek(step, queue, workers, total, current)
         return 1
 
 
--- a/src/onyxspoke/core/placement/room_seeker.py
+++ b/src/onyxspoke/core/placement/room_seeker.py
@@ -10,14 +10,13 @@
 from dataclasses import dataclass
 
 from onyxspoke.core.jobs.model import QueuePolicy
-from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.placement.advice_desk import AdviceDesk
 from onyxspoke.core.placement.forecast import RoomForecast
+from onyxspoke.core.placement.placement_pass import PlacementPass
 from onyxspoke.core.placement.preemption import Preemption, choose_preemption
 from onyxspoke.core.placement.queue_order import Lateness, step_rank_of
 from onyxspoke.core.placement.reservations import MemberSlots, RoomReservations
-from onyxspoke.core.placement.room import ScratchRoom
 from onyxspoke.core.placement.workers import Worker
 
 #: Room that is expected within so long is held, in seconds.
@@ -66,14 +65,12 @@
         queue: QueuePolicy,
         workers: list[Worker],
         total_processors_milli: int,
-        room: ScratchRoom,
-        policy: PolicySet,
-        now: float,
+        current: PlacementPass,
     ) -> None:
         """Look after a step; ``workers`` are those that may run it, room or not."""
         needs = step.needs
         forecasts = sorted(
-            (self._forecast.room_expected_at(worker, needs, room), worker.worker_id)
+            (self._forecast.room_expected_at(worker, needs, current.room), worker.worker_id)
             for worker in workers
         )
         if not forecasts:
@@ -82,15 +79,15 @@
         by_id = {worker.worker_id: worker for worker in workers}
         soonest_at, soonest_id = forecasts[0]
         soonest = by_id[soonest_id]
-        if soonest_at - now > GAIN_SECONDS:
-            made = self._make_room(step, queue, workers, room, policy, now)
+        if soonest_at - current.now > GAIN_SECONDS:
+            made = self._make_room(step, queue, workers, current)
             if made is not None:
-                soonest, soonest_at = made, now + self._stop_seconds
+                soonest, soonest_at = made, current.now + self._stop_seconds
         may_hold = self._reservations.holds(step.key) or self._reservations.is_within_share(
             total_processors_milli
         )
-        if may_hold and soonest_at - now <= HOLD_AHEAD_SECONDS:
-            self._reservations.hold(step, [MemberSlots(soonest, 1)], room, now)
+        if may_hold and soonest_at - current.now <= HOLD_AHEAD_SECONDS:
+            self._reservations.hold(step, [MemberSlots(soonest, 1)], current.room, current.now)
         else:
             self._reservations.drop(step.key)
 
@@ -99,25 +96,25 @@
         step: StepProgress,
         queue: QueuePolicy,
         workers: list[Worker],
-        room: ScratchRoom,
-        policy: PolicySet,
-        now: float,
+        current: PlacementPass,
     ) -> Worker | None:
         """Have later queues give way; return where, or ``None`` if that does not help."""
-        rank = step_rank_of(step, queue, now)
+        rank = step_rank_of(step, queue, current.now)
         if rank.is_beyond_share or rank.lateness is Lateness.EXPIRED:
             return None
         if queue.advice is not None:
             tickets = self._desk.advice_on(step).tickets
-            usable_until = now + self._stop_seconds + TICKET_RESERVE_SECONDS
+            usable_until = current.now + self._stop_seconds + TICKET_RESERVE_SECONDS
             ready = [
                 worker for worker in workers if tickets[worker.worker_id].use_before > usable_until
             ]
             if not ready:
-                self._ask_for(step, queue, workers, now)
+                self._ask_for(step, queue, workers, current.now)
                 return None
             workers = ready
-        found = choose_preemption(queue.priority, step.needs, workers, room, policy, now)
+        found = choose_preemption(
+            queue.priority, step.needs, workers, current.room, current.policy, current.now
+        )
         if found is None:
             return None
         self.evictions.append(Eviction(step, found))
--- a/src/onyxspoke/core/placement/runs.py
+++ b/src/onyxspoke/core/placement/runs.py
@@ -11,6 +11,13 @@
 if TYPE_CHECKING:
     from onyxspoke.core.placement.workers import Worker
 
+#: A run without progress for so long, in seconds, and this share of its estimate, stands still.
+STALL_SECONDS = 1.6
+STALL_ESTIMATE_SHARE = 0.2
+#: A gang may take so much longer to begin, in seconds.
+GANG_START_SECONDS = 3.0
+_MILLISECONDS = 1_000.0
+
 
 class GangRun:
     """One run of a whole gang: its members share the number.
@@ -124,3 +131,26 @@
         if state is not self.state:
             check_run_transition(self.state, state)
             self.state = state
+
+
+def is_stalled(run: Run, seen_at: float) -> bool:
+    """Return whether a run has made no progress for longer than a slow worker would take.
+
+    ``seen_at`` is when its progress was last told.  Tasks that run until they are stopped
+    tell no progress; members of a gang wait for each other at the start and at the end.
+    """
+    step = run.task.step.spec
+    if step.long_running or not run.confirmed_at:
+        return False
+    bound = STALL_SECONDS + STALL_ESTIMATE_SHARE * step.estimated_ms / _MILLISECONDS
+    moved_at = run.moved_at
+    if run.gang is not None:
+        moved_at = max(member.moved_at for member in run.gang.members)
+        bound += GANG_START_SECONDS if run.percent == 0 else 0.0
+    return seen_at - moved_at > bound
+
+
+def run_name(key: RunKey) -> str:
+    """Return how a run's task is named in logs."""
+    task = key.task
+    return f"{task.job_id}.{task.repetition}.{task.step}.{task.task_index}"
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -46,6 +46,8 @@
 from onyxspoke.core.shard.pace_keeper import PaceKeeper
 from onyxspoke.core.shard.quota_desk import QuotaDesk
 from onyxspoke.core.shard.run_keeper import RunKeeper
+from onyxspoke.core.shard.run_reports import RunReports
+from onyxspoke.core.shard.run_starter import RunStarter
 from onyxspoke.core.shard.worker_keeper import WorkerKeeper
 from onyxspoke.core.shard.worker_register import WorkerRegister
 from onyxspoke.core.tenants.bank import QuotaRequest
@@ -94,10 +96,12 @@
         self.context = ShardContext(options, claim.token, shard)
         self._options = options
         self.runs = RunKeeper(self.context)
+        self._starter = RunStarter(self.context, self.runs)
+        reports = RunReports(self.context, self.runs)
         self.register = WorkerRegister(
             self.context, former_orders_until=claimed_at + options.proof_seconds
         )
-        self.workers = WorkerKeeper(self.context, self.runs, self.register)
+        self.workers = WorkerKeeper(self.context, self.runs, reports, self.register)
         self.quotas = QuotaDesk(self.context)
         self._calls = CallDesk(self.context, self.runs, self.quotas)
         self._paces = PaceKeeper(self.context)
@@ -206,7 +210,7 @@
         if self._check_fence(result):
             worker = self.context.table.workers.get(worker_id)
             if worker is not None:
-                self.runs.handle_start_result(worker, run, result, now)
+                self._starter.handle_start_result(worker, run, result, now)
                 if result.outcome is OrderOutcome.NO_ANSWER:
                     self.workers.note_answer_lost(now)
 
@@ -323,7 +327,7 @@
         self._next_placement_at = now + min(pause, LONGEST_PLACEMENT_PAUSE_SECONDS)
         plans = self._placer.plan(steps, context.policy, self.quotas.begin_pass(), now)
         for plan in plans:
-            self.runs.start(plan, now)
+            self._starter.start(plan, now)
         for overlooked in self._placer.take_overlooked():
             self._log_overlooked(overlooked, now)
         for held_back in self._placer.take_newly_over_quota():
--- a/src/onyxspoke/core/shard/worker_keeper.py
+++ b/src/onyxspoke/core/shard/worker_keeper.py
@@ -14,6 +14,7 @@
 from onyxspoke.core.shard.context import ShardContext, address_of
 from onyxspoke.core.shard.orders import HoldResult, OrderOutcome
 from onyxspoke.core.shard.run_keeper import RunKeeper
+from onyxspoke.core.shard.run_reports import RunReports
 from onyxspoke.core.shard.worker_register import WorkerRegister
 
 #: Pause between looks at a worker that does not answer.
@@ -43,14 +44,23 @@
     context : ShardContext
         State of the holder.
     runs : RunKeeper
+        Ends what is certainly over.
+    reports : RunReports
         Takes in what workers list.
     register : WorkerRegister
         Which workers there are.
     """
 
-    def __init__(self, context: ShardContext, runs: RunKeeper, register: WorkerRegister) -> None:
+    def __init__(
+        self,
+        context: ShardContext,
+        runs: RunKeeper,
+        reports: RunReports,
+        register: WorkerRegister,
+    ) -> None:
         self._context = context
         self._runs = runs
+        self._reports = reports
         self._register = register
         self._settled_once = False
         self._hold_counter = 0
@@ -134,11 +144,11 @@
         worker.misses = 0
         worker.answered_at = now
         was_settled = worker.contact is WorkerContact.SETTLED
-        self._runs.reconcile(worker, result, sent_at, now)
+        self._reports.reconcile(worker, result, sent_at, now)
         if not was_settled:
             self._settle(worker, result, now)
         if result.is_whole:
-            self._runs.settle_worker(worker, now)
+            self._reports.settle_worker(worker, now)
         self._after_answer(worker, now)
 
     def _settle(self, worker: Worker, result: HoldResult, now: float) -> None:
@@ -188,7 +198,7 @@
         worker.move_to(WorkerContact.OVER)
         self._log(worker, "worker_over", reason=reason, runs=len(worker.runs))
         self._runs.abandon_all(worker, now)
-        self._runs.settle_worker(worker, now)
+        self._reports.settle_worker(worker, now)
         self._context.wants_placement = True
         if reason == "other_life":
             worker.listing = WorkerListing.GONE
--- a/src/onyxspoke/node/messages.py
+++ b/src/onyxspoke/node/messages.py
@@ -4,7 +4,7 @@
 
 from onyxspoke.core.jobs.model import StepKey, WorkerId
 from onyxspoke.core.shard.calls import Call, CallReply
-from onyxspoke.core.shard.election import NodeIdentity
+from onyxspoke.core.shard.election_actions import NodeIdentity
 from onyxspoke.core.shard.log_records import (
     AppendResult,
     ClaimRecord,
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -15,7 +15,7 @@
 
 from onyxspoke.core.shard.actions import AskAdvice, StepDownReason
 from onyxspoke.core.shard.calls import Call, CallReply, QuotaCall, ReplyCode
-from onyxspoke.core.shard.election import LossReason, NodeIdentity
+from onyxspoke.core.shard.election_actions import LossReason, NodeIdentity
 from onyxspoke.core.shard.layout import FIRST_SHARD, CellLayout
 from onyxspoke.core.shard.log_records import ClaimRecord, ShardId
 from onyxspoke.core.shard.orders import AdviceResult
--- a/src/onyxspoke/node/peers.py
+++ b/src/onyxspoke/node/peers.py
@@ -12,7 +12,7 @@
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 
-from onyxspoke.core.shard.election import LossReason, NodeIdentity
+from onyxspoke.core.shard.election_actions import LossReason, NodeIdentity
 from onyxspoke.net.network import Network
 from onyxspoke.net.stream import MessageStream
 from onyxspoke.node.messages import Hello, NodeMessage
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -29,10 +29,10 @@
 )
 from onyxspoke.core.shard.calls import Call, CallReply, QuotaCall, ReplyCode
 from onyxspoke.core.shard.context import ShardOptions
-from onyxspoke.core.shard.election import (
+from onyxspoke.core.shard.election import Election
+from onyxspoke.core.shard.election_actions import (
     BecomeHolder,
     ConnectToHolder,
-    Election,
     ElectionNote,
     ElectionState,
     HolderChanged,
--- a/src/onyxspoke/node/succession.py
+++ b/src/onyxspoke/node/succession.py
@@ -5,7 +5,7 @@
 import zlib
 from dataclasses import dataclass
 
-from onyxspoke.core.shard.election import NodeIdentity
+from onyxspoke.core.shard.election_actions import NodeIdentity
 from onyxspoke.core.shard.log_records import ShardId
 from onyxspoke.net.stream import encode_message
 from onyxspoke.node.messages import Members
--- a/src/onyxspoke/sim/job_cluster.py
+++ b/src/onyxspoke/sim/job_cluster.py
@@ -15,7 +15,7 @@
 from onyxspoke.core.placement.workers import WorkerListing, WorkerRecord
 from onyxspoke.core.shard.calls import Call, CallReply
 from onyxspoke.core.shard.context import ShardOptions
-from onyxspoke.core.shard.election import NodeIdentity
+from onyxspoke.core.shard.election_actions import NodeIdentity
 from onyxspoke.core.shard.store_budget import StoreBudget
 from onyxspoke.core.tenants.keys import KeyRing
 from onyxspoke.core.tenants.policy import TenantName, TenantPolicy
