Callers whose key is looked for count at a planned stop; doubts from the tasks that are in doubt

A stop could have ended the process while a caller waited for the look at the newest configuration: open_call_count counts both.

--- a/features/steps/tenant_steps.py
+++ b/features/steps/tenant_steps.py
@@ -123,6 +123,18 @@
     _ask(context, "POST", header, queue, SMALL_JOB)
 
 
+@when('a caller shows "{header}" and waits for {seconds:g} seconds')
+def _shows_and_waits(context: Any, header: str, seconds: float) -> None:
+    context.exchange = _request(context, "POST", header, body=SMALL_JOB)
+    context.cluster.run(seconds)
+
+
+@then("{count:d} call is open at the node")
+@then("{count:d} calls are open at the node")
+def _open_calls(context: Any, count: int) -> None:
+    assert context.simulated.node.open_call_count == count
+
+
 @when('a caller of "{tenant}" hands a job in')
 @when('a caller of "{tenant}" hands the job in')
 def _hands_in(context: Any, tenant: str) -> None:
--- a/features/tenants.feature
+++ b/features/tenants.feature
@@ -105,6 +105,14 @@
     Then the front's answer has status 503 and code 313
     And the front's answer says when to come back
 
+  Scenario: A caller whose key is being looked for counts as one that is not answered yet
+    Given a cell whose callers need keys
+    And the store is silent
+    When a caller shows "Token key-of-nobody" and waits for 0.1 seconds
+    Then 1 call is open at the node
+    When 1.5 seconds pass in the cluster
+    Then 0 calls are open at the node
+
   Scenario: A key that was withdrawn is turned away
     Given a cell whose callers need keys
     When the key of "large" is withdrawn, and 0.1 seconds pass
--- a/src/onyxspoke/cli/node.py
+++ b/src/onyxspoke/cli/node.py
@@ -226,7 +226,7 @@
     service = NodeService(node, settings.node, TcpEndpoints(reactor, CONNECT_SECONDS), lines)
     runner = ProcessRunner(service)
 
-    stop = PlannedStop(node, reactor, lambda: len(node.router), runner.stop)
+    stop = PlannedStop(node, reactor, lambda: node.open_call_count, runner.stop)
 
     def handle_terminate(_signal: int, _frame: object) -> None:
         cast("IReactorFromThreads", reactor).callFromThread(stop.begin)
--- a/src/onyxspoke/core/jobs/book.py
+++ b/src/onyxspoke/core/jobs/book.py
@@ -174,6 +174,15 @@
         """Return the workers that may run tasks which are in doubt."""
         return list(self._doubted_on)
 
+    def tasks_in_doubt(self) -> Iterator[TaskProgress]:
+        """Return the tasks that a former holder may have started and no worker has shown yet."""
+        if self.starts_are_recorded:
+            tasks = (task for tasks in self._doubted_on.values() for task in tasks)
+        else:
+            steps = (step for job in self.jobs.values() for step in job.steps() if step.in_doubt)
+            tasks = (task for step in steps for task in step.tasks)
+        return (task for task in tasks if task.state is TaskState.IN_DOUBT)
+
     def settle_worker(self, worker_id: WorkerId, now: float) -> list[StepProgress]:
         """Let the tasks wait again that a worker might have run and does not.
 
--- a/src/onyxspoke/core/shard/quota_desk.py
+++ b/src/onyxspoke/core/shard/quota_desk.py
@@ -96,7 +96,7 @@
         context = self._context
         if not context.policy.tenants or not context.book.is_recovering:
             return {}
-        return find_doubts(context.book.jobs.values(), context.table.unsettled())
+        return find_doubts(context.book.tasks_in_doubt(), context.table.unsettled())
 
     def _wanted(self) -> dict[TenantName, Needs]:
         """Return what each tenant's waiting tasks need."""
--- a/src/onyxspoke/core/tenants/doubts.py
+++ b/src/onyxspoke/core/tenants/doubts.py
@@ -9,27 +9,32 @@
 
 from collections.abc import Iterable
 
-from onyxspoke.core.jobs.amounts import bounded, plus, times
+from onyxspoke.core.jobs.amounts import bounded, plus
 from onyxspoke.core.jobs.model import Needs
-from onyxspoke.core.jobs.progress import JobProgress
+from onyxspoke.core.jobs.progress import TaskProgress
 from onyxspoke.core.placement.workers import Worker
 from onyxspoke.core.tenants.policy import TenantName
 
 
-def find_doubts(jobs: Iterable[JobProgress], unsettled: list[Worker]) -> dict[TenantName, Needs]:
-    """Return what each tenant may have running on workers that have not told what they run."""
+def find_doubts(tasks: Iterable[TaskProgress], unsettled: list[Worker]) -> dict[TenantName, Needs]:
+    """Return what each tenant may have running on workers that have not told what they run.
+
+    Parameters
+    ----------
+    tasks : iterable of TaskProgress
+        Those that a former holder may have started and no worker has shown.
+    unsettled : list of Worker
+        Workers that may run them.
+    """
     if not unsettled:
         return {}
     room = Needs()
     for worker in unsettled:
         room = plus(room, worker.record.capacity)
     doubts: dict[TenantName, Needs] = {}
-    for job in jobs:
-        if job.state.is_final or not job.spec.tenant:
-            continue
-        for step in job.steps():
-            if step.in_doubt:
-                tenant = job.spec.tenant
-                open_tasks = times(step.needs, step.in_doubt)
-                doubts[tenant] = bounded(plus(doubts.get(tenant, Needs()), open_tasks), room)
+    for task in tasks:
+        step = task.step
+        tenant = step.job.spec.tenant
+        if tenant and not step.job.state.is_final:
+            doubts[tenant] = bounded(plus(doubts.get(tenant, Needs()), step.needs), room)
     return doubts
--- a/src/onyxspoke/node/key_gate.py
+++ b/src/onyxspoke/node/key_gate.py
@@ -65,9 +65,14 @@
         self._call_later = call_later
         self._trusted_seconds = trusted_seconds
         self._waiting: list[_Waiting] = []
+        self._asking_count = 0
         self._is_looking = False
         self._look_at = 0.0
 
+    def __len__(self) -> int:
+        """Return how many calls wait for a look."""
+        return len(self._waiting) + self._asking_count
+
     def admit(self, credential: Credential, queue: str, on_verdict: OnVerdict) -> None:
         """Tell whose a key is, at once or after a look at the newest configuration."""
         waiting = _Waiting(credential, queue, on_verdict)
@@ -99,9 +104,11 @@
     def _look(self) -> None:
         self._look_at = self._clock.now() + LOOK_PAUSE_SECONDS
         asking, self._waiting = self._waiting, []
+        self._asking_count = len(asking)
 
         def take(is_done: bool) -> None:
             self._is_looking = False
+            self._asking_count = 0
             for waiting in asking:
                 verdict = KeyVerdict.UNPROVEN
                 if is_done:
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -296,6 +296,11 @@
         """Carry a client's call to the holder of the job's shard."""
         self._gate.submit(job_id, call, on_reply, seconds)
 
+    @property
+    def open_call_count(self) -> int:
+        """How many callers' calls are not answered yet."""
+        return len(self.router) + len(self.keys)
+
     def _send_call(self, shard: ShardId, call_id: int, call: Call) -> bool:
         seat = self.seats[shard]
         if seat.is_holding:
