--- a/src/onyxspoke/core/placement/advice_choice.py
+++ b/src/onyxspoke/core/placement/advice_choice.py
@@ -18,11 +18,10 @@
 from onyxspoke.core.placement.room import ScratchRoom
 from onyxspoke.core.placement.workers import Worker
 
-#: Room that is asked about, as a multiple of what is needed, where there is so much: the service
-#: turns down workers in clusters, and others take some of the room while it answers.
+#: Room that is asked about, as a multiple of what is needed, where there is so much: fewer than the
+#: expected workers may be good, and others take some of the room while the service answers.
 ROOM_FACTOR = 2.0
-#: The same of the whole capacity, where there is not enough room yet: about half of a busy cell is
-#: taken, and a gang needs its room in one moment.
+#: The same of the whole capacity, where there is not enough room yet: most of a busy cell is taken.
 CAPACITY_FACTOR = 4.0
 #: Workers in a first call at least, where there are as many: a call's own share makes up most of a
 #: smaller one, and a step that has to wait for room is to have some choice.
