--- a/features/placement.feature
+++ b/features/placement.feature
@@ -255,3 +255,14 @@
     When a pass of placement is made
     Then "gang" starts 3 tasks
     And "gang" runs on 1 worker
+
+  Scenario: A task that may not join the others on their worker asks about another one
+    Given 3 entries that ask for advice, which takes 10 ms and 1 ms a worker
+    And a waiting step "spread" of 2 tasks of 2 processors, priority 1, at most 1 on a worker
+    When a pass of placement is made
+    And advice says that every worker is good for "spread" for 1500 ms
+    And a pass of placement is made
+    Then "spread" starts 2 tasks
+    When 2 seconds pass, and the second task of "spread" has ended without success
+    And a pass of placement is made
+    Then the call for advice on "spread" names no worker that runs a task of it
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -361,3 +361,36 @@
 def _on_workers(context: Any, name: str, count: int) -> None:
     workers = {run.worker.worker_id for run in context.scene.started[name]}
     assert len(workers) == count, workers
+
+
+@given(
+    'a waiting step "{name}" of {count:d} tasks of {processors:d} processors, priority {rank:d},'
+    " at most {most:d} on a worker"
+)
+def _spread_step(
+    context: Any, name: str, count: int, processors: int, rank: int, most: int
+) -> None:
+    context.scene.add_step(name, count, processors, rank, spread_limit=most)
+
+
+@when('{seconds:g} seconds pass, and the second task of "{name}" has ended without success')
+def _second_ends(context: Any, seconds: float, name: str) -> None:
+    scene = context.scene
+    scene.now += seconds
+    task = scene.steps[name].tasks[1]
+    run = task.run
+    assert run is not None
+    run.move_to(RunState.RUNNING)
+    run.move_to(RunState.ENDED)
+    run.worker.remove(run)
+    task.run = None
+    task.move_to(TaskState.WAITING)
+    scene.table.note_gain(run.worker)
+
+
+@then('the call for advice on "{name}" names no worker that runs a task of it')
+def _names_others(context: Any, name: str) -> None:
+    scene = context.scene
+    busy = {task.run.worker.worker_id for task in scene.steps[name].tasks if task.run is not None}
+    [call] = [call for call in scene.calls if call.step.job_id == name]
+    assert call.worker_ids and not busy & set(call.worker_ids), (busy, call.worker_ids)
--- a/src/onyxspoke/core/placement/advice_choice.py
+++ b/src/onyxspoke/core/placement/advice_choice.py
@@ -16,6 +16,7 @@
 from onyxspoke.core.placement.advice_desk import StepAdvice
 from onyxspoke.core.placement.offer import Offer, has_label
 from onyxspoke.core.placement.room import ScratchRoom
+from onyxspoke.core.placement.spreading import counts_on_workers
 from onyxspoke.core.placement.workers import Worker
 
 #: Room that is asked about, as a multiple of what is needed, where there is so much: fewer than the
@@ -56,14 +57,15 @@
         self._offer = offer
         self._room = room
         self._good_share = good_share
-        spread = step.spec.spread_limit or len(step.tasks)
-        self._bound = min(spread, len(step.tasks))
+        self._bound = min(step.spec.spread_limit or len(step.tasks), len(step.tasks))
+        #: Tasks that each worker has already, where their spread is bounded.
+        self._counts = counts_on_workers(step)
 
     def unknown(self, most: int, advice: StepAdvice) -> list[WorkerId]:
         """Return whom to ask about for a step of which ``most`` tasks may start."""
         workers = self._not_asked(advice)
         wanted = most * ROOM_FACTOR
-        chosen, found = self._until_enough(workers, wanted, self._slots_now)
+        chosen, found = self._until_enough(workers, wanted, self.slots_now)
         if found < wanted:
             # There is not enough room for all yet: the step will wait for some.
             wanted = most * CAPACITY_FACTOR
@@ -72,8 +74,8 @@
 
     def unknown_with_room(self, missing: int, advice: StepAdvice) -> list[WorkerId]:
         """Return others that have room now, enough for so many tasks that lack it."""
-        workers = [worker for worker in self._not_asked(advice) if self._slots_now(worker) > 0]
-        chosen, _found = self._until_enough(workers, missing * ROOM_FACTOR, self._slots_now)
+        workers = [worker for worker in self._not_asked(advice) if self.slots_now(worker) > 0]
+        chosen, _found = self._until_enough(workers, missing * ROOM_FACTOR, self.slots_now)
         return _names(chosen)
 
     def all_unknown(self, advice: StepAdvice) -> list[WorkerId]:
@@ -87,7 +89,7 @@
             worker = self._offer.workers.get(worker_id)
             if worker is None or now < held.use_before:
                 continue
-            slots = self._slots_now(worker)
+            slots = self.slots_now(worker)
             if slots > 0:
                 names.append(worker_id)
                 missing -= slots
@@ -118,10 +120,12 @@
     def _order(self, worker: Worker) -> tuple[int, int]:
         """Return a worker's place: most room now first, others in an order of each step's own."""
         name = f"{self._step.key.job_id}/{worker.worker_id}"
-        return -self._slots_now(worker), zlib.crc32(name.encode())
+        return -self.slots_now(worker), zlib.crc32(name.encode())
 
-    def _slots_now(self, worker: Worker) -> int:
-        return min(self._bound, self._room.slots(worker, self._step.needs))
+    def slots_now(self, worker: Worker) -> int:
+        """Return how many more tasks of the step a worker can take now."""
+        spread = self._bound - self._counts.get(worker.worker_id, 0)
+        return max(0, min(spread, self._room.slots(worker, self._step.needs)))
 
     def _slots_ever(self, worker: Worker) -> int:
         return min(self._bound, slots_within(worker.record.capacity, self._step.needs))
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -14,7 +14,6 @@
 from onyxspoke.core.placement.placement_pass import PlacementPass
 from onyxspoke.core.placement.queue_order import step_rank, step_rank_of
 from onyxspoke.core.placement.reservations import RoomReservations
-from onyxspoke.core.placement.room import ScratchRoom
 from onyxspoke.core.placement.room_seeker import Eviction, RoomSeeker
 from onyxspoke.core.placement.spreading import (
     Candidate,
@@ -171,7 +170,7 @@
                     step, offer, current.room, self._desk.good_share(queue.name)
                 )
                 ask = _workers_to_ask(
-                    step, queue.advice, advice, chooser, candidates, current.room, most, current.now
+                    step, queue.advice, advice, chooser, candidates, most, current.now
                 )
                 self._desk.want(
                     step, queue.advice, ask, step_rank_of(step, queue, current.now), current.now
@@ -286,14 +285,13 @@
     advice: StepAdvice,
     chooser: AdviceChooser,
     candidates: list[Candidate],
-    room: ScratchRoom,
     most: int,
     now: float,
 ) -> list[str]:
     """Return the workers about which advice is missing and would help, for ``most`` tasks."""
     if not advice.tickets:
         return chooser.unknown(most, advice)
-    missing = most - sum(room.slots(item.worker, step.needs) for item in candidates)
+    missing = most - sum(chooser.slots_now(item.worker) for item in candidates)
     if missing <= 0:
         return []
     again = chooser.again(missing, advice, now)
