What is free of a quota goes to the shard that has waited longest; the others offer what they do not use

Change: who has waited longest gets all until it has what it wants; the others, who ask again, offer what they do not use and start nothing on it until the answer; the home shard waits in the same line; who has started something waits anew.

--- a/features/quota_loans.feature
+++ b/features/quota_loans.feature
@@ -7,11 +7,15 @@
     When shard 1 wants nothing for 1.2 seconds, and its request and the answer arrive
     Then shard 1 may have 0 running, and shard 0 may have 10
 
-  Scenario: Nobody is lent what the home shard has running
+  Scenario: What the home shard has running is lent to nobody, and as it ends goes to who waits
     Given a quota of 10 that shard 0 lends to shards 1 and 2
     And shard 0 has 7 running
     When shard 1 wants 6, and its request and the answer arrive
-    Then shard 1 may have 3 running, and shard 0 may have 7
+    Then shard 1 may have 3 running, and shard 0 may have 4
+    When shard 0 has 4 running
+    And 0.3 seconds pass between the shards
+    And shard 1 wants 6, and its request and the answer arrive
+    Then shard 1 may have 6 running, and shard 0 may have 4
 
   Scenario: Two gangs that each need more than half do not hold it from each other for ever
     Given a quota of 10 that shard 0 lends to shards 1 and 2
@@ -23,7 +27,7 @@
     And 0.3 seconds pass between the shards
     And shard 2 wants 8, and its request and the answer arrive
     And shard 1 wants 8, and its request and the answer arrive
-    Then shard 1 may have 8 running, and shard 2 may have 0
+    Then shard 1 may have 8 running, and shard 2 may have 2
     When shard 1 wants nothing for 1.2 seconds, and its request and the answer arrive
     And shard 2 wants 8, and its request and the answer arrive
     Then shard 2 may have 8 running, and shard 0 may have 2
@@ -62,3 +66,14 @@
       | without an order of requests                      | broken | 0.5  |
       | without ceasing to use what is returned           | broken | 0.5  |
       | without counting what is lent                     | broken | 0.5  |
+      | without leaving borrowers what they keep          | broken | 0.5  |
+
+  Scenario Outline: Gangs that each need most of the quota all run in the end - <mechanism>
+    When 60 cells of 4 shards are played with lost and late messages and new holders, <mechanism>
+    And a gang of 7 to 10 tasks then waits in every shard for 30 seconds
+    Then <how many> of the gangs have run
+
+    Examples:
+      | mechanism                           | how many |
+      | with every mechanism                | all      |
+      | without an offer of what is unused  | not all  |
--- a/src/onyxspoke/core/shard/context.py
+++ b/src/onyxspoke/core/shard/context.py
@@ -85,7 +85,7 @@
         self.desk = AdviceDesk(shard)
         self.shard = shard
         self.ledger = QuotaLedger()
-        self.bank = QuotaBank()
+        self.bank = QuotaBank(shard)
         self.shares = ShareMeter()
         #: Shards of the cell, which share every tenant's quota and weight.
         self.shard_count = 1
--- a/src/onyxspoke/core/shard/quota_desk.py
+++ b/src/onyxspoke/core/shard/quota_desk.py
@@ -37,9 +37,10 @@
         quota = self._quota_of(tenant)
         part = quota
         if self._context.shard_count > 1:
-            is_home = self._home_of(tenant) == self._context.shard
-            lent = self._context.bank.lent(tenant)
-            part = minus(quota, lent) if is_home else self._borrower.amount(tenant)
+            part = self._borrower.amount(tenant)
+            if self._home_of(tenant) == self._context.shard:
+                bank = self._context.bank
+                part = minus(minus(quota, bank.lent(tenant)), bank.kept_back(tenant))
         return Needs(*(own if most else UNLIMITED for own, most in zip(part, quota, strict=True)))
 
     def keep(self, now: float) -> None:
@@ -52,10 +53,14 @@
         for tenant in context.policy.tenants:
             home = self._home_of(tenant)
             quota = self._quota_of(tenant)
-            if home == context.shard or not any(quota):
+            if not any(quota):
                 continue
             used = plus(context.ledger.used(tenant), doubts.get(tenant, Needs()))
-            request = self._borrower.keep(tenant, quota, used, wanted.get(tenant, Needs()), now)
+            want = wanted.get(tenant, Needs())
+            if home == context.shard:
+                context.bank.note_home(tenant, want, used, now)
+                continue
+            request = self._borrower.keep(tenant, quota, used, want, now)
             if request is not None:
                 self._log("quota_asked", request, request.amount)
                 context.emit(AskQuota(home, request))
--- a/src/onyxspoke/core/tenants/bank.py
+++ b/src/onyxspoke/core/tenants/bank.py
@@ -38,25 +38,32 @@
 
 
 class QuotaRequest(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """A shard's holder asks to have so much of a tenant running, instead of what it has."""
+    """A shard's holder asks to have so much of a tenant running, instead of what it has.
+
+    ``kept`` is what it goes on using until the answer, and is not lent to another meanwhile.
+    """
 
     tenant: TenantName
     shard: ShardNumber
     token: int
     number: int
     amount: Needs
+    kept: Needs = Needs()
 
 
 @dataclass(slots=True)
 class _Waiting:
+    """A shard that wants more than it may have."""
+
     since: float
     asked_at: float
+    wanted: Needs
+    used: Needs
 
 
 @dataclass(slots=True)
 class _Account:
     loans: dict[ShardNumber, Loan] = field(default_factory=dict)
-    #: Shards that were lent less than they asked for, the first one first.
     waiting: dict[ShardNumber, _Waiting] = field(default_factory=dict)
 
     def lent(self, but: ShardNumber | None = None) -> Needs:
@@ -66,11 +73,45 @@
                 total = plus(total, loan.amount)
         return total
 
+    def note_waiting(self, shard: ShardNumber, wanted: Needs, used: Needs, now: float) -> None:
+        """A shard wants more than it may have; one that has started something waits anew."""
+        waiting = self.waiting.get(shard)
+        if waiting is None:
+            self.waiting[shard] = _Waiting(now, now, wanted, used)
+            return
+        if any(new > old for new, old in zip(used, waiting.used, strict=True)):
+            waiting.since = now
+        waiting.asked_at, waiting.wanted, waiting.used = now, wanted, used
+
+    def kept_for_older(self, shard: ShardNumber) -> Needs:
+        """Return what is missing to the shards that have waited for longer than one."""
+        own = self.waiting.get(shard)
+        kept = Needs()
+        for other, waiting in self.waiting.items():
+            if other == shard or (own is not None and own.since <= waiting.since):
+                continue
+            loan = self.loans.get(other)
+            had = loan.amount if loan is not None else waiting.used
+            kept = plus(kept, Needs(*map(_missing, waiting.wanted, had)))
+        return kept
+
+    def forget_gone(self, now: float) -> None:
+        """Forget shards that ask no more."""
+        for shard, waiting in list(self.waiting.items()):
+            if now - waiting.asked_at > WAITING_SECONDS:
+                del self.waiting[shard]
+
 
 class QuotaBank:
-    """What a shard has lent of the quotas whose home it is."""
+    """What a shard has lent of the quotas whose home it is.
 
-    def __init__(self) -> None:
+    What is free goes to who has waited for longest, until that one has all that it wants: else each
+    of several shards would hold a part that none of them can start anything with.  The others, who
+    ask again, offer what they do not use.  One that has started something waits anew.
+    """
+
+    def __init__(self, home: ShardNumber) -> None:
+        self._home = home
         self._accounts: dict[TenantName, _Account] = {}
         #: Tenants whose loans are to be recorded anew.
         self.dirty: dict[TenantName, None] = {}
@@ -80,6 +121,22 @@
         account = self._accounts.get(tenant)
         return Needs() if account is None else account.lent()
 
+    def kept_back(self, tenant: TenantName) -> Needs:
+        """Return what the home shard leaves to others that have waited for longer."""
+        account = self._accounts.get(tenant)
+        return Needs() if account is None else account.kept_for_older(self._home)
+
+    def note_home(self, tenant: TenantName, wanted: Needs, used: Needs, now: float) -> None:
+        """Take note of what the home shard itself wants of a quota, beside what it has running."""
+        account = self._accounts.get(tenant)
+        if account is None:
+            return
+        account.forget_gone(now)
+        if any(wanted):
+            account.note_waiting(self._home, plus(used, wanted), used, now)
+        else:
+            account.waiting.pop(self._home, None)
+
     def request(self, request: QuotaRequest, quota: Needs, used: Needs, now: float) -> Needs:
         """Return what the shard that asks may have running, once that is on record.
 
@@ -98,54 +155,32 @@
             return former.amount if place == (former.token, former.number) else Needs()
         if former is None and not any(request.amount):
             return Needs()
-        held = former.amount if former is not None else Needs()
-        granted = self._grant(account, request, quota, used, held, now)
+        granted = self._grant(account, request, quota, used, now)
         account.loans[request.shard] = Loan(request.token, request.number, granted)
         self.dirty[request.tenant] = None
         return granted
 
     def _grant(
-        self,
-        account: _Account,
-        request: QuotaRequest,
-        quota: Needs,
-        used: Needs,
-        held: Needs,
-        now: float,
+        self, account: _Account, request: QuotaRequest, quota: Needs, used: Needs, now: float
     ) -> Needs:
-        """Return as much of what is asked for as there is, and as others wait for no longer."""
-        self._forget_gone(account, now)
+        """Return as much of what is asked for as there is, and as no other waits for longer."""
+        account.forget_gone(now)
         free = minus(minus(quota, used), account.lent(but=request.shard))
-        if self._is_behind_others(account, request.shard):
-            # What is free goes to who asked first, or none would ever have all that a gang needs.
-            free = held
+        free = minus(free, account.kept_for_older(request.shard))
         granted = Needs(
             *(
-                wanted if not most else max(0, min(wanted, left))
-                for wanted, most, left in zip(request.amount, quota, free, strict=True)
+                wanted if not most else max(kept, min(wanted, left))
+                for wanted, most, left, kept in zip(
+                    request.amount, quota, free, request.kept, strict=True
+                )
             )
         )
         if granted == request.amount:
             account.waiting.pop(request.shard, None)
         else:
-            waiting = account.waiting.setdefault(request.shard, _Waiting(now, now))
-            waiting.asked_at = now
+            account.note_waiting(request.shard, request.amount, request.kept, now)
         return granted
 
-    def _is_behind_others(self, account: _Account, shard: ShardNumber) -> bool:
-        """Return whether another shard has waited for longer than this one."""
-        own = account.waiting.get(shard)
-        return any(
-            own is None or waiting.since < own.since
-            for other, waiting in account.waiting.items()
-            if other != shard
-        )
-
-    def _forget_gone(self, account: _Account, now: float) -> None:
-        for shard, waiting in list(account.waiting.items()):
-            if now - waiting.asked_at > WAITING_SECONDS:
-                del account.waiting[shard]
-
     # Records
 
     def encode(self, tenant: TenantName) -> bytes:
@@ -163,6 +198,10 @@
 _decoder = msgspec.msgpack.Decoder(dict[ShardNumber, Loan])
 
 
+def _missing(wanted: int, had: int) -> int:
+    return max(0, wanted - had)
+
+
 def home_shard(tenant: TenantName, shard_count: int) -> ShardNumber:
     """Return the shard that lends a tenant's quota to the others."""
     return zlib.crc32(tenant.encode()) % shard_count
--- a/src/onyxspoke/core/tenants/borrower.py
+++ b/src/onyxspoke/core/tenants/borrower.py
@@ -29,6 +29,8 @@
     number: int = 0
     sent_at: float = 0.0
     is_waiting: bool = False
+    #: The latest answer was less than what was asked for.
+    is_short: bool = False
     next_at: float = 0.0
     #: Since when more is held than is needed.
     surplus_since: float | None = None
@@ -84,12 +86,14 @@
         target = Needs(*map(max, target, used))
         if credit.number == 0:
             # A former holder of the shard may have borrowed what nobody returned.
-            return self._ask(tenant, credit, target, now)
+            return self._ask(tenant, credit, target, used, now)
         needs_more = any(have < want for have, want in zip(credit.amount, target, strict=True))
         if needs_more:
             credit.surplus_since = None
-            return self._ask(tenant, credit, target, now) if now >= credit.next_at else None
-        return self._return_surplus(tenant, credit, target, now)
+            if now < credit.next_at:
+                return None
+            return self._ask(tenant, credit, target, used, now)
+        return self._return_surplus(tenant, credit, target, used, now)
 
     def handle_granted(self, request: QuotaRequest, amount: Needs, now: float) -> bool:
         """Take the answer to a request; return whether there is more to start with."""
@@ -99,6 +103,7 @@
         credit.is_waiting = False
         has_grown = any(new > old for new, old in zip(amount, credit.amount, strict=True))
         is_whole = amount == request.amount
+        credit.is_short = not is_whole
         credit.amount = amount
         credit.next_at = now + (REQUEST_SECONDS if is_whole else AGAIN_SECONDS)
         return has_grown
@@ -111,7 +116,7 @@
             credit.next_at = now + AGAIN_SECONDS
 
     def _return_surplus(
-        self, tenant: TenantName, credit: _Credit, target: Needs, now: float
+        self, tenant: TenantName, credit: _Credit, target: Needs, used: Needs, now: float
     ) -> QuotaRequest | None:
         if credit.amount == target:
             credit.surplus_since = None
@@ -121,20 +126,24 @@
         if now - credit.surplus_since < KEEP_SECONDS:
             return None
         credit.surplus_since = None
-        return self._ask(tenant, credit, target, now)
+        return self._ask(tenant, credit, target, used, now)
 
-    def _ask(self, tenant: TenantName, credit: _Credit, target: Needs, now: float) -> QuotaRequest:
+    def _ask(
+        self, tenant: TenantName, credit: _Credit, target: Needs, used: Needs, now: float
+    ) -> QuotaRequest:
         credit.number += 1
         credit.sent_at = now
         credit.is_waiting = True
-        # What is returned with this is not used any more, whatever becomes of the request.
-        credit.amount = bounded(credit.amount, target)
+        # What is returned with this is not used any more, whatever becomes of the request.  One
+        # that was lent too little offers what it does not use: another may have waited for longer.
+        credit.amount = bounded(credit.amount, used if credit.is_short else target)
         return QuotaRequest(
             tenant=tenant,
             shard=self._shard,
             token=self._token,
             number=credit.number,
             amount=target,
+            kept=Needs(*map(max, used, credit.amount)),
         )
 
 
