--- a/src/onyxspoke/core/jobs/model.py
+++ b/src/onyxspoke/core/jobs/model.py
@@ -11,6 +11,7 @@
 
 JobId = str
 WorkerId = str
+_MILLISECONDS = 1_000.0
 
 
 class Needs(NamedTuple):
@@ -42,6 +43,11 @@
     repetition: int
     step: int
 
+    @property
+    def name(self) -> str:
+        """How logs name the step."""
+        return f"{self.job_id}.{self.repetition}.{self.step}"
+
 
 class RunKey(NamedTuple):
     """Names one run: a task and the number of its start."""
@@ -114,6 +120,10 @@
     per_item_ms: float
     validity_ms: float
 
+    def call_seconds(self, count: int) -> float:
+        """Return how long a call about so many workers takes."""
+        return (self.decide_ms + self.per_item_ms * count) / _MILLISECONDS
+
 
 class QueuePolicy(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """A queue of jobs, as the operator configures it; priority 0 goes first."""
--- a/src/onyxspoke/core/jobs/progress.py
+++ b/src/onyxspoke/core/jobs/progress.py
@@ -125,6 +125,7 @@
         self.chain_seconds = chain_seconds
         self.key = key
         self.spec = spec
+        #: As ``spec.needs``, which is worked out at each use, and placement uses it all the time.
         self.needs = spec.needs
         self.tasks = [TaskProgress(self, index) for index in range(spec.task_count)]
         self.waiting: dict[int, None] = dict.fromkeys(range(spec.task_count))
@@ -149,6 +150,11 @@
             self.over_quota_since = None
         return False
 
+    @property
+    def most_on_a_worker(self) -> int:
+        """How many of its tasks one worker may have at most, however much room there is."""
+        return min(self.spec.spread_limit or len(self.tasks), len(self.tasks))
+
     @property
     def is_done(self) -> bool:
         """Whether every task has ended well."""
--- a/src/onyxspoke/core/placement/advice_choice.py
+++ b/src/onyxspoke/core/placement/advice_choice.py
@@ -30,7 +30,6 @@
 #: Workers that came into use, or gained room, are asked about again after so many times what the
 #: call takes: a step that waits asks for at most a fifth of the time.
 PAUSE_FACTOR = 5.0
-_MILLISECONDS = 1_000.0
 
 SlotsOf = Callable[[Worker], int]
 
@@ -57,7 +56,7 @@
         self._offer = offer
         self._room = room
         self._good_share = good_share
-        self._bound = min(step.spec.spread_limit or len(step.tasks), len(step.tasks))
+        self._bound = step.most_on_a_worker
         #: Tasks that each worker has already, where their spread is bounded.
         self._counts = counts_on_workers(step)
 
@@ -133,12 +132,7 @@
 
 def pause_seconds(policy: AdvicePolicy, count: int) -> float:
     """Return how long after a call about others the next one is made."""
-    return PAUSE_FACTOR * call_seconds(policy, count)
-
-
-def call_seconds(policy: AdvicePolicy, count: int) -> float:
-    """Return how long a call about so many workers takes."""
-    return (policy.decide_ms + policy.per_item_ms * count) / _MILLISECONDS
+    return PAUSE_FACTOR * policy.call_seconds(count)
 
 
 def _names(workers: Iterable[Worker]) -> list[WorkerId]:
--- a/src/onyxspoke/core/placement/advice_desk.py
+++ b/src/onyxspoke/core/placement/advice_desk.py
@@ -58,8 +58,9 @@
     asked: set[WorkerId] = field(default_factory=set)
     open_calls: int = 0
     retry_at: float = 0.0
-    #: When workers that came into use since were last asked about by themselves.
-    unknown_asked_at: float = -math.inf
+    #: From when on workers that were not asked about, as those that came into use, may be asked
+    #: about by themselves.
+    unknown_due_at: float = -math.inf
 
     @property
     def is_asking(self) -> bool:
@@ -202,7 +203,7 @@
         if advice.is_asking or now < advice.retry_at or not worker_ids:
             return
         for chosen in _batches(step, policy, worker_ids):
-            seconds = (policy.decide_ms + policy.per_item_ms * len(chosen)) / _MILLISECONDS
+            seconds = policy.call_seconds(len(chosen))
             self._last_call_id += 1
             queue = step.job.spec.queue.name
             call = AdviceCall(self._last_call_id, step.key, queue, chosen, seconds, rank)
--- a/src/onyxspoke/core/placement/gang_placer.py
+++ b/src/onyxspoke/core/placement/gang_placer.py
@@ -57,7 +57,7 @@
         offer: Offer,
         current: PlacementPass,
     ) -> StepPlacement | None:
-        """Return where a gang starts current.now, or ``None``; then room may be held for it."""
+        """Return where a gang starts now, or ``None``; then room may be held for it."""
         if len(step.waiting) < len(step.tasks):
             return None
         advice = self._desk.advice_on(step) if queue.advice is not None else None
@@ -190,12 +190,10 @@
     Those with room for most members come first: a gang is broken off by the loss of any of its
     workers, so that it is to have few.
     """
-    spec = step.spec
     failed_on = {task.failed_on for task in step.tasks}
-    bound = min(spec.spread_limit or len(step.tasks), len(step.tasks))
     ranked = []
     for worker in workers:
-        count = min(bound, room.slots(worker, step.needs))
+        count = min(step.most_on_a_worker, room.slots(worker, step.needs))
         if count > 0:
             score = (
                 int(worker.worker_id in failed_on),
@@ -214,13 +212,13 @@
     step: StepProgress, workers: list[Worker], room: ScratchRoom, now: float
 ) -> list[MemberSlots]:
     """Return for how many more members workers will have room in a moment."""
-    bound = min(step.spec.spread_limit or len(step.tasks), len(step.tasks))
+    most = step.most_on_a_worker
     found = []
     for worker in workers:
         freed = freed_soon(worker, now)
         if any(freed):
-            present = min(bound, room.slots(worker, step.needs))
-            count = min(bound, room.slots(worker, step.needs, freed)) - present
+            present = min(most, room.slots(worker, step.needs))
+            count = min(most, room.slots(worker, step.needs, freed)) - present
             if count > 0:
                 found.append(MemberSlots(worker, count))
     return found
@@ -294,11 +292,11 @@
     """
     members = len(step.tasks)
     known_good = [offer.workers[name] for name in advice.tickets if name in offer.workers]
-    is_due = now >= advice.unknown_asked_at + UNKNOWN_PAUSE_SECONDS
+    is_due = now >= advice.unknown_due_at
     unknown_count = len(offer.workers.keys() - advice.asked)
     if not can_ever_fit(step, known_good) and (is_due or unknown_count >= FEWEST_ASKED):
         if unknown_count < FEWEST_ASKED and advice.asked:
-            advice.unknown_asked_at = now
+            advice.unknown_due_at = now + UNKNOWN_PAUSE_SECONDS
         return chooser.all_unknown(advice)
     asked: list[str] = []
     missing = members - _total(slots)
@@ -307,9 +305,8 @@
     if _total(slots) < ASKING_SHARE * members:
         if not asked or not is_due:
             return []
-        advice.unknown_asked_at = now
+        advice.unknown_due_at = now + UNKNOWN_PAUSE_SECONDS
         return asked
-    seconds = (policy.decide_ms + policy.per_item_ms * len(slots)) / _MILLISECONDS
-    needed_until = now + seconds + RENEWAL_SECONDS
+    needed_until = now + policy.call_seconds(len(slots)) + RENEWAL_SECONDS
     names = [item.worker.worker_id for item in slots]
     return asked + [name for name in names if advice.tickets[name].use_before < needed_until]
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -214,7 +214,7 @@
             for worker in offered
             if has_label(worker, step)
             and not worker.health.is_doubtful(current.now)
-            and counts.get(worker.worker_id, 0) < (step.spec.spread_limit or len(step.tasks))
+            and counts.get(worker.worker_id, 0) < step.most_on_a_worker
         ]
         total = offer.processors_milli
         self._seeker.seek(step, queue, workers, total, current)
@@ -295,8 +295,8 @@
     if missing <= 0:
         return []
     again = chooser.again(missing, advice, now)
-    if again or now < advice.unknown_asked_at:
+    if again or now < advice.unknown_due_at:
         return again
     others = chooser.unknown_with_room(missing, advice)
-    advice.unknown_asked_at = now + pause_seconds(policy, len(others))
+    advice.unknown_due_at = now + pause_seconds(policy, len(others))
     return others
--- a/src/onyxspoke/core/shard/quota_desk.py
+++ b/src/onyxspoke/core/shard/quota_desk.py
@@ -4,12 +4,12 @@
 
 from onyxspoke.core.jobs.amounts import minus, plus, times
 from onyxspoke.core.jobs.model import Needs
+from onyxspoke.core.placement.quota_doubts import find_doubts
 from onyxspoke.core.shard.actions import AskQuota, ReplyToCall
 from onyxspoke.core.shard.calls import CallReply, QuotaCall, ReplyCode
 from onyxspoke.core.shard.context import ShardContext
 from onyxspoke.core.tenants.bank import QuotaRequest, home_shard
 from onyxspoke.core.tenants.borrower import QuotaBorrower
-from onyxspoke.core.tenants.doubts import find_doubts
 from onyxspoke.core.tenants.ledger import UNLIMITED, QuotaPass
 from onyxspoke.core.tenants.policy import TenantName
 
@@ -18,19 +18,20 @@
     """Keeps quotas over all shards of the cell.
 
     A tenant's quota is one for the whole cell.  Its home shard has all of it but what it lent to
-    the others, who ask for what they have waiting as soon as it waits.  Tried: an equal part for
-    each shard; with 8 shards gangs found their part too small for ever, and 0.56 of the worth was
-    served instead of 0.9.
+    the others, who ask for what they have waiting as soon as it waits.  With an equal part for
+    each shard, gangs found theirs too small for ever: played days were worth 0.69 at 3 shards and
+    0.39 at 8, and are worth 0.86 at both with loans.
     """
 
     def __init__(self, context: ShardContext) -> None:
         self._context = context
         self._borrower = QuotaBorrower(context.shard, context.token)
 
-    def begin_pass(self) -> QuotaPass:
-        """Return what tenants may start, for one pass of placement."""
-        context = self._context
-        return QuotaPass(self.part_of, context.ledger, self._doubts())
+    def begin_pass(self, now: float) -> QuotaPass:
+        """Return what tenants may start, for one pass of placement, and see to loans."""
+        doubts = self._doubts()
+        self._keep_loans(doubts, now)
+        return QuotaPass(self.part_of, self._context.ledger, doubts)
 
     def part_of(self, tenant: TenantName) -> Needs:
         """Return what a tenant may have running in this shard."""
@@ -43,12 +44,11 @@
                 part = minus(minus(quota, bank.lent(tenant)), bank.kept_back(tenant))
         return Needs(*(own if most else UNLIMITED for own, most in zip(part, quota, strict=True)))
 
-    def keep(self, now: float) -> None:
+    def _keep_loans(self, doubts: dict[TenantName, Needs], now: float) -> None:
         """Ask the home shards for what is missing here, and return what is not needed."""
         context = self._context
         if context.shard_count <= 1:
             return
-        doubts = self._doubts()
         wanted = self._wanted()
         for tenant in context.policy.tenants:
             home = self._home_of(tenant)
--- a/src/onyxspoke/core/shard/run_keeper.py
+++ b/src/onyxspoke/core/shard/run_keeper.py
@@ -54,9 +54,8 @@
 
     def preempt(self, eviction: Eviction, now: float) -> None:
         """Order the end of runs that give way to a more urgent step."""
-        key = eviction.step.key
         for run in eviction.preemption.runs:
-            self.log_run("run_preempted", run, by=f"{key.job_id}.{key.repetition}.{key.step}")
+            self.log_run("run_preempted", run, by=eviction.step.key.name)
             self.stop(run, now, "preempted")
 
     def _send_stop(self, run: Run, now: float) -> None:
--- a/src/onyxspoke/core/shard/run_starter.py
+++ b/src/onyxspoke/core/shard/run_starter.py
@@ -15,8 +15,12 @@
 
 #: Run numbers of one holder begin above those of every earlier one.
 NUMBERS_A_TOKEN = 4_096
-#: A worker that refused for want of health or room is not offered for so long.
+#: A worker that refused for want of health or room, or was not reached, is not offered for so
+#: long, in seconds.
 REFUSED_SECONDS = 0.5
+_NOT_OFFERED_AFTER = frozenset(
+    {OrderOutcome.UNHEALTHY, OrderOutcome.NO_ROOM, OrderOutcome.INVALID, OrderOutcome.NOT_SENT}
+)
 _MILLISECONDS = 1_000.0
 
 
@@ -158,10 +162,7 @@
     ) -> None:
         if outcome is OrderOutcome.NO_TICKET:
             self._context.desk.drop_ticket(run.task.step.key, worker.worker_id)
-        elif (
-            outcome in (OrderOutcome.UNHEALTHY, OrderOutcome.NO_ROOM, OrderOutcome.INVALID)
-            or outcome is OrderOutcome.NOT_SENT
-        ):
+        elif outcome in _NOT_OFFERED_AFTER:
             worker.retry_at = now + REFUSED_SECONDS
 
     def _next_number(self, step: StepProgress) -> int:
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -235,9 +235,8 @@
         """The advice service answered, or did not."""
         step = self.context.desk.handle_result(call_id, result, now)
         if step is not None:
-            name = f"{step.job_id}.{step.repetition}.{step.step}"
             asked = len(self.context.desk.workers_asked(step))
-            self.context.log("advice", step=name, good=len(result.tickets), asked=asked)
+            self.context.log("advice", step=step.name, good=len(result.tickets), asked=asked)
             self._placer.reconsider(step)
             self.context.wants_placement = True
 
@@ -321,11 +320,10 @@
         context = self.context
         for step in context.desk.take_due_retries(now):
             self._placer.reconsider(step)
-        self.quotas.keep(now)
         steps = list(context.book.startable_steps())
         pause = PLACEMENT_PAUSE_SECONDS + PLACEMENT_PAUSE_A_STEP_SECONDS * len(steps)
         self._next_placement_at = now + min(pause, LONGEST_PLACEMENT_PAUSE_SECONDS)
-        plans = self._placer.plan(steps, context.policy, self.quotas.begin_pass(), now)
+        plans = self._placer.plan(steps, context.policy, self.quotas.begin_pass(now), now)
         for plan in plans:
             self._starter.start(plan, now)
         for overlooked in self._placer.take_overlooked():
@@ -340,23 +338,21 @@
             context.emit(AskAdvice(call.call_id, call.advisor, call.step, call.worker_ids))
 
     def _log_overlooked(self, step: StepProgress, now: float) -> None:
-        key = step.key
         self.context.log(
             "step_overlooked",
             code=int(ResultCode.STEP_OVERLOOKED),
-            step=f"{key.job_id}.{key.repetition}.{key.step}",
+            step=step.key.name,
             tasks=len(step.tasks),
             waited_ms=int((now - step.ready_at) * _MILLISECONDS),
         )
 
     def _log_over_quota(self, step: StepProgress) -> None:
-        key = step.key
         tenant = step.job.spec.tenant
         used = self.context.ledger.used(tenant)
         policy = self.context.policy.tenants.get(tenant)
         self.context.log(
             "step_over_quota",
-            step=f"{key.job_id}.{key.repetition}.{key.step}",
+            step=step.key.name,
             tenant=tenant,
             tasks=len(step.waiting),
             used_cpu=used.processors_milli,
--- a/src/onyxspoke/core/tenants/bank.py
+++ b/src/onyxspoke/core/tenants/bank.py
@@ -15,6 +15,7 @@
 
 from onyxspoke.core.jobs.amounts import minus, plus
 from onyxspoke.core.jobs.model import Needs
+from onyxspoke.core.shard.log_records import ShardId
 from onyxspoke.core.tenants.policy import TenantName
 
 QUOTA_PREFIX = "quota/"
@@ -22,8 +23,6 @@
 #: does not is taken to wait no longer.
 WAITING_SECONDS = 1.5
 
-ShardNumber = int
-
 
 class Loan(msgspec.Struct, frozen=True, array_like=True):
     """What one shard may have running of a tenant, and the request that it answers.
@@ -44,7 +43,7 @@
     """
 
     tenant: TenantName
-    shard: ShardNumber
+    shard: ShardId
     token: int
     number: int
     amount: Needs
@@ -63,17 +62,17 @@
 
 @dataclass(slots=True)
 class _Account:
-    loans: dict[ShardNumber, Loan] = field(default_factory=dict)
-    waiting: dict[ShardNumber, _Waiting] = field(default_factory=dict)
+    loans: dict[ShardId, Loan] = field(default_factory=dict)
+    waiting: dict[ShardId, _Waiting] = field(default_factory=dict)
 
-    def lent(self, but: ShardNumber | None = None) -> Needs:
+    def lent(self, but: ShardId | None = None) -> Needs:
         total = Needs()
         for shard, loan in self.loans.items():
             if shard != but:
                 total = plus(total, loan.amount)
         return total
 
-    def note_waiting(self, shard: ShardNumber, wanted: Needs, used: Needs, now: float) -> None:
+    def note_waiting(self, shard: ShardId, wanted: Needs, used: Needs, now: float) -> None:
         """A shard wants more than it may have; one that has started something waits anew."""
         waiting = self.waiting.get(shard)
         if waiting is None:
@@ -83,7 +82,7 @@
             waiting.since = now
         waiting.asked_at, waiting.wanted, waiting.used = now, wanted, used
 
-    def kept_for_older(self, shard: ShardNumber) -> Needs:
+    def kept_for_older(self, shard: ShardId) -> Needs:
         """Return what is missing to the shards that have waited for longer than one."""
         own = self.waiting.get(shard)
         kept = Needs()
@@ -110,7 +109,7 @@
     ask again, offer what they do not use.  One that has started something waits anew.
     """
 
-    def __init__(self, home: ShardNumber) -> None:
+    def __init__(self, home: ShardId) -> None:
         self._home = home
         self._accounts: dict[TenantName, _Account] = {}
         #: Tenants whose loans are to be recorded anew.
@@ -195,13 +194,13 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(dict[ShardNumber, Loan])
+_decoder = msgspec.msgpack.Decoder(dict[ShardId, Loan])
 
 
 def _missing(wanted: int, had: int) -> int:
     return max(0, wanted - had)
 
 
-def home_shard(tenant: TenantName, shard_count: int) -> ShardNumber:
+def home_shard(tenant: TenantName, shard_count: int) -> ShardId:
     """Return the shard that lends a tenant's quota to the others."""
     return zlib.crc32(tenant.encode()) % shard_count
--- a/src/onyxspoke/core/tenants/borrower.py
+++ b/src/onyxspoke/core/tenants/borrower.py
@@ -6,7 +6,8 @@
 
 from onyxspoke.core.jobs.amounts import bounded, plus
 from onyxspoke.core.jobs.model import Needs
-from onyxspoke.core.tenants.bank import QuotaRequest, ShardNumber
+from onyxspoke.core.shard.log_records import ShardId
+from onyxspoke.core.tenants.bank import QuotaRequest
 from onyxspoke.core.tenants.policy import TenantName
 
 #: Between two requests for more, in seconds: what comes close together shares one, and one that was
@@ -47,7 +48,7 @@
         Of its holder's claim.
     """
 
-    def __init__(self, shard: ShardNumber, token: int) -> None:
+    def __init__(self, shard: ShardId, token: int) -> None:
         self._shard = shard
         self._token = token
         self._credits: dict[TenantName, _Credit] = {}
