--- a/scripts/capacity_page.py
+++ b/scripts/capacity_page.py
@@ -110,10 +110,10 @@
 
 Written by `scripts/capacity_page.py` from `docs/capacity.json`; do not edit. The slopes are those
 of `fleetbench sweep`: one day with kills, stops, changes and leaving workers, played at several
-numbers of nodes. The last column of a table carries the middle and the busiest node on to {target:,} nodes,
-which 15,000 workers have at ten a node, at the power at which they grew between the last two sizes
-(0 to 2); it is not played. The budget is for control: 2.6% of a core, 128 MB and 5 kB a second a
-node; what callers cause is in the figures, too.
+numbers of nodes. The last column of a table carries the middle and the busiest node on to
+{target:,} nodes, which 15,000 workers have at ten a node, at the power at which they grew between
+the last two sizes (0 to 2); it is not played. The budget is for control: 2.6% of a core, 128 MB and
+5 kB a second a node; what callers cause is in the figures, too.
 """
 
 
