--- a/scripts/play_days.sh
+++ b/scripts/play_days.sh
@@ -5,7 +5,7 @@
 set -u
 cd "$(dirname "$0")/.." || exit 2
 kit=../given/kit/more/system
-bench=$kit/more/bench-0d00f8/bin/fleetbench
+bench=$kit/more/bench-93cd67/bin/fleetbench
 site=$1
 why=$2
 seed=${3:-}
