Logs tell by what sign a worker's runs are given up, and how long it was heard with each

Cause of the change: an incident in which tasks were started again and again on worker after worker. No line told apart an end that nobody reported (the worker crashed), a lease that ran out, and a start that may never have begun; nor how long a run had been there when the worker was last heard. Change: worker_over names the listing and how long nothing was heard, run_abandoned the sign and how long the worker was heard after the run's order.

--- a/src/onyxspoke/core/placement/workers.py
+++ b/src/onyxspoke/core/placement/workers.py
@@ -153,6 +153,8 @@
         Runs that are over, so that an older answer does not bring them back.
     misses : int
         Holds in a row without an answer.
+    heard_at : float
+        When it last answered anything.
     """
 
     def __init__(self, record: WorkerRecord, unsettled_until: float) -> None:
@@ -180,6 +182,7 @@
         self.retry_at = 0.0
         self.doubted_at = 0.0
         self.answered_at = 0.0
+        self.heard_at = 0.0
         self.listed_clock_ms = 0
         self.gained_at = 0
         self.was_offered = False
@@ -265,6 +268,10 @@
         if len(self.ended_runs) > REMEMBERED_ENDS:
             del self.ended_runs[next(iter(self.ended_runs))]
 
+    def note_heard(self, now: float) -> None:
+        """It answered: its process was there."""
+        self.heard_at = max(self.heard_at, now)
+
     def extend_lease(self, until_ms: int) -> None:
         """Take into account that everything there may now run until a reading."""
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
--- a/src/onyxspoke/core/shard/run_keeper.py
+++ b/src/onyxspoke/core/shard/run_keeper.py
@@ -130,10 +130,11 @@
             self._context.emit(JobBegun(job.spec.queue.name, job.spec.tenant, seconds))
         self._context.book.task_begun(run.task, now)
 
-    def abandon_all(self, worker: Worker, now: float) -> None:
+    def abandon_all(self, worker: Worker, reason: str, now: float) -> None:
         """A worker's life, or its lease, is over; so is everything that it ran."""
         for run in list(worker.runs.values()):
-            self.log_run("run_abandoned", run)
+            seen_ms = int(max(0.0, worker.heard_at - run.sent_at) * _MILLISECONDS)
+            self.log_run("run_abandoned", run, reason=reason, seen_ms=seen_ms)
             self.end_run(run, RunEnd.ABANDONED, now)
 
     def end_run(self, run: Run, end: RunEnd, now: float) -> None:
--- a/src/onyxspoke/core/shard/run_starter.py
+++ b/src/onyxspoke/core/shard/run_starter.py
@@ -139,6 +139,7 @@
         run = worker.runs.get(key)
         outcome = result.outcome
         if outcome is OrderOutcome.DONE:
+            worker.note_heard(now)
             if run is not None and run.state in (RunState.STARTING, RunState.UNCERTAIN):
                 self._runs.confirm(run, now)
             return
--- a/src/onyxspoke/core/shard/worker_keeper.py
+++ b/src/onyxspoke/core/shard/worker_keeper.py
@@ -143,6 +143,7 @@
             worker.doubted_at = 0.0
         worker.misses = 0
         worker.answered_at = now
+        worker.note_heard(now)
         was_settled = worker.contact is WorkerContact.SETTLED
         self._reports.reconcile(worker, result, sent_at, now)
         if not was_settled:
@@ -196,8 +197,15 @@
         if worker.contact is WorkerContact.OVER:
             return
         worker.move_to(WorkerContact.OVER)
-        self._log(worker, "worker_over", reason=reason, runs=len(worker.runs))
-        self._runs.abandon_all(worker, now)
+        self._log(
+            worker,
+            "worker_over",
+            reason=reason,
+            runs=len(worker.runs),
+            listing=worker.listing.value,
+            unheard_ms=int((now - worker.heard_at) * _MILLISECONDS) if worker.heard_at else -1,
+        )
+        self._runs.abandon_all(worker, reason, now)
         self._reports.settle_worker(worker, now)
         self._context.wants_placement = True
         if reason == "other_life":
