Failing: tasks that crash each worker they start on are started without a bound

Cause looked for: the incident's tasks went from worker to worker. The stand-ins now hold tasks that crash their worker 10 ms after the start; the worker is back after 3 s as another life at the same address, which answers so to orders for the old one. The audit counts crashes under a task and its starts after the third, as callers and workers see them, and takes two crashes as cause for a failed job.

--- a/src/onyxspoke/kit/jobs/audit.py
+++ b/src/onyxspoke/kit/jobs/audit.py
@@ -16,6 +16,12 @@
 
 #: A task of a cancelled job may start so long after the cancel was acknowledged.
 CANCEL_SECONDS = 3.0
+#: A task may be given up once so many workers have crashed under it.
+CRASHES_TO_GIVE_UP = 2
+#: Once so many have, a task that crashes its workers must not be started ...
+CRASHES_OF_CULPRIT = 3
+#: ... so many times more.
+STARTS_TOO_MANY = 3
 #: What a tenant has running may exceed its quota by a tenth, and by one task.
 QUOTA_OVERAGE = 1.1
 
@@ -40,6 +46,7 @@
     FAILED_WITHOUT_CAUSE = "failed_without_cause"
     NOT_FINISHED = "not_finished"
     QUOTA = "quota"
+    CRASHES = "crashes"
 
 
 @dataclass(slots=True)
@@ -74,6 +81,9 @@
     #: Ends ``done`` that may still be noted, by run; the value tells that a start followed.
     open_done: dict[RunKey, bool] = field(default_factory=dict)
     is_done_noted: bool = False
+    #: Workers that crashed under it, and its starts since there were enough to tell.
+    crashes: int = 0
+    starts_of_culprit: int = 0
 
 
 class JobAudit:
@@ -187,6 +197,11 @@
             task.noted_failed.add(run)
             self._check_attempts(run, task)
 
+    def handle_crashed(self, worker: FakeWorker, run: RunKey) -> None:
+        """The worker crashed under a run."""
+        self.counts["crashes"] += 1
+        self._task(run.task).crashes += 1
+
     def handle_lapsed(self, worker: FakeWorker) -> None:
         """What ended on the worker before its lease ran out may no longer count."""
         for task in self.tasks.values():
@@ -227,6 +242,7 @@
         for done in task.open_done:
             task.open_done[done] = True
         task.failed_before_start.append(task.noted_failed | task.open_failed)
+        self._check_crashes(run, task, node)
         self._check_attempts(run, task)
         for number in step.depends_on:
             earlier = StepKey(run.task.job_id, run.task.repetition, number)
@@ -245,6 +261,14 @@
             if len(failed & task.noted_failed) >= spec.queue.max_attempts:
                 self._find(Violation.ATTEMPTS, f"{run}")
 
+    def _check_crashes(self, run: RunKey, task: _TaskFacts, node: str) -> None:
+        """A task under which workers crash one after the other is not started for ever."""
+        if task.crashes < CRASHES_OF_CULPRIT:
+            return
+        task.starts_of_culprit += 1
+        if task.starts_of_culprit >= STARTS_TOO_MANY:
+            self._find(Violation.CRASHES, f"{run} by {node}, after {task.crashes} crashes")
+
     def _check_place(self, worker: FakeWorker, run: RunKey, facts: _JobFacts, node: str) -> None:
         step = facts.spec.steps[run.task.step]
         if step.required_label and step.required_label not in worker.record.labels:
@@ -276,6 +300,8 @@
                 continue
             if len(task.failed) >= spec.queue.max_attempts:
                 return True
+            if task.crashes >= CRASHES_TO_GIVE_UP:
+                return True
             numbers = failed_gang_runs.setdefault(key.step_key, set())
             numbers.update(run.number for run in task.failed)
         return any(
--- a/src/onyxspoke/kit/jobs/workers.py
+++ b/src/onyxspoke/kit/jobs/workers.py
@@ -51,6 +51,9 @@
     def handle_noted(self, worker: FakeWorker, run: RunKey, end: RunEnd) -> None:
         """A node told the worker that an end was noted."""
 
+    def handle_crashed(self, worker: FakeWorker, run: RunKey) -> None:
+        """The worker crashed under a run."""
+
     def handle_lapsed(self, worker: FakeWorker) -> None:
         """The worker's lease ran out."""
 
@@ -59,7 +62,8 @@
 class WorkOptions:
     """What tasks are like.
 
-    ``failing_share`` of the runs fail; ``hopeless`` jobs always do.
+    ``failing_share`` of the runs fail; ``hopeless`` jobs always do.  Tasks in ``crashing`` crash
+    each worker that starts them, ``crash_seconds`` after the start.
     """
 
     seed: int = 0
@@ -67,6 +71,8 @@
     longest_seconds: float = 1.5
     failing_share: float = 0.0
     hopeless: set[JobId] = field(default_factory=set)
+    crashing: set[TaskKey] = field(default_factory=set)
+    crash_seconds: float = 0.01
 
 
 @dataclass(slots=True)
@@ -124,6 +130,10 @@
         self.workers: dict[WorkerId, FakeWorker] = {}
         self.specs: dict[JobId, JobSpec] = {}
         self._gangs: dict[tuple[StepKey, int], dict[int, tuple[FakeWorker, RunKey]]] = {}
+        #: Lives that crashed, where another life answers at the same address by now.
+        self.replaced: set[WorkerId] = set()
+        #: Ends a life and brings the next one, when a task crashes its worker.
+        self.on_crash: Callable[[WorkerId], None] = lambda worker_id: None
 
     def add(self, record: WorkerRecord) -> FakeWorker:
         """Start a worker."""
@@ -200,10 +210,12 @@
         elapsed = self._pool.timers.now() - self._born_at
         return self._clock_base_ms + int(elapsed * self._rate * _MILLISECONDS)
 
-    def die(self) -> None:
-        """End this life; what ran ends with it."""
+    def die(self, *, is_planned: bool = False) -> None:
+        """End this life; what ran ends with it, and nothing is said of it."""
         self.is_up = False
         for key in list(self.runs):
+            if not is_planned:
+                self._pool.audit.handle_crashed(self, key)
             self._pool.audit.handle_ended(self, key, RunEnd.ABANDONED)
             self.runs.pop(key)
             self._pool.leave_gang(key, RunEnd.ABANDONED)
@@ -225,6 +237,9 @@
         now = self._pool.timers.now()
         self.runs[order.run] = _FakeRun(order.run, now, self._pool.seconds_of(order.run.task))
         self._pool.audit.handle_started(self, order.run, order.payload, node)
+        if order.run.task in self._pool.work.crashing:
+            seconds = self._pool.work.crash_seconds
+            self._pool.timers.schedule(seconds, lambda: self._crash_under(order.run))
         spec = self._pool.specs.get(order.run.task.job_id)
         if spec is not None and spec.steps[order.run.task.step].gang:
             self._pool.join_gang(self, order.run)
@@ -315,6 +330,10 @@
 
     # Internals
 
+    def _crash_under(self, key: RunKey) -> None:
+        if self.is_up and key in self.runs:
+            self._pool.on_crash(self.worker_id)
+
     def _take_token(self, token: int) -> bool:
         if token < self.token:
             return False
@@ -377,7 +396,7 @@
             lambda worker, is_late: worker.hold(
                 order, exchange.ignore if is_late else exchange.answer
             ),
-            lambda: exchange.answer(HoldResult(OrderOutcome.NO_ANSWER)),
+            lambda outcome: exchange.answer(HoldResult(outcome)),
         )
 
     def start(self, order: SendStart, on_result: Callable[[OrderResult], None]) -> None:
@@ -409,20 +428,21 @@
             if not is_late:
                 exchange.answer(result)
 
-        self._send(address, arrive, lambda: exchange.answer(OrderResult(OrderOutcome.NO_ANSWER)))
+        self._send(address, arrive, lambda outcome: exchange.answer(OrderResult(outcome)))
 
     def _send(
         self,
         address: WorkerAddress,
         arrive: Callable[[FakeWorker, bool], None],
-        refuse: Callable[[], None],
+        refuse: Callable[[OrderOutcome], None],
     ) -> None:
         pool = self._pool
 
         def reach() -> None:
             worker = pool.find(address)
             if worker is None:
-                refuse()
+                is_replaced = address.worker_id in pool.replaced
+                refuse(OrderOutcome.OTHER_LIFE if is_replaced else OrderOutcome.NO_ANSWER)
                 return
             if pool.random.random() < worker.faults.late_share:
                 pool.timers.schedule(
--- a/src/onyxspoke/sim/job_cluster.py
+++ b/src/onyxspoke/sim/job_cluster.py
@@ -47,6 +47,10 @@
 WORKER_CAPACITY = Needs(16_000, 32_768, 0)
 #: Workers on which every step may run, so that none waits for good.
 ALWAYS_GOOD = ("w0.", "w1.", "w2.", "w3.")
+#: A worker that a task crashed is back, as another life, after so long.
+REBIRTH_SECONDS = 3.0
+#: The directory drops the entry of a life that is silent after so long.
+ENTRY_SECONDS = 4.5
 _MILLISECONDS = 1_000.0
 
 
@@ -125,6 +129,7 @@
         self.audit = JobAudit(self.time)
         self.store = FakeStore(self.time, random.Random(options.seed + 2), options.store_budget)
         self.pool = FakeWorkerPool(self.time, random.Random(options.seed + 3), self.audit, work)
+        self.pool.on_crash = self.crash_worker
         self.directory = FakeDirectory(self.time)
         self.advice = FakeAdvice(
             self.time, good_share=0.5, seconds=0.01, always_good=options.always_good
@@ -253,8 +258,20 @@
 
     def kill_worker(self, worker_id: str) -> None:
         """End a worker's life; the directory notices later."""
-        self.pool.workers[worker_id].die()
-        self.time.schedule(4.5, lambda: self.directory.drop(worker_id))
+        self._end_worker(worker_id, is_planned=False)
+
+    def crash_worker(self, worker_id: str) -> None:
+        """End a worker's life; soon another one answers at its address."""
+        self.kill_worker(worker_id)
+        self.time.schedule(REBIRTH_SECONDS, partial(self._replace_worker, worker_id))
+
+    def _replace_worker(self, worker_id: str) -> None:
+        self.add_worker(worker_index(worker_id))
+        self.pool.replaced.add(worker_id)
+
+    def _end_worker(self, worker_id: str, *, is_planned: bool) -> None:
+        self.pool.workers[worker_id].die(is_planned=is_planned)
+        self.time.schedule(ENTRY_SECONDS, partial(self.directory.drop, worker_id))
 
     def drain_worker(self, worker_id: str, seconds: float) -> None:
         """Let a worker leave."""
@@ -265,7 +282,7 @@
         self.directory.list(
             replace(record, listing=WorkerListing.DRAINING, remaining_ms=remaining_ms)
         )
-        self.time.schedule(seconds, partial(self.kill_worker, worker_id))
+        self.time.schedule(seconds, partial(self._end_worker, worker_id, is_planned=True))
 
     # Looking
 
@@ -335,6 +352,11 @@
     return CellConfiguration(policy=policy, keys=keys, raw=str(version).encode())
 
 
+def worker_index(worker_id: str) -> int:
+    """Return which of the cell's workers a life belongs to."""
+    return int(worker_id.partition(".")[0].removeprefix("w"))
+
+
 def key_of(tenant: TenantName) -> str:
     """Return the key of a simulated tenant."""
     return f"key-of-{tenant}"
--- a/src/onyxspoke/sim/job_faults.py
+++ b/src/onyxspoke/sim/job_faults.py
@@ -8,7 +8,7 @@
 from enum import Enum
 from functools import partial
 
-from onyxspoke.sim.job_cluster import JobCluster, SimulatedNode
+from onyxspoke.sim.job_cluster import JobCluster, SimulatedNode, worker_index
 
 STORE = "store"
 #: Share of the faults of nodes that strike one which decides for a shard.
@@ -242,8 +242,7 @@
             self._later(2.5 + seconds, partial(self._replace_worker, worker_id))
 
     def _replace_worker(self, worker_id: str) -> None:
-        index = int(worker_id.partition(".")[0].removeprefix("w"))
-        self._cluster.add_worker(index)
+        self._cluster.add_worker(worker_index(worker_id))
 
     def _workers_late(self, seconds: float) -> None:
         for worker in list(self._cluster.pool.workers.values()):
