A task under which workers go down again and again is given up, and its job is failed

Cause: attempts were counted only by ends that workers report; a worker that is gone reports none. So a task that crashes its workers went from one to the next for ever, a worker each 3.4 s, with up to 8 runs of other jobs. The class: a bound that counts only what somebody reports, where the one who would report is what fails. Ruled out by the logs and a test each: a count lost with its holder, and runs taken for not begun (each start was acknowledged, one holder gave seven in a row). Change: each unplanned end of a worker counts for the tasks whose runs were ordered there, weighed by whether they had just begun when it was last heard. The count is in the record that clears the task's place, so a new holder counts each crash once, those nobody saw included. A task that was blamed before begins apart, so that a second crash proves it and spares those beside it. A job is given up after two crashes just after a task alone had begun, three among others, or four in all; lasting tasks that have worked for 30 s are not blamed.

--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+from contextlib import ExitStack
 from typing import Any
 
 from behave import given, then, when
-
-from onyxspoke.core.jobs.model import JobId, JobSpec, StepSpec, TaskKey
+from job_promise_steps import WITHOUT
+
+from onyxspoke.core.jobs.model import JobId, JobSpec, Needs, QueuePolicy, StepSpec, TaskKey
+from onyxspoke.core.jobs.progress import JobProgress
+from onyxspoke.core.jobs.states import RunState
+from onyxspoke.core.placement.blame import EndOfLife, blame_runs, has_crashed
+from onyxspoke.core.placement.runs import Run
+from onyxspoke.core.placement.workers import Worker, WorkerListing, WorkerRecord
 from onyxspoke.core.shard.calls import CallReply, ReplyCode, StateCall, SubmitCall
 from onyxspoke.kit.jobs.workers import WorkOptions
 from onyxspoke.sim.job_cluster import REBIRTH_SECONDS, ClusterOptions, JobCluster
@@ -32,14 +39,16 @@
     return JobSpec(job_id=job_id, queue=queue, payload=f"payload-{job_id}", steps=(step,))
 
 
-def submit(context: Any, spec: JobSpec) -> None:
-    """Hand a job in, and see it accepted."""
+def submit(context: Any, spec: JobSpec, seconds: float = 0.2) -> None:
+    """Hand a job in; after so long it is to be accepted, unless that is 0."""
     cluster = context.cluster
     cluster.pool.specs[spec.job_id] = spec
     cluster.audit.handle_submitted(spec)
     replies: list[CallReply | None] = []
     cluster.call(cluster.holder(), spec.job_id, SubmitCall(spec), replies.append)
-    cluster.run(0.2)
+    if not seconds:
+        return
+    cluster.run(seconds)
     assert replies and replies[0] is not None and replies[0].code is ReplyCode.OK, replies
     cluster.audit.handle_submit_reply(spec.job_id, replies[0])
 
@@ -72,21 +81,164 @@
     _submit_crashing(context, step)
 
 
+@given('that cell without "{mechanism}"')
+def _without(context: Any, mechanism: str) -> None:
+    if mechanism != "nothing":
+        stack = ExitStack()
+        context.add_cleanup(stack.close)
+        stack.enter_context(WITHOUT[mechanism]())
+
+
+@given("that cell, whose tasks crash their workers {seconds:g} seconds after the start")
+def _crash_late(context: Any, seconds: float) -> None:
+    context.cluster.pool.work.crash_seconds = seconds
+
+
 @when("the holder dies at each crash, for {seconds:g} seconds")
 def _holder_dies(context: Any, seconds: float) -> None:
     """The holder's process ends 1 ms after each crash, before it can have heard of it."""
+    _holder_dies_after(context, 0.001)
+    context.cluster.run(seconds)
+
+
+@given("that cell, whose holder dies {delay:g} seconds after each crash")
+def _holder_dies_after(context: Any, delay: float) -> None:
     cluster = context.cluster
     crash = cluster.crash_worker
 
-    def crash_both(worker_id: str) -> None:
-        crash(worker_id)
+    def kill_holder() -> None:
         holder = cluster.holder()
         if holder is not None:
-            cluster.time.schedule(0.001, lambda: cluster.kill_node(holder.name))
+            cluster.kill_node(holder.name)
             cluster.time.schedule(1.0, lambda: cluster.start_node(holder.name))
 
+    def crash_both(worker_id: str) -> None:
+        crash(worker_id)
+        cluster.time.schedule(delay, kill_holder)
+
     cluster.pool.on_crash = crash_both
-    cluster.run(seconds)
+
+
+@when("a job of a gang of {count:d} of which one member crashes its workers is handed in")
+def _crashing_gang(context: Any, count: int) -> None:
+    step = StepSpec(task_count=count, processors_milli=4_000, memory_mb=512, gang=True)
+    _submit_crashing(context, step)
+
+
+def _submit_innocent(context: Any, count: int) -> None:
+    step = StepSpec(task_count=1, processors_milli=1_000, memory_mb=512, estimated_ms=1_000)
+    for number in range(count):
+        submit(context, make_job(context, f"{number:016x}", step), seconds=0.0)
+
+
+@when("{count:d} jobs of one task each are handed in")
+def _innocent(context: Any, count: int) -> None:
+    _submit_innocent(context, count)
+
+
+@when("{count:d} jobs of one task each are handed in together with one that crashes its workers")
+def _innocent_beside(context: Any, count: int) -> None:
+    _submit_innocent(context, count)
+    _crashing_job(context)
+
+
+@when("every worker that runs something crashes after {seconds:g} seconds, twice")
+def _crash_all(context: Any, seconds: float) -> None:
+    cluster = context.cluster
+    for _ in range(2):
+        cluster.run(seconds)
+        busy = [worker.worker_id for worker in cluster.pool.workers.values() if worker.runs]
+        assert busy
+        for worker_id in busy:
+            cluster.crash_worker(worker_id)
+        cluster.run(REBIRTH_SECONDS + seconds)
+
+
+@then("{done:d} of the {count:d} jobs are shown as completed")
+def _completed(context: Any, done: int, count: int) -> None:
+    states = [state_of(context, f"{number:016x}") for number in range(count)]
+    assert states.count("completed") == done, states
+    assert not context.cluster.audit.findings, context.cluster.audit.findings
+
+
+LISTINGS = {
+    "ready": WorkerListing.READY,
+    "draining": WorkerListing.DRAINING,
+    "gone": WorkerListing.GONE,
+}
+SIGNS = {
+    "another life answers": EndOfLife.OTHER_LIFE,
+    "its lease is over": EndOfLife.LEASE_OVER,
+}
+
+
+def _make_worker() -> Worker:
+    record = WorkerRecord(
+        worker_id="w1", host="10.9.0.1", port=8_000, service="s", zone="z", capacity=Needs(64_000)
+    )
+    return Worker(record, unsettled_until=0.0)
+
+
+@given("a worker that was {last} when it was last heard of, and is {listed}")
+def _worker(context: Any, last: str, listed: str) -> None:
+    worker = context.worker = _make_worker()
+    worker.listing = LISTINGS[last]
+    worker.note_heard(100.0)
+    worker.listing = LISTINGS[listed]
+
+
+@when("its life is taken for over because {sign}")
+def _over(context: Any, sign: str) -> None:
+    context.has_crashed = has_crashed(context.worker, SIGNS[sign])
+
+
+@then("it has crashed")
+def _has_crashed(context: Any) -> None:
+    assert context.has_crashed
+
+
+@then("it was cut off")
+@then("it has left")
+def _has_not_crashed(context: Any) -> None:
+    assert not context.has_crashed
+
+
+@given("a worker that was last heard of at second {second:g}")
+def _heard(context: Any, second: float) -> None:
+    context.worker = _make_worker()
+    context.worker.note_heard(second)
+
+
+@given("runs on it that were ordered at {moments}")
+def _runs(context: Any, moments: str) -> None:
+    context.moments = [float(moment) for moment in moments.split(",")]
+
+
+@given("{kind} tasks")
+def _kind(context: Any, kind: str) -> None:
+    count = len(context.moments)
+    step = StepSpec(task_count=count, processors_milli=1_000, long_running=kind == "lasting")
+    queue = QueuePolicy(name="normal", service="s")
+    spec = JobSpec(job_id=CRASHING_JOB, queue=queue, payload="", steps=(step,))
+    progress = JobProgress(spec, 0.0).begin_repetition(0, 0.0)[0]
+    for number, (task, moment) in enumerate(zip(progress.tasks, context.moments, strict=True)):
+        run = Run(task, number + 1, context.worker, moment)
+        run.move_to(RunState.STARTING)
+        run.ordered_at = moment
+        if moment < context.worker.heard_at:
+            run.move_to(RunState.RUNNING)
+            run.confirmed_at = moment
+        context.worker.add(run)
+
+
+@when("the worker is taken for crashed at second {second:g}")
+def _blame(context: Any, second: float) -> None:
+    context.blame = [blame.value for _, blame in blame_runs(context.worker, second)]
+
+
+@then("the blame of its runs is {blame}")
+def _blamed(context: Any, blame: str) -> None:
+    assert context.blame == [word.strip() for word in blame.split(",")], context.blame
 
 
 @then("the job that crashes workers is shown as failed")
--- a/features/steps/job_promise_steps.py
+++ b/features/steps/job_promise_steps.py
@@ -10,10 +10,12 @@
 from behave import then, when
 
 from onyxspoke.core.jobs import records
-from onyxspoke.core.jobs.progress import StepProgress
+from onyxspoke.core.jobs.book import JobBook
+from onyxspoke.core.jobs.crashes import CrashTally
+from onyxspoke.core.jobs.progress import JobProgress, StepProgress
 from onyxspoke.core.placement.spreading import StepPlacement
 from onyxspoke.core.placement.workers import Worker
-from onyxspoke.core.shard import scheduler
+from onyxspoke.core.shard import journal, scheduler
 from onyxspoke.core.shard.commit import CommitQueue
 from onyxspoke.core.shard.run_starter import RunStarter
 from onyxspoke.core.shard.worker_keeper import WorkerKeeper
@@ -127,6 +129,42 @@
         yield
 
 
+@contextmanager
+def _without_crash_count() -> Iterator[None]:
+    with mock.patch.object(JobBook, "task_crashed", lambda _book, _task, _blame, _now: False):
+        yield
+
+
+@contextmanager
+def _without_record_of_crashes() -> Iterator[None]:
+    original = records.encode_progress
+
+    def encode(job: JobProgress) -> bytes:
+        tallies = [(task, task.crashes) for step in job.steps() for task in step.tasks]
+        for task, _ in tallies:
+            task.crashes = CrashTally()
+        try:
+            return original(job)
+        finally:
+            for task, tally in tallies:
+                task.crashes = tally
+
+    with mock.patch.object(journal, "encode_progress", encode):
+        yield
+
+
+@contextmanager
+def _without_doubted_crashes() -> Iterator[None]:
+    with mock.patch.object(JobBook, "tasks_doubted_on", lambda _book, _worker_id: []):
+        yield
+
+
+@contextmanager
+def _without_isolation() -> Iterator[None]:
+    with mock.patch.object(CrashTally, "is_suspicious", False):
+        yield
+
+
 #: What takes a mechanism out, by its name in the features.
 WITHOUT = {
     "starts only after the commit": _without_commit_before_start,
@@ -137,4 +175,8 @@
     "room of stray runs": _without_stray_room,
     "proof before unknown jobs": _without_proof,
     "ends noted only after the commit": _without_commit_before_noting,
+    "the count of crashes": _without_crash_count,
+    "the record of crashes": _without_record_of_crashes,
+    "crashes that a former holder did not see": _without_doubted_crashes,
+    "a beginning apart": _without_isolation,
 }
--- a/features/tasks_that_crash_workers.feature
+++ b/features/tasks_that_crash_workers.feature
@@ -29,3 +29,79 @@
     And 40 seconds pass in that cell
     Then the cluster has broken nothing
     And the job that crashes workers is shown as failed
+
+  Scenario Outline: The count of crashes outlives its holder - <mechanism>
+    Given that cell without "<mechanism>"
+    And that cell, whose holder dies <seconds> seconds after each crash
+    When a job of one task that crashes its workers is handed in
+    And 60 seconds pass in that cell
+    Then the cluster has broken <what>
+
+    Examples:
+      | mechanism                                | seconds | what      |
+      | nothing                                  | 3.4     | nothing   |
+      | the record of crashes                    | 3.4     | "crashes" |
+      | nothing                                  | 0.001   | nothing   |
+      | crashes that a former holder did not see | 0.001   | "crashes" |
+      | the count of crashes                     | 3.4     | "crashes" |
+
+  Scenario: A gang of which one member crashes its workers is given up
+    When a job of a gang of 6 of which one member crashes its workers is handed in
+    And 40 seconds pass in that cell
+    Then the cluster has broken nothing
+    And the job that crashes workers is shown as failed
+
+  Scenario: A task that crashes its workers late is given up
+    Given that cell, whose tasks crash their workers 0.8 seconds after the start
+    When a job of one task that crashes its workers is handed in
+    And 40 seconds pass in that cell
+    Then the cluster has broken nothing
+    And the job that crashes workers is shown as failed
+
+  Scenario Outline: Tasks that began beside one that crashes its workers are done - <mechanism>
+    Given that cell without "<mechanism>"
+    When 5 jobs of one task each are handed in together with one that crashes its workers
+    And 40 seconds pass in that cell
+    Then <count> of the 5 jobs are shown as completed
+    And the job that crashes workers is shown as failed
+
+    Examples:
+      | mechanism | count |
+      | nothing   | 5     |
+
+  Scenario: Jobs on workers that crash twice by themselves are done
+    When 24 jobs of one task each are handed in
+    And every worker that runs something crashes after 0.4 seconds, twice
+    And 30 seconds pass in that cell
+    Then 24 of the 24 jobs are shown as completed
+
+  Scenario Outline: What is concluded from the end of a worker's life: <case>
+    Given a worker that was <listing> when it was last heard of, and is <now listed>
+    When its life is taken for over because <sign>
+    Then it <outcome>
+
+    Examples:
+      | case                    | listing  | now listed | sign                 | outcome     |
+      | a crash                 | ready    | ready      | another life answers | has crashed |
+      | a crash, seen late      | ready    | gone       | its lease is over    | has crashed |
+      | the way there is cut    | ready    | ready      | its lease is over    | was cut off |
+      | a planned end           | draining | gone       | another life answers | has left    |
+      | an end without a notice | gone     | gone       | another life answers | has left    |
+      | a lease of one leaving  | draining | draining   | its lease is over    | has left    |
+
+  Scenario Outline: Which runs of a worker that crashed are blamed: <case>
+    Given a worker that was last heard of at second 100
+    And runs on it that were ordered at <ordered>
+    And <kind> tasks
+    When the worker is taken for crashed at second 103
+    Then the blame of its runs is <blame>
+
+    Examples:
+      | case                           | ordered      | kind    | blame                   |
+      | it alone had just begun        | 99.99        | finite  | alone                   |
+      | one among others               | 99.7, 99.99  | finite  | recent, recent          |
+      | others had been there          | 95, 99.99    | finite  | present, alone          |
+      | ordered after the last answer  | 95, 100.2    | finite  | present, alone          |
+      | nobody had just begun          | 95, 96       | finite  | present, present        |
+      | a lasting task at work         | 60, 99.99    | lasting | none, alone             |
+      | a finite task at work for long | 60, 99.99    | finite  | present, alone          |
--- a/src/onyxspoke/core/codes.py
+++ b/src/onyxspoke/core/codes.py
@@ -65,6 +65,7 @@
     TASK_FAILED = 405
     KEY_STATE_UNKNOWN = 406
     HOLDER_UNKNOWN = 407
+    TASK_CRASHES_WORKERS = 408
 
     SETTING_CONFLICT = 500
     SETTING_INVALID = 501
@@ -120,6 +121,9 @@
         "The log is away, so it cannot be told whether the key has run; ask again."
     ),
     ResultCode.HOLDER_UNKNOWN: "The call may have reached a holder; ask again.",
+    ResultCode.TASK_CRASHES_WORKERS: (
+        "Workers went down under a task again and again; its job was given up, and is failed."
+    ),
     ResultCode.SETTING_CONFLICT: "Another change was accepted first; the winning value is given.",
     ResultCode.SETTING_INVALID: "The setting's key or value is not allowed by the schema.",
     ResultCode.SETTINGS_FILE_INVALID: "The settings file has faults; each one is listed.",
--- a/src/onyxspoke/core/jobs/book.py
+++ b/src/onyxspoke/core/jobs/book.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from onyxspoke.core.jobs.crashes import Blame
 from onyxspoke.core.jobs.model import (
     JobId,
     JobSpec,
@@ -174,6 +175,11 @@
         """Return the workers that may run tasks which are in doubt."""
         return list(self._doubted_on)
 
+    def tasks_doubted_on(self, worker_id: WorkerId) -> list[TaskProgress]:
+        """Return the tasks that a former holder placed on a worker, and no worker has shown yet."""
+        tasks = self._doubted_on.get(worker_id, ())
+        return [task for task in tasks if task.state is TaskState.IN_DOUBT]
+
     def tasks_in_doubt(self) -> Iterator[TaskProgress]:
         """Return the tasks that a former holder may have started and no worker has shown yet."""
         if self.starts_are_recorded:
@@ -266,6 +272,22 @@
         self.dirty[step.job.job_id] = None
         self._fail_if_hopeless(step, len(numbers), now)
 
+    def task_crashed(self, task: TaskProgress, blame: Blame, now: float) -> bool:
+        """A worker went down under a task; return whether its job is given up for it.
+
+        No attempt is counted: those are for ends that workers report.  Of lasting tasks, too,
+        crashes are bounded, as each costs a worker and what else runs there.
+        """
+        job = task.step.job
+        if job.state.is_final or task.state is TaskState.DONE:
+            return False
+        task.crashes = task.crashes.add(blame)
+        self.dirty[job.job_id] = None
+        if not task.crashes.is_hopeless:
+            return False
+        self._finish(job, JobState.FAILED, now)
+        return True
+
     def note_checkpoint(self, task: TaskProgress, checkpoint: str) -> None:
         """Remember from where a task may resume."""
         if checkpoint and checkpoint != task.checkpoint:
--- /dev/null
+++ b/src/onyxspoke/core/jobs/crashes.py
@@ -0,0 +1,64 @@
+"""How often workers went down under a task, and when the task is given up for it.
+
+A worker that goes down reports nothing, so these ends are counted here and not with those that
+workers report; otherwise a task that crashes its workers goes from one to the next for ever.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import NamedTuple
+
+#: Tasks are given up once so many workers went down just after they alone had begun there: two of
+#: those are no chance, as a crash that has other causes seldom follows a start so closely, ...
+ALONE_TO_GIVE_UP = 2
+#: ... once so many went down just after they, among others, had begun, ...
+RECENT_TO_GIVE_UP = 3
+#: ... or once so many went down at any time of their runs, whoever is to blame.  That bounds what a
+#: task takes down that crashes its workers late, and leaves room for one crash that nobody saw.
+TOTAL_TO_GIVE_UP = 4
+
+
+class Blame(Enum):
+    """What speaks for it that a run brought its worker down.
+
+    ``NONE``: a lasting task had been at work for long.  ``PRESENT``: it was there.  ``RECENT``: it
+    had just begun, as others had.  ``ALONE``: it alone had just begun.
+    """
+
+    NONE = "none"
+    PRESENT = "present"
+    RECENT = "recent"
+    ALONE = "alone"
+
+
+class CrashTally(NamedTuple):
+    """Workers that went down under a task: all, those just after its start, those it alone."""
+
+    total: int = 0
+    recent: int = 0
+    alone: int = 0
+
+    def add(self, blame: Blame) -> CrashTally:
+        """Return the tally with one more crash; a run that has worked for long clears it."""
+        if blame is Blame.NONE:
+            return CrashTally()
+        return CrashTally(
+            self.total + 1,
+            self.recent + (blame in (Blame.RECENT, Blame.ALONE)),
+            self.alone + (blame is Blame.ALONE),
+        )
+
+    @property
+    def is_suspicious(self) -> bool:
+        """Whether the task is to begin apart from others, so that a crash shows who caused it."""
+        return self.recent > 0
+
+    @property
+    def is_hopeless(self) -> bool:
+        """Whether the task is not started any more."""
+        return (
+            self.alone >= ALONE_TO_GIVE_UP
+            or self.recent >= RECENT_TO_GIVE_UP
+            or self.total >= TOTAL_TO_GIVE_UP
+        )
--- a/src/onyxspoke/core/jobs/progress.py
+++ b/src/onyxspoke/core/jobs/progress.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from onyxspoke.core.jobs.crashes import CrashTally
 from onyxspoke.core.jobs.model import JobId, JobSpec, StepKey, StepSpec, TaskKey, WorkerId
 from onyxspoke.core.jobs.states import (
     JobState,
@@ -25,6 +26,8 @@
     ----------
     failed_runs : list of int
         Numbers of the runs that ended ``failed``; an end that is told twice counts once.
+    crashes : CrashTally
+        Workers that went down under its runs; nobody reports those.
     checkpoint : str
         Opaque text from which work may resume; empty for none.
     run : Run or None
@@ -38,6 +41,7 @@
 
     __slots__ = (
         "checkpoint",
+        "crashes",
         "failed_on",
         "failed_runs",
         "index",
@@ -52,6 +56,7 @@
         self.index = index
         self.state = TaskState.WAITING
         self.failed_runs: list[int] = []
+        self.crashes = CrashTally()
         self.checkpoint = ""
         self.run: Run | None = None
         self.failed_on: WorkerId = ""
--- a/src/onyxspoke/core/jobs/records.py
+++ b/src/onyxspoke/core/jobs/records.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from onyxspoke.core.jobs.crashes import CrashTally
 from onyxspoke.core.jobs.model import JobId, JobSpec, StepKey, WorkerId
 from onyxspoke.core.jobs.progress import JobProgress, StepProgress, TaskProgress
 from onyxspoke.core.jobs.states import JobState, TaskState
@@ -24,6 +25,8 @@
 
     ``placed`` tells by worker which tasks it may have a run of: it stands here before the worker is
     ordered to start any, so that a new holder knows which tasks a silent worker may run.
+    ``crashes`` counts by index the workers that went down under a task.  A crash is counted in the
+    record that clears the task's place, so that a new holder counts each one once.
     """
 
     repetition: int
@@ -33,6 +36,7 @@
     checkpoints: dict[int, str]
     failed_gang_runs: list[int]
     placed: dict[WorkerId, bytes] = {}
+    crashes: dict[int, CrashTally] = {}
 
 
 class ProgressRecord(msgspec.Struct, array_like=True):
@@ -135,6 +139,8 @@
         step.tasks[index].failed_runs = list(numbers)
     for index, checkpoint in kept.checkpoints.items():
         step.tasks[index].checkpoint = checkpoint
+    for index, tally in kept.crashes.items():
+        step.tasks[index].crashes = tally
     for worker_id, tasks in kept.placed.items():
         for index in _read_bitmap(tasks, len(step.tasks)):
             if step.tasks[index].state is not TaskState.DONE:
@@ -151,7 +157,10 @@
 def _has_progress(step: StepProgress) -> bool:
     if step.done_count or step.failed_gang_runs:
         return True
-    return any(task.failed_runs or task.checkpoint or task.placed_on for task in step.tasks)
+    return any(
+        task.failed_runs or task.checkpoint or task.placed_on or task.crashes.total
+        for task in step.tasks
+    )
 
 
 def _step_record(step: StepProgress) -> StepRecord:
@@ -164,6 +173,7 @@
         checkpoints={task.index: task.checkpoint for task in open_tasks if task.checkpoint},
         failed_gang_runs=step.failed_gang_runs,
         placed=_placements(step, open_tasks),
+        crashes={task.index: task.crashes for task in open_tasks if task.crashes.total},
     )
 
 
--- /dev/null
+++ b/src/onyxspoke/core/placement/blame.py
@@ -0,0 +1,59 @@
+"""Whether a worker crashed, and which of its runs may have brought it down.
+
+| sign | concluded |
+|---|---|
+| another life answers at the address, and the worker was not leaving | it crashed |
+| its lease is over, its entry gone, and it was not leaving | it crashed, or was cut off; counted |
+| its lease is over, and its entry stays | only the way there is cut; not counted |
+| it was draining, or its entry had gone while it answered | a planned end; not counted |
+| the same life answers again before that | a cut or a freeze; not counted |
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from onyxspoke.core.jobs.crashes import Blame
+from onyxspoke.core.jobs.states import RunState
+from onyxspoke.core.placement.runs import Run
+from onyxspoke.core.placement.workers import Worker, WorkerListing
+
+#: Runs that were ordered at most so long, in seconds, before their worker was last heard of had
+#: just begun when it went down.  Tasks that crash a worker as they start do so within some 10 ms;
+#: the rest leaves room for orders that are answered out of turn.
+JUST_BEGUN_SECONDS = 0.5
+#: A lasting task that has worked for so long, in seconds, does not crash its workers: over months
+#: some worker or other goes down under each of them, and that must not end their jobs.
+STEADY_SECONDS = 30.0
+
+
+class EndOfLife(Enum):
+    """By what sign a worker's life is taken for over."""
+
+    OTHER_LIFE = "other_life"
+    LEASE_OVER = "lease_over"
+
+
+def has_crashed(worker: Worker, sign: EndOfLife) -> bool:
+    """Return whether a worker whose life is over went down unplanned, as far as can be told."""
+    if worker.last_contact_listing is not WorkerListing.READY:
+        return False
+    return sign is EndOfLife.OTHER_LIFE or worker.listing is WorkerListing.GONE
+
+
+def blame_runs(worker: Worker, now: float) -> list[tuple[Run, Blame]]:
+    """Return the runs that were ordered on a worker that crashed, each with its blame."""
+    runs = [run for run in worker.runs.values() if run.state is not RunState.PLANNED]
+    recent = [run for run in runs if _had_just_begun(run, worker)]
+    blame_of_recent = Blame.ALONE if len(recent) == 1 else Blame.RECENT
+    return [(run, blame_of_recent if run in recent else _blame_of_older(run, now)) for run in runs]
+
+
+def _had_just_begun(run: Run, worker: Worker) -> bool:
+    return run.ordered_at > 0.0 and run.ordered_at >= worker.heard_at - JUST_BEGUN_SECONDS
+
+
+def _blame_of_older(run: Run, now: float) -> Blame:
+    is_steady = run.confirmed_at > 0.0 and now - run.confirmed_at >= STEADY_SECONDS
+    is_lasting = run.task.step.spec.long_running
+    return Blame.NONE if is_lasting and is_steady else Blame.PRESENT
--- a/src/onyxspoke/core/placement/room.py
+++ b/src/onyxspoke/core/placement/room.py
@@ -13,6 +13,14 @@
     def __init__(self) -> None:
         self._taken: dict[str, Needs] = {}
 
+    def has_taken_of(self, worker: Worker) -> bool:
+        """Return whether the pass has taken room of a worker."""
+        return worker.worker_id in self._taken
+
+    def take_all(self, worker: Worker) -> None:
+        """Take whatever a worker has left, so that nothing more of the pass goes there."""
+        self._taken[worker.worker_id] = worker.record.capacity
+
     def fits(self, worker: Worker, needs: Needs) -> bool:
         """Return whether a worker has room left for one more task."""
         taken = self._taken.get(worker.worker_id)
--- a/src/onyxspoke/core/placement/runs.py
+++ b/src/onyxspoke/core/placement/runs.py
@@ -54,6 +54,8 @@
     ----------
     until_ms : int
         Worker's clock after which the order to start is void.
+    ordered_at : float
+        When its start was ordered by this holder; 0 for one that a former holder ordered.
     sent_at : float
         When the order was sent, in the holder's seconds.
     confirmed_at : float
@@ -78,6 +80,7 @@
         "moved_at",
         "needs",
         "number",
+        "ordered_at",
         "pace_percent",
         "pace_sent_at",
         "pace_wanted",
@@ -107,6 +110,7 @@
         self.state = RunState.PLANNED
         self.gang = gang
         self.until_ms = 0
+        self.ordered_at = 0.0
         self.sent_at = now
         self.confirmed_at = 0.0
         self.stop_sent_at = 0.0
--- a/src/onyxspoke/core/placement/spreading.py
+++ b/src/onyxspoke/core/placement/spreading.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from onyxspoke.core.jobs.progress import StepProgress, TaskProgress
+from onyxspoke.core.placement.isolation import place_apart
 from onyxspoke.core.placement.room import ScratchRoom
 from onyxspoke.core.placement.workers import Worker
 
@@ -43,7 +44,9 @@
     step: StepProgress, candidates: list[Candidate], room: ScratchRoom, most: int, now: float
 ) -> StepPlacement | None:
     """Return where waiting tasks of a step, at most so many, start now, as far as there is room."""
-    waiting = [step.tasks[index] for index in step.waiting][:most]
+    chosen_tasks = [step.tasks[index] for index in step.waiting][:most]
+    waiting = [task for task in chosen_tasks if not task.crashes.is_suspicious]
+    suspects = [task for task in chosen_tasks if task.crashes.is_suspicious]
     counts = counts_on_workers(step)
     zones = {task.run.worker.record.zone for task in step.tasks if task.run is not None}
     left = list(candidates)
@@ -67,6 +70,8 @@
         chosen = {task.index for task in best_tasks}
         waiting = [task for task in waiting if task.index not in chosen]
         left = [candidate for candidate in left if candidate is not best]
+    for candidate, task in place_apart(step, suspects, left, counts, room, now):
+        placements.append(Placement(task, candidate.worker, candidate.ticket))
     return StepPlacement(step, placements) if placements else None
 
 
--- a/src/onyxspoke/core/placement/workers.py
+++ b/src/onyxspoke/core/placement/workers.py
@@ -155,6 +155,11 @@
         Holds in a row without an answer.
     heard_at : float
         When it last answered anything.
+    last_contact_listing : WorkerListing
+        What the directory said of it then; of one never heard, what its record says.
+    kept_free_until : float
+        Nothing more is started there before this second, so that a task that may have crashed
+        workers begins apart from others.
     """
 
     def __init__(self, record: WorkerRecord, unsettled_until: float) -> None:
@@ -183,6 +188,8 @@
         self.doubted_at = 0.0
         self.answered_at = 0.0
         self.heard_at = 0.0
+        self.last_contact_listing = record.listing
+        self.kept_free_until = 0.0
         self.listed_clock_ms = 0
         self.gained_at = 0
         self.was_offered = False
@@ -209,6 +216,7 @@
             and not self.strays
             and not self.doubted_at
             and now >= self.retry_at
+            and now >= self.kept_free_until
             and not self.health.is_avoided(now)
             and not (self.runs and self.health.is_on_trial(now))
         )
@@ -270,7 +278,8 @@
 
     def note_heard(self, now: float) -> None:
         """It answered: its process was there."""
-        self.heard_at = max(self.heard_at, now)
+        self.heard_at = now
+        self.last_contact_listing = self.listing
 
     def extend_lease(self, until_ms: int) -> None:
         """Take into account that everything there may now run until a reading."""
--- a/src/onyxspoke/core/shard/run_keeper.py
+++ b/src/onyxspoke/core/shard/run_keeper.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from onyxspoke.core.codes import ResultCode
+from onyxspoke.core.jobs.crashes import Blame
 from onyxspoke.core.jobs.model import RunKey, StepKey
 from onyxspoke.core.jobs.progress import StepProgress, TaskProgress, checkpoint_holder
 from onyxspoke.core.jobs.states import JobState, RunEnd, RunState, TaskState
+from onyxspoke.core.placement.blame import EndOfLife, blame_runs, has_crashed
 from onyxspoke.core.placement.room_seeker import Eviction
 from onyxspoke.core.placement.runs import GangRun, Run, is_stalled, run_name
 from onyxspoke.core.placement.workers import Worker, WorkerContact
@@ -130,12 +133,36 @@
             self._context.emit(JobBegun(job.spec.queue.name, job.spec.tenant, seconds))
         self._context.book.task_begun(run.task, now)
 
-    def abandon_all(self, worker: Worker, reason: str, now: float) -> None:
+    def abandon_all(self, worker: Worker, sign: EndOfLife, now: float) -> None:
         """A worker's life, or its lease, is over; so is everything that it ran."""
+        is_crash = has_crashed(worker, sign)
+        blamed = blame_runs(worker, now) if is_crash else []
+        doubted = self._context.book.tasks_doubted_on(worker.worker_id) if is_crash else []
         for run in list(worker.runs.values()):
             seen_ms = int(max(0.0, worker.heard_at - run.sent_at) * _MILLISECONDS)
-            self.log_run("run_abandoned", run, reason=reason, seen_ms=seen_ms)
+            self.log_run("run_abandoned", run, reason=sign.value, seen_ms=seen_ms)
             self.end_run(run, RunEnd.ABANDONED, now)
+        for run, blame in blamed:
+            self._note_crash(run.task, worker, blame, now)
+        for task in doubted:
+            # What else had just begun there, only the former holder knew.
+            self._note_crash(task, worker, Blame.PRESENT, now)
+
+    def _note_crash(self, task: TaskProgress, worker: Worker, blame: Blame, now: float) -> None:
+        """Count a crash under a task before it can be started again."""
+        is_given_up = self._context.book.task_crashed(task, blame, now)
+        tally = task.crashes
+        fields = {"total": tally.total, "recent": tally.recent, "alone": tally.alone}
+        name = f"{task.step.key.name}.{task.index}"
+        self._context.log(
+            "worker_crashed_under", worker=worker.worker_id, task=name, blame=blame.value, **fields
+        )
+        if is_given_up:
+            code = int(ResultCode.TASK_CRASHES_WORKERS)
+            self._context.log(
+                "job_given_up", code=code, job=task.step.job.job_id, task=name, **fields
+            )
+            self.stop_if_final(task.step, now)
 
     def end_run(self, run: Run, end: RunEnd, now: float) -> None:
         """Free a run's room and draw the consequences for its task."""
--- a/src/onyxspoke/core/shard/run_starter.py
+++ b/src/onyxspoke/core/shard/run_starter.py
@@ -5,6 +5,7 @@
 from onyxspoke.core.jobs.model import RunKey
 from onyxspoke.core.jobs.progress import StepProgress, checkpoint_of
 from onyxspoke.core.jobs.states import RunEnd, RunState
+from onyxspoke.core.placement.isolation import keep_free_for
 from onyxspoke.core.placement.runs import GangRun, Run, run_name
 from onyxspoke.core.placement.spreading import Placement, StepPlacement
 from onyxspoke.core.placement.workers import Worker, WorkerContact, WorkerListing
@@ -66,6 +67,7 @@
         task.run = run
         self._runs.hold_room(run)
         self._context.book.task_started(task)
+        keep_free_for(run, now)
         return run
 
     def order_starts(self, runs: list[Run], now: float) -> None:
@@ -105,9 +107,10 @@
         context = self._context
         task, worker = run.task, run.worker
         run.move_to(RunState.STARTING)
-        run.sent_at = run.moved_at = now
+        run.ordered_at = run.sent_at = run.moved_at = now
         run.until_ms = worker.clock.estimate_ms(now) + context.options.start_validity_ms
         worker.extend_lease(run.until_ms)
+        keep_free_for(run, now)
         job = task.step.job
         context.log(
             "run_start",
--- a/src/onyxspoke/core/shard/worker_keeper.py
+++ b/src/onyxspoke/core/shard/worker_keeper.py
@@ -4,6 +4,7 @@
 
 import math
 
+from onyxspoke.core.placement.blame import EndOfLife
 from onyxspoke.core.placement.workers import (
     HoldInFlight,
     Worker,
@@ -77,7 +78,7 @@
                 self._keep_over(worker, now)
                 continue
             if worker.contact is not WorkerContact.SETTLED and now > worker.lease_over_at():
-                self._end_life(worker, now, "lease_over")
+                self._end_life(worker, now, EndOfLife.LEASE_OVER)
                 continue
             self._hold_if_due(worker, now)
         self._settle_if_known(now)
@@ -133,7 +134,7 @@
         elif result.outcome is OrderOutcome.FENCED:
             self._context.step_down(StepDownReason.WORKER_FENCED)
         elif result.outcome is OrderOutcome.OTHER_LIFE:
-            self._end_life(worker, now, "other_life")
+            self._end_life(worker, now, EndOfLife.OTHER_LIFE)
         else:
             self._take_miss(worker, result.outcome, now)
 
@@ -193,22 +194,22 @@
 
     # Ends of lives
 
-    def _end_life(self, worker: Worker, now: float, reason: str) -> None:
+    def _end_life(self, worker: Worker, now: float, sign: EndOfLife) -> None:
         if worker.contact is WorkerContact.OVER:
             return
         worker.move_to(WorkerContact.OVER)
         self._log(
             worker,
             "worker_over",
-            reason=reason,
+            reason=sign.value,
             runs=len(worker.runs),
             listing=worker.listing.value,
             unheard_ms=int((now - worker.heard_at) * _MILLISECONDS) if worker.heard_at else -1,
         )
-        self._runs.abandon_all(worker, reason, now)
+        self._runs.abandon_all(worker, sign, now)
         self._reports.settle_worker(worker, now)
         self._context.wants_placement = True
-        if reason == "other_life":
+        if sign is EndOfLife.OTHER_LIFE:
             worker.listing = WorkerListing.GONE
 
     def _keep_over(self, worker: Worker, now: float) -> None:
