Rooms that change, and entries of the directory from other writers

Cause: a worker's free room was kept beside the capacity that it was first listed with, so a room that shrank was overfilled and one that grew never used. Change: free room is derived from the capacity in force and what runs hold; below zero nothing new starts, and a start whose record was under way when the room shrank is withdrawn. The decoder is total: a worker, or an entry with a fault; a known worker with a damaged entry gets nothing new, is looked at and settled as before, and is not taken for gone. One log line a worker and fault.

--- a/src/onyxspoke/core/codes.py
+++ b/src/onyxspoke/core/codes.py
@@ -75,6 +75,7 @@
     FRAME_TOO_LARGE = 601
     INTERNAL_ERROR = 602
     STEP_OVERLOOKED = 603
+    ENTRY_UNUSABLE = 604
 
 
 CODE_DESCRIPTIONS: dict[ResultCode, str] = {
@@ -133,6 +134,7 @@
     ResultCode.STEP_OVERLOOKED: (
         "Only the holder's sweep of waiting steps found that a step could start; it starts now."
     ),
+    ResultCode.ENTRY_UNUSABLE: "An entry of the directory names no worker to use; see its fault.",
 }
 
 _HTTP_STATUS_BY_CODE: dict[ResultCode, int] = {
--- a/src/onyxspoke/core/jobs/amounts.py
+++ b/src/onyxspoke/core/jobs/amounts.py
@@ -31,7 +31,9 @@
 
 
 def slots_within(room: Needs, needs: Needs) -> int:
-    """Return how many tasks with these needs go into a room."""
+    """Return how many tasks with these needs go into a room; none where any of it is over."""
+    if min(room) < 0:
+        return 0
     count = _UNBOUNDED
     if needs.processors_milli > 0:
         count = room.processors_milli // needs.processors_milli
--- a/src/onyxspoke/core/placement/blame.py
+++ b/src/onyxspoke/core/placement/blame.py
@@ -36,7 +36,7 @@
 
 def has_crashed(worker: Worker, sign: EndOfLife) -> bool:
     """Return whether a worker whose life is over went down unplanned, as far as can be told."""
-    if worker.last_contact_listing is not WorkerListing.READY:
+    if worker.last_contact_listing in (WorkerListing.DRAINING, WorkerListing.GONE):
         return False
     return sign is EndOfLife.OTHER_LIFE or worker.listing is WorkerListing.GONE
 
--- a/src/onyxspoke/core/placement/workers.py
+++ b/src/onyxspoke/core/placement/workers.py
@@ -21,10 +21,15 @@
 
 
 class WorkerListing(Enum):
-    """What the platform's directory says of a worker."""
+    """What the platform's directory says of a worker.
+
+    ``UNUSABLE``: its entry cannot be read as a worker's; it gets nothing new, and what runs there
+    goes on.
+    """
 
     READY = "ready"
     DRAINING = "draining"
+    UNUSABLE = "unusable"
     GONE = "gone"
 
 
@@ -73,6 +78,23 @@
     machine: str = ""
 
 
+class EntryFault(Enum):
+    """Why an entry of the directory names no worker to use."""
+
+    UNREADABLE = "unreadable"
+    UNKNOWN_STATE = "unknown_state"
+    NO_SERVICE = "no_service"
+    NO_ADDRESS = "no_address"
+    OUT_OF_RANGE = "out_of_range"
+
+
+class UnusableEntry(msgspec.Struct, frozen=True):
+    """An entry of the directory that names no worker to use; another writer may have left it."""
+
+    worker_id: WorkerId
+    fault: EntryFault
+
+
 class WorkerClock:
     """A worker's steady clock, read from its answers and estimated in between."""
 
@@ -175,9 +197,10 @@
         self.health = WorkerHealth()
         self.pace = WorkerPace()
         self.strays: dict[RunKey, float] = {}
-        self.free_processors = record.capacity.processors_milli
-        self.free_memory = record.capacity.memory_mb
-        self.free_accelerators = record.capacity.accelerators
+        #: What the runs that hold room there hold together.
+        self._held_processors = 0
+        self._held_memory = 0
+        self._held_accelerators = 0
         self.seen_through = 0
         self.told_through = 0
         self.is_recorded = False
@@ -221,6 +244,29 @@
             and not (self.runs and self.health.is_on_trial(now))
         )
 
+    # Free room is derived from the capacity in force, which may shrink and grow while runs hold
+    # room, and so may be below zero: then nothing new starts there, and nothing is stopped for it.
+
+    @property
+    def free_processors(self) -> int:
+        """Processors that no run holds, in thousandths."""
+        return self.record.capacity.processors_milli - self._held_processors
+
+    @property
+    def free_memory(self) -> int:
+        """Memory that no run holds, in MiB."""
+        return self.record.capacity.memory_mb - self._held_memory
+
+    @property
+    def free_accelerators(self) -> int:
+        """Accelerators that no run holds."""
+        return self.record.capacity.accelerators - self._held_accelerators
+
+    @property
+    def is_over_room(self) -> bool:
+        """Whether its runs hold more than there is."""
+        return self.free_processors < 0 or self.free_memory < 0 or self.free_accelerators < 0
+
     def fits(self, needs: Needs) -> bool:
         """Return whether there is room."""
         return (
@@ -232,17 +278,17 @@
     def add(self, run: Run) -> None:
         """Reserve room for a run."""
         self.runs[run.key] = run
-        self.free_processors -= run.needs.processors_milli
-        self.free_memory -= run.needs.memory_mb
-        self.free_accelerators -= run.needs.accelerators
+        self._held_processors += run.needs.processors_milli
+        self._held_memory += run.needs.memory_mb
+        self._held_accelerators += run.needs.accelerators
 
     def remove(self, run: Run) -> None:
         """Free the room of a run that has ended."""
         if self.runs.pop(run.key, None) is None:
             return
-        self.free_processors += run.needs.processors_milli
-        self.free_memory += run.needs.memory_mb
-        self.free_accelerators += run.needs.accelerators
+        self._held_processors -= run.needs.processors_milli
+        self._held_memory -= run.needs.memory_mb
+        self._held_accelerators -= run.needs.accelerators
 
     def has_fillers(self) -> bool:
         """Return whether something fills here beside something that serves."""
--- a/src/onyxspoke/core/shard/run_starter.py
+++ b/src/onyxspoke/core/shard/run_starter.py
@@ -92,6 +92,8 @@
             and context.may_order(now)
             and worker.contact is WorkerContact.SETTLED
             and worker.listing is WorkerListing.READY
+            # Its room may have shrunk while the start's record was under way.
+            and not worker.is_over_room
             and not worker.doubted_at
             and self._ticket(run, now) is not None
         )
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -11,7 +11,7 @@
 from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.placement.placer import MAXIMUM_PLACEMENTS, Placer
-from onyxspoke.core.placement.workers import WorkerRecord
+from onyxspoke.core.placement.workers import UnusableEntry, WorkerRecord
 from onyxspoke.core.shard.actions import (
     AskAdvice,
     SendAppend,
@@ -176,10 +176,14 @@
         self.context.shard_count = count
 
     def stimulus_workers_listed(
-        self, records: list[WorkerRecord], is_whole: bool, now: float
+        self,
+        records: list[WorkerRecord],
+        unusable: list[UnusableEntry],
+        is_whole: bool,
+        now: float,
     ) -> None:
-        """The directory lists these workers."""
-        self.register.handle_listed(records, is_whole, now)
+        """The directory lists these workers, and entries that name none."""
+        self.register.handle_listed(records, unusable, is_whole, now)
 
     def stimulus_worker_unlisted(self, worker_id: WorkerId, now: float) -> None:
         """The directory lists a worker no longer."""
--- a/src/onyxspoke/core/shard/worker_register.py
+++ b/src/onyxspoke/core/shard/worker_register.py
@@ -11,9 +11,10 @@
 
 import msgspec
 
-from onyxspoke.core.jobs.model import WorkerId
+from onyxspoke.core.jobs.model import Needs, WorkerId
 from onyxspoke.core.placement.workers import (
     SLOWEST_CLOCK_FACTOR,
+    UnusableEntry,
     Worker,
     WorkerContact,
     WorkerListing,
@@ -63,17 +64,35 @@
         worker.was_used_before = True
         worker.listing = WorkerListing.GONE
 
-    def handle_listed(self, records: list[WorkerRecord], is_whole: bool, now: float) -> None:
+    def handle_listed(
+        self,
+        records: list[WorkerRecord],
+        unusable: list[UnusableEntry],
+        is_whole: bool,
+        now: float,
+    ) -> None:
         """The directory lists these workers; a whole list also tells which are gone."""
         for record in records:
             self._take_listing(record, now)
+        for entry in unusable:
+            self._take_unusable(entry)
         if is_whole:
             self._directory_is_known = True
             listed = {record.worker_id for record in records}
+            listed |= {entry.worker_id for entry in unusable}
             for worker in list(self._context.table.workers.values()):
                 if worker.worker_id not in listed:
                     self.handle_unlisted(worker.worker_id, now)
 
+    def _take_unusable(self, entry: UnusableEntry) -> None:
+        """A worker's entry is damaged: it gets nothing new, but it is not taken for gone."""
+        worker = self._context.table.workers.get(entry.worker_id)
+        if worker is None or worker.listing in (WorkerListing.UNUSABLE, WorkerListing.DRAINING):
+            return
+        worker.listing = WorkerListing.UNUSABLE
+        worker.lapsed_until = 0.0
+        _log(self._context, worker, "worker_unusable", fault=entry.fault.value)
+
     def handle_unlisted(self, worker_id: WorkerId, now: float) -> None:
         """The directory lists a worker no longer."""
         worker = self._context.table.workers.get(worker_id)
@@ -113,6 +132,8 @@
                 worker.leaves_at = now + record.remaining_ms / _MILLISECONDS
             worker.listing = record.listing
             _log(self._context, worker, "worker_listing", listing=record.listing.value)
+        if worker.record.capacity != record.capacity:
+            self._take_capacity(worker, record.capacity)
         worker.record = record
         worker.lapsed_until = 0.0
         if record.listing is WorkerListing.READY and not worker.is_recorded:
@@ -121,6 +142,24 @@
             self._unrecorded[record.worker_id] = worker
         self._context.wants_placement = True
 
+    def _take_capacity(self, worker: Worker, capacity: Needs) -> None:
+        """Its room has shrunk or grown; all that looks for room sees it from now on."""
+        former = worker.record.capacity
+        _log(
+            self._context,
+            worker,
+            "worker_room",
+            cpu=capacity.processors_milli,
+            mb=capacity.memory_mb,
+            gpu=capacity.accelerators,
+            former_cpu=former.processors_milli,
+            former_mb=former.memory_mb,
+            former_gpu=former.accelerators,
+            runs=len(worker.runs),
+        )
+        # A step that found no room looks again only at workers that have gained some.
+        self._context.table.note_gain(worker)
+
     def _add(self, record: WorkerRecord) -> Worker:
         worker = Worker(record, self._former_leases_until)
         self._context.table.workers[record.worker_id] = worker
--- a/src/onyxspoke/kit/jobs/audit.py
+++ b/src/onyxspoke/kit/jobs/audit.py
@@ -16,6 +16,8 @@
 
 #: A task of a cancelled job may start so long after the cancel was acknowledged.
 CANCEL_SECONDS = 3.0
+#: A worker's room that has shrunk counts so long after the worker said so.
+ROOM_SECONDS = 0.5
 #: A task may be given up once so many workers have crashed under it.
 CRASHES_TO_GIVE_UP = 2
 #: Once so many have, a task that crashes its workers must not be started ...
@@ -95,6 +97,8 @@
         self.jobs: dict[JobId, _JobFacts] = {}
         self.tasks: dict[TaskKey, _TaskFacts] = {}
         self._taken: dict[WorkerId, dict[RunKey, Needs]] = {}
+        #: Former rooms of workers that have changed them, and when.
+        self._former_rooms: dict[WorkerId, list[tuple[float, Needs]]] = {}
         self._done_in_step: Counter[StepKey] = Counter()
         #: The highest quota of each tenant among the configurations that may be in force.
         self.quotas: dict[TenantName, Needs] = {}
@@ -202,6 +206,11 @@
         self.counts["crashes"] += 1
         self._task(run.task).crashes += 1
 
+    def handle_resized(self, worker: FakeWorker, former: Needs) -> None:
+        """The worker has said that its room is another one now."""
+        until = self._timers.now() + ROOM_SECONDS
+        self._former_rooms.setdefault(worker.worker_id, []).append((until, former))
+
     def handle_lapsed(self, worker: FakeWorker) -> None:
         """What ended on the worker before its lease ran out may no longer count."""
         for task in self.tasks.values():
@@ -215,12 +224,20 @@
         needs = facts.spec.steps[run.task.step].needs
         taken = self._taken.setdefault(worker.worker_id, {})
         taken[run] = needs
-        capacity = worker.record.capacity
+        capacity = self._room_of(worker)
         for index in range(len(capacity)):
             if sum(item[index] for item in taken.values()) > capacity[index]:
                 self._find(Violation.OVER_CAPACITY, f"{run} on {worker.worker_id} by {node}")
                 return
 
+    def _room_of(self, worker: FakeWorker) -> Needs:
+        """Return the most room that a worker has had of late."""
+        room = worker.record.capacity
+        for until, former in self._former_rooms.get(worker.worker_id, []):
+            if self._timers.now() <= until:
+                room = Needs(*map(max, room, former))
+        return room
+
     def _check_quota(self, run: RunKey, facts: _JobFacts, node: str) -> None:
         """No start brings a tenant over its quota, a tenth more, and one task more."""
         tenant = facts.spec.tenant
--- a/src/onyxspoke/kit/jobs/platform.py
+++ b/src/onyxspoke/kit/jobs/platform.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from onyxspoke.core.jobs.model import StepKey, WorkerId
-from onyxspoke.core.placement.workers import WorkerRecord
+from onyxspoke.core.placement.workers import EntryFault, UnusableEntry, WorkerRecord
 from onyxspoke.core.shard.orders import AdviceOutcome, AdviceResult, Ticket
 from onyxspoke.kit.jobs.store import FakeStore
 from onyxspoke.kit.jobs.timers import Path, Timers
@@ -29,16 +29,26 @@
     def __init__(self, timers: Timers) -> None:
         self.timers = timers
         self.records: dict[WorkerId, WorkerRecord] = {}
+        #: Entries that another writer has damaged.
+        self.unusable: dict[WorkerId, UnusableEntry] = {}
         self.watchers: list[FakeDirectoryClient] = []
 
     def list(self, record: WorkerRecord) -> None:
         """List a worker, or change what is listed."""
         self.records[record.worker_id] = record
+        self.unusable.pop(record.worker_id, None)
+        for watcher in list(self.watchers):
+            watcher.look()
+
+    def damage(self, worker_id: WorkerId, fault: EntryFault) -> None:
+        """Have an entry name no worker any more."""
+        self.unusable[worker_id] = UnusableEntry(worker_id, fault)
         for watcher in list(self.watchers):
             watcher.look()
 
     def drop(self, worker_id: WorkerId) -> None:
         """List a worker no longer."""
+        self.unusable.pop(worker_id, None)
         if self.records.pop(worker_id, None) is not None:
             for watcher in list(self.watchers):
                 watcher.look()
@@ -84,11 +94,17 @@
         )
 
     def _send_all(self) -> None:
-        records = list(self._directory.records.values())
+        unusable = list(self._directory.unusable.values())
+        damaged = self._directory.unusable
+        records = [
+            record
+            for worker_id, record in self._directory.records.items()
+            if worker_id not in damaged
+        ]
 
         def arrive() -> None:
             if self._listener is not None:
-                self._listener.handle_workers_listed(records, True)
+                self._listener.handle_workers_listed(records, unusable, True)
 
         self._path.to_node(STORE, arrive)
 
--- a/src/onyxspoke/node/directory_hub.py
+++ b/src/onyxspoke/node/directory_hub.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from onyxspoke.core.jobs.model import WorkerId
-from onyxspoke.core.placement.workers import WorkerRecord
+from onyxspoke.core.placement.workers import UnusableEntry, WorkerRecord
 from onyxspoke.core.shard.layout import CellLayout
 from onyxspoke.core.shard.log_records import ShardId
 from onyxspoke.ports.clock import Clock
@@ -27,6 +27,7 @@
         self._layout: CellLayout | None = None
         self._listeners: dict[ShardId, WorkerDirectoryListener] = {}
         self._records: dict[WorkerId, WorkerRecord] = {}
+        self._unusable: dict[WorkerId, UnusableEntry] = {}
         self._whole_since: float | None = None
 
     def workers(self) -> list[WorkerRecord]:
@@ -61,30 +62,40 @@
         if self._listeners.pop(shard, None) is not None and not self._listeners:
             self._directory.stop_watching()
             self._records.clear()
+            self._unusable.clear()
             self._whole_since = None
 
-    def handle_workers_listed(self, records: list[WorkerRecord], is_whole: bool) -> None:
-        """The directory lists these workers."""
+    def handle_workers_listed(
+        self, records: list[WorkerRecord], unusable: list[UnusableEntry], is_whole: bool
+    ) -> None:
+        """The directory lists these workers, and entries that name none."""
         if is_whole:
             self._records.clear()
+            self._unusable.clear()
             if self._whole_since is None:
                 self._whole_since = self._clock.now()
-        self._records.update({record.worker_id: record for record in records})
+        for record in records:
+            self._records[record.worker_id] = record
+            self._unusable.pop(record.worker_id, None)
+        # The former record of a worker stays: it still tells which shard the worker belongs to.
+        self._unusable.update({entry.worker_id: entry for entry in unusable})
         for shard, listener in list(self._listeners.items()):
             own = self._own(shard, records)
-            if own or is_whole:
-                listener.handle_workers_listed(own, is_whole)
+            if own or unusable or is_whole:
+                listener.handle_workers_listed(own, unusable, is_whole)
 
     def handle_worker_unlisted(self, worker_id: WorkerId) -> None:
         """The directory lists a worker no longer."""
         self._records.pop(worker_id, None)
+        self._unusable.pop(worker_id, None)
         for listener in list(self._listeners.values()):
             listener.handle_worker_unlisted(worker_id)
 
     def _tell_all(self, shard: ShardId) -> None:
         if self._whole_since is not None:
             own = self._own(shard, list(self._records.values()))
-            self._listeners[shard].handle_workers_listed(own, True)
+            unusable = list(self._unusable.values())
+            self._listeners[shard].handle_workers_listed(own, unusable, True)
 
     def _own(self, shard: ShardId, records: list[WorkerRecord]) -> list[WorkerRecord]:
         layout = self._layout
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -8,7 +8,7 @@
 from absl import logging
 
 from onyxspoke.core.jobs.policy import PolicySet
-from onyxspoke.core.placement.workers import WorkerRecord
+from onyxspoke.core.placement.workers import UnusableEntry, WorkerRecord
 from onyxspoke.core.shard.actions import (
     AskAdvice,
     AskQuota,
@@ -384,10 +384,12 @@
 
     # Directory
 
-    def handle_workers_listed(self, records: list[WorkerRecord], is_whole: bool) -> None:
+    def handle_workers_listed(
+        self, records: list[WorkerRecord], unusable: list[UnusableEntry], is_whole: bool
+    ) -> None:
         """The directory lists these workers."""
         if self.scheduler is not None:
-            self.scheduler.stimulus_workers_listed(records, is_whole, self._clock.now())
+            self.scheduler.stimulus_workers_listed(records, unusable, is_whole, self._clock.now())
             self._wake()
 
     def handle_worker_unlisted(self, worker_id: str) -> None:
--- a/src/onyxspoke/platform/configuration.py
+++ b/src/onyxspoke/platform/configuration.py
@@ -14,7 +14,6 @@
 from onyxspoke.core.shard.log_records import ShardRecord
 from onyxspoke.core.tenants.keys import Credential, KeyRing
 from onyxspoke.core.tenants.policy import TenantName, TenantPolicy
-from onyxspoke.platform.directory import CapacityEntry
 from onyxspoke.platform.feeds import TopicFeed
 from onyxspoke.platform.store import OPERATOR_TOPIC, StoreClient
 from onyxspoke.ports.configuration import (
@@ -52,11 +51,17 @@
     spare: bool = False
 
 
+class _QuotaEntry(msgspec.Struct, rename={"memory_mb": "memMb", "processors_milli": "cpu"}):
+    processors_milli: int = 0
+    memory_mb: int = 0
+    gpu: int = 0
+
+
 class _TenantEntry(msgspec.Struct, rename="camel"):
     name: str
     api_keys: list[str] = []
     weight: float = 1.0
-    max_count: CapacityEntry = msgspec.field(default_factory=CapacityEntry)
+    max_count: _QuotaEntry = msgspec.field(default_factory=_QuotaEntry)
 
 
 class _LimitsEntry(msgspec.Struct, rename="camel"):
--- a/src/onyxspoke/platform/directory.py
+++ b/src/onyxspoke/platform/directory.py
@@ -2,42 +2,60 @@
 
 from __future__ import annotations
 
+import re
+
 import msgspec
 from absl import logging
 from twisted.internet.interfaces import IReactorTime
 
-from onyxspoke.core.jobs.model import Needs
-from onyxspoke.core.placement.workers import WorkerListing, WorkerRecord
+from onyxspoke.core.codes import ResultCode
+from onyxspoke.core.jobs.model import Needs, WorkerId
+from onyxspoke.core.placement.workers import (
+    EntryFault,
+    UnusableEntry,
+    WorkerListing,
+    WorkerRecord,
+)
 from onyxspoke.core.shard.log_records import ShardRecord
 from onyxspoke.platform.feeds import TopicFeed
 from onyxspoke.platform.store import WORKER_TOPIC, StoreClient
 from onyxspoke.ports.worker_directory import WorkerDirectoryListener
 
 PAUSE_SECONDS = 0.25
+#: Faults of entries that are remembered, so that a flood of entries takes little memory.
+MAXIMUM_FAULTS_KEPT = 1_000
 _RACK_PREFIX = "r"
 
 
+#: Amounts beyond this are no machine's; sums of them stay exact.
+_HIGHEST_FIGURE = 2**40
+_HIGHEST_PORT = 65_535
+_ADDRESS = re.compile(r"(?P<host>[0-9]{1,3}(?:\.[0-9]{1,3}){3}):(?P<port>[0-9]{1,5})")
+_LISTINGS = {"ready": WorkerListing.READY, "draining": WorkerListing.DRAINING}
+
+
 class CapacityEntry(msgspec.Struct, rename={"memory_mb": "memMb", "processors_milli": "cpu"}):
     """A worker's capacity."""
 
-    processors_milli: int = 0
-    memory_mb: int = 0
+    processors_milli: int
+    memory_mb: int
     gpu: int = 0
 
 
-class WorkerEntry(
-    msgspec.Struct, rename={"cold_remaining_ms": "coldRemainingMs", "remaining_ms": "remainingMs"}
-):
-    """What a worker writes of itself."""
+class WorkerEntry(msgspec.Struct, rename="camel"):
+    """What a worker writes of itself; every worker tells what has no default here."""
 
     service: str
     address: str
-    zone: str = ""
-    state: str = "ready"
-    capacity: CapacityEntry = msgspec.field(default_factory=CapacityEntry)
+    zone: str
+    version: str
+    slots: int
+    state: str
+    sequence: int
+    capacity: CapacityEntry
     labels: list[str] = []
-    cold_remaining_ms: int = 0
-    remaining_ms: int = 0
+    cold_remaining_ms: float = 0.0
+    remaining_ms: float = 0.0
     machine: str = ""
 
 
@@ -50,6 +68,8 @@
     def __init__(self, store: StoreClient, reactor: IReactorTime) -> None:
         self._feed = TopicFeed(store, reactor, WORKER_TOPIC, self._take, PAUSE_SECONDS)
         self._listener: WorkerDirectoryListener | None = None
+        #: Entries that name no worker, as they were last told in the log.
+        self._faults: dict[WorkerId, EntryFault] = {}
 
     def watch(self, listener: WorkerDirectoryListener) -> None:
         """Begin to report; the whole list comes first."""
@@ -66,44 +86,86 @@
         if listener is None:
             return
         newest = {record.key: record.value for record in records}
-        listed = []
+        listed: list[WorkerRecord] = []
+        unusable: list[UnusableEntry] = []
         for worker_id, value in newest.items():
             if not value:
+                self._faults.pop(worker_id, None)
                 listener.handle_worker_unlisted(worker_id)
                 continue
-            worker = decode_worker(worker_id, value)
-            if worker is not None:
-                listed.append(worker)
-        if listed or is_whole:
-            listener.handle_workers_listed(listed, is_whole)
-
-
-def decode_worker(worker_id: str, value: bytes) -> WorkerRecord | None:
-    """Return a worker's record, or ``None`` for one that cannot be read."""
+            found = decode_worker(worker_id, value)
+            self._note_fault(worker_id, found)
+            if isinstance(found, WorkerRecord):
+                listed.append(found)
+            else:
+                unusable.append(found)
+        if listed or unusable or is_whole:
+            listener.handle_workers_listed(listed, unusable, is_whole)
+
+    def _note_fault(self, worker_id: WorkerId, found: WorkerRecord | UnusableEntry) -> None:
+        """Write one line for an entry that names no worker, not one for each time it is written."""
+        if isinstance(found, WorkerRecord):
+            self._faults.pop(worker_id, None)
+            return
+        if self._faults.get(worker_id) is found.fault:
+            return
+        if len(self._faults) >= MAXIMUM_FAULTS_KEPT:
+            self._faults.clear()
+        self._faults[worker_id] = found.fault
+        logging.warning(
+            "event=worker_entry_unusable code=%d worker=%.100r fault=%s",
+            ResultCode.ENTRY_UNUSABLE,
+            worker_id,
+            found.fault.value,
+        )
+
+
+def decode_worker(worker_id: WorkerId, value: bytes) -> WorkerRecord | UnusableEntry:
+    """Return the worker that an entry names, or why it names none; it never raises.
+
+    Entries may come from other writers, with anything in them: what is not wholly a worker's own
+    account of itself must lead to no call and no start.
+    """
     try:
         entry = _decoder.decode(value)
-    except msgspec.MsgspecError as error:
-        logging.warning("event=worker_entry_unreadable worker=%s error=%r", worker_id, str(error))
-        return None
-    host, _, port = entry.address.rpartition(":")
-    is_draining = entry.state == "draining"
+    # Deep nesting ends in the recursion limit, and bytes that are no text in a Unicode error.
+    except (msgspec.MsgspecError, RecursionError, UnicodeError):
+        return UnusableEntry(worker_id, EntryFault.UNREADABLE)
+    address = _ADDRESS.fullmatch(entry.address)
+    fault = _find_fault(entry, address)
+    if fault is not None or address is None:
+        return UnusableEntry(worker_id, fault or EntryFault.NO_ADDRESS)
+    capacity = entry.capacity
     return WorkerRecord(
         worker_id=worker_id,
-        host=host,
-        port=int(port) if port.isdigit() else 0,
+        host=address["host"],
+        port=int(address["port"]),
         service=entry.service,
         zone=entry.zone,
-        capacity=Needs(
-            entry.capacity.processors_milli, entry.capacity.memory_mb, entry.capacity.gpu
-        ),
+        capacity=Needs(capacity.processors_milli, capacity.memory_mb, capacity.gpu),
         kind=next((label for label in entry.labels if not _is_rack(label)), ""),
         rack=next((label for label in entry.labels if _is_rack(label)), ""),
         labels=tuple(entry.labels),
-        listing=WorkerListing.DRAINING if is_draining else WorkerListing.READY,
-        remaining_ms=entry.remaining_ms,
+        listing=_LISTINGS[entry.state],
+        remaining_ms=int(entry.remaining_ms),
         machine=entry.machine,
     )
 
 
+def _find_fault(entry: WorkerEntry, address: re.Match[str] | None) -> EntryFault | None:
+    """Return what keeps a readable entry from naming a worker, if anything does."""
+    if not entry.service:
+        return EntryFault.NO_SERVICE
+    if entry.state not in _LISTINGS:
+        return EntryFault.UNKNOWN_STATE
+    if address is None or not 0 < int(address["port"]) <= _HIGHEST_PORT:
+        return EntryFault.NO_ADDRESS
+    capacity = entry.capacity
+    figures = (capacity.processors_milli, capacity.memory_mb, capacity.gpu, entry.remaining_ms)
+    if min(figures) < 0 or max(figures) > _HIGHEST_FIGURE:
+        return EntryFault.OUT_OF_RANGE
+    return None
+
+
 def _is_rack(label: str) -> bool:
     return label.startswith(_RACK_PREFIX) and "-" in label
--- a/src/onyxspoke/ports/worker_directory.py
+++ b/src/onyxspoke/ports/worker_directory.py
@@ -5,14 +5,16 @@
 from typing import Protocol
 
 from onyxspoke.core.jobs.model import WorkerId
-from onyxspoke.core.placement.workers import WorkerRecord
+from onyxspoke.core.placement.workers import UnusableEntry, WorkerRecord
 
 
 class WorkerDirectoryListener(Protocol):
     """Receives the directory and its changes."""
 
-    def handle_workers_listed(self, records: list[WorkerRecord], is_whole: bool) -> None:
-        """These workers are listed; a whole list also tells which are not."""
+    def handle_workers_listed(
+        self, records: list[WorkerRecord], unusable: list[UnusableEntry], is_whole: bool
+    ) -> None:
+        """These workers are listed, and these entries name none; a whole list tells all."""
 
     def handle_worker_unlisted(self, worker_id: WorkerId) -> None:
         """A worker is listed no longer."""
--- a/src/onyxspoke/sim/job_cluster.py
+++ b/src/onyxspoke/sim/job_cluster.py
@@ -273,6 +273,16 @@
         self.pool.workers[worker_id].die(is_planned=is_planned)
         self.time.schedule(ENTRY_SECONDS, partial(self.directory.drop, worker_id))
 
+    def resize_worker(self, worker_id: str, capacity: Needs) -> None:
+        """Change a worker's room; the directory tells it."""
+        worker = self.pool.workers[worker_id]
+        former = worker.record.capacity
+        worker.record = replace(worker.record, capacity=capacity)
+        self.audit.handle_resized(worker, former)
+        listed = self.directory.records.get(worker_id)
+        if listed is not None:
+            self.directory.list(replace(listed, capacity=capacity))
+
     def drain_worker(self, worker_id: str, seconds: float) -> None:
         """Let a worker leave."""
         record = self.directory.records.get(worker_id)
