Suspended machines: one clock that counts the suspension, and nothing is ordered on a proof from before a pause

Cause: every clock of the node was the steady one, which leaves out the time of a suspension. And a pause was found only in the tick: where the answer to an append that was sent before it came in first, the starts that it carried were ordered, on a proof of up to 4 s before. Change: clock and timers run on the clock since the machine's start; each stimulus looks for a pause; after one, only an append first sent after it proves. A suspension is told in the log with its length. Workers of services that no configuration names are not called while nothing of ours runs there.

--- a/features/node_tools.feature
+++ b/features/node_tools.feature
@@ -148,9 +148,9 @@
     When a run ends well there
     Then it is neither avoided nor on trial
 
-  Scenario: Timers run on the steady clock, whatever the time of day does
+  Scenario: Timers run on the clock since the machine's start, whatever the time of day does
     When the reactor of a process is set up
-    Then its timers run on the steady clock
+    Then its timers run on the clock that counts suspensions
 
   Scenario: Nothing outside the adapter knows the platform's names
     When the sources outside the adapter are searched for the platform's names
--- a/features/steps/node_tools_steps.py
+++ b/features/steps/node_tools_steps.py
@@ -11,7 +11,7 @@
 
 from onyxspoke.cli.explain_log import parse_line, select_lines
 from onyxspoke.cli.node import METRICS_PORT
-from onyxspoke.cli.process import use_steady_timers
+from onyxspoke.cli.process import use_boot_clock_timers
 from onyxspoke.core.placement.health import WorkerHealth
 from onyxspoke.core.placement.pacing import WorkerPace
 from onyxspoke.net.log_stream import BoundedLogStream
@@ -296,15 +296,15 @@
 
 @when("the reactor of a process is set up")
 def _steady(context):
-    use_steady_timers()
+    use_boot_clock_timers()
 
 
-@then("its timers run on the steady clock")
-def _steady_timers(context):
-    before = time.monotonic()
-    assert before <= reactor.seconds() <= time.monotonic()
+@then("its timers run on the clock that counts suspensions")
+def _boot_timers(context):
+    before = time.clock_gettime(time.CLOCK_BOOTTIME)
+    assert before <= reactor.seconds() <= time.clock_gettime(time.CLOCK_BOOTTIME)
     call = reactor.callLater(10.0, lambda: None)
-    remaining = call.getTime() - time.monotonic()
+    remaining = call.getTime() - time.clock_gettime(time.CLOCK_BOOTTIME)
     call.cancel()
     assert 0 < remaining <= 10.0
 
--- a/src/onyxspoke/cli/entry.py
+++ b/src/onyxspoke/cli/entry.py
@@ -25,7 +25,7 @@
 from onyxspoke.entry.service import EntryService
 from onyxspoke.net.link_cuts import POLL_SECONDS, CuttableEndpoints
 from onyxspoke.net.network import Network, tcp_network
-from onyxspoke.net.reactor_clock import MonotonicClock
+from onyxspoke.net.reactor_clock import BootClock
 from onyxspoke.settings_file import CellSettings
 
 
@@ -50,7 +50,7 @@
     network = tcp_network(reactor)
     if arguments.cuts is not None:
         network = make_cuttable(network, settings, arguments.cuts)
-    service = EntryService(settings, entry, network, MonotonicClock())
+    service = EntryService(settings, entry, network, BootClock())
     runner = ProcessRunner(service)
     service.shell.on_stopped = runner.stop
     service.shell.on_state_lost = partial(runner.stop, ExitCode.STATE_LOST)
--- a/src/onyxspoke/cli/load.py
+++ b/src/onyxspoke/cli/load.py
@@ -25,7 +25,7 @@
 from onyxspoke.load.generator import LoadGenerator
 from onyxspoke.load.records import read_records, write_records
 from onyxspoke.load.report import format_table, make_report, plot
-from onyxspoke.net.reactor_clock import MonotonicClock
+from onyxspoke.net.reactor_clock import BootClock
 from onyxspoke.settings_file import CellSettings, LoadSettings
 
 RECORDS_FILE = "submissions.jsonl"
@@ -72,7 +72,7 @@
     if load is None:
         print(f"{arguments.config}: load: expected a section", file=sys.stderr)
         return ExitCode.SETTINGS_INVALID
-    generator = LoadGenerator(settings, load, MonotonicClock(), arguments.seed)
+    generator = LoadGenerator(settings, load, BootClock(), arguments.seed)
     failures: list[Failure] = []
 
     def begin() -> None:
--- a/src/onyxspoke/cli/node.py
+++ b/src/onyxspoke/cli/node.py
@@ -19,7 +19,12 @@
 from twisted.internet.interfaces import IReactorFromThreads, IReactorTime
 from twisted.web.server import Request
 
-from onyxspoke.cli.process import ProcessRunner, configure_logging, make_parser, use_steady_timers
+from onyxspoke.cli.process import (
+    ProcessRunner,
+    configure_logging,
+    make_parser,
+    use_boot_clock_timers,
+)
 from onyxspoke.core.codes import ExitCode
 from onyxspoke.core.shard.election_actions import NodeIdentity
 from onyxspoke.net.bounded_http import BoundedSite, HttpLimits
@@ -27,7 +32,7 @@
 from onyxspoke.net.http_client import HttpClient
 from onyxspoke.net.log_stream import BoundedLogStream
 from onyxspoke.net.network import Network, TcpEndpoints
-from onyxspoke.net.reactor_clock import MonotonicClock
+from onyxspoke.net.reactor_clock import BootClock, SuspensionWatch
 from onyxspoke.node.metrics import CONTENT_TYPE, NodeMetrics
 from onyxspoke.node.node import Node
 from onyxspoke.node.node_ports import NodePorts
@@ -52,6 +57,8 @@
 BODY_SECONDS = 4.0
 #: Log lines are written so long after the first that waits.
 DRAIN_SECONDS = 0.02
+#: Between two looks for a suspension of the machine, in seconds; one is told that much late.
+SUSPENSION_LOOK_SECONDS = 2.0
 _MILLISECONDS = 1_000.0
 
 
@@ -118,7 +125,7 @@
         own,
         identity,
         network,
-        MonotonicClock(),
+        BootClock(),
         lambda: time.time() * _MILLISECONDS,
         random.SystemRandom().random,
         ports,
@@ -140,11 +147,23 @@
         self._settings = settings
         self._endpoints = network_endpoints
         self._lines = lines
+        self._suspensions = SuspensionWatch()
         node.setServiceParent(self)
         lines.on_waiting = partial(
             cast("IReactorTime", reactor).callLater, DRAIN_SECONDS, lines.drain
         )
 
+    def startService(self) -> None:
+        """Begin to work, and to look for suspensions of the machine."""
+        super().startService()
+        self._look_for_suspension()
+
+    def _look_for_suspension(self) -> None:
+        seconds = self._suspensions.take_suspended_seconds()
+        if seconds:
+            logging.warning("event=machine_suspended seconds=%.2f", seconds)
+        cast("IReactorTime", reactor).callLater(SUSPENSION_LOOK_SECONDS, self._look_for_suspension)
+
     def listen(self) -> Deferred[Any]:
         """Open every server socket."""
         listening = self._node.listen()
@@ -221,7 +240,7 @@
 
 def run(settings: PlatformSettings, path: Path, lines: BoundedLogStream) -> ExitCode:
     """Run a node until it is stopped."""
-    use_steady_timers()
+    use_boot_clock_timers()
     node = make_node(settings)
     service = NodeService(node, settings.node, TcpEndpoints(reactor, CONNECT_SECONDS), lines)
     runner = ProcessRunner(service)
--- a/src/onyxspoke/cli/platform.py
+++ b/src/onyxspoke/cli/platform.py
@@ -21,7 +21,7 @@
 )
 from onyxspoke.kit.platform.service import PlatformService
 from onyxspoke.net.network import tcp_network
-from onyxspoke.net.reactor_clock import MonotonicClock
+from onyxspoke.net.reactor_clock import BootClock
 
 
 def main() -> None:
@@ -33,7 +33,7 @@
     if arguments.check:
         exit_after_check(arguments.config)
     configure_logging("platform", verbose=arguments.verbose)
-    service = PlatformService(settings, tcp_network(reactor), MonotonicClock())
+    service = PlatformService(settings, tcp_network(reactor), BootClock())
     reactor.callWhenRunning(install_fault_signals, service)
     sys.exit(ProcessRunner(service).run(service.listen()))
 
--- a/src/onyxspoke/cli/process.py
+++ b/src/onyxspoke/cli/process.py
@@ -18,6 +18,7 @@
 
 from onyxspoke import __version__
 from onyxspoke.core.codes import ExitCode
+from onyxspoke.net.reactor_clock import boot_seconds
 
 #: Young objects before a collection, and collections before one of the next generation.
 GARBAGE_COLLECTION_THRESHOLDS = (2_000, 10, 100)
@@ -71,12 +72,13 @@
     return parser
 
 
-def use_steady_timers() -> None:
-    """Have the reactor's timers run on the steady clock.
+def use_boot_clock_timers() -> None:
+    """Have the reactor's timers run on the clock since the machine's start.
 
-    Twisted takes the time of day, which may jump: timers would stand still, or all fire.
+    Twisted takes the time of day, which may jump: timers would stand still, or all fire.  What is
+    due while the machine is suspended is due as it wakes.
     """
-    vars(reactor)["seconds"] = time.monotonic
+    vars(reactor)["seconds"] = boot_seconds
 
 
 def tune_garbage_collection() -> None:
@@ -90,7 +92,7 @@
     """Runs one service in the reactor and turns its end into an exit code."""
 
     def __init__(self, service: Service) -> None:
-        use_steady_timers()
+        use_boot_clock_timers()
         self._service = service
         self._exit_code = ExitCode.OK
 
--- a/src/onyxspoke/cli/worker.py
+++ b/src/onyxspoke/cli/worker.py
@@ -18,7 +18,7 @@
 from onyxspoke.core.codes import ExitCode
 from onyxspoke.kit.journal import FileJournal, Journal, NullJournal
 from onyxspoke.net.network import tcp_network
-from onyxspoke.net.reactor_clock import MonotonicClock
+from onyxspoke.net.reactor_clock import BootClock
 from onyxspoke.worker.service import WorkerService
 
 
@@ -43,7 +43,7 @@
     journal: Journal = NullJournal()
     if arguments.journal is not None:
         journal = FileJournal(arguments.journal / f"workers-{'-'.join(sorted(zones))}.jsonl")
-    service = WorkerService(settings, zones, tcp_network(reactor), MonotonicClock(), journal)
+    service = WorkerService(settings, zones, tcp_network(reactor), BootClock(), journal)
     sys.exit(ProcessRunner(service).run(service.listen()))
 
 
--- a/src/onyxspoke/core/shard/context.py
+++ b/src/onyxspoke/core/shard/context.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from onyxspoke.core.jobs.book import JobBook
@@ -100,8 +102,9 @@
         self.unclaimable_until = 0.0
         #: Time of day less the holder's seconds, in milliseconds, once it is known.
         self.wall_offset_ms: float | None = None
-        #: Set while the process may have been paused and the shard may be another's.
-        self.is_unproven = False
+        #: The latest moment at which the process found that it had stood still; the shard may have
+        #: become another's meanwhile.
+        self.paused_until = -math.inf
 
     def emit(self, action: ShardAction) -> None:
         """Hand an instruction to the shell."""
@@ -125,7 +128,8 @@
 
     def may_order(self, now: float) -> bool:
         """Return whether the shard is surely still ours, so that workers may be ordered."""
-        if self.is_over or self.is_unproven:
+        # An append that was sent before a pause proves nothing of the time since.
+        if self.is_over or self.commit.proof_at < self.paused_until:
             return False
         proven_until = self.commit.proof_at + self.options.proof_seconds
         return now < max(proven_until, self.unclaimable_until)
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -119,7 +119,7 @@
         )
         stop_seconds = options.stop_grace_ms / _MILLISECONDS
         self._placer = Placer(self.context.table, self.context.desk, stop_seconds)
-        self._last_flush_at = claimed_at
+        self._last_active_at = claimed_at
         self._is_recovered = False
         self._next_round_at = 0.0
         self._next_placement_at = 0.0
@@ -147,7 +147,7 @@
                 # Its record was dropped when it was certain that it ran nothing more.
                 self.context.book.settle_worker(worker_id, now)
         self._is_recovered = True
-        self._last_flush_at = now
+        self._last_active_at = now
         return self.flush(now)
 
     def former_holder_is_dead(self, since: float) -> None:
@@ -205,6 +205,7 @@
         """A worker answered a hold, or did not."""
         worker = self.context.table.workers.get(worker_id)
         if worker is not None and not self.context.is_over:
+            self._note_active(now)
             self.workers.handle_hold_result(worker, number, result, now)
 
     def stimulus_start_result(
@@ -212,6 +213,7 @@
     ) -> None:
         """A worker answered an order to start, or did not."""
         if self._check_fence(result):
+            self._note_active(now)
             worker = self.context.table.workers.get(worker_id)
             if worker is not None:
                 self._starter.handle_start_result(worker, run, result, now)
@@ -223,6 +225,7 @@
     ) -> None:
         """A worker answered an order to stop, or did not."""
         if self._check_fence(result):
+            self._note_active(now)
             worker = self.context.table.workers.get(worker_id)
             if worker is not None:
                 self.runs.handle_stop_result(worker, run, result, now)
@@ -250,9 +253,8 @@
         """The store answered the append with this sequence that was sent then, or did not."""
         if self.context.is_over:
             return
+        self._note_active(now)
         if self.context.commit.handle_result(sequence, sent_at, result, now):
-            if result.outcome is AppendOutcome.DONE:
-                self.context.is_unproven = False
             return
         is_fenced = result.outcome is AppendOutcome.FENCED
         reason = StepDownReason.STORE_FENCED if is_fenced else StepDownReason.OUT_OF_SEQUENCE
@@ -262,6 +264,7 @@
 
     def stimulus_call(self, call_id: int, call: Call, now: float) -> None:
         """An entry passes on a client's call."""
+        self._note_active(now)
         self._calls.handle_call(call_id, call, now)
 
     def stimulus_quota_reply(self, request: QuotaRequest, reply: CallReply, now: float) -> None:
@@ -275,15 +278,21 @@
         if self.context.is_over or not self._is_recovered:
             return
         self.context.wall_offset_ms = wall_ms - now * _MILLISECONDS
-        if now - self._last_flush_at > STALL_SECONDS:
-            self.context.log("stalled", seconds=round(now - self._last_flush_at, 2))
-            self.context.is_unproven = True
+        self._note_active(now)
         self._calls.keep(now)
         self.workers.keep(now)
         if now >= self._next_round_at:
             self._next_round_at = now + ROUND_SECONDS
             self._keep_slowly(now, wall_ms)
 
+    def _note_active(self, now: float) -> None:
+        """The process runs; after a pause the shard is unproven, whatever came in first."""
+        gap = now - self._last_active_at
+        self._last_active_at = now
+        if gap > STALL_SECONDS:
+            self.context.log("stalled", seconds=round(gap, 2))
+            self.context.paused_until = now
+
     def _keep_slowly(self, now: float, wall_ms: float) -> None:
         """Look at everything that need not be looked at on every tick."""
         self.context.book.keep(now, wall_ms, self._options.early_ms)
@@ -296,7 +305,7 @@
         """Place what can be placed, commit what is due, and hand out the instructions."""
         context = self.context
         if not context.is_over and self._is_recovered:
-            self._last_flush_at = now
+            self._note_active(now)
             self._place_if_due(now)
             append = context.commit.next_append(now)
             if append is not None:
--- a/src/onyxspoke/core/shard/worker_keeper.py
+++ b/src/onyxspoke/core/shard/worker_keeper.py
@@ -83,7 +83,19 @@
             self._hold_if_due(worker, now)
         self._settle_if_known(now)
 
+    def _is_of_use(self, worker: Worker) -> bool:
+        """Return whether a worker runs something, or may come to.
+
+        Entries of the directory may name services that no configuration has; nothing ever runs
+        there, and what answers at the address may be anything.
+        """
+        services = self._context.policy.services
+        is_known = not services or worker.record.service in services
+        return is_known or bool(worker.runs) or worker.was_used_before
+
     def _hold_if_due(self, worker: Worker, now: float) -> None:
+        if not self._is_of_use(worker):
+            return
         if worker.wants_look and not worker.quick_hold.sent_at:
             worker.wants_look = False
             self._send_hold(worker, worker.quick_hold, now, wait_ms=0)
--- a/src/onyxspoke/load/load_client.py
+++ b/src/onyxspoke/load/load_client.py
@@ -14,7 +14,7 @@
 from twisted.web.http import HTTPClient
 
 from onyxspoke.histograms import make_histogram, percentile_ms, record_seconds
-from onyxspoke.net.reactor_clock import MonotonicClock
+from onyxspoke.net.reactor_clock import BootClock
 
 SUCCESS_STATUS = b"200"
 
@@ -91,7 +91,7 @@
         self._connections = connections
         self._rate = rate
         self._random = random.Random(seed)
-        self._clock = MonotonicClock()
+        self._clock = BootClock()
         self._idle: deque[_Connection] = deque()
         self._waiting: deque[float] = deque()
         self._histogram: HdrHistogram = make_histogram()
