Only runs that a worker answered for count as certain when it crashes; exploration with crashes

Change: an unanswered order, and one of a former holder that nobody saw, counts in a tally of its own (five to give up; four certain ones; three just after the start; two alone).

--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -4,6 +4,7 @@
 
 from contextlib import ExitStack
 from typing import Any
+from unittest import mock
 
 from behave import given, then, when
 from job_promise_steps import WITHOUT
@@ -14,8 +15,9 @@
 from onyxspoke.core.placement.blame import EndOfLife, blame_runs, has_crashed
 from onyxspoke.core.placement.runs import Run
 from onyxspoke.core.placement.workers import Worker, WorkerListing, WorkerRecord
+from onyxspoke.core.shard.actions import SendStart
 from onyxspoke.core.shard.calls import CallReply, ReplyCode, StateCall, SubmitCall
-from onyxspoke.kit.jobs.workers import WorkOptions
+from onyxspoke.kit.jobs.workers import FakeWorkerOrders, WorkOptions
 from onyxspoke.sim.job_cluster import REBIRTH_SECONDS, ClusterOptions, JobCluster
 
 SETTLE_SECONDS = 2.0
@@ -154,6 +156,28 @@
         cluster.run(REBIRTH_SECONDS + seconds)
 
 
+@when(
+    "a job of one task is handed in whose workers crash just before its start arrives,"
+    " {count:d} times"
+)
+def _down_before(context: Any, count: int) -> None:
+    """The order is on its way when the worker goes down, and no answer comes."""
+    cluster = context.cluster
+    original = FakeWorkerOrders.start
+    left = [count]
+
+    def start(orders: FakeWorkerOrders, order: SendStart, on_result: Any) -> None:
+        if left[0]:
+            left[0] -= 1
+            cluster.crash_worker(order.address.worker_id)
+        original(orders, order, on_result)
+
+    patch = mock.patch.object(FakeWorkerOrders, "start", start)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    _submit_innocent(context, 1)
+
+
 @then("{done:d} of the {count:d} jobs are shown as completed")
 def _completed(context: Any, done: int, count: int) -> None:
     states = [state_of(context, f"{number:016x}") for number in range(count)]
--- a/features/steps/job_promise_steps.py
+++ b/features/steps/job_promise_steps.py
@@ -33,6 +33,11 @@
     context.job_reports = [play(seed) for seed in range(first, last + 1)]
 
 
+@when("jobs are played over seeds {first:d} to {last:d} with crashes and changing workers")
+def _play_crashes(context: Any, first: int, last: int) -> None:
+    context.job_reports = [play(seed, with_crashes=True) for seed in range(first, last + 1)]
+
+
 @then("nothing that must hold is broken")
 def _nothing_broken(context: Any) -> None:
     assert all(report.checks for report in context.job_reports)
--- a/features/tasks_that_crash_workers.feature
+++ b/features/tasks_that_crash_workers.feature
@@ -45,6 +45,11 @@
       | crashes that a former holder did not see | 0.001   | "crashes" |
       | the count of crashes                     | 3.4     | "crashes" |
 
+  Scenario: Orders to workers that were down already end no job
+    When a job of one task is handed in whose workers crash just before its start arrives, 3 times
+    And 30 seconds pass in that cell
+    Then 1 of the 1 jobs are shown as completed
+
   Scenario: A gang of which one member crashes its workers is given up
     When a job of a gang of 6 of which one member crashes its workers is handed in
     And 40 seconds pass in that cell
@@ -101,7 +106,21 @@
       | it alone had just begun        | 99.99        | finite  | alone                   |
       | one among others               | 99.7, 99.99  | finite  | recent, recent          |
       | others had been there          | 95, 99.99    | finite  | present, alone          |
-      | ordered after the last answer  | 95, 100.2    | finite  | present, alone          |
+      | one without an answer          | 95, 100.2    | finite  | present, doubted        |
+      | one with and one without       | 99.9, 100.2  | finite  | recent, doubted         |
       | nobody had just begun          | 95, 96       | finite  | present, present        |
       | a lasting task at work         | 60, 99.99    | lasting | none, alone             |
       | a finite task at work for long | 60, 99.99    | finite  | present, alone          |
+
+  Scenario: Schedules with tasks that crash workers, changing rooms and damaged entries break nothing
+    When jobs are played over seeds 1 to 12 with crashes and changing workers
+    Then nothing that must hold is broken
+
+  Scenario Outline: A schedule with crashes that once broke something holds: <seed>
+    When jobs are played over seeds <seed> to <seed> with crashes and changing workers
+    Then nothing that must hold is broken
+
+    Examples: orders to workers that were down already counted as runs, and ended their jobs
+      | seed |
+      | 1103 |
+      | 1135 |
--- a/src/onyxspoke/cli/sim.py
+++ b/src/onyxspoke/cli/sim.py
@@ -30,6 +30,7 @@
     jobs = commands.add_parser("explore-jobs", help="the same for jobs of several steps")
     jobs.add_argument("--first-seed", type=int, default=1)
     jobs.add_argument("--seeds", type=int, default=20)
+    jobs.add_argument("--crashes", action="store_true", help="some tasks crash their workers")
     jobs.add_argument("--shards", type=int, default=1, help="shards of the cell (default: 1)")
     jobs.add_argument("--tenants", action="store_true", help="with tenants whose quotas bind")
     arguments = parser.parse_args()
@@ -66,7 +67,12 @@
 def _explore_jobs(arguments: argparse.Namespace) -> ExitCode:
     events = checks = failing = 0
     for seed in range(arguments.first_seed, arguments.first_seed + arguments.seeds):
-        report = play(seed, shards=arguments.shards, with_tenants=arguments.tenants)
+        report = play(
+            seed,
+            shards=arguments.shards,
+            with_tenants=arguments.tenants,
+            with_crashes=arguments.crashes,
+        )
         events += report.events
         checks += report.checks
         if not report.findings:
--- a/src/onyxspoke/core/jobs/crashes.py
+++ b/src/onyxspoke/core/jobs/crashes.py
@@ -14,28 +14,42 @@
 ALONE_TO_GIVE_UP = 2
 #: ... once so many went down just after they, among others, had begun, ...
 RECENT_TO_GIVE_UP = 3
-#: ... or once so many went down at any time of their runs, whoever is to blame.  That bounds what a
-#: task takes down that crashes its workers late, and leaves room for one crash that nobody saw.
-TOTAL_TO_GIVE_UP = 4
+#: ... once so many went down at any time of their runs, whoever is to blame, which bounds what a
+#: task takes down that crashes its workers late, ...
+CERTAIN_TO_GIVE_UP = 4
+#: ... or once so many went down that may have run them: an order without an answer may have come
+#: too late, and a former holder's may never have been sent.  Counted as certain, those ended jobs
+#: whose orders had gone to workers that were down already, in 2 of 300 explored schedules.
+TOTAL_TO_GIVE_UP = 5
+#: So many that may have run it make a task suspicious, though none is known to have.
+TOTAL_TO_SUSPECT = 2
 
 
 class Blame(Enum):
     """What speaks for it that a run brought its worker down.
 
-    ``NONE``: a lasting task had been at work for long.  ``PRESENT``: it was there.  ``RECENT``: it
-    had just begun, as others had.  ``ALONE``: it alone had just begun.
+    ``NONE``: a lasting task had been at work for long.  ``DOUBTED``: it may never have begun there.
+    ``PRESENT``: it was there.  ``RECENT``: it had just begun, as others had.  ``ALONE``: it alone
+    had just begun.
     """
 
     NONE = "none"
+    DOUBTED = "doubted"
     PRESENT = "present"
     RECENT = "recent"
     ALONE = "alone"
 
 
 class CrashTally(NamedTuple):
-    """Workers that went down under a task: all, those just after its start, those it alone."""
+    """Workers that went down under a task.
+
+    ``total``: those that may have run it.  ``certain``: those that did.  ``recent``: of these,
+    those that went down just after its start.  ``alone``: of these, those where nothing else had
+    begun.
+    """
 
     total: int = 0
+    certain: int = 0
     recent: int = 0
     alone: int = 0
 
@@ -45,6 +59,7 @@
             return CrashTally()
         return CrashTally(
             self.total + 1,
+            self.certain + (blame is not Blame.DOUBTED),
             self.recent + (blame in (Blame.RECENT, Blame.ALONE)),
             self.alone + (blame is Blame.ALONE),
         )
@@ -52,7 +67,7 @@
     @property
     def is_suspicious(self) -> bool:
         """Whether the task is to begin apart from others, so that a crash shows who caused it."""
-        return self.recent > 0
+        return self.recent > 0 or self.total >= TOTAL_TO_SUSPECT
 
     @property
     def is_hopeless(self) -> bool:
@@ -60,5 +75,6 @@
         return (
             self.alone >= ALONE_TO_GIVE_UP
             or self.recent >= RECENT_TO_GIVE_UP
+            or self.certain >= CERTAIN_TO_GIVE_UP
             or self.total >= TOTAL_TO_GIVE_UP
         )
--- a/src/onyxspoke/core/placement/blame.py
+++ b/src/onyxspoke/core/placement/blame.py
@@ -46,14 +46,18 @@
     runs = [run for run in worker.runs.values() if run.state is not RunState.PLANNED]
     recent = [run for run in runs if _had_just_begun(run, worker)]
     blame_of_recent = Blame.ALONE if len(recent) == 1 else Blame.RECENT
-    return [(run, blame_of_recent if run in recent else _blame_of_older(run, now)) for run in runs]
+    return [(run, _blame_of(run, run in recent, blame_of_recent, now)) for run in runs]
 
 
 def _had_just_begun(run: Run, worker: Worker) -> bool:
     return run.ordered_at > 0.0 and run.ordered_at >= worker.heard_at - JUST_BEGUN_SECONDS
 
 
-def _blame_of_older(run: Run, now: float) -> Blame:
-    is_steady = run.confirmed_at > 0.0 and now - run.confirmed_at >= STEADY_SECONDS
+def _blame_of(run: Run, is_recent: bool, blame_of_recent: Blame, now: float) -> Blame:
+    if not run.confirmed_at:
+        return Blame.DOUBTED
+    if is_recent:
+        return blame_of_recent
+    is_steady = now - run.confirmed_at >= STEADY_SECONDS
     is_lasting = run.task.step.spec.long_running
     return Blame.NONE if is_lasting and is_steady else Blame.PRESENT
--- a/src/onyxspoke/core/shard/run_keeper.py
+++ b/src/onyxspoke/core/shard/run_keeper.py
@@ -145,14 +145,14 @@
         for run, blame in blamed:
             self._note_crash(run.task, worker, blame, now)
         for task in doubted:
-            # What else had just begun there, only the former holder knew.
-            self._note_crash(task, worker, Blame.PRESENT, now)
+            # Whether it was ordered, and what else had just begun, only the former holder knew.
+            self._note_crash(task, worker, Blame.DOUBTED, now)
 
     def _note_crash(self, task: TaskProgress, worker: Worker, blame: Blame, now: float) -> None:
         """Count a crash under a task before it can be started again."""
         is_given_up = self._context.book.task_crashed(task, blame, now)
         tally = task.crashes
-        fields = {"total": tally.total, "recent": tally.recent, "alone": tally.alone}
+        fields = tally._asdict()
         name = f"{task.step.key.name}.{task.index}"
         self._context.log(
             "worker_crashed_under", worker=worker.worker_id, task=name, blame=blame.value, **fields
--- a/src/onyxspoke/sim/explore_jobs.py
+++ b/src/onyxspoke/sim/explore_jobs.py
@@ -17,6 +17,8 @@
 FINISH_SECONDS = 25.0
 JOBS_PER_SECOND = 4.0
 MAXIMUM_FAULTS = 4
+#: Of the jobs of a cell with crashes; each takes down two to four of 8 workers for 3 s.
+CRASHING_SHARE = 0.05
 #: In a cluster of several shards.
 WORKERS_A_SHARD = 3
 
@@ -38,11 +40,15 @@
     schedule: list[ScheduledFault] | None = None,
     shards: int = 1,
     with_tenants: bool = False,
+    with_crashes: bool = False,
 ) -> JobRunReport:
-    """Play one schedule; by default the one that the seed draws."""
+    """Play one schedule; by default the one that the seed draws.
+
+    ``with_crashes``: some tasks crash their workers, whose rooms and entries change, too.
+    """
     if schedule is None:
         count = 1 + seed % MAXIMUM_FAULTS
-        schedule = draw_schedule(seed, TRAFFIC_SECONDS, count, with_tenants)
+        schedule = draw_schedule(seed, TRAFFIC_SECONDS, count, with_tenants, with_crashes)
     work = WorkOptions(seed=seed, failing_share=0.02)
     options = make_options(seed, work, shards)
     if with_tenants:
@@ -51,6 +57,7 @@
     cluster.start()
     cluster.run(SETTLE_SECONDS)
     callers = JobCallers(cluster, JOBS_PER_SECOND)
+    callers.crashing_share = CRASHING_SHARE if with_crashes else 0.0
     callers.run_for(TRAFFIC_SECONDS)
     FaultInjector(cluster, seed).schedule(schedule)
     cluster.run(TRAFFIC_SECONDS + FINISH_SECONDS)
--- a/src/onyxspoke/sim/job_callers.py
+++ b/src/onyxspoke/sim/job_callers.py
@@ -5,7 +5,7 @@
 import random
 from functools import partial
 
-from onyxspoke.core.jobs.model import JobSpec, StepSpec
+from onyxspoke.core.jobs.model import JobSpec, StepSpec, TaskKey
 from onyxspoke.core.shard.calls import CallReply, CancelCall, ReplyCode, StateCall, SubmitCall
 from onyxspoke.core.tenants.policy import TenantName
 from onyxspoke.sim.job_cluster import JobCluster, SimulatedNode
@@ -47,6 +47,9 @@
         self._tenants = random.Random(cluster.options.seed + 11)
         self._count = 0
         self.hopeless_share = 0.01
+        #: Share of the jobs of which one task crashes each worker that starts it.
+        self.crashing_share = 0.0
+        self._crashes = random.Random(cluster.options.seed + 12)
 
     def run_for(self, seconds: float) -> None:
         """Hand jobs in for so long; this returns at once."""
@@ -78,6 +81,10 @@
         spec = self._make_job()
         if self._random.random() < self.hopeless_share:
             self._cluster.pool.work.hopeless.add(spec.job_id)
+        if self._crashes.random() < self.crashing_share:
+            step = self._crashes.randrange(len(spec.steps))
+            index = self._crashes.randrange(spec.steps[step].task_count)
+            self._cluster.pool.work.crashing.add(TaskKey(spec.job_id, 0, step, index))
         self.submit(spec)
         if self._random.random() < self._cancel_share:
             delay = self._random.random() * 2.0
--- a/src/onyxspoke/sim/job_faults.py
+++ b/src/onyxspoke/sim/job_faults.py
@@ -8,6 +8,8 @@
 from enum import Enum
 from functools import partial
 
+from onyxspoke.core.jobs.model import Needs
+from onyxspoke.core.placement.workers import EntryFault
 from onyxspoke.sim.job_cluster import JobCluster, SimulatedNode, worker_index
 
 STORE = "store"
@@ -17,6 +19,8 @@
 RESET_SHARE = 0.55
 #: Share of the pieces between nodes that are lost on their way at first.
 LOSS_SHARE = 0.05
+#: What is left of a worker's room, or what it grows to.
+ROOM_SHARES = (0.3, 0.6, 1.5)
 #: Of tenants' first quotas, what is left after a fall, and what there is after a rise.
 FALLEN_QUOTA = 0.7
 RISEN_QUOTA = 1.5
@@ -49,6 +53,10 @@
     WORKERS_FAIL = "workers_fail"
     QUOTAS_FALL = "quotas_fall"
     QUOTAS_RISE = "quotas_rise"
+    RESIZE_WORKERS = "resize_workers"
+    DAMAGE_ENTRIES = "damage_entries"
+    SUSPEND_ALL = "suspend_all"
+    CRASH_WORKERS_AND_HOLDER = "crash_workers_and_holder"
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,13 +70,26 @@
 
 #: What only a cell with tenants can be struck by.
 OF_TENANTS = (JobFault.QUOTAS_FALL, JobFault.QUOTAS_RISE)
+#: What happens to workers beyond kills: drawn only where it is asked for, so that schedules that
+#: once broke something stay as they were.
+OF_WORKERS = (
+    JobFault.RESIZE_WORKERS,
+    JobFault.DAMAGE_ENTRIES,
+    JobFault.SUSPEND_ALL,
+    JobFault.CRASH_WORKERS_AND_HOLDER,
+)
 
 
 def draw_schedule(
-    seed: int, length: float, count: int, with_tenants: bool = False
+    seed: int,
+    length: float,
+    count: int,
+    with_tenants: bool = False,
+    with_crashes: bool = False,
 ) -> list[ScheduledFault]:
     """Return a schedule; the same seed gives the same one."""
-    kinds = [fault for fault in JobFault if with_tenants or fault not in OF_TENANTS]
+    left_out = (() if with_tenants else OF_TENANTS) + (() if with_crashes else OF_WORKERS)
+    kinds = [fault for fault in JobFault if fault not in left_out]
     source = random.Random(f"schedule/{seed}")
     faults = [
         ScheduledFault(
@@ -112,6 +133,10 @@
             JobFault.WORKERS_FAIL: self._workers_fail,
             JobFault.QUOTAS_FALL: partial(self._change_quotas, FALLEN_QUOTA),
             JobFault.QUOTAS_RISE: partial(self._change_quotas, RISEN_QUOTA),
+            JobFault.RESIZE_WORKERS: self._resize_workers,
+            JobFault.DAMAGE_ENTRIES: self._damage_entries,
+            JobFault.SUSPEND_ALL: self._suspend_all,
+            JobFault.CRASH_WORKERS_AND_HOLDER: self._crash_workers_and_holder,
         }
 
     def schedule(self, faults: list[ScheduledFault]) -> None:
@@ -263,6 +288,40 @@
             worker.faults.fails_all = True
             self._later(seconds, partial(setattr, worker.faults, "fails_all", False))
 
+    def _resize_workers(self, seconds: float) -> None:
+        for worker_id in self._choose_workers(0.4):
+            former = self._cluster.pool.workers[worker_id].record.capacity
+            share = self._random.choice(ROOM_SHARES)
+            self._cluster.resize_worker(worker_id, Needs(*(int(share * item) for item in former)))
+            self._later(seconds, partial(self._restore_room, worker_id, former))
+
+    def _restore_room(self, worker_id: str, former: Needs) -> None:
+        if self._cluster.pool.workers[worker_id].is_up:
+            self._cluster.resize_worker(worker_id, former)
+
+    def _damage_entries(self, seconds: float) -> None:
+        for worker_id in self._choose_workers(0.4):
+            fault = self._random.choice(list(EntryFault))
+            self._cluster.directory.damage(worker_id, fault)
+            self._later(seconds, partial(self._write_entry, worker_id))
+
+    def _write_entry(self, worker_id: str) -> None:
+        worker = self._cluster.pool.workers[worker_id]
+        if worker.is_up:
+            self._cluster.directory.list(worker.record)
+
+    def _suspend_all(self, seconds: float) -> None:
+        """Suspend all machines of the scheduler, within 0.2 s of each other."""
+        for node in list(self._cluster.nodes.values()):
+            if node.process.alive:
+                self._later(self._random.uniform(0.0, 0.2), node.process.pause)
+                self._later(seconds + self._random.uniform(0.3, 1.0), node.process.resume)
+
+    def _crash_workers_and_holder(self, seconds: float) -> None:
+        for worker_id in self._choose_workers(0.3):
+            self._cluster.crash_worker(worker_id)
+        self._kill_node(seconds)
+
     # Operators
 
     def _change_quotas(self, factor: float, seconds: float) -> None:
