--- a/features/shards.feature
+++ b/features/shards.feature
@@ -1,5 +1,19 @@
 Feature: A cell is divided into shards, each with one holder
 
+  Scenario: A seat that is started again holds its shard on
+    Given a cell of three shards that are all held
+    When every seat of every node is started again
+    And 1 seconds pass in that cell
+    Then each shard has the holder and the token that it had
+
+  Scenario Outline: A schedule that once never ended is played to its end: <seed>
+    When jobs are played over seed <seed> in 3 shards, with crashes and changing workers
+    Then nothing that must hold is broken
+
+    Examples: a node told of the layout before its service began claimed a shard from itself
+      | seed |
+      | 2198 |
+
   Scenario Outline: A new cell gets as many shards as its size wants
     Given <workers> workers in racks of 12 over 3 rows
     When the cell is laid out with 240 workers a shard and <most> shards at most
--- a/features/steps/shard_steps.py
+++ b/features/steps/shard_steps.py
@@ -241,3 +241,39 @@
     link = PeerLink("h", is_outgoing=False)
     link.note_interval(context.interval)
     assert abs(link.silence_seconds - seconds) < CLOSE_SECONDS, link.silence_seconds
+
+
+def _holdings(context: Any) -> dict[int, tuple[str, int]]:
+    """Return the holder and the token of each shard."""
+    return {
+        shard: (node.name, seat.scheduler.context.token)
+        for node in context.cluster.nodes.values()
+        for shard, seat in node.node.seats.items()
+        if seat.is_holding and seat.scheduler is not None
+    }
+
+
+@given("a cell of three shards that are all held")
+def _three_shards(context: Any) -> None:
+    context.cluster = JobCluster(make_options(11, WorkOptions(seed=11), 3))
+    context.cluster.start()
+    context.cluster.run(SETTLE_SECONDS)
+    context.holdings = _holdings(context)
+    assert len(context.holdings) == 3, context.holdings
+
+
+@when("every seat of every node is started again")
+def _start_again(context: Any) -> None:
+    for node in context.cluster.nodes.values():
+        for seat in node.node.seats.values():
+            node.process.run(seat.start)
+
+
+@then("each shard has the holder and the token that it had")
+def _same(context: Any) -> None:
+    assert _holdings(context) == context.holdings, (_holdings(context), context.holdings)
+
+
+@when("jobs are played over seed {seed:d} in 3 shards, with crashes and changing workers")
+def _play_shards(context: Any, seed: int) -> None:
+    context.job_reports = [play(seed, shards=3, with_crashes=True)]
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -155,6 +155,7 @@
         self._replies: dict[int, OnReply] = {}
         self._last_call_id = 0
         self._is_ready = False
+        self._has_started = False
         #: Since when this node decides for the shard, if it does.
         self.held_since = 0.0
         self._handlers: dict[type[ShardAction], Callable[[ShardScheduler, Any], None]] = {
@@ -182,7 +183,14 @@
     # Stimuli
 
     def start(self) -> None:
-        """Begin to take part."""
+        """Begin to take part; again changes nothing.
+
+        A node that is told the layout as it comes up starts its seats then, and all of them once
+        more with its service: by then it may hold the shard, and would claim it from itself.
+        """
+        if self._has_started:
+            return
+        self._has_started = True
         self.election.start(self._clock.now())
         self.carry_out_election()
 
