A worker that is told to be leaving only after it was last heard has left, too

Reading the change again: the sign was taken from the listing at the last answer alone, so a planned end whose notice came while the worker did not answer counted as a crash. 34 scenarios of the feature pass.

--- a/features/tasks_that_crash_workers.feature
+++ b/features/tasks_that_crash_workers.feature
@@ -104,6 +104,7 @@
       | a crash, seen late      | ready    | gone       | its lease is over    | has crashed |
       | the way there is cut    | ready    | ready      | its lease is over    | was cut off |
       | a planned end           | draining | gone       | another life answers | has left    |
+      | one told late           | ready    | draining   | another life answers | has left    |
       | an end without a notice | gone     | gone       | another life answers | has left    |
       | a lease of one leaving  | draining | draining   | its lease is over    | has left    |
 
--- a/src/onyxspoke/core/placement/blame.py
+++ b/src/onyxspoke/core/placement/blame.py
@@ -36,7 +36,9 @@
 
 def has_crashed(worker: Worker, sign: EndOfLife) -> bool:
     """Return whether a worker whose life is over went down unplanned, as far as can be told."""
-    if worker.last_contact_listing in (WorkerListing.DRAINING, WorkerListing.GONE):
+    was_listed = worker.last_contact_listing
+    was_leaving = WorkerListing.DRAINING in (worker.listing, was_listed)
+    if was_leaving or was_listed is WorkerListing.GONE:
         return False
     return sign is EndOfLife.OTHER_LIFE or worker.listing is WorkerListing.GONE
 
