Decoders of the adapter never raise, whatever the bytes

Cause: the same as with the directory's entries, looked for elsewhere: deeply nested JSON ends in the recursion limit, which no decoder of the adapter caught, and a record without bytes or a value that is no base64 raised in the reads of the store. In a feed that ends the feed; in a call it leaves the caller without an answer. Change: one list of what means unreadable; a record without bytes has no key.

--- a/features/entries_from_other_writers.feature
+++ b/features/entries_from_other_writers.feature
@@ -43,6 +43,20 @@
     When any bytes, cut entries and entries with any fields are read, 400 of each
     Then each names a worker to use or has a fault
 
+  Scenario Outline: No bytes make the decoder of <what> raise
+    When answers with any bytes, cut ones and deeply nested ones are read as <what>, 300 of each
+    Then none of them raised
+
+    Examples:
+      | what                      |
+      | the newest records        |
+      | the tail of a topic       |
+      | an append                 |
+      | what a worker holds       |
+      | a worker's order          |
+      | advice                    |
+      | a configuration           |
+
   Scenario: What runs on a worker goes on when its entry is damaged
     Given a cell of 2 workers of 16 cores whose tasks take 1 second
     When 4 tasks of 2 cores are handed in
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 from behave import then, when
@@ -14,7 +16,13 @@
 
 from onyxspoke.core.jobs.model import StepSpec
 from onyxspoke.core.placement.workers import EntryFault, UnusableEntry, WorkerRecord
+from onyxspoke.net.http_client import HttpAnswer
+from onyxspoke.platform.advice import read_advice
+from onyxspoke.platform.configuration import decode_configuration
 from onyxspoke.platform.directory import decode_worker
+from onyxspoke.platform.store import read_append, read_page, read_tail
+from onyxspoke.platform.workers import read_hold, read_order
+from onyxspoke.ports.configuration import ConfigurationError
 
 ENTRY: dict[str, Any] = {
     "service": "huvo11a",
@@ -125,3 +133,51 @@
 @then("{count:d} tasks were started")
 def _started(context: Any, count: int) -> None:
     assert context.cluster.audit.counts["starts"] == count, context.cluster.audit.counts
+
+
+def _read_configuration(answer: HttpAnswer) -> None:
+    with suppress(ConfigurationError):
+        decode_configuration(answer.body)
+
+
+READERS: dict[str, tuple[Callable[[HttpAnswer], Any], bytes]] = {
+    "the newest records": (
+        read_page,
+        b'{"items":[{"privateKey":"k","value":"e30=","offset":1}],"more":false,"end":2}',
+    ),
+    "the tail of a topic": (read_tail, bytes(15) + b"\x02" + bytes(8) + b"\x00\x00\x00\x03\x01kv"),
+    "an append": (read_append, b'{"offset":1,"end":2,"reason":"seq"}'),
+    "what a worker holds": (
+        read_hold,
+        b'{"clockMs":1,"running":[["5c.0.0.1",2,"",4]],"ended":[[1,"5c.0.0.1",1,"done",""]]}',
+    ),
+    "a worker's order": (read_order, b'{"clockMs":1,"reason":"room"}'),
+    "advice": (read_advice, b'{"good":[["i-1","ticket"]],"validityMs":1500}'),
+    "a configuration": (_read_configuration, b'{"version":7,"routes":[],"services":[]}'),
+}
+
+
+@when(
+    "answers with any bytes, cut ones and deeply nested ones are read as {what}, {count:d} of each"
+)
+def _any_answers(context: Any, what: str, count: int) -> None:
+    reader, whole = READERS[what]
+    context.read_count = 0
+
+    def read(body: bytes) -> None:
+        for status in (200, 409):
+            reader(HttpAnswer(status, body))
+        context.read_count += 1
+
+    wide = settings(max_examples=count, deadline=None, derandomize=True, database=None)
+    wide(for_all(st.binary(max_size=80))(read))()
+    wide(for_all(st.integers(0, len(whole)).map(lambda end: whole[:end]))(read))()
+    swaps = st.tuples(st.integers(0, len(whole) - 1), st.binary(min_size=1, max_size=3))
+    wide(for_all(swaps.map(lambda swap: whole[: swap[0]] + swap[1] + whole[swap[0] :]))(read))()
+    for body in (b"[" * DEEP, b'{"items":' + b"[" * DEEP, b'{"x":"\xff"}', bytes(16) + bytes(4)):
+        read(body)
+
+
+@then("none of them raised")
+def _none_raised(context: Any) -> None:
+    assert context.read_count > 0
--- a/src/onyxspoke/platform/advice.py
+++ b/src/onyxspoke/platform/advice.py
@@ -10,6 +10,7 @@
 from onyxspoke.core.shard.orders import AdviceOutcome, AdviceResult, Ticket
 from onyxspoke.net.http_client import HttpAnswer, HttpClient, encode_request
 from onyxspoke.node.settings import Address
+from onyxspoke.platform.unreadable import UNREADABLE_ERRORS
 
 #: The holder gives a call up sooner, by what the queue's policy says that it takes.
 CALL_SECONDS = 8.0
@@ -72,7 +73,7 @@
         return AdviceResult(AdviceOutcome.BUSY)
     try:
         body = _decoder.decode(answer.body)
-    except msgspec.MsgspecError:
+    except UNREADABLE_ERRORS:
         return AdviceResult(AdviceOutcome.NO_ANSWER)
     tickets = [Ticket(worker_id, text) for worker_id, text in body.good]
     return AdviceResult(AdviceOutcome.ANSWERED, tickets, body.validity_ms)
--- a/src/onyxspoke/platform/configuration.py
+++ b/src/onyxspoke/platform/configuration.py
@@ -16,6 +16,7 @@
 from onyxspoke.core.tenants.policy import TenantName, TenantPolicy
 from onyxspoke.platform.feeds import TopicFeed
 from onyxspoke.platform.store import OPERATOR_TOPIC, StoreClient
+from onyxspoke.platform.unreadable import UNREADABLE_ERRORS
 from onyxspoke.ports.configuration import (
     CellConfiguration,
     ConfigurationError,
@@ -123,7 +124,7 @@
     """Return a configuration in the product's terms; raise :class:`ConfigurationError`."""
     try:
         entry = _decoder.decode(raw)
-    except msgspec.MsgspecError as error:
+    except UNREADABLE_ERRORS as error:
         raise ConfigurationError(str(error)) from error
     limits = entry.limits
     return CellConfiguration(
--- a/src/onyxspoke/platform/directory.py
+++ b/src/onyxspoke/platform/directory.py
@@ -19,14 +19,13 @@
 from onyxspoke.core.shard.log_records import ShardRecord
 from onyxspoke.platform.feeds import TopicFeed
 from onyxspoke.platform.store import WORKER_TOPIC, StoreClient
+from onyxspoke.platform.unreadable import UNREADABLE_ERRORS
 from onyxspoke.ports.worker_directory import WorkerDirectoryListener
 
 PAUSE_SECONDS = 0.25
 #: Faults of entries that are remembered, so that a flood of entries takes little memory.
 MAXIMUM_FAULTS_KEPT = 1_000
 _RACK_PREFIX = "r"
-
-
 #: Amounts beyond this are no machine's; sums of them stay exact.
 _HIGHEST_FIGURE = 2**40
 _HIGHEST_PORT = 65_535
@@ -128,8 +127,7 @@
     """
     try:
         entry = _decoder.decode(value)
-    # Deep nesting ends in the recursion limit, and bytes that are no text in a Unicode error.
-    except (msgspec.MsgspecError, RecursionError, UnicodeError):
+    except UNREADABLE_ERRORS:
         return UnusableEntry(worker_id, EntryFault.UNREADABLE)
     address = _ADDRESS.fullmatch(entry.address)
     fault = _find_fault(entry, address)
--- a/src/onyxspoke/platform/ingress.py
+++ b/src/onyxspoke/platform/ingress.py
@@ -25,6 +25,7 @@
 from onyxspoke.core.tenants.policy import TenantName
 from onyxspoke.net.http import CodedResource, close_after, write_error, write_json
 from onyxspoke.node.node import Node
+from onyxspoke.platform.unreadable import UNREADABLE_ERRORS
 
 DEADLINE_HEADER = "request-deadline-ms"
 AUTHORIZATION_HEADER = "authorization"
@@ -240,7 +241,7 @@
     """
     try:
         body = _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except UNREADABLE_ERRORS as error:
         raise OnyxspokeError(ResultCode.MALFORMED_REQUEST, str(error)) from error
     job = JobSpec(
         job_id=job_id,
--- a/src/onyxspoke/platform/store.py
+++ b/src/onyxspoke/platform/store.py
@@ -18,6 +18,7 @@
 )
 from onyxspoke.net.http_client import HttpAnswer, HttpClient, encode_request
 from onyxspoke.node.settings import Address
+from onyxspoke.platform.unreadable import UNREADABLE_ERRORS
 
 #: Topic of the shards' partitions; its prefix makes the store keep the newest of each key.
 SHARD_TOPIC = "keyed.onyxspoke"
@@ -168,7 +169,7 @@
         position += _LENGTH_BYTES
         record = data[position : position + length]
         position += length
-        key_length = record[0]
+        key_length = record[0] if record else 0
         key = record[1 : 1 + key_length].decode("utf-8", "replace")
         records.append(ShardRecord(key, record[1 + key_length :]))
     return records
@@ -183,7 +184,7 @@
         return AppendResult(AppendOutcome.NOT_DONE)
     try:
         body = _append_decoder.decode(answer.body or b"{}")
-    except msgspec.MsgspecError:
+    except UNREADABLE_ERRORS:
         return AppendResult(AppendOutcome.UNKNOWN)
     if answer.status == _HTTP_OK:
         return AppendResult(AppendOutcome.DONE, body.offset, body.end)
@@ -202,12 +203,20 @@
         return NewestPage(is_known=False)
     try:
         body = _newest_decoder.decode(answer.body)
-    except msgspec.MsgspecError:
+    except UNREADABLE_ERRORS:
         return NewestPage(is_known=False)
-    records = [ShardRecord(item.key, base64.b64decode(item.value)) for item in body.items]
+    records = [ShardRecord(item.key, _read_value(item.value)) for item in body.items]
     return NewestPage(is_known=True, records=records, has_more=body.more, end=body.end)
 
 
+def _read_value(text: str) -> bytes:
+    """Return a record's value; what is no base64 stays as it is, for its own decoder to name."""
+    try:
+        return base64.b64decode(text, validate=True)
+    except ValueError:
+        return text.encode("utf-8", "replace")
+
+
 def read_tail(answer: HttpAnswer) -> TailAnswer:
     """Return the records in an answer to a read from an offset on."""
     if answer.status == _HTTP_GONE:
--- a/src/onyxspoke/platform/workers.py
+++ b/src/onyxspoke/platform/workers.py
@@ -24,6 +24,7 @@
     RunningReport,
 )
 from onyxspoke.net.http_client import HttpAnswer, HttpClient, encode_request
+from onyxspoke.platform.unreadable import UNREADABLE_ERRORS
 
 ORDER_SECONDS = 0.2
 #: Added to the time that an answer may wait for an end.
@@ -197,7 +198,7 @@
         return OrderResult(outcome)
     try:
         body = _order_decoder.decode(answer.body or b"{}")
-    except msgspec.MsgspecError:
+    except UNREADABLE_ERRORS:
         return OrderResult(OrderOutcome.NO_ANSWER)
     if answer.status == _HTTP_OK:
         return OrderResult(OrderOutcome.DONE, body.clock_ms)
@@ -221,7 +222,7 @@
             ended=[_to_end(row) for row in body.ended],
             is_whole=len(body.ended) < MAXIMUM_ENDS,
         )
-    except (msgspec.MsgspecError, ValueError, IndexError, TypeError):
+    except (*UNREADABLE_ERRORS, ValueError, IndexError, TypeError):
         return HoldResult(OrderOutcome.NO_ANSWER)
 
 
