Logs tell which life of a worker answers, and when a list is left aside

Cause: no line told the hypotheses of the incident apart. Now born_ms (when a worker started, by its own word) is read from its entry and from its lists, and stands in worker_listed, worker_settled and worker_born with the numbers of ends that are seen and told; list_out_of_order tells that a list was left aside because the worker's clock shows less than before. No decision changes.

--- a/src/onyxspoke/core/placement/workers.py
+++ b/src/onyxspoke/core/placement/workers.py
@@ -63,6 +63,8 @@
     ----------
     remaining_ms : int
         Time that a draining worker has left at least.
+    born_ms : int
+        When the worker started, counted from 1970 on its own clock; 0 where it does not say.
     """
 
     worker_id: WorkerId
@@ -77,6 +79,7 @@
     listing: WorkerListing = WorkerListing.READY
     remaining_ms: int = 0
     machine: str = ""
+    born_ms: int = 0
 
 
 class EntryFault(Enum):
--- a/src/onyxspoke/core/shard/run_reports.py
+++ b/src/onyxspoke/core/shard/run_reports.py
@@ -35,6 +35,7 @@
                 worker.seen_through = report.number
                 self._take_end(worker, report, now)
         if not is_latest:
+            self._log_out_of_order(worker, result)
             return
         worker.listed_clock_ms = result.clock_ms
         listed = set()
@@ -47,6 +48,21 @@
         if result.is_whole:
             self._find_missing(worker, listed, result.clock_ms, sent_at, now)
 
+    def _log_out_of_order(self, worker: Worker, result: HoldResult) -> None:
+        """Tell that a list is left aside because the worker's clock shows less than before."""
+        self._context.log(
+            "list_out_of_order",
+            worker=worker.worker_id,
+            born_ms=result.born_ms,
+            clock_ms=result.clock_ms,
+            listed_clock_ms=worker.listed_clock_ms,
+            running=len(result.running),
+            ended=len(result.ended),
+            runs=len(worker.runs),
+            seen_through=worker.seen_through,
+            told_through=worker.told_through,
+        )
+
     def _take_end(self, worker: Worker, report: EndReport, now: float) -> None:
         run = worker.runs.get(report.run)
         if run is not None:
--- a/src/onyxspoke/core/shard/worker_keeper.py
+++ b/src/onyxspoke/core/shard/worker_keeper.py
@@ -170,7 +170,7 @@
             # A former holder may have extended the lease just before.
             worker.extend_lease(result.clock_ms + self._context.options.maximum_hold_ms)
         worker.move_to(WorkerContact.SETTLED)
-        self._log(worker, "worker_settled", runs=len(worker.runs))
+        self._log(worker, "worker_settled", runs=len(worker.runs), born_ms=result.born_ms)
         worker.next_hold_at = now
         self._context.wants_placement = True
 
--- a/src/onyxspoke/core/shard/worker_register.py
+++ b/src/onyxspoke/core/shard/worker_register.py
@@ -126,12 +126,30 @@
         if worker is None:
             worker = self._add(record)
             self._unrecorded[record.worker_id] = worker
-            _log(self._context, worker, "worker_listed", host=record.host, rack=record.rack)
+            _log(
+                self._context,
+                worker,
+                "worker_listed",
+                host=record.host,
+                rack=record.rack,
+                born_ms=record.born_ms,
+            )
         if worker.listing is not record.listing:
             if record.listing is WorkerListing.DRAINING:
                 worker.leaves_at = now + record.remaining_ms / _MILLISECONDS
             worker.listing = record.listing
             _log(self._context, worker, "worker_listing", listing=record.listing.value)
+        if worker.record.born_ms != record.born_ms:
+            _log(
+                self._context,
+                worker,
+                "worker_born",
+                born_ms=record.born_ms,
+                former_born_ms=worker.record.born_ms,
+                runs=len(worker.runs),
+                seen_through=worker.seen_through,
+                told_through=worker.told_through,
+            )
         if worker.record.capacity != record.capacity:
             self._take_capacity(worker, record.capacity)
         worker.record = record
--- a/src/onyxspoke/platform/directory.py
+++ b/src/onyxspoke/platform/directory.py
@@ -56,6 +56,7 @@
     cold_remaining_ms: float = 0.0
     remaining_ms: float = 0.0
     machine: str = ""
+    born: int = 0
 
 
 _decoder = msgspec.json.Decoder(WorkerEntry)
@@ -147,6 +148,7 @@
         listing=_LISTINGS[entry.state],
         remaining_ms=int(entry.remaining_ms),
         machine=entry.machine,
+        born_ms=entry.born,
     )
 
 
--- a/src/onyxspoke/platform/workers.py
+++ b/src/onyxspoke/platform/workers.py
@@ -87,6 +87,7 @@
     clock_ms: int = 0
     running: list[list[Any]] = []
     ended: list[list[Any]] = []
+    born: int = 0
 
 
 _encoder = msgspec.json.Encoder()
@@ -221,6 +222,7 @@
             running=[_to_running(row) for row in body.running],
             ended=[_to_end(row) for row in body.ended],
             is_whole=len(body.ended) < MAXIMUM_ENDS,
+            born_ms=body.born,
         )
     except (*UNREADABLE_ERRORS, ValueError, IndexError, TypeError):
         return HoldResult(OrderOutcome.NO_ANSWER)
