Failing: counts of a former life are kept for a worker that starts again under its name

Two scenarios fail on the code as it is: ends of the new life are dropped unread, because the number told to it was the former life's (11 of 24 tasks run again after done), and what ran before counts as running while the worker's clock shows less than before (0 of 12 tasks at work 3 s later). The stand-ins can restart a worker under its name now: it says when it was born, counts and clock start anew, and it drops every end up to the number that it was told, also those that are yet to come, as the users' workers do (the first end read there was numbered 5). Orders reach whichever life answers at the name.

--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -17,7 +17,8 @@
 from onyxspoke.core.placement.workers import Worker, WorkerListing, WorkerRecord
 from onyxspoke.core.shard.actions import SendStart
 from onyxspoke.core.shard.calls import CallReply, ReplyCode, StateCall, SubmitCall
-from onyxspoke.kit.jobs.workers import FakeWorkerOrders, WorkOptions
+from onyxspoke.kit.jobs.worker_orders import FakeWorkerOrders
+from onyxspoke.kit.jobs.workers import WorkOptions
 from onyxspoke.sim.job_cluster import REBIRTH_SECONDS, ClusterOptions, JobCluster
 
 SETTLE_SECONDS = 2.0
--- /dev/null
+++ b/features/steps/restart_steps.py
@@ -0,0 +1,56 @@
+"""Steps about workers that start again under the names that they had, in virtual time."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given, then, when
+from crash_steps import SETTLE_SECONDS, make_job, state_of, submit
+
+from onyxspoke.core.jobs.model import StepSpec
+from onyxspoke.kit.jobs.workers import WorkOptions
+from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster
+
+
+@given(
+    "a cell of {count:d} workers that keep their names, and whose tasks take {seconds:g} seconds"
+)
+@given("a cell of {count:d} workers that keep their names, and whose tasks take {seconds:g} second")
+def _cell(context: Any, count: int, seconds: float) -> None:
+    work = WorkOptions(seed=11, shortest_seconds=seconds, longest_seconds=seconds)
+    options = ClusterOptions(seed=11, workers=count, with_advice=False, work=work, keep_names=True)
+    context.cluster = JobCluster(options)
+    context.handed_in = 0
+    context.cluster.start()
+    context.cluster.run(SETTLE_SECONDS)
+
+
+@when("{count:d} jobs of one task each are handed in there")
+@when("{count:d} more jobs of one task each are handed in")
+def _hand_in(context: Any, count: int) -> None:
+    step = StepSpec(task_count=1, processors_milli=1_000, memory_mb=512)
+    for _ in range(count):
+        submit(context, make_job(context, f"{context.handed_in:016x}", step))
+        context.handed_in += 1
+
+
+@when("every worker goes down, and starts again after {seconds:g} seconds")
+def _restart_all(context: Any, seconds: float) -> None:
+    cluster = context.cluster
+    for worker in list(cluster.pool.workers.values()):
+        assert worker.is_up
+        cluster.crash_worker(worker.worker_id, seconds)
+
+
+@then("all {count:d} jobs are shown as completed")
+def _completed(context: Any, count: int) -> None:
+    states = [state_of(context, f"{number:016x}") for number in range(count)]
+    assert states.count("completed") == count, states
+    assert not context.cluster.audit.findings, context.cluster.audit.findings
+
+
+@then("{count:d} tasks are at work")
+def _at_work(context: Any, count: int) -> None:
+    at_work = sum(len(worker.runs) for worker in context.cluster.pool.workers.values())
+    assert at_work == count, at_work
+    assert not context.cluster.audit.findings, context.cluster.audit.findings
--- a/features/steps/suspension_steps.py
+++ b/features/steps/suspension_steps.py
@@ -9,7 +9,7 @@
 
 from onyxspoke.core.jobs.states import RunState
 from onyxspoke.core.shard.actions import SendStart
-from onyxspoke.kit.jobs.workers import FakeWorkerOrders
+from onyxspoke.kit.jobs.worker_orders import FakeWorkerOrders
 from onyxspoke.net.reactor_clock import SuspensionWatch
 
 CLOSE_SECONDS = 0.001
--- a/src/onyxspoke/kit/jobs/workers.py
+++ b/src/onyxspoke/kit/jobs/workers.py
@@ -9,7 +9,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Generic, Protocol, TypeVar
+from typing import Protocol
 
 from onyxspoke.core.jobs.model import JobId, JobSpec, RunKey, StepKey, TaskKey, WorkerId
 from onyxspoke.core.jobs.states import RunEnd
@@ -28,16 +28,11 @@
     OrderResult,
     RunningReport,
 )
-from onyxspoke.kit.jobs.timers import Path, Timers
+from onyxspoke.kit.jobs.timers import Timers
 
-ORDER_TIMEOUT_SECONDS = 0.3
-HOLD_SLACK_SECONDS = 0.3
-CALL_SECONDS = 0.001
 _MILLISECONDS = 1_000.0
 _FULL_PERCENT = 100
 
-Result = TypeVar("Result")
-
 
 class WorkerAudit(Protocol):
     """Told of everything that happens at workers."""
@@ -136,7 +131,7 @@
         self.on_crash: Callable[[WorkerId], None] = lambda worker_id: None
 
     def add(self, record: WorkerRecord) -> FakeWorker:
-        """Start a worker."""
+        """Start a worker, perhaps again under the name that it had."""
         worker = FakeWorker(self, record, rate=1.0 - self.random.random() * 0.02)
         self.workers[record.worker_id] = worker
         return worker
@@ -191,12 +186,14 @@
         self.token = 0
         self._rate = rate
         self._born_at = pool.timers.now()
-        self._clock_base_ms = pool.random.randrange(1_000_000)
+        self._clock_base_ms = pool.random.randrange(1_000_000) if not record.born_ms else 0
         self._lease_until_ms = 0
         self._lease_timer = 0
         self.runs: dict[RunKey, _FakeRun] = {}
         self._ended: list[EndReport] = []
         self._last_number = 0
+        #: Ends up to this number are dropped, also those that are yet to come.
+        self._noted_through = 0
         self._settled: dict[TaskKey, int] = {}
         self._waiting: list[Callable[[], None]] = []
 
@@ -275,10 +272,8 @@
         if not self._take_token(order.token):
             on_result(HoldResult(OrderOutcome.FENCED))
             return
-        for report in self._ended:
-            if report.number <= order.last_seen:
-                self._pool.audit.handle_noted(self, report.run, report.end)
-        self._ended = [report for report in self._ended if report.number > order.last_seen]
+        self._noted_through = max(self._noted_through, order.last_seen)
+        self._drop_noted()
         if order.until_ms:
             self._extend(order.until_ms)
         if order.wait_ms and not self._ended:
@@ -320,6 +315,9 @@
         self._ended.append(EndReport(self._last_number, key, end))
         self._pool.audit.handle_ended(self, key, end)
         self._pool.leave_gang(key, end)
+        self._drop_noted()
+        if not self._ended:
+            return
         waiting, self._waiting = self._waiting, []
         for answer in waiting:
             answer()
@@ -369,118 +367,23 @@
         self._waiting.append(answer)
         self._pool.timers.schedule(seconds, answer)
 
+    def _drop_noted(self) -> None:
+        """Forget the ends that a node has said it noted."""
+        for report in self._ended:
+            if report.number <= self._noted_through:
+                self._pool.audit.handle_noted(self, report.run, report.end)
+        self._ended = [report for report in self._ended if report.number > self._noted_through]
+
     def _lists(self) -> HoldResult:
         now = self._pool.timers.now()
         running = [RunningReport(key, "", run.percent(now)) for key, run in self.runs.items()]
-        return HoldResult(OrderOutcome.DONE, self.clock_ms(), running, list(self._ended))
+        return HoldResult(
+            OrderOutcome.DONE,
+            self.clock_ms(),
+            running,
+            list(self._ended),
+            born_ms=self.record.born_ms,
+        )
 
     def _answer(self, outcome: OrderOutcome) -> OrderResult:
         return OrderResult(outcome, self.clock_ms())
-
-
-class FakeWorkerOrders:
-    """The workers as one node reaches them; implements ``WorkerOrdersPort``."""
-
-    def __init__(self, pool: FakeWorkerPool, node_name: str, path: Path) -> None:
-        self._pool = pool
-        self._node_name = node_name
-        self._path = path
-
-    def hold(self, order: SendHold, on_result: Callable[[HoldResult], None]) -> None:
-        """Fence, extend and look."""
-        timeout = order.wait_ms / _MILLISECONDS + HOLD_SLACK_SECONDS
-        exchange = _Exchange(self._path, self._pool.timers, order.address, on_result)
-        exchange.expire(timeout, HoldResult(OrderOutcome.NO_ANSWER))
-        self._send(
-            order.address,
-            lambda worker, is_late: worker.hold(
-                order, exchange.ignore if is_late else exchange.answer
-            ),
-            lambda outcome: exchange.answer(HoldResult(outcome)),
-        )
-
-    def start(self, order: SendStart, on_result: Callable[[OrderResult], None]) -> None:
-        """Start a run."""
-        self._order(order.address, lambda worker: worker.start(order, self._node_name), on_result)
-
-    def stop(self, order: SendStop, on_result: Callable[[OrderResult], None]) -> None:
-        """Stop a run."""
-        self._order(order.address, lambda worker: worker.stop(order), on_result)
-
-    def pace(self, order: SendPace, on_result: Callable[[OrderResult], None]) -> None:
-        """Change the pace of a run."""
-        self._order(order.address, lambda worker: worker.set_pace(order), on_result)
-
-    def drop(self, address: WorkerAddress) -> None:
-        """Do nothing: there are no connections."""
-
-    def _order(
-        self,
-        address: WorkerAddress,
-        carry_out: Callable[[FakeWorker], OrderResult],
-        on_result: Callable[[OrderResult], None],
-    ) -> None:
-        exchange = _Exchange(self._path, self._pool.timers, address, on_result)
-        exchange.expire(ORDER_TIMEOUT_SECONDS, OrderResult(OrderOutcome.NO_ANSWER))
-
-        def arrive(worker: FakeWorker, is_late: bool) -> None:
-            result = carry_out(worker)
-            if not is_late:
-                exchange.answer(result)
-
-        self._send(address, arrive, lambda outcome: exchange.answer(OrderResult(outcome)))
-
-    def _send(
-        self,
-        address: WorkerAddress,
-        arrive: Callable[[FakeWorker, bool], None],
-        refuse: Callable[[OrderOutcome], None],
-    ) -> None:
-        pool = self._pool
-
-        def reach() -> None:
-            worker = pool.find(address)
-            if worker is None:
-                is_replaced = address.worker_id in pool.replaced
-                refuse(OrderOutcome.OTHER_LIFE if is_replaced else OrderOutcome.NO_ANSWER)
-                return
-            if pool.random.random() < worker.faults.late_share:
-                pool.timers.schedule(
-                    worker.faults.late_seconds,
-                    lambda: arrive(worker, True) if worker.is_up else None,
-                )
-                return
-            arrive(worker, False)
-
-        self._path.to_outside(address.worker_id, reach)
-
-
-class _Exchange(Generic[Result]):
-    """One order: the first of its answer and its timeout counts."""
-
-    def __init__(
-        self,
-        path: Path,
-        timers: Timers,
-        address: WorkerAddress,
-        on_result: Callable[[Result], None],
-    ) -> None:
-        self._path = path
-        self._timers = timers
-        self._address = address
-        self._on_result = on_result
-        self._is_over = False
-
-    def answer(self, result: Result) -> None:
-        self._path.to_node(self._address.worker_id, lambda: self._finish(result))
-
-    def ignore(self, result: Result) -> None:
-        """Lose an answer."""
-
-    def expire(self, seconds: float, result: Result) -> None:
-        self._timers.schedule(seconds, lambda: self._path.to_node("", lambda: self._finish(result)))
-
-    def _finish(self, result: Result) -> None:
-        if not self._is_over:
-            self._is_over = True
-            self._on_result(result)
--- a/src/onyxspoke/sim/job_cluster.py
+++ b/src/onyxspoke/sim/job_cluster.py
@@ -29,7 +29,8 @@
     FakeDirectoryClient,
 )
 from onyxspoke.kit.jobs.store import FakeStore, FakeStoreClient
-from onyxspoke.kit.jobs.workers import FakeWorkerOrders, FakeWorkerPool, WorkOptions
+from onyxspoke.kit.jobs.worker_orders import FakeWorkerOrders
+from onyxspoke.kit.jobs.workers import FakeWorker, FakeWorkerPool, WorkOptions
 from onyxspoke.node.node import Node
 from onyxspoke.node.node_ports import NodePorts
 from onyxspoke.node.settings import Address, NodeSettings
@@ -49,6 +50,8 @@
 ALWAYS_GOOD = ("w0.", "w1.", "w2.", "w3.")
 #: A worker that a task crashed is back, as another life, after so long.
 REBIRTH_SECONDS = 3.0
+#: Time of day at the first virtual second, in milliseconds from 1970.
+EPOCH_MS = 1_700_000_000_000
 #: The directory drops the entry of a life that is silent after so long.
 ENTRY_SECONDS = 4.5
 _MILLISECONDS = 1_000.0
@@ -59,7 +62,8 @@
     """Size and nature of a simulated cluster.
 
     ``kinds`` holds one letter a kind of worker; ``large_nodes`` of the nodes, the first ones, have
-    four times the processor of the others.
+    four times the processor of the others.  Workers that ``keep_names`` start again under the name
+    that they had, and tell when they started; others come back under a new name.
     """
 
     seed: int = 1
@@ -74,6 +78,7 @@
     always_good: tuple[str, ...] = ALWAYS_GOOD
     large_nodes: int = 0
     tenants: tuple[TenantPolicy, ...] = ()
+    keep_names: bool = False
 
 
 class SimulatedPath:
@@ -153,12 +158,13 @@
             self.start_node(f"node-{index}")
 
     def add_worker(self, index: int) -> WorkerRecord:
-        """Start a new life of a worker."""
+        """Start a new life of a worker, under a new name or the one it had."""
         self._worker_lives += 1
+        keeps_name = self.options.keep_names
         rack = f"r1-{index // self.options.rack_size}"
         kinds = self.options.kinds
         record = WorkerRecord(
-            worker_id=f"w{index}.{self._worker_lives}",
+            worker_id=f"w{index}.{0 if keeps_name else self._worker_lives}",
             host=f"10.9.0.{index}",
             port=8_000,
             service=SERVICE,
@@ -167,6 +173,7 @@
             kind=kinds[index % len(kinds)],
             rack=rack,
             labels=(kinds[index % len(kinds)], rack),
+            born_ms=EPOCH_MS + int(self.time.now() * _MILLISECONDS) if keeps_name else 0,
         )
         self.pool.add(record)
         self.directory.list(record)
@@ -258,20 +265,30 @@
 
     def kill_worker(self, worker_id: str) -> None:
         """End a worker's life; the directory notices later."""
-        self._end_worker(worker_id, is_planned=False)
+        self._end_worker(self.pool.workers[worker_id], is_planned=False)
 
-    def crash_worker(self, worker_id: str) -> None:
-        """End a worker's life; soon another one answers at its address."""
+    def crash_worker(self, worker_id: str, seconds: float = REBIRTH_SECONDS) -> None:
+        """End a worker's life; after so long another one answers at its address."""
         self.kill_worker(worker_id)
-        self.time.schedule(REBIRTH_SECONDS, partial(self._replace_worker, worker_id))
+        self.time.schedule(seconds, partial(self.replace_worker, worker_id))
 
-    def _replace_worker(self, worker_id: str) -> None:
+    def replace_worker(self, worker_id: str) -> None:
+        """Start the life that follows one that has ended."""
+        if self.pool.workers[worker_id].is_up:
+            return
         self.add_worker(worker_index(worker_id))
-        self.pool.replaced.add(worker_id)
+        if not self.options.keep_names:
+            self.pool.replaced.add(worker_id)
+
+    def _end_worker(self, worker: FakeWorker, *, is_planned: bool) -> None:
+        if worker.is_up:
+            worker.die(is_planned=is_planned)
+        self.time.schedule(ENTRY_SECONDS, partial(self._drop_entry, worker))
 
-    def _end_worker(self, worker_id: str, *, is_planned: bool) -> None:
-        self.pool.workers[worker_id].die(is_planned=is_planned)
-        self.time.schedule(ENTRY_SECONDS, partial(self.directory.drop, worker_id))
+    def _drop_entry(self, worker: FakeWorker) -> None:
+        """Drop the entry of a life, unless the next one has written it anew."""
+        if self.pool.workers[worker.worker_id] is worker:
+            self.directory.drop(worker.worker_id)
 
     def resize_worker(self, worker_id: str, capacity: Needs) -> None:
         """Change a worker's room; the directory tells it."""
@@ -292,7 +309,8 @@
         self.directory.list(
             replace(record, listing=WorkerListing.DRAINING, remaining_ms=remaining_ms)
         )
-        self.time.schedule(seconds, partial(self._end_worker, worker_id, is_planned=True))
+        worker = self.pool.workers[worker_id]
+        self.time.schedule(seconds, partial(self._end_worker, worker, is_planned=True))
 
     # Looking
 
--- a/src/onyxspoke/sim/job_faults.py
+++ b/src/onyxspoke/sim/job_faults.py
@@ -259,15 +259,16 @@
     def _kill_worker(self, seconds: float) -> None:
         for worker_id in self._choose_workers(0.2):
             self._cluster.kill_worker(worker_id)
-            self._later(seconds, partial(self._replace_worker, worker_id))
+            self._later(seconds, partial(self._add_worker, worker_id))
 
     def _drain_worker(self, seconds: float) -> None:
         for worker_id in self._choose_workers(0.2):
             self._cluster.drain_worker(worker_id, 2.5)
-            self._later(2.5 + seconds, partial(self._replace_worker, worker_id))
+            self._later(2.5 + seconds, partial(self._add_worker, worker_id))
 
-    def _replace_worker(self, worker_id: str) -> None:
-        self._cluster.add_worker(worker_index(worker_id))
+    def _add_worker(self, worker_id: str) -> None:
+        if not self._cluster.pool.workers[worker_id].is_up:
+            self._cluster.add_worker(worker_index(worker_id))
 
     def _workers_late(self, seconds: float) -> None:
         for worker in list(self._cluster.pool.workers.values()):
@@ -280,7 +281,7 @@
             worker.faults.hangs = True
             # What stands still does so for good; the worker is replaced.
             self._later(seconds, partial(self._cluster.kill_worker, worker_id))
-            self._later(seconds + 0.5, partial(self._replace_worker, worker_id))
+            self._later(seconds + 0.5, partial(self._add_worker, worker_id))
 
     def _workers_fail(self, seconds: float) -> None:
         for worker_id in self._choose_workers(0.2):
