A worker that starts again under its name is another life: counts, lists and orders are the life's

Cause: what the holder counts for a worker (ends seen and told, the clock by which lists are ordered, runs, tickets) was kept under the worker's name, and the name now outlives the worker's process. The number of noted ends that was told to the next life made it drop its own first ends unread (TWICE); lists whose clock shows less than the former life's were left aside, so what ran before counted as running until the clock had caught up (LOST).

Change: a life is told by its name and its birth. A list with another birth ends the former life (a crash, unless it was leaving) and begins the next one with nothing counted, its advice forgotten, of use once the directory describes it. Orders name the life: the client keeps each connection for the process that answered on it, and a new connection asks first, by a hold that notes nothing; so no order reaches a life that it was not meant for. Workers that do not say when they were born cost nothing more.

Six scenarios over the wire, without a network.

--- a/features/entries_from_other_writers.feature
+++ b/features/entries_from_other_writers.feature
@@ -29,6 +29,10 @@
       | a capacity without memory  | "capacity" as {"cpu":16000}     | unreadable    |
       | processors below zero      | "capacity" as {"cpu":-1,"memMb":1}   | out_of_range |
       | memory beyond any machine  | "capacity" as {"cpu":1,"memMb":1000000000000000000} | out_of_range |
+      | a birth of another type    | "born" as "noon"                | unreadable    |
+      | a birth that is no whole number | "born" as 7.5              | unreadable    |
+      | a birth below zero         | "born" as -1                    | out_of_range  |
+      | a birth beyond any time    | "born" as 100000000000000000    | out_of_range  |
       | labels of another type     | "labels" as "a"                 | unreadable    |
       | labels that are no texts   | "labels" as [1]                 | unreadable    |
       | a list                     | all of it as []                 | unreadable    |
--- a/features/platform_codec.feature
+++ b/features/platform_codec.feature
@@ -67,6 +67,14 @@
     And the run 2 of task 17 of step 1 is at 41 percent with checkpoint "00000bb87a21d94b"
     And the run 1 of task 18 of step 1 uses 350
     And the end 58 of run 1 of task 9 of step 1 is "done"
+    And the worker does not say when it was born
+
+  Scenario: What a worker holds that says when it was born
+    When a worker answers a hold with
+      """
+      {"clockMs":713,"running":[],"ended":[],"born":1786085425402}
+      """
+    Then the worker was born at 1786085425402
 
   Scenario: An account that a worker gives of itself
     When the directory lists "i-7f3a91c2" as
--- a/features/steps/job_promise_steps.py
+++ b/features/steps/job_promise_steps.py
@@ -39,6 +39,13 @@
     context.job_reports = [play(seed, with_crashes=True) for seed in range(first, last + 1)]
 
 
+@when("jobs are played over seeds {first:d} to {last:d} with workers that keep their names")
+def _play_restarts(context: Any, first: int, last: int) -> None:
+    context.job_reports = [
+        play(seed, with_crashes=True, keep_names=True) for seed in range(first, last + 1)
+    ]
+
+
 @then("nothing that must hold is broken")
 def _nothing_broken(context: Any) -> None:
     assert all(report.checks for report in context.job_reports)
--- a/features/steps/platform_codec_steps.py
+++ b/features/steps/platform_codec_steps.py
@@ -37,7 +37,9 @@
     def __init__(self) -> None:
         self.requests: list[bytes] = []
 
-    def call(self, host, port, request, timeout_seconds, on_answer, lane="") -> None:
+    def call(
+        self, host, port, request, timeout_seconds, on_answer, lane="", meant_for=None
+    ) -> None:
         self.requests.append(request)
 
 
@@ -169,6 +171,16 @@
     context.hold = read_hold(_answer(200, context.text))
 
 
+@then("the worker was born at {born_ms:d}")
+def _born(context, born_ms):
+    assert context.hold.born_ms == born_ms
+
+
+@then("the worker does not say when it was born")
+def _not_born(context):
+    assert context.hold.born_ms == 0
+
+
 @then("the worker's clock is {clock:d}")
 def _clock(context, clock):
     assert context.hold.clock_ms == clock
--- a/features/workers_that_start_again.feature
+++ b/features/workers_that_start_again.feature
@@ -27,3 +27,42 @@
     And every worker goes down, and starts again after 0.3 seconds
     And 3 seconds pass in that cell
     Then 12 tasks are at work
+
+  Scenario: Schedules in which workers start again under their names break nothing
+    When jobs are played over seeds 1 to 8 with workers that keep their names
+    Then nothing that must hold is broken
+
+  Scenario Outline: <order> meant for a former life reaches no other one
+    Given a worker on the wire that was born at 100 and has listed ends
+    When it starts again at 200, and its connections are reset
+    And <order> that was meant for the life born at 100 is sent
+    Then the order's outcome is "other_life", and 200 is told for a hold
+    And the life born at 200 was asked to look and nothing else
+
+    Examples:
+      | order                               |
+      | a hold that notes ends through 4    |
+      | a start                             |
+      | a stop                              |
+
+  Scenario: A new connection asks once which life it has reached
+    Given a worker on the wire that was born at 100 and has listed ends
+    When its connections are reset
+    And a start that was meant for the life born at 100 is sent
+    And a start that was meant for the life born at 100 is sent
+    Then both starts are done
+    And the life born at 100 was asked to look once more
+
+  Scenario: A worker that does not say when it was born is not asked
+    Given a worker on the wire that does not say when it was born
+    When a start that was meant for any life is sent
+    Then the start is done
+    And the worker was never asked to look
+
+  Scenario: A silent connection to a former life keeps no order waiting beyond its time
+    Given a worker on the wire that was born at 100 and has listed ends
+    When it loses power and starts again at 200, and its connections say nothing
+    And a start that was meant for the life born at 100 is sent
+    Then the start was not answered
+    When a start that was meant for the life born at 100 is sent
+    Then the order's outcome is "other_life", and 200 is told for a hold
--- a/src/onyxspoke/cli/sim.py
+++ b/src/onyxspoke/cli/sim.py
@@ -31,6 +31,9 @@
     jobs.add_argument("--first-seed", type=int, default=1)
     jobs.add_argument("--seeds", type=int, default=20)
     jobs.add_argument("--crashes", action="store_true", help="some tasks crash their workers")
+    jobs.add_argument(
+        "--keep-names", action="store_true", help="workers start again under the names they had"
+    )
     jobs.add_argument("--shards", type=int, default=1, help="shards of the cell (default: 1)")
     jobs.add_argument("--tenants", action="store_true", help="with tenants whose quotas bind")
     arguments = parser.parse_args()
@@ -72,6 +75,7 @@
             shards=arguments.shards,
             with_tenants=arguments.tenants,
             with_crashes=arguments.crashes,
+            keep_names=arguments.keep_names,
         )
         events += report.events
         checks += report.checks
--- a/src/onyxspoke/core/placement/advice_desk.py
+++ b/src/onyxspoke/core/placement/advice_desk.py
@@ -262,6 +262,12 @@
             del self._retries[step]
         return due
 
+    def forget_worker(self, worker_id: WorkerId) -> None:
+        """Another life has the name: tickets were for the former one, and it may be of any kind."""
+        for advice in self._steps.values():
+            advice.tickets.pop(worker_id, None)
+            advice.asked.discard(worker_id)
+
     def drop_ticket(self, step: StepKey, worker_id: WorkerId) -> None:
         """A worker refused a ticket; it is not used again."""
         advice = self._steps.get(step)
--- a/src/onyxspoke/core/placement/workers.py
+++ b/src/onyxspoke/core/placement/workers.py
@@ -90,6 +90,7 @@
     NO_SERVICE = "no_service"
     NO_ADDRESS = "no_address"
     OUT_OF_RANGE = "out_of_range"
+    NO_BIRTH = "no_birth"
 
 
 class UnusableEntry(msgspec.Struct, frozen=True):
@@ -144,6 +145,8 @@
 
     Attributes
     ----------
+    born_ms : int
+        What tells the life from others of that name; 0 until the worker has said it.
     lapsed_until : float
         Its entry went while the store was away, and may come back until then; 0 otherwise.
     leaves_at : float
@@ -193,6 +196,7 @@
     def __init__(self, record: WorkerRecord, unsettled_until: float) -> None:
         #: The life's name.
         self.worker_id = record.worker_id
+        self.born_ms = record.born_ms
         self.record = record
         self.contact = WorkerContact.UNSETTLED
         self.listing = record.listing
@@ -237,11 +241,17 @@
             assert contact in CONTACT_TRANSITIONS[self.contact]
             self.contact = contact
 
+    @property
+    def is_described(self) -> bool:
+        """Whether the record is of this life; the next one may have another kind and other room."""
+        return self.record.born_ms in (0, self.born_ms)
+
     def is_offered(self, now: float) -> bool:
         """Return whether runs may be started there."""
         return (
             self.contact is WorkerContact.SETTLED
             and self.listing is WorkerListing.READY
+            and self.is_described
             and self.is_recorded
             and not self.strays
             and not self.doubted_at
--- a/src/onyxspoke/core/shard/actions.py
+++ b/src/onyxspoke/core/shard/actions.py
@@ -24,11 +24,15 @@
 
 
 class WorkerAddress(msgspec.Struct, frozen=True):
-    """Where one life of a worker is reached."""
+    """Where one life of a worker is reached.
+
+    ``born_ms`` tells it from other lives of that name; 0 where that is not known.
+    """
 
     worker_id: WorkerId
     host: str
     port: int
+    born_ms: int = 0
 
 
 class SendHold(msgspec.Struct, frozen=True):
--- a/src/onyxspoke/core/shard/context.py
+++ b/src/onyxspoke/core/shard/context.py
@@ -138,4 +138,4 @@
 def address_of(worker: Worker) -> WorkerAddress:
     """Return where a worker is reached."""
     record = worker.record
-    return WorkerAddress(record.worker_id, record.host, record.port)
+    return WorkerAddress(record.worker_id, record.host, record.port, worker.born_ms)
--- a/src/onyxspoke/core/shard/orders.py
+++ b/src/onyxspoke/core/shard/orders.py
@@ -15,7 +15,7 @@
 
     ``FENCED``: the worker has seen a higher token.  ``STALE``: the run is not above one that
     was stopped or ended there.  ``EXPIRED``: the order came after its time.  ``OTHER_LIFE``:
-    the worker of that name is gone, another one answers.  ``NO_ANSWER``: the order may have
+    the life that was meant is over, another one answers.  ``NO_ANSWER``: the order may have
     been carried out, or may yet be.  ``NOT_SENT``: nothing left this machine.
     """
 
--- a/src/onyxspoke/core/shard/run_starter.py
+++ b/src/onyxspoke/core/shard/run_starter.py
@@ -20,7 +20,13 @@
 #: long, in seconds.
 REFUSED_SECONDS = 0.5
 _NOT_OFFERED_AFTER = frozenset(
-    {OrderOutcome.UNHEALTHY, OrderOutcome.NO_ROOM, OrderOutcome.INVALID, OrderOutcome.NOT_SENT}
+    {
+        OrderOutcome.UNHEALTHY,
+        OrderOutcome.NO_ROOM,
+        OrderOutcome.INVALID,
+        OrderOutcome.NOT_SENT,
+        OrderOutcome.OTHER_LIFE,
+    }
 )
 _MILLISECONDS = 1_000.0
 
@@ -169,6 +175,7 @@
         if outcome is OrderOutcome.NO_TICKET:
             self._context.desk.drop_ticket(run.task.step.key, worker.worker_id)
         elif outcome in _NOT_OFFERED_AFTER:
+            worker.wants_look = worker.wants_look or outcome is OrderOutcome.OTHER_LIFE
             worker.retry_at = now + REFUSED_SECONDS
 
     def _next_number(self, step: StepProgress) -> int:
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -11,13 +11,14 @@
 from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.placement.placer import MAXIMUM_PLACEMENTS, Placer
-from onyxspoke.core.placement.workers import UnusableEntry, WorkerRecord
+from onyxspoke.core.placement.workers import UnusableEntry, Worker, WorkerRecord
 from onyxspoke.core.shard.actions import (
     AskAdvice,
     SendAppend,
     SendPace,
     ShardAction,
     StepDownReason,
+    WorkerAddress,
 )
 from onyxspoke.core.shard.call_desk import CallDesk
 from onyxspoke.core.shard.calls import Call, CallReply
@@ -200,40 +201,40 @@
     # Answers
 
     def stimulus_hold_result(
-        self, worker_id: WorkerId, number: int, result: HoldResult, now: float
+        self, address: WorkerAddress, number: int, result: HoldResult, now: float
     ) -> None:
         """A worker answered a hold, or did not."""
-        worker = self.context.table.workers.get(worker_id)
+        worker = self._find_worker(address)
         if worker is not None and not self.context.is_over:
             self._note_active(now)
             self.workers.handle_hold_result(worker, number, result, now)
 
     def stimulus_start_result(
-        self, worker_id: WorkerId, run: RunKey, result: OrderResult, now: float
+        self, address: WorkerAddress, run: RunKey, result: OrderResult, now: float
     ) -> None:
         """A worker answered an order to start, or did not."""
         if self._check_fence(result):
             self._note_active(now)
-            worker = self.context.table.workers.get(worker_id)
+            worker = self._find_worker(address)
             if worker is not None:
                 self._starter.handle_start_result(worker, run, result, now)
                 if result.outcome is OrderOutcome.NO_ANSWER:
                     self.workers.note_answer_lost(now)
 
     def stimulus_stop_result(
-        self, worker_id: WorkerId, run: RunKey, result: OrderResult, now: float
+        self, address: WorkerAddress, run: RunKey, result: OrderResult, now: float
     ) -> None:
         """A worker answered an order to stop, or did not."""
         if self._check_fence(result):
             self._note_active(now)
-            worker = self.context.table.workers.get(worker_id)
+            worker = self._find_worker(address)
             if worker is not None:
                 self.runs.handle_stop_result(worker, run, result, now)
 
     def stimulus_pace_result(self, order: SendPace, result: OrderResult, now: float) -> None:
         """A worker answered a change of pace, or did not."""
         if self._check_fence(result):
-            worker = self.context.table.workers.get(order.address.worker_id)
+            worker = self._find_worker(order.address)
             if worker is not None:
                 is_done = result.outcome is OrderOutcome.DONE
                 self._paces.handle_result(worker, order.run, order.percent, is_done)
@@ -260,6 +261,13 @@
         reason = StepDownReason.STORE_FENCED if is_fenced else StepDownReason.OUT_OF_SEQUENCE
         self.context.step_down(reason)
 
+    def _find_worker(self, address: WorkerAddress) -> Worker | None:
+        """Return the life that an order was meant for, unless it is over."""
+        worker = self.context.table.workers.get(address.worker_id)
+        if worker is None or address.born_ms not in (0, worker.born_ms):
+            return None
+        return worker
+
     # Calls
 
     def stimulus_call(self, call_id: int, call: Call, now: float) -> None:
--- a/src/onyxspoke/core/shard/worker_keeper.py
+++ b/src/onyxspoke/core/shard/worker_keeper.py
@@ -147,11 +147,14 @@
             self._context.step_down(StepDownReason.WORKER_FENCED)
         elif result.outcome is OrderOutcome.OTHER_LIFE:
             self._end_life(worker, now, EndOfLife.OTHER_LIFE)
+            if result.born_ms:
+                self._begin_next_life(worker, result.born_ms, now)
         else:
             self._take_miss(worker, result.outcome, now)
 
     def _take_answer(self, worker: Worker, result: HoldResult, sent_at: float, now: float) -> None:
         worker.clock.read(result.clock_ms, now)
+        worker.born_ms = worker.born_ms or result.born_ms
         if sent_at >= worker.doubted_at:
             worker.doubted_at = 0.0
         worker.misses = 0
@@ -224,6 +227,24 @@
         if sign is EndOfLife.OTHER_LIFE:
             worker.listing = WorkerListing.GONE
 
+    def _begin_next_life(self, former: Worker, born_ms: int, now: float) -> None:
+        """A worker has started again under its name.
+
+        Whatever is counted for a worker (ends, lists by its clock, runs, tickets) was the former
+        life's.  Kept for the next one, it made that drop its own ends unread, so that tasks ran
+        again, and made us leave its lists aside, so that tasks did not run at all.
+        """
+        self._context.emit(DropWorkerConnections(address_of(former)))
+        worker = self._register.begin_next_life(former, born_ms, now)
+        self._context.desk.forget_worker(worker.worker_id)
+        self._log(
+            worker,
+            "worker_started_again",
+            born_ms=born_ms,
+            former_born_ms=former.born_ms,
+            described=int(worker.is_described),
+        )
+
     def _keep_over(self, worker: Worker, now: float) -> None:
         if worker.listing is not WorkerListing.GONE:
             # The directory still has it: it may have been cut off, and come back.
--- a/src/onyxspoke/core/shard/worker_register.py
+++ b/src/onyxspoke/core/shard/worker_register.py
@@ -14,6 +14,7 @@
 from onyxspoke.core.jobs.model import Needs, WorkerId
 from onyxspoke.core.placement.workers import (
     SLOWEST_CLOCK_FACTOR,
+    EntryFault,
     UnusableEntry,
     Worker,
     WorkerContact,
@@ -49,8 +50,9 @@
 
     def __init__(self, context: ShardContext, former_orders_until: float) -> None:
         self._context = context
-        hold = context.options.maximum_hold_ms / _MILLISECONDS * SLOWEST_CLOCK_FACTOR
-        self._former_leases_until = former_orders_until + hold + LEASE_MARGIN_SECONDS
+        self._former_leases_until = (
+            former_orders_until + self._hold_seconds() + LEASE_MARGIN_SECONDS
+        )
         self._unrecorded: dict[WorkerId, Worker] = {}
         self._dropped: dict[WorkerId, None] = {}
         self._directory_is_known = False
@@ -123,6 +125,10 @@
 
     def _take_listing(self, record: WorkerRecord, now: float) -> None:
         worker = self._context.table.workers.get(record.worker_id)
+        if worker is not None and worker.born_ms and not record.born_ms:
+            # The worker says when it was born in all that it writes, so another wrote this.
+            self._take_unusable(UnusableEntry(record.worker_id, EntryFault.NO_BIRTH))
+            return
         if worker is None:
             worker = self._add(record)
             self._unrecorded[record.worker_id] = worker
@@ -140,26 +146,54 @@
             worker.listing = record.listing
             _log(self._context, worker, "worker_listing", listing=record.listing.value)
         if worker.record.born_ms != record.born_ms:
-            _log(
-                self._context,
-                worker,
-                "worker_born",
-                born_ms=record.born_ms,
-                former_born_ms=worker.record.born_ms,
-                runs=len(worker.runs),
-                seen_through=worker.seen_through,
-                told_through=worker.told_through,
-            )
+            self._note_birth(worker, record)
         if worker.record.capacity != record.capacity:
             self._take_capacity(worker, record.capacity)
         worker.record = record
         worker.lapsed_until = 0.0
-        if record.listing is WorkerListing.READY and not worker.is_recorded:
+        is_of_use = record.listing is WorkerListing.READY and worker.is_described
+        if is_of_use and not worker.is_recorded:
             # Its record may have been dropped when it was emptied; it is of use again.
             self._dropped.pop(record.worker_id, None)
             self._unrecorded[record.worker_id] = worker
         self._context.wants_placement = True
 
+    def _note_birth(self, worker: Worker, record: WorkerRecord) -> None:
+        """The entry is of another life than before; an answer tells whether that one is there."""
+        worker.wants_look = worker.wants_look or record.born_ms != worker.born_ms
+        _log(
+            self._context,
+            worker,
+            "worker_born",
+            born_ms=record.born_ms,
+            former_born_ms=worker.record.born_ms,
+            runs=len(worker.runs),
+            seen_through=worker.seen_through,
+            told_through=worker.told_through,
+        )
+
+    def begin_next_life(self, former: Worker, born_ms: int, now: float) -> Worker:
+        """Return the life that follows one that is over, under the same name.
+
+        It is of use once the directory describes it, too.
+        """
+        # An order to the former life that stands open may let something run for one lease.
+        unsettled_until = now + self._hold_seconds() + LEASE_MARGIN_SECONDS
+        worker = Worker(former.record, unsettled_until)
+        worker.born_ms = born_ms
+        self._context.table.workers[worker.worker_id] = worker
+        self._unrecorded.pop(worker.worker_id, None)
+        self._dropped.pop(worker.worker_id, None)
+        if worker.is_described:
+            self._unrecorded[worker.worker_id] = worker
+        else:
+            worker.listing = WorkerListing.GONE
+        return worker
+
+    def _hold_seconds(self) -> float:
+        """Return the longest lease that a worker grants, by our clock."""
+        return self._context.options.maximum_hold_ms / _MILLISECONDS * SLOWEST_CLOCK_FACTOR
+
     def _take_capacity(self, worker: Worker, capacity: Needs) -> None:
         """Its room has shrunk or grown; all that looks for room sees it from now on."""
         former = worker.record.capacity
@@ -185,8 +219,7 @@
 
     def handle_advice_of_death(self, former_orders_until: float) -> None:
         """It is certain that former holders have stopped ordering earlier than assumed."""
-        hold = self._context.options.maximum_hold_ms / _MILLISECONDS * SLOWEST_CLOCK_FACTOR
-        until = former_orders_until + hold + LEASE_MARGIN_SECONDS
+        until = former_orders_until + self._hold_seconds() + LEASE_MARGIN_SECONDS
         self._former_leases_until = min(self._former_leases_until, until)
         for worker in self._context.table.workers.values():
             worker.unsettled_until = min(worker.unsettled_until, until)
--- a/src/onyxspoke/kit/jobs/worker_orders.py
+++ b/src/onyxspoke/kit/jobs/worker_orders.py
@@ -41,7 +41,7 @@
             lambda worker, is_late: worker.hold(
                 order, exchange.ignore if is_late else exchange.answer
             ),
-            lambda outcome: exchange.answer(HoldResult(outcome)),
+            lambda outcome, born_ms: exchange.answer(HoldResult(outcome, born_ms=born_ms)),
         )
 
     def start(self, order: SendStart, on_result: Callable[[OrderResult], None]) -> None:
@@ -73,13 +73,13 @@
             if not is_late:
                 exchange.answer(result)
 
-        self._send(address, arrive, lambda outcome: exchange.answer(OrderResult(outcome)))
+        self._send(address, arrive, lambda outcome, _born_ms: exchange.answer(OrderResult(outcome)))
 
     def _send(
         self,
         address: WorkerAddress,
         arrive: Callable[[FakeWorker, bool], None],
-        refuse: Callable[[OrderOutcome], None],
+        refuse: Callable[[OrderOutcome, int], None],
     ) -> None:
         pool = self._pool
 
@@ -87,7 +87,10 @@
             worker = pool.find(address)
             if worker is None:
                 is_replaced = address.worker_id in pool.replaced
-                refuse(OrderOutcome.OTHER_LIFE if is_replaced else OrderOutcome.NO_ANSWER)
+                refuse(OrderOutcome.OTHER_LIFE if is_replaced else OrderOutcome.NO_ANSWER, 0)
+                return
+            if address.born_ms not in (0, worker.record.born_ms):
+                refuse(OrderOutcome.OTHER_LIFE, worker.record.born_ms)
                 return
             if pool.random.random() < worker.faults.late_share:
                 pool.timers.schedule(
--- a/src/onyxspoke/net/http_client.py
+++ b/src/onyxspoke/net/http_client.py
@@ -48,14 +48,40 @@
         Status of the answer; 0 where none came.
     was_sent : bool
         Whether any of the call may have reached the other side.
+    other_process : int
+        The call was meant for one process, and another one answers at the address: this one.
     """
 
     status: int
     body: bytes = b""
     was_sent: bool = True
     headers: dict[bytes, bytes] = {}
+    other_process: int = 0
 
 
+class MeantFor(msgspec.Struct, frozen=True):
+    """The process that a call is meant for, where another may come to answer at its address.
+
+    A connection ends with the process at its other end.  So a call that goes only where that
+    process has answered before cannot reach the next one, whatever is lost or late on its way.
+
+    Attributes
+    ----------
+    process : int
+        What tells the process from others.
+    question : bytes
+        Sent first on a new connection, to learn who is there; empty where the call itself does no
+        harm to another process and its answer tells.
+    read_process : callable
+        Returns which process an answer came from; 0 where it does not say.
+    """
+
+    process: int
+    question: bytes
+    read_process: Callable[[HttpAnswer], int]
+
+
+_HTTP_OK = 200
 NOT_SENT = HttpAnswer(0, was_sent=False)
 NO_ANSWER = HttpAnswer(0)
 
@@ -65,17 +91,36 @@
 class _Call:
     """One call, from the queue to its answer."""
 
-    __slots__ = ("_on_answer", "connection", "data", "is_over", "latest_at", "sent_at", "timer")
+    __slots__ = (
+        "_on_answer",
+        "connection",
+        "data",
+        "is_over",
+        "is_sent",
+        "latest_at",
+        "meant_for",
+        "sent_at",
+        "timer",
+    )
 
-    def __init__(self, data: bytes, on_answer: OnAnswer, latest_at: float) -> None:
+    def __init__(
+        self, data: bytes, on_answer: OnAnswer, latest_at: float, meant_for: MeantFor | None
+    ) -> None:
         self.data = data
         self.latest_at = latest_at
+        self.meant_for = meant_for
         self._on_answer = on_answer
         self.timer: IDelayedCall | None = None
         self.connection: _Connection | None = None
+        #: When it was handed to its connection, which may ask who is there first.
         self.sent_at = 0.0
+        self.is_sent = False
         self.is_over = False
 
+    def give_up(self) -> None:
+        """End the call without an answer."""
+        self.finish(NO_ANSWER if self.is_sent else NOT_SENT)
+
     def finish(self, answer: HttpAnswer) -> None:
         """Hand the answer over, once."""
         if self.is_over:
@@ -97,6 +142,9 @@
         self._body: list[bytes] = []
         self._headers: dict[bytes, bytes] = {}
         self.is_open = False
+        #: Which process is at the other end, once a call was meant for one; 0 before.
+        self._process = 0
+        self._asks_who_is_there = False
         #: When something came last, or the connection was made.
         self.data_at = 0.0
 
@@ -113,15 +161,40 @@
         self._pool.handle_open(self)
 
     def carry(self, call: _Call) -> None:
-        """Send a call."""
+        """Send a call, where it is meant for one process only to that one."""
         self._call = call
         call.connection = self
+        call.sent_at = self._pool.now()
+        meant_for = call.meant_for
+        if meant_for is None:
+            self._send_call(call)
+        elif self._process:
+            self._send_or_refuse(call, meant_for)
+        elif meant_for.question:
+            self._asks_who_is_there = True
+            self._send(meant_for.question)
+        else:
+            self._send_call(call)
+
+    def _send_or_refuse(self, call: _Call, meant_for: MeantFor) -> None:
+        """Send a call now that it is known which process is at the other end."""
+        if self._process == meant_for.process:
+            self._send_call(call)
+            return
+        self._call = None
+        call.finish(HttpAnswer(0, was_sent=False, other_process=self._process))
+        self._pool.handle_idle(self)
+
+    def _send_call(self, call: _Call) -> None:
+        call.is_sent = True
+        self._send(call.data)
+
+    def _send(self, data: bytes) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._body = []
         self._headers = {}
-        call.sent_at = self._pool.now()
         assert self.transport is not None
-        self.transport.write(call.data)
+        self.transport.write(data)
 
     def dataReceived(self, data: bytes) -> None:
         """Parse what arrived; called by Twisted."""
@@ -145,14 +218,25 @@
     def on_message_complete(self) -> None:
         """Hand the answer over; called by the parser."""
         parser, self._parser = self._parser, None
-        call, self._call = self._call, None
+        call = self._call
         if parser is None or call is None:
             return
         answer = HttpAnswer(parser.get_status_code(), b"".join(self._body), headers=self._headers)
         is_kept = parser.should_keep_alive()
+        asked, self._asks_who_is_there = self._asks_who_is_there, False
+        if call.meant_for is not None and not self._process and answer.status == _HTTP_OK:
+            self._process = call.meant_for.read_process(answer)
+        if asked and is_kept and self._process and call.meant_for is not None and not call.is_over:
+            self._send_or_refuse(call, call.meant_for)
+            return
+        self._call = None
         if not is_kept:
             self.abort()
-        call.finish(answer)
+        if asked and answer.status == _HTTP_OK:
+            # It does not say who it is, or ends the connection that the call was to go on.
+            call.finish(NOT_SENT)
+        else:
+            call.finish(answer)
         if is_kept:
             self._pool.handle_idle(self)
 
@@ -162,7 +246,7 @@
         call, self._call = self._call, None
         self._pool.handle_lost(self)
         if call is not None:
-            call.finish(NO_ANSWER)
+            call.give_up()
 
     def abort(self) -> None:
         """Drop the connection at once; the call on it gets no answer."""
@@ -283,6 +367,7 @@
         timeout_seconds: float,
         on_answer: OnAnswer,
         lane: str = "",
+        meant_for: MeantFor | None = None,
     ) -> None:
         """Make a call; ``on_answer`` is called once.
 
@@ -297,13 +382,15 @@
             The whole request, as :func:`encode_request` returns it.
         lane : str
             Calls of different lanes share no connection.
+        meant_for : MeantFor
+            The process at the address that the call is to reach, and no other.
         """
         key = (host, port, lane)
         pool = self._pools.get(key)
         if pool is None:
             pool = self._pools[key] = _AddressPool(self, host, port)
         latest_at = self.now() + timeout_seconds + LONGEST_ANSWER_SECONDS
-        call = _Call(request, on_answer, latest_at)
+        call = _Call(request, on_answer, latest_at, meant_for)
         call.timer = self._reactor.callLater(timeout_seconds, self._expire, call)
         pool.send(call)
 
@@ -333,7 +420,7 @@
             connection.abort()
             if connection.data_at <= call.sent_at:
                 self._close_unheard(connection, call.sent_at)
-        call.finish(NOT_SENT if connection is None else NO_ANSWER)
+        call.give_up()
 
     def _close_unheard(self, silent: _Connection, since: float) -> None:
         """Close what else may have fallen silent with a connection, without a sign.
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -434,32 +434,33 @@
         logging.info("event=%s shard=%d %s", decision.event, self.shard, fields)
 
     def _send_hold(self, scheduler: ShardScheduler, action: SendHold) -> None:
-        worker_id = action.address.worker_id
         self._orders.hold(
             action,
             lambda result: self._feed(
                 scheduler,
-                lambda now: scheduler.stimulus_hold_result(worker_id, action.number, result, now),
+                lambda now: scheduler.stimulus_hold_result(
+                    action.address, action.number, result, now
+                ),
             ),
         )
 
     def _send_start(self, scheduler: ShardScheduler, action: SendStart) -> None:
-        worker_id = action.address.worker_id
         self._orders.start(
             action,
             lambda result: self._feed(
                 scheduler,
-                lambda now: scheduler.stimulus_start_result(worker_id, action.run, result, now),
+                lambda now: scheduler.stimulus_start_result(
+                    action.address, action.run, result, now
+                ),
             ),
         )
 
     def _send_stop(self, scheduler: ShardScheduler, action: SendStop) -> None:
-        worker_id = action.address.worker_id
         self._orders.stop(
             action,
             lambda result: self._feed(
                 scheduler,
-                lambda now: scheduler.stimulus_stop_result(worker_id, action.run, result, now),
+                lambda now: scheduler.stimulus_stop_result(action.address, action.run, result, now),
             ),
         )
 
--- a/src/onyxspoke/platform/directory.py
+++ b/src/onyxspoke/platform/directory.py
@@ -29,6 +29,8 @@
 #: Amounts beyond this are no machine's; sums of them stay exact.
 _HIGHEST_FIGURE = 2**40
 _HIGHEST_PORT = 65_535
+#: Milliseconds from 1970 beyond this are no moment of a worker's start.
+_HIGHEST_MOMENT_MS = 2**53
 _ADDRESS = re.compile(r"(?P<host>[0-9]{1,3}(?:\.[0-9]{1,3}){3}):(?P<port>[0-9]{1,5})")
 _LISTINGS = {"ready": WorkerListing.READY, "draining": WorkerListing.DRAINING}
 
@@ -164,6 +166,8 @@
     figures = (capacity.processors_milli, capacity.memory_mb, capacity.gpu, entry.remaining_ms)
     if min(figures) < 0 or max(figures) > _HIGHEST_FIGURE:
         return EntryFault.OUT_OF_RANGE
+    if not 0 <= entry.born <= _HIGHEST_MOMENT_MS:
+        return EntryFault.OUT_OF_RANGE
     return None
 
 
--- a/src/onyxspoke/platform/workers.py
+++ b/src/onyxspoke/platform/workers.py
@@ -23,7 +23,7 @@
     OrderResult,
     RunningReport,
 )
-from onyxspoke.net.http_client import HttpAnswer, HttpClient, encode_request
+from onyxspoke.net.http_client import HttpAnswer, HttpClient, MeantFor, encode_request
 from onyxspoke.platform.unreadable import UNREADABLE_ERRORS
 
 ORDER_SECONDS = 0.2
@@ -98,7 +98,10 @@
 class WorkerOrders:
     """Sends orders to workers.
 
-    Holds have connections of their own, because one of them may wait for an end.
+    Holds have connections of their own, because one of them may wait for an end.  A worker that
+    starts again under its name takes orders that were meant for its former life: a number of ends
+    that were noted then makes it drop its own ends, unread.  So each connection is used for the
+    life that has answered on it, and a new one asks first, by a hold that notes nothing.
     """
 
     def __init__(self, client: HttpClient) -> None:
@@ -114,8 +117,9 @@
             "hold",
             _encoder.encode(body),
             timeout,
-            lambda answer: on_result(read_hold(answer)),
+            lambda answer: on_result(read_hold(answer, order.address.born_ms)),
             lane,
+            _meant_for(order.address, order.token, is_harmless=order.last_seen == 0),
         )
 
     def start(self, order: SendStart, on_result: Callable[[OrderResult], None]) -> None:
@@ -129,18 +133,18 @@
             order.checkpoint,
             order.ticket,
         )
-        self._send_order(order.address, "run-start", _encoder.encode(body), on_result)
+        self._send_order(order.address, order.token, "run-start", body, on_result)
 
     def stop(self, order: SendStop, on_result: Callable[[OrderResult], None]) -> None:
         """Stop a run."""
         body = _StopBody(encode_task(order.run.task), order.run.number, order.token)
-        self._send_order(order.address, "run-stop", _encoder.encode(body), on_result)
+        self._send_order(order.address, order.token, "run-stop", body, on_result)
 
     def pace(self, order: SendPace, on_result: Callable[[OrderResult], None]) -> None:
         """Change the pace of a run."""
         task = encode_task(order.run.task)
         body = _PaceBody(task, order.run.number, order.percent, order.token)
-        self._send_order(order.address, "pace", _encoder.encode(body), on_result)
+        self._send_order(order.address, order.token, "pace", body, on_result)
 
     def drop(self, address: WorkerAddress) -> None:
         """Close the connections to a life that is over."""
@@ -149,17 +153,19 @@
     def _send_order(
         self,
         address: WorkerAddress,
+        token: int,
         name: str,
-        body: bytes,
+        body: _StartBody | _StopBody | _PaceBody,
         on_result: Callable[[OrderResult], None],
     ) -> None:
         self._send(
             address,
             name,
-            body,
+            _encoder.encode(body),
             ORDER_SECONDS,
             lambda answer: on_result(read_order(answer)),
             "look",
+            _meant_for(address, token, is_harmless=False),
         )
 
     def _send(
@@ -170,15 +176,36 @@
         timeout: float,
         on_answer: Callable[[HttpAnswer], None],
         lane: str,
+        meant_for: MeantFor | None,
     ) -> None:
-        request = encode_request(
-            "POST",
-            f"/onyxspoke/{name}",
-            f"{address.host}:{address.port}",
-            body,
-            f"Content-Type: application/json\r\nExpected-Instance: {address.worker_id}\r\n",
-        )
-        self._client.call(address.host, address.port, request, timeout, on_answer, lane)
+        request = _encode_call(address, name, body)
+        self._client.call(address.host, address.port, request, timeout, on_answer, lane, meant_for)
+
+
+def _encode_call(address: WorkerAddress, name: str, body: bytes) -> bytes:
+    return encode_request(
+        "POST",
+        f"/onyxspoke/{name}",
+        f"{address.host}:{address.port}",
+        body,
+        f"Content-Type: application/json\r\nExpected-Instance: {address.worker_id}\r\n",
+    )
+
+
+def _meant_for(address: WorkerAddress, token: int, *, is_harmless: bool) -> MeantFor | None:
+    """Return what keeps a call to the life of a worker that its address names.
+
+    A harmless call does nothing at another life, and so needs no question before it.
+    """
+    if not address.born_ms:
+        return None
+    look = _encoder.encode(_HoldBody(token, last_seen=0))
+    question = b"" if is_harmless else _encode_call(address, "hold", look)
+    return MeantFor(address.born_ms, question, _read_born)
+
+
+def _read_born(answer: HttpAnswer) -> int:
+    return read_hold(answer).born_ms
 
 
 def encode_task(task: TaskKey) -> str:
@@ -206,11 +233,24 @@
     return OrderResult(_REASONS.get(body.reason, OrderOutcome.INVALID), body.clock_ms)
 
 
-def read_hold(answer: HttpAnswer) -> HoldResult:
-    """Return what an answer to a hold says."""
+def read_hold(answer: HttpAnswer, born_ms: int = 0) -> HoldResult:
+    """Return what an answer to a hold says.
+
+    Parameters
+    ----------
+    born_ms : int
+        When the life started for which the hold was meant; 0 where that is not known.
+    """
     outcome = _outcome_without_body(answer)
     if outcome is not None:
-        return HoldResult(outcome)
+        return HoldResult(outcome, born_ms=answer.other_process)
+    result = _read_lists(answer)
+    if born_ms and result.born_ms and result.born_ms != born_ms:
+        return HoldResult(OrderOutcome.OTHER_LIFE, born_ms=result.born_ms)
+    return result
+
+
+def _read_lists(answer: HttpAnswer) -> HoldResult:
     try:
         if answer.status != _HTTP_OK:
             reason = _order_decoder.decode(answer.body or b"{}").reason
@@ -229,6 +269,8 @@
 
 
 def _outcome_without_body(answer: HttpAnswer) -> OrderOutcome | None:
+    if answer.other_process:
+        return OrderOutcome.OTHER_LIFE
     if answer.status == 0:
         return OrderOutcome.NO_ANSWER if answer.was_sent else OrderOutcome.NOT_SENT
     if answer.status == _HTTP_OTHER_LIFE:
--- a/src/onyxspoke/ports/worker_orders.py
+++ b/src/onyxspoke/ports/worker_orders.py
@@ -16,7 +16,11 @@
 
 
 class WorkerOrdersPort(Protocol):
-    """Orders to workers."""
+    """Orders to workers.
+
+    An order reaches the life of a worker that its address names, and no other one of that name.
+    Where another one answers, the outcome is ``OTHER_LIFE``, for a hold with that one's birth.
+    """
 
     def hold(self, order: SendHold, on_result: Callable[[HoldResult], None]) -> None:
         """Fence, extend and look."""
--- a/src/onyxspoke/sim/explore_jobs.py
+++ b/src/onyxspoke/sim/explore_jobs.py
@@ -41,16 +41,19 @@
     shards: int = 1,
     with_tenants: bool = False,
     with_crashes: bool = False,
+    keep_names: bool = False,
 ) -> JobRunReport:
     """Play one schedule; by default the one that the seed draws.
 
     ``with_crashes``: some tasks crash their workers, whose rooms and entries change, too.
+    ``keep_names``: workers start again under the names that they had.
     """
     if schedule is None:
         count = 1 + seed % MAXIMUM_FAULTS
         schedule = draw_schedule(seed, TRAFFIC_SECONDS, count, with_tenants, with_crashes)
     work = WorkOptions(seed=seed, failing_share=0.02)
     options = make_options(seed, work, shards)
+    options.keep_names = keep_names
     if with_tenants:
         options.tenants = make_tenants()
     cluster = JobCluster(options)
