Starts that stand open are settled at the next life of a worker before their tasks start elsewhere

Cause: a start without an answer may be carried out seconds later. At the worker's next life its time is up by a clock that means nothing there, so a task that had been started elsewhere could be in two places. Change: open starts keep their room at the next life until a stop of them is answered there; starts that had counted as void within the last 13 s are stopped there before anything new begins on it. Ruled out: the same for what a former holder ordered (its token is refused from the first look on; the scenario with a holder that dies passes with and without it, so it is not in).

--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -34,6 +34,19 @@
         context.handed_in += 1
 
 
+@when("every order is carried out {seconds:g} seconds late and not answered")
+def _late(context: Any, seconds: float) -> None:
+    for worker in context.cluster.pool.workers.values():
+        worker.faults.late_share = 1.0
+        worker.faults.late_seconds = seconds
+
+
+@when("the holder dies, and {seconds:g} seconds pass")
+def _holder_dies(context: Any, seconds: float) -> None:
+    context.cluster.kill_node(context.cluster.holder().name)
+    context.cluster.run(seconds)
+
+
 @when("every worker goes down, and starts again after {seconds:g} seconds")
 def _restart_all(context: Any, seconds: float) -> None:
     cluster = context.cluster
--- a/features/workers_that_start_again.feature
+++ b/features/workers_that_start_again.feature
@@ -28,6 +28,33 @@
     And 3 seconds pass in that cell
     Then 12 tasks are at work
 
+  Scenario Outline: A start that stood open is not carried out beside a later one by the next life: <when>
+    # The former life's clock, by which the start would be void, means nothing to the next one.
+    Given a cell of 2 workers that keep their names, and whose tasks take 4 seconds
+    When every order is carried out <late> seconds late and not answered
+    And 1 more jobs of one task each are handed in
+    And <pause> seconds pass in that cell
+    And every worker goes down, and starts again after 0.3 seconds
+    And 12 seconds pass in that cell
+    Then the cluster has broken nothing
+    And all 1 jobs are shown as completed
+
+    Examples:
+      | when                                           | late | pause |
+      | it is open as the worker goes down             | 2.5  | 0.2   |
+      | it counted as unanswered                       | 2.5  | 0.6   |
+      | it was void by the clock of the former life    | 6    | 2.5   |
+
+  Scenario: A start of a former holder that stood open is not carried out beside a later one
+    Given a cell of 2 workers that keep their names, and whose tasks take 4 seconds
+    When every order is carried out 6 seconds late and not answered
+    And 1 more jobs of one task each are handed in
+    And the holder dies, and 0.1 seconds pass
+    And every worker goes down, and starts again after 0.3 seconds
+    And 14 seconds pass in that cell
+    Then the cluster has broken nothing
+    And all 1 jobs are shown as completed
+
   Scenario: Schedules in which workers start again under their names break nothing
     When jobs are played over seeds 1 to 8 with workers that keep their names
     Then nothing that must hold is broken
--- a/src/onyxspoke/core/placement/workers.py
+++ b/src/onyxspoke/core/placement/workers.py
@@ -17,6 +17,8 @@
 _MILLISECONDS = 1_000.0
 #: Ends remembered of each worker.
 REMEMBERED_ENDS = 400
+#: An order that is not answered may be carried out up to 12 s later, and one second is for clocks.
+LATE_ORDER_SECONDS = 13.0
 #: A worker's steady clock may run this much slower than ours.
 SLOWEST_CLOCK_FACTOR = 1.02
 
@@ -158,6 +160,12 @@
     strays : dict of RunKey to float
         Runs there that stand for no task of the shard, and when their stop was sent; they
         take room that is not known, so nothing is started beside them.
+    unanswered_starts : dict of RunKey to float
+        Starts that were not answered, and when they were ordered: they may be carried out yet, at
+        the next life of that name, too.
+    open_starts : dict of RunKey to float
+        Starts ordered to the former life that may yet be carried out here, and when their stop was
+        last sent; nothing is started beside them.
     seen_through : int
         Ends up to this number were taken in; each is told to the worker once committed.
     told_through : int
@@ -207,6 +215,8 @@
         self.health = WorkerHealth()
         self.pace = WorkerPace()
         self.strays: dict[RunKey, float] = {}
+        self.unanswered_starts: dict[RunKey, float] = {}
+        self.open_starts: dict[RunKey, float] = {}
         #: What the runs that hold room there hold together.
         self._held_processors = 0
         self._held_memory = 0
@@ -254,6 +264,7 @@
             and self.is_described
             and self.is_recorded
             and not self.strays
+            and not self.open_starts
             and not self.doubted_at
             and now >= self.retry_at
             and now >= self.kept_free_until
@@ -339,6 +350,13 @@
         if len(self.ended_runs) > REMEMBERED_ENDS:
             del self.ended_runs[next(iter(self.ended_runs))]
 
+    def note_unanswered(self, key: RunKey, now: float) -> None:
+        """Remember a start that was not answered, for as long as it may yet be carried out."""
+        self.unanswered_starts.pop(key, None)
+        self.unanswered_starts[key] = now
+        while now - next(iter(self.unanswered_starts.values())) > LATE_ORDER_SECONDS:
+            del self.unanswered_starts[next(iter(self.unanswered_starts))]
+
     def note_heard(self, now: float) -> None:
         """It answered: its process was there."""
         self.heard_at = now
--- a/src/onyxspoke/core/shard/run_keeper.py
+++ b/src/onyxspoke/core/shard/run_keeper.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from onyxspoke.core.codes import ResultCode
 from onyxspoke.core.jobs.crashes import Blame
 from onyxspoke.core.jobs.model import RunKey, StepKey
@@ -10,7 +12,7 @@
 from onyxspoke.core.placement.blame import EndOfLife, blame_runs, has_crashed
 from onyxspoke.core.placement.room_seeker import Eviction
 from onyxspoke.core.placement.runs import GangRun, Run, is_stalled, run_name
-from onyxspoke.core.placement.workers import Worker, WorkerContact
+from onyxspoke.core.placement.workers import LATE_ORDER_SECONDS, Worker, WorkerContact
 from onyxspoke.core.shard.actions import JobBegun, SendStop
 from onyxspoke.core.shard.context import ShardContext, address_of
 from onyxspoke.core.shard.orders import EndReport, OrderOutcome, OrderResult
@@ -82,10 +84,13 @@
         self, worker: Worker, key: RunKey, result: OrderResult, now: float
     ) -> None:
         """A worker answered an order to stop, or did not."""
+        is_done = result.outcome in (OrderOutcome.DONE, OrderOutcome.STALE)
+        if is_done and worker.open_starts.pop(key, None) is not None:
+            self._context.wants_placement = True
         run = worker.runs.get(key)
         if run is None:
             return
-        if result.outcome in (OrderOutcome.DONE, OrderOutcome.STALE):
+        if is_done:
             run.stop_answered_at = now
             worker.wants_look = worker.wants_look or not run.confirmed_at
 
@@ -96,6 +101,22 @@
             is_answered = run.stop_answered_at > run.stop_sent_at
             if not is_answered and now - run.stop_sent_at >= STOP_RETRY_SECONDS:
                 self._send_stop(run, now)
+        for worker in self._context.table.workers.values():
+            self._settle_open_starts(worker, now)
+
+    def _settle_open_starts(self, worker: Worker, now: float) -> None:
+        """Stop, before they begin, runs that were ordered to the worker's former life."""
+        context = self._context
+        for key, sent_at in worker.open_starts.items():
+            if now - sent_at >= STOP_RETRY_SECONDS and context.may_order(now):
+                worker.open_starts[key] = now
+                context.log(
+                    "open_start_stop",
+                    worker=worker.worker_id,
+                    task=run_name(key),
+                    run=key.number,
+                )
+                context.emit(SendStop(address_of(worker), context.token, key))
 
     def _stop_stalled(self, now: float) -> None:
         """Stop runs that make no progress, so that they go on elsewhere."""
@@ -133,11 +154,21 @@
             self._context.emit(JobBegun(job.spec.queue.name, job.spec.tenant, seconds))
         self._context.book.task_begun(run.task, now)
 
-    def abandon_all(self, worker: Worker, sign: EndOfLife, now: float) -> None:
-        """A worker's life, or its lease, is over; so is everything that it ran."""
+    def abandon_all(
+        self, worker: Worker, sign: EndOfLife, now: float, next_life: Worker | None = None
+    ) -> None:
+        """A worker's life, or its lease, is over; so is everything that it ran.
+
+        Parameters
+        ----------
+        next_life : Worker
+            The next life of that name, if there is one.
+        """
         is_crash = has_crashed(worker, sign)
         blamed = blame_runs(worker, now) if is_crash else []
         doubted = self._context.book.tasks_doubted_on(worker.worker_id) if is_crash else []
+        if next_life is not None:
+            self.hand_over_starts(worker, next_life, now)
         for run in list(worker.runs.values()):
             seen_ms = int(max(0.0, worker.heard_at - run.sent_at) * _MILLISECONDS)
             self.log_run("run_abandoned", run, reason=sign.value, seen_ms=seen_ms)
@@ -148,6 +179,33 @@
             # Whether it was ordered, and what else had just begun, only the former holder knew.
             self._note_crash(task, worker, Blame.DOUBTED, now)
 
+    def hand_over_starts(self, worker: Worker, next_life: Worker, now: float) -> None:
+        """Starts that stand open may yet be carried out by the next life: settle them there.
+
+        The former life's clock, by which they would be void, means nothing to it.  Started
+        elsewhere before a stop is answered there, such a task could be in two places.  A former
+        holder's starts need none: its token is refused from our first look on.
+        """
+        for run in list(worker.runs.values()):
+            if run.state is not RunState.PLANNED and not run.confirmed_at:
+                self._hand_over(run, next_life, now)
+        unanswered = worker.unanswered_starts.items()
+        keys = [key for key, sent_at in unanswered if now - sent_at <= LATE_ORDER_SECONDS]
+        keys += worker.open_starts
+        next_life.open_starts.update({key: -math.inf for key in keys if key not in next_life.runs})
+        self._settle_open_starts(next_life, now)
+
+    def _hand_over(self, run: Run, next_life: Worker, now: float) -> None:
+        """Hold a run's room at the next life until its stop is answered there."""
+        run.worker.remove(run)
+        run.worker = next_life
+        next_life.add(run)
+        run.stop_answered_at = 0.0
+        if run.state is RunState.STOPPING:
+            self._send_stop(run, now)
+        else:
+            self.stop(run, now, "worker_started_again")
+
     def _note_crash(self, task: TaskProgress, worker: Worker, blame: Blame, now: float) -> None:
         """Count a crash under a task before it can be started again."""
         is_given_up = self._context.book.task_crashed(task, blame, now)
--- a/src/onyxspoke/core/shard/worker_keeper.py
+++ b/src/onyxspoke/core/shard/worker_keeper.py
@@ -146,9 +146,10 @@
         elif result.outcome is OrderOutcome.FENCED:
             self._context.step_down(StepDownReason.WORKER_FENCED)
         elif result.outcome is OrderOutcome.OTHER_LIFE:
-            self._end_life(worker, now, EndOfLife.OTHER_LIFE)
+            next_life = None
             if result.born_ms:
-                self._begin_next_life(worker, result.born_ms, now)
+                next_life = self._begin_next_life(worker, result.born_ms, now)
+            self._end_life(worker, now, EndOfLife.OTHER_LIFE, next_life)
         else:
             self._take_miss(worker, result.outcome, now)
 
@@ -209,8 +210,12 @@
 
     # Ends of lives
 
-    def _end_life(self, worker: Worker, now: float, sign: EndOfLife) -> None:
+    def _end_life(
+        self, worker: Worker, now: float, sign: EndOfLife, next_life: Worker | None = None
+    ) -> None:
         if worker.contact is WorkerContact.OVER:
+            if next_life is not None:
+                self._runs.hand_over_starts(worker, next_life, now)
             return
         worker.move_to(WorkerContact.OVER)
         self._log(
@@ -221,14 +226,14 @@
             listing=worker.listing.value,
             unheard_ms=int((now - worker.heard_at) * _MILLISECONDS) if worker.heard_at else -1,
         )
-        self._runs.abandon_all(worker, sign, now)
+        self._runs.abandon_all(worker, sign, now, next_life)
         self._reports.settle_worker(worker, now)
         self._context.wants_placement = True
         if sign is EndOfLife.OTHER_LIFE:
             worker.listing = WorkerListing.GONE
 
-    def _begin_next_life(self, former: Worker, born_ms: int, now: float) -> None:
-        """A worker has started again under its name.
+    def _begin_next_life(self, former: Worker, born_ms: int, now: float) -> Worker:
+        """Return the life that follows: a worker has started again under its name.
 
         Whatever is counted for a worker (ends, lists by its clock, runs, tickets) was the former
         life's.  Kept for the next one, it made that drop its own ends unread, so that tasks ran
@@ -244,6 +249,7 @@
             former_born_ms=former.born_ms,
             described=int(worker.is_described),
         )
+        return worker
 
     def _keep_over(self, worker: Worker, now: float) -> None:
         if worker.listing is not WorkerListing.GONE:
--- a/src/onyxspoke/kit/jobs/worker_orders.py
+++ b/src/onyxspoke/kit/jobs/worker_orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import Generic, TypeVar
 
 from onyxspoke.core.shard.actions import (
@@ -42,6 +43,7 @@
                 order, exchange.ignore if is_late else exchange.answer
             ),
             lambda outcome, born_ms: exchange.answer(HoldResult(outcome, born_ms=born_ms)),
+            outlives_worker=False,
         )
 
     def start(self, order: SendStart, on_result: Callable[[OrderResult], None]) -> None:
@@ -73,14 +75,22 @@
             if not is_late:
                 exchange.answer(result)
 
-        self._send(address, arrive, lambda outcome, _born_ms: exchange.answer(OrderResult(outcome)))
+        self._send(
+            address,
+            arrive,
+            lambda outcome, _born_ms: exchange.answer(OrderResult(outcome)),
+            outlives_worker=True,
+        )
 
     def _send(
         self,
         address: WorkerAddress,
         arrive: Callable[[FakeWorker, bool], None],
         refuse: Callable[[OrderOutcome, int], None],
+        *,
+        outlives_worker: bool,
     ) -> None:
+        """Send an order; a late one that outlives its worker reaches the next one of that name."""
         pool = self._pool
 
         def reach() -> None:
@@ -93,13 +103,16 @@
                 refuse(OrderOutcome.OTHER_LIFE, worker.record.born_ms)
                 return
             if pool.random.random() < worker.faults.late_share:
-                pool.timers.schedule(
-                    worker.faults.late_seconds,
-                    lambda: arrive(worker, True) if worker.is_up else None,
-                )
+                late = partial(carry_out_late, worker)
+                pool.timers.schedule(worker.faults.late_seconds, late)
                 return
             arrive(worker, False)
 
+        def carry_out_late(worker: FakeWorker) -> None:
+            present = pool.find(address) if outlives_worker else worker
+            if present is not None and present.is_up:
+                arrive(present, True)
+
         self._path.to_outside(address.worker_id, reach)
 
 
