Starts that stand open are remembered by a worker's name, beyond the worker that is given up

Change: such starts are kept for 13 s by the worker's name (OpenStarts), and are stopped at whichever life has it then before anything begins there.

--- a/features/workers_that_start_again.feature
+++ b/features/workers_that_start_again.feature
@@ -59,6 +59,16 @@
     When jobs are played over seeds 1 to 8 with workers that keep their names
     Then nothing that must hold is broken
 
+  Scenario Outline: A schedule with restarts that once broke something holds: <seed>
+    When jobs are played over seeds <seed> to <seed> with workers that keep their names
+    Then nothing that must hold is broken
+
+    Examples: a worker was given up and back within the time in which its last orders may be carried out
+      | seed |
+      | 5000 |
+      | 5009 |
+      | 5010 |
+
   Scenario Outline: <order> meant for a former life reaches no other one
     Given a worker on the wire that was born at 100 and has listed ends
     When it starts again at 200, and its connections are reset
--- a/src/onyxspoke/core/placement/workers.py
+++ b/src/onyxspoke/core/placement/workers.py
@@ -11,14 +11,13 @@
 from onyxspoke.core.jobs.model import Needs, RunKey, WorkerId
 from onyxspoke.core.jobs.states import RunEnd, RunState
 from onyxspoke.core.placement.health import WorkerHealth
+from onyxspoke.core.placement.open_starts import OpenStarts
 from onyxspoke.core.placement.pacing import FULL_PERCENT, WorkerPace
 from onyxspoke.core.placement.runs import Run
 
 _MILLISECONDS = 1_000.0
 #: Ends remembered of each worker.
 REMEMBERED_ENDS = 400
-#: An order that is not answered may be carried out up to 12 s later, and one second is for clocks.
-LATE_ORDER_SECONDS = 13.0
 #: A worker's steady clock may run this much slower than ours.
 SLOWEST_CLOCK_FACTOR = 1.02
 
@@ -160,9 +159,6 @@
     strays : dict of RunKey to float
         Runs there that stand for no task of the shard, and when their stop was sent; they
         take room that is not known, so nothing is started beside them.
-    unanswered_starts : dict of RunKey to float
-        Starts that were not answered, and when they were ordered: they may be carried out yet, at
-        the next life of that name, too.
     open_starts : dict of RunKey to float
         Starts ordered to the former life that may yet be carried out here, and when their stop was
         last sent; nothing is started beside them.
@@ -215,7 +211,6 @@
         self.health = WorkerHealth()
         self.pace = WorkerPace()
         self.strays: dict[RunKey, float] = {}
-        self.unanswered_starts: dict[RunKey, float] = {}
         self.open_starts: dict[RunKey, float] = {}
         #: What the runs that hold room there hold together.
         self._held_processors = 0
@@ -350,13 +345,6 @@
         if len(self.ended_runs) > REMEMBERED_ENDS:
             del self.ended_runs[next(iter(self.ended_runs))]
 
-    def note_unanswered(self, key: RunKey, now: float) -> None:
-        """Remember a start that was not answered, for as long as it may yet be carried out."""
-        self.unanswered_starts.pop(key, None)
-        self.unanswered_starts[key] = now
-        while now - next(iter(self.unanswered_starts.values())) > LATE_ORDER_SECONDS:
-            del self.unanswered_starts[next(iter(self.unanswered_starts))]
-
     def note_heard(self, now: float) -> None:
         """It answered: its process was there."""
         self.heard_at = now
@@ -379,6 +367,7 @@
 
     def __init__(self) -> None:
         self.workers: dict[WorkerId, Worker] = {}
+        self.open_starts = OpenStarts()
         #: Those to which runs may go, by service, as they were last looked at.
         self._offered: dict[str, list[Worker]] = {}
         #: Rises whenever some worker gains room or comes into use.
--- a/src/onyxspoke/core/shard/run_keeper.py
+++ b/src/onyxspoke/core/shard/run_keeper.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 from onyxspoke.core.codes import ResultCode
 from onyxspoke.core.jobs.crashes import Blame
 from onyxspoke.core.jobs.model import RunKey, StepKey
@@ -12,7 +10,7 @@
 from onyxspoke.core.placement.blame import EndOfLife, blame_runs, has_crashed
 from onyxspoke.core.placement.room_seeker import Eviction
 from onyxspoke.core.placement.runs import GangRun, Run, is_stalled, run_name
-from onyxspoke.core.placement.workers import LATE_ORDER_SECONDS, Worker, WorkerContact
+from onyxspoke.core.placement.workers import Worker, WorkerContact
 from onyxspoke.core.shard.actions import JobBegun, SendStop
 from onyxspoke.core.shard.context import ShardContext, address_of
 from onyxspoke.core.shard.orders import EndReport, OrderOutcome, OrderResult
@@ -189,10 +187,8 @@
         for run in list(worker.runs.values()):
             if run.state is not RunState.PLANNED and not run.confirmed_at:
                 self._hand_over(run, next_life, now)
-        unanswered = worker.unanswered_starts.items()
-        keys = [key for key, sent_at in unanswered if now - sent_at <= LATE_ORDER_SECONDS]
-        keys += worker.open_starts
-        next_life.open_starts.update({key: -math.inf for key in keys if key not in next_life.runs})
+        for key in next_life.runs:
+            next_life.open_starts.pop(key, None)
         self._settle_open_starts(next_life, now)
 
     def _hand_over(self, run: Run, next_life: Worker, now: float) -> None:
--- a/src/onyxspoke/core/shard/run_starter.py
+++ b/src/onyxspoke/core/shard/run_starter.py
@@ -159,7 +159,7 @@
         if outcome is OrderOutcome.NO_ANSWER:
             if run.state is RunState.STARTING:
                 run.move_to(RunState.UNCERTAIN)
-            worker.note_unanswered(key, now)
+            self._context.table.open_starts.note(worker.worker_id, key, now)
             # Nothing more goes there until it has answered a look.
             worker.wants_look = True
             worker.doubted_at = now
--- a/src/onyxspoke/core/shard/worker_register.py
+++ b/src/onyxspoke/core/shard/worker_register.py
@@ -131,6 +131,7 @@
             return
         if worker is None:
             worker = self._add(record)
+            self._take_open_starts(worker, now)
             self._unrecorded[record.worker_id] = worker
             _log(
                 self._context,
@@ -181,6 +182,7 @@
         unsettled_until = now + self._hold_seconds() + LEASE_MARGIN_SECONDS
         worker = Worker(former.record, unsettled_until)
         worker.born_ms = born_ms
+        self._take_open_starts(worker, now)
         self._context.table.workers[worker.worker_id] = worker
         self._unrecorded.pop(worker.worker_id, None)
         self._dropped.pop(worker.worker_id, None)
@@ -190,6 +192,11 @@
             worker.listing = WorkerListing.GONE
         return worker
 
+    def _take_open_starts(self, worker: Worker, now: float) -> None:
+        """What was ordered to a former life of the name may be carried out by this one."""
+        keys = self._context.table.open_starts.of_worker(worker.worker_id, now)
+        worker.open_starts = dict.fromkeys(keys, -math.inf)
+
     def _hold_seconds(self) -> float:
         """Return the longest lease that a worker grants, by our clock."""
         return self._context.options.maximum_hold_ms / _MILLISECONDS * SLOWEST_CLOCK_FACTOR
--- a/src/onyxspoke/sim/explore_jobs.py
+++ b/src/onyxspoke/sim/explore_jobs.py
@@ -50,7 +50,9 @@
     """
     if schedule is None:
         count = 1 + seed % MAXIMUM_FAULTS
-        schedule = draw_schedule(seed, TRAFFIC_SECONDS, count, with_tenants, with_crashes)
+        schedule = draw_schedule(
+            seed, TRAFFIC_SECONDS, count, with_tenants, with_crashes, with_restarts=keep_names
+        )
     work = WorkOptions(seed=seed, failing_share=0.02)
     options = make_options(seed, work, shards)
     options.keep_names = keep_names
--- a/src/onyxspoke/sim/job_faults.py
+++ b/src/onyxspoke/sim/job_faults.py
@@ -11,6 +11,7 @@
 from onyxspoke.core.jobs.model import Needs
 from onyxspoke.core.placement.workers import EntryFault
 from onyxspoke.sim.job_cluster import JobCluster, SimulatedNode, worker_index
+from onyxspoke.sim.restart_faults import RestartFaults
 
 STORE = "store"
 #: Share of the faults of nodes that strike one which decides for a shard.
@@ -57,6 +58,12 @@
     DAMAGE_ENTRIES = "damage_entries"
     SUSPEND_ALL = "suspend_all"
     CRASH_WORKERS_AND_HOLDER = "crash_workers_and_holder"
+    RESTART = "restart"
+    RESTART_TWICE = "restart_twice"
+    RESTART_BEHIND_CUT = "restart_behind_cut"
+    RESTART_WITH_LATE_ORDERS = "restart_with_late_orders"
+    LIST_FORMER_LIVES = "list_former_lives"
+    LIST_WITHOUT_BIRTH = "list_without_birth"
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +86,18 @@
     JobFault.CRASH_WORKERS_AND_HOLDER,
 )
 
+#: What only workers that keep their names can be struck by.
+OF_NAMES = (
+    JobFault.RESTART,
+    JobFault.RESTART_TWICE,
+    JobFault.RESTART_BEHIND_CUT,
+    JobFault.RESTART_WITH_LATE_ORDERS,
+    JobFault.LIST_FORMER_LIVES,
+    JobFault.LIST_WITHOUT_BIRTH,
+)
+#: Of the faults where workers keep their names, so many are of these kinds.
+OF_NAMES_SHARE = 0.6
+
 
 def draw_schedule(
     seed: int,
@@ -86,11 +105,16 @@
     count: int,
     with_tenants: bool = False,
     with_crashes: bool = False,
+    with_restarts: bool = False,
 ) -> list[ScheduledFault]:
     """Return a schedule; the same seed gives the same one."""
     left_out = (() if with_tenants else OF_TENANTS) + (() if with_crashes else OF_WORKERS)
-    kinds = [fault for fault in JobFault if fault not in left_out]
+    kinds = [fault for fault in JobFault if fault not in left_out + OF_NAMES]
     source = random.Random(f"schedule/{seed}")
+    if with_restarts:
+        # Of all kinds, but mostly of those that this is about.
+        weight = int(len(kinds) * OF_NAMES_SHARE / (1.0 - OF_NAMES_SHARE) / len(OF_NAMES))
+        kinds += OF_NAMES * weight
     faults = [
         ScheduledFault(
             round(source.uniform(1.0, length), 2),
@@ -138,6 +162,15 @@
             JobFault.SUSPEND_ALL: self._suspend_all,
             JobFault.CRASH_WORKERS_AND_HOLDER: self._crash_workers_and_holder,
         }
+        restarts = RestartFaults(cluster, self._random)
+        self._actions |= {
+            JobFault.RESTART: restarts.restart,
+            JobFault.RESTART_TWICE: restarts.restart_twice,
+            JobFault.RESTART_BEHIND_CUT: restarts.restart_behind_cut,
+            JobFault.RESTART_WITH_LATE_ORDERS: restarts.restart_with_late_orders,
+            JobFault.LIST_FORMER_LIVES: restarts.list_former_lives,
+            JobFault.LIST_WITHOUT_BIRTH: restarts.list_without_birth,
+        }
 
     def schedule(self, faults: list[ScheduledFault]) -> None:
         """Have the faults happen in their time."""
