Entries of a worker's former lives change nothing once the next one has answered

Change: births of former lives are remembered with the present one, the last eight; entries of them are left aside.

--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 from crash_steps import SETTLE_SECONDS, make_job, state_of, submit
+from msgspec.structs import replace
 
 from onyxspoke.core.jobs.model import StepSpec
 from onyxspoke.kit.jobs.workers import WorkOptions
@@ -41,6 +42,24 @@
         worker.faults.late_seconds = seconds
 
 
+@when("the directory tells of the former lives once more")
+def _former_lives(context: Any) -> None:
+    for record in context.former_records:
+        context.cluster.directory.list(record)
+
+
+@when("entries of all workers no longer say when they were born")
+def _no_birth(context: Any) -> None:
+    for worker in list(context.cluster.pool.workers.values()):
+        context.cluster.directory.list(replace(worker.record, born_ms=0))
+
+
+@when("all workers write their entries again")
+def _write_again(context: Any) -> None:
+    for worker in list(context.cluster.pool.workers.values()):
+        context.cluster.directory.list(worker.record)
+
+
 @when("the holder dies, and {seconds:g} seconds pass")
 def _holder_dies(context: Any, seconds: float) -> None:
     context.cluster.kill_node(context.cluster.holder().name)
@@ -50,6 +69,7 @@
 @when("every worker goes down, and starts again after {seconds:g} seconds")
 def _restart_all(context: Any, seconds: float) -> None:
     cluster = context.cluster
+    context.former_records = [worker.record for worker in cluster.pool.workers.values()]
     for worker in list(cluster.pool.workers.values()):
         assert worker.is_up
         cluster.crash_worker(worker.worker_id, seconds)
@@ -62,6 +82,12 @@
     assert not context.cluster.audit.findings, context.cluster.audit.findings
 
 
+@then("{count:d} tasks have begun")
+def _begun(context: Any, count: int) -> None:
+    starts = context.cluster.audit.counts["starts"]
+    assert starts == count, starts
+
+
 @then("{count:d} tasks are at work")
 def _at_work(context: Any, count: int) -> None:
     at_work = sum(len(worker.runs) for worker in context.cluster.pool.workers.values())
--- a/features/workers_that_start_again.feature
+++ b/features/workers_that_start_again.feature
@@ -55,6 +55,26 @@
     Then the cluster has broken nothing
     And all 1 jobs are shown as completed
 
+  Scenario: Entries of former lives change nothing
+    Given a cell of 4 workers that keep their names, and whose tasks take 1 second
+    When every worker goes down, and starts again after 0.3 seconds
+    And 3 seconds pass in that cell
+    And the directory tells of the former lives once more
+    And 8 more jobs of one task each are handed in
+    And 5 seconds pass in that cell
+    Then all 8 jobs are shown as completed
+
+  Scenario: An entry that does not say when its worker was born is another writer's
+    Given a cell of 4 workers that keep their names, and whose tasks take 1 second
+    When entries of all workers no longer say when they were born
+    And 1 seconds pass in that cell
+    And 8 more jobs of one task each are handed in
+    And 5 seconds pass in that cell
+    Then 0 tasks have begun
+    When all workers write their entries again
+    And 5 seconds pass in that cell
+    Then all 8 jobs are shown as completed
+
   Scenario: Schedules in which workers start again under their names break nothing
     When jobs are played over seeds 1 to 8 with workers that keep their names
     Then nothing that must hold is broken
--- a/src/onyxspoke/core/placement/workers.py
+++ b/src/onyxspoke/core/placement/workers.py
@@ -18,6 +18,9 @@
 _MILLISECONDS = 1_000.0
 #: Ends remembered of each worker.
 REMEMBERED_ENDS = 400
+#: Births remembered of the former lives of a name: entries of the directory lag by seconds, in
+#: which no worker starts more often.
+REMEMBERED_BIRTHS = 8
 #: A worker's steady clock may run this much slower than ours.
 SLOWEST_CLOCK_FACTOR = 1.02
 
@@ -148,6 +151,8 @@
     ----------
     born_ms : int
         What tells the life from others of that name; 0 until the worker has said it.
+    former_births : tuple of int
+        Of lives of that name that are over, the latest last; what tells of them is out of date.
     lapsed_until : float
         Its entry went while the store was away, and may come back until then; 0 otherwise.
     leaves_at : float
@@ -201,6 +206,7 @@
         #: The life's name.
         self.worker_id = record.worker_id
         self.born_ms = record.born_ms
+        self.former_births: tuple[int, ...] = ()
         self.record = record
         self.contact = WorkerContact.UNSETTLED
         self.listing = record.listing
--- a/src/onyxspoke/core/shard/worker_register.py
+++ b/src/onyxspoke/core/shard/worker_register.py
@@ -13,6 +13,7 @@
 
 from onyxspoke.core.jobs.model import Needs, WorkerId
 from onyxspoke.core.placement.workers import (
+    REMEMBERED_BIRTHS,
     SLOWEST_CLOCK_FACTOR,
     EntryFault,
     UnusableEntry,
@@ -129,6 +130,10 @@
             # The worker says when it was born in all that it writes, so another wrote this.
             self._take_unusable(UnusableEntry(record.worker_id, EntryFault.NO_BIRTH))
             return
+        if worker is not None and record.born_ms in worker.former_births:
+            # Out of date: the room and the kind of this life are not those of a former one.
+            _log(self._context, worker, "entry_out_of_date", born_ms=record.born_ms)
+            return
         if worker is None:
             worker = self._add(record)
             self._take_open_starts(worker, now)
@@ -182,6 +187,8 @@
         unsettled_until = now + self._hold_seconds() + LEASE_MARGIN_SECONDS
         worker = Worker(former.record, unsettled_until)
         worker.born_ms = born_ms
+        births = (*former.former_births, former.born_ms)
+        worker.former_births = births[-REMEMBERED_BIRTHS:]
         self._take_open_starts(worker, now)
         self._context.table.workers[worker.worker_id] = worker
         self._unrecorded.pop(worker.worker_id, None)
