--- a/features/steps/job_promise_steps.py
+++ b/features/steps/job_promise_steps.py
@@ -46,6 +46,16 @@
     ]
 
 
+@when(
+    "jobs are played over seeds {first:d} to {last:d} with workers that keep their names,"
+    " in three shards"
+)
+def _play_restarts_in_shards(context: Any, first: int, last: int) -> None:
+    context.job_reports = [
+        play(seed, shards=3, with_crashes=True, keep_names=True) for seed in range(first, last + 1)
+    ]
+
+
 @then("nothing that must hold is broken")
 def _nothing_broken(context: Any) -> None:
     assert all(report.checks for report in context.job_reports)
--- a/features/workers_that_start_again.feature
+++ b/features/workers_that_start_again.feature
@@ -89,6 +89,15 @@
       | 5009 |
       | 5010 |
 
+    Examples: runs that were ordered to stop counted as there when their workers went down later
+      | seed |
+      | 6039 |
+
+  Scenario: A schedule with two restarts in a row holds in three shards
+    # A start that was stopped at the next life, and not remembered, was carried out by the one after it.
+    When jobs are played over seeds 7063 to 7063 with workers that keep their names, in three shards
+    Then nothing that must hold is broken
+
   Scenario Outline: <order> meant for a former life reaches no other one
     Given a worker on the wire that was born at 100 and has listed ends
     When it starts again at 200, and its connections are reset
--- a/src/onyxspoke/core/placement/blame.py
+++ b/src/onyxspoke/core/placement/blame.py
@@ -7,6 +7,8 @@
 | its lease is over, and its entry stays | only the way there is cut; not counted |
 | it was draining, or its entry had gone while it answered | a planned end; not counted |
 | the same life answers again before that | a cut or a freeze; not counted |
+
+Another life is one of another name, or of another birth under the same name.
 """
 
 from __future__ import annotations
@@ -53,11 +55,18 @@
 
 
 def _had_just_begun(run: Run, worker: Worker) -> bool:
-    return run.ordered_at > 0.0 and run.ordered_at >= worker.heard_at - JUST_BEGUN_SECONDS
+    is_stopping = run.state is RunState.STOPPING
+    return (
+        not is_stopping
+        and run.ordered_at > 0.0
+        and run.ordered_at >= worker.heard_at - JUST_BEGUN_SECONDS
+    )
 
 
 def _blame_of(run: Run, is_recent: bool, blame_of_recent: Blame, now: float) -> Blame:
-    if not run.confirmed_at:
+    # One that was ordered to stop may have ended before, its end unread.  Blamed as if it had been
+    # there, such runs ended a job whose workers went down two seconds after it had left them.
+    if not run.confirmed_at or run.state is RunState.STOPPING:
         return Blame.DOUBTED
     if is_recent:
         return blame_of_recent
