--- a/features/workers_that_start_again.feature
+++ b/features/workers_that_start_again.feature
@@ -93,6 +93,11 @@
       | seed |
       | 6039 |
 
+    Examples: late starts at a next life that was behind a cut, or while there was no holder
+      | seed |
+      | 8067 |
+      | 8075 |
+
   Scenario: A schedule with two restarts in a row holds in three shards
     # A start that was stopped at the next life, and not remembered, was carried out by the one after it.
     When jobs are played over seeds 7063 to 7063 with workers that keep their names, in three shards
--- a/src/onyxspoke/kit/jobs/worker_orders.py
+++ b/src/onyxspoke/kit/jobs/worker_orders.py
@@ -110,8 +110,12 @@
 
         def carry_out_late(worker: FakeWorker) -> None:
             present = pool.find(address) if outlives_worker else worker
-            if present is not None and present.is_up:
-                arrive(present, True)
+            if present is None or not present.is_up:
+                return
+            if present is not worker and not present.token:
+                # No node has reached the next life yet, so none could have prevented this.
+                return
+            arrive(present, True)
 
         self._path.to_outside(address.worker_id, reach)
 
