The emulator finds tasks that could run on free room and do not, while the schedule still goes on

Change: a watch looks at one shard's jobs each quarter of a second; 10 s after the last disturbance a job that runs nothing for 3 s, though a step of it has its turn, twice the room is free and under half is taken, is a finding (audit: idle).

--- a/features/steps/advice_line_steps.py
+++ b/features/steps/advice_line_steps.py
@@ -18,7 +18,9 @@
 from onyxspoke.core.placement.advice_desk import AdviceCall, AdviceDesk
 from onyxspoke.core.placement.placer import Placer
 from onyxspoke.core.placement.runs import Run
-from onyxspoke.core.placement.workers import Worker, WorkerContact, WorkerRecord, WorkerTable
+from onyxspoke.core.placement.worker_record import WorkerRecord
+from onyxspoke.core.placement.worker_table import WorkerTable
+from onyxspoke.core.placement.workers import Worker, WorkerContact
 from onyxspoke.core.shard.orders import AdviceOutcome, AdviceResult, Ticket
 from onyxspoke.core.tenants.ledger import no_quotas
 
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -14,7 +14,8 @@
 from onyxspoke.core.jobs.states import RunState
 from onyxspoke.core.placement.blame import EndOfLife, blame_runs, has_crashed
 from onyxspoke.core.placement.runs import Run
-from onyxspoke.core.placement.workers import Worker, WorkerListing, WorkerRecord
+from onyxspoke.core.placement.worker_record import WorkerListing, WorkerRecord
+from onyxspoke.core.placement.workers import Worker
 from onyxspoke.core.shard.actions import SendStart
 from onyxspoke.core.shard.calls import CallReply, ReplyCode, StateCall, SubmitCall
 from onyxspoke.kit.jobs.worker_orders import FakeWorkerOrders
--- a/features/steps/differential_job_steps.py
+++ b/features/steps/differential_job_steps.py
@@ -20,7 +20,8 @@
 )
 from onyxspoke.core.jobs.states import JobState, RunEnd, TaskState
 from onyxspoke.core.placement.runs import Run
-from onyxspoke.core.placement.workers import Worker, WorkerRecord
+from onyxspoke.core.placement.worker_record import WorkerRecord
+from onyxspoke.core.placement.workers import Worker
 from onyxspoke.core.shard.calls import CancelCall, StateCall
 from onyxspoke.kit.jobs.workers import WorkOptions
 from onyxspoke.sim.job_callers import JobCallers
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -15,7 +15,7 @@
 from room_steps import CORE
 
 from onyxspoke.core.jobs.model import StepSpec
-from onyxspoke.core.placement.workers import EntryFault, UnusableEntry, WorkerRecord
+from onyxspoke.core.placement.worker_record import EntryFault, UnusableEntry, WorkerRecord
 from onyxspoke.net.http_client import HttpAnswer
 from onyxspoke.platform.advice import read_advice
 from onyxspoke.platform.configuration import decode_configuration
--- a/features/steps/platform_codec_steps.py
+++ b/features/steps/platform_codec_steps.py
@@ -8,7 +8,7 @@
 from behave import then, when
 
 from onyxspoke.core.jobs.model import RunKey, StepKey, TaskKey
-from onyxspoke.core.placement.workers import WorkerListing
+from onyxspoke.core.placement.worker_record import WorkerListing
 from onyxspoke.core.routing import RouteTable
 from onyxspoke.core.shard.actions import SendHold, SendStart, SendStop, WorkerAddress
 from onyxspoke.core.shard.log_records import ShardAppend, ShardRecord
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 from typing import Any
+from unittest import mock
 
 from behave import given, then, when
 from crash_steps import SETTLE_SECONDS, make_job, state_of, submit
 from msgspec.structs import replace
 
 from onyxspoke.core.jobs.model import StepSpec
+from onyxspoke.core.placement.workers import Worker
+from onyxspoke.core.shard import run_keeper, run_starter, worker_keeper
+from onyxspoke.core.shard.actions import WorkerAddress
+from onyxspoke.kit.jobs.audit import Violation
 from onyxspoke.kit.jobs.workers import WorkOptions
 from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster
 
@@ -93,3 +98,21 @@
     at_work = sum(len(worker.runs) for worker in context.cluster.pool.workers.values())
     assert at_work == count, at_work
     assert not context.cluster.audit.findings, context.cluster.audit.findings
+
+
+@given("addresses of workers that do not name a life")
+def _no_life(context: Any) -> None:
+    def address_of(worker: Worker) -> WorkerAddress:
+        record = worker.record
+        return WorkerAddress(record.worker_id, record.host, record.port)
+
+    for module in (worker_keeper, run_keeper, run_starter):
+        patch = mock.patch.object(module, "address_of", address_of)
+        patch.start()
+        context.add_cleanup(patch.stop)
+
+
+@then("jobs were found idle on free room")
+def _idle(context: Any) -> None:
+    found = [item for report in context.job_reports for item in report.findings]
+    assert any(item.violation is Violation.IDLE for item in found), found
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -15,7 +15,8 @@
 from onyxspoke.core.jobs.model import JobSpec, Needs, QueuePolicy, StepSpec
 from onyxspoke.core.jobs.progress import JobProgress
 from onyxspoke.core.placement.runs import Run
-from onyxspoke.core.placement.workers import Worker, WorkerRecord
+from onyxspoke.core.placement.worker_record import WorkerRecord
+from onyxspoke.core.placement.workers import Worker
 from onyxspoke.kit.jobs.workers import WorkOptions
 from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster
 
--- a/features/steps/shard_steps.py
+++ b/features/steps/shard_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from onyxspoke.core.jobs.model import JobSpec, Needs, StepSpec
-from onyxspoke.core.placement.workers import WorkerRecord
+from onyxspoke.core.placement.worker_record import WorkerRecord
 from onyxspoke.core.shard.calls import CallReply, ReplyCode, SubmitCall, WaitingCall
 from onyxspoke.core.shard.election_actions import NodeIdentity
 from onyxspoke.core.shard.layout import plan_layout
--- a/features/workers_that_start_again.feature
+++ b/features/workers_that_start_again.feature
@@ -137,3 +137,9 @@
     Then the start was not answered
     When a start that was meant for the life born at 100 is sent
     Then the order's outcome is "other_life", and 200 is told for a hold
+
+  Scenario: A task that could run and does not is found before the schedule ends
+    # Without the birth in addresses, lists of a worker that has started again are left aside.
+    Given addresses of workers that do not name a life
+    When jobs are played over seeds 4000 to 4003 with workers that keep their names
+    Then jobs were found idle on free room
--- a/src/onyxspoke/core/placement/blame.py
+++ b/src/onyxspoke/core/placement/blame.py
@@ -18,7 +18,8 @@
 from onyxspoke.core.jobs.crashes import Blame
 from onyxspoke.core.jobs.states import RunState
 from onyxspoke.core.placement.runs import Run
-from onyxspoke.core.placement.workers import Worker, WorkerListing
+from onyxspoke.core.placement.worker_record import WorkerListing
+from onyxspoke.core.placement.workers import Worker
 
 #: Runs that were ordered at most so long, in seconds, before their worker was last heard of had
 #: just begun when it went down.  Tasks that crash a worker as they start do so within some 10 ms;
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -21,7 +21,8 @@
     counts_on_workers,
     place_tasks,
 )
-from onyxspoke.core.placement.workers import Worker, WorkerTable
+from onyxspoke.core.placement.worker_table import WorkerTable
+from onyxspoke.core.placement.workers import Worker
 from onyxspoke.core.tenants.ledger import QuotaPass
 
 #: Tasks placed in one pass at most, so that a pass stays short.
--- a/src/onyxspoke/core/placement/reservations.py
+++ b/src/onyxspoke/core/placement/reservations.py
@@ -13,7 +13,8 @@
 from onyxspoke.core.jobs.model import StepKey
 from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.placement.room import ScratchRoom
-from onyxspoke.core.placement.workers import Worker, WorkerTable
+from onyxspoke.core.placement.worker_table import WorkerTable
+from onyxspoke.core.placement.workers import Worker
 
 #: Share of a service's processors that waiting gangs may hold, the first gang apart.
 HELD_SHARE = 0.2
--- a/src/onyxspoke/core/placement/workers.py
+++ b/src/onyxspoke/core/placement/workers.py
@@ -6,36 +6,19 @@
 from dataclasses import dataclass
 from enum import Enum
 
-import msgspec
-
-from onyxspoke.core.jobs.model import Needs, RunKey, WorkerId
+from onyxspoke.core.jobs.model import Needs, RunKey
 from onyxspoke.core.jobs.states import RunEnd, RunState
 from onyxspoke.core.placement.health import WorkerHealth
-from onyxspoke.core.placement.open_starts import OpenStarts
 from onyxspoke.core.placement.pacing import FULL_PERCENT, WorkerPace
 from onyxspoke.core.placement.runs import Run
+from onyxspoke.core.placement.worker_clock import WorkerClock
+from onyxspoke.core.placement.worker_record import WorkerListing, WorkerRecord
 
-_MILLISECONDS = 1_000.0
 #: Ends remembered of each worker.
 REMEMBERED_ENDS = 400
 #: Births remembered of the former lives of a name: entries of the directory lag by seconds, in
 #: which no worker starts more often.
 REMEMBERED_BIRTHS = 8
-#: A worker's steady clock may run this much slower than ours.
-SLOWEST_CLOCK_FACTOR = 1.02
-
-
-class WorkerListing(Enum):
-    """What the platform's directory says of a worker.
-
-    ``UNUSABLE``: its entry cannot be read as a worker's; it gets nothing new, and what runs there
-    goes on.
-    """
-
-    READY = "ready"
-    DRAINING = "draining"
-    UNUSABLE = "unusable"
-    GONE = "gone"
 
 
 class WorkerContact(Enum):
@@ -60,82 +43,6 @@
 }
 
 
-class WorkerRecord(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """One life of a worker, as the platform's directory lists it.
-
-    Attributes
-    ----------
-    remaining_ms : int
-        Time that a draining worker has left at least.
-    born_ms : int
-        When the worker started, counted from 1970 on its own clock; 0 where it does not say.
-    """
-
-    worker_id: WorkerId
-    host: str
-    port: int
-    service: str
-    zone: str
-    capacity: Needs
-    kind: str = ""
-    rack: str = ""
-    labels: tuple[str, ...] = ()
-    listing: WorkerListing = WorkerListing.READY
-    remaining_ms: int = 0
-    machine: str = ""
-    born_ms: int = 0
-
-
-class EntryFault(Enum):
-    """Why an entry of the directory names no worker to use."""
-
-    UNREADABLE = "unreadable"
-    UNKNOWN_STATE = "unknown_state"
-    NO_SERVICE = "no_service"
-    NO_ADDRESS = "no_address"
-    OUT_OF_RANGE = "out_of_range"
-    NO_BIRTH = "no_birth"
-
-
-class UnusableEntry(msgspec.Struct, frozen=True):
-    """An entry of the directory that names no worker to use; another writer may have left it."""
-
-    worker_id: WorkerId
-    fault: EntryFault
-
-
-class WorkerClock:
-    """A worker's steady clock, read from its answers and estimated in between."""
-
-    __slots__ = ("_read_at", "_read_ms", "is_known")
-
-    def __init__(self) -> None:
-        self._read_ms = 0
-        self._read_at = 0.0
-        self.is_known = False
-
-    @property
-    def last_ms(self) -> int:
-        """The latest reading."""
-        return self._read_ms
-
-    def read(self, clock_ms: int, now: float) -> None:
-        """Take a reading; answers may pass each other, so only a later one counts."""
-        if clock_ms >= self._read_ms:
-            self._read_ms = clock_ms
-            self._read_at = now
-            self.is_known = True
-
-    def estimate_ms(self, now: float) -> int:
-        """Return what the clock shows now, or a little more."""
-        return self._read_ms + int((now - self._read_at) * _MILLISECONDS)
-
-    def moment_past(self, clock_ms: int) -> float:
-        """Return the holder's second by which the clock has certainly passed a reading."""
-        ahead = (clock_ms - self._read_ms) / _MILLISECONDS
-        return self._read_at + ahead * SLOWEST_CLOCK_FACTOR
-
-
 @dataclass(slots=True)
 class HoldInFlight:
     """A hold that is not answered yet; ``sent_at`` is 0 where there is none."""
@@ -366,53 +273,3 @@
         if self.contact is WorkerContact.UNSETTLED or not self.clock.is_known:
             return self.unsettled_until
         return self.clock.moment_past(self.lease_until_ms)
-
-
-class WorkerTable:
-    """All lives of workers that may run something for this shard."""
-
-    def __init__(self) -> None:
-        self.workers: dict[WorkerId, Worker] = {}
-        self.open_starts = OpenStarts()
-        #: Those to which runs may go, by service, as they were last looked at.
-        self._offered: dict[str, list[Worker]] = {}
-        #: Rises whenever some worker gains room or comes into use.
-        self.change_number = 0
-
-    def note_gain(self, worker: Worker) -> None:
-        """A worker has gained room, or come into use."""
-        self.change_number += 1
-        worker.gained_at = self.change_number
-
-    def note_availability(self, now: float) -> None:
-        """Take note of the workers that are in use, and of those that have come into use."""
-        self._offered.clear()
-        for worker in self.workers.values():
-            is_offered = worker.is_offered(now)
-            if is_offered:
-                self._offered.setdefault(worker.record.service, []).append(worker)
-                if not worker.was_offered:
-                    self.note_gain(worker)
-            worker.was_offered = is_offered
-
-    def changed_since(self, number: int) -> list[Worker]:
-        """Return the workers that have gained room, or come into use, since a change."""
-        if number == self.change_number:
-            return []
-        return [worker for worker in self.workers.values() if worker.gained_at > number]
-
-    def offered(self, service: str) -> list[Worker]:
-        """Return the workers of a service to which runs may go; see ``note_availability``."""
-        return self._offered.get(service, [])
-
-    def run_count(self) -> int:
-        """Return how many runs hold room."""
-        return sum(len(worker.runs) for worker in self.workers.values())
-
-    def unsettled(self) -> list[Worker]:
-        """Return workers that may run what a former holder started there."""
-        return [
-            worker
-            for worker in self.workers.values()
-            if worker.contact is WorkerContact.UNSETTLED and worker.was_used_before
-        ]
--- a/src/onyxspoke/core/shard/context.py
+++ b/src/onyxspoke/core/shard/context.py
@@ -9,7 +9,8 @@
 from onyxspoke.core.jobs.book import JobBook
 from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.placement.advice_desk import AdviceDesk
-from onyxspoke.core.placement.workers import Worker, WorkerTable
+from onyxspoke.core.placement.worker_table import WorkerTable
+from onyxspoke.core.placement.workers import Worker
 from onyxspoke.core.shard.actions import (
     Decision,
     FieldValue,
--- a/src/onyxspoke/core/shard/evacuation.py
+++ b/src/onyxspoke/core/shard/evacuation.py
@@ -10,7 +10,8 @@
 from onyxspoke.core.jobs.states import RunState
 from onyxspoke.core.placement.forecast import remaining_seconds
 from onyxspoke.core.placement.runs import Run
-from onyxspoke.core.placement.workers import Worker, WorkerContact, WorkerListing
+from onyxspoke.core.placement.worker_record import WorkerListing
+from onyxspoke.core.placement.workers import Worker, WorkerContact
 from onyxspoke.core.shard.context import ShardContext
 from onyxspoke.core.shard.run_keeper import RunKeeper
 
--- a/src/onyxspoke/core/shard/journal.py
+++ b/src/onyxspoke/core/shard/journal.py
@@ -21,7 +21,7 @@
     spec_key,
 )
 from onyxspoke.core.jobs.states import JobState
-from onyxspoke.core.placement.workers import WorkerRecord
+from onyxspoke.core.placement.worker_record import WorkerRecord
 from onyxspoke.core.shard.actions import JobEnded, LayoutKnown
 from onyxspoke.core.shard.context import ShardContext
 from onyxspoke.core.shard.layout import encode_layout, find_layout
--- a/src/onyxspoke/core/shard/layout.py
+++ b/src/onyxspoke/core/shard/layout.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from onyxspoke.core.jobs.model import JobId
-from onyxspoke.core.placement.workers import WorkerRecord
+from onyxspoke.core.placement.worker_record import WorkerRecord
 from onyxspoke.core.shard.log_records import LAYOUT_KEY, ShardId, ShardRecord
 
 #: The shard whose partition holds the layout.
--- a/src/onyxspoke/core/shard/run_starter.py
+++ b/src/onyxspoke/core/shard/run_starter.py
@@ -8,7 +8,8 @@
 from onyxspoke.core.placement.isolation import keep_free_for
 from onyxspoke.core.placement.runs import GangRun, Run, run_name
 from onyxspoke.core.placement.spreading import Placement, StepPlacement
-from onyxspoke.core.placement.workers import Worker, WorkerContact, WorkerListing
+from onyxspoke.core.placement.worker_record import WorkerListing
+from onyxspoke.core.placement.workers import Worker, WorkerContact
 from onyxspoke.core.shard.actions import SendStart
 from onyxspoke.core.shard.context import ShardContext, address_of
 from onyxspoke.core.shard.orders import CERTAINLY_NOT_DONE, OrderOutcome, OrderResult
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -11,7 +11,8 @@
 from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.placement.placer import MAXIMUM_PLACEMENTS, Placer
-from onyxspoke.core.placement.workers import UnusableEntry, Worker, WorkerRecord
+from onyxspoke.core.placement.worker_record import UnusableEntry, WorkerRecord
+from onyxspoke.core.placement.workers import Worker
 from onyxspoke.core.shard.actions import (
     AskAdvice,
     SendAppend,
--- a/src/onyxspoke/core/shard/worker_keeper.py
+++ b/src/onyxspoke/core/shard/worker_keeper.py
@@ -5,12 +5,8 @@
 import math
 
 from onyxspoke.core.placement.blame import EndOfLife
-from onyxspoke.core.placement.workers import (
-    HoldInFlight,
-    Worker,
-    WorkerContact,
-    WorkerListing,
-)
+from onyxspoke.core.placement.worker_record import WorkerListing
+from onyxspoke.core.placement.workers import HoldInFlight, Worker, WorkerContact
 from onyxspoke.core.shard.actions import DropWorkerConnections, SendHold, StepDownReason
 from onyxspoke.core.shard.context import ShardContext, address_of
 from onyxspoke.core.shard.orders import HoldResult, OrderOutcome
--- a/src/onyxspoke/core/shard/worker_register.py
+++ b/src/onyxspoke/core/shard/worker_register.py
@@ -12,16 +12,14 @@
 import msgspec
 
 from onyxspoke.core.jobs.model import Needs, WorkerId
-from onyxspoke.core.placement.workers import (
-    REMEMBERED_BIRTHS,
-    SLOWEST_CLOCK_FACTOR,
+from onyxspoke.core.placement.worker_clock import SLOWEST_CLOCK_FACTOR
+from onyxspoke.core.placement.worker_record import (
     EntryFault,
     UnusableEntry,
-    Worker,
-    WorkerContact,
     WorkerListing,
     WorkerRecord,
 )
+from onyxspoke.core.placement.workers import REMEMBERED_BIRTHS, Worker, WorkerContact
 from onyxspoke.core.shard.context import ShardContext
 from onyxspoke.core.shard.log_records import WORKER_PREFIX, ShardRecord
 
--- a/src/onyxspoke/kit/jobs/audit.py
+++ b/src/onyxspoke/kit/jobs/audit.py
@@ -49,6 +49,7 @@
     NOT_FINISHED = "not_finished"
     QUOTA = "quota"
     CRASHES = "crashes"
+    IDLE = "idle"
 
 
 @dataclass(slots=True)
@@ -71,7 +72,9 @@
 
 
 @dataclass(slots=True)
-class _TaskFacts:
+class TaskFacts:
+    """What was seen of one task."""
+
     running: dict[tuple[WorkerId, RunKey], None] = field(default_factory=dict)
     is_done: bool = False
     #: Runs that ended ``failed``: all of them, those that may still be noted, those noted.
@@ -95,7 +98,7 @@
         self._timers = timers
         self.findings: list[Finding] = []
         self.jobs: dict[JobId, _JobFacts] = {}
-        self.tasks: dict[TaskKey, _TaskFacts] = {}
+        self.tasks: dict[TaskKey, TaskFacts] = {}
         self._taken: dict[WorkerId, dict[RunKey, Needs]] = {}
         #: Former rooms of workers that have changed them, and when.
         self._former_rooms: dict[WorkerId, list[tuple[float, Needs]]] = {}
@@ -138,7 +141,7 @@
         facts = self.jobs[job_id]
         if reply.code is ReplyCode.NO_SUCH_JOB:
             if facts.accepted_at is not None and not facts.cancel_sent:
-                self._find(Violation.ACCEPTED_UNKNOWN, job_id)
+                self.note(Violation.ACCEPTED_UNKNOWN, job_id)
         elif reply.code is ReplyCode.OK:
             self._check_state(facts, reply.state)
 
@@ -150,7 +153,7 @@
         self.checks += 1
         self.counts[f"end_{state}"] += 1
         if state not in ("completed", "failed", "cancelled"):
-            self._find(Violation.NOT_FINISHED, f"{job_id} is {state}")
+            self.note(Violation.NOT_FINISHED, f"{job_id} is {state}")
 
     # Workers
 
@@ -160,11 +163,11 @@
         self.counts["starts"] += 1
         facts = self.jobs.get(run.task.job_id)
         if facts is None:
-            self._find(Violation.UNKNOWN_JOB, f"{run} by {node}")
+            self.note(Violation.UNKNOWN_JOB, f"{run} by {node}")
             return
         facts.has_started = True
         if payload != facts.spec.payload:
-            self._find(Violation.PAYLOAD, f"{run} by {node}")
+            self.note(Violation.PAYLOAD, f"{run} by {node}")
         self._check_room(worker, run, facts, node)
         self._check_quota(run, facts, node)
         self._check_task(worker, run, facts, node)
@@ -194,7 +197,7 @@
         task = self._task(run.task)
         if end is RunEnd.DONE and run in task.open_done:
             if task.open_done.pop(run):
-                self._find(Violation.RUN_AFTER_DONE, f"{run} was noted after another start")
+                self.note(Violation.RUN_AFTER_DONE, f"{run} was noted after another start")
             task.is_done_noted = True
         if end is RunEnd.FAILED and run in task.open_failed:
             task.open_failed.discard(run)
@@ -227,7 +230,7 @@
         capacity = self._room_of(worker)
         for index in range(len(capacity)):
             if sum(item[index] for item in taken.values()) > capacity[index]:
-                self._find(Violation.OVER_CAPACITY, f"{run} on {worker.worker_id} by {node}")
+                self.note(Violation.OVER_CAPACITY, f"{run} on {worker.worker_id} by {node}")
                 return
 
     def _room_of(self, worker: FakeWorker) -> Needs:
@@ -245,17 +248,17 @@
         self._running_of[tenant] = running = plus(self._running_of.get(tenant, Needs()), needs)
         for amount, most, one in zip(running, self.quotas.get(tenant, Needs()), needs, strict=True):
             if most and amount > most * QUOTA_OVERAGE + one:
-                self._find(Violation.QUOTA, f"{run} of {tenant} by {node}: {running}")
+                self.note(Violation.QUOTA, f"{run} of {tenant} by {node}: {running}")
                 return
 
     def _check_task(self, worker: FakeWorker, run: RunKey, facts: _JobFacts, node: str) -> None:
         task = self._task(run.task)
         step = facts.spec.steps[run.task.step]
         if task.running:
-            self._find(Violation.TWO_RUNS, f"{run} by {node}, beside {list(task.running)}")
+            self.note(Violation.TWO_RUNS, f"{run} by {node}, beside {list(task.running)}")
         task.running[(worker.worker_id, run)] = None
         if task.is_done_noted:
-            self._find(Violation.RUN_AFTER_DONE, f"{run} by {node}")
+            self.note(Violation.RUN_AFTER_DONE, f"{run} by {node}")
         for done in task.open_done:
             task.open_done[done] = True
         task.failed_before_start.append(task.noted_failed | task.open_failed)
@@ -264,32 +267,32 @@
         for number in step.depends_on:
             earlier = StepKey(run.task.job_id, run.task.repetition, number)
             if self._done_in_step[earlier] < facts.spec.steps[number].task_count:
-                self._find(Violation.DEPENDENCY, f"{run} by {node}")
+                self.note(Violation.DEPENDENCY, f"{run} by {node}")
         cancelled_at = facts.cancelled_at
         if cancelled_at is not None and self._timers.now() > cancelled_at + CANCEL_SECONDS:
-            self._find(Violation.AFTER_CANCEL, f"{run} by {node}")
+            self.note(Violation.AFTER_CANCEL, f"{run} by {node}")
 
-    def _check_attempts(self, run: RunKey, task: _TaskFacts) -> None:
+    def _check_attempts(self, run: RunKey, task: TaskFacts) -> None:
         """No start comes after the last attempt, counted by ends that are ever noted."""
         spec = self.jobs[run.task.job_id].spec
         if spec.steps[run.task.step].gang:
             return
         for failed in task.failed_before_start:
             if len(failed & task.noted_failed) >= spec.queue.max_attempts:
-                self._find(Violation.ATTEMPTS, f"{run}")
+                self.note(Violation.ATTEMPTS, f"{run}")
 
-    def _check_crashes(self, run: RunKey, task: _TaskFacts, node: str) -> None:
+    def _check_crashes(self, run: RunKey, task: TaskFacts, node: str) -> None:
         """A task under which workers crash one after the other is not started for ever."""
         if task.crashes < CRASHES_OF_CULPRIT:
             return
         task.starts_of_culprit += 1
         if task.starts_of_culprit >= STARTS_TOO_MANY:
-            self._find(Violation.CRASHES, f"{run} by {node}, after {task.crashes} crashes")
+            self.note(Violation.CRASHES, f"{run} by {node}, after {task.crashes} crashes")
 
     def _check_place(self, worker: FakeWorker, run: RunKey, facts: _JobFacts, node: str) -> None:
         step = facts.spec.steps[run.task.step]
         if step.required_label and step.required_label not in worker.record.labels:
-            self._find(Violation.LABEL, f"{run} on {worker.worker_id} by {node}")
+            self.note(Violation.LABEL, f"{run} on {worker.worker_id} by {node}")
         if step.spread_limit:
             beside = [
                 key
@@ -297,7 +300,7 @@
                 if key.task.step_key == run.task.step_key
             ]
             if len(beside) > step.spread_limit:
-                self._find(Violation.SPREAD, f"{run} on {worker.worker_id} by {node}")
+                self.note(Violation.SPREAD, f"{run} on {worker.worker_id} by {node}")
 
     def _check_state(self, facts: _JobFacts, state: str) -> None:
         spec = facts.spec
@@ -306,9 +309,9 @@
                 for repetition in range(max(1, spec.schedule.count)):
                     key = StepKey(spec.job_id, repetition, number)
                     if self._done_in_step[key] < step.task_count:
-                        self._find(Violation.SHOWN_COMPLETED, f"{key}")
+                        self.note(Violation.SHOWN_COMPLETED, f"{key}")
         elif state == "failed" and not self._has_cause_to_fail(spec):
-            self._find(Violation.FAILED_WITHOUT_CAUSE, spec.job_id)
+            self.note(Violation.FAILED_WITHOUT_CAUSE, spec.job_id)
 
     def _has_cause_to_fail(self, spec: JobSpec) -> bool:
         failed_gang_runs: dict[StepKey, set[int]] = {}
@@ -331,12 +334,13 @@
         for job_id, facts in self.jobs.items():
             self.checks += 1
             if facts.has_started and set(facts.replies) == {ReplyCode.REFUSED}:
-                self._find(Violation.REFUSED_RAN, job_id)
+                self.note(Violation.REFUSED_RAN, job_id)
 
-    def _task(self, key: TaskKey) -> _TaskFacts:
-        return self.tasks.setdefault(key, _TaskFacts())
+    def _task(self, key: TaskKey) -> TaskFacts:
+        return self.tasks.setdefault(key, TaskFacts())
 
-    def _find(self, violation: Violation, detail: str) -> None:
+    def note(self, violation: Violation, detail: str) -> None:
+        """Keep something that must never happen."""
         self.findings.append(Finding(self._timers.now(), violation, detail))
 
 
--- a/src/onyxspoke/kit/jobs/platform.py
+++ b/src/onyxspoke/kit/jobs/platform.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from onyxspoke.core.jobs.model import StepKey, WorkerId
-from onyxspoke.core.placement.workers import EntryFault, UnusableEntry, WorkerRecord
+from onyxspoke.core.placement.worker_record import EntryFault, UnusableEntry, WorkerRecord
 from onyxspoke.core.shard.orders import AdviceOutcome, AdviceResult, Ticket
 from onyxspoke.kit.jobs.store import FakeStore
 from onyxspoke.kit.jobs.timers import Path, Timers
--- a/src/onyxspoke/kit/jobs/workers.py
+++ b/src/onyxspoke/kit/jobs/workers.py
@@ -13,7 +13,7 @@
 
 from onyxspoke.core.jobs.model import JobId, JobSpec, RunKey, StepKey, TaskKey, WorkerId
 from onyxspoke.core.jobs.states import RunEnd
-from onyxspoke.core.placement.workers import WorkerRecord
+from onyxspoke.core.placement.worker_record import WorkerRecord
 from onyxspoke.core.shard.actions import (
     SendHold,
     SendPace,
--- a/src/onyxspoke/node/directory_hub.py
+++ b/src/onyxspoke/node/directory_hub.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from onyxspoke.core.jobs.model import WorkerId
-from onyxspoke.core.placement.workers import UnusableEntry, WorkerRecord
+from onyxspoke.core.placement.worker_record import UnusableEntry, WorkerRecord
 from onyxspoke.core.shard.layout import CellLayout
 from onyxspoke.core.shard.log_records import ShardId
 from onyxspoke.ports.clock import Clock
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -8,7 +8,7 @@
 from absl import logging
 
 from onyxspoke.core.jobs.policy import PolicySet
-from onyxspoke.core.placement.workers import UnusableEntry, WorkerRecord
+from onyxspoke.core.placement.worker_record import UnusableEntry, WorkerRecord
 from onyxspoke.core.shard.actions import (
     AskAdvice,
     AskQuota,
@@ -55,6 +55,7 @@
 from onyxspoke.core.shard.scheduler import ShardScheduler
 from onyxspoke.core.shard.store_budget import StorePacing
 from onyxspoke.node.metrics import NodeMetrics
+from onyxspoke.node.order_exchange import OrderExchange
 from onyxspoke.ports.clock import Clock
 from onyxspoke.ports.shard_log import ShardLogPort
 from onyxspoke.ports.worker_directory import WorkerDirectoryPort
@@ -142,7 +143,6 @@
         self._options = options
         self._clock = clock
         self._store = store
-        self._orders = orders
         self._directory = directory
         self._listener = listener
         self.election = Election(shard, identity, draw, clock.now(), handicap)
@@ -158,12 +158,13 @@
         self._has_started = False
         #: Since when this node decides for the shard, if it does.
         self.held_since = 0.0
+        exchange = OrderExchange(orders, self._feed)
         self._handlers: dict[type[ShardAction], Callable[[ShardScheduler, Any], None]] = {
             Decision: lambda _scheduler, action: self._log_decision(action),
-            SendHold: self._send_hold,
-            SendStart: self._send_start,
-            SendStop: self._send_stop,
-            SendPace: self._send_pace,
+            SendHold: exchange.hold,
+            SendStart: exchange.start,
+            SendStop: exchange.stop,
+            SendPace: exchange.pace,
             SendAppend: self._send_append,
             AskAdvice: lambda _scheduler, action: listener.ask_advice(shard, action),
             AskQuota: self._ask_quota,
@@ -171,7 +172,7 @@
             LayoutKnown: lambda _scheduler, action: listener.handle_layout(action.layout),
             JobBegun: lambda _scheduler, action: metrics.note_begun(action),
             JobEnded: lambda _scheduler, action: metrics.note_ended(action),
-            DropWorkerConnections: lambda _scheduler, action: orders.drop(action.address),
+            DropWorkerConnections: exchange.drop,
             StepDown: lambda _scheduler, action: self.step_down(action.reason),
         }
 
@@ -433,45 +434,6 @@
         fields = " ".join(f"{name}={value}" for name, value in decision.fields)
         logging.info("event=%s shard=%d %s", decision.event, self.shard, fields)
 
-    def _send_hold(self, scheduler: ShardScheduler, action: SendHold) -> None:
-        self._orders.hold(
-            action,
-            lambda result: self._feed(
-                scheduler,
-                lambda now: scheduler.stimulus_hold_result(
-                    action.address, action.number, result, now
-                ),
-            ),
-        )
-
-    def _send_start(self, scheduler: ShardScheduler, action: SendStart) -> None:
-        self._orders.start(
-            action,
-            lambda result: self._feed(
-                scheduler,
-                lambda now: scheduler.stimulus_start_result(
-                    action.address, action.run, result, now
-                ),
-            ),
-        )
-
-    def _send_stop(self, scheduler: ShardScheduler, action: SendStop) -> None:
-        self._orders.stop(
-            action,
-            lambda result: self._feed(
-                scheduler,
-                lambda now: scheduler.stimulus_stop_result(action.address, action.run, result, now),
-            ),
-        )
-
-    def _send_pace(self, scheduler: ShardScheduler, action: SendPace) -> None:
-        self._orders.pace(
-            action,
-            lambda result: self._feed(
-                scheduler, lambda now: scheduler.stimulus_pace_result(action, result, now)
-            ),
-        )
-
     def _send_append(self, scheduler: ShardScheduler, action: SendAppend) -> None:
         sequence, sent_at = action.append.sequence, self._clock.now()
 
--- a/src/onyxspoke/platform/directory.py
+++ b/src/onyxspoke/platform/directory.py
@@ -10,7 +10,7 @@
 
 from onyxspoke.core.codes import ResultCode
 from onyxspoke.core.jobs.model import Needs, WorkerId
-from onyxspoke.core.placement.workers import (
+from onyxspoke.core.placement.worker_record import (
     EntryFault,
     UnusableEntry,
     WorkerListing,
--- a/src/onyxspoke/ports/worker_directory.py
+++ b/src/onyxspoke/ports/worker_directory.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from onyxspoke.core.jobs.model import WorkerId
-from onyxspoke.core.placement.workers import UnusableEntry, WorkerRecord
+from onyxspoke.core.placement.worker_record import UnusableEntry, WorkerRecord
 
 
 class WorkerDirectoryListener(Protocol):
--- a/src/onyxspoke/sim/explore_jobs.py
+++ b/src/onyxspoke/sim/explore_jobs.py
@@ -11,12 +11,15 @@
 from onyxspoke.sim.job_callers import JobCallers
 from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster
 from onyxspoke.sim.job_faults import FaultInjector, ScheduledFault, draw_schedule
+from onyxspoke.sim.liveness import LivenessWatch
 
 SETTLE_SECONDS = 2.0
 TRAFFIC_SECONDS = 14.0
 FINISH_SECONDS = 25.0
 JOBS_PER_SECOND = 4.0
 MAXIMUM_FAULTS = 4
+#: What a fault sets off may last so much longer than the fault: restarts, late orders.
+FAULT_TAIL_SECONDS = 4.0
 #: Of the jobs of a cell with crashes; each takes down two to four of 8 workers for 3 s.
 CRASHING_SHARE = 0.05
 #: In a cluster of several shards.
@@ -65,6 +68,9 @@
     callers.crashing_share = CRASHING_SHARE if with_crashes else 0.0
     callers.run_for(TRAFFIC_SECONDS)
     FaultInjector(cluster, seed).schedule(schedule)
+    if shards == 1 and not with_tenants:
+        ends = [SETTLE_SECONDS + fault.at + fault.seconds for fault in schedule]
+        LivenessWatch(cluster, max(ends, default=0.0) + FAULT_TAIL_SECONDS).start()
     cluster.run(TRAFFIC_SECONDS + FINISH_SECONDS)
     callers.check_all()
     audit = cluster.audit
--- a/src/onyxspoke/sim/job_cluster.py
+++ b/src/onyxspoke/sim/job_cluster.py
@@ -12,7 +12,7 @@
 
 from onyxspoke.core.jobs.model import AdvicePolicy, Needs, QueuePolicy
 from onyxspoke.core.jobs.policy import PolicySet, ServicePolicy
-from onyxspoke.core.placement.workers import WorkerListing, WorkerRecord
+from onyxspoke.core.placement.worker_record import WorkerListing, WorkerRecord
 from onyxspoke.core.shard.calls import Call, CallReply
 from onyxspoke.core.shard.context import ShardOptions
 from onyxspoke.core.shard.election_actions import NodeIdentity
@@ -147,6 +147,8 @@
         self._cuts: set[frozenset[str]] = set()
         self._lives = 0
         self._worker_lives = 0
+        #: When a worker last came or went.
+        self.disturbed_at = 0.0
 
     # Building
 
@@ -160,6 +162,7 @@
     def add_worker(self, index: int) -> WorkerRecord:
         """Start a new life of a worker, under a new name or the one it had."""
         self._worker_lives += 1
+        self.disturbed_at = self.time.now()
         keeps_name = self.options.keep_names
         rack = f"r1-{index // self.options.rack_size}"
         kinds = self.options.kinds
@@ -281,6 +284,7 @@
             self.pool.replaced.add(worker_id)
 
     def _end_worker(self, worker: FakeWorker, *, is_planned: bool) -> None:
+        self.disturbed_at = self.time.now()
         if worker.is_up:
             worker.die(is_planned=is_planned)
         self.time.schedule(ENTRY_SECONDS, partial(self._drop_entry, worker))
--- a/src/onyxspoke/sim/job_faults.py
+++ b/src/onyxspoke/sim/job_faults.py
@@ -9,7 +9,7 @@
 from functools import partial
 
 from onyxspoke.core.jobs.model import Needs
-from onyxspoke.core.placement.workers import EntryFault
+from onyxspoke.core.placement.worker_record import EntryFault
 from onyxspoke.sim.job_cluster import JobCluster, SimulatedNode, worker_index
 from onyxspoke.sim.restart_faults import RestartFaults
 
--- a/src/onyxspoke/sim/restart_faults.py
+++ b/src/onyxspoke/sim/restart_faults.py
@@ -9,7 +9,7 @@
 from msgspec.structs import replace
 
 from onyxspoke.core.jobs.model import WorkerId
-from onyxspoke.core.placement.workers import WorkerRecord
+from onyxspoke.core.placement.worker_record import WorkerRecord
 from onyxspoke.sim.job_cluster import JobCluster
 
 #: Share of the workers that one fault strikes.
