--- a/features/workers_that_start_again.feature
+++ b/features/workers_that_start_again.feature
@@ -113,6 +113,10 @@
       | 7063 |
       | 9050 |
 
+    Examples: a gang's member that crashes its workers, and was to be stopped for another's sake, was not blamed
+      | seed  |
+      | 11074 |
+
     Examples: runs that had been at work for a while, and whose ends were not read, were blamed as just begun
       | seed |
       | 9094 |
--- a/src/onyxspoke/core/placement/blame.py
+++ b/src/onyxspoke/core/placement/blame.py
@@ -61,15 +61,23 @@
 
 def _had_just_begun(run: Run, worker: Worker) -> bool:
     has_survived = run.listed_at - run.ordered_at >= SURVIVED_SECONDS
-    if run.state is RunState.STOPPING or has_survived or not run.ordered_at:
+    if _has_stopped(run) or has_survived or not run.ordered_at:
         return False
     return run.ordered_at >= worker.heard_at - JUST_BEGUN_SECONDS
 
 
+def _has_stopped(run: Run) -> bool:
+    """Return whether a run has surely ended before its worker went down, though its end is unread.
+
+    A worker that answers a stop ends the run in a fraction of a second.  Blamed as if they had been
+    there, such runs ended a job whose workers went down two seconds after it had left them.  A stop
+    without an answer tells nothing: the worker may have gone down under the run before.
+    """
+    return run.state is RunState.STOPPING and run.stop_answered_at > 0.0
+
+
 def _blame_of(run: Run, is_recent: bool, blame_of_recent: Blame, now: float) -> Blame:
-    # One that was ordered to stop may have ended before, its end unread.  Blamed as if it had been
-    # there, such runs ended a job whose workers went down two seconds after it had left them.
-    if not run.confirmed_at or run.state is RunState.STOPPING:
+    if not run.confirmed_at or _has_stopped(run):
         return Blame.DOUBTED
     if is_recent:
         return blame_of_recent
