--- a/src/onyxspoke/core/placement/blame.py
+++ b/src/onyxspoke/core/placement/blame.py
@@ -29,6 +29,10 @@
 #: beginning.  Without that, runs listed 0.24 and 0.44 s after their orders, whose ends were not
 #: read before their workers went down, ended two jobs of 150 explored schedules.
 SURVIVED_SECONDS = 0.1
+#: A worker that was not heard for longer, in seconds, while looks at it were lost and none was
+#: refused, went down at an unknown moment: a cut may have hidden the ends of its runs.  Blamed as
+#: just begun, a gang that had ended well behind a cut ended its job.
+KNOWN_MOMENT_SECONDS = 1.0
 #: A lasting task that has worked for so long, in seconds, does not crash its workers: over months
 #: some worker or other goes down under each of them, and that must not end their jobs.
 STEADY_SECONDS = 30.0
@@ -54,11 +58,18 @@
     """Return the runs that were ordered on a worker that crashed, each with its blame."""
     runs = [run for run in worker.runs.values() if run.state is not RunState.PLANNED]
     recent = [run for run in runs if _had_just_begun(run, worker)]
+    if _went_down_at_unknown_moment(worker, now):
+        recent = []
     is_one_job = len({run.task.key.job_id for run in recent}) == 1
     blame_of_recent = Blame.ALONE if is_one_job else Blame.RECENT
     return [(run, _blame_of(run, run in recent, blame_of_recent, now)) for run in runs]
 
 
+def _went_down_at_unknown_moment(worker: Worker, now: float) -> bool:
+    was_lost = worker.was_unanswered and not worker.was_refused
+    return was_lost and now - worker.heard_at > KNOWN_MOMENT_SECONDS
+
+
 def _had_just_begun(run: Run, worker: Worker) -> bool:
     has_survived = run.listed_at - run.ordered_at >= SURVIVED_SECONDS
     if _has_stopped(run) or has_survived or not run.ordered_at:
--- a/src/onyxspoke/core/placement/workers.py
+++ b/src/onyxspoke/core/placement/workers.py
@@ -49,6 +49,7 @@
 
     sent_at: float = 0.0
     number: int = 0
+    wait_seconds: float = 0.0
 
 
 class Worker:
@@ -100,6 +101,10 @@
         Holds in a row without an answer.
     heard_at : float
         When it last answered anything.
+    was_refused : bool
+        Since then a look at it ended well before its time: its process was not there.
+    was_unanswered : bool
+        Since then a look at it ended with its time: it, or its answer, was lost.
     first_heard_at : float
         When it first did; infinity before.
     last_contact_listing : WorkerListing
@@ -139,6 +144,8 @@
         self.doubted_at = 0.0
         self.answered_at = 0.0
         self.heard_at = 0.0
+        self.was_refused = False
+        self.was_unanswered = False
         self.first_heard_at = math.inf
         self.last_contact_listing = record.listing
         self.kept_free_until = 0.0
@@ -261,9 +268,18 @@
     def note_heard(self, now: float) -> None:
         """It answered: its process was there."""
         self.heard_at = now
+        self.was_refused = False
+        self.was_unanswered = False
         self.first_heard_at = min(self.first_heard_at, now)
         self.last_contact_listing = self.listing
 
+    def note_unheard(self, ended_early: bool) -> None:
+        """A look had no answer; one that ends early was refused, or its connection was reset."""
+        if ended_early:
+            self.was_refused = True
+        else:
+            self.was_unanswered = True
+
     def extend_lease(self, until_ms: int) -> None:
         """Take into account that everything there may now run until a reading."""
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
--- a/src/onyxspoke/core/shard/worker_keeper.py
+++ b/src/onyxspoke/core/shard/worker_keeper.py
@@ -20,6 +20,9 @@
 UNCOMMITTED_PAUSE_SECONDS = 0.25
 #: Holds in a row without an answer after which a worker counts as silent.
 MISSES_TO_SILENCE = 2
+#: A hold without an answer that ends so soon, in seconds, after it could have been answered was
+#: refused or reset; one that is lost on its way ends later, with its time.
+PROMPT_SECONDS = 0.1
 #: Pause before a worker that answered as unhealthy is looked at again.
 UNHEALTHY_PAUSE_SECONDS = 0.3
 #: For how long an answer may wait where tasks that fill are kept at their pace.
@@ -112,6 +115,7 @@
         hold.sent_at = now
         self._hold_counter += 1
         hold.number = self._hold_counter
+        hold.wait_seconds = wait_ms / _MILLISECONDS
         until_ms = 0
         # A silent worker may hear us though we do not hear it; then its lease is to run out.
         is_heard = worker.contact is WorkerContact.SETTLED
@@ -137,6 +141,7 @@
         if hold.number != number or not hold.sent_at:
             return
         sent_at, hold.sent_at = hold.sent_at, 0.0
+        ended_early = now - sent_at < hold.wait_seconds + PROMPT_SECONDS
         if result.outcome is OrderOutcome.DONE:
             self._take_answer(worker, result, sent_at, now)
         elif result.outcome is OrderOutcome.FENCED:
@@ -147,6 +152,8 @@
                 next_life = self._begin_next_life(worker, result.born_ms, now)
             self._end_life(worker, now, EndOfLife.OTHER_LIFE, next_life)
         else:
+            if result.outcome in (OrderOutcome.NO_ANSWER, OrderOutcome.NOT_SENT):
+                worker.note_unheard(ended_early)
             self._take_miss(worker, result.outcome, now)
 
     def _take_answer(self, worker: Worker, result: HoldResult, sent_at: float, now: float) -> None:
