Interfaces of the parts that answer hard load: verdicts, summaries, expected durations, switches

Cause: parts are built side by side, so the signature of each decision stands first. Change: types only; durations are callers' estimates, the wait for advice is 0, every switch is read by nobody yet. Nothing decides otherwise than before. Measured: nothing, no decision changes.

--- /dev/null
+++ b/src/onyxspoke/core/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Whether a job that is handed in is taken, or refused at once with when to come back."""
--- /dev/null
+++ b/src/onyxspoke/core/admission/verdict.py
@@ -0,0 +1,62 @@
+"""What is decided about a job that is handed in."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+
+class RefusalReason(Enum):
+    """Why a job is refused.
+
+    ``TOO_LATE``: even the best case ends after its caller's last moment of use.  ``IN_DOUBT``: the
+    likely case does, and its tenant is owed nothing for it.  ``STORE_AWAY``: nothing can be
+    promised, because the store does not answer.
+    """
+
+    TOO_LATE = "too_late"
+    IN_DOUBT = "in_doubt"
+    STORE_AWAY = "store_in_trouble"
+
+
+class VerdictInputs(msgspec.Struct, frozen=True, kw_only=True):
+    """What a verdict follows from, for logs.
+
+    Attributes
+    ----------
+    ahead_seconds : float
+        Until what goes first has begun.
+    advice_seconds : float
+        Until the line for advice has served what goes first.
+    work_median_seconds, work_upper_seconds : float
+        The job's longest chain of steps: the median, and an upper quantile.
+    patience_seconds : float
+        From now until the last moment at which the outcome is of use.
+    view_age_seconds : float
+        How long ago what waits was looked at.
+    """
+
+    ahead_seconds: float
+    advice_seconds: float
+    work_median_seconds: float
+    work_upper_seconds: float
+    patience_seconds: float
+    view_age_seconds: float
+
+
+class Admit(msgspec.Struct, frozen=True):
+    """The job is taken."""
+
+    inputs: VerdictInputs
+
+
+class Refuse(msgspec.Struct, frozen=True):
+    """The job is not taken, and never runs; its caller is to come back."""
+
+    reason: RefusalReason
+    retry_after_seconds: float
+    inputs: VerdictInputs
+
+
+Verdict = Admit | Refuse
--- /dev/null
+++ b/src/onyxspoke/core/estimates/__init__.py
@@ -0,0 +1,1 @@
+"""How long work takes: callers' estimates, corrected by what was seen."""
--- a/src/onyxspoke/core/placement/advice_desk.py
+++ b/src/onyxspoke/core/placement/advice_desk.py
@@ -255,6 +255,10 @@
         _note_answer(advice, call, result, now)
         return call.step
 
+    def wait_seconds(self, call_seconds: float, rank: StepRank, now: float) -> float:
+        """Return about how long a call of a rank would wait until an entry takes it."""
+        return 0.0
+
     def take_due_retries(self, now: float) -> list[StepKey]:
         """Return the steps whose call was given up, and that may be asked about again."""
         due = [step for step, retry_at in self._retries.items() if now >= retry_at]
--- a/src/onyxspoke/core/shard/context.py
+++ b/src/onyxspoke/core/shard/context.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from onyxspoke.core.estimates.durations import Durations
 from onyxspoke.core.jobs.book import JobBook
 from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.placement.advice_desk import AdviceDesk
@@ -21,6 +22,7 @@
 )
 from onyxspoke.core.shard.commit import CommitQueue
 from onyxspoke.core.shard.layout import CellLayout
+from onyxspoke.core.shard.load_options import LoadOptions
 from onyxspoke.core.shard.log_records import ShardId
 from onyxspoke.core.tenants.bank import QuotaBank
 from onyxspoke.core.tenants.ledger import QuotaLedger
@@ -52,6 +54,8 @@
         For how long after the latest proof of holding orders may be given.
     refusal_retry_seconds : float
         When a refused caller is told to come back.
+    load : LoadOptions
+        Parts that answer hard load.
     """
 
     maximum_hold_ms: int = 6_000
@@ -63,6 +67,7 @@
     hold_pause_seconds: float = 0.03
     proof_seconds: float = 4.0
     refusal_retry_seconds: float = 1.0
+    load: LoadOptions = LoadOptions()
 
 
 class ShardContext:
@@ -90,6 +95,7 @@
         self.ledger = QuotaLedger()
         self.bank = QuotaBank(shard)
         self.shares = ShareMeter()
+        self.durations = Durations()
         #: Shards of the cell, which share every tenant's quota and weight.
         self.shard_count = 1
         self.policy = PolicySet()
--- /dev/null
+++ b/src/onyxspoke/core/shard/load_options.py
@@ -0,0 +1,23 @@
+"""What a holder does when there is too little room; each part can be switched off by itself."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class LoadOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """Parts that answer hard load.
+
+    Attributes
+    ----------
+    admission : bool
+        Refuse at once, with when to come back, what can't be done in time.
+    advice_shares : bool
+        Give tenants and queues shares of the line for advice.
+    learned_estimates : bool
+        Correct callers' estimates by what was seen of queues, tenants and workers.
+    """
+
+    admission: bool = False
+    advice_shares: bool = True
+    learned_estimates: bool = True
