--- a/src/onyxspoke/core/estimates/durations.py
+++ b/src/onyxspoke/core/estimates/durations.py
@@ -13,6 +13,6 @@
     def expected(
         self, queue: str, tenant: str, estimated_ms: float, worker_id: str = ""
     ) -> Expected:
-        """Return how long a task takes on a worker, or on one of its kind's speed where none is named."""
+        """Return how long a task takes on a worker; on one of usual speed where none is named."""
         seconds = estimated_ms / _MILLISECONDS
         return Expected(seconds, seconds)
