Account: a job whose path lacks lines is cut off, not late; a run whose start line is missing counts

A run of which only the end was told stopped the account.

Change: a completed job over its objective is `cut_off` where its path leaves more than 0.1 s untold. A run's end counts without its start, and tells nothing of usual times.

Test: two jobs added to the scenario of cut lines, both failed before; the open job beside them is handed in later, because the log now goes on past three times the queue's longest run.

--- a/features/account.feature
+++ b/features/account.feature
@@ -260,8 +260,14 @@
       time=2026-12-02T12:00:03.000Z level=info process=a event=job_ended shard=0 job=00000000000000e3 state=completed seconds=1.0
       time=2026-12-02T12:00:02.000Z level=info process=a event=job_taken shard=0 job=00000000000000e4 queue=forms tenant=one beyond_share=0 steps=1 tasks=1 stretch=2.0 target_ms=1000 policy=5
       time=2026-12-02T12:00:02.000Z level=info process=a event=run_start shard=0 worker=w time=2026-12-02T12:00:09.000Z level=info process=a event=job_taken shard=0 job=00000000000000e5 queue=forms tenant=one beyond_share=0 steps=1 tasks=1 stretch=2.0 target_ms=1000 policy=5
-      time=2026-12-02T12:00:09.000Z level=info process=a event=job_taken shard=0 job=00000000000000e6 queue=forms tenant=one beyond_share=0 steps=1 tasks=1 stretch=2.0 target_ms=1000 policy=5
-      time=2026-12-02T12:00:09.000Z level=info process=a event=run_start shard=0 worker=w task=00000000000000e6.0.0.0 run=1
+      time=2026-12-02T12:00:13.000Z level=info process=a event=job_taken shard=0 job=00000000000000e6 queue=forms tenant=one beyond_share=0 steps=1 tasks=1 stretch=2.0 target_ms=1000 policy=5
+      time=2026-12-02T12:00:13.000Z level=info process=a event=run_start shard=0 worker=w task=00000000000000e6.0.0.0 run=1
+      time=2026-12-02T12:00:09.000Z level=info process=a event=job_taken shard=0 job=00000000000000e7 queue=forms tenant=one beyond_share=0 steps=1 tasks=1 stretch=2.0 target_ms=1000 policy=5
+      time=2026-12-02T12:00:09.020Z level=info process=a event=job_accepted shard=0 job=00000000000000e7
+      time=2026-12-02T12:00:09.020Z level=info process=a event=run_start shard=0 worker=w task=00000000000000e7.0.0.0 run=1
+      time=2026-12-02T12:00:14.000Z level=info process=a event=job_ended shard=0 job=00000000000000e7 state=completed seconds=5.0
+      time=2026-12-02T12:00:09.000Z level=info process=a event=job_taken shard=0 job=00000000000000e8 queue=forms tenant=one beyond_share=0 steps=1 tasks=1 stretch=2.0 target_ms=1000 policy=5
+      time=2026-12-02T12:00:12.000Z level=info process=a event=run_ended shard=0 worker=w task=00000000000000e8.0.0.0 run=1 state=running how=done number=9
       event=log_lines_dropped count=7
       """
     When they are accounted for
@@ -271,6 +277,8 @@
     And job "00000000000000e4" was "open"
     And job "00000000000000e5" was "open"
     And job "00000000000000e6" was "open"
+    And job "00000000000000e7" was "cut_off"
+    And job "00000000000000e8" was "cut_off"
     And 1 line broke off
     And 7 lines were left out
 
--- a/src/onyxspoke/account/jobs.py
+++ b/src/onyxspoke/account/jobs.py
@@ -11,6 +11,8 @@
 
 #: A run that shows no end for so many times its queue's longest run has lost its line.
 LONGEST_RUNS = 3.0
+#: A path that leaves so many of its job's seconds untold lacks lines.
+UNTOLD_SECONDS = 0.1
 
 
 class Outcome(Enum):
@@ -88,7 +90,7 @@
         handed_in_at,
         objective,
         seconds,
-        _outcome(job, trails, usual, is_met=seconds <= objective),
+        _outcome(job, trails, usual, _judge(seconds, objective, path)),
         path.spent,
         path.excess(),
         job.is_beyond_share,
@@ -109,7 +111,15 @@
     return [run for runs in job.runs.values() for run in runs.values()]
 
 
-def _outcome(job: JobTrail, trails: Trails, usual: UsualTimes, is_met: bool) -> Outcome:
+def _judge(seconds: float, objective: float, path: PathCosts) -> Outcome:
+    """Return the outcome of a completed job."""
+    if seconds <= objective:
+        return Outcome.MET
+    is_told = seconds - sum(path.spent.values()) <= UNTOLD_SECONDS
+    return Outcome.LATE if is_told else Outcome.CUT_OFF
+
+
+def _outcome(job: JobTrail, trails: Trails, usual: UsualTimes, completed: Outcome) -> Outcome:
     if _was_only_refused(job):
         return Outcome.REFUSED
     if job.state == "cancelled" or (job.is_cancelled and not job.state):
@@ -119,7 +129,7 @@
     if job.taken_at is None:
         return Outcome.CUT_OFF
     if job.state == "completed":
-        return Outcome.MET if is_met else Outcome.LATE
+        return completed
     bound = LONGEST_RUNS * usual.longest_by_queue.get(job.queue, 0.0)
     return Outcome.CUT_OFF if _lacks_ends(job, trails.last_moment - bound) else Outcome.OPEN
 
--- a/src/onyxspoke/account/trails.py
+++ b/src/onyxspoke/account/trails.py
@@ -10,6 +10,18 @@
 
 #: Lines of a holder that show it at work; the last one before a takeover ends its reign.
 _HOLDER_EVENTS = frozenset({"run_start", "run_ended", "job_taken", "job_accepted", "job_ended"})
+_STARTS = frozenset({"run_start", "run_adopted"})
+#: Lines that tell how a run ended; those without `how=` say it by their name.
+_ENDS = frozenset(
+    {
+        "run_ended",
+        "end_recovered",
+        "run_abandoned",
+        "run_missing",
+        "start_refused",
+        "start_settled",
+    }
+)
 #: An entry tells the holder's refusal again within so many seconds.
 _RELAY_SECONDS = 1.0
 _MILLISECONDS = 1_000.0
@@ -161,17 +173,19 @@
     def _take_run_event(self, event: str, moment: float, pairs: dict[str, str]) -> None:
         job_id, repetition, step, index = pairs["task"].split(".")
         name = TaskName(int(repetition), int(step), int(index))
+        if event not in _ENDS and event not in _STARTS:
+            return
         runs = self._job(job_id).runs.setdefault(name, {})
         number = int(pairs.get("run", "0"))
-        if event in ("run_start", "run_adopted"):
+        if event in _STARTS:
             quota_seconds = int(pairs.get("quota_ms", "0")) / _MILLISECONDS
             run = RunTrail(moment, quota_seconds=quota_seconds, worker=pairs.get("worker", ""))
             runs.setdefault(number, run)
-        elif number in runs and runs[number].ended_at is None:
-            if event in ("run_ended", "end_recovered"):
-                runs[number].ended_at, runs[number].how = moment, pairs.get("how", "?")
-            elif event in ("run_abandoned", "run_missing", "start_refused", "start_settled"):
-                runs[number].ended_at, runs[number].how = moment, event
+        elif event in _ENDS:
+            # The line of its start may be missing.
+            run = runs.setdefault(number, RunTrail(moment, worker=pairs.get("worker", "")))
+            if run.ended_at is None:
+                run.ended_at, run.how = moment, pairs.get("how", event)
 
 
 def _take_in(job: JobTrail, moment: float, pairs: dict[str, str]) -> None:
--- a/src/onyxspoke/account/usual_times.py
+++ b/src/onyxspoke/account/usual_times.py
@@ -68,7 +68,7 @@
                 self._estimates[step] = job.estimated_seconds[name.step]
             only = next(iter(runs.values())) if len(runs) == 1 else None
             # A later run may have gone on from what an earlier one had saved.
-            if only is not None and only.how == "done":
+            if only is not None and only.how == "done" and only.seconds > 0.0:
                 self._steps[step][name.number] = only
 
     def _find_factors(self) -> dict[str, float]:
