Log stream: lines of single runs are left out first

Change: lines of runs and of advice leave 500 lines of a burst and a quarter of the bytes to all others. The bounds are as before. Test: a burst of run lines, then 400 lines of jobs; failed before.

Nothing measured after it yet.

--- a/features/node_tools.feature
+++ b/features/node_tools.feature
@@ -119,6 +119,11 @@
     When the pipe is read and 10 seconds pass
     Then the log says how many lines it dropped
 
+  Scenario: Lines of single runs, when there are too many, leave room for lines of jobs
+    Given a log stream to a pipe that nobody reads
+    When 20000 lines of runs and then 400 lines of jobs are written at once
+    Then all lines of jobs were taken, and the writer left out lines of runs only
+
   Scenario: A log that the process closes as it ends has written everything
     Given a log stream to a pipe that nobody reads
     When 3 lines of 100 bytes are written and the logging library closes the stream
--- a/features/steps/node_tools_steps.py
+++ b/features/steps/node_tools_steps.py
@@ -186,6 +186,22 @@
     assert context.stream.written + context.stream.dropped == 20_000
 
 
+@when("{runs:d} lines of runs and then {jobs:d} lines of jobs are written at once")
+def _write_runs_and_jobs(context, runs, jobs):
+    context.jobs = jobs
+    for _ in range(runs):
+        context.stream.write("time=x event=run_start worker=w task=e1.0.0.0".ljust(150) + "\n")
+    context.taken_runs, context.dropped_runs = context.stream.written, context.stream.dropped
+    for _ in range(jobs):
+        context.stream.write("time=x event=job_taken job=e1 queue=forms".ljust(150) + "\n")
+
+
+@then("all lines of jobs were taken, and the writer left out lines of runs only")
+def _runs_left_out(context):
+    assert context.stream.written == context.taken_runs + context.jobs
+    assert context.stream.dropped == context.dropped_runs > 0
+
+
 @when("{count:d} lines of 100 bytes are written and the logging library closes the stream")
 def _write_and_close(context, count):
     for _ in range(count):
--- a/src/onyxspoke/net/log_stream.py
+++ b/src/onyxspoke/net/log_stream.py
@@ -11,6 +11,10 @@
 BURST_LINES = 3_000
 #: Bytes that wait to be written at most.
 MAXIMUM_WAITING_BYTES = 512 * 1024
+#: Lines, and a share of the bytes, that lines of these events leave to all others.
+DETAILS = (" event=run_", " event=advice ")
+RESERVED_LINES = 500
+RESERVED_BYTES = MAXIMUM_WAITING_BYTES // 4
 #: Bytes after which a write is tried at once.
 EAGER_BYTES = 32 * 1024
 
@@ -18,6 +22,8 @@
 class BoundedLogStream:
     """Looks like a text stream to a log handler; lines over the bounds are counted instead.
 
+    What tells of single runs comes in the largest numbers and is left out first.
+
     Parameters
     ----------
     file_descriptor : int
@@ -41,7 +47,8 @@
 
     def write(self, text: str) -> int:
         """Take a line, or count it as dropped."""
-        if not self._may_take(len(text)):
+        is_detail = any(mark in text for mark in DETAILS)
+        if not self._may_take(len(text), is_detail):
             self.dropped += 1
             return len(text)
         self.written += 1
@@ -76,12 +83,14 @@
                 return
             del self._waiting[:written]
 
-    def _may_take(self, length: int) -> bool:
+    def _may_take(self, length: int, is_detail: bool) -> bool:
         now = self._clock()
         gained = (now - self._refilled_at) * LINES_PER_SECOND
         self._allowance = min(BURST_LINES, self._allowance + gained)
         self._refilled_at = now
-        if self._allowance < 1 or len(self._waiting) + length > MAXIMUM_WAITING_BYTES:
+        least = RESERVED_LINES if is_detail else 1
+        room = MAXIMUM_WAITING_BYTES - (RESERVED_BYTES if is_detail else 0)
+        if self._allowance < least or len(self._waiting) + length > room:
             return False
         self._allowance -= 1
         return True
