Account: an objective allows for a step's longest task and for failures that are the job's own

Cause: the path's last task often started late and was a short one, and runs that failed by the job's own fault counted against it; the customers' objective allows for both.

Change: of each step on the path the longest task's expected time counts, with its failed runs; a failure counts as the worker's where the end before or after it there is another job's failure. A member that broke with a failed one is an attempt, too. A job with a run that must have ended without a line is cut off, whether or not all of its tasks were seen.

Tests: the scenario of failed attempts now has one at a worker where another job fails as well (late by it, 2.00 s) and one of the job's own (allowed for); the slow run's objective is 3.20 s for 3.10 s, by its longest sibling.

--- a/features/account.feature
+++ b/features/account.feature
@@ -103,7 +103,7 @@
       """
     When they are accounted for
     Then job "00000000000000e1" was "late"
-    And its objective was 3.10 s
+    And its objective was 3.20 s
     And what cost it most beyond what it should have was "work", by 5.95 s
     And its seconds are
       | record | room | work | shown |
@@ -185,18 +185,22 @@
     And its objective was 7.00 s
     And what cost it most beyond what it should have was "work", by 7.00 s
 
-  Scenario: Failed attempts, and a run lost with its worker
+  Scenario: Failed attempts at a worker where others fail, too, and a run lost with its worker
     Given the logs of several nodes
       """
       time=2026-12-02T12:00:00.000Z level=info process=a event=job_taken shard=0 job=00000000000000e1 queue=forms tenant=one beyond_share=0 steps=1 tasks=1 stretch=1.0 target_ms=1000 policy=5
       time=2026-12-02T12:00:00.000Z level=info process=a event=job_accepted shard=0 job=00000000000000e1
-      time=2026-12-02T12:00:00.000Z level=info process=a event=run_start shard=0 worker=w task=00000000000000e1.0.0.0 run=1
-      time=2026-12-02T12:00:02.000Z level=info process=a event=run_ended shard=0 worker=w task=00000000000000e1.0.0.0 run=1 state=running how=failed number=1
+      time=2026-12-02T12:00:00.000Z level=info process=a event=run_start shard=0 worker=bad task=00000000000000e1.0.0.0 run=1
+      time=2026-12-02T12:00:02.000Z level=info process=a event=run_ended shard=0 worker=bad task=00000000000000e1.0.0.0 run=1 state=running how=failed number=1
       time=2026-12-02T12:00:02.000Z level=info process=a event=run_start shard=0 worker=w task=00000000000000e1.0.0.0 run=2
       time=2026-12-02T12:00:04.500Z level=info process=a event=run_ended shard=0 worker=w task=00000000000000e1.0.0.0 run=2 state=running how=failed number=2
       time=2026-12-02T12:00:04.500Z level=info process=a event=run_start shard=0 worker=w task=00000000000000e1.0.0.0 run=3
       time=2026-12-02T12:00:05.500Z level=info process=a event=run_ended shard=0 worker=w task=00000000000000e1.0.0.0 run=3 state=running how=done number=3
       time=2026-12-02T12:00:05.500Z level=info process=a event=job_ended shard=0 job=00000000000000e1 state=completed seconds=1.0
+      time=2026-12-02T12:00:02.000Z level=info process=a event=job_taken shard=0 job=00000000000000e3 queue=forms tenant=one beyond_share=0 steps=1 tasks=1 stretch=2.0 target_ms=1000 policy=5
+      time=2026-12-02T12:00:02.000Z level=info process=a event=job_accepted shard=0 job=00000000000000e3
+      time=2026-12-02T12:00:02.000Z level=info process=a event=run_start shard=0 worker=bad task=00000000000000e3.0.0.0 run=1
+      time=2026-12-02T12:00:02.500Z level=info process=a event=run_ended shard=0 worker=bad task=00000000000000e3.0.0.0 run=1 state=running how=failed number=1
       time=2026-12-02T12:00:10.000Z level=info process=a event=job_taken shard=0 job=00000000000000e2 queue=forms tenant=one beyond_share=0 steps=1 tasks=1 stretch=1.0 target_ms=1000 policy=5
       time=2026-12-02T12:00:10.000Z level=info process=a event=job_accepted shard=0 job=00000000000000e2
       time=2026-12-02T12:00:10.000Z level=info process=a event=run_start shard=0 worker=w task=00000000000000e2.0.0.0 run=1
@@ -207,7 +211,11 @@
       """
     When they are accounted for
     Then job "00000000000000e1" was "late"
-    And what cost it most beyond what it should have was "attempts", by 4.50 s
+    And its objective was 4.50 s
+    And what cost it most beyond what it should have was "attempts", by 2.00 s
+    And its seconds are
+      | attempts | work |
+      | 4.50     | 1.00 |
     Then job "00000000000000e2" was "late"
     And what cost it most beyond what it should have was "lost_runs", by 3.00 s
 
--- a/src/onyxspoke/account/jobs.py
+++ b/src/onyxspoke/account/jobs.py
@@ -77,11 +77,10 @@
 def _account_of(job: JobTrail, trails: Trails, usual: UsualTimes) -> JobAccount:
     handed_in_at = _handed_in_at(job)
     seconds = max(0.0, (job.ended_at or handed_in_at) - handed_in_at)
-    path = PathCosts({}, {})
+    path = PathCosts({})
     if job.ended_at is not None and job.state == "completed" and job.taken_at is not None:
         path = CriticalPath(job, trails.takeovers, usual).costs(handed_in_at, job.ended_at)
-    chain = path.expected.get(Phase.WORK, 0.0) + path.expected.get(Phase.ADVICE, 0.0)
-    objective = job.stretch * chain + job.target_seconds
+    objective = job.stretch * path.chain_seconds + job.target_seconds
     runs = _runs(job)
     return JobAccount(
         job.job_id,
@@ -141,12 +140,9 @@
 
 
 def _lacks_ends(job: JobTrail, begun_before: float) -> bool:
-    """Return whether all of its tasks must be over: each is done, or ran long ago."""
-    if not job.runs or len(job.runs) < job.task_count:
-        return False
-    for runs in job.runs.values():
-        last = max(runs.values(), key=lambda run: run.started_at)
-        is_over = any(run.how == "done" for run in runs.values())
-        if not is_over and (last.ended_at is not None or last.started_at > begun_before):
-            return False
-    return True
+    """Return whether lines of its runs are missing: all are done, or one ran long ago."""
+    last_runs = [max(runs.values(), key=lambda run: run.started_at) for runs in job.runs.values()]
+    if any(run.ended_at is None and run.started_at <= begun_before for run in last_runs):
+        return True
+    are_done = all(any(run.how == "done" for run in runs.values()) for runs in job.runs.values())
+    return bool(last_runs) and len(last_runs) >= job.task_count and are_done
--- a/src/onyxspoke/account/phases.py
+++ b/src/onyxspoke/account/phases.py
@@ -23,15 +23,12 @@
     SHARE = "share"  # behind what others are owed, for jobs beyond their tenants' weights
     ROOM = "room"  # until a worker was free for it
     TAKEOVER = "takeover"  # while a new holder did not know yet what runs
-    ATTEMPTS = "attempts"  # in runs of its own that failed
+    ATTEMPTS = "attempts"  # in runs of its own that failed, or broke with a member that did
     LOST_RUNS = "lost_runs"  # in runs that were stopped, or lost with their workers
     WORK = "work"  # in the run that ended well
     SHOWN = "shown"  # from its last end until the store had the outcome
 
 
-_PHASE_BY_END = {"done": Phase.WORK, "failed": Phase.ATTEMPTS}
-
-
 @dataclass(slots=True)
 class PathCosts:
     """Seconds along a job's critical path.
@@ -42,10 +39,13 @@
         What each phase took.
     expected : dict of Phase to float
         What it should have taken; phases that are not here should have taken nothing.
+    chain_seconds : float
+        What the path's steps need: of each its longest task and one call for advice.
     """
 
     spent: dict[Phase, float] = field(default_factory=lambda: dict.fromkeys(Phase, 0.0))
     expected: dict[Phase, float] = field(default_factory=dict)
+    chain_seconds: float = 0.0
 
     def expect(self, phase: Phase, seconds: float) -> None:
         """Count what a phase should have taken."""
@@ -88,6 +88,7 @@
                 is_last = False
             ready_at = self._ready_at(name, runs[0].started_at, accepted_at)
             self._account_task(name, runs, ready_at)
+            self._costs.chain_seconds += self._step_seconds(name) + self._job.advice_seconds
             upper = ready_at
         return self._costs
 
@@ -110,6 +111,22 @@
                 ends[other[:2]] = max(end, ends.get(other[:2], 0.0))
         return max([accepted_at, *(end for end in ends.values() if end <= first_start)])
 
+    def _step_seconds(self, name: TaskName) -> float:
+        """Return what a step needs: its longest task, with the failures that are its own fault."""
+        return max(
+            sum(self._needed_seconds(other, run) for run in runs.values())
+            for other, runs in self._job.runs.items()
+            if other[:2] == name[:2]
+        )
+
+    def _needed_seconds(self, name: TaskName, run: RunTrail) -> float:
+        if run.how == "done":
+            return self._usual.expected_seconds(self._job, name, run)
+        failed = run if run.how == "failed" else self._failed_member(name, run)
+        if failed is None or self._usual.fails_for_others(self._job, failed):
+            return 0.0
+        return run.seconds
+
     def _account_task(self, name: TaskName, runs: list[RunTrail], ready_at: float) -> None:
         since = ready_at
         lost = worked = expected = 0.0
@@ -118,19 +135,33 @@
             quota_seconds = run.quota_seconds if run is runs[0] else 0.0
             self._account_gap(name, since, run.started_at, quota_seconds)
             ended_at = run.ended_at if run.ended_at is not None else run.started_at
-            phase = _PHASE_BY_END.get(run.how, Phase.LOST_RUNS)
+            failed = run if run.how == "failed" else self._failed_member(name, run)
+            phase = _phase_of(run, failed)
             seconds = max(0.0, ended_at - max(run.started_at, since))
             self._costs.spent[phase] += seconds
             if phase is Phase.WORK:
                 worked += seconds
-                expected = self._usual.expected_seconds(self._job, name, run)
+                expected = self._needed_seconds(name, run)
             elif phase is Phase.LOST_RUNS:
                 lost += seconds
+            else:
+                self._costs.expect(phase, min(seconds, self._needed_seconds(name, run)))
             since = max(since, ended_at)
         # What a run that was stopped had saved, the last one need not do again.
         self._costs.expect(Phase.LOST_RUNS, min(lost, max(0.0, expected - worked)))
         self._costs.expect(Phase.WORK, expected)
 
+    def _failed_member(self, name: TaskName, run: RunTrail) -> RunTrail | None:
+        """Return the member of a gang whose failure broke a run."""
+        if run.how != "broken":
+            return None
+        for other, runs in self._job.runs.items():
+            for member in runs.values():
+                is_beside = other[:2] == name[:2] and member.started_at == run.started_at
+                if is_beside and member.how == "failed":
+                    return member
+        return None
+
     def _account_gap(
         self, name: TaskName, since: float, until: float, quota_seconds: float
     ) -> None:
@@ -151,3 +182,9 @@
         spent[Phase.ADVICE] += waited
         phase = Phase.SHARE if self._job.is_beyond_share else Phase.ROOM
         spent[phase] += gap - lost - waited
+
+
+def _phase_of(run: RunTrail, failed: RunTrail | None) -> Phase:
+    if run.how == "done":
+        return Phase.WORK
+    return Phase.LOST_RUNS if failed is None else Phase.ATTEMPTS
--- a/src/onyxspoke/account/usual_times.py
+++ b/src/onyxspoke/account/usual_times.py
@@ -9,6 +9,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 from statistics import median
+from typing import NamedTuple
 
 from onyxspoke.account.trails import JobTrail, RunTrail, TaskName
 
@@ -24,6 +25,12 @@
 StepName = tuple[str, int, int]
 
 
+class _End(NamedTuple):
+    moment: float
+    job_id: str
+    has_failed: bool
+
+
 class UsualTimes:
     """What each run should have taken."""
 
@@ -31,8 +38,11 @@
         self._queues: dict[StepName, str] = {}
         self._estimates: dict[StepName, float] = {}
         self._steps: dict[StepName, dict[int, RunTrail]] = defaultdict(dict)
+        self._ends: dict[str, list[_End]] = defaultdict(list)
         for job in jobs:
             self._take_job(job)
+        for ends in self._ends.values():
+            ends.sort()
         self._factors = self._find_factors()
         self._longest = self._find_longest()
         self._over_estimate = self._find_over_estimate()
@@ -58,10 +68,22 @@
             return min(usual, estimate * self._over_estimate.get(job.queue, 1.0))
         return usual
 
+    def fails_for_others(self, job: JobTrail, run: RunTrail) -> bool:
+        """Return whether the end before or after a run at its worker is another job's failure."""
+        ended_at = run.ended_at or 0.0
+        others = [end for end in self._ends.get(run.worker, []) if end.job_id != job.job_id]
+        before = [end for end in others if end.moment <= ended_at]
+        after = [end for end in others if end.moment > ended_at]
+        return any(end.has_failed for end in [*before[-1:], *after[:1]])
+
     # Evidence
 
     def _take_job(self, job: JobTrail) -> None:
         for name, runs in job.runs.items():
+            for run in runs.values():
+                if run.ended_at is not None and run.how in ("done", "failed"):
+                    end = _End(run.ended_at, job.job_id, run.how == "failed")
+                    self._ends[run.worker].append(end)
             step = (job.job_id, name.repetition, name.step)
             self._queues[step] = job.queue
             if name.step < len(job.estimated_seconds):
