Log stream: writes of whole lines, each small enough for a pipe to take it in one piece

Cause: a burst's lines went out in one write of up to 32 kB and more.

Change: a write ends at a line's end and within PIPE_BUF, below which a pipe takes a write whole, also beside other writers. The bounds on lines a second and on bytes that wait are as before.

Test: every write seen by itself; failed before.

--- a/features/node_tools.feature
+++ b/features/node_tools.feature
@@ -124,6 +124,11 @@
     When 20000 lines of runs and then 400 lines of jobs are written at once
     Then all lines of jobs were taken, and the writer left out lines of runs only
 
+  Scenario: Many lines at once are written as pieces that a pipe takes whole
+    Given a log stream whose every write is seen by itself
+    When 200 lines of 100 bytes are written at once
+    Then all 200 lines came, in writes of whole lines and at most 4096 bytes
+
   Scenario: A log that the process closes as it ends has written everything
     Given a log stream to a pipe that nobody reads
     When 3 lines of 100 bytes are written and the logging library closes the stream
--- a/features/steps/node_tools_steps.py
+++ b/features/steps/node_tools_steps.py
@@ -1,6 +1,7 @@
 """Steps for the parts of a product around a node."""
 
 import os
+import socket
 import tempfile
 import time
 from pathlib import Path
@@ -186,6 +187,23 @@
     assert context.stream.written + context.stream.dropped == 20_000
 
 
+@given("a log stream whose every write is seen by itself")
+def _writes_seen(context):
+    context.reader_socket, context.writer_socket = socket.socketpair(
+        socket.AF_UNIX, socket.SOCK_SEQPACKET
+    )
+    context.stream = BoundedLogStream(context.writer_socket.fileno())
+
+
+@then("all {count:d} lines came, in writes of whole lines and at most {limit:d} bytes")
+def _in_pieces(context, count, limit):
+    context.writer_socket.close()
+    writes = list(iter(lambda: context.reader_socket.recv(1 << 20), b""))
+    context.reader_socket.close()
+    assert b"".join(writes) == LINE.encode() * count
+    assert all(len(text) <= limit and text.endswith(b"\n") for text in writes), writes
+
+
 @when("{runs:d} lines of runs and then {jobs:d} lines of jobs are written at once")
 def _write_runs_and_jobs(context, runs, jobs):
     context.jobs = jobs
--- a/src/onyxspoke/net/log_stream.py
+++ b/src/onyxspoke/net/log_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import select
 import time
 from collections.abc import Callable
 
@@ -74,7 +75,7 @@
             self._waiting += f"event=log_lines_dropped count={count}\n".encode()
         while self._waiting:
             try:
-                written = os.write(self._file_descriptor, self._waiting)
+                written = os.write(self._file_descriptor, self._next_piece())
             except BlockingIOError:
                 self.on_waiting()
                 return
@@ -83,6 +84,11 @@
                 return
             del self._waiting[:written]
 
+    def _next_piece(self) -> bytes:
+        """Return whole lines that a pipe takes in one piece, beside those of other processes."""
+        end = self._waiting.rfind(b"\n", 0, select.PIPE_BUF) + 1
+        return bytes(self._waiting[: end or select.PIPE_BUF])
+
     def _may_take(self, length: int, is_detail: bool) -> bool:
         now = self._clock()
         gained = (now - self._refilled_at) * LINES_PER_SECOND
