--- a/src/onyxspoke/cli/account_tables.py
+++ b/src/onyxspoke/cli/account_tables.py
@@ -50,7 +50,7 @@
     _print_causes_by("queue", late, _queue_and_share)
     if any(account.tenant for account in late):
         print()
-        _print_causes_by("tenant", late, lambda account: account.tenant)
+        _print_causes_by("tenant", late, lambda account: account.tenant or "?")
 
 
 def _print_causes_by(head: str, late: list[JobAccount], key: Callable[[JobAccount], str]) -> None:
