--- a/src/onyxspoke/account/jobs.py
+++ b/src/onyxspoke/account/jobs.py
@@ -11,6 +11,8 @@
 
 #: A run that shows no end for so many times its queue's longest run has lost its line.
 LONGEST_RUNS = 3.0
+#: A path that leaves so many of its job's seconds untold lacks lines.
+UNTOLD_SECONDS = 0.1
 
 
 class Outcome(Enum):
@@ -75,11 +77,10 @@
 def _account_of(job: JobTrail, trails: Trails, usual: UsualTimes) -> JobAccount:
     handed_in_at = _handed_in_at(job)
     seconds = max(0.0, (job.ended_at or handed_in_at) - handed_in_at)
-    path = PathCosts({}, {})
+    path = PathCosts({})
     if job.ended_at is not None and job.state == "completed" and job.taken_at is not None:
         path = CriticalPath(job, trails.takeovers, usual).costs(handed_in_at, job.ended_at)
-    chain = path.expected.get(Phase.WORK, 0.0) + path.expected.get(Phase.ADVICE, 0.0)
-    objective = job.stretch * chain + job.target_seconds
+    objective = job.stretch * path.chain_seconds + job.target_seconds
     runs = _runs(job)
     return JobAccount(
         job.job_id,
@@ -88,7 +89,7 @@
         handed_in_at,
         objective,
         seconds,
-        _outcome(job, trails, usual, is_met=seconds <= objective),
+        _outcome(job, trails, usual, _judge(seconds, objective, path)),
         path.spent,
         path.excess(),
         job.is_beyond_share,
@@ -109,7 +110,15 @@
     return [run for runs in job.runs.values() for run in runs.values()]
 
 
-def _outcome(job: JobTrail, trails: Trails, usual: UsualTimes, is_met: bool) -> Outcome:
+def _judge(seconds: float, objective: float, path: PathCosts) -> Outcome:
+    """Return the outcome of a completed job."""
+    if seconds <= objective:
+        return Outcome.MET
+    is_told = seconds - sum(path.spent.values()) <= UNTOLD_SECONDS
+    return Outcome.LATE if is_told else Outcome.CUT_OFF
+
+
+def _outcome(job: JobTrail, trails: Trails, usual: UsualTimes, completed: Outcome) -> Outcome:
     if _was_only_refused(job):
         return Outcome.REFUSED
     if job.state == "cancelled" or (job.is_cancelled and not job.state):
@@ -119,7 +128,7 @@
     if job.taken_at is None:
         return Outcome.CUT_OFF
     if job.state == "completed":
-        return Outcome.MET if is_met else Outcome.LATE
+        return completed
     bound = LONGEST_RUNS * usual.longest_by_queue.get(job.queue, 0.0)
     return Outcome.CUT_OFF if _lacks_ends(job, trails.last_moment - bound) else Outcome.OPEN
 
@@ -131,12 +140,9 @@
 
 
 def _lacks_ends(job: JobTrail, begun_before: float) -> bool:
-    """Return whether all of its tasks must be over: each is done, or ran long ago."""
-    if not job.runs or len(job.runs) < job.task_count:
-        return False
-    for runs in job.runs.values():
-        last = max(runs.values(), key=lambda run: run.started_at)
-        is_over = any(run.how == "done" for run in runs.values())
-        if not is_over and (last.ended_at is not None or last.started_at > begun_before):
-            return False
-    return True
+    """Return whether lines of its runs are missing: all are done, or one ran long ago."""
+    last_runs = [max(runs.values(), key=lambda run: run.started_at) for runs in job.runs.values()]
+    if any(run.ended_at is None and run.started_at <= begun_before for run in last_runs):
+        return True
+    are_done = all(any(run.how == "done" for run in runs.values()) for runs in job.runs.values())
+    return bool(last_runs) and len(last_runs) >= job.task_count and are_done
--- a/src/onyxspoke/net/log_stream.py
+++ b/src/onyxspoke/net/log_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import select
 import time
 from collections.abc import Callable
 
@@ -11,6 +12,10 @@
 BURST_LINES = 3_000
 #: Bytes that wait to be written at most.
 MAXIMUM_WAITING_BYTES = 512 * 1024
+#: Lines, and a share of the bytes, that lines of these events leave to all others.
+DETAILS = (" event=run_", " event=advice ")
+RESERVED_LINES = 500
+RESERVED_BYTES = MAXIMUM_WAITING_BYTES // 4
 #: Bytes after which a write is tried at once.
 EAGER_BYTES = 32 * 1024
 
@@ -18,6 +23,8 @@
 class BoundedLogStream:
     """Looks like a text stream to a log handler; lines over the bounds are counted instead.
 
+    What tells of single runs comes in the largest numbers and is left out first.
+
     Parameters
     ----------
     file_descriptor : int
@@ -41,7 +48,8 @@
 
     def write(self, text: str) -> int:
         """Take a line, or count it as dropped."""
-        if not self._may_take(len(text)):
+        is_detail = any(mark in text for mark in DETAILS)
+        if not self._may_take(len(text), is_detail):
             self.dropped += 1
             return len(text)
         self.written += 1
@@ -67,7 +75,7 @@
             self._waiting += f"event=log_lines_dropped count={count}\n".encode()
         while self._waiting:
             try:
-                written = os.write(self._file_descriptor, self._waiting)
+                written = os.write(self._file_descriptor, self._next_piece())
             except BlockingIOError:
                 self.on_waiting()
                 return
@@ -76,12 +84,19 @@
                 return
             del self._waiting[:written]
 
-    def _may_take(self, length: int) -> bool:
+    def _next_piece(self) -> bytes:
+        """Return whole lines that a pipe takes in one piece, beside those of other processes."""
+        end = self._waiting.rfind(b"\n", 0, select.PIPE_BUF) + 1
+        return bytes(self._waiting[: end or select.PIPE_BUF])
+
+    def _may_take(self, length: int, is_detail: bool) -> bool:
         now = self._clock()
         gained = (now - self._refilled_at) * LINES_PER_SECOND
         self._allowance = min(BURST_LINES, self._allowance + gained)
         self._refilled_at = now
-        if self._allowance < 1 or len(self._waiting) + length > MAXIMUM_WAITING_BYTES:
+        least = RESERVED_LINES if is_detail else 1
+        room = MAXIMUM_WAITING_BYTES - (RESERVED_BYTES if is_detail else 0)
+        if self._allowance < least or len(self._waiting) + length > room:
             return False
         self._allowance -= 1
         return True
