--- /dev/null
+++ b/features/steps/load_settings_steps.py
@@ -0,0 +1,122 @@
+"""Steps about the settings by which a node answers load."""
+
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+from node_tools_steps import SETTINGS_WITHOUT_RATES
+
+from onyxspoke.cli.node import describe_load_options
+from onyxspoke.core.shard.load_options import LoadOptions
+from onyxspoke.node.load_settings import apply_load_settings
+from onyxspoke.node.settings import SettingsError
+from onyxspoke.platform.settings import parse_settings
+
+ROOT = Path(__file__).resolve().parents[2]
+
+
+def _settings(line):
+    return parse_settings(f"{SETTINGS_WITHOUT_RATES}\n{line}").node
+
+
+@when('a node\'s settings are read whose rules in force are "{line}"')
+@when('a node\'s settings are read whose rules in force are ""')
+def _read_rules(context, line=""):
+    context.node_settings = _settings(line)
+
+
+@then("refusal under load is {state}, and everything else is as by default")
+def _refusal(context, state):
+    expected = LoadOptions(admission=state == "on")
+    assert context.node_settings.shard_options.load == expected, context.node_settings
+
+
+@given("a node's settings by which callers compete")
+def _compete(context):
+    context.node_settings = _settings("contracts=base,pressure")
+
+
+def _override(context, path):
+    context.load_faults = None
+    context.load_path = path
+    try:
+        context.node_settings = apply_load_settings(context.node_settings, path)
+    except SettingsError as error:
+        context.load_faults, context.load_code = error.faults, int(error.code)
+
+
+def _override_by_text(context, text):
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "load.yaml"
+        path.write_text(text, encoding="utf-8")
+        _override(context, path)
+
+
+@when("this file overrides them")
+def _override_text(context):
+    _override_by_text(context, context.text)
+
+
+@when('the file "{name}" overrides them')
+def _override_named(context, name):
+    _override(context, ROOT / name)
+
+
+@when("the file '{text}' overrides them")
+@when("the file '' overrides them")
+def _override_quoted(context, text=""):
+    _override_by_text(context, text.replace("\\n", "\n").replace("{zeros}", "0" * 400))
+
+
+@when("the file missing overrides them")
+def _override_missing(context):
+    _override(context, ROOT / "no-such-file.yaml")
+
+
+@then('what is done under load is "{words}"')
+def _under_load(context, words):
+    assert context.load_faults is None, context.load_faults
+    assert describe_load_options(context.node_settings) == words
+
+
+@then("it is refused with code {code:d} and the faults {faults}")
+def _refused(context, code, faults):
+    assert context.load_code == code
+    expected = faults.split("; ")
+    assert len(context.load_faults) == len(expected), context.load_faults
+    for fault, start in zip(context.load_faults, expected, strict=True):
+        assert fault.startswith(f"{context.load_path}: {start}"), fault
+
+
+@when("the node's program checks its settings and the file '{text}'")
+def _check(context, text):
+    with tempfile.TemporaryDirectory() as folder:
+        config, load = Path(folder) / "boot.conf", Path(folder) / "load.yaml"
+        config.write_text(SETTINGS_WITHOUT_RATES, encoding="utf-8")
+        load.write_text(text, encoding="utf-8")
+        arguments = ["--config", config, "--load-settings", load, "--check"]
+        context.ended = _run_python("-m", "onyxspoke.cli.node", *arguments)
+
+
+@then('it ends with {code:d} and tells "{words}"')
+def _ended(context, code, words):
+    assert context.ended.returncode == code, context.ended
+    assert words in context.ended.stdout + context.ended.stderr, context.ended
+
+
+@when("the modules of the node's program are loaded")
+def _load_modules(context):
+    context.ended = _run_python("-c", "import sys, onyxspoke.cli.node; print(*sys.modules)")
+    assert context.ended.returncode == 0, context.ended
+
+
+@then('neither "{first}" nor "{second}" is among them')
+def _not_loaded(context, first, second):
+    assert not {first, second} & set(context.ended.stdout.split())
+
+
+def _run_python(*arguments):
+    command = [sys.executable, *map(str, arguments)]
+    return subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -7,6 +7,7 @@
 from http_steps import Exchange, post
 
 from onyxspoke.core.settings_tree import render_settings_page
+from onyxspoke.core.shard.load_definitions import render_load_page
 
 PAGE = Path(__file__).resolve().parents[2] / "docs" / "SETTINGS.md"
 DECISION_SECONDS = 6.0
@@ -102,4 +103,4 @@
 
 @then("docs/SETTINGS.md is what the schema gives")
 def step_page(context):
-    assert PAGE.read_text(encoding="utf-8") == render_settings_page()
+    assert PAGE.read_text(encoding="utf-8") == render_settings_page() + render_load_page()
--- a/scripts/make_codes_page.py
+++ b/scripts/make_codes_page.py
@@ -12,6 +12,7 @@
     outcome_of,
 )
 from onyxspoke.core.settings_tree import render_settings_page
+from onyxspoke.core.shard.load_definitions import render_load_page
 
 SETTINGS_PAGE = Path(__file__).resolve().parent.parent / "docs" / "SETTINGS.md"
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "CODES.md"
@@ -36,7 +37,8 @@
     ]
     exits = [f"| {int(code)} | `{code.name}` |" for code in ExitCode]
     tail = "\n\n## Exit codes of the binaries\n\n| exit code | name |\n|---|---|\n"
-    SETTINGS_PAGE.write_text(render_settings_page(), encoding="utf-8")
+    settings = render_settings_page() + render_load_page()
+    SETTINGS_PAGE.write_text(settings, encoding="utf-8")
     PAGE.write_text(HEAD + "\n".join(rows) + tail + "\n".join(exits) + "\n", encoding="utf-8")
 
 
--- a/src/onyxspoke/cli/node.py
+++ b/src/onyxspoke/cli/node.py
@@ -10,9 +10,10 @@
 import time
 from functools import partial
 from pathlib import Path
-from typing import Any, cast
+from typing import Any, NamedTuple, cast
 
 from absl import logging
+from msgspec.structs import asdict, replace
 from twisted.application.service import MultiService
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
@@ -33,6 +34,7 @@
 from onyxspoke.net.log_stream import BoundedLogStream
 from onyxspoke.net.network import Network, TcpEndpoints
 from onyxspoke.net.reactor_clock import BootClock, SuspensionWatch
+from onyxspoke.node.load_settings import apply_load_settings
 from onyxspoke.node.metrics import CONTENT_TYPE, NodeMetrics
 from onyxspoke.node.node import Node
 from onyxspoke.node.node_ports import NodePorts
@@ -48,6 +50,8 @@
 from onyxspoke.platform.workers import WorkerOrders
 from onyxspoke.ports.configuration import CellConfiguration
 
+#: Environment variable that holds the path of the file that ``--load-settings`` names.
+LOAD_PATH_VARIABLE = "ONYXSPOKE_LOAD_SETTINGS"
 CONNECT_SECONDS = 0.5
 LIFE_BYTES = 6
 MAXIMUM_CONNECTIONS = 3_000
@@ -71,30 +75,72 @@
         default=os.environ.get(PATH_VARIABLE),
         help=f"settings file; by default the one that {PATH_VARIABLE} names",
     )
+    parser.add_argument(
+        "--load-settings",
+        type=Path,
+        default=os.environ.get(LOAD_PATH_VARIABLE),
+        metavar="FILE.yaml",
+        help=f"overrides what is done under load; by default what {LOAD_PATH_VARIABLE} names",
+    )
     parser.add_argument("--check", action="store_true", help="check the settings and exit")
     arguments = parser.parse_args()
     if arguments.config is None:
         print(f"--config: missing, and {PATH_VARIABLE} is not set", file=sys.stderr)
         sys.exit(ExitCode.USAGE)
-    settings = load_or_exit(Path(arguments.config))
+    files = SettingsFiles(
+        Path(arguments.config), Path(arguments.load_settings) if arguments.load_settings else None
+    )
+    settings = load_or_exit(files)
     if arguments.check:
         for warning in settings.warnings:
             print(f"{arguments.config}: warning: {warning}", file=sys.stderr)
-        print(f"{arguments.config}: valid")
+        for path in files.paths():
+            print(f"{path}: valid")
         sys.exit(ExitCode.OK)
     lines = BoundedLogStream(sys.stdout.fileno())
     configure_logging(settings.node.node_name, verbose=arguments.verbose, stream=lines)
     for warning in settings.warnings:
         logging.warning("event=setting_assumed detail=%r", warning)
-    exit_code = run(settings, Path(arguments.config), lines)
+    logging.info("event=load_options %s", describe_load_options(settings.node))
+    exit_code = run(settings, files, lines)
     lines.drain()
     sys.exit(exit_code)
 
 
-def load_or_exit(path: Path) -> PlatformSettings:
+class SettingsFiles(NamedTuple):
+    """The files that a node's settings come from; ``load`` overrides what is done under load."""
+
+    platform: Path
+    load: Path | None = None
+
+    def paths(self) -> list[Path]:
+        """Return the files that there are."""
+        return [self.platform] if self.load is None else [self.platform, self.load]
+
+    def read(self) -> PlatformSettings:
+        """Return the checked settings.
+
+        Raises
+        ------
+        SettingsError
+            Naming every fault of the first file that has any.
+        """
+        settings = load_settings(self.platform)
+        if self.load is None:
+            return settings
+        return replace(settings, node=apply_load_settings(settings.node, self.load))
+
+
+def describe_load_options(settings: NodeSettings) -> str:
+    """Return what is done under load as key=value, for the log."""
+    options = asdict(settings.shard_options.load)
+    return " ".join(f"{name}={value:g}" for name, value in options.items())
+
+
+def load_or_exit(files: SettingsFiles) -> PlatformSettings:
     """Return the settings, or print every fault and exit with ``SETTINGS_INVALID``."""
     try:
-        return load_settings(path)
+        return files.read()
     except SettingsError as error:
         for fault in error.faults:
             print(fault, file=sys.stderr)
@@ -227,10 +273,10 @@
     limits.read_seconds = limits.header_seconds + BODY_SECONDS
 
 
-def reload_settings(node: Node, path: Path) -> None:
-    """Take from the settings file what may change in a running process: the seeds."""
+def reload_settings(node: Node, files: SettingsFiles) -> None:
+    """Take from the settings files what may change in a running process: the seeds."""
     try:
-        settings = load_settings(path)
+        settings = files.read()
     except SettingsError as error:
         logging.error("event=reload_failed faults=%r", str(error))
         return
@@ -238,7 +284,7 @@
     logging.info("event=reloaded seeds=%d", len(settings.node.seeds))
 
 
-def run(settings: PlatformSettings, path: Path, lines: BoundedLogStream) -> ExitCode:
+def run(settings: PlatformSettings, files: SettingsFiles, lines: BoundedLogStream) -> ExitCode:
     """Run a node until it is stopped."""
     use_boot_clock_timers()
     node = make_node(settings)
@@ -251,7 +297,7 @@
         cast("IReactorFromThreads", reactor).callFromThread(stop.begin)
 
     def handle_hangup(_signal: int, _frame: object) -> None:
-        cast("IReactorFromThreads", reactor).callFromThread(reload_settings, node, path)
+        cast("IReactorFromThreads", reactor).callFromThread(reload_settings, node, files)
 
     def install_handlers() -> None:
         signal.signal(signal.SIGTERM, handle_terminate)
--- a/src/onyxspoke/core/shard/load_options.py
+++ b/src/onyxspoke/core/shard/load_options.py
@@ -16,8 +16,11 @@
         Give tenants and queues shares of the line for advice.
     learned_estimates : bool
         Correct callers' estimates by what was seen of queues, tenants and workers.
+    summary_trust_seconds : float
+        For how long an entry that reaches no holder refuses by what the last one said; 0: never.
     """
 
     admission: bool = False
     advice_shares: bool = True
     learned_estimates: bool = True
+    summary_trust_seconds: float = 5.0
--- a/src/onyxspoke/node/settings.py
+++ b/src/onyxspoke/node/settings.py
@@ -4,15 +4,16 @@
 
 import msgspec
 
+from onyxspoke.core.codes import OnyxspokeError, ResultCode
 from onyxspoke.core.shard.context import ShardOptions
 from onyxspoke.core.shard.store_budget import StoreBudget
 
 
-class SettingsError(Exception):
+class SettingsError(OnyxspokeError):
     """Settings that are missing or out of range; ``faults`` names each one."""
 
     def __init__(self, faults: list[str]) -> None:
-        super().__init__("; ".join(faults))
+        super().__init__(ResultCode.SETTINGS_FILE_INVALID, "; ".join(faults))
         self.faults = faults
 
 
--- a/src/onyxspoke/platform/settings.py
+++ b/src/onyxspoke/platform/settings.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from onyxspoke.core.shard.context import ShardOptions
+from onyxspoke.core.shard.load_options import LoadOptions
 from onyxspoke.core.shard.store_budget import StoreBudget
 from onyxspoke.node.settings import Address, NodeSettings, SettingsError
 from onyxspoke.platform.settings_reader import SettingsReader
@@ -18,6 +19,8 @@
 METRICS_PORT_INDEX = 1
 OPERATOR_PORT_INDEX = 2
 PORTS_NEEDED = 3
+#: Where the rules in force name it, callers compete for room.
+PRESSURE_CONTRACT = "pressure"
 _MILLISECONDS = 1_000.0
 #: Assumed where a file doesn't tell the store's rates: the lowest that a user's sheet names.
 #: Too low a figure only slows a large cell's appends; too high a one has calls turned away.
@@ -122,9 +125,16 @@
         maximum_hold_ms=reader.whole("bounds.maxHoldMs", 100, 3_600_000),
         stop_grace_ms=reader.whole("bounds.stopGraceMs", 0, 600_000),
         status_seconds=reader.fraction("bounds.status_s", 0.0, 1e6),
+        load=_read_load_options(reader),
     )
 
 
+def _read_load_options(reader: SettingsReader) -> LoadOptions:
+    """Return what is done under load; jobs are refused only where callers compete for room."""
+    contracts = {name.strip().casefold() for name in reader.texts("contracts")}
+    return LoadOptions(admission=PRESSURE_CONTRACT in contracts)
+
+
 def _read_key_trust(reader: SettingsReader) -> float:
     """Return for how long a node whose configuration may be behind goes by its keys."""
     apply_ms = reader.whole_or("bounds.configApplyMs", 0, 3_600_000, DEFAULT_APPLY_MS)
