Refusals for load are 429, those for trouble 503, both with whole seconds to come back

Cause: a caller and its operator must see whether the cell is full or in trouble. Change: the reply's reason decides (core.admission.verdict.is_for_load); code 314 TOO_MUCH_WAITS on the product's own interface. Retry-After is whole seconds from 1 to 3600, also where a reply carries no sound number (before: a NaN or an infinity would have ended in an internal error). Nothing measured.

--- a/src/onyxspoke/core/codes.py
+++ b/src/onyxspoke/core/codes.py
@@ -56,6 +56,7 @@
     WORKER_LEAVING = 311
     NO_HOLDER = 312
     KEYS_UNPROVEN = 313
+    TOO_MUCH_WAITS = 314
 
     WORKER_LOST = 400
     PEER_LOST = 401
@@ -112,6 +113,10 @@
     ResultCode.KEYS_UNPROVEN: (
         "The configuration here may be too old to tell whose the key is; the call did nothing."
     ),
+    ResultCode.TOO_MUCH_WAITS: (
+        "What waits ahead of the job would end too late for its caller; it was not taken and never "
+        "runs."
+    ),
     ResultCode.WORKER_LOST: "The worker was lost after the task was sent to it.",
     ResultCode.PEER_LOST: "The peer entry was lost after the request was forwarded.",
     ResultCode.ANSWER_OVERDUE: "The task was sent; no answer came within the grace period.",
@@ -152,6 +157,7 @@
     ResultCode.KEY_REUSED: 422,
     ResultCode.QUEUE_FULL: 429,
     ResultCode.QUOTA_EXCEEDED: 429,
+    ResultCode.TOO_MUCH_WAITS: 429,
     ResultCode.SETTING_CONFLICT: 409,
     ResultCode.SETTING_INVALID: 400,
     ResultCode.INTERNAL_ERROR: 500,
--- a/src/onyxspoke/net/http.py
+++ b/src/onyxspoke/net/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -14,6 +15,9 @@
 
 JSON_CONTENT_TYPE = b"application/json"
 IDLE_TIMEOUT_SECONDS = 60
+#: No caller is told to stay away for longer, or for less.
+LONGEST_RETRY_SECONDS = 3_600
+SHORTEST_RETRY_SECONDS = 1
 
 #: Left out of JSON bodies; recognised by identity.
 NO_RESULT = msgspec.Raw(b"")
@@ -53,6 +57,13 @@
     request.finish()
 
 
+def set_retry_after(request: Request, seconds: float) -> None:
+    """Tell a caller when to come back: whole seconds, one at least."""
+    # In this order a second that is no number counts as the shortest.
+    whole = math.ceil(min(LONGEST_RETRY_SECONDS, max(SHORTEST_RETRY_SECONDS, seconds)))
+    request.setHeader(b"retry-after", str(whole).encode())
+
+
 def close_after(request: Request) -> None:
     """Have the connection closed after a request's answer, and say so in it."""
     request.setHeader(b"connection", b"close")
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -474,6 +474,10 @@
 
     # Time
 
+    def now(self) -> float:
+        """Return the node's steady time, in seconds."""
+        return self._clock.now()
+
     def time_of_day_ms(self) -> float:
         """Return the time of day on which most nodes agree; single clocks may jump."""
         return agreed_time_ms(self._clock.now(), self._wall_ms(), self.peers.up_links())
--- a/src/onyxspoke/node/operator_api.py
+++ b/src/onyxspoke/node/operator_api.py
@@ -10,12 +10,11 @@
 
 from __future__ import annotations
 
-import math
-
 import msgspec
 from twisted.internet.interfaces import IReactorTime
 from twisted.web.server import Request
 
+from onyxspoke.core.admission.verdict import is_for_load
 from onyxspoke.core.codes import OnyxspokeError, ResultCode
 from onyxspoke.core.jobs.model import JobId, JobSpec, Schedule, StepSpec
 from onyxspoke.core.jobs.validation import check_job
@@ -31,7 +30,13 @@
 )
 from onyxspoke.core.shard.tenant_summary import TenantSummary, summarise_tenants
 from onyxspoke.net.bounded_http import BoundedSite, HttpLimits
-from onyxspoke.net.http import CodedResource, read_json, write_error, write_json
+from onyxspoke.net.http import (
+    CodedResource,
+    read_json,
+    set_retry_after,
+    write_error,
+    write_json,
+)
 from onyxspoke.node.node import Node
 
 #: A call that no holder has answered by then is told to be unknown.
@@ -338,8 +343,9 @@
     elif reply.code is ReplyCode.NO_SUCH_JOB:
         write_error(request, OnyxspokeError(ResultCode.NO_SUCH_JOB, f"no job {answer.job_id}"))
     elif reply.code is ReplyCode.REFUSED:
-        seconds = str(max(1, math.ceil(reply.retry_after_seconds)))
-        request.setHeader(b"retry-after", seconds.encode())
-        write_error(request, OnyxspokeError(ResultCode.NO_HOLDER, reply.reason))
+        set_retry_after(request, reply.retry_after_seconds)
+        is_load = is_for_load(reply.reason)
+        code = ResultCode.TOO_MUCH_WAITS if is_load else ResultCode.NO_HOLDER
+        write_error(request, OnyxspokeError(code, reply.reason))
     else:
         write_error(request, OnyxspokeError(ResultCode.HOLDER_UNKNOWN, reply.reason))
--- a/src/onyxspoke/platform/ingress.py
+++ b/src/onyxspoke/platform/ingress.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 
 import msgspec
 from twisted.web.server import NOT_DONE_YET, Request
 
+from onyxspoke.core.admission.verdict import is_for_load
 from onyxspoke.core.codes import OnyxspokeError, ResultCode
 from onyxspoke.core.jobs.model import JobSpec, QueuePolicy, Schedule, StepSpec
 from onyxspoke.core.jobs.validation import check_job
@@ -23,7 +23,13 @@
 )
 from onyxspoke.core.tenants.keys import Credential, KeyVerdict
 from onyxspoke.core.tenants.policy import TenantName
-from onyxspoke.net.http import CodedResource, close_after, write_error, write_json
+from onyxspoke.net.http import (
+    CodedResource,
+    close_after,
+    set_retry_after,
+    write_error,
+    write_json,
+)
 from onyxspoke.node.node import Node
 from onyxspoke.platform.unreadable import UNREADABLE_ERRORS
 
@@ -45,6 +51,7 @@
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
 _GONE = 410
+_TOO_MANY = 429
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
 
@@ -176,7 +183,8 @@
         elif reply.code is ReplyCode.NO_SUCH_JOB:
             write_json(request, _EMPTY, _GONE)
         elif reply.code is ReplyCode.REFUSED:
-            _write_later(request, reply.retry_after_seconds, _UNAVAILABLE)
+            status = _TOO_MANY if is_for_load(reply.reason) else _UNAVAILABLE
+            _write_later(request, reply.retry_after_seconds, status)
         else:
             _write_later(request, reply.retry_after_seconds, _GATEWAY_TIMEOUT)
 
@@ -185,8 +193,7 @@
         if self._is_gone:
             return
         if verdict is KeyVerdict.UNPROVEN:
-            seconds = str(math.ceil(UNPROVEN_RETRY_SECONDS)).encode()
-            self._request.setHeader(b"retry-after", seconds)
+            set_retry_after(self._request, UNPROVEN_RETRY_SECONDS)
         write_error(self._request, OnyxspokeError(_KEY_CODES[verdict]))
 
     def _body(self, reply: CallReply) -> msgspec.Struct:
@@ -288,5 +295,5 @@
 
 def _write_later(request: Request, retry_after_seconds: float, status: int) -> None:
     """Answer that the caller is to come back."""
-    request.setHeader(b"retry-after", str(max(1, math.ceil(retry_after_seconds))).encode())
+    set_retry_after(request, retry_after_seconds)
     write_json(request, _EMPTY, status)
