Operators see admission and estimates: two verbs, two paths, figures with bounded labels

Cause: whoever is refused asks why, and whether the cell is full or its estimates are off. Change: /v1/admission (queues of the shards held, with what is closed for whom and the wait for advice; others' queues by their word and its age) and /v1/estimates (factors by queue, tenants and workers where they differ), read through the interfaces that the parts agreed on (admission_summary, AdviceDesk.wait_seconds, Durations.expected); onyxspokectl admission and estimates. Figures: refusals, seconds to come back, returns, waits for advice, learned factors; at most 100 tenants and queues and 16 reasons by name. CallerReturned and AdviceAsked are actions that nobody emits yet. call_given_up tells retry_s. Nothing measured.

--- a/features/steps/admission_entry_steps.py
+++ b/features/steps/admission_entry_steps.py
@@ -184,7 +184,7 @@
 
     def closed() -> list[Any]:
         now = cluster.time.now()
-        return [found for node in others for found in node.node.board.closed_until(0, now)]
+        return [found for node in others for found in node.node.board.closed_queues(0, now)]
 
     assert len(closed()) == len(others)
     cluster.run(seconds)
--- a/src/onyxspoke/cli/control.py
+++ b/src/onyxspoke/cli/control.py
@@ -16,6 +16,7 @@
 from onyxspoke.cli.common import exit_after_check, load_or_exit, make_parser
 from onyxspoke.cli.config_commands import add_config_commands
 from onyxspoke.cli.explain_log import add_explain_command
+from onyxspoke.cli.load_commands import add_load_commands
 from onyxspoke.cli.step_commands import add_step_commands
 from onyxspoke.cli.tables import print_json, print_table
 from onyxspoke.core.codes import ExitCode
@@ -63,6 +64,7 @@
     _add_drain(commands)
     add_config_commands(commands)
     add_step_commands(commands)
+    add_load_commands(commands)
     add_explain_command(commands)
     add_account_command(commands)
     return parser
--- a/src/onyxspoke/cli/node.py
+++ b/src/onyxspoke/cli/node.py
@@ -34,8 +34,9 @@
 from onyxspoke.net.log_stream import BoundedLogStream
 from onyxspoke.net.network import Network, TcpEndpoints
 from onyxspoke.net.reactor_clock import BootClock, SuspensionWatch
+from onyxspoke.node.load_reports import learned_factors
 from onyxspoke.node.load_settings import apply_load_settings
-from onyxspoke.node.metrics import CONTENT_TYPE, NodeMetrics
+from onyxspoke.node.metrics import CONTENT_TYPE
 from onyxspoke.node.node import Node
 from onyxspoke.node.node_ports import NodePorts
 from onyxspoke.node.operator_api import make_operator_site
@@ -238,7 +239,7 @@
 
     def _listen_metrics(self) -> Deferred[Any]:
         root = CodedResource()
-        root.putChild(b"metrics", MetricsResource(self._node.metrics, self._lines))
+        root.putChild(b"metrics", MetricsResource(self._node, self._lines))
         site = BoundedSite(root, reactor, HttpLimits())
         return self._endpoints.server(self._settings.host, METRICS_PORT).listen(site)
 
@@ -248,15 +249,17 @@
 
     isLeaf = True
 
-    def __init__(self, metrics: NodeMetrics, lines: BoundedLogStream) -> None:
+    def __init__(self, node: Node, lines: BoundedLogStream) -> None:
         super().__init__()
-        self._metrics = metrics
+        self._node = node
         self._lines = lines
 
     def handle_get(self, request: Request) -> None:
         """Tell the figures."""
-        self._metrics.set_log_lines(self._lines.written, self._lines.dropped)
-        body = self._metrics.render()
+        metrics = self._node.metrics
+        metrics.set_log_lines(self._lines.written, self._lines.dropped)
+        metrics.load.set_learned_factors(learned_factors(self._node))
+        body = metrics.render()
         request.setHeader(b"content-type", CONTENT_TYPE)
         request.setHeader(b"content-length", str(len(body)).encode())
         request.write(body)
--- a/src/onyxspoke/core/admission/board.py
+++ b/src/onyxspoke/core/admission/board.py
@@ -9,6 +9,7 @@
 import math
 import zlib
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from onyxspoke.core.admission.summary import AdmissionSummary
 from onyxspoke.core.jobs.model import JobId
@@ -22,6 +23,15 @@
 _HASHES = 1 << 32
 
 
+class ClosedQueue(NamedTuple):
+    """A queue that is closed for some tenants, or all, for so much longer; told so long ago."""
+
+    queue: str
+    tenants: tuple[TenantName, ...]
+    seconds: float
+    age_seconds: float
+
+
 @dataclass(slots=True)
 class _Entry:
     """The newest summary of a shard, and when it was made by our clock."""
@@ -94,25 +104,23 @@
         seconds = None if entry is None else self._seconds_away(entry, queue, tenant, job_id, now)
         return default if seconds is None else max(default, seconds)
 
-    def closed_until(
-        self, shard: ShardId, now: float
-    ) -> list[tuple[str, tuple[TenantName, ...], float]]:
-        """Return the queues of a shard that are closed, for whom, and for how many more seconds."""
+    def closed_queues(self, shard: ShardId, now: float) -> list[ClosedQueue]:
+        """Return the queues of a shard that are closed by its holder's word, however old."""
         entry = self._entries.get(shard)
         if entry is None:
             return []
         age = now - entry.made_at
         return [
-            (notice.queue, notice.tenants, notice.closed_seconds - age)
+            ClosedQueue(
+                notice.queue,
+                notice.tenants,
+                min(LONGEST_CLOSED_SECONDS, notice.closed_seconds - age),
+                age,
+            )
             for notice in entry.summary.notices
             if notice.closed_seconds > age
         ]
 
-    def age_seconds(self, shard: ShardId, now: float) -> float | None:
-        """Return how old the summary of a shard is, if there is one."""
-        entry = self._entries.get(shard)
-        return None if entry is None else now - entry.made_at
-
     def _seconds_away(
         self, entry: _Entry, queue: str, tenant: TenantName, job_id: JobId, now: float
     ) -> float | None:
--- a/src/onyxspoke/core/shard/actions.py
+++ b/src/onyxspoke/core/shard/actions.py
@@ -131,6 +131,29 @@
     seconds: float
 
 
+class ReturnOutcome(Enum):
+    """What came of a caller that was refused and came again."""
+
+    ON_TIME = "on_time"
+    EARLY_OR_LATE = "early_or_late"
+    REFUSED_AGAIN = "refused_again"
+
+
+class CallerReturned(msgspec.Struct, frozen=True):
+    """A caller that was refused for load came again; for figures."""
+
+    queue: str
+    outcome: ReturnOutcome
+
+
+class AdviceAsked(msgspec.Struct, frozen=True):
+    """A call for advice left the line after so many seconds; for figures."""
+
+    queue: str
+    tenant: str
+    seconds: float
+
+
 class StepDownReason(Enum):
     """Why a holder gives its shard up."""
 
@@ -167,6 +190,8 @@
     | DropWorkerConnections
     | JobBegun
     | JobEnded
+    | CallerReturned
+    | AdviceAsked
     | LayoutKnown
     | StepDown
     | Decision
--- a/src/onyxspoke/node/call_gate.py
+++ b/src/onyxspoke/node/call_gate.py
@@ -70,14 +70,17 @@
         self._metrics.replies.labels(name, reply.code.value).inc()
         seconds = self._clock.now() - since
         self._metrics.reply_seconds.labels(queue_of(call), name).observe(seconds)
+        if reply.code is ReplyCode.REFUSED and isinstance(call, SubmitCall):
+            self._metrics.load.note_refused(queue_of(call), reply.reason, reply.retry_after_seconds)
         if reply.code in (ReplyCode.REFUSED, ReplyCode.UNKNOWN):
             logging.info(
-                "event=call_given_up call=%s job=%s code=%s reason=%s seconds=%.3f",
+                "event=call_given_up call=%s job=%s code=%s reason=%s seconds=%.3f retry_s=%.1f",
                 name,
                 job_of(call),
                 reply.code.value,
                 reply.reason,
                 seconds,
+                reply.retry_after_seconds,
             )
         on_reply(reply)
 
--- a/src/onyxspoke/node/metrics.py
+++ b/src/onyxspoke/node/metrics.py
@@ -5,12 +5,10 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from onyxspoke.core.shard.actions import JobBegun, JobEnded
+from onyxspoke.node.load_metrics import MAXIMUM_TENANTS, LabelSet, LoadMetrics
 
 #: Upper bounds of the histograms' buckets, in seconds.
 BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0)
-#: Tenants that are counted by name; what comes after is counted together.
-MAXIMUM_TENANTS = 100
-OTHER_TENANTS = "(other)"
 CONTENT_TYPE = b"text/plain; version=0.0.4"
 
 
@@ -43,7 +41,8 @@
         self.keys = Counter(
             "onyxspoke_keys", "Callers' keys, by what was found", ["verdict"], registry=registry
         )
-        self._tenants: set[str] = set()
+        self._tenants = LabelSet(MAXIMUM_TENANTS)
+        self.load = LoadMetrics(registry, self._tenants)
         self.holding = Gauge("onyxspoke_shards_held", "Shards held", registry=registry)
         self.ready = Gauge("onyxspoke_ready", "Whether callers are served", registry=registry)
         self.store = Gauge(
@@ -57,23 +56,14 @@
 
     def note_begun(self, job: JobBegun) -> None:
         """A job had its first run."""
-        labels = (job.queue, self._tenant_label(job.tenant))
+        labels = (job.queue, self._tenants.label(job.tenant))
         self.wait_seconds.labels(*labels).observe(max(0.0, job.seconds))
 
     def note_ended(self, job: JobEnded) -> None:
         """A job came to its end."""
-        labels = (job.queue, self._tenant_label(job.tenant), job.state)
+        labels = (job.queue, self._tenants.label(job.tenant), job.state)
         self.job_seconds.labels(*labels).observe(max(0.0, job.seconds))
 
-    def _tenant_label(self, tenant: str) -> str:
-        """Return the name under which a tenant is counted, of which there are not too many."""
-        if tenant in self._tenants:
-            return tenant
-        if len(self._tenants) >= MAXIMUM_TENANTS:
-            return OTHER_TENANTS
-        self._tenants.add(tenant)
-        return tenant
-
     def set_log_lines(self, written: int, dropped: int) -> None:
         """Take the log's counts."""
         self._lines.labels("written").set(written)
--- a/src/onyxspoke/node/operator_api.py
+++ b/src/onyxspoke/node/operator_api.py
@@ -6,10 +6,14 @@
 DELETE /v1/jobs/ID                cancel a job
 GET    /v1/status                 what this node holds or follows, and its workers
 GET    /v1/tenants                what the shards that this node holds know of each tenant
+GET    /v1/admission              which queues take jobs, as far as this node knows
+GET    /v1/estimates              what the shards held here have learned of how long work takes
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 from twisted.internet.interfaces import IReactorTime
 from twisted.web.server import Request
@@ -37,6 +41,7 @@
     write_error,
     write_json,
 )
+from onyxspoke.node.load_reports import describe_admission, describe_estimates
 from onyxspoke.node.node import Node
 
 #: A call that no holder has answered by then is told to be unknown.
@@ -152,6 +157,8 @@
     version.putChild(b"jobs", JobsResource(node))
     version.putChild(b"status", StatusResource(node))
     version.putChild(b"tenants", TenantsResource(node))
+    version.putChild(b"admission", ReportResource(lambda: describe_admission(node)))
+    version.putChild(b"estimates", ReportResource(lambda: describe_estimates(node)))
     root = CodedResource()
     root.putChild(b"v1", version)
     return BoundedSite(root, reactor, HttpLimits())
@@ -228,6 +235,20 @@
         write_json(request, describe_tenants(self._node))
 
 
+class ReportResource(CodedResource):
+    """A path that tells what the node knows of one matter."""
+
+    isLeaf = True
+
+    def __init__(self, describe: Callable[[], msgspec.Struct]) -> None:
+        super().__init__()
+        self._describe = describe
+
+    def handle_get(self, request: Request) -> None:
+        """Tell it."""
+        write_json(request, self._describe())
+
+
 def describe_tenants(node: Node) -> TenantsAnswer:
     """Return what the shards that a node holds know of each tenant."""
     held = {
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -10,8 +10,10 @@
 from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.placement.worker_record import UnusableEntry, WorkerRecord
 from onyxspoke.core.shard.actions import (
+    AdviceAsked,
     AskAdvice,
     AskQuota,
+    CallerReturned,
     Decision,
     DropWorkerConnections,
     JobBegun,
@@ -172,6 +174,8 @@
             LayoutKnown: lambda _scheduler, action: listener.handle_layout(action.layout),
             JobBegun: lambda _scheduler, action: metrics.note_begun(action),
             JobEnded: lambda _scheduler, action: metrics.note_ended(action),
+            CallerReturned: lambda _scheduler, action: metrics.load.note_returned(action),
+            AdviceAsked: lambda _scheduler, action: metrics.load.note_advice_asked(action),
             DropWorkerConnections: exchange.drop,
             StepDown: lambda _scheduler, action: self.step_down(action.reason),
         }
