--- a/features/admission_entries.feature
+++ b/features/admission_entries.feature
@@ -52,6 +52,11 @@
     Then all of them are refused as "no_holder" after a quarter of a second
     And they are told exactly 1 second to come back
 
+  Scenario: Faults of all kinds while every holder says that all queues are closed
+    When seeds 1 to 4 are played with one shard and 5 to 6 with three, every queue closed by word
+    Then no job that only was refused ever ran, and none was doubled or lost
+    And some jobs were refused as "queue_closed"
+
   Scenario Outline: What a board makes of summaries
     Given a board that trusts for 5 seconds
     When it hears <words>
--- a/features/load_settings.feature
+++ b/features/load_settings.feature
@@ -57,6 +57,13 @@
       | admission: on    | 0    | load.yaml: valid                |
       | admission: maybe | 3    | admission: expected a boolean   |
 
+  Scenario: A running node that reads its files again keeps what it does under load
+    Given a node that runs with these settings and the file 'admission: true'
+    When the file says 'admission: false', a seed is added, and it reads them again
+    Then it has the new seed, and refusal under load is still on
+    When the file says 'admission: maybe', a seed is added, and it reads them again
+    Then it has the former seed, and refusal under load is still on
+
   Scenario: A node without such a file starts without the libraries that read it
     When the modules of the node's program are loaded
     Then neither "yaml" nor "pydantic" is among them
--- a/features/steps/admission_entry_steps.py
+++ b/features/steps/admission_entry_steps.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import re
+from collections import Counter
 from itertools import pairwise
 from typing import Any
+from unittest import mock
 
 import msgspec
 from behave import given, then, when
@@ -22,13 +24,15 @@
 from onyxspoke.core.jobs.model import JobSpec, StepSpec
 from onyxspoke.core.shard.calls import CallReply, ReplyCode, SubmitCall
 from onyxspoke.core.shard.log_records import ClaimRecord, ShardId
+from onyxspoke.core.shard.scheduler import ShardScheduler
+from onyxspoke.kit.jobs.audit import JobAudit
 from onyxspoke.kit.jobs.workers import WorkOptions
 from onyxspoke.net.stream import encode_message
 from onyxspoke.node.admission_news import AdmissionNews
 from onyxspoke.node.heartbeat import HEARTBEAT_SECONDS, HeartbeatSchedule
 from onyxspoke.node.messages import Status
 from onyxspoke.node.peers import PeerLink
-from onyxspoke.sim.explore_jobs import make_options
+from onyxspoke.sim.explore_jobs import make_options, play
 from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster, SimulatedNode
 
 SETTLE_SECONDS = 3.0
@@ -250,6 +254,47 @@
     assert len(seen) == 3
 
 
+# Explorations
+
+ALL_QUEUES = ("urgent", "normal", "patient")
+
+
+def _all_closed(scheduler: ShardScheduler, _now: float) -> AdmissionSummary:
+    notices = tuple(QueueNotice(queue=queue, closed_seconds=3.0) for queue in ALL_QUEUES)
+    return AdmissionSummary(token=scheduler.context.token, notices=notices)
+
+
+@when(
+    "seeds {first:d} to {last:d} are played with one shard and {more:d} to {most:d} with three,"
+    " every queue closed by word"
+)
+def _explore(context: Any, first: int, last: int, more: int, most: int) -> None:
+    context.reasons = Counter()
+    heard = JobAudit.handle_submit_reply
+
+    def take(audit: JobAudit, job_id: str, reply: CallReply | None) -> None:
+        if reply is not None and reply.code is ReplyCode.REFUSED:
+            context.reasons[reply.reason] += 1
+        heard(audit, job_id, reply)
+
+    with (
+        mock.patch.object(ShardScheduler, "admission_summary", _all_closed),
+        mock.patch.object(JobAudit, "handle_submit_reply", take),
+    ):
+        context.reports = [play(seed) for seed in range(first, last + 1)]
+        context.reports += [play(seed, shards=3) for seed in range(more, most + 1)]
+
+
+@then("no job that only was refused ever ran, and none was doubled or lost")
+def _no_findings(context: Any) -> None:
+    assert not [finding for report in context.reports for finding in report.findings]
+
+
+@then('some jobs were refused as "{reason}"')
+def _some_refused(context: Any, reason: str) -> None:
+    assert context.reasons[reason] > 0, context.reasons
+
+
 # The board alone
 
 
--- a/features/steps/load_settings_steps.py
+++ b/features/steps/load_settings_steps.py
@@ -4,11 +4,12 @@
 import sys
 import tempfile
 from pathlib import Path
+from types import SimpleNamespace
 
 from behave import given, then, when
 from node_tools_steps import SETTINGS_WITHOUT_RATES
 
-from onyxspoke.cli.node import describe_load_options
+from onyxspoke.cli.node import SettingsFiles, describe_load_options, reload_settings
 from onyxspoke.core.shard.load_options import LoadOptions
 from onyxspoke.node.load_settings import apply_load_settings
 from onyxspoke.node.settings import SettingsError
@@ -106,6 +107,45 @@
     assert words in context.ended.stdout + context.ended.stderr, context.ended
 
 
+@given("a node that runs with these settings and the file '{text}'")
+def _running(context, text):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.files = SettingsFiles(Path(folder.name) / "boot.conf", Path(folder.name) / "load.yaml")
+    _write_files(context, text, "")
+    context.running = SimpleNamespace(settings=context.files.read().node)
+
+
+def _write_files(context, text, seeds):
+    config = f"{SETTINGS_WITHOUT_RATES}\nseeds={seeds}"
+    context.files.platform.write_text(config, encoding="utf-8")
+    context.files.load.write_text(text, encoding="utf-8")
+
+
+@when("the file says '{text}', a seed is added, and it reads them again")
+def _read_again(context, text):
+    context.former_seeds = context.running.settings.seeds
+    context.seed = f"10.1.0.{len(context.former_seeds) + 20}"
+    _write_files(context, text, ",".join(f"{seed}:1" for seed in _all_seeds(context)))
+    reload_settings(context.running, context.files)
+
+
+def _all_seeds(context):
+    return (*context.former_seeds, context.seed)
+
+
+@then("it has the new seed, and refusal under load is still on")
+def _new_seed(context):
+    assert context.running.settings.seeds == _all_seeds(context)
+    assert context.running.settings.shard_options.load.admission
+
+
+@then("it has the former seed, and refusal under load is still on")
+def _former_seed(context):
+    assert context.running.settings.seeds == context.former_seeds
+    assert context.running.settings.shard_options.load.admission
+
+
 @when("the modules of the node's program are loaded")
 def _load_modules(context):
     context.ended = _run_python("-c", "import sys, onyxspoke.cli.node; print(*sys.modules)")
--- a/src/onyxspoke/cli/node.py
+++ b/src/onyxspoke/cli/node.py
@@ -277,13 +277,16 @@
 
 
 def reload_settings(node: Node, files: SettingsFiles) -> None:
-    """Take from the settings files what may change in a running process: the seeds."""
+    """Take from the settings files what may change in a running process.
+
+    What is done under load stays: the shards that are held go by it since they are.
+    """
     try:
         settings = files.read()
     except SettingsError as error:
         logging.error("event=reload_failed faults=%r", str(error))
         return
-    node.settings = settings.node
+    node.settings = replace(settings.node, shard_options=node.settings.shard_options)
     logging.info("event=reloaded seeds=%d", len(settings.node.seeds))
 
 
--- a/src/onyxspoke/core/admission/board.py
+++ b/src/onyxspoke/core/admission/board.py
@@ -121,6 +121,11 @@
             if notice.closed_seconds > age
         ]
 
+    def age_seconds(self, shard: ShardId, now: float) -> float | None:
+        """Return how old the summary of a shard is, if there is one."""
+        entry = self._entries.get(shard)
+        return None if entry is None else now - entry.made_at
+
     def _seconds_away(
         self, entry: _Entry, queue: str, tenant: TenantName, job_id: JobId, now: float
     ) -> float | None:
--- a/src/onyxspoke/node/call_router.py
+++ b/src/onyxspoke/node/call_router.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable
 
+from absl import logging
+
 from onyxspoke.core.admission.board import AdmissionBoard
 from onyxspoke.core.admission.verdict import RefusalReason
 from onyxspoke.core.shard.calls import Call, CallReply, ReplyCode, SubmitCall
@@ -17,6 +19,7 @@
 RETRY_AFTER_SECONDS = 1.0
 #: Pause before a call goes to the same holder again, after it said that it is none.
 REPEAT_SECONDS = 0.05
+_MILLISECONDS = 1_000.0
 
 OnReply = Callable[[CallReply], None]
 #: Sends a call to the present holder; returns whether it left.
@@ -137,8 +140,19 @@
             return
         job = pending.call.job
         seconds = self._board.decide(pending.shard, job.queue.name, job.tenant, job.job_id, now)
-        if seconds is not None:
-            self._finish(call_id, _refused(seconds, RefusalReason.CLOSED.value))
+        if seconds is None:
+            return
+        age = self._board.age_seconds(pending.shard, now) or 0.0
+        logging.info(
+            "event=job_refused_unsent shard=%d job=%s queue=%s tenant=%s age_ms=%d retry_s=%.1f",
+            pending.shard,
+            job.job_id,
+            job.queue.name,
+            job.tenant,
+            age * _MILLISECONDS,
+            seconds,
+        )
+        self._finish(call_id, _refused(seconds, RefusalReason.CLOSED.value))
 
     def _late_reply(self, pending: _PendingCall, now: float) -> CallReply:
         if pending.was_sent or not isinstance(pending.call, SubmitCall):
