--- a/src/onyxspoke/core/admission/verdict.py
+++ b/src/onyxspoke/core/admission/verdict.py
@@ -12,13 +12,13 @@
 
     ``TOO_LATE``: even the best case ends after its caller's last moment of use.  ``IN_DOUBT``: the
     likely case does, and its tenant is owed nothing for it.  ``STORE_AWAY``: nothing can be
-    promised, because the store does not answer.  ``CLOSED``: no holder can be reached, and the
-    last one told its entries that the queue takes nothing for a while.
+    promised, because the store does not answer.
     """
 
     TOO_LATE = "too_late"
     IN_DOUBT = "in_doubt"
     STORE_AWAY = "store_in_trouble"
+    #: No holder can be reached, and the last one told its entries that the queue is closed.
     CLOSED = "queue_closed"
 
 
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -165,10 +165,6 @@
         """Write the layout of a new cell; it is told once the store has it."""
         self.context.new_layout = layout
 
-    def admission_summary(self, now: float) -> AdmissionSummary | None:
-        """Return which queues are closed, for entries; None where none can be."""
-        return None
-
     # The platform
 
     def stimulus_policy(self, policy: PolicySet, now: float) -> None:
@@ -287,6 +283,10 @@
         """A tenant's home shard answered a request for a part of its quota, or did not."""
         self.quotas.handle_reply(request, reply, now)
 
+    def admission_summary(self, now: float) -> AdmissionSummary | None:
+        """Return which queues are closed, for entries; None where none can be."""
+        return None
+
     # Time
 
     def stimulus_tick(self, now: float, wall_ms: float) -> None:
--- a/src/onyxspoke/node/call_gate.py
+++ b/src/onyxspoke/node/call_gate.py
@@ -74,9 +74,11 @@
             self._metrics.load.note_refused(queue_of(call), reply.reason, reply.retry_after_seconds)
         if reply.code in (ReplyCode.REFUSED, ReplyCode.UNKNOWN):
             logging.info(
-                "event=call_given_up call=%s job=%s code=%s reason=%s seconds=%.3f retry_s=%.1f",
+                "event=call_given_up call=%s job=%s queue=%s code=%s reason=%s seconds=%.3f"
+                " retry_s=%.1f",
                 name,
                 job_of(call),
+                queue_of(call) or "?",
                 reply.code.value,
                 reply.reason,
                 seconds,
