--- a/features/admission_entries.feature
+++ b/features/admission_entries.feature
@@ -109,6 +109,10 @@
       | 36    | 40     | 20      | 277   | 1.5   | 2.4   |
       | 3     | 40     | 20      | 1024  | 0.2   | 0.8   |
 
+  Scenario: A summary of any queues and tenants is cut to its bytes
+    When summaries of any queues and tenants are cut to any length
+    Then each has that many bytes at most, and every queue that is left out was closed for no longer or took more
+
   Scenario: Nothing is told while every queue is open
     Given a holder with 36 peers that has closed 0 queues for 0 tenants each
     When it beats for 60 seconds
--- a/features/steps/admission_entry_steps.py
+++ b/features/steps/admission_entry_steps.py
@@ -510,6 +510,45 @@
         assert max(gaps) <= pause + 0.01, max(gaps)
 
 
+_names = st.text(max_size=40)
+_notices = st.lists(
+    st.builds(
+        QueueNotice,
+        queue=_names,
+        closed_seconds=st.floats(0.0, 30.0),
+        tenants=st.lists(_names, max_size=40).map(tuple),
+    ),
+    max_size=40,
+).map(tuple)
+
+
+@when("summaries of any queues and tenants are cut to any length")
+def _cut_any(context: Any) -> None:
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @for_all(_notices, st.integers(64, 1_024))
+    def check(notices: tuple[QueueNotice, ...], most: int) -> None:
+        cut = bound_summary(AdmissionSummary(token=7, notices=notices), most)
+        assert size_of_summary(cut) <= most
+        left_out = list(notices)
+        for notice in cut.notices:
+            left_out.remove(notice)
+        for notice in left_out:
+            longer = [kept for kept in cut.notices if kept.closed_seconds >= notice.closed_seconds]
+            whole = AdmissionSummary(token=7, notices=(*longer, notice))
+            # The head of the array is counted at its longest.
+            assert size_of_summary(whole) + 4 > most
+
+    context.check = check
+
+
+@then(
+    "each has that many bytes at most, and every queue that is left out was closed for no longer"
+    " or took more"
+)
+def _cut_checked(context: Any) -> None:
+    context.check()
+
+
 @then("it has told nothing")
 def _told_nothing(context: Any) -> None:
     assert context.told == []
