--- a/features/admission_entries.feature
+++ b/features/admission_entries.feature
@@ -19,6 +19,11 @@
     When the holder is killed, another takes over, and 20 jobs for "normal" come at another entry
     Then all of them are accepted
 
+  Scenario: The word of a holder ends with the next one, also once that is lost
+    Given a cluster whose holder has closed "normal" for 30 seconds
+    When the holder is killed, the next one too, and 20 jobs for "normal" come at another entry
+    Then all of them are accepted
+
   Scenario: An entry that reaches the holder asks it, whatever it was told
     Given a cluster whose holder has closed "normal" for 4 seconds
     When 20 jobs for "normal" come at another entry
--- a/features/steps/admission_entry_steps.py
+++ b/features/steps/admission_entry_steps.py
@@ -136,15 +136,31 @@
     " entry"
 )
 def _take_over_and_come(context: Any, count: int, queue: str) -> None:
+    _take_over(context)
+    _come(context, count, queue)
+
+
+def _take_over(context: Any) -> None:
+    """Kill the holder, and wait until the others have heard of the next one."""
     cluster = context.cluster
     cluster.kill_node(context.holder.name)
     for _ in range(200):
         cluster.run(0.01)
         if cluster.holder() is not None:
             break
-    assert cluster.holder() is not None
+    context.holder = cluster.holder()
+    assert context.holder is not None
+    others = [node for node in cluster.nodes.values() if node is not context.holder]
+    context.entry = next(node for node in others if node.is_up)
     cluster.run(0.02)
-    _come(context, count, queue)
+
+
+@when(
+    'the holder is killed, the next one too, and {count:d} jobs for "{queue}" come at another entry'
+)
+def _both_killed(context: Any, count: int, queue: str) -> None:
+    _take_over(context)
+    _kill_and_come(context, count, queue)
 
 
 @when(
