--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from onyxspoke.core.admission.summary import AdmissionSummary
 from onyxspoke.core.codes import ResultCode
 from onyxspoke.core.jobs.model import RunKey, WorkerId
 from onyxspoke.core.jobs.policy import PolicySet
@@ -282,6 +283,10 @@
         """A tenant's home shard answered a request for a part of its quota, or did not."""
         self.quotas.handle_reply(request, reply, now)
 
+    def admission_summary(self, now: float) -> AdmissionSummary | None:
+        """Return which queues are closed, for entries; None where none can be."""
+        return None
+
     # Time
 
     def stimulus_tick(self, now: float, wall_ms: float) -> None:
--- a/src/onyxspoke/node/operator_api.py
+++ b/src/onyxspoke/node/operator_api.py
@@ -6,16 +6,19 @@
 DELETE /v1/jobs/ID                cancel a job
 GET    /v1/status                 what this node holds or follows, and its workers
 GET    /v1/tenants                what the shards that this node holds know of each tenant
+GET    /v1/admission              which queues take jobs, as far as this node knows
+GET    /v1/estimates              what the shards held here have learned of how long work takes
 """
 
 from __future__ import annotations
 
-import math
+from collections.abc import Callable
 
 import msgspec
 from twisted.internet.interfaces import IReactorTime
 from twisted.web.server import Request
 
+from onyxspoke.core.admission.verdict import is_for_load
 from onyxspoke.core.codes import OnyxspokeError, ResultCode
 from onyxspoke.core.jobs.model import JobId, JobSpec, Schedule, StepSpec
 from onyxspoke.core.jobs.validation import check_job
@@ -31,7 +34,14 @@
 )
 from onyxspoke.core.shard.tenant_summary import TenantSummary, summarise_tenants
 from onyxspoke.net.bounded_http import BoundedSite, HttpLimits
-from onyxspoke.net.http import CodedResource, read_json, write_error, write_json
+from onyxspoke.net.http import (
+    CodedResource,
+    read_json,
+    set_retry_after,
+    write_error,
+    write_json,
+)
+from onyxspoke.node.load_reports import describe_admission, describe_estimates
 from onyxspoke.node.node import Node
 
 #: A call that no holder has answered by then is told to be unknown.
@@ -147,6 +157,8 @@
     version.putChild(b"jobs", JobsResource(node))
     version.putChild(b"status", StatusResource(node))
     version.putChild(b"tenants", TenantsResource(node))
+    version.putChild(b"admission", ReportResource(lambda: describe_admission(node)))
+    version.putChild(b"estimates", ReportResource(lambda: describe_estimates(node)))
     root = CodedResource()
     root.putChild(b"v1", version)
     return BoundedSite(root, reactor, HttpLimits())
@@ -223,6 +235,20 @@
         write_json(request, describe_tenants(self._node))
 
 
+class ReportResource(CodedResource):
+    """A path that tells what the node knows of one matter."""
+
+    isLeaf = True
+
+    def __init__(self, describe: Callable[[], msgspec.Struct]) -> None:
+        super().__init__()
+        self._describe = describe
+
+    def handle_get(self, request: Request) -> None:
+        """Tell it."""
+        write_json(request, self._describe())
+
+
 def describe_tenants(node: Node) -> TenantsAnswer:
     """Return what the shards that a node holds know of each tenant."""
     held = {
@@ -338,8 +364,9 @@
     elif reply.code is ReplyCode.NO_SUCH_JOB:
         write_error(request, OnyxspokeError(ResultCode.NO_SUCH_JOB, f"no job {answer.job_id}"))
     elif reply.code is ReplyCode.REFUSED:
-        seconds = str(max(1, math.ceil(reply.retry_after_seconds)))
-        request.setHeader(b"retry-after", seconds.encode())
-        write_error(request, OnyxspokeError(ResultCode.NO_HOLDER, reply.reason))
+        set_retry_after(request, reply.retry_after_seconds)
+        is_load = is_for_load(reply.reason)
+        code = ResultCode.TOO_MUCH_WAITS if is_load else ResultCode.NO_HOLDER
+        write_error(request, OnyxspokeError(code, reply.reason))
     else:
         write_error(request, OnyxspokeError(ResultCode.HOLDER_UNKNOWN, reply.reason))
