The line for advice: shares, an order kept up to date, and entries that are doubted leave it smaller

Cause: under a flood beyond a tenant's share, with a third of the entries cut off, owed steps waited for advice behind the flood's calls and through entries that did not answer. Change: the desk is split (line, entries, forecast, what is known of a step); with LoadOptions.advice_shares calls that are not owed go through idle entries that owed ones leave, calls that are wanted no longer are dropped, entries that do not answer are doubted for 1 to 4 s and tried with one call, and all calls out with them go back to their old place at once. wait_seconds foretells a wait. Ruled out: a pause before a call is made again; counting doubted entries when dividing them. Calm: the same calls.

--- a/features/advice_line.feature
+++ b/features/advice_line.feature
@@ -23,3 +23,16 @@
     Given a cell of 120 workers and 30 entries
     When 7 gangs and 20 urgent steps a second are handed in for 8 seconds, asking about those with room
     Then more than half of the entries have carried calls of gangs
+
+  Scenario: A flood that hands in half of all jobs, while 11 of 31 entries are cut off
+    Given a repair cell of 350 workers and 31 entries, played with and without shares of the line
+    When its usual jobs come for 12 seconds, from 2 on as many beyond a tenant's share, and 11 entries are cut off from 3 to 8
+    Then owed patient steps wait for advice at most 0.7 times as long as without shares on average
+    And the longest wait of an owed urgent step falls from over 0.4 seconds to under 0.15
+    And the longest wait of an owed patient step falls from over 1.5 seconds to under 0.8
+    And every step of the flood begins in the end
+
+  Scenario: On a calm cell calls are the same with shares of the line as without
+    Given a repair cell of 350 workers and 31 entries, played with and without shares of the line
+    When its usual jobs come for 6 seconds
+    Then both plays made the same calls through the same entries at the same moments
--- a/features/steps/advice_line_steps.py
+++ b/features/steps/advice_line_steps.py
@@ -2,171 +2,23 @@
 
 from __future__ import annotations
 
-import heapq
-import random
-from collections.abc import Callable
 from typing import Any
 from unittest import mock
 
+from advice_cell import LARGE_WORKER, REPAIR, Cell
 from behave import given, then, when
 
-from onyxspoke.core.jobs.model import AdvicePolicy, JobSpec, Needs, QueuePolicy, StepSpec
-from onyxspoke.core.jobs.policy import PolicySet
-from onyxspoke.core.jobs.progress import JobProgress, StepProgress
-from onyxspoke.core.jobs.states import JobState, RunState, TaskState
 from onyxspoke.core.placement.advice_choice import AdviceChooser
-from onyxspoke.core.placement.advice_desk import AdviceCall, AdviceDesk
-from onyxspoke.core.placement.placer import Placer
-from onyxspoke.core.placement.runs import Run
-from onyxspoke.core.placement.worker_record import WorkerRecord
-from onyxspoke.core.placement.worker_table import WorkerTable
-from onyxspoke.core.placement.workers import Worker, WorkerContact
-from onyxspoke.core.shard.orders import AdviceOutcome, AdviceResult, Ticket
-from onyxspoke.core.tenants.ledger import no_quotas
-
-PASS_SECONDS = 0.02
-SERVICE = "service"
-CAPACITY = Needs(16_000, 64_000, 0)
+
 NEARLY_ALL = 0.95
-#: The traits of each kind: priority, share of good workers, decision and share a worker in ms, then
-#: tasks, processors of each and seconds of work.
-KINDS: dict[str, tuple[int, float, float, float, int, int, float]] = {
-    "urgent": (0, 0.7, 9.4, 0.13, 3, 2_500, 0.64),
-    "gang": (1, 0.25, 455.0, 6.5, 20, 4_500, 4.0),
-    "patient": (2, 0.45, 156.0, 2.34, 25, 1_700, 3.4),
-}
-
-
-class _Cell:
-    """Workers, entries, and a clock of its own."""
-
-    def __init__(self, workers: int, entries: int) -> None:
-        self.now = 100.0
-        self.random = random.Random(workers)
-        self.table = WorkerTable()
-        self.desk = AdviceDesk()
-        self.placer = Placer(self.table, self.desk, stop_seconds=0.9)
-        self.steps: dict[str, StepProgress] = {}
-        self.handed_in: dict[str, list[tuple[str, float]]] = {}
-        self.begun: dict[str, float] = {}
-        self.busy_until: dict[str, float] = {}
-        self.carried: dict[str, set[str]] = {}
-        self.most_at_once = 0
-        self._later: list[tuple[float, int, Callable[[], None]]] = []
-        self._count = 0
-        self.desk.set_advisors([f"entry-{number:02}" for number in range(entries)], self.now)
-        for number in range(workers):
-            record = WorkerRecord(
-                worker_id=f"w{number:03}",
-                host="",
-                port=0,
-                service=SERVICE,
-                zone=f"zone-{number % 3}",
-                capacity=CAPACITY,
-            )
-            worker = Worker(record, 0.0)
-            worker.move_to(WorkerContact.SETTLED)
-            worker.is_recorded = True
-            self.table.workers[record.worker_id] = worker
-
-    def later(self, seconds: float, function: Callable[[], None]) -> None:
-        self._count += 1
-        heapq.heappush(self._later, (self.now + seconds, self._count, function))
-
-    def hand_in(self, kind: str) -> None:
-        priority, _good, decide, each, tasks, processors, seconds = KINDS[kind]
-        queue = QueuePolicy(
-            name=kind,
-            service=SERVICE,
-            priority=priority,
-            stretch=4.0,
-            target_latency_ms=1_000,
-            advice=AdvicePolicy(decide, each, 1_500.0),
-        )
-        spec = StepSpec(
-            task_count=tasks,
-            processors_milli=processors,
-            memory_mb=100,
-            estimated_ms=int(seconds * 1_000),
-            gang=kind == "gang",
-        )
-        name = f"{kind}-{len(self.handed_in.setdefault(kind, []))}"
-        job = JobProgress(JobSpec(job_id=name, queue=queue, payload="", steps=(spec,)), self.now)
-        job.committed_state = JobState.QUEUED
-        self.steps[name] = job.begin_repetition(0, self.now)[0]
-        self.handed_in[kind].append((name, self.now))
-
-    def run(self, seconds: float) -> None:
-        end = self.now + seconds
-        while self.now < end:
-            self.now += PASS_SECONDS
-            while self._later and self._later[0][0] <= self.now:
-                heapq.heappop(self._later)[2]()
-            self._make_pass()
-
-    def _make_pass(self) -> None:
-        waiting = [step for step in self.steps.values() if step.waiting]
-        for key in self.desk.take_due_retries(self.now):
-            self.placer.reconsider(key)
-        quotas = no_quotas()
-        for plan in self.placer.plan(waiting, PolicySet(), quotas, self.now):
-            name = plan.step.job.job_id
-            self.begun.setdefault(name, self.now)
-            for placement in plan.placements:
-                self._start(plan.step, placement.task.index, placement.worker)
-        for call in self.desk.dispatch(self.now):
-            self._carry(call)
-
-    def _start(self, step: StepProgress, index: int, worker: Worker) -> None:
-        task = step.tasks[index]
-        run = Run(task, 1, worker, self.now)
-        run.move_to(RunState.RUNNING)
-        run.confirmed_at = self.now
-        task.run = run
-        task.move_to(TaskState.ACTIVE)
-        worker.add(run)
-
-        def end() -> None:
-            run.move_to(RunState.ENDED)
-            worker.remove(run)
-            task.run = None
-            task.move_to(TaskState.DONE)
-            self.table.note_gain(worker)
-
-        self.later(step.spec.estimated_ms / 1_000.0, end)
-
-    def _carry(self, call: AdviceCall) -> None:
-        """Have an entry's call answered when those before it have been."""
-        kind = call.step.job_id.partition("-")[0]
-        self.carried.setdefault(kind, set()).add(call.advisor)
-        begins = max(self.busy_until.get(call.advisor, 0.0), self.now)
-        self.busy_until[call.advisor] = ends = begins + call.seconds
-        good = [
-            name
-            for name in call.worker_ids
-            if random.Random(f"{call.step}/{name}").random() < KINDS[kind][1]
-        ]
-        tickets = [Ticket(name, "leave") for name in good]
-        result = AdviceResult(AdviceOutcome.ANSWERED, tickets, 1_500.0)
-
-        def answer() -> None:
-            step = self.desk.handle_result(call.call_id, result, self.now)
-            if step is not None:
-                self.placer.reconsider(step)
-
-        self.later(ends - self.now, answer)
-
-    def share_begun(self, kind: str, seconds: float) -> float:
-        handed_in = self.handed_in[kind]
-        in_time = [
-            name for name, at in handed_in if self.begun.get(name, float("inf")) - at <= seconds
-        ]
-        return len(in_time) / len(handed_in)
+#: Jobs a second on a usual day of the repair cell.
+USUAL = {"urgent": 52.0, "patient": 9.6, "gang": 2.2}
+AFTERMATH_SECONDS = 4.0
 
 
 @given("a cell of {workers:d} workers and {entries:d} entries")
 def _cell(context: Any, workers: int, entries: int) -> None:
-    context.cell = _Cell(workers, entries)
+    context.cell = Cell(workers, entries)
 
 
 def _first_by_name(chooser: AdviceChooser, _most: int, advice: Any) -> list[str]:
@@ -214,3 +66,72 @@
 @then("more than half of the entries have carried calls of gangs")
 def _many_carried(context: Any) -> None:
     assert len(context.cell.carried["gang"]) > 15, context.cell.carried["gang"]
+
+
+@given(
+    "a repair cell of {workers:d} workers and {entries:d} entries,"
+    " played with and without shares of the line"
+)
+def _repair_cells(context: Any, workers: int, entries: int) -> None:
+    context.plain, context.cell = (
+        Cell(workers, entries, REPAIR, LARGE_WORKER, 2_000.0, has_shares)
+        for has_shares in (False, True)
+    )
+
+
+@when(
+    "its usual jobs come for {seconds:d} seconds, from {since:d} on as many beyond a tenant's"
+    " share, and {cut:d} entries are cut off from {cut_at:d} to {mended_at:d}"
+)
+def _play_flood(
+    context: Any, seconds: int, since: int, cut: int, cut_at: int, mended_at: int
+) -> None:
+    for cell in (context.plain, context.cell):
+        cell.cut(cut, float(cut_at), float(mended_at - cut_at))
+        for kind, rate in USUAL.items():
+            cell.hand_in_evenly(kind, rate, 0.0, float(seconds))
+            cell.hand_in_evenly(kind, rate, float(since), float(seconds - since), beyond=True)
+        cell.run(seconds + AFTERMATH_SECONDS)
+
+
+@when("its usual jobs come for {seconds:d} seconds")
+def _play_usual(context: Any, seconds: int) -> None:
+    for cell in (context.plain, context.cell):
+        for kind, rate in USUAL.items():
+            cell.hand_in_evenly(kind, rate, 0.0, float(seconds))
+        cell.run(seconds + AFTERMATH_SECONDS)
+
+
+@then(
+    "owed {kind} steps wait for advice at most {factor:g} times as long"
+    " as without shares on average"
+)
+def _shorter(context: Any, kind: str, factor: float) -> None:
+    before, after = (sum(cell.waits(kind, cell.advised)) for cell in (context.plain, context.cell))
+    assert after <= factor * before, (before, after)
+
+
+@then(
+    "the longest wait of an owed {kind} step falls from over {before:g} seconds to under {after:g}"
+)
+def _longest(context: Any, kind: str, before: float, after: float) -> None:
+    longest = [cell.waits(kind, cell.advised)[-1] for cell in (context.plain, context.cell)]
+    assert longest[0] > before, longest
+    assert longest[1] < after, longest
+
+
+@then("every step of the flood begins in the end")
+def _flood_begins(context: Any) -> None:
+    cell = context.cell
+    cell.run(6.0)
+    names = [
+        name for group, jobs in cell.handed_in.items() for name, _at in jobs if "flood" in group
+    ]
+    assert names
+    assert not set(names) - cell.begun.keys()
+
+
+@then("both plays made the same calls through the same entries at the same moments")
+def _same_calls(context: Any) -> None:
+    assert context.plain.sent
+    assert context.plain.sent == context.cell.sent
--- a/src/onyxspoke/core/placement/advice_choice.py
+++ b/src/onyxspoke/core/placement/advice_choice.py
@@ -13,10 +13,10 @@
 from onyxspoke.core.jobs.amounts import slots_within
 from onyxspoke.core.jobs.model import AdvicePolicy, WorkerId
 from onyxspoke.core.jobs.progress import StepProgress
-from onyxspoke.core.placement.advice_desk import StepAdvice
 from onyxspoke.core.placement.offer import Offer, has_label
 from onyxspoke.core.placement.room import ScratchRoom
 from onyxspoke.core.placement.spreading import counts_on_workers
+from onyxspoke.core.placement.step_advice import StepAdvice
 from onyxspoke.core.placement.workers import Worker
 
 #: Room that is asked about, as a multiple of what is needed, where there is so much: fewer than the
@@ -27,6 +27,10 @@
 #: Workers in a first call at least, where there are as many: a call's own share makes up most of a
 #: smaller one, and a step that has to wait for room is to have some choice.
 FEWEST_ASKED = 24
+#: Workers in one call at most; the service's bound.
+MAXIMUM_WORKERS_ASKED = 100
+#: Workers in one of several calls about a step at least, where there are as many.
+MINIMUM_WORKERS_ASKED = 24
 #: Workers that came into use, or gained room, are asked about again after so many times what the
 #: call takes: a step that waits asks for at most a fifth of the time.
 PAUSE_FACTOR = 5.0
@@ -137,3 +141,21 @@
 
 def _names(workers: Iterable[Worker]) -> list[WorkerId]:
     return [worker.worker_id for worker in workers]
+
+
+def batches(
+    step: StepProgress, policy: AdvicePolicy, worker_ids: list[WorkerId]
+) -> list[tuple[WorkerId, ...]]:
+    """Return the workers to ask about, by call.
+
+    Most steps do well with the workers of one call.  A gang wants to know all of them, and
+    sooner than one call after the other: so its calls go side by side, each of a size at which
+    the share that every call takes and the share of its workers are about alike.
+    """
+    if not step.spec.gang:
+        return [tuple(worker_ids[:MAXIMUM_WORKERS_ASKED])]
+    balanced = int(policy.decide_ms / policy.per_item_ms) if policy.per_item_ms else len(worker_ids)
+    most = min(MAXIMUM_WORKERS_ASKED, max(balanced, MINIMUM_WORKERS_ASKED))
+    count = -(-len(worker_ids) // most)
+    size = -(-len(worker_ids) // count)
+    return [tuple(worker_ids[at : at + size]) for at in range(0, len(worker_ids), size)]
--- a/src/onyxspoke/core/placement/advice_places.py
+++ b/src/onyxspoke/core/placement/advice_places.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+from enum import IntEnum
 
 #: Calls at most so long may go through any entry, in seconds.
 SHORT_CALL_SECONDS = 0.04
@@ -21,10 +22,31 @@
 #: third of them busy, few calls find their entry taken.
 SHORT_HEADROOM = 3.0
 MEDIUM_HEADROOM = 2.0
+#: What tenants are not owed leaves so many times the entries that owed calls of a kind keep busy,
+#: and takes a share of the kind's entries at most, so that owed calls find some at once.
+OWED_HEADROOM = 1.5
+NOT_OWED_SHARE = 0.5
+#: One entry stays for what is not owed, unless owed calls keep so much of them busy.
+FULL_SHARE = 0.8
 #: Over how long the load is averaged, and how long it is observed before it counts, in seconds.
 LOAD_SECONDS = 5.0
 
 
+class CallLength(IntEnum):
+    """Which entries carry a call."""
+
+    SHORT = 0
+    MEDIUM = 1
+    LONG = 2
+
+
+def length_of(seconds: float) -> CallLength:
+    """Return how long a call counts as."""
+    if seconds <= SHORT_CALL_SECONDS:
+        return CallLength.SHORT
+    return CallLength.MEDIUM if seconds <= MEDIUM_CALL_SECONDS else CallLength.LONG
+
+
 class _Load:
     """Seconds of calls a second, averaged."""
 
@@ -49,6 +71,8 @@
         self._short = _Load()
         self._medium = _Load()
         self._observed_since: float | None = None
+        #: Of the calls of steps that are owed.
+        self._owed = {length: _Load() for length in CallLength}
 
     def note_call(self, seconds: float, now: float) -> None:
         """A call of a length is wanted."""
@@ -59,6 +83,20 @@
         elif seconds <= MEDIUM_CALL_SECONDS:
             self._medium.note(seconds, now)
 
+    def note_owed(self, seconds: float, now: float) -> None:
+        """A call for a step that is owed is wanted."""
+        self._owed[length_of(seconds)].note(seconds, now)
+
+    def owed_load(self, length: CallLength, now: float) -> float:
+        """Return how many entries owed calls of a length keep busy."""
+        return self._owed[length].at(now)
+
+    def left_over(self, length: CallLength, count: int, now: float) -> int:
+        """Return through how many of the entries for calls of a length others may go at once."""
+        load = self.owed_load(length, now)
+        left = min(int(NOT_OWED_SHARE * count), int(count - OWED_HEADROOM * load))
+        return max(left, int(load < FULL_SHARE * count))
+
     def places_for(self, seconds: float, count: int, now: float) -> tuple[int, int]:
         """Return the places, among so many entries, for calls of a length: the first, and behind.
 
--- a/src/onyxspoke/core/placement/gang_placer.py
+++ b/src/onyxspoke/core/placement/gang_placer.py
@@ -5,7 +5,7 @@
 from onyxspoke.core.jobs.model import AdvicePolicy, QueuePolicy
 from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.placement.advice_choice import FEWEST_ASKED, AdviceChooser
-from onyxspoke.core.placement.advice_desk import AdviceDesk, StepAdvice
+from onyxspoke.core.placement.advice_desk import AdviceDesk
 from onyxspoke.core.placement.offer import Offer, has_label
 from onyxspoke.core.placement.placement_pass import PlacementPass
 from onyxspoke.core.placement.preemption import Preemption, choose_preemption, freed_soon
@@ -14,6 +14,7 @@
 from onyxspoke.core.placement.room import ScratchRoom
 from onyxspoke.core.placement.room_seeker import Eviction
 from onyxspoke.core.placement.spreading import Placement, StepPlacement, is_far
+from onyxspoke.core.placement.step_advice import StepAdvice
 from onyxspoke.core.placement.workers import Worker
 
 #: Tickets for a gang are asked for once so much of its room is there.
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -8,7 +8,7 @@
 from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.placement.advice_choice import AdviceChooser, pause_seconds
-from onyxspoke.core.placement.advice_desk import AdviceDesk, StepAdvice
+from onyxspoke.core.placement.advice_desk import AdviceDesk
 from onyxspoke.core.placement.gang_placer import GangPlacer
 from onyxspoke.core.placement.offer import Offer, has_label
 from onyxspoke.core.placement.placement_pass import PlacementPass
@@ -21,6 +21,7 @@
     counts_on_workers,
     place_tasks,
 )
+from onyxspoke.core.placement.step_advice import StepAdvice
 from onyxspoke.core.placement.worker_table import WorkerTable
 from onyxspoke.core.placement.workers import Worker
 from onyxspoke.core.tenants.ledger import QuotaPass
--- a/src/onyxspoke/core/placement/queue_order.py
+++ b/src/onyxspoke/core/placement/queue_order.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -45,6 +46,11 @@
     latest_start: float
     step: int
 
+    @property
+    def is_owed(self) -> bool:
+        """Whether somebody waits for the step's job, and its tenant is owed it."""
+        return not (self.is_expired or self.is_beyond_share)
+
 
 def step_rank(step: StepProgress, policy: PolicySet, now: float) -> StepRank:
     """Return a step's place, under the policy in force."""
@@ -66,6 +72,26 @@
     )
 
 
+def with_lateness(rank: StepRank, step: StepProgress, now: float) -> StepRank:
+    """Return a step's place as it is now: with time, only its lateness changes."""
+    lateness = _lateness(step, step.job.objective_seconds, now)
+    if lateness is rank.lateness:
+        return rank
+    return rank._replace(is_expired=lateness is Lateness.EXPIRED, lateness=lateness)
+
+
+def lateness_changes_at(step: StepProgress, now: float) -> float:
+    """Return when a step's lateness changes next; infinity if it never does."""
+    if step.spec.long_running:
+        return math.inf
+    start = step.due_at - CERTAIN_SHARE * step.chain_seconds
+    objective = step.job.objective_seconds
+    for moment in (start + objective, start + EXPIRY_FACTOR * objective):
+        if moment > now:
+            return moment
+    return math.inf
+
+
 def _lateness(step: StepProgress, objective: float, now: float) -> Lateness:
     if step.spec.long_running:
         return Lateness.ON_TIME
--- a/src/onyxspoke/core/shard/context.py
+++ b/src/onyxspoke/core/shard/context.py
@@ -90,7 +90,7 @@
         self.token = token
         self.book = JobBook(options.status_seconds)
         self.table = WorkerTable()
-        self.desk = AdviceDesk(shard)
+        self.desk = AdviceDesk(shard, options.load.advice_shares)
         self.shard = shard
         self.ledger = QuotaLedger()
         self.bank = QuotaBank(shard)
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -194,6 +194,7 @@
     def stimulus_advisors(self, names: list[str], now: float) -> None:
         """These entries can carry calls for advice."""
         self.context.desk.set_advisors(names, now)
+        self.context.wants_placement |= self.context.desk.has_moved_calls
 
     def stimulus_store_unreachable(self, until: float) -> None:
         """No node reaches the store, so that nobody can claim the shard until then."""
@@ -250,6 +251,8 @@
             self.context.log("advice", step=step.name, good=len(result.tickets), asked=asked)
             self._placer.reconsider(step)
             self.context.wants_placement = True
+        elif self.context.desk.has_moved_calls:
+            self.context.wants_placement = True
 
     def stimulus_append_result(
         self, sequence: int, sent_at: float, result: AppendResult, now: float
@@ -360,6 +363,8 @@
         context.wants_placement = sum(len(item.placements) for item in plans) >= MAXIMUM_PLACEMENTS
         for call in context.desk.dispatch(now):
             context.emit(AskAdvice(call.call_id, call.advisor, call.step, call.worker_ids))
+        for notice in context.desk.take_notices(now):
+            context.log(notice.event, **notice.fields)
 
     def _log_overlooked(self, step: StepProgress, now: float) -> None:
         self.context.log(
