--- a/src/onyxspoke/core/placement/advice_desk.py
+++ b/src/onyxspoke/core/placement/advice_desk.py
@@ -209,7 +209,7 @@
         if call is None or result.outcome is not AdviceOutcome.ANSWERED:
             return None
         if self.has_shares:
-            self._entries.note_answer(call, now)
+            self._entries.note_pace(call, now)
             self._note_trust(call, now)
             if self._line.take(call.number) is not None:
                 # It still waited to be made again, which is not needed any more.
--- a/src/onyxspoke/core/placement/advice_entries.py
+++ b/src/onyxspoke/core/placement/advice_entries.py
@@ -39,7 +39,13 @@
 LAST_RESORT_SECONDS = 0.1
 #: An entry that takes so many times as long as it should counts as slow; more is not believed.
 SLOW_FACTOR = 1.5
-SLOWEST_FACTOR = 8.0
+SLOWEST_FACTOR = 4.0
+#: One late answer of a shorter call than this, in seconds, does not make an entry slow.
+TELLING_SECONDS = 0.1
+#: What the service as a whole is believed to be slower than it should, at most.
+SLOWEST_SERVICE = 2.0
+#: Times that the patience with a call that is made again is doubled, at most.
+MOST_DOUBLINGS = 1
 
 
 @dataclass(slots=True)
@@ -154,15 +160,19 @@
     def note_answer(self, call: AdviceCall, now: float) -> None:
         """A call was answered: learn how long that takes."""
         took = max(0.0, now - call.begun_at)
-        ratio = took / max(call.seconds, SHORT_CALL_SECONDS)
-        self._slowness = ratio
-        advisor = self._all.get(call.advisor)
-        if advisor is not None:
-            advisor.slowness += 0.5 * (min(max(ratio, 1.0), SLOWEST_FACTOR) - advisor.slowness)
+        self._slowness = took / max(call.seconds, SHORT_CALL_SECONDS)
+        self.note_pace(call, now)
         late = max(0.0, took - call.seconds)
         self._deviation += (1.0 - LATENESS_KEPT) * (abs(late - self._lateness) - self._deviation)
         self._lateness += (1.0 - LATENESS_KEPT) * (late - self._lateness)
 
+    def note_pace(self, call: AdviceCall, now: float) -> None:
+        """A call was answered, in time or not: learn how slow its entry is."""
+        advisor = self._all.get(call.advisor)
+        if advisor is not None:
+            ratio = (now - call.begun_at) / max(call.seconds, TELLING_SECONDS)
+            advisor.slowness += 0.5 * (min(max(ratio, 1.0), SLOWEST_FACTOR) - advisor.slowness)
+
     def doubt(self, advisor: Advisor, now: float) -> bool:
         """A call was not answered in time; return whether the entry was not doubted before."""
         if not self._has_shares:
@@ -239,11 +249,13 @@
         expected = call.seconds * max(1.0, self._slowness)
         if not self._has_shares:
             return call.begun_at + OVERDUE_FACTOR * expected + OVERDUE_SECONDS
+        expected = min(expected, call.seconds * SLOWEST_SERVICE)
         expected = max(expected, self._seconds_at(call, advisor))
         usual = self._lateness + USUAL_DEVIATIONS * self._deviation
         late = min(max(usual, PROMPT_OVERDUE_SECONDS), OVERDUE_SECONDS)
-        # Each further try waits longer, so that a service that is slow as a whole is not flooded.
-        return call.begun_at + (OVERDUE_FACTOR * expected + late) * 2.0**call.tries
+        # A further try waits longer, so that a service that is slow as a whole is not flooded.
+        patience = 2.0 ** min(call.tries, MOST_DOUBLINGS)
+        return call.begun_at + (OVERDUE_FACTOR * expected + late) * patience
 
     def _preference(self, name: str, position: int) -> int:
         """Return an advisor's place among those that are equally free; the lowest comes first.
