Admission: a holder takes a hand-in, or refuses it at once with when to come back

Cause: nothing decided about admission; what could not be done in time was promised all the same. Change: core/admission makes a look at the load (waiting work by rank, room that comes free, work that keeps coming) and decides by it; refused jobs are remembered by a hash and told a second in which their work is served. While the store is away those refused are spread, the urgent first. Only where load.admission is on; with it off no look is made. Ruled out: refusing only what is past its last use by its place in the line. Late jobs go behind those that can be on time, so under steady overload what was taken late was pushed past its use by what was taken next; a job is not taken now if it would do that to one of its class.

--- /dev/null
+++ b/src/onyxspoke/core/admission/gate.py
@@ -0,0 +1,88 @@
+"""The decision about a job that is handed in: a pure function of the job and a look at the load.
+
+What surely cannot be done while its caller waits is refused; what surely can is taken.  Between
+the two a job is taken if its tenant is owed it, or if it comes back when it was told to.  Nothing
+is taken that would make a job come too late which was taken before, and is no less urgent.
+"""
+
+from __future__ import annotations
+
+from onyxspoke.core.admission.hand_in import HandIn
+from onyxspoke.core.admission.load_view import Ahead, LoadView
+from onyxspoke.core.admission.verdict import (
+    Admit,
+    RefusalReason,
+    Refuse,
+    Verdict,
+    VerdictInputs,
+)
+from onyxspoke.core.jobs.model import Needs
+
+#: A caller is told to come back after so long at least, and at most, in seconds.
+SHORTEST_RETRY_SECONDS = 1.0
+LONGEST_RETRY_SECONDS = 120.0
+#: Callers are told whole seconds, and so may come so much later.
+ROUNDING_SECONDS = 1.0
+
+
+class Gate:
+    """Decides whether a job is taken; nothing is changed by it."""
+
+    def decide(self, job: HandIn, view: LoadView, now: float) -> Verdict:
+        """Return the verdict on a job.
+
+        ``retry_after_seconds`` of a refusal is when what goes before the job is through.
+        """
+        ahead = view.ahead_of(job)
+        inputs = _inputs(job, ahead or Ahead(0.0, 0.0), view, now)
+        if not job.has_end or job.objective_seconds <= 0.0:
+            return Admit(inputs)
+        if job.is_too_wide(view.quotas.get(job.tenant, Needs())):
+            return Refuse(RefusalReason.TOO_LATE, LONGEST_RETRY_SECONDS, inputs)
+        if ahead is None:
+            return Admit(inputs)
+        work = view.work_seconds(job)
+        best_end = max(ahead.best_seconds, job.advice_seconds) + work.best_seconds
+        worst_end = max(ahead.worst_seconds, job.advice_seconds) + work.worst_seconds
+        is_possible = best_end <= inputs.patience_seconds
+        if is_possible and job.is_awaited:
+            return Admit(inputs)
+        is_owed = not job.rank.is_beyond_share
+        may_be_taken = worst_end <= inputs.patience_seconds or (is_possible and is_owed)
+        if may_be_taken and not view.pushes_promised(job):
+            return Admit(inputs)
+        if _can_begin_now(job, view, inputs):
+            return Admit(inputs)
+        reason = RefusalReason.IN_DOUBT if is_possible else RefusalReason.TOO_LATE
+        return Refuse(reason, _retry_seconds(job, ahead, inputs, is_possible), inputs)
+
+
+def _can_begin_now(job: HandIn, view: LoadView, inputs: VerdictInputs) -> bool:
+    """Return whether free workers could run a job, and advice about them comes in time."""
+    time_for_advice = inputs.patience_seconds - job.chain_median_seconds
+    is_advised = job.advice_seconds <= max(time_for_advice, job.objective_seconds)
+    return is_advised and view.has_room_for(job)
+
+
+def _retry_seconds(job: HandIn, ahead: Ahead, inputs: VerdictInputs, is_possible: bool) -> float:
+    """Return when a job is best handed in again: once what goes before it is through.
+
+    What is only in doubt comes back while it can still be done.
+    """
+    seconds = max(ahead.best_seconds, job.advice_seconds)
+    if is_possible:
+        latest = inputs.patience_seconds - job.chain_upper_seconds
+        seconds = min(seconds, latest - ROUNDING_SECONDS)
+    return min(max(seconds, SHORTEST_RETRY_SECONDS), LONGEST_RETRY_SECONDS)
+
+
+def _inputs(job: HandIn, ahead: Ahead, view: LoadView, now: float) -> VerdictInputs:
+    return VerdictInputs(
+        ahead_seconds=ahead.best_seconds,
+        advice_seconds=job.advice_seconds,
+        work_median_seconds=job.chain_median_seconds,
+        work_upper_seconds=job.chain_upper_seconds,
+        patience_seconds=job.last_use_at - now,
+        view_age_seconds=now - view.made_at,
+        ahead_upper_seconds=ahead.worst_seconds,
+    )
--- /dev/null
+++ b/src/onyxspoke/core/admission/hand_in.py
@@ -0,0 +1,165 @@
+"""A job that is handed in, as the decision about it sees it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from onyxspoke.core.estimates.durations import Durations
+from onyxspoke.core.estimates.expected import Expected
+from onyxspoke.core.jobs.amounts import times
+from onyxspoke.core.jobs.model import JobSpec, Needs, QueuePolicy
+from onyxspoke.core.jobs.progress import chains_ms
+from onyxspoke.core.placement.queue_order import (
+    CERTAIN_SHARE,
+    EXPIRY_FACTOR,
+    Lateness,
+    StepRank,
+)
+
+#: Runs from which on it is known how long a queue's tasks take; before, estimates may be too high.
+TELLING_RUNS = 20.0
+_MILLISECONDS = 1_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class StepWork:
+    """What one step asks for.
+
+    Attributes
+    ----------
+    needs : Needs
+        Of one task.
+    low_seconds, median_seconds, upper_seconds : float
+        How long one task takes, at least and at most.
+    """
+
+    needs: Needs
+    tasks: int
+    low_seconds: float
+    median_seconds: float
+    upper_seconds: float
+    is_first: bool
+    label: str = ""
+    is_gang: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class HandIn:
+    """A job that is handed in.
+
+    Attributes
+    ----------
+    first_at : float
+        When it was handed in for the first time, in the holder's seconds.
+    objective_seconds : float
+        Within how long it should be done; 0 or less where nothing is asked for.
+    rank : StepRank
+        The place in the waiting line that its first step would take.
+    has_end : bool
+        It is of use once it is done: no repetitions, no tasks that last.
+    is_awaited : bool
+        It was refused, and comes back when it was told to.
+    advice_seconds : float
+        Until the line for advice has answered about its first step.
+    chain_median_seconds, chain_upper_seconds : float
+        Its longest chain of steps.
+    """
+
+    service: str
+    queue: str
+    tenant: str
+    rank: StepRank
+    first_at: float
+    objective_seconds: float
+    steps: tuple[StepWork, ...]
+    chain_median_seconds: float
+    chain_upper_seconds: float
+    has_end: bool = True
+    is_awaited: bool = False
+    advice_seconds: float = 0.0
+
+    @property
+    def last_use_at(self) -> float:
+        """The holder's second after which its outcome is of no use to its caller."""
+        return self.first_at + EXPIRY_FACTOR * self.objective_seconds
+
+    def with_advice(self, seconds: float) -> HandIn:
+        """Return the job with the time that advice takes."""
+        return replace(self, advice_seconds=seconds)
+
+    def is_too_wide(self, quota: Needs) -> bool:
+        """Return whether a quota, of which 0 sets no limit, certainly never lets it run."""
+        for step in self.steps:
+            together = times(step.needs, step.tasks) if step.is_gang else step.needs
+            if any(most and need > most for need, most in zip(together, quota, strict=True)):
+                return True
+        return False
+
+
+def low_seconds(expected: Expected) -> float:
+    """Return how long a task takes at least, where many such tasks are summed up.
+
+    Few tasks take much less than the median, and some far more, so that a sum of medians is low.
+    """
+    if expected.evidence >= TELLING_RUNS:
+        return expected.median_seconds
+    return CERTAIN_SHARE * expected.median_seconds
+
+
+def describe_hand_in(
+    spec: JobSpec,
+    queue: QueuePolicy,
+    durations: Durations,
+    first_at: float,
+    *,
+    is_awaited: bool = False,
+) -> HandIn:
+    """Return what the decision needs of a job."""
+    steps = tuple(_step_works(spec, durations))
+    median, upper = _chain(spec, steps)
+    estimated = max(chains_ms(spec), default=0.0) / _MILLISECONDS
+    objective = spec.queue.stretch * estimated + spec.queue.target_latency_ms / _MILLISECONDS
+    latest_start = first_at + objective - estimated
+    rank = StepRank(False, spec.is_beyond_share, queue.priority, Lateness.ON_TIME, latest_start, 0)
+    return HandIn(
+        service=queue.service,
+        queue=queue.name,
+        tenant=spec.tenant,
+        rank=rank,
+        first_at=first_at,
+        objective_seconds=objective,
+        steps=steps,
+        chain_median_seconds=median,
+        chain_upper_seconds=upper,
+        has_end=not spec.schedule.count and not any(step.long_running for step in spec.steps),
+        is_awaited=is_awaited,
+    )
+
+
+def _step_works(spec: JobSpec, durations: Durations) -> list[StepWork]:
+    works = []
+    for step in spec.steps:
+        expected = durations.expected(spec.queue.name, spec.tenant, step.estimated_ms)
+        work = StepWork(
+            needs=step.needs,
+            tasks=step.task_count,
+            low_seconds=max(0.0, low_seconds(expected)),
+            median_seconds=max(0.0, expected.median_seconds),
+            upper_seconds=max(0.0, expected.upper_seconds),
+            is_first=not step.depends_on,
+            label=step.required_label,
+            is_gang=step.gang,
+        )
+        works.append(work)
+    return works
+
+
+def _chain(spec: JobSpec, works: tuple[StepWork, ...]) -> tuple[float, float]:
+    """Return the median and the upper seconds of the longest chain of steps."""
+    ends: list[tuple[float, float]] = []
+    for step, work in zip(spec.steps, works, strict=True):
+        median = max((ends[number][0] for number in step.depends_on), default=0.0)
+        upper = max((ends[number][1] for number in step.depends_on), default=0.0)
+        ends.append((median + work.median_seconds, upper + work.upper_seconds))
+    longest_median = max((end[0] for end in ends), default=0.0)
+    return longest_median, max((end[1] for end in ends), default=0.0)
--- /dev/null
+++ b/src/onyxspoke/core/admission/returns.py
@@ -0,0 +1,143 @@
+"""Who was refused, and when each is to come back.
+
+A job is known by a hash of its name.  The first time that it was handed in counts for its place
+and its objective when it comes again.  What is remembered is bounded, and a new holder begins
+without it; who is forgotten loses a place in the line, nothing else.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from onyxspoke.core.admission.hand_in import HandIn
+from onyxspoke.core.admission.slots import ServedSeconds, Slot
+from onyxspoke.core.admission.view_builder import AwaitedWork
+from onyxspoke.core.jobs.model import JobId
+from onyxspoke.core.tenants.policy import TenantName
+
+#: Refused jobs that are remembered.
+MAXIMUM_REMEMBERED = 4_096
+HASH_BYTES = 8
+#: A job that comes back within so long after its second, in seconds, is on time.
+GRACE_SECONDS = 2.0
+#: Callers count whole seconds from an answer that was under way; so much earlier is on time, too.
+EARLY_SECONDS = 0.5
+
+JobHash = int
+
+
+@dataclass(slots=True)
+class Refused:
+    """A job that was refused.
+
+    Attributes
+    ----------
+    first_at : float
+        When it was first handed in.
+    last_use_at : float
+        From when on its outcome is of no use.
+    refusals : int
+        How many times in a row it was refused.
+    due_at : float
+        When it is to come back.
+    slot : Slot or None
+        What is kept for it; nothing once it is late.
+    """
+
+    first_at: float
+    last_use_at: float
+    is_owed: bool
+    refusals: int
+    due_at: float
+    awaited: AwaitedWork
+    slot: Slot | None
+
+    def is_on_time(self, now: float) -> bool:
+        """Return whether a job that comes now comes when it was told to."""
+        has_slot = self.slot is not None
+        return has_slot and -EARLY_SECONDS <= now - self.due_at <= GRACE_SECONDS
+
+
+def hash_of(tenant: TenantName, job_id: JobId) -> JobHash:
+    """Return the hash by which a job is remembered."""
+    digest = blake2b(f"{tenant}/{job_id}".encode(), digest_size=HASH_BYTES).digest()
+    return int.from_bytes(digest, "big")
+
+
+class Returns:
+    """Remembers refused jobs and spreads their returns over time."""
+
+    def __init__(self) -> None:
+        self._refused: dict[JobHash, Refused] = {}
+        self.seconds = ServedSeconds()
+
+    def __len__(self) -> int:
+        """Return how many refused jobs are remembered."""
+        return len(self._refused)
+
+    def find(self, key: JobHash) -> Refused | None:
+        """Return what is remembered of a job."""
+        return self._refused.get(key)
+
+    def refuse(
+        self,
+        key: JobHash,
+        job: HandIn,
+        work: float,
+        wait_seconds: float,
+        most: float,
+        now: float,
+    ) -> int:
+        """Remember a refused job; return after how many whole seconds it is to come back.
+
+        Parameters
+        ----------
+        work : float
+            Of the job, in share-seconds of its service.
+        wait_seconds : float
+            How long it waits at least.
+        most : float
+            Of each second, what may be kept for jobs like it, in share-seconds.
+        """
+        former = self.forget(key)
+        if len(self._refused) >= MAXIMUM_REMEMBERED:
+            self.forget(next(iter(self._refused)))
+        wait, slot = self.seconds.keep_slot(job.service, work, wait_seconds, most, now)
+        self._refused[key] = Refused(
+            first_at=job.first_at,
+            last_use_at=job.last_use_at,
+            is_owed=not job.rank.is_beyond_share,
+            refusals=1 if former is None else former.refusals + 1,
+            due_at=now + wait,
+            awaited=_awaited(job, work, now + wait),
+            slot=slot,
+        )
+        return wait
+
+    def forget(self, key: JobHash) -> Refused | None:
+        """Drop what is remembered of a job, as once it was taken; return it."""
+        refused = self._refused.pop(key, None)
+        if refused is not None and refused.slot is not None:
+            self.seconds.give_back(refused.slot)
+        return refused
+
+    def awaited(self, now: float) -> Iterator[AwaitedWork]:
+        """Return the work of the jobs that may yet come back on time."""
+        for refused in self._refused.values():
+            if refused.slot is not None and now <= refused.due_at + GRACE_SECONDS:
+                yield refused.awaited
+
+    def keep(self, now: float) -> None:
+        """Give back what was kept for jobs that did not come."""
+        for refused in self._refused.values():
+            if refused.slot is not None and now > refused.due_at + GRACE_SECONDS:
+                self.seconds.give_back(refused.slot)
+                refused.slot = None
+        self.seconds.forget_before(now)
+
+
+def _awaited(job: HandIn, work: float, due_at: float) -> AwaitedWork:
+    last_start_at = job.last_use_at - job.chain_median_seconds
+    return AwaitedWork(job.service, job.rank, work, due_at, last_start_at)
--- a/src/onyxspoke/core/admission/verdict.py
+++ b/src/onyxspoke/core/admission/verdict.py
@@ -11,8 +11,9 @@
     """Why a job is refused.
 
     ``TOO_LATE``: even the best case ends after its caller's last moment of use.  ``IN_DOUBT``: the
-    likely case does, and its tenant is owed nothing for it.  ``STORE_AWAY``: nothing can be
-    promised, because the store does not answer.
+    worst case does, and its tenant is owed nothing for it, or a job that was taken before would
+    come too late for it.  ``STORE_AWAY``: nothing can be promised, because the store does not
+    answer.
     """
 
     TOO_LATE = "too_late"
@@ -25,8 +26,8 @@
 
     Attributes
     ----------
-    ahead_seconds : float
-        Until what goes first has begun.
+    ahead_seconds, ahead_upper_seconds : float
+        Until what goes first has begun, at best and at worst.
     advice_seconds : float
         Until the line for advice has served what goes first.
     work_median_seconds, work_upper_seconds : float
@@ -43,6 +44,7 @@
     work_upper_seconds: float
     patience_seconds: float
     view_age_seconds: float
+    ahead_upper_seconds: float = 0.0
 
 
 class Admit(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/src/onyxspoke/core/admission/view_builder.py
@@ -0,0 +1,286 @@
+"""Makes the view of the load from what a holder knows."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from onyxspoke.core.admission.arrivals import ArrivalMeter, RankClass, class_of
+from onyxspoke.core.admission.hand_in import low_seconds
+from onyxspoke.core.admission.load_view import (
+    FreeRoom,
+    Lane,
+    LoadView,
+    RoomHeld,
+    share_of,
+)
+from onyxspoke.core.admission.promises import LateWork
+from onyxspoke.core.admission.waiting_line import WaitingLine, WaitingWork
+from onyxspoke.core.estimates.durations import Durations
+from onyxspoke.core.estimates.expected import Expected
+from onyxspoke.core.jobs.amounts import plus
+from onyxspoke.core.jobs.model import Needs
+from onyxspoke.core.jobs.policy import PolicySet
+from onyxspoke.core.jobs.progress import StepProgress
+from onyxspoke.core.jobs.states import RunState
+from onyxspoke.core.placement.forecast import TELLING_PERCENT, remaining_seconds
+from onyxspoke.core.placement.queue_order import (
+    EXPIRY_FACTOR,
+    Lateness,
+    StepRank,
+    step_rank,
+)
+from onyxspoke.core.placement.runs import Run
+from onyxspoke.core.placement.worker_record import WorkerListing
+from onyxspoke.core.placement.worker_table import WorkerTable
+from onyxspoke.core.placement.workers import Worker, WorkerContact
+from onyxspoke.core.tenants.policy import TenantName
+
+_FULL_PERCENT = 100
+
+Expect = Callable[[str, str, int], Expected]
+
+
+class AwaitedWork(NamedTuple):
+    """Work of a refused job that was told when to come back.
+
+    ``due_at`` is then, and ``last_start_at`` until when it may wait, in the holder's seconds.
+    """
+
+    service: str
+    rank: StepRank
+    share_seconds: float
+    due_at: float
+    last_start_at: float
+
+
+class Load(NamedTuple):
+    """What a view is made from.
+
+    Attributes
+    ----------
+    stop_seconds : float
+        How long a run takes to give way.
+    arrivals : ArrivalMeter
+        What is taken in lately.
+    awaited : iterable of AwaitedWork
+        Of refused jobs that are to come back.
+    """
+
+    steps: list[StepProgress]
+    table: WorkerTable
+    policy: PolicySet
+    durations: Durations
+    stop_seconds: float
+    arrivals: ArrivalMeter
+    awaited: Iterable[AwaitedWork] = ()
+
+
+class _Waiting(NamedTuple):
+    """A step that waits; seconds of work of its tasks together, and of waiting that it can bear."""
+
+    rank: StepRank
+    needs: Needs
+    low_seconds: float
+    high_seconds: float
+    task_seconds: float
+    slack_seconds: float
+
+
+def build_view(load: Load, now: float) -> LoadView:
+    """Return the load as it is now."""
+    builder = _Builder(load, now)
+    return builder.build()
+
+
+class _Builder:
+    def __init__(self, load: Load, now: float) -> None:
+        self._load = load
+        self._now = now
+        self._expect = _remember(load.durations)
+        self._by_service: dict[str, list[_Waiting]] = {}
+        self._by_tenant: dict[TenantName, list[_Waiting]] = {}
+        self._quotas = {
+            name: tenant.quota for name, tenant in load.policy.tenants.items() if any(tenant.quota)
+        }
+
+    def build(self) -> LoadView:
+        for step in self._load.steps:
+            self._take_step(step)
+        held = [run for worker in self._load.table.workers.values() for run in worker.runs.values()]
+        tenant_lanes = self._make_tenant_lanes(held)
+        lanes, free = self._make_lanes()
+        return LoadView(self._now, lanes, self._quotas, tenant_lanes, free)
+
+    # What waits
+
+    def _take_step(self, step: StepProgress) -> None:
+        if step.spec.long_running:
+            return
+        spec = step.job.spec
+        queue = self._load.policy.queue_of(spec)
+        expected = self._expect(spec.queue.name, spec.tenant, step.spec.estimated_ms)
+        count = len(step.waiting)
+        low = count * low_seconds(expected)
+        high = count * expected.upper_seconds
+        placed_rank = step_rank(step, self._load.policy, self._now)
+        rank = promised_rank(placed_rank)
+        needs = step.needs
+        slack = math.inf
+        if placed_rank.lateness is Lateness.LATE:
+            last_use_at = step.due_at + EXPIRY_FACTOR * step.job.objective_seconds
+            slack = last_use_at - step.chain_seconds - self._now
+        waiting = _Waiting(rank, needs, low, high, expected.median_seconds, slack)
+        if spec.tenant in self._quotas:
+            self._by_tenant.setdefault(spec.tenant, []).append(waiting)
+        if step.over_quota_since is not None:
+            # It takes none of the workers' room before its tenant has some of its quota free.
+            waiting = waiting._replace(low_seconds=0.0)
+        self._by_service.setdefault(queue.service, []).append(waiting)
+
+    # Lanes
+
+    def _make_lanes(self) -> tuple[dict[str, Lane], dict[str, list[FreeRoom]]]:
+        by_service: dict[str, list[Worker]] = {}
+        for worker in self._load.table.workers.values():
+            if worker.contact is not WorkerContact.OVER and worker.listing is WorkerListing.READY:
+                by_service.setdefault(worker.record.service, []).append(worker)
+        lanes = {}
+        free = {}
+        for service, workers in by_service.items():
+            lane = self._make_lane(service, workers)
+            if lane is not None:
+                lanes[service] = lane
+                free[service] = self._free_room(service)
+        return lanes, free
+
+    def _make_lane(self, service: str, workers: list[Worker]) -> Lane | None:
+        in_use = [worker for worker in workers if worker.contact is WorkerContact.SETTLED]
+        total = _sum_capacity(in_use)
+        if not any(total):
+            return None
+        works = [_work(waiting, total) for waiting in self._by_service.get(service, [])]
+        late = _late_work(self._by_service.get(service, []), total)
+        for awaited in self._load.awaited:
+            if awaited.service == service:
+                works.append(WaitingWork(awaited.rank, 0.0, awaited.share_seconds))
+                late.setdefault(class_of(awaited.rank), []).append(self._late(awaited))
+        runs = [run for worker in in_use for run in worker.runs.values()]
+        return Lane(
+            total=total,
+            line=WaitingLine(works),
+            held=[self._held(run, total) for run in runs],
+            spare_factor=max(1.0, share_of(_sum_capacity(workers), total)),
+            stop_seconds=self._load.stop_seconds,
+            late=late,
+            coming=self._load.arrivals.rates(service, self._now),
+        )
+
+    def _late(self, awaited: AwaitedWork) -> LateWork:
+        return LateWork(
+            slack_seconds=awaited.last_start_at - self._now,
+            work=awaited.share_seconds,
+            begins_in_seconds=awaited.due_at - self._now,
+        )
+
+    def _free_room(self, service: str) -> list[FreeRoom]:
+        free = []
+        for worker in self._load.table.offered(service):
+            room = Needs(worker.free_processors, worker.free_memory, worker.free_accelerators)
+            if room.processors_milli > 0 or not worker.record.capacity.processors_milli:
+                free.append(FreeRoom(room, worker.record.labels))
+        free.sort(key=lambda worker: -worker.room.processors_milli)
+        return free
+
+    def _make_tenant_lanes(self, runs: list[Run]) -> dict[TenantName, Lane]:
+        held: dict[TenantName, list[RoomHeld]] = {}
+        for run in runs:
+            tenant = run.task.step.job.spec.tenant
+            if tenant in self._quotas:
+                held.setdefault(tenant, []).append(self._held(run, self._quotas[tenant]))
+        lanes = {}
+        for tenant, quota in self._quotas.items():
+            works = [_work(waiting, quota) for waiting in self._by_tenant.get(tenant, [])]
+            lanes[tenant] = Lane(quota, WaitingLine(works), held.get(tenant, []))
+        return lanes
+
+    def _held(self, run: Run, total: Needs) -> RoomHeld:
+        spec = run.task.step.spec
+        queue = self._load.policy.queue_of(run.task.step.job.spec)
+        seconds = self._seconds_left(run)
+        may_give_way = (
+            spec.checkpointing and run.gang is None and not spec.long_running and not spec.fills
+        )
+        return RoomHeld(seconds, share_of(run.needs, total), queue.priority, may_give_way)
+
+    def _seconds_left(self, run: Run) -> float:
+        """Return how long a run holds its room.
+
+        Between two reports its progress is out of date; it counts as of when it was told.
+        """
+        spec = run.task.step.spec
+        if run.state is RunState.STOPPING:
+            return max(0.0, run.stop_sent_at + self._load.stop_seconds - self._now)
+        if run.is_resumed or spec.long_running:
+            return remaining_seconds(run, self._now)
+        job = run.task.step.job.spec
+        whole = self._expect(job.queue.name, job.tenant, spec.estimated_ms).median_seconds
+        if not run.confirmed_at:
+            return whole
+        if run.percent >= TELLING_PERCENT:
+            whole = (run.moved_at - run.confirmed_at) / run.percent * _FULL_PERCENT
+        return max(0.0, whole - (self._now - run.confirmed_at))
+
+
+def promised_rank(rank: StepRank) -> StepRank:
+    """Return the place of what was promised: what is late, and still of use, does not fall back.
+
+    In the order of placement it does; then every job that is taken would push it further, until
+    it is of no use.
+    """
+    if rank.lateness is Lateness.LATE:
+        return rank._replace(lateness=Lateness.ON_TIME)
+    return rank
+
+
+def _work(waiting: _Waiting, total: Needs) -> WaitingWork:
+    share = share_of(waiting.needs, total)
+    return WaitingWork(
+        waiting.rank,
+        share * waiting.low_seconds,
+        share * waiting.high_seconds,
+        waiting.task_seconds,
+    )
+
+
+def _late_work(steps: list[_Waiting], total: Needs) -> dict[RankClass, list[LateWork]]:
+    late: dict[RankClass, list[LateWork]] = {}
+    for waiting in steps:
+        if waiting.slack_seconds < math.inf:
+            work = share_of(waiting.needs, total) * waiting.low_seconds
+            late.setdefault(class_of(waiting.rank), []).append(
+                LateWork(waiting.slack_seconds, work)
+            )
+    return late
+
+
+def _remember(durations: Durations) -> Expect:
+    """Return what expects how long tasks take, and asks once about those that are alike."""
+    known: dict[tuple[str, str, int], Expected] = {}
+
+    def expect(queue: str, tenant: str, estimated_ms: int) -> Expected:
+        key = (queue, tenant, estimated_ms)
+        expected = known.get(key)
+        if expected is None:
+            expected = known[key] = durations.expected(queue, tenant, estimated_ms)
+        return expected
+
+    return expect
+
+
+def _sum_capacity(workers: list[Worker]) -> Needs:
+    total = Needs()
+    for worker in workers:
+        total = plus(total, worker.record.capacity)
+    return total
--- a/src/onyxspoke/core/jobs/book.py
+++ b/src/onyxspoke/core/jobs/book.py
@@ -73,13 +73,16 @@
 
     # Callers
 
-    def submit(self, spec: JobSpec, now: float) -> Submission:
-        """Take a job in; the same identifier again changes nothing."""
+    def submit(self, spec: JobSpec, now: float, handed_in_at: float | None = None) -> Submission:
+        """Take a job in; the same identifier again changes nothing.
+
+        ``handed_in_at`` is when it was first handed in, where that was before.
+        """
         if spec.job_id in self.jobs:
             return Submission.KNOWN
         if self.was_cancelled_before(spec):
             return Submission.CANCELLED_BEFORE
-        job = JobProgress(spec, now)
+        job = JobProgress(spec, now if handed_in_at is None else handed_in_at)
         self.jobs[spec.job_id] = job
         self.dirty[spec.job_id] = None
         if spec.schedule.count > 0:
--- a/src/onyxspoke/core/shard/call_desk.py
+++ b/src/onyxspoke/core/shard/call_desk.py
@@ -11,9 +11,12 @@
 
 import msgspec
 
+from onyxspoke.core.admission.returns import Refused
 from onyxspoke.core.jobs.book import Submission
 from onyxspoke.core.jobs.model import JobId, JobSpec
+from onyxspoke.core.jobs.progress import JobProgress
 from onyxspoke.core.shard.actions import ReplyToCall
+from onyxspoke.core.shard.admission_desk import AdmissionDesk
 from onyxspoke.core.shard.calls import (
     Call,
     CallReply,
@@ -46,12 +49,21 @@
         Stops the runs of a cancelled job.
     quotas : QuotaDesk
         Lends quotas to other shards.
+    admission : AdmissionDesk
+        Decides whether jobs are taken.
     """
 
-    def __init__(self, context: ShardContext, runs: RunKeeper, quotas: QuotaDesk) -> None:
+    def __init__(
+        self,
+        context: ShardContext,
+        runs: RunKeeper,
+        quotas: QuotaDesk,
+        admission: AdmissionDesk,
+    ) -> None:
         self._context = context
         self._runs = runs
         self._quotas = quotas
+        self._admission = admission
         #: Callers whose jobs no append that was sent has.
         self._unsent: dict[int, _PendingReply] = {}
         #: Callers whose answer waits for an append and may as well be "unknown".
@@ -102,12 +114,21 @@
             context.emit(ReplyToCall(call_id, CallReply(code=ReplyCode.OK)))
             return
         if known is None and context.commit.is_in_trouble(now):
-            self._refuse(_PendingReply(context, call_id, job_id))
+            retries = self._admission.refuse_for_store([spec], now)
+            self._refuse(_PendingReply(context, call_id, job_id), _IN_TROUBLE, retries.get(job_id))
             return
-        spec = msgspec.structs.replace(spec, accepted_at_ms=context.wall_ms(now))
-        if known is None and not book.was_cancelled_before(spec):
-            spec = self._mark_share(spec, now)
-        outcome = book.submit(spec, now)
+        is_new = known is None and not book.was_cancelled_before(spec)
+        refused = self._admission.find_refused(spec) if is_new else None
+        first_at = self._admission.first_at(refused, now)
+        spec = msgspec.structs.replace(spec, accepted_at_ms=context.wall_ms(first_at))
+        if is_new:
+            spec = self._mark_share(spec, refused, now)
+            refusal = self._admission.decide(spec, refused, now)
+            if refusal is not None:
+                pending = _PendingReply(context, call_id, job_id)
+                self._refuse(pending, refusal.reason.value, refusal.retry_after_seconds)
+                return
+        outcome = book.submit(spec, now, first_at)
         context.wants_placement = True
         if outcome is Submission.NEW:
             self._log_taken(spec)
@@ -116,11 +137,15 @@
             self._unsent[call_id] = pending
         context.commit.after_commit(pending.confirm(CallReply(code=ReplyCode.OK)))
 
-    def _mark_share(self, spec: JobSpec, now: float) -> JobSpec:
-        """Return a new job with the mark whether its tenant is owed it."""
+    def _mark_share(self, spec: JobSpec, refused: Refused | None, now: float) -> JobSpec:
+        """Return a new job with the mark whether its tenant is owed it.
+
+        One that was owed when it was refused still is.
+        """
         context = self._context
         policy = context.policy.tenants.get(spec.tenant)
-        is_owed = context.shares.take(policy, context.shard_count, now)
+        is_owed = refused is not None and refused.is_owed
+        is_owed = is_owed or context.shares.take(policy, context.shard_count, now)
         return msgspec.structs.replace(spec, is_beyond_share=not is_owed)
 
     def _log_taken(self, spec: JobSpec) -> None:
@@ -190,22 +215,27 @@
     def _refuse_unsent(self, now: float) -> None:
         """Refuse the jobs of which no append that was sent says anything."""
         book = self._context.book
+        jobs = [book.jobs.get(pending.job_id) for pending in self._unsent.values()]
+        unsent = {job.job_id: job.spec for job in jobs if job is not None and _is_unsent(job)}
+        retries = self._admission.refuse_for_store(list(unsent.values()), now)
         withdrawn = set()
         for pending in self._unsent.values():
             job = book.jobs.get(pending.job_id)
-            if job is not None and job.committed_state is None and not job.spec_is_stored:
+            if job is not None and _is_unsent(job):
                 self._runs.stop_job_runs(job.steps(), now, "job_refused")
                 book.withdraw(pending.job_id)
                 withdrawn.add(pending.job_id)
             if pending.job_id in withdrawn:
-                self._refuse(pending)
+                self._refuse(pending, _IN_TROUBLE, retries.get(pending.job_id))
         self._unsent.clear()
 
-    def _refuse(self, pending: _PendingReply, reason: str = _IN_TROUBLE) -> None:
+    def _refuse(
+        self, pending: _PendingReply, reason: str, retry_seconds: float | None = None
+    ) -> None:
         self._context.log("job_refused", job=pending.job_id, reason=reason)
         reply = CallReply(
             code=ReplyCode.REFUSED,
-            retry_after_seconds=self._retry_seconds,
+            retry_after_seconds=self._retry_seconds if retry_seconds is None else retry_seconds,
             reason=reason,
         )
         pending.answer(reply)
@@ -251,6 +281,11 @@
         return effect
 
 
+def _is_unsent(job: JobProgress) -> bool:
+    """Return whether no append that was sent has a job."""
+    return job.committed_state is None and not job.spec_is_stored
+
+
 def _unknown(retry_after_seconds: float) -> CallReply:
     return CallReply(
         code=ReplyCode.UNKNOWN, retry_after_seconds=retry_after_seconds, reason=_IN_TROUBLE
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from onyxspoke.core.admission.summary import AdmissionSummary
 from onyxspoke.core.codes import ResultCode
 from onyxspoke.core.jobs.model import RunKey, WorkerId
 from onyxspoke.core.jobs.policy import PolicySet
@@ -21,6 +22,7 @@
     StepDownReason,
     WorkerAddress,
 )
+from onyxspoke.core.shard.admission_desk import AdmissionDesk
 from onyxspoke.core.shard.call_desk import CallDesk
 from onyxspoke.core.shard.calls import Call, CallReply
 from onyxspoke.core.shard.commit import MINIMUM_INTERVAL_SECONDS, CommitQueue
@@ -105,7 +107,8 @@
         )
         self.workers = WorkerKeeper(self.context, self.runs, reports, self.register)
         self.quotas = QuotaDesk(self.context)
-        self._calls = CallDesk(self.context, self.runs, self.quotas)
+        self._admission = AdmissionDesk(self.context)
+        self._calls = CallDesk(self.context, self.runs, self.quotas, self._admission)
         self._paces = PaceKeeper(self.context)
         self._evacuation = Evacuation(self.context, self.runs)
         self._collector = RecordCollector(self.context, self.register, claim)
@@ -282,6 +285,10 @@
         """A tenant's home shard answered a request for a part of its quota, or did not."""
         self.quotas.handle_reply(request, reply, now)
 
+    def admission_summary(self, now: float) -> AdmissionSummary | None:
+        """Return which queues are closed; nothing while that is not known, or switched off."""
+        return self._admission.summary(now) if self._is_recovered else None
+
     # Time
 
     def stimulus_tick(self, now: float, wall_ms: float) -> None:
@@ -310,6 +317,7 @@
         self.runs.keep(now)
         self._evacuation.keep(now)
         self._paces.keep(now)
+        self._admission.keep(now)
         self.context.wants_placement = True
 
     def flush(self, now: float) -> list[ShardAction]:
--- a/src/onyxspoke/sim/job_cluster.py
+++ b/src/onyxspoke/sim/job_cluster.py
@@ -16,6 +16,7 @@
 from onyxspoke.core.shard.calls import Call, CallReply
 from onyxspoke.core.shard.context import ShardOptions
 from onyxspoke.core.shard.election_actions import NodeIdentity
+from onyxspoke.core.shard.load_options import LoadOptions
 from onyxspoke.core.shard.store_budget import StoreBudget
 from onyxspoke.core.tenants.keys import KeyRing
 from onyxspoke.core.tenants.policy import TenantName, TenantPolicy
@@ -79,6 +80,7 @@
     large_nodes: int = 0
     tenants: tuple[TenantPolicy, ...] = ()
     keep_names: bool = False
+    load: LoadOptions = field(default_factory=LoadOptions)
 
 
 class SimulatedPath:
@@ -405,7 +407,7 @@
         peer_port=PEER_PORT,
         metrics_port=PEER_PORT + 1,
         operator_port=PEER_PORT + 2,
-        shard_options=ShardOptions(stop_grace_ms=200),
+        shard_options=ShardOptions(stop_grace_ms=200, load=options.load),
         workers_a_shard=options.workers_a_shard,
         store_budget=options.store_budget,
     )
