Admission: what holds for every decision is shown on drawn cells; lanes in a module of their own

Cause: invariants had no tests, and a look at 5,000 waiting steps worked out each step's share anew. Change: property tests (free room, less urgent work, seconds that are promised), bounds of memory and notices, known identifiers, nothing asked while off; shares are worked out once for like needs, looks are rarer the more waits (0.1 ms for each step and run).

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -70,3 +70,60 @@
     And 12 jobs a second of each come to it for 5 seconds
     When the tenant with a weight of 0 goes 3 seconds later
     Then no promise of the cell is broken
+
+  Scenario: Nothing is refused that workers which stand free could run
+    When jobs are handed in to drawn cells
+    Then none is refused that workers which stand free could run
+
+  Scenario: An urgent job is never refused for less urgent work that waits, or runs and gives way
+    When urgent jobs are handed in to drawn cells with less urgent work and without
+    Then each is taken in the one where it is taken in the other
+
+  Scenario: Returns are spread over time: no second is promised for more than is served in it
+    When refused jobs are told when to come back, with drawn work and waits
+    Then no second is kept for more work than is served in it
+
+  Scenario: A decision costs little more the longer the line is
+    When a place is looked up in lines of 500 and of 5000 steps
+    Then the longer line costs at most 5 comparisons more
+
+  Scenario Outline: What surely is too late is refused, what may be done is taken where it is owed: <ahead>
+    Given a cell whose workers are all taken for <ahead> seconds by what waits
+    Then a job of 12 seconds of use, owed to its tenant, is "<owed>"
+    And a job of 12 seconds of use, beyond the share of its tenant, is "<beyond>"
+
+    Examples:
+      | ahead | owed     | beyond   |
+      | 4     | taken    | taken    |
+      | 8     | taken    | in_doubt |
+      | 12    | taken    | in_doubt |
+      | 30    | too_late | too_late |
+
+  Scenario: What never can run by its tenant's quota is refused
+    Given a cell whose workers are all taken for 4 seconds by what waits
+    Then a job of a tenant whose quota never has room for it is refused
+    And one that no worker has room for today is decided as any other
+
+  Scenario: Memory of refused jobs is bounded, and what is kept for those who stay away is given back
+    Given 5000 refused jobs of which the first comes back
+    Then no more are remembered than 4096, and the first counts as new
+    And what was kept for those who did not come is free again
+
+  Scenario: A notice names few tenants
+    Given a queue that is closed for 50 tenants
+    Then its notice names 20 of them, and closes for as long as each of them is
+    And nothing is closed once the longest is over
+
+  Scenario: A job that is known is never refused
+    Given a cell that decides about admission
+    When its gate refuses everything
+    Then a job that was taken before has its 2xx again, also one that an append under way has
+    And a job that is not known is refused, and decided anew when it comes again
+
+  Scenario: Switched off, nothing of the part is asked
+    Given a cell that does not decide about admission
+    And nothing of the part can be asked
+    And 40 jobs a second come to it for 5 seconds
+    When the store is away from second 1 to second 3
+    And 8 seconds pass for its callers
+    Then its jobs are all taken while the store answers
--- /dev/null
+++ b/features/steps/admission_rule_steps.py
@@ -0,0 +1,371 @@
+"""Steps about what holds for every decision on a hand-in, without a cluster."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+from unittest import mock
+
+import msgspec
+from behave import given, then, when
+from hypothesis import given as drawn
+from hypothesis import strategies as st
+from placement_steps import SERVICE, _Scene
+
+from onyxspoke.core.admission.arrivals import ArrivalMeter
+from onyxspoke.core.admission.closings import MAXIMUM_TENANTS, Closings, Scope
+from onyxspoke.core.admission.gate import Gate
+from onyxspoke.core.admission.hand_in import HandIn, describe_hand_in
+from onyxspoke.core.admission.load_view import LoadView
+from onyxspoke.core.admission.returns import MAXIMUM_REMEMBERED, Returns, hash_of
+from onyxspoke.core.admission.slots import PATIENT_SHARE, WHOLE_SECOND, ServedSeconds
+from onyxspoke.core.admission.verdict import Admit, RefusalReason, Refuse, VerdictInputs
+from onyxspoke.core.admission.view_builder import Load, build_view
+from onyxspoke.core.admission.waiting_line import WaitingLine, WaitingWork
+from onyxspoke.core.estimates.durations import Durations
+from onyxspoke.core.jobs.model import JobSpec, Needs, QueuePolicy, StepSpec
+from onyxspoke.core.jobs.policy import PolicySet
+from onyxspoke.core.jobs.states import RunState
+from onyxspoke.core.placement.queue_order import Lateness, StepRank
+from onyxspoke.core.shard import admission_desk
+from onyxspoke.core.shard.actions import ReplyToCall
+from onyxspoke.core.shard.calls import ReplyCode, SubmitCall
+from onyxspoke.core.tenants.policy import TenantPolicy
+
+WORKERS = 3
+PROCESSORS = 8
+#: What runs (worker, processors, priority, with checkpoints) and what waits (tasks, processors,
+#: priority, seconds ago) in drawn cells.
+RUNS = st.lists(
+    st.tuples(st.integers(0, WORKERS - 1), st.integers(1, 6), st.integers(0, 3), st.booleans()),
+    max_size=12,
+)
+WAITING = st.lists(
+    st.tuples(st.integers(1, 40), st.integers(1, 8), st.integers(0, 3), st.integers(0, 20)),
+    max_size=12,
+)
+JOBS = st.tuples(st.integers(1, 6), st.integers(1, 8), st.integers(0, 3), st.booleans())
+
+
+def _make_cell(runs: list[Any], waiting: list[Any]) -> _Scene:
+    scene = _Scene()
+    for index in range(WORKERS):
+        scene.add_worker(f"w{index}", PROCESSORS)
+    for number, (index, processors, priority, checkpointing) in enumerate(runs):
+        worker = scene.table.workers[f"w{index}"]
+        if processors * 1_000 > worker.free_processors:
+            continue
+        step = scene.add_step(f"run-{number}", 1, processors, priority, checkpointing=checkpointing)
+        run = scene.start(step, 0, worker)
+        run.move_to(RunState.RUNNING)
+        run.confirmed_at = scene.now
+    for number, (tasks, processors, priority, age) in enumerate(waiting):
+        scene.add_step(f"waits-{number}", tasks, processors, priority, float(age))
+    scene.table.note_availability(scene.now)
+    return scene
+
+
+def _view(scene: _Scene, policy: PolicySet | None = None) -> LoadView:
+    steps = [step for step in scene.steps.values() if step.waiting]
+    load = Load(steps, scene.table, policy or PolicySet(), Durations(), 0.4, ArrivalMeter())
+    return build_view(load, scene.now)
+
+
+def _job(
+    scene: _Scene, job: tuple[int, int, int, bool], tenant: str = "", stretch: float = 2.0
+) -> HandIn:
+    tasks, processors, priority, beyond = job
+    queue = QueuePolicy(
+        name=f"queue-{priority}", service=SERVICE, priority=priority, stretch=stretch
+    )
+    step = StepSpec(
+        task_count=tasks, processors_milli=processors * 1_000, memory_mb=100, estimated_ms=2_000
+    )
+    spec = JobSpec(
+        job_id="new",
+        queue=queue,
+        payload="",
+        steps=(step,),
+        tenant=tenant,
+        is_beyond_share=beyond,
+    )
+    return describe_hand_in(spec, queue, Durations(), scene.now)
+
+
+@when("jobs are handed in to drawn cells")
+def _drawn_cells(context: Any) -> None:
+    context.decided = []
+
+    @drawn(RUNS, WAITING, JOBS)
+    def check(runs: list[Any], waiting: list[Any], job: tuple[int, int, int, bool]) -> None:
+        scene = _make_cell(runs, waiting)
+        hand_in = _job(scene, job)
+        verdict = Gate().decide(hand_in, _view(scene), scene.now)
+        room = sum(
+            worker.free_processors // (job[1] * 1_000) for worker in scene.table.workers.values()
+        )
+        context.decided.append((job, room >= job[0], isinstance(verdict, Admit), (runs, waiting)))
+
+    check()
+
+
+@then("none is refused that workers which stand free could run")
+def _free_room(context: Any) -> None:
+    refused = [item for item in context.decided if item[1] and not item[2]]
+    assert not refused, refused[0]
+    assert any(item[1] for item in context.decided)
+    assert not all(item[2] for item in context.decided)
+
+
+@when("urgent jobs are handed in to drawn cells with less urgent work and without")
+def _urgent(context: Any) -> None:
+    context.decided = []
+
+    @drawn(RUNS, WAITING, st.integers(1, 6), st.integers(1, 8))
+    def check(runs: list[Any], waiting: list[Any], tasks: int, processors: int) -> None:
+        job = (tasks, processors, 1, False)
+        urgent_runs = [item for item in runs if item[2] <= 1]
+        # Later work runs only in what earlier work left, and gives way.
+        later = [(index, wide, priority, True) for index, wide, priority, _ in runs if priority > 1]
+        with_later = _make_cell(urgent_runs + later, waiting)
+        without = _make_cell(urgent_runs, [item for item in waiting if item[2] <= 1])
+        verdicts = [
+            Gate().decide(_job(scene, job), _view(scene), scene.now)
+            for scene in (with_later, without)
+        ]
+        context.decided.append([isinstance(verdict, Admit) for verdict in verdicts])
+
+    check()
+
+
+@then("each is taken in the one where it is taken in the other")
+def _same_verdict(context: Any) -> None:
+    pushed = [item for item in context.decided if item[1] and not item[0]]
+    assert not pushed, len(pushed)
+    assert [False, False] in context.decided
+
+
+@when("refused jobs are told when to come back, with drawn work and waits")
+def _slots(context: Any) -> None:
+    context.worst = 0.0
+    context.compared = 0
+    refusals = st.lists(
+        st.tuples(st.floats(0.001, 5.0), st.floats(0.0, 30.0), st.booleans(), st.floats(0.0, 0.5)),
+        max_size=60,
+    )
+
+    @drawn(refusals)
+    def check(items: list[Any]) -> None:
+        seconds = ServedSeconds()
+        now = 100.0
+        told: Counter[int] = Counter()
+        for work, wait_seconds, is_urgent, pause in items:
+            now += pause
+            most = WHOLE_SECOND if is_urgent else PATIENT_SHARE
+            wait, slot = seconds.keep_slot("service", work, wait_seconds, most, now)
+            assert wait >= 1
+            assert wait + 1e-9 >= min(wait_seconds, 120.0)
+            if slot is not None:
+                assert slot.second == int(now + wait)
+                told[slot.second] += 1
+                for second, _work in slot.parts:
+                    context.worst = max(context.worst, seconds.kept_in("service", second))
+                context.compared += 1
+
+    check()
+
+
+@then("no second is kept for more work than is served in it")
+def _served(context: Any) -> None:
+    assert context.compared > 0
+    assert context.worst <= WHOLE_SECOND + 1e-9, context.worst
+
+
+class _CountedRank(StepRank):
+    compared = 0
+
+    def __lt__(self, other: Any) -> bool:
+        _CountedRank.compared += 1
+        return tuple.__lt__(self, other)
+
+
+def _count_comparisons(count: int) -> int:
+    works = [
+        WaitingWork(_CountedRank(False, False, 1, Lateness.ON_TIME, float(number), 0), 0.1, 0.2)
+        for number in range(count)
+    ]
+    line = WaitingLine(works)
+    _CountedRank.compared = 0
+    line.ahead_of(_CountedRank(False, False, 1, Lateness.ON_TIME, count / 3, 0))
+    return _CountedRank.compared
+
+
+@when("a place is looked up in lines of {few:d} and of {many:d} steps")
+def _look_up(context: Any, few: int, many: int) -> None:
+    context.counts = (_count_comparisons(few), _count_comparisons(many))
+
+
+@then("the longer line costs at most {more:d} comparisons more")
+def _comparisons(context: Any, more: int) -> None:
+    few, many = context.counts
+    assert few > 0 and many - few <= more, context.counts
+
+
+@given("a cell whose workers are all taken for {seconds:d} seconds by what waits")
+def _full(context: Any, seconds: int) -> None:
+    runs = [(index, PROCESSORS, 1, False) for index in range(WORKERS)]
+    # Each waiting task of 2 s takes a whole worker.
+    waiting = [(WORKERS * seconds // 2, PROCESSORS, 1, 0)]
+    context.scene = _make_cell(runs, waiting)
+
+
+def _decide(context: Any, owed: bool, policy: PolicySet | None = None, **traits: Any) -> Any:
+    scene = context.scene
+    job = _job(scene, traits.pop("job", (1, 1, 1, not owed)), **traits)
+    return Gate().decide(job, _view(scene, policy), scene.now)
+
+
+@then('a job of 12 seconds of use, {owed} its tenant, is "{outcome}"')
+def _outcome(context: Any, owed: str, outcome: str) -> None:
+    verdict = _decide(context, owed == "owed to")
+    found = "taken" if isinstance(verdict, Admit) else verdict.reason.value
+    assert found == outcome, verdict
+
+
+@then("a job of a tenant whose quota never has room for it is refused")
+def _too_wide(context: Any) -> None:
+    tenant = TenantPolicy(name="small", weight=1.0, quota=Needs(2_000, 0, 0))
+    policy = PolicySet(tenants={"small": tenant})
+    verdict = _decide(context, True, policy, job=(1, 4, 1, False), tenant="small")
+    assert not isinstance(verdict, Admit)
+    assert verdict.reason is RefusalReason.TOO_LATE
+
+
+@then("one that no worker has room for today is decided as any other")
+def _no_worker_yet(context: Any) -> None:
+    context.scene = _make_cell([], [])
+    assert isinstance(_decide(context, True, job=(1, PROCESSORS + 1, 1, False)), Admit)
+
+
+@given("{count:d} refused jobs of which the first comes back")
+def _many_refused(context: Any, count: int) -> None:
+    scene = _make_cell([], [])
+    returns = context.returns = Returns()
+    job = _job(scene, (1, 1, 1, False))
+    for number in range(count):
+        returns.refuse(hash_of("", str(number)), job, 0.01, 1.0, WHOLE_SECOND, scene.now)
+    context.now = scene.now
+
+
+@then("no more are remembered than {count:d}, and the first counts as new")
+def _bounded(context: Any, count: int) -> None:
+    assert len(context.returns) == count == MAXIMUM_REMEMBERED
+    assert context.returns.find(hash_of("", "0")) is None
+
+
+@then("what was kept for those who did not come is free again")
+def _given_back(context: Any) -> None:
+    context.returns.keep(context.now + 300.0)
+    assert context.returns.seconds.kept_work(SERVICE, context.now) == 0.0
+    assert not list(context.returns.awaited(context.now + 300.0))
+
+
+@given("a queue that is closed for {count:d} tenants")
+def _closed_for(context: Any, count: int) -> None:
+    context.closings = Closings()
+    for number in range(count):
+        context.closings.note_refused(Scope("queue", f"tenant-{number}"), 5.0 + number, 100.0)
+
+
+@then("its notice names 20 of them, and closes for as long as each of them is")
+def _notice(context: Any) -> None:
+    [notice] = context.closings.notices(100.0)
+    assert len(notice.tenants) == MAXIMUM_TENANTS
+    shortest = min(int(name.rpartition("-")[2]) for name in notice.tenants)
+    assert notice.closed_seconds <= min(30.0, 5.0 + shortest)
+
+
+@then("nothing is closed once the longest is over")
+def _all_over(context: Any) -> None:
+    assert context.closings.notices(100.0 + 31.0) == ()
+    assert context.closings.take_opened(100.0 + 31.0)
+    assert context.closings.take_opened(100.0 + 32.0) == []
+
+
+# Known identifiers, on a holder
+
+
+def _scheduler(context: Any) -> Any:
+    return context.cluster.holder().node.seats[0].scheduler
+
+
+@when("its gate refuses everything")
+def _refuse_all(context: Any) -> None:
+    context.arrivals.hand_in("normal")
+    context.cluster.run(0.5)
+    patch = mock.patch.object(Gate, "decide", _refuse)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+def _refuse(_gate: Gate, job: HandIn, view: LoadView, now: float) -> Any:
+    inputs = VerdictInputs(
+        ahead_seconds=0.0,
+        advice_seconds=0.0,
+        work_median_seconds=0.0,
+        work_upper_seconds=0.0,
+        patience_seconds=0.0,
+        view_age_seconds=0.0,
+    )
+    return Refuse(RefusalReason.TOO_LATE, 1.0, inputs)
+
+
+@then("a job that was taken before has its 2xx again, also one that an append under way has")
+def _known(context: Any) -> None:
+    [caller] = context.arrivals.of()
+    scheduler = _scheduler(context)
+    now = context.cluster.time.now()
+    book = scheduler.context.book
+    fresh = msgspec.structs.replace(caller.spec, job_id="f" * 16)
+    book.submit(fresh, now)
+    replies = []
+    for spec in (caller.spec, fresh):
+        scheduler.stimulus_call(-1, SubmitCall(spec), now)
+        replies += [a.reply for a in scheduler.context.actions if isinstance(a, ReplyToCall)]
+        scheduler.context.actions = [
+            action for action in scheduler.context.actions if not isinstance(action, ReplyToCall)
+        ]
+    assert [reply.code for reply in replies] == [ReplyCode.OK], replies
+
+
+@then("a job that is not known is refused, and decided anew when it comes again")
+def _unknown_refused(context: Any) -> None:
+    caller = context.arrivals.hand_in("normal")
+    context.cluster.run(0.5)
+    assert len(caller.refusals) == 1
+    mock.patch.stopall()
+    context.cluster.run(5.0)
+    assert caller.accepted_at is not None and caller.is_of_use
+
+
+@given("nothing of the part can be asked")
+def _poisoned(context: Any) -> None:
+    def fail(*_args: Any, **_kwargs: Any) -> None:
+        raise AssertionError("asked while it is off")
+
+    for target in (
+        (Gate, "decide"),
+        (admission_desk, "build_view"),
+        (admission_desk, "describe_hand_in"),
+        (Returns, "refuse"),
+    ):
+        patch = mock.patch.object(*target, fail)
+        patch.start()
+        context.add_cleanup(patch.stop)
+
+
+@then("its jobs are all taken while the store answers")
+def _all_taken(context: Any) -> None:
+    assert context.arrivals.of()
+    for caller in context.arrivals.of():
+        assert all(reason == "store_in_trouble" for _at, _wait, reason in caller.refusals)
--- a/src/onyxspoke/core/admission/gate.py
+++ b/src/onyxspoke/core/admission/gate.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 from onyxspoke.core.admission.hand_in import HandIn
-from onyxspoke.core.admission.load_view import Ahead, LoadView
+from onyxspoke.core.admission.lane import Ahead
+from onyxspoke.core.admission.load_view import LoadView
 from onyxspoke.core.admission.verdict import (
     Admit,
     RefusalReason,
--- /dev/null
+++ b/src/onyxspoke/core/admission/lane.py
@@ -0,0 +1,182 @@
+"""Something that work passes through in order, and when a job comes to its turn there."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from onyxspoke.core.admission.arrivals import (
+    BEST_CASE_SHARE,
+    MOST_FILLED,
+    RankClass,
+    class_of,
+    slowed,
+)
+from onyxspoke.core.admission.hand_in import HandIn
+from onyxspoke.core.admission.promises import LateWork, Promises
+from onyxspoke.core.admission.room_curve import RoomCurve
+from onyxspoke.core.admission.waiting_line import WaitingLine, WaitingWork
+from onyxspoke.core.jobs.model import Needs
+from onyxspoke.core.placement.queue_order import Lateness, StepRank
+from onyxspoke.core.placement.reservations import HELD_SHARE
+
+#: Of the room, what waiting gangs may hold does no work; so much does in the worst case.
+USED_SHARE = 1.0 - HELD_SHARE
+
+
+def share_of(needs: Needs, total: Needs) -> float:
+    """Return the largest share that an amount has of what there is of a resource."""
+    share = needs[0] / total[0] if total[0] > 0 else 0.0
+    if needs[1] > 0 and total[1] > 0:
+        share = max(share, needs[1] / total[1])
+    if needs[2] > 0 and total[2] > 0:
+        share = max(share, needs[2] / total[2])
+    return share
+
+
+class RoomHeld(NamedTuple):
+    """A share of the room that a run holds.
+
+    Attributes
+    ----------
+    seconds : float
+        Until it is free; infinity where that is not known.
+    may_give_way : bool
+        Work of an earlier queue may take its place.
+    """
+
+    seconds: float
+    share: float
+    priority: int
+    may_give_way: bool
+
+
+class Ahead(NamedTuple):
+    """Seconds until a job could begin, or that it takes, at best and at worst."""
+
+    best_seconds: float
+    worst_seconds: float
+
+
+@dataclass(slots=True)
+class Lane:
+    """Something that work passes through in order: the room of a service, or a tenant's quota.
+
+    Attributes
+    ----------
+    total : Needs
+        All that there is; what shares are of.
+    spare_factor : float
+        How much there would be, as a multiple, were everything in order.
+    stop_seconds : float
+        How long a run takes to give way.
+    coming : dict of RankClass to float
+        Work that comes in, in share-seconds a second.
+    late : dict of RankClass to list of LateWork
+        Work that waits, comes late, and is still of use.
+    """
+
+    total: Needs
+    line: WaitingLine
+    held: list[RoomHeld]
+    spare_factor: float = 1.0
+    stop_seconds: float = 0.0
+    coming: dict[RankClass, float] = field(default_factory=dict)
+    late: dict[RankClass, list[LateWork]] = field(default_factory=dict)
+    _promises: dict[RankClass, Promises] = field(default_factory=dict)
+    _curves: dict[int, RoomCurve] = field(default_factory=dict)
+
+    def ahead_of(self, job: HandIn) -> Ahead:
+        """Return when a job could begin."""
+        rank = job.rank
+        ahead = self.line.ahead_of(rank)
+        curve = self._curve(rank.priority)
+        least = curve.seconds_until_free(self._narrowest(job))
+        coming = self._coming_before(class_of(rank))
+        # When the last of what goes first begins, tasks are at work that are half through.
+        best = curve.seconds_until(ahead.low / self.spare_factor) - ahead.task_seconds / 2.0
+        best = slowed(max(least, best), BEST_CASE_SHARE * coming)
+        worst = slowed(max(least, curve.seconds_until(ahead.high / USED_SHARE)), coming)
+        return Ahead(best, max(best, worst))
+
+    def _narrowest(self, job: HandIn) -> float:
+        """Return the share that one task of what a job begins with takes."""
+        shares = [share_of(step.needs, self.total) for step in job.steps if step.is_first]
+        return min(shares, default=0.0)
+
+    def left_for(self, rank: StepRank) -> float:
+        """Return which share of the room is left by what comes in and goes first."""
+        return 1.0 - min(MOST_FILLED, self._coming_before(class_of(rank)))
+
+    def _coming_before(self, own: RankClass) -> float:
+        return sum(rate for other, rate in self.coming.items() if other < own)
+
+    def pushes_promised(self, job: HandIn) -> bool:
+        """Return whether a late job that was taken would come too late for this one.
+
+        A forecast is no finer than a task is long, and so is what is left between them.
+        """
+        promises = self._promises_of(class_of(job.rank))
+        if promises is None:
+            return False
+        work = self.work_of(job)
+        return promises.are_pushed_by(work.low + work.task_seconds)
+
+    def add(self, job: HandIn) -> None:
+        """Count a job that was taken in since."""
+        work = self.work_of(job)
+        self.line.add(work)
+        promises = self._promises_of(class_of(job.rank))
+        if promises is not None:
+            promises.add(work.low)
+
+    def _promises_of(self, own: RankClass) -> Promises | None:
+        late = self.late.get(own)
+        if late is None:
+            return None
+        promises = self._promises.get(own)
+        if promises is None:
+            promises = self._promises[own] = self._make_promises(own, late)
+        return promises
+
+    def _make_promises(self, own: RankClass, late: list[LateWork]) -> Promises:
+        last = StepRank(False, own.is_beyond_share, own.priority, Lateness.EXPIRED, 0.0, 0)
+        waiting = sum(item.work for item in late if not item.begins_in_seconds)
+        on_time = self.line.ahead_of(last).low - waiting
+        curve = self._curve(own.priority)
+        coming = self._coming_before(own)
+
+        def seconds_until(work: float) -> float:
+            return slowed(curve.seconds_until(work / self.spare_factor), coming)
+
+        return Promises(late, on_time, seconds_until)
+
+    def work_of(self, job: HandIn) -> WaitingWork:
+        """Return what a job adds to the line."""
+        low = high = longest = 0.0
+        for step in job.steps:
+            share = share_of(step.needs, self.total) * step.tasks
+            low += share * step.low_seconds
+            high += share * step.upper_seconds
+            longest = max(longest, step.median_seconds)
+        return WaitingWork(job.rank, low, high, longest)
+
+    def _curve(self, priority: int) -> RoomCurve:
+        curve = self._curves.get(priority)
+        if curve is None:
+            curve = self._curves[priority] = self._make_curve(priority)
+        return curve
+
+    def _make_curve(self, priority: int) -> RoomCurve:
+        """Return how room comes free for a queue: later ones' runs give way where they can."""
+        ends = []
+        free = 1.0
+        for held in self.held:
+            free -= held.share
+            seconds = held.seconds
+            if held.may_give_way and held.priority > priority:
+                seconds = min(seconds, self.stop_seconds)
+            if seconds < math.inf:
+                ends.append((seconds, held.share))
+        return RoomCurve(free, ends)
--- a/src/onyxspoke/core/admission/view_builder.py
+++ b/src/onyxspoke/core/admission/view_builder.py
@@ -8,13 +8,8 @@
 
 from onyxspoke.core.admission.arrivals import ArrivalMeter, RankClass, class_of
 from onyxspoke.core.admission.hand_in import low_seconds
-from onyxspoke.core.admission.load_view import (
-    FreeRoom,
-    Lane,
-    LoadView,
-    RoomHeld,
-    share_of,
-)
+from onyxspoke.core.admission.lane import Lane, RoomHeld, share_of
+from onyxspoke.core.admission.load_view import FreeRoom, LoadView
 from onyxspoke.core.admission.promises import LateWork
 from onyxspoke.core.admission.waiting_line import WaitingLine, WaitingWork
 from onyxspoke.core.estimates.durations import Durations
@@ -29,7 +24,7 @@
     EXPIRY_FACTOR,
     Lateness,
     StepRank,
-    step_rank,
+    step_rank_of,
 )
 from onyxspoke.core.placement.runs import Run
 from onyxspoke.core.placement.worker_record import WorkerListing
@@ -124,7 +119,7 @@
         count = len(step.waiting)
         low = count * low_seconds(expected)
         high = count * expected.upper_seconds
-        placed_rank = step_rank(step, self._load.policy, self._now)
+        placed_rank = step_rank_of(step, queue, self._now)
         rank = promised_rank(placed_rank)
         needs = step.needs
         slack = math.inf
@@ -160,8 +155,7 @@
         total = _sum_capacity(in_use)
         if not any(total):
             return None
-        works = [_work(waiting, total) for waiting in self._by_service.get(service, [])]
-        late = _late_work(self._by_service.get(service, []), total)
+        works, late = _line_work(self._by_service.get(service, []), total)
         for awaited in self._load.awaited:
             if awaited.service == service:
                 works.append(WaitingWork(awaited.rank, 0.0, awaited.share_seconds))
@@ -201,7 +195,7 @@
                 held.setdefault(tenant, []).append(self._held(run, self._quotas[tenant]))
         lanes = {}
         for tenant, quota in self._quotas.items():
-            works = [_work(waiting, quota) for waiting in self._by_tenant.get(tenant, [])]
+            works, _late = _line_work(self._by_tenant.get(tenant, []), quota)
             lanes[tenant] = Lane(quota, WaitingLine(works), held.get(tenant, []))
         return lanes
 
@@ -240,29 +234,32 @@
     it is of no use.
     """
     if rank.lateness is Lateness.LATE:
-        return rank._replace(lateness=Lateness.ON_TIME)
+        return StepRank(
+            False,
+            rank.is_beyond_share,
+            rank.priority,
+            Lateness.ON_TIME,
+            rank.latest_start,
+            rank.step,
+        )
     return rank
 
 
-def _work(waiting: _Waiting, total: Needs) -> WaitingWork:
-    share = share_of(waiting.needs, total)
-    return WaitingWork(
-        waiting.rank,
-        share * waiting.low_seconds,
-        share * waiting.high_seconds,
-        waiting.task_seconds,
-    )
-
-
-def _late_work(steps: list[_Waiting], total: Needs) -> dict[RankClass, list[LateWork]]:
+def _line_work(
+    steps: list[_Waiting], total: Needs
+) -> tuple[list[WaitingWork], dict[RankClass, list[LateWork]]]:
+    """Return what waits as shares of what there is, and what of it is late."""
+    works = []
     late: dict[RankClass, list[LateWork]] = {}
-    for waiting in steps:
-        if waiting.slack_seconds < math.inf:
-            work = share_of(waiting.needs, total) * waiting.low_seconds
-            late.setdefault(class_of(waiting.rank), []).append(
-                LateWork(waiting.slack_seconds, work)
-            )
-    return late
+    shares: dict[Needs, float] = {}
+    for rank, needs, low, high, task_seconds, slack in steps:
+        share = shares.get(needs)
+        if share is None:
+            share = shares[needs] = share_of(needs, total)
+        works.append(WaitingWork(rank, share * low, share * high, task_seconds))
+        if slack < math.inf:
+            late.setdefault(class_of(rank), []).append(LateWork(slack, share * low))
+    return works, late
 
 
 def _remember(durations: Durations) -> Expect:
--- a/src/onyxspoke/core/shard/admission_desk.py
+++ b/src/onyxspoke/core/shard/admission_desk.py
@@ -25,7 +25,7 @@
 #: Between two looks at the load at least, in seconds; as a round of the scheduler.
 VIEW_SECONDS = 0.05
 #: The more waits and runs, the longer a look takes and the rarer it is: so much for each.
-VIEW_SECONDS_EACH = 0.00005
+VIEW_SECONDS_EACH = 0.0001
 #: Work of a job where nothing is known of the room, in share-seconds.
 UNKNOWN_WORK = 0.02
 #: While the store is away what is less urgent comes back so much later, in seconds.
