Admission: a task counts as holding its room for no longer than the caller after it waits

Cause: one waiting job with an estimate of 10^9 seconds counted as so much work before everything of its class and of later ones; what was beyond its tenant's share was refused for it. Change: lines are summed up to a horizon, the first of a few that covers the caller's patience; what is taken between two looks is looked up by bisection, too. A test fails with the horizon taken away. Ruled out: one cap for all, since a narrow task of 120 s counted as 7.5 s of a cell of 16 places.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -44,6 +44,11 @@
     And the urgent are told to come back sooner than the others
     And no promise of the cell is broken
 
+  Scenario: Callers who return after an outage of the store do not come all at once
+    When the store is away for 3 seconds while 12 jobs a second come
+    Then at most 0.8 times as many come back in one second as without
+    And no fewer jobs are of use than without
+
   Scenario: Switched off, those refused while the store is away are told 1 second as before
     Given a cell that does not decide about admission
     And 30 jobs a second come to it for 8 seconds
@@ -59,6 +64,11 @@
     And jobs with estimates of 0, 1, 1000000000000 ms are handed in there
     Then each of them is answered, and those that are taken are done
 
+  Scenario: A job whose estimate is beyond measure keeps out nobody who comes after it
+    Given a cell whose workers are all taken for 4 seconds by what waits
+    And a job of one processor whose estimate is 1000000000 seconds waits before it
+    Then a job of 12 seconds of use, beyond the share of its tenant, is "taken"
+
   Scenario: The part is switched on and off in a burst
     Given a cell that decides about admission
     And 40 jobs a second come to it for 5 seconds
--- a/features/steps/admission_rule_steps.py
+++ b/features/steps/admission_rule_steps.py
@@ -191,10 +191,12 @@
 
 def _count_comparisons(count: int) -> int:
     works = [
-        WaitingWork(_CountedRank(False, False, 1, Lateness.ON_TIME, float(number), 0), 0.1, 0.2)
+        WaitingWork(
+            _CountedRank(False, False, 1, Lateness.ON_TIME, float(number), 0), 0.1, 1.0, 2.0
+        )
         for number in range(count)
     ]
-    line = WaitingLine(works)
+    line = WaitingLine(works, 8.0)
     _CountedRank.compared = 0
     line.ahead_of(_CountedRank(False, False, 1, Lateness.ON_TIME, count / 3, 0))
     return _CountedRank.compared
@@ -219,6 +221,12 @@
     context.scene = _make_cell(runs, waiting)
 
 
+@given("a job of one processor whose estimate is {seconds:d} seconds waits before it")
+def _beyond_measure(context: Any, seconds: int) -> None:
+    step = context.scene.add_step("odd", 1, 1, 1)
+    step.spec = msgspec.structs.replace(step.spec, estimated_ms=seconds * 1_000)
+
+
 def _decide(context: Any, owed: bool, policy: PolicySet | None = None, **traits: Any) -> Any:
     scene = context.scene
     job = _job(scene, traits.pop("job", (1, 1, 1, not owed)), **traits)
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -392,6 +392,42 @@
     assert means["urgent"] < means["normal"], means
 
 
+def _most_in_a_second(callers: list[Caller]) -> int:
+    """Return how many callers who were refused come back within the same second at most."""
+    due = Counter(
+        int(moment + seconds) for caller in callers for moment, seconds, _why in caller.refusals
+    )
+    return max(due.values())
+
+
+@when("the store is away for {seconds:d} seconds while {rate:d} jobs a second come")
+def _outage(context: Any, seconds: int, rate: int) -> None:
+    def load(arrivals: Arrivals) -> float:
+        arrivals.send(rate, seconds + 3.0, "normal")
+        arrivals.cluster.run(2.0)
+        arrivals.cluster.store.faults.is_down = True
+        arrivals.cluster.run(seconds)
+        arrivals.cluster.store.faults.is_down = False
+        return 1.0
+
+    _play(context, {}, load)
+
+
+@then("at most {share:g} times as many come back in one second as without")
+def _less_thunder(context: Any, share: float) -> None:
+    most = {name: _most_in_a_second(arrivals.of()) for name, arrivals in context.played.items()}
+    assert most[WITH] <= share * most[WITHOUT], most
+
+
+@then("no fewer jobs are of use than without")
+def _no_fewer_of_use(context: Any) -> None:
+    figures = {
+        name: sum(caller.is_of_use for caller in arrivals.of())
+        for name, arrivals in context.played.items()
+    }
+    assert figures[WITH] >= figures[WITHOUT], figures
+
+
 @then("all who were refused were told {seconds:g} second")
 def _told_alike(context: Any, seconds: float) -> None:
     told = {wait for caller in context.arrivals.of() for _at, wait, _why in caller.refusals}
--- a/src/onyxspoke/core/admission/hand_in.py
+++ b/src/onyxspoke/core/admission/hand_in.py
@@ -30,7 +30,7 @@
     needs : Needs
         Of one task.
     low_seconds, median_seconds, upper_seconds : float
-        How long one task takes, at least and at most.
+        How long one task takes; the first, at least, where many are summed up.
     """
 
     needs: Needs
@@ -101,9 +101,8 @@
 
     Few tasks take much less than the median, and some far more, so that a sum of medians is low.
     """
-    if expected.evidence >= TELLING_RUNS:
-        return expected.median_seconds
-    return CERTAIN_SHARE * expected.median_seconds
+    seconds = max(0.0, expected.median_seconds)
+    return seconds if expected.evidence >= TELLING_RUNS else CERTAIN_SHARE * seconds
 
 
 def describe_hand_in(
@@ -143,7 +142,7 @@
         work = StepWork(
             needs=step.needs,
             tasks=step.task_count,
-            low_seconds=max(0.0, low_seconds(expected)),
+            low_seconds=low_seconds(expected),
             median_seconds=max(0.0, expected.median_seconds),
             upper_seconds=max(0.0, expected.upper_seconds),
             is_first=not step.depends_on,
--- a/src/onyxspoke/core/admission/lane.py
+++ b/src/onyxspoke/core/admission/lane.py
@@ -16,9 +16,15 @@
 from onyxspoke.core.admission.hand_in import HandIn
 from onyxspoke.core.admission.promises import LateWork, Promises
 from onyxspoke.core.admission.room_curve import RoomCurve
-from onyxspoke.core.admission.waiting_line import WaitingLine, WaitingWork
+from onyxspoke.core.admission.waiting_line import (
+    HORIZONS,
+    WaitingLine,
+    WaitingWork,
+    WorkAhead,
+    horizon_of,
+)
 from onyxspoke.core.jobs.model import Needs
-from onyxspoke.core.placement.queue_order import Lateness, StepRank
+from onyxspoke.core.placement.queue_order import EXPIRY_FACTOR, Lateness, StepRank
 from onyxspoke.core.placement.reservations import HELD_SHARE
 
 #: Of the room, what waiting gangs may hold does no work; so much does in the worst case.
@@ -67,6 +73,8 @@
     ----------
     total : Needs
         All that there is; what shares are of.
+    works : list of WaitingWork
+        What waits, in order.
     spare_factor : float
         How much there would be, as a multiple, were everything in order.
     stop_seconds : float
@@ -78,19 +86,23 @@
     """
 
     total: Needs
-    line: WaitingLine
+    works: list[WaitingWork]
     held: list[RoomHeld]
     spare_factor: float = 1.0
     stop_seconds: float = 0.0
     coming: dict[RankClass, float] = field(default_factory=dict)
     late: dict[RankClass, list[LateWork]] = field(default_factory=dict)
+    #: Taken in since.
+    _added: list[WaitingWork] = field(default_factory=list)
+    _lines: dict[float, WaitingLine] = field(default_factory=dict)
     _promises: dict[RankClass, Promises] = field(default_factory=dict)
     _curves: dict[int, RoomCurve] = field(default_factory=dict)
 
     def ahead_of(self, job: HandIn) -> Ahead:
         """Return when a job could begin."""
         rank = job.rank
-        ahead = self.line.ahead_of(rank)
+        patience = EXPIRY_FACTOR * job.objective_seconds
+        ahead = self._line(horizon_of(patience)).ahead_of(rank)
         curve = self._curve(rank.priority)
         least = curve.seconds_until_free(self._narrowest(job))
         coming = self._coming_before(class_of(rank))
@@ -123,13 +135,25 @@
         work = self.work_of(job)
         return promises.are_pushed_by(work.low + work.task_seconds)
 
+    def _line(self, horizon: float) -> WaitingLine:
+        line = self._lines.get(horizon)
+        if line is None:
+            line = self._lines[horizon] = WaitingLine(self.works, horizon)
+            for work in self._added:
+                line.add(work)
+        return line
+
     def add(self, job: HandIn) -> None:
         """Count a job that was taken in since."""
-        work = self.work_of(job)
-        self.line.add(work)
         promises = self._promises_of(class_of(job.rank))
         if promises is not None:
-            promises.add(work.low)
+            promises.add(self.work_of(job).low)
+        for step in job.steps:
+            share = share_of(step.needs, self.total) * step.tasks
+            work = WaitingWork(job.rank, share, step.low_seconds, step.upper_seconds)
+            self._added.append(work)
+            for line in self._lines.values():
+                line.add(work)
 
     def _promises_of(self, own: RankClass) -> Promises | None:
         late = self.late.get(own)
@@ -143,7 +167,7 @@
     def _make_promises(self, own: RankClass, late: list[LateWork]) -> Promises:
         last = StepRank(False, own.is_beyond_share, own.priority, Lateness.EXPIRED, 0.0, 0)
         waiting = sum(item.work for item in late if not item.begins_in_seconds)
-        on_time = self.line.ahead_of(last).low - waiting
+        on_time = self._line(HORIZONS[-1]).ahead_of(last).low - waiting
         curve = self._curve(own.priority)
         coming = self._coming_before(own)
 
@@ -152,15 +176,15 @@
 
         return Promises(late, on_time, seconds_until)
 
-    def work_of(self, job: HandIn) -> WaitingWork:
-        """Return what a job adds to the line."""
+    def work_of(self, job: HandIn, horizon: float = HORIZONS[-1]) -> WorkAhead:
+        """Return the work of a job, and the length of its longest task."""
         low = high = longest = 0.0
         for step in job.steps:
             share = share_of(step.needs, self.total) * step.tasks
-            low += share * step.low_seconds
-            high += share * step.upper_seconds
-            longest = max(longest, step.median_seconds)
-        return WaitingWork(job.rank, low, high, longest)
+            low += share * min(step.low_seconds, horizon)
+            high += share * min(step.upper_seconds, horizon)
+            longest = max(longest, min(step.median_seconds, horizon))
+        return WorkAhead(low, high, longest)
 
     def _curve(self, priority: int) -> RoomCurve:
         curve = self._curves.get(priority)
--- a/src/onyxspoke/core/admission/view_builder.py
+++ b/src/onyxspoke/core/admission/view_builder.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Callable, Iterable
+from operator import itemgetter
 from typing import NamedTuple
 
 from onyxspoke.core.admission.arrivals import ArrivalMeter, RankClass, class_of
@@ -11,7 +12,7 @@
 from onyxspoke.core.admission.lane import Lane, RoomHeld, share_of
 from onyxspoke.core.admission.load_view import FreeRoom, LoadView
 from onyxspoke.core.admission.promises import LateWork
-from onyxspoke.core.admission.waiting_line import WaitingLine, WaitingWork
+from onyxspoke.core.admission.waiting_line import HORIZONS, WaitingWork
 from onyxspoke.core.estimates.durations import Durations
 from onyxspoke.core.estimates.expected import Expected
 from onyxspoke.core.jobs.amounts import plus
@@ -73,13 +74,13 @@
 
 
 class _Waiting(NamedTuple):
-    """A step that waits; seconds of work of its tasks together, and of waiting that it can bear."""
+    """A step that waits: seconds of work of each task, and of waiting that it can bear."""
 
     rank: StepRank
     needs: Needs
+    tasks: int
     low_seconds: float
     high_seconds: float
-    task_seconds: float
     slack_seconds: float
 
 
@@ -116,9 +117,6 @@
         spec = step.job.spec
         queue = self._load.policy.queue_of(spec)
         expected = self._expect(spec.queue.name, spec.tenant, step.spec.estimated_ms)
-        count = len(step.waiting)
-        low = count * low_seconds(expected)
-        high = count * expected.upper_seconds
         placed_rank = step_rank_of(step, queue, self._now)
         rank = promised_rank(placed_rank)
         needs = step.needs
@@ -126,7 +124,8 @@
         if placed_rank.lateness is Lateness.LATE:
             last_use_at = step.due_at + EXPIRY_FACTOR * step.job.objective_seconds
             slack = last_use_at - step.chain_seconds - self._now
-        waiting = _Waiting(rank, needs, low, high, expected.median_seconds, slack)
+        low, high = low_seconds(expected), max(0.0, expected.upper_seconds)
+        waiting = _Waiting(rank, needs, len(step.waiting), low, high, slack)
         if spec.tenant in self._quotas:
             self._by_tenant.setdefault(spec.tenant, []).append(waiting)
         if step.over_quota_since is not None:
@@ -158,12 +157,12 @@
         works, late = _line_work(self._by_service.get(service, []), total)
         for awaited in self._load.awaited:
             if awaited.service == service:
-                works.append(WaitingWork(awaited.rank, 0.0, awaited.share_seconds))
+                works.append(_awaited_work(awaited))
                 late.setdefault(class_of(awaited.rank), []).append(self._late(awaited))
         runs = [run for worker in in_use for run in worker.runs.values()]
         return Lane(
             total=total,
-            line=WaitingLine(works),
+            works=sorted(works, key=itemgetter(0)),
             held=[self._held(run, total) for run in runs],
             spare_factor=max(1.0, share_of(_sum_capacity(workers), total)),
             stop_seconds=self._load.stop_seconds,
@@ -196,7 +195,7 @@
         lanes = {}
         for tenant, quota in self._quotas.items():
             works, _late = _line_work(self._by_tenant.get(tenant, []), quota)
-            lanes[tenant] = Lane(quota, WaitingLine(works), held.get(tenant, []))
+            lanes[tenant] = Lane(quota, sorted(works, key=itemgetter(0)), held.get(tenant, []))
         return lanes
 
     def _held(self, run: Run, total: Needs) -> RoomHeld:
@@ -245,6 +244,11 @@
     return rank
 
 
+def _awaited_work(awaited: AwaitedWork) -> WaitingWork:
+    """Return the work of a job that may not come: at least none, at most all of it."""
+    return WaitingWork(awaited.rank, awaited.share_seconds, 0.0, 1.0)
+
+
 def _line_work(
     steps: list[_Waiting], total: Needs
 ) -> tuple[list[WaitingWork], dict[RankClass, list[LateWork]]]:
@@ -252,13 +256,14 @@
     works = []
     late: dict[RankClass, list[LateWork]] = {}
     shares: dict[Needs, float] = {}
-    for rank, needs, low, high, task_seconds, slack in steps:
+    for rank, needs, tasks, low, high, slack in steps:
         share = shares.get(needs)
         if share is None:
             share = shares[needs] = share_of(needs, total)
-        works.append(WaitingWork(rank, share * low, share * high, task_seconds))
+        works.append(WaitingWork(rank, share * tasks, low, high))
         if slack < math.inf:
-            late.setdefault(class_of(rank), []).append(LateWork(slack, share * low))
+            work = share * tasks * min(low, HORIZONS[-1])
+            late.setdefault(class_of(rank), []).append(LateWork(slack, work))
     return works, late
 
 
--- a/src/onyxspoke/core/admission/waiting_line.py
+++ b/src/onyxspoke/core/admission/waiting_line.py
@@ -2,29 +2,31 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left, insort
-from itertools import accumulate
-from operator import itemgetter
+from bisect import bisect_left, bisect_right
 from typing import NamedTuple
 
 from onyxspoke.core.placement.queue_order import StepRank
 
+#: How far decisions look ahead, in seconds: each by the first that covers what its caller waits.  A
+#: task that works for longer holds its room for so long before what comes after it.
+HORIZONS = (2.0, 4.0, 8.0, 16.0, 32.0, 64.0, 128.0)
+
 
 class WaitingWork(NamedTuple):
-    """Work that waits at a place in the line, in share-seconds.
+    """Work that waits at a place in the line.
 
     Attributes
     ----------
-    low, high : float
-        The least and the most that it takes of the room.
-    task_seconds : float
-        How long one of its tasks takes.
+    share : float
+        Of the room, for all of its tasks.
+    low_seconds, high_seconds : float
+        For how long at least, and at most.
     """
 
     rank: StepRank
-    low: float
-    high: float
-    task_seconds: float = 0.0
+    share: float
+    low_seconds: float
+    high_seconds: float
 
 
 class WorkAhead(NamedTuple):
@@ -35,35 +37,68 @@
     task_seconds: float
 
 
+def horizon_of(seconds: float) -> float:
+    """Return how far a decision looks ahead whose caller waits for so long."""
+    return HORIZONS[min(bisect_left(HORIZONS, seconds), len(HORIZONS) - 1)]
+
+
 class WaitingLine:
     """Work in the order of placement, and what was added since it was sorted.
 
     Parameters
     ----------
     works : list of WaitingWork
-        In any order.
+        In order.
+    horizon : float
+        How far it looks ahead, in seconds.
     """
 
-    def __init__(self, works: list[WaitingWork]) -> None:
-        works = sorted(works, key=itemgetter(0))
-        self._ranks = [work.rank for work in works]
-        self._low = [0.0, *accumulate(work.low for work in works)]
-        self._high = [0.0, *accumulate(work.high for work in works)]
-        self._weighted = [0.0, *accumulate(work.low * work.task_seconds for work in works)]
-        self._added: list[WaitingWork] = []
+    def __init__(self, works: list[WaitingWork], horizon: float) -> None:
+        self._horizon = horizon
+        self._sorted = _Sums(works, horizon)
+        self._added = _Sums([], horizon)
 
     def add(self, work: WaitingWork) -> None:
         """Count work that was taken in since."""
-        insort(self._added, work, key=itemgetter(0))
+        self._added.insert(work)
 
     def ahead_of(self, rank: StepRank) -> WorkAhead:
         """Return what goes before a place."""
-        at = bisect_left(self._ranks, rank)
-        low, high, weighted = self._low[at], self._high[at], self._weighted[at]
-        for work in self._added:
-            if work.rank >= rank:
-                break
-            low += work.low
-            high += work.high
-            weighted += work.low * work.task_seconds
-        return WorkAhead(low, high, weighted / low if low > 0.0 else 0.0)
+        low, high, weighted = self._sorted.before(rank)
+        more_low, more_high, more_weighted = self._added.before(rank)
+        low += more_low
+        mean = (weighted + more_weighted) / low if low > 0.0 else 0.0
+        return WorkAhead(low, high + more_high, mean)
+
+
+class _Sums:
+    """Work in order, with sums from its beginning: at least, at most, and weighted by length."""
+
+    def __init__(self, works: list[WaitingWork], horizon: float) -> None:
+        self._horizon = horizon
+        self._works = list(works)
+        self._ranks = [work.rank for work in works]
+        self._sums = [(0.0, 0.0, 0.0)]
+        self._sum_from(0)
+
+    def insert(self, work: WaitingWork) -> None:
+        """Take in more work; most goes to the end."""
+        at = bisect_right(self._ranks, work.rank)
+        self._ranks.insert(at, work.rank)
+        self._works.insert(at, work)
+        del self._sums[at + 1 :]
+        self._sum_from(at)
+
+    def before(self, rank: StepRank) -> tuple[float, float, float]:
+        """Return the sums of what goes before a place."""
+        return self._sums[bisect_left(self._ranks, rank)]
+
+    def _sum_from(self, at: int) -> None:
+        low, high, weighted = self._sums[at]
+        horizon = self._horizon
+        for _rank, share, low_seconds, high_seconds in self._works[at:]:
+            least = min(low_seconds, horizon)
+            low += share * least
+            high += share * min(high_seconds, horizon)
+            weighted += share * least * least
+            self._sums.append((low, high, weighted))
--- a/src/onyxspoke/core/shard/admission_desk.py
+++ b/src/onyxspoke/core/shard/admission_desk.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-from onyxspoke.core.admission.arrivals import ArrivalMeter
+from onyxspoke.core.admission.arrivals import SPAN_SECONDS, ArrivalMeter
 from onyxspoke.core.admission.closings import Closings, Scope
 from onyxspoke.core.admission.gate import SHORTEST_RETRY_SECONDS, Gate
 from onyxspoke.core.admission.hand_in import HandIn, describe_hand_in
@@ -138,7 +138,8 @@
         view.add(job)
         lane = view.lanes.get(job.service)
         if lane is not None:
-            self._arrivals.note(job.service, job.rank, lane.work_of(job).low, now)
+            work = lane.work_of(job, SPAN_SECONDS).low
+            self._arrivals.note(job.service, job.rank, work, now)
         self._closings.note_taken(Scope(job.queue, ""), now)
         if job.rank.is_beyond_share:
             self._closings.note_taken(Scope(job.queue, job.tenant), now)
