--- a/features/admission.feature
+++ b/features/admission.feature
@@ -49,6 +49,10 @@
     Then at most 0.8 times as many come back in one second as without
     And no fewer jobs are of use than without
 
+  Scenario: More jobs than are served, with drawn faults
+    When more jobs than are served are played over seeds 1 to 6 with drawn faults
+    Then jobs were refused, and no promise is broken in any of them
+
   Scenario: Switched off, those refused while the store is away are told 1 second as before
     Given a cell that does not decide about admission
     And 30 jobs a second come to it for 8 seconds
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -22,6 +22,7 @@
 from onyxspoke.core.shard.load_options import LoadOptions
 from onyxspoke.core.tenants.policy import TenantPolicy
 from onyxspoke.kit.jobs.workers import WorkOptions
+from onyxspoke.sim.explore_jobs import play
 from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster, make_configuration
 
 SETTLE_SECONDS = 3.0
@@ -434,6 +435,22 @@
     assert told == {seconds}, told
 
 
+@when("more jobs than are served are played over seeds {first:d} to {last:d} with drawn faults")
+def _play_faults(context: Any, first: int, last: int) -> None:
+    context.job_reports = [
+        play(seed, with_tenants=bool(seed % 2), shards=1 + seed % 3 // 2, with_admission=True)
+        for seed in range(first, last + 1)
+    ]
+
+
+@then("jobs were refused, and no promise is broken in any of them")
+def _refused_unbroken(context: Any) -> None:
+    findings = [finding for report in context.job_reports for finding in report.findings]
+    assert not findings, findings[:3]
+    refused = [report.counts.get("submit_refused", 0) for report in context.job_reports]
+    assert sum(refused) > 100, refused
+
+
 # Bad input
 
 
--- a/src/onyxspoke/core/admission/waiting_line.py
+++ b/src/onyxspoke/core/admission/waiting_line.py
@@ -54,7 +54,6 @@
     """
 
     def __init__(self, works: list[WaitingWork], horizon: float) -> None:
-        self._horizon = horizon
         self._sorted = _Sums(works, horizon)
         self._added = _Sums([], horizon)
 
--- a/src/onyxspoke/core/shard/admission_desk.py
+++ b/src/onyxspoke/core/shard/admission_desk.py
@@ -21,6 +21,7 @@
 from onyxspoke.core.placement.advice_desk import MAXIMUM_WORKERS_ASKED, MINIMUM_WORKERS_ASKED
 from onyxspoke.core.placement.queue_order import EXPIRY_FACTOR
 from onyxspoke.core.shard.context import ShardContext
+from onyxspoke.core.shard.worker_register import WorkerRegister
 
 #: Between two looks at the load at least, in seconds; as a round of the scheduler.
 VIEW_SECONDS = 0.05
@@ -50,10 +51,13 @@
     ----------
     context : ShardContext
         State of the holder.
+    register : WorkerRegister
+        Knows whether all workers were listed.
     """
 
-    def __init__(self, context: ShardContext) -> None:
+    def __init__(self, context: ShardContext, register: WorkerRegister) -> None:
         self._context = context
+        self._register = register
         self._gate = Gate()
         self._returns = Returns()
         self._closings = Closings()
@@ -130,7 +134,7 @@
 
     def summary(self, now: float) -> AdmissionSummary | None:
         """Return which queues are closed; nothing while that is not known."""
-        if not self.is_on or self._context.book.is_recovering:
+        if not self.is_on or not self._knows_load:
             return None
         return AdmissionSummary(token=self._context.token, notices=self._closings.notices(now))
 
@@ -146,13 +150,18 @@
 
     # What is looked at
 
+    @property
+    def _knows_load(self) -> bool:
+        """Whether the holder knows what waits, its workers, and what they run."""
+        return self._register.knows_directory and not self._context.book.is_recovering
+
     def _current_view(self, now: float) -> LoadView | None:
         context = self._context
-        if context.book.is_recovering:
+        if not self._knows_load:
             return None
         if self._view is None or now >= self._next_view_at:
             steps = list(context.book.startable_steps())
-            count = len(steps) + context.table.run_count()
+            count = len(steps) + context.table.run_count() + len(self._returns)
             stop_seconds = context.options.stop_grace_ms / _MILLISECONDS
             load = Load(
                 steps=steps,
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -107,7 +107,7 @@
         )
         self.workers = WorkerKeeper(self.context, self.runs, reports, self.register)
         self.quotas = QuotaDesk(self.context)
-        self._admission = AdmissionDesk(self.context)
+        self._admission = AdmissionDesk(self.context, self.register)
         self._calls = CallDesk(self.context, self.runs, self.quotas, self._admission)
         self._paces = PaceKeeper(self.context)
         self._evacuation = Evacuation(self.context, self.runs)
--- a/src/onyxspoke/core/shard/worker_register.py
+++ b/src/onyxspoke/core/shard/worker_register.py
@@ -65,6 +65,11 @@
         worker.was_used_before = True
         worker.listing = WorkerListing.GONE
 
+    @property
+    def knows_directory(self) -> bool:
+        """Whether a whole list of the directory was taken in."""
+        return self._directory_is_known
+
     def handle_listed(
         self,
         records: list[WorkerRecord],
