Admission: owed jobs that may be on time are taken; a returning job keeps the mark of its first hand-in

Change: what is owed and may be on time is taken; the mark is decided once, at the first hand-in that is remembered.

--- a/src/onyxspoke/core/admission/gate.py
+++ b/src/onyxspoke/core/admission/gate.py
@@ -1,8 +1,10 @@
 """The decision about a job that is handed in: a pure function of the job and a look at the load.
 
 What surely cannot be done while its caller waits is refused; what surely can is taken.  Between
-the two a job is taken if its tenant is owed it, or if it comes back when it was told to.  Nothing
-is taken that would make a job come too late which was taken before, and is no less urgent.
+the two a job is taken if its tenant is owed it, or if it comes back when it was told to.  What is
+owed and may be on time is taken whatever waits: an answer in time is worth more to its caller than
+a late one to another.  Nothing else is taken that would make a job come too late which was taken
+before, and is no less urgent.
 """
 
 from __future__ import annotations
@@ -47,6 +49,8 @@
         if is_possible and job.is_awaited:
             return Admit(inputs)
         is_owed = not job.rank.is_beyond_share
+        if is_owed and best_end <= job.on_time_until - now:
+            return Admit(inputs)
         may_be_taken = worst_end <= inputs.patience_seconds or (is_possible and is_owed)
         if may_be_taken and not view.pushes_promised(job):
             return Admit(inputs)
--- a/src/onyxspoke/core/admission/hand_in.py
+++ b/src/onyxspoke/core/admission/hand_in.py
@@ -76,6 +76,11 @@
     is_awaited: bool = False
     advice_seconds: float = 0.0
 
+    @property
+    def on_time_until(self) -> float:
+        """The holder's second until which its outcome is on time."""
+        return self.first_at + self.objective_seconds
+
     @property
     def last_use_at(self) -> float:
         """The holder's second after which its outcome is of no use to its caller."""
--- a/src/onyxspoke/core/shard/call_desk.py
+++ b/src/onyxspoke/core/shard/call_desk.py
@@ -140,12 +140,15 @@
     def _mark_share(self, spec: JobSpec, refused: Refused | None, now: float) -> JobSpec:
         """Return a new job with the mark whether its tenant is owed it.
 
-        One that was owed when it was refused still is.
+        The mark of its first hand-in stays: were a returning job to ask for it again, what a flood
+        sends would take the marks of its tenant's later jobs.
         """
         context = self._context
         policy = context.policy.tenants.get(spec.tenant)
-        is_owed = refused is not None and refused.is_owed
-        is_owed = is_owed or context.shares.take(policy, context.shard_count, now)
+        if refused is not None:
+            is_owed = refused.is_owed
+        else:
+            is_owed = context.shares.take(policy, context.shard_count, now)
         return msgspec.structs.replace(spec, is_beyond_share=not is_owed)
 
     def _log_taken(self, spec: JobSpec) -> None:
