--- a/features/admission.feature
+++ b/features/admission.feature
@@ -115,6 +115,15 @@
       | 12    | taken    | in_doubt |
       | 30    | too_late | too_late |
 
+  Scenario: What is owed and may be on time is taken, whatever late jobs were taken before it
+    Given a cell whose workers are taken for 2 seconds, and a late job that must begin as they are free
+    Then a job of 12 seconds of use, owed to its tenant, is "taken"
+
+  Scenario: A refused job that comes again takes no mark from its tenant's later jobs
+    Given a cell of a tenant with a weight of 0 and one of 8, that decides about admission
+    When its gate refuses everything
+    Then a job of the first that comes 3 times asks once whether it is owed
+
   Scenario: What never can run by its tenant's quota is refused
     Given a cell whose workers are all taken for 4 seconds by what waits
     Then a job of a tenant whose quota never has room for it is refused
--- a/features/steps/admission_rule_steps.py
+++ b/features/steps/admission_rule_steps.py
@@ -221,6 +221,15 @@
     context.scene = _make_cell(runs, waiting)
 
 
+@given(
+    "a cell whose workers are taken for 2 seconds, and a late job that must begin as they are free"
+)
+def _late_jobs(context: Any) -> None:
+    runs = [(index, PROCESSORS, 1, False) for index in range(WORKERS)]
+    # It is to begin within 2 s, and can hardly: any more work before it is too much.
+    context.scene = _make_cell(runs, [(1, PROCESSORS, 1, 8)])
+
+
 @given("a job of one processor whose estimate is {seconds:d} seconds waits before it")
 def _beyond_measure(context: Any, seconds: int) -> None:
     step = context.scene.add_step("odd", 1, 1, 1)
@@ -356,6 +365,20 @@
     assert caller.accepted_at is not None and caller.is_of_use
 
 
+@then("a job of the first that comes {times:d} times asks once whether it is owed")
+def _asks_once(context: Any, times: int) -> None:
+    scheduler = _scheduler(context)
+    [caller] = context.arrivals.of()
+    shares = scheduler.context.shares
+    # The first job of all takes the one mark that is saved up.
+    for name, count in (("d", 1), ("e", times)):
+        spec = msgspec.structs.replace(caller.spec, job_id=name * 16, tenant="none")
+        for _ in range(count):
+            scheduler.stimulus_call(-1, SubmitCall(spec), context.cluster.time.now())
+            context.cluster.run(1.0)
+    assert (shares.owed_count("none"), shares.beyond_count("none")) == (1, 1)
+
+
 @given("nothing of the part can be asked")
 def _poisoned(context: Any) -> None:
     def fail(*_args: Any, **_kwargs: Any) -> None:
