Admission: a queue closes for owed jobs, too; patience follows the work where that is known to be more

Cause: a notice was made only where a new job like the one refused would come too late by its place; one refused because it would push late jobs closed nothing, and each returning job opened the queue (its test failed first). Where tasks are known to take several times their estimates, patience by estimates was over before an empty cell could be done (its test fails without the change). Change: closed until what goes before is through, in that case; jobs that return tell nothing of new ones; the objective of a hand-in is that of its known work, if more. Its place goes by estimates, as everybody's. Tests: what the summary closes in a flood and in a burst; log lines of refusals, closing and opening.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -29,6 +29,20 @@
     And of jobs taken at once less than 5 in 100 of those without come too late
     And less than 2 in 100 of the callers are refused twice in a row
 
+  Scenario: In a flood of one tenant only its jobs beyond its share are told to be refused
+    Given a cell of tenants that decides about admission, one of which floods
+    When 12 seconds pass for its callers
+    Then its summary closes the queue for the flooding tenant alone
+    And refusals are logged with all their inputs, and with when the queue closed
+    When 30 seconds pass for its callers
+    Then it is logged that the queue is open again
+
+  Scenario: In a burst beyond what is served the queue is told to be closed for everybody
+    Given a cell that decides about admission
+    And 60 jobs a second come to it for 8 seconds
+    When 6 seconds pass for its callers
+    Then its summary closes the queue for everybody, for no longer than 30 seconds
+
   Scenario: A holder that is killed in a burst
     Given a cell that decides about admission
     And 40 jobs a second come to it for 6 seconds
@@ -115,6 +129,11 @@
       | 12    | taken    | in_doubt |
       | 30    | too_late | too_late |
 
+  Scenario: Work that is known to take longer than estimated has callers who wait longer
+    Given a cell whose workers are all taken for 4 seconds by what waits
+    When it is known that tasks take 5 times their estimates
+    Then a job of 12 seconds of use, owed to its tenant, is "taken"
+
   Scenario: What never can run by its tenant's quota is refused
     Given a cell whose workers are all taken for 4 seconds by what waits
     Then a job of a tenant whose quota never has room for it is refused
--- a/features/steps/admission_rule_steps.py
+++ b/features/steps/admission_rule_steps.py
@@ -23,6 +23,7 @@
 from onyxspoke.core.admission.view_builder import Load, build_view
 from onyxspoke.core.admission.waiting_line import WaitingLine, WaitingWork
 from onyxspoke.core.estimates.durations import Durations
+from onyxspoke.core.estimates.expected import Expected
 from onyxspoke.core.jobs.model import JobSpec, Needs, QueuePolicy, StepSpec
 from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.jobs.states import RunState
@@ -227,6 +228,17 @@
     step.spec = msgspec.structs.replace(step.spec, estimated_ms=seconds * 1_000)
 
 
+@when("it is known that tasks take {times:d} times their estimates")
+def _longer(context: Any, times: int) -> None:
+    def expected(*args: Any, **_named: Any) -> Expected:
+        seconds = times * args[3] / 1_000.0
+        return Expected(seconds, seconds, evidence=100.0)
+
+    patch = mock.patch.object(Durations, "expected", expected)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
 def _decide(context: Any, owed: bool, policy: PolicySet | None = None, **traits: Any) -> Any:
     scene = context.scene
     job = _job(scene, traits.pop("job", (1, 1, 1, not owed)), **traits)
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -19,6 +19,7 @@
 from onyxspoke.core.jobs.states import RunEnd
 from onyxspoke.core.placement.queue_order import EXPIRY_FACTOR
 from onyxspoke.core.shard.calls import CallReply, ReplyCode, SubmitCall
+from onyxspoke.core.shard.context import ShardContext
 from onyxspoke.core.shard.load_options import LoadOptions
 from onyxspoke.core.tenants.policy import TenantPolicy
 from onyxspoke.kit.jobs.workers import WorkOptions
@@ -286,6 +287,60 @@
     return scheduler.admission_summary(cluster.time.now())
 
 
+@given("a cell of tenants that decides about admission, one of which floods")
+def _flooded(context: Any) -> None:
+    tenants = {"first": 6.0, "second": 6.0, "flood": 4.0}
+    start_cluster(context, 4, admission=True, tenants=tenants)
+    context.logged = []
+    log = ShardContext.log
+
+    def note(shard: ShardContext, event: str, **fields: Any) -> None:
+        context.logged.append((event, fields))
+        log(shard, event, **fields)
+
+    patch = mock.patch.object(ShardContext, "log", note)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    for tenant, rate in (("first", 5), ("second", 5), ("flood", 10)):
+        context.arrivals.send(rate, 14, "normal", tenant)
+
+
+@then("its summary closes the queue for the flooding tenant alone")
+def _closed_for_flood(context: Any) -> None:
+    summary = _summary(context.cluster)
+    assert summary is not None
+    [notice] = summary.notices
+    assert notice.queue == "normal" and notice.tenants == ("flood",), notice
+    scheduler = context.cluster.holder().node.seats[0].scheduler
+    assert summary.token == scheduler.context.token
+
+
+@then("its summary closes the queue for everybody, for no longer than {most:g} seconds")
+def _closed_for_all(context: Any, most: float) -> None:
+    summary = _summary(context.cluster)
+    assert summary is not None
+    [notice] = summary.notices
+    assert notice.tenants == () and 0.0 < notice.closed_seconds <= most, notice
+
+
+@then("refusals are logged with all their inputs, and with when the queue closed")
+def _logged(context: Any) -> None:
+    events = [event for event, _fields in context.logged]
+    assert events.count("admission_refused") == events.count("job_refused") > 0
+    assert events.count("admission_closed") >= 1
+    fields = next(fields for event, fields in context.logged if event == "admission_refused")
+    assert fields["tenant"] == "flood" and fields["beyond_share"] == 1
+    inputs = {"ahead_s", "ahead_upper_s", "advice_s", "work_s", "patience_s", "view_age_s"}
+    assert inputs <= fields.keys(), fields
+
+
+@then("it is logged that the queue is open again")
+def _logged_open(context: Any) -> None:
+    events = [event for event, _fields in context.logged]
+    assert events.count("admission_opened") == events.count("admission_closed")
+    assert _summary(context.cluster).notices == ()
+
+
 # Failures
 
 
--- a/src/onyxspoke/core/admission/gate.py
+++ b/src/onyxspoke/core/admission/gate.py
@@ -18,6 +18,7 @@
     VerdictInputs,
 )
 from onyxspoke.core.jobs.model import Needs
+from onyxspoke.core.placement.queue_order import EXPIRY_FACTOR
 
 #: A caller is told to come back after so long at least, and at most, in seconds.
 SHORTEST_RETRY_SECONDS = 1.0
@@ -56,6 +57,23 @@
         return Refuse(reason, _retry_seconds(job, ahead), inputs)
 
 
+def closed_seconds(job: HandIn, verdict: Refuse, view: LoadView) -> float:
+    """Return for how long others like a job would be refused, were each handed in anew.
+
+    One that is refused because it would push late jobs has to wait until those are through.
+    """
+    inputs = verdict.inputs
+    is_in_doubt = verdict.reason is RefusalReason.IN_DOUBT
+    if is_in_doubt and not job.rank.is_beyond_share:
+        return verdict.retry_after_seconds
+    work = view.work_seconds(job)
+    ahead, taken = inputs.ahead_seconds, work.best_seconds
+    if is_in_doubt:
+        ahead, taken = inputs.ahead_upper_seconds, work.worst_seconds
+    patience = EXPIRY_FACTOR * job.objective_seconds
+    return max(ahead, inputs.advice_seconds) + taken - patience
+
+
 def _can_begin_now(job: HandIn, view: LoadView, inputs: VerdictInputs) -> bool:
     """Return whether free workers could run a job, and advice about them comes in time."""
     time_for_advice = inputs.patience_seconds - job.chain_median_seconds
--- a/src/onyxspoke/core/admission/hand_in.py
+++ b/src/onyxspoke/core/admission/hand_in.py
@@ -111,8 +111,10 @@
     steps = tuple(_step_works(spec, durations))
     median, upper = _chain(spec, steps)
     estimated = max(chains_ms(spec), default=0.0) / _MILLISECONDS
-    objective = spec.queue.stretch * estimated + spec.queue.target_latency_ms / _MILLISECONDS
-    latest_start = first_at + objective - estimated
+    # Its place follows from estimates, as everybody's; its callers' patience from the work itself,
+    # where that is known to be more.
+    latest_start = first_at + _objective(spec, estimated) - estimated
+    objective = _objective(spec, max(estimated, median))
     rank = StepRank(False, spec.is_beyond_share, queue.priority, Lateness.ON_TIME, latest_start, 0)
     return HandIn(
         service=queue.service,
@@ -129,6 +131,10 @@
     )
 
 
+def _objective(spec: JobSpec, chain_seconds: float) -> float:
+    return spec.queue.stretch * chain_seconds + spec.queue.target_latency_ms / _MILLISECONDS
+
+
 def _step_works(spec: JobSpec, durations: Durations) -> list[StepWork]:
     works = []
     for step in spec.steps:
--- a/src/onyxspoke/core/shard/admission_desk.py
+++ b/src/onyxspoke/core/shard/admission_desk.py
@@ -9,7 +9,7 @@
 
 from onyxspoke.core.admission.arrivals import SPAN_SECONDS, ArrivalMeter
 from onyxspoke.core.admission.closings import Closings, Scope
-from onyxspoke.core.admission.gate import SHORTEST_RETRY_SECONDS, Gate
+from onyxspoke.core.admission.gate import SHORTEST_RETRY_SECONDS, Gate, closed_seconds
 from onyxspoke.core.admission.hand_in import HandIn, describe_hand_in
 from onyxspoke.core.admission.load_view import LoadView
 from onyxspoke.core.admission.returns import JobHash, Refused, Returns, hash_of, longest_wait
@@ -19,7 +19,6 @@
 from onyxspoke.core.admission.view_builder import Load, build_view
 from onyxspoke.core.jobs.model import JobSpec, QueuePolicy
 from onyxspoke.core.placement.advice_desk import MAXIMUM_WORKERS_ASKED, MINIMUM_WORKERS_ASKED
-from onyxspoke.core.placement.queue_order import EXPIRY_FACTOR
 from onyxspoke.core.shard.context import ShardContext
 from onyxspoke.core.shard.worker_register import WorkerRegister
 
@@ -144,6 +143,9 @@
         if lane is not None:
             work = lane.work_of(job, SPAN_SECONDS).high
             self._arrivals.note(job.service, job.rank, work, now)
+        if job.is_awaited:
+            # It comes before new ones, and tells nothing of them.
+            return
         self._closings.note_taken(Scope(job.queue, ""), now)
         if job.rank.is_beyond_share:
             self._closings.note_taken(Scope(job.queue, job.tenant), now)
@@ -233,13 +235,7 @@
 
     def _note_closing(self, job: HandIn, verdict: Refuse, view: LoadView, now: float) -> None:
         """Take note for how long others like a job would be refused."""
-        inputs = verdict.inputs
-        patience = EXPIRY_FACTOR * job.objective_seconds
-        work = view.work_seconds(job)
-        ahead, taken = inputs.ahead_seconds, work.best_seconds
-        if verdict.reason is RefusalReason.IN_DOUBT:
-            ahead, taken = inputs.ahead_upper_seconds, work.worst_seconds
-        seconds = max(ahead, inputs.advice_seconds) + taken - patience
+        seconds = closed_seconds(job, verdict, view)
         if seconds <= 0.0:
             return
         is_for_all = not job.rank.is_beyond_share and not view.is_held_by_quota(job)
