--- a/features/admission.feature
+++ b/features/admission.feature
@@ -50,6 +50,13 @@
     Then its successor refuses nothing before it knows what waits
     And no promise of the cell is broken
 
+  Scenario: A holder that has not heard of all workers yet refuses nothing, and tells nothing
+    Given a cell that decides about admission
+    And the whole list of its workers has not come yet
+    And 60 jobs a second come to it for 6 seconds
+    When 6 seconds pass for its callers
+    Then nobody was refused, and nothing is told of its queues
+
   Scenario: A store that is away in a burst: those refused come back over the seconds after it
     Given a cell that decides about admission
     And 16 jobs a second come to it for 8 seconds
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -21,6 +21,7 @@
 from onyxspoke.core.shard.calls import CallReply, ReplyCode, SubmitCall
 from onyxspoke.core.shard.context import ShardContext
 from onyxspoke.core.shard.load_options import LoadOptions
+from onyxspoke.core.shard.worker_register import WorkerRegister
 from onyxspoke.core.tenants.policy import TenantPolicy
 from onyxspoke.kit.jobs.workers import WorkOptions
 from onyxspoke.sim.explore_jobs import play
@@ -364,6 +365,20 @@
     context.arrivals.send(rate, seconds, "urgent")
 
 
+@given("the whole list of its workers has not come yet")
+def _no_whole_list(context: Any) -> None:
+    patch = mock.patch.object(WorkerRegister, "knows_directory", False)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@then("nobody was refused, and nothing is told of its queues")
+def _nobody_refused(context: Any) -> None:
+    callers = context.arrivals.of()
+    assert callers and not any(caller.refusals for caller in callers)
+    assert _summary(context.cluster) is None
+
+
 @when("its holder is killed {seconds:g} seconds later")
 def _kill(context: Any, seconds: float) -> None:
     cluster = context.cluster
