--- a/src/onyxspoke/core/admission/hand_in.py
+++ b/src/onyxspoke/core/admission/hand_in.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from onyxspoke.core.estimates.durations import Durations
 from onyxspoke.core.estimates.expected import Expected
@@ -41,7 +41,7 @@
     is_gang: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True, eq=False)
 class HandIn:
     """A job that is handed in.
 
@@ -86,10 +86,6 @@
         """The holder's second after which its outcome is of no use to its caller."""
         return self.first_at + EXPIRY_FACTOR * self.objective_seconds
 
-    def with_advice(self, seconds: float) -> HandIn:
-        """Return the job with the time that advice takes."""
-        return replace(self, advice_seconds=seconds)
-
     def is_too_wide(self, quota: Needs) -> bool:
         """Return whether a quota, of which 0 sets no limit, certainly never lets it run."""
         for step in self.steps:
@@ -116,8 +112,10 @@
     steps = tuple(_step_works(spec, durations))
     median, upper = _chain(spec, steps)
     estimated = max(chains_ms(spec), default=0.0) / _MILLISECONDS
-    objective = spec.queue.stretch * estimated + spec.queue.target_latency_ms / _MILLISECONDS
-    latest_start = first_at + objective - estimated
+    # Its place follows from estimates, as everybody's; its callers' patience from the work itself,
+    # where that is known to be more.
+    latest_start = first_at + _objective(spec, estimated) - estimated
+    objective = _objective(spec, max(estimated, median))
     rank = StepRank(False, spec.is_beyond_share, queue.priority, Lateness.ON_TIME, latest_start, 0)
     return HandIn(
         service=queue.service,
@@ -134,6 +132,10 @@
     )
 
 
+def _objective(spec: JobSpec, chain_seconds: float) -> float:
+    return spec.queue.stretch * chain_seconds + spec.queue.target_latency_ms / _MILLISECONDS
+
+
 def _step_works(spec: JobSpec, durations: Durations) -> list[StepWork]:
     works = []
     for step in spec.steps:
