Admission: a refused job that cannot be of use any more is no work that is awaited

Cause: with marks that stay, a flood's refused jobs that are told a second after their last use counted as work ahead (32 s of it in the feature's flood), so that the queue was told to be closed for that long after the flood. Change: only those that may come back and be of use count. Measured: features/admission.feature 31 of 32 before, 32 passed.

--- a/src/onyxspoke/core/admission/returns.py
+++ b/src/onyxspoke/core/admission/returns.py
@@ -147,9 +147,13 @@
         return refused
 
     def awaited(self, now: float) -> Iterator[AwaitedWork]:
-        """Return the work of the jobs that may yet come back on time."""
+        """Return the work of the jobs that may yet come back on time, and be of use.
+
+        One that is told a second after its last use may never come, and is new if it does.
+        """
         for refused in self._refused.values():
-            if refused.slot is not None and now <= refused.due_at + GRACE_SECONDS:
+            is_of_use = refused.due_at <= refused.last_use_at
+            if is_of_use and refused.slot is not None and now <= refused.due_at + GRACE_SECONDS:
                 yield refused.awaited
 
     def keep(self, now: float) -> None:
