--- /dev/null
+++ b/src/onyxspoke/core/admission/load_view.py
@@ -0,0 +1,140 @@
+"""What waits, what runs and what is free, as decisions about hand-ins see it for a moment."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from onyxspoke.core.admission.hand_in import HandIn, StepWork
+from onyxspoke.core.admission.lane import Ahead, Lane, share_of
+from onyxspoke.core.jobs.amounts import minus, slots_within, times
+from onyxspoke.core.jobs.model import Needs
+from onyxspoke.core.tenants.policy import TenantName
+
+
+class FreeRoom(NamedTuple):
+    """Room of one worker that nothing holds."""
+
+    room: Needs
+    labels: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class LoadView:
+    """A moment's look at the load.
+
+    Attributes
+    ----------
+    made_at : float
+        When what waits was looked at, in the holder's seconds.
+    lanes : dict of str to Lane
+        By service; one without workers is not there.
+    quotas : dict of TenantName to Needs
+        Of tenants that have one.
+    tenant_lanes : dict of TenantName to Lane
+        Of those.
+    free : dict of str to list of FreeRoom
+        By service, the workers that have room, with the most processors first.
+    """
+
+    made_at: float
+    lanes: dict[str, Lane]
+    quotas: dict[TenantName, Needs] = field(default_factory=dict)
+    tenant_lanes: dict[TenantName, Lane] = field(default_factory=dict)
+    free: dict[str, list[FreeRoom]] = field(default_factory=dict)
+    #: What was taken in since and has no room yet, by service.
+    _added: dict[str, Needs] = field(default_factory=dict)
+
+    def ahead_of(self, job: HandIn) -> Ahead | None:
+        """Return when a job could begin, or nothing where that is not known."""
+        lane = self.lanes.get(job.service)
+        if lane is None:
+            return None
+        ahead = lane.ahead_of(job)
+        own = self.tenant_lanes.get(job.tenant)
+        if own is None:
+            return ahead
+        of_own = own.ahead_of(job)
+        best = max(ahead.best_seconds, of_own.best_seconds)
+        return Ahead(best, max(ahead.worst_seconds, of_own.worst_seconds))
+
+    def is_held_by_quota(self, job: HandIn) -> bool:
+        """Return whether a job waits for its tenant's quota rather than for workers."""
+        own = self.tenant_lanes.get(job.tenant)
+        lane = self.lanes.get(job.service)
+        if own is None or lane is None:
+            return False
+        return own.ahead_of(job).best_seconds > lane.ahead_of(job).best_seconds
+
+    def work_seconds(self, job: HandIn) -> Ahead:
+        """Return how long a job itself takes: its longest chain, or more where it is wide."""
+        best, worst = job.chain_median_seconds, job.chain_upper_seconds
+        for lane in (self.lanes.get(job.service), self.tenant_lanes.get(job.tenant)):
+            if lane is not None:
+                work = lane.work_of(job)
+                best = max(best, work.low / lane.spare_factor)
+                worst = max(worst, work.high)
+        return Ahead(best, worst)
+
+    def add(self, job: HandIn) -> None:
+        """Count a job that was taken in since."""
+        lane = self.lanes.get(job.service)
+        if lane is None:
+            return
+        lane.add(job)
+        own = self.tenant_lanes.get(job.tenant)
+        if own is not None:
+            own.add(job)
+        added = self._added.get(job.service, Needs())
+        for step in job.steps:
+            if step.is_first:
+                added = minus(added, times(step.needs, -step.tasks))
+        self._added[job.service] = added
+
+    def pushes_promised(self, job: HandIn) -> bool:
+        """Return whether a late job that was taken would come too late for this one."""
+        lane = self.lanes.get(job.service)
+        return lane is not None and lane.pushes_promised(job)
+
+    def has_room_for(self, job: HandIn) -> bool:
+        """Return whether every task that a job begins with has room now."""
+        workers = self.free.get(job.service, [])
+        taken = self._added.get(job.service, Needs())
+        return all(
+            _fits(step, workers, taken) for step in job.steps if step.is_first
+        ) and self._is_within_quota(job)
+
+    def _is_within_quota(self, job: HandIn) -> bool:
+        own = self.tenant_lanes.get(job.tenant)
+        if own is None:
+            return True
+        free = 1.0 - sum(held.share for held in own.held)
+        wanted = sum(
+            share_of(step.needs, own.total) * step.tasks for step in job.steps if step.is_first
+        )
+        return wanted <= free
+
+
+def _fits(step: StepWork, workers: list[FreeRoom], taken: Needs) -> bool:
+    """Return whether a step's tasks have room beside what others will take of it."""
+    missing = step.tasks
+    if any(taken):
+        missing += _tasks_displaced(step.needs, taken)
+    for worker in workers:
+        if worker.room.processors_milli < step.needs.processors_milli:
+            return False
+        if step.label and step.label not in worker.labels:
+            continue
+        missing -= slots_within(worker.room, step.needs)
+        if missing <= 0:
+            return True
+    return False
+
+
+def _tasks_displaced(needs: Needs, taken: Needs) -> int:
+    """Return for how many tasks there is less room, with so much of it taken."""
+    displaced = 0
+    for need, amount in zip(needs, taken, strict=True):
+        if need > 0:
+            displaced = max(displaced, -(-amount // need))
+    return displaced
