Learned durations: estimates corrected by queue, tenant and worker

Cause: callers' estimates were taken as they are by order, objective, forecasts, preemption, gangs' patience and stalls, while they are off by up to 0.9 of their size by kind of request, and workers differ by twice in speed.

Change: core/estimates. A queue (and a tenant in it, with evidence of its own) has a decaying histogram of log(actual / estimate); its median is the factor. A worker's factor is a shrunken, bounded mean of what is left over beside its runs' siblings elsewhere, or its queue; it belongs to one life and begins with its kind's. Progress counts as well as ends. Jobs and workers hold the shared models, so that pure functions read them without being handed anything. A record of at most 12,016 bytes goes with appends that are due, one in 5 s at most. Factors near 1, or with little evidence, are exactly 1.

Ruled out: the queue's median as first comparison for tasks of a step with siblings elsewhere (a job that is off blamed workers); a library's histogram (memory a queue); counting each task (a caller's error is shared by its job).

--- a/src/onyxspoke/core/jobs/book.py
+++ b/src/onyxspoke/core/jobs/book.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from enum import Enum
 
+from onyxspoke.core.estimates.work import WorkModel, unlearned_work
 from onyxspoke.core.jobs.crashes import Blame
 from onyxspoke.core.jobs.model import (
     JobId,
@@ -52,10 +53,17 @@
     ----------
     status_seconds : float
         For how long a finished job is remembered.
+    work_of : callable
+        Gives what is known of the work of a queue and tenant.
     """
 
-    def __init__(self, status_seconds: float) -> None:
+    def __init__(
+        self,
+        status_seconds: float,
+        work_of: Callable[[str, TenantName], WorkModel] = unlearned_work,
+    ) -> None:
         self._status_seconds = status_seconds
+        self._work_of = work_of
         self.jobs: dict[JobId, JobProgress] = {}
         self.startable: dict[StepKey, StepProgress] = {}
         self.dirty: dict[JobId, None] = {}
@@ -79,7 +87,7 @@
             return Submission.KNOWN
         if self.was_cancelled_before(spec):
             return Submission.CANCELLED_BEFORE
-        job = JobProgress(spec, now)
+        job = JobProgress(spec, now, self._work_of(spec.queue.name, spec.tenant))
         self.jobs[spec.job_id] = job
         self.dirty[spec.job_id] = None
         if spec.schedule.count > 0:
@@ -141,7 +149,7 @@
         self, spec: JobSpec, record: ProgressRecord | None, accepted_at: float, now: float
     ) -> None:
         """Take in what the store holds of a job."""
-        job = JobProgress(spec, accepted_at)
+        job = JobProgress(spec, accepted_at, self._work_of(spec.queue.name, spec.tenant))
         job.spec_is_stored = True
         job.committed_state = JobState.QUEUED
         self.jobs[spec.job_id] = job
--- a/src/onyxspoke/core/jobs/progress.py
+++ b/src/onyxspoke/core/jobs/progress.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from onyxspoke.core.estimates.work import UNLEARNED_WORK, WorkModel
 from onyxspoke.core.jobs.crashes import CrashTally
 from onyxspoke.core.jobs.model import JobId, JobSpec, StepKey, StepSpec, TaskKey, WorkerId
 from onyxspoke.core.jobs.states import (
@@ -14,6 +15,7 @@
 )
 
 if TYPE_CHECKING:
+    from onyxspoke.core.estimates.evidence import StepEvidence
     from onyxspoke.core.placement.runs import Run
 
 _MILLISECONDS = 1_000.0
@@ -105,6 +107,8 @@
         When a worker last went down just after only tasks of this job had begun there; 0 for never.
     done_before_crash : int
         How many tasks had ended well by then.
+    evidence : StepEvidence or None
+        How its tasks have compared with their estimate.
     begins_apart_until : float
         While it is on trial, nothing more of it begins before this second.
     """
@@ -117,6 +121,7 @@
         "done_before_crash",
         "done_count",
         "due_at",
+        "evidence",
         "failed_gang_runs",
         "in_doubt",
         "job",
@@ -154,6 +159,17 @@
         self.crashed_at = 0.0
         self.done_before_crash = 0
         self.begins_apart_until = 0.0
+        self.evidence: StepEvidence | None = None
+
+    @property
+    def expected_seconds(self) -> float:
+        """How long one task is expected to take on a usual worker."""
+        return self.spec.estimated_ms / _MILLISECONDS * self.job.work.factor
+
+    @property
+    def expected_chain_seconds(self) -> float:
+        """How long the work to the end of the job is expected to take, along the longest chain."""
+        return self.chain_seconds * self.job.work.factor
 
     def note_quota(self, is_over: bool, now: float) -> bool:
         """Take note whether its tenant's quota holds the step back; return whether that is new."""
@@ -216,6 +232,8 @@
         The reader's seconds of the acceptance.
     objective_seconds : float
         Within how long the job should be done, by its own estimates.
+    work : WorkModel
+        By what such estimates are off.
     """
 
     __slots__ = (
@@ -229,10 +247,13 @@
         "spec",
         "spec_is_stored",
         "state",
+        "stretched_seconds",
+        "work",
     )
 
-    def __init__(self, spec: JobSpec, now: float) -> None:
+    def __init__(self, spec: JobSpec, now: float, work: WorkModel = UNLEARNED_WORK) -> None:
         self.spec = spec
+        self.work = work
         self.state = JobState.QUEUED
         self.committed_state: JobState | None = None
         self.repetitions: dict[int, list[StepProgress]] = {}
@@ -240,6 +261,8 @@
         self.begun = False
         self.accepted_at = now
         self.objective_seconds = _objective_seconds(spec)
+        #: The part of the objective that grows with the work.
+        self.stretched_seconds = self.objective_seconds - _target_seconds(spec)
         self.final_at = 0.0
         self.spec_is_stored = False
 
@@ -248,6 +271,11 @@
         """The job's name."""
         return self.spec.job_id
 
+    @property
+    def expected_objective_seconds(self) -> float:
+        """Within how long it should be done by what its work is expected to take."""
+        return self.objective_seconds + (self.work.factor - 1.0) * self.stretched_seconds
+
     def begin_repetition(self, repetition: int, now: float) -> list[StepProgress]:
         """Lay out the steps of a repetition that is due."""
         chains = chains_ms(self.spec)
@@ -305,6 +333,10 @@
     return (spec.queue.stretch * chain + spec.queue.target_latency_ms) / _MILLISECONDS
 
 
+def _target_seconds(spec: JobSpec) -> float:
+    return spec.queue.target_latency_ms / _MILLISECONDS
+
+
 def chains_ms(spec: JobSpec) -> list[float]:
     """Return the estimated work from each step to the job's end, along the longest chain."""
     after = [0.0] * len(spec.steps)
--- a/src/onyxspoke/core/placement/forecast.py
+++ b/src/onyxspoke/core/placement/forecast.py
@@ -14,14 +14,13 @@
 #: Progress, in percent, from which on it tells more than the estimate.
 TELLING_PERCENT = 5
 _FULL_PERCENT = 100
-_MILLISECONDS = 1_000.0
 
 
 def remaining_seconds(run: Run, now: float) -> float:
     """Return about how long a run still takes, by its progress or else by its estimate."""
     if run.task.step.spec.long_running:
         return math.inf
-    estimate = run.task.step.spec.estimated_ms / _MILLISECONDS
+    estimate = run.expected_seconds
     if run.is_resumed:
         left = estimate * (_FULL_PERCENT - run.percent) / _FULL_PERCENT
         return max(0.0, left - (now - run.moved_at))
@@ -87,5 +86,5 @@
     if run.state is RunState.STOPPING:
         return max(now, run.stop_sent_at + stop_seconds)
     if not run.confirmed_at:
-        return now + run.task.step.spec.estimated_ms / _MILLISECONDS
+        return now + run.expected_seconds
     return now + remaining_seconds(run, now)
--- a/src/onyxspoke/core/placement/gang_placer.py
+++ b/src/onyxspoke/core/placement/gang_placer.py
@@ -30,7 +30,6 @@
 PATIENCE_SECONDS = 1.0
 #: Between the end of what gives way and the gang's start, in seconds: the look, and the order.
 START_SECONDS = 0.3
-_MILLISECONDS = 1_000.0
 
 
 class GangPlacer:
@@ -259,7 +258,7 @@
 
 
 def _one_rack_patience(step: StepProgress) -> float:
-    return ONE_RACK_PATIENCE_SHARE * step.spec.estimated_ms / _MILLISECONDS
+    return ONE_RACK_PATIENCE_SHARE * step.expected_seconds
 
 
 def _start_gang(
--- a/src/onyxspoke/core/placement/preemption.py
+++ b/src/onyxspoke/core/placement/preemption.py
@@ -114,7 +114,7 @@
 def _slack(run: Run, now: float) -> float:
     """Return how long a run's job could still wait and be on time, in seconds."""
     step = run.task.step
-    objective_at = step.due_at + step.job.objective_seconds
+    objective_at = step.due_at + step.job.expected_objective_seconds
     return objective_at - now - remaining_seconds(run, now)
 
 
--- a/src/onyxspoke/core/placement/queue_order.py
+++ b/src/onyxspoke/core/placement/queue_order.py
@@ -53,9 +53,10 @@
 
 def step_rank_of(step: StepProgress, queue: QueuePolicy, now: float) -> StepRank:
     """Return a step's place, given its queue."""
-    objective = step.job.objective_seconds
-    latest_start = step.due_at + objective - step.chain_seconds
-    lateness = _lateness(step, objective, now)
+    objective = step.job.expected_objective_seconds
+    chain = step.expected_chain_seconds
+    latest_start = step.due_at + objective - chain
+    lateness = _lateness(step, objective, chain, now)
     return StepRank(
         lateness is Lateness.EXPIRED,
         step.job.spec.is_beyond_share,
@@ -66,10 +67,10 @@
     )
 
 
-def _lateness(step: StepProgress, objective: float, now: float) -> Lateness:
+def _lateness(step: StepProgress, objective: float, chain: float, now: float) -> Lateness:
     if step.spec.long_running:
         return Lateness.ON_TIME
-    earliest_end = now + CERTAIN_SHARE * step.chain_seconds
+    earliest_end = now + CERTAIN_SHARE * chain
     if earliest_end <= step.due_at + objective:
         return Lateness.ON_TIME
     if earliest_end <= step.due_at + EXPIRY_FACTOR * objective:
--- a/src/onyxspoke/core/placement/runs.py
+++ b/src/onyxspoke/core/placement/runs.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from onyxspoke.core.estimates.evidence import RunEvidence
 from onyxspoke.core.jobs.model import Needs, RunKey
 from onyxspoke.core.jobs.progress import StepProgress, TaskProgress
 from onyxspoke.core.jobs.states import RunState, check_run_transition
@@ -11,12 +12,11 @@
 if TYPE_CHECKING:
     from onyxspoke.core.placement.workers import Worker
 
-#: A run without progress for so long, in seconds, and this share of its estimate, stands still.
+#: A run without progress for so long, in seconds, and this share of its time, stands still.
 STALL_SECONDS = 1.6
 STALL_ESTIMATE_SHARE = 0.2
 #: A gang may take so much longer to begin, in seconds.
 GANG_START_SECONDS = 3.0
-_MILLISECONDS = 1_000.0
 
 
 class GangRun:
@@ -30,9 +30,11 @@
         A member ended otherwise than well, or never began: the others are to end too.
     counts_as_failure : bool
         A member ended ``failed``.
+    is_told : bool
+        Its end was taken for what it tells of durations.
     """
 
-    __slots__ = ("counts_as_failure", "is_broken", "members", "number", "step")
+    __slots__ = ("counts_as_failure", "is_broken", "is_told", "members", "number", "step")
 
     def __init__(self, step: StepProgress, number: int) -> None:
         self.step = step
@@ -40,6 +42,7 @@
         self.members: list[Run] = []
         self.is_broken = False
         self.counts_as_failure = False
+        self.is_told = False
 
     @property
     def is_over(self) -> bool:
@@ -71,12 +74,15 @@
         When the percentage last rose.
     usage : int
         Rough figure of the worker: processors in use, or the tail of answer times.
+    evidence : RunEvidence or None
+        What its progress has told of durations.
     pace_percent, pace_wanted : int
         Share at which the run may work: as acknowledged, and as last ordered.
     """
 
     __slots__ = (
         "confirmed_at",
+        "evidence",
         "gang",
         "is_resumed",
         "listed_at",
@@ -121,6 +127,7 @@
         self.stop_answered_at = 0.0
         self.percent = 0
         self.is_resumed = False
+        self.evidence: RunEvidence | None = None
         self.moved_at = now
         self.usage = 0
         self.pace_percent = 100
@@ -134,6 +141,15 @@
         """The run's name."""
         return RunKey(self.task.key, self.number)
 
+    @property
+    def expected_seconds(self) -> float:
+        """How long the whole task is expected to take here; of a gang, its slowest member."""
+        if self.gang is None:
+            factor = self.worker.speed.factor
+        else:
+            factor = max(member.worker.speed.factor for member in self.gang.members)
+        return self.task.step.expected_seconds * factor
+
     def move_to(self, state: RunState) -> None:
         """Change the state."""
         if state is not self.state:
@@ -150,7 +166,7 @@
     step = run.task.step.spec
     if step.long_running or not run.confirmed_at:
         return False
-    bound = STALL_SECONDS + STALL_ESTIMATE_SHARE * step.estimated_ms / _MILLISECONDS
+    bound = STALL_SECONDS + STALL_ESTIMATE_SHARE * run.expected_seconds
     moved_at = run.moved_at
     if run.gang is not None:
         moved_at = max(member.moved_at for member in run.gang.members)
--- a/src/onyxspoke/core/placement/workers.py
+++ b/src/onyxspoke/core/placement/workers.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from onyxspoke.core.estimates.speeds import WorkerSpeed
 from onyxspoke.core.jobs.model import Needs, RunKey
 from onyxspoke.core.jobs.states import RunEnd, RunState
 from onyxspoke.core.placement.health import WorkerHealth
@@ -69,6 +70,8 @@
         Everything that may run there, each holding room.
     health : WorkerHealth
         What its runs tell of it; one on trial gets one run at a time.
+    speed : WorkerSpeed
+        How long it takes for its work, compared with others.
     strays : dict of RunKey to float
         Runs there that stand for no task of the shard, and when their stop was sent; they
         take room that is not known, so nothing is started beside them.
@@ -128,6 +131,7 @@
         self.runs: dict[RunKey, Run] = {}
         self.health = WorkerHealth()
         self.pace = WorkerPace()
+        self.speed = WorkerSpeed(record.worker_id, record.born_ms, record.kind)
         self.strays: dict[RunKey, float] = {}
         self.open_starts: dict[RunKey, float] = {}
         #: What the runs that hold room there hold together.
--- a/src/onyxspoke/core/shard/context.py
+++ b/src/onyxspoke/core/shard/context.py
@@ -88,14 +88,14 @@
     def __init__(self, options: ShardOptions, token: int, shard: ShardId = 0) -> None:
         self.options = options
         self.token = token
-        self.book = JobBook(options.status_seconds)
+        self.durations = Durations(options.load.learned_estimates)
+        self.book = JobBook(options.status_seconds, self.durations.work_of)
         self.table = WorkerTable()
         self.desk = AdviceDesk(shard)
         self.shard = shard
         self.ledger = QuotaLedger()
         self.bank = QuotaBank(shard)
         self.shares = ShareMeter()
-        self.durations = Durations()
         #: Shards of the cell, which share every tenant's quota and weight.
         self.shard_count = 1
         self.policy = PolicySet()
--- a/src/onyxspoke/core/shard/journal.py
+++ b/src/onyxspoke/core/shard/journal.py
@@ -24,6 +24,7 @@
 from onyxspoke.core.placement.worker_record import WorkerRecord
 from onyxspoke.core.shard.actions import JobEnded, LayoutKnown
 from onyxspoke.core.shard.context import ShardContext
+from onyxspoke.core.shard.estimates_keeper import EstimatesKeeper, restore_estimates_record
 from onyxspoke.core.shard.layout import encode_layout, find_layout
 from onyxspoke.core.shard.log_records import (
     CLAIM_KEY,
@@ -45,9 +46,16 @@
 class RecordCollector:
     """Turns what has changed into records."""
 
-    def __init__(self, context: ShardContext, register: WorkerRegister, claim: ClaimRecord) -> None:
+    def __init__(
+        self,
+        context: ShardContext,
+        register: WorkerRegister,
+        estimates: EstimatesKeeper,
+        claim: ClaimRecord,
+    ) -> None:
         self._context = context
         self._register = register
+        self._estimates = estimates
         self._claim = claim
         self._has_marked = False
 
@@ -59,6 +67,7 @@
             or self._register.is_dirty
             or bool(context.bank.dirty)
             or context.new_layout is not None
+            or self._estimates.wants_append
             or self._is_marker_due()
         )
 
@@ -70,7 +79,7 @@
     def collect(self, maximum_bytes: int) -> list[ShardRecord]:
         """Return the records of what has changed, and forget that it has."""
         records = self._layout_records() + self._register.collect_records()
-        records += self._quota_records()
+        records += self._quota_records() + self._estimates.collect_records()
         dirty = self._context.book.dirty
         size = 0
         while dirty and size < maximum_bytes:
@@ -170,6 +179,7 @@
     layout = find_layout(records)
     if layout is not None:
         context.emit(LayoutKnown(layout))
+    restore_estimates_record(context, records, now)
     progress: dict[JobId, ProgressRecord] = {}
     specs: dict[JobId, bytes] = {}
     for record in records:
--- a/src/onyxspoke/core/shard/log_records.py
+++ b/src/onyxspoke/core/shard/log_records.py
@@ -14,6 +14,8 @@
 LAYOUT_KEY = "~layout"
 #: Token of the latest holder under which every start is on record before it is ordered.
 STARTS_KEY = "~starts"
+#: What the latest holder had learned of durations and speeds.
+ESTIMATES_KEY = "estimates"
 #: The greatest key before the claim's.
 BEFORE_CLAIM_KEY = "~"
 WORKER_PREFIX = "worker/"
--- a/src/onyxspoke/core/shard/run_reports.py
+++ b/src/onyxspoke/core/shard/run_reports.py
@@ -69,6 +69,7 @@
             self._context.book.task_begun(run.task, now)
             self._runs.note_checkpoint(run.task, report.checkpoint)
             self._runs.log_end(run, report)
+            self._context.durations.note_end(run, report.end, now)
             self._runs.end_run(run, report.end, now)
         elif report.run not in worker.ended_runs:
             self._take_unknown_end(worker, report, now)
@@ -108,6 +109,7 @@
         if report.percent != run.percent:
             run.percent = report.percent
             run.moved_at = now
+            self._context.durations.note_progress(run, now)
         run.listed_at = now
         run.usage = report.usage
         if report.checkpoint:
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -25,6 +25,7 @@
 from onyxspoke.core.shard.calls import Call, CallReply
 from onyxspoke.core.shard.commit import MINIMUM_INTERVAL_SECONDS, CommitQueue
 from onyxspoke.core.shard.context import ShardContext, ShardOptions
+from onyxspoke.core.shard.estimates_keeper import EstimatesKeeper
 from onyxspoke.core.shard.evacuation import Evacuation
 from onyxspoke.core.shard.journal import (
     RecordCollector,
@@ -108,7 +109,8 @@
         self._calls = CallDesk(self.context, self.runs, self.quotas)
         self._paces = PaceKeeper(self.context)
         self._evacuation = Evacuation(self.context, self.runs)
-        self._collector = RecordCollector(self.context, self.register, claim)
+        self._estimates = EstimatesKeeper(self.context)
+        self._collector = RecordCollector(self.context, self.register, self._estimates, claim)
         self.context.commit = CommitQueue(
             shard=shard,
             epoch=claim.token,
@@ -310,6 +312,7 @@
         self.runs.keep(now)
         self._evacuation.keep(now)
         self._paces.keep(now)
+        self._estimates.keep(now)
         self.context.wants_placement = True
 
     def flush(self, now: float) -> list[ShardAction]:
--- a/src/onyxspoke/core/shard/worker_register.py
+++ b/src/onyxspoke/core/shard/worker_register.py
@@ -60,7 +60,7 @@
 
     def restore(self, record: WorkerRecord, now: float) -> None:
         """Take in a worker that a former holder used."""
-        worker = self._add(record)
+        worker = self._add(record, now)
         worker.is_recorded = True
         worker.was_used_before = True
         worker.listing = WorkerListing.GONE
@@ -133,7 +133,7 @@
             _log(self._context, worker, "entry_out_of_date", born_ms=record.born_ms)
             return
         if worker is None:
-            worker = self._add(record)
+            worker = self._add(record, now)
             self._take_open_starts(worker, now)
             self._unrecorded[record.worker_id] = worker
             _log(
@@ -154,6 +154,7 @@
         if worker.record.capacity != record.capacity:
             self._take_capacity(worker, record.capacity)
         worker.record = record
+        worker.speed.kind = record.kind
         worker.lapsed_until = 0.0
         is_of_use = record.listing is WorkerListing.READY and worker.is_described
         if is_of_use and not worker.is_recorded:
@@ -187,6 +188,9 @@
         worker.born_ms = born_ms
         births = (*former.former_births, former.born_ms)
         worker.former_births = births[-REMEMBERED_BIRTHS:]
+        worker.speed = self._context.durations.begin_life(
+            worker.worker_id, born_ms, worker.record.kind, now
+        )
         self._take_open_starts(worker, now)
         self._context.table.workers[worker.worker_id] = worker
         self._unrecorded.pop(worker.worker_id, None)
@@ -224,8 +228,11 @@
         # A step that found no room looks again only at workers that have gained some.
         self._context.table.note_gain(worker)
 
-    def _add(self, record: WorkerRecord) -> Worker:
+    def _add(self, record: WorkerRecord, now: float) -> Worker:
         worker = Worker(record, self._former_leases_until)
+        worker.speed = self._context.durations.begin_life(
+            record.worker_id, record.born_ms, record.kind, now
+        )
         self._context.table.workers[record.worker_id] = worker
         return worker
 
@@ -268,6 +275,7 @@
     def forget(self, worker: Worker) -> None:
         """Drop a worker whose life is over."""
         del self._context.table.workers[worker.worker_id]
+        self._context.durations.forget_worker(worker.worker_id)
         if self._unrecorded.pop(worker.worker_id, None) is None:
             self._dropped[worker.worker_id] = None
 
