Watch for idle jobs: attempts of a gang count together

Cause: the watch took a job of a gang for one that could run after its last attempt: it counted failed attempts task by task, while each run of a gang counts whichever member failed in it, as the audit's own rule has it.

Change: runs of a gang's step that failed are counted by their number. Tasks that are no gang's are judged as before.

Ruled out: a fault of the scheduler (its log has job_ended state=failed after the third attempt; the finding is the same with factors never worked out).

--- a/src/onyxspoke/sim/liveness.py
+++ b/src/onyxspoke/sim/liveness.py
@@ -82,6 +82,11 @@
             return False
         if any(_may_be_given_up(task, spec) for task in tasks.values()):
             return False
+        if any(
+            step.gang and _has_gang_used_up(tasks, number, spec)
+            for number, step in enumerate(spec.steps)
+        ):
+            return False
         return any(
             self._turn_has_come(spec, number)
             and self._has_room(StepKey(spec.job_id, 0, number), step, workers)
@@ -144,6 +149,14 @@
     return attempts or task.crashes >= CRASHES_TO_GIVE_UP
 
 
+def _has_gang_used_up(tasks: dict[TaskKey, TaskFacts], number: int, spec: JobSpec) -> bool:
+    """Return whether a gang's attempts are used up: each run of it counts, whoever failed in it."""
+    failed = {
+        run.number for key, task in tasks.items() if key.step == number for run in task.failed
+    }
+    return len(failed) >= spec.queue.max_attempts
+
+
 def _times(needs: Needs, room: Needs) -> int:
     """Return how often an amount fits into a room."""
     return min((left // need for need, left in zip(needs, room, strict=True) if need), default=0)
