--- a/src/onyxspoke/core/admission/hand_in.py
+++ b/src/onyxspoke/core/admission/hand_in.py
@@ -8,7 +8,6 @@
 from onyxspoke.core.estimates.expected import Expected
 from onyxspoke.core.jobs.amounts import times
 from onyxspoke.core.jobs.model import JobSpec, Needs, QueuePolicy
-from onyxspoke.core.jobs.progress import chains_ms
 from onyxspoke.core.placement.queue_order import (
     CERTAIN_SHARE,
     EXPIRY_FACTOR,
@@ -111,11 +110,9 @@
     """Return what the decision needs of a job."""
     steps = tuple(_step_works(spec, durations))
     median, upper = _chain(spec, steps)
-    estimated = max(chains_ms(spec), default=0.0) / _MILLISECONDS
-    # Its place follows from estimates, as everybody's; its callers' patience from the work itself,
-    # where that is known to be more.
-    latest_start = first_at + _objective(spec, estimated) - estimated
-    objective = _objective(spec, max(estimated, median))
+    # By the work as it is known, as the order of what waits has it.
+    objective = spec.queue.stretch * median + spec.queue.target_latency_ms / _MILLISECONDS
+    latest_start = first_at + objective - median
     rank = StepRank(False, spec.is_beyond_share, queue.priority, Lateness.ON_TIME, latest_start, 0)
     return HandIn(
         service=queue.service,
@@ -132,10 +129,6 @@
     )
 
 
-def _objective(spec: JobSpec, chain_seconds: float) -> float:
-    return spec.queue.stretch * chain_seconds + spec.queue.target_latency_ms / _MILLISECONDS
-
-
 def _step_works(spec: JobSpec, durations: Durations) -> list[StepWork]:
     works = []
     for step in spec.steps:
--- a/src/onyxspoke/core/admission/view_builder.py
+++ b/src/onyxspoke/core/admission/view_builder.py
@@ -122,8 +122,8 @@
         needs = step.needs
         slack = math.inf
         if placed_rank.lateness is Lateness.LATE:
-            last_use_at = step.due_at + EXPIRY_FACTOR * step.job.objective_seconds
-            slack = last_use_at - step.chain_seconds - self._now
+            last_use_at = step.due_at + EXPIRY_FACTOR * step.job.expected_objective_seconds
+            slack = last_use_at - step.expected_chain_seconds - self._now
         low, high = low_seconds(expected), max(0.0, expected.upper_seconds)
         waiting = _Waiting(rank, needs, len(step.waiting), low, high, slack)
         if spec.tenant in self._quotas:
--- a/src/onyxspoke/core/placement/queue_order.py
+++ b/src/onyxspoke/core/placement/queue_order.py
@@ -59,12 +59,15 @@
 
 def step_rank_of(step: StepProgress, queue: QueuePolicy, now: float) -> StepRank:
     """Return a step's place, given its queue."""
-    objective = step.job.objective_seconds
-    latest_start = step.due_at + objective - step.chain_seconds
-    lateness = _lateness(step, objective, now)
+    job = step.job
+    objective = job.expected_objective_seconds
+    # As ``step.expected_chain_seconds``, without the call: every waiting step comes here in a pass.
+    chain = step.chain_seconds * job.work.factor
+    latest_start = step.due_at + objective - chain
+    lateness = _lateness(step, objective, chain, now)
     return StepRank(
         lateness is Lateness.EXPIRED,
-        step.job.spec.is_beyond_share,
+        job.spec.is_beyond_share,
         queue.priority,
         lateness,
         latest_start,
@@ -74,7 +77,8 @@
 
 def with_lateness(rank: StepRank, step: StepProgress, now: float) -> StepRank:
     """Return a step's place as it is now: with time, only its lateness changes."""
-    lateness = _lateness(step, step.job.objective_seconds, now)
+    objective = step.job.expected_objective_seconds
+    lateness = _lateness(step, objective, step.expected_chain_seconds, now)
     if lateness is rank.lateness:
         return rank
     return rank._replace(is_expired=lateness is Lateness.EXPIRED, lateness=lateness)
@@ -84,18 +88,18 @@
     """Return when a step's lateness changes next; infinity if it never does."""
     if step.spec.long_running:
         return math.inf
-    start = step.due_at - CERTAIN_SHARE * step.chain_seconds
-    objective = step.job.objective_seconds
+    start = step.due_at - CERTAIN_SHARE * step.expected_chain_seconds
+    objective = step.job.expected_objective_seconds
     for moment in (start + objective, start + EXPIRY_FACTOR * objective):
         if moment > now:
             return moment
     return math.inf
 
 
-def _lateness(step: StepProgress, objective: float, now: float) -> Lateness:
+def _lateness(step: StepProgress, objective: float, chain: float, now: float) -> Lateness:
     if step.spec.long_running:
         return Lateness.ON_TIME
-    earliest_end = now + CERTAIN_SHARE * step.chain_seconds
+    earliest_end = now + CERTAIN_SHARE * chain
     if earliest_end <= step.due_at + objective:
         return Lateness.ON_TIME
     if earliest_end <= step.due_at + EXPIRY_FACTOR * objective:
