A holder of many shards tells its closed queues, too

Cause: a telling larger than the whole allowance (5,000 bytes: five shards or more with one peer, 53 with several) never found enough of it, so no peer heard of any closed queue. Change: it goes out once the allowance is full, on credit; the rate holds, and what may come at once is that one telling. The new scenarios failed before (nothing told). Ruled out: summaries shorter than 96 bytes, which name no queue. Nothing measured.

--- a/features/admission_entries.feature
+++ b/features/admission_entries.feature
@@ -141,6 +141,17 @@
       | 36    | 40     | 20      | 277   | 1.5   | 2.4   |
       | 3     | 40     | 20      | 1024  | 0.2   | 0.8   |
 
+  Scenario Outline: A holder of many shards tells all of them, at the same rate
+    Given a holder of <shards> shards with <peers> peers that has closed 40 queues for <tenants> tenants each
+    When it beats for 60 seconds
+    Then it has told 5000 bytes a second at most, and <more> more at once
+    And each peer has heard of it within <first> seconds, and then every <pause> seconds
+
+    Examples:
+      | shards | peers | tenants | more  | first | pause |
+      | 12     | 1     | 20      | 10000 | 0.2   | 2.4   |
+      | 80     | 3     | 0       | 10000 | 4     | 5     |
+
   Scenario: A summary of any queues and tenants is cut to its bytes
     When summaries of any queues and tenants are cut to any length
     Then each has that many bytes at most, and every queue that is left out was closed for no longer or took more
--- a/features/steps/admission_entry_steps.py
+++ b/features/steps/admission_entry_steps.py
@@ -523,7 +523,12 @@
 @given(
     "a holder with {peers:d} peers that has closed {queues:d} queues for {tenants:d} tenants each"
 )
-def _telling_holder(context: Any, peers: int, queues: int, tenants: int) -> None:
+@given(
+    "a holder of {shards:d} shards with {peers:d} peers that has closed {queues:d} queues for"
+    " {tenants:d} tenants each"
+)
+def _telling_holder(context: Any, peers: int, queues: int, tenants: int, shards: int = 1) -> None:
+    context.shards = shards
     context.links = [PeerLink(f"host-{number}", is_outgoing=True) for number in range(peers)]
     names = tuple(f"tenant-{number}" for number in range(tenants))
     context.summary = AdmissionSummary(
@@ -545,7 +550,8 @@
     context.since = 100.0
     for beat in range(int(seconds / HEARTBEAT_SECONDS)):
         now = context.since + beat * HEARTBEAT_SECONDS
-        news.gather([(0, lambda _now: context.summary)], len(context.links), now)
+        sources = [(shard, lambda _now: context.summary) for shard in range(context.shards)]
+        news.gather(sources, len(context.links), now)
         for link in schedule.select_due(context.links, now):
             link.heartbeat_due_at = now + schedule.interval(True, is_successor=False)
             summaries = news.take_for(link, now)
--- a/src/onyxspoke/node/admission_news.py
+++ b/src/onyxspoke/node/admission_news.py
@@ -63,7 +63,9 @@
         """Return what the next heartbeat on a stream carries."""
         if not self._is_closed and not link.was_told_closed:
             return []
-        if now - link.summaries_told_at < self._pause_seconds or self._size > self._allowance:
+        # What is larger than all that can be saved goes out on credit, or it never would.
+        needed = min(self._size, SUMMARY_BYTES_A_SECOND)
+        if now - link.summaries_told_at < self._pause_seconds or needed > self._allowance:
             return []
         self._allowance -= self._size
         link.summaries_told_at = now
