--- a/features/steps/load_settings_steps.py
+++ b/features/steps/load_settings_steps.py
@@ -9,7 +9,8 @@
 from behave import given, then, when
 from node_tools_steps import SETTINGS_WITHOUT_RATES
 
-from onyxspoke.cli.node import SettingsFiles, describe_load_options, reload_settings
+from onyxspoke.cli.node import reload_settings
+from onyxspoke.cli.node_settings import SettingsFiles, describe_load_options
 from onyxspoke.core.shard.load_options import LoadOptions
 from onyxspoke.node.load_settings import apply_load_settings
 from onyxspoke.node.settings import SettingsError
--- a/src/onyxspoke/cli/node.py
+++ b/src/onyxspoke/cli/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import argparse
 import os
 import random
 import secrets
@@ -10,16 +11,22 @@
 import time
 from functools import partial
 from pathlib import Path
-from typing import Any, NamedTuple, cast
+from typing import Any, cast
 
 from absl import logging
-from msgspec.structs import asdict, replace
+from msgspec.structs import replace
 from twisted.application.service import MultiService
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorFromThreads, IReactorTime
 from twisted.web.server import Request
 
+from onyxspoke.cli.node_settings import (
+    LOAD_PATH_VARIABLE,
+    SettingsFiles,
+    describe_load_options,
+    load_or_exit,
+)
 from onyxspoke.cli.process import (
     ProcessRunner,
     configure_logging,
@@ -35,7 +42,6 @@
 from onyxspoke.net.network import Network, TcpEndpoints
 from onyxspoke.net.reactor_clock import BootClock, SuspensionWatch
 from onyxspoke.node.load_reports import learned_factors
-from onyxspoke.node.load_settings import apply_load_settings
 from onyxspoke.node.metrics import CONTENT_TYPE
 from onyxspoke.node.node import Node
 from onyxspoke.node.node_ports import NodePorts
@@ -46,13 +52,11 @@
 from onyxspoke.platform.configuration import ConfigurationFeed
 from onyxspoke.platform.directory import WorkerDirectory
 from onyxspoke.platform.ingress import IngressResource, ReadinessResource
-from onyxspoke.platform.settings import PATH_VARIABLE, PlatformSettings, load_settings
+from onyxspoke.platform.settings import PATH_VARIABLE, PlatformSettings
 from onyxspoke.platform.store import StoreClient
 from onyxspoke.platform.workers import WorkerOrders
 from onyxspoke.ports.configuration import CellConfiguration
 
-#: Environment variable that holds the path of the file that ``--load-settings`` names.
-LOAD_PATH_VARIABLE = "ONYXSPOKE_LOAD_SETTINGS"
 CONNECT_SECONDS = 0.5
 LIFE_BYTES = 6
 MAXIMUM_CONNECTIONS = 3_000
@@ -69,22 +73,7 @@
 
 def main() -> None:
     """Run the program."""
-    parser = make_parser("onyxspoke-node", "Run one node of the scheduler.")
-    parser.add_argument(
-        "--config",
-        type=Path,
-        default=os.environ.get(PATH_VARIABLE),
-        help=f"settings file; by default the one that {PATH_VARIABLE} names",
-    )
-    parser.add_argument(
-        "--load-settings",
-        type=Path,
-        default=os.environ.get(LOAD_PATH_VARIABLE),
-        metavar="FILE.yaml",
-        help=f"overrides what is done under load; by default what {LOAD_PATH_VARIABLE} names",
-    )
-    parser.add_argument("--check", action="store_true", help="check the settings and exit")
-    arguments = parser.parse_args()
+    arguments = _make_parser().parse_args()
     if arguments.config is None:
         print(f"--config: missing, and {PATH_VARIABLE} is not set", file=sys.stderr)
         sys.exit(ExitCode.USAGE)
@@ -108,44 +97,23 @@
     sys.exit(exit_code)
 
 
-class SettingsFiles(NamedTuple):
-    """The files that a node's settings come from; ``load`` overrides what is done under load."""
-
-    platform: Path
-    load: Path | None = None
-
-    def paths(self) -> list[Path]:
-        """Return the files that there are."""
-        return [self.platform] if self.load is None else [self.platform, self.load]
-
-    def read(self) -> PlatformSettings:
-        """Return the checked settings.
-
-        Raises
-        ------
-        SettingsError
-            Naming every fault of the first file that has any.
-        """
-        settings = load_settings(self.platform)
-        if self.load is None:
-            return settings
-        return replace(settings, node=apply_load_settings(settings.node, self.load))
-
-
-def describe_load_options(settings: NodeSettings) -> str:
-    """Return what is done under load as key=value, for the log."""
-    options = asdict(settings.shard_options.load)
-    return " ".join(f"{name}={value:g}" for name, value in options.items())
-
-
-def load_or_exit(files: SettingsFiles) -> PlatformSettings:
-    """Return the settings, or print every fault and exit with ``SETTINGS_INVALID``."""
-    try:
-        return files.read()
-    except SettingsError as error:
-        for fault in error.faults:
-            print(fault, file=sys.stderr)
-        sys.exit(ExitCode.SETTINGS_INVALID)
+def _make_parser() -> argparse.ArgumentParser:
+    parser = make_parser("onyxspoke-node", "Run one node of the scheduler.")
+    parser.add_argument(
+        "--config",
+        type=Path,
+        default=os.environ.get(PATH_VARIABLE),
+        help=f"settings file; by default the one that {PATH_VARIABLE} names",
+    )
+    parser.add_argument(
+        "--load-settings",
+        type=Path,
+        default=os.environ.get(LOAD_PATH_VARIABLE),
+        metavar="FILE.yaml",
+        help=f"overrides what is done under load; by default what {LOAD_PATH_VARIABLE} names",
+    )
+    parser.add_argument("--check", action="store_true", help="check the settings and exit")
+    return parser
 
 
 def make_node(settings: PlatformSettings) -> Node:
