--- a/features/admission_entries.feature
+++ b/features/admission_entries.feature
@@ -23,6 +23,11 @@
       | stopped as planned | 0.3     |
       | stopped as planned | 0.4     |
 
+  Scenario: A job that was sent to the lost holder is never said not to run
+    Given a cluster whose holder has closed "normal" for 30 seconds
+    When 20 jobs for "normal" come at another entry, the holder is killed before it answers them, and the next one needs 5 seconds
+    Then all of them are told at the end of their time that nothing is known
+
   Scenario: A caller who waits for less is told by its time, and why
     Given a cluster whose holder has closed "normal" for 4 seconds
     When the holder is killed, the next one needs 5 seconds, and 5 jobs for "normal" come elsewhere for 0.3 seconds
