Tests of what a node forgets and tells: its former holder's word, one peer's turn, shards that there are

Three mutations passed all scenarios: a node that takes over keeps the former holder's word; one heartbeat for all peers, whose turn it is or not; summaries kept for shards that nobody made (state without a bound). Each has its scenario.

--- a/features/admission_entries.feature
+++ b/features/admission_entries.feature
@@ -55,6 +55,16 @@
     When the holder is killed, the next one too, the one after needs 0.7 seconds, and 20 jobs for "normal" come at another entry
     Then all of them are accepted
 
+  Scenario: A node that takes over forgets what the holder before it told
+    Given a cluster whose holder has closed "normal" for 30 seconds
+    When the holder is killed, and another takes over
+    Then no node knows of a closed queue
+
+  Scenario: Only the peer whose turn it is hears of closed queues, and of shards that there are
+    Given a cluster whose holder has closed nothing
+    When the holder tells one peer alone that "normal" is closed, in shards 0 and 7
+    Then that peer alone knows of a closed queue, in shard 0
+
   Scenario: An entry that reaches the holder asks it, whatever it was told
     Given a cluster whose holder has closed "normal" for 4 seconds
     When 20 jobs for "normal" come at another entry
--- a/features/steps/admission_entry_steps.py
+++ b/features/steps/admission_entry_steps.py
@@ -139,6 +139,50 @@
     _change_and_come(context, "killed", seconds, count, queue)
 
 
+@when("the holder is killed, and another takes over")
+def _only_take_over(context: Any) -> None:
+    assert all(_knows_closed(context, node) for node in _others(context))
+    _take_over(context)
+
+
+@then("no node knows of a closed queue")
+def _nobody_knows(context: Any) -> None:
+    context.cluster.run(0.1)
+    nodes = [node for node in context.cluster.nodes.values() if node.is_up]
+    assert len(nodes) == 3
+    assert not any(_knows_closed(context, node) for node in nodes)
+
+
+@when('the holder tells one peer alone that "{queue}" is closed, in shards 0 and 7')
+def _tell_one(context: Any, queue: str) -> None:
+    node = context.holder.node
+    notices = (QueueNotice(queue=queue, closed_seconds=9.0),)
+    summary = AdmissionSummary(token=node.seats[0].held_claim.token, notices=notices)
+    told = [(0, summary), (7, summary)]
+    news = mock.patch.object(
+        node._admission_news,
+        "take_for",
+        lambda link, _now: told if link.host == context.entry.host else [],
+    )
+    with news:
+        context.cluster.run(3 * HEARTBEAT_SECONDS)
+
+
+@then("that peer alone knows of a closed queue, in shard 0")
+def _one_knows(context: Any) -> None:
+    knowing = [node for node in context.cluster.nodes.values() if _knows_closed(context, node)]
+    assert knowing == [context.entry], knowing
+    assert not _knows_closed(context, context.entry, shard=7)
+
+
+def _others(context: Any) -> list[SimulatedNode]:
+    return [node for node in context.cluster.nodes.values() if node is not context.holder]
+
+
+def _knows_closed(context: Any, node: SimulatedNode, shard: ShardId = 0) -> bool:
+    return bool(node.node.board.closed_queues(shard, context.cluster.time.now()))
+
+
 @when("an entry forgets what it was told")
 def _forget(context: Any) -> None:
     node = context.entry.node
