--- a/features/admission_entries.feature
+++ b/features/admission_entries.feature
@@ -2,16 +2,47 @@
 
   # Load: callers keep coming to every entry while a shard's holder is lost in a burst.
 
-  Scenario: A job that reaches no holder is refused at once while its queue is closed
+  Scenario: A job that reaches no holder for half a second is refused while its queue is closed
     Given a cluster whose holder has closed "normal" for 4 seconds
-    When the holder is killed and 20 jobs for "normal" come at another entry
-    Then all of them are refused at once as "queue_closed"
-    And they are told 3.9 seconds at least to come back, spread over 3 seconds or more
+    When the holder is killed, the next one needs 5 seconds, and 20 jobs for "normal" come elsewhere
+    Then all of them are refused as "queue_closed" after half a second
+    And they are told 3.4 seconds at least to come back, spread over 3 seconds or more
+    And none of them ever runs
+
+  Scenario Outline: A change of holder within half a second refuses nobody, closed queue or not
+    Given a cluster whose holder has closed "normal" for 30 seconds
+    When the holder is <ended>, the next one needs <seconds> seconds, and 20 jobs for "normal" come elsewhere
+    Then all of them are accepted, after <seconds> to 0.5 seconds
+
+    Examples:
+      | ended              | seconds |
+      | killed             | 0       |
+      | killed             | 0.3     |
+      | killed             | 0.4     |
+      | stopped as planned | 0       |
+      | stopped as planned | 0.3     |
+      | stopped as planned | 0.4     |
+
+  Scenario: A job that was sent to the lost holder is never said not to run
+    Given a cluster whose holder has closed "normal" for 30 seconds
+    When 20 jobs for "normal" come at another entry, the holder is killed before it answers them, and the next one needs 5 seconds
+    Then all of them are told at the end of their time that nothing is known
+
+  Scenario: A caller who waits for less is told by its time, and why
+    Given a cluster whose holder has closed "normal" for 4 seconds
+    When the holder is killed, the next one needs 5 seconds, and 5 jobs for "normal" come elsewhere for 0.3 seconds
+    Then all of them are refused as "queue_closed" by 0.3 seconds
+    And none of them ever runs
+
+  Scenario: A cut-off entry refuses no later for a closed queue than for an open one
+    Given a cluster whose holder has closed "normal" for 30 seconds
+    When an entry is cut off from everything for 3 seconds, and 20 jobs for "normal" come there
+    Then all of them are refused as "queue_closed" after a quarter of a second
     And none of them ever runs
 
   Scenario: A queue that is not closed is served as before by the next holder
     Given a cluster whose holder has closed "normal" for 4 seconds
-    When the holder is killed and 20 jobs for "urgent" come at another entry
+    When the holder is killed, the next one needs 0.7 seconds, and 20 jobs for "urgent" come elsewhere
     Then all of them are accepted
 
   Scenario: The next holder starts with no summary, and takes what comes
@@ -21,9 +52,19 @@
 
   Scenario: The word of a holder ends with the next one, also once that is lost
     Given a cluster whose holder has closed "normal" for 30 seconds
-    When the holder is killed, the next one too, and 20 jobs for "normal" come at another entry
+    When the holder is killed, the next one too, the one after needs 0.7 seconds, and 20 jobs for "normal" come at another entry
     Then all of them are accepted
 
+  Scenario: A node that takes over forgets what the holder before it told
+    Given a cluster whose holder has closed "normal" for 30 seconds
+    When the holder is killed, and another takes over
+    Then no node knows of a closed queue
+
+  Scenario: Only the peer whose turn it is hears of closed queues, and of shards that there are
+    Given a cluster whose holder has closed nothing
+    When the holder tells one peer alone that "normal" is closed, in shards 0 and 7
+    Then that peer alone knows of a closed queue, in shard 0
+
   Scenario: An entry that reaches the holder asks it, whatever it was told
     Given a cluster whose holder has closed "normal" for 4 seconds
     When 20 jobs for "normal" come at another entry
@@ -36,7 +77,8 @@
 
   Scenario: An entry that lost the summary does as before
     Given a cluster whose holder has closed "normal" for 4 seconds
-    When an entry forgets what it was told, the holder is killed and 5 jobs for "normal" come there
+    When an entry forgets what it was told
+    And the holder is killed, the next one needs 0.7 seconds, and 5 jobs for "normal" come elsewhere
     Then all of them are accepted
 
   Scenario: A summary that is too old refuses nothing, and tells only when to come back
@@ -48,8 +90,8 @@
 
   Scenario: Each shard tells its own, and the job's shard decides
     Given a cluster of three shards of which the holder of one has closed "normal" for 4 seconds
-    When that holder is killed and 30 jobs for "normal" come at an entry that holds nothing
-    Then the jobs of its closed shard are refused at once and the others are not
+    When that holder is killed, the next one needs 5 seconds, and 30 jobs for "normal" come elsewhere
+    Then the jobs of its closed shard are refused after half a second and the others are not
 
   Scenario: A cluster that was told nothing refuses no sooner than before
     Given a cluster whose holder has closed nothing
@@ -114,6 +156,17 @@
       | 36    | 40     | 20      | 277   | 1.5   | 2.4   |
       | 3     | 40     | 20      | 1024  | 0.2   | 0.8   |
 
+  Scenario Outline: A holder of many shards tells all of them, at the same rate
+    Given a holder of <shards> shards with <peers> peers that has closed 40 queues for <tenants> tenants each
+    When it beats for 60 seconds
+    Then it has told 5000 bytes a second at most, and <more> more at once
+    And each peer has heard of it within <first> seconds, and then every <pause> seconds
+
+    Examples:
+      | shards | peers | tenants | more  | first | pause |
+      | 12     | 1     | 20      | 10000 | 0.2   | 2.4   |
+      | 80     | 3     | 0       | 10000 | 4     | 5     |
+
   Scenario: A summary of any queues and tenants is cut to its bytes
     When summaries of any queues and tenants are cut to any length
     Then each has that many bytes at most, and every queue that is left out was closed for no longer or took more
