Figures of returns and of the wait for advice are told by the holder

Cause: nobody emitted CallerReturned and AdviceAsked, so both figures stayed empty. Change: the admission desk tells each return and what came of it, the scheduler each call's wait as it leaves the line.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -10,6 +10,12 @@
     And of jobs taken at once less than 5 in 100 of those without come too late
     And less than 2 in 100 of the callers are refused twice in a row
 
+  Scenario: Figures of a burst count the callers who came back on time
+    Given a cell that decides about admission
+    And 40 jobs a second come to it for 5 seconds
+    When 12 seconds pass for its callers
+    Then its figures count each return of a caller once, most of them on time
+
   Scenario: A full cell that empties takes jobs again
     When 40 jobs a second come for 5 seconds, 16 of which are served
     Then a job that comes when the cell is empty again is taken and on time
--- a/features/load_reports.feature
+++ b/features/load_reports.feature
@@ -74,6 +74,11 @@
       | onyxspoke_advice_wait_seconds_bucket{le="0.25",queue="normal",tenant="acme"}  | 0     |
       | onyxspoke_advice_wait_seconds_bucket{le="0.5",queue="normal",tenant="acme"}   | 1     |
 
+  Scenario: The wait of a job's call for advice is counted at the holder
+    Given a running cluster whose holder has the product's own interface
+    When a job of "normal" is handed in at the holder, and runs
+    Then its figures count the wait of at least 1 call for advice of "normal"
+
   Scenario: What callers name makes no figure grow without a bound
     When jobs of 300 queues, tenants and reasons are refused and wait for advice
     Then no figure has more than 101 queues, 101 tenants or 17 reasons
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -342,6 +342,18 @@
     assert _summary(context.cluster).notices == ()
 
 
+@then("its figures count each return of a caller once, most of them on time")
+def _returns_counted(context: Any) -> None:
+    text = context.cluster.holder().node.metrics.render().decode()
+    lines = [line for line in text.splitlines() if line.startswith("onyxspoke_returns_total{")]
+    counts = {line.split('outcome="')[1].split('"')[0]: float(line.split()[-1]) for line in lines}
+    callers = context.arrivals.callers.values()
+    returns = sum(len(caller.refusals) for caller in callers if caller.accepted_at)
+    returns += sum(len(caller.refusals) - 1 for caller in callers if not caller.accepted_at)
+    assert sum(counts.values()) == returns > 0, (counts, returns)
+    assert counts["on_time"] > returns / 2, counts
+
+
 # Failures
 
 
--- a/features/steps/load_report_steps.py
+++ b/features/steps/load_report_steps.py
@@ -15,8 +15,9 @@
 from onyxspoke.cli import load_commands
 from onyxspoke.core.admission.summary import AdmissionSummary, QueueNotice
 from onyxspoke.core.estimates.expected import Expected
-from onyxspoke.core.jobs.model import AdvicePolicy
+from onyxspoke.core.jobs.model import AdvicePolicy, JobSpec, StepSpec
 from onyxspoke.core.shard.actions import AdviceAsked, CallerReturned, ReturnOutcome
+from onyxspoke.core.shard.calls import SubmitCall
 from onyxspoke.node.load_reports import learned_factors
 from onyxspoke.node.metrics import NodeMetrics
 from onyxspoke.node.operator_api import make_operator_site
@@ -209,3 +210,23 @@
 def _by_name(context: Any, queue: str) -> None:
     context.metrics.load.note_refused(queue, "too_late", 1.0)
     _says(context.metrics, f'onyxspoke_refusals_total{{queue="{queue}",reason="too_late"}}', 1.0)
+
+
+@when('a job of "{queue}" is handed in at the holder, and runs')
+def _hand_in(context: Any, queue: str) -> None:
+    _advice_waits(context, 0.0)
+    scheduler = _scheduler(context)
+    step = StepSpec(task_count=1, processors_milli=1_000, memory_mb=100, estimated_ms=100)
+    policy = scheduler.context.policy.queues[queue]
+    spec = JobSpec(job_id="a" * 16, queue=policy, payload="p", steps=(step,))
+    context.cluster.pool.specs[spec.job_id] = spec
+    scheduler.stimulus_call(-1, SubmitCall(spec), context.cluster.time.now())
+    context.cluster.run(2.0)
+
+
+@then('its figures count the wait of at least {count:d} call for advice of "{queue}"')
+def _advice_counted(context: Any, count: int, queue: str) -> None:
+    text = context.simulated.node.metrics.render().decode()
+    name = f'onyxspoke_advice_wait_seconds_count{{queue="{queue}"'
+    [line] = [line for line in text.splitlines() if line.startswith(name)]
+    assert float(line.split()[-1]) >= count, line
--- a/src/onyxspoke/core/shard/admission_desk.py
+++ b/src/onyxspoke/core/shard/admission_desk.py
@@ -19,6 +19,7 @@
 from onyxspoke.core.admission.view_builder import Load, build_view
 from onyxspoke.core.jobs.model import JobSpec, QueuePolicy
 from onyxspoke.core.placement.advice_choice import MAXIMUM_WORKERS_ASKED, MINIMUM_WORKERS_ASKED
+from onyxspoke.core.shard.actions import CallerReturned, ReturnOutcome
 from onyxspoke.core.shard.context import ShardContext
 from onyxspoke.core.shard.worker_register import WorkerRegister
 
@@ -93,6 +94,8 @@
             return None
         job = self._describe(spec, refused, now)
         verdict = self._gate.decide(job, view, now)
+        if refused is not None:
+            self._tell_return(job, refused, isinstance(verdict, Refuse), now)
         if not isinstance(verdict, Refuse):
             self._returns.forget(key)
             self._note_taken(job, view, now)
@@ -103,6 +106,14 @@
         self._log_refused(spec, job, verdict, refused, retry)
         return Refusal(verdict.reason, retry)
 
+    def _tell_return(self, job: HandIn, refused: Refused, is_again: bool, now: float) -> None:
+        outcome = ReturnOutcome.EARLY_OR_LATE
+        if is_again:
+            outcome = ReturnOutcome.REFUSED_AGAIN
+        elif refused.is_on_time(now):
+            outcome = ReturnOutcome.ON_TIME
+        self._context.emit(CallerReturned(job.queue, outcome))
+
     def refuse_for_store(self, specs: list[JobSpec], now: float) -> dict[str, float]:
         """Refuse jobs of which nothing can be promised; return by job when each is to come back.
 
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -15,6 +15,7 @@
 from onyxspoke.core.placement.worker_record import UnusableEntry, WorkerRecord
 from onyxspoke.core.placement.workers import Worker
 from onyxspoke.core.shard.actions import (
+    AdviceAsked,
     AskAdvice,
     SendAppend,
     SendPace,
@@ -374,6 +375,8 @@
         context.wants_placement = sum(len(item.placements) for item in plans) >= MAXIMUM_PLACEMENTS
         for call in context.desk.dispatch(now):
             context.emit(AskAdvice(call.call_id, call.advisor, call.step, call.worker_ids))
+            tenant = call.progress.job.spec.tenant
+            context.emit(AdviceAsked(call.queue, tenant, max(0.0, now - call.wanted_at)))
         for notice in context.desk.take_notices(now):
             context.log(notice.event, **notice.fields)
 
