Advice: a stall doubts nobody, tickets for others' room only where some give way, and what is put off is told

Cause: after a pause of the process answers wait unread while passes go on, so every call would count as late; a step that wants others to give way asked about all good workers, whether any would; and the log did not tell why a step does not ask. Lines of the log have a module of their own. Ruled out: a longer patience with every call.

--- a/features/advice_line_failures.feature
+++ b/features/advice_line_failures.feature
@@ -45,3 +45,17 @@
     And patient steps that wait behind two calls at each entry
     When a successor's desk is made and all steps want advice again
     Then every step has its answer within 2 seconds
+
+  Scenario: After a stall of the holder no entry is doubted for answers that are not read yet
+    Given a desk with shares and 4 entries
+    And an urgent step whose call is out with the first entry
+    When the holder stands still for 2 seconds, makes a pass, and then reads the answer
+    Then the step has its tickets, and no further call is made
+    And no entry was doubted
+
+  Scenario: On a full cell a flood does not ask, and an owed step asks before it
+    Given a full repair cell of 10 workers with shares
+    When 10 patient jobs beyond a tenant's share and then 1 owed one are handed in
+    Then none of the flood is asked about at first, and the log tells why
+    And the owed one is asked about before all of the flood
+    And all have begun in the end
--- a/features/steps/advice_failure_steps.py
+++ b/features/steps/advice_failure_steps.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import naive_advice
-from advice_cell import REPAIR, Cell
+from advice_cell import LARGE_WORKER, REPAIR, Cell
 from behave import given, then, when
 from hypothesis import Phase, settings
 from hypothesis import given as for_all
@@ -281,7 +281,8 @@
     desk.want(step, 25)
     [call] = desk.make_pass(0.0)
     call_id, name = call.call_id, call.advisor
-    desk.make_pass(1.0)
+    desk.make_pass(0.98)
+    desk.make_pass(0.02)
     desk.answer(call, call_id, AdviceOutcome.ANSWERED)
     told = [(notice.event, notice.fields["advisor"]) for notice in desk.notices]
     assert told[-2:] == [("advisor_doubted", name), ("advisor_regained", name)], told
@@ -366,3 +367,59 @@
 @then("every step has its answer within {seconds:d} seconds")
 def _answers(context: Any, seconds: int) -> None:
     _all_answered(context, float(seconds))
+
+
+@when("the holder stands still for {seconds:g} seconds, makes a pass, and then reads the answer")
+def _stall(context: Any, seconds: float) -> None:
+    desk = context.desk
+    assert desk.make_pass(seconds) == []
+    desk.answer(context.call, context.call_id, AdviceOutcome.ANSWERED)
+
+
+@then("no entry was doubted")
+def _none_doubted(context: Any) -> None:
+    assert context.desk.notices == []
+
+
+@given("a full repair cell of {workers:d} workers with shares")
+def _full_cell(context: Any, workers: int) -> None:
+    context.cell = cell = Cell(workers, 4, REPAIR, LARGE_WORKER, 2_000.0, has_shares=True)
+    for _number in range(workers):
+        cell.hand_in("patient")
+    cell.run(0.8)
+
+
+@when("{flood:d} patient jobs beyond a tenant's share and then {owed:d} owed one are handed in")
+def _hand_in_both(context: Any, flood: int, owed: int) -> None:
+    cell = context.cell
+    context.flood = [cell.hand_in("patient", is_beyond_share=True).job for _number in range(flood)]
+    [context.owed] = [cell.hand_in("patient").job for _number in range(owed)]
+    cell.desk.take_notices(cell.now)
+    cell.run(0.3)
+
+
+@then("none of the flood is asked about at first, and the log tells why")
+def _flood_waits(context: Any) -> None:
+    cell = context.cell
+    asked = {call.step.job_id for call in cell.calls}
+    assert not asked & {job.job_id for job in context.flood}
+    told = [item for item in cell.desk.take_notices(cell.now) if item.event == "advice_put_off"]
+    named = {str(item.fields["step"]).partition(".")[0] for item in told}
+    assert {job.job_id for job in context.flood} <= named, named
+
+
+@then("the owed one is asked about before all of the flood")
+def _owed_first(context: Any) -> None:
+    cell = context.cell
+    cell.run(30.0)
+    first: dict[str, float] = {}
+    for call in cell.calls:
+        first.setdefault(call.step.job_id, call.begun_at)
+    asked_at = first[context.owed.job_id]
+    assert asked_at < min(first[job.job_id] for job in context.flood)
+
+
+@then("all have begun in the end")
+def _all_begun(context: Any) -> None:
+    cell = context.cell
+    assert cell.steps.keys() == cell.begun.keys()
--- a/src/onyxspoke/core/placement/advice_desk.py
+++ b/src/onyxspoke/core/placement/advice_desk.py
@@ -6,14 +6,21 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+import math
+from dataclasses import replace
 
 from onyxspoke.core.jobs.model import AdvicePolicy, StepKey, WorkerId
 from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.placement.advice_choice import batches
-from onyxspoke.core.placement.advice_entries import AdviceEntries, Advisor
+from onyxspoke.core.placement.advice_entries import AdviceEntries
 from onyxspoke.core.placement.advice_forecast import LineForecast
 from onyxspoke.core.placement.advice_line import AdviceCall, AdviceLine
+from onyxspoke.core.placement.advice_notices import (
+    AdviceNotice,
+    advisor_doubted,
+    advisor_regained,
+    step_put_off,
+)
 from onyxspoke.core.placement.queue_order import StepRank
 from onyxspoke.core.placement.step_advice import GoodShare, StepAdvice, note_answer
 from onyxspoke.core.shard.log_records import ShardId
@@ -23,15 +30,8 @@
 LATE_ANSWER_SECONDS = 10.0
 #: Pause after a refused or unanswered call before the step is asked about again.
 RETRY_SECONDS = 0.1
-_DIGITS = 3
-
-
-@dataclass(slots=True)
-class AdviceNotice:
-    """What is to be told of the line in the log."""
-
-    event: str
-    fields: dict[str, str | int | float]
+#: After a longer pause between passes, in seconds, answers may have come that are not read yet.
+STALL_SECONDS = 0.1
 
 
 class AdviceDesk:
@@ -62,6 +62,8 @@
         self._retries: dict[StepKey, float] = {}
         self._forecast: LineForecast | None = None
         self._notices: list[AdviceNotice] = []
+        self._passed_at = math.inf
+        self._was_late = False
         #: Whether calls went back into the line since the last pass.
         self.has_moved_calls = False
 
@@ -123,9 +125,10 @@
 
     def dispatch(self, now: float) -> list[AdviceCall]:
         """Return the calls to be made now, each with its advisor."""
-        for call in [call for call in self._under_way.values() if now >= call.overdue_at]:
-            if call.call_id in self._under_way:
-                self._give_up(call, now, "overdue")
+        if not self._may_be_unread(now):
+            for call in [call for call in self._under_way.values() if now >= call.overdue_at]:
+                if call.call_id in self._under_way:
+                    self._give_up(call, now, "overdue")
         self._forget_given_up(now)
         self._entries.begin_pass(now)
         if self.has_shares:
@@ -194,6 +197,19 @@
         if advice is not None and worker_id in advice.tickets:
             advice.tickets[worker_id].use_before = 0.0
 
+    def note_put_off(self, step: StepProgress, ahead_milli: int, room_milli: int) -> None:
+        """A step does not ask yet, because what goes before it takes the room; told once."""
+        advice = self.advice_on(step)
+        if not advice.is_put_off:
+            advice.is_put_off = True
+            self._notices.append(step_put_off(step.key, ahead_milli, room_milli))
+
+    def _may_be_unread(self, now: float) -> bool:
+        """Return whether no call is judged now: the process stood still, and has just gone on."""
+        pause, self._passed_at = now - self._passed_at, now
+        self._was_late = self.has_shares and pause > STALL_SECONDS and not self._was_late
+        return self._was_late
+
     def _take_answer(self, call: AdviceCall, result: AdviceResult, now: float) -> StepKey | None:
         advice = self._steps.get(call.step)
         if advice is None:
@@ -250,7 +266,7 @@
             else:
                 self._put_off(item, now)
         if is_new and advisor is not None:
-            self._note_doubt(advisor, reason, len(out), now)
+            self._notices.append(advisor_doubted(advisor, reason, len(out), now))
 
     def _put_off(self, call: AdviceCall, now: float) -> None:
         advice = self._steps.get(call.step)
@@ -268,27 +284,9 @@
         self._line.add(again, now)
         self.has_moved_calls = True
 
-    def _note_doubt(self, advisor: Advisor, reason: str, moved: int, now: float) -> None:
-        fields: dict[str, str | int | float] = {
-            "advisor": advisor.name,
-            "reason": reason,
-            "doubts": advisor.doubts,
-            "pause_s": round(advisor.doubted_until - now, _DIGITS),
-            "moved": moved,
-            "slowness": round(advisor.slowness, _DIGITS),
-        }
-        self._notices.append(AdviceNotice("advisor_doubted", fields))
-
     def _note_trust(self, call: AdviceCall, now: float) -> None:
         advisor = self._entries.find(call.advisor)
         if not self.has_shares or advisor is None or not advisor.doubts:
             return
-        after = round(now - advisor.doubted_at, _DIGITS)
         doubts = self._entries.trust(advisor, now)
-        fields: dict[str, str | int | float] = {
-            "advisor": advisor.name,
-            "doubts": doubts,
-            "after_s": after,
-            "slowness": round(advisor.slowness, _DIGITS),
-        }
-        self._notices.append(AdviceNotice("advisor_regained", fields))
+        self._notices.append(advisor_regained(advisor, doubts, now))
--- a/src/onyxspoke/core/placement/advice_need.py
+++ b/src/onyxspoke/core/placement/advice_need.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from itertools import accumulate
 
-from onyxspoke.core.jobs.model import AdvicePolicy
+from onyxspoke.core.jobs.model import AdvicePolicy, QueuePolicy
 from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.placement.advice_desk import AdviceDesk
 from onyxspoke.core.placement.forecast import expected_end
@@ -88,7 +88,7 @@
             room.ahead += tasks * step.needs.processors_milli
 
     def is_of_use(
-        self, policy: AdvicePolicy, service: str, rank: StepRank, may_fit: bool, now: float
+        self, step: StepProgress, queue: QueuePolicy, rank: StepRank, may_fit: bool, now: float
     ) -> bool:
         """Return whether a step that knows of no workers yet should ask about some.
 
@@ -97,17 +97,27 @@
         may_fit : bool
             Whether some worker might have room for one of its tasks.
         """
-        room = self._services.get(service)
-        if not self._desk.has_shares or room is None:
+        room = self._services.get(queue.service)
+        if not self._desk.has_shares or room is None or queue.advice is None:
             return True
         if may_fit and room.free >= FREE_SHARE * room.total:
             return True
+        expected = self._expected_room(room, queue.advice, rank, now)
+        if room.ahead < expected:
+            return True
+        self._desk.note_put_off(step, room.ahead, expected)
+        return False
+
+    def _expected_room(
+        self, room: _ServiceRoom, policy: AdvicePolicy, rank: StepRank, now: float
+    ) -> int:
+        """Return the room that a step and those before it may count on, while advice is of use."""
         seconds = policy.call_seconds(_TYPICAL_WORKERS)
         answer_at = now + seconds + self._desk.wait_seconds(seconds, rank, now)
         if not rank.is_owed:
-            return room.ahead < room.by(answer_at)
+            return room.by(answer_at)
         used_until = answer_at + VALIDITY_SHARE * policy.validity_ms / _MILLISECONDS
-        return room.ahead < OWED_FACTOR * room.by(used_until)
+        return int(OWED_FACTOR * room.by(used_until))
 
     def _look(self, now: float) -> None:
         self._services = {}
--- a/src/onyxspoke/core/placement/room_seeker.py
+++ b/src/onyxspoke/core/placement/room_seeker.py
@@ -11,6 +11,7 @@
 
 from onyxspoke.core.jobs.model import QueuePolicy
 from onyxspoke.core.jobs.progress import StepProgress
+from onyxspoke.core.placement.advice_choice import FEWEST_ASKED
 from onyxspoke.core.placement.advice_desk import AdviceDesk
 from onyxspoke.core.placement.forecast import RoomForecast
 from onyxspoke.core.placement.placement_pass import PlacementPass
@@ -109,7 +110,7 @@
                 worker for worker in workers if tickets[worker.worker_id].use_before > usable_until
             ]
             if not ready:
-                self._ask_for(step, queue, workers, current.now)
+                self._ask_for(step, queue, workers, current)
                 return None
             workers = ready
         found = choose_preemption(
@@ -121,9 +122,26 @@
         return found.worker
 
     def _ask_for(
-        self, step: StepProgress, queue: QueuePolicy, workers: list[Worker], now: float
+        self, step: StepProgress, queue: QueuePolicy, workers: list[Worker], current: PlacementPass
     ) -> None:
         advice = self._desk.advice_on(step)
-        if queue.advice is not None and not advice.is_asking:
-            names = [worker.worker_id for worker in workers]
-            self._desk.want(step, queue.advice, names, step_rank_of(step, queue, now), now)
+        if queue.advice is None or advice.is_asking:
+            return
+        if self._desk.has_shares:
+            workers = _most_useful(step, queue, workers, current)
+        names = [worker.worker_id for worker in workers]
+        rank = step_rank_of(step, queue, current.now)
+        self._desk.want(step, queue.advice, names, rank, current.now)
+
+
+def _most_useful(
+    step: StepProgress, queue: QueuePolicy, workers: list[Worker], current: PlacementPass
+) -> list[Worker]:
+    """Return the workers on which others would give way, the best in front; none if they don't."""
+    best = choose_preemption(
+        queue.priority, step.needs, workers, current.room, current.policy, current.now
+    )
+    if best is None:
+        return []
+    others = [worker for worker in workers if worker is not best.worker]
+    return [best.worker, *others][:FEWEST_ASKED]
--- a/src/onyxspoke/core/placement/step_advice.py
+++ b/src/onyxspoke/core/placement/step_advice.py
@@ -34,6 +34,8 @@
     asked: set[WorkerId] = field(default_factory=set)
     open_calls: int = 0
     retry_at: float = 0.0
+    #: Whether it was told that the step does not ask yet.
+    is_put_off: bool = False
     #: From when on workers that were not asked about, as those that came into use, may be asked
     #: about by themselves.
     unknown_due_at: float = -math.inf
