Pressed steps go to fast workers, patient ones to slow ones

Cause: the choice among workers looked at room only, so that pressed steps stood on workers that take twice as long while patient ones filled the fast.

Change: placement/worker_pace.py gives two parts of a worker's score: how much too slow it is for the job to be on time (half of what it can afford to wait is kept), and, where it is not, the waste of a fast one. Gangs take workers in the same order, so that like speeds stand together. Effect only where some candidate's factor is not 1; off by LoadOptions.unlike_workers.

Ruled out: speed before keeping a step's tasks together also for patient steps (more workers for each job, so each fault touches more).

--- a/src/onyxspoke/core/placement/gang_placer.py
+++ b/src/onyxspoke/core/placement/gang_placer.py
@@ -14,6 +14,7 @@
 from onyxspoke.core.placement.room import ScratchRoom
 from onyxspoke.core.placement.room_seeker import Eviction
 from onyxspoke.core.placement.spreading import Placement, StepPlacement, is_far
+from onyxspoke.core.placement.worker_pace import ALIKE, PaceChooser, pace_chooser
 from onyxspoke.core.placement.workers import Worker
 
 #: Tickets for a gang are asked for once so much of its room is there.
@@ -61,7 +62,8 @@
             return None
         advice = self._desk.advice_on(step) if queue.advice is not None else None
         workers = _workers_for_gang(step, advice, offer, current.now)
-        slots = _slots_of(step, workers, current.room, current.now)
+        chooser = pace_chooser(step, workers, current.minds_speed, current.now)
+        slots = _slots_of(step, workers, current.room, current.now, chooser)
         usable = slots
         if advice is not None:
             held = advice.tickets
@@ -182,10 +184,15 @@
 
 
 def _slots_of(
-    step: StepProgress, workers: list[Worker], room: ScratchRoom, now: float
+    step: StepProgress,
+    workers: list[Worker],
+    room: ScratchRoom,
+    now: float,
+    chooser: PaceChooser | None,
 ) -> list[MemberSlots]:
     """Return how many members each worker has room for, the best workers first.
 
+    The slowest sets the pace, so that workers of like speed stand together.
     Those with room for most members come first: a gang is broken off by the loss of any of its
     workers, so that it is to have few.
     """
@@ -198,6 +205,7 @@
                 int(worker.worker_id in failed_on),
                 int(worker.health.is_doubtful(now)),
                 int(is_far(worker, step)),
+                (ALIKE if chooser is None else chooser.terms(worker)),
                 -count,
                 room.free_processors(worker),
                 worker.worker_id,
--- a/src/onyxspoke/core/placement/placement_pass.py
+++ b/src/onyxspoke/core/placement/placement_pass.py
@@ -23,9 +23,12 @@
         The moment of the pass.
     room : ScratchRoom
         What the pass has taken or held so far.
+    minds_speed : bool
+        Whether workers' speeds count.
     """
 
     policy: PolicySet
     quotas: QuotaPass
     now: float
     room: ScratchRoom = field(default_factory=ScratchRoom)
+    minds_speed: bool = True
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -46,7 +46,14 @@
     waits holds the room that it could use, so that what comes after it does not take it.
     """
 
-    def __init__(self, table: WorkerTable, desk: AdviceDesk, stop_seconds: float) -> None:
+    def __init__(
+        self,
+        table: WorkerTable,
+        desk: AdviceDesk,
+        stop_seconds: float,
+        minds_speed: bool = True,
+    ) -> None:
+        self._minds_speed = minds_speed
         self._table = table
         self._desk = desk
         #: Change number of the table at which a step was last looked at in vain.
@@ -96,7 +103,7 @@
         self._table.note_availability(now)
         self._forget_others({step.key for step in steps})
         plan: list[StepPlacement] = []
-        current = PlacementPass(policy, quotas, now)
+        current = PlacementPass(policy, quotas, now, minds_speed=self._minds_speed)
         self._seeker.begin_pass(now)
         offers = _Offers(self._table)
         changes = _Changes(self._table)
@@ -178,7 +185,7 @@
                 )
         if not may_fit or not candidates:
             return None
-        return place_tasks(step, candidates, current.room, most, current.now)
+        return place_tasks(step, candidates, current.room, most, current.now, current.minds_speed)
 
     def _candidates(
         self, step: StepProgress, queue: QueuePolicy, offer: Offer, now: float
--- a/src/onyxspoke/core/placement/spreading.py
+++ b/src/onyxspoke/core/placement/spreading.py
@@ -12,6 +12,7 @@
 from onyxspoke.core.jobs.progress import StepProgress, TaskProgress
 from onyxspoke.core.placement.isolation import begins_apart, is_on_trial, place_apart
 from onyxspoke.core.placement.room import ScratchRoom
+from onyxspoke.core.placement.worker_pace import ALIKE, PaceTerms, pace_chooser
 from onyxspoke.core.placement.workers import Worker
 
 
@@ -41,7 +42,12 @@
 
 
 def place_tasks(
-    step: StepProgress, candidates: list[Candidate], room: ScratchRoom, most: int, now: float
+    step: StepProgress,
+    candidates: list[Candidate],
+    room: ScratchRoom,
+    most: int,
+    now: float,
+    minds_speed: bool = True,
 ) -> StepPlacement | None:
     """Return where waiting tasks of a step, at most so many, start now, as far as there is room."""
     chosen_tasks = [step.tasks[index] for index in step.waiting][:most]
@@ -51,6 +57,7 @@
     counts = counts_on_workers(step)
     zones = {task.run.worker.record.zone for task in step.tasks if task.run is not None}
     left = list(candidates)
+    chooser = pace_chooser(step, (item.worker for item in candidates), minds_speed, now)
     placements: list[Placement] = []
     while waiting and left:
         best: Candidate | None = None
@@ -60,7 +67,8 @@
             tasks = _tasks_for(candidate.worker, step, waiting, counts, room, now)
             if not tasks:
                 continue
-            score = _score(candidate.worker, step, tasks, len(waiting), zones, room, now)
+            pace = ALIKE if chooser is None else chooser.terms(candidate.worker)
+            score = _score(candidate.worker, step, tasks, len(waiting), zones, room, now, pace)
             if best_score is None or score < best_score:
                 best, best_score, best_tasks = candidate, score, tasks
         if best is None:
@@ -104,11 +112,13 @@
     zones: set[str],
     room: ScratchRoom,
     now: float,
+    pace: PaceTerms,
 ) -> tuple[int, ...]:
     """Return how well a worker suits; the lowest is best.
 
     Of equal ones the fullest worker is taken, so that room for wide tasks stays whole.  Where a
-    step takes accelerators, which are scarce, that goes before keeping its tasks together.
+    step takes accelerators, which are scarce, that goes before keeping its tasks together; and
+    before both that the job can be on time there.
     """
     free = room.free(worker)
     needs_accelerators = step.needs.accelerators > 0
@@ -117,9 +127,11 @@
         int(tasks[0].failed_on == worker.worker_id),
         int(worker.health.is_doubtful(now)),
         int(is_far(worker, step)),
+        pace.lateness,
         free.accelerators if needs_accelerators else 0,
         int(is_apart),
         int(len(tasks) < waiting_count),
+        pace.waste,
         free.processors_milli,
     )
 
--- a/src/onyxspoke/core/shard/load_options.py
+++ b/src/onyxspoke/core/shard/load_options.py
@@ -16,8 +16,11 @@
         Give tenants and queues shares of the line for advice.
     learned_estimates : bool
         Correct callers' estimates by what was seen of queues, tenants and workers.
+    unlike_workers : bool
+        Send pressed steps to fast workers, others to slow ones, and gangs to workers of like speed.
     """
 
     admission: bool = False
     advice_shares: bool = True
     learned_estimates: bool = True
+    unlike_workers: bool = True
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -122,7 +122,12 @@
             latest_seconds=store_seconds,
         )
         stop_seconds = options.stop_grace_ms / _MILLISECONDS
-        self._placer = Placer(self.context.table, self.context.desk, stop_seconds)
+        self._placer = Placer(
+            self.context.table,
+            self.context.desk,
+            stop_seconds,
+            minds_speed=options.load.unlike_workers,
+        )
         self._last_active_at = claimed_at
         self._is_recovered = False
         self._next_round_at = 0.0
