--- a/features/load_reports.feature
+++ b/features/load_reports.feature
@@ -15,7 +15,7 @@
       | urgent  | 0              |            | 0.7                 |
     And the command "admission" prints lines with
       | words                                                                            |
-      | options: admission=off advice_shares=on learned_estimates=on summary_trust_seconds=5 |
+      | options: admission=off advice_shares=on learned_estimates=on unlike_workers=on summary_trust_seconds=5 |
       | shards held by this node: 0 (of 1)                                               |
       | 0 normal 0 4.00 (all) 0.70                                                       |
       | 0 patient 0 2.00 acme 0.70                                                       |
--- a/src/onyxspoke/core/shard/load_definitions.py
+++ b/src/onyxspoke/core/shard/load_definitions.py
@@ -25,6 +25,9 @@
     "learned_estimates": LoadKey(
         description="Correct callers' estimates by what was seen of queues, tenants and workers."
     ),
+    "unlike_workers": LoadKey(
+        description="Send steps short of time to fast workers, others to slow ones."
+    ),
     "summary_trust_seconds": LoadKey(
         description=(
             "For how long an entry that reaches no holder refuses by what the last one said; "
