Kit: the audit and the store serve stand-ins in other processes too

The audit took the kit's own workers; it needs their name, record and listed ends only, and says so as a protocol. The store can keep its whole log and take appends without conditions. Drawing a job's steps is a function of its own. Draws and checks are the same as before.

--- a/src/onyxspoke/kit/jobs/audit.py
+++ b/src/onyxspoke/kit/jobs/audit.py
@@ -12,7 +12,7 @@
 from onyxspoke.core.shard.calls import CallReply, ReplyCode
 from onyxspoke.core.tenants.policy import TenantName
 from onyxspoke.kit.jobs.timers import Timers
-from onyxspoke.kit.jobs.workers import FakeWorker
+from onyxspoke.kit.jobs.workers import SeenWorker
 
 #: A task of a cancelled job may start so long after the cancel was acknowledged.
 CANCEL_SECONDS = 3.0
@@ -157,7 +157,7 @@
 
     # Workers
 
-    def handle_started(self, worker: FakeWorker, run: RunKey, payload: str, node: str) -> None:
+    def handle_started(self, worker: SeenWorker, run: RunKey, payload: str, node: str) -> None:
         """A run was started on a node's order."""
         self.checks += 1
         self.counts["starts"] += 1
@@ -173,7 +173,7 @@
         self._check_task(worker, run, facts, node)
         self._check_place(worker, run, facts, node)
 
-    def handle_ended(self, worker: FakeWorker, run: RunKey, end: RunEnd) -> None:
+    def handle_ended(self, worker: SeenWorker, run: RunKey, end: RunEnd) -> None:
         """A run ended."""
         self.counts[f"run_{end.value}"] += 1
         needs = self._taken.get(worker.worker_id, {}).pop(run, None)
@@ -192,7 +192,7 @@
             task.failed.add(run)
             task.open_failed.add(run)
 
-    def handle_noted(self, worker: FakeWorker, run: RunKey, end: RunEnd) -> None:
+    def handle_noted(self, worker: SeenWorker, run: RunKey, end: RunEnd) -> None:
         """A node told the worker that an end was noted."""
         task = self._task(run.task)
         if end is RunEnd.DONE and run in task.open_done:
@@ -204,26 +204,26 @@
             task.noted_failed.add(run)
             self._check_attempts(run, task)
 
-    def handle_crashed(self, worker: FakeWorker, run: RunKey) -> None:
+    def handle_crashed(self, worker: SeenWorker, run: RunKey) -> None:
         """The worker crashed under a run."""
         self.counts["crashes"] += 1
         self._task(run.task).crashes += 1
 
-    def handle_resized(self, worker: FakeWorker, former: Needs) -> None:
+    def handle_resized(self, worker: SeenWorker, former: Needs) -> None:
         """The worker has said that its room is another one now."""
         until = self._timers.now() + ROOM_SECONDS
         self._former_rooms.setdefault(worker.worker_id, []).append((until, former))
 
-    def handle_lapsed(self, worker: FakeWorker) -> None:
+    def handle_lapsed(self, worker: SeenWorker) -> None:
         """What ended on the worker before its lease ran out may no longer count."""
-        for task in self.tasks.values():
-            for run in [run for run in task.open_done if _ran_on(run, worker)]:
-                del task.open_done[run]
-            task.open_failed -= {run for run in task.open_failed if _ran_on(run, worker)}
+        for run in worker.listed_runs():
+            task = self._task(run.task)
+            task.open_done.pop(run, None)
+            task.open_failed.discard(run)
 
     # Checks
 
-    def _check_room(self, worker: FakeWorker, run: RunKey, facts: _JobFacts, node: str) -> None:
+    def _check_room(self, worker: SeenWorker, run: RunKey, facts: _JobFacts, node: str) -> None:
         needs = facts.spec.steps[run.task.step].needs
         taken = self._taken.setdefault(worker.worker_id, {})
         taken[run] = needs
@@ -233,7 +233,7 @@
                 self.note(Violation.OVER_CAPACITY, f"{run} on {worker.worker_id} by {node}")
                 return
 
-    def _room_of(self, worker: FakeWorker) -> Needs:
+    def _room_of(self, worker: SeenWorker) -> Needs:
         """Return the most room that a worker has had of late."""
         room = worker.record.capacity
         for until, former in self._former_rooms.get(worker.worker_id, []):
@@ -251,7 +251,7 @@
                 self.note(Violation.QUOTA, f"{run} of {tenant} by {node}: {running}")
                 return
 
-    def _check_task(self, worker: FakeWorker, run: RunKey, facts: _JobFacts, node: str) -> None:
+    def _check_task(self, worker: SeenWorker, run: RunKey, facts: _JobFacts, node: str) -> None:
         task = self._task(run.task)
         step = facts.spec.steps[run.task.step]
         if task.running:
@@ -289,7 +289,7 @@
         if task.starts_of_culprit >= STARTS_TOO_MANY:
             self.note(Violation.CRASHES, f"{run} by {node}, after {task.crashes} crashes")
 
-    def _check_place(self, worker: FakeWorker, run: RunKey, facts: _JobFacts, node: str) -> None:
+    def _check_place(self, worker: SeenWorker, run: RunKey, facts: _JobFacts, node: str) -> None:
         step = facts.spec.steps[run.task.step]
         if step.required_label and step.required_label not in worker.record.labels:
             self.note(Violation.LABEL, f"{run} on {worker.worker_id} by {node}")
@@ -342,7 +342,3 @@
     def note(self, violation: Violation, detail: str) -> None:
         """Keep something that must never happen."""
         self.findings.append(Finding(self._timers.now(), violation, detail))
-
-
-def _ran_on(run: RunKey, worker: FakeWorker) -> bool:
-    return worker.has_listed(run)
--- a/src/onyxspoke/kit/jobs/store.py
+++ b/src/onyxspoke/kit/jobs/store.py
@@ -50,6 +50,7 @@
     sequence: int = 0
     newest: dict[str, bytes] = field(default_factory=dict)
     answers: dict[int, AppendResult] = field(default_factory=dict)
+    log: list[ShardRecord] = field(default_factory=list)
 
 
 class _Rate:
@@ -84,10 +85,17 @@
         Draws which answers are lost.
     budget : StoreBudget
         Calls beyond it are turned away.
+    keeps_log : bool
+        Every record is kept, not only the newest of each key.
     """
 
     def __init__(
-        self, timers: Timers, source: random.Random, budget: StoreBudget | None = None
+        self,
+        timers: Timers,
+        source: random.Random,
+        budget: StoreBudget | None = None,
+        *,
+        keeps_log: bool = False,
     ) -> None:
         budget = budget if budget is not None else StoreBudget()
         self.timers = timers
@@ -96,6 +104,7 @@
         self.writes = _Rate(budget.writes_per_second)
         self.reads = _Rate(budget.reads_per_second)
         self._partitions: dict[ShardId, _Partition] = {}
+        self._keeps_log = keeps_log
         self.appends = 0
 
     def append(self, append: ShardAppend) -> AppendResult:
@@ -115,18 +124,32 @@
             partition.answers.clear()
         partition.epoch = append.epoch
         partition.sequence = append.sequence
+        result = self._take(partition, append.records)
+        partition.answers[append.sequence] = result
+        while len(partition.answers) > REMEMBERED_APPENDS:
+            del partition.answers[next(iter(partition.answers))]
+        return result
+
+    def append_plain(self, shard: ShardId, records: list[ShardRecord]) -> AppendResult:
+        """Append without any condition."""
+        return self._take(self._partitions.setdefault(shard, _Partition()), records)
+
+    def read_log(self, shard: ShardId, offset: int) -> tuple[list[ShardRecord], int]:
+        """Return the records from an offset on, and the partition's end."""
+        partition = self._partitions.setdefault(shard, _Partition())
+        return partition.log[offset:], partition.end
+
+    def _take(self, partition: _Partition, records: list[ShardRecord]) -> AppendResult:
         offset = partition.end
-        for record in append.records:
-            partition.end += 1
+        partition.end += len(records)
+        if self._keeps_log:
+            partition.log += records
+        for record in records:
             if record.value:
                 partition.newest[record.key] = record.value
             else:
                 partition.newest.pop(record.key, None)
-        result = AppendResult(AppendOutcome.DONE, offset, partition.end)
-        partition.answers[append.sequence] = result
-        while len(partition.answers) > REMEMBERED_APPENDS:
-            del partition.answers[next(iter(partition.answers))]
-        return result
+        return AppendResult(AppendOutcome.DONE, offset, partition.end)
 
     def read_newest(self, shard: ShardId, after_key: str) -> NewestPage:
         """Return the newest records of the keys behind one."""
--- a/src/onyxspoke/kit/jobs/workers.py
+++ b/src/onyxspoke/kit/jobs/workers.py
@@ -34,22 +34,37 @@
 _FULL_PERCENT = 100
 
 
+class SeenWorker(Protocol):
+    """What the audit needs to know of a life of a worker."""
+
+    @property
+    def worker_id(self) -> WorkerId:
+        """The life's name."""
+
+    @property
+    def record(self) -> WorkerRecord:
+        """What the directory lists of it."""
+
+    def listed_runs(self) -> list[RunKey]:
+        """Return the runs whose ends the worker lists, not noted yet."""
+
+
 class WorkerAudit(Protocol):
     """Told of everything that happens at workers."""
 
-    def handle_started(self, worker: FakeWorker, run: RunKey, payload: str, node: str) -> None:
+    def handle_started(self, worker: SeenWorker, run: RunKey, payload: str, node: str) -> None:
         """A run was started on a node's order."""
 
-    def handle_ended(self, worker: FakeWorker, run: RunKey, end: RunEnd) -> None:
+    def handle_ended(self, worker: SeenWorker, run: RunKey, end: RunEnd) -> None:
         """A run ended."""
 
-    def handle_noted(self, worker: FakeWorker, run: RunKey, end: RunEnd) -> None:
+    def handle_noted(self, worker: SeenWorker, run: RunKey, end: RunEnd) -> None:
         """A node told the worker that an end was noted."""
 
-    def handle_crashed(self, worker: FakeWorker, run: RunKey) -> None:
+    def handle_crashed(self, worker: SeenWorker, run: RunKey) -> None:
         """The worker crashed under a run."""
 
-    def handle_lapsed(self, worker: FakeWorker) -> None:
+    def handle_lapsed(self, worker: SeenWorker) -> None:
         """The worker's lease ran out."""
 
 
@@ -281,9 +296,9 @@
         else:
             on_result(self._lists())
 
-    def has_listed(self, run: RunKey) -> bool:
-        """Return whether the worker lists the end of a run, not noted yet."""
-        return any(report.run == run for report in self._ended)
+    def listed_runs(self) -> list[RunKey]:
+        """Return the runs whose ends the worker lists, not noted yet."""
+        return [report.run for report in self._ended]
 
     # Work
 
--- a/src/onyxspoke/sim/job_callers.py
+++ b/src/onyxspoke/sim/job_callers.py
@@ -5,20 +5,14 @@
 import random
 from functools import partial
 
-from onyxspoke.core.jobs.model import JobSpec, StepSpec, TaskKey
+from onyxspoke.core.jobs.model import JobSpec, TaskKey
 from onyxspoke.core.shard.calls import CallReply, CancelCall, ReplyCode, StateCall, SubmitCall
 from onyxspoke.core.tenants.policy import TenantName
+from onyxspoke.kit.jobs.drawn_jobs import QUEUES, draw_steps
 from onyxspoke.sim.job_cluster import JobCluster, SimulatedNode
 
 MAXIMUM_ATTEMPTS = 5
 RETRY_SECONDS = 0.4
-#: Shares of jobs and steps with a certain trait.
-TWO_STEP_SHARE = 0.3
-GANG_SHARE = 0.25
-CHECKPOINTING_SHARE = 0.3
-LABEL_SHARE = 0.1
-SPREAD_SHARE = 0.1
-QUEUES = ("urgent", "normal", "patient")
 
 
 class JobCallers:
@@ -156,32 +150,15 @@
         job_id = f"{self._cluster.options.seed:08x}{self._count:08x}"
         name = draw.choice(QUEUES)
         queue = self._cluster.configuration.configuration.policy.queues[name]
-        steps = [self._make_step(0)]
-        if draw.random() < TWO_STEP_SHARE:
-            steps.append(self._make_step(1))
+        steps = draw_steps(draw)
         return JobSpec(
             job_id=job_id,
             queue=queue,
             payload=f"payload-{job_id}",
-            steps=tuple(steps),
+            steps=steps,
             tenant=self._draw_tenant(),
         )
 
     def _draw_tenant(self) -> TenantName:
         tenants = self._cluster.options.tenants
         return self._tenants.choice(tenants).name if tenants else ""
-
-    def _make_step(self, number: int) -> StepSpec:
-        draw = self._random
-        is_gang = draw.random() < GANG_SHARE
-        return StepSpec(
-            task_count=draw.randrange(1, 5),
-            processors_milli=draw.randrange(500, 5_000),
-            memory_mb=draw.randrange(256, 8_000),
-            estimated_ms=800,
-            depends_on=(0,) if number else (),
-            checkpointing=draw.random() < CHECKPOINTING_SHARE,
-            gang=is_gang,
-            required_label="a" if draw.random() < LABEL_SHARE else "",
-            spread_limit=2 if draw.random() < SPREAD_SHARE and not is_gang else 0,
-        )
