Soak: real nodes over loopback under drawn faults, audited while they run

Until now a cell of nodes ran under faults only in virtual time. onyxspoke-soak starts real node processes and, in processes of their own, the kit's store, workers and advice service behind the platform's wire, and callers that hand jobs in again. The kit's audit takes in what workers and callers saw, merged by the machine's steady clock. Nodes are killed, paused and stopped, the store is silent, slow, loses or delays answers, workers crash and carry orders out late, all from a seed. Every process is noted and ended by its id, also after SIGINT and SIGTERM.

Ruled out: virtual stand-ins in the nodes' own processes, which leaves out the wire.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 DEPLOYMENT ?= klimaplan
 SEEDS ?= 200
 
-.PHONY: install demo test lint format bench bench-placement bench-settings faults explore capacity clean
+.PHONY: install demo test lint format bench bench-placement bench-settings faults explore soak capacity clean
 
 install: .venv/installed
 
@@ -50,6 +50,10 @@
 explore: install
 	scripts/explore.sh $(SEEDS)
 
+# Real processes over loopback under drawn faults: SEEDS fresh ones or one SEED, none begun after MINUTES.
+soak: install
+	$(BIN)/onyxspoke-soak run $(if $(SEED),--seed $(SEED),--seeds $(if $(filter command line environment,$(origin SEEDS)),$(SEEDS),1)) $(if $(MINUTES),--minutes $(MINUTES))
+
 # Writes docs/CAPACITY.md again from docs/capacity.json, which holds sweeps of the users' deployments.
 capacity: install
 	$(BIN)/python scripts/capacity_page.py
--- /dev/null
+++ b/src/onyxspoke/soak/faults.py
@@ -0,0 +1,160 @@
+"""Faults of a soaked cell: schedules drawn from a seed, and what carries them out."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from functools import partial
+from typing import Protocol
+
+from onyxspoke.soak.events import AnyCommand, CrashWorker, SetLateOrders, SetStoreFaults
+from onyxspoke.soak.plan import SoakPlan
+
+SHORTEST_SECONDS = 0.5
+LONGEST_SECONDS = 7.0
+#: The first fault strikes so long after the first job.
+FIRST_SECONDS = 2.0
+CRASHED_SHARE = 0.3
+LATE_SHARE = 0.1
+SLOW_SECONDS = 0.25
+LOST_SHARE = 0.35
+LATE_SECONDS = 2.0
+
+
+class SoakFault(Enum):
+    """What may be done to a cell."""
+
+    KILL_NODE = "kill_node"
+    PAUSE_NODE = "pause_node"
+    STOP_NODE = "stop_node"
+    KILL_ALL_NODES = "kill_all_nodes"
+    PAUSE_ALL_NODES = "pause_all_nodes"
+    STORE_SILENT = "store_silent"
+    STORE_SLOW = "store_slow"
+    STORE_LOSES = "store_loses"
+    STORE_LATE = "store_late"
+    CRASH_WORKERS = "crash_workers"
+    WORKERS_LATE = "workers_late"
+
+
+_STORE_FAULTS = {
+    SoakFault.STORE_SILENT: SetStoreFaults(is_down=True),
+    SoakFault.STORE_SLOW: SetStoreFaults(extra_seconds=SLOW_SECONDS),
+    SoakFault.STORE_LOSES: SetStoreFaults(loses_share=LOST_SHARE),
+    SoakFault.STORE_LATE: SetStoreFaults(loses_share=LOST_SHARE, late_seconds=LATE_SECONDS),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class ScheduledFault:
+    """One fault of a schedule; ``target`` is the number of a node or of the first worker."""
+
+    at: float
+    fault: SoakFault
+    seconds: float
+    target: int
+
+
+def draw_schedule(plan: SoakPlan) -> list[ScheduledFault]:
+    """Return the schedule of a plan; the same one gives the same."""
+    source = random.Random(f"soak/{plan.seed}")
+    kinds = list(SoakFault)
+    faults = []
+    for _ in range(plan.fault_count):
+        seconds = source.uniform(SHORTEST_SECONDS, LONGEST_SECONDS)
+        at = source.uniform(FIRST_SECONDS, max(FIRST_SECONDS, plan.fault_seconds - seconds))
+        target = source.randrange(plan.nodes * plan.workers)
+        faults.append(ScheduledFault(round(at, 2), source.choice(kinds), round(seconds, 2), target))
+    return sorted(faults, key=lambda item: item.at)
+
+
+class NodeControl(Protocol):
+    """The processes of the nodes; each fault says whether it met a node that was up."""
+
+    def kill(self, index: int, down_seconds: float) -> bool:
+        """Kill a node that is up, and start it again later."""
+
+    def pause(self, index: int, seconds: float) -> bool:
+        """Pause a node that is up."""
+
+    def stop(self, index: int, down_seconds: float) -> bool:
+        """Stop a node that is up as an operator does, and start it again later."""
+
+
+class FaultInjector:
+    """Carries a schedule out."""
+
+    def __init__(
+        self,
+        plan: SoakPlan,
+        nodes: NodeControl,
+        send: Callable[[str, AnyCommand], None],
+        later: Callable[[float, Callable[[], None]], None],
+    ) -> None:
+        self._plan = plan
+        self._nodes = nodes
+        self._send = send
+        self._later = later
+        self._store_faults: list[SetStoreFaults] = []
+        self._late_orders = 0
+        self.injected = 0
+
+    def inject(self, item: ScheduledFault) -> None:
+        """Have one fault happen now; one that meets no node that is up does not count."""
+        if self._strike(item):
+            self.injected += 1
+
+    def _strike(self, item: ScheduledFault) -> bool:
+        match item.fault:
+            case SoakFault.KILL_NODE | SoakFault.PAUSE_NODE | SoakFault.STOP_NODE:
+                return self._strike_nodes(item, [item.target % self._plan.nodes])
+            case SoakFault.KILL_ALL_NODES | SoakFault.PAUSE_ALL_NODES:
+                return self._strike_nodes(item, list(range(self._plan.nodes)))
+            case SoakFault.CRASH_WORKERS:
+                self._crash_workers(item)
+            case SoakFault.WORKERS_LATE:
+                self._change_late_orders(1)
+                self._later(item.seconds, partial(self._change_late_orders, -1))
+            case _:
+                self._strike_store(_STORE_FAULTS[item.fault], item.seconds)
+        return True
+
+    def _strike_nodes(self, item: ScheduledFault, indices: list[int]) -> bool:
+        strikes = {
+            SoakFault.KILL_NODE: self._nodes.kill,
+            SoakFault.KILL_ALL_NODES: self._nodes.kill,
+            SoakFault.PAUSE_NODE: self._nodes.pause,
+            SoakFault.PAUSE_ALL_NODES: self._nodes.pause,
+            SoakFault.STOP_NODE: self._nodes.stop,
+        }
+        return any([strikes[item.fault](index, item.seconds) for index in indices])
+
+    def _crash_workers(self, item: ScheduledFault) -> None:
+        for number in range(max(1, int(self._plan.workers * CRASHED_SHARE))):
+            index = (item.target + number) % self._plan.workers
+            self._send("workers", CrashWorker(index, item.seconds))
+
+    def _change_late_orders(self, change: int) -> None:
+        self._late_orders += change
+        self._send("workers", SetLateOrders(LATE_SHARE if self._late_orders else 0.0))
+
+    def _strike_store(self, faults: SetStoreFaults, seconds: float) -> None:
+        self._store_faults.append(faults)
+        self._tell_store()
+        self._later(seconds, partial(self._heal_store, faults))
+
+    def _heal_store(self, faults: SetStoreFaults) -> None:
+        self._store_faults.remove(faults)
+        self._tell_store()
+
+    def _tell_store(self) -> None:
+        active = [SetStoreFaults(), *self._store_faults]
+        command = SetStoreFaults(
+            is_down=any(item.is_down for item in active),
+            extra_seconds=max(item.extra_seconds for item in active),
+            loses_share=max(item.loses_share for item in active),
+            late_seconds=max(item.late_seconds for item in active),
+        )
+        self._send("store", command)
--- /dev/null
+++ b/src/onyxspoke/soak/plan.py
@@ -0,0 +1,158 @@
+"""What all processes of one run agree on: addresses, sizes and lengths of time."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+from onyxspoke.core.placement.worker_record import WorkerRecord
+from onyxspoke.node.settings import Address
+
+HOST_HEADER = "soak.example"
+CALLER_PORT = 18_160
+READINESS_PORT = 18_161
+PEER_PORTS = (18_170, 18_179)
+STORE_PORT = 18_180
+ADVICE_PORT = 18_181
+WORKER_PORT = 18_190
+HEARTBEAT_MS = 1_500
+#: A stopping node is killed after so long.
+STOP_GRACE_SECONDS = 6.0
+#: Last parts of the loopback addresses.
+FIRST_NODE = 1
+FIRST_WORKER = 100
+SERVICES = 250
+#: Loopback networks that runs may have at once on one machine.
+NETWORKS = 16_000
+NETWORK_SIZE = 256
+#: Second part of the first loopback network.
+FIRST_NETWORK = 64
+
+
+class SoakPlan(msgspec.Struct, frozen=True, kw_only=True):
+    """One run.
+
+    Attributes
+    ----------
+    network : str
+        First three parts of the loopback addresses, so that runs side by side do not meet.
+    fault_seconds : float
+        For so long jobs are handed in and faults strike.
+    settle_seconds : float
+        So long after the last fault every accepted job is to have ended.
+    """
+
+    seed: int
+    network: str
+    nodes: int = 4
+    workers: int = 10
+    jobs_per_second: float = 5.0
+    fault_seconds: float = 30.0
+    settle_seconds: float = 60.0
+    fault_count: int = 8
+
+    def node_host(self, index: int) -> str:
+        """Return the address of a node."""
+        return f"{self.network}.{FIRST_NODE + index}"
+
+    def worker_host(self, index: int) -> str:
+        """Return the address of a worker."""
+        return f"{self.network}.{FIRST_WORKER + index}"
+
+    @property
+    def store(self) -> Address:
+        """Where the store listens."""
+        return Address(f"{self.network}.{SERVICES}", STORE_PORT)
+
+    @property
+    def advice(self) -> Address:
+        """Where the advice service listens."""
+        return Address(f"{self.network}.{SERVICES}", ADVICE_PORT)
+
+
+def choose_network(number: int) -> str:
+    """Return a loopback network for a process number."""
+    number %= NETWORKS
+    return f"127.{FIRST_NETWORK + number // NETWORK_SIZE}.{number % NETWORK_SIZE}"
+
+
+def load_plan(path: Path) -> SoakPlan:
+    """Return the plan in a file."""
+    return msgspec.json.decode(path.read_bytes(), type=SoakPlan)
+
+
+def make_settings(plan: SoakPlan, index: int) -> str:
+    """Return the settings file of a node."""
+    host = plan.node_host(index)
+    seeds = [f"{plan.node_host(other)}:{PEER_PORTS[0]}" for other in range(plan.nodes)]
+    lines = {
+        "nodeName": f"node-{index}",
+        "ip": host,
+        "zone": "zone",
+        "bindAddresses.front": f"{host}:{CALLER_PORT}",
+        "bindAddresses.readiness": f"{host}:{READINESS_PORT}",
+        "internalPortRange": f"{PEER_PORTS[0]},{PEER_PORTS[1]}",
+        "seeds": ",".join(seeds),
+        "limits.cpuShare": 1,
+        "limits.cores": 1,
+        "heartbeatMs": HEARTBEAT_MS,
+        "bounds.graceS": STOP_GRACE_SECONDS,
+        "bounds.maxHoldMs": 6_000,
+        "bounds.stopGraceMs": 200,
+        "bounds.status_s": 3_600,
+        "bounds.configApplyMs": 2_000,
+        "bounds.maxStretchMs": 5_000,
+        "platform.address": f"{plan.store.host}:{plan.store.port}",
+        "platform.parts": 24,
+        "platform.record_bytes": 262_144,
+        "platform.call_bytes": 2_097_152,
+        "platform.writes_per_s": 600,
+        "platform.reads_per_s": 2_000,
+        "advice": f"{plan.advice.host}:{plan.advice.port}",
+    }
+    return "".join(f"{name}={value}\n" for name, value in lines.items())
+
+
+def make_configuration(service: str, queues: tuple[str, ...]) -> bytes:
+    """Return the operator's configuration as the store holds it."""
+    routes = [
+        {
+            "name": name,
+            "host": HOST_HEADER,
+            "pathPrefix": f"/{name}/",
+            "service": service,
+            "timeoutMs": 3_000,
+            "targetLatencyMs": 500,
+            "priority": priority,
+            "maxAttempts": 3,
+            "stretch": 2.0,
+            "advice": {"decideMs": 5.0, "perItemMs": 0.2, "validityMs": 1_500.0},
+        }
+        for priority, name in enumerate(queues)
+    ]
+    return msgspec.json.encode(
+        {"version": 1, "routes": routes, "services": [{"name": service}], "limits": {}}
+    )
+
+
+def encode_entry(record: WorkerRecord, sequence: int) -> bytes:
+    """Return what a worker writes of itself."""
+    capacity = record.capacity
+    return msgspec.json.encode(
+        {
+            "service": record.service,
+            "address": f"{record.host}:{record.port}",
+            "zone": record.zone,
+            "version": "1",
+            "slots": 1,
+            "state": record.listing.value,
+            "sequence": sequence,
+            "capacity": {
+                "cpu": capacity.processors_milli,
+                "memMb": capacity.memory_mb,
+                "gpu": capacity.accelerators,
+            },
+            "labels": list(record.labels),
+        }
+    )
--- /dev/null
+++ b/src/onyxspoke/soak/worker_server.py
@@ -0,0 +1,251 @@
+"""Workers' stand-ins behind the platform's wire: many lives in one process, logic of the kit."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from functools import partial
+from typing import Any, Protocol
+
+import msgspec
+from absl import logging
+from twisted.internet.interfaces import IListeningPort
+
+from onyxspoke.core.jobs.model import Needs, RunKey
+from onyxspoke.core.jobs.states import RunEnd
+from onyxspoke.core.placement.worker_record import WorkerRecord
+from onyxspoke.core.shard.actions import SendHold, SendPace, SendStart, SendStop, WorkerAddress
+from onyxspoke.core.shard.orders import HoldResult, OrderOutcome, OrderResult
+from onyxspoke.kit.jobs.worker_orders import FakeWorkerOrders
+from onyxspoke.kit.jobs.workers import FakeWorker, FakeWorkerPool, SeenWorker, WorkOptions
+from onyxspoke.platform.workers import decode_task, encode_task
+from onyxspoke.soak import events
+from onyxspoke.soak.http import (
+    HTTP_CONFLICT,
+    HTTP_NOT_FOUND,
+    HTTP_OTHER_LIFE,
+    HTTP_UNAVAILABLE,
+    Exchange,
+    StandInSite,
+)
+from onyxspoke.soak.job_wire import read_payload
+from onyxspoke.soak.plan import HEARTBEAT_MS, WORKER_PORT, SoakPlan, encode_entry
+from onyxspoke.soak.timers import DueTimers, LocalPath
+
+SERVICE = "service"
+#: The platform drops the entry of a worker that is silent for so long, in seconds.
+ENTRY_SECONDS = 3 * HEARTBEAT_MS / 1_000.0
+CAPACITY = Needs(16_000, 32_768, 0)
+KINDS = "ab"
+RACK_SIZE = 4
+#: Share of the runs that fail by their own fault.
+FAILING_SHARE = 0.03
+_REASONS = {
+    OrderOutcome.FENCED: "fence",
+    OrderOutcome.STALE: "old",
+    OrderOutcome.EXPIRED: "late",
+    OrderOutcome.NO_ROOM: "room",
+    OrderOutcome.NO_TICKET: "ticket",
+}
+
+
+class _OrderBody(msgspec.Struct, rename="camel"):
+    fencing_token: int = 0
+    task: str = ""
+    run: int = 0
+    spec: str = ""
+    until_ms: int = 0
+    checkpoint: str = ""
+    ticket: str = ""
+    last_seen: int = 0
+    wait_ms: int = 0
+    percent: int = 0
+
+
+_decoder = msgspec.json.Decoder(_OrderBody)
+
+Tell = Callable[[events.AnyEvent], None]
+
+
+class EventTeller:
+    """Tells what happens at workers; implements ``WorkerAudit``."""
+
+    def __init__(self, timers: DueTimers, tell: Tell) -> None:
+        self._timers = timers
+        self._tell = tell
+
+    def handle_started(self, worker: SeenWorker, run: RunKey, payload: str, node: str) -> None:
+        """A run was started on a node's order."""
+        now = self._timers.now()
+        self._tell(events.RunStarted(now, worker.worker_id, run, payload, node))
+
+    def handle_ended(self, worker: SeenWorker, run: RunKey, end: RunEnd) -> None:
+        """A run ended."""
+        self._tell(events.RunEnded(self._timers.now(), worker.worker_id, run, end))
+
+    def handle_noted(self, worker: SeenWorker, run: RunKey, end: RunEnd) -> None:
+        """A node told the worker that an end was noted."""
+        self._tell(events.RunNoted(self._timers.now(), worker.worker_id, run, end))
+
+    def handle_crashed(self, worker: SeenWorker, run: RunKey) -> None:
+        """The worker crashed under a run."""
+        self._tell(events.RunCrashed(self._timers.now(), worker.worker_id, run))
+
+    def handle_lapsed(self, worker: SeenWorker) -> None:
+        """The worker's lease ran out."""
+        listed = tuple(worker.listed_runs())
+        self._tell(events.LeaseLapsed(self._timers.now(), worker.worker_id, listed))
+
+
+class Listen(Protocol):
+    """Opens a server socket; ``listenTCP`` of a reactor."""
+
+    def __call__(self, port: int, factory: Any, *, interface: str) -> IListeningPort:
+        """Listen."""
+
+
+class WorkerHost:
+    """All workers of a cell: their lives, their sockets, their entries in the directory."""
+
+    def __init__(
+        self,
+        plan: SoakPlan,
+        timers: DueTimers,
+        tell: Tell,
+        listen: Listen,
+        write_entry: Callable[[str, bytes], None],
+    ) -> None:
+        self._plan = plan
+        self._timers = timers
+        self._tell = tell
+        self._listen = listen
+        self._write_entry = write_entry
+        self._pool = FakeWorkerPool(
+            timers,
+            random.Random(f"workers/{plan.seed}"),
+            EventTeller(timers, tell),
+            WorkOptions(seed=plan.seed, failing_share=FAILING_SHARE),
+        )
+        self._lives = 0
+        self._sites: dict[str, tuple[StandInSite, IListeningPort]] = {}
+        self._late_share = 0.0
+
+    def start(self) -> None:
+        """Begin the first life of every worker."""
+        for index in range(self._plan.workers):
+            self._begin_life(index)
+
+    def handle_command(self, command: events.AnyCommand) -> None:
+        """Carry out a fault."""
+        if isinstance(command, events.CrashWorker):
+            self._crash(command.index, command.seconds)
+        elif isinstance(command, events.SetLateOrders):
+            self._late_share = command.share
+            for worker in self._pool.workers.values():
+                worker.faults.late_share = command.share
+
+    def _begin_life(self, index: int) -> None:
+        self._lives += 1
+        kind = KINDS[index % len(KINDS)]
+        rack = f"r1-{index // RACK_SIZE}"
+        record = WorkerRecord(
+            worker_id=f"w{index}.{self._lives}",
+            host=self._plan.worker_host(index),
+            port=WORKER_PORT,
+            service=SERVICE,
+            zone="zone",
+            capacity=CAPACITY,
+            kind=kind,
+            rack=rack,
+            labels=(kind, rack),
+        )
+        worker = self._pool.add(record)
+        worker.faults.late_share = self._late_share
+        self._tell(events.WorkerBorn(self._timers.now(), record))
+        site = StandInSite(self._timers, partial(self._handle, worker))
+        port = self._listen(record.port, site, interface=record.host)
+        self._sites[record.worker_id] = (site, port)
+        self._beat(worker, 1)
+
+    def _crash(self, index: int, seconds: float) -> None:
+        prefix = f"w{index}."
+        for worker in list(self._pool.workers.values()):
+            if not worker.is_up or not worker.worker_id.startswith(prefix):
+                continue
+            worker.die()
+            site, port = self._sites.pop(worker.worker_id)
+            site.reset_connections()
+            port.stopListening()
+            logging.info("event=worker_crashed worker=%s", worker.worker_id)
+            drop = partial(self._write_entry, worker.worker_id, b"")
+            self._timers.schedule(ENTRY_SECONDS, drop)
+            self._timers.schedule(seconds, partial(self._begin_life, index))
+
+    def _beat(self, worker: FakeWorker, sequence: int) -> None:
+        if not worker.is_up:
+            return
+        self._write_entry(worker.worker_id, encode_entry(worker.record, sequence))
+        self._timers.schedule(HEARTBEAT_MS / 1_000.0, lambda: self._beat(worker, sequence + 1))
+
+    def _handle(self, worker: FakeWorker, exchange: Exchange) -> None:
+        """Answer an order; ``worker`` is the life that listens here."""
+        if exchange.header("expected-instance") not in ("", worker.worker_id):
+            exchange.answer({}, HTTP_OTHER_LIFE)
+            return
+        body = _decoder.decode(exchange.body)
+        address = WorkerAddress(worker.worker_id, worker.record.host, worker.record.port)
+        orders = FakeWorkerOrders(self._pool, exchange.machine, LocalPath())
+        token = body.fencing_token
+        answer = partial(write_order, exchange)
+        if exchange.name == "hold":
+            hold = SendHold(address, token, body.last_seen, body.until_ms, body.wait_ms, 0)
+            orders.hold(hold, partial(write_hold, exchange))
+            return
+        run = RunKey(decode_task(body.task), body.run)
+        if exchange.name == "run-start":
+            spec = read_payload(body.spec)
+            self._pool.specs.setdefault(spec.job_id, spec)
+            start = SendStart(
+                address, token, run, body.spec, body.until_ms, body.checkpoint, body.ticket
+            )
+            orders.start(start, answer)
+        elif exchange.name == "run-stop":
+            orders.stop(SendStop(address, token, run), answer)
+        elif exchange.name == "pace":
+            orders.pace(SendPace(address, token, run, body.percent), answer)
+        else:
+            exchange.answer({}, HTTP_NOT_FOUND)
+
+
+def write_order(exchange: Exchange, result: OrderResult) -> None:
+    """Answer a start, a stop or a pace; one that is late is left unanswered."""
+    if result.outcome is OrderOutcome.DONE:
+        exchange.answer({"clockMs": result.clock_ms})
+    else:
+        _write_refusal(exchange, result.outcome, result.clock_ms)
+
+
+def write_hold(exchange: Exchange, result: HoldResult) -> None:
+    """Answer a hold; one that is late is left unanswered."""
+    if result.outcome is not OrderOutcome.DONE:
+        _write_refusal(exchange, result.outcome, result.clock_ms)
+        return
+    running = [
+        [encode_task(report.run.task), report.run.number, "", report.percent]
+        for report in result.running
+    ]
+    ended = [
+        [report.number, encode_task(report.run.task), report.run.number, report.end.value, ""]
+        for report in result.ended
+    ]
+    exchange.answer({"clockMs": result.clock_ms, "running": running, "ended": ended})
+
+
+def _write_refusal(exchange: Exchange, outcome: OrderOutcome, clock_ms: int) -> None:
+    reason = _REASONS.get(outcome)
+    if reason is not None:
+        exchange.answer({"clockMs": clock_ms, "reason": reason}, HTTP_CONFLICT)
+    elif outcome is OrderOutcome.OTHER_LIFE:
+        exchange.answer({}, HTTP_OTHER_LIFE)
+    elif outcome is not OrderOutcome.NO_ANSWER:
+        exchange.answer({}, HTTP_UNAVAILABLE)
