Soak: a loopback proxy that delays, resets, silences and cuts one way

Callers reach nodes, and nodes reach the store, the advice service and workers, through a proxy in a process of its own. What is cut arrives when the link is healed, also where the sender has gone by then. Connections between nodes don't pass it: a node's address is the one it listens on.

--- a/src/onyxspoke/cli/soak.py
+++ b/src/onyxspoke/cli/soak.py
@@ -35,6 +35,7 @@
     "advice": stand_ins.start_advice,
     "workers": stand_ins.start_workers,
     "callers": stand_ins.start_callers,
+    "proxy": stand_ins.start_proxy,
 }
 
 
@@ -49,6 +50,7 @@
     run.add_argument("--seconds", type=float, default=30.0, help="of jobs and faults, each seed")
     run.add_argument("--faults", type=int, default=8, help="in each seed (default: 8)")
     run.add_argument("--nodes", type=int, default=4)
+    run.add_argument("--no-proxy", action="store_true", help="without the proxy and its faults")
     run.add_argument("--keep", help="play only these entries of the schedule: 0,3,...")
     run.add_argument("--out", type=Path, default=Path("run/soak"), help="directory of logs")
     for name in stand_ins.STAND_INS:
@@ -142,6 +144,7 @@
             nodes=arguments.nodes,
             fault_seconds=arguments.seconds,
             fault_count=arguments.faults,
+            with_proxy=not arguments.no_proxy,
         )
         keep = None
         if arguments.keep is not None:
--- a/src/onyxspoke/soak/callers.py
+++ b/src/onyxspoke/soak/callers.py
@@ -14,7 +14,7 @@
 from onyxspoke.net.http_client import HttpAnswer, HttpClient, encode_request
 from onyxspoke.soak import events
 from onyxspoke.soak.job_wire import encode_job, make_job, read_reply
-from onyxspoke.soak.plan import CALLER_PORT, HOST_HEADER, SoakPlan
+from onyxspoke.soak.plan import HOST_HEADER, SoakPlan
 from onyxspoke.soak.timers import DueTimers
 from onyxspoke.soak.worker_server import SERVICE
 
@@ -148,11 +148,11 @@
         on_reply: Callable[[CallReply | None], None],
         body: bytes | None = None,
     ) -> None:
-        host = self._plan.node_host(self._random.randrange(self._plan.nodes))
+        node = self._plan.caller_address(self._random.randrange(self._plan.nodes))
         target = f"/{self._specs[job_id].queue.name}/{job_id}"
         request = encode_request(method, target, HOST_HEADER, body, _DEADLINE)
 
         def take(answer: HttpAnswer) -> None:
             on_reply(read_reply(answer))
 
-        self._client.call(host, CALLER_PORT, request, CALL_SECONDS, take)
+        self._client.call(node.host, node.port, request, CALL_SECONDS, take)
--- a/src/onyxspoke/soak/events.py
+++ b/src/onyxspoke/soak/events.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 import msgspec
 
 from onyxspoke.core.jobs.model import JobId, JobSpec, RunKey, WorkerId
@@ -157,4 +159,27 @@
     """Callers hand in nothing more, and ask for each job's last state."""
 
 
-AnyCommand = SetStoreFaults | CrashWorker | SetLateOrders | StopSubmitting
+class LinkMode(Enum):
+    """How a link is struck.
+
+    ``DELAY``: each piece comes later.  ``RESET``: connections are reset.  ``SILENCE``: connections
+    pass nothing more, for good; new ones do.  ``CUT_OUT``, ``CUT_BACK``: what goes out, or comes
+    back, arrives only once the link is healed.
+    """
+
+    DELAY = "delay"
+    RESET = "reset"
+    SILENCE = "silence"
+    CUT_OUT = "cut_out"
+    CUT_BACK = "cut_back"
+
+
+class StrikeLinks(Command, frozen=True):
+    """Links of the proxy are struck for a time."""
+
+    names: tuple[str, ...]
+    mode: LinkMode
+    seconds: float
+
+
+AnyCommand = SetStoreFaults | CrashWorker | SetLateOrders | StopSubmitting | StrikeLinks
--- a/src/onyxspoke/soak/faults.py
+++ b/src/onyxspoke/soak/faults.py
@@ -9,7 +9,15 @@
 from functools import partial
 from typing import Protocol
 
-from onyxspoke.soak.events import AnyCommand, CrashWorker, SetLateOrders, SetStoreFaults
+from onyxspoke.soak.events import (
+    AnyCommand,
+    CrashWorker,
+    LinkMode,
+    SetLateOrders,
+    SetStoreFaults,
+    StrikeLinks,
+)
+from onyxspoke.soak.links import choose_links
 from onyxspoke.soak.plan import SoakPlan
 
 SHORTEST_SECONDS = 0.5
@@ -17,6 +25,8 @@
 #: The first fault strikes so long after the first job.
 FIRST_SECONDS = 2.0
 CRASHED_SHARE = 0.3
+#: Targets are drawn from so many numbers, and taken modulo what there is.
+TARGETS = 5_040
 LATE_SHARE = 0.1
 SLOW_SECONDS = 0.25
 LOST_SHARE = 0.35
@@ -37,6 +47,11 @@
     STORE_LATE = "store_late"
     CRASH_WORKERS = "crash_workers"
     WORKERS_LATE = "workers_late"
+    LINKS_DELAY = "links_delay"
+    LINKS_RESET = "links_reset"
+    LINKS_SILENCE = "links_silence"
+    LINKS_CUT_OUT = "links_cut_out"
+    LINKS_CUT_BACK = "links_cut_back"
 
 
 _STORE_FAULTS = {
@@ -47,9 +62,18 @@
 }
 
 
+_LINK_MODES = {
+    SoakFault.LINKS_DELAY: LinkMode.DELAY,
+    SoakFault.LINKS_RESET: LinkMode.RESET,
+    SoakFault.LINKS_SILENCE: LinkMode.SILENCE,
+    SoakFault.LINKS_CUT_OUT: LinkMode.CUT_OUT,
+    SoakFault.LINKS_CUT_BACK: LinkMode.CUT_BACK,
+}
+
+
 @dataclass(frozen=True, slots=True)
 class ScheduledFault:
-    """One fault of a schedule; ``target`` is the number of a node or of the first worker."""
+    """One fault of a schedule; ``target`` is the number of a node, worker or link."""
 
     at: float
     fault: SoakFault
@@ -60,12 +84,12 @@
 def draw_schedule(plan: SoakPlan) -> list[ScheduledFault]:
     """Return the schedule of a plan; the same one gives the same."""
     source = random.Random(f"soak/{plan.seed}")
-    kinds = list(SoakFault)
+    kinds = [fault for fault in SoakFault if plan.with_proxy or fault not in _LINK_MODES]
     faults = []
     for _ in range(plan.fault_count):
         seconds = source.uniform(SHORTEST_SECONDS, LONGEST_SECONDS)
         at = source.uniform(FIRST_SECONDS, max(FIRST_SECONDS, plan.fault_seconds - seconds))
-        target = source.randrange(plan.nodes * plan.workers)
+        target = source.randrange(TARGETS)
         faults.append(ScheduledFault(round(at, 2), source.choice(kinds), round(seconds, 2), target))
     return sorted(faults, key=lambda item: item.at)
 
@@ -117,6 +141,9 @@
             case SoakFault.WORKERS_LATE:
                 self._change_late_orders(1)
                 self._later(item.seconds, partial(self._change_late_orders, -1))
+            case fault if fault in _LINK_MODES:
+                names = choose_links(self._plan, item.target)
+                self._send("proxy", StrikeLinks(names, _LINK_MODES[fault], item.seconds))
             case _:
                 self._strike_store(_STORE_FAULTS[item.fault], item.seconds)
         return True
--- a/src/onyxspoke/soak/plan.py
+++ b/src/onyxspoke/soak/plan.py
@@ -16,11 +16,14 @@
 STORE_PORT = 18_180
 ADVICE_PORT = 18_181
 WORKER_PORT = 18_190
+#: Where workers listen behind the proxy.
+INNER_WORKER_PORT = 18_191
 HEARTBEAT_MS = 1_500
 #: A stopping node is killed after so long.
 STOP_GRACE_SECONDS = 6.0
 #: Last parts of the loopback addresses.
 FIRST_NODE = 1
+FIRST_PROXY = 50
 FIRST_WORKER = 100
 SERVICES = 250
 #: Loopback networks that runs may have at once on one machine.
@@ -41,6 +44,8 @@
         For so long jobs are handed in and faults strike.
     settle_seconds : float
         So long after the last fault every accepted job is to have ended.
+    with_proxy : bool
+        Calls of callers, and of nodes to all but nodes, pass a proxy.
     """
 
     seed: int
@@ -51,6 +56,7 @@
     fault_seconds: float = 30.0
     settle_seconds: float = 60.0
     fault_count: int = 8
+    with_proxy: bool = True
 
     def node_host(self, index: int) -> str:
         """Return the address of a node."""
@@ -60,6 +66,24 @@
         """Return the address of a worker."""
         return f"{self.network}.{FIRST_WORKER + index}"
 
+    def proxy_host(self, index: int) -> str:
+        """Return the address at which a node's outside systems, and callers, reach the proxy."""
+        return f"{self.network}.{FIRST_PROXY + index}"
+
+    def caller_address(self, index: int) -> Address:
+        """Return where callers reach a node."""
+        host = self.proxy_host(index) if self.with_proxy else self.node_host(index)
+        return Address(host, CALLER_PORT)
+
+    def seen_by(self, index: int, service: Address) -> Address:
+        """Return where a node reaches the store or the advice service."""
+        return Address(self.proxy_host(index), service.port) if self.with_proxy else service
+
+    @property
+    def worker_port(self) -> int:
+        """Port on which workers listen."""
+        return INNER_WORKER_PORT if self.with_proxy else WORKER_PORT
+
     @property
     def store(self) -> Address:
         """Where the store listens."""
@@ -85,6 +109,7 @@
 def make_settings(plan: SoakPlan, index: int) -> str:
     """Return the settings file of a node."""
     host = plan.node_host(index)
+    store, advice = plan.seen_by(index, plan.store), plan.seen_by(index, plan.advice)
     seeds = [f"{plan.node_host(other)}:{PEER_PORTS[0]}" for other in range(plan.nodes)]
     lines = {
         "nodeName": f"node-{index}",
@@ -103,13 +128,13 @@
         "bounds.status_s": 3_600,
         "bounds.configApplyMs": 2_000,
         "bounds.maxStretchMs": 5_000,
-        "platform.address": f"{plan.store.host}:{plan.store.port}",
+        "platform.address": f"{store.host}:{store.port}",
         "platform.parts": 24,
         "platform.record_bytes": 262_144,
         "platform.call_bytes": 2_097_152,
         "platform.writes_per_s": 600,
         "platform.reads_per_s": 2_000,
-        "advice": f"{plan.advice.host}:{plan.advice.port}",
+        "advice": f"{advice.host}:{advice.port}",
     }
     return "".join(f"{name}={value}\n" for name, value in lines.items())
 
--- a/src/onyxspoke/soak/run.py
+++ b/src/onyxspoke/soak/run.py
@@ -91,8 +91,9 @@
         for index, path in enumerate(self._settings):
             path.write_text(make_settings(self.plan, index), encoding="utf-8")
         (self._directory / "plan.json").write_bytes(msgspec.json.encode(self.plan))
-        for name in ("store", "advice", "workers"):
-            self._start_stand_in(name)
+        for name in ("store", "advice", "workers", "proxy"):
+            if name != "proxy" or self.plan.with_proxy:
+                self._start_stand_in(name)
         for index in range(self.plan.nodes):
             self._nodes.start(index)
         client = HttpClient(cast("IReactorTime", reactor), TcpEndpoints(reactor))
--- a/src/onyxspoke/soak/stand_ins.py
+++ b/src/onyxspoke/soak/stand_ins.py
@@ -7,6 +7,7 @@
 
 from absl import logging
 from twisted.internet import reactor
+from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.interfaces import IReactorTCP, IReactorTime
 
 from onyxspoke.core.shard.log_records import ShardRecord
@@ -21,12 +22,14 @@
 from onyxspoke.soak.callers import SoakCallers
 from onyxspoke.soak.http import HTTP_OK, StandInSite
 from onyxspoke.soak.link import EventLink, ignore_command
+from onyxspoke.soak.links import list_links
 from onyxspoke.soak.plan import SoakPlan, make_configuration
+from onyxspoke.soak.proxy import LinkPlan, LinkSwitch, ProxyLink
 from onyxspoke.soak.store_server import StoreServer
 from onyxspoke.soak.timers import DueTimers
 from onyxspoke.soak.worker_server import SERVICE, WorkerHost
 
-STAND_INS = ("store", "advice", "workers", "callers")
+STAND_INS = ("store", "advice", "workers", "callers", "proxy")
 ENTRY_SECONDS = 1.0
 CONNECT_SECONDS = 0.5
 
@@ -63,6 +66,25 @@
     callers.start()
 
 
+def start_proxy(plan: SoakPlan, timers: DueTimers) -> None:
+    """Pass calls on."""
+    time = cast("IReactorTime", reactor)
+    links = [ProxyLink(time, link, _connect) for link in list_links(plan)]
+    for link in links:
+        listen = link.plan.listen
+        tcp = cast("IReactorTCP", reactor)
+        tcp.listenTCP(listen.port, cast("Any", link), interface=listen.host)
+    EventLink(timers).open(LinkSwitch(links).handle_command)
+
+
+def _connect(link: LinkPlan, factory: Any) -> Any:
+    bind = (link.source, 0) if link.source else None
+    endpoint = TCP4ClientEndpoint(
+        reactor, link.target.host, link.target.port, timeout=1, bindAddress=bind
+    )
+    return endpoint.connect(factory)
+
+
 def _make_client() -> HttpClient:
     return HttpClient(cast("IReactorTime", reactor), TcpEndpoints(reactor, CONNECT_SECONDS))
 
--- a/src/onyxspoke/soak/worker_server.py
+++ b/src/onyxspoke/soak/worker_server.py
@@ -163,7 +163,7 @@
         worker.faults.late_share = self._late_share
         self._tell(events.WorkerBorn(self._timers.now(), record))
         site = StandInSite(self._timers, partial(self._handle, worker))
-        port = self._listen(record.port, site, interface=record.host)
+        port = self._listen(self._plan.worker_port, site, interface=record.host)
         self._sites[record.worker_id] = (site, port)
         self._beat(worker, 1)
 
