--- a/src/onyxspoke/kit/jobs/workers.py
+++ b/src/onyxspoke/kit/jobs/workers.py
@@ -72,6 +72,7 @@
 class WorkOptions:
     """What tasks are like.
 
+    ``long_share`` of the tasks take ``long_seconds``, so that leases end under them.
     ``failing_share`` of the runs fail; ``hopeless`` jobs always do.  Tasks in ``crashing`` crash
     each worker that starts them, ``crash_seconds`` after the start.
     """
@@ -79,6 +80,8 @@
     seed: int = 0
     shortest_seconds: float = 0.2
     longest_seconds: float = 1.5
+    long_share: float = 0.0
+    long_seconds: float = 10.0
     failing_share: float = 0.0
     hopeless: set[JobId] = field(default_factory=set)
     crashing: set[TaskKey] = field(default_factory=set)
@@ -181,7 +184,8 @@
         """Return how long a task works."""
         work = self.work
         source = random.Random(f"{work.seed}/{task}")
-        return source.uniform(work.shortest_seconds, work.longest_seconds)
+        seconds = source.uniform(work.shortest_seconds, work.longest_seconds)
+        return work.long_seconds if source.random() < work.long_share else seconds
 
     def fails(self, key: RunKey) -> bool:
         """Return whether a run fails by its own fault."""
--- a/src/onyxspoke/soak/faults.py
+++ b/src/onyxspoke/soak/faults.py
@@ -22,6 +22,8 @@
 
 SHORTEST_SECONDS = 0.5
 LONGEST_SECONDS = 7.0
+#: A link is struck for longer: leases are to end behind it.
+LONGEST_LINK_SECONDS = 14.0
 #: The first fault strikes so long after the first job.
 FIRST_SECONDS = 2.0
 CRASHED_SHARE = 0.3
@@ -87,10 +89,12 @@
     kinds = [fault for fault in SoakFault if plan.with_proxy or fault not in _LINK_MODES]
     faults = []
     for _ in range(plan.fault_count):
-        seconds = source.uniform(SHORTEST_SECONDS, LONGEST_SECONDS)
+        kind = source.choice(kinds)
+        longest = LONGEST_LINK_SECONDS if kind in _LINK_MODES else LONGEST_SECONDS
+        seconds = source.uniform(SHORTEST_SECONDS, longest)
         at = source.uniform(FIRST_SECONDS, max(FIRST_SECONDS, plan.fault_seconds - seconds))
         target = source.randrange(TARGETS)
-        faults.append(ScheduledFault(round(at, 2), source.choice(kinds), round(seconds, 2), target))
+        faults.append(ScheduledFault(round(at, 2), kind, round(seconds, 2), target))
     return sorted(faults, key=lambda item: item.at)
 
 
--- a/src/onyxspoke/soak/timers.py
+++ b/src/onyxspoke/soak/timers.py
@@ -19,8 +19,11 @@
     its time, also where the process that keeps it gets no processor just then.
     """
 
-    def __init__(self, reactor: IReactorTime) -> None:
+    def __init__(
+        self, reactor: IReactorTime, read_clock: Callable[[], float] = boot_seconds
+    ) -> None:
         self._reactor = reactor
+        self._read_clock = read_clock
         self._heap: list[tuple[float, int, Callable[[], Any]]] = []
         self._numbers = count()
         self._due_at: float | None = None
@@ -28,7 +31,7 @@
 
     def now(self) -> float:
         """Return the time in seconds."""
-        return boot_seconds() if self._due_at is None else self._due_at
+        return self._read_clock() if self._due_at is None else self._due_at
 
     def schedule(self, delay: float, function: Callable[[], Any]) -> None:
         """Run a function after a delay."""
@@ -38,7 +41,7 @@
 
     def catch_up(self) -> None:
         """Run what is due; to be called before anything else is taken in."""
-        while self._heap and self._heap[0][0] <= boot_seconds():
+        while self._heap and self._heap[0][0] <= self._read_clock():
             self._due_at, _, function = heapq.heappop(self._heap)
             try:
                 function()
@@ -51,7 +54,7 @@
         if self._wake is not None and self._wake.active():
             self._wake.cancel()
         if self._heap:
-            delay = max(0.0, self._heap[0][0] - boot_seconds())
+            delay = max(0.0, self._heap[0][0] - self._read_clock())
             self._wake = self._reactor.callLater(delay, self._handle_wake)
 
     def _handle_wake(self) -> None:
--- a/src/onyxspoke/soak/worker_server.py
+++ b/src/onyxspoke/soak/worker_server.py
@@ -40,6 +40,8 @@
 RACK_SIZE = 4
 #: Share of the runs that fail by their own fault.
 FAILING_SHARE = 0.03
+#: Share of the tasks that outlast a lease.
+LONG_SHARE = 0.1
 _REASONS = {
     OrderOutcome.FENCED: "fence",
     OrderOutcome.STALE: "old",
@@ -124,7 +126,7 @@
             timers,
             random.Random(f"workers/{plan.seed}"),
             EventTeller(timers, tell),
-            WorkOptions(seed=plan.seed, failing_share=FAILING_SHARE),
+            WorkOptions(seed=plan.seed, failing_share=FAILING_SHARE, long_share=LONG_SHARE),
         )
         self._lives = 0
         self._sites: dict[str, tuple[StandInSite, IListeningPort]] = {}
