Soak: faults of chosen kinds; a violation counts once; a lost job isn't waited for

Found with mechanisms taken out on scratch copies (trials). A job accepted before its record: accepted_unknown (12 faults, 25 s; stopped by hand after 78 s, it repeated the same two jobs once a second).

--- a/src/onyxspoke/cli/soak.py
+++ b/src/onyxspoke/cli/soak.py
@@ -49,6 +49,7 @@
     run.add_argument("--minutes", type=float, help="begin no seed after so long")
     run.add_argument("--seconds", type=float, default=30.0, help="of jobs and faults, each seed")
     run.add_argument("--faults", type=int, default=8, help="in each seed (default: 8)")
+    run.add_argument("--kinds", help="of faults: kill_node,links_cut_out,... (default: all)")
     run.add_argument("--nodes", type=int, default=4)
     run.add_argument("--no-proxy", action="store_true", help="without the proxy and its faults")
     run.add_argument("--keep", help="play only these entries of the schedule: 0,3,...")
@@ -145,6 +146,7 @@
             fault_seconds=arguments.seconds,
             fault_count=arguments.faults,
             with_proxy=not arguments.no_proxy,
+            kinds=tuple(arguments.kinds.split(",")) if arguments.kinds else (),
         )
         keep = None
         if arguments.keep is not None:
--- a/src/onyxspoke/soak/callers.py
+++ b/src/onyxspoke/soak/callers.py
@@ -32,6 +32,8 @@
 LAST_ASK_SECONDS = 1.0
 LAST_ASKS_AT_ONCE = 20
 FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
+#: What a job is called that was accepted and is not known any more: a violation by then.
+LOST = "unknown"
 _DEADLINE = f"Request-Deadline-Ms: {PATIENCE_MS}\r\n"
 
 
@@ -124,12 +126,13 @@
         if reply.code is ReplyCode.OK:
             self._states[job_id] = reply.state
         elif reply.code is ReplyCode.NO_SUCH_JOB:
-            self._states[job_id] = "cancelled" if job_id in self._cancelled else "unknown"
+            self._states[job_id] = "cancelled" if job_id in self._cancelled else LOST
 
     # The end
 
     def _ask_open(self) -> None:
-        open_jobs = [job for job in self._accepted if self._states.get(job) not in FINAL_STATES]
+        settled = FINAL_STATES | {LOST}
+        open_jobs = [job for job in self._accepted if self._states.get(job) not in settled]
         logging.info("event=last_asks open=%d", len(open_jobs))
         if open_jobs and self._timers.now() < self._stop_at:
             for job_id in open_jobs[:LAST_ASKS_AT_ONCE]:
--- a/src/onyxspoke/soak/faults.py
+++ b/src/onyxspoke/soak/faults.py
@@ -86,7 +86,8 @@
 def draw_schedule(plan: SoakPlan) -> list[ScheduledFault]:
     """Return the schedule of a plan; the same one gives the same."""
     source = random.Random(f"soak/{plan.seed}")
-    kinds = [fault for fault in SoakFault if plan.with_proxy or fault not in _LINK_MODES]
+    kinds = [SoakFault(kind) for kind in plan.kinds] or list(SoakFault)
+    kinds = [fault for fault in kinds if plan.with_proxy or fault not in _LINK_MODES]
     faults = []
     for _ in range(plan.fault_count):
         kind = source.choice(kinds)
--- a/src/onyxspoke/soak/plan.py
+++ b/src/onyxspoke/soak/plan.py
@@ -46,6 +46,8 @@
         So long after the last fault every accepted job is to have ended.
     with_proxy : bool
         Calls of callers, and of nodes to all but nodes, pass a proxy.
+    kinds : tuple of str
+        Faults of these kinds only; empty for all.
     """
 
     seed: int
@@ -57,6 +59,7 @@
     settle_seconds: float = 60.0
     fault_count: int = 8
     with_proxy: bool = True
+    kinds: tuple[str, ...] = ()
 
     def node_host(self, index: int) -> str:
         """Return the address of a node."""
--- a/src/onyxspoke/soak/run.py
+++ b/src/onyxspoke/soak/run.py
@@ -61,6 +61,8 @@
         self._show = show
         self._events = EventAudit()
         self._shown_findings = 0
+        #: The same violation of the same job or run counts once.
+        self._noted: set[str] = set()
         self._processes = Processes(directory)
         self._stand_ins: dict[str, RunProcess] = {}
         self._timers: set[IDelayedCall] = set()
@@ -184,8 +186,10 @@
         self._events.take_line(name, line)
         findings = self._events.audit.findings
         for finding in findings[self._shown_findings :]:
-            at = finding.at - self._began_at
-            self._note(f"at {at:.2f} s: {finding.violation.value}: {finding.detail}")
+            text = f"{finding.violation.value}: {finding.detail}"
+            if text not in self._noted:
+                self._noted.add(text)
+                self._note(f"at {finding.at - self._began_at:.2f} s: {text}")
         self._shown_findings = len(findings)
         if self._events.is_over:
             self._finish()
