--- a/src/onyxspoke/kit/jobs/workers.py
+++ b/src/onyxspoke/kit/jobs/workers.py
@@ -34,22 +34,37 @@
 _FULL_PERCENT = 100
 
 
+class SeenWorker(Protocol):
+    """What the audit needs to know of a life of a worker."""
+
+    @property
+    def worker_id(self) -> WorkerId:
+        """The life's name."""
+
+    @property
+    def record(self) -> WorkerRecord:
+        """What the directory lists of it."""
+
+    def listed_runs(self) -> list[RunKey]:
+        """Return the runs whose ends the worker lists, not noted yet."""
+
+
 class WorkerAudit(Protocol):
     """Told of everything that happens at workers."""
 
-    def handle_started(self, worker: FakeWorker, run: RunKey, payload: str, node: str) -> None:
+    def handle_started(self, worker: SeenWorker, run: RunKey, payload: str, node: str) -> None:
         """A run was started on a node's order."""
 
-    def handle_ended(self, worker: FakeWorker, run: RunKey, end: RunEnd) -> None:
+    def handle_ended(self, worker: SeenWorker, run: RunKey, end: RunEnd) -> None:
         """A run ended."""
 
-    def handle_noted(self, worker: FakeWorker, run: RunKey, end: RunEnd) -> None:
+    def handle_noted(self, worker: SeenWorker, run: RunKey, end: RunEnd) -> None:
         """A node told the worker that an end was noted."""
 
-    def handle_crashed(self, worker: FakeWorker, run: RunKey) -> None:
+    def handle_crashed(self, worker: SeenWorker, run: RunKey) -> None:
         """The worker crashed under a run."""
 
-    def handle_lapsed(self, worker: FakeWorker) -> None:
+    def handle_lapsed(self, worker: SeenWorker) -> None:
         """The worker's lease ran out."""
 
 
@@ -57,6 +72,7 @@
 class WorkOptions:
     """What tasks are like.
 
+    ``long_share`` of the tasks take ``long_seconds``, so that leases end under them.
     ``failing_share`` of the runs fail; ``hopeless`` jobs always do.  Tasks in ``crashing`` crash
     each worker that starts them, ``crash_seconds`` after the start.
     """
@@ -64,6 +80,8 @@
     seed: int = 0
     shortest_seconds: float = 0.2
     longest_seconds: float = 1.5
+    long_share: float = 0.0
+    long_seconds: float = 10.0
     failing_share: float = 0.0
     hopeless: set[JobId] = field(default_factory=set)
     crashing: set[TaskKey] = field(default_factory=set)
@@ -166,7 +184,8 @@
         """Return how long a task works."""
         work = self.work
         source = random.Random(f"{work.seed}/{task}")
-        return source.uniform(work.shortest_seconds, work.longest_seconds)
+        seconds = source.uniform(work.shortest_seconds, work.longest_seconds)
+        return work.long_seconds if source.random() < work.long_share else seconds
 
     def fails(self, key: RunKey) -> bool:
         """Return whether a run fails by its own fault."""
@@ -281,9 +300,9 @@
         else:
             on_result(self._lists())
 
-    def has_listed(self, run: RunKey) -> bool:
-        """Return whether the worker lists the end of a run, not noted yet."""
-        return any(report.run == run for report in self._ended)
+    def listed_runs(self) -> list[RunKey]:
+        """Return the runs whose ends the worker lists, not noted yet."""
+        return [report.run for report in self._ended]
 
     # Work
 
--- /dev/null
+++ b/src/onyxspoke/soak/plan.py
@@ -0,0 +1,186 @@
+"""What all processes of one run agree on: addresses, sizes and lengths of time."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+from onyxspoke.core.placement.worker_record import WorkerRecord
+from onyxspoke.node.settings import Address
+
+HOST_HEADER = "soak.example"
+CALLER_PORT = 18_160
+READINESS_PORT = 18_161
+PEER_PORTS = (18_170, 18_179)
+STORE_PORT = 18_180
+ADVICE_PORT = 18_181
+WORKER_PORT = 18_190
+#: Where workers listen behind the proxy.
+INNER_WORKER_PORT = 18_191
+HEARTBEAT_MS = 1_500
+#: A stopping node is killed after so long.
+STOP_GRACE_SECONDS = 6.0
+#: Last parts of the loopback addresses.
+FIRST_NODE = 1
+FIRST_PROXY = 50
+FIRST_WORKER = 100
+SERVICES = 250
+#: Loopback networks that runs may have at once on one machine.
+NETWORKS = 16_000
+NETWORK_SIZE = 256
+#: Second part of the first loopback network.
+FIRST_NETWORK = 64
+
+
+class SoakPlan(msgspec.Struct, frozen=True, kw_only=True):
+    """One run.
+
+    Attributes
+    ----------
+    network : str
+        First three parts of the loopback addresses, so that runs side by side do not meet.
+    fault_seconds : float
+        For so long jobs are handed in and faults strike.
+    settle_seconds : float
+        So long after the last fault every accepted job is to have ended.
+    with_proxy : bool
+        Calls of callers, and of nodes to all but nodes, pass a proxy.
+    kinds : tuple of str
+        Faults of these kinds only; empty for all.
+    """
+
+    seed: int
+    network: str
+    nodes: int = 4
+    workers: int = 10
+    jobs_per_second: float = 5.0
+    fault_seconds: float = 30.0
+    settle_seconds: float = 60.0
+    fault_count: int = 8
+    with_proxy: bool = True
+    kinds: tuple[str, ...] = ()
+
+    def node_host(self, index: int) -> str:
+        """Return the address of a node."""
+        return f"{self.network}.{FIRST_NODE + index}"
+
+    def worker_host(self, index: int) -> str:
+        """Return the address of a worker."""
+        return f"{self.network}.{FIRST_WORKER + index}"
+
+    def proxy_host(self, index: int) -> str:
+        """Return the address at which a node's outside systems, and callers, reach the proxy."""
+        return f"{self.network}.{FIRST_PROXY + index}"
+
+    def caller_address(self, index: int) -> Address:
+        """Return where callers reach a node."""
+        host = self.proxy_host(index) if self.with_proxy else self.node_host(index)
+        return Address(host, CALLER_PORT)
+
+    def seen_by(self, index: int, service: Address) -> Address:
+        """Return where a node reaches the store or the advice service."""
+        return Address(self.proxy_host(index), service.port) if self.with_proxy else service
+
+    @property
+    def worker_port(self) -> int:
+        """Port on which workers listen."""
+        return INNER_WORKER_PORT if self.with_proxy else WORKER_PORT
+
+    @property
+    def store(self) -> Address:
+        """Where the store listens."""
+        return Address(f"{self.network}.{SERVICES}", STORE_PORT)
+
+    @property
+    def advice(self) -> Address:
+        """Where the advice service listens."""
+        return Address(f"{self.network}.{SERVICES}", ADVICE_PORT)
+
+
+def choose_network(number: int) -> str:
+    """Return a loopback network for a process number."""
+    number %= NETWORKS
+    return f"127.{FIRST_NETWORK + number // NETWORK_SIZE}.{number % NETWORK_SIZE}"
+
+
+def load_plan(path: Path) -> SoakPlan:
+    """Return the plan in a file."""
+    return msgspec.json.decode(path.read_bytes(), type=SoakPlan)
+
+
+def make_settings(plan: SoakPlan, index: int) -> str:
+    """Return the settings file of a node."""
+    host = plan.node_host(index)
+    store, advice = plan.seen_by(index, plan.store), plan.seen_by(index, plan.advice)
+    seeds = [f"{plan.node_host(other)}:{PEER_PORTS[0]}" for other in range(plan.nodes)]
+    lines = {
+        "nodeName": f"node-{index}",
+        "ip": host,
+        "zone": "zone",
+        "bindAddresses.front": f"{host}:{CALLER_PORT}",
+        "bindAddresses.readiness": f"{host}:{READINESS_PORT}",
+        "internalPortRange": f"{PEER_PORTS[0]},{PEER_PORTS[1]}",
+        "seeds": ",".join(seeds),
+        "limits.cpuShare": 1,
+        "limits.cores": 1,
+        "heartbeatMs": HEARTBEAT_MS,
+        "bounds.graceS": STOP_GRACE_SECONDS,
+        "bounds.maxHoldMs": 6_000,
+        "bounds.stopGraceMs": 200,
+        "bounds.status_s": 3_600,
+        "bounds.configApplyMs": 2_000,
+        "bounds.maxStretchMs": 5_000,
+        "platform.address": f"{store.host}:{store.port}",
+        "platform.parts": 24,
+        "platform.record_bytes": 262_144,
+        "platform.call_bytes": 2_097_152,
+        "platform.writes_per_s": 600,
+        "platform.reads_per_s": 2_000,
+        "advice": f"{advice.host}:{advice.port}",
+    }
+    return "".join(f"{name}={value}\n" for name, value in lines.items())
+
+
+def make_configuration(service: str, queues: tuple[str, ...]) -> bytes:
+    """Return the operator's configuration as the store holds it."""
+    routes = [
+        {
+            "name": name,
+            "host": HOST_HEADER,
+            "pathPrefix": f"/{name}/",
+            "service": service,
+            "timeoutMs": 3_000,
+            "targetLatencyMs": 500,
+            "priority": priority,
+            "maxAttempts": 3,
+            "stretch": 2.0,
+            "advice": {"decideMs": 5.0, "perItemMs": 0.2, "validityMs": 1_500.0},
+        }
+        for priority, name in enumerate(queues)
+    ]
+    return msgspec.json.encode(
+        {"version": 1, "routes": routes, "services": [{"name": service}], "limits": {}}
+    )
+
+
+def encode_entry(record: WorkerRecord, sequence: int) -> bytes:
+    """Return what a worker writes of itself."""
+    capacity = record.capacity
+    return msgspec.json.encode(
+        {
+            "service": record.service,
+            "address": f"{record.host}:{record.port}",
+            "zone": record.zone,
+            "version": "1",
+            "slots": 1,
+            "state": record.listing.value,
+            "sequence": sequence,
+            "capacity": {
+                "cpu": capacity.processors_milli,
+                "memMb": capacity.memory_mb,
+                "gpu": capacity.accelerators,
+            },
+            "labels": list(record.labels),
+        }
+    )
