Admission: a closed queue is looked at again, and opens once its jobs would be taken

A closing was kept until its forecast end (30 s at most) unless a new job was taken meanwhile. Where none came, entries that lost the holder refused by that word although workers stood free. The holder now decides once a second anew about the job that was refused last for each closing. Ruled out: a shorter bound of closings, which opens queues that are still full. The new scenario failed before; nothing else measured.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -43,6 +43,13 @@
     When 6 seconds pass for its callers
     Then its summary closes the queue for everybody, for no longer than 30 seconds
 
+  Scenario: A queue that was closed opens once workers stand free, also where no new job asks
+    Given a cell that decides about admission
+    And 60 jobs a second come to it for 4 seconds
+    And a queue that is closed is told to be so for 30 seconds, and nobody reaches its holder
+    When 14 seconds pass for its callers
+    Then no queue of the cell is closed any more
+
   Scenario: A holder that is killed in a burst
     Given a cell that decides about admission
     And 40 jobs a second come to it for 6 seconds
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -18,6 +18,7 @@
 from onyxspoke.core.jobs.model import JobSpec, StepSpec
 from onyxspoke.core.jobs.states import RunEnd
 from onyxspoke.core.placement.queue_order import EXPIRY_FACTOR
+from onyxspoke.core.shard import admission_desk
 from onyxspoke.core.shard.calls import CallReply, ReplyCode, SubmitCall
 from onyxspoke.core.shard.context import ShardContext
 from onyxspoke.core.shard.load_options import LoadOptions
@@ -324,6 +325,32 @@
     assert notice.tenants == () and 0.0 < notice.closed_seconds <= most, notice
 
 
+@given(
+    "a queue that is closed is told to be so for {seconds:g} seconds, and nobody reaches its holder"
+)
+def _closed_for_long(context: Any, seconds: float) -> None:
+    try_again = Arrivals.try_again
+
+    def reach_holder(arrivals: Arrivals, caller: Caller) -> None:
+        # From the first refusal on nobody comes who would open the queue.
+        if not any(other.refusals for other in arrivals.callers.values()):
+            try_again(arrivals, caller)
+
+    for patch in (
+        mock.patch.object(admission_desk, "closed_seconds", lambda *_args: seconds),
+        mock.patch.object(Arrivals, "try_again", reach_holder),
+    ):
+        patch.start()
+        context.add_cleanup(patch.stop)
+
+
+@then("no queue of the cell is closed any more")
+def _open_again(context: Any) -> None:
+    assert any(caller.refusals for caller in context.arrivals.of())
+    summary = _summary(context.cluster)
+    assert summary is not None and summary.notices == (), summary
+
+
 @then("refusals are logged with all their inputs, and with when the queue closed")
 def _logged(context: Any) -> None:
     events = [event for event, _fields in context.logged]
--- a/src/onyxspoke/core/admission/closings.py
+++ b/src/onyxspoke/core/admission/closings.py
@@ -53,6 +53,10 @@
         if closing is not None:
             closing.closed_until = min(closing.closed_until, now)
 
+    def closed_scopes(self, now: float) -> list[Scope]:
+        """Return what is closed for some time to come."""
+        return [scope for scope, closing in self._closings.items() if closing.closed_until > now]
+
     def take_opened(self, now: float) -> list[tuple[Scope, float]]:
         """Return what is open again since the last call, and for how long it was closed."""
         opened = []
--- a/src/onyxspoke/core/admission/verdict.py
+++ b/src/onyxspoke/core/admission/verdict.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import Enum
 
 import msgspec
 
+_DIGITS = 3
+
 
 class RefusalReason(Enum):
     """Why a job is refused.
@@ -60,6 +63,18 @@
     view_age_seconds: float
     ahead_upper_seconds: float = 0.0
 
+    def as_fields(self) -> dict[str, float]:
+        """Return them as they are logged."""
+        return {
+            "ahead_s": round(self.ahead_seconds, _DIGITS),
+            "ahead_upper_s": round(self.ahead_upper_seconds, _DIGITS),
+            "advice_s": round(self.advice_seconds, _DIGITS),
+            "work_s": round(self.work_median_seconds, _DIGITS),
+            "work_upper_s": round(self.work_upper_seconds, _DIGITS),
+            "patience_s": round(self.patience_seconds, _DIGITS),
+            "view_age_s": round(self.view_age_seconds, _DIGITS),
+        }
+
 
 class Admit(msgspec.Struct, frozen=True):
     """The job is taken."""
@@ -76,3 +91,11 @@
 
 
 Verdict = Admit | Refuse
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A job that is not taken: why, and when its caller is to come back."""
+
+    reason: RefusalReason
+    retry_after_seconds: float
--- a/src/onyxspoke/core/shard/admission_desk.py
+++ b/src/onyxspoke/core/shard/admission_desk.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 from onyxspoke.core.admission.arrivals import SPAN_SECONDS, ArrivalMeter
 from onyxspoke.core.admission.closings import Closings, Scope
@@ -15,7 +15,7 @@
 from onyxspoke.core.admission.returns import JobHash, Refused, Returns, hash_of, longest_wait
 from onyxspoke.core.admission.slots import PATIENT_SHARE, WHOLE_SECOND
 from onyxspoke.core.admission.summary import AdmissionSummary
-from onyxspoke.core.admission.verdict import RefusalReason, Refuse, VerdictInputs
+from onyxspoke.core.admission.verdict import Refusal, RefusalReason, Refuse
 from onyxspoke.core.admission.view_builder import Load, build_view
 from onyxspoke.core.jobs.model import JobSpec, QueuePolicy
 from onyxspoke.core.placement.advice_choice import MAXIMUM_WORKERS_ASKED, MINIMUM_WORKERS_ASKED
@@ -26,6 +26,8 @@
 VIEW_SECONDS = 0.05
 #: The more waits and runs, the longer a look takes and the rarer it is: so much for each.
 VIEW_SECONDS_EACH = 0.0001
+#: Between two looks at what is closed, in seconds; as often as a queue counts as open again.
+LOOK_AGAIN_SECONDS = 1.0
 #: Work of a job where nothing is known of the room, in share-seconds.
 UNKNOWN_WORK = 0.02
 #: While the store is away what is less urgent comes back so much later, in seconds.
@@ -35,14 +37,6 @@
 _DIGITS = 3
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """A job that is not taken: why, and when its caller is to come back."""
-
-    reason: RefusalReason
-    retry_after_seconds: float
-
-
 class AdmissionDesk:
     """The gate of a holder, with what it looks at and what it remembers.
 
@@ -63,6 +57,9 @@
         self._arrivals = ArrivalMeter()
         self._view: LoadView | None = None
         self._next_view_at = 0.0
+        #: The job that was refused last, by what was closed for it.
+        self._refused_last: dict[Scope, JobSpec] = {}
+        self._look_again_at = 0.0
 
     @property
     def is_on(self) -> bool:
@@ -97,7 +94,7 @@
             self._returns.forget(key)
             self._note_taken(job, view, now)
             return None
-        self._note_closing(job, verdict, view, now)
+        self._note_closing(spec, job, verdict, view, now)
         seconds = verdict.retry_after_seconds
         retry = self._remember(key, job, view, seconds, now)
         self._log_refused(spec, job, verdict, refused, retry)
@@ -121,9 +118,12 @@
         if not self.is_on:
             self._view = None
             self._closings.clear()
+            self._refused_last.clear()
             return
         self._returns.keep(now)
+        self._look_again(now)
         for scope, seconds in self._closings.take_opened(now):
+            self._refused_last.pop(scope, None)
             self._context.log(
                 "admission_opened",
                 queue=scope.queue,
@@ -137,6 +137,23 @@
             return None
         return AdmissionSummary(token=self._context.token, notices=self._closings.notices(now))
 
+    def _look_again(self, now: float) -> None:
+        """Open what is closed to jobs that would be taken by now.
+
+        It may be that none of them comes, and entries that lose the holder go by its last word.
+        """
+        if now < self._look_again_at:
+            return
+        self._look_again_at = now + LOOK_AGAIN_SECONDS
+        for scope in self._closings.closed_scopes(now):
+            view = self._current_view(now)
+            spec = self._refused_last.get(scope)
+            if view is None or spec is None:
+                continue
+            verdict = self._gate.decide(self._describe(spec, None, now), view, now)
+            if not isinstance(verdict, Refuse):
+                self._closings.note_taken(scope, now)
+
     def _note_taken(self, job: HandIn, view: LoadView, now: float) -> None:
         view.add(job)
         lane = view.lanes.get(job.service)
@@ -234,13 +251,16 @@
         self._log_again(spec, former, RefusalReason.STORE_AWAY)
         return retry
 
-    def _note_closing(self, job: HandIn, verdict: Refuse, view: LoadView, now: float) -> None:
+    def _note_closing(
+        self, spec: JobSpec, job: HandIn, verdict: Refuse, view: LoadView, now: float
+    ) -> None:
         """Take note for how long others like a job would be refused."""
         seconds = closed_seconds(job, verdict, view)
         if seconds <= 0.0:
             return
         is_for_all = not job.rank.is_beyond_share and not view.is_held_by_quota(job)
         scope = Scope(job.queue, "" if is_for_all else job.tenant)
+        self._refused_last[scope] = msgspec.structs.replace(spec, payload="")
         if self._closings.note_refused(scope, seconds, now):
             self._context.log(
                 "admission_closed",
@@ -255,7 +275,6 @@
     def _log_refused(
         self, spec: JobSpec, job: HandIn, verdict: Refuse, former: Refused | None, retry: float
     ) -> None:
-        inputs = verdict.inputs
         self._context.log(
             "admission_refused",
             job=spec.job_id,
@@ -264,7 +283,7 @@
             reason=verdict.reason.value,
             beyond_share=int(job.rank.is_beyond_share),
             retry_s=int(retry),
-            **_input_fields(inputs),
+            **verdict.inputs.as_fields(),
         )
         self._log_again(spec, former, verdict.reason)
 
@@ -276,15 +295,3 @@
                 reason=reason.value,
                 times=former.refusals + 1,
             )
-
-
-def _input_fields(inputs: VerdictInputs) -> dict[str, float]:
-    return {
-        "ahead_s": round(inputs.ahead_seconds, _DIGITS),
-        "ahead_upper_s": round(inputs.ahead_upper_seconds, _DIGITS),
-        "advice_s": round(inputs.advice_seconds, _DIGITS),
-        "work_s": round(inputs.work_median_seconds, _DIGITS),
-        "work_upper_s": round(inputs.work_upper_seconds, _DIGITS),
-        "patience_s": round(inputs.patience_seconds, _DIGITS),
-        "view_age_s": round(inputs.view_age_seconds, _DIGITS),
-    }
