Admission: workers that are not heard may stand free; what takes all there is is not for ever too late

After a takeover, or a cut, room was that of the workers heard so far: an owed job that a worker not heard yet could run at once was refused too_late, and so was one wider than those heard. The best case now counts such workers' room as free but for known runs. Shares taken and given back sum up to a little less than 1, so that a task of a whole worker or quota found that never free and was refused. Ruled out: counting that room in the worst case, too; nothing starts there before it is heard. Where all workers are heard, only the rounding and the widest jobs change. Nothing else measured.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -143,6 +143,22 @@
       | 12    | taken    | in_doubt |
       | 30    | too_late | too_late |
 
+  Scenario: Workers that a new holder has not heard yet may stand free: nothing is surely too late
+    Given a cell whose workers are all taken for 30 seconds by what runs
+    Then a job of 12 seconds of use, owed to its tenant, is "too_late"
+    Given one more worker of 8 processors that was not heard yet
+    Then a job of 12 seconds of use, owed to its tenant, is "taken"
+    And a job of 12 seconds of use, beyond the share of its tenant, is "in_doubt"
+
+  Scenario: A job that only a worker not heard yet has room for
+    Given a cell whose workers are all taken for 0 seconds by what waits
+    And one more worker of 64 processors that was not heard yet
+    Then a job that is wider than all other workers together is taken
+
+  Scenario: A job that takes all there is waits until that is free, however it was shared out
+    When runs of drawn shares end
+    Then all is free after the last of them
+
   Scenario: What is owed and may be on time is taken, whatever late jobs were taken before it
     Given a cell whose workers are taken for 2 seconds, and a late job that must begin as they are free
     Then a job of 12 seconds of use, owed to its tenant, is "taken"
--- a/src/onyxspoke/core/admission/lane.py
+++ b/src/onyxspoke/core/admission/lane.py
@@ -75,8 +75,12 @@
         All that there is; what shares are of.
     works : list of WaitingWork
         What waits, in order.
+    held : list of RoomHeld
+        By what runs there.
     spare_factor : float
         How much there would be, as a multiple, were everything in order.
+    held_of_spare : list of RoomHeld
+        Of what would be there then, by runs that are known.
     stop_seconds : float
         How long a run takes to give way.
     coming : dict of RankClass to float
@@ -89,6 +93,7 @@
     works: list[WaitingWork]
     held: list[RoomHeld]
     spare_factor: float = 1.0
+    held_of_spare: list[RoomHeld] = field(default_factory=list)
     stop_seconds: float = 0.0
     coming: dict[RankClass, float] = field(default_factory=dict)
     late: dict[RankClass, list[LateWork]] = field(default_factory=dict)
@@ -98,20 +103,24 @@
     _promises: dict[RankClass, Promises] = field(default_factory=dict)
     #: The job whose work was worked out last.
     _worked_out: tuple[HandIn, WorkAhead] | None = None
-    _curves: dict[int, RoomCurve] = field(default_factory=dict)
+    _curves: dict[tuple[int, bool], RoomCurve] = field(default_factory=dict)
 
     def ahead_of(self, job: HandIn) -> Ahead:
         """Return when a job could begin."""
         rank = job.rank
         patience = EXPIRY_FACTOR * job.objective_seconds
         ahead = self._line(horizon_of(patience)).ahead_of(rank)
+        in_order = self._curve(rank.priority, is_in_order=True)
         curve = self._curve(rank.priority)
-        least = curve.seconds_until_free(self._narrowest(job))
+        narrowest = self._narrowest(job)
         coming = self._coming_before(class_of(rank))
         # When the last of what goes first begins, tasks are at work that are half through.
-        best = curve.seconds_until(ahead.low / self.spare_factor) - ahead.task_seconds / 2.0
+        best = in_order.seconds_until(ahead.low) - ahead.task_seconds / 2.0
+        least = in_order.seconds_until_free(min(narrowest, self.spare_factor))
         best = slowed(max(least, best), BEST_CASE_SHARE * coming)
-        worst = slowed(max(least, curve.seconds_until(ahead.high / USED_SHARE)), coming)
+        worst = curve.seconds_until(ahead.high / USED_SHARE)
+        least = curve.seconds_until_free(min(narrowest, 1.0))
+        worst = slowed(max(least, worst), coming)
         return Ahead(best, max(best, worst))
 
     def _narrowest(self, job: HandIn) -> float:
@@ -170,11 +179,11 @@
         last = StepRank(False, own.is_beyond_share, own.priority, Lateness.EXPIRED, 0.0, 0)
         waiting = sum(item.work for item in late if not item.begins_in_seconds)
         on_time = self._line(HORIZONS[-1]).ahead_of(last).low - waiting
-        curve = self._curve(own.priority)
+        curve = self._curve(own.priority, is_in_order=True)
         coming = self._coming_before(own)
 
         def seconds_until(work: float) -> float:
-            return slowed(curve.seconds_until(work / self.spare_factor), coming)
+            return slowed(curve.seconds_until(work), coming)
 
         return Promises(late, on_time, seconds_until)
 
@@ -194,21 +203,28 @@
             longest = max(longest, min(step.median_seconds, horizon))
         return WorkAhead(low, high, longest)
 
-    def _curve(self, priority: int) -> RoomCurve:
-        curve = self._curves.get(priority)
+    def _curve(self, priority: int, *, is_in_order: bool = False) -> RoomCurve:
+        """Return how room comes free for a queue; of all that would be there in the best case.
+
+        A worker that was not heard yet may stand free, and be heard the next moment.
+        """
+        is_in_order = is_in_order and self.spare_factor > 1.0
+        curve = self._curves.get((priority, is_in_order))
         if curve is None:
-            curve = self._curves[priority] = self._make_curve(priority)
+            total = self.spare_factor if is_in_order else 1.0
+            held = self.held + self.held_of_spare if is_in_order else self.held
+            curve = self._curves[priority, is_in_order] = self._make_curve(priority, total, held)
         return curve
 
-    def _make_curve(self, priority: int) -> RoomCurve:
+    def _make_curve(self, priority: int, total: float, held: list[RoomHeld]) -> RoomCurve:
         """Return how room comes free for a queue: later ones' runs give way where they can."""
         ends = []
-        free = 1.0
-        for held in self.held:
-            free -= held.share
-            seconds = held.seconds
-            if held.may_give_way and held.priority > priority:
+        free = total
+        for run in held:
+            free -= run.share
+            seconds = run.seconds
+            if run.may_give_way and run.priority > priority:
                 seconds = min(seconds, self.stop_seconds)
             if seconds < math.inf:
-                ends.append((seconds, held.share))
+                ends.append((seconds, run.share))
         return RoomCurve(free, ends)
--- a/src/onyxspoke/core/admission/room_curve.py
+++ b/src/onyxspoke/core/admission/room_curve.py
@@ -5,6 +5,9 @@
 import math
 from bisect import bisect_left
 
+#: Shares that were taken and given back sum up to so little less than they are.
+ROUNDING_SHARE = 1e-9
+
 
 class RoomCurve:
     """How much work room that is free, or comes free, has taken up by when.
@@ -44,5 +47,5 @@
 
     def seconds_until_free(self, share: float) -> float:
         """Return in how many seconds so large a share is free at once."""
-        at = bisect_left(self._free, share)
+        at = bisect_left(self._free, share - ROUNDING_SHARE)
         return self._seconds[at] if at < len(self._free) else math.inf
--- a/src/onyxspoke/core/admission/view_builder.py
+++ b/src/onyxspoke/core/admission/view_builder.py
@@ -159,12 +159,13 @@
             if awaited.service == service:
                 works.append(_awaited_work(awaited))
                 late.setdefault(class_of(awaited.rank), []).append(self._late(awaited))
-        runs = [run for worker in in_use for run in worker.runs.values()]
+        others = [worker for worker in workers if worker.contact is not WorkerContact.SETTLED]
         return Lane(
             total=total,
             works=sorted(works, key=itemgetter(0)),
-            held=[self._held(run, total) for run in runs],
+            held=self._held_on(in_use, total),
             spare_factor=max(1.0, share_of(_sum_capacity(workers), total)),
+            held_of_spare=self._held_on(others, total),
             stop_seconds=self._load.stop_seconds,
             late=late,
             coming=self._load.arrivals.rates(service, self._now),
@@ -198,6 +199,9 @@
             lanes[tenant] = Lane(quota, sorted(works, key=itemgetter(0)), held.get(tenant, []))
         return lanes
 
+    def _held_on(self, workers: list[Worker], total: Needs) -> list[RoomHeld]:
+        return [self._held(run, total) for worker in workers for run in worker.runs.values()]
+
     def _held(self, run: Run, total: Needs) -> RoomHeld:
         spec = run.task.step.spec
         queue = self._load.policy.queue_of(run.task.step.job.spec)
