--- a/features/admission.feature
+++ b/features/admission.feature
@@ -49,6 +49,13 @@
     When 6 seconds pass for its callers
     Then its summary closes the queue for everybody, for no longer than 30 seconds
 
+  Scenario: A queue that was closed opens once workers stand free, also where no new job asks
+    Given a cell that decides about admission
+    And 60 jobs a second come to it for 4 seconds
+    And a queue that is closed is told to be so for 30 seconds, and nobody reaches its holder
+    When 14 seconds pass for its callers
+    Then no queue of the cell is closed any more
+
   Scenario: A holder that is killed in a burst
     Given a cell that decides about admission
     And 40 jobs a second come to it for 6 seconds
@@ -73,6 +80,23 @@
     And the urgent are told to come back sooner than the others
     And no promise of the cell is broken
 
+  Scenario: A flood while the store is away is no more owed to its tenant when it comes back
+    Given a cell of tenants that decides about admission, one of which floods
+    When the store is away from second 2 to second 4
+    Then the flood's jobs that were refused meanwhile are owed no more than the weight of its tenant
+
+  Scenario: A job whose append was never sent keeps its first hand-in when the store takes it back
+    Given a cell that decides about admission
+    When a job that was refused once is taken, and the store is in trouble before its append is sent
+    Then its first hand-in is remembered as before
+
+  Scenario: A holder that knows no load tells everyone a second of use while the store is away
+    Given a cell that decides about admission
+    And the whole list of its workers has not come yet
+    And 300 jobs a second come to it for 3 seconds
+    When the store is away from second 0.5 to second 2.5
+    Then each of them is told to come back while it can still be of use
+
   Scenario: Callers who return after an outage of the store do not come all at once
     When the store is away for 3 seconds while 12 jobs a second come
     Then at most 0.8 times as many come back in one second as without
@@ -142,6 +166,22 @@
       | 12    | taken    | in_doubt |
       | 30    | too_late | too_late |
 
+  Scenario: Workers that a new holder has not heard yet may stand free: nothing is surely too late
+    Given a cell whose workers are all taken for 30 seconds by what runs
+    Then a job of 12 seconds of use, owed to its tenant, is "too_late"
+    Given one more worker of 8 processors that was not heard yet
+    Then a job of 12 seconds of use, owed to its tenant, is "taken"
+    And a job of 12 seconds of use, beyond the share of its tenant, is "in_doubt"
+
+  Scenario: A job that only a worker not heard yet has room for
+    Given a cell whose workers are all taken for 0 seconds by what waits
+    And one more worker of 64 processors that was not heard yet
+    Then a job that is wider than all other workers together is taken
+
+  Scenario: A job that takes all there is waits until that is free, however it was shared out
+    When runs of drawn shares end
+    Then all is free after the last of them
+
   Scenario: What is owed and may be on time is taken, whatever late jobs were taken before it
     Given a cell whose workers are taken for 2 seconds, and a late job that must begin as they are free
     Then a job of 12 seconds of use, owed to its tenant, is "taken"
--- a/src/onyxspoke/core/shard/admission_desk.py
+++ b/src/onyxspoke/core/shard/admission_desk.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 from onyxspoke.core.admission.arrivals import SPAN_SECONDS, ArrivalMeter
 from onyxspoke.core.admission.closings import Closings, Scope
@@ -15,7 +15,7 @@
 from onyxspoke.core.admission.returns import JobHash, Refused, Returns, hash_of, longest_wait
 from onyxspoke.core.admission.slots import PATIENT_SHARE, WHOLE_SECOND
 from onyxspoke.core.admission.summary import AdmissionSummary
-from onyxspoke.core.admission.verdict import RefusalReason, Refuse, VerdictInputs
+from onyxspoke.core.admission.verdict import Refusal, RefusalReason, Refuse
 from onyxspoke.core.admission.view_builder import Load, build_view
 from onyxspoke.core.jobs.model import JobSpec, QueuePolicy
 from onyxspoke.core.placement.advice_choice import MAXIMUM_WORKERS_ASKED, MINIMUM_WORKERS_ASKED
@@ -27,6 +27,8 @@
 VIEW_SECONDS = 0.05
 #: The more waits and runs, the longer a look takes and the rarer it is: so much for each.
 VIEW_SECONDS_EACH = 0.0001
+#: Between two looks at what is closed, in seconds; as often as a queue counts as open again.
+LOOK_AGAIN_SECONDS = 1.0
 #: Work of a job where nothing is known of the room, in share-seconds.
 UNKNOWN_WORK = 0.02
 #: While the store is away what is less urgent comes back so much later, in seconds.
@@ -36,14 +38,6 @@
 _DIGITS = 3
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """A job that is not taken: why, and when its caller is to come back."""
-
-    reason: RefusalReason
-    retry_after_seconds: float
-
-
 class AdmissionDesk:
     """The gate of a holder, with what it looks at and what it remembers.
 
@@ -64,6 +58,9 @@
         self._arrivals = ArrivalMeter()
         self._view: LoadView | None = None
         self._next_view_at = 0.0
+        #: The job that was refused last, by what was closed for it.
+        self._refused_last: dict[Scope, JobSpec] = {}
+        self._look_again_at = 0.0
 
     @property
     def is_on(self) -> bool:
@@ -100,9 +97,8 @@
             self._returns.forget(key)
             self._note_taken(job, view, now)
             return None
-        self._note_closing(job, verdict, view, now)
-        seconds = verdict.retry_after_seconds
-        retry = self._remember(key, job, view, seconds, now)
+        self._note_closing(spec, job, verdict, view, now)
+        retry = self._remember(key, job, view, verdict.retry_after_seconds, now)
         self._log_refused(spec, job, verdict, refused, retry)
         return Refusal(verdict.reason, retry)
 
@@ -118,12 +114,11 @@
         """Refuse jobs of which nothing can be promised; return by job when each is to come back.
 
         How long the store will be away is not known: the urgent come back first, the others over
-        as many seconds as what was refused takes.  Where the part is off nothing is returned, and
-        all are told the same.
+        as many seconds as what was refused takes.  Nothing is returned where the part is off.
         """
         if not self.is_on:
             return {}
-        jobs = [(spec, self._describe(spec, self.find_refused(spec), now)) for spec in specs]
+        jobs = [(spec, self._describe_for_store(spec, now)) for spec in specs]
         jobs.sort(key=lambda item: item[1].rank)
         return {spec.job_id: self._refuse_one_for_store(spec, job, now) for spec, job in jobs}
 
@@ -132,9 +127,12 @@
         if not self.is_on:
             self._view = None
             self._closings.clear()
+            self._refused_last.clear()
             return
         self._returns.keep(now)
+        self._look_again(now)
         for scope, seconds in self._closings.take_opened(now):
+            self._refused_last.pop(scope, None)
             self._context.log(
                 "admission_opened",
                 queue=scope.queue,
@@ -148,6 +146,23 @@
             return None
         return AdmissionSummary(token=self._context.token, notices=self._closings.notices(now))
 
+    def _look_again(self, now: float) -> None:
+        """Open what is closed to jobs that would be taken by now.
+
+        It may be that none of them comes, and entries that lose the holder go by its last word.
+        """
+        if now < self._look_again_at:
+            return
+        self._look_again_at = now + LOOK_AGAIN_SECONDS
+        scopes = self._closings.closed_scopes(now)
+        view = self._current_view(now) if scopes else None
+        if view is None:
+            return
+        for scope in scopes:
+            job = self._describe(self._refused_last[scope], None, now)
+            if not isinstance(self._gate.decide(job, view, now), Refuse):
+                self._closings.note_taken(scope, now)
+
     def _note_taken(self, job: HandIn, view: LoadView, now: float) -> None:
         view.add(job)
         lane = view.lanes.get(job.service)
@@ -189,10 +204,19 @@
             self._next_view_at = now + max(VIEW_SECONDS, VIEW_SECONDS_EACH * count)
         return self._view
 
-    def _describe(self, spec: JobSpec, refused: Refused | None, now: float) -> HandIn:
+    def _describe_for_store(self, spec: JobSpec, now: float) -> HandIn:
+        """Describe a job that is refused; one that is taken back keeps its first hand-in."""
+        job = self._context.book.jobs.get(spec.job_id)
+        first_at = None if job is None else job.accepted_at
+        return self._describe(spec, self.find_refused(spec), now, first_at)
+
+    def _describe(
+        self, spec: JobSpec, refused: Refused | None, now: float, first_at: float | None = None
+    ) -> HandIn:
         context = self._context
         queue = context.policy.queue_of(spec)
-        first_at = self.first_at(refused, now)
+        if first_at is None:
+            first_at = self.first_at(refused, now)
         is_awaited = refused is not None and refused.is_on_time(now)
         job = describe_hand_in(spec, queue, context.durations, first_at, is_awaited=is_awaited)
         job.advice_seconds = self._advice_seconds(job, queue, now)
@@ -214,23 +238,21 @@
         self, key: JobHash, job: HandIn, view: LoadView | None, seconds: float, now: float
     ) -> float:
         lane = view.lanes.get(job.service) if view is not None else None
-        work = lane.work_of(job).high if lane is not None else UNKNOWN_WORK
-        most = PATIENT_SHARE if lane is None else min(PATIENT_SHARE, lane.left_for(job.rank))
+        work, most = UNKNOWN_WORK, PATIENT_SHARE
+        if lane is not None:
+            work, most = lane.work_of(job).high, min(most, lane.left_for(job.rank))
         if self._is_urgent(job) or self._returns.find(key) is not None:
             most = WHOLE_SECOND
-        retry = self._returns.refuse(key, job, work, seconds, most, now)
-        return float(retry)
+        known = lane is not None
+        wait = self._returns.refuse(key, job, work, seconds, most, now, is_load_known=known)
+        return float(wait)
 
     def _is_urgent(self, job: HandIn) -> bool:
         """Return whether a job is owed and of the queue that goes first at its service."""
         if job.rank.is_beyond_share:
             return False
-        queues = self._context.policy.queues.values()
-        first = min(
-            (queue.priority for queue in queues if queue.service == job.service),
-            default=job.rank.priority,
-        )
-        return job.rank.priority <= first
+        first = self._context.policy.first_priority(job.service)
+        return first is None or job.rank.priority <= first
 
     def _refuse_one_for_store(self, spec: JobSpec, job: HandIn, now: float) -> float:
         key = hash_of(spec.tenant, spec.job_id)
@@ -241,17 +263,20 @@
             classes = 1 + int(job.rank.is_beyond_share)
             seconds += classes * CLASS_SECONDS + span * (key / _HASH_RANGE)
             seconds = max(SHORTEST_RETRY_SECONDS, min(seconds, longest_wait(job, now)))
-        retry = self._remember(key, job, self._view, seconds, now)
+        retry = self._remember(key, job, self._current_view(now), seconds, now)
         self._log_again(spec, former, RefusalReason.STORE_AWAY)
         return retry
 
-    def _note_closing(self, job: HandIn, verdict: Refuse, view: LoadView, now: float) -> None:
+    def _note_closing(
+        self, spec: JobSpec, job: HandIn, verdict: Refuse, view: LoadView, now: float
+    ) -> None:
         """Take note for how long others like a job would be refused."""
         seconds = closed_seconds(job, verdict, view)
         if seconds <= 0.0:
             return
         is_for_all = not job.rank.is_beyond_share and not view.is_held_by_quota(job)
         scope = Scope(job.queue, "" if is_for_all else job.tenant)
+        self._refused_last[scope] = msgspec.structs.replace(spec, payload="")
         if self._closings.note_refused(scope, seconds, now):
             self._context.log(
                 "admission_closed",
@@ -266,7 +291,6 @@
     def _log_refused(
         self, spec: JobSpec, job: HandIn, verdict: Refuse, former: Refused | None, retry: float
     ) -> None:
-        inputs = verdict.inputs
         self._context.log(
             "admission_refused",
             job=spec.job_id,
@@ -275,7 +299,7 @@
             reason=verdict.reason.value,
             beyond_share=int(job.rank.is_beyond_share),
             retry_s=int(retry),
-            **_input_fields(inputs),
+            **verdict.inputs.as_fields(),
         )
         self._log_again(spec, former, verdict.reason)
 
@@ -287,15 +311,3 @@
                 reason=reason.value,
                 times=former.refusals + 1,
             )
-
-
-def _input_fields(inputs: VerdictInputs) -> dict[str, float]:
-    return {
-        "ahead_s": round(inputs.ahead_seconds, _DIGITS),
-        "ahead_upper_s": round(inputs.ahead_upper_seconds, _DIGITS),
-        "advice_s": round(inputs.advice_seconds, _DIGITS),
-        "work_s": round(inputs.work_median_seconds, _DIGITS),
-        "work_upper_s": round(inputs.work_upper_seconds, _DIGITS),
-        "patience_s": round(inputs.patience_seconds, _DIGITS),
-        "view_age_s": round(inputs.view_age_seconds, _DIGITS),
-    }
