Learned durations: a queue is kept while a tenant's work in it is

A queue of which nothing had been seen for an hour was dropped, also when a tenant's model that follows it had come meanwhile: the tenant's then fed, and followed, a model that nobody looked at, and the queue's new one learned nothing from that tenant for as long as it was seen. The queue now stays as long as a tenant's model in it. Bounds are unchanged: both are counted, and tenants go after their hour. Ruled out: looking the parent up by name at each note, which costs a look at every end.

--- a/features/estimates.feature
+++ b/features/estimates.feature
@@ -141,6 +141,14 @@
     Then a task of "letters" estimated at 1 seconds is expected to take exactly that
     And every worker counts as usual
 
+  Scenario: A queue is remembered for as long as a tenant's work in it, which tells of it as well
+    Given 8 workers at work
+    And work of "letters" takes 3 times its estimate
+    When 20 jobs of 16 tasks of "letters" are run, estimated at 1 seconds
+    And 59 minutes pass, "acme" hands in a job, and 2 minutes more pass
+    And 12 jobs of "acme" with 4 tasks of "letters" are run, estimated at 1 seconds
+    Then a task of "letters" estimated at 1 seconds is expected to take 3 times that
+
   Scenario: Without the part nothing is learned, recorded or told
     Given 8 workers at work, and nothing is to be learned
     And work of "letters" takes 3 times its estimate
--- a/features/steps/estimates_steps.py
+++ b/features/steps/estimates_steps.py
@@ -358,6 +358,19 @@
     context.shop.keep()
 
 
+@when("{minutes:d} minutes pass")
+def _pass_minutes(context: Any, minutes: int) -> None:
+    context.shop.now += 60.0 * minutes
+    context.shop.keep()
+
+
+@when('{minutes:d} minutes pass, "{tenant}" hands in a job, and {more:d} minutes more pass')
+def _pass_beside_job(context: Any, minutes: int, tenant: str, more: int) -> None:
+    _pass_minutes(context, minutes)
+    context.shop.durations.work_of("letters", tenant)
+    _pass_minutes(context, more)
+
+
 @when('"{worker}" starts again')
 def _starts_again(context: Any, worker: str) -> None:
     shop = context.shop
--- a/src/onyxspoke/core/estimates/durations.py
+++ b/src/onyxspoke/core/estimates/durations.py
@@ -224,5 +224,8 @@
         horizon = now - FORGET_SECONDS
         for key in [key for key, work in self.tenants.items() if work.seen_at < horizon]:
             del self.tenants[key]
+        # A tenant's work tells of its queue as well, which stays for as long.
+        followed = {queue for queue, _tenant in self.tenants}
         for name in [name for name, work in self.queues.items() if work.seen_at < horizon]:
-            del self.queues[name]
+            if name not in followed:
+                del self.queues[name]
