Learned durations: the record has what counts now, not what was last added

A histogram decays when something is added. The record took it as it stood, so that of a queue which nobody had used for 50 minutes a successor took the whole weight for fresh, and each further successor again. Weights are now written as they count at the moment of the record, as those of workers were already.

Its scenario fails without the change (3.0 times the estimate, evidence 29.9); features/estimates.feature passes with it (45 scenarios).

--- a/features/estimates.feature
+++ b/features/estimates.feature
@@ -149,6 +149,14 @@
     And 12 jobs of "acme" with 4 tasks of "letters" are run, estimated at 1 seconds
     Then a task of "letters" estimated at 1 seconds is expected to take 3 times that
 
+  Scenario: What has decayed is not fresh for a successor
+    Given 8 workers at work
+    And work of "letters" takes 3 times its estimate
+    When 30 jobs of 16 tasks of "letters" are run, estimated at 1 seconds
+    And 50 minutes pass
+    And a successor reads the record
+    Then a task of "letters" estimated at 1 seconds is expected to take exactly that
+
   Scenario: Without the part nothing is learned, recorded or told
     Given 8 workers at work, and nothing is to be learned
     And work of "letters" takes 3 times its estimate
--- a/src/onyxspoke/core/estimates/record.py
+++ b/src/onyxspoke/core/estimates/record.py
@@ -78,11 +78,11 @@
         durations.speeds.workers.values(),
         key=lambda speed: (-speed.evidence(now), speed.worker_id),
     )
-    work_entries = [entry for entry in map(_work_entry, works) if entry.weights]
+    work_entries = [_work_entry(work, now) for work in works]
     speed_entries = [_speed_entry(speed, now) for speed in speeds]
     record = EstimatesRecord(
         RECORD_VERSION,
-        _within(work_entries, MAXIMUM_WORK_BYTES),
+        _within([entry for entry in work_entries if entry.weights], MAXIMUM_WORK_BYTES),
         _within([entry for entry in speed_entries if entry.evidence], MAXIMUM_SPEED_BYTES),
     )
     return _encoder.encode(record)
@@ -112,9 +112,9 @@
     durations.speeds.keep_for_later(kept)
 
 
-def _work_entry(work: WorkModel) -> WorkEntry:
+def _work_entry(work: WorkModel, now: float) -> WorkEntry:
     weights = {
-        bucket: round(weight * _WEIGHT_UNIT) for bucket, weight in work.sketch.counts().items()
+        bucket: round(weight * _WEIGHT_UNIT) for bucket, weight in work.sketch.counts(now).items()
     }
     return WorkEntry(
         work.queue, work.tenant, {bucket: weight for bucket, weight in weights.items() if weight}
--- a/src/onyxspoke/core/estimates/sketch.py
+++ b/src/onyxspoke/core/estimates/sketch.py
@@ -60,9 +60,12 @@
         self._total = sum(self._counts)
         self._decayed_at = now
 
-    def counts(self) -> dict[int, float]:
-        """Return the weight of each bucket that has any, counted from the middle."""
-        return {index - REACH: count for index, count in enumerate(self._counts) if count > 0.0}
+    def counts(self, now: float) -> dict[int, float]:
+        """Return the weight of each bucket that has any, as it counts now, from the middle."""
+        share = _decay(max(0.0, now - self._decayed_at))
+        return {
+            index - REACH: count * share for index, count in enumerate(self._counts) if count > 0.0
+        }
 
     def _scale(self, share: float) -> None:
         for index, count in enumerate(self._counts):
