Stalls: a learned factor below 1 shortens no run's patience

The patience with a run that tells no progress followed the corrected estimate: in a queue that mostly takes a tenth of its estimates, a task of 400 s that takes them was given 9.6 s instead of 81.6 and stopped, for nothing but a factor that may be wrong for it. What is learned may cost time, not a sound run: the patience is that of the estimate or of what is expected, whichever is longer. A run that does stand still in such a queue is found when it was before the part.

--- a/features/estimates.feature
+++ b/features/estimates.feature
@@ -157,6 +157,19 @@
     And a successor reads the record
     Then a task of "letters" estimated at 1 seconds is expected to take exactly that
 
+  Scenario: A run is not taken for stalled because its queue's estimates are too high
+    Given 8 workers at work
+    And work of "letters" takes 0.1 times its estimate
+    When 30 jobs of 4 tasks of "letters" are run, estimated at 20 seconds
+    Then a task of "letters" estimated at 400 seconds is expected to take 0.1 times that
+    And a run of it stands still after 81.6 seconds without progress, and not before
+
+  Scenario: A run that is expected to take long may be longer without progress
+    Given 8 workers at work
+    And work of "letters" takes 3 times its estimate
+    When 30 jobs of 4 tasks of "letters" are run, estimated at 1 seconds
+    Then a run estimated at 400 seconds may be without progress for more than 200 seconds
+
   Scenario: Without the part nothing is learned, recorded or told
     Given 8 workers at work, and nothing is to be learned
     And work of "letters" takes 3 times its estimate
--- a/features/steps/estimates_steps.py
+++ b/features/steps/estimates_steps.py
@@ -27,7 +27,7 @@
 from onyxspoke.core.jobs.progress import JobProgress, StepProgress
 from onyxspoke.core.jobs.states import JobState, RunEnd, RunState, TaskState
 from onyxspoke.core.placement.queue_order import step_rank_of
-from onyxspoke.core.placement.runs import GangRun, Run
+from onyxspoke.core.placement.runs import GangRun, Run, is_stalled
 from onyxspoke.core.placement.worker_record import WorkerRecord
 from onyxspoke.core.placement.workers import Worker
 from onyxspoke.core.shard.actions import Decision
@@ -415,6 +415,28 @@
     assert expected.median_seconds == 2.0, expected
 
 
+def _still_run(context: Any, estimate: float) -> Run:
+    step = context.shop.start(1, estimate)
+    [run] = [run for run in context.shop.runs if run.task.step is step]
+    return run
+
+
+@then("a run of it stands still after {seconds:g} seconds without progress, and not before")
+def _stands_still(context: Any, seconds: float) -> None:
+    run = _still_run(context, 400.0)
+    assert not is_stalled(run, run.moved_at + seconds - 0.01)
+    assert is_stalled(run, run.moved_at + seconds + 0.01)
+
+
+@then(
+    "a run estimated at {estimate:g} seconds may be without progress for more than"
+    " {seconds:g} seconds"
+)
+def _may_stand(context: Any, estimate: float, seconds: float) -> None:
+    run = _still_run(context, estimate)
+    assert not is_stalled(run, run.moved_at + seconds)
+
+
 @then("work of a queue and worker that nobody knows is expected to take its estimate")
 def _unknown(context: Any) -> None:
     expected = context.shop.durations.expected("nobody", "knows", 1_500.0, "w-none")
--- a/src/onyxspoke/core/placement/runs.py
+++ b/src/onyxspoke/core/placement/runs.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from onyxspoke.core.estimates.evidence import RunEvidence
+from onyxspoke.core.estimates.evidence import RunEvidence, estimated_seconds
 from onyxspoke.core.jobs.model import Needs, RunKey
 from onyxspoke.core.jobs.progress import StepProgress, TaskProgress
 from onyxspoke.core.jobs.states import RunState, check_run_transition
@@ -166,7 +166,9 @@
     step = run.task.step.spec
     if step.long_running or not run.confirmed_at:
         return False
-    bound = STALL_SECONDS + STALL_ESTIMATE_SHARE * run.expected_seconds
+    # A factor below 1 may be wrong for this task: it never has a sound run stopped sooner.
+    seconds = max(run.expected_seconds, estimated_seconds(run))
+    bound = STALL_SECONDS + STALL_ESTIMATE_SHARE * seconds
     moved_at = run.moved_at
     if run.gang is not None:
         moved_at = max(member.moved_at for member in run.gang.members)
