Line for advice: open calls of a step are kept by number

A step that needs no more tickets is forgotten, also while a call about it is out. When a start was refused and it waited again, the answer to that call was counted for the one that it wanted since, so that it counted as not asking while it was, and asked a second time; with a refused one the former call was made again as well. Calls are now known by their number, so that one from before ends, and moves, nothing.

--- a/features/advice_line_failures.feature
+++ b/features/advice_line_failures.feature
@@ -45,3 +45,11 @@
     And patient steps that wait behind two calls at each entry
     When a successor's desk is made and all steps want advice again
     Then every step has its answer within 2 seconds
+
+  Scenario: An answer to a call from before its step was forgotten ends no other call
+    Given a desk with shares and 4 entries
+    And an urgent step whose call is out with the first entry
+    When the step is forgotten, wanted again, and the former call answered
+    Then the step still has the call that it wanted last, and no further one is made
+    When the step is forgotten, wanted again, and the former call refused
+    Then the step still has the call that it wanted last, and no further one is made
--- a/features/steps/advice_failure_steps.py
+++ b/features/steps/advice_failure_steps.py
@@ -162,8 +162,8 @@
             if is_alike and other.seconds >= call.seconds and other.rank.is_owed:
                 assert (call.rank, call.number) < (other.rank, other.number)
     for key, advice in desk.desk._steps.items():
-        calls = [call for call in (*out, *desk.desk._line) if call.step == key]
-        assert advice.open_calls == len(calls), (key, advice.open_calls)
+        numbers = [call.number for call in (*out, *desk.desk._line) if call.step == key]
+        assert sorted(advice.open_calls) == sorted(numbers), (key, advice.open_calls)
 
 
 @when("{count:d} random histories of a desk with shares are played")
@@ -366,3 +366,26 @@
 @then("every step has its answer within {seconds:d} seconds")
 def _answers(context: Any, seconds: int) -> None:
     _all_answered(context, float(seconds))
+
+
+@when("the step is forgotten, wanted again, and the former call {outcome}")
+def _forgotten(context: Any, outcome: str) -> None:
+    desk = context.desk
+    former = desk.out[-1]
+    desk.desk.forget(context.step.key)
+    desk.want(context.step, 25)
+    context.call_id = desk.desk._last_call_id
+    desk.make_pass(0.0)
+    desk.answer(
+        former, former.call_id, AdviceOutcome("answered" if outcome == "answered" else "busy")
+    )
+
+
+@then("the step still has the call that it wanted last, and no further one is made")
+def _has_last(context: Any) -> None:
+    desk = context.desk
+    assert desk.desk.advice_on(context.step).is_asking
+    desk.want(context.step, 25)
+    desk.make_pass(0.02)
+    assert desk.desk._last_call_id == context.call_id
+    assert [call.call_id for call in desk.desk._under_way.values()] == [context.call_id]
--- a/src/onyxspoke/core/placement/advice_desk.py
+++ b/src/onyxspoke/core/placement/advice_desk.py
@@ -115,7 +115,7 @@
             number = self._last_call_id
             queue = step.job.spec.queue.name
             call = AdviceCall(number, step, queue, chosen, seconds, rank, now, number)
-            advice.open_calls += 1
+            advice.open_calls.add(number)
             self._entries.places.note_call(seconds, now)
             if rank.is_owed:
                 self._entries.places.note_owed(seconds, now)
@@ -198,7 +198,7 @@
         advice = self._steps.get(call.step)
         if advice is None:
             return None
-        advice.open_calls -= 1
+        advice.open_calls.discard(call.number)
         self._shares.setdefault(call.queue, GoodShare()).note(call, result)
         note_answer(advice, call, result, now)
         return call.step
@@ -224,7 +224,7 @@
         for call in self._line.take_unwanted(now):
             advice = self._steps.get(call.step)
             if advice is not None:
-                advice.open_calls -= 1
+                advice.open_calls.discard(call.number)
 
     def _end(self, call: AdviceCall, now: float) -> None:
         del self._under_way[call.call_id]
@@ -255,13 +255,14 @@
     def _put_off(self, call: AdviceCall, now: float) -> None:
         advice = self._steps.get(call.step)
         if advice is not None:
-            advice.open_calls -= 1
+            advice.open_calls.discard(call.number)
             advice.retry_at = now + RETRY_SECONDS
             self._retries[call.step] = advice.retry_at
 
     def _make_again(self, call: AdviceCall, now: float) -> None:
         """Have a call wait at its old place, under a new id; the answer to either will do."""
-        if call.step not in self._steps:
+        advice = self._steps.get(call.step)
+        if advice is None or call.number not in advice.open_calls:
             return
         self._last_call_id += 1
         again = replace(call, call_id=self._last_call_id, tries=call.tries + 1, advisor="")
--- a/src/onyxspoke/core/placement/step_advice.py
+++ b/src/onyxspoke/core/placement/step_advice.py
@@ -32,7 +32,8 @@
 
     tickets: dict[WorkerId, HeldTicket] = field(default_factory=dict)
     asked: set[WorkerId] = field(default_factory=set)
-    open_calls: int = 0
+    #: Numbers of the calls about it that wait or are under way.
+    open_calls: set[int] = field(default_factory=set)
     retry_at: float = 0.0
     #: From when on workers that were not asked about, as those that came into use, may be asked
     #: about by themselves.
@@ -41,7 +42,7 @@
     @property
     def is_asking(self) -> bool:
         """Whether a call about the step waits or is under way."""
-        return self.open_calls > 0
+        return bool(self.open_calls)
 
     def valid_ticket(self, worker_id: WorkerId, now: float) -> str | None:
         """Return the ticket for a worker, if it may still be used."""
