Line for advice: ranks of waiting calls follow what is learned

The moment at which a call's lateness changes was kept from when it was looked at last, and its latest start from when it was wanted; a factor that moves meanwhile changes both. A call is now ranked anew when the factor of its work is another than by which it was ranked, at the cost of one comparison a call.

--- a/features/advice_line_failures.feature
+++ b/features/advice_line_failures.feature
@@ -46,6 +46,12 @@
     When a successor's desk is made and all steps want advice again
     Then every step has its answer within 2 seconds
 
+  Scenario: A waiting call's place follows what is learned of its work
+    Given a desk with shares and 1 entries
+    And patient steps that wait behind two calls at each entry
+    When their work turns out to take 6 times its estimate, and a pass is made
+    Then every waiting call stands where its step does
+
   Scenario: An answer to a call from before its step was forgotten ends no other call
     Given a desk with shares and 4 entries
     And an urgent step whose call is out with the first entry
--- a/features/steps/advice_failure_steps.py
+++ b/features/steps/advice_failure_steps.py
@@ -12,6 +12,7 @@
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
+from onyxspoke.core.estimates.work import WorkModel
 from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.placement.advice_desk import AdviceDesk
 from onyxspoke.core.placement.advice_line import AdviceCall
@@ -368,6 +369,26 @@
     _all_answered(context, float(seconds))
 
 
+@when("their work turns out to take {times:g} times its estimate, and a pass is made")
+def _learned(context: Any, times: float) -> None:
+    desk = context.desk
+    for step in context.steps:
+        step.job.work = WorkModel("patient")
+        desk.want(step, 25)
+    desk.make_pass(0.02)
+    for step in context.steps:
+        step.job.work.factor = times
+    desk.make_pass(0.02)
+
+
+@then("every waiting call stands where its step does")
+def _stands(context: Any) -> None:
+    waiting = list(context.desk.desk._line)
+    assert len(waiting) > 10
+    for call in waiting:
+        assert call.rank == context.desk.rank(call.progress), call
+
+
 @when("the step is forgotten, wanted again, and the former call {outcome}")
 def _forgotten(context: Any, outcome: str) -> None:
     desk = context.desk
--- a/src/onyxspoke/core/placement/advice_line.py
+++ b/src/onyxspoke/core/placement/advice_line.py
@@ -8,7 +8,7 @@
 
 from onyxspoke.core.jobs.model import StepKey, WorkerId
 from onyxspoke.core.jobs.progress import StepProgress
-from onyxspoke.core.placement.queue_order import StepRank, lateness_changes_at, with_lateness
+from onyxspoke.core.placement.queue_order import StepRank, lateness_changes_at, rank_as_of
 
 #: A line is told of while its oldest call has waited for so long, in seconds, and so often.
 LONG_WAIT_SECONDS = 0.5
@@ -28,6 +28,8 @@
         How often it was made before.
     rank_holds_until : float
         When the lateness of its step changes next.
+    ranked_factor : float
+        Factor of its step's work by which the rank was worked out.
     """
 
     call_id: int
@@ -43,6 +45,7 @@
     overdue_at: float = math.inf
     tries: int = 0
     rank_holds_until: float = math.inf
+    ranked_factor: float = 1.0
 
     @property
     def step(self) -> StepKey:
@@ -80,7 +83,7 @@
     def add(self, call: AdviceCall, now: float) -> None:
         """Have a call wait at its place."""
         if self._is_kept:
-            call.rank_holds_until = lateness_changes_at(call.progress, now)
+            _rank_anew(call, now)
         self._calls[call.number] = call
 
     def take(self, number: int) -> AdviceCall | None:
@@ -119,14 +122,21 @@
         return [_report(queue, calls, now) for queue, calls in sorted(by_queue.items())]
 
     def _is_unwanted(self, call: AdviceCall, now: float) -> bool:
-        if now < call.rank_holds_until:
+        is_alike = call.ranked_factor == call.progress.job.work.factor
+        if is_alike and now < call.rank_holds_until:
             return not call.is_wanted
         was_expired = call.rank.is_expired
-        call.rank = with_lateness(call.rank, call.progress, now)
-        call.rank_holds_until = lateness_changes_at(call.progress, now)
+        _rank_anew(call, now)
         return not call.is_wanted or (call.rank.is_expired and not was_expired)
 
 
+def _rank_anew(call: AdviceCall, now: float) -> None:
+    """Bring a rank up to date: with time, and with what is learned of its step's work."""
+    call.rank = rank_as_of(call.rank, call.progress, now)
+    call.rank_holds_until = lateness_changes_at(call.progress, now)
+    call.ranked_factor = call.progress.job.work.factor
+
+
 def _place(call: AdviceCall) -> tuple[StepRank, int]:
     return call.rank, call.number
 
--- a/src/onyxspoke/core/placement/queue_order.py
+++ b/src/onyxspoke/core/placement/queue_order.py
@@ -75,17 +75,20 @@
     )
 
 
-def with_lateness(rank: StepRank, step: StepProgress, now: float) -> StepRank:
-    """Return a step's place as it is now: with time, only its lateness changes."""
+def rank_as_of(rank: StepRank, step: StepProgress, now: float) -> StepRank:
+    """Return a step's place as it is now: its queue and its tenant's share stay as they were."""
     objective = step.job.expected_objective_seconds
-    lateness = _lateness(step, objective, step.expected_chain_seconds, now)
-    if lateness is rank.lateness:
-        return rank
-    return rank._replace(is_expired=lateness is Lateness.EXPIRED, lateness=lateness)
+    chain = step.expected_chain_seconds
+    lateness = _lateness(step, objective, chain, now)
+    return rank._replace(
+        is_expired=lateness is Lateness.EXPIRED,
+        lateness=lateness,
+        latest_start=step.due_at + objective - chain,
+    )
 
 
 def lateness_changes_at(step: StepProgress, now: float) -> float:
-    """Return when a step's lateness changes next; infinity if it never does."""
+    """Return when a step's lateness changes next, by what is known now; infinity if never."""
     if step.spec.long_running:
         return math.inf
     start = step.due_at - CERTAIN_SHARE * step.expected_chain_seconds
