Line for advice: a step is held back from asking for 5 s at most while it may fit

A step asks only if what goes before it leaves room, and what goes before was counted also where it can never use that room. With under a tenth of a service free for good (the rest taken by work that lasts) steps behind one that fits nowhere never asked, though a worker stood free: without shares they ran. A step that has been ready for 5 s now asks while one of its tasks may fit; the moment is that of the step, so nothing is kept for it. Ruled out: leaving what fits nowhere out of the count, which does not help behind a step that only waits for good workers.

Its scenario fails without the change; features/advice_line.feature passes (11).

--- a/features/advice_line.feature
+++ b/features/advice_line.feature
@@ -62,3 +62,8 @@
     When 20 urgent, 30 patient and 1 gang jobs a second come for 8 seconds, and waits are foretold
     Then nearly all first calls begin within half and twice the wait that was foretold, or 0.15 seconds of it
     And patient steps waited for more than 1 second on average
+
+  Scenario: A step that never fits holds back none behind it for good
+    Given a repair cell of 20 workers and 31 entries, played with and without shares of the line
+    When work that lasts takes 19 of them, and 8 patient steps come behind one that fits nowhere
+    Then in both plays the last worker runs patient tasks within 8 seconds
--- a/features/steps/advice_line_steps.py
+++ b/features/steps/advice_line_steps.py
@@ -5,7 +5,7 @@
 from typing import Any
 from unittest import mock
 
-from advice_cell import LARGE_WORKER, REPAIR, Cell
+from advice_cell import LARGE_WORKER, REPAIR, Cell, Kind
 from behave import given, then, when
 
 from onyxspoke.core.placement.advice_choice import AdviceChooser
@@ -239,3 +239,28 @@
 def _bounded(context: Any, kind: str, seconds: float) -> None:
     longest = context.cell.waits(kind, context.cell.advised)[-1]
     assert longest <= seconds, longest
+
+
+@when(
+    "work that lasts takes {taken:d} of them, and {count:d} patient steps come behind one"
+    " that fits nowhere"
+)
+def _play_behind(context: Any, taken: int, count: int) -> None:
+    for cell in (context.plain, context.cell):
+        lasting = Kind(0, 1.0, 9.0, 0.1, taken, 64_000, 1e6)
+        endless = Kind(0, 1.0, 9.0, 0.1, 50, 65_000, 1.0)
+        cell.kinds = {**REPAIR, "lasting": lasting, "endless": endless}
+        cell.hand_in("lasting")
+        cell.run(1.0)
+        assert cell.begun
+        cell.hand_in("endless")
+        cell.run(0.5)
+        for _number in range(count):
+            cell.hand_in("patient")
+
+
+@then("in both plays the last worker runs patient tasks within {seconds:g} seconds")
+def _last_runs(context: Any, seconds: float) -> None:
+    for cell in (context.plain, context.cell):
+        cell.run(seconds)
+        assert any(name.startswith("patient") for name in cell.begun), cell.begun
--- a/src/onyxspoke/core/placement/advice_need.py
+++ b/src/onyxspoke/core/placement/advice_need.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from itertools import accumulate
 
-from onyxspoke.core.jobs.model import AdvicePolicy
+from onyxspoke.core.jobs.model import QueuePolicy
 from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.placement.advice_desk import AdviceDesk
 from onyxspoke.core.placement.forecast import expected_end
@@ -25,6 +25,9 @@
 #: Owed steps ask while those before them need at most so many times the room that is expected:
 #: estimates may be too high, and not every step before them can use it.
 OWED_FACTOR = 1.5
+#: A step that has been ready for so long, in seconds, asks while one of its tasks may fit: what
+#: goes before it may be unable to use the room.
+LONGEST_HELD_SECONDS = 5.0
 #: Of a ticket's validity, the part within which room has to come.
 VALIDITY_SHARE = 0.75
 #: Workers in a call, to tell about how long it takes.
@@ -88,7 +91,7 @@
             room.ahead += tasks * step.needs.processors_milli
 
     def is_of_use(
-        self, policy: AdvicePolicy, service: str, rank: StepRank, may_fit: bool, now: float
+        self, step: StepProgress, queue: QueuePolicy, rank: StepRank, may_fit: bool, now: float
     ) -> bool:
         """Return whether a step that knows of no workers yet should ask about some.
 
@@ -97,10 +100,11 @@
         may_fit : bool
             Whether some worker might have room for one of its tasks.
         """
-        room = self._services.get(service)
-        if not self._desk.has_shares or room is None:
+        room, policy = self._services.get(queue.service), queue.advice
+        if not self._desk.has_shares or room is None or policy is None:
             return True
-        if may_fit and room.free >= FREE_SHARE * room.total:
+        is_free = room.free >= FREE_SHARE * room.total
+        if may_fit and (is_free or now - step.ready_at >= LONGEST_HELD_SECONDS):
             return True
         seconds = policy.call_seconds(_TYPICAL_WORKERS)
         answer_at = now + seconds + self._desk.wait_seconds(seconds, rank, now)
--- a/src/onyxspoke/core/placement/gang_placer.py
+++ b/src/onyxspoke/core/placement/gang_placer.py
@@ -105,8 +105,7 @@
         rank = step_rank_of(step, queue, current.now)
         may_fit = offer.may_fit(step.needs)
         if not advice.is_asking and (
-            advice.asked
-            or self._need.is_of_use(queue.advice, queue.service, rank, may_fit, current.now)
+            advice.asked or self._need.is_of_use(step, queue, rank, may_fit, current.now)
         ):
             chooser = AdviceChooser(step, offer, current.room, self._desk.good_share(queue.name))
             ask = _workers_to_ask_for_gang(
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -177,8 +177,7 @@
             advice = self._desk.advice_on(step)
             rank = step_rank_of(step, queue, current.now)
             if not advice.is_asking and (
-                advice.tickets
-                or self._need.is_of_use(queue.advice, queue.service, rank, may_fit, current.now)
+                advice.tickets or self._need.is_of_use(step, queue, rank, may_fit, current.now)
             ):
                 chooser = AdviceChooser(
                     step, offer, current.room, self._desk.good_share(queue.name)
