Line for advice: a long outage of the service no longer ends the pass

An entry's pause is doubled at each doubt in a row, as a power of two of their number, before it is bounded. Where no entry answers each is doubted again every 0.1 s, so that after some 100 s of an outage the power no longer fits a float: OverflowError out of every pass that gives up a call. The number of doublings is bounded now; the pause is as before.

--- a/features/advice_line_failures.feature
+++ b/features/advice_line_failures.feature
@@ -59,3 +59,8 @@
     Then the step still has the call that it wanted last, and no further one is made
     When the step is forgotten, wanted again, and the former call refused
     Then the step still has the call that it wanted last, and no further one is made
+
+  Scenario: An outage of the advice service that lasts ends like a short one
+    Given a desk with shares and 1 entries
+    When the first entry is busy for 240 seconds of urgent steps, one a second, and then answers
+    Then the last step was asked about again, and has its answer within 0.5 seconds
--- a/features/steps/advice_failure_steps.py
+++ b/features/steps/advice_failure_steps.py
@@ -410,3 +410,24 @@
     desk.make_pass(0.02)
     assert desk.desk._last_call_id == context.call_id
     assert [call.call_id for call in desk.desk._under_way.values()] == [context.call_id]
+
+
+@when(
+    "the first entry is busy for {seconds:d} seconds of urgent steps, one a second,"
+    " and then answers"
+)
+def _long_outage(context: Any, seconds: int) -> None:
+    desk = context.desk
+    for _number in range(seconds):
+        context.step = desk.step("urgent")
+        desk.want(context.step, 25)
+        desk.play(1.0, silent=_ENTRIES[0], outcome="busy")
+    context.mended_at = desk.now
+    desk.play(1.0)
+
+
+@then("the last step was asked about again, and has its answer within {seconds:g} seconds")
+def _answered_soon(context: Any, seconds: float) -> None:
+    desk = context.desk
+    answered_at = desk.answered[context.step.job.job_id]
+    assert context.mended_at < answered_at <= context.mended_at + seconds, answered_at
--- a/src/onyxspoke/core/placement/advice_entries.py
+++ b/src/onyxspoke/core/placement/advice_entries.py
@@ -35,6 +35,8 @@
 #: An entry through which a call was not answered is not used for so long at first, and at most.
 DOUBT_SECONDS = 1.0
 LONGEST_DOUBT_SECONDS = 4.0
+#: From so many doubts in a row on the pause grows no more; an outage may bring thousands.
+MAXIMUM_DOUBLINGS = 8
 #: Where no entry answers, each is tried again after so long, in seconds.
 LAST_RESORT_SECONDS = 0.1
 #: An entry that takes so many times as long as it should counts as slow; more is not believed.
@@ -180,7 +182,8 @@
             return False
         if now < advisor.doubted_until and now < advisor.doubted_at + LAST_RESORT_SECONDS:
             return False
-        pause = min(DOUBT_SECONDS * 2.0**advisor.doubts, LONGEST_DOUBT_SECONDS)
+        doublings = min(advisor.doubts, MAXIMUM_DOUBLINGS)
+        pause = min(DOUBT_SECONDS * 2.0**doublings, LONGEST_DOUBT_SECONDS)
         advisor.doubts += 1
         advisor.doubted_at = now
         advisor.doubted_until = now + pause
