Hand-in: an absurd estimate is refused with a code

Estimates had no upper bound. One of 1e308 ms has an infinite objective, which times a factor less 1 is not a number: so was its rank, by which the order of all waiting steps is undefined; two such steps are an integer that no float takes. Estimates and targets above 2^53 ms are refused as malformed. Amounts of room keep their bounds: a spread limit may well be told as the largest integer.

Its scenarios fail without the change for 1e16 and 1e308; features/estimates.feature passes (49 scenarios).

--- a/features/estimates.feature
+++ b/features/estimates.feature
@@ -118,6 +118,19 @@
     Then a task of "letters" estimated at 0 seconds is expected to take exactly that
     And work of a queue and worker that nobody knows is expected to take its estimate
 
+  Scenario Outline: An estimate of <amount> milliseconds is <outcome>
+    Given 8 workers at work
+    And work of "letters" takes 3 times its estimate
+    When 30 jobs of 4 tasks of "letters" are run, estimated at 1 seconds
+    Then a job whose steps are estimated at <amount> milliseconds each is <outcome>
+
+    Examples:
+      | amount | outcome             |
+      | 0      | taken and ranked    |
+      | 9e15   | taken and ranked    |
+      | 1e16   | refused with a code |
+      | 1e308  | refused with a code |
+
   Scenario: Another life is not taken for the former one
     Given 8 workers at work
     And "w3" takes 2.5 times as long as others
--- a/features/steps/estimates_steps.py
+++ b/features/steps/estimates_steps.py
@@ -16,6 +16,7 @@
 from hypothesis import strategies as st
 from placement_steps import _Scene
 
+from onyxspoke.core.codes import OnyxspokeError, ResultCode
 from onyxspoke.core.estimates.durations import Durations
 from onyxspoke.core.estimates.record import (
     MAXIMUM_RECORD_BYTES,
@@ -37,6 +38,7 @@
 from onyxspoke.core.shard.load_options import LoadOptions
 from onyxspoke.core.shard.log_records import ESTIMATES_KEY, ShardRecord
 from onyxspoke.kit.jobs.workers import WorkOptions
+from onyxspoke.platform.ingress import decode_job
 from onyxspoke.sim.explore_jobs import make_options
 from onyxspoke.sim.job_cluster import JobCluster
 
@@ -415,6 +417,32 @@
     assert expected.median_seconds == 2.0, expected
 
 
+def _handed_in(amount: float) -> JobSpec:
+    step = {"count": 1, "cpu": 1_000, "estimatedMs": amount}
+    body = {"spec": "plan", "steps": [step, {**step, "dependsOn": [0]}]}
+    return decode_job("00000000000000a1", QUEUE, msgspec.json.encode(body))
+
+
+@then("a job whose steps are estimated at {amount:g} milliseconds each is taken and ranked")
+def _is_ranked(context: Any, amount: float) -> None:
+    work = context.shop.durations.work_of("letters", "")
+    assert work.factor > 2.0
+    job = JobProgress(_handed_in(amount), context.shop.now, work)
+    rank = step_rank_of(job.begin_repetition(0, context.shop.now)[0], QUEUE, context.shop.now)
+    assert math.isfinite(rank.latest_start), rank
+    assert not rank.is_expired
+
+
+@then("a job whose steps are estimated at {amount:g} milliseconds each is refused with a code")
+def _is_refused(context: Any, amount: float) -> None:
+    try:
+        _handed_in(amount)
+    except OnyxspokeError as error:
+        assert error.code is ResultCode.MALFORMED_REQUEST
+        return
+    raise AssertionError(amount)
+
+
 def _still_run(context: Any, estimate: float) -> Run:
     step = context.shop.start(1, estimate)
     [run] = [run for run in context.shop.runs if run.task.step is step]
--- a/src/onyxspoke/core/jobs/validation.py
+++ b/src/onyxspoke/core/jobs/validation.py
@@ -9,6 +9,8 @@
 MAXIMUM_STEPS = 100
 MAXIMUM_TASKS = 10_000
 MAXIMUM_REPETITIONS = 100_000
+#: Longer times, in milliseconds, are refused: floats and records hold sums of shorter ones.
+MAXIMUM_TIME_MS = 2**53
 JOB_ID_LENGTH = 16
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
@@ -49,6 +51,8 @@
     )
     if min(amounts) < 0:
         _refuse(f"step {number}: amounts must not be negative")
+    if max(step.estimated_ms, step.target_ms) > MAXIMUM_TIME_MS:
+        _refuse(f"step {number}: times of at most {MAXIMUM_TIME_MS} ms are allowed")
     if any(not 0 <= earlier < number for earlier in step.depends_on):
         _refuse(f"step {number}: may depend on earlier steps only")
     if len(set(step.depends_on)) != len(step.depends_on):
