--- a/features/advice_line_failures.feature
+++ b/features/advice_line_failures.feature
@@ -64,3 +64,22 @@
     Given a full repair cell of 10 workers with shares
     When 10 patient jobs beyond a tenant's share and then 1 owed one are handed in
     Then the owed one begins before any of the flood
+
+  Scenario: A waiting call's place follows what is learned of its work
+    Given a desk with shares and 1 entries
+    And patient steps that wait behind two calls at each entry
+    When their work turns out to take 6 times its estimate, and a pass is made
+    Then every waiting call stands where its step does
+
+  Scenario: An answer to a call from before its step was forgotten ends no other call
+    Given a desk with shares and 4 entries
+    And an urgent step whose call is out with the first entry
+    When the step is forgotten, wanted again, and the former call answered
+    Then the step still has the call that it wanted last, and no further one is made
+    When the step is forgotten, wanted again, and the former call refused
+    Then the step still has the call that it wanted last, and no further one is made
+
+  Scenario: An outage of the advice service that lasts ends like a short one
+    Given a desk with shares and 1 entries
+    When the first entry is busy for 240 seconds of urgent steps, one a second, and then answers
+    Then the last step was asked about again, and has its answer within 0.5 seconds
--- a/features/estimates.feature
+++ b/features/estimates.feature
@@ -118,6 +118,19 @@
     Then a task of "letters" estimated at 0 seconds is expected to take exactly that
     And work of a queue and worker that nobody knows is expected to take its estimate
 
+  Scenario Outline: An estimate of <amount> milliseconds is <outcome>
+    Given 8 workers at work
+    And work of "letters" takes 3 times its estimate
+    When 30 jobs of 4 tasks of "letters" are run, estimated at 1 seconds
+    Then a job whose steps are estimated at <amount> milliseconds each is <outcome>
+
+    Examples:
+      | amount | outcome             |
+      | 0      | taken and ranked    |
+      | 9e15   | taken and ranked    |
+      | 1e16   | refused with a code |
+      | 1e308  | refused with a code |
+
   Scenario: Another life is not taken for the former one
     Given 8 workers at work
     And "w3" takes 2.5 times as long as others
@@ -141,6 +154,35 @@
     Then a task of "letters" estimated at 1 seconds is expected to take exactly that
     And every worker counts as usual
 
+  Scenario: A queue is remembered for as long as a tenant's work in it, which tells of it as well
+    Given 8 workers at work
+    And work of "letters" takes 3 times its estimate
+    When 20 jobs of 16 tasks of "letters" are run, estimated at 1 seconds
+    And 59 minutes pass, "acme" hands in a job, and 2 minutes more pass
+    And 12 jobs of "acme" with 4 tasks of "letters" are run, estimated at 1 seconds
+    Then a task of "letters" estimated at 1 seconds is expected to take 3 times that
+
+  Scenario: What has decayed is not fresh for a successor
+    Given 8 workers at work
+    And work of "letters" takes 3 times its estimate
+    When 30 jobs of 16 tasks of "letters" are run, estimated at 1 seconds
+    And 50 minutes pass
+    And a successor reads the record
+    Then a task of "letters" estimated at 1 seconds is expected to take exactly that
+
+  Scenario: A run is not taken for stalled because its queue's estimates are too high
+    Given 8 workers at work
+    And work of "letters" takes 0.1 times its estimate
+    When 30 jobs of 4 tasks of "letters" are run, estimated at 20 seconds
+    Then a task of "letters" estimated at 400 seconds is expected to take 0.1 times that
+    And a run of it stands still after 81.6 seconds without progress, and not before
+
+  Scenario: A run that is expected to take long may be longer without progress
+    Given 8 workers at work
+    And work of "letters" takes 3 times its estimate
+    When 30 jobs of 4 tasks of "letters" are run, estimated at 1 seconds
+    Then a run estimated at 400 seconds may be without progress for more than 200 seconds
+
   Scenario: Without the part nothing is learned, recorded or told
     Given 8 workers at work, and nothing is to be learned
     And work of "letters" takes 3 times its estimate
--- a/features/steps/advice_failure_steps.py
+++ b/features/steps/advice_failure_steps.py
@@ -12,6 +12,7 @@
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
+from onyxspoke.core.estimates.work import WorkModel
 from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.placement.advice_desk import AdviceDesk
 from onyxspoke.core.placement.advice_line import AdviceCall
@@ -162,8 +163,8 @@
             if is_alike and other.seconds >= call.seconds and other.rank.is_owed:
                 assert (call.rank, call.number) < (other.rank, other.number)
     for key, advice in desk.desk._steps.items():
-        calls = [call for call in (*out, *desk.desk._line) if call.step == key]
-        assert advice.open_calls == len(calls), (key, advice.open_calls)
+        numbers = [call.number for call in (*out, *desk.desk._line) if call.step == key]
+        assert sorted(advice.open_calls) == sorted(numbers), (key, advice.open_calls)
 
 
 @when("{count:d} random histories of a desk with shares are played")
@@ -432,3 +433,67 @@
     flood_begins = min(cell.begun[job.job_id] for job in context.flood)
     owed_begins = cell.begun[context.owed.job_id]
     assert owed_begins < flood_begins, (owed_begins, flood_begins)
+
+
+@when("their work turns out to take {times:g} times its estimate, and a pass is made")
+def _learned(context: Any, times: float) -> None:
+    desk = context.desk
+    for step in context.steps:
+        step.job.work = WorkModel("patient")
+        desk.want(step, 25)
+    desk.make_pass(0.02)
+    for step in context.steps:
+        step.job.work.factor = times
+    desk.make_pass(0.02)
+
+
+@then("every waiting call stands where its step does")
+def _stands(context: Any) -> None:
+    waiting = list(context.desk.desk._line)
+    assert len(waiting) > 10
+    for call in waiting:
+        assert call.rank == context.desk.rank(call.progress), call
+
+
+@when("the step is forgotten, wanted again, and the former call {outcome}")
+def _forgotten(context: Any, outcome: str) -> None:
+    desk = context.desk
+    former = desk.out[-1]
+    desk.desk.forget(context.step.key)
+    desk.want(context.step, 25)
+    context.call_id = desk.desk._last_call_id
+    desk.make_pass(0.0)
+    desk.answer(
+        former, former.call_id, AdviceOutcome("answered" if outcome == "answered" else "busy")
+    )
+
+
+@then("the step still has the call that it wanted last, and no further one is made")
+def _has_last(context: Any) -> None:
+    desk = context.desk
+    assert desk.desk.advice_on(context.step).is_asking
+    desk.want(context.step, 25)
+    desk.make_pass(0.02)
+    assert desk.desk._last_call_id == context.call_id
+    assert [call.call_id for call in desk.desk._under_way.values()] == [context.call_id]
+
+
+@when(
+    "the first entry is busy for {seconds:d} seconds of urgent steps, one a second,"
+    " and then answers"
+)
+def _long_outage(context: Any, seconds: int) -> None:
+    desk = context.desk
+    for _number in range(seconds):
+        context.step = desk.step("urgent")
+        desk.want(context.step, 25)
+        desk.play(1.0, silent=_ENTRIES[0], outcome="busy")
+    context.mended_at = desk.now
+    desk.play(1.0)
+
+
+@then("the last step was asked about again, and has its answer within {seconds:g} seconds")
+def _answered_soon(context: Any, seconds: float) -> None:
+    desk = context.desk
+    answered_at = desk.answered[context.step.job.job_id]
+    assert context.mended_at < answered_at <= context.mended_at + seconds, answered_at
--- a/features/steps/estimates_steps.py
+++ b/features/steps/estimates_steps.py
@@ -16,6 +16,7 @@
 from hypothesis import strategies as st
 from placement_steps import _Scene
 
+from onyxspoke.core.codes import OnyxspokeError, ResultCode
 from onyxspoke.core.estimates.durations import Durations
 from onyxspoke.core.estimates.record import (
     MAXIMUM_RECORD_BYTES,
@@ -27,7 +28,7 @@
 from onyxspoke.core.jobs.progress import JobProgress, StepProgress
 from onyxspoke.core.jobs.states import JobState, RunEnd, RunState, TaskState
 from onyxspoke.core.placement.queue_order import step_rank_of
-from onyxspoke.core.placement.runs import GangRun, Run
+from onyxspoke.core.placement.runs import GangRun, Run, is_stalled
 from onyxspoke.core.placement.worker_record import WorkerRecord
 from onyxspoke.core.placement.workers import Worker
 from onyxspoke.core.shard.actions import Decision
@@ -37,6 +38,7 @@
 from onyxspoke.core.shard.load_options import LoadOptions
 from onyxspoke.core.shard.log_records import ESTIMATES_KEY, ShardRecord
 from onyxspoke.kit.jobs.workers import WorkOptions
+from onyxspoke.platform.ingress import decode_job
 from onyxspoke.sim.explore_jobs import make_options
 from onyxspoke.sim.job_cluster import JobCluster
 
@@ -358,6 +360,19 @@
     context.shop.keep()
 
 
+@when("{minutes:d} minutes pass")
+def _pass_minutes(context: Any, minutes: int) -> None:
+    context.shop.now += 60.0 * minutes
+    context.shop.keep()
+
+
+@when('{minutes:d} minutes pass, "{tenant}" hands in a job, and {more:d} minutes more pass')
+def _pass_beside_job(context: Any, minutes: int, tenant: str, more: int) -> None:
+    _pass_minutes(context, minutes)
+    context.shop.durations.work_of("letters", tenant)
+    _pass_minutes(context, more)
+
+
 @when('"{worker}" starts again')
 def _starts_again(context: Any, worker: str) -> None:
     shop = context.shop
@@ -402,6 +417,54 @@
     assert expected.median_seconds == 2.0, expected
 
 
+def _handed_in(amount: float) -> JobSpec:
+    step = {"count": 1, "cpu": 1_000, "estimatedMs": amount}
+    body = {"spec": "plan", "steps": [step, {**step, "dependsOn": [0]}]}
+    return decode_job("00000000000000a1", QUEUE, msgspec.json.encode(body))
+
+
+@then("a job whose steps are estimated at {amount:g} milliseconds each is taken and ranked")
+def _is_ranked(context: Any, amount: float) -> None:
+    work = context.shop.durations.work_of("letters", "")
+    assert work.factor > 2.0
+    job = JobProgress(_handed_in(amount), context.shop.now, work)
+    rank = step_rank_of(job.begin_repetition(0, context.shop.now)[0], QUEUE, context.shop.now)
+    assert math.isfinite(rank.latest_start), rank
+    assert not rank.is_expired
+
+
+@then("a job whose steps are estimated at {amount:g} milliseconds each is refused with a code")
+def _is_refused(context: Any, amount: float) -> None:
+    try:
+        _handed_in(amount)
+    except OnyxspokeError as error:
+        assert error.code is ResultCode.MALFORMED_REQUEST
+        return
+    raise AssertionError(amount)
+
+
+def _still_run(context: Any, estimate: float) -> Run:
+    step = context.shop.start(1, estimate)
+    [run] = [run for run in context.shop.runs if run.task.step is step]
+    return run
+
+
+@then("a run of it stands still after {seconds:g} seconds without progress, and not before")
+def _stands_still(context: Any, seconds: float) -> None:
+    run = _still_run(context, 400.0)
+    assert not is_stalled(run, run.moved_at + seconds - 0.01)
+    assert is_stalled(run, run.moved_at + seconds + 0.01)
+
+
+@then(
+    "a run estimated at {estimate:g} seconds may be without progress for more than"
+    " {seconds:g} seconds"
+)
+def _may_stand(context: Any, estimate: float, seconds: float) -> None:
+    run = _still_run(context, estimate)
+    assert not is_stalled(run, run.moved_at + seconds)
+
+
 @then("work of a queue and worker that nobody knows is expected to take its estimate")
 def _unknown(context: Any) -> None:
     expected = context.shop.durations.expected("nobody", "knows", 1_500.0, "w-none")
--- a/src/onyxspoke/core/placement/advice_need.py
+++ b/src/onyxspoke/core/placement/advice_need.py
@@ -25,6 +25,9 @@
 #: Owed steps ask while those before them need at most so many times the room that is expected:
 #: estimates may be too high, and not every step before them can use it.
 OWED_FACTOR = 1.5
+#: A step that has been ready for so long, in seconds, asks while one of its tasks may fit: what
+#: goes before it may be unable to use the room.
+LONGEST_HELD_SECONDS = 5.0
 #: Of a ticket's validity, the part within which room has to come.
 VALIDITY_SHARE = 0.75
 #: Workers in a call, to tell about how long it takes.
@@ -97,12 +100,13 @@
         may_fit : bool
             Whether some worker might have room for one of its tasks.
         """
-        room = self._services.get(queue.service)
-        if not self._desk.has_shares or room is None or queue.advice is None:
+        room, policy = self._services.get(queue.service), queue.advice
+        if not self._desk.has_shares or room is None or policy is None:
             return True
-        if may_fit and room.free >= FREE_SHARE * room.total:
+        is_free = room.free >= FREE_SHARE * room.total
+        if may_fit and (is_free or now - step.ready_at >= LONGEST_HELD_SECONDS):
             return True
-        expected = self._expected_room(room, queue.advice, rank, now)
+        expected = self._expected_room(room, policy, rank, now)
         if room.ahead < expected:
             return True
         self._desk.note_put_off(step, room.ahead, expected)
