Admission: refused jobs of no more use are forgotten; a job's width closes no queue; overdrawn room comes free later

Cause (read anew): refused jobs were dropped only as 4,096 newer ones came, so that after a flood looks at the load came up to 0.41 s apart for good, and an identifier kept its mark beyond its last use; a job far wider than the cell closed its queue to narrow ones, which were taken all the while; where more was taken than a lowered quota allows, the first end counted as free room. Change: all three; after its last use a job asks for its mark anew. Ruled out: a bound on the pause between looks alone, since memory would stay.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -206,6 +206,20 @@
     Then no more are remembered than 4096, and the first counts as new
     And what was kept for those who did not come is free again
 
+  Scenario: Refused jobs that are of no more use are forgotten, and one that comes again is new
+    Given 20 refused jobs of which none comes back
+    When their last use and their seconds are over
+    Then none of them is remembered
+
+  Scenario: A job wider than all there is closes its queue to nobody else
+    Given a cell whose workers stand free
+    When a job of 1000 tasks is refused there
+    Then its queue is closed for 0 seconds, as a narrow job of it is taken
+
+  Scenario: More is taken than there is: room comes free only once that is made up for
+    Given a quota of which half too much is taken, and half ends after 1 and after 2 seconds
+    Then half of it is free after 2 seconds, and none before
+
   Scenario: A notice names few tenants
     Given a queue that is closed for 50 tenants
     Then its notice names 20 of them, and closes for as long as each of them is
--- a/features/steps/admission_rule_steps.py
+++ b/features/steps/admission_rule_steps.py
@@ -14,7 +14,7 @@
 
 from onyxspoke.core.admission.arrivals import ArrivalMeter
 from onyxspoke.core.admission.closings import MAXIMUM_TENANTS, Closings, Scope
-from onyxspoke.core.admission.gate import Gate
+from onyxspoke.core.admission.gate import Gate, closed_seconds
 from onyxspoke.core.admission.hand_in import HandIn, describe_hand_in
 from onyxspoke.core.admission.load_view import LoadView
 from onyxspoke.core.admission.returns import MAXIMUM_REMEMBERED, Returns, hash_of
@@ -347,6 +347,53 @@
     assert not list(context.returns.awaited(context.now + 300.0))
 
 
+@given("{count:d} refused jobs of which none comes back")
+def _refused(context: Any, count: int) -> None:
+    _many_refused(context, count)
+    context.last_use_at = max(item.last_use_at for item in context.returns._refused.values())
+
+
+@when("their last use and their seconds are over")
+def _no_use(context: Any) -> None:
+    due_at = max(item.due_at for item in context.returns._refused.values())
+    context.returns.keep(max(context.last_use_at, due_at) + 10.0)
+
+
+@then("none of them is remembered")
+def _forgotten(context: Any) -> None:
+    assert len(context.returns) == 0
+
+
+@given("a cell whose workers stand free")
+def _free_cell(context: Any) -> None:
+    context.scene = _make_cell([], [])
+
+
+@when("a job of {tasks:d} tasks is refused there")
+def _wide_refused(context: Any, tasks: int) -> None:
+    context.wide = _job(context.scene, (tasks, 1, 1, False))
+    context.verdict = Gate().decide(context.wide, _view(context.scene), context.scene.now)
+    assert isinstance(context.verdict, Refuse)
+
+
+@then("its queue is closed for 0 seconds, as a narrow job of it is taken")
+def _not_closed(context: Any) -> None:
+    assert isinstance(_decide(context, True), Admit)
+    assert closed_seconds(context.wide, context.verdict) <= 0.0
+
+
+@given("a quota of which half too much is taken, and half ends after 1 and after 2 seconds")
+def _overdrawn(context: Any) -> None:
+    context.curve = RoomCurve(-0.5, [(1.0, 0.5), (2.0, 0.5)])
+
+
+@then("half of it is free after 2 seconds, and none before")
+def _made_up_for(context: Any) -> None:
+    assert context.curve.seconds_until_free(0.5) == 2.0
+    assert context.curve.seconds_until_free(0.01) == 2.0
+    assert context.curve.seconds_until(0.5) == 3.0
+
+
 @given("a queue that is closed for {count:d} tenants")
 def _closed_for(context: Any, count: int) -> None:
     context.closings = Closings()
--- a/src/onyxspoke/core/admission/gate.py
+++ b/src/onyxspoke/core/admission/gate.py
@@ -61,7 +61,7 @@
         return Refuse(reason, _retry_seconds(job, ahead), inputs)
 
 
-def closed_seconds(job: HandIn, verdict: Refuse, view: LoadView) -> float:
+def closed_seconds(job: HandIn, verdict: Refuse) -> float:
     """Return for how long others like a job would be refused, were each handed in anew.
 
     One that is refused because it would push late jobs has to wait until those are through.
@@ -70,10 +70,10 @@
     is_in_doubt = verdict.reason is RefusalReason.IN_DOUBT
     if is_in_doubt and not job.rank.is_beyond_share:
         return verdict.retry_after_seconds
-    work = view.work_seconds(job)
-    ahead, taken = inputs.ahead_seconds, work.best_seconds
+    # Its own width closes nothing: narrower jobs of its queue may be taken.
+    ahead, taken = inputs.ahead_seconds, job.chain_median_seconds
     if is_in_doubt:
-        ahead, taken = inputs.ahead_upper_seconds, work.worst_seconds
+        ahead, taken = inputs.ahead_upper_seconds, job.chain_upper_seconds
     patience = EXPIRY_FACTOR * job.objective_seconds
     return max(ahead, inputs.advice_seconds) + taken - patience
 
--- a/src/onyxspoke/core/admission/returns.py
+++ b/src/onyxspoke/core/admission/returns.py
@@ -171,9 +171,13 @@
                 yield refused.awaited
 
     def keep(self, now: float) -> None:
-        """Give back what was kept for jobs that did not come."""
-        for refused in self._refused.values():
-            if refused.slot is not None and now > refused.due_at + GRACE_SECONDS:
+        """Give back what was kept for jobs that did not come; forget what is of no more use."""
+        for key, refused in list(self._refused.items()):
+            if now <= refused.due_at + GRACE_SECONDS:
+                continue
+            if now > refused.last_use_at:
+                self.forget(key)
+            elif refused.slot is not None:
                 self.seconds.give_back(refused.slot)
                 refused.slot = None
         self.seconds.forget_before(now)
--- a/src/onyxspoke/core/admission/room_curve.py
+++ b/src/onyxspoke/core/admission/room_curve.py
@@ -28,13 +28,16 @@
         self._seconds = [0.0]
         self._done = [0.0]
         self._free = [max(0.0, free)]
+        # More may be taken than there is, as after a quota was lowered.
+        left = free
         for seconds, share in sorted(ends):
             passed = seconds - self._seconds[-1]
             if passed > 0.0:
                 self._seconds.append(seconds)
                 self._done.append(self._done[-1] + passed * self._free[-1])
                 self._free.append(self._free[-1])
-            self._free[-1] += share
+            left += share
+            self._free[-1] = max(0.0, left)
 
     def seconds_until(self, work: float) -> float:
         """Return in how many seconds so many share-seconds of work are through."""
--- a/src/onyxspoke/core/shard/admission_desk.py
+++ b/src/onyxspoke/core/shard/admission_desk.py
@@ -271,7 +271,7 @@
         self, spec: JobSpec, job: HandIn, verdict: Refuse, view: LoadView, now: float
     ) -> None:
         """Take note for how long others like a job would be refused."""
-        seconds = closed_seconds(job, verdict, view)
+        seconds = closed_seconds(job, verdict)
         if seconds <= 0.0:
             return
         is_for_all = not job.rank.is_beyond_share and not view.is_held_by_quota(job)
--- a/src/onyxspoke/core/shard/call_desk.py
+++ b/src/onyxspoke/core/shard/call_desk.py
@@ -146,11 +146,11 @@
         """Return a new job with the mark whether its tenant is owed it.
 
         The mark of its first hand-in stays: were a returning job to ask for it again, what a flood
-        sends would take the marks of its tenant's later jobs.
+        sends would take the marks of its tenant's later jobs.  After its last use it is new.
         """
         context = self._context
         policy = context.policy.tenants.get(spec.tenant)
-        if refused is not None:
+        if refused is not None and now <= refused.last_use_at:
             is_owed = refused.is_owed
         else:
             is_owed = context.shares.take(policy, context.shard_count, now)
