--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -197,6 +197,8 @@
     assert context.soak_exit == 0, context.soak_output
     assert last.startswith("seeds=1 faults="), context.soak_output
     assert last.endswith(" violations=0"), context.soak_output
+    told = dict(pair.split("=", 1) for pair in last.split())
+    assert int(told["jobs"]) > 0 and int(told["faults"]) > 0, last
 
 
 @then("no process of the soak is left")
--- a/src/onyxspoke/core/shard/call_desk.py
+++ b/src/onyxspoke/core/shard/call_desk.py
@@ -145,8 +145,9 @@
     def _mark_share(self, spec: JobSpec, refused: Refused | None, now: float) -> JobSpec:
         """Return a new job with the mark whether its tenant is owed it.
 
-        The mark of its first hand-in stays: were a returning job to ask for it again, what a flood
-        sends would take the marks of its tenant's later jobs.  After its last use it is new.
+        The mark of its first hand-in stays: were a returning job to ask for it again, what a tenant
+        sends beyond its share would take the marks of its later jobs.  After its last use it is
+        new.
         """
         context = self._context
         policy = context.policy.tenants.get(spec.tenant)
