--- a/src/onyxspoke/soak/job_wire.py
+++ b/src/onyxspoke/platform/counterpart/jobs.py
@@ -1,48 +1,31 @@
-"""Jobs as callers put them on the wire, and what the payload tells the workers' stand-in."""
+"""Jobs as callers put them on the wire, and what they are told."""
 
 from __future__ import annotations
 
 import msgspec
 
-from onyxspoke.core.jobs.model import JobId, JobSpec, QueuePolicy, StepSpec
+from onyxspoke.core.jobs.model import JobSpec
 from onyxspoke.core.shard.calls import CallReply, ReplyCode
 from onyxspoke.net.http_client import HttpAnswer
+from onyxspoke.platform.counterpart.answers import (
+    HTTP_GONE,
+    HTTP_OK,
+    HTTP_TOO_MANY,
+    HTTP_UNAVAILABLE,
+)
 from onyxspoke.platform.unreadable import UNREADABLE_ERRORS
-from onyxspoke.soak.http import HTTP_OK, HTTP_UNAVAILABLE
 
-_HTTP_GONE = 410
-_HTTP_TOO_MANY = 429
-
-
-class _Payload(msgspec.Struct, array_like=True):
-    """Number of tasks of each step, and whether they can work only together."""
-
-    job_id: JobId
-    steps: list[tuple[int, bool]]
+#: Where the balancer asks whether a node takes callers.
+READY_TARGET = "/onyxspoke/ready"
 
 
 class _StateAnswer(msgspec.Struct):
     state: str = ""
 
 
-def make_job(job_id: JobId, queue: str, service: str, steps: tuple[StepSpec, ...]) -> JobSpec:
-    """Return a job whose payload tells workers what they need of it."""
-    payload = _Payload(job_id, [(step.task_count, step.gang) for step in steps])
-    return JobSpec(
-        job_id=job_id,
-        queue=QueuePolicy(name=queue, service=service, max_attempts=3),
-        payload=msgspec.json.encode(payload).decode(),
-        steps=steps,
-    )
-
-
-def read_payload(text: str) -> JobSpec:
-    """Return as much of a job as its payload tells."""
-    payload = msgspec.json.decode(text, type=_Payload)
-    steps = tuple(StepSpec(task_count=count, gang=is_gang) for count, is_gang in payload.steps)
-    return JobSpec(
-        job_id=payload.job_id, queue=QueuePolicy(name="", service=""), payload=text, steps=steps
-    )
+def encode_patience(patience_ms: int) -> str:
+    """Return the header line that tells how long a caller waits."""
+    return f"Request-Deadline-Ms: {patience_ms}\r\n"
 
 
 def encode_job(spec: JobSpec) -> bytes:
@@ -73,8 +56,8 @@
         except UNREADABLE_ERRORS:
             return None
         return CallReply(code=ReplyCode.OK, state=state)
-    if answer.status == _HTTP_GONE:
+    if answer.status == HTTP_GONE:
         return CallReply(code=ReplyCode.NO_SUCH_JOB)
-    if answer.status in (_HTTP_TOO_MANY, HTTP_UNAVAILABLE):
+    if answer.status in (HTTP_TOO_MANY, HTTP_UNAVAILABLE):
         return CallReply(code=ReplyCode.REFUSED)
     return None
