--- a/features/steps/estimates_steps.py
+++ b/features/steps/estimates_steps.py
@@ -4,17 +4,13 @@
 
 import math
 import random
-import statistics
 import sys
 from collections.abc import Callable
 from typing import Any
 
 import msgspec
 from behave import given, then, when
-from hypothesis import Phase, settings
-from hypothesis import given as drawn_from
-from hypothesis import strategies as st
-from placement_steps import _Scene
+from estimates_shop import NEAR, QUEUE, Shop
 
 from onyxspoke.core.codes import OnyxspokeError, ResultCode
 from onyxspoke.core.estimates.durations import Durations
@@ -24,185 +20,26 @@
     restore_estimates,
 )
 from onyxspoke.core.estimates.report import describe_estimates
-from onyxspoke.core.jobs.model import JobSpec, Needs, QueuePolicy, StepSpec
-from onyxspoke.core.jobs.progress import JobProgress, StepProgress
-from onyxspoke.core.jobs.states import JobState, RunEnd, RunState, TaskState
+from onyxspoke.core.jobs.model import JobSpec
+from onyxspoke.core.jobs.progress import JobProgress
+from onyxspoke.core.jobs.states import JobState
 from onyxspoke.core.placement.queue_order import step_rank_of
-from onyxspoke.core.placement.runs import GangRun, Run, is_stalled
-from onyxspoke.core.placement.worker_record import WorkerRecord
-from onyxspoke.core.placement.workers import Worker
-from onyxspoke.core.shard.actions import Decision
-from onyxspoke.core.shard.calls import SubmitCall
-from onyxspoke.core.shard.context import ShardContext, ShardOptions
-from onyxspoke.core.shard.estimates_keeper import EstimatesKeeper, restore_estimates_record
-from onyxspoke.core.shard.load_options import LoadOptions
+from onyxspoke.core.placement.runs import Run, is_stalled
+from onyxspoke.core.shard.estimates_keeper import restore_estimates_record
 from onyxspoke.core.shard.log_records import ESTIMATES_KEY, ShardRecord
-from onyxspoke.kit.jobs.workers import WorkOptions
 from onyxspoke.platform.ingress import decode_job
-from onyxspoke.sim.explore_jobs import make_options
-from onyxspoke.sim.job_cluster import JobCluster
-
-TICK_SECONDS = 0.05
-#: Between two lists of a worker's runs, and from an end to the list that has it.
-LOOK_SECONDS = 0.3
-LAG_SECONDS = 0.04
-QUEUE = QueuePolicy(name="letters", service="service", stretch=2.0, target_latency_ms=1_000)
-#: A forecast this near is as good as the buckets and the lag of ends allow.
-NEAR = 0.16
-
-
-class _Shop:
-    """Workers that run tasks, and a holder that sees their progress and their ends."""
-
-    def __init__(self, learns: bool = True) -> None:
-        load = LoadOptions(learned_estimates=learns)
-        self.context = ShardContext(ShardOptions(load=load), 1)
-        self.keeper = EstimatesKeeper(self.context)
-        self.now = 100.0
-        self.random = random.Random(7)
-        self.workers: dict[str, Worker] = {}
-        self.slowness: dict[str, float] = {}
-        self.times: dict[tuple[str, str], float] = {}
-        self.tail = 0
-        self.failing = 0
-        self.runs: dict[Run, float] = {}
-        self.ended: list[Run] = []
-        self.told: list[Decision] = []
-        self.most_told = 0
-        self.count = 0
-        self._looked_at = 0.0
-
-    @property
-    def durations(self) -> Durations:
-        return self.context.durations
-
-    def add_worker(self, name: str, kind: str = "", rack: str = "one") -> None:
-        born = 1_000 + len(self.workers)
-        record = WorkerRecord(
-            worker_id=name,
-            host="",
-            port=0,
-            service="service",
-            zone="zone",
-            capacity=Needs(64_000, 64_000, 0),
-            kind=kind,
-            rack=rack,
-            born_ms=born,
-        )
-        self.workers[name] = worker = Worker(record, 0.0)
-        worker.speed = self.durations.begin_life(name, born, kind, self.now)
-
-    def start(
-        self,
-        tasks: int,
-        seconds: float,
-        tenant: str = "",
-        queue: str = "letters",
-        times: float | None = None,
-        prepare: Callable[[Run], None] = lambda run: None,
-        **traits: Any,
-    ) -> StepProgress:
-        """Begin a job whose tasks are dealt out over the workers."""
-        self.count += 1
-        step_spec = StepSpec(task_count=tasks, estimated_ms=round(seconds * 1_000), **traits)
-        policy = msgspec.structs.replace(QUEUE, name=queue)
-        spec = JobSpec(
-            job_id=f"{self.count:016x}",
-            queue=policy,
-            payload="",
-            steps=(step_spec,),
-            tenant=tenant,
-        )
-        job = JobProgress(spec, self.now, self.durations.work_of(queue, tenant))
-        [step] = job.begin_repetition(0, self.now)
-        gang = GangRun(step, 1) if step_spec.gang else None
-        names = list(self.workers)
-        first = self.random.randrange(len(names))
-        if times is None:
-            times = self.times.get((queue, tenant), self.times.get((queue, ""), 1.0))
-        for task in step.tasks:
-            worker = self.workers[names[(first + task.index) % len(names)]]
-            run = Run(task, 1, worker, self.now, gang)
-            run.state = RunState.RUNNING
-            run.ordered_at = run.confirmed_at = self.now
-            prepare(run)
-            work = seconds * times * (10.0 if self.random.randrange(100) < self.tail else 1.0)
-            self.runs[run] = work
-            run.usage = round(work * 1e6)
-        return step
-
-    def pass_time(self, seconds: float) -> None:
-        end = self.now + seconds
-        while self.now < end - 1e-9:
-            self.now += TICK_SECONDS
-            for run in list(self.runs):
-                self._advance(run)
-            if self.now - self._looked_at >= LOOK_SECONDS:
-                self._looked_at = self.now
-                for run in self.runs:
-                    self._look_at(run)
-            self.keep()
-
-    def keep(self) -> None:
-        self.keeper.keep(self.now)
-        told = [item for item in self.context.actions if isinstance(item, Decision)]
-        self.told += told
-        self.most_told = max(self.most_told, len(told))
-        self.context.actions.clear()
-
-    def _advance(self, run: Run) -> None:
-        work = run.usage / 1e6
-        self.runs[run] -= TICK_SECONDS / self.slowness.get(run.worker.worker_id, 1.0)
-        if run.gang is not None:
-            if all(self.runs.get(member, 0.0) <= 0.0 for member in run.gang.members):
-                self._end(run, RunEnd.DONE)
-        elif self.runs[run] <= 1e-9:
-            self._end(run, RunEnd.DONE)
-        elif self.runs[run] <= work / 2 and self.random.randrange(100) < self.failing:
-            self._end(run, RunEnd.FAILED)
-        elif self.runs[run] <= work / 2:
-            run.usage = round(work * 1e6)
-
-    def _end(self, run: Run, end: RunEnd) -> None:
-        del self.runs[run]
-        self.ended.append(run)
-        self.durations.note_end(run, end, self.now + LAG_SECONDS)
-        run.state = RunState.ENDED
-
-    def _look_at(self, run: Run) -> None:
-        work = run.usage / 1e6
-        percent = min(100, int(100 * (1.0 - self.runs[run] / work)))
-        run.listed_at = self.now
-        if percent != run.percent:
-            run.percent = percent
-            run.moved_at = self.now
-            self.durations.note_progress(run, self.now)
-
-    def drain(self) -> None:
-        while self.runs:
-            self.pass_time(1.0)
-        self.pass_time(1.0)
-
-    def run_jobs(self, jobs: int, tasks: int, seconds: float, **how: Any) -> None:
-        for _ in range(jobs):
-            self.start(tasks, seconds, **how)
-            self.pass_time(0.2)
-        self.drain()
-
-    def expected(self, seconds: float, tenant: str = "", worker: str = "") -> Any:
-        return self.durations.expected("letters", tenant, seconds * 1_000, worker)
 
 
 @given("{count:d} workers at work")
 def _workers(context: Any, count: int) -> None:
-    context.shop = _Shop()
+    context.shop = Shop()
     for number in range(count):
         context.shop.add_worker(f"w{number}")
 
 
 @given("{count:d} workers at work, and nothing is to be learned")
 def _workers_without(context: Any, count: int) -> None:
-    context.shop = _Shop(learns=False)
+    context.shop = Shop(learns=False)
     for number in range(count):
         context.shop.add_worker(f"w{number}")
 
@@ -527,7 +364,7 @@
 def _succeed(context: Any, change: Callable[[bytes], bytes]) -> None:
     former = context.shop
     data = encode_estimates(former.durations, former.now)
-    shop = context.shop = _Shop()
+    shop = context.shop = Shop()
     record = ShardRecord(ESTIMATES_KEY, change(data))
     restore_estimates_record(shop.context, [record], shop.now)
     for name, worker in former.workers.items():
@@ -604,308 +441,3 @@
     again = Durations()
     restore_estimates(again, data, 5.0)
     assert again.queues or again.tenants
-
-
-# A cluster
-
-
-@given("a cluster whose tasks take {times:g} times their estimate")
-def _cluster(context: Any, times: float) -> None:
-    seconds = 0.5 * times
-    work = WorkOptions(seed=4, shortest_seconds=seconds, longest_seconds=seconds + 0.01)
-    context.cluster = cluster = JobCluster(make_options(4, work, shards=1))
-    context.recorded = []
-    append = cluster.store.append
-
-    def watched(item: Any) -> Any:
-        keys = [record for record in item.records if record.key == ESTIMATES_KEY]
-        context.recorded += [(item.epoch, item.sequence, record) for record in keys]
-        return append(item)
-
-    cluster.store.append = watched
-    context.cluster.start()
-    context.cluster.run(2.0)
-
-
-@when("{count:d} of its jobs have ended")
-def _cluster_jobs(context: Any, count: int) -> None:
-    cluster = context.cluster
-    queue = cluster.configuration.configuration.policy.queues["normal"]
-    step = StepSpec(task_count=1, processors_milli=100, memory_mb=10, estimated_ms=500)
-    for number in range(count):
-        job = JobSpec(job_id=f"{number:016x}", queue=queue, payload="p", steps=(step,))
-        cluster.pool.specs[job.job_id] = job
-        cluster.audit.handle_submitted(job)
-        node = next(iter(cluster.nodes.values()))
-        cluster.call(node, job.job_id, SubmitCall(job), lambda _reply: None)
-        cluster.run(0.25)
-    cluster.run(8.0)
-
-
-def _holder(cluster: Any) -> Any:
-    [holder] = [node for node in cluster.nodes.values() if node.is_holding]
-    return holder
-
-
-def _held_durations(cluster: Any) -> Durations:
-    return _holder(cluster).node.seats[0].scheduler.context.durations
-
-
-@then(
-    "its holder expects {times:g} times the estimate,"
-    " and appended at most one record in {pause:d} seconds"
-)
-def _cluster_expects(context: Any, times: float, pause: int) -> None:
-    expected = _held_durations(context.cluster).expected("normal", "", 500.0)
-    assert abs(expected.median_seconds / (0.5 * times) - 1.0) < NEAR, expected
-    sent = {(epoch, sequence): record for epoch, sequence, record in context.recorded}
-    seconds = context.cluster.time.now()
-    assert 1 <= len(sent) <= 1 + seconds / pause, (len(sent), seconds)
-    assert all(len(record.value) <= MAXIMUM_RECORD_BYTES for record in sent.values())
-
-
-@when("its holder is killed")
-def _kill(context: Any) -> None:
-    context.cluster.kill_node(_holder(context.cluster).name)
-    context.cluster.run(6.0)
-
-
-@then("its next holder expects {times:g} times the estimate before any task has ended")
-def _next_expects(context: Any, times: float) -> None:
-    expected = _held_durations(context.cluster).expected("normal", "", 500.0)
-    assert abs(expected.median_seconds / (0.5 * times) - 1.0) < NEAR, expected
-    assert not context.cluster.audit.findings, context.cluster.audit.findings
-
-
-# Decisions
-
-#: A history is long, and shrinking one takes minutes.
-WITHOUT_SHRINKING = (Phase.explicit, Phase.generate)
-
-_jobs = st.lists(
-    st.tuples(
-        st.integers(0, 2),  # queue, by priority
-        st.integers(1, 6),  # tasks
-        st.integers(1, 6),  # processors
-        st.integers(3, 40),  # estimate, in tenths of a second
-        st.booleans(),  # a gang
-        st.integers(0, 12),  # tenths of a second until the next
-        st.integers(5, 30),  # what it takes, in tenths of its estimate
-    ),
-    min_size=4,
-    max_size=40,
-)
-
-
-class _Played:
-    """A placer, its workers and a history; what started where and when."""
-
-    def __init__(self, durations: Durations, unlike: bool, lag: float) -> None:
-        self.scene = _Scene()
-        self.durations = durations
-        self.lag = lag
-        self.slowness: dict[str, float] = {}
-        self.runs: dict[Run, float] = {}
-        self.starts: list[tuple[float, str, int, str]] = []
-        for number in range(6):
-            name = f"w{number}"
-            self.scene.add_worker(name, 10)
-            self.scene.table.workers[name].speed = durations.begin_life(name, 0, "", 0.0)
-            self.slowness[name] = 2.5 if unlike and number % 3 == 0 else 1.0
-
-    def hand_in(self, number: int, drawn: tuple[int, int, int, int, bool, int, int]) -> None:
-        priority, tasks, processors, tenths, is_gang, _pause, takes = drawn
-        scene = self.scene
-        step = scene.add_step(
-            f"j{number}", tasks, processors, priority, gang=is_gang, checkpointing=not is_gang
-        )
-        spec = msgspec.structs.replace(step.spec, estimated_ms=tenths * 100)
-        job = step.job
-        job_spec = msgspec.structs.replace(job.spec, steps=(spec,))
-        work = self.durations.work_of(job.spec.queue.name, "")
-        made = JobProgress(job_spec, scene.now, work)
-        made.committed_state = JobState.QUEUED
-        scene.steps[f"j{number}"] = made.begin_repetition(0, scene.now)[0]
-        self.takes[made.job_id] = takes / 10.0
-
-    def play(self, history: list[Any], holds: bool) -> list[tuple[float, str, int, str]]:
-        self.takes: dict[str, float] = {}
-        scene = self.scene
-        next_at = scene.now
-        waiting = list(enumerate(history))
-        end = scene.now + 60.0
-        while scene.now < end and (waiting or self.runs):
-            scene.now = round(scene.now + TICK_SECONDS, 6)
-            while waiting and next_at <= scene.now:
-                number, drawn = waiting.pop(0)
-                self.hand_in(number, drawn)
-                next_at += drawn[5] / 10.0
-            self._pass(holds)
-        return self.starts
-
-    def _pass(self, holds: bool) -> None:
-        scene = self.scene
-        for run in list(self.runs):
-            self._advance(run, holds)
-        self.durations.keep(scene.now)
-        before = {name: set(worker.runs) for name, worker in scene.table.workers.items()}
-        scene.make_pass()
-        for name, worker in scene.table.workers.items():
-            for key in worker.runs.keys() - before[name]:
-                self._begin(worker.runs[key])
-        for eviction in scene.placer.take_evictions():
-            for run in eviction.preemption.runs:
-                if run not in self.runs:
-                    continue
-                self.starts.append((scene.now, run.task.step.job.job_id, -1, run.worker.worker_id))
-                self._end(run)
-                run.task.move_to(TaskState.WAITING)
-
-    def _begin(self, run: Run) -> None:
-        scene = self.scene
-        run.move_to(RunState.RUNNING)
-        run.ordered_at = run.confirmed_at = scene.now
-        self.runs[run] = 0.0
-        step = run.task.step
-        if step.spec.gang:
-            gangs = [task.run.gang for task in step.tasks if task.run and task.run.gang]
-            run.gang = gangs[0] if gangs else GangRun(step, 1)
-            run.gang.members.append(run)
-        where = run.worker.worker_id
-        self.starts.append((scene.now, step.job.job_id, run.task.index, where))
-
-    def _advance(self, run: Run, holds: bool) -> None:
-        if run not in self.runs:
-            return
-        step = run.task.step
-        times = 1.0 if holds else self.takes[step.job.job_id]
-        whole = step.spec.estimated_ms / 1_000.0 * times * self.slowness[run.worker.worker_id]
-        self.runs[run] += TICK_SECONDS
-        percent = min(100, int(100 * self.runs[run] / whole))
-        if percent // 10 != run.percent // 10 and percent < 100:
-            run.percent = percent
-            run.moved_at = run.listed_at = self.scene.now
-            self.durations.note_progress(run, self.scene.now)
-        if self.runs[run] >= whole + self.lag - 1e-9:
-            self.durations.note_end(run, RunEnd.DONE, self.scene.now)
-            self._end(run)
-            run.task.move_to(TaskState.DONE)
-
-    def _end(self, run: Run) -> None:
-        del self.runs[run]
-        run.move_to(RunState.ENDED)
-        run.worker.remove(run)
-        run.task.run = None
-        self.scene.table.note_gain(run.worker)
-
-
-@when("{count:d} random histories of sound work are played with learning and without")
-def _alike(context: Any, count: int) -> None:
-    context.pairs = []
-
-    @settings(max_examples=count, phases=WITHOUT_SHRINKING)
-    @drawn_from(_jobs, st.sampled_from([0.0, 0.02, 0.05]))
-    def check(history: list[Any], lag: float) -> None:
-        learning = Durations()
-        first = _Played(learning, False, lag).play(history * 3, holds=True)
-        second = _Played(Durations(False), False, lag).play(history * 3, holds=True)
-        known = sum(work.is_known for work in learning.queues.values())
-        context.pairs.append((first, second, known))
-        assert first == second, (first, second)
-
-    check()
-    known_count = sum(known for _first, _second, known in context.pairs)
-    assert known_count > count, known_count
-
-
-@when("{count:d} random histories of unlike work are played with the part off and without learning")
-def _off(context: Any, count: int) -> None:
-    context.pairs = []
-
-    @settings(max_examples=count, phases=WITHOUT_SHRINKING)
-    @drawn_from(_jobs)
-    def check(history: list[Any]) -> None:
-        first = _Played(Durations(False), True, 0.02).play(history * 3, holds=False)
-        naive = _Played(_Unaware(False), True, 0.02).play(history * 3, holds=False)
-        context.pairs.append((first, naive, 0))
-        assert first == naive
-
-    check()
-
-
-class _Unaware(Durations):
-    """The naive version: told of nothing."""
-
-    def note_progress(self, run: Run, now: float) -> None:
-        pass
-
-    def note_end(self, run: Run, end: RunEnd, now: float) -> None:
-        pass
-
-    def keep(self, now: float) -> bool:
-        return False
-
-
-@then("the same tasks started on the same workers at the same times")
-def _same_starts(context: Any) -> None:
-    assert all(first == second for first, second, _known in context.pairs)
-    starts = sum(len(first) for first, _second, _known in context.pairs)
-    assert starts > 1_000, starts
-
-
-# How far forecasts are off
-
-
-OFF = {"tenth": 0.1, "half": 0.5, "sound": 1.0, "double": 1.9}
-
-
-@given("a cell of {count:d} unlike workers and four queues whose estimates are off by up to 0.9")
-def _unlike_cell(context: Any, count: int) -> None:
-    shop = context.shop = _Shop()
-    for number in range(count):
-        name = f"w{number}"
-        shop.add_worker(name)
-        shop.slowness[name] = 2.0 if number % 5 == 0 else 1.0
-    shop.tail = 2
-
-
-@when("{jobs:d} jobs are run in it")
-def _run_in_cell(context: Any, jobs: int) -> None:
-    shop = context.shop
-    began: list[tuple[str, Run, float, float]] = []
-    source = random.Random(11)
-    for number in range(jobs):
-        queue = source.choice(list(OFF))
-        seconds = source.uniform(2.0, 6.0)
-        times = OFF[queue] * math.exp(source.gauss(0.0, 0.15))
-
-        def note(run: Run, queue: str = queue, seconds: float = seconds) -> None:
-            worker = run.worker.worker_id
-            learned = shop.durations.expected(queue, "", seconds * 1_000.0, worker)
-            began.append((queue, run, seconds, learned.median_seconds))
-
-        late = number >= jobs // 2
-        step = shop.start(source.randint(1, 12), seconds, queue=queue, times=times)
-        if late:
-            for run in [run for run in shop.runs if run.task.step is step]:
-                note(run)
-        shop.pass_time(0.25)
-    shop.drain()
-    context.errors = {queue: ([], []) for queue in OFF}
-    for queue, run, estimate, learned in began:
-        actual = run.usage / 1e6 * shop.slowness[run.worker.worker_id]
-        before, after = context.errors[queue]
-        before.append(abs(math.log(actual / estimate)))
-        after.append(abs(math.log(actual / learned)))
-
-
-@then("forecasts are off by less than half as much as callers' estimates, and in no queue by more")
-def _errors(context: Any) -> None:
-    befores = [error for before, _after in context.errors.values() for error in before]
-    afters = [error for _before, after in context.errors.values() for error in after]
-    figures = {
-        queue: (round(statistics.mean(before), 3), round(statistics.mean(after), 3))
-        for queue, (before, after) in context.errors.items()
-    }
-    assert statistics.mean(afters) < 0.5 * statistics.mean(befores), figures
-    assert all(after <= before for before, after in figures.values()), figures
