--- a/features/steps/admission_rule_steps.py
+++ b/features/steps/admission_rule_steps.py
@@ -20,7 +20,7 @@
 from onyxspoke.core.admission.returns import MAXIMUM_REMEMBERED, Returns, hash_of
 from onyxspoke.core.admission.room_curve import RoomCurve
 from onyxspoke.core.admission.slots import PATIENT_SHARE, WHOLE_SECOND, ServedSeconds
-from onyxspoke.core.admission.verdict import Admit, RefusalReason, Refuse, VerdictInputs
+from onyxspoke.core.admission.verdict import Admit, RefusalReason, Refuse
 from onyxspoke.core.admission.view_builder import Load, build_view
 from onyxspoke.core.admission.waiting_line import WaitingLine, WaitingWork
 from onyxspoke.core.estimates.durations import Durations
@@ -30,9 +30,6 @@
 from onyxspoke.core.jobs.states import RunState
 from onyxspoke.core.placement.queue_order import Lateness, StepRank
 from onyxspoke.core.placement.workers import WorkerContact
-from onyxspoke.core.shard import admission_desk
-from onyxspoke.core.shard.actions import ReplyToCall
-from onyxspoke.core.shard.calls import ReplyCode, SubmitCall
 from onyxspoke.core.tenants.policy import TenantPolicy
 
 WORKERS = 3
@@ -414,96 +411,3 @@
     assert context.closings.notices(100.0 + 31.0) == ()
     assert context.closings.take_opened(100.0 + 31.0)
     assert context.closings.take_opened(100.0 + 32.0) == []
-
-
-# Known identifiers, on a holder
-
-
-def _scheduler(context: Any) -> Any:
-    return context.cluster.holder().node.seats[0].scheduler
-
-
-@when("its gate refuses everything")
-def _refuse_all(context: Any) -> None:
-    context.arrivals.hand_in("normal")
-    context.cluster.run(0.5)
-    patch = mock.patch.object(Gate, "decide", _refuse)
-    patch.start()
-    context.add_cleanup(patch.stop)
-
-
-def _refuse(_gate: Gate, job: HandIn, view: LoadView, now: float) -> Any:
-    inputs = VerdictInputs(
-        ahead_seconds=0.0,
-        advice_seconds=0.0,
-        work_median_seconds=0.0,
-        work_upper_seconds=0.0,
-        patience_seconds=0.0,
-        view_age_seconds=0.0,
-    )
-    return Refuse(RefusalReason.TOO_LATE, 1.0, inputs)
-
-
-@then("a job that was taken before has its 2xx again, also one that an append under way has")
-def _known(context: Any) -> None:
-    [caller] = context.arrivals.of()
-    scheduler = _scheduler(context)
-    now = context.cluster.time.now()
-    book = scheduler.context.book
-    fresh = msgspec.structs.replace(caller.spec, job_id="f" * 16)
-    book.submit(fresh, now)
-    replies = []
-    for spec in (caller.spec, fresh):
-        scheduler.stimulus_call(-1, SubmitCall(spec), now)
-        replies += [a.reply for a in scheduler.context.actions if isinstance(a, ReplyToCall)]
-        scheduler.context.actions = [
-            action for action in scheduler.context.actions if not isinstance(action, ReplyToCall)
-        ]
-    assert [reply.code for reply in replies] == [ReplyCode.OK], replies
-
-
-@then("a job that is not known is refused, and decided anew when it comes again")
-def _unknown_refused(context: Any) -> None:
-    caller = context.arrivals.hand_in("normal")
-    context.cluster.run(0.5)
-    assert len(caller.refusals) == 1
-    mock.patch.stopall()
-    context.cluster.run(5.0)
-    assert caller.accepted_at is not None and caller.is_of_use
-
-
-@then("a job of the first that comes {times:d} times asks once whether it is owed")
-def _asks_once(context: Any, times: int) -> None:
-    scheduler = _scheduler(context)
-    [caller] = context.arrivals.of()
-    shares = scheduler.context.shares
-    # The first job of all takes the one mark that is saved up.
-    for name, count in (("d", 1), ("e", times)):
-        spec = msgspec.structs.replace(caller.spec, job_id=name * 16, tenant="none")
-        for _ in range(count):
-            scheduler.stimulus_call(-1, SubmitCall(spec), context.cluster.time.now())
-            context.cluster.run(1.0)
-    assert (shares.owed_count("none"), shares.beyond_count("none")) == (1, 1)
-
-
-@given("nothing of the part can be asked")
-def _poisoned(context: Any) -> None:
-    def fail(*_args: Any, **_kwargs: Any) -> None:
-        raise AssertionError("asked while it is off")
-
-    for target in (
-        (Gate, "decide"),
-        (admission_desk, "build_view"),
-        (admission_desk, "describe_hand_in"),
-        (Returns, "refuse"),
-    ):
-        patch = mock.patch.object(*target, fail)
-        patch.start()
-        context.add_cleanup(patch.stop)
-
-
-@then("its jobs are all taken while the store answers")
-def _all_taken(context: Any) -> None:
-    assert context.arrivals.of()
-    for caller in context.arrivals.of():
-        assert all(reason == "store_in_trouble" for _at, _wait, reason in caller.refusals)
