Admission: count the capacity of runs that preemption frees

Seen by callers: urgent jobs within their tenant's share were refused with 429 (mostly too_late) on cells where less urgent runs held the workers, though the same job was admitted where those runs were absent.

Cause: a job that the forecast refuses is admitted all the same if workers could run it now. The view listed only capacity that no run holds, whatever the priority of the run and of the job, while the forecast beside it counts less urgent runs with checkpoints as giving way.

Change: the view keeps, for each worker, the free capacity and that of runs that can be preempted, by priority. A job counts the latter for its own priority. A job over its tenant's share counts only what is free, because placement preempts for jobs within their share only. The rule which runs can be preempted is now one function of preemption.py, used by placement and by the forecast.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -143,10 +143,21 @@
     When jobs are submitted to random cells
     Then no job is refused that idle workers could run
 
+  # Urgent jobs were refused for capacity that less urgent runs give up, and for the time that a stop may take.
   Scenario: An urgent job is never refused for less urgent work that waits, or runs and gives way
     When urgent jobs are submitted to random cells with and without less urgent work
     Then each job that is admitted without the less urgent work is also admitted with it
 
+  # Capacity that preemption frees counted as taken, so urgent jobs were refused.
+  Scenario: Capacity that less urgent runs give up is available to a job within its tenant's share
+    Given a cell whose workers run less urgent tasks with checkpoints, and 30 seconds of waiting work
+    Then a job with an estimate of 2 seconds, within its tenant's share, is "admitted"
+    And a job with an estimate of 2 seconds, over its tenant's share, is "too_late"
+
+  Scenario: Capacity of less urgent runs that don't give way is not available
+    Given a cell whose workers run less urgent tasks without checkpoints, and 30 seconds of waiting work
+    Then a job with an estimate of 2 seconds, within its tenant's share, is "too_late"
+
   Scenario: Retries are spread over time, within the work that each second can serve
     When retry slots are reserved for random amounts of work and random minimum waits
     Then no second has more work reserved than it can serve
--- a/features/steps/admission_rule_steps.py
+++ b/features/steps/admission_rule_steps.py
@@ -227,6 +227,16 @@
     context.scene = _make_cell(runs, waiting)
 
 
+@given(
+    "a cell whose workers run less urgent tasks {with_or_without} checkpoints,"
+    " and {seconds:d} seconds of waiting work"
+)
+def _preemptible_cell(context: Any, with_or_without: str, seconds: int) -> None:
+    checkpointing = with_or_without == "with"
+    runs = [(index, PROCESSORS, 2, checkpointing) for index in range(WORKERS)]
+    context.scene = _make_cell(runs, [(WORKERS * seconds // 2, PROCESSORS, 1, 0)])
+
+
 @given("a cell whose workers are busy for {seconds:d} seconds, without waiting work")
 def _busy_cell(context: Any, seconds: int) -> None:
     context.scene = _make_cell([(index, PROCESSORS, 1, False) for index in range(WORKERS)], [])
--- a/src/onyxspoke/core/admission/decider.py
+++ b/src/onyxspoke/core/admission/decider.py
@@ -8,8 +8,9 @@
 
 A job without an end or an objective is always admitted.  Any other job is refused if it needs more
 than its tenant's whole quota, and admitted if the capacity of its service is unknown.  A job that
-these rules would refuse for another reason is admitted all the same if free workers could run it
-now and advice for it arrives in time.
+these rules would refuse for another reason is admitted all the same if advice for it arrives in
+time and workers could run it now, in free capacity or, within its tenant's share, in that of less
+urgent runs that can be preempted.
 """
 
 from __future__ import annotations
@@ -89,7 +90,7 @@
 
 
 def _can_start_now(job: SubmittedJob, view: LoadView, inputs: VerdictInputs) -> bool:
-    """Return whether free workers could run the job now, and advice for it arrives in time."""
+    """Return whether workers could run the job now, and advice for it arrives in time."""
     max_advice_seconds = inputs.seconds_to_expiry - job.chain_median_seconds
     is_advice_in_time = job.advice_seconds <= max(max_advice_seconds, job.objective_seconds)
     return is_advice_in_time and view.has_capacity_for(job)
--- a/src/onyxspoke/core/admission/load_view.py
+++ b/src/onyxspoke/core/admission/load_view.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
+from onyxspoke.core.admission.available_capacity import AvailableCapacity, WorkerCapacity
 from onyxspoke.core.admission.resource_pool import DurationBounds, ResourcePool, dominant_share
 from onyxspoke.core.admission.submitted_job import StepWork, SubmittedJob
 from onyxspoke.core.jobs.model import ResourceVector
@@ -12,13 +12,6 @@
 from onyxspoke.core.tenants.policy import TenantName
 
 
-class FreeCapacity(NamedTuple):
-    """The free capacity of one worker."""
-
-    resources: ResourceVector
-    labels: tuple[str, ...]
-
-
 @dataclass(slots=True)
 class LoadView:
     """A view of the load at one moment.
@@ -33,15 +26,15 @@
         Quota of each tenant that has one.
     quota_pools : dict of TenantName to ResourcePool
         Pool of each tenant that has a quota.
-    free_capacity : dict of str to list of FreeCapacity
-        For each service, the workers with free capacity, in descending order of free processors.
+    available_capacity : dict of str to AvailableCapacity
+        For each service, the capacity in which new tasks could start now.
     """
 
     made_at: float
     pools: dict[str, ResourcePool]
     quotas: dict[TenantName, ResourceVector] = field(default_factory=dict)
     quota_pools: dict[TenantName, ResourcePool] = field(default_factory=dict)
-    free_capacity: dict[str, list[FreeCapacity]] = field(default_factory=dict)
+    available_capacity: dict[str, AvailableCapacity] = field(default_factory=dict)
     #: Needs of jobs that were admitted after the view was made, by service.
     _admitted_needs: dict[str, ResourceVector] = field(default_factory=dict)
 
@@ -103,8 +96,12 @@
         return pool is not None and pool.would_expire_late_job(job)
 
     def has_capacity_for(self, job: SubmittedJob) -> bool:
-        """Return whether all tasks of the job's first steps could start now."""
-        workers = self.free_capacity.get(job.service, [])
+        """Return whether all tasks of the job's first steps could start now.
+
+        Capacity counts if it is free, or if preemption can free it for the job.
+        """
+        capacity = self.available_capacity.get(job.service)
+        workers = [] if capacity is None else capacity.workers_for(job.rank)
         admitted_needs = self._admitted_needs.get(job.service, ResourceVector())
         return all(
             _fits(step, workers, admitted_needs) for step in job.steps if step.is_first
@@ -123,17 +120,17 @@
         return needed_share <= free_share
 
 
-def _fits(step: StepWork, workers: list[FreeCapacity], admitted_needs: ResourceVector) -> bool:
+def _fits(step: StepWork, workers: list[WorkerCapacity], admitted_needs: ResourceVector) -> bool:
     """Return whether a step's tasks fit on the workers, beside the tasks of other admitted jobs."""
     unplaced_tasks = step.task_count
     if any(admitted_needs):
         unplaced_tasks += _displaced_task_count(step.needs, admitted_needs)
     for worker in workers:
-        if worker.resources.processors_milli < step.needs.processors_milli:
+        if worker.free.processors_milli < step.needs.processors_milli:
             return False
         if step.label and step.label not in worker.labels:
             continue
-        unplaced_tasks -= count_fitting_tasks(worker.resources, step.needs)
+        unplaced_tasks -= count_fitting_tasks(worker.free, step.needs)
         if unplaced_tasks <= 0:
             return True
     return False
--- a/src/onyxspoke/core/admission/load_view_builder.py
+++ b/src/onyxspoke/core/admission/load_view_builder.py
@@ -8,8 +8,13 @@
 from typing import NamedTuple
 
 from onyxspoke.core.admission.arrivals import ArrivalMeter, RankClass, rank_class_of
+from onyxspoke.core.admission.available_capacity import (
+    AvailableCapacity,
+    PreemptibleCapacity,
+    WorkerCapacity,
+)
 from onyxspoke.core.admission.late_job_margins import LateWork
-from onyxspoke.core.admission.load_view import FreeCapacity, LoadView
+from onyxspoke.core.admission.load_view import LoadView
 from onyxspoke.core.admission.resource_pool import HeldCapacity, ResourcePool, dominant_share
 from onyxspoke.core.admission.submitted_job import min_task_seconds
 from onyxspoke.core.admission.waiting_work import HORIZONS_SECONDS, WaitingWork
@@ -21,6 +26,7 @@
 from onyxspoke.core.jobs.resource_vectors import add_vectors
 from onyxspoke.core.jobs.states import RunState
 from onyxspoke.core.placement.forecast import RELIABLE_PROGRESS_PERCENT, remaining_seconds
+from onyxspoke.core.placement.preemption import has_preemptible_work
 from onyxspoke.core.placement.queue_order import (
     EXPIRY_FACTOR,
     Lateness,
@@ -34,6 +40,8 @@
 from onyxspoke.core.tenants.policy import TenantName
 
 _FULL_PERCENT = 100
+#: Placement can preempt a run in these states, or once its worker has confirmed the start.
+_PREEMPTIBLE_STATES = (RunState.STARTING, RunState.RUNNING)
 
 ExpectedDuration = Callable[[str, str, int], DurationEstimate]
 
@@ -111,8 +119,8 @@
             run for worker in self._inputs.table.workers.values() for run in worker.runs.values()
         ]
         quota_pools = self._make_quota_pools(held)
-        pools, free_capacity = self._make_pools()
-        return LoadView(self._now, pools, self._quotas, quota_pools, free_capacity)
+        pools, available_capacity = self._make_pools()
+        return LoadView(self._now, pools, self._quotas, quota_pools, available_capacity)
 
     # Waiting work
 
@@ -142,19 +150,19 @@
 
     # Resource pools
 
-    def _make_pools(self) -> tuple[dict[str, ResourcePool], dict[str, list[FreeCapacity]]]:
+    def _make_pools(self) -> tuple[dict[str, ResourcePool], dict[str, AvailableCapacity]]:
         workers_by_service: dict[str, list[Worker]] = {}
         for worker in self._inputs.table.workers.values():
             if worker.contact is not WorkerContact.ENDED and worker.listing is WorkerListing.READY:
                 workers_by_service.setdefault(worker.record.service, []).append(worker)
         pools = {}
-        free_capacity = {}
+        available_capacity = {}
         for service, workers in workers_by_service.items():
             pool = self._make_pool(service, workers)
             if pool is not None:
                 pools[service] = pool
-                free_capacity[service] = self._free_capacity_of(service)
-        return pools, free_capacity
+                available_capacity[service] = self._available_capacity_of(service)
+        return pools, available_capacity
 
     def _make_pool(self, service: str, workers: list[Worker]) -> ResourcePool | None:
         reconciled = [worker for worker in workers if worker.contact is WorkerContact.RECONCILED]
@@ -189,16 +197,19 @@
             earliest_start_seconds=expected_retry.retry_at - self._now,
         )
 
-    def _free_capacity_of(self, service: str) -> list[FreeCapacity]:
-        free_capacity = []
+    def _available_capacity_of(self, service: str) -> AvailableCapacity:
+        workers = []
         for worker in self._inputs.table.offered(service):
-            resources = ResourceVector(
+            free = ResourceVector(
                 worker.free_processors, worker.free_memory, worker.free_accelerators
             )
-            if resources.processors_milli > 0 or not worker.record.capacity.processors_milli:
-                free_capacity.append(FreeCapacity(resources, worker.record.labels))
-        free_capacity.sort(key=lambda worker: -worker.resources.processors_milli)
-        return free_capacity
+            preemptible = tuple(
+                PreemptibleCapacity(self._priority_of(run), run.needs)
+                for run in worker.runs.values()
+                if run.state in _PREEMPTIBLE_STATES and has_preemptible_work(run)
+            )
+            workers.append(WorkerCapacity(free, worker.record.labels, preemptible))
+        return AvailableCapacity(workers)
 
     def _make_quota_pools(self, runs: list[Run]) -> dict[TenantName, ResourcePool]:
         held: dict[TenantName, list[HeldCapacity]] = {}
@@ -220,16 +231,16 @@
         ]
 
     def _held_capacity(self, run: Run, total: ResourceVector) -> HeldCapacity:
-        spec = run.task.step.spec
-        queue = self._inputs.policy.queue_of(run.task.step.job.spec)
-        seconds = self._seconds_left(run)
-        is_preemptible = (
-            spec.checkpointing and run.gang is None and not spec.long_running and not spec.fills
-        )
         return HeldCapacity(
-            seconds, dominant_share(run.needs, total), queue.priority, is_preemptible
+            seconds_left=self._seconds_left(run),
+            share=dominant_share(run.needs, total),
+            priority=self._priority_of(run),
+            is_preemptible=has_preemptible_work(run),
         )
 
+    def _priority_of(self, run: Run) -> int:
+        return self._inputs.policy.queue_of(run.task.step.job.spec).priority
+
     def _seconds_left(self, run: Run) -> float:
         """Return the time in seconds until a run releases its resources.
 
--- a/src/onyxspoke/core/placement/preemption.py
+++ b/src/onyxspoke/core/placement/preemption.py
@@ -78,6 +78,12 @@
     return freed
 
 
+def has_preemptible_work(run: Run) -> bool:
+    """Return whether stopping a run loses almost no work and affects no other run."""
+    step = run.task.step.spec
+    return run.gang is None and step.checkpointing and not step.long_running and not step.fills
+
+
 def _choose_on_worker(
     worker: Worker,
     priority: int,
@@ -113,13 +119,9 @@
 
 
 def _is_preemptible(run: Run, priority: int, policy: PolicySet) -> bool:
-    step = run.task.step.spec
     return (
         run.state is RunState.RUNNING
-        and run.gang is None
-        and step.checkpointing
-        and not step.long_running
-        and not step.fills
+        and has_preemptible_work(run)
         and _priority_of(run, policy) > priority
     )
 
