Admission: in the best case, a preempted run stops at once

Seen by callers: an urgent job was refused as too_late, or in_doubt for a late job of its own class, because less urgent runs with checkpoints were on the workers.

Cause: the best case counted the whole stop grace for each preempted run. The margins of late jobs are computed from the same curve and were too short by the same time.

Change: the best-case curve releases preemptible shares at once; the worst case counts the longest stop as before.

"The time that the stop of a less urgent run may take ..." fails on the source before, passes now.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -158,6 +158,11 @@
     Given a cell whose workers run less urgent tasks without checkpoints, and 30 seconds of waiting work
     Then a job with an estimate of 2 seconds, within its tenant's share, is "too_late"
 
+  # The longest time that a stop may take counted as certain, so urgent jobs were refused as too late.
+  Scenario: The time that the stop of a less urgent run may take does not make a job certain to expire
+    Given a cell whose workers run less urgent tasks with checkpoints, and 15 seconds of waiting work
+    Then a job with 5 tasks that each need a whole worker is admitted
+
   Scenario: Retries are spread over time, within the work that each second can serve
     When retry slots are reserved for random amounts of work and random minimum waits
     Then no second has more work reserved than it can serve
--- a/features/steps/admission_rule_steps.py
+++ b/features/steps/admission_rule_steps.py
@@ -323,6 +323,12 @@
     assert found == outcome, verdict
 
 
+@then("a job with {tasks:d} tasks that each need a whole worker is admitted")
+def _wide_job_admitted(context: Any, tasks: int) -> None:
+    verdict = _decide(context, True, job=(tasks, PROCESSORS, 1, False))
+    assert isinstance(verdict, Admit), verdict
+
+
 @then("a job that can never fit its tenant's quota is refused")
 def _exceeds_quota(context: Any) -> None:
     tenant = TenantPolicy(name="small", weight=1.0, quota=ResourceVector(2_000, 0, 0))
--- a/src/onyxspoke/core/admission/load_view_builder.py
+++ b/src/onyxspoke/core/admission/load_view_builder.py
@@ -66,7 +66,7 @@
     Attributes
     ----------
     stop_seconds : float
-        Time that a run takes to stop when it is preempted.
+        The longest time that a run takes to stop when it is preempted.
     arrivals : ArrivalMeter
         Rates of recently admitted work.
     expected_retries : iterable of ExpectedRetry
@@ -185,7 +185,7 @@
             held=self._held_on(reconciled, total),
             best_case_capacity_factor=max(1.0, dominant_share(_sum_capacity(workers), total)),
             held_on_unreconciled=self._held_on(unreconciled, total),
-            stop_seconds=self._inputs.stop_seconds,
+            max_stop_seconds=self._inputs.stop_seconds,
             late_work=late_work,
             arrival_rates=self._inputs.arrivals.rates(service, self._now),
         )
--- a/src/onyxspoke/core/admission/resource_pool.py
+++ b/src/onyxspoke/core/admission/resource_pool.py
@@ -83,8 +83,8 @@
         Capacity including workers that are not reconciled yet, as a multiple of ``total``.
     held_on_unreconciled : list of HeldCapacity
         Shares held by known runs on workers that are not reconciled yet.
-    stop_seconds : float
-        Time that a run takes to stop when it is preempted.
+    max_stop_seconds : float
+        The longest time that a run takes to stop when it is preempted.
     arrival_rates : dict of RankClass to float
         Rate of newly admitted work, in share-seconds per second.
     late_work : dict of RankClass to list of LateWork
@@ -96,7 +96,7 @@
     held: list[HeldCapacity]
     best_case_capacity_factor: float = 1.0
     held_on_unreconciled: list[HeldCapacity] = field(default_factory=list)
-    stop_seconds: float = 0.0
+    max_stop_seconds: float = 0.0
     arrival_rates: dict[RankClass, float] = field(default_factory=dict)
     late_work: dict[RankClass, list[LateWork]] = field(default_factory=dict)
     #: Work of jobs that were admitted after the view was made.
@@ -227,33 +227,28 @@
     def _capacity_curve(self, priority: int, *, is_best_case: bool = False) -> FreeCapacityCurve:
         """Return the capacity that becomes free for the queues of one priority.
 
-        In the best case, workers that are not reconciled yet are counted, because they may be idle
-        and answer at any moment.
+        Preemptible runs of queues with lower priority release their share once they have stopped:
+        at once in the best case.  In the best case, workers that are not reconciled yet are counted
+        too, because they may be idle and answer at any moment.
         """
-        is_best_case = is_best_case and self.best_case_capacity_factor > 1.0
         curve = self._capacity_curves.get((priority, is_best_case))
         if curve is None:
-            total = self.best_case_capacity_factor if is_best_case else 1.0
-            held = self.held + self.held_on_unreconciled if is_best_case else self.held
             curve = self._capacity_curves[priority, is_best_case] = self._make_capacity_curve(
-                priority, total, held
+                priority, is_best_case
             )
         return curve
 
-    def _make_capacity_curve(
-        self, priority: int, total: float, held: list[HeldCapacity]
-    ) -> FreeCapacityCurve:
-        """Return the capacity that becomes free for the queues of one priority.
-
-        Preemptible runs of queues with lower priority release their share as soon as they can stop.
-        """
+    def _make_capacity_curve(self, priority: int, is_best_case: bool) -> FreeCapacityCurve:
+        total = self.best_case_capacity_factor if is_best_case else 1.0
+        held = self.held + self.held_on_unreconciled if is_best_case else self.held
+        stop_seconds = 0.0 if is_best_case else self.max_stop_seconds
         releases = []
         free_share = total
         for run in held:
             free_share -= run.share
             seconds = run.seconds_left
             if run.is_preemptible and run.priority > priority:
-                seconds = min(seconds, self.stop_seconds)
+                seconds = min(seconds, stop_seconds)
             if seconds < math.inf:
                 releases.append((seconds, run.share))
         return FreeCapacityCurve(free_share, releases)
