Admission: a margin below a scheduling round protects no late job

Seen by callers: an urgent job was refused in_doubt for the sake of a late job of its own class that had a margin of one millisecond in the best case, and would have been taken had that job been certain to expire.

Cause: every margin of 0 or more counted as one that can be kept. A start comes up to a scheduling round later than the forecast, so a job with less margin than that expires in any case, and the refusal helps nobody.

Change: margins below 0.05 s, a round, are left out.

"Only a late job that can wait for a scheduling round ..." fails at 0.02 s on the source before.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -163,6 +163,16 @@
     Given a cell whose workers run less urgent tasks with checkpoints, and 15 seconds of waiting work
     Then a job with 5 tasks that each need a whole worker is admitted
 
+  # An urgent job was refused for a late job that had a margin of a millisecond.
+  Scenario Outline: Only a late job that can wait for a scheduling round keeps others out - <margin> s
+    Given a late job that can wait <margin> seconds longer than the work before it takes
+    Then one more second of work <effect> it expire
+
+    Examples:
+      | margin | effect        |
+      | 0.02   | does not make |
+      | 0.2    | makes         |
+
   Scenario: Retries are spread over time, within the work that each second can serve
     When retry slots are reserved for random amounts of work and random minimum waits
     Then no second has more work reserved than it can serve
--- a/features/steps/admission_rule_steps.py
+++ b/features/steps/admission_rule_steps.py
@@ -15,6 +15,7 @@
 from onyxspoke.core.admission.arrivals import ArrivalMeter
 from onyxspoke.core.admission.decider import AdmissionDecider, closed_seconds
 from onyxspoke.core.admission.free_capacity_curve import FreeCapacityCurve
+from onyxspoke.core.admission.late_job_margins import LateJobMargins, LateWork
 from onyxspoke.core.admission.load_view import LoadView
 from onyxspoke.core.admission.load_view_builder import LoadInputs, build_load_view
 from onyxspoke.core.admission.queue_closures import MAX_NOTICE_TENANTS, ClosureScope, QueueClosures
@@ -293,6 +294,18 @@
     context.scene = _make_cell(runs, [(1, PROCESSORS, 1, 8)])
 
 
+@given("a late job that can wait {margin:g} seconds longer than the work before it takes")
+def _late_job_margin(context: Any, margin: float) -> None:
+    work_before = 3.0
+    late_work = LateWork(slack_seconds=work_before + margin, work_share_seconds=0.5)
+    context.margins = LateJobMargins([late_work], work_before, lambda work: work)
+
+
+@then("one more second of work {effect} it expire")
+def _more_work(context: Any, effect: str) -> None:
+    assert context.margins.any_expires_after(1.0) == (effect == "makes")
+
+
 @given("a waiting job of one processor with an estimate of {seconds:d} seconds")
 def _excessive_estimate(context: Any, seconds: int) -> None:
     step = context.scene.add_step("odd", 1, 1, 1)
--- a/src/onyxspoke/core/admission/late_job_margins.py
+++ b/src/onyxspoke/core/admission/late_job_margins.py
@@ -10,6 +10,10 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+#: A late job with less margin than this, in seconds, counts as certain to expire: a scheduling
+#: round may delay its start by as much.
+MIN_MARGIN_SECONDS = 0.05
+
 
 class LateWork(NamedTuple):
     """Waiting work of a late job.
@@ -58,7 +62,7 @@
             margins.append(late_work.slack_seconds - start_seconds)
             preceding_work += late_work.work_share_seconds
         #: Margins in seconds; jobs that expire in any case are left out.
-        self._margins = sorted(margin for margin in margins if margin >= 0.0)
+        self._margins = sorted(margin for margin in margins if margin >= MIN_MARGIN_SECONDS)
         self._admitted_work = 0.0
 
     def add(self, work_share_seconds: float) -> None:
