Placement: steps that wait for capacity claim what they rely on

Seen by callers: urgent jobs that were admitted beside less urgent work expired, or were late, though stopping that work would have served them.

Cause: a step preempts only if no worker is expected to have room within 1 s. At most a fifth of a service may be reserved, so beyond the first few steps every waiting step counted on the same run to end, and none had a run stopped. Beside urgent runs of a second this always held. Ruled out: protection of runs that would be late (false for nearly all of them), tickets (no advice).

Change: a step that relies on capacity without a reservation claims it on that worker. Claims count in the forecast and in the choice of runs to preempt of the steps after it; tasks may still start in that capacity. They are reapplied in passes that skip the step, and go with the step.

--- a/features/steps/admission_callers.py
+++ b/features/steps/admission_callers.py
@@ -95,12 +95,16 @@
             self.cluster.time.schedule(delay_seconds, partial(self.submit, queue, tenant))
 
     def submit(
-        self, queue: str, tenant: str = "", estimated_ms: int = int(WORK_SECONDS * 1_000)
+        self,
+        queue: str,
+        tenant: str = "",
+        estimated_ms: int = int(WORK_SECONDS * 1_000),
+        task_count: int = 1,
     ) -> Caller:
         cluster = self.cluster
         job_id = f"{len(self.callers) + 1:016x}"
         step = StepSpec(
-            task_count=1,
+            task_count=task_count,
             processors_milli=PROCESSORS_MILLI,
             memory_mb=100,
             estimated_ms=estimated_ms,
@@ -115,7 +119,7 @@
         )
         cluster.pool.specs[job_id] = spec
         cluster.audit.handle_submitted(spec)
-        self._remaining_tasks[job_id] = 1
+        self._remaining_tasks[job_id] = task_count
         caller = self.callers[job_id] = Caller(spec, cluster.time.now())
         self.send_call(caller)
         return caller
--- /dev/null
+++ b/features/steps/urgent_job_steps.py
@@ -0,0 +1,82 @@
+"""Steps about urgent jobs in a running cell that is full of less urgent work."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import Any
+from unittest import mock
+
+from admission_callers import COMPLETION_SECONDS, OBJECTIVE_SECONDS, TASKS_PER_WORKER
+from behave import given, then, when
+
+from onyxspoke.core.jobs.model import TaskKey
+from onyxspoke.core.placement.queue_order import EXPIRY_FACTOR
+from onyxspoke.kit.jobs.workers import FakeWorkerPool
+
+LESS_URGENT_TASK_MS = 8_000
+#: How often the less urgent work fills the whole cell.
+LESS_URGENT_ROUNDS = 2.5
+
+
+def _estimated_seconds(pool: FakeWorkerPool, task: TaskKey) -> float:
+    """Stand in for random durations, as if every task took as long as its caller estimated."""
+    return pool.specs[task.job_id].steps[task.step].estimated_ms / 1_000.0
+
+
+@given("it is full of less urgent work with checkpoints")
+def _fill_cell(context: Any) -> None:
+    patch = mock.patch.object(FakeWorkerPool, "seconds_of", _estimated_seconds)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    slots = TASKS_PER_WORKER * len(context.cluster.pool.workers)
+    for _ in range(int(LESS_URGENT_ROUNDS * slots)):
+        context.traffic.submit("patient", estimated_ms=LESS_URGENT_TASK_MS)
+    context.cluster.run(LESS_URGENT_TASK_MS / 2_000.0)
+    running = sum(len(worker.runs) for worker in context.cluster.pool.workers.values())
+    assert running == slots, running
+
+
+@when(
+    "{rate:d} urgent jobs of {tasks:d} task per second are submitted to it for {seconds:d} seconds"
+)
+@when(
+    "{rate:d} urgent jobs of {tasks:d} tasks per second are submitted to it for {seconds:d} seconds"
+)
+def _submit_urgent_jobs(context: Any, rate: int, tasks: int, seconds: int) -> None:
+    traffic = context.traffic
+    for index in range(rate * seconds):
+        submit = partial(traffic.submit, "urgent", task_count=tasks)
+        traffic.cluster.time.schedule(index / rate, submit)
+    traffic.cluster.run(seconds + COMPLETION_SECONDS)
+    assert len(traffic.select("urgent")) == rate * seconds
+
+
+def _check_urgent(context: Any, most_seconds: float) -> None:
+    callers = context.traffic.select("urgent")
+    refused = [caller.refusals for caller in callers if caller.refusals]
+    assert not refused, (len(refused), refused[0])
+    seconds = [
+        caller.done_at - caller.first_submitted_at if caller.done_at is not None else None
+        for caller in callers
+    ]
+    late = [item for item in seconds if item is None or item > most_seconds]
+    assert not late, (len(late), len(callers), late)
+
+
+@then("every urgent job is admitted at once, and meets its objective")
+def _urgent_on_time(context: Any) -> None:
+    _check_urgent(context, OBJECTIVE_SECONDS)
+
+
+@then("every urgent job is admitted at once, and finishes before it expires")
+def _urgent_before_expiry(context: Any) -> None:
+    _check_urgent(context, EXPIRY_FACTOR * OBJECTIVE_SECONDS)
+
+
+@then("the less urgent jobs are done after {seconds:d} seconds, and the audit finds no violation")
+def _less_urgent_done(context: Any, seconds: int) -> None:
+    context.cluster.run(seconds)
+    callers = context.traffic.select("patient")
+    not_done = [caller for caller in callers if caller.done_at is None]
+    assert callers and not not_done, (len(not_done), len(callers))
+    assert not context.cluster.audit.findings, context.cluster.audit.findings
--- /dev/null
+++ b/features/urgent_jobs.feature
@@ -0,0 +1,20 @@
+Feature: An urgent job that is admitted is also served, whatever less urgent work runs
+
+  A cell of 4 workers can run 16 tasks at a time. All of them run less urgent tasks of 8 seconds that
+  write checkpoints, and more of them wait. Urgent tasks take 1 second, and urgent jobs expire after
+  7.5 seconds, three times their objective.
+
+  Background:
+    Given a cell with admission control
+    And it is full of less urgent work with checkpoints
+
+  # All waiting urgent tasks relied on the same run to end, and none had a less urgent run stopped.
+  Scenario: As many urgent tasks as the cell can serve meet their objective
+    When 16 urgent jobs of 1 task per second are submitted to it for 3 seconds
+    Then every urgent job is admitted at once, and meets its objective
+    And the less urgent jobs are done after 60 seconds, and the audit finds no violation
+
+  Scenario: In a burst, no urgent job expires that was admitted
+    When 40 urgent jobs of 1 task per second are submitted to it for 3 seconds
+    Then every urgent job is admitted at once, and finishes before it expires
+    And the less urgent jobs are done after 60 seconds, and the audit finds no violation
--- a/src/onyxspoke/core/placement/capacity_seeker.py
+++ b/src/onyxspoke/core/placement/capacity_seeker.py
@@ -109,6 +109,8 @@
             self._reservations.reserve(
                 step, [MemberSlots(earliest_worker, 1)], placement_pass.capacity, placement_pass.now
             )
+        elif earliest_at - placement_pass.now <= PREEMPT_IF_LATER_SECONDS:
+            self._reservations.claim(step, earliest_worker, placement_pass.capacity)
         else:
             self._reservations.release(step.key)
 
--- a/src/onyxspoke/core/placement/forecast.py
+++ b/src/onyxspoke/core/placement/forecast.py
@@ -52,8 +52,8 @@
     def capacity_expected_at(
         self, worker: Worker, needs: ResourceVector, capacity: ScratchCapacity
     ) -> float:
-        """Return when a worker will have capacity for one more task; infinity if not known."""
-        processors_milli, memory_mb, accelerators = capacity.free(worker)
+        """Return when a worker will have unclaimed capacity for one task; infinity if not known."""
+        processors_milli, memory_mb, accelerators = capacity.free_beyond_claims(worker)
         if _fits(processors_milli, memory_mb, accelerators, needs):
             return self._now
         for end_at, freed in self._expected_ends_on(worker):
--- a/src/onyxspoke/core/placement/preemption.py
+++ b/src/onyxspoke/core/placement/preemption.py
@@ -92,7 +92,7 @@
     policy: PolicySet,
     now: float,
 ) -> Preemption | None:
-    free = capacity.free(worker)
+    free = capacity.free_beyond_claims(worker)
     candidates = []
     for run in worker.runs.values():
         if run.state is RunState.STOPPING or _ends_soon(run, now):
--- a/src/onyxspoke/core/placement/reservations.py
+++ b/src/onyxspoke/core/placement/reservations.py
@@ -4,13 +4,17 @@
 start ahead of it again and again, and a large gang would wait for as long as the cell is busy.
 Each time a step is evaluated, its reservation is recomputed; passes that skip the step repeat the
 same reservation.
+
+Only part of a service may be reserved.  A step that relies on capacity without a reservation claims
+it, so that the steps after it look for other capacity.  Otherwise all of them would wait for the
+same run to end, and none would preempt another run.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-from onyxspoke.core.jobs.model import StepKey
+from onyxspoke.core.jobs.model import ResourceVector, StepKey
 from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.jobs.resource_vectors import count_fitting_tasks
 from onyxspoke.core.placement.scratch_capacity import ScratchCapacity
@@ -41,12 +45,19 @@
         return sum(item.count for item in self.slots) * self.step.needs.processors_milli
 
 
+@dataclass(slots=True)
+class _Claim:
+    worker: Worker
+    needs: ResourceVector
+
+
 class CapacityReservations:
-    """The reserved capacity of each step that waits for more."""
+    """The reserved or claimed capacity of each step that waits for more."""
 
     def __init__(self, table: WorkerTable) -> None:
         self._table = table
         self._reservations: dict[StepKey, _Reservation] = {}
+        self._claims: dict[StepKey, _Claim] = {}
 
     def has_reservation(self, key: StepKey) -> bool:
         """Return whether a step has a reservation."""
@@ -60,7 +71,8 @@
     def reserve(
         self, step: StepProgress, slots: list[MemberSlots], capacity: ScratchCapacity, now: float
     ) -> None:
-        """Reserve capacity for a step, in place of its previous reservation."""
+        """Reserve capacity for a step, in place of its previous reservation or claim."""
+        self._claims.pop(step.key, None)
         previous = self._reservations.get(step.key)
         since = now if previous is None else previous.since
         self._reservations[step.key] = _Reservation(step, slots, since)
@@ -68,22 +80,32 @@
             self._note_released(previous, {item.worker.worker_id for item in slots})
         self.reapply(step, capacity)
 
+    def claim(self, step: StepProgress, worker: Worker, capacity: ScratchCapacity) -> None:
+        """Claim capacity for one task of a step, in place of its reservation or previous claim."""
+        self.release(step.key)
+        self._claims[step.key] = _Claim(worker, step.needs)
+        self.reapply(step, capacity)
+
     def reapply(self, step: StepProgress, capacity: ScratchCapacity) -> None:
-        """Apply a step's existing reservation in a new pass."""
+        """Apply a step's existing reservation or claim in a new pass."""
+        claim = self._claims.get(step.key)
+        if claim is not None:
+            capacity.claim(claim.worker, claim.needs)
         reservation = self._reservations.get(step.key)
         if reservation is not None:
             for item in reservation.slots:
                 capacity.take(item.worker, step.needs, item.count)
 
     def release(self, key: StepKey) -> None:
-        """Release the reservation of a step."""
+        """Release the reservation or claim of a step."""
+        self._claims.pop(key, None)
         reservation = self._reservations.pop(key, None)
         if reservation is not None:
             self._note_released(reservation, set())
 
     def release_others(self, waiting: set[StepKey]) -> None:
-        """Release the reservations of all steps that no longer wait."""
-        for key in [key for key in self._reservations if key not in waiting]:
+        """Release the reservations and claims of all steps that no longer wait."""
+        for key in [key for key in (*self._reservations, *self._claims) if key not in waiting]:
             self.release(key)
 
     def may_reserve_more(self, total_processors_milli: int) -> bool:
--- a/src/onyxspoke/core/placement/scratch_capacity.py
+++ b/src/onyxspoke/core/placement/scratch_capacity.py
@@ -17,6 +17,7 @@
 
     def __init__(self) -> None:
         self._taken: dict[str, ResourceVector] = {}
+        self._claimed: dict[str, ResourceVector] = {}
 
     def has_taken_from(self, worker: Worker) -> bool:
         """Return whether the pass has used capacity of a worker."""
@@ -67,3 +68,17 @@
         """Count the capacity for ``count`` tasks on a worker as used."""
         taken = self._taken.get(worker.worker_id, ResourceVector())
         self._taken[worker.worker_id] = add_vectors(taken, scale_vector(needs, count))
+
+    def claim(self, worker: Worker, needs: ResourceVector) -> None:
+        """Count capacity that a waiting task will use once it is free.
+
+        Claims affect only the search for capacity; until then other tasks may use it.
+        """
+        claimed = self._claimed.get(worker.worker_id, ResourceVector())
+        self._claimed[worker.worker_id] = add_vectors(claimed, needs)
+
+    def free_beyond_claims(self, worker: Worker) -> ResourceVector:
+        """Return a worker's free capacity less all claims; negative if more will be needed."""
+        claimed = self._claimed.get(worker.worker_id)
+        free = self.free(worker)
+        return free if claimed is None else subtract_vectors(free, claimed)
