Placement: preempt for several tasks of a step at once

Seen by callers: an urgent job of several tasks, admitted to a cell full of less urgent work, was late: its tasks began one after the other.

Cause: a step searched for capacity for one task, and found at its next look the run that was being stopped for that task, so nothing was stopped for the others until the first had started.

Change: a step searches for up to 4 of its tasks; all searches of a pass count against the 12 that bound its duration. Only the capacity for the first task may be reserved, as before; the others claim theirs. A worker is left out once it has its share of the step.

--- a/features/urgent_jobs.feature
+++ b/features/urgent_jobs.feature
@@ -18,3 +18,9 @@
     When 40 urgent jobs of 1 task per second are submitted to it for 3 seconds
     Then every urgent job is admitted at once, and finishes before it expires
     And the less urgent jobs are done after 60 seconds, and the audit finds no violation
+
+  # A step had a run stopped for one of its tasks at a time.
+  Scenario: The tasks of an urgent job start together
+    When 2 urgent jobs of 6 tasks per second are submitted to it for 4 seconds
+    Then every urgent job is admitted at once, and meets its objective
+    And the less urgent jobs are done after 60 seconds, and the audit finds no violation
--- a/src/onyxspoke/core/placement/capacity_seeker.py
+++ b/src/onyxspoke/core/placement/capacity_seeker.py
@@ -8,7 +8,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from onyxspoke.core.jobs.model import QueuePolicy
 from onyxspoke.core.jobs.progress import StepProgress
@@ -19,6 +21,7 @@
 from onyxspoke.core.placement.preemption import Preemption, choose_preemption
 from onyxspoke.core.placement.queue_order import Lateness, step_rank_in_queue
 from onyxspoke.core.placement.reservations import CapacityReservations, MemberSlots
+from onyxspoke.core.placement.spreading import task_counts_by_worker
 from onyxspoke.core.placement.workers import Worker
 
 #: Capacity that is expected to be free within this many seconds is reserved.
@@ -31,6 +34,13 @@
 TICKET_MARGIN_SECONDS = 0.45
 
 
+class _ExpectedCapacity(NamedTuple):
+    """The worker that will have capacity for one more task, and when, on the holder's clock."""
+
+    at: float
+    worker: Worker
+
+
 @dataclass(slots=True)
 class PreemptionRequest:
     """A preemption, and the step for which it frees capacity."""
@@ -70,9 +80,10 @@
         queue: QueuePolicy,
         workers: list[Worker],
         total_processors_milli: int,
+        task_count: int,
         placement_pass: PlacementPass,
-    ) -> None:
-        """Reserve capacity for a step, or choose runs to preempt for it.
+    ) -> int:
+        """Reserve or claim capacity for tasks of a step, or choose runs to preempt for them.
 
         Parameters
         ----------
@@ -80,39 +91,86 @@
             The workers that may run the step, whether or not they have free capacity.
         total_processors_milli : int
             The processors of the step's service, in thousandths of a processor.
+        task_count : int
+            The number of tasks to find capacity for; only the first may have it reserved.
+
+        Returns
+        -------
+        int
+            The number of searches, at least 1.
         """
-        needs = step.needs
-        forecasts = sorted(
-            (
-                self._forecast.capacity_expected_at(worker, needs, placement_pass.capacity),
-                worker.worker_id,
-            )
-            for worker in workers
-        )
-        if not forecasts:
+        self._reservations.release_claims(step.key)
+        expected = self._find_capacity(step, queue, workers, placement_pass)
+        if expected is None:
             self._reservations.release(step.key)
-            return
-        workers_by_id = {worker.worker_id: worker for worker in workers}
-        earliest_at, earliest_worker_id = forecasts[0]
-        earliest_worker = workers_by_id[earliest_worker_id]
-        if earliest_at - placement_pass.now > PREEMPT_IF_LATER_SECONDS:
-            preempted_worker = self._preempt_for(step, queue, workers, placement_pass)
-            if preempted_worker is not None:
-                earliest_worker, earliest_at = (
-                    preempted_worker,
-                    placement_pass.now + self._stop_seconds,
+            return 1
+        self._reserve_or_claim(step, expected, total_processors_milli, placement_pass)
+        search_count = 1
+        task_counts = Counter(task_counts_by_worker(step))
+        while search_count < task_count:
+            task_counts[expected.worker.worker_id] += 1
+            workers = [
+                worker
+                for worker in workers
+                if task_counts[worker.worker_id] < step.max_tasks_per_worker
+            ]
+            expected = self._find_capacity(step, queue, workers, placement_pass)
+            search_count += 1
+            if expected is None:
+                break
+            self._reservations.claim(step, expected.worker, placement_pass.capacity)
+        return search_count
+
+    def _find_capacity(
+        self,
+        step: StepProgress,
+        queue: QueuePolicy,
+        workers: list[Worker],
+        placement_pass: PlacementPass,
+    ) -> _ExpectedCapacity | None:
+        """Return where one more task will have capacity soon, if need be by preemption."""
+        expected = self._expect_capacity(step, workers, placement_pass)
+        if expected is None:
+            return None
+        if expected.at - placement_pass.now <= PREEMPT_IF_LATER_SECONDS:
+            return expected
+        preempted_worker = self._preempt_for(step, queue, workers, placement_pass)
+        if preempted_worker is None:
+            return None
+        return _ExpectedCapacity(placement_pass.now + self._stop_seconds, preempted_worker)
+
+    def _expect_capacity(
+        self, step: StepProgress, workers: list[Worker], placement_pass: PlacementPass
+    ) -> _ExpectedCapacity | None:
+        """Return the worker that is expected to have capacity first."""
+        capacity = placement_pass.capacity
+        return min(
+            (
+                _ExpectedCapacity(
+                    self._forecast.capacity_expected_at(worker, step.needs, capacity), worker
                 )
+                for worker in workers
+            ),
+            key=lambda expected: (expected.at, expected.worker.worker_id),
+            default=None,
+        )
+
+    def _reserve_or_claim(
+        self,
+        step: StepProgress,
+        expected: _ExpectedCapacity,
+        total_processors_milli: int,
+        placement_pass: PlacementPass,
+    ) -> None:
         may_reserve = self._reservations.has_reservation(
             step.key
         ) or self._reservations.may_reserve_more(total_processors_milli)
-        if may_reserve and earliest_at - placement_pass.now <= RESERVE_AHEAD_SECONDS:
-            self._reservations.reserve(
-                step, [MemberSlots(earliest_worker, 1)], placement_pass.capacity, placement_pass.now
-            )
-        elif earliest_at - placement_pass.now <= PREEMPT_IF_LATER_SECONDS:
-            self._reservations.claim(step, earliest_worker, placement_pass.capacity)
+        if may_reserve and expected.at - placement_pass.now <= RESERVE_AHEAD_SECONDS:
+            slots = [MemberSlots(expected.worker, 1)]
+            self._reservations.reserve(step, slots, placement_pass.capacity, placement_pass.now)
         else:
             self._reservations.release(step.key)
+            self._reservations.claim(step, expected.worker, placement_pass.capacity)
 
     def _preempt_for(
         self,
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -41,9 +41,11 @@
 #: A gang without a reservation is evaluated at most once in this many seconds, because it needs
 #: capacity for all its members at once.
 GANG_REEVALUATION_SECONDS = 0.1
-#: The largest number of steps for which one pass reserves capacity or chooses preemptions, which
-#: bounds the duration of a pass.  Gangs are not counted.
+#: A pass no longer reserves capacity or chooses preemptions after this many searches, which bounds
+#: its duration.  Gangs are not counted.
 MAXIMUM_CAPACITY_SEARCHES = 12
+#: The largest number of tasks of one step for which a pass searches, so that it gets to others.
+MAXIMUM_SEARCHES_PER_STEP = 4
 
 
 class Placer:
@@ -260,10 +262,11 @@
         placement_pass: PlacementPass,
         max_tasks: int,
     ) -> int:
-        """Reserve capacity or preempt for a step whose tasks wait; return 1 if any do, or 0."""
-        if step_placement is not None and len(step_placement.placements) == min(
-            max_tasks, len(step.waiting)
-        ):
+        """Reserve capacity or preempt for a step whose tasks wait; return how often it searched."""
+        unplaced_count = min(max_tasks, len(step.waiting))
+        if step_placement is not None:
+            unplaced_count -= len(step_placement.placements)
+        if unplaced_count == 0:
             self._reservations.release(step.key)
             return 0
         self._reevaluate_at[step.key] = placement_pass.now + REEVALUATION_SECONDS
@@ -283,10 +286,10 @@
             and counts.get(worker.worker_id, 0) < step.max_tasks_per_worker
         ]
         total_processors_milli = schedulable.processors_milli
-        self._capacity_seeker.reserve_or_preempt(
-            step, queue, workers, total_processors_milli, placement_pass
+        task_count = min(unplaced_count, MAXIMUM_SEARCHES_PER_STEP)
+        return self._capacity_seeker.reserve_or_preempt(
+            step, queue, workers, total_processors_milli, task_count, placement_pass
         )
-        return 1
 
 
 class _CapacityGains:
--- a/src/onyxspoke/core/placement/reservations.py
+++ b/src/onyxspoke/core/placement/reservations.py
@@ -47,6 +47,8 @@
 
 @dataclass(slots=True)
 class _Claim:
+    """Capacity for one task."""
+
     worker: Worker
     needs: ResourceVector
 
@@ -57,7 +59,7 @@
     def __init__(self, table: WorkerTable) -> None:
         self._table = table
         self._reservations: dict[StepKey, _Reservation] = {}
-        self._claims: dict[StepKey, _Claim] = {}
+        self._claims: dict[StepKey, list[_Claim]] = {}
 
     def has_reservation(self, key: StepKey) -> bool:
         """Return whether a step has a reservation."""
@@ -71,8 +73,8 @@
     def reserve(
         self, step: StepProgress, slots: list[MemberSlots], capacity: ScratchCapacity, now: float
     ) -> None:
-        """Reserve capacity for a step, in place of its previous reservation or claim."""
-        self._claims.pop(step.key, None)
+        """Reserve capacity for a step, in place of its previous reservation and claims."""
+        self.release_claims(step.key)
         previous = self._reservations.get(step.key)
         since = now if previous is None else previous.since
         self._reservations[step.key] = _Reservation(step, slots, since)
@@ -81,15 +83,13 @@
         self.reapply(step, capacity)
 
     def claim(self, step: StepProgress, worker: Worker, capacity: ScratchCapacity) -> None:
-        """Claim capacity for one task of a step, in place of its reservation or previous claim."""
-        self.release(step.key)
-        self._claims[step.key] = _Claim(worker, step.needs)
-        self.reapply(step, capacity)
+        """Claim capacity for one more task of a step."""
+        self._claims.setdefault(step.key, []).append(_Claim(worker, step.needs))
+        capacity.claim(worker, step.needs)
 
     def reapply(self, step: StepProgress, capacity: ScratchCapacity) -> None:
-        """Apply a step's existing reservation or claim in a new pass."""
-        claim = self._claims.get(step.key)
-        if claim is not None:
+        """Apply a step's existing reservation and claims in a new pass."""
+        for claim in self._claims.get(step.key, ()):
             capacity.claim(claim.worker, claim.needs)
         reservation = self._reservations.get(step.key)
         if reservation is not None:
@@ -97,16 +97,21 @@
                 capacity.take(item.worker, step.needs, item.count)
 
     def release(self, key: StepKey) -> None:
-        """Release the reservation or claim of a step."""
-        self._claims.pop(key, None)
+        """Release the reservation and the claims of a step."""
+        self.release_claims(key)
         reservation = self._reservations.pop(key, None)
         if reservation is not None:
             self._note_released(reservation, set())
 
+    def release_claims(self, key: StepKey) -> None:
+        """Release the claims of a step; its reservation stays."""
+        self._claims.pop(key, None)
+
     def release_others(self, waiting: set[StepKey]) -> None:
         """Release the reservations and claims of all steps that no longer wait."""
-        for key in [key for key in (*self._reservations, *self._claims) if key not in waiting]:
-            self.release(key)
+        for key in dict.fromkeys((*self._reservations, *self._claims)):
+            if key not in waiting:
+                self.release(key)
 
     def may_reserve_more(self, total_processors_milli: int) -> bool:
         """Return whether one more step may reserve capacity in a service of this size.
