Admission: no preemption in the forecast of jobs over their tenant's share

Seen by callers: a job beyond its tenant's share, in an urgent queue, was admitted on the ground that less urgent runs would give way, and then waited for them to end.

Cause: placement preempts for jobs within their tenant's share only (capacity_seeker.py, gang_placer.py); the forecast went by the queue's priority alone. Evidence: workers full of less urgent tasks of 30 s with checkpoints, nothing waiting: such a job, of use for 12 s, is admitted with a forecast delay of 0 s.

Change: the curve of free capacity is made for a rank class, and releases no share early for one beyond the share. A job within the share is decided as before.

"Less urgent runs don't give way to a job over its tenant's share" fails on the source before (admitted) and passes now (too_late).

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -158,6 +158,13 @@
     Given a cell whose workers run less urgent tasks without checkpoints, and 30 seconds of waiting work
     Then a job with an estimate of 2 seconds, within its tenant's share, is "too_late"
 
+  # The forecast let less urgent runs give way to a job for which placement preempts none.
+  Scenario: Less urgent runs don't give way to a job over its tenant's share
+    Given a cell whose workers run less urgent tasks with checkpoints, and 0 seconds of waiting work
+    And these tasks take 30 seconds
+    Then a job with an estimate of 2 seconds, within its tenant's share, is "admitted"
+    And a job with an estimate of 2 seconds, over its tenant's share, is "too_late"
+
   # The longest time that a stop may take counted as certain, so urgent jobs were refused as too late.
   Scenario: The time that the stop of a less urgent run may take does not make a job certain to expire
     Given a cell whose workers run less urgent tasks with checkpoints, and 15 seconds of waiting work
--- a/features/steps/admission_rule_steps.py
+++ b/features/steps/admission_rule_steps.py
@@ -241,6 +241,11 @@
 @given("a cell whose workers are busy for {seconds:d} seconds, without waiting work")
 def _busy_cell(context: Any, seconds: int) -> None:
     context.scene = _make_cell([(index, PROCESSORS, 1, False) for index in range(WORKERS)], [])
+    _set_estimates_of_runs(context, seconds)
+
+
+@given("these tasks take {seconds:d} seconds")
+def _set_estimates_of_runs(context: Any, seconds: int) -> None:
     for worker in context.scene.table.workers.values():
         for run in worker.runs.values():
             step = run.task.step
--- a/src/onyxspoke/core/admission/resource_pool.py
+++ b/src/onyxspoke/core/admission/resource_pool.py
@@ -105,17 +105,18 @@
     _margins: dict[RankClass, LateJobMargins] = field(default_factory=dict)
     #: The job for which work was last estimated, and the estimate.
     _last_estimate: tuple[SubmittedJob, WorkEstimate] | None = None
-    _capacity_curves: dict[tuple[int, bool], FreeCapacityCurve] = field(default_factory=dict)
+    _capacity_curves: dict[tuple[RankClass, bool], FreeCapacityCurve] = field(default_factory=dict)
 
     def start_delay(self, job: SubmittedJob) -> DurationBounds:
         """Return the bounds of the delay until a job could start."""
         rank = job.rank
         expiry_seconds = EXPIRY_FACTOR * job.objective_seconds
         work_ahead = self._queue(horizon_for(expiry_seconds)).work_before(rank)
-        best_case_curve = self._capacity_curve(rank.priority, is_best_case=True)
-        worst_case_curve = self._capacity_curve(rank.priority)
+        rank_class = rank_class_of(rank)
+        best_case_curve = self._capacity_curve(rank_class, is_best_case=True)
+        worst_case_curve = self._capacity_curve(rank_class)
         smallest_task_share = self._smallest_task_share(job)
-        arrival_rate = self._arrival_rate_before(rank_class_of(rank))
+        arrival_rate = self._arrival_rate_before(rank_class)
         # When the last task before the job starts, running tasks are half finished on average.
         best_seconds = best_case_curve.seconds_until(work_ahead.low) - work_ahead.task_seconds / 2.0
         earliest_seconds = best_case_curve.seconds_until_free(
@@ -198,7 +199,7 @@
         on_time_work = (
             self._queue(HORIZONS_SECONDS[-1]).work_before(last_rank).low - waiting_late_work
         )
-        curve = self._capacity_curve(rank_class.priority, is_best_case=True)
+        curve = self._capacity_curve(rank_class, is_best_case=True)
         arrival_rate = self._arrival_rate_before(rank_class)
 
         def seconds_until(work: float) -> float:
@@ -224,21 +225,24 @@
             )
         return WorkEstimate(low, high, longest_task_seconds)
 
-    def _capacity_curve(self, priority: int, *, is_best_case: bool = False) -> FreeCapacityCurve:
-        """Return the capacity that becomes free for the queues of one priority.
+    def _capacity_curve(
+        self, rank_class: RankClass, *, is_best_case: bool = False
+    ) -> FreeCapacityCurve:
+        """Return the capacity that becomes free for the jobs of one rank class.
 
         Preemptible runs of queues with lower priority release their share once they have stopped:
-        at once in the best case.  In the best case, workers that are not reconciled yet are counted
+        at once in the best case.  Placement preempts none for a job over its tenant's share, so
+        these runs go on.  In the best case, workers that are not reconciled yet are counted
         too, because they may be idle and answer at any moment.
         """
-        curve = self._capacity_curves.get((priority, is_best_case))
+        curve = self._capacity_curves.get((rank_class, is_best_case))
         if curve is None:
-            curve = self._capacity_curves[priority, is_best_case] = self._make_capacity_curve(
-                priority, is_best_case
+            curve = self._capacity_curves[rank_class, is_best_case] = self._make_capacity_curve(
+                rank_class, is_best_case
             )
         return curve
 
-    def _make_capacity_curve(self, priority: int, is_best_case: bool) -> FreeCapacityCurve:
+    def _make_capacity_curve(self, rank_class: RankClass, is_best_case: bool) -> FreeCapacityCurve:
         total = self.best_case_capacity_factor if is_best_case else 1.0
         held = self.held + self.held_on_unreconciled if is_best_case else self.held
         stop_seconds = 0.0 if is_best_case else self.max_stop_seconds
@@ -247,7 +251,8 @@
         for run in held:
             free_share -= run.share
             seconds = run.seconds_left
-            if run.is_preemptible and run.priority > priority:
+            gives_way = run.is_preemptible and run.priority > rank_class.priority
+            if gives_way and not rank_class.is_over_share:
                 seconds = min(seconds, stop_seconds)
             if seconds < math.inf:
                 releases.append((seconds, run.share))
