Admission: less urgent jobs of the last moment keep no capacity from an urgent one

Seen by callers: an urgent job that idle workers could run was refused because less urgent jobs had been admitted a moment before.

Evidence: three idle workers, 30 s of urgent work that can't use them, three less urgent jobs with checkpoints admitted in the same view: the urgent job is refused (too_late, retry after 20.3 s); admitted without them.

Change: the needs are kept by rank class and by whether the step may be preempted; those that give way to the job are left out. Jobs without checkpoints count as before, since they may run by now.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -158,6 +158,17 @@
     Given a cell whose workers run less urgent tasks without checkpoints, and 30 seconds of waiting work
     Then a job with an estimate of 2 seconds, within its tenant's share, is "too_late"
 
+  # What was admitted within the last fraction of a second counted, however urgent it was.
+  Scenario Outline: Less urgent jobs admitted just before keep no capacity from a job - <traits>
+    Given a cell with idle workers and 30 seconds of waiting work
+    When less urgent jobs <traits> checkpoints that need all workers are admitted to it
+    Then an urgent job that needs a whole worker is "<outcome>" in the same view
+
+    Examples:
+      | traits  | outcome  |
+      | with    | admitted |
+      | without | too_late |
+
   # The forecast let less urgent runs give way to a job for which placement preempts none.
   Scenario: Less urgent runs don't give way to a job over its tenant's share
     Given a cell whose workers run less urgent tasks with checkpoints, and 0 seconds of waiting work
--- a/features/steps/admission_rule_steps.py
+++ b/features/steps/admission_rule_steps.py
@@ -79,14 +79,23 @@
 
 
 def _job(
-    scene: _Scene, job: tuple[int, int, int, bool], tenant: str = "", stretch: float = 2.0
+    scene: _Scene,
+    job: tuple[int, int, int, bool],
+    tenant: str = "",
+    stretch: float = 2.0,
+    *,
+    checkpointing: bool = False,
 ) -> SubmittedJob:
     tasks, processors, priority, beyond = job
     queue = QueuePolicy(
         name=f"queue-{priority}", service=SERVICE, priority=priority, stretch=stretch
     )
     step = StepSpec(
-        task_count=tasks, processors_milli=processors * 1_000, memory_mb=100, estimated_ms=2_000
+        task_count=tasks,
+        processors_milli=processors * 1_000,
+        memory_mb=100,
+        estimated_ms=2_000,
+        checkpointing=checkpointing,
     )
     spec = JobSpec(
         job_id="new",
@@ -311,6 +320,28 @@
     assert context.margins.any_expires_after(1.0) == (effect == "makes")
 
 
+@given("a cell with idle workers and {seconds:d} seconds of waiting work")
+def _idle_cell_with_waiting_work(context: Any, seconds: int) -> None:
+    context.scene = _make_cell([], [(WORKERS * seconds // 2, PROCESSORS, 1, 0)])
+
+
+@when("less urgent jobs {traits} checkpoints that need all workers are admitted to it")
+def _admit_less_urgent(context: Any, traits: str) -> None:
+    context.view = _view(context.scene)
+    checkpointing = traits == "with"
+    for _ in range(WORKERS):
+        job = _job(context.scene, (1, PROCESSORS, 2, False), checkpointing=checkpointing)
+        context.view.add(job)
+
+
+@then('an urgent job that needs a whole worker is "{outcome}" in the same view')
+def _decide_in_same_view(context: Any, outcome: str) -> None:
+    job = _job(context.scene, (1, PROCESSORS, 1, False))
+    verdict = AdmissionDecider().decide(job, context.view, context.scene.now)
+    found = "admitted" if isinstance(verdict, Admit) else verdict.reason.value
+    assert found == outcome, verdict
+
+
 @given("a waiting job of one processor with an estimate of {seconds:d} seconds")
 def _excessive_estimate(context: Any, seconds: int) -> None:
     step = context.scene.add_step("odd", 1, 1, 1)
--- a/src/onyxspoke/core/admission/load_view.py
+++ b/src/onyxspoke/core/admission/load_view.py
@@ -4,14 +4,40 @@
 
 from dataclasses import dataclass, field
 
+from onyxspoke.core.admission.arrivals import RankClass, rank_class_of
 from onyxspoke.core.admission.available_capacity import AvailableCapacity, WorkerCapacity
 from onyxspoke.core.admission.resource_pool import DurationBounds, ResourcePool, dominant_share
 from onyxspoke.core.admission.submitted_job import StepWork, SubmittedJob
 from onyxspoke.core.jobs.model import ResourceVector
-from onyxspoke.core.jobs.resource_vectors import count_fitting_tasks, scale_vector, subtract_vectors
+from onyxspoke.core.jobs.resource_vectors import add_vectors, count_fitting_tasks, scale_vector
+from onyxspoke.core.placement.queue_order import StepRank
 from onyxspoke.core.tenants.policy import TenantName
 
 
+class _AdmittedNeeds:
+    """What the first steps of admitted jobs need, by rank class and by whether they give way."""
+
+    def __init__(self) -> None:
+        self._needs: dict[tuple[RankClass, bool], ResourceVector] = {}
+
+    def add(self, job: SubmittedJob) -> None:
+        rank_class = rank_class_of(job.rank)
+        for step in job.steps:
+            if step.is_first:
+                key = (rank_class, step.is_preemptible)
+                needs = scale_vector(step.needs, step.task_count)
+                self._needs[key] = add_vectors(self._needs.get(key, ResourceVector()), needs)
+
+    def displacing(self, rank: StepRank) -> ResourceVector:
+        """Return the needs that keep capacity from a job of a rank."""
+        total = ResourceVector()
+        for (rank_class, is_preemptible), needs in self._needs.items():
+            gives_way = is_preemptible and rank.priority < rank_class.priority
+            if rank.is_over_share or not gives_way:
+                total = add_vectors(total, needs)
+        return total
+
+
 @dataclass(slots=True)
 class LoadView:
     """A view of the load at one moment.
@@ -36,7 +62,7 @@
     quota_pools: dict[TenantName, ResourcePool] = field(default_factory=dict)
     available_capacity: dict[str, AvailableCapacity] = field(default_factory=dict)
     #: Needs of jobs that were admitted after the view was made, by service.
-    _admitted_needs: dict[str, ResourceVector] = field(default_factory=dict)
+    _admitted_needs: dict[str, _AdmittedNeeds] = field(default_factory=dict)
 
     def start_delay(self, job: SubmittedJob) -> DurationBounds | None:
         """Return the bounds of the delay until a job could start, or None if it is unknown."""
@@ -82,13 +108,7 @@
         quota_pool = self.quota_pools.get(job.tenant)
         if quota_pool is not None:
             quota_pool.add(job)
-        admitted_needs = self._admitted_needs.get(job.service, ResourceVector())
-        for step in job.steps:
-            if step.is_first:
-                admitted_needs = subtract_vectors(
-                    admitted_needs, scale_vector(step.needs, -step.task_count)
-                )
-        self._admitted_needs[job.service] = admitted_needs
+        self._admitted_needs.setdefault(job.service, _AdmittedNeeds()).add(job)
 
     def would_expire_late_job(self, job: SubmittedJob) -> bool:
         """Return whether admitting a job would make an admitted late job expire."""
@@ -102,7 +122,8 @@
         """
         capacity = self.available_capacity.get(job.service)
         workers = [] if capacity is None else capacity.workers_for(job.rank)
-        admitted_needs = self._admitted_needs.get(job.service, ResourceVector())
+        admitted = self._admitted_needs.get(job.service)
+        admitted_needs = ResourceVector() if admitted is None else admitted.displacing(job.rank)
         return all(
             _fits(step, workers, admitted_needs) for step in job.steps if step.is_first
         ) and self._is_within_quota(job)
--- a/src/onyxspoke/core/admission/submitted_job.py
+++ b/src/onyxspoke/core/admission/submitted_job.py
@@ -8,6 +8,7 @@
 from onyxspoke.core.estimates.expected import DurationEstimate
 from onyxspoke.core.jobs.model import JobSpec, QueuePolicy, ResourceVector
 from onyxspoke.core.jobs.resource_vectors import scale_vector
+from onyxspoke.core.placement.preemption import is_preemptible_step
 from onyxspoke.core.placement.queue_order import (
     CERTAIN_ESTIMATE_SHARE,
     EXPIRY_FACTOR,
@@ -34,6 +35,8 @@
         Label that a worker must have; empty if any worker will do.
     is_gang : bool
         All tasks of the step must run at the same time.
+    is_preemptible : bool
+        The runs of the step may be preempted by work of a queue with higher priority.
     """
 
     needs: ResourceVector
@@ -44,6 +47,7 @@
     is_first: bool
     label: str = ""
     is_gang: bool = False
+    is_preemptible: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -155,6 +159,7 @@
             is_first=not step.depends_on,
             label=step.required_label,
             is_gang=step.gang,
+            is_preemptible=is_preemptible_step(step),
         )
         step_works.append(step_work)
     return step_works
--- a/src/onyxspoke/core/placement/preemption.py
+++ b/src/onyxspoke/core/placement/preemption.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass
 
-from onyxspoke.core.jobs.model import ResourceVector
+from onyxspoke.core.jobs.model import ResourceVector, StepSpec
 from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.jobs.resource_vectors import add_vectors, count_fitting_tasks, subtract_vectors
 from onyxspoke.core.jobs.states import RunState
@@ -80,8 +80,12 @@
 
 def has_preemptible_work(run: Run) -> bool:
     """Return whether stopping a run loses almost no work and affects no other run."""
-    step = run.task.step.spec
-    return run.gang is None and step.checkpointing and not step.long_running and not step.fills
+    return run.gang is None and is_preemptible_step(run.task.step.spec)
+
+
+def is_preemptible_step(step: StepSpec) -> bool:
+    """Return whether runs of a step may be preempted."""
+    return step.checkpointing and not (step.gang or step.long_running or step.fills)
 
 
 def _choose_on_worker(
