Quotas: preempt a tenant's own less urgent runs for its urgent tasks

Seen by callers: an urgent job of a tenant whose own less urgent runs held its whole quota was admitted and then waited until they ended; or, where the forecast said no, it was refused though these runs can give way.

Cause: two halves of one fault. The forecast of a quota counted less urgent runs with checkpoints as giving way at once, but placement never preempts for a quota: a step without quota is passed over before the search for capacity. And the rule for jobs that could start now counted all that the tenant runs against its quota, whatever its priority.

What was freed for a step is held for it for 2 s, so that less urgent steps don't take it during its call for advice. Gangs are left out. In the admission, less urgent runs don't count against the quota, and the worst case of the quota's forecast counts the longest stop.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -148,6 +148,11 @@
     When urgent jobs are submitted to random cells with and without less urgent work
     Then each job that is admitted without the less urgent work is also admitted with it
 
+  # A quota that less urgent runs of the same tenant give up counted as used.
+  Scenario: An urgent job is never refused for its tenant's less urgent work in the same quota
+    When urgent jobs are submitted to random quotas with and without less urgent work
+    Then each job that is admitted without the less urgent work is also admitted with it
+
   # Capacity that preemption frees counted as taken, so urgent jobs were refused.
   Scenario: Capacity that less urgent runs give up is available to a job within its tenant's share
     Given a cell whose workers run less urgent tasks with checkpoints, and 30 seconds of waiting work
--- a/features/steps/admission_callers.py
+++ b/features/steps/admission_callers.py
@@ -12,7 +12,7 @@
 from onyxspoke.core.admission.summary import AdmissionSummary
 from onyxspoke.core.estimates.durations import DurationEstimator
 from onyxspoke.core.estimates.expected import DurationEstimate
-from onyxspoke.core.jobs.model import JobSpec, StepSpec
+from onyxspoke.core.jobs.model import JobSpec, ResourceVector, StepSpec
 from onyxspoke.core.jobs.states import RunEnd
 from onyxspoke.core.placement.queue_order import EXPIRY_FACTOR
 from onyxspoke.core.shard.calls import CallReply, ReplyCode, SubmitCall
@@ -167,13 +167,22 @@
 
 
 def start_cluster(
-    context: Any, workers: int, *, admission: bool, tenants: dict[str, float], nodes: int = 3
+    context: Any,
+    workers: int,
+    *,
+    admission: bool,
+    tenants: dict[str, float],
+    nodes: int = 3,
+    quota: ResourceVector | None = None,
 ) -> None:
     patch = mock.patch.object(DurationEstimator, "expected", _expected_as_estimated)
     patch.start()
     context.add_cleanup(patch.stop)
     work = WorkOptions(seed=7, shortest_seconds=WORK_SECONDS, longest_seconds=WORK_SECONDS)
-    policies = tuple(TenantPolicy(name=name, weight=weight) for name, weight in tenants.items())
+    policies = tuple(
+        TenantPolicy(name=name, weight=weight, quota=quota or ResourceVector())
+        for name, weight in tenants.items()
+    )
     options = ClusterOptions(
         seed=7,
         nodes=nodes,
--- a/features/steps/admission_rule_steps.py
+++ b/features/steps/admission_rule_steps.py
@@ -39,6 +39,8 @@
 
 WORKERS = 3
 PROCESSORS = 8
+#: Half of the processors of the cell.
+QUOTA_PROCESSORS = 12
 #: Random cells: runs (worker, processors, priority, with checkpoints) and waiting steps (tasks,
 #: processors, priority, age in seconds).
 RUNS = st.lists(
@@ -133,6 +135,34 @@
     assert not all(item[2] for item in context.decided)
 
 
+@when("urgent jobs are submitted to random quotas with and without less urgent work")
+def _decide_urgent_in_quota(context: Any) -> None:
+    context.decided = []
+    quota = ResourceVector(QUOTA_PROCESSORS * 1_000, 0, 0)
+    tenant = TenantPolicy(name="small", weight=1.0, quota=quota)
+    policy = PolicySet(tenants={"small": tenant})
+
+    @drawn(RUNS, WAITING, st.integers(1, 6), st.integers(1, 8))
+    def check(runs: list[Any], waiting: list[Any], tasks: int, processors: int) -> None:
+        job = (tasks, processors, 1, False)
+        urgent_runs = [item for item in runs if item[2] <= 1]
+        later = [(index, wide, priority, True) for index, wide, priority, _ in runs if priority > 1]
+        verdicts = []
+        for cell_runs, cell_waiting in (
+            (urgent_runs + later, waiting),
+            (urgent_runs, [item for item in waiting if item[2] <= 1]),
+        ):
+            scene = _make_cell(cell_runs, cell_waiting)
+            for step in scene.steps.values():
+                step.job.spec = msgspec.structs.replace(step.job.spec, tenant="small")
+            hand_in = _job(scene, job, "small")
+            verdict = AdmissionDecider().decide(hand_in, _view(scene, policy), scene.now)
+            verdicts.append(isinstance(verdict, Admit))
+        context.decided.append(verdicts)
+
+    check()
+
+
 @when("urgent jobs are submitted to random cells with and without less urgent work")
 def _decide_urgent(context: Any) -> None:
     context.decided = []
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -17,7 +17,7 @@
 from onyxspoke.core.placement.worker_table import WorkerTable
 from onyxspoke.core.placement.workers import Worker, WorkerContact
 from onyxspoke.core.shard.orders import AdviceOutcome, AdviceResult, Ticket
-from onyxspoke.core.tenants.quota_usage import unlimited_quotas
+from onyxspoke.core.tenants.quota_usage import QuotaBudget, QuotaUsage, unlimited_quotas
 
 MILLI = 1_000
 ESTIMATED_MS = 2_000
@@ -41,6 +41,8 @@
         self.started: dict[str, list[Run]] = {}
         self.calls: list[Any] = []
         self.first_calls: list[Any] = []
+        #: Quotas of tenants; the others have none.
+        self.quotas: dict[str, ResourceVector] = {}
 
     def add_worker(self, name: str, processors: int, rack: str = "one") -> None:
         record = WorkerRecord(
@@ -97,10 +99,19 @@
         worker.add(run)
         return run
 
+    def _quota_budget(self) -> QuotaBudget:
+        if not self.quotas:
+            return NO_QUOTAS
+        usage = QuotaUsage()
+        for worker in self.table.workers.values():
+            for run in worker.runs.values():
+                usage.add(run.task.step.job.spec.tenant, run.needs)
+        return QuotaBudget(lambda tenant: self.quotas[tenant], usage, {})
+
     def make_pass(self) -> None:
         waiting = [step for step in self.steps.values() if step.waiting]
         self.started = {}
-        for plan in self.placer.plan(waiting, PolicySet(), NO_QUOTAS, self.now):
+        for plan in self.placer.plan(waiting, PolicySet(), self._quota_budget(), self.now):
             runs = [self.start(plan.step, item.task.index, item.worker) for item in plan.placements]
             self.started[plan.step.job.job_id] = runs
         self.calls = self.advice_dispatcher.dispatch(self.now)
--- a/features/steps/urgent_job_steps.py
+++ b/features/steps/urgent_job_steps.py
@@ -6,15 +6,27 @@
 from typing import Any
 from unittest import mock
 
-from admission_callers import COMPLETION_SECONDS, OBJECTIVE_SECONDS, TASKS_PER_WORKER
+from admission_callers import (
+    COMPLETION_SECONDS,
+    OBJECTIVE_SECONDS,
+    PROCESSORS_MILLI,
+    TASKS_PER_WORKER,
+    start_cluster,
+)
 from behave import given, then, when
 
-from onyxspoke.core.jobs.model import TaskKey
+from onyxspoke.core.jobs.model import ResourceVector, TaskKey
 from onyxspoke.core.placement.queue_order import EXPIRY_FACTOR
 from onyxspoke.kit.jobs.workers import FakeWorkerPool
 
+WORKERS = 4
+TENANT = "tenant"
+#: Jobs per second within the share of the tenant, more than it submits.
+WEIGHT = 100.0
+#: Tasks that run at a time within the quota of the tenant.
+QUOTA_TASKS = 8
 LESS_URGENT_TASK_MS = 8_000
-#: How often the less urgent work fills the whole cell.
+#: How often the less urgent work fills the whole cell, or the whole quota.
 LESS_URGENT_ROUNDS = 2.5
 
 
@@ -23,14 +35,27 @@
     return pool.specs[task.job_id].steps[task.step].estimated_ms / 1_000.0
 
 
-@given("it is full of less urgent work with checkpoints")
-def _fill_cell(context: Any) -> None:
+@given("a cell with admission control, full of less urgent work with checkpoints")
+def _full_cell(context: Any) -> None:
+    start_cluster(context, WORKERS, admission=True, tenants={})
+    _submit_less_urgent(context, WORKERS * TASKS_PER_WORKER, "")
+
+
+@given("a cell with admission control, and a tenant whose less urgent work holds its whole quota")
+def _full_quota(context: Any) -> None:
+    quota = ResourceVector(QUOTA_TASKS * PROCESSORS_MILLI, 0, 0)
+    start_cluster(context, WORKERS, admission=True, tenants={TENANT: WEIGHT}, quota=quota)
+    _submit_less_urgent(context, QUOTA_TASKS, TENANT)
+
+
+def _submit_less_urgent(context: Any, slots: int, tenant: str) -> None:
+    """Fill a number of slots, and run the cell until the tasks there are half done."""
     patch = mock.patch.object(FakeWorkerPool, "seconds_of", _estimated_seconds)
     patch.start()
     context.add_cleanup(patch.stop)
-    slots = TASKS_PER_WORKER * len(context.cluster.pool.workers)
+    context.tenant = tenant
     for _ in range(int(LESS_URGENT_ROUNDS * slots)):
-        context.traffic.submit("patient", estimated_ms=LESS_URGENT_TASK_MS)
+        context.traffic.submit("patient", tenant, estimated_ms=LESS_URGENT_TASK_MS)
     context.cluster.run(LESS_URGENT_TASK_MS / 2_000.0)
     running = sum(len(worker.runs) for worker in context.cluster.pool.workers.values())
     assert running == slots, running
@@ -45,7 +70,7 @@
 def _submit_urgent_jobs(context: Any, rate: int, tasks: int, seconds: int) -> None:
     traffic = context.traffic
     for index in range(rate * seconds):
-        submit = partial(traffic.submit, "urgent", task_count=tasks)
+        submit = partial(traffic.submit, "urgent", context.tenant, task_count=tasks)
         traffic.cluster.time.schedule(index / rate, submit)
     traffic.cluster.run(seconds + COMPLETION_SECONDS)
     assert len(traffic.select("urgent")) == rate * seconds
--- a/src/onyxspoke/core/admission/load_view.py
+++ b/src/onyxspoke/core/admission/load_view.py
@@ -132,7 +132,9 @@
         quota_pool = self.quota_pools.get(job.tenant)
         if quota_pool is None:
             return True
-        free_share = 1.0 - sum(held.share for held in quota_pool.held)
+        free_share = 1.0 - sum(
+            held.share for held in quota_pool.held if not held.gives_way_to(rank_class_of(job.rank))
+        )
         needed_share = sum(
             dominant_share(step.needs, quota_pool.total) * step.task_count
             for step in job.steps
--- a/src/onyxspoke/core/admission/load_view_builder.py
+++ b/src/onyxspoke/core/admission/load_view_builder.py
@@ -221,7 +221,10 @@
         for tenant, quota in self._quotas.items():
             waiting_work, _unused = _waiting_work(self._steps_by_tenant.get(tenant, []), quota)
             pools[tenant] = ResourcePool(
-                quota, sorted(waiting_work, key=itemgetter(0)), held.get(tenant, [])
+                total=quota,
+                waiting_work=sorted(waiting_work, key=itemgetter(0)),
+                held=held.get(tenant, []),
+                max_stop_seconds=self._inputs.stop_seconds,
             )
         return pools
 
--- a/src/onyxspoke/core/admission/resource_pool.py
+++ b/src/onyxspoke/core/admission/resource_pool.py
@@ -57,6 +57,11 @@
     priority: int
     is_preemptible: bool
 
+    def gives_way_to(self, rank_class: RankClass) -> bool:
+        """Return whether placement may preempt the run for a job of this class."""
+        is_less_urgent = self.priority > rank_class.priority
+        return self.is_preemptible and is_less_urgent and not rank_class.is_over_share
+
 
 class DurationBounds(NamedTuple):
     """The best-case and worst-case length in seconds of a job's start delay or execution."""
@@ -251,8 +256,7 @@
         for run in held:
             free_share -= run.share
             seconds = run.seconds_left
-            gives_way = run.is_preemptible and run.priority > rank_class.priority
-            if gives_way and not rank_class.is_over_share:
+            if run.gives_way_to(rank_class):
                 seconds = min(seconds, stop_seconds)
             if seconds < math.inf:
                 releases.append((seconds, run.share))
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -17,6 +17,7 @@
 from onyxspoke.core.placement.gang_placer import GangPlacer
 from onyxspoke.core.placement.placement_pass import PlacementPass
 from onyxspoke.core.placement.queue_order import step_rank_in_queue
+from onyxspoke.core.placement.quota_preemption import QuotaPreemptor
 from onyxspoke.core.placement.renewal_reservations import RenewalReservations
 from onyxspoke.core.placement.reservations import CapacityReservations
 from onyxspoke.core.placement.schedulable_workers import SchedulableWorkers, has_label
@@ -74,6 +75,7 @@
         self._gang_placer = GangPlacer(
             advice_dispatcher, self._reservations, self._advice_timing, stop_seconds
         )
+        self._quota_preemptor = QuotaPreemptor(table, stop_seconds)
         #: When each waiting step is evaluated next, even if no worker has gained capacity.
         self._reevaluate_at: dict[StepKey, float] = {}
         #: The earliest time of the next evaluation of each gang without a reservation.
@@ -84,10 +86,10 @@
 
     def take_preemption_requests(self) -> list[PreemptionRequest]:
         """Return the preemptions that were chosen since the last call."""
-        preemption_requests = (
-            self._capacity_seeker.preemption_requests + self._gang_placer.preemption_requests
-        )
-        self._capacity_seeker.preemption_requests, self._gang_placer.preemption_requests = [], []
+        preemption_requests = []
+        for source in (self._capacity_seeker, self._gang_placer, self._quota_preemptor):
+            preemption_requests += source.preemption_requests
+            source.preemption_requests = []
         return preemption_requests
 
     def take_overlooked(self) -> list[StepProgress]:
@@ -120,6 +122,7 @@
         step_placements: list[StepPlacement] = []
         placement_pass = PlacementPass(policy, quotas, now, is_speed_aware=self._minds_speed)
         self._capacity_seeker.begin_pass(now)
+        self._quota_preemptor.begin_pass()
         self._advice_timing.begin_pass(now)
         schedulable_by_service = _SchedulableByService(self._table)
         capacity_gains = _CapacityGains(self._table)
@@ -129,10 +132,8 @@
         for step in renewal_reservations.steps_by_rank(
             steps, schedulable_by_service.for_service, placement_pass
         ):
-            max_tasks = _tasks_within_quota(step, quotas)
             was_over_quota = step.over_quota_since is not None
-            if step.set_over_quota(max_tasks == 0, now):
-                self._newly_over_quota.append(step)
+            max_tasks = self._limit_to_quota(step, placement_pass)
             if max_tasks == 0:
                 self._reservations.release(step.key)
                 continue
@@ -174,14 +175,24 @@
             else:
                 self._reservations.reapply(step, placement_pass.capacity)
             blocked_at_change[step.key] = self._table.change_number
+            self._quota_preemptor.hold(step, remaining_tasks, placement_pass)
             self._advice_timing.note_waiting(step, service, remaining_tasks)
             renewal_reservations.note_waiting(step, remaining_tasks)
         self._blocked_at_change = blocked_at_change
         return step_placements
 
+    def _limit_to_quota(self, step: StepProgress, placement_pass: PlacementPass) -> int:
+        """Return how many tasks the step's tenant may start; preempt for the others if possible."""
+        max_tasks = _tasks_within_quota(step, placement_pass.quotas)
+        if step.set_over_quota(max_tasks == 0, placement_pass.now):
+            self._newly_over_quota.append(step)
+        self._quota_preemptor.seek(step, max_tasks, placement_pass)
+        return max_tasks
+
     def _forget_steps_not_waiting(self, waiting: set[StepKey]) -> None:
         """Drop the state of steps that no longer wait."""
         self._reservations.release_others(waiting)
+        self._quota_preemptor.forget_others(waiting)
         for times_by_step in (self._reevaluate_at, self._gang_reevaluate_at):
             for key in times_by_step.keys() - waiting:
                 del times_by_step[key]
--- a/src/onyxspoke/core/placement/preemption.py
+++ b/src/onyxspoke/core/placement/preemption.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from onyxspoke.core.jobs.model import ResourceVector, StepSpec
@@ -97,29 +98,49 @@
     now: float,
 ) -> Preemption | None:
     free = capacity.free_beyond_claims(worker)
-    candidates = []
     for run in worker.runs.values():
         if run.state is RunState.STOPPING or _ends_soon(run, now):
             free = add_vectors(free, run.needs)
-        elif _is_preemptible(run, priority, policy) and not _would_be_late(run, now):
-            candidates.append(run)
+    candidates = preemptible_runs(worker.runs.values(), priority, policy, now)
+    victims = choose_victims(candidates, free, needs)
+    if not victims:
+        return None
+    return Preemption(worker, victims, sum(cost_milli(run) for run in victims))
+
+
+def preemptible_runs(
+    runs: Iterable[Run], priority: int, policy: PolicySet, now: float
+) -> list[Run]:
+    """Return the runs that may be preempted for a queue, in the order in which to stop them."""
+    candidates = [
+        run
+        for run in runs
+        if _is_preemptible(run, priority, policy)
+        and not _ends_soon(run, now)
+        and not _would_be_late(run, now)
+    ]
     candidates.sort(
         key=lambda run: (-_priority_of(run, policy), -_slack_seconds(run, now), run.key)
     )
+    return candidates
+
+
+def choose_victims(candidates: list[Run], free: ResourceVector, needs: ResourceVector) -> list[Run]:
+    """Return the fewest of these runs that free capacity for one task; empty if none can."""
     victims = []
     for run in candidates:
         if count_fitting_tasks(free, needs) > 0:
             break
         victims.append(run)
         free = add_vectors(free, run.needs)
-    if not victims or count_fitting_tasks(free, needs) == 0:
-        return None
+    if count_fitting_tasks(free, needs) == 0:
+        return []
     for run in list(victims):
         free_without_run = subtract_vectors(free, run.needs)
         if count_fitting_tasks(free_without_run, needs) > 0:
             victims.remove(run)
             free = free_without_run
-    return Preemption(worker, victims, sum(_cost_milli(run) for run in victims))
+    return victims
 
 
 def _is_preemptible(run: Run, priority: int, policy: PolicySet) -> bool:
@@ -150,5 +171,6 @@
     return policy.queue_of(run.task.step.job.spec).priority
 
 
-def _cost_milli(run: Run) -> int:
+def cost_milli(run: Run) -> int:
+    """Return the cost of restarting a run: its resources, in thousandths of a processor."""
     return run.needs.processors_milli + ACCELERATOR_COST_MILLI * run.needs.accelerators
--- /dev/null
+++ b/src/onyxspoke/core/placement/quota_preemption.py
@@ -0,0 +1,125 @@
+"""Choose a tenant's runs to preempt for its own more urgent tasks that wait for its quota.
+
+Without this, less urgent runs would keep a tenant's quota from its urgent jobs until they end.
+"""
+
+from __future__ import annotations
+
+from onyxspoke.core.jobs.model import QueuePolicy, ResourceVector, StepKey
+from onyxspoke.core.jobs.progress import StepProgress
+from onyxspoke.core.jobs.resource_vectors import (
+    add_vectors,
+    count_fitting_tasks,
+    subtract_vectors,
+)
+from onyxspoke.core.placement.capacity_seeker import PREEMPT_IF_LATER_SECONDS, PreemptionRequest
+from onyxspoke.core.placement.forecast import expected_end
+from onyxspoke.core.placement.placement_pass import PlacementPass
+from onyxspoke.core.placement.preemption import (
+    Preemption,
+    choose_victims,
+    cost_milli,
+    preemptible_runs,
+)
+from onyxspoke.core.placement.queue_order import step_rank_in_queue
+from onyxspoke.core.placement.runs import Run
+from onyxspoke.core.placement.worker_table import WorkerTable
+from onyxspoke.core.tenants.policy import TenantName
+
+#: The largest number of tasks of one step for which runs are chosen in one pass.
+MAXIMUM_TASKS_PER_STEP = 4
+#: Quota that preemption freed for a step is held for it for this many seconds, so that less urgent
+#: steps do not take it while the step waits for advice.
+HOLD_SECONDS = 2.0
+
+
+class QuotaPreemptor:
+    """Preempts within a tenant's quota, and holds the freed quota for the more urgent step.
+
+    Gangs are left out.
+
+    Parameters
+    ----------
+    stop_seconds : float
+        The longest time that stopping a run takes, in seconds.
+    """
+
+    def __init__(self, table: WorkerTable, stop_seconds: float) -> None:
+        self._table = table
+        self._stop_seconds = stop_seconds
+        self._held_until: dict[StepKey, float] = {}
+        #: For each tenant, the quota that is free or will be soon, less what earlier steps need.
+        self._headroom: dict[TenantName, ResourceVector] = {}
+        self._runs_by_tenant: dict[TenantName, list[Run]] | None = None
+        self.preemption_requests: list[PreemptionRequest] = []
+
+    def begin_pass(self) -> None:
+        """Discard the state of the previous pass."""
+        self._headroom.clear()
+        self._runs_by_tenant = None
+
+    def forget_others(self, waiting: set[StepKey]) -> None:
+        """Release the quota held for steps that no longer wait."""
+        for key in self._held_until.keys() - waiting:
+            del self._held_until[key]
+
+    def seek(
+        self, step: StepProgress, tasks_within_quota: int, placement_pass: PlacementPass
+    ) -> None:
+        """Choose runs to preempt for tasks of a step that its tenant's quota keeps waiting."""
+        task_count = min(len(step.waiting) - tasks_within_quota, MAXIMUM_TASKS_PER_STEP)
+        if not step.job.spec.tenant or step.spec.gang or task_count <= 0:
+            return
+        queue = placement_pass.policy.queue_of(step.job.spec)
+        if not step_rank_in_queue(step, queue, placement_pass.now).is_entitled:
+            return
+        for _ in range(task_count):
+            if not self._seek_for_task(step, queue, placement_pass):
+                return
+
+    def hold(self, step: StepProgress, task_count: int, placement_pass: PlacementPass) -> None:
+        """Hold quota for tasks of a step that could start, but have no worker yet."""
+        if placement_pass.now < self._held_until.get(step.key, 0.0):
+            placement_pass.quotas.take(step.job.spec.tenant, step.needs, task_count)
+
+    def _seek_for_task(
+        self, step: StepProgress, queue: QueuePolicy, placement_pass: PlacementPass
+    ) -> bool:
+        """Choose runs to preempt for one task, if it needs any; return whether it gets quota."""
+        tenant, needs = step.job.spec.tenant, step.needs
+        headroom = self._headroom_of(tenant, placement_pass)
+        if count_fitting_tasks(headroom, needs) == 0:
+            now = placement_pass.now
+            candidates = preemptible_runs(
+                self._runs_of(tenant), queue.priority, placement_pass.policy, now
+            )
+            victims = choose_victims(candidates, headroom, needs)
+            if not victims:
+                return False
+            for run in victims:
+                preemption = Preemption(run.worker, [run], cost_milli(run))
+                self.preemption_requests.append(PreemptionRequest(step, preemption))
+                self._runs_of(tenant).remove(run)
+                headroom = add_vectors(headroom, run.needs)
+            self._held_until[step.key] = now + self._stop_seconds + HOLD_SECONDS
+        self._headroom[tenant] = subtract_vectors(headroom, needs)
+        return True
+
+    def _headroom_of(self, tenant: TenantName, placement_pass: PlacementPass) -> ResourceVector:
+        headroom = self._headroom.get(tenant)
+        if headroom is None:
+            headroom = placement_pass.quotas.remaining(tenant)
+            until = placement_pass.now + PREEMPT_IF_LATER_SECONDS
+            for run in self._runs_of(tenant):
+                if expected_end(run, self._stop_seconds, placement_pass.now) <= until:
+                    headroom = add_vectors(headroom, run.needs)
+        return headroom
+
+    def _runs_of(self, tenant: TenantName) -> list[Run]:
+        if self._runs_by_tenant is None:
+            self._runs_by_tenant = {}
+            for worker in self._table.workers.values():
+                for run in worker.runs.values():
+                    name = run.task.step.job.spec.tenant
+                    self._runs_by_tenant.setdefault(name, []).append(run)
+        return self._runs_by_tenant.get(tenant, [])
--- a/src/onyxspoke/core/tenants/quota_usage.py
+++ b/src/onyxspoke/core/tenants/quota_usage.py
@@ -72,15 +72,16 @@
 
     def slots(self, tenant: TenantName, needs: ResourceVector) -> int:
         """Return how many more tasks with these needs a tenant may start."""
-        return count_fitting_tasks(self._remaining_for(tenant), needs)
+        return count_fitting_tasks(self.remaining(tenant), needs)
 
     def take(self, tenant: TenantName, needs: ResourceVector, count: int) -> None:
         """Subtract the resources of ``count`` tasks that start."""
         self._remaining[tenant] = subtract_vectors(
-            self._remaining_for(tenant), scale_vector(needs, count)
+            self.remaining(tenant), scale_vector(needs, count)
         )
 
-    def _remaining_for(self, tenant: TenantName) -> ResourceVector:
+    def remaining(self, tenant: TenantName) -> ResourceVector:
+        """Return what a tenant may still use; negative if it uses more than its allocation."""
         remaining = self._remaining.get(tenant)
         if remaining is None:
             remaining = subtract_vectors(self._allocation_of(tenant), self._ledger.used(tenant))
