Admission: reservations of later ranks don't delay a retry

Seen by callers: an urgent caller that was refused, most of all while the store gave no answer, was sent back seconds later than necessary because less urgent callers had been told the same seconds; more of them expired.

Cause: a second counts as full by all work reserved in it, whatever its rank. A less urgent job that is refused again may take the quarter that is kept for urgent ones, and does so once a second in an outage.

Change: reservations are kept by rank class, and a job looks at those of its own class and of earlier ones.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -103,6 +103,12 @@
     Then at most 0.8 times as many callers retry in one second as without admission control
     And no fewer jobs finish before they expire than without admission control
 
+  # Urgent callers were sent back behind less urgent ones, and more of them expired.
+  Scenario: Urgent callers refused during a store outage are not delayed by less urgent ones
+    When the store is unreachable for 3 seconds while 8 urgent jobs per second are submitted
+    Then the urgent callers get the same retry times as beside 16 normal jobs per second
+    And as many urgent jobs finish before they expire
+
   Scenario: An overload with random faults
     When an overload with random faults is simulated with seeds 1 to 6
     Then jobs were refused, and the audit finds no violation in any simulation
@@ -200,6 +206,11 @@
     When retry slots are reserved for random amounts of work and random minimum waits
     Then no second has more work reserved than it can serve
 
+  # Seconds that less urgent jobs had reserved counted as full, so urgent callers were sent back later.
+  Scenario: Less urgent jobs don't delay the retry of a job
+    When retry slots are reserved for random jobs of several ranks, with and without later ranks
+    Then each job gets the same retry time with and without jobs of later ranks
+
   Scenario: The cost of a decision hardly grows with the length of the queue
     When a rank is looked up in queues of 500 and of 5000 steps
     Then the longer queue needs at most 5 more comparisons
--- a/features/steps/admission_failure_steps.py
+++ b/features/steps/admission_failure_steps.py
@@ -27,6 +27,8 @@
 from onyxspoke.sim.explore_jobs import play
 from onyxspoke.sim.job_cluster import make_configuration
 
+OUTAGE_STARTS_AFTER_SECONDS = 2.0
+
 
 @given("a cell with admission control")
 def _cell_with_admission(context: Any) -> None:
@@ -130,6 +132,48 @@
     ]
 
 
+@when(
+    "the store is unreachable for {seconds:g} seconds while {rate:d} urgent jobs per second"
+    " are submitted"
+)
+def _urgent_during_outage(context: Any, seconds: float, rate: int) -> None:
+    context.outage_seconds, context.urgent_rate = seconds, rate
+    context.without_normal = _run_outage(context, normal_rate=0)
+
+
+def _run_outage(context: Any, normal_rate: int) -> list[Caller]:
+    """Return the urgent callers of a cell whose store is unreachable for a time."""
+    start_cluster(context, 4, admission=True, tenants={})
+    seconds = OUTAGE_STARTS_AFTER_SECONDS + context.outage_seconds + WORK_SECONDS
+    context.traffic.schedule_submissions(normal_rate, seconds, "normal")
+    context.traffic.schedule_submissions(context.urgent_rate, seconds, "urgent")
+    end_seconds = OUTAGE_STARTS_AFTER_SECONDS + context.outage_seconds
+    _store_unreachable(context, OUTAGE_STARTS_AFTER_SECONDS, end_seconds)
+    context.cluster.run(COMPLETION_SECONDS)
+    assert not context.cluster.audit.findings, context.cluster.audit.findings
+    return list(context.traffic.select("urgent"))
+
+
+@then("the urgent callers get the same retry times as beside {rate:d} normal jobs per second")
+def _same_retry_times(context: Any, rate: int) -> None:
+    context.with_normal = _run_outage(context, normal_rate=rate)
+    without, beside = (
+        sorted(seconds for caller in callers for _moment, seconds, _reason in caller.refusals)
+        for callers in (context.without_normal, context.with_normal)
+    )
+    assert without, context.without_normal
+    assert beside == without, (Counter(beside), Counter(without))
+
+
+@then("as many urgent jobs finish before they expire")
+def _as_many_in_time(context: Any) -> None:
+    without, beside = (
+        sum(caller.is_done_before_expiry for caller in callers)
+        for callers in (context.without_normal, context.with_normal)
+    )
+    assert beside >= without > 0, (beside, without)
+
+
 @then("of the flooding tenant's refused jobs, no more are entitled than its weight allows")
 def _flood_not_entitled(context: Any) -> None:
     admission = context.cluster.holder().node.seats[0].scheduler._admission
--- a/features/steps/admission_rule_steps.py
+++ b/features/steps/admission_rule_steps.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 from placement_steps import SERVICE, _Scene
 
-from onyxspoke.core.admission.arrivals import ArrivalMeter
+from onyxspoke.core.admission.arrivals import ArrivalMeter, RankClass
 from onyxspoke.core.admission.decider import AdmissionDecider, closed_seconds
 from onyxspoke.core.admission.free_capacity_curve import FreeCapacityCurve
 from onyxspoke.core.admission.late_job_margins import LateJobMargins, LateWork
@@ -227,6 +227,50 @@
     assert context.worst <= WORK_PER_SECOND + 1e-9, context.worst
 
 
+@when("retry slots are reserved for random jobs of several ranks, with and without later ranks")
+def _reserve_by_rank(context: Any) -> None:
+    context.pairs = []
+    refusals = st.lists(
+        st.tuples(
+            st.floats(0.001, 2.0),
+            st.floats(0.0, 10.0),
+            st.tuples(st.booleans(), st.integers(0, 2)),
+            st.floats(0.0, 0.5),
+        ),
+        max_size=60,
+    )
+
+    @drawn(refusals, st.tuples(st.booleans(), st.integers(0, 2)))
+    def check(items: list[Any], last_class: tuple[bool, int]) -> None:
+        both, without = RetrySchedule(), RetrySchedule()
+        now = 100.0
+        for work, wait_seconds, rank_class, pause in items:
+            now += pause
+            slots = [
+                schedule.reserve_slot(
+                    "service",
+                    work,
+                    wait_seconds,
+                    WORK_PER_SECOND,
+                    now,
+                    rank_class=RankClass(*rank_class),
+                )
+                for schedule in (both, without)
+                if schedule is both or rank_class <= last_class
+            ]
+            if len(slots) > 1:
+                context.pairs.append(slots)
+
+    check()
+
+
+@then("each job gets the same retry time with and without jobs of later ranks")
+def _same_retry_times(context: Any) -> None:
+    assert any(slot is not None and slot.retry_seconds > 10 for slot, _other in context.pairs)
+    different = [pair for pair in context.pairs if pair[0] != pair[1]]
+    assert not different, different[0]
+
+
 class _CountedRank(StepRank):
     compared = 0
 
--- a/src/onyxspoke/core/admission/refused_jobs.py
+++ b/src/onyxspoke/core/admission/refused_jobs.py
@@ -10,8 +10,10 @@
 import math
 from collections.abc import Iterator
 from dataclasses import dataclass
+from functools import partial
 from hashlib import blake2b
 
+from onyxspoke.core.admission.arrivals import rank_class_of
 from onyxspoke.core.admission.load_view_builder import ExpectedRetry
 from onyxspoke.core.admission.retry_schedule import MAX_WAIT_SECONDS, RetrySchedule, RetrySlot
 from onyxspoke.core.admission.submitted_job import SubmittedJob
@@ -151,21 +153,23 @@
         If there is none, reserve work after the job has expired, when it counts as new.  A retry
         in between would be refused again.
         """
-        reserve = self.retry_schedule.reserve_slot
+        reserve = partial(
+            self.retry_schedule.reserve_slot,
+            service=job.service,
+            work=work,
+            max_reserved_work=max_reserved_work,
+            now=now,
+            rank_class=rank_class_of(job.rank),
+        )
         slot = reserve(
-            job.service,
-            work,
-            wait_seconds,
-            max_reserved_work,
-            now,
-            max_useful_retry_seconds(job, now),
+            wait_seconds=wait_seconds, max_wait_seconds=max_useful_retry_seconds(job, now)
         )
         if slot is None and not is_load_known:
             retry_seconds = max(1, math.ceil(wait_seconds))
             slot = RetrySlot(job.service, retry_seconds, int(now + retry_seconds), ())
         if slot is None:
             after_expiry_seconds = max(wait_seconds, job.expires_at - now)
-            slot = reserve(job.service, work, after_expiry_seconds, max_reserved_work, now)
+            slot = reserve(wait_seconds=after_expiry_seconds)
         return slot
 
     def forget(self, key: JobHash) -> RefusedJob | None:
