Placement: urgent steps that cannot wait preempt punctual runs too

Seen by callers: urgent jobs that were admitted beside less urgent jobs with little time to spare expired, although that work can be stopped.

Cause: a run whose job would be late after a restart was never preempted, however long the urgent step had to wait. The forecast by which the job is admitted counts it as giving way. Evidence: a cell of 16 places full of tasks of 20 s, half done, of jobs with 2.5 s to spare; 8 urgent jobs a second for 3 s: 2 of 24 on time, 17 expire after they were admitted, no run is stopped until the others look late.

Change: these runs are spared if there are others, or if the step can wait for the capacity that is expected: a job on time until its latest start, a late one until it would expire. Otherwise they are chosen like others. The same in a tenant's quota. The call for tickets looks for the same runs.

--- a/features/preemption.feature
+++ b/features/preemption.feature
@@ -32,6 +32,14 @@
     When a placement pass runs
     Then no run is preempted
 
+  # Urgent steps waited for such runs to end, until their own jobs had expired.
+  Scenario: A run whose job would be late is preempted for a step that cannot wait for its end
+    Given "a" runs "later" of 6 processors, priority 2, with checkpoints
+    And its job would be late after a restart
+    And a waiting step "urgent" of 1 task of 9 processors, priority 1, submitted 1 seconds ago
+    When a placement pass runs
+    Then "later" is preempted for "urgent"
+
   Scenario: A run that is about to end is not preempted
     Given "a" runs "later" of 6 processors, priority 2, with checkpoints
     And it ends in 0.3 seconds
--- a/features/quota_preemption.feature
+++ b/features/quota_preemption.feature
@@ -38,6 +38,18 @@
       | over its share         |
       | for 60 seconds already |
 
+  Scenario Outline: A run whose job would be late is preempted if the step cannot wait - <age> s old
+    Given tenant "one" runs "later" of 4 processors, priority 2, with checkpoints
+    And the job of "later" would be late after a restart
+    And tenant "one" waits with "urgent" of 3 processors, priority 1, for <age> seconds already
+    When a placement pass runs
+    Then <count> different runs are preempted
+
+    Examples:
+      | age | count |
+      | 0   | 0     |
+      | 1   | 1     |
+
   Scenario: A run that is being stopped is enough
     Given tenant "one" runs "first" of 2 processors, priority 2, with checkpoints
     And tenant "one" runs "second" of 2 processors, priority 2, with checkpoints
--- a/features/steps/quota_preemption_steps.py
+++ b/features/steps/quota_preemption_steps.py
@@ -7,7 +7,7 @@
 import msgspec
 from behave import given, then, when
 from placement_steps import MILLI, _Scene
-from preemption_steps import PATIENT_STRETCH, TRAITS
+from preemption_steps import PATIENT_STRETCH, PRESSED_STRETCH, TRAITS, WORK_SECONDS
 
 from onyxspoke.core.jobs.model import ResourceVector
 from onyxspoke.core.jobs.progress import StepProgress
@@ -62,6 +62,11 @@
     _set_tenant(context.scene.add_step(name, 1, processors, rank, age_seconds=age), tenant)
 
 
+@given('the job of "{name}" would be late after a restart')
+def _late_after_restart(context: Any, name: str) -> None:
+    context.scene.runs[name].task.step.job.objective_seconds = PRESSED_STRETCH * WORK_SECONDS
+
+
 @when('"{name}" is being stopped')
 def _being_stopped(context: Any, name: str) -> None:
     run = context.scene.runs[name]
--- a/features/steps/urgent_job_steps.py
+++ b/features/steps/urgent_job_steps.py
@@ -15,9 +15,10 @@
 )
 from behave import given, then, when
 
-from onyxspoke.core.jobs.model import ResourceVector, TaskKey
+from onyxspoke.core.jobs.model import QueuePolicy, ResourceVector, TaskKey
 from onyxspoke.core.placement.queue_order import EXPIRY_FACTOR
 from onyxspoke.kit.jobs.workers import FakeWorkerPool
+from onyxspoke.sim import job_cluster
 
 WORKERS = 4
 TENANT = "tenant"
@@ -26,6 +27,9 @@
 #: Tasks that run at a time within the quota of the tenant.
 QUOTA_TASKS = 8
 LESS_URGENT_TASK_MS = 8_000
+#: Tasks of jobs that have 2.5 seconds to spare, less than a restart takes.
+PRESSED_TASK_MS = 20_000
+PRESSED_STRETCH = 1.1
 #: How often the less urgent work fills the whole cell, or the whole quota.
 LESS_URGENT_ROUNDS = 2.5
 
@@ -41,6 +45,21 @@
     _submit_less_urgent(context, WORKERS * TASKS_PER_WORKER, "")
 
 
+@given("a cell with admission control, full of less urgent work that barely meets its objective")
+def _punctual_cell(context: Any) -> None:
+    def make_queue(name: str, **fields: Any) -> QueuePolicy:
+        if name == "patient":
+            fields["stretch"] = PRESSED_STRETCH
+        return QueuePolicy(name=name, **fields)
+
+    patch = mock.patch.object(job_cluster, "QueuePolicy", make_queue)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    start_cluster(context, WORKERS, admission=True, tenants={})
+    slots = WORKERS * TASKS_PER_WORKER
+    _submit_less_urgent(context, slots, "", rounds=1.0, task_ms=PRESSED_TASK_MS)
+
+
 @given("a cell with admission control, and a tenant whose less urgent work holds its whole quota")
 def _full_quota(context: Any) -> None:
     quota = ResourceVector(QUOTA_TASKS * PROCESSORS_MILLI, 0, 0)
@@ -48,15 +67,21 @@
     _submit_less_urgent(context, QUOTA_TASKS, TENANT)
 
 
-def _submit_less_urgent(context: Any, slots: int, tenant: str) -> None:
+def _submit_less_urgent(
+    context: Any,
+    slots: int,
+    tenant: str,
+    rounds: float = LESS_URGENT_ROUNDS,
+    task_ms: int = LESS_URGENT_TASK_MS,
+) -> None:
     """Fill a number of slots, and run the cell until the tasks there are half done."""
     patch = mock.patch.object(FakeWorkerPool, "seconds_of", _estimated_seconds)
     patch.start()
     context.add_cleanup(patch.stop)
     context.tenant = tenant
-    for _ in range(int(LESS_URGENT_ROUNDS * slots)):
-        context.traffic.submit("patient", tenant, estimated_ms=LESS_URGENT_TASK_MS)
-    context.cluster.run(LESS_URGENT_TASK_MS / 2_000.0)
+    for _ in range(int(rounds * slots)):
+        context.traffic.submit("patient", tenant, estimated_ms=task_ms)
+    context.cluster.run(task_ms / 2_000.0)
     running = sum(len(worker.runs) for worker in context.cluster.pool.workers.values())
     assert running == slots, running
 
--- a/features/urgent_jobs.feature
+++ b/features/urgent_jobs.feature
@@ -30,3 +30,10 @@
     When 8 urgent jobs of 1 task per second are submitted to it for 3 seconds
     Then every urgent job is admitted at once, and meets its objective
     And the less urgent jobs are done after 60 seconds, and the audit finds no violation
+
+  # Runs that would be late after a restart were spared until urgent jobs that waited had expired.
+  Scenario: Less urgent jobs that are about to meet their objective give way too
+    Given a cell with admission control, full of less urgent work that barely meets its objective
+    When 8 urgent jobs of 1 task per second are submitted to it for 3 seconds
+    Then every urgent job is admitted at once, and meets its objective
+    And the less urgent jobs are done after 60 seconds, and the audit finds no violation
--- a/src/onyxspoke/core/placement/capacity_seeker.py
+++ b/src/onyxspoke/core/placement/capacity_seeker.py
@@ -19,7 +19,11 @@
 from onyxspoke.core.placement.forecast import CapacityForecast
 from onyxspoke.core.placement.placement_pass import PlacementPass
 from onyxspoke.core.placement.preemption import Preemption, choose_preemption
-from onyxspoke.core.placement.queue_order import Lateness, step_rank_in_queue
+from onyxspoke.core.placement.queue_order import (
+    Lateness,
+    latest_useful_start,
+    step_rank_in_queue,
+)
 from onyxspoke.core.placement.reservations import CapacityReservations, MemberSlots
 from onyxspoke.core.placement.spreading import task_counts_by_worker
 from onyxspoke.core.placement.workers import Worker
@@ -134,7 +138,7 @@
             return None
         if expected.at - placement_pass.now <= PREEMPT_IF_LATER_SECONDS:
             return expected
-        preempted_worker = self._preempt_for(step, queue, workers, placement_pass)
+        preempted_worker = self._preempt_for(step, queue, workers, expected.at, placement_pass)
         if preempted_worker is None:
             return None
         return _ExpectedCapacity(placement_pass.now + self._stop_seconds, preempted_worker)
@@ -177,12 +181,14 @@
         step: StepProgress,
         queue: QueuePolicy,
         workers: list[Worker],
+        expected_at: float,
         placement_pass: PlacementPass,
     ) -> Worker | None:
         """Choose runs to preempt; return their worker, or ``None`` if no preemption helps."""
         rank = step_rank_in_queue(step, queue, placement_pass.now)
         if rank.is_over_share or rank.lateness is Lateness.EXPIRED:
             return None
+        can_wait = expected_at <= latest_useful_start(step, rank)
         if queue.advice is not None:
             tickets = self._advice_dispatcher.advice_for(step).tickets
             needed_until = placement_pass.now + self._stop_seconds + TICKET_MARGIN_SECONDS
@@ -190,17 +196,10 @@
                 worker for worker in workers if tickets[worker.worker_id].use_before > needed_until
             ]
             if not workers_with_ticket:
-                self._request_tickets(step, queue, workers, placement_pass)
+                self._request_tickets(step, queue, workers, can_wait, placement_pass)
                 return None
             workers = workers_with_ticket
-        preemption = choose_preemption(
-            queue.priority,
-            step.needs,
-            workers,
-            placement_pass.capacity,
-            placement_pass.policy,
-            placement_pass.now,
-        )
+        preemption = _choose_preemption(step, queue, workers, can_wait, placement_pass)
         if preemption is None:
             return None
         self.preemption_requests.append(PreemptionRequest(step, preemption))
@@ -211,13 +210,14 @@
         step: StepProgress,
         queue: QueuePolicy,
         workers: list[Worker],
+        can_wait: bool,
         placement_pass: PlacementPass,
     ) -> None:
         advice = self._advice_dispatcher.advice_for(step)
         if queue.advice is None or advice.has_open_calls:
             return
         if self._advice_dispatcher.uses_fair_shares:
-            workers = _preemption_workers(step, queue, workers, placement_pass)
+            workers = _preemption_workers(step, queue, workers, can_wait, placement_pass)
         worker_ids = [worker.worker_id for worker in workers]
         rank = step_rank_in_queue(step, queue, placement_pass.now)
         self._advice_dispatcher.request_advice(
@@ -225,22 +225,46 @@
         )
 
 
+def _choose_preemption(
+    step: StepProgress,
+    queue: QueuePolicy,
+    workers: list[Worker],
+    can_wait: bool,
+    placement_pass: PlacementPass,
+) -> Preemption | None:
+    """Return the cheapest preemption for a step.
+
+    Runs whose jobs would be late after a restart are preempted only if there are no others, and
+    the step cannot wait until capacity is expected to be free.
+    """
+    for spare_punctual in (True,) if can_wait else (True, False):
+        preemption = choose_preemption(
+            queue.priority,
+            step.needs,
+            workers,
+            placement_pass.capacity,
+            placement_pass.policy,
+            placement_pass.now,
+            spare_punctual=spare_punctual,
+        )
+        if preemption is not None:
+            return preemption
+    return None
+
+
 def _preemption_workers(
-    step: StepProgress, queue: QueuePolicy, workers: list[Worker], placement_pass: PlacementPass
+    step: StepProgress,
+    queue: QueuePolicy,
+    workers: list[Worker],
+    can_wait: bool,
+    placement_pass: PlacementPass,
 ) -> list[Worker]:
     """Return the workers to ask about, the one with the cheapest preemption first.
 
     The list has at most ``MINIMUM_WORKERS_PER_CALL`` workers; it is empty if no run can be
     preempted.
     """
-    cheapest = choose_preemption(
-        queue.priority,
-        step.needs,
-        workers,
-        placement_pass.capacity,
-        placement_pass.policy,
-        placement_pass.now,
-    )
+    cheapest = _choose_preemption(step, queue, workers, can_wait, placement_pass)
     if cheapest is None:
         return []
     other_workers = [worker for worker in workers if worker is not cheapest.worker]
--- a/src/onyxspoke/core/placement/preemption.py
+++ b/src/onyxspoke/core/placement/preemption.py
@@ -51,6 +51,8 @@
     capacity: ScratchCapacity,
     policy: PolicySet,
     now: float,
+    *,
+    spare_punctual: bool = True,
 ) -> Preemption | None:
     """Return the cheapest preemption on one of these workers that frees capacity for one task.
 
@@ -59,10 +61,17 @@
     priority : int
         The priority of the queue that needs the capacity.  Only runs of queues with a higher
         number, which is a lower priority, are preempted.
+    spare_punctual : bool
+        Preempt no run whose job would miss its objective because of that.
     """
     cheapest: Preemption | None = None
     for worker in workers:
-        preemption = _choose_on_worker(worker, priority, needs, capacity, policy, now)
+        free = capacity.free_beyond_claims(worker)
+        free = add_vectors(free, capacity_freed_soon(worker, now))
+        candidates = preemptible_runs(
+            worker.runs.values(), priority, policy, now, spare_punctual=spare_punctual
+        )
+        preemption = _choose_on_worker(worker, candidates, free, needs)
         if preemption is not None and (
             cheapest is None or preemption.cost_milli < cheapest.cost_milli
         ):
@@ -90,18 +99,8 @@
 
 
 def _choose_on_worker(
-    worker: Worker,
-    priority: int,
-    needs: ResourceVector,
-    capacity: ScratchCapacity,
-    policy: PolicySet,
-    now: float,
+    worker: Worker, candidates: list[Run], free: ResourceVector, needs: ResourceVector
 ) -> Preemption | None:
-    free = capacity.free_beyond_claims(worker)
-    for run in worker.runs.values():
-        if run.state is RunState.STOPPING or _ends_soon(run, now):
-            free = add_vectors(free, run.needs)
-    candidates = preemptible_runs(worker.runs.values(), priority, policy, now)
     victims = choose_victims(candidates, free, needs)
     if not victims:
         return None
@@ -109,7 +108,7 @@
 
 
 def preemptible_runs(
-    runs: Iterable[Run], priority: int, policy: PolicySet, now: float
+    runs: Iterable[Run], priority: int, policy: PolicySet, now: float, *, spare_punctual: bool
 ) -> list[Run]:
     """Return the runs that may be preempted for a queue, in the order in which to stop them."""
     candidates = [
@@ -117,7 +116,7 @@
         for run in runs
         if _is_preemptible(run, priority, policy)
         and not _ends_soon(run, now)
-        and not _would_be_late(run, now)
+        and not (spare_punctual and _would_be_late(run, now))
     ]
     candidates.sort(
         key=lambda run: (-_priority_of(run, policy), -_slack_seconds(run, now), run.key)
--- a/src/onyxspoke/core/placement/queue_order.py
+++ b/src/onyxspoke/core/placement/queue_order.py
@@ -79,6 +79,16 @@
     )
 
 
+def latest_useful_start(step: StepProgress, rank: StepRank) -> float:
+    """Return when a step must start at the latest, so that waiting costs its job nothing.
+
+    A job on time must still meet its objective, and a late one must finish before it expires.
+    """
+    if rank.lateness is Lateness.LATE:
+        return rank.latest_start + (EXPIRY_FACTOR - 1.0) * step.job.expected_objective_seconds
+    return rank.latest_start
+
+
 def refreshed_rank(rank: StepRank, step: StepProgress, now: float) -> StepRank:
     """Return a step's rank with its lateness updated; priority and share stay as they were."""
     objective_seconds = step.job.expected_objective_seconds
--- a/src/onyxspoke/core/placement/quota_preemption.py
+++ b/src/onyxspoke/core/placement/quota_preemption.py
@@ -5,6 +5,9 @@
 
 from __future__ import annotations
 
+import math
+from operator import itemgetter
+
 from onyxspoke.core.jobs.model import QueuePolicy, ResourceVector, StepKey
 from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.jobs.resource_vectors import (
@@ -21,7 +24,7 @@
     cost_milli,
     preemptible_runs,
 )
-from onyxspoke.core.placement.queue_order import step_rank_in_queue
+from onyxspoke.core.placement.queue_order import latest_useful_start, step_rank_in_queue
 from onyxspoke.core.placement.runs import Run
 from onyxspoke.core.placement.worker_table import WorkerTable
 from onyxspoke.core.tenants.policy import TenantName
@@ -89,11 +92,7 @@
         tenant, needs = step.job.spec.tenant, step.needs
         headroom = self._headroom_of(tenant, placement_pass)
         if count_fitting_tasks(headroom, needs) == 0:
-            now = placement_pass.now
-            candidates = preemptible_runs(
-                self._runs_of(tenant), queue.priority, placement_pass.policy, now
-            )
-            victims = choose_victims(candidates, headroom, needs)
+            victims = self._choose_victims(step, queue, headroom, placement_pass)
             if not victims:
                 return False
             for run in victims:
@@ -101,10 +100,51 @@
                 self.preemption_requests.append(PreemptionRequest(step, preemption))
                 self._runs_of(tenant).remove(run)
                 headroom = add_vectors(headroom, run.needs)
-            self._held_until[step.key] = now + self._stop_seconds + HOLD_SECONDS
+            self._held_until[step.key] = placement_pass.now + self._stop_seconds + HOLD_SECONDS
         self._headroom[tenant] = subtract_vectors(headroom, needs)
         return True
 
+    def _choose_victims(
+        self,
+        step: StepProgress,
+        queue: QueuePolicy,
+        headroom: ResourceVector,
+        placement_pass: PlacementPass,
+    ) -> list[Run]:
+        """Return runs whose end gives a task its quota.
+
+        Runs whose jobs would be late after a restart are spared if there are others, or if the
+        step can wait until enough runs have ended.
+        """
+        now = placement_pass.now
+        runs = self._runs_of(step.job.spec.tenant)
+        rank = step_rank_in_queue(step, queue, now)
+        can_wait = self._expected_at(step.needs, headroom, runs, now) <= latest_useful_start(
+            step, rank
+        )
+        for spare_punctual in (True,) if can_wait else (True, False):
+            candidates = preemptible_runs(
+                runs, queue.priority, placement_pass.policy, now, spare_punctual=spare_punctual
+            )
+            victims = choose_victims(candidates, headroom, step.needs)
+            if victims:
+                return victims
+        return []
+
+    def _expected_at(
+        self, needs: ResourceVector, headroom: ResourceVector, runs: list[Run], now: float
+    ) -> float:
+        """Return when enough runs will have ended for one task; infinity if not known."""
+        ends = sorted(
+            ((expected_end(run, self._stop_seconds, now), run.needs) for run in runs),
+            key=itemgetter(0),
+        )
+        for end_at, freed in ends:
+            headroom = add_vectors(headroom, freed)
+            if count_fitting_tasks(headroom, needs) > 0:
+                return end_at
+        return math.inf
+
     def _headroom_of(self, tenant: TenantName, placement_pass: PlacementPass) -> ResourceVector:
         headroom = self._headroom.get(tenant)
         if headroom is None:
