Preemption: one bound for the tasks of a step, one rule for sparing runs

The same bound stood in two modules, and the order in which runs are spared was spelled out twice. Change: both live in preemption.py now; one comment says when a run that has just started can be preempted.

--- a/src/onyxspoke/core/admission/load_view_builder.py
+++ b/src/onyxspoke/core/admission/load_view_builder.py
@@ -40,7 +40,7 @@
 from onyxspoke.core.tenants.policy import TenantName
 
 _FULL_PERCENT = 100
-#: Placement can preempt a run in these states, or once its worker has confirmed the start.
+#: A run in these states can be preempted, at the latest once its worker has confirmed the start.
 _PREEMPTIBLE_STATES = (RunState.STARTING, RunState.RUNNING)
 
 ExpectedDuration = Callable[[str, str, int], DurationEstimate]
--- a/src/onyxspoke/core/placement/capacity_seeker.py
+++ b/src/onyxspoke/core/placement/capacity_seeker.py
@@ -18,7 +18,11 @@
 from onyxspoke.core.placement.advice_targets import MINIMUM_WORKERS_PER_CALL
 from onyxspoke.core.placement.forecast import CapacityForecast
 from onyxspoke.core.placement.placement_pass import PlacementPass
-from onyxspoke.core.placement.preemption import Preemption, choose_preemption
+from onyxspoke.core.placement.preemption import (
+    Preemption,
+    choose_preemption,
+    sparing_attempts,
+)
 from onyxspoke.core.placement.queue_order import (
     Lateness,
     latest_useful_start,
@@ -237,7 +241,7 @@
     Runs whose jobs would be late after a restart are preempted only if there are no others, and
     the step cannot wait until capacity is expected to be free.
     """
-    for spare_punctual in (True,) if can_wait else (True, False):
+    for spare_punctual in sparing_attempts(can_wait):
         preemption = choose_preemption(
             queue.priority,
             step.needs,
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -16,6 +16,7 @@
 from onyxspoke.core.placement.capacity_seeker import CapacitySeeker, PreemptionRequest
 from onyxspoke.core.placement.gang_placer import GangPlacer
 from onyxspoke.core.placement.placement_pass import PlacementPass
+from onyxspoke.core.placement.preemption import MAXIMUM_TASKS_PER_STEP
 from onyxspoke.core.placement.queue_order import step_rank_in_queue
 from onyxspoke.core.placement.quota_preemption import QuotaPreemptor
 from onyxspoke.core.placement.renewal_reservations import RenewalReservations
@@ -45,8 +46,6 @@
 #: A pass no longer reserves capacity or chooses preemptions after this many searches, which bounds
 #: its duration.  Gangs are not counted.
 MAXIMUM_CAPACITY_SEARCHES = 12
-#: The largest number of tasks of one step for which a pass searches, so that it gets to others.
-MAXIMUM_SEARCHES_PER_STEP = 4
 
 
 class Placer:
@@ -297,7 +296,7 @@
             and counts.get(worker.worker_id, 0) < step.max_tasks_per_worker
         ]
         total_processors_milli = schedulable.processors_milli
-        task_count = min(unplaced_count, MAXIMUM_SEARCHES_PER_STEP)
+        task_count = min(unplaced_count, MAXIMUM_TASKS_PER_STEP)
         return self._capacity_seeker.reserve_or_preempt(
             step, queue, workers, total_processors_milli, task_count, placement_pass
         )
--- a/src/onyxspoke/core/placement/preemption.py
+++ b/src/onyxspoke/core/placement/preemption.py
@@ -25,6 +25,8 @@
 #: A preempted run is back at its earlier progress after about this many seconds: the stop, the wait
 #: for free capacity elsewhere, and the restore from its checkpoint.
 RESTART_SECONDS = 3.0
+#: The largest number of tasks of one step for which one pass chooses preemptions.
+MAXIMUM_TASKS_PER_STEP = 4
 #: How much one accelerator adds to the cost of a preemption, in thousandths of a processor.
 ACCELERATOR_COST_MILLI = 8_000
 
@@ -124,6 +126,14 @@
     return candidates
 
 
+def sparing_attempts(can_wait: bool) -> tuple[bool, ...]:
+    """Return whether to spare runs whose jobs would be late, for each attempt to choose runs.
+
+    A step that can wait until capacity is expected to be free makes no other attempt.
+    """
+    return (True,) if can_wait else (True, False)
+
+
 def choose_victims(candidates: list[Run], free: ResourceVector, needs: ResourceVector) -> list[Run]:
     """Return the fewest of these runs that free capacity for one task; empty if none can."""
     victims = []
--- a/src/onyxspoke/core/placement/quota_preemption.py
+++ b/src/onyxspoke/core/placement/quota_preemption.py
@@ -19,18 +19,18 @@
 from onyxspoke.core.placement.forecast import expected_end
 from onyxspoke.core.placement.placement_pass import PlacementPass
 from onyxspoke.core.placement.preemption import (
+    MAXIMUM_TASKS_PER_STEP,
     Preemption,
     choose_victims,
     cost_milli,
     preemptible_runs,
+    sparing_attempts,
 )
 from onyxspoke.core.placement.queue_order import latest_useful_start, step_rank_in_queue
 from onyxspoke.core.placement.runs import Run
 from onyxspoke.core.placement.worker_table import WorkerTable
 from onyxspoke.core.tenants.policy import TenantName
 
-#: The largest number of tasks of one step for which runs are chosen in one pass.
-MAXIMUM_TASKS_PER_STEP = 4
 #: Quota that preemption freed for a step is held for it for this many seconds, so that less urgent
 #: steps do not take it while the step waits for advice.
 HOLD_SECONDS = 2.0
@@ -122,7 +122,7 @@
         can_wait = self._expected_at(step.needs, headroom, runs, now) <= latest_useful_start(
             step, rank
         )
-        for spare_punctual in (True,) if can_wait else (True, False):
+        for spare_punctual in sparing_attempts(can_wait):
             candidates = preemptible_runs(
                 runs, queue.priority, placement_pass.policy, now, spare_punctual=spare_punctual
             )
