--- a/features/quota_preemption.feature
+++ b/features/quota_preemption.feature
@@ -82,3 +82,15 @@
     And the advice is that "small" may run on "a"
     And a placement pass runs
     Then "small" starts 1 task
+
+  # Each waiting step looked through all runs of its tenant, so a pass took seconds.
+  Scenario Outline: The cost of a pass does not grow with the steps that wait for a quota - <traits>
+    Given tenant "one" runs "later" of 4 processors, priority 2, <traits>
+    And tenant "one" waits with 100 steps of 1 processor, priority 1
+    When a placement pass runs
+    Then the runs of the tenant were looked through at most 3 times
+
+    Examples:
+      | traits              |
+      | with checkpoints    |
+      | without checkpoints |
--- a/features/steps/quota_preemption_steps.py
+++ b/features/steps/quota_preemption_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Any
+from unittest import mock
 
 import msgspec
 from behave import given, then, when
@@ -12,6 +13,8 @@
 from onyxspoke.core.jobs.model import ResourceVector
 from onyxspoke.core.jobs.progress import StepProgress
 from onyxspoke.core.jobs.states import RunState
+from onyxspoke.core.placement import quota_preemption
+from onyxspoke.core.placement.preemption import preemptible_runs
 
 
 @given('a quota of {processors:d} processors for tenant "{tenant}"')
@@ -62,6 +65,23 @@
     _set_tenant(context.scene.add_step(name, 1, processors, rank, age_seconds=age), tenant)
 
 
+@given(
+    'tenant "{tenant}" waits with {count:d} steps of {processors:d} processor, priority {rank:d}'
+)
+def _many_wait(context: Any, tenant: str, count: int, processors: int, rank: int) -> None:
+    for number in range(count):
+        _tenant_waits(context, tenant, f"urgent-{number:03}", processors, rank)
+    wrapped = mock.Mock(wraps=preemptible_runs)
+    patch = mock.patch.object(quota_preemption, "preemptible_runs", wrapped)
+    context.looked_through = patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@then("the runs of the tenant were looked through at most {most:d} times")
+def _few_looks(context: Any, most: int) -> None:
+    assert 0 < context.looked_through.call_count <= most, context.looked_through.call_count
+
+
 @given('the job of "{name}" would be late after a restart')
 def _late_after_restart(context: Any, name: str) -> None:
     context.scene.runs[name].task.step.job.objective_seconds = PRESSED_STRETCH * WORK_SECONDS
--- a/src/onyxspoke/core/placement/capacity_seeker.py
+++ b/src/onyxspoke/core/placement/capacity_seeker.py
@@ -250,6 +250,7 @@
             placement_pass.policy,
             placement_pass.now,
             spare_punctual=spare_punctual,
+            candidates=placement_pass.preemption_candidates,
         )
         if preemption is not None:
             return preemption
--- a/src/onyxspoke/core/placement/gang_placer.py
+++ b/src/onyxspoke/core/placement/gang_placer.py
@@ -195,6 +195,7 @@
                 placement_pass.capacity,
                 placement_pass.policy,
                 placement_pass.now,
+                candidates=placement_pass.preemption_candidates,
             )
             if next_preemption is None:
                 return []
--- a/src/onyxspoke/core/placement/preemption.py
+++ b/src/onyxspoke/core/placement/preemption.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from onyxspoke.core.jobs.model import ResourceVector, StepSpec
+from onyxspoke.core.jobs.model import ResourceVector, StepSpec, WorkerId
 from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.jobs.resource_vectors import add_vectors, count_fitting_tasks, subtract_vectors
 from onyxspoke.core.jobs.states import RunState
@@ -46,6 +46,29 @@
     cost_milli: int
 
 
+class PreemptionCandidates:
+    """The runs that one pass may preempt on each worker; each list is made once in a pass."""
+
+    def __init__(self, policy: PolicySet, now: float) -> None:
+        self._policy = policy
+        self._now = now
+        self._lists: dict[tuple[WorkerId, int, bool], list[Run]] = {}
+
+    def on(self, worker: Worker, priority: int, *, spare_punctual: bool) -> list[Run]:
+        """Return the runs to preempt for a queue of a priority, in the order to stop them."""
+        key = (worker.worker_id, priority, spare_punctual)
+        runs = self._lists.get(key)
+        if runs is None:
+            runs = self._lists[key] = preemptible_runs(
+                worker.runs.values(),
+                priority,
+                self._policy,
+                self._now,
+                spare_punctual=spare_punctual,
+            )
+        return runs
+
+
 def choose_preemption(
     priority: int,
     needs: ResourceVector,
@@ -55,6 +78,7 @@
     now: float,
     *,
     spare_punctual: bool = True,
+    candidates: PreemptionCandidates | None = None,
 ) -> Preemption | None:
     """Return the cheapest preemption on one of these workers that frees capacity for one task.
 
@@ -65,15 +89,19 @@
         number, which is a lower priority, are preempted.
     spare_punctual : bool
         Preempt no run whose job would miss its objective because of that.
+    candidates : PreemptionCandidates, optional
+        The candidates of the current pass, so that they are not determined again.
     """
+    if candidates is None:
+        candidates = PreemptionCandidates(policy, now)
     cheapest: Preemption | None = None
     for worker in workers:
+        runs = candidates.on(worker, priority, spare_punctual=spare_punctual)
+        if not runs:
+            continue
         free = capacity.free_beyond_claims(worker)
         free = add_vectors(free, capacity_freed_soon(worker, now))
-        candidates = preemptible_runs(
-            worker.runs.values(), priority, policy, now, spare_punctual=spare_punctual
-        )
-        preemption = _choose_on_worker(worker, candidates, free, needs)
+        preemption = _choose_on_worker(worker, runs, free, needs)
         if preemption is not None and (
             cheapest is None or preemption.cost_milli < cheapest.cost_milli
         ):
