Calls: number each copy of a call, and log which copy a reply answers

An entry sends a call again when it loses sight of the holder. Each copy now has a number of its own on the wire (CallForward.call_id, which holders only echo), and event=call_copy_reply names the copies, their holders and the one that was answered. What callers are told is unchanged.

--- a/src/onyxspoke/node/call_router.py
+++ b/src/onyxspoke/node/call_router.py
@@ -8,8 +8,16 @@
 
 from onyxspoke.core.admission.summary_cache import AdmissionSummaryCache
 from onyxspoke.core.admission.verdict import RefusalReason
-from onyxspoke.core.shard.calls import Call, CallReply, ReplyCode, SubmitCall
+from onyxspoke.core.shard.calls import (
+    CALL_NAMES,
+    Call,
+    CallReply,
+    ReplyCode,
+    SubmitCall,
+    job_id_of,
+)
 from onyxspoke.core.shard.log_records import ShardId
+from onyxspoke.node.call_route import CallRoute
 
 #: A call that no holder has seen is refused after so long: a new holder may come soon...
 NO_HOLDER_SECONDS = 1.0
@@ -25,20 +33,20 @@
 _MILLISECONDS = 1_000.0
 
 OnReply = Callable[[CallReply], None]
-#: Sends a call to the present holder; returns whether it left.
-Sender = Callable[[ShardId, int, Call], bool]
+#: Returns the way to a shard's holder, if one is known and can be reached.
+RouteFinder = Callable[[ShardId], CallRoute | None]
 
 
 class _PendingCall:
     __slots__ = (
         "call",
+        "copies",
         "deadline",
         "is_away",
         "on_reply",
         "retry_at",
         "shard",
         "since",
-        "was_sent",
     )
 
     def __init__(
@@ -50,26 +58,37 @@
         self.since = now
         self.deadline = deadline
         self.is_away = False
-        self.was_sent = False
         self.retry_at = 0.0
+        #: Where each copy was sent, by its number.
+        self.copies: dict[int, CallRoute] = {}
+
+    @property
+    def was_sent(self) -> bool:
+        """Whether a copy was sent to a holder."""
+        return bool(self.copies)
 
 
 class CallRouter:
     """Calls on their way.
 
+    A call may be sent several times; each copy has a number of its own, which its reply names.
+
     Parameters
     ----------
-    send : callable
-        Sends a call to the present holder.
+    find_route : callable
+        Returns the way to a shard's holder.
     summary_cache : AdmissionSummaryCache
         Tells which queues the holders have closed.
     """
 
-    def __init__(self, send: Sender, summary_cache: AdmissionSummaryCache) -> None:
-        self._send = send
+    def __init__(self, find_route: RouteFinder, summary_cache: AdmissionSummaryCache) -> None:
+        self._find_route = find_route
         self._summary_cache = summary_cache
         self._pending: dict[int, _PendingCall] = {}
         self._last_id = 0
+        #: Calls by the numbers of their copies.
+        self._call_ids: dict[int, int] = {}
+        self._last_copy = 0
 
     def __len__(self) -> int:
         return len(self._pending)
@@ -84,11 +103,13 @@
         self._try(call_id, now)
         return call_id
 
-    def handle_reply(self, call_id: int, reply: CallReply, now: float) -> None:
-        """The holder replied."""
-        pending = self._pending.get(call_id)
-        if pending is None:
+    def handle_reply(self, copy: int, reply: CallReply, now: float) -> None:
+        """The holder replied to a copy of a call."""
+        call_id = self._call_ids.get(copy)
+        if call_id is None:
             return
+        pending = self._pending[call_id]
+        self._log_repeated(pending, copy, reply)
         if reply.code is ReplyCode.NOT_HOLDER:
             pending.is_away = False
             pending.retry_at = now + REPEAT_SECONDS
@@ -139,13 +160,15 @@
         if now < pending.retry_at:
             return
         pending.retry_at = now + REPEAT_SECONDS
+        route = self._find_route(pending.shard)
+        if route is None:
+            return
         # Marked first: a holder in this process may reply at once.
         pending.is_away = True
-        was_sent = pending.was_sent
-        pending.was_sent = True
-        if not self._send(pending.shard, call_id, pending.call):
-            pending.is_away = False
-            pending.was_sent = was_sent
+        self._last_copy += 1
+        pending.copies[self._last_copy] = route
+        self._call_ids[self._last_copy] = call_id
+        route.send(self._last_copy, pending.call)
 
     def _late_reply(self, pending: _PendingCall, now: float) -> CallReply:
         """Return what is known of a call whose time is over."""
@@ -184,8 +207,28 @@
 
     def _finish(self, call_id: int, reply: CallReply) -> None:
         pending = self._pending.pop(call_id)
+        for copy in pending.copies:
+            del self._call_ids[copy]
         pending.on_reply(reply)
 
+    def _log_repeated(self, pending: _PendingCall, copy: int, reply: CallReply) -> None:
+        """Log a reply to a call of which several copies were sent."""
+        if len(pending.copies) == 1:
+            return
+        logging.info(
+            "event=call_copy_reply shard=%d call=%s job=%s copies=%s copy=%d code=%s reason=%s",
+            pending.shard,
+            CALL_NAMES[type(pending.call)],
+            job_id_of(pending.call),
+            ",".join(
+                f"{number}:{route.token}@{route.incarnation}"
+                for number, route in pending.copies.items()
+            ),
+            copy,
+            reply.code.value,
+            reply.reason,
+        )
+
 
 def _refused(seconds: float, reason: str) -> CallReply:
     return CallReply(code=ReplyCode.REFUSED, retry_after_seconds=seconds, reason=reason)
--- a/src/onyxspoke/node/messages.py
+++ b/src/onyxspoke/node/messages.py
@@ -53,7 +53,10 @@
 
 
 class CallForward(Message, frozen=True):
-    """A client's call, passed on to the holder of its shard."""
+    """A client's call, passed on to the holder of its shard.
+
+    ``call_id`` is another one for each copy of a call that is sent more than once.
+    """
 
     shard: ShardId
     call_id: int
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -27,6 +27,7 @@
 from onyxspoke.node.advice_exchange import AdviceExchange
 from onyxspoke.node.agreed_time import agreed_time_ms
 from onyxspoke.node.call_gate import CallGate
+from onyxspoke.node.call_route import CallRoute
 from onyxspoke.node.call_router import CallRouter, OnReply
 from onyxspoke.node.configuration_keeper import ConfigurationKeeper
 from onyxspoke.node.directory_hub import DirectoryHub
@@ -123,7 +124,7 @@
         self.summary_cache = AdmissionSummaryCache(
             settings.shard_options.load.summary_trust_seconds
         )
-        self.router = CallRouter(self._send_call, self.summary_cache)
+        self.router = CallRouter(self._find_route, self.summary_cache)
         self.keys = KeyGate(
             self.configurations, clock, self.retry, settings.key_trust_seconds, self.metrics
         )
@@ -311,20 +312,27 @@
         """How many callers' calls are not answered yet."""
         return len(self.router) + len(self.keys)
 
-    def _send_call(self, shard: ShardId, call_id: int, call: Call) -> bool:
+    def _find_route(self, shard: ShardId) -> CallRoute | None:
+        """Return the way to a shard's holder, if one is known and can be reached."""
         seat = self.seats[shard]
-        if seat.is_holding:
-            seat.handle_call(call, partial(self._take_reply, call_id))
-            return True
+        claim = seat.held_claim
+        if claim is not None:
+            return CallRoute(claim.token, claim.incarnation, seat.scheduler, self._serve_self(seat))
         claim = self._holders.get(shard)
         link = self.peers.link_to(claim.host) if claim is not None else None
-        if link is None:
-            return False
-        link.send(CallForward(shard, call_id, call))
-        return True
+        if claim is None or link is None or link.identity is None:
+            return None
+
+        def send(copy: int, call: Call) -> None:
+            link.send(CallForward(shard, copy, call))
+
+        return CallRoute(claim.token, link.identity.incarnation, link, send)
+
+    def _serve_self(self, seat: ShardSeat) -> Callable[[int, Call], None]:
+        return lambda copy, call: seat.handle_call(call, partial(self._take_reply, copy))
 
-    def _take_reply(self, call_id: int, reply: CallReply) -> None:
-        self.router.handle_reply(call_id, reply, self._clock.now())
+    def _take_reply(self, copy: int, reply: CallReply) -> None:
+        self.router.handle_reply(copy, reply, self._clock.now())
 
     # Seats
 
