Calls: refuse a submission only once no copy of it can be accepted

Callers saw: every attempt to submit a job was refused, and the job ran.

Cause: an entry that loses its holder before the reply sends the call again. Holders decide about each copy on its own, and the entry passed on whichever reply came first. So one holder could refuse the first copy and accept the second one, and a holder that had been replaced could refuse a copy while its successor accepted another one.

Change, all ways that the router has to send a copy: - A reply is matched to its copy. A refusal counts only if every other copy is settled (core/shard/call_copies.py): a holder knows what it accepted itself and what was accepted under earlier tokens, so its refusal settles the copies that were sent to it before and those sent to earlier holders. The refusal of a holder that has been replaced while its successor has a copy decides nothing. Where doubt remains and no reply can come, the caller is told 504 at once. - That reasoning needs that a holder accepts no copy late. Calls carry the token of the holder that they are meant for, and numbers that rise; a holder rejects a copy meant for another token or overtaken by a later call of the same entry. Hello tells whether the sender does so: copies at processes of earlier builds count as in doubt until they are answered. - A holder that is lost from sight and found again on the same stream gets no second copy; a late NOT_HOLDER for an old copy sends no third one; nothing is sent after the call's deadline; a stream that another one has replaced is told to have ended, so its calls no longer wait until their deadline.

A refusal of the only copy is passed on at once, as before. State is kept per open call and one number per entry, none per job. Messages of both builds decode at the other one (CallForward and Hello gain a trailing field with a default).

--- a/features/steps/job_promise_steps.py
+++ b/features/steps/job_promise_steps.py
@@ -17,10 +17,13 @@
 from onyxspoke.core.placement.spreading import StepPlacement
 from onyxspoke.core.placement.workers import Worker
 from onyxspoke.core.shard import journal, scheduler
+from onyxspoke.core.shard.call_copies import CallCopies
+from onyxspoke.core.shard.calls import CallReply
 from onyxspoke.core.shard.commit import CommitQueue
 from onyxspoke.core.shard.run_starter import RunStarter
 from onyxspoke.core.shard.worker_manager import WorkerManager
 from onyxspoke.kit.jobs.workers import FakeWorker
+from onyxspoke.node.call_router import CallRouter
 from onyxspoke.sim.explore_jobs import JobRunReport, play
 
 
@@ -202,6 +205,19 @@
         yield
 
 
+@contextmanager
+def _without_copies() -> Iterator[None]:
+    def refuse(copies: CallCopies, _number: int, reply: CallReply) -> None:
+        copies._undecided.clear()
+        copies._refusal = reply
+
+    with (
+        mock.patch.object(CallRouter, "_find_open_copy", lambda _router, _pending, _route: None),
+        mock.patch.object(CallCopies, "handle_refused", refuse),
+    ):
+        yield
+
+
 #: Context managers that disable one mechanism, by the mechanism's name in the features.
 MECHANISM_DISABLERS = {
     "start orders only after the commit": _without_commit_before_start,
@@ -217,4 +233,5 @@
     "crashes that a former holder did not see": _without_unconfirmed_crashes,
     "a beginning apart": _without_isolation,
     "a trial of steps": _without_trial,
+    "tracking the copies of submissions": _without_copies,
 }
--- a/features/steps/slow_link_steps.py
+++ b/features/steps/slow_link_steps.py
@@ -95,6 +95,7 @@
 class _Listener:
     def __init__(self) -> None:
         self.lost: list[Any] = []
+        self.ended: list[PeerLink] = []
 
     def handle_peer_up(self, link: PeerLink) -> None:
         """Do nothing."""
@@ -106,6 +107,10 @@
         """Note the reason."""
         self.lost.append(reason)
 
+    def handle_stream_ended(self, link: PeerLink) -> None:
+        """Note the stream."""
+        self.ended.append(link)
+
 
 @given("a stream to a peer that was heard just now")
 def _peer(context: Any) -> None:
--- a/src/onyxspoke/node/call_route.py
+++ b/src/onyxspoke/node/call_route.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from onyxspoke.core.shard.call_copies import CopyTarget
 from onyxspoke.core.shard.calls import Call
 
 
@@ -14,17 +15,14 @@
 
     Attributes
     ----------
-    token : int
-        Fencing token under which the holder was last known to hold the shard.
-    incarnation : str
-        Process at the other end.
+    target : CopyTarget
+        The holder at the other end.
     path : object
-        Stream, or scheduler of this node, that delivers the reply; compared by identity.
+        Stream, or seat of this node, on which the reply comes; compared by identity.
     send : callable
         Sends a copy of a call under its number.
     """
 
-    token: int
-    incarnation: str
+    target: CopyTarget
     path: object
     send: Callable[[int, Call], None]
--- a/src/onyxspoke/node/call_router.py
+++ b/src/onyxspoke/node/call_router.py
@@ -8,6 +8,7 @@
 
 from onyxspoke.core.admission.summary_cache import AdmissionSummaryCache
 from onyxspoke.core.admission.verdict import RefusalReason
+from onyxspoke.core.shard.call_copies import CallCopies
 from onyxspoke.core.shard.calls import (
     CALL_NAMES,
     Call,
@@ -39,12 +40,13 @@
 
 class _PendingCall:
     __slots__ = (
+        "awaited_copy",
         "call",
         "copies",
         "deadline",
-        "is_away",
         "on_reply",
         "retry_at",
+        "routes",
         "shard",
         "since",
     )
@@ -57,21 +59,24 @@
         self.on_reply = on_reply
         self.since = now
         self.deadline = deadline
-        self.is_away = False
         self.retry_at = 0.0
+        self.copies = CallCopies()
         #: Where each copy was sent, by its number.
-        self.copies: dict[int, CallRoute] = {}
+        self.routes: dict[int, CallRoute] = {}
+        #: The copy at the present holder; None while the call is to be sent to one.
+        self.awaited_copy: int | None = None
 
     @property
     def was_sent(self) -> bool:
         """Whether a copy was sent to a holder."""
-        return bool(self.copies)
+        return bool(self.routes)
 
 
 class CallRouter:
     """Calls on their way.
 
     A call may be sent several times; each copy has a number of its own, which its reply names.
+    The caller is told of a refusal only if no copy can be accepted any more.
 
     Parameters
     ----------
@@ -104,28 +109,46 @@
         return call_id
 
     def handle_reply(self, copy: int, reply: CallReply, now: float) -> None:
-        """The holder replied to a copy of a call."""
-        call_id = self._call_ids.get(copy)
+        """A holder replied to a copy of a call."""
+        call_id = self._call_ids.pop(copy, None)
         if call_id is None:
             return
         pending = self._pending[call_id]
         self._log_repeated(pending, copy, reply)
         if reply.code is ReplyCode.NOT_HOLDER:
-            pending.is_away = False
+            pending.copies.handle_not_taken(copy)
             pending.retry_at = now + REPEAT_SECONDS
+        elif reply.code is ReplyCode.REFUSED:
+            pending.copies.handle_refused(copy, reply)
+        else:
+            self._finish(call_id, reply)
             return
-        self._finish(call_id, reply)
+        if pending.awaited_copy == copy:
+            pending.awaited_copy = None
+        self._conclude(call_id)
 
     def handle_holder_lost(self, shard: ShardId) -> None:
-        """Replies to what was sent to the holder of a shard will not come."""
+        """The holder of a shard is not known any more; it may still reply."""
         for pending in self._pending.values():
-            if pending.shard == shard and pending.is_away:
-                pending.is_away = False
+            if pending.shard == shard:
+                pending.awaited_copy = None
+
+    def handle_path_lost(self, path: object) -> None:
+        """Replies to what was sent on a path will not come."""
+        for copy, call_id in list(self._call_ids.items()):
+            pending = self._pending.get(call_id)
+            if pending is None or pending.routes[copy].path is not path:
+                continue
+            del self._call_ids[copy]
+            pending.copies.handle_lost(copy)
+            if pending.awaited_copy == copy:
+                pending.awaited_copy = None
+            self._conclude(call_id)
 
     def handle_holder_found(self, shard: ShardId, now: float) -> None:
         """A shard has a holder that can be reached."""
         for call_id, pending in list(self._pending.items()):
-            if pending.shard == shard and not pending.is_away:
+            if pending.shard == shard and pending.awaited_copy is None:
                 self._try(call_id, now)
 
     def keep(self, now: float, is_cut_off: bool) -> None:
@@ -137,7 +160,7 @@
         for call_id, pending in list(self._pending.items()):
             if now >= pending.deadline:
                 self._finish(call_id, self._late_reply(pending, now))
-            elif not pending.is_away:
+            elif pending.awaited_copy is None:
                 self._keep_waiting(call_id, pending, now, bound)
 
     def _keep_waiting(self, call_id: int, pending: _PendingCall, now: float, bound: float) -> None:
@@ -156,23 +179,41 @@
             self._finish(call_id, reply)
 
     def _try(self, call_id: int, now: float) -> None:
+        """Send a call to the present holder, unless a reply from there is on its way."""
         pending = self._pending[call_id]
-        if now < pending.retry_at:
+        if now < pending.retry_at or now >= pending.deadline or pending.copies.has_refusal:
             return
         pending.retry_at = now + REPEAT_SECONDS
         route = self._find_route(pending.shard)
         if route is None:
             return
-        # Marked first: a holder in this process may reply at once.
-        pending.is_away = True
+        pending.awaited_copy = self._find_open_copy(pending, route)
+        if pending.awaited_copy is not None:
+            return
         self._last_copy += 1
-        pending.copies[self._last_copy] = route
-        self._call_ids[self._last_copy] = call_id
-        route.send(self._last_copy, pending.call)
+        copy = pending.awaited_copy = self._last_copy
+        pending.routes[copy] = route
+        pending.copies.handle_sent(copy, route.target)
+        self._call_ids[copy] = call_id
+        route.send(copy, pending.call)
+
+    def _find_open_copy(self, pending: _PendingCall, route: CallRoute) -> int | None:
+        """Return the copy that this holder has from the same path, and has not answered yet."""
+        for copy, earlier in pending.routes.items():
+            is_same = earlier.path is route.path and earlier.target == route.target
+            if is_same and copy in self._call_ids:
+                return copy
+        return None
+
+    def _conclude(self, call_id: int) -> None:
+        """Answer a call once its refusals leave no doubt, or a doubt that will not be resolved."""
+        reply = self._pending[call_id].copies.conclude()
+        if reply is not None:
+            self._finish(call_id, reply)
 
     def _late_reply(self, pending: _PendingCall, now: float) -> CallReply:
         """Return what is known of a call whose time is over."""
-        if pending.was_sent or not isinstance(pending.call, SubmitCall):
+        if pending.copies.is_in_doubt or not isinstance(pending.call, SubmitCall):
             return CallReply(code=ReplyCode.UNKNOWN, reason="no_reply")
         closed = self._closed_reply(pending, now)
         if closed is not None:
@@ -207,13 +248,13 @@
 
     def _finish(self, call_id: int, reply: CallReply) -> None:
         pending = self._pending.pop(call_id)
-        for copy in pending.copies:
-            del self._call_ids[copy]
+        for copy in pending.routes:
+            self._call_ids.pop(copy, None)
         pending.on_reply(reply)
 
     def _log_repeated(self, pending: _PendingCall, copy: int, reply: CallReply) -> None:
         """Log a reply to a call of which several copies were sent."""
-        if len(pending.copies) == 1:
+        if len(pending.routes) == 1:
             return
         logging.info(
             "event=call_copy_reply shard=%d call=%s job=%s copies=%s copy=%d code=%s reason=%s",
@@ -221,8 +262,8 @@
             CALL_NAMES[type(pending.call)],
             job_id_of(pending.call),
             ",".join(
-                f"{number}:{route.token}@{route.incarnation}"
-                for number, route in pending.copies.items()
+                f"{number}:{route.target.token}@{route.target.incarnation}"
+                for number, route in pending.routes.items()
             ),
             copy,
             reply.code.value,
--- a/src/onyxspoke/node/messages.py
+++ b/src/onyxspoke/node/messages.py
@@ -18,9 +18,14 @@
 
 
 class Hello(Message, frozen=True):
-    """Who the sender is; the first message either way."""
+    """Who the sender is; the first message either way.
+
+    ``checks_calls`` tells that the sender rejects copies of calls that were sent to another holder
+    or that a later call has overtaken; earlier builds don't.
+    """
 
     identity: NodeIdentity
+    checks_calls: bool = False
 
 
 class Status(Message, frozen=True):
@@ -55,12 +60,14 @@
 class CallForward(Message, frozen=True):
     """A client's call, passed on to the holder of its shard.
 
-    ``call_id`` is another one for each copy of a call that is sent more than once.
+    ``call_id`` is higher for each later call of the entry, also for a further copy of the same
+    one.  ``token`` is the fencing token of the holder that it is meant for; 0 from earlier builds.
     """
 
     shard: ShardId
     call_id: int
     call: Call
+    token: int = 0
 
 
 class CallAnswer(Message, frozen=True):
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -15,7 +15,8 @@
 
 from onyxspoke.core.admission.summary_cache import AdmissionSummaryCache
 from onyxspoke.core.shard.actions import RequestAdvice, StepDownReason
-from onyxspoke.core.shard.calls import Call, CallReply, QuotaCall, ReplyCode
+from onyxspoke.core.shard.call_copies import CopyTarget
+from onyxspoke.core.shard.calls import Call, CallReply, QuotaCall, ReplyCode, job_id_of
 from onyxspoke.core.shard.election_actions import ConnectionLossReason, NodeIdentity
 from onyxspoke.core.shard.layout import FIRST_SHARD, CellLayout
 from onyxspoke.core.shard.log_records import ClaimRecord, ShardId
@@ -26,6 +27,7 @@
 from onyxspoke.node.admission_news import AdmissionNews, ShardSummary
 from onyxspoke.node.advice_exchange import AdviceExchange
 from onyxspoke.node.agreed_time import agreed_time_ms
+from onyxspoke.node.call_checks import CallChecks
 from onyxspoke.node.call_gate import CallGate
 from onyxspoke.node.call_route import CallRoute
 from onyxspoke.node.call_router import CallRouter, OnReply
@@ -129,6 +131,7 @@
             self.configurations, clock, self.retry, settings.key_trust_seconds, self.metrics
         )
         self._gate = CallGate(self.router, lambda: self.layout, clock, self.metrics)
+        self._call_checks = CallChecks()
         self._store_watch = StoreWatch(self.store, self.peers)
         self._directory = DirectoryHub(ports.directory, clock)
         self._planner = LayoutPlanner(settings, self._directory, clock)
@@ -317,16 +320,19 @@
         seat = self.seats[shard]
         claim = seat.held_claim
         if claim is not None:
-            return CallRoute(claim.token, claim.incarnation, seat.scheduler, self._serve_self(seat))
+            target = CopyTarget(claim.token, claim.incarnation, is_checked=True)
+            return CallRoute(target, seat, self._serve_self(seat))
         claim = self._holders.get(shard)
         link = self.peers.link_to(claim.host) if claim is not None else None
         if claim is None or link is None or link.identity is None:
             return None
+        token = claim.token
 
         def send(copy: int, call: Call) -> None:
-            link.send(CallForward(shard, copy, call))
+            link.send(CallForward(shard, copy, call, token))
 
-        return CallRoute(claim.token, link.identity.incarnation, link, send)
+        target = CopyTarget(token, link.identity.incarnation, link.checks_calls)
+        return CallRoute(target, link, send)
 
     def _serve_self(self, seat: ShardSeat) -> Callable[[int, Call], None]:
         return lambda copy, call: seat.handle_call(call, partial(self._take_reply, copy))
@@ -351,6 +357,8 @@
 
     def handle_holding(self, shard: ShardId, is_holding: bool) -> None:
         """Take note that this node has begun, or ceased, to decide for a shard."""
+        if not is_holding:
+            self.router.handle_path_lost(self.seats[shard])
         self.router.handle_holder_lost(shard)
         if is_holding:
             self._holders.pop(shard, None)
@@ -413,22 +421,20 @@
         logging.info("event=peer_lost peer=%s reason=%s", host, reason.value)
         if link is not None:
             self._note_peers_changed()
-            self._give_up_exchanges(link)
+            self.handle_stream_ended(link)
         if self.peers.link_to(host) is not None:
             return
         for seat in list(self.seats.values()):
             seat.election.handle_peer_lost(host, reason, self._clock.now())
             seat.carry_out_election()
 
-    def _give_up_exchanges(self, link: PeerLink) -> None:
+    def handle_stream_ended(self, link: PeerLink) -> None:
         """Send elsewhere, or again, what was asked on a stream that is lost.
 
         Its answers come on no other stream, also where there is another one to the same node.
         """
         self._advice.handle_link_lost(link)
-        for shard, claim in self._holders.items():
-            if claim.host == link.host:
-                self.router.handle_holder_lost(shard)
+        self.router.handle_path_lost(link)
 
     def handle_peer_message(self, link: PeerLink, message: NodeMessage) -> None:
         """A peer sent a message."""
@@ -466,11 +472,31 @@
 
     def _serve_call(self, link: PeerLink, message: CallForward) -> None:
         seat = self.seats.get(message.shard)
-        if seat is None:
+        if seat is None or self._is_stale(link, message, seat.held_claim):
             link.send(CallAnswer(message.call_id, CallReply(code=ReplyCode.NOT_HOLDER)))
             return
         seat.handle_call(message.call, lambda reply: link.send(CallAnswer(message.call_id, reply)))
 
+    def _is_stale(self, link: PeerLink, message: CallForward, held: ClaimRecord | None) -> bool:
+        """Return whether a forwarded call must not be decided about any more."""
+        assert link.identity is not None
+        incarnation = link.identity.incarnation
+        held_token = held.token if held is not None else None
+        fault = self._call_checks.find_fault(incarnation, message, held_token)
+        if fault is not None and held is not None:
+            logging.info(
+                "event=call_copy_rejected shard=%d copy=%d entry=%s job=%s token=%d held=%d"
+                " reason=%s",
+                message.shard,
+                message.call_id,
+                incarnation,
+                job_id_of(message.call),
+                message.token,
+                held.token,
+                fault.value,
+            )
+        return fault is not None
+
     def _note_peers_changed(self) -> None:
         """Let the seats know through which nodes advice can be asked."""
         self._succession.note_change()
--- a/src/onyxspoke/node/peers.py
+++ b/src/onyxspoke/node/peers.py
@@ -42,6 +42,9 @@
     ) -> None:
         """A stream ended, or none came about."""
 
+    def handle_stream_ended(self, link: PeerLink) -> None:
+        """A stream ended, also one that another stream had replaced; perhaps told twice."""
+
 
 class PeerLink:
     """One stream to a peer.
@@ -68,6 +71,8 @@
         #: When summaries of queues were told, and whether one of them was closed then.
         self.summaries_told_at = -math.inf
         self.was_told_closed = False
+        #: Whether the peer rejects copies of calls about which it must not decide any more.
+        self.checks_calls = False
         self.configuration_version = 0
         #: Since when the peer's configuration is known to be older than ours.
         self.behind_since: float | None = None
@@ -180,7 +185,7 @@
             NodeMessage,
             lambda _stream, message: self._handle_message(link, message),
             lambda stream: self._handle_connected(link, stream),
-            lambda _stream: self._forget(link, ConnectionLossReason.CLOSED),
+            lambda _stream: self._handle_closed(link),
             on_data=lambda: self._note_data(link),
         )
 
@@ -190,19 +195,20 @@
     def _handle_connected(self, link: PeerLink, stream: _Stream) -> None:
         link.stream = stream
         link.heard_at = self._network.reactor.seconds()
-        stream.send(Hello(self._identity))
+        stream.send(Hello(self._identity, checks_calls=True))
 
     def _handle_message(self, link: PeerLink, message: NodeMessage) -> None:
         link.heard_at = self._network.reactor.seconds()
         if isinstance(message, Hello):
-            self._handle_hello(link, message.identity)
+            self._handle_hello(link, message)
         elif link.identity is None:
             link.abort()
         else:
             self._listener.handle_peer_message(link, message)
 
-    def _handle_hello(self, link: PeerLink, identity: NodeIdentity) -> None:
-        link.identity = identity
+    def _handle_hello(self, link: PeerLink, message: Hello) -> None:
+        identity = link.identity = message.identity
+        link.checks_calls = message.checks_calls
         link.up_at = link.heard_at
         if not link.is_outgoing:
             link.host = identity.host
@@ -212,6 +218,10 @@
                 former.abort()
         self._listener.handle_peer_up(link)
 
+    def _handle_closed(self, link: PeerLink) -> None:
+        self._listener.handle_stream_ended(link)
+        self._forget(link, ConnectionLossReason.CLOSED)
+
     def _handle_failed(self, link: PeerLink, failure: Failure) -> None:
         if failure.check(RefusedError):
             reason = ConnectionLossReason.REFUSED
