Advice: an answer counts only for the term that asked for it

Cause: holders number their calls for advice anew in each term, and the node matched answers by shard and number alone. A node that lost its shard and held it again gave the answer to a call of its former term to the call with the same number of the present one: a ticket for another step, or "no answer" for a call that was on its way. The worker refuses such a ticket and the start is tried again, so this cost time, not jobs. It is the same class as the refusal of one copy passed on for another: a reply that is matched by a number which does not name what was sent.

Change: the exchange numbers the calls that it passes on, and the seat feeds an answer only to the scheduler that asked, as it does with appends, orders and quotas.

--- a/features/repeated_calls.feature
+++ b/features/repeated_calls.feature
@@ -121,3 +121,13 @@
     Given a stream to a peer that was heard just now
     When the peer opens another stream, and the first one closes
     Then the first stream is told to have ended, and the peer is not lost
+
+  Scenario Outline: Advice that a node asked for in <term> term of a shard counts <times> times
+    Given a cell of a single node
+    When that node asks for advice, and the answer comes in <term> term
+    Then the answer counts <times> times
+
+    Examples: holders number their calls anew in each term
+      | term       | times |
+      | the same   | 1     |
+      | the second | 0     |
--- a/features/steps/call_router_steps.py
+++ b/features/steps/call_router_steps.py
@@ -2,21 +2,27 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from functools import partial
 from typing import Any
+from unittest import mock
 
 from behave import given, then, when
 from job_directed_steps import FIRST_JOB, _whole_worker_job
 from slow_link_steps import _Transport
 
 from onyxspoke.core.admission.summary_cache import AdmissionSummaryCache
-from onyxspoke.core.jobs.model import JobSpec, QueuePolicy, StepSpec
+from onyxspoke.core.jobs.model import JobSpec, QueuePolicy, StepKey, StepSpec
+from onyxspoke.core.shard.actions import RequestAdvice, StepDownReason
 from onyxspoke.core.shard.call_copies import CopyTarget
 from onyxspoke.core.shard.calls import Call, CallReply, ReplyCode, SubmitCall
+from onyxspoke.core.shard.orders import AdviceOutcome, AdviceResult
+from onyxspoke.core.shard.scheduler import ShardScheduler
 from onyxspoke.net.stream import encode_message
 from onyxspoke.node.call_route import CallRoute
 from onyxspoke.node.call_router import CallRouter
 from onyxspoke.node.messages import CallAnswer, CallForward, Hello
+from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster
 
 CALL_SECONDS = 3.0
 TICK_SECONDS = 0.02
@@ -181,3 +187,46 @@
 def _check_ended(context: Any) -> None:
     assert context.listener.ended == [context.first_link]
     assert not context.listener.lost
+
+
+# Advice
+
+
+class _AdvicePort:
+    def __init__(self) -> None:
+        self.answers: list[Callable[[AdviceResult], None]] = []
+
+    def ask(self, step: StepKey, worker_ids: tuple[str, ...], on_result: Any) -> None:
+        self.answers.append(on_result)
+
+
+@given("a cell of a single node")
+def _single_node(context: Any) -> None:
+    context.cluster = JobCluster(ClusterOptions(nodes=1, workers=2, with_advice=False))
+    context.cluster.start()
+    context.cluster.run(2.0)
+    assert context.cluster.holder() is not None
+
+
+@when("that node asks for advice, and the answer comes in {term} term")
+def _ask_advice(context: Any, term: str) -> None:
+    cluster, holder = context.cluster, context.cluster.holder()
+    seat = holder.node.seats[0]
+    port = holder.node._advice._port = _AdvicePort()
+    action = RequestAdvice(1, holder.node.identity.incarnation, StepKey(FIRST_JOB, 0, 0), ("w0",))
+    holder.process.run(lambda: seat._carry_out(action))
+    if term == "the second":
+        holder.process.run(lambda: seat.step_down(StepDownReason.PLANNED))
+        cluster.run(2.0)
+    assert seat.is_holding
+    context.counted = []
+    result = AdviceResult(AdviceOutcome.NO_ANSWER)
+    with mock.patch.object(
+        ShardScheduler, "on_advice_result", lambda *arguments: context.counted.append(arguments)
+    ):
+        holder.process.run(lambda: port.answers[0](result))
+
+
+@then("the answer counts {times:d} times")
+def _check_counted(context: Any, times: int) -> None:
+    assert len(context.counted) == times, context.counted
--- a/src/onyxspoke/node/advice_exchange.py
+++ b/src/onyxspoke/node/advice_exchange.py
@@ -8,7 +8,6 @@
 
 import zlib
 from collections.abc import Callable
-from functools import partial
 
 from onyxspoke.core.shard.actions import RequestAdvice
 from onyxspoke.core.shard.log_records import ShardId
@@ -17,13 +16,16 @@
 from onyxspoke.node.peers import PeerLink, PeerLinks
 from onyxspoke.ports.advice import AdvicePort
 
-#: Takes an answer to the shard that asked.
-OnAdvice = Callable[[ShardId, int, AdviceResult], None]
+#: Takes an answer.
+OnAdvice = Callable[[AdviceResult], None]
 
 
 class AdviceExchange:
     """Carries calls for advice between nodes.
 
+    Calls are numbered by the node: a shard's holder numbers its own anew in each term, and an
+    answer that was asked for in an earlier term must not count for a later call.
+
     Parameters
     ----------
     port : AdvicePort
@@ -32,19 +34,15 @@
         This node's own name among the advisors.
     peers : PeerLinks
         Streams to the others.
-    on_result : callable
-        Takes an answer.
     """
 
-    def __init__(
-        self, port: AdvicePort, own_life: str, peers: PeerLinks, on_result: OnAdvice
-    ) -> None:
+    def __init__(self, port: AdvicePort, own_life: str, peers: PeerLinks) -> None:
         self._port = port
         self._own_life = own_life
         self._peers = peers
-        self._on_result = on_result
+        self._last_number = 0
         #: Calls that were passed on to a peer, by the stream on which its answer comes.
-        self._passed_on: dict[PeerLink, set[tuple[ShardId, int]]] = {}
+        self._passed_on: dict[PeerLink, dict[int, OnAdvice]] = {}
 
     def advisors(self) -> list[str]:
         """Return the lives of the nodes through which calls can go, this one's first.
@@ -54,18 +52,18 @@
         lives = [link.identity.incarnation for link in self._peers.up_links() if link.identity]
         return [self._own_life, *sorted(lives, key=lambda life: zlib.crc32(life.encode()))]
 
-    def ask(self, shard: ShardId, action: RequestAdvice) -> None:
-        """Have the advisor of a call ask."""
-        take = partial(self._on_result, shard, action.call_id)
+    def ask(self, shard: ShardId, action: RequestAdvice, on_result: OnAdvice) -> None:
+        """Have the advisor of a call ask; ``on_result`` is called at most once."""
         if action.advisor == self._own_life:
-            self._port.ask(action.step, action.worker_ids, take)
+            self._port.ask(action.step, action.worker_ids, on_result)
             return
         for link in self._peers.up_links():
             if link.identity is not None and link.identity.incarnation == action.advisor:
-                self._passed_on.setdefault(link, set()).add((shard, action.call_id))
-                link.send(AdviceForward(shard, action.call_id, action.step, action.worker_ids))
+                self._last_number += 1
+                self._passed_on.setdefault(link, {})[self._last_number] = on_result
+                link.send(AdviceForward(shard, self._last_number, action.step, action.worker_ids))
                 return
-        take(AdviceResult(AdviceOutcome.NO_ANSWER))
+        on_result(AdviceResult(AdviceOutcome.NO_ANSWER))
 
     def serve(self, link: PeerLink, message: AdviceForward) -> None:
         """Ask for a peer."""
@@ -77,10 +75,11 @@
 
     def handle_link_lost(self, link: PeerLink) -> None:
         """Answers to what was passed on over a stream will not come."""
-        for shard, call_id in self._passed_on.pop(link, set()):
-            self._on_result(shard, call_id, AdviceResult(AdviceOutcome.NO_ANSWER))
+        for on_result in self._passed_on.pop(link, {}).values():
+            on_result(AdviceResult(AdviceOutcome.NO_ANSWER))
 
     def take(self, link: PeerLink, message: AdviceAnswer) -> None:
         """A peer tells what the service said."""
-        self._passed_on.get(link, set()).discard((message.shard, message.call_id))
-        self._on_result(message.shard, message.call_id, message.result)
+        on_result = self._passed_on.get(link, {}).pop(message.call_id, None)
+        if on_result is not None:
+            on_result(message.result)
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -135,9 +135,7 @@
         self._store_watch = StoreWatch(self.store, self.peers)
         self._directory = DirectoryHub(ports.directory, clock)
         self._planner = LayoutPlanner(settings, self._directory, clock)
-        self._advice = AdviceExchange(
-            ports.advice, identity.incarnation, self.peers, self._take_advice
-        )
+        self._advice = AdviceExchange(ports.advice, identity.incarnation, self.peers)
         self._succession = Succession()
         self.seats: dict[ShardId, ShardSeat] = {FIRST_SHARD: self._make_seat(FIRST_SHARD)}
         self._wakes: dict[ShardId, IDelayedCall] = {}
@@ -378,18 +376,17 @@
         if link is None:
             self.peers.connect(host, port)
 
-    def ask_advice(self, shard: ShardId, action: RequestAdvice) -> None:
+    def ask_advice(
+        self, shard: ShardId, action: RequestAdvice, on_result: Callable[[AdviceResult], None]
+    ) -> None:
         """Have an entry ask the advice service."""
-        self._advice.ask(shard, action)
+        self._advice.ask(shard, action, on_result)
 
     def ask_quota(self, home: ShardId, call: QuotaCall, on_reply: OnReply) -> None:
         """Ask the holder of a tenant's home shard for a part of its quota."""
         now = self._clock.now()
         self.router.submit(home, call, on_reply, now, now + QUOTA_SECONDS)
 
-    def _take_advice(self, shard: ShardId, call_id: int, result: AdviceResult) -> None:
-        self.seats[shard].handle_advice_result(call_id, result)
-
     def wake(self, shard: ShardId, delay: float) -> None:
         """Flush a seat after a delay, or sooner if that was asked for already."""
         wake = self._wakes.get(shard)
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -85,7 +85,9 @@
     def connect_peer(self, host: str, port: int) -> None:
         """Have a stream to a node."""
 
-    def ask_advice(self, shard: ShardId, action: RequestAdvice) -> None:
+    def ask_advice(
+        self, shard: ShardId, action: RequestAdvice, on_result: Callable[[AdviceResult], None]
+    ) -> None:
         """Have an entry ask the advice service."""
 
     def ask_quota(self, home: ShardId, call: QuotaCall, on_reply: OnReply) -> None:
@@ -168,7 +170,7 @@
             SendStop: exchange.stop,
             SendPace: exchange.pace,
             SendAppend: self._send_append,
-            RequestAdvice: lambda _scheduler, action: listener.ask_advice(shard, action),
+            RequestAdvice: self._ask_advice,
             RequestQuota: self._ask_quota,
             ReplyToCall: self._reply,
             LayoutKnown: lambda _scheduler, action: listener.handle_layout(action.layout),
@@ -245,12 +247,6 @@
         self.scheduler.on_call(self._last_call_id, call, self._clock.now())
         self._wake()
 
-    def handle_advice_result(self, call_id: int, result: AdviceResult) -> None:
-        """The advice service answered, or did not."""
-        if self.scheduler is not None:
-            self.scheduler.on_advice_result(call_id, result, self._clock.now())
-            self._wake()
-
     def is_quiet(self, now: float) -> bool:
         """Return whether the passing of time changes nothing here."""
         return self.scheduler is None and self.election.is_idle(now)
@@ -424,6 +420,15 @@
         handler = self._handlers[type(action)]
         handler(scheduler, action)
 
+    def _ask_advice(self, scheduler: ShardScheduler, action: RequestAdvice) -> None:
+        def take(result: AdviceResult) -> None:
+            self._feed(
+                scheduler,
+                lambda now: scheduler.on_advice_result(action.call_id, result, now),
+            )
+
+        self._listener.ask_advice(self.shard, action, take)
+
     def _ask_quota(self, scheduler: ShardScheduler, action: RequestQuota) -> None:
         def take(reply: CallReply) -> None:
             if self.scheduler is scheduler:
