Exploration: a mode that overloads a cell and has calls sent again

Cause: explore-jobs submits 4 jobs a second with admission off and at most four faults. No call of which several copies were sent is refused in it, so it cannot see a refused job run.

New kinds, drawn only there: slow links between all nodes or those of one node (a holder out of sight on an open stream, with calls on their way), a link held for 0.5 to 0.75 s, and two nodes cut from the store of which one is cut from the other nodes, too. Traffic is a parameter of play().

--- a/src/onyxspoke/cli/sim.py
+++ b/src/onyxspoke/cli/sim.py
@@ -12,7 +12,7 @@
 from onyxspoke.core.codes import ExitCode
 from onyxspoke.load.audit import AuditReport, add_counts
 from onyxspoke.sim.explore import RunResult, run_schedule, shrink
-from onyxspoke.sim.explore_jobs import play
+from onyxspoke.sim.explore_jobs import JobRunReport, play, play_overload
 
 SHOWN_FINDINGS = 10
 DEPLOYMENTS = Path("deploy")
@@ -34,9 +34,18 @@
     jobs.add_argument(
         "--keep-names", action="store_true", help="workers start again under the names they had"
     )
+    jobs.add_argument(
+        "--overload",
+        action="store_true",
+        help="most jobs are refused, none is submitted twice, and faults have calls sent again",
+    )
     jobs.add_argument("--shards", type=int, default=1, help="shards of the cell (default: 1)")
     jobs.add_argument("--tenants", action="store_true", help="with tenants whose quotas bind")
     arguments = parser.parse_args()
+    if arguments.command == "explore-jobs" and arguments.overload:
+        for option in ("crashes", "keep_names", "tenants"):
+            if getattr(arguments, option):
+                parser.error(f"--overload does not go with --{option.replace('_', '-')}")
     logging.set_verbosity(logging.DEBUG if arguments.verbose else logging.FATAL)
     sys.exit(
         _explore_jobs(arguments) if arguments.command == "explore-jobs" else _explore(arguments)
@@ -70,13 +79,7 @@
 def _explore_jobs(arguments: argparse.Namespace) -> ExitCode:
     events = checks = failing = 0
     for seed in range(arguments.first_seed, arguments.first_seed + arguments.seeds):
-        report = play(
-            seed,
-            shards=arguments.shards,
-            with_tenants=arguments.tenants,
-            with_crashes=arguments.crashes,
-            keep_names=arguments.keep_names,
-        )
+        report = _play_jobs(arguments, seed)
         events += report.events
         checks += report.checks
         if not report.findings:
@@ -93,6 +96,18 @@
     return ExitCode.AUDIT_VIOLATION if failing else ExitCode.OK
 
 
+def _play_jobs(arguments: argparse.Namespace, seed: int) -> JobRunReport:
+    if arguments.overload:
+        return play_overload(seed, arguments.shards)
+    return play(
+        seed,
+        shards=arguments.shards,
+        with_tenants=arguments.tenants,
+        with_crashes=arguments.crashes,
+        keep_names=arguments.keep_names,
+    )
+
+
 def _print_smallest(result: RunResult) -> None:
     print(f"smallest failing schedule, seed {result.seed}:")
     for fault in result.faults:
--- /dev/null
+++ b/src/onyxspoke/sim/call_faults.py
@@ -0,0 +1,90 @@
+"""Faults after which nodes send calls again: a holder out of sight, with calls on their way."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from functools import partial
+
+from onyxspoke.sim.job_cluster import JobCluster, SimulatedNode
+
+STORE = "store"
+#: One way over a slow link takes so long, in seconds: about as long as a node waits for a
+#: heartbeat, so that it loses sight of the holder on an open stream.
+SLOW_SECONDS = (0.25, 0.7)
+#: A link is held so long: heartbeats are overdue, and the stream does not end yet.
+HELD_SECONDS = (0.5, 0.75)
+
+
+class CallFaults:
+    """Carries the faults out.
+
+    Parameters
+    ----------
+    cluster : JobCluster
+        Its nodes send calls to each other.
+    source : random.Random
+        Draws targets and times.
+    choose_node : callable
+        Returns the node that a fault strikes, most often a holder.
+    """
+
+    def __init__(
+        self,
+        cluster: JobCluster,
+        source: random.Random,
+        choose_node: Callable[[], SimulatedNode | None],
+    ) -> None:
+        self._cluster = cluster
+        self._random = source
+        self._choose_node = choose_node
+
+    def slow_links(self, seconds: float) -> None:
+        """All links between nodes are slow."""
+        hosts = [node.host for node in self._cluster.nodes.values()]
+        delay = self._random.uniform(*SLOW_SECONDS)
+        for index, host in enumerate(hosts):
+            self._slow(host, hosts[:index], delay, seconds)
+
+    def slow_links_of_node(self, seconds: float) -> None:
+        """The links of one node are slow."""
+        node = self._choose_node()
+        if node is not None:
+            delay = self._random.uniform(*SLOW_SECONDS)
+            self._slow(node.host, self._other_hosts(node), delay, seconds)
+
+    def hold_link(self, seconds: float) -> None:
+        """The link between two nodes is held for less than the end of its stream takes."""
+        node = self._choose_node()
+        if node is None:
+            return
+        others = [self._random.choice(self._other_hosts(node))]
+        self._cluster.cut(node.host, others)
+        held_seconds = self._random.uniform(*HELD_SECONDS)
+        self._later(held_seconds, partial(self._cluster.heal, node.host, others))
+
+    def cut_zone_from_store(self, seconds: float) -> None:
+        """Two nodes lose the store, and one of them the nodes elsewhere; a slow link joins both."""
+        node = self._choose_node()
+        if node is None:
+            return
+        others = self._other_hosts(node)
+        neighbour = self._random.choice(others)
+        cuts = {node.host: [STORE], neighbour: [STORE]}
+        cuts[node.host] += [host for host in others if host != neighbour]
+        for host, places in cuts.items():
+            self._cluster.cut(host, places)
+            self._later(seconds, partial(self._cluster.heal, host, places))
+        self._slow(node.host, [neighbour], self._random.uniform(*SLOW_SECONDS), seconds)
+
+    def _other_hosts(self, node: SimulatedNode) -> list[str]:
+        return [other.host for other in self._cluster.nodes.values() if other.host != node.host]
+
+    def _slow(self, host: str, others: list[str], delay: float, seconds: float) -> None:
+        network = self._cluster.network
+        for other in others:
+            network.slow(host, other, delay)
+            self._later(seconds, partial(network.slow, host, other, 0.0))
+
+    def _later(self, seconds: float, function: Callable[[], object]) -> None:
+        self._cluster.time.schedule(seconds, function)
--- a/src/onyxspoke/sim/explore_jobs.py
+++ b/src/onyxspoke/sim/explore_jobs.py
@@ -9,9 +9,14 @@
 from onyxspoke.core.tenants.policy import TenantPolicy
 from onyxspoke.kit.jobs.audit import Finding
 from onyxspoke.kit.jobs.workers import WorkOptions
-from onyxspoke.sim.job_callers import JobCallers
+from onyxspoke.sim.job_callers import MAXIMUM_ATTEMPTS, REPEAT_SHARE, JobCallers
 from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster
-from onyxspoke.sim.job_faults import FaultInjector, ScheduledFault, draw_schedule
+from onyxspoke.sim.job_faults import (
+    FaultInjector,
+    ScheduledFault,
+    draw_overload_schedule,
+    draw_schedule,
+)
 from onyxspoke.sim.liveness import LivenessWatch
 
 SETTLE_SECONDS = 2.0
@@ -29,6 +34,25 @@
 WORKERS_A_SHARD = 3
 
 
+@dataclass(frozen=True, slots=True)
+class Traffic:
+    """What callers do in a run.
+
+    Each job is handed in up to so many times until it is accepted, and again later with
+    ``repeat_share``.
+    """
+
+    jobs_per_second: float
+    seconds: float = TRAFFIC_SECONDS
+    maximum_attempts: int = MAXIMUM_ATTEMPTS
+    repeat_share: float = REPEAT_SHARE
+
+
+#: Many more jobs than the cell serves; each is handed in once, so that each refusal is the last.
+OVERLOAD = Traffic(jobs_per_second=40.0, seconds=8.0, maximum_attempts=1, repeat_share=0.0)
+OVERLOAD_FAULTS = 10
+
+
 @dataclass(slots=True)
 class JobRunReport:
     """What one schedule showed."""
@@ -49,12 +73,13 @@
     with_crashes: bool = False,
     keep_names: bool = False,
     with_admission: bool = False,
+    traffic: Traffic | None = None,
 ) -> JobRunReport:
     """Play one schedule; by default the one that the seed draws.
 
     ``with_crashes``: some tasks crash their workers, whose rooms and entries change, too.
     ``keep_names``: workers start again under the names that they had.  ``with_admission``: more
-    jobs come than are served, and holders decide which they take.
+    jobs come than are served, and holders decide which they take.  ``traffic``: other than usual.
     """
     if schedule is None:
         count = 1 + seed % MAXIMUM_FAULTS
@@ -70,14 +95,21 @@
     cluster = JobCluster(options)
     cluster.start()
     cluster.run(SETTLE_SECONDS)
-    callers = JobCallers(cluster, TOO_MANY_A_SECOND if with_admission else JOBS_PER_SECOND)
+    if traffic is None:
+        traffic = Traffic(TOO_MANY_A_SECOND if with_admission else JOBS_PER_SECOND)
+    callers = JobCallers(
+        cluster,
+        traffic.jobs_per_second,
+        repeat_share=traffic.repeat_share,
+        maximum_attempts=traffic.maximum_attempts,
+    )
     callers.crashing_share = CRASHING_SHARE if with_crashes else 0.0
-    callers.run_for(TRAFFIC_SECONDS)
+    callers.run_for(traffic.seconds)
     FaultInjector(cluster, seed).schedule(schedule)
     if shards == 1 and not with_tenants and not with_admission:
         ends = [SETTLE_SECONDS + fault.at + fault.seconds for fault in schedule]
         LivenessWatch(cluster, max(ends, default=0.0) + FAULT_TAIL_SECONDS).start()
-    cluster.run(TRAFFIC_SECONDS + FINISH_SECONDS)
+    cluster.run(traffic.seconds + FINISH_SECONDS)
     callers.check_all()
     audit = cluster.audit
     return JobRunReport(
@@ -85,6 +117,12 @@
     )
 
 
+def play_overload(seed: int, shards: int = 1) -> JobRunReport:
+    """Play a cell that refuses most jobs, under many short faults that have calls sent again."""
+    schedule = draw_overload_schedule(seed, OVERLOAD.seconds, OVERLOAD_FAULTS)
+    return play(seed, schedule, shards, with_admission=True, traffic=OVERLOAD)
+
+
 def make_tenants() -> tuple[TenantPolicy, ...]:
     """Return three tenants whose quotas bind: the smallest has room for little more than a gang.
 
--- a/src/onyxspoke/sim/job_callers.py
+++ b/src/onyxspoke/sim/job_callers.py
@@ -13,6 +13,8 @@
 
 MAXIMUM_ATTEMPTS = 5
 RETRY_SECONDS = 0.4
+#: Of the jobs, so many are handed in once more some time later.
+REPEAT_SHARE = 0.1
 
 
 class JobCallers:
@@ -24,6 +26,8 @@
         Takes the jobs.
     rate : float
         Jobs a second.
+    maximum_attempts : int
+        A job is handed in so often until it is accepted.
     """
 
     def __init__(
@@ -31,12 +35,14 @@
         cluster: JobCluster,
         rate: float,
         cancel_share: float = 0.05,
-        repeat_share: float = 0.1,
+        repeat_share: float = REPEAT_SHARE,
+        maximum_attempts: int = MAXIMUM_ATTEMPTS,
     ) -> None:
         self._cluster = cluster
         self._rate = rate
         self._cancel_share = cancel_share
         self._repeat_share = repeat_share
+        self._maximum_attempts = maximum_attempts
         self._random = random.Random(cluster.options.seed + 10)
         self._tenants = random.Random(cluster.options.seed + 11)
         self._count = 0
@@ -85,7 +91,7 @@
             self._cluster.time.schedule(delay, partial(self._cancel, spec.job_id))
         if self._random.random() < self._repeat_share:
             delay = self._random.random() * 5.0
-            self._cluster.time.schedule(delay, partial(self._attempt, spec, MAXIMUM_ATTEMPTS))
+            self._cluster.time.schedule(delay, partial(self._attempt, spec, self._maximum_attempts))
 
     def _attempt(self, spec: JobSpec, number: int) -> None:
         node = self._choose_node()
@@ -102,7 +108,7 @@
         cluster.audit.handle_submit_reply(spec.job_id, reply)
         if reply is not None and reply.code is ReplyCode.OK:
             cluster.time.schedule(self._random.random() * 4.0, partial(self._ask, spec.job_id))
-        elif number < MAXIMUM_ATTEMPTS:
+        elif number < self._maximum_attempts:
             cluster.time.schedule(RETRY_SECONDS, partial(self._attempt, spec, number + 1))
 
     def _cancel(self, job_id: str) -> None:
--- a/src/onyxspoke/sim/job_faults.py
+++ b/src/onyxspoke/sim/job_faults.py
@@ -10,10 +10,10 @@
 
 from onyxspoke.core.jobs.model import ResourceVector
 from onyxspoke.core.placement.worker_record import EntryFault
+from onyxspoke.sim.call_faults import STORE, CallFaults
 from onyxspoke.sim.job_cluster import JobCluster, SimulatedNode, worker_index
 from onyxspoke.sim.restart_faults import RestartFaults
 
-STORE = "store"
 #: Share of the faults of nodes that strike one which decides for a shard.
 HOLDER_SHARE = 0.7
 #: Share of the connections between nodes that are reset at once.
@@ -64,6 +64,10 @@
     RESTART_WITH_LATE_ORDERS = "restart_with_late_orders"
     LIST_FORMER_LIVES = "list_former_lives"
     LIST_WITHOUT_BIRTH = "list_without_birth"
+    SLOW_LINKS = "slow_links"
+    SLOW_LINKS_OF_NODE = "slow_links_of_node"
+    HOLD_LINK = "hold_link"
+    CUT_ZONE_FROM_STORE = "cut_zone_from_store"
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +99,27 @@
     JobFault.LIST_FORMER_LIVES,
     JobFault.LIST_WITHOUT_BIRTH,
 )
+#: What has nodes send calls again: drawn only for an overload.
+OF_CALLS = (
+    JobFault.SLOW_LINKS,
+    JobFault.SLOW_LINKS_OF_NODE,
+    JobFault.HOLD_LINK,
+    JobFault.CUT_ZONE_FROM_STORE,
+)
+#: What strikes an overloaded cell beside these.
+OF_OVERLOAD = (
+    JobFault.PAUSE_NODE,
+    JobFault.CUT_NODE_FROM_STORE,
+    JobFault.CUT_NODE_FROM_NODES,
+    JobFault.CUT_NODE_FROM_ALL,
+    JobFault.SILENCE_CONNECTIONS,
+    JobFault.RESET_CONNECTIONS,
+    JobFault.LOSSY_LINKS,
+    JobFault.STORE_DOWN,
+    JobFault.STORE_SLOW,
+)
+#: Of the faults of an overloaded cell, so many have nodes send calls again.
+OF_CALLS_SHARE = 0.6
 #: Of the faults where workers keep their names, so many are of these kinds.
 OF_NAMES_SHARE = 0.6
 
@@ -109,7 +134,7 @@
 ) -> list[ScheduledFault]:
     """Return a schedule; the same seed gives the same one."""
     left_out = (() if with_tenants else OF_TENANTS) + (() if with_crashes else OF_WORKERS)
-    kinds = [fault for fault in JobFault if fault not in left_out + OF_NAMES]
+    kinds = [fault for fault in JobFault if fault not in left_out + OF_NAMES + OF_CALLS]
     source = random.Random(f"schedule/{seed}")
     if with_restarts:
         # Of all kinds, but mostly of those that this is about.
@@ -126,6 +151,17 @@
     return sorted(faults, key=lambda item: item.at)
 
 
+def draw_overload_schedule(seed: int, length: float, count: int) -> list[ScheduledFault]:
+    """Return a schedule of short faults for an overloaded cell; the same seed gives the same."""
+    source = random.Random(f"overload/{seed}")
+    faults = []
+    for _ in range(count):
+        kinds = OF_CALLS if source.random() < OF_CALLS_SHARE else OF_OVERLOAD
+        at = round(source.uniform(0.5, length), 2)
+        faults.append(ScheduledFault(at, source.choice(kinds), round(source.uniform(0.3, 3.0), 2)))
+    return sorted(faults, key=lambda item: item.at)
+
+
 class FaultInjector:
     """Carries a schedule out."""
 
@@ -171,6 +207,13 @@
             JobFault.LIST_FORMER_LIVES: restarts.list_former_lives,
             JobFault.LIST_WITHOUT_BIRTH: restarts.list_without_birth,
         }
+        calls = CallFaults(cluster, self._random, self._choose_node)
+        self._actions |= {
+            JobFault.SLOW_LINKS: calls.slow_links,
+            JobFault.SLOW_LINKS_OF_NODE: calls.slow_links_of_node,
+            JobFault.HOLD_LINK: calls.hold_link,
+            JobFault.CUT_ZONE_FROM_STORE: calls.cut_zone_from_store,
+        }
 
     def schedule(self, faults: list[ScheduledFault]) -> None:
         """Have the faults happen in their time."""
--- a/src/onyxspoke/sim/virtual_network.py
+++ b/src/onyxspoke/sim/virtual_network.py
@@ -3,7 +3,8 @@
 Bytes keep their order on a connection.  While a link is cut its bytes are held, as a
 transport would retransmit them; a connection that is cut for longer than the break
 time is lost on both sides.  A connection that is silenced carries nothing more, and neither
-side is told; new ones work.  A lossy network delivers some pieces late, as they are sent again.
+side is told; new ones work.  A lossy network delivers some pieces late, as they are sent again;
+a slow link delivers all of them late.
 """
 
 from __future__ import annotations
@@ -79,6 +80,8 @@
         self.bytes_sent: dict[str, int] = {}
         #: Share of the pieces that are lost on their way at first.
         self.loss_share = 0.0
+        #: What one way takes longer between two zones, in seconds.
+        self._slow_links: dict[frozenset[str], float] = {}
 
     def network_of(self, node: VirtualNode) -> Network:
         """Return the network as the adapters of one process see it."""
@@ -98,6 +101,14 @@
             if not self.is_cut(connection.client.node, connection.server.node):
                 connection.end_break()
 
+    def slow(self, first_zone: str, second_zone: str, seconds: float) -> None:
+        """Let data between two zones take so much longer each way from now on."""
+        self._slow_links[frozenset((first_zone, second_zone))] = seconds
+
+    def slow_seconds(self, first: VirtualNode, second: VirtualNode) -> float:
+        """Return how much longer data takes from one process to another."""
+        return self._slow_links.get(frozenset((first.zone, second.zone)), 0.0)
+
     def is_cut(self, first: VirtualNode, second: VirtualNode) -> bool:
         """Return whether two processes cannot reach each other."""
         return frozenset((first.zone, second.zone)) in self._cuts
@@ -343,7 +354,8 @@
         if self._connection.is_silent:
             return
         network = self._connection.network
-        arrival = max(network.time.now() + network.draw_delay(), self._last_arrival)
+        delay = network.draw_delay() + network.slow_seconds(self.node, self.other.node)
+        arrival = max(network.time.now() + delay, self._last_arrival)
         self._last_arrival = arrival
         data = b"".join(pieces)
         network.time.schedule(arrival - network.time.now(), lambda: self._arrive(data))
