Comments: reasons, figures and faults that the rewording dropped, put back

Put back, 12 places in 10 files, in today's names and only where still true: how often, or how, a fault shows without a rule (crash tallies, blame, isolation, calls for advice, equal parts of a quota, starts without a record), the condition under which a bound applies (spare entries of the forecast), and which other time a constant goes with (unmet requests of a quota, the check of closed queues).

The figures are those of the old comments, not measured anew.

--- a/src/onyxspoke/core/jobs/crashes.py
+++ b/src/onyxspoke/core/jobs/crashes.py
@@ -20,7 +20,7 @@
 #: Limit on crashes of workers that may have run the task, confirmed or not. An unanswered start
 #: order may have arrived too late, and an order of a previous holder may never have been sent. If
 #: such crashes counted as confirmed, jobs would fail because their orders went to workers that were
-#: already down.
+#: already down, as happened in 2 of 300 explored schedules.
 TOTAL_CRASH_LIMIT = 5
 #: A task starts in isolation once this many workers that may have run it have crashed.
 TOTAL_CRASHES_TO_ISOLATE = 2
--- a/src/onyxspoke/core/placement/advice_forecast.py
+++ b/src/onyxspoke/core/placement/advice_forecast.py
@@ -16,7 +16,8 @@
 from onyxspoke.core.placement.entry_partition import CallLength, call_length
 from onyxspoke.core.placement.queue_order import StepRank
 
-#: Minimum number of entries that the forecast assumes for steps that are not entitled.
+#: Minimum number of entries that the forecast assumes for steps that are not entitled.  It applies
+#: where entitled calls would take all entries.
 MINIMUM_SPARE_ENTRIES = 0.25
 #: A sample duration of each call length, in seconds, to look up the entries for that length.
 _SAMPLE_CALL_SECONDS = {CallLength.SHORT: 0.0, CallLength.MEDIUM: 0.1, CallLength.LONG: 1.0}
--- a/src/onyxspoke/core/placement/advice_targets.py
+++ b/src/onyxspoke/core/placement/advice_targets.py
@@ -3,7 +3,8 @@
 A call takes longer the more workers it names, and the service handles one call per entry at a
 time.  So a call names only as many workers as are likely to provide the capacity that the step
 needs.  If each call named very many workers, the calls of one queue would wait behind those of
-gangs, and the steps of that queue would hardly run.
+gangs, and the steps of that queue would hardly run.  In a cell of 299 workers, calls about a
+hundred workers each had this effect.
 """
 
 from __future__ import annotations
--- a/src/onyxspoke/core/placement/blame.py
+++ b/src/onyxspoke/core/placement/blame.py
@@ -29,11 +29,13 @@
 RECENT_START_SECONDS = 0.5
 #: A run that its worker lists as running this many seconds after the start order has survived its
 #: start.  Without this limit, runs whose ends were not yet read when their workers crashed would
-#: be blamed for the crash, and their jobs would fail.
+#: be blamed for the crash, and their jobs would fail.  Two jobs failed in this way in 150 explored
+#: schedules; their runs were listed 0.24 and 0.44 s after their orders.
 SURVIVED_START_SECONDS = 0.1
 #: The moment of a crash is unknown when the worker had not answered for longer than this, in
 #: seconds, and its polls timed out without any refusal: a network cut may have hidden the ends of
-#: its runs.  No run is then blamed as just started, because it may have succeeded behind the cut.
+#: its runs.  No run is then blamed as just started, because it may have succeeded behind the cut:
+#: with that blame, a job failed whose gang had succeeded there.
 KNOWN_CRASH_TIME_SECONDS = 1.0
 #: A long-running task that has run for this many seconds is not blamed for a crash.  Over months
 #: some worker fails under every such task, and these failures must not end its job.
@@ -83,7 +85,8 @@
     """Return whether a run had certainly stopped before the crash, though its end was not read.
 
     A worker that answers a stop order ends the run within a fraction of a second.  Such a run
-    must not be blamed for a crash that happens later.  A stop order without an answer proves
+    must not be blamed for a crash that happens later: with that blame, a job failed whose workers
+    crashed two seconds after its runs had left them.  A stop order without an answer proves
     nothing: the worker may have crashed before the order arrived, while the run was active.
     """
     return run.state is RunState.STOPPING and run.stop_answered_at > 0.0
--- a/src/onyxspoke/core/placement/gang_placer.py
+++ b/src/onyxspoke/core/placement/gang_placer.py
@@ -339,9 +339,10 @@
     """Return the workers for which a gang needs tickets.
 
     The first call covers all workers, because a gang needs free capacity on many suitable workers
-    at the same moment.  Later calls cover only workers with free capacity: workers that were not
-    asked about yet while the gang lacks slots, and, once it has most of its slots, suitable
-    workers whose tickets are about to expire.
+    at the same moment.  A first call about only twice the needed capacity, while the advice queue
+    was long, cost a tenth of all that was served on busy days.  Later calls cover only workers
+    with free capacity: workers that were not asked about yet while the gang lacks slots, and, once
+    it has most of its slots, suitable workers whose tickets are about to expire.
     """
     member_count = len(step.tasks)
     suitable_workers = [
--- a/src/onyxspoke/core/placement/isolation.py
+++ b/src/onyxspoke/core/placement/isolation.py
@@ -4,6 +4,7 @@
 that crashes workers is identified at its second or third crash, and jobs that happened to start on
 the same worker are not suspected again.  Suspect tasks of one step start together on one worker:
 the crash of several workers at once would cost more and would not identify the job any better.
+Started on a worker each, 25 suspect tasks could crash 25 workers at once.
 
 After a crash that only one job can have caused, the crashing step is on trial: its waiting tasks
 start on one worker at a time, until one of them has survived its start.  Only the start is
--- a/src/onyxspoke/core/shard/admission_controller.py
+++ b/src/onyxspoke/core/shard/admission_controller.py
@@ -38,7 +38,8 @@
 #: Added to the minimum interval for each waiting step, run and refused job, because the time to
 #: compute the load view grows with their number.
 VIEW_INTERVAL_SECONDS_PER_ITEM = 0.0001
-#: Interval between two checks whether closed queues can be reopened.
+#: Interval between two checks whether closed queues can be reopened; as long as the time without
+#: refusals after which a queue counts as reopened.
 REOPEN_CHECK_INTERVAL_SECONDS = 1.0
 #: Work assumed for a job while the capacity of its service is unknown, in share-seconds.
 DEFAULT_WORK_SHARE_SECONDS = 0.02
--- a/src/onyxspoke/core/shard/quota_coordinator.py
+++ b/src/onyxspoke/core/shard/quota_coordinator.py
@@ -21,6 +21,8 @@
     except the amounts that it has lent to other shards.  Other shards request quota for their
     waiting tasks.  The quota is not divided equally between the shards, because a large gang would
     never fit into the part of its shard, and the more shards there are, the smaller the parts.
+    Equal parts lowered the score of played days to 0.69 with 3 shards and 0.39 with 8, against
+    0.86 in both cases with loans.
     """
 
     def __init__(self, context: ShardContext) -> None:
--- a/src/onyxspoke/core/shard/run_starter.py
+++ b/src/onyxspoke/core/shard/run_starter.py
@@ -52,7 +52,8 @@
 
         Without the record, a new holder would not know which tasks an unreachable worker may be
         running, and could start no waiting task until that worker's lease has expired.  If a
-        network failure cuts off a zone and the holder in it, that would stop nearly all starts.
+        network failure cuts off a zone and the holder in it, that would stop nearly all starts for
+        the length of a lease, 6 s by default.
         """
         step = plan.step
         gang = None
--- a/src/onyxspoke/core/tenants/quota_lender.py
+++ b/src/onyxspoke/core/tenants/quota_lender.py
@@ -20,7 +20,7 @@
 
 QUOTA_PREFIX = "quota/"
 #: A request that was not granted in full is dropped if its borrower does not repeat it within this
-#: time, in seconds.
+#: time, in seconds.  A borrower that still waits repeats its request sooner than this.
 UNMET_REQUEST_SECONDS = 1.5
 
 
