Tests of refusals: stand in for the holder at the router's routes

It now gives the router a route whose holder refuses each copy at once; steps, answers and figures that they check are unchanged.

--- a/features/steps/admission_refusal_steps.py
+++ b/features/steps/admission_refusal_steps.py
@@ -3,7 +3,9 @@
 from behave import then, when
 from job_ingress_steps import SMALL_JOB, _send
 
+from onyxspoke.core.shard.call_copies import CopyTarget
 from onyxspoke.core.shard.calls import CallReply, ReplyCode
+from onyxspoke.node.call_route import CallRoute
 
 OPERATOR_API_JOB = '{"payload":"x","steps":[{"task_count":1}]}'
 
@@ -12,12 +14,12 @@
     """Make the node's router answer every call with a refusal, as if its holder had sent it."""
     node = context.simulated.node
 
-    def send(_shard, call_id, _call):
+    def send(copy, _call):
         reply = CallReply(code=ReplyCode.REFUSED, retry_after_seconds=seconds, reason=reason)
-        node.router.handle_reply(call_id, reply, node.now())
-        return True
+        node.router.handle_reply(copy, reply, node.now())
 
-    node.router._send = send
+    target = CopyTarget(token=1, incarnation="holder", is_checked=True)
+    node.router._find_route = lambda _shard: CallRoute(target, path=None, send=send)
 
 
 @when('a job is refused there for "{reason}" and {seconds:g} seconds')
