--- a/src/onyxspoke/core/shard/calls.py
+++ b/src/onyxspoke/core/shard/calls.py
@@ -72,8 +72,9 @@
 class ReplyCode(Enum):
     """Code of a holder's reply.
 
-    ``REFUSED``: the job was not accepted and will never run.  ``NOT_HOLDER``: another node holds
-    the shard.  ``UNKNOWN``: the holder may have carried out the call; the caller should retry.
+    ``REFUSED``: the job was not accepted; other copies of the call may be.  ``NOT_HOLDER``: another
+    node holds the shard, or the copy came too late.  ``UNKNOWN``: the holder may have carried out
+    the call; the caller should retry.
     """
 
     OK = "ok"
