Review: the script of case 3 sends clients by the balancer's rules

The first version sent clients to nodes at random, also where the balancer would have passed others.

--- a/review/3/drive.py
+++ b/review/3/drive.py
@@ -40,12 +40,14 @@
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
 HERE = Path(__file__).resolve().parent
 ROOT = HERE.parent.parent
-NODES = 4
+#: The zone of each node.
+ZONES = ("sever", "sever", "stred", "stred", "juh", "juh")
+NODES = len(ZONES)
 WORKERS = 6
 READY_SECONDS = 40.0
 JOBS_PER_SECOND = 40.0
 CALM_SECONDS = 3.0
-#: Two nodes are stopped at a time, two such stops so far apart; as in the day.
+#: In each zone two nodes are stopped at a time, two such stops so far apart; as in the day.
 STOPPED_AT_ONCE = 2
 GAP_SECONDS = 1.25
 #: A process that has ended starts again after so long.
@@ -53,6 +55,9 @@
 #: After the first stop clients go on for so long.
 TRAFFIC_SECONDS = 12.0
 DEADLINE_SECONDS = 3.0
+#: The balancer looks so often, and takes a node out after so many misses in a row.
+LOOK_SECONDS = 1.0
+MISSES = 2
 #: lossSlackMs of the site's sheet, in seconds.
 LOSS_SLACK_SECONDS = 0.2
 #: A request that was sent so soon after the SIGTERM may be excused by a worker still at work.
@@ -105,7 +110,9 @@
             threading.Thread(target=reader, args=(process,), daemon=True).start()
         for index in range(NODES):
             path = self._directory / f"node-{index}.conf"
-            path.write_text(make_settings(self.plan, index), encoding="utf-8")
+            settings = make_settings(self.plan, index)
+            settings = settings.replace("zone=zone\n", f"zone={ZONES[index]}\n")
+            path.write_text(settings, encoding="utf-8")
             self.start_node(index)
 
     def start_node(self, index: int) -> None:
@@ -179,16 +186,18 @@
 
 
 class Clients:
-    """Hands jobs in, each on a connection of its own, at any node that accepts it.
+    """Hands jobs in, each on a connection of its own, at the node that the balancer chooses.
 
-    The platform passes connections on to nodes that aren't ready where fewer than half of a zone's
-    nodes are; here all nodes are in one zone, and most of them stop at once.
+    As the pages say, a node that misses two looks in a row gets no new connections until it is
+    ready again. Where fewer than half of a zone's nodes are in, all of them are used, and where
+    none is in, those of another zone.
     """
 
     def __init__(self, record: Record, cell: Cell) -> None:
         self._record = record
         self._cell = cell
         self._random = random.Random(3)
+        self._misses = dict.fromkeys(range(NODES), 0)
         self.answered = 0
         self.unconnected = 0
         self.lost: list[str] = []
@@ -207,13 +216,34 @@
             return False
         return answer.startswith(b"HTTP/1.1 200")
 
+    async def look(self) -> None:
+        """Ask every node each second whether it is ready, as the balancer does."""
+        while True:
+            started_at = time.monotonic()
+            answers = await asyncio.gather(*(self.is_ready(node) for node in range(NODES)))
+            for node, is_ready in enumerate(answers):
+                was_in = self._misses[node] < MISSES
+                self._misses[node] = 0 if is_ready else self._misses[node] + 1
+                if was_in is not (self._misses[node] < MISSES):
+                    self._record.write(f"balancer: node-{node} is {'out' if was_in else 'in'}")
+            await asyncio.sleep(max(0.0, started_at + LOOK_SECONDS - time.monotonic()))
+
+    def _choose_node(self) -> int:
+        own = self._random.choice(sorted(set(ZONES)))
+        for zone in (own, *(set(ZONES) - {own})):
+            nodes = [node for node in range(NODES) if ZONES[node] == zone]
+            are_in = [node for node in nodes if self._misses[node] < MISSES]
+            if are_in:
+                return self._random.choice(are_in if 2 * len(are_in) >= len(nodes) else nodes)
+        return self._random.choice([node for node in range(NODES) if ZONES[node] == own])
+
     async def hand_in_until(self, until: float) -> None:
         """Hand jobs in at a steady rate."""
         tasks = []
         number = 0
         while time.monotonic() < until:
-            node = self._random.randrange(NODES)
-            tasks.append(asyncio.create_task(self._hand_in(node, f"{number:016x}")))
+            task = self._hand_in(self._choose_node(), f"{number:016x}")
+            tasks.append(asyncio.create_task(task))
             number += 1
             await asyncio.sleep(1.0 / JOBS_PER_SECOND)
         await asyncio.gather(*tasks)
@@ -302,16 +332,21 @@
         await asyncio.sleep(0.3)
     await asyncio.sleep(1.0)
     end = time.monotonic() + CALM_SECONDS + TRAFFIC_SECONDS
+    balancer = asyncio.create_task(clients.look())
     traffic = asyncio.create_task(clients.hand_in_until(end))
     await asyncio.sleep(CALM_SECONDS)
     restarts = []
     if trouble != "0":
-        for first in range(0, NODES, STOPPED_AT_ONCE):
-            for index in range(first, min(first + STOPPED_AT_ONCE, NODES)):
-                restarts.append(asyncio.create_task(cell.restart_node(index)))
+        waiting = {zone: [n for n in range(NODES) if ZONES[n] == zone] for zone in ZONES}
+        while any(waiting.values()):
+            for nodes in waiting.values():
+                for index in nodes[:STOPPED_AT_ONCE]:
+                    restarts.append(asyncio.create_task(cell.restart_node(index)))
+                del nodes[:STOPPED_AT_ONCE]
             await asyncio.sleep(GAP_SECONDS)
     await traffic
     await asyncio.gather(*restarts)
+    balancer.cancel()
     summary = (
         f"answered={clients.answered} lost={len(clients.lost)} other={len(clients.other)}"
         f" unconnected={clients.unconnected} starts={cell.starts} trouble={trouble}"
