--- a/src/onyxspoke/node/call_router.py
+++ b/src/onyxspoke/node/call_router.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from enum import Enum
 
+import msgspec
 from absl import logging
 
 from onyxspoke.core.admission.summary_cache import AdmissionSummaryCache
@@ -38,6 +40,23 @@
 RouteFinder = Callable[[ShardId], CallRoute | None]
 
 
+class CallProgress(Enum):
+    """How far a call that has no reply yet has come."""
+
+    NOT_SENT = "not_sent"
+    AT_HOLDER = "at_holder"
+    HOLDER_LOST = "holder_lost"
+
+
+class OpenCall(msgspec.Struct, frozen=True):
+    """A call that has no reply yet."""
+
+    shard: ShardId
+    call: Call
+    progress: CallProgress
+    age_seconds: float
+
+
 class _PendingCall:
     __slots__ = (
         "awaited_copy",
@@ -68,6 +87,14 @@
         #: The copy at the present holder; None while the call is to be sent to one.
         self.awaited_copy: int | None = None
 
+    @property
+    def progress(self) -> CallProgress:
+        """How far the call has come."""
+        if not self.was_sent:
+            return CallProgress.NOT_SENT
+        is_at_holder = self.awaited_copy is not None
+        return CallProgress.AT_HOLDER if is_at_holder else CallProgress.HOLDER_LOST
+
 
 class CallRouter:
     """Calls on their way.
@@ -95,6 +122,12 @@
     def __len__(self) -> int:
         return len(self._pending)
 
+    def open_calls(self, now: float) -> Iterator[OpenCall]:
+        """Return the calls that have no reply yet, in the order in which they came."""
+        for pending in self._pending.values():
+            age_seconds = now - pending.since
+            yield OpenCall(pending.shard, pending.call, pending.progress, age_seconds)
+
     def submit(
         self, shard: ShardId, call: Call, on_reply: OnReply, now: float, deadline: float
     ) -> int:
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -313,6 +313,10 @@
         """How many callers' calls are not answered yet."""
         return len(self.router) + len(self.keys)
 
+    def claim_of(self, shard: ShardId) -> ClaimRecord | None:
+        """Return the claim of a shard's holder: this node's own, or that of one it can reach."""
+        return self.seats[shard].held_claim or self._holders.get(shard)
+
     def _find_route(self, shard: ShardId) -> CallRoute | None:
         """Return the way to a shard's holder, if one is known and can be reached."""
         seat = self.seats[shard]
@@ -659,8 +663,8 @@
             Closed queues of the shards held here, where they are told.
         """
         claims = {}
-        for shard, seat in self.seats.items():
-            claim = seat.held_claim or self._holders.get(shard)
+        for shard in self.seats:
+            claim = self.claim_of(shard)
             if claim is not None:
                 claims[shard] = claim
         is_reachable = self._told_reachable = self.store.is_reachable
