Planned stop: answer every request that was read before the process ends

Cause: PlannedStop ended the process 0.7 s before the end of the grace, whatever was open, and nothing answered what was. With a holder calls are short, so the way out by 'no call is open' nearly always came first; without one each call stays open for a second and the next one comes meanwhile. The same cut hit calls that a silent store held up, calls that waited for the newest configuration to judge their key, requests that had arrived in part, and an answer that was written in the turn in which the process ended.

Now a stop has phases (node/stop_schedule.py, a decision without I/O): at the moment at which the process ended before, the listening sockets close, new calls and calls that no holder has seen are refused (reason=stopping, 503, Retry-After), and calls at a holder get 0.15 s more. Then each call is answered with what is known of it (504 where it may have been accepted), and the process ends once the connections are closed, 0.35 s before the end of the grace at the latest. Answers given after the signal carry Connection: close, also to requests that came before.

--- /dev/null
+++ b/features/planned_stop.feature
@@ -0,0 +1,94 @@
+Feature: A planned stop answers every request that a node has read
+
+  # Requests that waited for a holder were cut off where all nodes stopped at the same time.
+  Scenario Outline: All nodes are stopped, <gap> s apart, while clients keep sending
+    Given a cell of <nodes> nodes with clients that send <rate> requests a second
+    When the clients have sent for 2 seconds
+    And every node is stopped, one every <gap> seconds, and started again when it has ended
+    And the clients have sent for 14 seconds
+    Then no request that was read is without an answer
+    And every stopped process ended within the grace
+    And the clients are served at the end
+
+    Examples:
+      | nodes | rate | gap  |
+      | 6     | 40   | 0    |
+      | 6     | 40   | 0.02 |
+      | 6     | 40   | 1.25 |
+      | 3     | 200  | 0    |
+      | 1     | 20   | 0    |
+
+  Scenario: A single node is stopped while clients keep sending
+    Given a cell of 3 nodes with clients that send 40 requests a second
+    When the clients have sent for 2 seconds
+    And the holder is stopped, and started again when it has ended
+    And the clients have sent for 6 seconds
+    Then no request that was read is without an answer
+    And no request was refused
+    And the stopped process ended 2.6 to 2.7 seconds after the signal
+
+  # Requests that a silent store held up were cut off as the process ended.
+  Scenario Outline: Requests are answered though the store is silent for the whole stop <seconds> s after its begin
+    Given a cell of 3 nodes with clients that send 20 requests a second
+    When the clients have sent for 2 seconds
+    Given the store is silent
+    When the clients have sent for <seconds> seconds
+    And every node is stopped, one every 0 seconds, and started again when it has ended
+    And the clients have sent for 7 seconds
+    Then no request that was read is without an answer
+    And every stopped process ended within the grace
+
+    Examples:
+      | seconds |
+      | 0       |
+      | 2       |
+
+  # Requests with an unknown key waited for the newest configuration, and were cut off.
+  Scenario: Requests whose keys cannot be judged are answered before the process ends
+    Given a cell of 3 nodes with clients that send 20 requests a second with an unknown key
+    And the store is silent
+    When every node is stopped, one every 0 seconds, and started again when it has ended
+    And the clients have sent for 7 seconds
+    Then no request that was read is without an answer
+    And every stopped process ended within the grace
+
+  Scenario: A request that arrived in part is answered before the process ends
+    Given a cell of 3 nodes with clients that send 0 requests a second
+    When a client sends the first half of a request
+    And every node is stopped, one every 0 seconds, and started again when it has ended
+    And 3 seconds pass in the cluster
+    Then that request was answered with status 503, and told when to come back
+
+  Scenario: A client that does not read its answer does not keep the process past the grace
+    Given a cell of 3 nodes with clients that send 0 requests a second
+    When a client that does not read sends a POST request
+    And every node is stopped, one every 0 seconds, and started again when it has ended
+    And 7 seconds pass in the cluster
+    Then every stopped process ended within the grace
+
+  # A client on a kept connection could send its next request while the process ended.
+  Scenario: An answer given after the signal to stop ends a kept connection
+    Given a cell of 3 nodes with clients that send 0 requests a second
+    When a client sends a POST request
+    And the node that has it is stopped
+    And 0.5 seconds pass in the cluster
+    Then that request's answer closes the connection
+
+  Scenario Outline: A stop <seconds> s after its signal, with <calls> calls and <connections> connections open
+    Given a planned stop that is "<phase>", with a grace of 6 seconds
+    Then <seconds> seconds after its signal, with <calls> calls and <connections> connections open, it is "<next>"
+
+    Examples:
+      | phase    | seconds | calls | connections | next     |
+      | serving  | 0       | 0     | 0           | serving  |
+      | serving  | 2.5     | 0     | 0           | serving  |
+      | serving  | 2.6     | 1     | 1           | serving  |
+      | serving  | 2.6     | 0     | 1           | flushing |
+      | serving  | 2.6     | 0     | 0           | ended    |
+      | serving  | 5.2     | 1     | 1           | serving  |
+      | serving  | 5.3     | 1     | 1           | closing  |
+      | closing  | 5.4     | 1     | 1           | closing  |
+      | closing  | 5.4     | 0     | 1           | flushing |
+      | closing  | 5.45    | 1     | 1           | flushing |
+      | flushing | 5.6     | 0     | 1           | flushing |
+      | flushing | 5.65    | 0     | 1           | ended    |
--- /dev/null
+++ b/features/steps/planned_stop_steps.py
@@ -0,0 +1,374 @@
+"""Steps about planned stops of nodes whose clients speak HTTP, in a simulated cell."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from behave import given, then, when
+from job_ingress_steps import HOST, QUEUES, SMALL_JOB
+from twisted.internet.error import ConnectionDone
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+
+from onyxspoke.core.routing import RouteEntry
+from onyxspoke.core.tenants.keys import KeyRing
+from onyxspoke.net.bounded_http import BoundedSite, HttpLimits
+from onyxspoke.node.planned_stop import PlannedStop
+from onyxspoke.node.stop_schedule import OpenWork, StopPhase, StopSchedule
+from onyxspoke.platform.ingress import IngressResource
+from onyxspoke.ports.configuration import CellConfiguration
+from onyxspoke.sim.job_cluster import (
+    ClusterOptions,
+    JobCluster,
+    SimulatedNode,
+    key_of,
+    make_configuration,
+)
+
+SETTLE_SECONDS = 2.0
+DEADLINE_MS = 3_000
+NETWORK_SECONDS = 0.001
+RESTART_SECONDS = 0.5
+STEP_SECONDS = 0.005
+#: An accepted job, and a job that nobody has submitted.
+SERVED_STATUSES = (200, 410)
+#: What clients send in turn.
+METHODS = ("POST", "POST", "GET", "POST", "DELETE")
+#: The last requests of a run; a cell that has recovered serves them.
+RECOVERED_SECONDS = 3.0
+
+
+@dataclass
+class ClientRequest:
+    """One request of a client, as the client sees it."""
+
+    node: str
+    sent_at: float
+    is_whole: bool = True
+    answer: bytes = b""
+    answered_at: float | None = None
+    was_cut: bool = False
+
+    @property
+    def head(self) -> str:
+        return self.answer.partition(b"\r\n\r\n")[0].decode().lower()
+
+    @property
+    def status(self) -> int:
+        return int(self.head.split()[1])
+
+    @property
+    def is_served(self) -> bool:
+        """Whether a holder decided about the request."""
+        return self.answered_at is not None and self.status in SERVED_STATUSES
+
+
+class ClientConnection(StringTransport):
+    """A connection that a client keeps until the process at its other end closes it."""
+
+    def __init__(self, cell: Cell, front: Front, reads: bool = True) -> None:
+        super().__init__()
+        self._cell = cell
+        self._reads = reads
+        self._requests: list[ClientRequest] = []
+        self.node_name = front.simulated.name
+        self.is_open = True
+        self._protocol = front.site.buildProtocol(None)
+        self._protocol.makeConnection(self)
+        front.connections.append(self)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the client may send its next request."""
+        return self.is_open and not self.disconnecting and not self._requests
+
+    def send(self, data: bytes, is_whole: bool = True) -> ClientRequest:
+        request = ClientRequest(self.node_name, self._cell.cluster.time.now(), is_whole)
+        self._requests.append(request)
+        self._protocol.dataReceived(data)
+        return request
+
+    def write(self, data: bytes) -> None:
+        super().write(data)
+        text = self.value()
+        head, end, body = text.partition(b"\r\n\r\n")
+        if not end or not self._requests:
+            return
+        length = next(
+            int(line.partition(b":")[2])
+            for line in head.split(b"\r\n")
+            if line.lower().startswith(b"content-length:")
+        )
+        if len(body) >= length:
+            request = self._requests.pop(0)
+            request.answer = text
+            request.answered_at = self._cell.cluster.time.now()
+            self.clear()
+
+    def writeSequence(self, data: Any) -> None:  # noqa: N802
+        self.write(b"".join(data))
+
+    def loseConnection(self) -> None:  # noqa: N802
+        if not self.disconnecting:
+            super().loseConnection()
+            if self._reads:
+                self._cell.cluster.time.schedule(NETWORK_SECONDS, self.end)
+
+    def end(self) -> None:
+        """The connection is gone; what was not answered by now never is."""
+        if self.is_open:
+            self.is_open = False
+            for request in self._requests:
+                request.was_cut = True
+            self._protocol.connectionLost(Failure(ConnectionDone()))
+
+
+class ListeningPort:
+    """The front's server socket."""
+
+    def __init__(self) -> None:
+        self.is_open = True
+
+    def stopListening(self) -> None:  # noqa: N802
+        self.is_open = False
+
+
+class Front:
+    """What one process of a node shows its clients."""
+
+    def __init__(self, cell: Cell, simulated: SimulatedNode) -> None:
+        self._cell = cell
+        self.simulated = simulated
+        self.connections: list[ClientConnection] = []
+        self.port = ListeningPort()
+        reactor = simulated.process.reactor
+        self.site = BoundedSite(IngressResource(simulated.node), reactor, HttpLimits())
+        self.site.listening_port = self.port
+        self._stop = PlannedStop(simulated.node, reactor, [self.site], self._end)
+        self.stopped_at: float | None = None
+        self.ended_at: float | None = None
+
+    @property
+    def grace_seconds(self) -> float:
+        return self.simulated.node.settings.stop_grace_seconds
+
+    def stop(self) -> None:
+        self.stopped_at = self._cell.cluster.time.now()
+        self._cell.cluster.time.schedule(self.grace_seconds, self._kill)
+        self.simulated.process.run(self._stop.begin)
+
+    def _kill(self) -> None:
+        if self.ended_at is None:
+            self._end()
+
+    def _end(self) -> None:
+        self.ended_at = self._cell.cluster.time.now()
+        self._cell.cluster.kill_node(self.simulated.name)
+        self.port.is_open = False
+        for connection in self.connections:
+            connection.end()
+        self._cell.cluster.time.schedule(RESTART_SECONDS, self._start_again)
+
+    def _start_again(self) -> None:
+        self._cell.start_node(self.simulated.name)
+
+
+class Cell:
+    """A simulated cell whose nodes are called over HTTP."""
+
+    def __init__(self, nodes: int, key: str = "") -> None:
+        self._key = key
+        self.cluster = JobCluster(ClusterOptions(seed=3, nodes=nodes, with_advice=False))
+        configuration = make_configuration(1, False)
+        routes = tuple(RouteEntry(name, HOST, f"/{name}/", DEADLINE_MS) for name in QUEUES)
+        self.cluster.configuration.configuration = CellConfiguration(
+            policy=configuration.policy,
+            routes=routes,
+            keys=KeyRing({key_of("a"): "a"}, bool(key)),
+            raw=configuration.raw,
+        )
+        self.fronts: dict[str, Front] = {}
+        self.ended: list[Front] = []
+        self.requests: list[ClientRequest] = []
+        self._clients: list[ClientConnection] = []
+        self._count = 0
+        self.cluster.start()
+        for simulated in self.cluster.nodes.values():
+            self.fronts[simulated.name] = Front(self, simulated)
+        self.cluster.run(SETTLE_SECONDS)
+
+    def start_node(self, name: str) -> None:
+        self.ended.append(self.fronts[name])
+        self.fronts[name] = Front(self, self.cluster.start_node(name))
+
+    def choose_front(self) -> Front | None:
+        """Return the front that the balancer chooses: a ready one if there is any."""
+        listening = [front for front in self.fronts.values() if front.port.is_open]
+        ready = [front for front in listening if front.simulated.node.is_ready]
+        choices = ready or listening
+        return choices[self._count % len(choices)] if choices else None
+
+    def send(self, method: str = "", reads: bool = True) -> ClientRequest | None:
+        """Send a request on a kept connection that is idle, or on a new one."""
+        self._count += 1
+        method = method or METHODS[self._count % len(METHODS)]
+        body = SMALL_JOB if method == "POST" else ""
+        head = (
+            f"{method} /normal/{self._count:016x} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"Request-Deadline-Ms: {DEADLINE_MS}\r\n{self._key_line()}"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        return self._send_on(self._idle_connection(reads), (head + body).encode())
+
+    def _key_line(self) -> str:
+        return f"Authorization: Token {self._key}\r\n" if self._key else ""
+
+    def send_half(self) -> ClientRequest | None:
+        """Send a request of which half is missing."""
+        head = (
+            f"POST /normal/00000000000000ff HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 99\r\n\r\n"
+        )
+        return self._send_on(self._idle_connection(reads=True), head.encode(), is_whole=False)
+
+    def send_for(self, seconds: float, rate: float) -> None:
+        for index in range(int(seconds * rate)):
+            self.cluster.time.schedule(index / rate, self.send)
+        self.cluster.run(seconds)
+
+    def _idle_connection(self, reads: bool) -> ClientConnection | None:
+        self._clients = [client for client in self._clients if client.is_open]
+        idle = [client for client in self._clients if client.is_idle]
+        if idle and reads:
+            return idle[0]
+        front = self.choose_front()
+        if front is None:
+            return None
+        connection = ClientConnection(self, front, reads)
+        self._clients.append(connection)
+        return connection
+
+    def _send_on(
+        self, connection: ClientConnection | None, data: bytes, is_whole: bool = True
+    ) -> ClientRequest | None:
+        if connection is None:
+            return None
+        request = connection.send(data, is_whole)
+        self.requests.append(request)
+        return request
+
+
+@given("a cell of {nodes:d} nodes with clients that send {rate:d} requests a second")
+@given(
+    "a cell of {nodes:d} nodes with clients that send {rate:d} requests a second"
+    " with an {unknown} key"
+)
+def _cell(context: Any, nodes: int, rate: int, unknown: str = "") -> None:
+    context.cell = Cell(nodes, unknown)
+    context.cluster = context.cell.cluster
+    context.rate = rate
+
+
+@when("the clients have sent for {seconds:g} seconds")
+def _send_for(context: Any, seconds: float) -> None:
+    context.cell.send_for(seconds, context.rate)
+
+
+@when("every node is stopped, one every {gap:g} seconds, and started again when it has ended")
+def _stop_all(context: Any, gap: float) -> None:
+    for index, front in enumerate(list(context.cell.fronts.values())):
+        context.cluster.time.schedule(index * gap, front.stop)
+    context.cluster.run(STEP_SECONDS)
+
+
+@when("the holder is stopped, and started again when it has ended")
+def _stop_holder(context: Any) -> None:
+    context.cell.fronts[context.cluster.holder().name].stop()
+
+
+@when("the node that has it is stopped")
+def _stop_its_node(context: Any) -> None:
+    context.cell.fronts[context.request.node].stop()
+
+
+@when("a client sends a {method} request")
+def _send(context: Any, method: str) -> None:
+    context.request = context.cell.send(method)
+
+
+@when("a client that does not read sends a POST request")
+def _send_unread(context: Any) -> None:
+    context.request = context.cell.send(reads=False)
+
+
+@when("a client sends the first half of a request")
+def _send_half(context: Any) -> None:
+    context.request = context.cell.send_half()
+
+
+@then("no request that was read is without an answer")
+def _none_cut(context: Any) -> None:
+    cell = context.cell
+    cell.cluster.run(DEADLINE_MS / 1_000)
+    cut = [request for request in cell.requests if request.answered_at is None]
+    assert cell.requests and not cut, f"{len(cut)} of {len(cell.requests)}: {cut[:3]}"
+
+
+@then("no request was refused")
+def _none_refused(context: Any) -> None:
+    refused = [request for request in context.cell.requests if not request.is_served]
+    assert not refused, f"{len(refused)}: {refused[:3]}"
+
+
+@then("every stopped process ended within the grace")
+def _ended_in_time(context: Any) -> None:
+    stopped = [*context.cell.ended, *context.cell.fronts.values()]
+    stopped = [front for front in stopped if front.stopped_at is not None]
+    assert stopped
+    for front in stopped:
+        assert front.ended_at is not None, f"{front.simulated.name} is still there"
+        assert front.ended_at - front.stopped_at < front.grace_seconds, front.simulated.name
+
+
+@then("the stopped process ended {least:g} to {most:g} seconds after the signal")
+def _ended_within(context: Any, least: float, most: float) -> None:
+    [front] = context.cell.ended
+    assert least <= front.ended_at - front.stopped_at <= most, front.ended_at - front.stopped_at
+
+
+@then("the clients are served at the end")
+def _served_at_end(context: Any) -> None:
+    since = context.cell.requests[-1].sent_at - RECOVERED_SECONDS
+    last = [request for request in context.cell.requests if request.sent_at >= since]
+    assert last and all(request.is_served for request in last), last[:3]
+
+
+@then("that request was answered with status {status:d}, and told when to come back")
+def _answered(context: Any, status: int) -> None:
+    request = context.request
+    assert request.answered_at is not None, request
+    assert request.status == status, request.answer
+    assert "retry-after: " in request.head, request.head
+
+
+@then("that request's answer closes the connection")
+def _closes(context: Any) -> None:
+    assert "connection: close" in context.request.head, context.request
+
+
+@given('a planned stop that is "{phase}", with a grace of {grace:g} seconds')
+def _schedule(context: Any, phase: str, grace: float) -> None:
+    context.schedule = StopSchedule()
+    context.schedule.phase = StopPhase[phase.upper()]
+    context.grace = grace
+
+
+@then(
+    "{seconds:g} seconds after its signal, with {calls:d} calls and {connections:d} connections"
+    ' open, it is "{phase}"'
+)
+def _phase(context: Any, seconds: float, calls: int, connections: int, phase: str) -> None:
+    work = OpenWork(calls, connections)
+    while context.schedule.advance(seconds, context.grace, work):
+        pass
+    assert context.schedule.phase is StopPhase[phase.upper()], context.schedule.phase
--- a/src/onyxspoke/cli/node.py
+++ b/src/onyxspoke/cli/node.py
@@ -18,7 +18,7 @@
 from twisted.application.service import MultiService
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IReactorFromThreads, IReactorTime
+from twisted.internet.interfaces import IListeningPort, IReactorFromThreads, IReactorTime
 from twisted.web.server import Request
 
 from onyxspoke.cli.node_settings import (
@@ -163,6 +163,8 @@
         self._endpoints = network_endpoints
         self._lines = lines
         self._suspensions = SuspensionWatch()
+        #: Where callers and operators connect.
+        self.client_sites: list[BoundedSite] = []
         node.setServiceParent(self)
         lines.on_waiting = partial(
             cast("IReactorTime", reactor).callLater, DRAIN_SECONDS, lines.drain
@@ -193,7 +195,17 @@
         self._node.configurations.listen(partial(apply_limits, limits))
         site = BoundedSite(IngressResource(self._node), reactor, limits)
         address = self._settings.callers
-        return self._endpoints.server(address.host, address.port).listen(site)
+        return self._listen_clients(site, address.host, address.port)
+
+    def _listen_clients(self, site: BoundedSite, host: str, port: int) -> Deferred[Any]:
+        """Open a server socket whose connections a planned stop closes in good order."""
+
+        def take(listening_port: IListeningPort) -> None:
+            site.listening_port = listening_port
+
+        self.client_sites.append(site)
+        listening: Deferred[Any] = self._endpoints.server(host, port).listen(site)
+        return listening.addCallback(take)
 
     def _listen_readiness(self) -> Deferred[Any]:
         site = BoundedSite(ReadinessResource(lambda: self._node.is_ready), reactor, HttpLimits())
@@ -203,7 +215,7 @@
     def _listen_operators(self) -> Deferred[Any]:
         site = make_operator_site(self._node, reactor)
         own = self._settings
-        return self._endpoints.server(own.host, own.operator_port).listen(site)
+        return self._listen_clients(site, own.host, own.operator_port)
 
     def _listen_metrics(self) -> Deferred[Any]:
         root = CodedResource()
@@ -265,7 +277,7 @@
     service = NodeService(node, settings.node, TcpEndpoints(reactor, CONNECT_SECONDS), lines)
     runner = ProcessRunner(service)
 
-    stop = PlannedStop(node, reactor, lambda: node.open_call_count, runner.stop)
+    stop = PlannedStop(node, reactor, service.client_sites, runner.stop)
 
     def handle_terminate(_signal: int, _frame: object) -> None:
         cast("IReactorFromThreads", reactor).callFromThread(stop.begin)
--- a/src/onyxspoke/net/bounded_http.py
+++ b/src/onyxspoke/net/bounded_http.py
@@ -6,7 +6,13 @@
 from typing import Any, cast
 
 from absl import logging
-from twisted.internet.interfaces import IAddress, IDelayedCall, IReactorTime, ITransport
+from twisted.internet.interfaces import (
+    IAddress,
+    IDelayedCall,
+    IListeningPort,
+    IReactorTime,
+    ITransport,
+)
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 from twisted.web.http import HTTPChannel
@@ -15,7 +21,7 @@
 from twisted.web.server import Request, Site
 
 from onyxspoke.core.codes import ResultCode, http_status
-from onyxspoke.net.http import encode_error
+from onyxspoke.net.http import SHORTEST_RETRY_SECONDS, close_after, encode_error
 
 
 @dataclass(slots=True)
@@ -51,6 +57,18 @@
     reactor: IReactorTime
     _is_reading_head = False
     _head_timer: IDelayedCall | None = None
+    #: Whether the connection ends with the next answer.
+    is_closing = False
+
+    def close(self) -> None:
+        """Close the connection, but answer a request first that has come, also in part."""
+        if getattr(self.transport, "disconnecting", False):
+            return
+        self.is_closing = True
+        for request in self.requests:
+            close_after(request)
+        if not self.requests and not self._is_reading_head:
+            self.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:
         """Time a head from its first byte; called by Twisted."""
@@ -115,6 +133,8 @@
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
         """Serve a request that arrived whole; called by Twisted."""
         self._stop_timer()
+        if self.channel.is_closing:
+            close_after(self)
         if not self._refused:
             super().requestReceived(command, path, version)
 
@@ -153,11 +173,13 @@
         self.protocol = BoundedChannel  # type: ignore[method-assign,assignment]
         self._reactor_time = reactor
         self.limits = limits
-        self._connections = 0
+        self._channels: set[BoundedChannel] = set()
+        #: Where the site listens, once it does.
+        self.listening_port: IListeningPort | None = None
 
     def buildProtocol(self, addr: IAddress | None) -> Any:
         """Return the channel of a new connection, or ``None`` to close it."""
-        if self._connections >= self.limits.connections:
+        if len(self._channels) >= self.limits.connections:
             logging.warning("event=http_connection_refused limit=%d", self.limits.connections)
             return None
         self.timeOut = self.limits.idle_seconds
@@ -165,21 +187,40 @@
         channel.limits = self.limits
         channel.reactor = self._reactor_time
         channel.totalHeadersSize = self.limits.header_bytes
-        self._connections += 1
+        self._channels.add(channel)
         original = channel.connectionLost
 
         def connection_lost(reason: Any) -> None:
-            self._connections -= 1
+            self._channels.discard(channel)
             original(reason)
 
         channel.connectionLost = connection_lost
         return channel
 
+    @property
+    def connection_count(self) -> int:
+        """How many connections are open."""
+        return len(self._channels)
+
+    def close(self) -> None:
+        """Take no new connection, and close each open one once its request is answered."""
+        if self.listening_port is not None:
+            self.listening_port.stopListening()
+        for channel in list(self._channels):
+            channel.close()
+
+    def refuse_unread(self) -> None:
+        """Answer requests that have not arrived whole, and close their connections."""
+        for channel in list(self._channels):
+            refuse_and_close(channel, ResultCode.ENTRY_STOPPING, SHORTEST_RETRY_SECONDS)
+
     def log(self, request: HTTPRequest) -> None:
         """Log no line a request: answers are counted in histograms instead."""
 
 
-def refuse_and_close(channel: HTTPChannel, code: ResultCode) -> None:
+def refuse_and_close(
+    channel: HTTPChannel, code: ResultCode, retry_after_seconds: int | None = None
+) -> None:
     """Answer with a coded error at once and close the connection."""
     if getattr(channel.transport, "disconnecting", False):
         return
@@ -187,8 +228,9 @@
     body = encode_error(code)
     status = f"HTTP/1.1 {http_status(code)} {code.name}\r\n".encode()
     headers = (
-        b"Content-Type: application/json\r\nConnection: close\r\n"
-        b"Content-Length: %d\r\n\r\n" % len(body)
+        b"Content-Type: application/json\r\nConnection: close\r\nContent-Length: %d\r\n" % len(body)
     )
-    transport.write(status + headers + body)
+    if retry_after_seconds is not None:
+        headers += b"Retry-After: %d\r\n" % retry_after_seconds
+    transport.write(status + headers + b"\r\n" + body)
     channel.loseConnection()
--- a/src/onyxspoke/node/call_router.py
+++ b/src/onyxspoke/node/call_router.py
@@ -31,6 +31,8 @@
 CLOSED_SECONDS = 0.5
 #: When a caller is told to come back while there is no holder.
 RETRY_AFTER_SECONDS = 1.0
+#: Why a call is answered by a node whose process ends.
+STOPPING_REASON = "stopping"
 #: Pause before a call goes to the same holder again, after it said that it is none.
 REPEAT_SECONDS = 0.05
 _MILLISECONDS = 1_000.0
@@ -118,6 +120,7 @@
         #: Calls by the numbers of their copies.
         self._call_ids: dict[int, int] = {}
         self._last_copy = 0
+        self._is_closed = False
 
     def __len__(self) -> int:
         return len(self._pending)
@@ -134,10 +137,25 @@
         """Take a call; ``on_reply`` is called once, by the deadline."""
         self._last_id += 1
         call_id = self._last_id
-        self._pending[call_id] = _PendingCall(shard, call, on_reply, now, deadline)
-        self._try(call_id, now)
+        pending = self._pending[call_id] = _PendingCall(shard, call, on_reply, now, deadline)
+        if self._is_closed:
+            self._finish(call_id, self._late_reply(pending, now))
+        else:
+            self._try(call_id, now)
         return call_id
 
+    def close(self, now: float) -> None:
+        """Refuse new calls, and those that no holder has seen, because the process ends soon."""
+        self._is_closed = True
+        for call_id, pending in list(self._pending.items()):
+            if not pending.was_sent:
+                self._finish(call_id, self._late_reply(pending, now))
+
+    def answer_all(self, now: float) -> None:
+        """Answer every call with what is known of it."""
+        for call_id, pending in list(self._pending.items()):
+            self._finish(call_id, self._late_reply(pending, now))
+
     def handle_reply(self, copy: int, reply: CallReply, now: float) -> None:
         """A holder replied to a copy of a call."""
         call_id = self._call_ids.pop(copy, None)
@@ -246,7 +264,8 @@
     def _late_reply(self, pending: _PendingCall, now: float) -> CallReply:
         """Return what is known of a call whose time is over."""
         if pending.copies.is_in_doubt or not isinstance(pending.call, SubmitCall):
-            return CallReply(code=ReplyCode.UNKNOWN, reason="no_reply")
+            reason = STOPPING_REASON if self._is_closed else "no_reply"
+            return CallReply(code=ReplyCode.UNKNOWN, reason=reason)
         closed = self._closed_reply(pending, now)
         if closed is not None:
             return closed
@@ -254,7 +273,7 @@
         seconds = self._summary_cache.retry_seconds(
             pending.shard, job.queue.name, job.tenant, job.job_id, now, RETRY_AFTER_SECONDS
         )
-        return _refused(seconds, "no_holder")
+        return _refused(seconds, STOPPING_REASON if self._is_closed else "no_holder")
 
     def _closed_reply(self, pending: _PendingCall, now: float) -> CallReply | None:
         """Return the refusal of a job that no holder took, if the last one closed its queue."""
--- a/src/onyxspoke/node/key_gate.py
+++ b/src/onyxspoke/node/key_gate.py
@@ -65,13 +65,24 @@
         self._call_later = call_later
         self._trusted_seconds = trusted_seconds
         self._waiting: list[_Waiting] = []
-        self._asking_count = 0
+        #: Calls for which the look that is under way began.
+        self._asking: list[_Waiting] = []
+        self._is_closed = False
         self._is_looking = False
         self._look_at = 0.0
 
     def __len__(self) -> int:
         """Return how many calls wait for a look."""
-        return len(self._waiting) + self._asking_count
+        return len(self._waiting) + len(self._asking)
+
+    def close(self) -> None:
+        """Let no call wait any more, because the process ends soon."""
+        self._is_closed = True
+        waiting = [*self._asking, *self._waiting]
+        self._asking.clear()
+        self._waiting.clear()
+        for item in waiting:
+            self._tell(item, KeyVerdict.CONFIGURATION_STALE)
 
     def admit(self, credential: Credential, queue: str, on_verdict: OnVerdict) -> None:
         """Tell whose a key is, at once or after a look at the newest configuration."""
@@ -79,7 +90,7 @@
         verdict = self._judge(credential, was_configuration_refreshed=False)
         if verdict is not KeyVerdict.CONFIGURATION_REFRESH_NEEDED:
             self._tell(waiting, verdict)
-        elif len(self._waiting) >= MAXIMUM_WAITING:
+        elif self._is_closed or len(self._waiting) >= MAXIMUM_WAITING:
             self._tell(waiting, KeyVerdict.CONFIGURATION_STALE)
         else:
             self._waiting.append(waiting)
@@ -103,12 +114,11 @@
 
     def _look(self) -> None:
         self._look_at = self._clock.now() + LOOK_PAUSE_SECONDS
-        asking, self._waiting = self._waiting, []
-        self._asking_count = len(asking)
+        self._asking, self._waiting = self._waiting, []
 
         def take(is_done: bool) -> None:
             self._is_looking = False
-            self._asking_count = 0
+            asking, self._asking = self._asking, []
             for waiting in asking:
                 verdict = KeyVerdict.CONFIGURATION_STALE
                 if is_done:
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -195,6 +195,15 @@
             seat.step_down(StepDownReason.PLANNED)
         self._send_heartbeats()
 
+    def refuse_calls(self) -> None:
+        """Refuse new calls, and answer those that no holder has seen."""
+        self.keys.close()
+        self.router.close(self._clock.now())
+
+    def answer_calls(self) -> None:
+        """Answer every call that no holder has replied to."""
+        self.router.answer_all(self._clock.now())
+
     def _set_policy(self, configuration: CellConfiguration) -> None:
         for seat in self.seats.values():
             seat.set_policy(configuration.policy)
--- a/src/onyxspoke/node/planned_stop.py
+++ b/src/onyxspoke/node/planned_stop.py
@@ -1,26 +1,37 @@
-"""A planned stop: no request is cut off, and the process ends as soon as none can come."""
+"""A planned stop: every request that was read is answered before the process ends."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from itertools import islice
+from typing import Protocol
 
 from absl import logging
 from twisted.internet.interfaces import IReactorTime
 
 from onyxspoke.core.shard.calls import CALL_NAMES, job_id_of
 from onyxspoke.node.node import Node
+from onyxspoke.node.stop_schedule import OpenWork, StopPhase, StopSchedule
 
-#: The balancer needs so long to see that the node is not ready, and to send nobody any more.
-BALANCER_SECONDS = 2.6
-#: Kept back of the time to stop, for the process to end in.
-RESERVE_SECONDS = 0.7
-POLL_SECONDS = 0.1
-#: Calls without a reply that are logged one by one as the process ends.
+#: Calls that are logged one by one when they are open at the end.
 MAXIMUM_CALLS_LOGGED = 20
 _MILLISECONDS = 1_000.0
 
 
+class ClientSite(Protocol):
+    """A site whose clients' requests are answered before the process ends."""
+
+    @property
+    def connection_count(self) -> int:
+        """How many connections are open."""
+
+    def close(self) -> None:
+        """Take no new connection, and close each open one once its request is answered."""
+
+    def refuse_unread(self) -> None:
+        """Answer requests that have not arrived whole, and close their connections."""
+
+
 class PlannedStop:
     """Ends a node's process once its last request is answered.
 
@@ -30,8 +41,8 @@
         What is stopped.
     reactor : IReactorTime
         Timers.
-    count_requests : callable
-        Returns how many requests of callers are in progress or may still come.
+    sites : sequence of ClientSite
+        Where clients connect.
     on_stopped : callable
         Ends the process.
     """
@@ -40,14 +51,15 @@
         self,
         node: Node,
         reactor: IReactorTime,
-        count_requests: Callable[[], int],
+        sites: Sequence[ClientSite],
         on_stopped: Callable[[], None],
     ) -> None:
         self._node = node
         self._reactor = reactor
-        self._count_requests = count_requests
+        self._sites = sites
         self._on_stopped = on_stopped
         self._began_at: float | None = None
+        self._schedule = StopSchedule()
 
     def begin(self) -> None:
         """Hand the shards over, and wait for the last request."""
@@ -56,7 +68,7 @@
         self._began_at = self._reactor.seconds()
         logging.info(
             "event=stopping requests=%d held=%d peers=%d",
-            self._count_requests(),
+            self._node.open_call_count,
             sum(seat.is_holding for seat in self._node.seats.values()),
             len(self._node.peers.up_links()),
         )
@@ -66,27 +78,55 @@
     def _poll(self) -> None:
         assert self._began_at is not None
         elapsed = self._reactor.seconds() - self._began_at
-        requests = self._count_requests()
-        is_quiet = elapsed >= BALANCER_SECONDS and requests == 0
-        if is_quiet or elapsed >= self._node.settings.stop_grace_seconds - RESERVE_SECONDS:
-            self._log_cut_calls()
+        grace = self._node.settings.stop_grace_seconds
+        while self._schedule.advance(elapsed, grace, self._open_work()):
+            self._enter_phase(elapsed)
+        if self._schedule.phase is not StopPhase.ENDED:
+            self._reactor.callLater(self._schedule.next_look_seconds(elapsed, grace), self._poll)
+
+    def _open_work(self) -> OpenWork:
+        return OpenWork(
+            calls=self._node.open_call_count,
+            connections=sum(site.connection_count for site in self._sites),
+        )
+
+    def _enter_phase(self, elapsed: float) -> None:
+        """Do what the phase that was just entered begins with."""
+        phase = self._schedule.phase
+        work = self._open_work()
+        logging.info(
+            "event=stop_phase phase=%s seconds=%.2f requests=%d keys=%d connections=%d",
+            phase.name.lower(),
+            elapsed,
+            work.calls,
+            len(self._node.keys),
+            work.connections,
+        )
+        if phase is StopPhase.CLOSING:
+            for site in self._sites:
+                site.close()
+            self._node.refuse_calls()
+        elif phase is StopPhase.FLUSHING:
+            self._log_open_calls()
+            self._node.answer_calls()
+            for site in self._sites:
+                site.refuse_unread()
+        elif phase is StopPhase.ENDED:
             logging.info(
-                "event=stopped seconds=%.1f requests=%d keys=%d",
+                "event=stopped seconds=%.1f requests=%d connections=%d",
                 elapsed,
-                requests,
-                len(self._node.keys),
+                work.calls,
+                work.connections,
             )
             self._on_stopped()
-        else:
-            self._reactor.callLater(POLL_SECONDS, self._poll)
 
-    def _log_cut_calls(self) -> None:
-        """Log the calls whose callers get no answer, the oldest first."""
+    def _log_open_calls(self) -> None:
+        """Log the calls to which no holder has replied, the oldest first."""
         open_calls = self._node.router.open_calls(self._node.now())
         for item in islice(open_calls, MAXIMUM_CALLS_LOGGED):
             claim = self._node.claim_of(item.shard)
-            logging.warning(
-                "event=call_cut shard=%d call=%s job=%s progress=%s age_ms=%d token=%d",
+            logging.info(
+                "event=call_open_at_stop shard=%d call=%s job=%s progress=%s age_ms=%d token=%d",
                 item.shard,
                 CALL_NAMES[type(item.call)],
                 job_id_of(item.call),
--- /dev/null
+++ b/src/onyxspoke/node/stop_schedule.py
@@ -0,0 +1,100 @@
+"""Decides how far a planned stop has come, from its time and from what is still open."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+import msgspec
+
+#: The load balancer needs this time to see that a node is not ready, and to send it no more calls.
+BALANCER_SECONDS = 2.6
+#: Before the end of the grace: no more calls are taken.
+CLOSE_RESERVE_SECONDS = 0.7
+#: Before the end of the grace: calls that still have no reply are answered by the node itself.
+ANSWER_RESERVE_SECONDS = 0.55
+#: Before the end of the grace: the process ends, also with connections whose clients do not read.
+END_RESERVE_SECONDS = 0.35
+
+
+class StopPhase(IntEnum):
+    """Phases of a planned stop, in their order.
+
+    ``SERVING``: calls are taken.  ``CLOSING``: new calls are refused, and those that a holder has
+    may still be replied to.  ``FLUSHING``: every call has its answer, and the answers are sent.
+    ``ENDED``: the process ends.
+    """
+
+    SERVING = 0
+    CLOSING = 1
+    FLUSHING = 2
+    ENDED = 3
+
+
+#: How long before the end of the grace a phase ends at the latest.
+_RESERVE_SECONDS = {
+    StopPhase.SERVING: CLOSE_RESERVE_SECONDS,
+    StopPhase.CLOSING: ANSWER_RESERVE_SECONDS,
+    StopPhase.FLUSHING: END_RESERVE_SECONDS,
+}
+#: Pause between two looks at what is open.
+_LOOK_SECONDS = {StopPhase.SERVING: 0.1, StopPhase.CLOSING: 0.02, StopPhase.FLUSHING: 0.01}
+#: A shorter wait may be lost in rounding, and the time would not pass.
+_SHORTEST_LOOK_SECONDS = 0.001
+
+
+class OpenWork(msgspec.Struct, frozen=True):
+    """What a stopping node has not finished.
+
+    Attributes
+    ----------
+    calls : int
+        Calls without a reply.
+    connections : int
+        Open connections of clients.
+    """
+
+    calls: int
+    connections: int
+
+
+class StopSchedule:
+    """The phase of one planned stop; it never goes back."""
+
+    def __init__(self) -> None:
+        self.phase = StopPhase.SERVING
+
+    def advance(self, elapsed_seconds: float, grace_seconds: float, work: OpenWork) -> bool:
+        """Enter the next phase if it is due, and return whether it was.
+
+        Parameters
+        ----------
+        elapsed_seconds : float
+            Time since the stop began.
+        grace_seconds : float
+            Time from the beginning of the stop until the process is killed.
+        work : OpenWork
+            What is still open.
+        """
+        if self.phase is StopPhase.ENDED:
+            return False
+        is_late = elapsed_seconds >= grace_seconds - _RESERVE_SECONDS[self.phase]
+        is_due = is_late or self._is_finished(elapsed_seconds, work)
+        if is_due:
+            self.phase = StopPhase(self.phase + 1)
+        return is_due
+
+    def _is_finished(self, elapsed_seconds: float, work: OpenWork) -> bool:
+        """Return whether there is nothing left to do in this phase."""
+        if self.phase is StopPhase.SERVING:
+            return elapsed_seconds >= BALANCER_SECONDS and not work.calls
+        if self.phase is StopPhase.CLOSING:
+            return not work.calls
+        return not work.connections
+
+    def next_look_seconds(self, elapsed_seconds: float, grace_seconds: float) -> float:
+        """Return after how long the schedule is to be advanced again."""
+        deadlines = [grace_seconds - _RESERVE_SECONDS[self.phase]]
+        if self.phase is StopPhase.SERVING:
+            deadlines.append(BALANCER_SECONDS)
+        waits = [moment - elapsed_seconds for moment in deadlines if moment > elapsed_seconds]
+        return max(_SHORTEST_LOOK_SECONDS, min([*waits, _LOOK_SECONDS[self.phase]]))
--- a/src/onyxspoke/platform/ingress.py
+++ b/src/onyxspoke/platform/ingress.py
@@ -132,7 +132,7 @@
         except OnyxspokeError as error:
             write_error(request, error)
             return NOT_DONE_YET
-        exchange = _Exchange(request, call)
+        exchange = _Exchange(self._node, request, call)
         seconds = _patience(request, route)
         if route.allows_anonymous or not self._node.configurations.keys.is_required:
             self._node.submit_call(name, call, exchange.finish, seconds)
@@ -167,7 +167,8 @@
 class _Exchange:
     """One HTTP request that waits for its reply."""
 
-    def __init__(self, request: Request, call: Call) -> None:
+    def __init__(self, node: Node, request: Request, call: Call) -> None:
+        self._node = node
         self._request = request
         self._call = call
         self._is_gone = False
@@ -178,6 +179,8 @@
         if self._is_gone:
             return
         request = self._request
+        if self._node.is_stopping:
+            close_after(request)
         if reply.code is ReplyCode.OK:
             write_json(request, self._body(reply))
         elif reply.code is ReplyCode.NO_SUCH_JOB:
