Planned stop: hold a shard on where no other node is left to take it

What callers saw: where all nodes stop within the grace of the first, each request of these seconds was refused (503, 504), as nobody held the shard until the first process was back.

Cause: a node that stops gave its shards up at once and claimed none any more, also where every other node was stopping too. So the holder handed over to nodes that had been told to stop in the same moment, and these left the shard to others.

Now a stopping node gives its shards up once a peer can take them (not stopping, reaches the store, knows a configuration, connected for 0.5 s: has_successor in node/succession.py), and may claim while all peers that it is connected to stop as well. The holder stays up to the end of its grace while calls come (is_needed); the others end as before, come back, and one of them takes the shard over while the old holder still serves. In a stop of one node nothing changes: a peer can take over, so the shards are given up with the signal.

On the same path: a node that waited for its turn when it was told to stop claimed the shard all the same; one whose claim stood after the signal held the shard until its process ended. Both now leave it to a peer that can take over.

--- a/features/election.feature
+++ b/features/election.feature
@@ -9,6 +9,26 @@
     When it reads a newer claim of another node
     Then it connects to that node
 
+  # A node that waited for its turn when it was told to stop claimed the shard all the same.
+  Scenario: A node that may not claim while it waits for its turn leaves the shard to others
+    Given a follower that is successor number 30
+    When its holder gives up the shard
+    And it may not claim any more
+    And 2 seconds pass for the node
+    Then it has not claimed the shard
+
+  # Nodes that had been told to stop rested, though no other node was left that could claim.
+  Scenario: A node that may claim again looks at once, and claims
+    Given a follower that is successor number 1
+    When it may not claim any more
+    And its holder gives up the shard
+    And 0.1 seconds pass for the node
+    Then it has not claimed the shard
+    When it may claim again
+    Then it reads the claim
+    When it reads the same claim once more
+    Then it claims the shard
+
   Scenario: The wait for a turn is bounded for any number of nodes
     Given a follower that is successor number 300
     When its holder gives up the shard
--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -18,6 +18,32 @@
       | 3     | 200  | 0    |
       | 1     | 20   | 0    |
 
+  # Nobody held the shard where all nodes stopped, so that every request of these seconds was refused.
+  Scenario Outline: Clients are served while all nodes stop, <gap> s apart
+    Given a cell of <nodes> nodes with clients that send <rate> requests a second
+    When the clients have sent for 2 seconds
+    And every node is stopped, one every <gap> seconds, and started again when it has ended
+    And the clients have sent for 14 seconds
+    Then no request was refused before the first process ended
+    And <refused> requests were refused at most
+    And the last stopped process ended after another one had started again
+
+    # A change of holder may refuse the requests of one second.  Connections to processes that are
+    # being started are refused, and counted nowhere here.
+    Examples:
+      | nodes | rate | gap  | refused |
+      | 6     | 40   | 0    | 40      |
+      | 6     | 40   | 0.02 | 40      |
+      | 6     | 40   | 1.25 | 0       |
+      | 3     | 200  | 0    | 200     |
+      | 2     | 40   | 1.25 | 40      |
+
+  Scenario: All nodes of an idle cell are stopped
+    Given a cell of 3 nodes with clients that send 0 requests a second
+    When every node is stopped, one every 0 seconds, and started again when it has ended
+    And 2.8 seconds pass in the cluster
+    Then every stopped process ended 2.6 to 2.7 seconds after the signal
+
   Scenario: A single node is stopped while clients keep sending
     Given a cell of 3 nodes with clients that send 40 requests a second
     When the clients have sent for 2 seconds
@@ -25,7 +51,7 @@
     And the clients have sent for 6 seconds
     Then no request that was read is without an answer
     And no request was refused
-    And the stopped process ended 2.6 to 2.7 seconds after the signal
+    And every stopped process ended 2.6 to 2.7 seconds after the signal
 
   # Requests that a silent store held up were cut off as the process ended.
   Scenario Outline: Requests are answered though the store is silent for the whole stop <seconds> s after its begin
@@ -74,6 +100,12 @@
     And 0.5 seconds pass in the cluster
     Then that request's answer closes the connection
 
+  Scenario: A stopping node that callers depend on stays until another node holds the shard
+    Given a planned stop that is "serving", with a grace of 6 seconds
+    Then 2.6 seconds after its signal, while it is needed, it is "serving"
+    And 5.2 seconds after its signal, while it is needed, it is "serving"
+    And 5.3 seconds after its signal, while it is needed, it is "ended"
+
   Scenario Outline: A stop <seconds> s after its signal, with <calls> calls and <connections> connections open
     Given a planned stop that is "<phase>", with a grace of 6 seconds
     Then <seconds> seconds after its signal, with <calls> calls and <connections> connections open, it is "<next>"
--- a/features/steps/election_steps.py
+++ b/features/steps/election_steps.py
@@ -75,6 +75,29 @@
     context.actions = context.election.take_actions()
 
 
+@when("it reads the same claim once more")
+def _reads_same_claim(context: Any) -> None:
+    context.election.handle_claim_read(True, _claim_of(HOLDER, 7), PARTITION_END, context.now)
+    context.actions = context.election.take_actions()
+
+
+@when("it may not claim any more")
+def _forbid_claims(context: Any) -> None:
+    context.election.set_claims_allowed(False, context.now)
+
+
+@when("it may claim again")
+def _allow_claims(context: Any) -> None:
+    context.election.set_claims_allowed(True, context.now)
+    context.actions = context.election.take_actions()
+
+
+@then("it has not claimed the shard")
+def _has_not_claimed(context: Any) -> None:
+    assert not any(isinstance(action, SendClaim) for action in context.actions), context.actions
+    assert context.election.state is ElectionState.READING, context.election.state
+
+
 @when("another node reports that it holds the shard")
 def _another_node_reports_holding(context: Any) -> None:
     context.expected = OTHER
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import Any
 
@@ -19,6 +20,7 @@
 from onyxspoke.platform.ingress import IngressResource
 from onyxspoke.ports.configuration import CellConfiguration
 from onyxspoke.sim.job_cluster import (
+    START_SECONDS,
     ClusterOptions,
     JobCluster,
     SimulatedNode,
@@ -35,6 +37,8 @@
 SERVED_STATUSES = (200, 410)
 #: What clients send in turn.
 METHODS = ("POST", "POST", "GET", "POST", "DELETE")
+#: Requests come at other moments than the nodes' own timers.
+FIRST_SECONDS = 0.0123
 #: The last requests of a run; a cell that has recovered serves them.
 RECOVERED_SECONDS = 3.0
 
@@ -153,6 +157,13 @@
     def grace_seconds(self) -> float:
         return self.simulated.node.settings.stop_grace_seconds
 
+    @property
+    def stop_seconds(self) -> float:
+        """How long the stop took; without a bound if it is not over."""
+        if self.stopped_at is None or self.ended_at is None:
+            return math.inf
+        return self.ended_at - self.stopped_at
+
     def stop(self) -> None:
         self.stopped_at = self._cell.cluster.time.now()
         self._cell.cluster.time.schedule(self.grace_seconds, self._kill)
@@ -233,7 +244,7 @@
 
     def send_for(self, seconds: float, rate: float) -> None:
         for index in range(int(seconds * rate)):
-            self.cluster.time.schedule(index / rate, self.send)
+            self.cluster.time.schedule(FIRST_SECONDS + index / rate, self.send)
         self.cluster.run(seconds)
 
     def _idle_connection(self, reads: bool) -> ClientConnection | None:
@@ -314,6 +325,26 @@
     assert cell.requests and not cut, f"{len(cut)} of {len(cell.requests)}: {cut[:3]}"
 
 
+@then("no request was refused before the first process ended")
+def _none_refused_at_first(context: Any) -> None:
+    ended_at = min(front.ended_at for front in context.cell.ended)
+    early = [request for request in context.cell.requests if request.sent_at < ended_at]
+    refused = [request for request in early if not request.is_served]
+    assert early and not refused, f"{len(refused)}: {refused[:3]}"
+
+
+@then("{count:d} requests were refused at most")
+def _refused_at_most(context: Any, count: int) -> None:
+    refused = [request for request in context.cell.requests if not request.is_served]
+    assert len(refused) <= count, f"{len(refused)}: {refused[:3]}"
+
+
+@then("the last stopped process ended after another one had started again")
+def _ended_after_start(context: Any) -> None:
+    ended_at = [front.ended_at for front in context.cell.ended]
+    assert max(ended_at) >= min(ended_at) + RESTART_SECONDS + START_SECONDS, ended_at
+
+
 @then("no request was refused")
 def _none_refused(context: Any) -> None:
     refused = [request for request in context.cell.requests if not request.is_served]
@@ -322,18 +353,18 @@
 
 @then("every stopped process ended within the grace")
 def _ended_in_time(context: Any) -> None:
-    stopped = [*context.cell.ended, *context.cell.fronts.values()]
-    stopped = [front for front in stopped if front.stopped_at is not None]
+    fronts = [*context.cell.ended, *context.cell.fronts.values()]
+    stopped = [front for front in fronts if front.stopped_at is not None]
     assert stopped
     for front in stopped:
-        assert front.ended_at is not None, f"{front.simulated.name} is still there"
-        assert front.ended_at - front.stopped_at < front.grace_seconds, front.simulated.name
+        assert front.stop_seconds < front.grace_seconds, front.simulated.name
 
 
-@then("the stopped process ended {least:g} to {most:g} seconds after the signal")
+@then("every stopped process ended {least:g} to {most:g} seconds after the signal")
 def _ended_within(context: Any, least: float, most: float) -> None:
-    [front] = context.cell.ended
-    assert least <= front.ended_at - front.stopped_at <= most, front.ended_at - front.stopped_at
+    fronts = [*context.cell.ended, *context.cell.fronts.values()]
+    durations = [front.stop_seconds for front in fronts if front.stopped_at is not None]
+    assert durations and all(least <= seconds <= most for seconds in durations), durations
 
 
 @then("the clients are served at the end")
@@ -363,12 +394,20 @@
     context.grace = grace
 
 
+@then('{seconds:g} seconds after its signal, while it is needed, it is "{phase}"')
+def _phase_needed(context: Any, seconds: float, phase: str) -> None:
+    _check_phase(context, seconds, OpenWork(0, 0, is_needed=True), phase)
+
+
 @then(
     "{seconds:g} seconds after its signal, with {calls:d} calls and {connections:d} connections"
     ' open, it is "{phase}"'
 )
 def _phase(context: Any, seconds: float, calls: int, connections: int, phase: str) -> None:
-    work = OpenWork(calls, connections)
+    _check_phase(context, seconds, OpenWork(calls, connections), phase)
+
+
+def _check_phase(context: Any, seconds: float, work: OpenWork, phase: str) -> None:
     while context.schedule.advance(seconds, context.grace, work):
         pass
     assert context.schedule.phase is StopPhase[phase.upper()], context.schedule.phase
--- a/src/onyxspoke/core/shard/election.py
+++ b/src/onyxspoke/core/shard/election.py
@@ -132,6 +132,7 @@
         self._claim_attempts = 0
         self._previous_token = 0
         self._claims_deferred_until = -math.inf
+        self._are_claims_allowed = True
         self.actions: list[ElectionAction] = []
 
     # Events
@@ -144,6 +145,14 @@
         """Do not claim the shard before a given time, so that other nodes take over."""
         self._claims_deferred_until = deferred_until
 
+    def set_claims_allowed(self, are_allowed: bool, now: float) -> None:
+        """Set whether this node may claim the shard; once it may, it looks at once."""
+        if are_allowed is self._are_claims_allowed:
+            return
+        self._are_claims_allowed = are_allowed
+        if are_allowed and self.state is ElectionState.READING and not self._is_read_pending:
+            self._send_read(now)
+
     def set_successors(self, successors: list[NodeIdentity]) -> None:
         """Set the successors that the holder has named, in the order of their turns."""
         self.successors = successors
@@ -281,7 +290,9 @@
         A node that has taken over another shard while it waited delays its claim further.
         """
         load_delay_seconds = self._load_delay_seconds()
-        if load_delay_seconds > self._turn_load_delay_seconds:
+        if not self._may_claim(now):
+            self._rest(now)
+        elif load_delay_seconds > self._turn_load_delay_seconds:
             self._due_at = now + load_delay_seconds - self._turn_load_delay_seconds
             self._turn_load_delay_seconds = load_delay_seconds
         elif not self._is_successor and now - self._last_read_at > MAXIMUM_READ_AGE_SECONDS:
@@ -443,10 +454,17 @@
             self._send_read(now)
         self.actions.append(ConnectToHolder(claim.host, claim.port))
 
+    def _may_claim(self, now: float) -> bool:
+        return self._are_claims_allowed and now >= self._claims_deferred_until
+
+    def _rest(self, now: float) -> None:
+        """Leave the shard to other nodes, and look again later."""
+        self._due_at = now + DEFERRED_RETRY_SECONDS
+        self._change_state(ElectionState.READING, now, "resting")
+
     def _wait_for_turn(self, now: float, delay: float, reason: str) -> None:
-        if now < self._claims_deferred_until:
-            self._due_at = now + DEFERRED_RETRY_SECONDS
-            self._change_state(ElectionState.READING, now, "resting")
+        if not self._may_claim(now):
+            self._rest(now)
             return
         self._change_state(ElectionState.WAITING_TURN, now, reason)
         self._turn_load_delay_seconds = self._load_delay_seconds()
--- a/src/onyxspoke/node/planned_stop.py
+++ b/src/onyxspoke/node/planned_stop.py
@@ -62,14 +62,14 @@
         self._schedule = StopSchedule()
 
     def begin(self) -> None:
-        """Hand the shards over, and wait for the last request."""
+        """Hand the shards over where another node can take them, and wait for the last request."""
         if self._began_at is not None:
             return
         self._began_at = self._reactor.seconds()
         logging.info(
             "event=stopping requests=%d held=%d peers=%d",
             self._node.open_call_count,
-            sum(seat.is_holding for seat in self._node.seats.values()),
+            self._node.held_shard_count,
             len(self._node.peers.up_links()),
         )
         self._node.begin_stop()
@@ -81,13 +81,17 @@
         grace = self._node.settings.stop_grace_seconds
         while self._schedule.advance(elapsed, grace, self._open_work()):
             self._enter_phase(elapsed)
+            if self._schedule.phase is StopPhase.FLUSHING:
+                # What was just written, also to peers, leaves the process before it ends.
+                break
         if self._schedule.phase is not StopPhase.ENDED:
             self._reactor.callLater(self._schedule.next_look_seconds(elapsed, grace), self._poll)
 
     def _open_work(self) -> OpenWork:
         return OpenWork(
-            calls=self._node.open_call_count,
+            calls=self._node.open_call_count + self._node.decided_call_count,
             connections=sum(site.connection_count for site in self._sites),
+            is_needed=self._node.is_needed,
         )
 
     def _enter_phase(self, elapsed: float) -> None:
@@ -95,12 +99,13 @@
         phase = self._schedule.phase
         work = self._open_work()
         logging.info(
-            "event=stop_phase phase=%s seconds=%.2f requests=%d keys=%d connections=%d",
+            "event=stop_phase phase=%s seconds=%.2f requests=%d keys=%d connections=%d held=%d",
             phase.name.lower(),
             elapsed,
-            work.calls,
+            self._node.open_call_count,
             len(self._node.keys),
             work.connections,
+            self._node.held_shard_count,
         )
         if phase is StopPhase.CLOSING:
             for site in self._sites:
@@ -115,7 +120,7 @@
             logging.info(
                 "event=stopped seconds=%.1f requests=%d connections=%d",
                 elapsed,
-                work.calls,
+                self._node.open_call_count,
                 work.connections,
             )
             self._on_stopped()
--- a/src/onyxspoke/node/resettlement.py
+++ b/src/onyxspoke/node/resettlement.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from onyxspoke.node.peers import PeerLink
+from onyxspoke.node.succession import can_take_over
 
 #: A node leaves its shards to one whose processor is so many times as large.
 LARGER_FACTOR = 2.0
@@ -21,9 +22,6 @@
     return any(
         link.identity is not None
         and link.identity.weight >= LARGER_FACTOR * own_weight
-        and link.may_hold
-        and link.can_reach_store
-        and not link.is_isolated
-        and now - link.up_at >= STEADY_SECONDS
+        and can_take_over(link, now, STEADY_SECONDS)
         for link in links
     )
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -201,6 +201,11 @@
         self.election.start(self._clock.now())
         self.carry_out_election()
 
+    @property
+    def open_call_count(self) -> int:
+        """How many calls wait for a decision of this node."""
+        return len(self._replies)
+
     def set_policy(self, policy: PolicySet) -> None:
         """Take the operator's configuration."""
         self._policy = policy
--- a/src/onyxspoke/node/stop_schedule.py
+++ b/src/onyxspoke/node/stop_schedule.py
@@ -48,13 +48,16 @@
     Attributes
     ----------
     calls : int
-        Calls without a reply.
+        Calls without a reply: those of its own clients, and those that it decides about.
     connections : int
         Open connections of clients.
+    is_needed : bool
+        Whether callers depend on a shard that the node holds and that no other node can take over.
     """
 
     calls: int
     connections: int
+    is_needed: bool = False
 
 
 class StopSchedule:
@@ -86,7 +89,8 @@
     def _is_finished(self, elapsed_seconds: float, work: OpenWork) -> bool:
         """Return whether there is nothing left to do in this phase."""
         if self.phase is StopPhase.SERVING:
-            return elapsed_seconds >= BALANCER_SECONDS and not work.calls
+            is_idle = not work.calls and not work.is_needed
+            return is_idle and elapsed_seconds >= BALANCER_SECONDS
         if self.phase is StopPhase.CLOSING:
             return not work.calls
         return not work.connections
--- a/src/onyxspoke/node/succession.py
+++ b/src/onyxspoke/node/succession.py
@@ -13,6 +13,8 @@
 
 #: Nodes that are named for each shard; the others wait longer than any of them.
 SUCCESSOR_COUNT = 8
+#: A node that has been connected for this time knows the holder, and follows it.
+FOLLOWING_SECONDS = 0.5
 #: A change of the number of nodes by up to this share is not worth a message to all.
 COUNT_TOLERANCE = 0.1
 
@@ -27,6 +29,22 @@
     return sorted(able, key=lambda node: (-node.weight, _draw(shard, node)))[:SUCCESSOR_COUNT]
 
 
+def can_take_over(link: PeerLink, now: float, connected_seconds: float) -> bool:
+    """Return whether a peer that has been connected for so long could hold a shard now."""
+    return (
+        link.may_hold
+        and link.can_reach_store
+        and not link.is_isolated
+        and link.configuration_version > 0
+        and now - link.up_at >= connected_seconds
+    )
+
+
+def has_successor(links: list[PeerLink], now: float) -> bool:
+    """Return whether a peer can take shards over from a node that stops."""
+    return any(can_take_over(link, now, FOLLOWING_SECONDS) for link in links)
+
+
 def _draw(shard: ShardId, node: NodeIdentity) -> int:
     return zlib.crc32(f"{shard}/{node.incarnation}".encode())
 
