Log: write lines that came before the reactor had the log drained

What was seen: while a soak was traced, nodes that had started again had no line in their logs, though they were serving. Lines are written once the stream asks to be drained, which it does when the first line begins to wait; the first one (event=load_options) came before there was anybody to ask, so the stream never asked again: lines were written in pieces of 32 KB, or as the process ended by itself, and the last 32 KB of a killed process were lost.

drain_by() asks at once for lines that wait already.

--- a/features/node_tools.feature
+++ b/features/node_tools.feature
@@ -129,6 +129,12 @@
     When 200 lines of 100 bytes are written at once
     Then all 200 lines came, in writes of whole lines and at most 4096 bytes
 
+  # The lines of a quiet node were written only at its end, and lost if it was killed.
+  Scenario: Lines that came before the log had somebody to write them do not wait
+    Given a log stream to a pipe that nobody reads
+    When 3 lines are written, and only then it is told how to be drained
+    Then it asks to be drained once
+
   Scenario: A log that the process closes as it ends has written everything
     Given a log stream to a pipe that nobody reads
     When 3 lines of 100 bytes are written and the logging library closes the stream
--- a/features/steps/node_tools_steps.py
+++ b/features/steps/node_tools_steps.py
@@ -227,6 +227,22 @@
     context.stream.close()
 
 
+@when("{count:d} lines are written, and only then it is told how to be drained")
+def _write_early(context, count):
+    context.asked = []
+    for _ in range(count):
+        context.stream.write(LINE)
+    context.stream.drain_by(lambda: context.asked.append(True))
+
+
+@then("it asks to be drained once")
+def _asks_once(context):
+    assert context.asked == [True], context.asked
+    context.stream.drain()
+    context.stream.write(LINE)
+    assert context.asked == [True, True], context.asked
+
+
 @then("the pipe holds {count:d} lines")
 def _holds_lines(context, count):
     assert os.read(context.reader, 1 << 20) == LINE.encode() * count
--- a/src/onyxspoke/cli/node.py
+++ b/src/onyxspoke/cli/node.py
@@ -166,9 +166,7 @@
         #: Where callers and operators connect.
         self.client_sites: list[BoundedSite] = []
         node.setServiceParent(self)
-        lines.on_waiting = partial(
-            cast("IReactorTime", reactor).callLater, DRAIN_SECONDS, lines.drain
-        )
+        lines.drain_by(partial(cast("IReactorTime", reactor).callLater, DRAIN_SECONDS, lines.drain))
 
     def startService(self) -> None:
         """Begin to work, and to look for suspensions of the machine."""
