Exploration: rounds of planned stops of all nodes, and no call without its reply

Findings: cut_by_stop, a call without a reply as a stopped process ends by itself; stop_overdue, a process that is there at the end of its grace.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -38,6 +38,18 @@
       | 3     | 200  | 0    | 200     |
       | 2     | 40   | 1.25 | 40      |
 
+  Scenario Outline: Whenever the stops of all nodes overlap, every call gets its reply - seed <seed>
+    When overlapping stops of all nodes are played with seed <seed>, in <shards> shard(s)
+    Then nothing that must hold is broken
+    And at least 200 jobs were completed
+
+    Examples:
+      | seed | shards |
+      | 2    | 1      |
+      | 4    | 1      |
+      | 6    | 1      |
+      | 3    | 3      |
+
   Scenario: All nodes of an idle cell are stopped
     Given a cell of 3 nodes with clients that send 0 requests a second
     When every node is stopped, one every 0 seconds, and started again when it has ended
--- a/features/steps/job_promise_steps.py
+++ b/features/steps/job_promise_steps.py
@@ -24,7 +24,7 @@
 from onyxspoke.core.shard.worker_manager import WorkerManager
 from onyxspoke.kit.jobs.workers import FakeWorker
 from onyxspoke.node.call_router import CallRouter
-from onyxspoke.sim.explore_jobs import JobRunReport, play, play_overload
+from onyxspoke.sim.explore_jobs import JobRunReport, play, play_overload, play_stops
 
 
 @when("jobs are played over seeds {first:d} to {last:d} without faults")
@@ -64,6 +64,11 @@
     context.job_reports = [play_overload(seed)]
 
 
+@when("overlapping stops of all nodes are played with seed {seed:d}, in {shards:d} shard(s)")
+def _play_stops(context: Any, seed: int, shards: int) -> None:
+    context.job_reports = [play_stops(seed, shards)]
+
+
 @then("nothing that must hold is broken")
 def _nothing_broken(context: Any) -> None:
     assert all(report.checks for report in context.job_reports)
--- a/scripts/explore.sh
+++ b/scripts/explore.sh
@@ -16,10 +16,12 @@
     echo "$first $((seeds - first + 1 < chunk ? seeds - first + 1 : chunk))"
 done | xargs -P "$(nproc)" -L 1 bash -c \
     '"$0" explore-jobs --first-seed "$1" --seeds "$2" --shards "${SHARDS:-1}"' "$bin/onyxspoke-sim"
-# Overloaded cells: some 3 s a seed, so fewer at a time.
+# Overloaded cells, and cells whose nodes all stop: 3 to 5 s a seed, so fewer at a time.
 chunk=5
-for ((first = 1; first <= seeds; first += chunk)); do
-    echo "$first $((seeds - first + 1 < chunk ? seeds - first + 1 : chunk))"
+for mode in overload stops; do
+    for ((first = 1; first <= seeds; first += chunk)); do
+        echo "$mode $first $((seeds - first + 1 < chunk ? seeds - first + 1 : chunk))"
+    done
 done | xargs -P "$(nproc)" -L 1 bash -c \
-    '"$0" explore-jobs --overload --first-seed "$1" --seeds "$2" --shards "${SHARDS:-1}"' \
+    '"$0" explore-jobs --"$1" --first-seed "$2" --seeds "$3" --shards "${SHARDS:-1}"' \
     "$bin/onyxspoke-sim"
--- a/src/onyxspoke/cli/sim.py
+++ b/src/onyxspoke/cli/sim.py
@@ -12,7 +12,7 @@
 from onyxspoke.core.codes import ExitCode
 from onyxspoke.load.audit import AuditReport, add_counts
 from onyxspoke.sim.explore import RunResult, run_schedule, shrink
-from onyxspoke.sim.explore_jobs import JobRunReport, play, play_overload
+from onyxspoke.sim.explore_jobs import JobRunReport, play, play_overload, play_stops
 
 SHOWN_FINDINGS = 10
 DEPLOYMENTS = Path("deploy")
@@ -39,19 +39,30 @@
         action="store_true",
         help="most jobs are refused, none is submitted twice, and faults have calls sent again",
     )
+    jobs.add_argument(
+        "--stops", action="store_true", help="all nodes are stopped as planned, again and again"
+    )
     jobs.add_argument("--shards", type=int, default=1, help="shards of the cell (default: 1)")
     jobs.add_argument("--tenants", action="store_true", help="with tenants whose quotas bind")
     arguments = parser.parse_args()
-    if arguments.command == "explore-jobs" and arguments.overload:
-        for option in ("crashes", "keep_names", "tenants"):
-            if getattr(arguments, option):
-                parser.error(f"--overload does not go with --{option.replace('_', '-')}")
+    if arguments.command == "explore-jobs":
+        _check_options(parser, arguments)
     logging.set_verbosity(logging.DEBUG if arguments.verbose else logging.FATAL)
     sys.exit(
         _explore_jobs(arguments) if arguments.command == "explore-jobs" else _explore(arguments)
     )
 
 
+def _check_options(parser: argparse.ArgumentParser, arguments: argparse.Namespace) -> None:
+    """Exit with an error if options do not go together."""
+    options = [name for name in ("crashes", "keep_names", "tenants") if getattr(arguments, name)]
+    for mode in ("overload", "stops"):
+        if getattr(arguments, mode) and options:
+            parser.error(f"--{mode} does not go with --{options[0].replace('_', '-')}")
+    if arguments.overload and arguments.stops:
+        parser.error("--overload does not go with --stops")
+
+
 def _explore(arguments: argparse.Namespace) -> ExitCode:
     config = arguments.config or DEPLOYMENTS / arguments.deployment / "cell.yaml"
     settings = load_or_exit(config)
@@ -99,6 +110,8 @@
 def _play_jobs(arguments: argparse.Namespace, seed: int) -> JobRunReport:
     if arguments.overload:
         return play_overload(seed, arguments.shards)
+    if arguments.stops:
+        return play_stops(seed, arguments.shards)
     return play(
         seed,
         shards=arguments.shards,
--- a/src/onyxspoke/kit/jobs/audit.py
+++ b/src/onyxspoke/kit/jobs/audit.py
@@ -58,6 +58,8 @@
     QUOTA = "quota"
     CRASHES = "crashes"
     IDLE = "idle"
+    CUT_BY_STOP = "cut_by_stop"
+    STOP_OVERDUE = "stop_overdue"
 
 
 @dataclass(slots=True)
--- a/src/onyxspoke/sim/explore_jobs.py
+++ b/src/onyxspoke/sim/explore_jobs.py
@@ -16,6 +16,7 @@
     ScheduledFault,
     draw_overload_schedule,
     draw_schedule,
+    draw_stop_schedule,
 )
 from onyxspoke.sim.liveness import LivenessWatch
 
@@ -51,6 +52,10 @@
 #: Many more jobs than the cell serves; each is handed in once, so that each refusal is the last.
 OVERLOAD = Traffic(jobs_per_second=40.0, seconds=8.0, maximum_attempts=1, repeat_share=0.0)
 OVERLOAD_FAULTS = 10
+#: Enough calls that some are open whenever a process ends.
+STEADY = Traffic(jobs_per_second=20.0)
+#: Beside planned stops: none in most runs.
+MAXIMUM_FAULTS_BESIDE_STOPS = 3
 
 
 @dataclass(slots=True)
@@ -123,6 +128,13 @@
     return play(seed, schedule, shards, with_admission=True, traffic=OVERLOAD)
 
 
+def play_stops(seed: int, shards: int = 1) -> JobRunReport:
+    """Play a cell whose nodes are all stopped, again and again, within the grace of the first."""
+    count = max(0, seed % (2 * MAXIMUM_FAULTS_BESIDE_STOPS) - MAXIMUM_FAULTS_BESIDE_STOPS + 1)
+    schedule = draw_stop_schedule(seed, STEADY.seconds, count)
+    return play(seed, schedule, shards, traffic=STEADY)
+
+
 def make_tenants() -> tuple[TenantPolicy, ...]:
     """Return three tenants whose quotas bind: the smallest has room for little more than a gang.
 
--- a/src/onyxspoke/sim/job_cluster.py
+++ b/src/onyxspoke/sim/job_cluster.py
@@ -20,7 +20,7 @@
 from onyxspoke.core.shard.store_budget import StoreBudget
 from onyxspoke.core.tenants.keys import KeyRing
 from onyxspoke.core.tenants.policy import TenantName, TenantPolicy
-from onyxspoke.kit.jobs.audit import JobAudit
+from onyxspoke.kit.jobs.audit import JobAudit, Violation
 from onyxspoke.kit.jobs.platform import (
     FakeAdvice,
     FakeAdviceClient,
@@ -34,6 +34,7 @@
 from onyxspoke.kit.jobs.workers import FakeWorker, FakeWorkerPool, WorkOptions
 from onyxspoke.node.node import Node
 from onyxspoke.node.node_ports import NodePorts
+from onyxspoke.node.planned_stop import PlannedStop
 from onyxspoke.node.settings import Address, NodeSettings
 from onyxspoke.ports.configuration import CellConfiguration
 from onyxspoke.sim.virtual_network import LinkOptions, VirtualNetwork
@@ -147,6 +148,8 @@
         self.audit.quotas = {tenant.name: tenant.quota for tenant in options.tenants}
         self.nodes: dict[str, SimulatedNode] = {}
         self._cuts: set[frozenset[str]] = set()
+        #: Calls without a reply, by the process that took them.
+        self._open_calls: dict[str, int] = {}
         self._lives = 0
         self._worker_lives = 0
         #: When a worker last came or went.
@@ -266,6 +269,34 @@
         node.process.die()
         self.network.drop_connections_of(node.process)
 
+    def stop_node(self, name: str, on_ended: Callable[[], None]) -> None:
+        """Stop a node as its platform does: by a signal, and by a kill when its grace is over."""
+        simulated = self.nodes[name]
+        process = simulated.process
+        is_over = False
+
+        def end() -> None:
+            nonlocal is_over
+            if not is_over:
+                is_over = True
+                self.kill_node(name)
+                on_ended()
+
+        def handle_stopped() -> None:
+            count = self._open_calls.get(process.name, 0)
+            if count:
+                self.audit.note(Violation.CUT_BY_STOP, f"{count} calls at {process.name}")
+            end()
+
+        def handle_grace_over() -> None:
+            if not is_over and process.alive:
+                self.audit.note(Violation.STOP_OVERDUE, process.name)
+                end()
+
+        stop = PlannedStop(simulated.node, process.reactor, (), handle_stopped)
+        process.run(stop.begin)
+        self.time.schedule(simulated.node.settings.stop_grace_seconds, handle_grace_over)
+
     def power_off_node(self, name: str) -> None:
         """End a node's process and its machine; its connections fall silent."""
         self.nodes[name].process.die()
@@ -350,11 +381,14 @@
     ) -> None:
         """Make a call at a node; ``None`` is told where its process ends first."""
         is_over = False
+        process = node.process.name
+        self._open_calls[process] = self._open_calls.get(process, 0) + 1
 
         def finish(reply: CallReply | None) -> None:
             nonlocal is_over
             if not is_over:
                 is_over = True
+                self._open_calls[process] -= 1
                 on_reply(reply)
 
         node.process.run(lambda: node.node.submit_call(job_id, call, finish, seconds))
--- a/src/onyxspoke/sim/job_faults.py
+++ b/src/onyxspoke/sim/job_faults.py
@@ -13,6 +13,7 @@
 from onyxspoke.sim.call_faults import STORE, CallFaults
 from onyxspoke.sim.job_cluster import JobCluster, SimulatedNode, worker_index
 from onyxspoke.sim.restart_faults import RestartFaults
+from onyxspoke.sim.stop_faults import StopFaults
 
 #: Share of the faults of nodes that strike one which decides for a shard.
 HOLDER_SHARE = 0.7
@@ -67,6 +68,7 @@
     SLOW_LINKS = "slow_links"
     SLOW_LINKS_OF_NODE = "slow_links_of_node"
     CUT_ZONE_FROM_STORE = "cut_zone_from_store"
+    STOP_ALL_NODES = "stop_all_nodes"
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +106,19 @@
     JobFault.SLOW_LINKS_OF_NODE,
     JobFault.CUT_ZONE_FROM_STORE,
 )
+#: Planned stops that overlap: drawn only where they are asked for.
+OF_STOPS = (JobFault.STOP_ALL_NODES,)
+#: What strikes a cell beside these.
+BESIDE_STOPS = (
+    JobFault.KILL_NODE,
+    JobFault.RESET_CONNECTIONS,
+    JobFault.SLOW_LINKS_OF_NODE,
+    JobFault.STORE_DOWN,
+    JobFault.STORE_SLOW,
+    JobFault.STORE_LOSES,
+)
+#: Between two rounds of planned stops of a schedule, in seconds.
+STOP_ROUND_SECONDS = 7.0
 #: What strikes an overloaded cell beside these.
 OF_OVERLOAD = (
     JobFault.PAUSE_NODE,
@@ -138,7 +153,7 @@
 ) -> list[ScheduledFault]:
     """Return a schedule; the same seed gives the same one."""
     left_out = (() if with_tenants else OF_TENANTS) + (() if with_crashes else OF_WORKERS)
-    kinds = [fault for fault in JobFault if fault not in left_out + OF_NAMES + OF_CALLS]
+    kinds = [fault for fault in JobFault if fault not in left_out + OF_NAMES + OF_CALLS + OF_STOPS]
     source = random.Random(f"schedule/{seed}")
     if with_restarts:
         # Of all kinds, but mostly of those that this is about.
@@ -166,6 +181,29 @@
     return sorted(faults, key=lambda item: item.at)
 
 
+def draw_stop_schedule(seed: int, length: float, count: int) -> list[ScheduledFault]:
+    """Return rounds of planned stops and other faults beside; the same seed gives the same."""
+    source = random.Random(f"stops/{seed}")
+    rounds = int(length // STOP_ROUND_SECONDS)
+    faults = [
+        ScheduledFault(
+            round(index * STOP_ROUND_SECONDS + source.uniform(0.5, 2.0), 2),
+            JobFault.STOP_ALL_NODES,
+            STOP_ROUND_SECONDS,
+        )
+        for index in range(rounds)
+    ]
+    faults += [
+        ScheduledFault(
+            round(source.uniform(0.5, length), 2),
+            source.choice(BESIDE_STOPS),
+            round(source.uniform(0.3, 2.5), 2),
+        )
+        for _ in range(count)
+    ]
+    return sorted(faults, key=lambda item: item.at)
+
+
 class FaultInjector:
     """Carries a schedule out."""
 
@@ -217,6 +255,7 @@
             JobFault.SLOW_LINKS_OF_NODE: calls.slow_links_of_node,
             JobFault.CUT_ZONE_FROM_STORE: calls.cut_zone_from_store,
         }
+        self._actions[JobFault.STOP_ALL_NODES] = StopFaults(cluster, self._random).stop_all
 
     def schedule(self, faults: list[ScheduledFault]) -> None:
         """Have the faults happen in their time."""
