Soak: planned stops of all nodes, and calls that are cut are told

--kinds stop_all_nodes stops every real node, at once or up to 1.25 s apart, and starts each again 0.5 s after it has ended; it is drawn only where it is named, so that the schedules of older seeds stay.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -55,6 +55,18 @@
     And both ends of the connection write
     Then nothing has arrived on either side
 
+  # Callers of real processes lost calls that waited for a holder where all nodes were stopped.
+  Scenario: Calls are answered where real nodes are all stopped as planned
+    When a soak of seed 11 runs for 10 seconds with 1 faults of "stop_all_nodes" and 20 jobs a second
+    Then its last line tells of no violation
+    And no process of the soak is left
+
+  Scenario: A call that is cut is a violation where only planned work strikes
+    Given a soak audit of planned work that hears from "workers" and "callers"
+    When "callers" tell that a call was cut at 2.0
+    And "callers" have told everything until 4.0
+    Then the soak audit found "cut_by_stop"
+
   # The load: real processes, faults that overlap; no moment is asserted.
   Scenario: A short run over real processes breaks no promise
     When a soak of seed 20 runs for 8 seconds with 4 faults
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -71,6 +71,19 @@
     context.soak_audit.add_source(second)
 
 
+@given('a soak audit of planned work that hears from "{first}" and "{second}"')
+def _planned_audit(context, first, second):
+    _audit(context, first, second)
+    context.soak_audit = EventAudit(is_planned_only=True)
+    context.soak_audit.add_source(first)
+    context.soak_audit.add_source(second)
+
+
+@when('"{name}" tell that a call was cut at {at:f}')
+def _cut(context, name, at):
+    _tell(context, name, events.CallCut(at, JOB.job_id, "127.0.0.1", 0.9))
+
+
 @given('"{name}" told that a job was handed in at {at:f}')
 def _handed_in(context, name, at):
     _tell(context, name, events.JobSubmitted(at, JOB))
@@ -175,9 +188,15 @@
 
 
 @when("a soak of seed {seed:d} runs for {seconds:d} seconds with {count:d} faults")
-def _run_soak(context, seed, seconds, count):
+@when(
+    'a soak of seed {seed:d} runs for {seconds:d} seconds with {count:d} faults of "{kinds}"'
+    " and {rate:d} jobs a second"
+)
+def _run_soak(context, seed, seconds, count, kinds="", rate=5):
     with tempfile.TemporaryDirectory() as directory:
         arguments = ["--seed", seed, "--seconds", seconds, "--faults", count, "--out", directory]
+        if kinds:
+            arguments += ["--kinds", kinds, "--rate", rate, "--no-proxy"]
         done = subprocess.run(
             [sys.executable, "-m", "onyxspoke.cli.soak", "run", *map(str, arguments)],
             capture_output=True,
--- a/src/onyxspoke/cli/soak.py
+++ b/src/onyxspoke/cli/soak.py
@@ -50,6 +50,7 @@
     run.add_argument("--seconds", type=float, default=30.0, help="of jobs and faults, each seed")
     run.add_argument("--faults", type=int, default=8, help="in each seed (default: 8)")
     run.add_argument("--kinds", help="of faults: kill_node,links_cut_out,... (default: all)")
+    run.add_argument("--rate", type=float, default=5.0, help="jobs a second (default: 5)")
     run.add_argument("--nodes", type=int, default=4)
     run.add_argument("--no-proxy", action="store_true", help="without the proxy and its faults")
     run.add_argument("--keep", help="play only these entries of the schedule: 0,3,...")
@@ -143,6 +144,7 @@
             seed=seed,
             network=choose_network(os.getpid() + len(self._runs)),
             nodes=arguments.nodes,
+            jobs_per_second=arguments.rate,
             fault_seconds=arguments.seconds,
             fault_count=arguments.faults,
             with_proxy=not arguments.no_proxy,
--- a/src/onyxspoke/soak/callers.py
+++ b/src/onyxspoke/soak/callers.py
@@ -22,6 +22,8 @@
 PATIENCE_MS = 3_000
 #: A caller gives up so much after the time that it told.
 CALL_SECONDS = 3.3
+#: A call whose connection ends so soon may have met the end of a kept connection, unread.
+CLOSING_SECONDS = 0.2
 MAXIMUM_ATTEMPTS = 5
 RETRY_SECONDS = 0.4
 CANCEL_SHARE = 0.05
@@ -156,7 +158,13 @@
         target = f"/{self._specs[job_id].queue.name}/{job_id}"
         request = encode_request(method, target, HOST_HEADER, body, _PATIENCE_HEADER)
 
+        sent_at = self._client.now()
+
         def take(answer: HttpAnswer) -> None:
+            seconds = self._client.now() - sent_at
+            is_cut = answer.was_sent and not answer.status and seconds < PATIENCE_MS / 1_000
+            if is_cut and seconds > CLOSING_SECONDS:
+                self._tell(events.CallCut(self._timers.now(), job_id, node.host, seconds))
             on_reply(read_reply(answer))
 
         self._client.call(node.host, node.port, request, CALL_SECONDS, take)
--- a/src/onyxspoke/soak/event_audit.py
+++ b/src/onyxspoke/soak/event_audit.py
@@ -10,7 +10,7 @@
 
 from onyxspoke.core.jobs.model import RunKey, WorkerId
 from onyxspoke.core.placement.worker_record import WorkerRecord
-from onyxspoke.kit.jobs.audit import JobAudit
+from onyxspoke.kit.jobs.audit import JobAudit, Violation
 from onyxspoke.soak import events
 
 _decoder: msgspec.json.Decoder[Any] = msgspec.json.Decoder(events.AnyEvent)
@@ -58,9 +58,15 @@
     """Merges events by time and has the audit check them.
 
     An event is taken in once every process has told everything before it.
+
+    Parameters
+    ----------
+    is_planned_only : bool
+        Whether only planned work strikes the cell, so that no call may be cut.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, is_planned_only: bool = False) -> None:
+        self._is_planned_only = is_planned_only
         self._clock = _EventClock()
         self.audit = JobAudit(self._clock)
         self.is_over = False
@@ -132,6 +138,11 @@
                 audit.handle_cancel_reply(event.job_id, event.reply)
             case events.StateAnswered():
                 audit.handle_state_reply(event.job_id, event.reply)
+            case events.CallCut():
+                audit.counts["call_cut"] += 1
+                if self._is_planned_only:
+                    detail = f"{event.job_id} at {event.node} after {event.seconds:.2f} s"
+                    audit.note(Violation.CUT_BY_STOP, detail)
             case events.JobFinished():
                 audit.check_finished(event.job_id, event.state)
             case _:
--- a/src/onyxspoke/soak/events.py
+++ b/src/onyxspoke/soak/events.py
@@ -100,6 +100,14 @@
     reply: CallReply
 
 
+class CallCut(Event, frozen=True):
+    """The connection of a call ended without an answer, so many seconds after it was sent."""
+
+    job_id: JobId
+    node: str
+    seconds: float
+
+
 class JobFinished(Event, frozen=True):
     """The state that a job had when it was asked for last."""
 
@@ -124,6 +132,7 @@
     | CancelSent
     | CancelAnswered
     | StateAnswered
+    | CallCut
     | JobFinished
     | AllAsked
 )
--- a/src/onyxspoke/soak/faults.py
+++ b/src/onyxspoke/soak/faults.py
@@ -41,6 +41,7 @@
     KILL_NODE = "kill_node"
     PAUSE_NODE = "pause_node"
     STOP_NODE = "stop_node"
+    STOP_ALL_NODES = "stop_all_nodes"
     KILL_ALL_NODES = "kill_all_nodes"
     PAUSE_ALL_NODES = "pause_all_nodes"
     STORE_SILENT = "store_silent"
@@ -56,6 +57,15 @@
     LINKS_CUT_BACK = "links_cut_back"
 
 
+#: Planned work only: whatever is lost under these was lost by a planned stop.
+PLANNED = frozenset({SoakFault.STOP_NODE, SoakFault.STOP_ALL_NODES})
+#: Drawn only where it is asked for, so that the schedules of other seeds stay as they were.
+_NOT_DRAWN = frozenset({SoakFault.STOP_ALL_NODES})
+#: Between the stops of two nodes where all are stopped, in seconds.
+STOP_GAPS = (0.0, 0.05, 0.4, 1.25)
+#: A node that was stopped with all others starts again after so long.
+SHORT_DOWN_SECONDS = 0.5
+
 _STORE_FAULTS = {
     SoakFault.STORE_SILENT: SetStoreFaults(is_down=True),
     SoakFault.STORE_SLOW: SetStoreFaults(extra_seconds=SLOW_SECONDS),
@@ -86,7 +96,8 @@
 def draw_schedule(plan: SoakPlan) -> list[ScheduledFault]:
     """Return the schedule of a plan; the same one gives the same."""
     source = random.Random(f"soak/{plan.seed}")
-    kinds = [SoakFault(kind) for kind in plan.kinds] or list(SoakFault)
+    drawn = [fault for fault in SoakFault if fault not in _NOT_DRAWN]
+    kinds = [SoakFault(kind) for kind in plan.kinds] or drawn
     kinds = [fault for fault in kinds if plan.with_proxy or fault not in _LINK_MODES]
     faults = []
     for _ in range(plan.fault_count):
@@ -99,6 +110,15 @@
     return sorted(faults, key=lambda item: item.at)
 
 
+def is_planned_only(plan: SoakPlan) -> bool:
+    """Return whether only a planned stop can end the connection of a call that was sent.
+
+    The proxy takes calls also while a node's process is being started, and ends them then.
+    """
+    is_planned = bool(plan.kinds) and all(SoakFault(kind) in PLANNED for kind in plan.kinds)
+    return is_planned and not plan.with_proxy
+
+
 class NodeControl(Protocol):
     """The processes of the nodes; each fault says whether it met a node that was up."""
 
@@ -141,6 +161,8 @@
                 return self._strike_nodes(item, [item.target % self._plan.nodes])
             case SoakFault.KILL_ALL_NODES | SoakFault.PAUSE_ALL_NODES:
                 return self._strike_nodes(item, list(range(self._plan.nodes)))
+            case SoakFault.STOP_ALL_NODES:
+                self._stop_all_nodes(STOP_GAPS[item.target % len(STOP_GAPS)])
             case SoakFault.CRASH_WORKERS:
                 self._crash_workers(item)
             case SoakFault.WORKERS_LATE:
@@ -163,6 +185,13 @@
         }
         return any([strikes[item.fault](index, item.seconds) for index in indices])
 
+    def _stop_all_nodes(self, gap_seconds: float) -> None:
+        for index in range(self._plan.nodes):
+            self._later(index * gap_seconds, partial(self._stop_node, index))
+
+    def _stop_node(self, index: int) -> None:
+        self._nodes.stop(index, SHORT_DOWN_SECONDS)
+
     def _crash_workers(self, item: ScheduledFault) -> None:
         for number in range(max(1, int(self._plan.workers * CRASHED_SHARE))):
             index = (item.target + number) % self._plan.workers
--- a/src/onyxspoke/soak/run.py
+++ b/src/onyxspoke/soak/run.py
@@ -21,7 +21,12 @@
 from onyxspoke.platform.counterpart.jobs import READY_TARGET
 from onyxspoke.soak.event_audit import EventAudit
 from onyxspoke.soak.events import AnyCommand, StopSubmitting
-from onyxspoke.soak.faults import FaultInjector, ScheduledFault, draw_schedule
+from onyxspoke.soak.faults import (
+    FaultInjector,
+    ScheduledFault,
+    draw_schedule,
+    is_planned_only,
+)
 from onyxspoke.soak.nodes import NodeProcesses
 from onyxspoke.soak.plan import READINESS_PORT, SoakPlan, make_settings
 from onyxspoke.soak.processes import Processes, RunProcess
@@ -60,7 +65,7 @@
         self.violations: list[str] = []
         self._directory = directory
         self._show = show
-        self._events = EventAudit()
+        self._events = EventAudit(is_planned_only(plan))
         self._shown_findings = 0
         #: The same violation of the same job or run counts once.
         self._noted: set[str] = set()
@@ -215,7 +220,8 @@
         self._show(
             f"seed={self.plan.seed} t={seconds:.0f}s jobs={self.job_count}"
             f" accepted={counts['submit_ok']} refused={counts['submit_refused']}"
-            f" unanswered={counts['submit_unknown']} starts={counts['starts']}"
+            f" unanswered={counts['submit_unknown']} cut={counts['call_cut']}"
+            f" starts={counts['starts']}"
             f" faults={self.fault_count}/{len(self.faults)} violations={len(self.violations)}"
         )
         if not self._is_over:
