Planned stop: close only after a second look, so that requests that came are read

A reactor runs its timers before it reads sockets, so the first look after such a pause knows nothing of what came meanwhile.

Now a quiet node looks again 0.02 s later, after the reactor has read, and closes if that look, too, finds nothing; if it came late (0.15 s), it counts as a first one again. The first look is 0.02 s before the balancer's time is over, so that an ordinary stop is no later.

Clients of these scenarios now send at random moments: at a fixed step they kept time with the looks, which then met an open call each time.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -115,10 +115,34 @@
   Scenario: A stopping node that callers depend on stays until another node holds the shard
     Given a planned stop that is "serving", with a grace of 6 seconds
     Then 2.6 seconds after its signal, while it is needed, it is "serving"
+    And 2.62 seconds after its signal, while it is needed, it is "serving"
     And 5.2 seconds after its signal, while it is needed, it is "serving"
     And 5.3 seconds after its signal, while it is needed, it is "ended"
 
-  Scenario Outline: A stop <seconds> s after its signal, with <calls> calls and <connections> connections open
+  # A process that had been held up found no open call before it read the requests that had come.
+  Scenario Outline: A node whose process is held up for <seconds> s as it stops answers what came meanwhile
+    Given a cell of 1 nodes with clients that send 40 requests a second
+    When the clients have sent for 2 seconds
+    And every node is stopped, one every 0 seconds, and started again when it has ended
+    And the clients have sent for 2.3 seconds
+    And the holder's process is held up for <seconds> seconds, while the clients send
+    And the clients have sent for 5 seconds
+    Then no request that was read is without an answer
+
+    Examples:
+      | seconds |
+      | 0.5     |
+      | 1.2     |
+
+  Scenario: A stopping node closes only once a second look, soon after the first, finds nothing open
+    Given a planned stop that is "serving", with a grace of 6 seconds
+    Then 2.58 seconds after its signal, with 0 calls and 1 connections open, it is "serving"
+    And 3.7 seconds after its signal, with 0 calls and 1 connections open, it is "serving"
+    And 3.72 seconds after its signal, with 1 calls and 1 connections open, it is "serving"
+    And 3.74 seconds after its signal, with 0 calls and 1 connections open, it is "serving"
+    And 3.76 seconds after its signal, with 0 calls and 1 connections open, it is "flushing"
+
+  Scenario Outline: A stop that is "<phase>", <seconds> s after its signal, with <calls> calls open
     Given a planned stop that is "<phase>", with a grace of 6 seconds
     Then <seconds> seconds after its signal, with <calls> calls and <connections> connections open, it is "<next>"
 
@@ -127,8 +151,7 @@
       | serving  | 0       | 0     | 0           | serving  |
       | serving  | 2.5     | 0     | 0           | serving  |
       | serving  | 2.6     | 1     | 1           | serving  |
-      | serving  | 2.6     | 0     | 1           | flushing |
-      | serving  | 2.6     | 0     | 0           | ended    |
+      | serving  | 2.6     | 0     | 1           | serving  |
       | serving  | 5.2     | 1     | 1           | serving  |
       | serving  | 5.3     | 1     | 1           | closing  |
       | closing  | 5.4     | 1     | 1           | closing  |
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import math
+import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -37,8 +39,6 @@
 SERVED_STATUSES = (200, 410)
 #: What clients send in turn.
 METHODS = ("POST", "POST", "GET", "POST", "DELETE")
-#: Requests come at other moments than the nodes' own timers.
-FIRST_SECONDS = 0.0123
 #: The last requests of a run; a cell that has recovered serves them.
 RECOVERED_SECONDS = 3.0
 
@@ -78,9 +78,10 @@
         self._requests: list[ClientRequest] = []
         self.node_name = front.simulated.name
         self.is_open = True
-        self._protocol = front.site.buildProtocol(None)
-        self._protocol.makeConnection(self)
+        self._front = front
+        self._protocol: Any = None
         front.connections.append(self)
+        self._read_later(self._accept)
 
     @property
     def is_idle(self) -> bool:
@@ -90,9 +91,26 @@
     def send(self, data: bytes, is_whole: bool = True) -> ClientRequest:
         request = ClientRequest(self.node_name, self._cell.cluster.time.now(), is_whole)
         self._requests.append(request)
-        self._protocol.dataReceived(data)
+        self._read_later(lambda: self._receive(data))
         return request
 
+    def _read_later(self, read: Callable[[], None]) -> None:
+        """Have the process read after its timers, as a reactor does that was held up."""
+        process = self._front.simulated.process
+        time = self._cell.cluster.time
+        process.run(lambda: time.schedule(0.0, lambda: process.run(read)))
+
+    def _accept(self) -> None:
+        if self._front.port.is_open:
+            self._protocol = self._front.site.buildProtocol(None)
+            self._protocol.makeConnection(self)
+        else:
+            self.end()
+
+    def _receive(self, data: bytes) -> None:
+        if self.is_open and not self.disconnecting:
+            self._protocol.dataReceived(data)
+
     def write(self, data: bytes) -> None:
         super().write(data)
         text = self.value()
@@ -125,7 +143,8 @@
             self.is_open = False
             for request in self._requests:
                 request.was_cut = True
-            self._protocol.connectionLost(Failure(ConnectionDone()))
+            if self._protocol is not None:
+                self._protocol.connectionLost(Failure(ConnectionDone()))
 
 
 class ListeningPort:
@@ -190,6 +209,7 @@
 
     def __init__(self, nodes: int, key: str = "") -> None:
         self._key = key
+        self._random = random.Random(f"clients/{nodes}")
         self.cluster = JobCluster(ClusterOptions(seed=3, nodes=nodes, with_advice=False))
         configuration = make_configuration(1, False)
         routes = tuple(RouteEntry(name, HOST, f"/{name}/", DEADLINE_MS) for name in QUEUES)
@@ -243,8 +263,11 @@
         return self._send_on(self._idle_connection(reads=True), head.encode(), is_whole=False)
 
     def send_for(self, seconds: float, rate: float) -> None:
-        for index in range(int(seconds * rate)):
-            self.cluster.time.schedule(FIRST_SECONDS + index / rate, self.send)
+        """Send at random moments, which keep no step with the nodes' timers."""
+        moment = self._random.expovariate(rate) if rate else seconds
+        while moment < seconds:
+            self.cluster.time.schedule(moment, self.send)
+            moment += self._random.expovariate(rate)
         self.cluster.run(seconds)
 
     def _idle_connection(self, reads: bool) -> ClientConnection | None:
@@ -297,6 +320,14 @@
     context.cell.fronts[context.cluster.holder().name].stop()
 
 
+@when("the holder's process is held up for {seconds:g} seconds, while the clients send")
+def _hold_up(context: Any, seconds: float) -> None:
+    process = context.cluster.holder().process
+    process.pause()
+    context.cell.send_for(seconds, context.rate)
+    process.resume()
+
+
 @when("the node that has it is stopped")
 def _stop_its_node(context: Any) -> None:
     context.cell.fronts[context.request.node].stop()
--- a/src/onyxspoke/node/stop_schedule.py
+++ b/src/onyxspoke/node/stop_schedule.py
@@ -8,6 +8,11 @@
 
 #: The load balancer needs this time to see that a node is not ready, and to send it no more calls.
 BALANCER_SECONDS = 2.6
+#: A node without open calls looks again after this time: requests that arrived while its process
+#: was held up are read only after its timers.
+CONFIRM_SECONDS = 0.02
+#: If the second look is later than this, the process was held up again in between.
+LATEST_CONFIRM_SECONDS = 0.15
 #: Before the end of the grace: no more calls are taken.
 CLOSE_RESERVE_SECONDS = 0.7
 #: Before the end of the grace: calls that still have no reply are answered by the node itself.
@@ -65,6 +70,8 @@
 
     def __init__(self) -> None:
         self.phase = StopPhase.SERVING
+        #: When the node was found without open calls, to be confirmed by the next look.
+        self._quiet_at: float | None = None
 
     def advance(self, elapsed_seconds: float, grace_seconds: float, work: OpenWork) -> bool:
         """Enter the next phase if it is due, and return whether it was.
@@ -89,16 +96,28 @@
     def _is_finished(self, elapsed_seconds: float, work: OpenWork) -> bool:
         """Return whether there is nothing left to do in this phase."""
         if self.phase is StopPhase.SERVING:
-            is_idle = not work.calls and not work.is_needed
-            return is_idle and elapsed_seconds >= BALANCER_SECONDS
+            return self._is_quiet(elapsed_seconds, work)
         if self.phase is StopPhase.CLOSING:
             return not work.calls
         return not work.connections
 
+    def _is_quiet(self, elapsed_seconds: float, work: OpenWork) -> bool:
+        """Return whether two looks, soon after each other, have found nothing open."""
+        is_busy = work.calls > 0 or work.is_needed
+        if is_busy or elapsed_seconds < BALANCER_SECONDS - CONFIRM_SECONDS:
+            self._quiet_at = None
+            return False
+        previous, self._quiet_at = self._quiet_at, elapsed_seconds
+        if previous is None or elapsed_seconds < BALANCER_SECONDS:
+            return False
+        return elapsed_seconds - previous <= LATEST_CONFIRM_SECONDS
+
     def next_look_seconds(self, elapsed_seconds: float, grace_seconds: float) -> float:
         """Return after how long the schedule is to be advanced again."""
         deadlines = [grace_seconds - _RESERVE_SECONDS[self.phase]]
         if self.phase is StopPhase.SERVING:
-            deadlines.append(BALANCER_SECONDS)
+            deadlines.append(BALANCER_SECONDS - CONFIRM_SECONDS)
+            if self._quiet_at is not None:
+                deadlines.append(self._quiet_at + CONFIRM_SECONDS)
         waits = [moment - elapsed_seconds for moment in deadlines if moment > elapsed_seconds]
         return max(_SHORTEST_LOOK_SECONDS, min([*waits, _LOOK_SECONDS[self.phase]]))
