--- a/features/http_api.feature
+++ b/features/http_api.feature
@@ -64,6 +64,38 @@
     When a caller sends "GET /v1/jobs/job-none HTTP/1.1" without a body
     Then the answer has status 404 and code 204
 
+  # Callers that waited for a job's end were cut off as the process of their entry ended.
+  Scenario: A stopping entry answers a caller that waits for the end of another entry's job
+    When a caller posts {"tenant":"night-shift","service":"klimaplan","task_class":"night-plan","payload":{"nonce":"j2","work_ms":60000}} to "/v1/jobs"
+    And 1 seconds pass
+    And the caller waits for the job at another entry
+    And the entry is told to stop
+    And 12 seconds pass
+    Then the entry's process has ended
+    And the answer has status 200 and says that the job is accepted
+
+  # Callers and operators who waited for the log were cut off as the process of their entry ended.
+  Scenario Outline: A stopping entry answers though the log is silent: <what>
+    Given the log falls silent
+    When a caller posts <body> to "<path>"
+    And the entry is told to stop
+    And 20 seconds pass
+    Then the entry's process has ended
+    And the answer has status 502 or 503
+
+    Examples:
+      | what     | path         | body                                                                                                                    |
+      | a job    | /v1/jobs     | {"tenant":"night-shift","service":"klimaplan","task_class":"night-plan","payload":{"nonce":"j3","work_ms":50}}          |
+      | settings | /v1/settings | {"change_id":"c1","operator":"ops","changes":[{"path":"klimaplan","key":"task.priority","value":1,"expected_revision":null}],"dry_run":false} |
+
+  # Requests of which a part had arrived were cut off as well.
+  Scenario: A site that closes answers what has arrived in part
+    When a caller announces a body of 100 bytes and sends 10 of them
+    And the site is closed
+    Then the answer has status 503 and code 303
+    And the answer says when to come back
+    And the connection is closed
+
   Scenario: A stopping entry leaves the balancer and says "not run"
     When the entry is told to stop
     And a caller sends "GET /v1/health HTTP/1.1" without a body
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -68,10 +68,15 @@
     context.cell = SimulatedCell(settings, seed=7)
     context.cell.start()
     context.cell.time.run_until(SETTLE_SECONDS)
-    context.entry = next(iter(context.cell.entries.values()))
-    reactor = context.entry.node.reactor
+    context.settings = settings
+    _use_entry(context, next(iter(context.cell.entries.values())))
+
+
+def _use_entry(context, entry):
+    context.entry = entry
+    reactor = entry.node.reactor
     telemetry = Telemetry(NullMetricsSink())
-    context.site = make_api_site(settings, context.entry.shell, telemetry, reactor, reactor)
+    context.site = make_api_site(context.settings, entry.shell, telemetry, reactor, reactor)
 
 
 @when("a caller posts a window command with payload '{payload}'")
@@ -131,6 +136,24 @@
     step_bare(context, f"GET /v1/jobs/{job_id}?wait=30 HTTP/1.1")
 
 
+@when("the caller waits for the job at another entry")
+def step_wait_elsewhere(context):
+    job_id = context.exchange.body["job_id"]
+    _use_entry(context, list(context.cell.entries.values())[-1])
+    step_bare(context, f"GET /v1/jobs/{job_id}?wait=30 HTTP/1.1")
+
+
+@given("the log falls silent")
+def step_silent_log(context):
+    context.cell.platform.begin_outage()
+
+
+@when("the site is closed")
+def step_close_site(context):
+    context.site.close()
+    context.site.refuse_unread()
+
+
 @when("the entry is told to stop")
 def step_stop(context):
     context.entry.shell.stop()
@@ -153,6 +176,24 @@
     assert context.exchange.status == status, context.exchange.head
 
 
+@then("the entry's process has ended")
+def step_entry_ended(context):
+    assert context.entry.stopped
+
+
+@then("the answer has status {first:d} or {second:d}")
+def step_one_status(context, first, second):
+    assert context.exchange.transport.value(), "no answer came"
+    assert context.exchange.status in (first, second), context.exchange.head
+
+
+@then("the answer has status {status:d} and says that the job is accepted")
+def step_accepted(context, status):
+    assert context.exchange.transport.value(), "no answer came"
+    step_status(context, status)
+    assert context.exchange.body["state"] == "accepted", context.exchange.body
+
+
 @then("the answer says when to come back")
 def step_retry_after(context):
     assert "retry-after: " in context.exchange.head.lower(), context.exchange.head
--- a/src/onyxspoke/cli/entry.py
+++ b/src/onyxspoke/cli/entry.py
@@ -52,7 +52,7 @@
         network = make_cuttable(network, settings, arguments.cuts)
     service = EntryService(settings, entry, network, BootClock())
     runner = ProcessRunner(service)
-    service.shell.on_stopped = runner.stop
+    service.shell.on_stopped = partial(service.close_site, runner.stop)
     service.shell.on_state_lost = partial(runner.stop, ExitCode.STATE_LOST)
 
     def begin_stop(_signal: int, _frame: object) -> None:
--- a/src/onyxspoke/core/job_acceptance.py
+++ b/src/onyxspoke/core/job_acceptance.py
@@ -55,22 +55,30 @@
         answer = _submission_answer(pending.record.job, entry.job)
         return [(request_id, answer) for request_id in pending.request_ids]
 
-    def give_up(self, now: float) -> list[tuple[str, Answer]]:
+    @property
+    def is_pending(self) -> bool:
+        """Whether a caller waits for the record of its job."""
+        return bool(self._pending_acceptances)
+
+    def give_up(self, now: float, is_last: bool = False) -> list[tuple[str, Answer]]:
         """Return final answers for submissions that were not recorded in time.
 
+        ``is_last``: because the entry ends, for all that are not recorded.
+
         A record that was never sent is withdrawn, so this entry does not run the job.
         A job with an idempotency key may still have been accepted by another entry.
         """
         answers: list[tuple[str, Answer]] = []
         for job_id, pending in list(self._pending_acceptances.items()):
-            if now < pending.deadline and not self._context.log_is_down(now):
+            is_over = is_last or now >= pending.deadline
+            if not is_over and not self._context.log_is_down(now):
                 continue
             if self._context.cell_append_queue.withdraw(pending.record):
                 is_keyed = bool(pending.record.job.request.idempotency_key)
                 answer = self._context.refusal(
                     ResultCode.KEY_STATE_UNKNOWN if is_keyed else ResultCode.LOG_UNAVAILABLE
                 )
-            elif now >= pending.deadline:
+            elif is_over:
                 answer = Answer(code=ResultCode.LOG_ANSWER_LOST)
             else:
                 continue
--- a/src/onyxspoke/core/scheduler.py
+++ b/src/onyxspoke/core/scheduler.py
@@ -89,7 +89,9 @@
             self.pending_changes,
         )
         self.peers = PeerManager(self.context)
-        self.planned_stop = PlannedStop(self.context, self.ownership, self.jobs)
+        self.planned_stop = PlannedStop(
+            self.context, self.ownership, self.jobs, self.acceptance, self.pending_changes
+        )
 
     # Requests and jobs
 
--- a/src/onyxspoke/core/settings_propagation.py
+++ b/src/onyxspoke/core/settings_propagation.py
@@ -45,11 +45,16 @@
         """Handle a change that was read back from the log and is therefore decided."""
         self._pending.pop(change_id, None)
 
-    def tick(self, now: float) -> None:
-        """Report the changes whose timeout has passed as refused."""
+    @property
+    def is_pending(self) -> bool:
+        """Whether an operator waits for a verdict."""
+        return bool(self._pending)
+
+    def tick(self, now: float, is_last: bool = False) -> None:
+        """Report the changes whose timeout has passed as refused, or all as the entry ends."""
         appends = self._context.append_queues[LogStream.SETTINGS]
         for change_id, pending in list(self._pending.items()):
-            if now < pending.expires_at:
+            if not is_last and now < pending.expires_at:
                 continue
             del self._pending[change_id]
             # A change that was already sent may still be accepted, so its outcome is unknown.
--- a/src/onyxspoke/entry/service.py
+++ b/src/onyxspoke/entry/service.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import secrets
+from collections.abc import Callable
 from typing import Any
 
 from absl import logging
 from twisted.application.internet import TimerService
 from twisted.application.service import MultiService
 from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IListeningPort
 
 from onyxspoke.core.scheduler import EntryScheduler
 from onyxspoke.entry.api import make_api_site
 from onyxspoke.entry.node import EntryNode, make_core_options, make_identity
 from onyxspoke.entry.telemetry import Telemetry, make_metrics_sink
 from onyxspoke.net.network import Network
+from onyxspoke.net.site_closing import SiteClosing
 from onyxspoke.ports.clock import Clock
 from onyxspoke.settings_file import CellSettings, EntrySettings
 
@@ -59,9 +62,17 @@
         """Open the server sockets; fails if an address is in use."""
         endpoint = self._network.endpoints.server(str(self._entry.host), self._entry.http_port)
         listening: Deferred[Any] = endpoint.listen(self._site)
+        listening.addCallback(self._take_port)
         listening.addCallback(lambda _port: self._node.listen())
         return listening
 
+    def close_site(self, on_closed: Callable[[], None]) -> None:
+        """Close every connection of callers and operators once its answer is sent."""
+        SiteClosing(self._site, self._network.reactor, on_closed).begin()
+
+    def _take_port(self, port: IListeningPort) -> None:
+        self._site.listening_port = port
+
     def _flush_metrics(self) -> None:
         context = self.shell.scheduler.context
         gauges = {
--- a/src/onyxspoke/entry/shell.py
+++ b/src/onyxspoke/entry/shell.py
@@ -350,5 +350,8 @@
         self.on_state_lost()
 
     def _stop_completed(self, action: act.StopCompleted) -> None:
-        logging.info("event=stop_completed")
+        logging.info("event=stop_completed waits=%d", len(self._job_waiters))
+        for job_id in list(self._job_waiters):
+            for on_finished in self._job_waiters.pop(job_id, []):
+                on_finished()
         self.on_stopped()
