Node: the shards of a stopping node in a module of their own; names

The log stream's drain_by is now request_drains_with, which says what it does. A caller who waits for a job that is forgotten meanwhile is answered with the coded error, where the exception would have kept a stopping entry from ending.

--- a/features/steps/node_tools_steps.py
+++ b/features/steps/node_tools_steps.py
@@ -232,7 +232,7 @@
     context.asked = []
     for _ in range(count):
         context.stream.write(LINE)
-    context.stream.drain_by(lambda: context.asked.append(True))
+    context.stream.request_drains_with(lambda: context.asked.append(True))
 
 
 @then("it asks to be drained once")
--- a/src/onyxspoke/cli/node.py
+++ b/src/onyxspoke/cli/node.py
@@ -166,7 +166,8 @@
         #: Where callers and operators connect.
         self.client_sites: list[BoundedSite] = []
         node.setServiceParent(self)
-        lines.drain_by(partial(cast("IReactorTime", reactor).callLater, DRAIN_SECONDS, lines.drain))
+        call_later = cast("IReactorTime", reactor).callLater
+        lines.request_drains_with(partial(call_later, DRAIN_SECONDS, lines.drain))
 
     def startService(self) -> None:
         """Begin to work, and to look for suspensions of the machine."""
--- a/src/onyxspoke/core/job_acceptance.py
+++ b/src/onyxspoke/core/job_acceptance.py
@@ -63,8 +63,7 @@
     def give_up(self, now: float, is_last: bool = False) -> list[tuple[str, Answer]]:
         """Return final answers for submissions that were not recorded in time.
 
-        ``is_last``: because the entry ends, for all that are not recorded.
-
+        With ``is_last``, because the entry ends, for all that are not recorded yet.
         A record that was never sent is withdrawn, so this entry does not run the job.
         A job with an idempotency key may still have been accepted by another entry.
         """
--- a/src/onyxspoke/entry/caller_api.py
+++ b/src/onyxspoke/entry/caller_api.py
@@ -27,6 +27,7 @@
     CodedResource,
     read_json,
     read_query,
+    write_error,
     write_json,
 )
 from onyxspoke.ports.clock import Clock
@@ -222,7 +223,10 @@
 
     def write_description(self, request: Request) -> None:
         """Finish a request with the job's description."""
-        write_json(request, self._describe())
+        try:
+            write_json(request, self._describe())
+        except OnyxspokeError as error:
+            write_error(request, error)
 
     def _describe(self) -> JobBody:
         entry = self._api.shell.scheduler.context.cell.jobs.get(self._job_id)
--- a/src/onyxspoke/net/log_stream.py
+++ b/src/onyxspoke/net/log_stream.py
@@ -43,13 +43,13 @@
         self.written = 0
         self.dropped = 0
         self._reported = 0
-        self._on_waiting: Callable[[], object] = lambda: None
+        self._request_drain: Callable[[], object] = lambda: None
 
-    def drain_by(self, on_waiting: Callable[[], object]) -> None:
+    def request_drains_with(self, request_drain: Callable[[], object]) -> None:
         """Set what is called when lines begin to wait; it is to have :meth:`drain` called soon."""
-        self._on_waiting = on_waiting
+        self._request_drain = request_drain
         if self._waiting:
-            on_waiting()
+            request_drain()
 
     def write(self, text: str) -> int:
         """Take a line, or count it as dropped."""
@@ -59,7 +59,7 @@
             return len(text)
         self.written += 1
         if not self._waiting:
-            self._on_waiting()
+            self._request_drain()
         self._waiting += text.encode("utf-8", "replace")
         if len(self._waiting) >= EAGER_BYTES:
             self.drain()
@@ -82,7 +82,7 @@
             try:
                 written = os.write(self._file_descriptor, self._next_piece())
             except BlockingIOError:
-                self._on_waiting()
+                self._request_drain()
                 return
             except OSError:
                 self._waiting.clear()
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Sequence
 from functools import partial
 from typing import Any
@@ -56,14 +55,10 @@
 from onyxspoke.node.resettlement import STEADY_SECONDS, has_larger_peer
 from onyxspoke.node.seat import ShardSeat
 from onyxspoke.node.settings import NodeSettings
+from onyxspoke.node.shard_handover import ShardHandover
 from onyxspoke.node.store_gateway import StoreGateway
 from onyxspoke.node.store_watch import HANDOVER_PAUSE_SECONDS, StoreWatch
-from onyxspoke.node.succession import (
-    Succession,
-    choose_successors,
-    has_successor,
-    tell_successors,
-)
+from onyxspoke.node.succession import Succession, choose_successors, tell_successors
 from onyxspoke.ports.clock import Clock
 from onyxspoke.ports.configuration import CellConfiguration
 
@@ -77,8 +72,6 @@
 UNREACHABLE_SECONDS = 0.6
 #: A peer that the store serves may itself be so far behind the newest configuration, in seconds.
 PEER_PROOF_SECONDS = 1.6
-#: A node that stops is still needed if a call came within this time.
-DEMAND_SECONDS = 1.0
 #: A request for a part of a quota is given up after so long, in seconds.
 QUOTA_SECONDS = 0.8
 _MILLISECONDS = 1_000.0
@@ -119,7 +112,6 @@
         self.settings = settings
         self.identity = identity
         self.layout: CellLayout | None = None
-        self.is_stopping = False
         self.metrics = NodeMetrics()
         self._network = network
         self._clock = clock
@@ -145,18 +137,13 @@
         self._advice = AdviceExchange(ports.advice, identity.incarnation, self.peers)
         self._succession = Succession()
         self.seats: dict[ShardId, ShardSeat] = {FIRST_SHARD: self._make_seat(FIRST_SHARD)}
+        self._handover = ShardHandover(self.peers, self.seats)
         self._wakes: dict[ShardId, IDelayedCall] = {}
         self._holders: dict[ShardId, ClaimRecord] = {}
         self._seeds_at = 0.0
         self._was_ready = False
         self._round_at = 0.0
         self._told_reachable = False
-        #: When a call last came, from a client or from another node.
-        self._called_at = -math.inf
-        #: Whether there were other nodes when the stop began.
-        self._had_peers = False
-        #: Whether new calls are refused, because the process ends soon.
-        self._is_closed = False
         #: The time of day on which most nodes agree, less steady time, in milliseconds.
         self._time_offset_ms = 0.0
         self._schedule = HeartbeatSchedule()
@@ -204,46 +191,31 @@
 
         A shard that no other node can take over, because all of them stop, is held on.
         """
-        self.is_stopping = True
-        self._had_peers = bool(self.peers.up_links())
+        self._handover.begin()
         self._send_heartbeats()
-        self._follow_stop(self._clock.now())
+        self._handover.follow(self._clock.now())
         self._send_heartbeats()
 
     def refuse_calls(self) -> None:
         """Refuse new calls, and those that no holder has seen; claim no shard any more."""
-        self._is_closed = True
         self.keys.close()
         self.router.close(self._clock.now())
-        self._follow_stop(self._clock.now())
+        self._handover.close(self._clock.now())
 
     def answer_calls(self) -> None:
         """Answer every call that no holder has replied to, and give all shards up."""
         self.router.answer_all(self._clock.now())
-        for seat in self.seats.values():
-            seat.step_down(StepDownReason.PLANNED)
-
-    def _follow_stop(self, now: float) -> None:
-        """While this node stops, hold shards only as long as no other node can take them over.
+        self._handover.end()
 
-        Without any peer it claims none: it may be cut off from nodes that serve the shard.
-        """
-        if not self.is_stopping:
-            return
-        links = self.peers.up_links()
-        is_replaced = has_successor(links, now)
-        may_claim = bool(links) and not is_replaced and not self._is_closed
-        for seat in list(self.seats.values()):
-            seat.election.set_claims_allowed(may_claim, now)
-            seat.carry_out_election()
-            if is_replaced:
-                seat.step_down(StepDownReason.PLANNED)
+    @property
+    def is_stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._handover.has_begun
 
     @property
     def is_needed(self) -> bool:
-        """Whether callers depend on a shard that this node holds, and that others can take soon."""
-        was_called = self._clock.now() - self._called_at < DEMAND_SECONDS
-        return self._had_peers and was_called and bool(self._held_shards())
+        """Whether callers depend on a shard that this node holds while it stops."""
+        return self._handover.is_needed(self._clock.now())
 
     @property
     def held_shard_count(self) -> int:
@@ -361,7 +333,7 @@
 
     def submit_call(self, job_id: str, call: Call, on_reply: OnReply, seconds: float) -> None:
         """Carry a client's call to the holder of the job's shard."""
-        self._called_at = self._clock.now()
+        self._handover.note_call(self._clock.now())
         self._gate.submit(job_id, call, on_reply, seconds)
 
     @property
@@ -515,7 +487,7 @@
         if link.may_hold is not message.may_hold:
             link.may_hold = message.may_hold
             self._note_peers_changed()
-            self._follow_stop(self._clock.now())
+            self._handover.follow(self._clock.now())
         link.configuration_version = max(link.configuration_version, message.configuration_version)
         self.configurations.offer_if_behind(link)
         now = self._clock.now()
@@ -538,7 +510,7 @@
         if seat is None or not self._check_call(link, message, seat.held_claim):
             link.send(CallAnswer(message.call_id, CallReply(code=ReplyCode.NOT_HOLDER)))
             return
-        self._called_at = self._clock.now()
+        self._handover.note_call(self._clock.now())
         seat.handle_call(message.call, lambda reply: link.send(CallAnswer(message.call_id, reply)))
 
     def _check_call(self, link: PeerLink, message: CallForward, held: ClaimRecord | None) -> bool:
@@ -625,7 +597,7 @@
         self._plan_layout_if_new()
         self._follow_store(now)
         self._leave_to_larger(now)
-        self._follow_stop(now)
+        self._handover.follow(now)
         self._set_gauges()
         self.peers.end_silent(now)
         if self.configuration is None and now >= self._seeds_at:
