--- a/src/onyxspoke/entry/shell.py
+++ b/src/onyxspoke/entry/shell.py
@@ -350,8 +350,14 @@
         self.on_state_lost()
 
     def _stop_completed(self, action: act.StopCompleted) -> None:
-        logging.info("event=stop_completed waits=%d", len(self._job_waiters))
+        logging.info("event=stop_completed")
+        self._end_job_waits()
+        self.on_stopped()
+
+    def _end_job_waits(self) -> None:
+        """Tell callers who wait for a job's end what is known of it now."""
+        if self._job_waiters:
+            logging.info("event=job_waits_ended jobs=%d", len(self._job_waiters))
         for job_id in list(self._job_waiters):
             for on_finished in self._job_waiters.pop(job_id, []):
                 on_finished()
-        self.on_stopped()
