--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -81,6 +81,16 @@
       | 0       |
       | 2       |
 
+  # The log told how many calls were open as a process ended, and neither which nor why.
+  Scenario: The log names the calls that wait for a holder as a stop closes
+    Given a cell of 3 nodes with clients that send 40 requests a second
+    And the store is silent
+    When the holder's process is killed
+    And every node is stopped, one every 0 seconds, and started again when it has ended
+    And the clients have sent for 7 seconds
+    Then no request that was read is without an answer
+    And the log names calls with "progress=not_sent" and "token=0", 20 for each stop at most
+
   # Requests with an unknown key waited for the newest configuration, and were cut off.
   Scenario: Requests whose keys cannot be judged are answered before the process ends
     Given a cell of 3 nodes with clients that send 20 requests a second with an unknown key
@@ -90,6 +100,7 @@
     Then no request that was read is without an answer
     And every stopped process ended within the grace
 
+  # Requests of which a part had arrived were cut off.
   Scenario: A request that arrived in part is answered before the process ends
     Given a cell of 3 nodes with clients that send 0 requests a second
     When a client sends the first half of a request
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
+from unittest import mock
 
 from behave import given, then, when
 from job_ingress_steps import HOST, QUEUES, SMALL_JOB
@@ -17,6 +18,7 @@
 from onyxspoke.core.routing import RouteEntry
 from onyxspoke.core.tenants.keys import KeyRing
 from onyxspoke.net.bounded_http import BoundedSite, HttpLimits
+from onyxspoke.node import planned_stop
 from onyxspoke.node.planned_stop import PlannedStop
 from onyxspoke.node.stop_schedule import OpenWork, StopPhase, StopSchedule
 from onyxspoke.platform.ingress import IngressResource
@@ -188,16 +190,20 @@
         self._cell.cluster.time.schedule(self.grace_seconds, self._kill)
         self.simulated.process.run(self._stop.begin)
 
+    def lose_process(self) -> None:
+        """The process is gone; what was not answered by now never is."""
+        self._cell.cluster.kill_node(self.simulated.name)
+        self.port.is_open = False
+        for connection in self.connections:
+            connection.end()
+
     def _kill(self) -> None:
         if self.ended_at is None:
             self._end()
 
     def _end(self) -> None:
         self.ended_at = self._cell.cluster.time.now()
-        self._cell.cluster.kill_node(self.simulated.name)
-        self.port.is_open = False
-        for connection in self.connections:
-            connection.end()
+        self.lose_process()
         self._cell.cluster.time.schedule(RESTART_SECONDS, self._start_again)
 
     def _start_again(self) -> None:
@@ -224,6 +230,8 @@
         self.requests: list[ClientRequest] = []
         self._clients: list[ClientConnection] = []
         self._count = 0
+        #: Lines that planned stops log.
+        self.log: list[str] = []
         self.cluster.start()
         for simulated in self.cluster.nodes.values():
             self.fronts[simulated.name] = Front(self, simulated)
@@ -298,7 +306,12 @@
     " with an {unknown} key"
 )
 def _cell(context: Any, nodes: int, rate: int, unknown: str = "") -> None:
-    context.cell = Cell(nodes, unknown)
+    cell = context.cell = Cell(nodes, unknown)
+    log = mock.patch.object(
+        planned_stop, "logging", mock.Mock(info=lambda text, *args: cell.log.append(text % args))
+    )
+    log.start()
+    context.add_cleanup(log.stop)
     context.cluster = context.cell.cluster
     context.rate = rate
 
@@ -328,6 +341,11 @@
     process.resume()
 
 
+@when("the holder's process is killed")
+def _kill_holder(context: Any) -> None:
+    context.cell.fronts[context.cluster.holder().name].lose_process()
+
+
 @when("the node that has it is stopped")
 def _stop_its_node(context: Any) -> None:
     context.cell.fronts[context.request.node].stop()
@@ -356,6 +374,14 @@
     assert cell.requests and not cut, f"{len(cut)} of {len(cell.requests)}: {cut[:3]}"
 
 
+@then('the log names calls with "{first}" and "{second}", {most:d} for each stop at most')
+def _names_calls(context: Any, first: str, second: str, most: int) -> None:
+    lines = [line for line in context.cell.log if "event=call_open_at_stop" in line]
+    named = [line for line in lines if first in line and second in line]
+    assert named, context.cell.log
+    assert len(lines) <= most * len(context.cell.ended), len(lines)
+
+
 @then("no request was refused before the first process ended")
 def _none_refused_at_first(context: Any) -> None:
     ended_at = min(front.ended_at for front in context.cell.ended)
--- a/src/onyxspoke/node/planned_stop.py
+++ b/src/onyxspoke/node/planned_stop.py
@@ -13,7 +13,7 @@
 from onyxspoke.node.node import Node
 from onyxspoke.node.stop_schedule import OpenWork, StopPhase, StopSchedule
 
-#: Calls that are logged one by one when they are open at the end.
+#: Calls that are logged one by one when they are open as the node closes.
 MAXIMUM_CALLS_LOGGED = 20
 _MILLISECONDS = 1_000.0
 
@@ -108,11 +108,11 @@
             self._node.held_shard_count,
         )
         if phase is StopPhase.CLOSING:
+            self._log_open_calls()
             for site in self._sites:
                 site.close()
             self._node.refuse_calls()
         elif phase is StopPhase.FLUSHING:
-            self._log_open_calls()
             self._node.answer_calls()
             for site in self._sites:
                 site.refuse_unread()
