Stops: one way for a site to listen, and names that say what they mean

The node's service and the entry's each noted the port of their site so that a stop can close it; BoundedSite.listen does it once. Whether a connection is ending was asked in two places in the same words. decided_call_count counted calls that are not decided yet: undecided_call_count. ShardHandover.follow and end are update and give_up_all; 'held on' is 'kept'. OpenWork says that a call may count twice. No behaviour changes.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -66,7 +66,7 @@
     And every stopped process ended 2.6 to 2.7 seconds after the signal
 
   # Requests that a silent store held up were cut off as the process ended.
-  Scenario Outline: Requests are answered though the store is silent for the whole stop <seconds> s after its begin
+  Scenario Outline: Requests are answered though the store falls silent <seconds> s before all nodes are stopped
     Given a cell of 3 nodes with clients that send 20 requests a second
     When the clients have sent for 2 seconds
     Given the store is silent
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -11,6 +11,7 @@
 
 from behave import given, then, when
 from job_ingress_steps import HOST, QUEUES, SMALL_JOB
+from twisted.internet.defer import succeed
 from twisted.internet.error import ConnectionDone
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
@@ -169,7 +170,7 @@
         self.port = ListeningPort()
         reactor = simulated.process.reactor
         self.site = BoundedSite(IngressResource(simulated.node), reactor, HttpLimits())
-        self.site.listening_port = self.port
+        self.site.listen(mock.Mock(listen=lambda _site: succeed(self.port)))
         self._stop = PlannedStop(simulated.node, reactor, [self.site], self._end)
         self.stopped_at: float | None = None
         self.ended_at: float | None = None
--- a/src/onyxspoke/cli/node.py
+++ b/src/onyxspoke/cli/node.py
@@ -18,7 +18,7 @@
 from twisted.application.service import MultiService
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IListeningPort, IReactorFromThreads, IReactorTime
+from twisted.internet.interfaces import IReactorFromThreads, IReactorTime
 from twisted.web.server import Request
 
 from onyxspoke.cli.node_settings import (
@@ -198,13 +198,8 @@
 
     def _listen_clients(self, site: BoundedSite, host: str, port: int) -> Deferred[Any]:
         """Open a server socket whose connections a planned stop closes in good order."""
-
-        def take(listening_port: IListeningPort) -> None:
-            site.listening_port = listening_port
-
         self.client_sites.append(site)
-        listening: Deferred[Any] = self._endpoints.server(host, port).listen(site)
-        return listening.addCallback(take)
+        return site.listen(self._endpoints.server(host, port))
 
     def _listen_readiness(self) -> Deferred[Any]:
         site = BoundedSite(ReadinessResource(lambda: self._node.is_ready), reactor, HttpLimits())
--- a/src/onyxspoke/entry/service.py
+++ b/src/onyxspoke/entry/service.py
@@ -10,7 +10,6 @@
 from twisted.application.internet import TimerService
 from twisted.application.service import MultiService
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IListeningPort
 
 from onyxspoke.core.scheduler import EntryScheduler
 from onyxspoke.entry.api import make_api_site
@@ -61,8 +60,7 @@
     def listen(self) -> Deferred[Any]:
         """Open the server sockets; fails if an address is in use."""
         endpoint = self._network.endpoints.server(str(self._entry.host), self._entry.http_port)
-        listening: Deferred[Any] = endpoint.listen(self._site)
-        listening.addCallback(self._take_port)
+        listening = self._site.listen(endpoint)
         listening.addCallback(lambda _port: self._node.listen())
         return listening
 
@@ -70,9 +68,6 @@
         """Close every connection of callers and operators once its answer is sent."""
         SiteClosing(self._site, self._network.reactor, on_closed).begin()
 
-    def _take_port(self, port: IListeningPort) -> None:
-        self._site.listening_port = port
-
     def _flush_metrics(self) -> None:
         context = self.shell.scheduler.context
         gauges = {
--- a/src/onyxspoke/net/bounded_http.py
+++ b/src/onyxspoke/net/bounded_http.py
@@ -6,11 +6,13 @@
 from typing import Any, cast
 
 from absl import logging
+from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import (
     IAddress,
     IDelayedCall,
     IListeningPort,
     IReactorTime,
+    IStreamServerEndpoint,
     ITransport,
 )
 from twisted.internet.protocol import connectionDone
@@ -62,7 +64,7 @@
 
     def close(self) -> None:
         """Close the connection, but answer a request first that has come, also in part."""
-        if getattr(self.transport, "disconnecting", False):
+        if _is_disconnecting(self):
             return
         self.is_closing = True
         for request in self.requests:
@@ -174,8 +176,15 @@
         self._reactor_time = reactor
         self.limits = limits
         self._channels: set[BoundedChannel] = set()
-        #: Where the site listens, once it does.
-        self.listening_port: IListeningPort | None = None
+        self._listening_port: IListeningPort | None = None
+
+    def listen(self, endpoint: IStreamServerEndpoint) -> Deferred[Any]:
+        """Open a server socket, which :meth:`close` closes."""
+        listening: Deferred[Any] = endpoint.listen(self)
+        return listening.addCallback(self._take_port)
+
+    def _take_port(self, listening_port: IListeningPort) -> None:
+        self._listening_port = listening_port
 
     def buildProtocol(self, addr: IAddress | None) -> Any:
         """Return the channel of a new connection, or ``None`` to close it."""
@@ -204,8 +213,8 @@
 
     def close(self) -> None:
         """Take no new connection, and close each open one once its request is answered."""
-        if self.listening_port is not None:
-            self.listening_port.stopListening()
+        if self._listening_port is not None:
+            self._listening_port.stopListening()
         for channel in list(self._channels):
             channel.close()
 
@@ -222,7 +231,7 @@
     channel: HTTPChannel, code: ResultCode, retry_after_seconds: int | None = None
 ) -> None:
     """Answer with a coded error at once and close the connection."""
-    if getattr(channel.transport, "disconnecting", False):
+    if _is_disconnecting(channel):
         return
     transport = cast("ITransport", channel.transport)
     body = encode_error(code)
@@ -234,3 +243,8 @@
         headers += b"Retry-After: %d\r\n" % retry_after_seconds
     transport.write(status + headers + b"\r\n" + body)
     channel.loseConnection()
+
+
+def _is_disconnecting(channel: HTTPChannel) -> bool:
+    """Return whether the connection ends once everything written has been sent."""
+    return bool(getattr(channel.transport, "disconnecting", False))
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -189,11 +189,11 @@
     def begin_stop(self) -> None:
         """Hand the shards over; calls are still carried.
 
-        A shard that no other node can take over, because all of them stop, is held on.
+        A shard that no other node can take over, because all of them stop, is kept.
         """
         self._handover.begin()
         self._send_heartbeats()
-        self._handover.follow(self._clock.now())
+        self._handover.update(self._clock.now())
         self._send_heartbeats()
 
     def refuse_calls(self) -> None:
@@ -205,7 +205,7 @@
     def answer_calls(self) -> None:
         """Answer every call that no holder has replied to, and give all shards up."""
         self.router.answer_all(self._clock.now())
-        self._handover.end()
+        self._handover.give_up_all()
 
     @property
     def is_stopping(self) -> bool:
@@ -342,7 +342,7 @@
         return len(self.router) + len(self.keys)
 
     @property
-    def decided_call_count(self) -> int:
+    def undecided_call_count(self) -> int:
         """How many calls, also of other nodes' callers, wait for a decision of this node."""
         return sum(seat.open_call_count for seat in self.seats.values())
 
@@ -487,7 +487,7 @@
         if link.may_hold is not message.may_hold:
             link.may_hold = message.may_hold
             self._note_peers_changed()
-            self._handover.follow(self._clock.now())
+            self._handover.update(self._clock.now())
         link.configuration_version = max(link.configuration_version, message.configuration_version)
         self.configurations.offer_if_behind(link)
         now = self._clock.now()
@@ -597,7 +597,7 @@
         self._plan_layout_if_new()
         self._follow_store(now)
         self._leave_to_larger(now)
-        self._handover.follow(now)
+        self._handover.update(now)
         self._set_gauges()
         self.peers.end_silent(now)
         if self.configuration is None and now >= self._seeds_at:
--- a/src/onyxspoke/node/planned_stop.py
+++ b/src/onyxspoke/node/planned_stop.py
@@ -89,7 +89,7 @@
 
     def _open_work(self) -> OpenWork:
         return OpenWork(
-            calls=self._node.open_call_count + self._node.decided_call_count,
+            calls=self._node.open_call_count + self._node.undecided_call_count,
             connections=sum(site.connection_count for site in self._sites),
             is_needed=self._node.is_needed,
         )
--- a/src/onyxspoke/node/shard_handover.py
+++ b/src/onyxspoke/node/shard_handover.py
@@ -44,21 +44,21 @@
         self._called_at = now
 
     def begin(self) -> None:
-        """Take note that the node stops; :meth:`follow` does what follows from it."""
+        """Take note that the node stops; :meth:`update` does what follows from it."""
         self.has_begun = True
         self._had_peers = bool(self._peers.up_links())
 
     def close(self, now: float) -> None:
         """Claim no shard any more, because the process ends soon."""
         self._is_closed = True
-        self.follow(now)
+        self.update(now)
 
-    def end(self) -> None:
+    def give_up_all(self) -> None:
         """Give all shards up."""
         for seat in list(self._seats.values()):
             seat.step_down(StepDownReason.PLANNED)
 
-    def follow(self, now: float) -> None:
+    def update(self, now: float) -> None:
         """Hold shards only as long as no other node can take them over.
 
         Without any peer this node claims none: it may be cut off from nodes that serve the shard.
@@ -72,7 +72,7 @@
             seat.election.set_claims_allowed(may_claim, now)
             seat.carry_out_election()
         if is_replaced:
-            self.end()
+            self.give_up_all()
 
     def is_needed(self, now: float) -> bool:
         """Return whether callers depend on a shard held here, which another node may take soon."""
--- a/src/onyxspoke/node/stop_schedule.py
+++ b/src/onyxspoke/node/stop_schedule.py
@@ -53,7 +53,8 @@
     Attributes
     ----------
     calls : int
-        Calls without a reply: those of its own clients, and those that it decides about.
+        Calls without a reply: those of its own clients, and those that it decides about; a call of
+        its own client that it decides about counts twice.
     connections : int
         Open connections of clients.
     is_needed : bool
