Holder: log what the right to order rests on, and what a takeover waits for

Change: event=order_right, a line a change (proven, unclaimable, none, with the age of the proof), and event=previous_orders at each takeover (token, the replaced token, basis, time left). No behaviour changes.

--- a/src/onyxspoke/core/shard/context.py
+++ b/src/onyxspoke/core/shard/context.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from enum import Enum
 
 import msgspec
 
@@ -71,6 +72,18 @@
     load: LoadOptions = LoadOptions()
 
 
+class OrderRight(Enum):
+    """What the right of a holder to send orders rests on.
+
+    ``PROVEN``: the latest proof of ownership.  ``UNCLAIMABLE``: no node that could claim the shard
+    reaches the store.  ``NONE``: there is no right.
+    """
+
+    PROVEN = "proven"
+    UNCLAIMABLE = "unclaimable"
+    NONE = "none"
+
+
 class ShardContext:
     """State of a shard's holder, and the actions that have not been returned yet.
 
@@ -138,11 +151,16 @@
 
     def may_send_orders(self, now: float) -> bool:
         """Return whether this node certainly holds the shard and may therefore send orders."""
+        return self.order_right(now) is not OrderRight.NONE
+
+    def order_right(self, now: float) -> OrderRight:
+        """Return what the right to send orders rests on now."""
         # An append that was sent before a stall does not prove ownership after the stall.
         if self.has_stepped_down or self.commit.ownership_proven_at < self.stall_ended_at:
-            return False
-        proven_until = self.commit.ownership_proven_at + self.options.ownership_proof_seconds
-        return now < max(proven_until, self.unclaimable_until)
+            return OrderRight.NONE
+        if now < self.commit.ownership_proven_at + self.options.ownership_proof_seconds:
+            return OrderRight.PROVEN
+        return OrderRight.UNCLAIMABLE if now < self.unclaimable_until else OrderRight.NONE
 
 
 def address_of(worker: Worker) -> WorkerAddress:
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -27,7 +27,7 @@
 from onyxspoke.core.shard.call_handler import CallHandler
 from onyxspoke.core.shard.calls import Call, CallReply
 from onyxspoke.core.shard.commit import MINIMUM_COMMIT_INTERVAL_SECONDS, CommitQueue
-from onyxspoke.core.shard.context import ShardContext, ShardOptions
+from onyxspoke.core.shard.context import OrderRight, ShardContext, ShardOptions
 from onyxspoke.core.shard.estimates_manager import EstimatesManager
 from onyxspoke.core.shard.evacuation import Evacuation
 from onyxspoke.core.shard.journal import (
@@ -104,9 +104,9 @@
         self.runs = RunManager(self.context)
         self._run_starter = RunStarter(self.context, self.runs)
         run_reconciler = RunReconciler(self.context, self.runs)
-        self.worker_registry = WorkerRegistry(
-            self.context, previous_orders_until=claimed_at + options.ownership_proof_seconds
-        )
+        self._previous_orders_until = claimed_at + options.ownership_proof_seconds
+        self._is_previous_holder_dead = False
+        self.worker_registry = WorkerRegistry(self.context, self._previous_orders_until)
         self.workers = WorkerManager(self.context, self.runs, run_reconciler, self.worker_registry)
         self.quotas = QuotaCoordinator(self.context)
         self._admission = AdmissionController(self.context, self.worker_registry)
@@ -135,6 +135,7 @@
             is_speed_aware=options.load.unlike_workers,
         )
         self._last_active_at = claimed_at
+        self._logged_order_right = OrderRight.PROVEN
         self._is_recovered = False
         self._next_maintenance_at = 0.0
         self._next_placement_at = 0.0
@@ -163,10 +164,19 @@
                 self.context.job_registry.requeue_tasks_in_doubt_on(worker_id, now)
         self._is_recovered = True
         self._last_active_at = now
+        self.context.log(
+            "previous_orders",
+            token=self.context.token,
+            previous=previous_token,
+            basis="holder_dead" if self._is_previous_holder_dead else "claim",
+            left_ms=int((self._previous_orders_until - now) * _MILLISECONDS),
+        )
         return self.flush(now)
 
     def handle_previous_holder_dead(self, dead_since: float) -> None:
         """Record that the previous holder's process had ended by a given time."""
+        self._previous_orders_until = min(self._previous_orders_until, dead_since)
+        self._is_previous_holder_dead = True
         self.worker_registry.shorten_previous_leases(dead_since)
 
     def set_commit_interval(self, seconds: float) -> None:
@@ -313,6 +323,7 @@
             return
         self.context.wall_offset_ms = wall_ms - now * _MILLISECONDS
         self._record_activity(now)
+        self._log_order_right(now)
         self._call_handler.answer_overdue_calls(now)
         self.workers.tick(now)
         if now >= self._next_maintenance_at:
@@ -327,6 +338,19 @@
             self.context.log("stalled", seconds=round(gap_seconds, 2))
             self.context.stall_ended_at = now
 
+    def _log_order_right(self, now: float) -> None:
+        """Log a change of what the right to send orders rests on."""
+        right = self.context.order_right(now)
+        if right is not self._logged_order_right:
+            self._logged_order_right = right
+            proof_age_seconds = now - self.context.commit.ownership_proven_at
+            self.context.log(
+                "order_right",
+                basis=right.value,
+                token=self.context.token,
+                proof_age_ms=int(proof_age_seconds * _MILLISECONDS),
+            )
+
     def _run_maintenance(self, now: float, wall_ms: float) -> None:
         """Run the maintenance that is not needed on every tick."""
         self.context.job_registry.tick(now, wall_ms, self._options.repetition_lead_ms)
