Holder: order only within the proof of ownership, whatever peers say of the store

Cause: a holder whose proof was too old went on ordering while every node that it knew of said that the store is away. A node that was starting was not on that list, reached the store and claimed; it counted on the opposite.

Change: nothing but the proof gives the right to order. What the extension gave in an outage of over 4 s is kept without it: starts are planned and advice is asked for while the proof has lapsed, and a start whose record was on its way through the outage is ordered with the next proof, instead of being withdrawn.

--- /dev/null
+++ b/features/steps/order_bound_steps.py
@@ -0,0 +1,154 @@
+"""Steps in which holders are cut off with a worker, and others take their shard over."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from behave import given, then, when
+from job_directed_steps import FIRST_JOB, SECOND_JOB, _send, _submit, _whole_worker_job
+
+from onyxspoke.kit.jobs.workers import WorkOptions
+from onyxspoke.sim.call_faults import STORE
+from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster
+
+NODES = 4
+WORKERS = 3
+SETTLE_SECONDS = 2.0
+#: For how long, in how many steps, a start is waited for.
+STEP_SECONDS = 0.0005
+LONGEST_HAND_IN_STEPS = 400
+#: A node that was killed starts again after so long.
+RESTART_SECONDS = 0.3
+
+
+@given("a cell with a task that runs for {seconds:g} seconds on one worker")
+def _cell(context: Any, seconds: float) -> None:
+    work = WorkOptions(seed=5, shortest_seconds=seconds, longest_seconds=seconds)
+    options = ClusterOptions(seed=5, nodes=NODES, workers=WORKERS, with_advice=False, work=work)
+    context.cluster = JobCluster(options)
+    context.cluster.start()
+    context.cluster.run(SETTLE_SECONDS)
+    context.holder = context.cluster.holder()
+    _submit(context, FIRST_JOB)
+    context.busy = [
+        worker.worker_id for worker in context.cluster.pool.workers.values() if worker.runs
+    ]
+    assert len(context.busy) == 1
+    context.starts_before = _start_count(context)
+
+
+def _start_count(context: Any) -> int:
+    return int(context.cluster.audit.counts["starts"])
+
+
+def _other_names(context: Any) -> list[str]:
+    return [name for name in context.cluster.nodes if name != context.holder.name]
+
+
+def _cut_zone(context: Any, inside: list[str], outside: list[str]) -> None:
+    """Cut nodes and the busy worker off from other nodes, the store and the other workers."""
+    cluster = context.cluster
+    host_of = {name: f"host-{name}" for name in (*inside, *outside)}
+    idle = [worker for worker in cluster.pool.workers if worker not in context.busy]
+    for name in inside:
+        cluster.cut(host_of[name], [STORE, *(host_of[other] for other in outside), *idle])
+    for name in outside:
+        cluster.cut(host_of[name], context.busy)
+
+
+def _restart(context: Any, names: list[str]) -> None:
+    cluster = context.cluster
+    for name in names:
+        cluster.kill_node(name)
+        cluster.time.schedule(RESTART_SECONDS, lambda name=name: cluster.start_node(name))
+
+
+def _by_starting_nodes(context: Any) -> None:
+    others = _other_names(context)
+    _restart(context, others)
+    context.cluster.run(0.2)
+    _cut_zone(context, [context.holder.name], others)
+
+
+def _by_added_node(context: Any) -> None:
+    _cut_zone(context, [context.holder.name, *_other_names(context)], ["node-9"])
+    context.cluster.start_node("node-9")
+
+
+def _by_node_cut_off_from_holder(context: Any) -> None:
+    *inside, outsider = _other_names(context)
+    context.cluster.cut(context.holder.host, [f"host-{outsider}"])
+    context.cluster.run(3.0)
+    _cut_zone(context, [context.holder.name, *inside], [outsider])
+
+
+def _by_restarted_node(context: Any) -> None:
+    *inside, outsider = _other_names(context)
+    _restart(context, [outsider])
+    context.cluster.run(0.15)
+    _cut_zone(context, [context.holder.name, *inside], [outsider])
+
+
+def _by_node_behind_relay(context: Any) -> None:
+    *inside, outsider = _other_names(context)
+    context.cluster.cut(context.holder.host, [f"host-{outsider}"])
+    context.cluster.run(3.0)
+    # The holder reaches the store through its peers, too briefly to hand over to them.
+    context.cluster.cut(context.holder.host, [STORE])
+    context.cluster.run(0.6)
+    _cut_zone(context, [context.holder.name, *inside], [outsider])
+
+
+WAYS: dict[str, Callable[[Any], None]] = {
+    "a node that starts": _by_starting_nodes,
+    "a node that is added": _by_added_node,
+    "cut off from the holder only": _by_node_cut_off_from_holder,
+    "restarted under its address": _by_restarted_node,
+    "known only to a relaying peer": _by_node_behind_relay,
+}
+
+
+@when("the holder and that worker are cut off, and the next holder is {way}")
+def _cut_and_replace(context: Any, way: str) -> None:
+    WAYS[way](context)
+
+
+@then("another node has started the task again")
+def _started_again(context: Any) -> None:
+    assert _start_count(context) > context.starts_before, context.cluster.audit.counts
+
+
+@when("the store stops answering while the start of a second job is being recorded")
+def _stop_store_during_start(context: Any) -> None:
+    cluster = context.cluster
+    _send(context, _whole_worker_job(context, SECOND_JOB), 0.0)
+    scheduler = context.holder.node.seats[0].scheduler
+    for _ in range(LONGEST_HAND_IN_STEPS):
+        cluster.run(STEP_SECONDS)
+        runs = [run for worker in scheduler.context.table.workers.values() for run in worker.runs]
+        if any(run.task.job_id == SECOND_JOB for run in runs):
+            break
+    else:
+        raise AssertionError("the second job's start was not planned")
+    cluster.store.faults.is_down = True
+
+
+@then("no start was withdrawn")
+def _none_withdrawn(context: Any) -> None:
+    decisions = context.holder.node.metrics.decisions
+    assert decisions.labels("start_withdrawn")._value.get() == 0
+
+
+@then("the holder may plan starts, but not order them")
+def _may_plan_only(context: Any) -> None:
+    shard = context.holder.node.seats[0].scheduler.context
+    now = context.cluster.time.now()
+    assert shard.may_plan(now)
+    assert not shard.may_send_orders(now)
+
+
+@then("the holder may order starts")
+def _may_order(context: Any) -> None:
+    shard = context.holder.node.seats[0].scheduler.context
+    assert shard.may_send_orders(context.cluster.time.now())
--- a/src/onyxspoke/core/shard/context.py
+++ b/src/onyxspoke/core/shard/context.py
@@ -75,13 +75,13 @@
 class OrderRight(Enum):
     """What the right of a holder to send orders rests on.
 
-    ``PROVEN``: the latest proof of ownership.  ``UNCLAIMABLE``: no node that could claim the shard
-    reaches the store.  ``NONE``: there is no right.
+    ``PROVEN``: the latest proof of ownership.  ``LAPSED``: nothing; the proof is too old.
+    ``REFUTED``: nothing; the shard was given up, or a stall has voided the proof.
     """
 
     PROVEN = "proven"
-    UNCLAIMABLE = "unclaimable"
-    NONE = "none"
+    LAPSED = "lapsed"
+    REFUTED = "refuted"
 
 
 class ShardContext:
@@ -121,8 +121,6 @@
         self.has_stepped_down = False
         #: Layout of a new cell, until an append contains it; otherwise ``None``.
         self.uncommitted_layout: CellLayout | None = None
-        #: Time until which no node can claim the shard, because no node reaches the store.
-        self.unclaimable_until = 0.0
         #: Offset from the holder's clock to the time of day, in milliseconds; ``None`` if unknown.
         self.wall_offset_ms: float | None = None
         #: When the process last found that it had been stalled; another node may have claimed the
@@ -151,16 +149,23 @@
 
     def may_send_orders(self, now: float) -> bool:
         """Return whether this node certainly holds the shard and may therefore send orders."""
-        return self.order_right(now) is not OrderRight.NONE
+        return self.order_right(now) is OrderRight.PROVEN
+
+    def may_plan(self, now: float) -> bool:
+        """Return whether starts may be planned; they are ordered only with a new proof.
+
+        While the store is away, planning goes on, so that starts are recorded as soon as it is
+        back.  If another node has claimed the shard meanwhile, the record is refused.
+        """
+        return self.order_right(now) is not OrderRight.REFUTED
 
     def order_right(self, now: float) -> OrderRight:
         """Return what the right to send orders rests on now."""
         # An append that was sent before a stall does not prove ownership after the stall.
         if self.has_stepped_down or self.commit.ownership_proven_at < self.stall_ended_at:
-            return OrderRight.NONE
-        if now < self.commit.ownership_proven_at + self.options.ownership_proof_seconds:
-            return OrderRight.PROVEN
-        return OrderRight.UNCLAIMABLE if now < self.unclaimable_until else OrderRight.NONE
+            return OrderRight.REFUTED
+        proven_until = self.commit.ownership_proven_at + self.options.ownership_proof_seconds
+        return OrderRight.PROVEN if now < proven_until else OrderRight.LAPSED
 
 
 def address_of(worker: Worker) -> WorkerAddress:
--- a/src/onyxspoke/core/shard/run_starter.py
+++ b/src/onyxspoke/core/shard/run_starter.py
@@ -78,6 +78,18 @@
         isolate_worker_of(run, now)
         return run
 
+    def order_recorded_starts(self, runs: list[Run], now: float) -> None:
+        """Order starts whose records are committed, once ownership is proven.
+
+        The append that recorded them may have been sent too long ago to prove it, as it is after
+        an outage of the store.
+        """
+        context = self._context
+        if context.may_send_orders(now) or context.has_stepped_down:
+            self.order_starts(runs, now)
+        else:
+            context.commit.after_proof(lambda moment: self.order_starts(runs, moment))
+
     def order_starts(self, runs: list[Run], now: float) -> None:
         """Order starts whose records are committed; for a gang, order either all starts or none."""
         startable = [run for run in runs if self._may_start(run, now)]
@@ -197,4 +209,4 @@
         self._runs = runs
 
     def __call__(self, now: float) -> None:
-        self._starter.order_starts(self._runs, now)
+        self._starter.order_recorded_starts(self._runs, now)
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -219,10 +219,6 @@
         self.context.advice_dispatcher.set_advice_entries(entry_names, now)
         self.context.needs_placement |= self.context.advice_dispatcher.has_requeued_calls
 
-    def on_store_unreachable(self, until: float) -> None:
-        """Record that no node can claim the shard until a given time, as none reaches the store."""
-        self.context.unclaimable_until = until
-
     # Results of orders, advice calls and appends
 
     def on_hold_result(
@@ -387,7 +383,7 @@
 
     def _place_if_due(self, now: float) -> None:
         context = self.context
-        is_placement_needed = context.needs_placement and context.may_send_orders(now)
+        is_placement_needed = context.needs_placement and context.may_plan(now)
         self._is_placement_deferred = is_placement_needed and now < self._next_placement_at
         if is_placement_needed and not self._is_placement_deferred:
             context.needs_placement = False
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -68,8 +68,6 @@
 SEED_RETRY_SECONDS = 1.0
 #: How long a node leaves a shard to others for each one that it holds.
 HELD_HANDICAP_SECONDS = 0.15
-#: That no node reaches the store holds for so long.
-UNREACHABLE_SECONDS = 0.6
 #: A peer that the store serves may itself be so far behind the newest configuration, in seconds.
 PEER_PROOF_SECONDS = 1.6
 #: A request for a part of a quota is given up after so long, in seconds.
@@ -614,9 +612,7 @@
                 if seat.is_holding:
                     seat.election.defer_claims_until(now + HANDOVER_PAUSE_SECONDS)
                     seat.step_down(StepDownReason.STORE_UNREACHABLE)
-        if self._store_watch.nobody_reaches_store(now):
-            for seat in self.seats.values():
-                seat.note_store_unreachable(now + UNREACHABLE_SECONDS)
+        self._store_watch.note_peers()
 
     def _leave_to_larger(self, now: float) -> None:
         """Leave the shards that were held for a while to a much larger node, if one is there."""
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -237,11 +237,6 @@
             self.scheduler.on_layout(layout)
             self._wake()
 
-    def note_store_unreachable(self, until: float) -> None:
-        """No node reaches the store, so that nobody can claim the shard until then."""
-        if self.scheduler is not None:
-            self.scheduler.on_store_unreachable(until)
-
     def handle_call(self, call: Call, on_reply: OnReply) -> None:
         """Take a client's call; ``on_reply`` may never be called if the shard is lost."""
         if not self._is_ready or self.scheduler is None:
--- a/src/onyxspoke/node/store_watch.py
+++ b/src/onyxspoke/node/store_watch.py
@@ -12,7 +12,10 @@
 
 
 class StoreWatch:
-    """Keeps who could reach the store, and decides when a node is worse off than its peers.
+    """Decides when a node is worse off with the store than its peers.
+
+    What it knows of peers is a preference for nodes that callers are better served by; no node's
+    right to give orders may rest on it.
 
     Parameters
     ----------
@@ -26,7 +29,7 @@
         self._store = store
         self._peers = peers
         #: Hosts that were connected when the store last served this node, and since.
-        self._claimants: set[str] = set()
+        self._known_hosts: set[str] = set()
         self._handover_at = 0.0
 
     @property
@@ -34,7 +37,7 @@
         """Whether the store and some peers were lost: others are better off, and go on."""
         if self._store.is_reachable or self._store.is_relayed():
             return False
-        return any(self._peers.link_to(host) is None for host in self._claimants)
+        return any(self._peers.link_to(host) is None for host in self._known_hosts)
 
     def take_handover(self, now: float) -> bool:
         """Return whether to leave the shards to nodes that the store serves, once each time."""
@@ -45,16 +48,7 @@
         self._handover_at = now + HANDOVER_PAUSE_SECONDS
         return True
 
-    def nobody_reaches_store(self, now: float) -> bool:
-        """Return whether every node that could claim says that the store is away."""
+    def note_peers(self) -> None:
+        """Take note of the peers that are connected now."""
         linked = {link.host for link in self._peers.up_links()}
-        if self._store.is_reachable:
-            self._claimants = linked
-            return False
-        # One that was lost since may reach the store, and claim.
-        self._claimants |= linked
-        for host in self._claimants:
-            link = self._peers.link_to(host)
-            if link is None or not link.was_heard_lately(now) or link.can_reach_store:
-                return False
-        return True
+        self._known_hosts = linked if self._store.is_reachable else self._known_hosts | linked
