Takeover: each earlier holder keeps its own bound on orders, over any number of holders

Cause: that the last holder is dead was taken to end the orders of all earlier holders. The holder before it was alive behind a cut.

Change: core/shard/order_bounds.py holds the inequality. A claim's record tells for how long after it was sent the holders before its own may still order; the holder writes 0 once that is over. A claimant that knows the last holder dead since T waits for the orders until T plus that time; in any other case, and for records of builds that tell nothing, until 4 s after its own claim. The time of the proof was an option of a shard; as all nodes have to agree on it, it is a constant now. Its value is the same.

Related paths, read: the marker of starts names the last token only, rightly: a holder writes it after it has found or recorded what earlier ones started, and the store fences those. Quota lent is restored from the record of each loan, whoever lent it. A claim that is done late needs no more time: it is done only if nothing was appended since the claimant read the end, before it sent the claim.

Tests: chains of two to four changes of holder behind a cut, 6 rows: 5 fail before (two_runs), one (deaths alone, which prove nothing) passes before and guards it. Eight rows of the bound, records of builds with and without the field, and the start of a task in doubt after a plain kill of all, which takes 4 s longer without the note.

--- a/features/orders_and_leases.feature
+++ b/features/orders_and_leases.feature
@@ -42,3 +42,54 @@
     And 1.5 seconds pass in that cell
     Then the holder may order starts
     And the cluster has broken nothing
+
+  # A new holder that knew the last one dead took the leases of the holder before that one for over,
+  # though that one was alive behind a cut.
+  Scenario Outline: Leases of a holder that is cut off are waited for over further changes: <changes>
+    Given a cell with a task that runs for 40 seconds on one worker
+    When the holder and that worker are cut off, and another node holds the shard
+    And the holder changes again because of <changes>
+    And 30 seconds pass in that cell
+    Then another node has started the task again
+    And the cluster has broken nothing
+
+    Examples:
+      | changes                                          |
+      | a restart of all                                 |
+      | a restart of all, a restart of all               |
+      | a restart of all, a death, a restart of all      |
+      | a death                                          |
+      | a death, a restart of all                        |
+      | a death, a death, a restart of all               |
+
+  # Without the note that earlier holders give no orders any more, this takes 4 seconds longer.
+  Scenario: A task in doubt starts soon where the last holder is known to be dead
+    Given a cell with a task that runs for 40 seconds on one worker
+    When 6 seconds pass in that cell
+    And the worker that runs the job is cut off, and all nodes restart
+    And 7.4 seconds pass in that cell
+    Then another node has started the task again
+    And the cluster has broken nothing
+
+  Scenario Outline: The bound on earlier holders' orders: last one dead since <dead>, told <told> s
+    Given a claim that is sent at 100 seconds
+    And the last holder is dead since <dead> seconds, and its record tells <told> seconds
+    Then earlier holders give orders until <until> seconds at the latest
+    And the new holder's record tells <tells> seconds
+
+    Examples:
+      | dead | told    | until | tells |
+      | 99   | 0       | 99    | 0     |
+      | 99   | 4       | 103   | 3     |
+      | 99.5 | 4       | 103.5 | 3.5   |
+      | 96   | 4       | 100   | 0     |
+      | 100  | 4       | 104   | 4     |
+      | 99   | unknown | 104   | 4     |
+      | no   | 0       | 104   | 4     |
+      | no   | unknown | 104   | 4     |
+
+  Scenario: Claims of builds that tell nothing of earlier holders, and of later ones, are read
+    Given a claim's record of a build that tells nothing of earlier holders
+    Then this build reads it, and knows nothing of earlier holders
+    Given a claim's record of this build
+    Then a build that tells nothing of earlier holders reads it
--- a/features/steps/order_bound_steps.py
+++ b/features/steps/order_bound_steps.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
+import msgspec
 from behave import given, then, when
 from job_directed_steps import FIRST_JOB, SECOND_JOB, _send, _submit, _whole_worker_job
 
+from onyxspoke.core.shard.log_records import ClaimRecord, decode_claim, encode_claim
+from onyxspoke.core.shard.order_bounds import ReplacedHolder, bound_earlier_orders
 from onyxspoke.kit.jobs.workers import WorkOptions
 from onyxspoke.sim.call_faults import STORE
 from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster
@@ -18,6 +22,9 @@
 #: For how long, in how many steps, a start is waited for.
 STEP_SECONDS = 0.0005
 LONGEST_HAND_IN_STEPS = 400
+#: For how long, in how many steps, a change of holder is waited for.
+TAKEOVER_STEP_SECONDS = 0.02
+LONGEST_TAKEOVER_STEPS = 250
 #: A node that was killed starts again after so long.
 RESTART_SECONDS = 0.3
 
@@ -59,9 +66,15 @@
 
 def _restart(context: Any, names: list[str]) -> None:
     cluster = context.cluster
+
+    def start(name: str) -> None:
+        # An earlier restart may have started it; an address has one process at a time.
+        if not cluster.nodes[name].process.alive:
+            cluster.start_node(name)
+
     for name in names:
         cluster.kill_node(name)
-        cluster.time.schedule(RESTART_SECONDS, lambda name=name: cluster.start_node(name))
+        cluster.time.schedule(RESTART_SECONDS, partial(start, name))
 
 
 def _by_starting_nodes(context: Any) -> None:
@@ -152,3 +165,102 @@
 def _may_order(context: Any) -> None:
     shard = context.holder.node.seats[0].scheduler.context
     assert shard.may_send_orders(context.cluster.time.now())
+
+
+@when("the holder and that worker are cut off, and another node holds the shard")
+def _cut_off(context: Any) -> None:
+    context.outside = _other_names(context)
+    _cut_zone(context, [context.holder.name], context.outside)
+    _wait_for_holder(context, without=None)
+
+
+def _wait_for_holder(context: Any, without: str | None) -> None:
+    """Let time pass until a node outside holds the shard, other than one life."""
+    cluster = context.cluster
+    for _ in range(LONGEST_TAKEOVER_STEPS):
+        cluster.run(TAKEOVER_STEP_SECONDS)
+        for name in context.outside:
+            node = cluster.nodes[name]
+            if node.is_holding and node.process.name != without:
+                context.successor = node
+                return
+    raise AssertionError("no other node holds the shard")
+
+
+@when("the holder changes again because of {changes}")
+def _change_again(context: Any, changes: str) -> None:
+    for change in changes.split(", "):
+        former = context.successor
+        struck = context.outside if change == "a restart of all" else [former.name]
+        _restart(context, list(struck))
+        _wait_for_holder(context, without=former.process.name)
+
+
+@when("the worker that runs the job is cut off, and all nodes restart")
+def _restart_all(context: Any) -> None:
+    cluster = context.cluster
+    for node in cluster.nodes.values():
+        cluster.cut(node.host, context.busy)
+    _restart(context, list(cluster.nodes))
+
+
+@given("a claim that is sent at {seconds:g} seconds")
+def _claim_sent(context: Any, seconds: float) -> None:
+    context.claim_sent_at = seconds
+
+
+@given("the last holder is dead since {dead} seconds, and its record tells {told} seconds")
+def _last_holder(context: Any, dead: str, told: str) -> None:
+    replaced = ReplacedHolder(
+        token=7,
+        dead_since=None if dead == "no" else float(dead),
+        earlier_orders_seconds=None if told == "unknown" else float(told),
+    )
+    context.bound = bound_earlier_orders(context.claim_sent_at, replaced)
+
+
+@then("earlier holders give orders until {until:g} seconds at the latest")
+def _bounded(context: Any, until: float) -> None:
+    assert context.bound.until == until, context.bound
+
+
+@then("the new holder's record tells {seconds:g} seconds")
+def _tells(context: Any, seconds: float) -> None:
+    assert context.bound.seconds_after(context.claim_sent_at) == seconds, context.bound
+
+
+class _EarlierClaimRecord(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """The claim's record of builds that tell nothing of earlier holders."""
+
+    incarnation: str
+    host: str
+    port: int
+    token: int
+    renewal: int = 0
+
+
+@given("a claim's record of a build that tells nothing of earlier holders")
+def _record_of_earlier_build(context: Any) -> None:
+    claim = _EarlierClaimRecord(incarnation="a.1", host="a", port=1, token=7, renewal=3)
+    context.record = msgspec.msgpack.encode(claim)
+
+
+@then("this build reads it, and knows nothing of earlier holders")
+def _this_build_reads(context: Any) -> None:
+    claim = decode_claim(context.record)
+    assert claim is not None
+    assert (claim.token, claim.renewal, claim.earlier_orders_seconds) == (7, 3, None)
+
+
+@given("a claim's record of this build")
+def _record_of_this_build(context: Any) -> None:
+    claim = ClaimRecord(
+        incarnation="a.1", host="a", port=1, token=7, renewal=3, earlier_orders_seconds=4.0
+    )
+    context.record = encode_claim(claim)
+
+
+@then("a build that tells nothing of earlier holders reads it")
+def _earlier_build_reads(context: Any) -> None:
+    claim = msgspec.msgpack.decode(context.record, type=_EarlierClaimRecord)
+    assert (claim.token, claim.renewal) == (7, 3)
--- a/src/onyxspoke/core/shard/context.py
+++ b/src/onyxspoke/core/shard/context.py
@@ -25,6 +25,7 @@
 from onyxspoke.core.shard.layout import CellLayout
 from onyxspoke.core.shard.load_options import LoadOptions
 from onyxspoke.core.shard.log_records import ShardId
+from onyxspoke.core.shard.order_bounds import OWNERSHIP_PROOF_SECONDS
 from onyxspoke.core.tenants.quota_lender import QuotaLender
 from onyxspoke.core.tenants.quota_usage import QuotaUsage
 from onyxspoke.core.tenants.share_meter import ShareMeter
@@ -52,8 +53,6 @@
     hold_interval_seconds : float
         Pause between two holds to a worker, so that one answer reports several ends that occur
         close together.
-    ownership_proof_seconds : float
-        Time after the latest proof of ownership during which the holder may send orders.
     refusal_retry_seconds : float
         Time after which a refused caller is asked to retry.
     load : LoadOptions
@@ -67,7 +66,6 @@
     start_validity_ms: int = 1_200
     hold_wait_ms: int = 1_000
     hold_interval_seconds: float = 0.03
-    ownership_proof_seconds: float = 4.0
     refusal_retry_seconds: float = 1.0
     load: LoadOptions = LoadOptions()
 
@@ -164,7 +162,7 @@
         # An append that was sent before a stall does not prove ownership after the stall.
         if self.has_stepped_down or self.commit.ownership_proven_at < self.stall_ended_at:
             return OrderRight.REFUTED
-        proven_until = self.commit.ownership_proven_at + self.options.ownership_proof_seconds
+        proven_until = self.commit.ownership_proven_at + OWNERSHIP_PROOF_SECONDS
         return OrderRight.PROVEN if now < proven_until else OrderRight.LAPSED
 
 
--- a/src/onyxspoke/core/shard/election.py
+++ b/src/onyxspoke/core/shard/election.py
@@ -33,6 +33,7 @@
     ShardRecord,
     encode_claim,
 )
+from onyxspoke.core.shard.order_bounds import OrderBound, ReplacedHolder, bound_earlier_orders
 from onyxspoke.core.shard.store_budget import StorePacing
 
 #: Pause before a node reads the claim again after a read without an answer.
@@ -130,7 +131,8 @@
         self._claim_first_sent_at = 0.0
         self._claim_last_sent_at = 0.0
         self._claim_attempts = 0
-        self._previous_token = 0
+        #: The holder whose claim the pending claim replaces.
+        self._replaced_holder = ReplacedHolder()
         self._claims_deferred_until = -math.inf
         self._are_claims_allowed = True
         self.actions: list[ElectionAction] = []
@@ -177,7 +179,11 @@
             self._end_moved_at = now
         if self._is_newer(claim):
             self._adopt_claim(claim, now)
-        elif self.state is ElectionState.WATCHING:
+            return
+        if claim is not None and self.claim is not None and claim.token == self.claim.token:
+            # The holder may have renewed its record with a lower bound on earlier orders.
+            self.claim = claim
+        if self.state is ElectionState.WATCHING:
             self._continue_watching(now)
         elif self.state is ElectionState.WAITING_TURN and has_end_moved:
             self._suspects_holder_dead = False
@@ -475,10 +481,13 @@
     def _claim_shard(self, now: float) -> None:
         identity = self._identity
         token = self._partition_end + 1
-        # The known claim is the latest: a newer one would have moved the end of the partition.
-        self._previous_token = self.claim.token if self.claim is not None else 0
+        self._replaced_holder = self._describe_known_holder()
         claim = ClaimRecord(
-            incarnation=identity.incarnation, host=identity.host, port=identity.port, token=token
+            incarnation=identity.incarnation,
+            host=identity.host,
+            port=identity.port,
+            token=token,
+            earlier_orders_seconds=self._bound_earlier_orders(now).seconds_after(now),
         )
         self._pending_claim = claim
         self._pending_append = ShardAppend(
@@ -493,6 +502,19 @@
         self._claim_first_sent_at = now
         self._send_claim(now)
 
+    def _describe_known_holder(self) -> ReplacedHolder:
+        """Return what is known of the latest holder.
+
+        The known claim is the latest: a newer one would have moved the end of the partition.
+        """
+        claim = self.claim
+        if claim is None:
+            return ReplacedHolder()
+        return ReplacedHolder(claim.token, self._holder_dead_since, claim.earlier_orders_seconds)
+
+    def _bound_earlier_orders(self, claim_sent_at: float) -> OrderBound:
+        return bound_earlier_orders(claim_sent_at, self._replaced_holder)
+
     def _send_claim(self, now: float) -> None:
         assert self._pending_append is not None
         self._claim_attempts += 1
@@ -512,7 +534,7 @@
                 next_sequence=claim_append.sequence + 1,
                 claimed_at=self._claim_first_sent_at,
                 claim_call_seconds=now - self._claim_last_sent_at,
-                previous_holder_dead_since=self._holder_dead_since,
-                previous_token=self._previous_token,
+                earlier_orders=self._bound_earlier_orders(self._claim_first_sent_at),
+                previous_token=self._replaced_holder.token,
             )
         )
--- a/src/onyxspoke/core/shard/election_actions.py
+++ b/src/onyxspoke/core/shard/election_actions.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from onyxspoke.core.shard.log_records import ClaimRecord, ShardAppend
+from onyxspoke.core.shard.order_bounds import OrderBound
 
 
 class ElectionState(Enum):
@@ -64,17 +65,16 @@
 class BecomeHolder(msgspec.Struct, frozen=True):
     """Start to act as the shard's holder: the store has accepted the claim.
 
-    ``previous_holder_dead_since`` is a time by which the previous holder's process had ended, or
-    ``None`` if no such time is known.  ``claim_call_seconds`` is how long the store took to answer
-    the claim.  ``previous_token`` is the fencing token of the claim that was replaced, 0 if there
-    was none.
+    ``claimed_at`` is when the claim was first sent, ``claim_call_seconds`` how long the store took
+    to answer it.  ``earlier_orders`` bounds the orders of all earlier holders.  ``previous_token``
+    is the fencing token of the claim that was replaced, 0 if there was none.
     """
 
     claim: ClaimRecord
     next_sequence: int
     claimed_at: float
     claim_call_seconds: float
-    previous_holder_dead_since: float | None
+    earlier_orders: OrderBound
     previous_token: int = 0
 
 
--- a/src/onyxspoke/core/shard/journal.py
+++ b/src/onyxspoke/core/shard/journal.py
@@ -57,6 +57,7 @@
         self._worker_registry = worker_registry
         self._estimates = estimates
         self._claim = claim
+        self._is_claim_changed = False
         self._has_written_marker = False
 
     def is_dirty(self) -> bool:
@@ -68,14 +69,23 @@
             or bool(context.quota_lender.dirty)
             or context.uncommitted_layout is not None
             or self._estimates.needs_append
+            or self._is_claim_changed
             or self._is_marker_due()
         )
 
     def renew(self) -> ShardRecord:
         """Return a record of the claim with the next renewal number."""
+        self._is_claim_changed = False
         self._claim = msgspec.structs.replace(self._claim, renewal=self._claim.renewal + 1)
         return ShardRecord(CLAIM_KEY, encode_claim(self._claim))
 
+    def note_earlier_orders_over(self) -> None:
+        """Have the claim's record tell that no earlier holder sends orders any more."""
+        if self._claim.earlier_orders_seconds != 0.0:
+            self._claim = msgspec.structs.replace(self._claim, earlier_orders_seconds=0.0)
+            self._is_claim_changed = True
+            self._context.log("earlier_orders_over", token=self._claim.token)
+
     def collect(self, maximum_bytes: int) -> list[ShardRecord]:
         """Return the records of changed state, and clear the marks of the returned changes.
 
@@ -91,6 +101,8 @@
             for record in self._job_records(job_id):
                 records.append(record)
                 size += len(record.key) + len(record.value)
+        if self._is_claim_changed:
+            records.append(self.renew())
         if self._is_marker_due():
             self._has_written_marker = True
             records.append(ShardRecord(STARTS_KEY, str(self._claim.token).encode()))
--- a/src/onyxspoke/core/shard/log_records.py
+++ b/src/onyxspoke/core/shard/log_records.py
@@ -100,6 +100,9 @@
         Fencing token of the claim: the end of the partition before the claim, plus one.
     renewal : int
         Number of times that the holder has renewed the record.
+    earlier_orders_seconds : float or None
+        For how long after the holder sent this record the holders before it may still send orders;
+        ``None`` in records of builds that do not tell.
     """
 
     incarnation: str
@@ -107,6 +110,7 @@
     port: int
     token: int
     renewal: int = 0
+    earlier_orders_seconds: float | None = None
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -43,6 +43,7 @@
     ShardId,
     ShardRecord,
 )
+from onyxspoke.core.shard.order_bounds import OrderBound
 from onyxspoke.core.shard.orders import (
     AdviceResult,
     HoldResult,
@@ -86,6 +87,8 @@
         When the claim was first sent.
     claim_call_seconds : float
         How long the store took to answer the claim.
+    earlier_orders : OrderBound
+        Until when earlier holders may send orders.
     options : ShardOptions
         Limits and timings.
     """
@@ -97,6 +100,7 @@
         next_sequence: int,
         claimed_at: float,
         claim_call_seconds: float,
+        earlier_orders: OrderBound,
         options: ShardOptions,
     ) -> None:
         self.context = ShardContext(options, claim.token, shard)
@@ -104,9 +108,8 @@
         self.runs = RunManager(self.context)
         self._run_starter = RunStarter(self.context, self.runs)
         run_reconciler = RunReconciler(self.context, self.runs)
-        self._previous_orders_until = claimed_at + options.ownership_proof_seconds
-        self._is_previous_holder_dead = False
-        self.worker_registry = WorkerRegistry(self.context, self._previous_orders_until)
+        self._earlier_orders = earlier_orders
+        self.worker_registry = WorkerRegistry(self.context, earlier_orders.until)
         self.workers = WorkerManager(self.context, self.runs, run_reconciler, self.worker_registry)
         self.quotas = QuotaCoordinator(self.context)
         self._admission = AdmissionController(self.context, self.worker_registry)
@@ -168,17 +171,11 @@
             "previous_orders",
             token=self.context.token,
             previous=previous_token,
-            basis="holder_dead" if self._is_previous_holder_dead else "claim",
-            left_ms=int((self._previous_orders_until - now) * _MILLISECONDS),
+            basis=self._earlier_orders.basis.value,
+            left_ms=int((self._earlier_orders.until - now) * _MILLISECONDS),
         )
         return self.flush(now)
 
-    def handle_previous_holder_dead(self, dead_since: float) -> None:
-        """Record that the previous holder's process had ended by a given time."""
-        self._previous_orders_until = min(self._previous_orders_until, dead_since)
-        self._is_previous_holder_dead = True
-        self.worker_registry.shorten_previous_leases(dead_since)
-
     def set_commit_interval(self, seconds: float) -> None:
         """Set the pause between two appends that the store's rate limits require."""
         self.context.commit.interval_seconds = max(seconds, MINIMUM_COMMIT_INTERVAL_SECONDS)
@@ -355,6 +352,8 @@
         self._pace_controller.tick(now)
         self._admission.tick(now)
         self._estimates.tick(now)
+        if now >= self._earlier_orders.until:
+            self._record_collector.note_earlier_orders_over()
         self.context.needs_placement = True
 
     def flush(self, now: float) -> list[ShardAction]:
--- a/src/onyxspoke/core/shard/worker_registry.py
+++ b/src/onyxspoke/core/shard/worker_registry.py
@@ -44,7 +44,7 @@
     context : ShardContext
         State of the holder.
     previous_orders_until : float
-        The time, by the holder's clock, from which no previous holder sends orders any more.
+        The time, by the holder's clock, from which no earlier holder sends orders any more.
     """
 
     def __init__(self, context: ShardContext, previous_orders_until: float) -> None:
@@ -246,13 +246,6 @@
         self._context.table.workers[record.worker_id] = worker
         return worker
 
-    def shorten_previous_leases(self, previous_orders_until: float) -> None:
-        """Shorten previous leases, because previous holders stopped ordering earlier."""
-        until = previous_orders_until + self._maximum_lease_seconds() + LEASE_MARGIN_SECONDS
-        self._previous_leases_until = min(self._previous_leases_until, until)
-        for worker in self._context.table.workers.values():
-            worker.previous_lease_expires_at = min(worker.previous_lease_expires_at, until)
-
     # Records
 
     @property
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -337,12 +337,11 @@
             action.next_sequence,
             action.claimed_at,
             action.claim_call_seconds,
+            action.earlier_orders,
             self._options,
         )
         scheduler.set_commit_interval(self._pacing.commit_interval_seconds)
         scheduler.on_shard_count(self._shard_count)
-        if action.previous_holder_dead_since is not None:
-            scheduler.handle_previous_holder_dead(action.previous_holder_dead_since)
         self.scheduler = scheduler
         self._gathered = []
         self._previous_token = action.previous_token
