Election: only a stream opened after the claim was known shows that its holder is dead

Cause: a status of another process at the holder's address counted as word that the holder is dead, also on a stream that was open before the claim was known.

Change: the status counts as before for whether to look for another holder, and as proof of death only on a stream that this node began to open after it knew of the claim.

Tests: election.feature, three streams; without the condition the two older ones fail (basis holder_dead).

--- a/features/election.feature
+++ b/features/election.feature
@@ -87,3 +87,17 @@
       | 0.004   |
       | 0.12    |
       | 0.4     |
+
+  # A status of the process before the holder's, read late, made the holder count as dead.
+  Scenario Outline: Another process at the holder's address shows that the holder is dead: <stream>
+    Given a follower that is successor number 1
+    When it reads a claim of the next process at its holder's address
+    And another process at that address reports no claim on a stream <stream>
+    And it claims the shard, and the store accepts the claim
+    Then the bound on earlier holders' orders rests on <basis>
+
+    Examples:
+      | stream                                      | basis       |
+      | that it opened after it knew of the claim   | holder_dead |
+      | that it opened before it knew of the claim  | claim       |
+      | that the other process opened               | claim       |
--- a/features/steps/election_steps.py
+++ b/features/steps/election_steps.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from behave import given, then, when
 
 from onyxspoke.core.shard.election import Election
 from onyxspoke.core.shard.election_actions import (
+    BecomeHolder,
     ConnectionLossReason,
     ConnectToHolder,
     ElectionState,
@@ -16,7 +18,9 @@
     ReadClaim,
     SendClaim,
 )
-from onyxspoke.core.shard.log_records import ClaimRecord
+from onyxspoke.core.shard.log_records import AppendOutcome, AppendResult, ClaimRecord
+from onyxspoke.core.shard.order_bounds import OrderBoundBasis
+from onyxspoke.node.heartbeat import HEARTBEAT_SECONDS
 from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster
 
 OWN = NodeIdentity(incarnation="own.1", host="own", port=1)
@@ -213,3 +217,46 @@
         if read_answer_times and read_answer_times[0] <= context.now:
             read_answer_times.pop(0)
             election.handle_claim_read(True, _claim_of(HOLDER, 7), PARTITION_END, context.now)
+
+
+@when("it reads a claim of the next process at its holder's address")
+def _reads_claim_of_next_process(context: Any) -> None:
+    claim = ClaimRecord(
+        incarnation="holder.2",
+        host=HOLDER.host,
+        port=HOLDER.port,
+        token=PARTITION_END + 1,
+        earlier_orders_seconds=0.0,
+    )
+    context.read_claim = claim
+    context.now += 0.3
+    context.election.handle_claim_read(True, claim, PARTITION_END + 1, context.now)
+    context.known_at = context.now
+
+
+@when("another process at that address reports no claim on a stream {stream}")
+def _another_process_reports(context: Any, stream: str) -> None:
+    context.now += 0.1
+    opened_at = {
+        "that it opened after it knew of the claim": context.known_at + 0.05,
+        "that it opened before it knew of the claim": context.known_at - 0.05,
+        "that the other process opened": -math.inf,
+    }[stream]
+    context.election.handle_peer_status(
+        HOLDER, None, context.now, HEARTBEAT_SECONDS, stream_opened_at=opened_at
+    )
+
+
+@when("it claims the shard, and the store accepts the claim")
+def _claims_and_wins(context: Any) -> None:
+    election = context.election
+    election.handle_claim_read(True, context.read_claim, PARTITION_END + 1, context.now)
+    assert election.state is ElectionState.CLAIMING, election.state
+    election.handle_append_result(AppendResult(AppendOutcome.DONE), context.now + 0.01)
+    context.actions = election.take_actions()
+
+
+@then("the bound on earlier holders' orders rests on {basis}")
+def _bound_rests_on(context: Any, basis: str) -> None:
+    holding = next(item for item in context.actions if isinstance(item, BecomeHolder))
+    assert holding.earlier_orders.basis is OrderBoundBasis(basis), holding.earlier_orders
--- a/src/onyxspoke/core/shard/election.py
+++ b/src/onyxspoke/core/shard/election.py
@@ -121,6 +121,8 @@
         self._last_read_at = 0.0
         self._last_heartbeat_at = 0.0
         self._heartbeat_timeout_seconds = HEARTBEAT_TIMEOUT_SECONDS
+        #: Since when the current claim is known.
+        self._claim_known_since = -math.inf
         #: When the current claim was read; minus infinity once its holder has confirmed it.
         self._claim_unconfirmed_since = -math.inf
         self._end_moved_at = 0.0
@@ -197,8 +199,13 @@
         claim: ClaimRecord | None,
         now: float,
         interval_seconds: float = 0.0,
+        stream_opened_at: float = -math.inf,
     ) -> None:
-        """Handle a peer's status: the claim that it holds or follows, and its sending interval."""
+        """Handle a peer's status: the claim that it holds or follows, and its sending interval.
+
+        ``stream_opened_at`` is when this node began to open the stream on which the status came;
+        minus infinity if the peer opened it.
+        """
         if self.state in (ElectionState.HOLDING, ElectionState.CLAIMING):
             return
         if claim is not None and self._is_newer(claim) and claim.host != self._identity.host:
@@ -218,7 +225,9 @@
             self._follow_holder(now, known)
         elif self.state in _HOLDER_MONITORING_STATES:
             if peer.incarnation != known.incarnation:
-                self._holder_dead_since = now
+                # On an older stream this may be the process before the holder's.
+                if stream_opened_at > self._claim_known_since:
+                    self._holder_dead_since = now
             elif now - self._claim_unconfirmed_since < CLAIM_CONFIRMATION_SECONDS:
                 return
             self._suspects_holder_dead = True
@@ -330,7 +339,7 @@
     def _adopt_claim(self, claim: ClaimRecord | None, now: float) -> None:
         assert claim is not None
         self.claim = claim
-        self._claim_unconfirmed_since = now
+        self._claim_known_since = self._claim_unconfirmed_since = now
         self._holder_dead_since = None
         self._suspects_holder_dead = False
         if claim.host == self._identity.host:
@@ -343,6 +352,7 @@
 
     def _adopt_reported_claim(self, peer: NodeIdentity, claim: ClaimRecord, now: float) -> None:
         self.claim = claim
+        self._claim_known_since = now
         self._heartbeat_timeout_seconds = HEARTBEAT_TIMEOUT_SECONDS
         self._holder_dead_since = None
         self._suspects_holder_dead = False
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -499,7 +499,7 @@
             claim = claims.get(shard)
             if claim is not None or seat.election.is_held_by(link.host):
                 seat.election.handle_peer_status(
-                    link.identity, claim, now, message.interval_seconds
+                    link.identity, claim, now, message.interval_seconds, link.opened_at
                 )
                 seat.carry_out_election()
 
--- a/src/onyxspoke/node/peers.py
+++ b/src/onyxspoke/node/peers.py
@@ -61,6 +61,8 @@
         self.host = host
         self.is_outgoing = is_outgoing
         self.identity: NodeIdentity | None = None
+        #: When this node began to open the stream; minus infinity if the peer opened it.
+        self.opened_at = -math.inf
         self.heard_at = 0.0
         #: When the peer said who it is.
         self.up_at = 0.0
@@ -147,6 +149,7 @@
         if host in self.outgoing or host == self._identity.host:
             return
         link = PeerLink(host, is_outgoing=True)
+        link.opened_at = self._network.reactor.seconds()
         self.outgoing[host] = link
         endpoint = self._network.endpoints.client(host, port)
         attempt = endpoint.connect(Factory.forProtocol(lambda: self._build_stream(link)))
