Takeover: a worker that starts again waits for earlier holders' orders, too

Cause: a worker that had started again under its name was waited for one lease from then on. An earlier holder that is cut off with it may order runs on it for up to 4 s after our claim, and extend them until one lease later.

Change: the wait ends with the later of the two.

Tests: three rows of orders_and_leases.feature; the first fails before (107.37 for 110.37 s).

--- a/features/orders_and_leases.feature
+++ b/features/orders_and_leases.feature
@@ -93,3 +93,16 @@
     Then this build reads it, and knows nothing of earlier holders
     Given a claim's record of this build
     Then a build that tells nothing of earlier holders reads it
+
+  # A worker that had started again under its name was waited for one lease from then on, though an
+  # earlier holder could still give it orders.
+  Scenario Outline: A worker that starts again while an earlier holder may order: <now>
+    Given a new holder whose predecessors may give orders until 104 seconds
+    When one of its workers starts again at <now> seconds
+    Then its leases are over at <until> seconds at the earliest
+
+    Examples:
+      | now | until  |
+      | 101 | 110.37 |
+      | 104 | 110.37 |
+      | 110 | 116.37 |
--- a/features/steps/order_bound_steps.py
+++ b/features/steps/order_bound_steps.py
@@ -10,8 +10,12 @@
 from behave import given, then, when
 from job_directed_steps import FIRST_JOB, SECOND_JOB, _send, _submit, _whole_worker_job
 
+from onyxspoke.core.jobs.model import ResourceVector
+from onyxspoke.core.placement.worker_record import WorkerRecord
+from onyxspoke.core.shard.context import ShardContext, ShardOptions
 from onyxspoke.core.shard.log_records import ClaimRecord, decode_claim, encode_claim
 from onyxspoke.core.shard.order_bounds import ReplacedHolder, bound_earlier_orders
+from onyxspoke.core.shard.worker_registry import WorkerRegistry
 from onyxspoke.kit.jobs.workers import WorkOptions
 from onyxspoke.sim.call_faults import STORE
 from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster
@@ -264,3 +268,33 @@
 def _earlier_build_reads(context: Any) -> None:
     claim = msgspec.msgpack.decode(context.record, type=_EarlierClaimRecord)
     assert (claim.token, claim.renewal) == (7, 3)
+
+
+@given("a new holder whose predecessors may give orders until {until:g} seconds")
+def _new_holder(context: Any, until: float) -> None:
+    context.shard = ShardContext(ShardOptions(), token=7)
+    context.registry = WorkerRegistry(context.shard, until)
+
+
+@when("one of its workers starts again at {now:g} seconds")
+def _starts_again(context: Any, now: float) -> None:
+    record = WorkerRecord(
+        worker_id="w",
+        host="10.9.0.1",
+        port=8_000,
+        service="service",
+        zone="zone",
+        capacity=ResourceVector(1_000, 1_000, 0),
+        kind="a",
+        rack="r",
+        labels=(),
+        born_ms=1_000,
+    )
+    context.registry.restore(record, now)
+    former = context.shard.table.workers["w"]
+    context.worker = context.registry.begin_next_incarnation(former, 2_000, now)
+
+
+@then("its leases are over at {until:g} seconds at the earliest")
+def _leases_over(context: Any, until: float) -> None:
+    assert abs(context.worker.lease_over_at() - until) < 1e-6, context.worker.lease_over_at()
--- a/src/onyxspoke/core/shard/worker_registry.py
+++ b/src/onyxspoke/core/shard/worker_registry.py
@@ -191,9 +191,9 @@
         It gets runs only once the directory has an entry of it.
         """
         # The new incarnation may execute an order that the previous one has not answered, and run
-        # the ordered task for one lease.
-        previous_lease_expires_at = now + self._maximum_lease_seconds() + LEASE_MARGIN_SECONDS
-        worker = Worker(previous.record, previous_lease_expires_at)
+        # the ordered task for one lease.  Earlier holders may still order runs on it, too.
+        own_lease_expires_at = now + self._maximum_lease_seconds() + LEASE_MARGIN_SECONDS
+        worker = Worker(previous.record, max(own_lease_expires_at, self._previous_leases_until))
         worker.born_ms = born_ms
         starts_ms = (*previous.previous_starts_ms, previous.born_ms)
         worker.previous_starts_ms = starts_ms[-MAX_PREVIOUS_STARTS:]
