--- a/features/orders_and_leases.feature
+++ b/features/orders_and_leases.feature
@@ -106,3 +106,14 @@
       | 101 | 110.37 |
       | 104 | 110.37 |
       | 110 | 116.37 |
+
+  Scenario Outline: Wherever the holder's zone is cut off, no task runs twice: seed <seed>
+    When cuts of the holder's zone are played with seed <seed>, in <shards> shard(s)
+    Then nothing that must hold is broken
+
+    Examples: a holder that went on without a proof, or leases of an earlier one taken for over
+      | seed | shards |
+      | 5000 | 1      |
+      | 5014 | 1      |
+      | 5018 | 1      |
+      | 5011 | 3      |
--- a/features/steps/job_promise_steps.py
+++ b/features/steps/job_promise_steps.py
@@ -24,7 +24,13 @@
 from onyxspoke.core.shard.worker_manager import WorkerManager
 from onyxspoke.kit.jobs.workers import FakeWorker
 from onyxspoke.node.call_router import CallRouter
-from onyxspoke.sim.explore_jobs import JobRunReport, play, play_overload, play_stops
+from onyxspoke.sim.explore_jobs import (
+    JobRunReport,
+    play,
+    play_overload,
+    play_stops,
+    play_zones,
+)
 
 
 @when("jobs are played over seeds {first:d} to {last:d} without faults")
@@ -69,6 +75,11 @@
     context.job_reports = [play_stops(seed, shards)]
 
 
+@when("cuts of the holder's zone are played with seed {seed:d}, in {shards:d} shard(s)")
+def _play_zones(context: Any, seed: int, shards: int) -> None:
+    context.job_reports = [play_zones(seed, shards)]
+
+
 @then("nothing that must hold is broken")
 def _nothing_broken(context: Any) -> None:
     assert all(report.checks for report in context.job_reports)
--- a/src/onyxspoke/cli/sim.py
+++ b/src/onyxspoke/cli/sim.py
@@ -12,7 +12,13 @@
 from onyxspoke.core.codes import ExitCode
 from onyxspoke.load.audit import AuditReport, add_counts
 from onyxspoke.sim.explore import RunResult, run_schedule, shrink
-from onyxspoke.sim.explore_jobs import JobRunReport, play, play_overload, play_stops
+from onyxspoke.sim.explore_jobs import (
+    JobRunReport,
+    play,
+    play_overload,
+    play_stops,
+    play_zones,
+)
 
 SHOWN_FINDINGS = 10
 DEPLOYMENTS = Path("deploy")
@@ -42,6 +48,11 @@
     jobs.add_argument(
         "--stops", action="store_true", help="all nodes are stopped as planned, again and again"
     )
+    jobs.add_argument(
+        "--zones",
+        action="store_true",
+        help="the holder's zone is cut off while nodes outside it start, come or change",
+    )
     jobs.add_argument("--shards", type=int, default=1, help="shards of the cell (default: 1)")
     jobs.add_argument("--tenants", action="store_true", help="with tenants whose quotas bind")
     arguments = parser.parse_args()
@@ -56,11 +67,11 @@
 def _check_options(parser: argparse.ArgumentParser, arguments: argparse.Namespace) -> None:
     """Exit with an error if options do not go together."""
     options = [name for name in ("crashes", "keep_names", "tenants") if getattr(arguments, name)]
-    for mode in ("overload", "stops"):
-        if getattr(arguments, mode) and options:
-            parser.error(f"--{mode} does not go with --{options[0].replace('_', '-')}")
-    if arguments.overload and arguments.stops:
-        parser.error("--overload does not go with --stops")
+    modes = [mode for mode in ("overload", "stops", "zones") if getattr(arguments, mode)]
+    if modes and options:
+        parser.error(f"--{modes[0]} does not go with --{options[0].replace('_', '-')}")
+    if len(modes) > 1:
+        parser.error(f"--{modes[0]} does not go with --{modes[1]}")
 
 
 def _explore(arguments: argparse.Namespace) -> ExitCode:
@@ -112,6 +123,8 @@
         return play_overload(seed, arguments.shards)
     if arguments.stops:
         return play_stops(seed, arguments.shards)
+    if arguments.zones:
+        return play_zones(seed, arguments.shards)
     return play(
         seed,
         shards=arguments.shards,
--- a/src/onyxspoke/sim/explore_jobs.py
+++ b/src/onyxspoke/sim/explore_jobs.py
@@ -17,6 +17,7 @@
     draw_overload_schedule,
     draw_schedule,
     draw_stop_schedule,
+    draw_zone_schedule,
 )
 from onyxspoke.sim.liveness import LivenessWatch
 
@@ -54,8 +55,12 @@
 OVERLOAD_FAULTS = 10
 #: Enough calls that some are open whenever a process ends.
 STEADY = Traffic(jobs_per_second=20.0)
-#: Beside planned stops: none in most runs.
-MAXIMUM_FAULTS_BESIDE_STOPS = 3
+#: Beside planned stops or cuts of zones: none in most runs.
+MAXIMUM_FAULTS_BESIDE = 3
+#: Over two cuts of zones, with tasks that outlast the leases of a holder that is cut off.
+CUT_TRAFFIC = Traffic(jobs_per_second=2.0, seconds=48.0)
+LONG_SHARE = 0.3
+LONG_SECONDS = 14.0
 
 
 @dataclass(slots=True)
@@ -79,6 +84,8 @@
     keep_names: bool = False,
     with_admission: bool = False,
     traffic: Traffic | None = None,
+    long_share: float = 0.0,
+    finish_seconds: float = FINISH_SECONDS,
 ) -> JobRunReport:
     """Play one schedule; by default the one that the seed draws.
 
@@ -91,7 +98,9 @@
         schedule = draw_schedule(
             seed, TRAFFIC_SECONDS, count, with_tenants, with_crashes, with_restarts=keep_names
         )
-    work = WorkOptions(seed=seed, failing_share=0.02)
+    work = WorkOptions(
+        seed=seed, failing_share=0.02, long_share=long_share, long_seconds=LONG_SECONDS
+    )
     options = make_options(seed, work, shards)
     options.keep_names = keep_names
     options.load = LoadOptions(admission=with_admission)
@@ -114,7 +123,7 @@
     if shards == 1 and not with_tenants and not with_admission:
         ends = [SETTLE_SECONDS + fault.at + fault.seconds for fault in schedule]
         LivenessWatch(cluster, max(ends, default=0.0) + FAULT_TAIL_SECONDS).start()
-    cluster.run(traffic.seconds + FINISH_SECONDS)
+    cluster.run(traffic.seconds + finish_seconds)
     callers.check_all()
     audit = cluster.audit
     return JobRunReport(
@@ -130,11 +139,23 @@
 
 def play_stops(seed: int, shards: int = 1) -> JobRunReport:
     """Play a cell whose nodes are all stopped, again and again, within the grace of the first."""
-    count = max(0, seed % (2 * MAXIMUM_FAULTS_BESIDE_STOPS) - MAXIMUM_FAULTS_BESIDE_STOPS + 1)
-    schedule = draw_stop_schedule(seed, STEADY.seconds, count)
+    schedule = draw_stop_schedule(seed, STEADY.seconds, _count_beside(seed))
     return play(seed, schedule, shards, traffic=STEADY)
 
 
+def play_zones(seed: int, shards: int = 1) -> JobRunReport:
+    """Play a cell whose holder's zone is cut off, while nodes outside start, come or change."""
+    schedule = draw_zone_schedule(seed, CUT_TRAFFIC.seconds, _count_beside(seed))
+    return play(
+        seed, schedule, shards, traffic=CUT_TRAFFIC, long_share=LONG_SHARE, finish_seconds=60.0
+    )
+
+
+def _count_beside(seed: int) -> int:
+    """Return how many other faults there are beside those that a run is about."""
+    return max(0, seed % (2 * MAXIMUM_FAULTS_BESIDE) - MAXIMUM_FAULTS_BESIDE + 1)
+
+
 def make_tenants() -> tuple[TenantPolicy, ...]:
     """Return three tenants whose quotas bind: the smallest has room for little more than a gang.
 
--- a/src/onyxspoke/sim/job_faults.py
+++ b/src/onyxspoke/sim/job_faults.py
@@ -14,6 +14,7 @@
 from onyxspoke.sim.job_cluster import JobCluster, SimulatedNode, worker_index
 from onyxspoke.sim.restart_faults import RestartFaults
 from onyxspoke.sim.stop_faults import StopFaults
+from onyxspoke.sim.zone_faults import CUT_SECONDS, ZoneFaults
 
 #: Share of the faults of nodes that strike one which decides for a shard.
 HOLDER_SHARE = 0.7
@@ -69,6 +70,10 @@
     SLOW_LINKS_OF_NODE = "slow_links_of_node"
     CUT_ZONE_FROM_STORE = "cut_zone_from_store"
     STOP_ALL_NODES = "stop_all_nodes"
+    CUT_WHILE_OTHERS_START = "cut_while_others_start"
+    CUT_BEFORE_NODE_IS_ADDED = "cut_before_node_is_added"
+    CUT_FROM_UNMET_NODE = "cut_from_unmet_node"
+    CHANGE_HOLDERS_BEHIND_CUT = "change_holders_behind_cut"
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,7 +113,16 @@
 )
 #: Planned stops that overlap: drawn only where they are asked for.
 OF_STOPS = (JobFault.STOP_ALL_NODES,)
-#: What strikes a cell beside these.
+#: Cuts of the holder's zone: drawn only where they are asked for.
+OF_ZONES = (
+    JobFault.CUT_WHILE_OTHERS_START,
+    JobFault.CUT_BEFORE_NODE_IS_ADDED,
+    JobFault.CUT_FROM_UNMET_NODE,
+    JobFault.CHANGE_HOLDERS_BEHIND_CUT,
+)
+#: Between two cuts of a schedule, in seconds: each is healed, and what it left is settled.
+ZONE_ROUND_SECONDS = 24.0
+#: What strikes a cell beside stops or cuts of zones.
 BESIDE_STOPS = (
     JobFault.KILL_NODE,
     JobFault.RESET_CONNECTIONS,
@@ -153,7 +167,8 @@
 ) -> list[ScheduledFault]:
     """Return a schedule; the same seed gives the same one."""
     left_out = (() if with_tenants else OF_TENANTS) + (() if with_crashes else OF_WORKERS)
-    kinds = [fault for fault in JobFault if fault not in left_out + OF_NAMES + OF_CALLS + OF_STOPS]
+    left_out += OF_NAMES + OF_CALLS + OF_STOPS + OF_ZONES
+    kinds = [fault for fault in JobFault if fault not in left_out]
     source = random.Random(f"schedule/{seed}")
     if with_restarts:
         # Of all kinds, but mostly of those that this is about.
@@ -204,6 +219,28 @@
     return sorted(faults, key=lambda item: item.at)
 
 
+def draw_zone_schedule(seed: int, length: float, count: int) -> list[ScheduledFault]:
+    """Return cuts of the holder's zone and other faults beside; the same seed gives the same."""
+    source = random.Random(f"zones/{seed}")
+    faults = [
+        ScheduledFault(
+            round(index * ZONE_ROUND_SECONDS + source.uniform(2.0, 4.0), 2),
+            source.choice(OF_ZONES),
+            CUT_SECONDS[1],
+        )
+        for index in range(int(length // ZONE_ROUND_SECONDS))
+    ]
+    faults += [
+        ScheduledFault(
+            round(source.uniform(0.5, length), 2),
+            source.choice(BESIDE_STOPS),
+            round(source.uniform(0.3, 2.5), 2),
+        )
+        for _ in range(count)
+    ]
+    return sorted(faults, key=lambda item: item.at)
+
+
 class FaultInjector:
     """Carries a schedule out."""
 
@@ -256,6 +293,13 @@
             JobFault.CUT_ZONE_FROM_STORE: calls.cut_zone_from_store,
         }
         self._actions[JobFault.STOP_ALL_NODES] = StopFaults(cluster, self._random).stop_all
+        zones = ZoneFaults(cluster, self._random, self._choose_node)
+        self._actions |= {
+            JobFault.CUT_WHILE_OTHERS_START: zones.cut_while_others_start,
+            JobFault.CUT_BEFORE_NODE_IS_ADDED: zones.cut_before_node_is_added,
+            JobFault.CUT_FROM_UNMET_NODE: zones.cut_from_unmet_node,
+            JobFault.CHANGE_HOLDERS_BEHIND_CUT: zones.change_holders_behind_cut,
+        }
 
     def schedule(self, faults: list[ScheduledFault]) -> None:
         """Have the faults happen in their time."""
