Election: what is known of a holder that stopped ends with its claim

Seen by callers: nothing yet; found by reading, along docs/design/orders-and-leases.md. A node that holds the shard since the holder before it died, gives the shard up (turned away by the store, or a larger node is there) and claims it again counted earlier orders from that death, long before its own last leases. Tasks on a worker that does not answer could then run twice.

Cause: the time of the death was kept when the node became the holder itself, as the same field spoke of whoever held the shard before.

Change: core/shard/known_holder.py keeps what is known of one claim's holder, and forgets it with the next claim, our own among them. A node that gave the shard up counts its own term as stopped by then. The basis of the bound is called holder_stopped now, as a death is not the only way to know.

Tests: election.feature, two scenarios that fail before (bounds of 10 and 13 s in place of 50 and 53 s).

--- a/features/election.feature
+++ b/features/election.feature
@@ -97,7 +97,21 @@
     Then the bound on earlier holders' orders rests on <basis>
 
     Examples:
-      | stream                                      | basis       |
-      | that it opened after it knew of the claim   | holder_dead |
-      | that it opened before it knew of the claim  | claim       |
-      | that the other process opened               | claim       |
+      | stream                                      | basis          |
+      | that it opened after it knew of the claim   | holder_stopped |
+      | that it opened before it knew of the claim  | claim          |
+      | that the other process opened               | claim          |
+
+  # A node that gave the shard up and claimed it again counted its own leases from the death of the
+  # holder before its first claim.
+  Scenario: A node that claims again counts earlier orders from when it gave the shard up
+    Given a node that holds the shard since the last holder's process ended, at 10 seconds
+    When it gives the shard up at 50 seconds, and claims it again at 54 seconds
+    Then earlier holders give orders until 50 seconds, by its bound
+
+  # The record that a node has in memory may be older than the one in the store.
+  Scenario: A node that claims again goes by the record in the store
+    Given a node that holds the shard since the last holder's process ended, at 10 seconds
+    And its record in the store tells of 3 seconds
+    When it gives the shard up at 50 seconds, and claims it again at 50.5 seconds
+    Then earlier holders give orders until 53 seconds, by its bound
--- a/features/orders_and_leases.feature
+++ b/features/orders_and_leases.feature
@@ -71,14 +71,14 @@
     Then another node has started the task again
     And the cluster has broken nothing
 
-  Scenario Outline: The bound on earlier holders' orders: last one dead since <dead>, told <told> s
+  Scenario Outline: The bound on earlier holders' orders: last one stopped by <stopped>, told <told> s
     Given a claim that is sent at 100 seconds
-    And the last holder is dead since <dead> seconds, and its record tells <told> seconds
+    And the last holder has stopped by <stopped> seconds, and its record tells <told> seconds
     Then earlier holders give orders until <until> seconds at the latest
     And the new holder's record tells <tells> seconds
 
     Examples:
-      | dead | told    | until | tells |
+      | stopped | told    | until | tells |
       | 99   | 0       | 99    | 0     |
       | 99   | 4       | 103   | 3     |
       | 99.5 | 4       | 103.5 | 3.5   |
--- a/features/steps/election_steps.py
+++ b/features/steps/election_steps.py
@@ -5,6 +5,7 @@
 import math
 from typing import Any
 
+import msgspec
 from behave import given, then, when
 
 from onyxspoke.core.shard.election import Election
@@ -260,3 +261,41 @@
 def _bound_rests_on(context: Any, basis: str) -> None:
     holding = next(item for item in context.actions if isinstance(item, BecomeHolder))
     assert holding.earlier_orders.basis is OrderBoundBasis(basis), holding.earlier_orders
+
+
+@given("a node that holds the shard since the last holder's process ended, at {seconds:g} seconds")
+def _holds_after_death(context: Any, seconds: float) -> None:
+    context.now = seconds
+    election = context.election = Election(0, OWN, lambda: 0.5, started_at=seconds)
+    former = ClaimRecord(
+        incarnation="own.0", host=OWN.host, port=OWN.port, token=7, earlier_orders_seconds=0.0
+    )
+    election.start(context.now)
+    election.handle_claim_read(True, former, PARTITION_END, context.now)
+    election.handle_append_result(AppendResult(AppendOutcome.DONE), context.now)
+    holding = next(item for item in election.take_actions() if isinstance(item, BecomeHolder))
+    assert holding.earlier_orders.basis is OrderBoundBasis.HOLDER_STOPPED
+    context.stored_claim = holding.claim
+
+
+@given("its record in the store tells of {seconds:g} seconds")
+def _record_tells(context: Any, seconds: float) -> None:
+    context.stored_claim = msgspec.structs.replace(
+        context.stored_claim, earlier_orders_seconds=seconds
+    )
+
+
+@when("it gives the shard up at {until:g} seconds, and claims it again at {again:g} seconds")
+def _claims_again(context: Any, until: float, again: float) -> None:
+    election = context.election
+    election.handle_step_down(until)
+    election.handle_claim_read(True, context.stored_claim, PARTITION_END + 5, again)
+    assert election.state is ElectionState.CLAIMING, election.state
+    election.handle_append_result(AppendResult(AppendOutcome.DONE), again)
+    context.actions = election.take_actions()
+
+
+@then("earlier holders give orders until {until:g} seconds, by its bound")
+def _bound_until(context: Any, until: float) -> None:
+    holding = next(item for item in context.actions if isinstance(item, BecomeHolder))
+    assert holding.earlier_orders.until == until, holding.earlier_orders
--- a/features/steps/order_bound_steps.py
+++ b/features/steps/order_bound_steps.py
@@ -213,11 +213,11 @@
     context.claim_sent_at = seconds
 
 
-@given("the last holder is dead since {dead} seconds, and its record tells {told} seconds")
-def _last_holder(context: Any, dead: str, told: str) -> None:
+@given("the last holder has stopped by {stopped} seconds, and its record tells {told} seconds")
+def _last_holder(context: Any, stopped: str, told: str) -> None:
     replaced = ReplacedHolder(
         token=7,
-        dead_since=None if dead == "no" else float(dead),
+        stopped_by=None if stopped == "no" else float(stopped),
         earlier_orders_seconds=None if told == "unknown" else float(told),
     )
     context.bound = bound_earlier_orders(context.claim_sent_at, replaced)
--- a/src/onyxspoke/core/shard/election.py
+++ b/src/onyxspoke/core/shard/election.py
@@ -23,6 +23,7 @@
     ReadClaim,
     SendClaim,
 )
+from onyxspoke.core.shard.known_holder import KnownHolder
 from onyxspoke.core.shard.log_records import (
     CLAIM_KEY,
     AppendOutcome,
@@ -110,7 +111,7 @@
         self._started_at = started_at
         self._load_delay_seconds = load_delay_seconds
         self.state = ElectionState.READING
-        self.claim: ClaimRecord | None = None
+        self._known_holder = KnownHolder()
         self._partition_end = -1
         #: Successors that the holder has named, in the order of their turns.
         self.successors: list[NodeIdentity] = []
@@ -121,12 +122,9 @@
         self._last_read_at = 0.0
         self._last_heartbeat_at = 0.0
         self._heartbeat_timeout_seconds = HEARTBEAT_TIMEOUT_SECONDS
-        #: Since when the current claim is known.
-        self._claim_known_since = -math.inf
         #: When the current claim was read; minus infinity once its holder has confirmed it.
         self._claim_unconfirmed_since = -math.inf
         self._end_moved_at = 0.0
-        self._holder_dead_since: float | None = None
         self._suspects_holder_dead = False
         self._pending_append: ShardAppend | None = None
         self._pending_claim: ClaimRecord | None = None
@@ -139,6 +137,11 @@
         self._are_claims_allowed = True
         self.actions: list[ElectionAction] = []
 
+    @property
+    def claim(self) -> ClaimRecord | None:
+        """The latest known claim."""
+        return self._known_holder.claim
+
     # Events
 
     def start(self, now: float) -> None:
@@ -182,9 +185,7 @@
         if self._is_newer(claim):
             self._adopt_claim(claim, now)
             return
-        if claim is not None and self.claim is not None and claim.token == self.claim.token:
-            # The holder may have renewed its record with a lower bound on earlier orders.
-            self.claim = claim
+        self._known_holder.renew(claim)
         if self.state is ElectionState.WATCHING:
             self._continue_watching(now)
         elif self.state is ElectionState.WAITING_TURN and has_end_moved:
@@ -225,9 +226,7 @@
             self._follow_holder(now, known)
         elif self.state in _HOLDER_MONITORING_STATES:
             if peer.incarnation != known.incarnation:
-                # On an older stream this may be the process before the holder's.
-                if stream_opened_at > self._claim_known_since:
-                    self._holder_dead_since = now
+                self._known_holder.note_other_process(stream_opened_at, now)
             elif now - self._claim_unconfirmed_since < CLAIM_CONFIRMATION_SECONDS:
                 return
             self._suspects_holder_dead = True
@@ -265,6 +264,7 @@
 
     def handle_step_down(self, now: float) -> None:
         """Look for the new holder after this process has given the shard up."""
+        self._known_holder.note_stopped(now)
         self._pending_append = None
         self._start_reading(now, "stepped_down")
 
@@ -338,23 +338,20 @@
 
     def _adopt_claim(self, claim: ClaimRecord | None, now: float) -> None:
         assert claim is not None
-        self.claim = claim
-        self._claim_known_since = self._claim_unconfirmed_since = now
-        self._holder_dead_since = None
+        self._known_holder.adopt(claim, now)
+        self._claim_unconfirmed_since = now
         self._suspects_holder_dead = False
         if claim.host == self._identity.host:
             # An earlier incarnation made this claim, or the store carried out our claim late.
             if claim.incarnation != self._identity.incarnation:
-                self._holder_dead_since = self._started_at
+                self._known_holder.note_stopped(self._started_at)
             self._wait_for_turn(now, 0.0, "own_earlier_claim")
         else:
             self._connect_to_holder(now, "claim_read")
 
     def _adopt_reported_claim(self, peer: NodeIdentity, claim: ClaimRecord, now: float) -> None:
-        self.claim = claim
-        self._claim_known_since = now
+        self._known_holder.adopt(claim, now)
         self._heartbeat_timeout_seconds = HEARTBEAT_TIMEOUT_SECONDS
-        self._holder_dead_since = None
         self._suspects_holder_dead = False
         if claim.incarnation != peer.incarnation:
             self._connect_to_holder(now, "claim_told")
@@ -491,7 +488,8 @@
     def _claim_shard(self, now: float) -> None:
         identity = self._identity
         token = self._partition_end + 1
-        self._replaced_holder = self._describe_known_holder()
+        # The known claim is the latest: a newer one would have moved the end of the partition.
+        self._replaced_holder = self._known_holder.describe()
         claim = ClaimRecord(
             incarnation=identity.incarnation,
             host=identity.host,
@@ -512,16 +510,6 @@
         self._claim_first_sent_at = now
         self._send_claim(now)
 
-    def _describe_known_holder(self) -> ReplacedHolder:
-        """Return what is known of the latest holder.
-
-        The known claim is the latest: a newer one would have moved the end of the partition.
-        """
-        claim = self.claim
-        if claim is None:
-            return ReplacedHolder()
-        return ReplacedHolder(claim.token, self._holder_dead_since, claim.earlier_orders_seconds)
-
     def _bound_earlier_orders(self, claim_sent_at: float) -> OrderBound:
         return bound_earlier_orders(claim_sent_at, self._replaced_holder)
 
@@ -535,7 +523,7 @@
     def _become_holder(self, now: float) -> None:
         assert self._pending_append is not None
         assert self._pending_claim is not None
-        self.claim = self._pending_claim
+        self._known_holder.adopt(self._pending_claim, now)
         claim_append, self._pending_append = self._pending_append, None
         self._change_state(ElectionState.HOLDING, now, "claim_stands")
         self.actions.append(
--- a/src/onyxspoke/core/shard/order_bounds.py
+++ b/src/onyxspoke/core/shard/order_bounds.py
@@ -19,12 +19,12 @@
 class OrderBoundBasis(Enum):
     """What a bound on earlier holders' orders rests on.
 
-    ``CLAIM``: the store fenced all earlier holders with our claim.  ``HOLDER_DEAD``: the latest
-    holder's process has ended, and its record bounds the holders before it.
+    ``CLAIM``: the store fenced all earlier holders with our claim.  ``HOLDER_STOPPED``: the latest
+    holder is known to have stopped, and its record bounds the holders before it.
     """
 
     CLAIM = "claim"
-    HOLDER_DEAD = "holder_dead"
+    HOLDER_STOPPED = "holder_stopped"
 
 
 class OrderBound(msgspec.Struct, frozen=True):
@@ -45,15 +45,16 @@
     ----------
     token : int
         Fencing token of the replaced claim; 0 if there was none.
-    dead_since : float or None
-        A time by which the holder's process had ended, or ``None`` if none is known.
+    stopped_by : float or None
+        A time by which the holder's process had ended or had given the shard up, or ``None`` if
+        none is known.
     earlier_orders_seconds : float or None
         For how long after it sent its record the holders before it may have sent orders; ``None``
         if this is unknown.
     """
 
     token: int = 0
-    dead_since: float | None = None
+    stopped_by: float | None = None
     earlier_orders_seconds: float | None = None
 
 
@@ -66,8 +67,8 @@
         When our claim was first sent.  No append of an earlier holder was carried out after that.
     """
     by_claim = claim_sent_at + OWNERSHIP_PROOF_SECONDS
-    if replaced.dead_since is not None and replaced.earlier_orders_seconds is not None:
-        by_death = replaced.dead_since + replaced.earlier_orders_seconds
-        if by_death < by_claim:
-            return OrderBound(by_death, OrderBoundBasis.HOLDER_DEAD)
+    if replaced.stopped_by is not None and replaced.earlier_orders_seconds is not None:
+        by_stop = replaced.stopped_by + replaced.earlier_orders_seconds
+        if by_stop < by_claim:
+            return OrderBound(by_stop, OrderBoundBasis.HOLDER_STOPPED)
     return OrderBound(by_claim, OrderBoundBasis.CLAIM)
