--- a/src/onyxspoke/sim/job_faults.py
+++ b/src/onyxspoke/sim/job_faults.py
@@ -123,7 +123,7 @@
 #: Between two cuts of a schedule, in seconds: each is healed, and what it left is settled.
 ZONE_ROUND_SECONDS = 24.0
 #: What strikes a cell beside stops or cuts of zones.
-BESIDE_STOPS = (
+SHORT_FAULTS = (
     JobFault.KILL_NODE,
     JobFault.RESET_CONNECTIONS,
     JobFault.SLOW_LINKS_OF_NODE,
@@ -208,14 +208,7 @@
         )
         for index in range(rounds)
     ]
-    faults += [
-        ScheduledFault(
-            round(source.uniform(0.5, length), 2),
-            source.choice(BESIDE_STOPS),
-            round(source.uniform(0.3, 2.5), 2),
-        )
-        for _ in range(count)
-    ]
+    faults += _draw_beside(source, length, count)
     return sorted(faults, key=lambda item: item.at)
 
 
@@ -230,15 +223,20 @@
         )
         for index in range(int(length // ZONE_ROUND_SECONDS))
     ]
-    faults += [
+    faults += _draw_beside(source, length, count)
+    return sorted(faults, key=lambda item: item.at)
+
+
+def _draw_beside(source: random.Random, length: float, count: int) -> list[ScheduledFault]:
+    """Return short faults beside those that a schedule is about."""
+    return [
         ScheduledFault(
             round(source.uniform(0.5, length), 2),
-            source.choice(BESIDE_STOPS),
+            source.choice(SHORT_FAULTS),
             round(source.uniform(0.3, 2.5), 2),
         )
         for _ in range(count)
     ]
-    return sorted(faults, key=lambda item: item.at)
 
 
 class FaultInjector:
