--- a/src/onyxspoke/sim/explore_jobs.py
+++ b/src/onyxspoke/sim/explore_jobs.py
@@ -92,6 +92,8 @@
     ``with_crashes``: some tasks crash their workers, whose rooms and entries change, too.
     ``keep_names``: workers start again under the names that they had.  ``with_admission``: more
     jobs come than are served, and holders decide which they take.  ``traffic``: other than usual.
+    ``long_share`` of the tasks take ``LONG_SECONDS``.  The jobs have ``finish_seconds`` after the
+    last one came.
     """
     if schedule is None:
         count = 1 + seed % MAXIMUM_FAULTS
