Node settings: the address that a node tells its peers, and the one its connections come from

Seen by callers: nothing; without the two settings nothing changes, on the wire or in sockets.

Cause: a node told its peers the address at which it listens. On a host of several addresses the route chose the source of its connections.

Change: `advertised` (HOST:PORT) goes into the node's identity, so into its hello, its claims and what peers pass on; the node listens where it did. `connectFromIp` opens every connection from `ip`. Both are optional, checked at the start with every other fault, and read only then. A node that is among its own seeds, by either address, does not connect to itself.

--- a/features/node_tools.feature
+++ b/features/node_tools.feature
@@ -112,6 +112,55 @@
       """
     Then the node "front-hala-sever-1" has peers at port 7720, metrics at 9464 and seeds "10.1.0.13,10.2.0.30"
 
+  Scenario Outline: Peers are told an address only where the settings name one, and the node listens at its own
+    When a settings file is read with the lines "<lines>"
+    Then the node listens for peers at "10.1.0.13:7720" and tells them "<told>"
+    And its connections come from "<source>"
+
+    Examples:
+      | lines                                        | told            | source    |
+      |                                              | 10.1.0.13:7720  |           |
+      | advertised=192.0.2.7:9720                    | 192.0.2.7:9720  |           |
+      | connectFromIp=true                           | 10.1.0.13:7720  | 10.1.0.13 |
+      | Advertised=192.0.2.7:9720 connect_from_ip=False | 192.0.2.7:9720 |          |
+
+  Scenario Outline: An address to tell that no peer can connect to is refused, beside every other fault
+    When a settings file is read with the lines "platform.parts=0 <lines>"
+    Then the settings' faults name
+      | fault                             |
+      | platform.parts: 0 is not within 1 |
+      | <fault>                           |
+
+    Examples:
+      | lines                            | fault                                                |
+      | advertised=192.0.2.7             | advertised: expected HOST:PORT                       |
+      | advertised=192.0.2.7:0           | advertised: expected HOST:PORT                       |
+      | advertised=192.0.2.7:70000       | advertised: expected HOST:PORT                       |
+      | advertised=0.0.0.0:9720          | advertised: expected IPV4:PORT of one host           |
+      | advertised=239.1.2.3:9720        | advertised: expected IPV4:PORT of one host           |
+      | advertised=255.255.255.255:9720  | advertised: expected IPV4:PORT of one host           |
+      | advertised=front-1.example:9720  | advertised: expected IPV4:PORT of one host           |
+      | connectFromIp=yes                | connectFromIp: expected true or false, got 'yes'     |
+      | connectFromIp=true ip=front-1    | ip: expected the IPv4 address of one host            |
+
+  Scenario: Peers connect to the address that a node tells them
+    Given node "a" at "10.1.0.13:7720" that tells "192.0.2.7:9720"
+    And node "b" at "10.1.0.14:7720" that tells "10.1.0.14:7720"
+    When node "a" connects to "10.1.0.14:7720"
+    Then node "b" knows node "a" at "192.0.2.7:9720"
+    When node "b" connects to where it knows node "a"
+    Then node "b" reaches node "a" on a connection that it opened to "192.0.2.7:9720"
+
+  Scenario Outline: A node that is among its own seeds does not connect to itself
+    Given node "a" at "10.1.0.13:7720" that tells "192.0.2.7:9720"
+    When node "a" connects to "<seed>"
+    Then node "a" has opened no connection
+
+    Examples:
+      | seed           |
+      | 192.0.2.7:9720 |
+      | 10.1.0.13:7720 |
+
   Scenario: A log never blocks, and says what it dropped
     Given a log stream to a pipe that nobody reads
     When 20000 lines of 100 bytes are written at once
--- a/features/steps/node_tools_steps.py
+++ b/features/steps/node_tools_steps.py
@@ -9,14 +9,21 @@
 from behave import given, then, when
 from job_ingress_steps import _cluster, _send
 from twisted.internet import reactor
+from twisted.internet.defer import succeed
+from twisted.internet.protocol import Factory
+from twisted.internet.task import Clock
+from twisted.internet.testing import MemoryReactor
+from twisted.test.iosim import FakeTransport, connect
 
 from onyxspoke.cli.explain_log import parse_line, select_lines
-from onyxspoke.cli.node import METRICS_PORT
+from onyxspoke.cli.node import METRICS_PORT, make_endpoints, make_identity
 from onyxspoke.cli.process import use_boot_clock_timers
 from onyxspoke.core.placement.health import WorkerHealth
 from onyxspoke.core.placement.pacing import WorkerPace
 from onyxspoke.net.log_stream import BoundedLogStream
+from onyxspoke.net.network import Network
 from onyxspoke.node.operator_api import make_operator_site
+from onyxspoke.node.peers import PeerLinks
 from onyxspoke.node.settings import SettingsError
 from onyxspoke.platform.settings import load_settings, parse_settings
 
@@ -166,6 +173,165 @@
     assert metrics == METRICS_PORT
 
 
+@when('a settings file is read with the lines "{lines}"')
+@when('a settings file is read with the lines ""')
+def _read_settings_with(context, lines=""):
+    rates = ["platform.writes_per_s=600", "platform.reads_per_s=2000"]
+    context.text = "\n".join([SETTINGS_WITHOUT_RATES, *rates, *lines.split()])
+    _read_settings(context)
+
+
+class _Endpoints:
+    """Connects nodes within the test: by the addresses that lead to each one's server."""
+
+    def __init__(self, routes):
+        self._routes = routes
+        self.opened = []
+
+    def client(self, host, port):
+        self.opened.append((host, port))
+        return _ClientEndpoint(self._routes[(host, port)])
+
+    def server(self, host, port):
+        return _ServerEndpoint(self._routes, (host, port))
+
+
+class _ServerEndpoint:
+    def __init__(self, routes, address):
+        self._routes = routes
+        self._address = address
+
+    def listen(self, factory):
+        self._routes[self._address] = factory
+        return succeed(None)
+
+
+class _ClientEndpoint:
+    def __init__(self, server):
+        self._server = server
+
+    def connect(self, factory):
+        client, server = factory.buildProtocol(None), self._server.buildProtocol(None)
+        pump = connect(server, FakeTransport(server, True), client, FakeTransport(client, False))
+        pump.flush()
+        return succeed(client)
+
+
+class _Peers:
+    """One node's streams and whom they show."""
+
+    def __init__(self, name, own, routes):
+        settings = parse_settings(
+            "\n".join([SETTINGS_WITHOUT_RATES, f"nodeName={name}", *own])
+        ).node
+        self.endpoints = _Endpoints(routes)
+        self.identity = make_identity(settings)
+        network = Network(Clock(), self.endpoints, lambda _attempt: 1.0)
+        self.links = PeerLinks(network, self.identity, self, settings.peer_address)
+        self.links.listen()
+        # Peers are led to the told address as a translation of addresses does.
+        told, listening = settings.told_address, settings.peer_address
+        routes[(told.host, told.port)] = routes[(listening.host, listening.port)]
+
+    def handle_peer_up(self, _link):
+        """Do nothing."""
+
+    def handle_peer_message(self, _link, _message):
+        """Do nothing."""
+
+    def handle_peer_lost(self, _host, _link, _reason):
+        """Do nothing."""
+
+    def handle_stream_ended(self, _link):
+        """Do nothing."""
+
+    def known(self, name):
+        """Return the links to a node, by the name in its identity."""
+        return [
+            link
+            for link in self.links.all_up_links()
+            if link.identity.incarnation.startswith(f"{name}.")
+        ]
+
+
+def _parse(address):
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+@given('node "{name}" at "{own}" that tells "{told}"')
+def _peers(context, name, own, told):
+    if not hasattr(context, "peer_nodes"):
+        context.peer_nodes, context.peer_routes = {}, {}
+    host, _port = _parse(own)
+    lines = [f"ip={host}", f"advertised={told}"]
+    context.peer_nodes[name] = _Peers(name, lines, context.peer_routes)
+
+
+@when('node "{name}" connects to "{address}"')
+def _connect_to(context, name, address):
+    context.peer_nodes[name].links.connect(*_parse(address))
+
+
+@then('node "{name}" knows node "{other}" at "{address}"')
+def _knows(context, name, other, address):
+    (link,) = context.peer_nodes[name].known(other)
+    assert (link.identity.host, link.identity.port) == _parse(address), link.identity
+
+
+@when('node "{name}" connects to where it knows node "{other}"')
+def _connect_to_known(context, name, other):
+    (link,) = context.peer_nodes[name].known(other)
+    context.peer_nodes[name].links.connect(link.identity.host, link.identity.port)
+
+
+@then('node "{name}" reaches node "{other}" on a connection that it opened to "{address}"')
+def _reaches(context, name, other, address):
+    node = context.peer_nodes[name]
+    assert node.endpoints.opened == [_parse(address)], node.endpoints.opened
+    assert any(link.is_outgoing for link in node.known(other)), node.known(other)
+
+
+@then('node "{name}" has opened no connection')
+def _opened_none(context, name):
+    node = context.peer_nodes[name]
+    assert not node.endpoints.opened, node.endpoints.opened
+
+
+@then('the node listens for peers at "{own}" and tells them "{told}"')
+def _tells(context, own, told):
+    assert not context.faults, context.faults
+    node = context.settings.node
+    identity = make_identity(node)
+    listening = []
+    network = Network(Clock(), _Recorder(listening), lambda _attempt: 1.0)
+    PeerLinks(network, identity, None, node.peer_address).listen()
+    assert listening == [_parse(own)], listening
+    assert (identity.host, identity.port) == _parse(told), identity
+
+
+class _Recorder:
+    """Notes where a server socket is opened."""
+
+    def __init__(self, listening):
+        self._listening = listening
+
+    def server(self, host, port):
+        self._listening.append((host, port))
+        return _ServerEndpoint({}, (host, port))
+
+
+@then('its connections come from "{source}"')
+@then('its connections come from ""')
+def _come_from(context, source=""):
+    endpoints = make_endpoints(context.settings.node)
+    reactor = MemoryReactor()
+    endpoints._reactor = reactor
+    endpoints.client("127.0.0.1", 1).connect(Factory())
+    (attempt,) = reactor.tcpClients
+    assert attempt[4] == ((source, 0) if source else None), attempt
+
+
 @given("a log stream to a pipe that nobody reads")
 def _pipe(context):
     context.reader, writer = os.pipe()
--- a/src/onyxspoke/cli/node.py
+++ b/src/onyxspoke/cli/node.py
@@ -118,17 +118,10 @@
 
 def make_node(settings: PlatformSettings) -> Node:
     """Return the node, joined to the platform."""
-    network = Network(reactor, TcpEndpoints(reactor, CONNECT_SECONDS), lambda _attempt: 1.0)
+    own = settings.node
+    network = Network(reactor, make_endpoints(own), lambda _attempt: 1.0)
     client = HttpClient(reactor, network.endpoints)
     store = StoreClient(client, settings.store.address)
-    own = settings.node
-    identity = NodeIdentity(
-        incarnation=f"{own.node_name}.{secrets.token_hex(LIFE_BYTES)}",
-        host=own.host,
-        port=own.peer_port,
-        zone=own.zone,
-        weight=own.weight,
-    )
     ports = NodePorts(
         store=store,
         orders=WorkerOrders(client),
@@ -138,7 +131,7 @@
     )
     return Node(
         own,
-        identity,
+        make_identity(own),
         network,
         BootClock(),
         lambda: time.time() * _MILLISECONDS,
@@ -147,6 +140,23 @@
     )
 
 
+def make_endpoints(own: NodeSettings) -> TcpEndpoints:
+    """Return what opens the node's connections."""
+    return TcpEndpoints(reactor, CONNECT_SECONDS, own.host if own.connects_from_host else "")
+
+
+def make_identity(own: NodeSettings) -> NodeIdentity:
+    """Return a name for this life of the node, and where peers reach it."""
+    told = own.told_address
+    return NodeIdentity(
+        incarnation=f"{own.node_name}.{secrets.token_hex(LIFE_BYTES)}",
+        host=told.host,
+        port=told.port,
+        zone=own.zone,
+        weight=own.weight,
+    )
+
+
 class NodeService(MultiService):
     """The node with its server sockets."""
 
--- a/src/onyxspoke/net/network.py
+++ b/src/onyxspoke/net/network.py
@@ -50,17 +50,29 @@
         The Twisted reactor.
     connect_timeout_seconds : float
         A connection that is not up after so long is given up.
+    source_host : str
+        Address from which connections are opened; empty for the one that the route prefers.
     """
 
     def __init__(
-        self, reactor: object, connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS
+        self,
+        reactor: object,
+        connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
+        source_host: str = "",
     ) -> None:
         self._reactor = reactor
         self._connect_timeout_seconds = connect_timeout_seconds
+        self._source = (source_host, 0) if source_host else None
 
     def client(self, host: str, port: int) -> IStreamClientEndpoint:
         """Return an endpoint that connects to an address."""
-        return TCP4ClientEndpoint(self._reactor, host, port, timeout=self._connect_timeout_seconds)
+        return TCP4ClientEndpoint(
+            self._reactor,
+            host,
+            port,
+            timeout=self._connect_timeout_seconds,
+            bindAddress=self._source,
+        )
 
     def server(self, host: str, port: int) -> IStreamServerEndpoint:
         """Return an endpoint that listens on an address."""
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -116,7 +116,7 @@
         self._wall_ms = wall_ms
         self._draw = draw
         self._ports = ports
-        self.peers = PeerLinks(network, identity, self)
+        self.peers = PeerLinks(network, identity, self, settings.peer_address)
         self.configurations = ConfigurationKeeper(ports.configuration, clock, self.peers.up_links)
         self.configurations.listen(self._set_policy)
         self.store = StoreGateway(ports.store, clock, self.peers.up_links)
--- a/src/onyxspoke/node/peers.py
+++ b/src/onyxspoke/node/peers.py
@@ -17,6 +17,7 @@
 from onyxspoke.net.network import Network
 from onyxspoke.net.stream import MessageStream
 from onyxspoke.node.messages import Hello, NodeMessage
+from onyxspoke.node.settings import Address
 
 #: A stream on which nothing is heard for so long is ended.
 SILENCE_SECONDS = 0.8
@@ -117,19 +118,39 @@
 
 
 class PeerLinks(Service):
-    """All streams of one node."""
+    """All streams of one node.
 
-    def __init__(self, network: Network, identity: NodeIdentity, listener: PeerListener) -> None:
+    Parameters
+    ----------
+    network : Network
+        Connections and timers.
+    identity : NodeIdentity
+        Says to peers who this node is, and where they reach it.
+    listener : PeerListener
+        Receives what happens.
+    listens_at : Address, optional
+        Where this node listens, if peers reach it at another address.
+    """
+
+    def __init__(
+        self,
+        network: Network,
+        identity: NodeIdentity,
+        listener: PeerListener,
+        listens_at: Address | None = None,
+    ) -> None:
         self._network = network
         self._identity = identity
         self._listener = listener
+        self._listens_at = listens_at or Address(identity.host, identity.port)
         self.outgoing: dict[str, PeerLink] = {}
         self.incoming: dict[str, PeerLink] = {}
         self._listening: IListeningPort | None = None
 
     def listen(self) -> Deferred[IListeningPort]:
         """Open the server for the peers' streams."""
-        endpoint = self._network.endpoints.server(self._identity.host, self._identity.port)
+        address = self._listens_at
+        endpoint = self._network.endpoints.server(address.host, address.port)
         listening: Deferred[IListeningPort] = endpoint.listen(
             Factory.forProtocol(self._build_incoming)
         )
@@ -146,7 +167,7 @@
 
     def connect(self, host: str, port: int) -> None:
         """Have a stream to a node, unless there is one or it is being opened."""
-        if host in self.outgoing or host == self._identity.host:
+        if host in self.outgoing or host in (self._identity.host, self._listens_at.host):
             return
         link = PeerLink(host, is_outgoing=True)
         link.opened_at = self._network.reactor.seconds()
--- a/src/onyxspoke/node/settings.py
+++ b/src/onyxspoke/node/settings.py
@@ -33,6 +33,10 @@
         Name of the machine.
     host : str
         The machine's own address.
+    advertised : Address or None
+        Where peers reach this node's peer port, if that is not ``host`` and ``peer_port``.
+    connects_from_host : bool
+        Whether outgoing connections are opened from ``host``, whatever the route prefers.
     callers : Address
         Where callers connect.
     readiness : Address
@@ -67,6 +71,8 @@
     peer_port: int
     metrics_port: int
     operator_port: int
+    advertised: Address | None = None
+    connects_from_host: bool = False
     seeds: tuple[str, ...] = ()
     stop_grace_seconds: float = 6.0
     shard_options: ShardOptions = ShardOptions()
@@ -76,3 +82,13 @@
     layout_settle_seconds: float = 0.4
     store_budget: StoreBudget = StoreBudget()
     key_trust_seconds: float = 9.0
+
+    @property
+    def peer_address(self) -> Address:
+        """Where this node listens for peers."""
+        return Address(self.host, self.peer_port)
+
+    @property
+    def told_address(self) -> Address:
+        """Where peers are told to connect."""
+        return self.advertised or self.peer_address
--- a/src/onyxspoke/platform/settings.py
+++ b/src/onyxspoke/platform/settings.py
@@ -90,6 +90,8 @@
         peer_port=ports[PEER_PORT_INDEX],
         metrics_port=ports[METRICS_PORT_INDEX],
         operator_port=ports[OPERATOR_PORT_INDEX],
+        advertised=reader.optional_reachable("advertised"),
+        connects_from_host=_read_connects_from_host(reader),
         seeds=tuple(seed.rpartition(":")[0] for seed in reader.texts("seeds")),
         stop_grace_seconds=reader.fraction("bounds.graceS", 0.0, 3_600.0),
         shard_options=_read_options(reader),
@@ -120,6 +122,14 @@
     return settings
 
 
+def _read_connects_from_host(reader: SettingsReader) -> bool:
+    """Return whether connections are opened from ``ip``, which has to be an address then."""
+    is_wanted = reader.flag("connectFromIp")
+    if is_wanted:
+        reader.host_address("ip")
+    return is_wanted
+
+
 def _read_options(reader: SettingsReader) -> ShardOptions:
     return ShardOptions(
         maximum_hold_ms=reader.whole("bounds.maxHoldMs", 100, 3_600_000),
--- a/src/onyxspoke/platform/settings_reader.py
+++ b/src/onyxspoke/platform/settings_reader.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from ipaddress import IPv4Address
 from typing import Generic, TypeVar
 
 import msgspec
@@ -15,6 +16,7 @@
 from onyxspoke.node.settings import Address
 
 HIGHEST_PORT = 65_535
+_BROADCAST = IPv4Address("255.255.255.255")
 
 Value = TypeVar("Value", int, float)
 
@@ -84,6 +86,27 @@
         value = self._value(name)
         return self._parse_address(name, value) if value else None
 
+    def optional_reachable(self, name: str) -> Address | None:
+        """Return an address that others can connect to, or None where none is given."""
+        address = self.optional_address(name)
+        if address is not None and address.host and not _is_host_address(address.host):
+            self.faults.append(f"{name}: expected IPV4:PORT of one host, got {self._value(name)!r}")
+        return address
+
+    def host_address(self, name: str) -> str:
+        """Return the IPv4 address of one host; one that is missing is told of by others."""
+        value = self._value(name)
+        if value and not _is_host_address(value):
+            self.faults.append(f"{name}: expected the IPv4 address of one host, got {value!r}")
+        return value
+
+    def flag(self, name: str) -> bool:
+        """Return whether something is switched on; it is off where nothing is said."""
+        value = self._value(name).casefold()
+        if value not in ("", "true", "false"):
+            self.faults.append(f"{name}: expected true or false, got {self._value(name)!r}")
+        return value == "true"
+
     def ports(self, name: str, needed: int) -> tuple[int, ...]:
         """Return the first ports of a range given as its first and last port."""
         try:
@@ -141,3 +164,12 @@
 def _fold(name: str) -> str:
     """Return a name without what differs between its spellings."""
     return name.replace("_", "").casefold()
+
+
+def _is_host_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address at which one host can be reached."""
+    try:
+        address = IPv4Address(text)
+    except ValueError:
+        return False
+    return not (address.is_unspecified or address.is_multicast or address == _BROADCAST)
