Audit: a start over a second after the job was shown as completed is a violation

Seen by callers: nothing; a check that was missing.

Cause: an end `done` whose lease lapsed before a node acknowledged it counted as void for good. Where a holder had read that end, completed the job and shown it, a further start of the task went unseen.

Change: the audit keeps when a job was first shown as completed, and a start over a second later is `run_after_done`. The other half of the rule (a start after an end `done` that is noted then or later, without a lapse of the lease between) was checked before; scenarios show it now.

Tests: soak.feature, two outlines of 7 cases.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -27,6 +27,41 @@
     And "callers" have told everything until 9.0
     Then the soak audit found "two_runs"
 
+  Scenario Outline: A start after an end that is noted then or later is found, unless the lease lapsed between
+    Given a soak audit that hears from "workers" and "callers"
+    And "callers" told that a job was handed in at 1.0
+    When "workers" tell of a start on worker "a" at 2.0
+    And "workers" tell of an end "done" on worker "a" at 3.0
+    And "workers" tell <first> at 3.5
+    And "workers" tell of a start on worker "b" at 5.0
+    And "workers" tell <then> at 6.0
+    And "callers" have told everything until 9.0
+    Then the soak audit found "<violations>"
+
+    Examples:
+      | first                                 | then                                  | violations     |
+      | that the end on worker "a" is noted   | of nothing                            | run_after_done |
+      | of nothing                            | that the end on worker "a" is noted   | run_after_done |
+      | of nothing                            | of nothing                            |                |
+      | that the lease of worker "a" is over  | that the end on worker "a" is noted   |                |
+
+  Scenario Outline: A start over a second after the job was shown as completed is found
+    Given a soak audit that hears from "workers" and "callers"
+    And "callers" told that a job was handed in at 1.0
+    When "workers" tell of a start on worker "a" at 2.0
+    And "workers" tell of an end "done" on worker "a" at 3.0
+    And "workers" tell that the lease of worker "a" is over at 3.5
+    And "callers" tell that the job is shown as "<state>" at 4.0
+    And "workers" tell of a start on worker "b" at <at>
+    And "callers" have told everything until 9.0
+    Then the soak audit found "<violations>"
+
+    Examples:
+      | state     | at  | violations     |
+      | completed | 5.1 | run_after_done |
+      | completed | 4.9 |                |
+      | running   | 5.1 |                |
+
   Scenario: Nothing is checked before every process has told what came before
     Given a soak audit that hears from "workers" and "callers"
     When "workers" tell of a start on worker "a" at 2.0
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -14,6 +14,7 @@
 from onyxspoke.core.jobs.model import ResourceVector, RunKey, StepSpec, TaskKey
 from onyxspoke.core.jobs.states import RunEnd
 from onyxspoke.core.placement.worker_record import WorkerRecord
+from onyxspoke.core.shard.calls import CallReply, ReplyCode
 from onyxspoke.node.settings import Address
 from onyxspoke.soak import events
 from onyxspoke.soak.event_audit import EventAudit
@@ -100,6 +101,35 @@
     _tell(context, "workers", events.RunEnded(at, worker, run, RunEnd.LEASE_EXPIRED))
 
 
+@when('"workers" tell of an end "{end}" on worker "{worker}" at {at:f}')
+def _end(context, end, worker, at):
+    run = context.soak_runs[worker]
+    _tell(context, "workers", events.RunEnded(at, worker, run, RunEnd(end)))
+
+
+@when('"workers" tell that the end on worker "{worker}" is noted at {at:f}')
+def _noted(context, worker, at):
+    run = context.soak_runs[worker]
+    _tell(context, "workers", events.RunNoted(at, worker, run, RunEnd.DONE))
+
+
+@when('"workers" tell that the lease of worker "{worker}" is over at {at:f}')
+def _lease_over(context, worker, at):
+    run = context.soak_runs[worker]
+    _tell(context, "workers", events.LeaseLapsed(at, worker, (run,)))
+
+
+@when('"workers" tell of nothing at {at:f}')
+def _passed(context, at):
+    _tell(context, "workers", events.Passed(at))
+
+
+@when('"callers" tell that the job is shown as "{state}" at {at:f}')
+def _shown(context, state, at):
+    reply = CallReply(code=ReplyCode.OK, state=state)
+    _tell(context, "callers", events.StateAnswered(at, JOB.job_id, reply))
+
+
 @when('"{name}" have told everything until {at:f}')
 def _told_until(context, name, at):
     _tell(context, "workers", events.Passed(at))
@@ -114,9 +144,10 @@
 
 
 @then('the soak audit found "{violation}"')
-def _found(context, violation):
+@then('the soak audit found ""')
+def _found(context, violation=""):
     found = [finding.violation.value for finding in context.soak_audit.audit.findings]
-    assert found == [violation], found
+    assert found == ([violation] if violation else []), found
 
 
 @given("a stand-in's timers")
--- a/src/onyxspoke/kit/jobs/audit.py
+++ b/src/onyxspoke/kit/jobs/audit.py
@@ -24,6 +24,8 @@
 
 #: A task of a cancelled job may start so long after the cancel was acknowledged.
 CANCEL_SECONDS = 3.0
+#: A task of a job that was shown as completed must not start so long after.
+COMPLETED_SECONDS = 1.0
 #: A worker's room that has shrunk counts so long after the worker said so.
 ROOM_SECONDS = 0.5
 #: A task may be given up once so many workers have crashed under it.
@@ -76,6 +78,8 @@
     spec: JobSpec
     replies: Counter[ReplyCode] = field(default_factory=Counter)
     accepted_at: float | None = None
+    #: When a caller was first told that the job is completed.
+    completed_at: float | None = None
     cancelled_at: float | None = None
     cancel_sent: bool = False
     has_started: bool = False
@@ -273,7 +277,7 @@
         if task.running:
             self.note(Violation.TWO_RUNS, f"{run} by {node}, beside {list(task.running)}")
         task.running[(worker.worker_id, run)] = None
-        if task.is_done_noted:
+        if task.is_done_noted or self._is_shown_completed(facts):
             self.note(Violation.RUN_AFTER_DONE, f"{run} by {node}")
         for done in task.open_done:
             task.open_done[done] = True
@@ -288,6 +292,11 @@
         if cancelled_at is not None and self._timers.now() > cancelled_at + CANCEL_SECONDS:
             self.note(Violation.AFTER_CANCEL, f"{run} by {node}")
 
+    def _is_shown_completed(self, facts: _JobFacts) -> bool:
+        """Return whether a caller was told some time ago that the job is completed."""
+        completed_at = facts.completed_at
+        return completed_at is not None and self._timers.now() > completed_at + COMPLETED_SECONDS
+
     def _check_attempts(self, run: RunKey, task: TaskFacts) -> None:
         """No start comes after the last attempt, counted by ends that are ever noted."""
         spec = self.jobs[run.task.job_id].spec
@@ -321,6 +330,8 @@
     def _check_state(self, facts: _JobFacts, state: str) -> None:
         spec = facts.spec
         if state == "completed":
+            if facts.completed_at is None:
+                facts.completed_at = self._timers.now()
             for number, step in enumerate(spec.steps):
                 for repetition in range(max(1, spec.schedule.count)):
                     key = StepKey(spec.job_id, repetition, number)
