Log the ends that are read and not used, and what a new holder has read

Cause: an end that a worker reported, and that was acknowledged without effect, left no line; nor did a worker that answered after its lease counted as over. What a new holder had read could not be compared with what the former one had been acknowledged. No logic is changed.

end_ignored (20 lines an answer at most, then ends_ignored) tells the reason and what is known of the lease: kept, where the clock's reading lies within a lease that was granted in an answered hold; lapsed, where it lies above every lease of this holder; else unknown. worker_returned tells the same. step_down tells the last append that was acknowledged and the partition's end after it; state_restored the token and the end at the last page.

--- /dev/null
+++ b/features/ends_of_runs.feature
@@ -0,0 +1,42 @@
+Feature: Ends of runs that come late or unexpectedly
+
+  A worker tells the end of a run until the holder has acknowledged it.  An end that is acknowledged
+  and not used must not have a task run again that is done, and an end that came before a lease
+  lapsed does not count.
+
+  # Without a line for such an end, a task that ran again could not be explained from the logs.
+  Scenario: An end of a run that was abandoned with its lease is logged as ignored
+    Given a cell of 2 workers whose tasks take 4 seconds
+    And the only worker that runs a task is cut off from all nodes
+    When 9 seconds pass in that cell
+    And that worker is reached again
+    And 1 seconds pass in that cell
+    Then a line "worker_returned" tells lease lapsed, running 0, ended 1
+    And a line "end_ignored" tells how done, reason counted, ended_as abandoned, lease lapsed
+    And the cluster has broken nothing
+
+  Scenario: An end that a new holder reads while another run of the task is under way is logged
+    Given a cell of 2 workers whose tasks take 4 seconds
+    When the holder is killed, and its successor cannot reach the worker that runs the job
+    And 12 seconds pass in that cell
+    And that worker is reached again
+    And 1 seconds pass in that cell
+    Then a line "end_ignored" tells how done, reason other_run, other_state running, lease unknown
+    And the cluster has broken nothing
+
+  Scenario: The lines for ignored ends in one answer of a worker are bounded
+    When 30 ends in one answer are ignored
+    Then 20 lines "end_ignored" and one "ends_ignored" with more 10 are logged
+
+  # Told apart by them: a new holder that restored a state without an end.
+  Scenario Outline: A new holder has read all that the store acknowledged to the former one: <change>
+    Given a cell of 2 workers whose tasks take 4 seconds
+    When the holder changes because it is <change>
+    Then the line "state_restored" tells an end that is not before the former holder's last append
+    And the line "step_down" of the former holder tells the same append, if it gave the shard up
+
+    Examples:
+      | change                   |
+      | killed                   |
+      | paused                   |
+      | cut off from the store   |
--- /dev/null
+++ b/features/steps/end_steps.py
@@ -0,0 +1,161 @@
+"""Steps about ends of runs that come late, or of runs that count as ended already."""
+
+from __future__ import annotations
+
+from typing import Any
+from unittest import mock
+
+from behave import given, then, when
+from job_directed_steps import FIRST_JOB, _other_holder, _submit
+
+from onyxspoke.core.jobs.model import ResourceVector, RunKey, TaskKey
+from onyxspoke.core.jobs.states import RunEnd
+from onyxspoke.core.placement.worker_record import WorkerRecord
+from onyxspoke.core.placement.workers import LeaseVerdict, Worker
+from onyxspoke.core.shard.actions import DecisionLogLine
+from onyxspoke.core.shard.context import ShardContext, ShardOptions
+from onyxspoke.core.shard.ignored_ends import IgnoredEndLog, IgnoredEndReason
+from onyxspoke.core.shard.orders import EndReport
+from onyxspoke.kit.jobs.workers import WorkOptions
+from onyxspoke.node import seat
+from onyxspoke.sim.call_faults import STORE
+from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster
+
+SETTLE_SECONDS = 2.0
+#: How far a worker has come with a task before something happens to it.
+BEGUN_SECONDS = 1.0
+
+
+def _capture_lines(context: Any) -> None:
+    """Keep the lines that holders log, with the name of their node's process."""
+    context.lines = []
+    former = seat.ShardSeat._log_decision
+
+    def take(holder: Any, line: DecisionLogLine) -> None:
+        context.lines.append((line.event, dict(line.fields)))
+        former(holder, line)
+
+    patch = mock.patch.object(seat.ShardSeat, "_log_decision", take)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+def _start_cell(context: Any, workers: int, seconds: float) -> None:
+    _capture_lines(context)
+    work = WorkOptions(seed=5, shortest_seconds=seconds, longest_seconds=seconds)
+    options = ClusterOptions(seed=5, workers=workers, with_advice=False, work=work)
+    context.cluster = JobCluster(options)
+    context.cluster.start()
+    context.cluster.run(SETTLE_SECONDS)
+    context.holder = context.cluster.holder()
+
+
+@given("a cell of {count:d} workers whose tasks take {seconds:g} seconds")
+def _cell(context: Any, count: int, seconds: float) -> None:
+    _start_cell(context, count, seconds)
+    _submit(context, FIRST_JOB)
+    context.busy = _busy_workers(context)
+
+
+def _busy_workers(context: Any) -> list[str]:
+    return [worker.worker_id for worker in context.cluster.pool.workers.values() if worker.runs]
+
+
+@given("the only worker that runs a task is cut off from all nodes")
+def _cut_busy(context: Any) -> None:
+    assert len(context.busy) == 1
+    for node in context.cluster.nodes.values():
+        context.cluster.cut(node.host, context.busy)
+
+
+@when("that worker is reached again")
+def _heal_busy(context: Any) -> None:
+    for node in context.cluster.nodes.values():
+        context.cluster.heal(node.host, context.busy)
+
+
+def _lines(context: Any, event: str) -> list[dict[str, Any]]:
+    return [fields for name, fields in context.lines if name == event]
+
+
+@then('a line "{event}" tells {facts}')
+def _line_tells(context: Any, event: str, facts: str) -> None:
+    wanted = dict(fact.split(" ") for fact in facts.split(", "))
+    lines = _lines(context, event)
+    told = [{name: str(line.get(name)) for name in wanted} for line in lines]
+    assert wanted in told, lines
+
+
+@when("{count:d} ends in one answer are ignored")
+def _ignore_ends(context: Any, count: int) -> None:
+    record = WorkerRecord(
+        worker_id="w",
+        host="10.9.0.1",
+        port=8_000,
+        service="service",
+        zone="zone",
+        capacity=ResourceVector(1_000, 1_000, 0),
+    )
+    context.shard = ShardContext(ShardOptions(), token=7)
+    worker = Worker(record, 0.0)
+    log = IgnoredEndLog(context.shard, worker, 1_000, LeaseVerdict.UNKNOWN)
+    for number in range(1, count + 1):
+        key = RunKey(TaskKey(FIRST_JOB, 0, 0, number), 1)
+        log.note(EndReport(number, key, RunEnd.DONE), IgnoredEndReason.UNKNOWN_TASK)
+    log.close()
+
+
+@then('{count:d} lines "{event}" and one "{other}" with more {more:d} are logged')
+def _bounded_lines(context: Any, count: int, event: str, other: str, more: int) -> None:
+    lines = [(line.event, dict(line.fields)) for line in context.shard.actions]
+    assert len([name for name, _ in lines if name == event]) == count, lines
+    assert [fields["more"] for name, fields in lines if name == other] == [more], lines
+
+
+@when("the holder changes because it is {change}")
+def _change_holder(context: Any, change: str) -> None:
+    context.step_downs = []
+
+    def take(text: str, *values: Any) -> None:
+        if text.startswith("event=step_down"):
+            context.step_downs.append(text % values)
+
+    patch = mock.patch.object(seat.logging, "info", take)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    cluster, holder = context.cluster, context.holder
+    context.commit = holder.node.seats[0].scheduler.context.commit
+    context.lines.clear()
+    if change == "killed":
+        cluster.kill_node(holder.name)
+    elif change == "paused":
+        holder.process.pause()
+    else:
+        others = [node.host for node in cluster.nodes.values() if node is not holder]
+        cluster.cut(holder.host, [STORE, *others])
+    _other_holder(context)
+    cluster.run(BEGUN_SECONDS)
+    if change == "paused":
+        holder.process.resume()
+        cluster.run(BEGUN_SECONDS)
+
+
+@then('the line "{event}" tells an end that is not before the former holder\'s last append')
+def _read_all(context: Any, event: str) -> None:
+    restored = _lines(context, event)
+    assert len(restored) == 1, restored
+    kept = context.commit.acknowledged_end
+    assert 0 < kept < restored[0]["token"] <= restored[0]["read_end"], (kept, restored)
+
+
+@then('the line "{event}" of the former holder tells the same append, if it gave the shard up')
+def _told_at_end(context: Any, event: str) -> None:
+    commit = context.commit
+    told = (
+        f"token={commit.epoch} acknowledged={commit.acknowledged_sequence}"
+        f" acknowledged_end={commit.acknowledged_end}"
+    )
+    lines = [line for line in context.step_downs if line.startswith(f"event={event} ")]
+    gave_up = context.holder.process.alive
+    assert len(lines) == int(gave_up), context.step_downs
+    assert all(line.endswith(told) for line in lines), (lines, told)
--- a/src/onyxspoke/core/placement/workers.py
+++ b/src/onyxspoke/core/placement/workers.py
@@ -17,6 +17,9 @@
 
 #: The largest number of ended runs remembered for each worker.
 MAX_ENDED_RUNS = 400
+#: A lease that a worker has granted ends at most this long before the time that was asked for: the
+#: worker cuts it down to the longest lease, and its clock may be behind the holder's estimate.
+GRANTED_LEASE_MARGIN_MS = 250
 #: The largest number of start times remembered for the previous incarnations of a worker name.  An
 #: entry of the directory may be out of date by seconds; in that time no worker restarts more often
 #: than this.
@@ -45,13 +48,29 @@
 }
 
 
+class LeaseVerdict(Enum):
+    """Whether a worker's lease lapsed between its last list of runs and the present one.
+
+    ``KEPT``: certainly not.  ``LAPSED``: its clock has passed every lease that was granted.
+    ``UNKNOWN``: it may have.
+    """
+
+    KEPT = "kept"
+    LAPSED = "lapsed"
+    UNKNOWN = "unknown"
+
+
 @dataclass(slots=True)
 class HoldInFlight:
-    """A hold request that is not answered yet; ``sent_at`` is 0 if there is none."""
+    """A hold request that is not answered yet; ``sent_at`` is 0 if there is none.
+
+    ``until_ms`` is the end of the lease that it asks for, 0 if it does not extend the lease.
+    """
 
     sent_at: float = 0.0
     number: int = 0
     wait_seconds: float = 0.0
+    until_ms: int = 0
 
 
 class Worker:
@@ -97,6 +116,9 @@
     lease_until_ms : int
         The reading of the worker's clock, in milliseconds, until which this holder may have allowed
         runs to continue.
+    kept_lease_until_ms : int
+        The reading of the worker's clock up to which its lease has certainly not lapsed since its
+        latest list of runs; 0 if that is not known.
     unanswered_order_at : float
         When a start order was left without an answer; 0 once a later poll is answered.
     retry_at : float
@@ -156,6 +178,7 @@
         self.was_used_by_previous_holder = False
         self.previous_lease_expires_at = previous_lease_expires_at
         self.lease_until_ms = 0
+        self.kept_lease_until_ms = 0
         self.retry_at = 0.0
         self.unanswered_order_at = 0.0
         self.hold_answered_at = 0.0
@@ -301,6 +324,21 @@
         """Record that the worker's runs may now continue until a reading of its clock."""
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
 
+    def note_granted_lease(self, until_ms: int) -> None:
+        """Record that the worker has answered a hold that asked for a lease."""
+        if until_ms:
+            granted_ms = until_ms - GRANTED_LEASE_MARGIN_MS
+            self.kept_lease_until_ms = max(self.kept_lease_until_ms, granted_ms)
+
+    def lease_verdict(self, clock_ms: int) -> LeaseVerdict:
+        """Return whether the lease lapsed before a reading of the clock in a new list of runs."""
+        if clock_ms <= self.kept_lease_until_ms:
+            return LeaseVerdict.KEPT
+        is_bound_known = self.contact is not WorkerContact.UNRECONCILED and self.lease_until_ms > 0
+        if is_bound_known and clock_ms > self.lease_until_ms:
+            return LeaseVerdict.LAPSED
+        return LeaseVerdict.UNKNOWN
+
     def lease_over_at(self) -> float:
         """Return the holder's time by which every lease granted so far has expired."""
         if self.contact is WorkerContact.UNRECONCILED or not self.clock.is_known:
--- a/src/onyxspoke/core/shard/commit.py
+++ b/src/onyxspoke/core/shard/commit.py
@@ -80,6 +80,9 @@
         Shortest pause between two appends.
     latest_call_seconds : float
         Duration of the latest call that the store answered.
+    acknowledged_sequence, acknowledged_end : int
+        Sequence number of the last append that the store acknowledged, and where the partition
+        ended after it; -1 if there was none, or the answer did not tell.
     """
 
     shard: ShardId
@@ -91,6 +94,8 @@
     is_dirty: Callable[[], bool]
     interval_seconds: float = MINIMUM_COMMIT_INTERVAL_SECONDS
     latest_call_seconds: float = 0.0
+    acknowledged_sequence: int = -1
+    acknowledged_end: int = -1
     _effects: list[Effect] = field(default_factory=list)
     _proof_effects: list[Effect] = field(default_factory=list)
     #: Appends that the store has not acknowledged, in the order of their sequence numbers.
@@ -189,6 +194,7 @@
             return True
         batch.calls_in_flight -= 1
         if result.outcome is AppendOutcome.DONE:
+            self.acknowledged_sequence, self.acknowledged_end = sequence, result.end
             self._acknowledge(batch, result.call_seconds or now - sent_at, now)
             return True
         may_have_overtaken = sent_at < batch.predecessors_acknowledged_at
--- a/src/onyxspoke/core/shard/journal.py
+++ b/src/onyxspoke/core/shard/journal.py
@@ -190,9 +190,19 @@
 
 
 def restore_records(
-    context: ShardContext, worker_registry: WorkerRegistry, records: list[ShardRecord], now: float
+    context: ShardContext,
+    worker_registry: WorkerRegistry,
+    records: list[ShardRecord],
+    now: float,
+    read_end: int = -1,
 ) -> None:
-    """Restore a new holder's state from records; log unreadable records and leave them stored."""
+    """Restore a new holder's state from records; log unreadable records and leave them stored.
+
+    Parameters
+    ----------
+    read_end : int
+        Where the partition ended when the last of the records were read; -1 if that is not known.
+    """
     layout = find_layout(records)
     if layout is not None:
         context.emit(LayoutKnown(layout))
@@ -212,7 +222,13 @@
         _restore_job(context, job_id, data, progress.pop(job_id, None), now)
     for job_id, stored_progress in progress.items():
         context.job_registry.restore_finished(job_id, stored_progress, now)
-    context.log("state_restored", jobs=len(context.job_registry.jobs), records=len(records))
+    context.log(
+        "state_restored",
+        jobs=len(context.job_registry.jobs),
+        records=len(records),
+        token=context.token,
+        read_end=read_end,
+    )
 
 
 def _restore_quota_loans(context: ShardContext, record: ShardRecord) -> None:
--- a/src/onyxspoke/core/shard/run_reconciler.py
+++ b/src/onyxspoke/core/shard/run_reconciler.py
@@ -6,8 +6,9 @@
 from onyxspoke.core.jobs.progress import StepProgress, TaskProgress, task_with_checkpoint
 from onyxspoke.core.jobs.states import RunEnd, RunState, TaskState
 from onyxspoke.core.placement.runs import GangRun, Run, task_log_name
-from onyxspoke.core.placement.workers import Worker
+from onyxspoke.core.placement.workers import LeaseVerdict, Worker
 from onyxspoke.core.shard.context import ShardContext
+from onyxspoke.core.shard.ignored_ends import IgnoredEndLog, IgnoredEndReason
 from onyxspoke.core.shard.orders import EndReport, HoldResult, RunningReport
 from onyxspoke.core.shard.run_manager import RunManager
 
@@ -30,14 +31,20 @@
     def reconcile(self, worker: Worker, result: HoldResult, sent_at: float, now: float) -> None:
         """Process a worker's lists of runs and ends; the hold was sent at ``sent_at``."""
         is_latest = result.clock_ms >= worker.listed_clock_ms
+        verdict = worker.lease_verdict(result.clock_ms) if is_latest else LeaseVerdict.UNKNOWN
+        ignored = IgnoredEndLog(self._context, worker, result.clock_ms, verdict)
         for report in result.ended:
             if report.number > worker.processed_through:
                 worker.processed_through = report.number
-                self._process_end(worker, report, now)
+                self._process_end(worker, report, ignored, now)
+        ignored.close()
         if not is_latest:
             self._log_outdated_list(worker, result)
             return
         worker.listed_clock_ms = result.clock_ms
+        if not result.is_complete:
+            # An end beyond the list may have come long before the next one.
+            worker.kept_lease_until_ms = 0
         listed_keys = set()
         for running in result.running:
             listed_keys.add(running.run)
@@ -63,7 +70,9 @@
             told_through=worker.acknowledged_through,
         )
 
-    def _process_end(self, worker: Worker, report: EndReport, now: float) -> None:
+    def _process_end(
+        self, worker: Worker, report: EndReport, ignored: IgnoredEndLog, now: float
+    ) -> None:
         run = worker.runs.get(report.run)
         if run is not None:
             self._context.job_registry.task_run_confirmed(run.task, now)
@@ -71,13 +80,24 @@
             self._run_manager.log_end(run, report)
             self._context.durations.observe_run_end(run, report.end, now)
             self._run_manager.end_run(run, report.end, now)
-        elif report.run not in worker.ended_runs:
-            self._process_unknown_end(worker, report, now)
-
-    def _process_unknown_end(self, worker: Worker, report: EndReport, now: float) -> None:
+        elif report.run in worker.ended_runs:
+            ended_as = worker.ended_runs[report.run].value
+            ignored.note(report, IgnoredEndReason.COUNTED, ended_as=ended_as)
+        else:
+            self._process_unknown_end(worker, report, ignored, now)
+
+    def _process_unknown_end(
+        self, worker: Worker, report: EndReport, ignored: IgnoredEndLog, now: float
+    ) -> None:
         """Process the end of a run that a previous holder started."""
         task = self._context.job_registry.find_task(report.run.task)
-        if task is None or task.state is TaskState.DONE or task.step.job.state.is_final:
+        if task is None:
+            ignored.note(report, IgnoredEndReason.UNKNOWN_TASK)
+            return
+        if task.state is TaskState.DONE or task.step.job.state.is_final:
+            is_done = task.state is TaskState.DONE
+            reason = IgnoredEndReason.TASK_DONE if is_done else IgnoredEndReason.JOB_FINAL
+            ignored.note(report, reason)
             return
         step = task.step
         step.last_run_number = max(step.last_run_number, report.run.number)
@@ -93,6 +113,13 @@
         is_final_success = report.end is RunEnd.DONE and not step.spec.long_running
         if is_final_success and task.run is None:
             self._run_manager.complete_task(task, now)
+        elif is_final_success and task.run is not None:
+            ignored.note(
+                report,
+                IgnoredEndReason.OTHER_RUN,
+                other_run=task.run.number,
+                other_state=task.run.state.name.lower(),
+            )
         elif report.end is RunEnd.FAILED:
             task.last_failed_worker_id = worker.worker_id
             self._context.job_registry.task_failed(task, report.run.number, now)
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -148,7 +148,12 @@
     # Recovery
 
     def recover(
-        self, records: list[ShardRecord], previous_token: int, now: float, wall_ms: float
+        self,
+        records: list[ShardRecord],
+        previous_token: int,
+        now: float,
+        wall_ms: float,
+        read_end: int = -1,
     ) -> list[ShardAction]:
         """Restore the shard's state from the records in the store.
 
@@ -156,11 +161,13 @@
         ----------
         previous_token : int
             Fencing token of the claim that this process replaced; 0 if there was none.
+        read_end : int
+            Where the partition ended when the last of the records were read; -1 if not known.
         """
         self.context.job_registry.starts_are_recorded = starts_are_recorded(records, previous_token)
         self.context.wall_offset_ms = wall_ms - now * _MILLISECONDS
         self.context.job_registry.is_recovering = True
-        restore_records(self.context, self.worker_registry, records, now)
+        restore_records(self.context, self.worker_registry, records, now, read_end)
         for worker_id in self.context.job_registry.workers_with_tasks_in_doubt():
             if worker_id not in self.context.table.workers:
                 # A worker's record is deleted only once the worker certainly runs nothing.
--- a/src/onyxspoke/core/shard/worker_manager.py
+++ b/src/onyxspoke/core/shard/worker_manager.py
@@ -116,12 +116,13 @@
         self._last_hold_number += 1
         hold.number = self._last_hold_number
         hold.wait_seconds = wait_ms / _MILLISECONDS
-        until_ms = 0
+        until_ms = hold.until_ms = 0
         # An unresponsive worker may receive our holds although its answers are lost.  Such holds
         # must not extend its lease, or the lease would never expire.
         is_reconciled = worker.contact is WorkerContact.RECONCILED
         if is_reconciled and worker.clock.is_known and context.may_send_orders(now):
             until_ms = worker.clock.estimate_ms(now) + context.options.maximum_hold_ms
+            hold.until_ms = until_ms
             worker.extend_lease(until_ms)
         context.emit(
             SendHold(
@@ -145,6 +146,7 @@
         has_ended_early = now - sent_at < hold.wait_seconds + EARLY_END_TOLERANCE_SECONDS
         if result.outcome is OrderOutcome.DONE:
             self._process_answer(worker, result, sent_at, now)
+            worker.note_granted_lease(hold.until_ms)
         elif result.outcome is OrderOutcome.FENCED:
             self._context.step_down(StepDownReason.WORKER_FENCED)
         elif result.outcome is OrderOutcome.OTHER_INCARNATION:
@@ -170,6 +172,8 @@
         worker.hold_answered_at = now
         worker.note_answer(now)
         was_reconciled = worker.contact is WorkerContact.RECONCILED
+        if worker.contact is WorkerContact.ENDED:
+            self._log_return(worker, result)
         self._reconciler.reconcile(worker, result, sent_at, now)
         if not was_reconciled:
             self._mark_reconciled(worker, result, now)
@@ -177,6 +181,18 @@
             self._reconciler.settle_worker(worker, now)
         self._after_answer(worker, now)
 
+    def _log_return(self, worker: Worker, result: HoldResult) -> None:
+        """Log that a worker answers whose lease counted as over."""
+        self._log_worker(
+            worker,
+            "worker_returned",
+            clock_ms=result.clock_ms,
+            lease_until_ms=worker.lease_until_ms,
+            lease=worker.lease_verdict(result.clock_ms).value,
+            running=len(result.running),
+            ended=len(result.ended),
+        )
+
     def _mark_reconciled(self, worker: Worker, result: HoldResult, now: float) -> None:
         if worker.contact is WorkerContact.UNRECONCILED:
             # A previous holder may have extended the lease just before.
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -277,7 +277,15 @@
         """Give the shard up, if it is held."""
         if self.scheduler is None:
             return
-        logging.info("event=step_down shard=%d reason=%s", self.shard, reason.value)
+        commit = self.scheduler.context.commit
+        logging.info(
+            "event=step_down shard=%d reason=%s token=%d acknowledged=%d acknowledged_end=%d",
+            self.shard,
+            reason.value,
+            commit.epoch,
+            commit.acknowledged_sequence,
+            commit.acknowledged_end,
+        )
         self.scheduler = None
         self._replies.clear()
         self._directory.stop_watching()
@@ -369,7 +377,7 @@
         if not self._is_ours(records):
             self.step_down(StepDownReason.STORE_FENCED)
             return
-        self._finish_takeover(scheduler, records)
+        self._finish_takeover(scheduler, records, page.end)
 
     def _is_ours(self, records: list[ShardRecord]) -> bool:
         """Return whether the claim that stands in the store is ours."""
@@ -382,13 +390,16 @@
                 )
         return False
 
-    def _finish_takeover(self, scheduler: ShardScheduler, records: list[ShardRecord]) -> None:
+    def _finish_takeover(
+        self, scheduler: ShardScheduler, records: list[ShardRecord], read_end: int
+    ) -> None:
         now = self._clock.now()
         self._is_ready = True
         self.held_since = now
         scheduler.on_policy(self._policy, now)
         wall_ms = self._listener.time_of_day_ms()
-        for action in scheduler.recover(records, self._previous_token, now, wall_ms):
+        actions = scheduler.recover(records, self._previous_token, now, wall_ms, read_end)
+        for action in actions:
             self._carry_out(action)
         self._directory.watch(self)
         self._listener.handle_holding(self.shard, True)
