Take in the end of a run that counts as not started or abandoned, where the lease was kept

Cause: an end 'done' of such a run was acknowledged and dropped, also at a worker in contact all along, so the task ran again after an end that was taken note of, perhaps more than a second after.

Change: where the reading of the worker's clock lies within a lease that it has granted in an answered hold, no lease lapsed since the list before, so the end counts: the task is complete, a planned start of it is withdrawn, another run stopped. Where the lease may have lapsed, all stays as it was. Gangs and tasks that last are left out: the end of one member says nothing of members that count as ended elsewhere.

Callers saw a job that ran again, and its charge.

--- a/features/ends_of_runs.feature
+++ b/features/ends_of_runs.feature
@@ -40,3 +40,49 @@
       | killed                   |
       | paused                   |
       | cut off from the store   |
+
+  # The end was acknowledged and not used, and the task ran again.
+  Scenario: The end of a run that counts as not started completes its task
+    Given a cell of 1 worker whose tasks take 0.3 seconds, and whose first start counts as not sent
+    When 4 seconds pass in that cell
+    Then the first job is completed
+    And 1 run has started in that cell, and 0 have been stopped
+    And the cluster has broken nothing
+
+  Scenario: The end of a run that counts as not started withdraws a start that is planned
+    Given a cell of 2 workers whose tasks take 1 second, and whose first start counts as not sent
+    And the store goes away with that start, for 2 seconds
+    When 6 seconds pass in that cell
+    Then the first job is completed
+    And 1 run has started in that cell, and 0 have been stopped
+    And the cluster has broken nothing
+
+  Scenario: The end of a run that counts as not started stops the next run of its task
+    Given a cell of 1 worker whose tasks take 3 seconds, and whose first start counts as not sent
+    When 3.5 seconds pass in that cell
+    Then the first job is completed
+    And 2 runs have started in that cell, and 1 has been stopped
+
+  # The clock of the worker is so slow that its lease counts as over too early.
+  Scenario: An end from before a lease counted as over counts if the worker's clock shows no lapse
+    Given a cell of 1 worker with half the speed of its clock, whose tasks take 6 seconds
+    And the only worker that runs a task is cut off from all nodes
+    When 9 seconds pass in that cell
+    And that worker is reached again
+    And 4 seconds pass in that cell
+    Then a line "worker_returned" tells lease kept, running 0, ended 1
+    And the first job is completed
+    And 1 run has started in that cell, and 0 have been stopped
+    And the cluster has broken nothing
+
+  Scenario: An end from before a lapse of the lease does not count, and the task runs again
+    Given a cell of 1 worker whose tasks take 4 seconds, and which starts nothing else
+    And the only worker that runs a task is cut off from all nodes
+    When 9 seconds pass in that cell
+    And that worker is reached again
+    And 1 seconds pass in that cell
+    Then the first job is not completed
+    When 6 seconds pass in that cell
+    Then the first job is completed
+    And 2 runs have started in that cell, and 0 have been stopped
+    And the cluster has broken nothing
--- a/features/steps/end_steps.py
+++ b/features/steps/end_steps.py
@@ -6,17 +6,25 @@
 from unittest import mock
 
 from behave import given, then, when
-from job_directed_steps import FIRST_JOB, _other_holder, _submit
+from job_directed_steps import (
+    FIRST_JOB,
+    _call,
+    _other_holder,
+    _send,
+    _submit,
+    _whole_worker_job,
+)
 
 from onyxspoke.core.jobs.model import ResourceVector, RunKey, TaskKey
 from onyxspoke.core.jobs.states import RunEnd
 from onyxspoke.core.placement.worker_record import WorkerRecord
 from onyxspoke.core.placement.workers import LeaseVerdict, Worker
-from onyxspoke.core.shard.actions import DecisionLogLine
+from onyxspoke.core.shard.actions import DecisionLogLine, SendStart
+from onyxspoke.core.shard.calls import StateCall
 from onyxspoke.core.shard.context import ShardContext, ShardOptions
 from onyxspoke.core.shard.ignored_ends import IgnoredEndLog, IgnoredEndReason
-from onyxspoke.core.shard.orders import EndReport
-from onyxspoke.kit.jobs.workers import WorkOptions
+from onyxspoke.core.shard.orders import EndReport, OrderOutcome, OrderResult
+from onyxspoke.kit.jobs.workers import FakeWorker, WorkOptions
 from onyxspoke.node import seat
 from onyxspoke.sim.call_faults import STORE
 from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster
@@ -24,6 +32,8 @@
 SETTLE_SECONDS = 2.0
 #: How far a worker has come with a task before something happens to it.
 BEGUN_SECONDS = 1.0
+#: The speed of a clock that is far slower than any holder expects.
+SLOW_RATE = 0.5
 
 
 def _capture_lines(context: Any) -> None:
@@ -61,6 +71,101 @@
     return [worker.worker_id for worker in context.cluster.pool.workers.values() if worker.runs]
 
 
+def _start_cell_with_wrong_answer(context: Any, workers: int, seconds: float) -> None:
+    """Start a cell whose first start is carried out, while its sender counts it as not sent."""
+    _start_cell(context, workers, seconds)
+    cluster = context.cluster
+    context.store_away_seconds = 0.0
+    context.started_first = False
+
+    def wrap(worker: FakeWorker) -> None:
+        former = worker.start
+
+        def start(order: SendStart, node: str) -> OrderResult:
+            result = former(order, node)
+            if context.started_first:
+                return result
+            context.started_first = True
+            if context.store_away_seconds:
+                cluster.store.faults.is_down = True
+                cluster.time.schedule(
+                    context.store_away_seconds,
+                    lambda: setattr(cluster.store.faults, "is_down", False),
+                )
+            return OrderResult(OrderOutcome.NOT_SENT)
+
+        worker.start = start
+
+    for worker in cluster.pool.workers.values():
+        wrap(worker)
+
+
+@given(
+    "a cell of {count:d} worker whose tasks take {seconds:g} seconds, and whose first start counts"
+    " as not sent"
+)
+@given(
+    "a cell of {count:d} workers whose tasks take {seconds:g} second, and whose first start counts"
+    " as not sent"
+)
+def _wrong_answer(context: Any, count: int, seconds: float) -> None:
+    _start_cell_with_wrong_answer(context, count, seconds)
+    context.execute_steps("Given the first job is handed in")
+
+
+@given("the first job is handed in")
+def _hand_in(context: Any) -> None:
+    _send(context, _whole_worker_job(context, FIRST_JOB), 0.0)
+
+
+@given("the store goes away with that start, for {seconds:g} seconds")
+def _store_away(context: Any, seconds: float) -> None:
+    context.store_away_seconds = seconds
+
+
+@given(
+    "a cell of {count:d} worker with half the speed of its clock, whose tasks take {seconds:g}"
+    " seconds"
+)
+def _slow_clock(context: Any, count: int, seconds: float) -> None:
+    _start_cell(context, count, seconds)
+    for worker in context.cluster.pool.workers.values():
+        _slow_down(worker)
+    context.cluster.run(SETTLE_SECONDS)
+    _submit(context, FIRST_JOB)
+    context.busy = _busy_workers(context)
+
+
+def _slow_down(worker: FakeWorker) -> None:
+    """Let a worker's clock go on at half its speed, from what it shows now."""
+    now_ms = worker.clock_ms()
+    worker._born_at = worker._pool.timers.now()
+    worker._clock_base_ms = now_ms
+    worker._rate = SLOW_RATE
+
+
+@given(
+    "a cell of {count:d} worker whose tasks take {seconds:g} seconds, and which starts nothing else"
+)
+def _only_worker(context: Any, count: int, seconds: float) -> None:
+    _cell(context, count, seconds)
+
+
+@then("{started:d} run has started in that cell, and {stopped:d} have been stopped")
+@then("{started:d} runs have started in that cell, and {stopped:d} have been stopped")
+@then("{started:d} runs have started in that cell, and {stopped:d} has been stopped")
+def _run_counts(context: Any, started: int, stopped: int) -> None:
+    counts = context.cluster.audit.counts
+    assert (counts["starts"], counts["run_stopped"]) == (started, stopped), counts
+
+
+@then("the first job is not completed")
+def _not_completed(context: Any) -> None:
+    reply = _call(context, context.cluster.holder(), FIRST_JOB, StateCall(FIRST_JOB))
+    assert reply is not None
+    assert reply.state != "completed", reply
+
+
 @given("the only worker that runs a task is cut off from all nodes")
 def _cut_busy(context: Any) -> None:
     assert len(context.busy) == 1
--- a/src/onyxspoke/core/shard/ignored_ends.py
+++ b/src/onyxspoke/core/shard/ignored_ends.py
@@ -50,7 +50,7 @@
         self._context = context
         self._worker = worker
         self._clock_ms = clock_ms
-        self._verdict = verdict
+        self.verdict = verdict
         self._count = 0
 
     def note(self, report: EndReport, reason: IgnoredEndReason, **fields: FieldValue) -> None:
@@ -71,7 +71,7 @@
             contact=worker.contact.value,
             clock_ms=self._clock_ms,
             lease_until_ms=worker.lease_until_ms,
-            lease=self._verdict.value,
+            lease=self.verdict.value,
         )
 
     def close(self) -> None:
--- a/src/onyxspoke/core/shard/run_reconciler.py
+++ b/src/onyxspoke/core/shard/run_reconciler.py
@@ -81,11 +81,41 @@
             self._context.durations.observe_run_end(run, report.end, now)
             self._run_manager.end_run(run, report.end, now)
         elif report.run in worker.ended_runs:
-            ended_as = worker.ended_runs[report.run].value
-            ignored.note(report, IgnoredEndReason.COUNTED, ended_as=ended_as)
+            self._process_counted_end(worker, report, ignored, now)
         else:
             self._process_unknown_end(worker, report, ignored, now)
 
+    def _process_counted_end(
+        self, worker: Worker, report: EndReport, ignored: IgnoredEndLog, now: float
+    ) -> None:
+        """Process the end of a run that counts as not started or as abandoned."""
+        ended_as = worker.ended_runs[report.run].value
+        task = self._context.job_registry.find_task(report.run.task)
+        if task is None or not _completes_late(task, report, ignored.verdict):
+            ignored.note(report, IgnoredEndReason.COUNTED, ended_as=ended_as)
+            return
+        worker.note_ended(report.run, report.end)
+        self._complete_late(worker, task, report, ended_as, now)
+
+    def _complete_late(
+        self, worker: Worker, task: TaskProgress, report: EndReport, ended_as: str, now: float
+    ) -> None:
+        """Complete a task by an end that was not expected; another run of it is not needed."""
+        other = task.run
+        self._context.log(
+            "end_taken_late",
+            worker=worker.worker_id,
+            task=task_log_name(report.run),
+            run=report.run.number,
+            number=report.number,
+            ended_as=ended_as,
+            other_run=other.number if other is not None else 0,
+        )
+        self._context.job_registry.task_run_confirmed(task, now)
+        self._run_manager.complete_task(task, now)
+        if other is not None:
+            self._run_manager.stop(other, now, "task_done")
+
     def _process_unknown_end(
         self, worker: Worker, report: EndReport, ignored: IgnoredEndLog, now: float
     ) -> None:
@@ -215,3 +245,21 @@
             self._context.needs_placement = True
         keys = {step.key for step in steps if not step.in_doubt}
         self._run_manager.stop_incomplete_gangs(now, keys)
+
+
+def _completes_late(task: TaskProgress, report: EndReport, verdict: LeaseVerdict) -> bool:
+    """Return whether the end of a run that counts as ended, or of a second one, completes its task.
+
+    An end does not count if the worker's lease lapses before the end is acknowledged, so a task is
+    not complete by one whose worker may have lapsed since.  A gang has ended only with all members,
+    of which others may count as ended elsewhere.
+    """
+    spec = task.step.spec
+    return (
+        report.end is RunEnd.DONE
+        and verdict is LeaseVerdict.KEPT
+        and not spec.long_running
+        and not spec.gang
+        and task.state is not TaskState.DONE
+        and not task.step.job.state.is_final
+    )
