Take in the end of an unknown run beside another run of its task, where the lease was kept

Cause: an end 'done' of a run that the holder does not know was acknowledged and dropped while another run of the task was planned or under way. The task went on, and would have started again had that run failed or lapsed.

Change: where the lease was kept since the list before, the end counts, and completes the task; the other run is withdrawn or stopped. Callers saw a job complete later, by up to one more run.

--- a/features/ends_of_runs.feature
+++ b/features/ends_of_runs.feature
@@ -44,6 +44,7 @@
   # The end was acknowledged and not used, and the task ran again.
   Scenario: The end of a run that counts as not started completes its task
     Given a cell of 1 worker whose tasks take 0.3 seconds, and whose first start counts as not sent
+    And that run is not listed while it runs
     When 4 seconds pass in that cell
     Then the first job is completed
     And 1 run has started in that cell, and 0 have been stopped
@@ -51,6 +52,7 @@
 
   Scenario: The end of a run that counts as not started withdraws a start that is planned
     Given a cell of 2 workers whose tasks take 1 second, and whose first start counts as not sent
+    And that run is not listed while it runs
     And the store goes away with that start, for 2 seconds
     When 6 seconds pass in that cell
     Then the first job is completed
@@ -59,13 +61,14 @@
 
   Scenario: The end of a run that counts as not started stops the next run of its task
     Given a cell of 1 worker whose tasks take 3 seconds, and whose first start counts as not sent
+    And that run is not listed while it runs
     When 3.5 seconds pass in that cell
     Then the first job is completed
     And 2 runs have started in that cell, and 1 has been stopped
 
   # The clock of the worker is so slow that its lease counts as over too early.
   Scenario: An end from before a lease counted as over counts if the worker's clock shows no lapse
-    Given a cell of 1 worker with half the speed of its clock, whose tasks take 6 seconds
+    Given a cell of 1 worker with a quarter of the speed of its clock, whose tasks take 6 seconds
     And the only worker that runs a task is cut off from all nodes
     When 9 seconds pass in that cell
     And that worker is reached again
@@ -86,3 +89,14 @@
     Then the first job is completed
     And 2 runs have started in that cell, and 0 have been stopped
     And the cluster has broken nothing
+
+  # A run of an earlier holder went on beside the next run of its task; its end was not used.
+  Scenario: The end of a run that no holder knows stops the next run of its task
+    Given a cell of 2 workers whose tasks take 16 seconds
+    And the clock of the worker that runs the job goes at a quarter of its speed, and its stops are lost
+    When the holder is killed, and its successor cannot reach the worker that runs the job
+    And 11.6 seconds pass in that cell
+    And that worker is reached again
+    And 4.5 seconds pass in that cell
+    Then the first job is completed
+    And 2 runs have started in that cell, and 1 has been stopped
--- a/features/steps/end_steps.py
+++ b/features/steps/end_steps.py
@@ -14,6 +14,7 @@
     _submit,
     _whole_worker_job,
 )
+from msgspec.structs import replace
 
 from onyxspoke.core.jobs.model import ResourceVector, RunKey, TaskKey
 from onyxspoke.core.jobs.states import RunEnd
@@ -23,7 +24,7 @@
 from onyxspoke.core.shard.calls import StateCall
 from onyxspoke.core.shard.context import ShardContext, ShardOptions
 from onyxspoke.core.shard.ignored_ends import IgnoredEndLog, IgnoredEndReason
-from onyxspoke.core.shard.orders import EndReport, OrderOutcome, OrderResult
+from onyxspoke.core.shard.orders import EndReport, HoldResult, OrderOutcome, OrderResult
 from onyxspoke.kit.jobs.workers import FakeWorker, WorkOptions
 from onyxspoke.node import seat
 from onyxspoke.sim.call_faults import STORE
@@ -33,7 +34,7 @@
 #: How far a worker has come with a task before something happens to it.
 BEGUN_SECONDS = 1.0
 #: The speed of a clock that is far slower than any holder expects.
-SLOW_RATE = 0.5
+SLOW_RATE = 0.25
 
 
 def _capture_lines(context: Any) -> None:
@@ -77,15 +78,19 @@
     cluster = context.cluster
     context.store_away_seconds = 0.0
     context.started_first = False
+    context.hidden_runs = set()
+    context.hides_run = False
 
     def wrap(worker: FakeWorker) -> None:
-        former = worker.start
+        former, former_lists = worker.start, worker._lists
 
         def start(order: SendStart, node: str) -> OrderResult:
             result = former(order, node)
             if context.started_first:
                 return result
             context.started_first = True
+            if context.hides_run:
+                context.hidden_runs.add(order.run)
             if context.store_away_seconds:
                 cluster.store.faults.is_down = True
                 cluster.time.schedule(
@@ -94,7 +99,12 @@
                 )
             return OrderResult(OrderOutcome.NOT_SENT)
 
-        worker.start = start
+        def list_runs() -> HoldResult:
+            lists = former_lists()
+            running = [report for report in lists.running if report.run not in context.hidden_runs]
+            return replace(lists, running=running)
+
+        worker.start, worker._lists = start, list_runs
 
     for worker in cluster.pool.workers.values():
         wrap(worker)
@@ -118,14 +128,19 @@
     _send(context, _whole_worker_job(context, FIRST_JOB), 0.0)
 
 
+@given("that run is not listed while it runs")
+def _hide_run(context: Any) -> None:
+    context.hides_run = True
+
+
 @given("the store goes away with that start, for {seconds:g} seconds")
 def _store_away(context: Any, seconds: float) -> None:
     context.store_away_seconds = seconds
 
 
 @given(
-    "a cell of {count:d} worker with half the speed of its clock, whose tasks take {seconds:g}"
-    " seconds"
+    "a cell of {count:d} worker with a quarter of the speed of its clock, whose tasks take"
+    " {seconds:g} seconds"
 )
 def _slow_clock(context: Any, count: int, seconds: float) -> None:
     _start_cell(context, count, seconds)
@@ -136,8 +151,26 @@
     context.busy = _busy_workers(context)
 
 
+@given("the clock of the worker that runs the job goes at a quarter of its speed")
+def _slow_busy(context: Any) -> None:
+    for worker_id in context.busy:
+        _slow_down(context.cluster.pool.workers[worker_id])
+    context.cluster.run(BEGUN_SECONDS)
+
+
+@given(
+    "the clock of the worker that runs the job goes at a quarter of its speed, and its stops are"
+    " lost"
+)
+def _slow_busy_without_stops(context: Any) -> None:
+    _slow_busy(context)
+    for worker_id in context.busy:
+        worker = context.cluster.pool.workers[worker_id]
+        worker.stop = lambda _order: OrderResult(OrderOutcome.NO_ANSWER)
+
+
 def _slow_down(worker: FakeWorker) -> None:
-    """Let a worker's clock go on at half its speed, from what it shows now."""
+    """Let a worker's clock go on at a quarter of its speed, from what it shows now."""
     now_ms = worker.clock_ms()
     worker._born_at = worker._pool.timers.now()
     worker._clock_base_ms = now_ms
--- a/src/onyxspoke/core/shard/run_reconciler.py
+++ b/src/onyxspoke/core/shard/run_reconciler.py
@@ -143,6 +143,8 @@
         is_final_success = report.end is RunEnd.DONE and not step.spec.long_running
         if is_final_success and task.run is None:
             self._run_manager.complete_task(task, now)
+        elif _completes_late(task, report, ignored.verdict):
+            self._complete_late(worker, task, report, "unknown", now)
         elif is_final_success and task.run is not None:
             ignored.note(
                 report,
