A run that is found on a worker goes on if no other run of its task has been ordered

Cause: a run that counted as not started and was listed as running was neither stopped nor taken over: it went on beside the next run of its task, on capacity that counted as free. One that counted as abandoned was stopped even if its task had no other run. One that was found while the next start was only planned was stopped, while that start went out.

Change: such a run becomes the run of its task where the worker's lease was kept since the list before and no other run has been ordered; a planned start is withdrawn. Else it is stopped, now also where it counts as not started. Gangs as before, but for that stop.

Callers saw two runs of a task at once, or work lost.

--- a/features/ends_of_runs.feature
+++ b/features/ends_of_runs.feature
@@ -100,3 +100,32 @@
     And 4.5 seconds pass in that cell
     Then the first job is completed
     And 2 runs have started in that cell, and 1 has been stopped
+
+  # It went on beside the next run of its task, on capacity that counted as free.
+  Scenario: A run that counts as not started, and is listed, goes on as the run of its task
+    Given a cell of 1 worker whose tasks take 3 seconds, and whose first start counts as not sent
+    And the store goes away with that start, for 2 seconds
+    When 6 seconds pass in that cell
+    Then the first job is completed
+    And 1 run has started in that cell, and 0 have been stopped
+    And the cluster has broken nothing
+
+  Scenario: A run that counts as abandoned, and is listed, goes on if its task has no other
+    Given a cell of 1 worker with a quarter of the speed of its clock, whose tasks take 14 seconds
+    And the only worker that runs a task is cut off from all nodes
+    When 9 seconds pass in that cell
+    And that worker is reached again
+    And 8 seconds pass in that cell
+    Then a line "worker_returned" tells lease kept, running 1, ended 0
+    And the first job is completed
+    And 1 run has started in that cell, and 0 have been stopped
+    And the cluster has broken nothing
+
+  Scenario: A run that counts as abandoned, and is listed, is stopped if its task has another
+    Given a cell of 2 workers whose tasks take 16 seconds
+    And the clock of the worker that runs the job goes at a quarter of its speed
+    And the only worker that runs a task is cut off from all nodes
+    When 9 seconds pass in that cell
+    And that worker is reached again
+    And 2 seconds pass in that cell
+    Then 2 runs have started in that cell, and 1 has been stopped
--- a/src/onyxspoke/core/shard/run_reconciler.py
+++ b/src/onyxspoke/core/shard/run_reconciler.py
@@ -12,6 +12,9 @@
 from onyxspoke.core.shard.orders import EndReport, HoldResult, RunningReport
 from onyxspoke.core.shard.run_manager import RunManager
 
+#: How a run counts as ended that no worker has reported as ended, and that may be there after all.
+_UNREPORTED_ENDS = (RunEnd.NOT_STARTED, RunEnd.ABANDONED)
+
 
 class RunReconciler:
     """Reconciles the holder's runs with the lists that workers report.
@@ -48,7 +51,7 @@
         listed_keys = set()
         for running in result.running:
             listed_keys.add(running.run)
-            self._process_running(worker, running, now)
+            self._process_running(worker, running, verdict, now)
         for key in [key for key in worker.orphan_runs if key not in listed_keys]:
             del worker.orphan_runs[key]
             self._context.needs_placement = True
@@ -158,10 +161,12 @@
             self._run_manager.stop_runs_if_job_ended(step, now)
         self._context.needs_placement = True
 
-    def _process_running(self, worker: Worker, report: RunningReport, now: float) -> None:
+    def _process_running(
+        self, worker: Worker, report: RunningReport, verdict: LeaseVerdict, now: float
+    ) -> None:
         run = worker.runs.get(report.run)
         if run is None:
-            self._process_unknown_run(worker, report, now)
+            self._process_unknown_run(worker, report, verdict, now)
             return
         if run.state in (RunState.STARTING, RunState.UNCERTAIN):
             self._run_manager.confirm(run, now)
@@ -174,23 +179,20 @@
         if report.checkpoint:
             task_with_checkpoint(run.task).checkpoint = report.checkpoint
 
-    def _process_unknown_run(self, worker: Worker, report: RunningReport, now: float) -> None:
-        """Adopt a run of a previous holder, or stop it."""
+    def _process_unknown_run(
+        self, worker: Worker, report: RunningReport, verdict: LeaseVerdict, now: float
+    ) -> None:
+        """Adopt a run of a previous holder, or one that counts as ended wrongly, or stop it."""
         ended = worker.ended_runs.get(report.run)
-        if ended is RunEnd.ABANDONED:
-            self._run_manager.stop_orphan_run(worker, report.run, now)
-        if ended is not None:
+        if ended is not None and ended not in _UNREPORTED_ENDS:
             return
         task = self._context.job_registry.find_task(report.run.task)
-        may_adopt = (
-            task is not None
-            and task.run is None
-            and task.state is not TaskState.DONE
-            and not task.step.job.state.is_final
-        )
-        if not may_adopt or task is None:
+        if task is None or not _may_adopt(task, ended is not None, verdict):
             self._run_manager.stop_orphan_run(worker, report.run, now)
             return
+        if task.run is not None:
+            self._run_manager.stop(task.run, now, "run_found")
+        worker.ended_runs.pop(report.run, None)
         self._adopt(worker, task, report, now)
 
     def _adopt(self, worker: Worker, task: TaskProgress, report: RunningReport, now: float) -> None:
@@ -265,3 +267,18 @@
         and task.state is not TaskState.DONE
         and not task.step.job.state.is_final
     )
+
+
+def _may_adopt(task: TaskProgress, counts_as_ended: bool, verdict: LeaseVerdict) -> bool:
+    """Return whether a run that is found on a worker goes on as the run of its task.
+
+    It does if no other has been ordered.  One that counts as ended must still be there by the
+    worker's lease, and the members of a gang go on only as a whole.
+    """
+    if task.state is TaskState.DONE or task.step.job.state.is_final:
+        return False
+    if task.step.spec.gang:
+        return task.run is None and not counts_as_ended
+    if counts_as_ended and verdict is not LeaseVerdict.KEPT:
+        return False
+    return task.run is None or task.run.state is RunState.PLANNED
