A lease counts as kept only if it was, up to the present

Cause: an answer may be on its way for seconds. The reading in it lay within the granted lease, so an end in it completed its task, while the lease may have lapsed by the time the end was acknowledged; then the end does not count.

Change: the longest time that the answer can have been on its way is added to the reading. 'What is known of a lease ... 9000, 0.8 s old' fails before (kept) and passes after (unknown). 22 passed.

--- a/features/ends_of_runs.feature
+++ b/features/ends_of_runs.feature
@@ -129,3 +129,19 @@
     And that worker is reached again
     And 2 seconds pass in that cell
     Then 2 runs have started in that cell, and 1 has been stopped
+
+  # An answer may be on its way for seconds; a lease that it shows as kept may have lapsed since.
+  Scenario Outline: What is known of a lease until 10000 that a worker granted: <clock>, <age> s old
+    Given a worker that has granted a lease until 10000, and was asked for one until <asked>
+    When its clock shows <clock> in a list that is up to <age> seconds old
+    Then its lease counts as <verdict>
+
+    Examples:
+      | asked | clock | age | verdict |
+      | 10000 | 9000  | 0.2 | kept    |
+      | 10000 | 9000  | 0.8 | unknown |
+      | 10000 | 9800  | 0   | unknown |
+      | 10000 | 10000 | 0   | unknown |
+      | 10000 | 10001 | 0   | lapsed  |
+      | 12000 | 10001 | 0   | unknown |
+      | 12000 | 12001 | 0   | lapsed  |
--- a/features/steps/end_steps.py
+++ b/features/steps/end_steps.py
@@ -19,7 +19,7 @@
 from onyxspoke.core.jobs.model import ResourceVector, RunKey, TaskKey
 from onyxspoke.core.jobs.states import RunEnd
 from onyxspoke.core.placement.worker_record import WorkerRecord
-from onyxspoke.core.placement.workers import LeaseVerdict, Worker
+from onyxspoke.core.placement.workers import LeaseVerdict, Worker, WorkerContact
 from onyxspoke.core.shard.actions import DecisionLogLine, SendStart
 from onyxspoke.core.shard.calls import StateCall
 from onyxspoke.core.shard.context import ShardContext, ShardOptions
@@ -224,8 +224,7 @@
     assert wanted in told, lines
 
 
-@when("{count:d} ends in one answer are ignored")
-def _ignore_ends(context: Any, count: int) -> None:
+def _worker() -> Worker:
     record = WorkerRecord(
         worker_id="w",
         host="10.9.0.1",
@@ -234,8 +233,32 @@
         zone="zone",
         capacity=ResourceVector(1_000, 1_000, 0),
     )
+    return Worker(record, 0.0)
+
+
+@given("a worker that has granted a lease until {until:d}, and was asked for one until {asked:d}")
+def _granted(context: Any, until: int, asked: int) -> None:
+    context.worker = _worker()
+    context.worker.move_to(WorkerContact.RECONCILED)
+    context.worker.extend_lease(until)
+    context.worker.note_granted_lease(until)
+    context.worker.extend_lease(asked)
+
+
+@when("its clock shows {clock:d} in a list that is up to {age:g} seconds old")
+def _list_comes(context: Any, clock: int, age: float) -> None:
+    context.verdict = context.worker.lease_verdict(clock, age)
+
+
+@then("its lease counts as {verdict}")
+def _counts_as(context: Any, verdict: str) -> None:
+    assert context.verdict is LeaseVerdict(verdict), context.verdict
+
+
+@when("{count:d} ends in one answer are ignored")
+def _ignore_ends(context: Any, count: int) -> None:
     context.shard = ShardContext(ShardOptions(), token=7)
-    worker = Worker(record, 0.0)
+    worker = _worker()
     log = IgnoredEndLog(context.shard, worker, 1_000, LeaseVerdict.UNKNOWN)
     for number in range(1, count + 1):
         key = RunKey(TaskKey(FIRST_JOB, 0, 0, number), 1)
--- a/src/onyxspoke/core/placement/workers.py
+++ b/src/onyxspoke/core/placement/workers.py
@@ -25,6 +25,8 @@
 #: than this.
 MAX_PREVIOUS_STARTS = 8
 
+_MILLISECONDS = 1_000.0
+
 
 class WorkerContact(Enum):
     """What the holder knows about the runs on a worker.
@@ -330,9 +332,17 @@
             granted_ms = until_ms - GRANTED_LEASE_MARGIN_MS
             self.kept_lease_until_ms = max(self.kept_lease_until_ms, granted_ms)
 
-    def lease_verdict(self, clock_ms: int) -> LeaseVerdict:
-        """Return whether the lease lapsed before a reading of the clock in a new list of runs."""
-        if clock_ms <= self.kept_lease_until_ms:
+    def lease_verdict(self, clock_ms: int, age_seconds: float) -> LeaseVerdict:
+        """Return whether the lease lapsed between the latest list of runs and now.
+
+        Parameters
+        ----------
+        clock_ms : int
+            The reading of the clock in a new list.
+        age_seconds : float
+            For how long the new list may have been on its way.
+        """
+        if clock_ms + age_seconds * _MILLISECONDS <= self.kept_lease_until_ms:
             return LeaseVerdict.KEPT
         is_bound_known = self.contact is not WorkerContact.UNRECONCILED and self.lease_until_ms > 0
         if is_bound_known and clock_ms > self.lease_until_ms:
--- a/src/onyxspoke/core/shard/run_reconciler.py
+++ b/src/onyxspoke/core/shard/run_reconciler.py
@@ -34,7 +34,9 @@
     def reconcile(self, worker: Worker, result: HoldResult, sent_at: float, now: float) -> None:
         """Process a worker's lists of runs and ends; the hold was sent at ``sent_at``."""
         is_latest = result.clock_ms >= worker.listed_clock_ms
-        verdict = worker.lease_verdict(result.clock_ms) if is_latest else LeaseVerdict.UNKNOWN
+        verdict = LeaseVerdict.UNKNOWN
+        if is_latest:
+            verdict = worker.lease_verdict(result.clock_ms, now - sent_at)
         ignored = IgnoredEndLog(self._context, worker, result.clock_ms, verdict)
         for report in result.ended:
             if report.number > worker.processed_through:
--- a/src/onyxspoke/core/shard/worker_manager.py
+++ b/src/onyxspoke/core/shard/worker_manager.py
@@ -173,7 +173,7 @@
         worker.note_answer(now)
         was_reconciled = worker.contact is WorkerContact.RECONCILED
         if worker.contact is WorkerContact.ENDED:
-            self._log_return(worker, result)
+            self._log_return(worker, result, now - sent_at)
         self._reconciler.reconcile(worker, result, sent_at, now)
         if not was_reconciled:
             self._mark_reconciled(worker, result, now)
@@ -181,14 +181,14 @@
             self._reconciler.settle_worker(worker, now)
         self._after_answer(worker, now)
 
-    def _log_return(self, worker: Worker, result: HoldResult) -> None:
+    def _log_return(self, worker: Worker, result: HoldResult, age_seconds: float) -> None:
         """Log that a worker answers whose lease counted as over."""
         self._log_worker(
             worker,
             "worker_returned",
             clock_ms=result.clock_ms,
             lease_until_ms=worker.lease_until_ms,
-            lease=worker.lease_verdict(result.clock_ms).value,
+            lease=worker.lease_verdict(result.clock_ms, age_seconds).value,
             running=len(result.running),
             ended=len(result.ended),
         )
