A worker's runs are known only once its list of ends was complete

Cause: a worker lists 500 ends at most. A new holder took its runs for known after the first answer, complete or not, and moved tasks in doubt back to waiting: a task whose end lay beyond the list started again after an end 'done' that was taken note of a moment later. Nothing else must fail for this. It needs 500 ends at one worker that no holder has acknowledged, so a large worker with short tasks, or a store that was slow for long.

Change: such a worker is asked again, and its tasks wait, until a list is complete (or its lease is over). One that the holder has only lost sight of is taken back as before, as its runs are known. A lease does not count as kept by an answer whose list was cut short, as ends beyond it may be older.

--- a/features/ends_of_runs.feature
+++ b/features/ends_of_runs.feature
@@ -145,3 +145,20 @@
       | 10000 | 10001 | 0   | lapsed  |
       | 12000 | 10001 | 0   | unknown |
       | 12000 | 12001 | 0   | lapsed  |
+
+  # Its tasks counted as not running there, and started again, before all of its ends were read.
+  Scenario: A new holder waits for all ends of a worker whose list was cut short
+    Given a cell of 2 workers whose tasks take 1.51 seconds
+    And the first 3 lists of each worker for the next holder lack all ends
+    When the holder is killed, and another node holds the shard
+    And 4 seconds pass in that cell
+    Then the first job is completed
+    And the cluster has broken nothing
+    And 1 run has started in that cell, and 0 have been stopped
+
+  Scenario: The lease of a worker whose list of ends was cut short does not count as kept
+    Given a cell of 1 worker whose tasks take 3 seconds, and whose first start counts as not sent
+    And that run is not listed while it runs
+    And every list of ends is cut short until 3.2 seconds from now
+    When 5 seconds pass in that cell
+    Then a line "end_ignored" tells how done, reason counted, ended_as not_started, lease unknown
--- a/features/steps/end_steps.py
+++ b/features/steps/end_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterator
 from typing import Any
 from unittest import mock
 
@@ -133,6 +134,37 @@
     context.hides_run = True
 
 
+def _cut_lists_short(worker: FakeWorker, is_cut: Callable[[], bool]) -> None:
+    """Let a worker's lists lack all ends while a condition holds."""
+    former = worker._lists
+
+    def list_runs() -> HoldResult:
+        lists = former()
+        return replace(lists, ended=[], is_complete=False) if is_cut() else lists
+
+    worker._lists = list_runs
+
+
+@given("the first {count:d} lists of each worker for the next holder lack all ends")
+def _cut_first_lists(context: Any, count: int) -> None:
+    token = context.holder.node.seats[0].scheduler.context.token
+    for worker in context.cluster.pool.workers.values():
+        left = iter(range(count))
+
+        def is_cut(worker: FakeWorker = worker, left: Iterator[int] = left) -> bool:
+            return worker.token > token and next(left, None) is not None
+
+        _cut_lists_short(worker, is_cut)
+
+
+@given("every list of ends is cut short until {seconds:g} seconds from now")
+def _cut_lists(context: Any, seconds: float) -> None:
+    time = context.cluster.time
+    until = time.now() + seconds
+    for worker in context.cluster.pool.workers.values():
+        _cut_lists_short(worker, lambda: time.now() < until)
+
+
 @given("the store goes away with that start, for {seconds:g} seconds")
 def _store_away(context: Any, seconds: float) -> None:
     context.store_away_seconds = seconds
--- a/src/onyxspoke/core/shard/worker_manager.py
+++ b/src/onyxspoke/core/shard/worker_manager.py
@@ -146,7 +146,8 @@
         has_ended_early = now - sent_at < hold.wait_seconds + EARLY_END_TOLERANCE_SECONDS
         if result.outcome is OrderOutcome.DONE:
             self._process_answer(worker, result, sent_at, now)
-            worker.note_granted_lease(hold.until_ms)
+            if result.is_complete:
+                worker.note_granted_lease(hold.until_ms)
         elif result.outcome is OrderOutcome.FENCED:
             self._context.step_down(StepDownReason.WORKER_FENCED)
         elif result.outcome is OrderOutcome.OTHER_INCARNATION:
@@ -175,7 +176,9 @@
         if worker.contact is WorkerContact.ENDED:
             self._log_return(worker, result, now - sent_at)
         self._reconciler.reconcile(worker, result, sent_at, now)
-        if not was_reconciled:
+        # The runs of an unresponsive worker are known; of others, an end beyond the list is not.
+        are_runs_known = result.is_complete or worker.contact is WorkerContact.UNRESPONSIVE
+        if not was_reconciled and are_runs_known:
             self._mark_reconciled(worker, result, now)
         if result.is_complete:
             self._reconciler.settle_worker(worker, now)
