Runs at a worker that answers after its lease counted as over have a lease from then on

Cause: the known lease was extended only for workers that this holder had not reached before. Runs that were found at one whose lease counted as over, and that had never answered this holder, had a lease until 0 up to the next hold; with the store away no hold extends it. When the worker fell silent again, they counted as over at once.

Change: the bound that holds for a first answer, the reading and the longest lease, holds there, too. It matters only where a bound on earlier leases was too low; nothing waits longer, as the next hold grants as much.

'Runs at a worker that answers after its lease counted as over ...' fails before (2 starts for 1, of a task that runs) and passes after. 25 passed. Callers saw a task run twice.

--- a/features/ends_of_runs.feature
+++ b/features/ends_of_runs.feature
@@ -162,3 +162,23 @@
     And every list of ends is cut short until 3.2 seconds from now
     When 5 seconds pass in that cell
     Then a line "end_ignored" tells how done, reason counted, ended_as not_started, lease unknown
+
+  # The runs that were found there counted as over at once when the worker fell silent again.
+  Scenario: Runs at a worker that answers after its lease counted as over have a lease from then on
+    Given a cell of 2 workers whose tasks take 40 seconds
+    And the clock of the worker that runs the job goes at a quarter of its speed
+    And the other workers receive no orders
+    When the holder is killed, and its successor cannot reach the worker that runs the job
+    And 10.8 seconds pass in that cell
+    And the store stops answering calls
+    And 4.5 seconds pass in that cell
+    And that worker is reached again
+    And 0.5 seconds pass in that cell
+    Then a line "worker_returned" tells lease unknown, running 1, ended 0
+    When that worker is cut off again
+    And 1.5 seconds pass in that cell
+    And the store answers again in that cell
+    And the other workers receive orders again
+    And 2.5 seconds pass in that cell
+    Then 1 run has started in that cell, and 0 have been stopped
+    And the cluster has broken nothing
--- a/features/steps/end_steps.py
+++ b/features/steps/end_steps.py
@@ -232,6 +232,7 @@
 
 
 @given("the only worker that runs a task is cut off from all nodes")
+@when("that worker is cut off again")
 def _cut_busy(context: Any) -> None:
     assert len(context.busy) == 1
     for node in context.cluster.nodes.values():
--- a/src/onyxspoke/core/shard/worker_manager.py
+++ b/src/onyxspoke/core/shard/worker_manager.py
@@ -197,8 +197,9 @@
         )
 
     def _mark_reconciled(self, worker: Worker, result: HoldResult, now: float) -> None:
-        if worker.contact is WorkerContact.UNRECONCILED:
-            # A previous holder may have extended the lease just before.
+        if worker.contact is not WorkerContact.UNRESPONSIVE:
+            # A previous holder may have extended the lease just before; if it counts as over, its
+            # bound may have been too low.
             worker.extend_lease(result.clock_ms + self._context.options.maximum_hold_ms)
         worker.move_to(WorkerContact.RECONCILED)
         self._log_worker(worker, "worker_settled", runs=len(worker.runs), born_ms=result.born_ms)
