--- a/src/onyxspoke/core/shard/run_reconciler.py
+++ b/src/onyxspoke/core/shard/run_reconciler.py
@@ -6,11 +6,15 @@
 from onyxspoke.core.jobs.progress import StepProgress, TaskProgress, task_with_checkpoint
 from onyxspoke.core.jobs.states import RunEnd, RunState, TaskState
 from onyxspoke.core.placement.runs import GangRun, Run, task_log_name
-from onyxspoke.core.placement.workers import Worker
+from onyxspoke.core.placement.workers import LeaseVerdict, Worker
 from onyxspoke.core.shard.context import ShardContext
+from onyxspoke.core.shard.ignored_ends import IgnoredEndLog, IgnoredEndReason
 from onyxspoke.core.shard.orders import EndReport, HoldResult, RunningReport
 from onyxspoke.core.shard.run_manager import RunManager
 
+#: How a run counts as ended that no worker has reported as ended, and that may be there after all.
+_UNREPORTED_ENDS = (RunEnd.NOT_STARTED, RunEnd.ABANDONED)
+
 
 class RunReconciler:
     """Reconciles the holder's runs with the lists that workers report.
@@ -30,18 +34,26 @@
     def reconcile(self, worker: Worker, result: HoldResult, sent_at: float, now: float) -> None:
         """Process a worker's lists of runs and ends; the hold was sent at ``sent_at``."""
         is_latest = result.clock_ms >= worker.listed_clock_ms
+        verdict = LeaseVerdict.UNKNOWN
+        if is_latest:
+            verdict = worker.lease_verdict(result.clock_ms, now - sent_at)
+        ignored = IgnoredEndLog(self._context, worker, result.clock_ms, verdict)
         for report in result.ended:
             if report.number > worker.processed_through:
                 worker.processed_through = report.number
-                self._process_end(worker, report, now)
+                self._process_end(worker, report, ignored, now)
+        ignored.close()
         if not is_latest:
             self._log_outdated_list(worker, result)
             return
         worker.listed_clock_ms = result.clock_ms
+        if not result.is_complete:
+            # An end beyond the list may have come long before the next one.
+            worker.kept_lease_until_ms = 0
         listed_keys = set()
         for running in result.running:
             listed_keys.add(running.run)
-            self._process_running(worker, running, now)
+            self._process_running(worker, running, verdict, now)
         for key in [key for key in worker.orphan_runs if key not in listed_keys]:
             del worker.orphan_runs[key]
             self._context.needs_placement = True
@@ -63,7 +75,9 @@
             told_through=worker.acknowledged_through,
         )
 
-    def _process_end(self, worker: Worker, report: EndReport, now: float) -> None:
+    def _process_end(
+        self, worker: Worker, report: EndReport, ignored: IgnoredEndLog, now: float
+    ) -> None:
         run = worker.runs.get(report.run)
         if run is not None:
             self._context.job_registry.task_run_confirmed(run.task, now)
@@ -71,13 +85,54 @@
             self._run_manager.log_end(run, report)
             self._context.durations.observe_run_end(run, report.end, now)
             self._run_manager.end_run(run, report.end, now)
-        elif report.run not in worker.ended_runs:
-            self._process_unknown_end(worker, report, now)
+        elif report.run in worker.ended_runs:
+            self._process_counted_end(worker, report, ignored, now)
+        else:
+            self._process_unknown_end(worker, report, ignored, now)
+
+    def _process_counted_end(
+        self, worker: Worker, report: EndReport, ignored: IgnoredEndLog, now: float
+    ) -> None:
+        """Process the end of a run that counts as not started or as abandoned."""
+        ended_as = worker.ended_runs[report.run].value
+        task = self._context.job_registry.find_task(report.run.task)
+        if task is None or not _completes_late(task, report, ignored.verdict):
+            ignored.note(report, IgnoredEndReason.COUNTED, ended_as=ended_as)
+            return
+        worker.note_ended(report.run, report.end)
+        self._complete_late(worker, task, report, ended_as, now)
+
+    def _complete_late(
+        self, worker: Worker, task: TaskProgress, report: EndReport, ended_as: str, now: float
+    ) -> None:
+        """Complete a task by an end that was not expected; another run of it is not needed."""
+        other = task.run
+        self._context.log(
+            "end_taken_late",
+            worker=worker.worker_id,
+            task=task_log_name(report.run),
+            run=report.run.number,
+            number=report.number,
+            ended_as=ended_as,
+            other_run=other.number if other is not None else 0,
+        )
+        self._context.job_registry.task_run_confirmed(task, now)
+        self._run_manager.complete_task(task, now)
+        if other is not None:
+            self._run_manager.stop(other, now, "task_done")
 
-    def _process_unknown_end(self, worker: Worker, report: EndReport, now: float) -> None:
+    def _process_unknown_end(
+        self, worker: Worker, report: EndReport, ignored: IgnoredEndLog, now: float
+    ) -> None:
         """Process the end of a run that a previous holder started."""
         task = self._context.job_registry.find_task(report.run.task)
-        if task is None or task.state is TaskState.DONE or task.step.job.state.is_final:
+        if task is None:
+            ignored.note(report, IgnoredEndReason.UNKNOWN_TASK)
+            return
+        if task.state is TaskState.DONE or task.step.job.state.is_final:
+            is_done = task.state is TaskState.DONE
+            reason = IgnoredEndReason.TASK_DONE if is_done else IgnoredEndReason.JOB_FINAL
+            ignored.note(report, reason)
             return
         step = task.step
         step.last_run_number = max(step.last_run_number, report.run.number)
@@ -93,16 +148,27 @@
         is_final_success = report.end is RunEnd.DONE and not step.spec.long_running
         if is_final_success and task.run is None:
             self._run_manager.complete_task(task, now)
+        elif _completes_late(task, report, ignored.verdict):
+            self._complete_late(worker, task, report, "unknown", now)
+        elif is_final_success and task.run is not None:
+            ignored.note(
+                report,
+                IgnoredEndReason.OTHER_RUN,
+                other_run=task.run.number,
+                other_state=task.run.state.name.lower(),
+            )
         elif report.end is RunEnd.FAILED:
             task.last_failed_worker_id = worker.worker_id
             self._context.job_registry.task_failed(task, report.run.number, now)
             self._run_manager.stop_runs_if_job_ended(step, now)
         self._context.needs_placement = True
 
-    def _process_running(self, worker: Worker, report: RunningReport, now: float) -> None:
+    def _process_running(
+        self, worker: Worker, report: RunningReport, verdict: LeaseVerdict, now: float
+    ) -> None:
         run = worker.runs.get(report.run)
         if run is None:
-            self._process_unknown_run(worker, report, now)
+            self._process_unknown_run(worker, report, verdict, now)
             return
         if run.state in (RunState.STARTING, RunState.UNCERTAIN):
             self._run_manager.confirm(run, now)
@@ -115,23 +181,20 @@
         if report.checkpoint:
             task_with_checkpoint(run.task).checkpoint = report.checkpoint
 
-    def _process_unknown_run(self, worker: Worker, report: RunningReport, now: float) -> None:
-        """Adopt a run of a previous holder, or stop it."""
+    def _process_unknown_run(
+        self, worker: Worker, report: RunningReport, verdict: LeaseVerdict, now: float
+    ) -> None:
+        """Adopt a run of a previous holder, or one that counts as ended wrongly, or stop it."""
         ended = worker.ended_runs.get(report.run)
-        if ended is RunEnd.ABANDONED:
-            self._run_manager.stop_orphan_run(worker, report.run, now)
-        if ended is not None:
+        if ended is not None and ended not in _UNREPORTED_ENDS:
             return
         task = self._context.job_registry.find_task(report.run.task)
-        may_adopt = (
-            task is not None
-            and task.run is None
-            and task.state is not TaskState.DONE
-            and not task.step.job.state.is_final
-        )
-        if not may_adopt or task is None:
+        if task is None or not _may_adopt(task, ended is not None, verdict):
             self._run_manager.stop_orphan_run(worker, report.run, now)
             return
+        if task.run is not None:
+            self._run_manager.stop(task.run, now, "run_found")
+        worker.ended_runs.pop(report.run, None)
         self._adopt(worker, task, report, now)
 
     def _adopt(self, worker: Worker, task: TaskProgress, report: RunningReport, now: float) -> None:
@@ -188,3 +251,36 @@
             self._context.needs_placement = True
         keys = {step.key for step in steps if not step.in_doubt}
         self._run_manager.stop_incomplete_gangs(now, keys)
+
+
+def _completes_late(task: TaskProgress, report: EndReport, verdict: LeaseVerdict) -> bool:
+    """Return whether the end of a run that counts as ended, or of a second one, completes its task.
+
+    An end does not count if the worker's lease lapses before the end is acknowledged, so a task is
+    not complete by one whose worker may have lapsed since.  A gang has ended only with all members,
+    of which others may count as ended elsewhere.
+    """
+    spec = task.step.spec
+    return (
+        report.end is RunEnd.DONE
+        and verdict is LeaseVerdict.KEPT
+        and not spec.long_running
+        and not spec.gang
+        and task.state is not TaskState.DONE
+        and not task.step.job.state.is_final
+    )
+
+
+def _may_adopt(task: TaskProgress, counts_as_ended: bool, verdict: LeaseVerdict) -> bool:
+    """Return whether a run that is found on a worker goes on as the run of its task.
+
+    It does if no other has been ordered.  One that counts as ended must still be there by the
+    worker's lease, and the members of a gang go on only as a whole.
+    """
+    if task.state is TaskState.DONE or task.step.job.state.is_final:
+        return False
+    if task.step.spec.gang:
+        return task.run is None and not counts_as_ended
+    if counts_as_ended and verdict is not LeaseVerdict.KEPT:
+        return False
+    return task.run is None or task.run.state is RunState.PLANNED
