Audit of jobs: a start after a job was shown as completed

The audit found starts after an end that is noted then or later (unless the worker's lease lapsed between the two) and after one that was noted, but not those, where the end itself does not count because the lease lapsed.

Change: the audit keeps when a caller was first shown a job as completed, and notes run_after_done for a start of one of its tasks over a second after.

--- a/src/onyxspoke/kit/jobs/audit.py
+++ b/src/onyxspoke/kit/jobs/audit.py
@@ -24,6 +24,8 @@
 
 #: A task of a cancelled job may start so long after the cancel was acknowledged.
 CANCEL_SECONDS = 3.0
+#: A task of a job may start so long after a caller was shown the job as completed.
+COMPLETED_SECONDS = 1.0
 #: A worker's room that has shrunk counts so long after the worker said so.
 ROOM_SECONDS = 0.5
 #: A task may be given up once so many workers have crashed under it.
@@ -78,6 +80,8 @@
     accepted_at: float | None = None
     cancelled_at: float | None = None
     cancel_sent: bool = False
+    #: When a caller was shown the job as completed first.
+    completed_at: float | None = None
     has_started: bool = False
 
 
@@ -275,6 +279,9 @@
         task.running[(worker.worker_id, run)] = None
         if task.is_done_noted:
             self.note(Violation.RUN_AFTER_DONE, f"{run} by {node}")
+        completed_at = facts.completed_at
+        if completed_at is not None and self._timers.now() > completed_at + COMPLETED_SECONDS:
+            self.note(Violation.RUN_AFTER_DONE, f"{run} by {node}, shown as completed before")
         for done in task.open_done:
             task.open_done[done] = True
         task.failed_before_start.append(task.noted_failed | task.open_failed)
@@ -321,6 +328,8 @@
     def _check_state(self, facts: _JobFacts, state: str) -> None:
         spec = facts.spec
         if state == "completed":
+            if facts.completed_at is None:
+                facts.completed_at = self._timers.now()
             for number, step in enumerate(spec.steps):
                 for repetition in range(max(1, spec.schedule.count)):
                     key = StepKey(spec.job_id, repetition, number)
