Scenario: a node that claims its shard again, with leases of its own earlier term

This plays it with whole nodes: the holder holds the shard since the process before it died, gives it up (the store turns it away, or a larger node comes), and the same process claims it again, as the others die before they do; leases of 10 s, tasks of 8 and 12 s.

ClusterOptions.maximum_hold_ms sets the longest lease of a simulated cell; 6 s as before where it is not given.

--- a/features/orders_and_leases.feature
+++ b/features/orders_and_leases.feature
@@ -62,6 +62,26 @@
       | a death, a restart of all                        |
       | a death, a death, a restart of all               |
 
+  # A node that held the shard since its predecessor died, gave the shard up and claimed it again
+  # counted earlier orders from that death, long before its own last leases.
+  Scenario Outline: A node that claims its shard again waits for the leases of its own earlier term: <cause>, task of <seconds> s
+    Given a cell with leases of 10 s, whose holder claimed it back, and a task of <seconds> s
+    When that task's worker is cut off, and the holder gives the shard up because <cause>
+    And all other nodes die before they claim it, so that the same process holds it again
+    And the worker is reached again 8 s after it was cut off, and 20 s pass
+    Then the cluster has broken nothing
+    And the task has been started 1 time(s)
+
+    Examples: two runs at a time
+      | cause                   | seconds |
+      | the store turns it away | 12      |
+      | a larger node comes     | 12      |
+
+    Examples: a start after an end that is noted later
+      | cause                   | seconds |
+      | the store turns it away | 8       |
+      | a larger node comes     | 8       |
+
   # Without the note that earlier holders give no orders any more, this takes 4 seconds longer.
   Scenario: A task in doubt starts soon where the last holder is known to be dead
     Given a cell with a task that runs for 40 seconds on one worker
--- a/src/onyxspoke/sim/job_cluster.py
+++ b/src/onyxspoke/sim/job_cluster.py
@@ -66,6 +66,7 @@
     ``kinds`` holds one letter a kind of worker; ``large_nodes`` of the nodes, the first ones, have
     four times the processor of the others.  Workers that ``keep_names`` start again under the name
     that they had, and tell when they started; others come back under a new name.
+    ``maximum_hold_ms`` is the longest lease that a worker grants.
     """
 
     seed: int = 1
@@ -82,6 +83,7 @@
     tenants: tuple[TenantPolicy, ...] = ()
     keep_names: bool = False
     load: LoadOptions = field(default_factory=LoadOptions)
+    maximum_hold_ms: int = 6_000
 
 
 class SimulatedPath:
@@ -136,7 +138,13 @@
         work = options.work if options.work is not None else WorkOptions(seed=options.seed)
         self.audit = JobAudit(self.time)
         self.store = FakeStore(self.time, random.Random(options.seed + 2), options.store_budget)
-        self.pool = FakeWorkerPool(self.time, random.Random(options.seed + 3), self.audit, work)
+        self.pool = FakeWorkerPool(
+            self.time,
+            random.Random(options.seed + 3),
+            self.audit,
+            work,
+            maximum_hold_ms=options.maximum_hold_ms,
+        )
         self.pool.on_crash = self.crash_worker
         self.directory = FakeDirectory(self.time)
         self.advice = FakeAdvice(
@@ -443,7 +451,9 @@
         peer_port=PEER_PORT,
         metrics_port=PEER_PORT + 1,
         operator_port=PEER_PORT + 2,
-        shard_options=ShardOptions(stop_grace_ms=200, load=options.load),
+        shard_options=ShardOptions(
+            stop_grace_ms=200, maximum_hold_ms=options.maximum_hold_ms, load=options.load
+        ),
         workers_per_shard=options.workers_per_shard,
         store_budget=options.store_budget,
     )
