Scenario: a late word of the process before the holder's

This plays it with whole nodes: the holder's next process holds the shard, and a peer that knows its claim hears the last words of the former process on the old stream. The holder is then cut off with the worker, and the peer claims the shard.

--- a/features/orders_and_leases.feature
+++ b/features/orders_and_leases.feature
@@ -82,6 +82,15 @@
       | the store turns it away | 8       |
       | a larger node comes     | 8       |
 
+  # Any word of another process at the holder's address showed that the holder was dead.
+  Scenario: A late word of the process before the holder's tells nothing of the holder's leases
+    Given a cell with a task that runs for 40 seconds on one worker
+    When the holder's next process holds the shard, and a peer knows that while it hears the former
+    And that holder and that worker are cut off, and the peer claims the shard at once
+    And 30 seconds pass in that cell
+    Then another node has started the task again
+    And the cluster has broken nothing
+
   # Without the note that earlier holders give no orders any more, this takes 4 seconds longer.
   Scenario: A task in doubt starts soon where the last holder is known to be dead
     Given a cell with a task that runs for 40 seconds on one worker
