Exploration: holders that lose the store alone and get their shards back

Either it holds since a restart of all, and the others die at about the time when it gives the shard up, so that it claims it again; or one holder after the other loses the store or dies, until an earlier one holds again. Such changes within a lease were drawn by no mode so far.

--- a/features/orders_and_leases.feature
+++ b/features/orders_and_leases.feature
@@ -146,3 +146,14 @@
       | 5014 | 1      |
       | 5018 | 1      |
       | 5011 | 3      |
+
+  Scenario Outline: Wherever a holder gets its shard back, no task runs twice: seed <seed>
+    When holders that get their shards back are played with seed <seed>, in 1 shard(s)
+    Then nothing that must hold is broken
+
+    Examples: a node that counted earlier orders from before its own term
+      | seed |
+      | 2    |
+      | 8    |
+      | 11   |
+      | 15   |
--- a/features/steps/job_promise_steps.py
+++ b/features/steps/job_promise_steps.py
@@ -28,6 +28,7 @@
     JobRunReport,
     play,
     play_overload,
+    play_returns,
     play_stops,
     play_zones,
 )
@@ -101,6 +102,11 @@
     context.job_reports = [play_zones(seed, shards)]
 
 
+@when("holders that get their shards back are played with seed {seed:d}, in {shards:d} shard(s)")
+def _play_returns(context: Any, seed: int, shards: int) -> None:
+    context.job_reports = [play_returns(seed, shards)]
+
+
 @then("nothing that must hold is broken")
 def _nothing_broken(context: Any) -> None:
     assert all(report.checks for report in context.job_reports)
--- a/scripts/explore.sh
+++ b/scripts/explore.sh
@@ -16,9 +16,9 @@
     echo "$first $((seeds - first + 1 < chunk ? seeds - first + 1 : chunk))"
 done | xargs -P "$(nproc)" -L 1 bash -c \
     '"$0" explore-jobs --first-seed "$1" --seeds "$2" --shards "${SHARDS:-1}"' "$bin/onyxspoke-sim"
-# Overloaded cells, cells whose nodes all stop, and cuts of zones: some seconds a seed, so fewer at a time.
+# Overloaded cells, cells whose nodes all stop, cuts of zones, holders that return: some seconds a seed, so fewer at a time.
 chunk=5
-for mode in overload stops zones; do
+for mode in overload stops zones returns; do
     for ((first = 1; first <= seeds; first += chunk)); do
         echo "$mode $first $((seeds - first + 1 < chunk ? seeds - first + 1 : chunk))"
     done
--- a/src/onyxspoke/cli/sim.py
+++ b/src/onyxspoke/cli/sim.py
@@ -16,6 +16,7 @@
     JobRunReport,
     play,
     play_overload,
+    play_returns,
     play_stops,
     play_zones,
 )
@@ -53,6 +54,11 @@
         action="store_true",
         help="the holder's zone is cut off while nodes outside it start, come or change",
     )
+    jobs.add_argument(
+        "--returns",
+        action="store_true",
+        help="a holder loses the store alone and gets its shard back, while workers are cut off",
+    )
     jobs.add_argument("--shards", type=int, default=1, help="shards of the cell (default: 1)")
     jobs.add_argument("--tenants", action="store_true", help="with tenants whose quotas bind")
     arguments = parser.parse_args()
@@ -67,7 +73,7 @@
 def _check_options(parser: argparse.ArgumentParser, arguments: argparse.Namespace) -> None:
     """Exit with an error if options do not go together."""
     options = [name for name in ("crashes", "keep_names", "tenants") if getattr(arguments, name)]
-    modes = [mode for mode in ("overload", "stops", "zones") if getattr(arguments, mode)]
+    modes = [mode for mode in ("overload", "stops", "zones", "returns") if getattr(arguments, mode)]
     if modes and options:
         parser.error(f"--{modes[0]} does not go with --{options[0].replace('_', '-')}")
     if len(modes) > 1:
@@ -125,6 +131,8 @@
         return play_stops(seed, arguments.shards)
     if arguments.zones:
         return play_zones(seed, arguments.shards)
+    if arguments.returns:
+        return play_returns(seed, arguments.shards)
     return play(
         seed,
         shards=arguments.shards,
--- a/src/onyxspoke/sim/explore_jobs.py
+++ b/src/onyxspoke/sim/explore_jobs.py
@@ -15,6 +15,7 @@
     FaultInjector,
     ScheduledFault,
     draw_overload_schedule,
+    draw_return_schedule,
     draw_schedule,
     draw_stop_schedule,
     draw_zone_schedule,
@@ -61,6 +62,11 @@
 CUT_TRAFFIC = Traffic(jobs_per_second=2.0, seconds=48.0)
 LONG_SHARE = 0.3
 LONG_SECONDS = 14.0
+#: Over two rounds in which holders get their shards back.
+RETURN_TRAFFIC = Traffic(jobs_per_second=1.0, seconds=60.0)
+#: Tasks there, in seconds: some outlast the leases, others end while their workers are cut off.
+RETURN_TASK_SECONDS = (5.0, 12.0)
+RETURN_HOLD_MS = 10_000
 
 
 @dataclass(slots=True)
@@ -86,6 +92,8 @@
     traffic: Traffic | None = None,
     long_share: float = 0.0,
     finish_seconds: float = FINISH_SECONDS,
+    task_seconds: tuple[float, float] | None = None,
+    maximum_hold_ms: int | None = None,
 ) -> JobRunReport:
     """Play one schedule; by default the one that the seed draws.
 
@@ -93,7 +101,8 @@
     ``keep_names``: workers start again under the names that they had.  ``with_admission``: more
     jobs come than are served, and holders decide which they take.  ``traffic``: other than usual.
     ``long_share`` of the tasks take ``LONG_SECONDS``.  The jobs have ``finish_seconds`` after the
-    last one came.
+    last one came.  ``task_seconds``: how long tasks take at least and at most; ``maximum_hold_ms``:
+    the longest lease; both other than usual.
     """
     if schedule is None:
         count = 1 + seed % MAXIMUM_FAULTS
@@ -103,7 +112,11 @@
     work = WorkOptions(
         seed=seed, failing_share=0.02, long_share=long_share, long_seconds=LONG_SECONDS
     )
+    if task_seconds is not None:
+        work.shortest_seconds, work.longest_seconds = task_seconds
     options = make_options(seed, work, shards)
+    if maximum_hold_ms is not None:
+        options.maximum_hold_ms = maximum_hold_ms
     options.keep_names = keep_names
     options.load = LoadOptions(admission=with_admission)
     if with_tenants:
@@ -153,6 +166,20 @@
     )
 
 
+def play_returns(seed: int, shards: int = 1) -> JobRunReport:
+    """Play a cell whose holder loses the store alone and gets its shard back, with long leases."""
+    schedule = draw_return_schedule(seed, RETURN_TRAFFIC.seconds, _count_beside(seed))
+    return play(
+        seed,
+        schedule,
+        shards,
+        traffic=RETURN_TRAFFIC,
+        finish_seconds=60.0,
+        task_seconds=RETURN_TASK_SECONDS,
+        maximum_hold_ms=RETURN_HOLD_MS,
+    )
+
+
 def _count_beside(seed: int) -> int:
     """Return how many other faults there are beside those that a run is about."""
     return max(0, seed % (2 * MAXIMUM_FAULTS_BESIDE) - MAXIMUM_FAULTS_BESIDE + 1)
--- a/src/onyxspoke/sim/job_faults.py
+++ b/src/onyxspoke/sim/job_faults.py
@@ -13,6 +13,8 @@
 from onyxspoke.sim.call_faults import STORE, CallFaults
 from onyxspoke.sim.job_cluster import JobCluster, SimulatedNode, worker_index
 from onyxspoke.sim.restart_faults import RestartFaults
+from onyxspoke.sim.return_faults import ROUND_SECONDS as RETURN_ROUND_SECONDS
+from onyxspoke.sim.return_faults import ReturnFaults
 from onyxspoke.sim.stop_faults import StopFaults
 from onyxspoke.sim.zone_faults import CUT_SECONDS, ZoneFaults
 
@@ -74,6 +76,8 @@
     CUT_BEFORE_NODE_IS_ADDED = "cut_before_node_is_added"
     CUT_FROM_UNMET_NODE = "cut_from_unmet_node"
     CHANGE_HOLDERS_BEHIND_CUT = "change_holders_behind_cut"
+    CLAIM_AGAIN = "claim_again"
+    PASS_ON_AND_RETURN = "pass_on_and_return"
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,6 +124,8 @@
     JobFault.CUT_FROM_UNMET_NODE,
     JobFault.CHANGE_HOLDERS_BEHIND_CUT,
 )
+#: Holders that get their shards back: drawn only where they are asked for.
+OF_RETURNS = (JobFault.CLAIM_AGAIN, JobFault.PASS_ON_AND_RETURN)
 #: Between two cuts of a schedule, in seconds: each is healed, and what it left is settled.
 ZONE_ROUND_SECONDS = 24.0
 #: What strikes a cell beside stops or cuts of zones.
@@ -167,7 +173,7 @@
 ) -> list[ScheduledFault]:
     """Return a schedule; the same seed gives the same one."""
     left_out = (() if with_tenants else OF_TENANTS) + (() if with_crashes else OF_WORKERS)
-    left_out += OF_NAMES + OF_CALLS + OF_STOPS + OF_ZONES
+    left_out += OF_NAMES + OF_CALLS + OF_STOPS + OF_ZONES + OF_RETURNS
     kinds = [fault for fault in JobFault if fault not in left_out]
     source = random.Random(f"schedule/{seed}")
     if with_restarts:
@@ -227,6 +233,21 @@
     return sorted(faults, key=lambda item: item.at)
 
 
+def draw_return_schedule(seed: int, length: float, count: int) -> list[ScheduledFault]:
+    """Return holders that get their shards back, and other faults; a seed gives the same."""
+    source = random.Random(f"returns/{seed}")
+    faults = [
+        ScheduledFault(
+            round(index * RETURN_ROUND_SECONDS + source.uniform(1.0, 3.0), 2),
+            source.choice(OF_RETURNS),
+            RETURN_ROUND_SECONDS,
+        )
+        for index in range(int(length // RETURN_ROUND_SECONDS))
+    ]
+    faults += _draw_beside(source, length, count)
+    return sorted(faults, key=lambda item: item.at)
+
+
 def _draw_beside(source: random.Random, length: float, count: int) -> list[ScheduledFault]:
     """Return short faults beside those that a schedule is about."""
     return [
@@ -298,6 +319,9 @@
             JobFault.CUT_FROM_UNMET_NODE: zones.cut_from_unmet_node,
             JobFault.CHANGE_HOLDERS_BEHIND_CUT: zones.change_holders_behind_cut,
         }
+        returns = ReturnFaults(cluster, self._random, self._choose_node)
+        self._actions[JobFault.CLAIM_AGAIN] = returns.claim_again
+        self._actions[JobFault.PASS_ON_AND_RETURN] = returns.pass_on_and_return
 
     def schedule(self, faults: list[ScheduledFault]) -> None:
         """Have the faults happen in their time."""
