--- a/features/orders_and_leases.feature
+++ b/features/orders_and_leases.feature
@@ -62,6 +62,35 @@
       | a death, a restart of all                        |
       | a death, a death, a restart of all               |
 
+  # A node that held the shard since its predecessor died, gave the shard up and claimed it again
+  # counted earlier orders from that death, long before its own last leases.
+  Scenario Outline: A node that claims its shard again waits for the leases of its own earlier term: <cause>, task of <seconds> s
+    Given a cell with leases of 10 s, whose holder claimed it back, and a task of <seconds> s
+    When that task's worker is cut off, and the holder gives the shard up because <cause>
+    And all other nodes die before they claim it, so that the same process holds it again
+    And the worker is reached again 8 s after it was cut off, and 20 s pass
+    Then the cluster has broken nothing
+    And the task has been started 1 time(s)
+
+    Examples: two runs at a time
+      | cause                   | seconds |
+      | the store turns it away | 12      |
+      | a larger node comes     | 12      |
+
+    Examples: a start after an end that is noted later
+      | cause                   | seconds |
+      | the store turns it away | 8       |
+      | a larger node comes     | 8       |
+
+  # Any word of another process at the holder's address showed that the holder was dead.
+  Scenario: A late word of the process before the holder's tells nothing of the holder's leases
+    Given a cell with a task that runs for 40 seconds on one worker
+    When the holder's next process holds the shard, and a peer knows that while it hears the former
+    And that holder and that worker are cut off, and the peer claims the shard at once
+    And 30 seconds pass in that cell
+    Then another node has started the task again
+    And the cluster has broken nothing
+
   # Without the note that earlier holders give no orders any more, this takes 4 seconds longer.
   Scenario: A task in doubt starts soon where the last holder is known to be dead
     Given a cell with a task that runs for 40 seconds on one worker
@@ -117,3 +146,14 @@
       | 5014 | 1      |
       | 5018 | 1      |
       | 5011 | 3      |
+
+  Scenario Outline: Wherever a holder gets its shard back, no task runs twice: seed <seed>
+    When holders that get their shards back are played with seed <seed>, in 1 shard(s)
+    Then nothing that must hold is broken
+
+    Examples: a node that counted earlier orders from before its own term
+      | seed |
+      | 2    |
+      | 8    |
+      | 11   |
+      | 15   |
