Quotas: a new holder's log tells how much of each is held back for earlier holders' runs

No line told what its holder counted: step_over_quota names confirmed runs only.

New: quota_in_doubt, for each tenant whose usage in doubt has changed, with its quota and the time until the last lease is over; from 0.5 s after the takeover on, at most twice a second. job_cancel tells how many of the job's tasks are in doubt, and stray_stop the tenant.

The scenario fails without the line (there is no such event) and passes with it.

--- a/src/onyxspoke/core/shard/call_handler.py
+++ b/src/onyxspoke/core/shard/call_handler.py
@@ -183,7 +183,13 @@
         context = self._context
         job_id = call.job_id
         job = context.job_registry.cancel(job_id, call.tenant, now)
-        context.log("job_cancel", job=job_id, known=int(job is not None))
+        steps = [] if job is None else job.steps()
+        context.log(
+            "job_cancel",
+            job=job_id,
+            known=int(job is not None),
+            in_doubt=sum(step.in_doubt for step in steps),
+        )
         if job is not None:
             self._runs.stop_runs_of(job.steps(), now, "job_cancelled")
         context.needs_placement = True
--- a/src/onyxspoke/core/shard/quota_coordinator.py
+++ b/src/onyxspoke/core/shard/quota_coordinator.py
@@ -8,6 +8,7 @@
 from onyxspoke.core.shard.actions import ReplyToCall, RequestQuota
 from onyxspoke.core.shard.calls import CallReply, QuotaCall, ReplyCode
 from onyxspoke.core.shard.context import ShardContext
+from onyxspoke.core.shard.quota_doubt_log import QuotaDoubtLog
 from onyxspoke.core.tenants.policy import TenantName
 from onyxspoke.core.tenants.quota_borrower import QuotaBorrower
 from onyxspoke.core.tenants.quota_lender import QuotaRequest, home_shard
@@ -28,10 +29,12 @@
     def __init__(self, context: ShardContext) -> None:
         self._context = context
         self._borrower = QuotaBorrower(context.shard, context.token)
+        self._doubt_log = QuotaDoubtLog(context)
 
     def begin_pass(self, now: float) -> QuotaBudget:
         """Return the quotas for one pass of placement, and update the loans."""
         unconfirmed_usage = self._unconfirmed_usage()
+        self._doubt_log.note(unconfirmed_usage, now)
         self._update_loans(unconfirmed_usage, now)
         return QuotaBudget(self.allocation_of, self._context.quota_usage, unconfirmed_usage)
 
--- a/src/onyxspoke/core/shard/run_manager.py
+++ b/src/onyxspoke/core/shard/run_manager.py
@@ -75,8 +75,13 @@
             return
         worker.orphan_runs[key] = now
         if context.may_send_orders(now):
+            job = context.job_registry.jobs.get(key.task.job_id)
             context.log(
-                "stray_stop", worker=worker.worker_id, task=task_log_name(key), run=key.number
+                "stray_stop",
+                worker=worker.worker_id,
+                task=task_log_name(key),
+                run=key.number,
+                tenant="" if job is None else job.spec.tenant,
             )
             context.emit(SendStop(address_of(worker), context.token, key))
 
