Quotas: jobs that end while their tasks are in doubt go on counting until the workers are settled

Cause: a new holder counts the recorded placements of open jobs on workers that have not answered. find_doubts left out jobs that had ended, so a cancel (or a last failure) took their tasks out of the count at once, while the workers, cut off with the former holder, went on with them until its leases were over. The tenant's other tasks started in their place. Once such a worker answered, the run was stopped as a stray, and not counted meanwhile either.

Change: EndedJobUsage keeps what the tasks in doubt of a job that ends may use, by worker and job. It counts until the worker has ended, or lists no run of that job any more; loans to and from other shards count it, too.

Before: two scenarios of quota_behind_a_cut.feature fail (a third and fourth whole-worker task of a tenant with two workers start at once, quota broken); after: they pass. Without counting the runs that are being stopped, the second one fails.

--- a/features/steps/quota_cut_steps.py
+++ b/features/steps/quota_cut_steps.py
@@ -6,10 +6,13 @@
 from unittest import mock
 
 from behave import given, then, when
-from tenant_steps import _tenant_cluster
+from tenant_steps import _has_started, _tenant_cluster
 
+from onyxspoke.core.shard.calls import CallReply, CancelCall
 from onyxspoke.core.shard.context import ShardContext
 
+FIRST_JOBS = (1, 2)
+LATER_JOBS = (3, 4)
 _MILLISECONDS = 1_000.0
 
 
@@ -46,3 +49,36 @@
     assert lines, {event for event, _fields in context.log_lines}
     assert (lines[-1]["cpu"], lines[-1]["quota_cpu"]) == (amount, quota), lines
     assert lines[-1]["left_ms"] <= seconds * _MILLISECONDS, lines
+
+
+@when("both jobs are cancelled")
+def _cancel_both(context: Any) -> None:
+    cluster = context.cluster
+    for number in FIRST_JOBS:
+        job_id = f"{number:016x}"
+        cluster.audit.handle_cancel_sent(job_id)
+
+        def take(reply: CallReply | None, job_id: str = job_id) -> None:
+            assert reply is not None
+            cluster.audit.handle_cancel_reply(job_id, reply)
+
+        cluster.call(cluster.holder(), job_id, CancelCall(job_id, "small"), take)
+    cluster.run(0.3)
+    assert all(cluster.audit.jobs[f"{number:016x}"].cancelled_at for number in FIRST_JOBS)
+
+
+@when("the workers can be reached again")
+def _heal_workers(context: Any) -> None:
+    cluster = context.cluster
+    for node in cluster.nodes.values():
+        cluster.heal(node.host, list(cluster.pool.workers))
+
+
+@then("neither of them has started")
+def _none_started(context: Any) -> None:
+    assert not any(_has_started(context, number) for number in LATER_JOBS)
+
+
+@then("both of them have started")
+def _both_started(context: Any) -> None:
+    assert all(_has_started(context, number) for number in LATER_JOBS)
--- a/src/onyxspoke/core/jobs/job_registry.py
+++ b/src/onyxspoke/core/jobs/job_registry.py
@@ -23,6 +23,7 @@
 from onyxspoke.core.jobs.progress import JobProgress, StepProgress, TaskProgress
 from onyxspoke.core.jobs.records import ProgressRecord, restore_progress
 from onyxspoke.core.jobs.states import JobState, TaskState
+from onyxspoke.core.tenants.ended_job_usage import EndedJobUsage
 from onyxspoke.core.tenants.keys import may_access_job
 from onyxspoke.core.tenants.policy import TenantName
 
@@ -76,6 +77,8 @@
         self.starts_are_recorded = False
         #: Tasks in doubt, grouped by the worker that may run them.
         self._in_doubt_by_worker: dict[WorkerId, list[TaskProgress]] = {}
+        #: Runs of ended jobs that previous holders started and that may still execute.
+        self.ended_job_usage = EndedJobUsage()
         self._scheduled: dict[JobId, JobProgress] = {}
         self._finished: dict[JobId, None] = {}
 
@@ -432,10 +435,22 @@
     def _finish(self, job: JobProgress, state: JobState, now: float) -> None:
         job.move_to(state, now)
         self.dirty[job.job_id] = None
+        self._count_tasks_in_doubt_of(job)
         self._scheduled.pop(job.job_id, None)
         self._finished[job.job_id] = None
         self._drop_steps(job)
 
+    def _count_tasks_in_doubt_of(self, job: JobProgress) -> None:
+        """Have a job that ended count what its tasks in doubt may use where they may run."""
+        if not job.spec.tenant:
+            return
+        for step in job.steps():
+            for task in step.tasks:
+                if task.state is TaskState.IN_DOUBT and task.placed_on:
+                    self.ended_job_usage.add(
+                        task.placed_on, job.job_id, job.spec.tenant, step.needs
+                    )
+
     def _drop_steps(self, job: JobProgress) -> None:
         for step in job.steps():
             self.startable.pop(step.key, None)
--- a/src/onyxspoke/core/shard/quota_coordinator.py
+++ b/src/onyxspoke/core/shard/quota_coordinator.py
@@ -116,9 +116,14 @@
 
     def _unconfirmed_usage(self) -> dict[TenantName, ResourceVector]:
         context = self._context
-        if not context.policy.tenants or not context.job_registry.is_recovering:
-            return {}
-        return find_doubts(context.job_registry.tasks_in_doubt(), context.table.unreconciled())
+        job_registry = context.job_registry
+        usage: dict[TenantName, ResourceVector] = {}
+        if not context.policy.tenants:
+            return usage
+        if job_registry.is_recovering:
+            usage = find_doubts(job_registry.tasks_in_doubt(), context.table.unreconciled())
+        job_registry.ended_job_usage.add_to(usage)
+        return usage
 
     def _waiting_needs(self) -> dict[TenantName, ResourceVector]:
         """Return the total needs of each tenant's waiting tasks."""
--- a/src/onyxspoke/core/shard/run_reconciler.py
+++ b/src/onyxspoke/core/shard/run_reconciler.py
@@ -6,7 +6,7 @@
 from onyxspoke.core.jobs.progress import StepProgress, TaskProgress, task_with_checkpoint
 from onyxspoke.core.jobs.states import RunEnd, RunState, TaskState
 from onyxspoke.core.placement.runs import GangRun, Run, task_log_name
-from onyxspoke.core.placement.workers import Worker
+from onyxspoke.core.placement.workers import Worker, WorkerContact
 from onyxspoke.core.shard.context import ShardContext
 from onyxspoke.core.shard.orders import EndReport, HoldResult, RunningReport
 from onyxspoke.core.shard.run_manager import RunManager
@@ -184,7 +184,11 @@
     def settle_worker(self, worker: Worker, now: float) -> None:
         """Resolve tasks in doubt on a worker whose runs are all known now."""
         steps = self._context.job_registry.requeue_tasks_in_doubt_on(worker.worker_id, now)
-        if steps:
+        has_ended = worker.contact is WorkerContact.ENDED
+        # Runs that are being stopped count until the worker lists them no more.
+        listed = set() if has_ended else {key.task.job_id for key in worker.orphan_runs}
+        over = self._context.job_registry.ended_job_usage.keep_only(worker.worker_id, listed)
+        if steps or over:
             self._context.needs_placement = True
         keys = {step.key for step in steps if not step.in_doubt}
         self._run_manager.stop_incomplete_gangs(now, keys)
