Quotas: the record of a job that has ended tells what its runs may still use, until they are over

Cause: with its end a job's record lost the placements of its tasks. A holder that took over knew nothing of runs that the former one could not stop or had not stopped yet, and gave their part of the tenant's quota away, at once where their workers could not be reached, and until they were stopped where they could.

Change: the progress record of a tenant's job that has ended carries left_running, the resources by worker that its runs may still use; it is written once more, without, when all of them are over. A new holder counts them, over any number of holders, until the worker has ended or lists no run of that job. Records without the field are read as before, and builds without it pass over it.

--- a/features/quota_behind_a_cut.feature
+++ b/features/quota_behind_a_cut.feature
@@ -36,3 +36,48 @@
     And 1 seconds pass in that cluster of tenants
     Then both of them have started
     And the cluster has broken nothing
+
+  # The record of a job that had ended told nothing of its runs that were not over, so that the next
+  # holder did not know of them.
+  Scenario Outline: Runs of jobs that were cancelled under an earlier holder still count: <changes>
+    Given a cluster of tenants with 6 workers
+    And two jobs of a tenant with a quota of two workers are at work
+    When <changes>
+    And two more jobs of that tenant are submitted, and 3 seconds pass
+    Then neither of them has started
+    And a job of another tenant begins
+    When 8 seconds pass in that cluster of tenants
+    Then both of them have started
+    And the cluster has broken nothing
+
+    Examples:
+      | changes                                                                            |
+      | their workers are cut off, both jobs are cancelled, the holder dies                |
+      | their workers are cut off, both jobs are cancelled, the holder dies, the holder dies |
+      | their workers are cut off, the holder dies, both jobs are cancelled, the holder dies |
+
+  Scenario: A run of a job that was cancelled under an earlier holder counts until it has been stopped
+    Given a cluster of tenants with 6 workers
+    And two jobs of a tenant with a quota of two workers are at work
+    When their workers are cut off, both jobs are cancelled, the holder dies
+    And two more jobs of that tenant are submitted, and 1 seconds pass
+    And the workers can be reached again
+    And 1 seconds pass in that cluster of tenants
+    Then both of them have started
+    And the cluster has broken nothing
+
+  Scenario: Once the runs of a cancelled job are over, its record tells of none
+    Given a cluster of tenants with 6 workers
+    And two jobs of a tenant with a quota of two workers are at work
+    When both jobs are cancelled
+    Then the records of both tell of no runs that are left
+    When their workers are cut off, the holder dies
+    And two more jobs of that tenant are submitted, and 1 seconds pass
+    Then both of them have started
+    And the cluster has broken nothing
+
+  Scenario: Records of ended jobs that tell nothing of their runs, and those that do, are read
+    Given the record of a cancelled job as builds write it that tell nothing of its runs
+    Then this build reads it, and knows of no runs that are left
+    Given the record of a cancelled job whose runs are left on a worker
+    Then a build that tells nothing of its runs reads it
--- a/features/steps/quota_cut_steps.py
+++ b/features/steps/quota_cut_steps.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 from unittest import mock
 
+import msgspec
 from behave import given, then, when
 from tenant_steps import _has_started, _tenant_cluster
 
+from onyxspoke.core.jobs.model import JobSpec, QueuePolicy, ResourceVector
+from onyxspoke.core.jobs.progress import JobProgress
+from onyxspoke.core.jobs.records import decode_progress, encode_progress, progress_key
+from onyxspoke.core.jobs.states import JobState
 from onyxspoke.core.shard.calls import CallReply, CancelCall
 from onyxspoke.core.shard.context import ShardContext
 
@@ -82,3 +88,83 @@
 @then("both of them have started")
 def _both_started(context: Any) -> None:
     assert all(_has_started(context, number) for number in LATER_JOBS)
+
+
+def _cut_busy_workers(context: Any) -> None:
+    cluster = context.cluster
+    busy = [worker.worker_id for worker in cluster.pool.workers.values() if worker.runs]
+    context.busy = getattr(context, "busy", busy) or busy
+    for node in cluster.nodes.values():
+        cluster.cut(node.host, context.busy)
+
+
+def _kill_holder(context: Any) -> None:
+    context.cluster.kill_node(context.cluster.holder().name)
+    context.cluster.run(2.0)
+    assert context.cluster.holder() is not None
+
+
+CHANGES: dict[str, Callable[[Any], None]] = {
+    "their workers are cut off": _cut_busy_workers,
+    "both jobs are cancelled": _cancel_both,
+    "the holder dies": _kill_holder,
+}
+
+
+@when("their workers are cut off, {changes}")
+def _change(context: Any, changes: str) -> None:
+    _cut_busy_workers(context)
+    for change in changes.split(", "):
+        CHANGES[change](context)
+
+
+@then("the records of both tell of no runs that are left")
+def _records_tell_none(context: Any) -> None:
+    cluster = context.cluster
+    cluster.run(1.0)
+    page = cluster.store.read_newest(0, "")
+    stored = {record.key: record.value for record in page.records}
+    for number in FIRST_JOBS:
+        key = progress_key(f"{number:016x}")
+        record = decode_progress(key, stored[key])
+        assert record.state == JobState.CANCELLED, record
+        assert record.left_running == {}, record
+
+
+class _EarlierProgressRecord(msgspec.Struct, array_like=True):
+    """The progress record of builds that tell nothing of the runs of ended jobs."""
+
+    state: int
+    done_repetitions: list[int]
+    steps: list[dict[str, int]]
+    was_submitted: bool = True
+    tenant: str = ""
+
+
+@given("the record of a cancelled job as builds write it that tell nothing of its runs")
+def _earlier_record(context: Any) -> None:
+    record = _EarlierProgressRecord(int(JobState.CANCELLED), [], [], tenant="small")
+    context.record = msgspec.msgpack.encode(record)
+
+
+@then("this build reads it, and knows of no runs that are left")
+def _reads_earlier(context: Any) -> None:
+    record = decode_progress("record", context.record)
+    assert (record.state, record.tenant) == (JobState.CANCELLED, "small"), record
+    assert record.left_running == {}, record
+
+
+@given("the record of a cancelled job whose runs are left on a worker")
+def _present_record(context: Any) -> None:
+    queue = QueuePolicy(name="q", service="s")
+    job = JobProgress(JobSpec(job_id="a", queue=queue, payload="", steps=(), tenant="small"), 1.0)
+    job.move_to(JobState.CANCELLED, 2.0)
+    job.left_running = {"w": ResourceVector(1_000, 64, 0)}
+    context.record = encode_progress(job)
+    assert decode_progress("record", context.record).left_running == job.left_running
+
+
+@then("a build that tells nothing of its runs reads it")
+def _earlier_build_reads(context: Any) -> None:
+    record = msgspec.msgpack.decode(context.record, type=_EarlierProgressRecord)
+    assert (record.state, record.tenant) == (JobState.CANCELLED, "small"), record
--- a/src/onyxspoke/core/jobs/job_registry.py
+++ b/src/onyxspoke/core/jobs/job_registry.py
@@ -16,12 +16,14 @@
     JobId,
     JobSpec,
     QueuePolicy,
+    ResourceVector,
     StepKey,
     TaskKey,
     WorkerId,
 )
 from onyxspoke.core.jobs.progress import JobProgress, StepProgress, TaskProgress
 from onyxspoke.core.jobs.records import ProgressRecord, restore_progress
+from onyxspoke.core.jobs.resource_vectors import add_vectors
 from onyxspoke.core.jobs.states import JobState, TaskState
 from onyxspoke.core.tenants.ended_job_usage import EndedJobUsage
 from onyxspoke.core.tenants.keys import may_access_job
@@ -166,6 +168,7 @@
             restore_progress(job, record, now)
         if job.state.is_final:
             self._finished[spec.job_id] = None
+            self._count_left_running(job)
             return
         if spec.schedule.count > 0:
             self._scheduled[spec.job_id] = job
@@ -187,10 +190,11 @@
         restore_progress(job, record, now)
         self.jobs[job_id] = job
         self._finished[job_id] = None
+        self._count_left_running(job)
 
     def workers_with_tasks_in_doubt(self) -> list[WorkerId]:
-        """Return the workers that may run tasks in doubt."""
-        return list(self._in_doubt_by_worker)
+        """Return the workers that may run tasks in doubt, or runs of ended jobs."""
+        return list(dict.fromkeys([*self._in_doubt_by_worker, *self.ended_job_usage.workers()]))
 
     def tasks_in_doubt_on(self, worker_id: WorkerId) -> list[TaskProgress]:
         """Return the tasks in doubt that previous holders placed on a worker."""
@@ -225,6 +229,27 @@
                 self._update_startable(step)
         return list(steps.values())
 
+    def settle_ended_jobs_on(self, worker_id: WorkerId, running: set[JobId]) -> bool:
+        """Forget runs of ended jobs on a worker except those of jobs that it still runs.
+
+        Returns
+        -------
+        bool
+            Whether there were any that count no more.
+        """
+        over = self.ended_job_usage.keep_only(worker_id, running)
+        for job_id in over:
+            self.note_nothing_left(job_id, worker_id)
+        return bool(over)
+
+    def note_nothing_left(self, job_id: JobId, worker_id: WorkerId) -> None:
+        """Note that a worker runs nothing of an ended job any more."""
+        job = self.jobs.get(job_id)
+        if job is None or job.left_running.pop(worker_id, None) is None:
+            return
+        if not job.left_running:
+            self.dirty[job_id] = None
+
     def requeue_tasks_in_doubt(self, now: float) -> None:
         """Move every task that is still in doubt back to waiting."""
         for job in self.jobs.values():
@@ -435,22 +460,31 @@
     def _finish(self, job: JobProgress, state: JobState, now: float) -> None:
         job.move_to(state, now)
         self.dirty[job.job_id] = None
-        self._count_tasks_in_doubt_of(job)
+        self._note_left_running(job)
         self._scheduled.pop(job.job_id, None)
         self._finished[job.job_id] = None
         self._drop_steps(job)
 
-    def _count_tasks_in_doubt_of(self, job: JobProgress) -> None:
-        """Have a job that ended count what its tasks in doubt may use where they may run."""
+    def _note_left_running(self, job: JobProgress) -> None:
+        """Note what runs of a tenant's job that has ended may still use on each worker."""
         if not job.spec.tenant:
             return
         for step in job.steps():
             for task in step.tasks:
-                if task.state is TaskState.IN_DOUBT and task.placed_on:
+                if not task.placed_on or task.state is TaskState.DONE:
+                    continue
+                former = job.left_running.get(task.placed_on, ResourceVector())
+                job.left_running[task.placed_on] = add_vectors(former, step.needs)
+                if task.state is TaskState.IN_DOUBT:
                     self.ended_job_usage.add(
                         task.placed_on, job.job_id, job.spec.tenant, step.needs
                     )
 
+    def _count_left_running(self, job: JobProgress) -> None:
+        """Count what runs of a restored job that has ended may still use."""
+        for worker_id, needs in job.left_running.items():
+            self.ended_job_usage.add(worker_id, job.job_id, job.spec.tenant, needs)
+
     def _drop_steps(self, job: JobProgress) -> None:
         for step in job.steps():
             self.startable.pop(step.key, None)
--- a/src/onyxspoke/core/jobs/progress.py
+++ b/src/onyxspoke/core/jobs/progress.py
@@ -6,7 +6,15 @@
 
 from onyxspoke.core.estimates.work_model import DEFAULT_WORK_MODEL, WorkModel
 from onyxspoke.core.jobs.crashes import CrashTally
-from onyxspoke.core.jobs.model import JobId, JobSpec, StepKey, StepSpec, TaskKey, WorkerId
+from onyxspoke.core.jobs.model import (
+    JobId,
+    JobSpec,
+    ResourceVector,
+    StepKey,
+    StepSpec,
+    TaskKey,
+    WorkerId,
+)
 from onyxspoke.core.jobs.states import (
     JobState,
     TaskState,
@@ -245,6 +253,8 @@
         Target duration of the job according to the estimates in its specification.
     work : WorkModel
         Learned ratio of actual to estimated durations for this kind of job.
+    left_running : dict of WorkerId to ResourceVector
+        What runs of the job may still use on each worker after the job has ended.
     """
 
     __slots__ = (
@@ -253,6 +263,7 @@
         "done_repetitions",
         "final_at",
         "has_started",
+        "left_running",
         "objective_seconds",
         "repetitions",
         "spec",
@@ -276,6 +287,7 @@
         self.work_dependent_seconds = self.objective_seconds - _target_seconds(spec)
         self.final_at = 0.0
         self.spec_is_stored = False
+        self.left_running: dict[WorkerId, ResourceVector] = {}
 
     @property
     def job_id(self) -> JobId:
--- a/src/onyxspoke/core/jobs/records.py
+++ b/src/onyxspoke/core/jobs/records.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from onyxspoke.core.jobs.crashes import CrashTally
-from onyxspoke.core.jobs.model import JobId, JobSpec, StepKey, WorkerId
+from onyxspoke.core.jobs.model import JobId, JobSpec, ResourceVector, StepKey, WorkerId
 from onyxspoke.core.jobs.progress import JobProgress, StepProgress, TaskProgress
 from onyxspoke.core.jobs.states import JobState, TaskState
 from onyxspoke.core.tenants.policy import TenantName
@@ -43,7 +43,9 @@
     """The recorded progress of a job.
 
     ``was_submitted`` is false if the job was cancelled before it was submitted.  ``tenant`` is
-    empty if no tenants were configured when the record was written.
+    empty if no tenants were configured when the record was written.  ``left_running`` tells of a
+    tenant's job that has ended what its runs may still use on each worker, so that a new holder
+    counts them towards the tenant's quota; earlier versions neither write nor read it.
     """
 
     state: int
@@ -51,6 +53,7 @@
     steps: list[StepRecord]
     was_submitted: bool = True
     tenant: TenantName = ""
+    left_running: dict[WorkerId, ResourceVector] = {}
 
 
 class JobRecordKind(Enum):
@@ -98,7 +101,9 @@
     if not job.state.is_final:
         steps = [_step_record(step) for step in job.steps() if _has_progress(step)]
     done = sorted(job.done_repetitions)
-    record = ProgressRecord(int(job.state), done, steps, tenant=job.spec.tenant)
+    record = ProgressRecord(
+        int(job.state), done, steps, tenant=job.spec.tenant, left_running=job.left_running
+    )
     return _encoder.encode(record)
 
 
@@ -123,6 +128,7 @@
         job.has_started = state is JobState.RUNNING
         job.move_to(state, now)
     if state.is_final:
+        job.left_running = dict(record.left_running)
         return
     for stored in record.steps:
         if stored.repetition not in job.repetitions:
--- a/src/onyxspoke/core/shard/run_manager.py
+++ b/src/onyxspoke/core/shard/run_manager.py
@@ -5,7 +5,12 @@
 from onyxspoke.core.codes import ResultCode
 from onyxspoke.core.jobs.crashes import CrashBlame
 from onyxspoke.core.jobs.model import RunKey, StepKey
-from onyxspoke.core.jobs.progress import StepProgress, TaskProgress, task_with_checkpoint
+from onyxspoke.core.jobs.progress import (
+    JobProgress,
+    StepProgress,
+    TaskProgress,
+    task_with_checkpoint,
+)
 from onyxspoke.core.jobs.states import JobState, RunEnd, RunState, TaskState
 from onyxspoke.core.placement.blame import IncarnationEndReason, blame_runs, has_crashed
 from onyxspoke.core.placement.capacity_seeker import PreemptionRequest
@@ -266,8 +271,14 @@
             self.complete_task(task, now)
         elif task.state is TaskState.ACTIVE:
             self._context.job_registry.task_requeued(task)
+        self._note_left_running(worker, task.step.job)
         self.stop_runs_if_job_ended(task.step, now)
 
+    def _note_left_running(self, worker: Worker, job: JobProgress) -> None:
+        """Note it if a worker runs nothing of an ended job any more."""
+        if job.left_running and not any(key.task.job_id == job.job_id for key in worker.runs):
+            self._context.job_registry.note_nothing_left(job.job_id, worker.worker_id)
+
     def _end_gang_member(self, run: Run, gang: GangRun, end: RunEnd, now: float) -> None:
         if end is RunEnd.DONE and not gang.step.spec.long_running:
             self.complete_task(run.task, now)
--- a/src/onyxspoke/core/shard/run_reconciler.py
+++ b/src/onyxspoke/core/shard/run_reconciler.py
@@ -183,12 +183,16 @@
 
     def settle_worker(self, worker: Worker, now: float) -> None:
         """Resolve tasks in doubt on a worker whose runs are all known now."""
-        steps = self._context.job_registry.requeue_tasks_in_doubt_on(worker.worker_id, now)
-        has_ended = worker.contact is WorkerContact.ENDED
-        # Runs that are being stopped count until the worker lists them no more.
-        listed = set() if has_ended else {key.task.job_id for key in worker.orphan_runs}
-        over = self._context.job_registry.ended_job_usage.keep_only(worker.worker_id, listed)
-        if steps or over:
+        job_registry = self._context.job_registry
+        steps = job_registry.requeue_tasks_in_doubt_on(worker.worker_id, now)
+        are_some_over = False
+        if job_registry.ended_job_usage.has_runs_on(worker.worker_id):
+            has_ended = worker.contact is WorkerContact.ENDED
+            # Runs that are being stopped count until the worker lists them no more.
+            keys = [] if has_ended else [*worker.orphan_runs, *worker.runs]
+            running = {key.task.job_id for key in keys}
+            are_some_over = job_registry.settle_ended_jobs_on(worker.worker_id, running)
+        if steps or are_some_over:
             self._context.needs_placement = True
-        keys = {step.key for step in steps if not step.in_doubt}
-        self._run_manager.stop_incomplete_gangs(now, keys)
+        known_steps = {step.key for step in steps if not step.in_doubt}
+        self._run_manager.stop_incomplete_gangs(now, known_steps)
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -165,6 +165,7 @@
             if worker_id not in self.context.table.workers:
                 # A worker's record is deleted only once the worker certainly runs nothing.
                 self.context.job_registry.requeue_tasks_in_doubt_on(worker_id, now)
+                self.context.job_registry.settle_ended_jobs_on(worker_id, set())
         self._is_recovered = True
         self._last_active_at = now
         self.context.log(
--- a/src/onyxspoke/core/tenants/ended_job_usage.py
+++ b/src/onyxspoke/core/tenants/ended_job_usage.py
@@ -30,6 +30,10 @@
         """Return the workers that may have such runs."""
         return list(self._by_worker)
 
+    def has_runs_on(self, worker_id: WorkerId) -> bool:
+        """Return whether a worker may have such runs."""
+        return worker_id in self._by_worker
+
     def keep_only(self, worker_id: WorkerId, job_ids: set[JobId]) -> list[JobId]:
         """Forget the runs on a worker except those of some jobs; return the other jobs."""
         by_job = self._by_worker.pop(worker_id, {})
