--- /dev/null
+++ b/features/steps/quota_cut_steps.py
@@ -0,0 +1,170 @@
+"""Steps in which a new holder counts runs of earlier holders towards a tenant's quota."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+from unittest import mock
+
+import msgspec
+from behave import given, then, when
+from tenant_steps import _has_started, _tenant_cluster
+
+from onyxspoke.core.jobs.model import JobSpec, QueuePolicy, ResourceVector
+from onyxspoke.core.jobs.progress import JobProgress
+from onyxspoke.core.jobs.records import decode_progress, encode_progress, progress_key
+from onyxspoke.core.jobs.states import JobState
+from onyxspoke.core.shard.calls import CallReply, CancelCall
+from onyxspoke.core.shard.context import ShardContext
+
+FIRST_JOBS = (1, 2)
+LATER_JOBS = (3, 4)
+_MILLISECONDS = 1_000.0
+
+
+@given("a cluster of tenants with {count:d} workers, whose log is kept")
+def _logged_cluster(context: Any, count: int) -> None:
+    context.log_lines = []
+    log = ShardContext.log
+
+    def keep(shard: ShardContext, event: str, **fields: Any) -> None:
+        context.log_lines.append((event, fields))
+        log(shard, event, **fields)
+
+    patch = mock.patch.object(ShardContext, "log", keep)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    _tenant_cluster(context, count)
+
+
+@when("{seconds:g} seconds pass in that cluster of tenants")
+def _time_passes(context: Any, seconds: float) -> None:
+    context.cluster.run(seconds)
+
+
+@then(
+    'the log tells last that {amount:d} of the {quota:d} of "{tenant}" are in doubt,'
+    " for {seconds:g} seconds at most"
+)
+def _told(context: Any, amount: int, quota: int, tenant: str, seconds: float) -> None:
+    lines = [
+        fields
+        for event, fields in context.log_lines
+        if event == "quota_in_doubt" and fields["tenant"] == tenant
+    ]
+    assert lines, {event for event, _fields in context.log_lines}
+    assert (lines[-1]["cpu"], lines[-1]["quota_cpu"]) == (amount, quota), lines
+    assert lines[-1]["left_ms"] <= seconds * _MILLISECONDS, lines
+
+
+@when("both jobs are cancelled")
+def _cancel_both(context: Any) -> None:
+    cluster = context.cluster
+    for number in FIRST_JOBS:
+        job_id = f"{number:016x}"
+        cluster.audit.handle_cancel_sent(job_id)
+
+        def take(reply: CallReply | None, job_id: str = job_id) -> None:
+            assert reply is not None
+            cluster.audit.handle_cancel_reply(job_id, reply)
+
+        cluster.call(cluster.holder(), job_id, CancelCall(job_id, "small"), take)
+    cluster.run(0.3)
+    assert all(cluster.audit.jobs[f"{number:016x}"].cancelled_at for number in FIRST_JOBS)
+
+
+@when("the workers can be reached again")
+def _heal_workers(context: Any) -> None:
+    cluster = context.cluster
+    for node in cluster.nodes.values():
+        cluster.heal(node.host, list(cluster.pool.workers))
+
+
+@then("neither of them has started")
+def _none_started(context: Any) -> None:
+    assert not any(_has_started(context, number) for number in LATER_JOBS)
+
+
+@then("both of them have started")
+def _both_started(context: Any) -> None:
+    assert all(_has_started(context, number) for number in LATER_JOBS)
+
+
+def _cut_busy_workers(context: Any) -> None:
+    cluster = context.cluster
+    busy = [worker.worker_id for worker in cluster.pool.workers.values() if worker.runs]
+    context.busy = getattr(context, "busy", busy) or busy
+    for node in cluster.nodes.values():
+        cluster.cut(node.host, context.busy)
+
+
+def _kill_holder(context: Any) -> None:
+    context.cluster.kill_node(context.cluster.holder().name)
+    context.cluster.run(2.0)
+    assert context.cluster.holder() is not None
+
+
+CHANGES: dict[str, Callable[[Any], None]] = {
+    "their workers are cut off": _cut_busy_workers,
+    "both jobs are cancelled": _cancel_both,
+    "the holder dies": _kill_holder,
+}
+
+
+@when("their workers are cut off, {changes}")
+def _change(context: Any, changes: str) -> None:
+    _cut_busy_workers(context)
+    for change in changes.split(", "):
+        CHANGES[change](context)
+
+
+@then("the records of both tell of no runs that are left")
+def _records_tell_none(context: Any) -> None:
+    cluster = context.cluster
+    cluster.run(1.0)
+    page = cluster.store.read_newest(0, "")
+    stored = {record.key: record.value for record in page.records}
+    for number in FIRST_JOBS:
+        key = progress_key(f"{number:016x}")
+        record = decode_progress(key, stored[key])
+        assert record.state == JobState.CANCELLED, record
+        assert record.left_running == {}, record
+
+
+class _EarlierProgressRecord(msgspec.Struct, array_like=True):
+    """The progress record of builds that tell nothing of the runs of ended jobs."""
+
+    state: int
+    done_repetitions: list[int]
+    steps: list[dict[str, int]]
+    was_submitted: bool = True
+    tenant: str = ""
+
+
+@given("the record of a cancelled job as builds write it that tell nothing of its runs")
+def _earlier_record(context: Any) -> None:
+    record = _EarlierProgressRecord(int(JobState.CANCELLED), [], [], tenant="small")
+    context.record = msgspec.msgpack.encode(record)
+
+
+@then("this build reads it, and knows of no runs that are left")
+def _reads_earlier(context: Any) -> None:
+    record = decode_progress("record", context.record)
+    assert (record.state, record.tenant) == (JobState.CANCELLED, "small"), record
+    assert record.left_running == {}, record
+
+
+@given("the record of a cancelled job whose runs are left on a worker")
+def _present_record(context: Any) -> None:
+    queue = QueuePolicy(name="q", service="s")
+    job = JobProgress(JobSpec(job_id="a", queue=queue, payload="", steps=(), tenant="small"), 1.0)
+    job.move_to(JobState.CANCELLED, 2.0)
+    job.left_running = {"w": ResourceVector(1_000, 64, 0)}
+    context.record = encode_progress(job)
+    assert decode_progress("record", context.record).left_running == job.left_running
+
+
+@then("a build that tells nothing of its runs reads it")
+def _earlier_build_reads(context: Any) -> None:
+    record = msgspec.msgpack.decode(context.record, type=_EarlierProgressRecord)
+    assert (record.state, record.tenant) == (JobState.CANCELLED, "small"), record
--- a/src/onyxspoke/core/shard/run_reconciler.py
+++ b/src/onyxspoke/core/shard/run_reconciler.py
@@ -6,7 +6,7 @@
 from onyxspoke.core.jobs.progress import StepProgress, TaskProgress, task_with_checkpoint
 from onyxspoke.core.jobs.states import RunEnd, RunState, TaskState
 from onyxspoke.core.placement.runs import GangRun, Run, task_log_name
-from onyxspoke.core.placement.workers import LeaseVerdict, Worker
+from onyxspoke.core.placement.workers import LeaseVerdict, Worker, WorkerContact
 from onyxspoke.core.shard.context import ShardContext
 from onyxspoke.core.shard.ignored_ends import IgnoredEndLog, IgnoredEndReason
 from onyxspoke.core.shard.orders import EndReport, HoldResult, RunningReport
@@ -246,11 +246,19 @@
 
     def settle_worker(self, worker: Worker, now: float) -> None:
         """Resolve tasks in doubt on a worker whose runs are all known now."""
-        steps = self._context.job_registry.requeue_tasks_in_doubt_on(worker.worker_id, now)
-        if steps:
+        job_registry = self._context.job_registry
+        steps = job_registry.requeue_tasks_in_doubt_on(worker.worker_id, now)
+        are_some_over = False
+        if job_registry.ended_job_usage.has_runs_on(worker.worker_id):
+            has_ended = worker.contact is WorkerContact.ENDED
+            # Runs that are being stopped count until the worker lists them no more.
+            keys = [] if has_ended else [*worker.orphan_runs, *worker.runs]
+            running = {key.task.job_id for key in keys}
+            are_some_over = job_registry.settle_ended_jobs_on(worker.worker_id, running)
+        if steps or are_some_over:
             self._context.needs_placement = True
-        keys = {step.key for step in steps if not step.in_doubt}
-        self._run_manager.stop_incomplete_gangs(now, keys)
+        known_steps = {step.key for step in steps if not step.in_doubt}
+        self._run_manager.stop_incomplete_gangs(now, known_steps)
 
 
 def _completes_late(task: TaskProgress, report: EndReport, verdict: LeaseVerdict) -> bool:
