Soak: cuts between nodes, zones and workers, faults of the holder alone, orders of faults, other builds' nodes

Cause: a node told others where it listens, so no proxy stood between two nodes; no fault met the holder alone; tasks were shorter than leases; a schedule could only be drawn; nodes were always those of the runner's own tree. Runs with neighbouring process numbers could share a loopback network.

Change: with `--zones N` nodes tell the proxy's address and connect from their own; the proxy cuts single ways, and refuses connections for a process that does. Kinds drawn only where they are asked for: cut_zone, cut_holder_zone, cut_node, cut_workers, holder_loses_store, restart_holder, restart_others, restart_all_nodes, pause_others. `--task-seconds`, `--hold-ms`, `--schedule FILE`, `--node-path DIR`. What stand-ins told is kept beside the logs. A run locks its network.

--- a/src/onyxspoke/cli/soak.py
+++ b/src/onyxspoke/cli/soak.py
@@ -24,7 +24,9 @@
 from onyxspoke.core.codes import ExitCode
 from onyxspoke.net.reactor_clock import boot_seconds
 from onyxspoke.soak import stand_ins
-from onyxspoke.soak.plan import SoakPlan, choose_network, load_plan
+from onyxspoke.soak.faults import OF_ZONES, draw_schedule, read_schedule
+from onyxspoke.soak.networks import NetworkLock
+from onyxspoke.soak.plan import SoakPlan, load_plan
 from onyxspoke.soak.run import SoakRun
 from onyxspoke.soak.timers import DueTimers
 
@@ -52,6 +54,26 @@
     run.add_argument("--kinds", help="of faults: kill_node,links_cut_out,... (default: all)")
     run.add_argument("--rate", type=float, default=5.0, help="jobs a second (default: 5)")
     run.add_argument("--nodes", type=int, default=4)
+    run.add_argument("--workers", type=int, default=10)
+    run.add_argument(
+        "--zones", type=int, default=1, help="of nodes and workers; with two, ways can be cut"
+    )
+    run.add_argument(
+        "--task-seconds",
+        type=float,
+        nargs=2,
+        default=(0.2, 1.5),
+        metavar=("LEAST", "MOST"),
+        help="lengths of tasks (default: 0.2 1.5)",
+    )
+    run.add_argument("--hold-ms", type=int, default=6_000, help="longest lease (default: 6000)")
+    run.add_argument("--settle", type=float, default=60.0, help="seconds for the last jobs to end")
+    run.add_argument(
+        "--schedule", type=Path, metavar="FILE", help="play the faults in this file instead"
+    )
+    run.add_argument(
+        "--node-path", default="", metavar="DIR", help="nodes load the product from there"
+    )
     run.add_argument("--no-proxy", action="store_true", help="without the proxy and its faults")
     run.add_argument("--keep", help="play only these entries of the schedule: 0,3,...")
     run.add_argument("--out", type=Path, default=Path("run/soak"), help="directory of logs")
@@ -131,31 +153,44 @@
             has_failed = any(run.violations for run in self._runs)
             self.on_over(ExitCode.AUDIT_VIOLATION if has_failed else ExitCode.OK)
             return
-        run = self._make_run(self._seeds.pop(0))
+        lock = NetworkLock(os.getpid() + len(self._runs))
+        run = self._make_run(self._seeds.pop(0), lock.network)
         self._present = run
         self._runs.append(run)
         playing = run.play()
+        playing.addCallback(lambda _none: lock.release())
         playing.addCallback(self._play_next)
         playing.addErrback(self._handle_failure)
 
-    def _make_run(self, seed: int) -> SoakRun:
+    def _make_run(self, seed: int, network: str) -> SoakRun:
         arguments = self._arguments
         plan = SoakPlan(
             seed=seed,
-            network=choose_network(os.getpid() + len(self._runs)),
+            network=network,
             nodes=arguments.nodes,
+            workers=arguments.workers,
+            zones=arguments.zones,
+            task_seconds=tuple(arguments.task_seconds),
+            maximum_hold_ms=arguments.hold_ms,
+            settle_seconds=arguments.settle,
+            node_path=arguments.node_path,
             jobs_per_second=arguments.rate,
             fault_seconds=arguments.seconds,
             fault_count=arguments.faults,
             with_proxy=not arguments.no_proxy,
             kinds=tuple(arguments.kinds.split(",")) if arguments.kinds else (),
         )
-        keep = None
+        faults = draw_schedule(plan)
+        if arguments.schedule is not None:
+            faults = read_schedule(arguments.schedule)
         if arguments.keep is not None:
             keep = {int(number) for number in arguments.keep.split(",") if number}
+            faults = [fault for number, fault in enumerate(faults) if number in keep]
+        if not plan.with_zones and any(fault.fault in OF_ZONES for fault in faults):
+            raise ValueError("these faults cut ways that only a cell of several zones has")
         directory = arguments.out / f"seed-{seed}-{os.getpid()}"
         directory.mkdir(parents=True)
-        run = SoakRun(plan, directory.resolve(), keep, _show)
+        run = SoakRun(plan, directory.resolve(), faults, _show)
         for number, fault in enumerate(run.faults):
             _show(f"  {number}: at {fault.at} s {fault.fault.value} for {fault.seconds} s")
         return run
--- a/src/onyxspoke/platform/counterpart/settings.py
+++ b/src/onyxspoke/platform/counterpart/settings.py
@@ -17,6 +17,10 @@
         First and last port that is free for streams between nodes.
     seeds : tuple of Address
         Nodes that may be there already.
+    advertised : Address or None
+        Where peers are to reach the node, which connects from its own address then.
+    maximum_hold_ms : int
+        Longest lease that a worker grants.
     """
 
     name: str
@@ -29,6 +33,9 @@
     advice: Address
     heartbeat_ms: int
     stop_grace_seconds: float
+    zone: str = "zone"
+    advertised: Address | None = None
+    maximum_hold_ms: int = 6_000
 
 
 def encode_settings(place: NodePlace) -> str:
@@ -37,7 +44,7 @@
     lines = {
         "nodeName": place.name,
         "ip": place.host,
-        "zone": "zone",
+        "zone": place.zone,
         "bindAddresses.front": f"{place.host}:{place.caller_port}",
         "bindAddresses.readiness": f"{place.host}:{place.readiness_port}",
         "internalPortRange": f"{first},{last}",
@@ -46,7 +53,7 @@
         "limits.cores": 1,
         "heartbeatMs": place.heartbeat_ms,
         "bounds.graceS": place.stop_grace_seconds,
-        "bounds.maxHoldMs": 6_000,
+        "bounds.maxHoldMs": place.maximum_hold_ms,
         "bounds.stopGraceMs": 200,
         "bounds.status_s": 3_600,
         "bounds.configApplyMs": 2_000,
@@ -59,6 +66,9 @@
         "platform.reads_per_s": 2_000,
         "advice": _encode_address(place.advice),
     }
+    if place.advertised is not None:
+        lines["advertised"] = _encode_address(place.advertised)
+        lines["connectFromIp"] = "true"
     return "".join(f"{name}={value}\n" for name, value in lines.items())
 
 
--- a/src/onyxspoke/soak/events.py
+++ b/src/onyxspoke/soak/events.py
@@ -173,7 +173,8 @@
 
     ``DELAY``: each piece comes later.  ``RESET``: connections are reset.  ``SILENCE``: connections
     pass nothing more, for good; new ones do.  ``CUT_OUT``, ``CUT_BACK``: what goes out, or comes
-    back, arrives only once the link is healed.
+    back, arrives only once the link is healed.  ``CUT``: neither way, and what connects meanwhile
+    gets no further until then.
     """
 
     DELAY = "delay"
@@ -181,14 +182,16 @@
     SILENCE = "silence"
     CUT_OUT = "cut_out"
     CUT_BACK = "cut_back"
+    CUT = "cut"
 
 
 class StrikeLinks(Command, frozen=True):
-    """Links of the proxy are struck for a time."""
+    """Links of the proxy are struck for a time, for what connects from some hosts or from any."""
 
     names: tuple[str, ...]
     mode: LinkMode
     seconds: float
+    sources: tuple[str, ...] = ()
 
 
 AnyCommand = SetStoreFaults | CrashWorker | SetLateOrders | StopSubmitting | StrikeLinks
--- a/src/onyxspoke/soak/faults.py
+++ b/src/onyxspoke/soak/faults.py
@@ -7,8 +7,11 @@
 from dataclasses import dataclass
 from enum import Enum
 from functools import partial
+from pathlib import Path
 from typing import Protocol
 
+import msgspec
+
 from onyxspoke.soak.events import (
     AnyCommand,
     CrashWorker,
@@ -17,7 +20,13 @@
     SetStoreFaults,
     StrikeLinks,
 )
-from onyxspoke.soak.links import choose_links
+from onyxspoke.soak.links import (
+    choose_links,
+    choose_workers,
+    cut_peers,
+    cut_store,
+    cut_zone,
+)
 from onyxspoke.soak.plan import SoakPlan
 
 SHORTEST_SECONDS = 0.5
@@ -55,12 +64,44 @@
     LINKS_SILENCE = "links_silence"
     LINKS_CUT_OUT = "links_cut_out"
     LINKS_CUT_BACK = "links_cut_back"
+    CUT_ZONE = "cut_zone"
+    CUT_HOLDER_ZONE = "cut_holder_zone"
+    CUT_NODE = "cut_node"
+    CUT_WORKERS = "cut_workers"
+    HOLDER_LOSES_STORE = "holder_loses_store"
+    RESTART_HOLDER = "restart_holder"
+    RESTART_OTHERS = "restart_others"
+    PAUSE_OTHERS = "pause_others"
+    RESTART_ALL_NODES = "restart_all_nodes"
 
 
 #: Planned work only: whatever is lost under these was lost by a planned stop.
 PLANNED = frozenset({SoakFault.STOP_NODE, SoakFault.STOP_ALL_NODES})
 #: Drawn only where it is asked for, so that the schedules of other seeds stay as they were.
-_NOT_DRAWN = frozenset({SoakFault.STOP_ALL_NODES})
+_NOT_DRAWN = frozenset(
+    {
+        SoakFault.STOP_ALL_NODES,
+        SoakFault.CUT_ZONE,
+        SoakFault.CUT_HOLDER_ZONE,
+        SoakFault.CUT_NODE,
+        SoakFault.CUT_WORKERS,
+        SoakFault.HOLDER_LOSES_STORE,
+        SoakFault.RESTART_HOLDER,
+        SoakFault.RESTART_OTHERS,
+        SoakFault.PAUSE_OTHERS,
+        SoakFault.RESTART_ALL_NODES,
+    }
+)
+#: Struck by links that only a cell of several zones has.
+OF_ZONES = frozenset({SoakFault.CUT_ZONE, SoakFault.CUT_HOLDER_ZONE, SoakFault.CUT_NODE})
+#: Lengths of faults that are as long as leases, or as short as a supervisor's restart, in seconds.
+_LENGTHS = {
+    SoakFault.CUT_WORKERS: (5.0, 9.0),
+    SoakFault.HOLDER_LOSES_STORE: (4.0, 9.0),
+    SoakFault.RESTART_HOLDER: (0.3, 0.8),
+    SoakFault.RESTART_OTHERS: (0.3, 0.8),
+    SoakFault.RESTART_ALL_NODES: (0.3, 0.8),
+}
 #: Between the stops of two nodes where all are stopped, in seconds.
 STOP_GAPS = (0.0, 0.05, 0.4, 1.25)
 #: A node that was stopped with all others starts again after so long.
@@ -83,6 +124,24 @@
 }
 
 
+#: Faults that strike the node that decides, or all but that one.
+_OF_HOLDER = frozenset(
+    {
+        SoakFault.CUT_HOLDER_ZONE,
+        SoakFault.HOLDER_LOSES_STORE,
+        SoakFault.RESTART_HOLDER,
+        SoakFault.RESTART_OTHERS,
+        SoakFault.PAUSE_OTHERS,
+    }
+)
+_ONE_NODE = frozenset({SoakFault.KILL_NODE, SoakFault.PAUSE_NODE, SoakFault.STOP_NODE})
+_ALL_NODES = frozenset(
+    {SoakFault.KILL_ALL_NODES, SoakFault.PAUSE_ALL_NODES, SoakFault.RESTART_ALL_NODES}
+)
+_PAUSES = frozenset({SoakFault.PAUSE_NODE, SoakFault.PAUSE_ALL_NODES, SoakFault.PAUSE_OTHERS})
+_CUTS = frozenset({SoakFault.CUT_ZONE, SoakFault.CUT_NODE, SoakFault.CUT_WORKERS})
+
+
 @dataclass(frozen=True, slots=True)
 class ScheduledFault:
     """One fault of a schedule; ``target`` is the number of a node, worker or link."""
@@ -90,7 +149,7 @@
     at: float
     fault: SoakFault
     seconds: float
-    target: int
+    target: int = 0
 
 
 def draw_schedule(plan: SoakPlan) -> list[ScheduledFault]:
@@ -102,14 +161,25 @@
     faults = []
     for _ in range(plan.fault_count):
         kind = source.choice(kinds)
-        longest = LONGEST_LINK_SECONDS if kind in _LINK_MODES else LONGEST_SECONDS
-        seconds = source.uniform(SHORTEST_SECONDS, longest)
+        seconds = source.uniform(*_lengths_of(kind))
         at = source.uniform(FIRST_SECONDS, max(FIRST_SECONDS, plan.fault_seconds - seconds))
         target = source.randrange(TARGETS)
         faults.append(ScheduledFault(round(at, 2), kind, round(seconds, 2), target))
     return sorted(faults, key=lambda item: item.at)
 
 
+def _lengths_of(kind: SoakFault) -> tuple[float, float]:
+    """Return the least and the greatest length of a fault, in seconds."""
+    longest = LONGEST_LINK_SECONDS if kind in _LINK_MODES or kind in OF_ZONES else LONGEST_SECONDS
+    return _LENGTHS.get(kind, (SHORTEST_SECONDS, longest))
+
+
+def read_schedule(path: Path) -> list[ScheduledFault]:
+    """Return the schedule that a file holds: a list of ``{"at", "fault", "seconds", "target"}``."""
+    schedule = msgspec.json.decode(path.read_bytes(), type=list[ScheduledFault])
+    return sorted(schedule, key=lambda item: item.at)
+
+
 def is_planned_only(plan: SoakPlan) -> bool:
     """Return whether only a planned stop can end the connection of a call that was sent.
 
@@ -131,6 +201,9 @@
     def stop(self, index: int, down_seconds: float) -> bool:
         """Stop a node that is up as an operator does, and start it again later."""
 
+    def holder(self) -> int | None:
+        """Return the node that decides for the first shard, if it is up."""
+
 
 class FaultInjector:
     """Carries a schedule out."""
@@ -156,11 +229,22 @@
             self.injected += 1
 
     def _strike(self, item: ScheduledFault) -> bool:
+        if item.fault in _OF_HOLDER:
+            holder = self._nodes.holder()
+            return holder is not None and self._strike_holder(item, holder)
+        if item.fault in _ONE_NODE:
+            return self._strike_nodes(item, [item.target % self._plan.nodes])
+        if item.fault in _ALL_NODES:
+            return self._strike_nodes(item, list(range(self._plan.nodes)))
+        if item.fault in _CUTS or item.fault in _LINK_MODES:
+            self._strike_links(self._choose_strikes(item))
+        else:
+            self._strike_cell(item)
+        return True
+
+    def _strike_cell(self, item: ScheduledFault) -> None:
+        """Strike what is not a single node, nor the way to one."""
         match item.fault:
-            case SoakFault.KILL_NODE | SoakFault.PAUSE_NODE | SoakFault.STOP_NODE:
-                return self._strike_nodes(item, [item.target % self._plan.nodes])
-            case SoakFault.KILL_ALL_NODES | SoakFault.PAUSE_ALL_NODES:
-                return self._strike_nodes(item, list(range(self._plan.nodes)))
             case SoakFault.STOP_ALL_NODES:
                 self._stop_all_nodes(STOP_GAPS[item.target % len(STOP_GAPS)])
             case SoakFault.CRASH_WORKERS:
@@ -168,22 +252,49 @@
             case SoakFault.WORKERS_LATE:
                 self._change_late_orders(1)
                 self._later(item.seconds, partial(self._change_late_orders, -1))
-            case fault if fault in _LINK_MODES:
-                names = choose_links(self._plan, item.target)
-                self._send("proxy", StrikeLinks(names, _LINK_MODES[fault], item.seconds))
             case _:
                 self._strike_store(_STORE_FAULTS[item.fault], item.seconds)
+
+    def _choose_strikes(self, item: ScheduledFault) -> list[StrikeLinks]:
+        plan = self._plan
+        match item.fault:
+            case SoakFault.CUT_ZONE:
+                return cut_zone(plan, item.target % plan.zones, item.seconds)
+            case SoakFault.CUT_NODE:
+                return cut_peers(plan, [item.target % plan.nodes], item.seconds)
+            case SoakFault.CUT_WORKERS:
+                names = choose_workers(plan, item.target)
+                return [StrikeLinks(names, LinkMode.CUT, item.seconds)]
+            case _:
+                names = choose_links(plan, item.target)
+                return [StrikeLinks(names, _LINK_MODES[item.fault], item.seconds)]
+
+    def _strike_holder(self, item: ScheduledFault, holder: int) -> bool:
+        """Strike the node that decides, or all others."""
+        plan = self._plan
+        match item.fault:
+            case SoakFault.HOLDER_LOSES_STORE:
+                self._strike_links(cut_store(holder, item.seconds))
+            case SoakFault.CUT_HOLDER_ZONE:
+                self._strike_links(cut_zone(plan, holder % plan.zones, item.seconds))
+            case SoakFault.RESTART_HOLDER:
+                return self._strike_nodes(item, [holder])
+            case _:
+                others = [index for index in range(plan.nodes) if index != holder]
+                return self._strike_nodes(item, others)
         return True
 
+    def _strike_links(self, strikes: list[StrikeLinks]) -> None:
+        for strike in strikes:
+            self._send("proxy", strike)
+
     def _strike_nodes(self, item: ScheduledFault, indices: list[int]) -> bool:
-        strikes = {
-            SoakFault.KILL_NODE: self._nodes.kill,
-            SoakFault.KILL_ALL_NODES: self._nodes.kill,
-            SoakFault.PAUSE_NODE: self._nodes.pause,
-            SoakFault.PAUSE_ALL_NODES: self._nodes.pause,
-            SoakFault.STOP_NODE: self._nodes.stop,
-        }
-        return any([strikes[item.fault](index, item.seconds) for index in indices])
+        strike: Callable[[int, float], bool] = self._nodes.kill
+        if item.fault in _PAUSES:
+            strike = self._nodes.pause
+        elif item.fault is SoakFault.STOP_NODE:
+            strike = self._nodes.stop
+        return any([strike(index, item.seconds) for index in indices])
 
     def _stop_all_nodes(self, gap_seconds: float) -> None:
         for index in range(self._plan.nodes):
--- a/src/onyxspoke/soak/nodes.py
+++ b/src/onyxspoke/soak/nodes.py
@@ -11,6 +11,9 @@
 from onyxspoke.soak.plan import STOP_GRACE_SECONDS
 from onyxspoke.soak.processes import Processes, RunProcess
 
+#: What a node logs as it begins to decide for the first shard.
+_HOLDING = b"event=election shard=0 state=holding "
+
 Later = Callable[[float, Callable[[], None]], None]
 
 
@@ -36,6 +39,7 @@
         settings: list[Path],
         later: Later,
         on_untimely_end: Callable[[str], None],
+        load_path: str = "",
     ) -> None:
         self._processes = processes
         self._program = program
@@ -43,6 +47,8 @@
         self._later = later
         self._on_untimely_end = on_untimely_end
         self._lives: dict[int, _Life] = {}
+        self._environment = {"PYTHONPATH": load_path} if load_path else {}
+        self._holder: tuple[int, _Life] | None = None
         self._is_over = False
 
     def start(self, index: int) -> None:
@@ -50,11 +56,11 @@
         if self._is_over:
             return
         arguments = [*self._program, "--config", str(self._settings[index])]
-        process = self._processes.start(f"node-{index}", arguments)
+        process = self._processes.start(f"node-{index}", arguments, self._environment)
         life = _Life(process)
         process.on_end = partial(self._handle_end, life)
         log = self._settings[index].with_suffix(".out")
-        process.on_line = partial(_append_line, log)
+        process.on_line = partial(self._take_line, index, life, log)
         self._lives[index] = life
 
     def finish(self) -> None:
@@ -92,6 +98,17 @@
         self._start_after(life, index, down_seconds)
         return True
 
+    def holder(self) -> int | None:
+        """Return the node that began to decide last, if that process is still up."""
+        if self._holder is None or self._holder[1].state is not _NodeState.UP:
+            return None
+        return self._holder[0]
+
+    def _take_line(self, index: int, life: _Life, log: Path, line: bytes) -> None:
+        if _HOLDING in line:
+            self._holder = (index, life)
+        _append_line(log, line)
+
     def _go_on(self, life: _Life) -> None:
         if life.state is _NodeState.PAUSED:
             life.state = _NodeState.UP
--- a/src/onyxspoke/soak/plan.py
+++ b/src/onyxspoke/soak/plan.py
@@ -48,6 +48,15 @@
         Calls of callers, and of nodes to all but nodes, pass a proxy.
     kinds : tuple of str
         Faults of these kinds only; empty for all.
+    zones : int
+        Nodes and workers stand in so many zones in turn.  With more than one, nodes reach each
+        other and workers through links of the proxy that can be cut for single nodes.
+    task_seconds : tuple of float
+        Least and greatest length of a task, but for the few that outlast a lease.
+    maximum_hold_ms : int
+        Longest lease that a worker grants.
+    node_path : str
+        Directory from which the nodes' processes load the product; empty for the runner's own.
     """
 
     seed: int
@@ -60,6 +69,28 @@
     fault_count: int = 8
     with_proxy: bool = True
     kinds: tuple[str, ...] = ()
+    zones: int = 1
+    task_seconds: tuple[float, float] = (0.2, 1.5)
+    maximum_hold_ms: int = 6_000
+    node_path: str = ""
+
+    @property
+    def with_zones(self) -> bool:
+        """Whether the ways between nodes pass the proxy."""
+        return self.with_proxy and self.zones > 1
+
+    def zone_name(self, index: int) -> str:
+        """Return the zone of a node or a worker."""
+        return f"zone-{index % self.zones}" if self.zones > 1 else "zone"
+
+    def peer_address(self, index: int) -> Address:
+        """Return where a node listens for its peers."""
+        return Address(self.node_host(index), PEER_PORTS[0])
+
+    def told_address(self, index: int) -> Address:
+        """Return where a node's peers connect."""
+        host = self.proxy_host(index) if self.with_zones else self.node_host(index)
+        return Address(host, PEER_PORTS[0])
 
     def node_host(self, index: int) -> str:
         """Return the address of a node."""
@@ -117,10 +148,13 @@
         caller_port=CALLER_PORT,
         readiness_port=READINESS_PORT,
         peer_ports=PEER_PORTS,
-        seeds=tuple(Address(plan.node_host(other), PEER_PORTS[0]) for other in range(plan.nodes)),
+        seeds=tuple(plan.told_address(other) for other in range(plan.nodes)),
         store=plan.seen_by(index, plan.store),
         advice=plan.seen_by(index, plan.advice),
         heartbeat_ms=HEARTBEAT_MS,
         stop_grace_seconds=STOP_GRACE_SECONDS,
+        zone=plan.zone_name(index),
+        advertised=plan.told_address(index) if plan.with_zones else None,
+        maximum_hold_ms=plan.maximum_hold_ms,
     )
     return encode_settings(place)
--- a/src/onyxspoke/soak/processes.py
+++ b/src/onyxspoke/soak/processes.py
@@ -4,7 +4,7 @@
 
 import os
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any, cast
 
@@ -81,7 +81,9 @@
         self._directory = directory
         self._all: list[RunProcess] = []
 
-    def start(self, name: str, arguments: list[str]) -> RunProcess:
+    def start(
+        self, name: str, arguments: list[str], environment: Mapping[str, str] | None = None
+    ) -> RunProcess:
         """Start a process whose standard error, and a node's output too, goes to its log."""
         process = RunProcess(name)
         with (self._directory / f"{name}.log").open("ab") as log:
@@ -89,7 +91,7 @@
                 cast("Any", process),
                 arguments[0],
                 arguments,
-                env=dict(os.environ),
+                env=dict(os.environ) | dict(environment or {}),
                 childFDs=cast("Any", {0: "w", 1: "r", 2: log.fileno()}),
             )
         self._all.append(process)
--- a/src/onyxspoke/soak/run.py
+++ b/src/onyxspoke/soak/run.py
@@ -24,7 +24,6 @@
 from onyxspoke.soak.faults import (
     FaultInjector,
     ScheduledFault,
-    draw_schedule,
     is_planned_only,
 )
 from onyxspoke.soak.nodes import NodeProcesses
@@ -55,13 +54,14 @@
     """
 
     def __init__(
-        self, plan: SoakPlan, directory: Path, keep: set[int] | None, show: Callable[[str], None]
+        self,
+        plan: SoakPlan,
+        directory: Path,
+        faults: list[ScheduledFault],
+        show: Callable[[str], None],
     ) -> None:
         self.plan = plan
-        schedule = draw_schedule(plan)
-        self.faults = [
-            fault for number, fault in enumerate(schedule) if keep is None or number in keep
-        ]
+        self.faults = faults
         self.violations: list[str] = []
         self._directory = directory
         self._show = show
@@ -79,7 +79,12 @@
         settings = [directory / f"node-{index}.settings" for index in range(plan.nodes)]
         program = [sys.executable, "-m", "onyxspoke.cli.node"]
         self._nodes = NodeProcesses(
-            self._processes, program, settings, self._later, self._handle_untimely_end
+            self._processes,
+            program,
+            settings,
+            self._later,
+            self._handle_untimely_end,
+            plan.node_path,
         )
         self._injector = FaultInjector(plan, self._nodes, self._send, self._later)
         self._settings = settings
@@ -189,6 +194,8 @@
     def _take_line(self, name: str, line: bytes) -> None:
         if name not in ("workers", "callers") or self._is_over:
             return
+        with (self._directory / f"{name}.events").open("ab") as events:
+            events.write(line + b"\n")
         self._events.take_line(name, line)
         findings = self._events.audit.findings
         for finding in findings[self._shown_findings :]:
--- a/src/onyxspoke/soak/stand_ins.py
+++ b/src/onyxspoke/soak/stand_ins.py
@@ -26,6 +26,7 @@
 from onyxspoke.soak.http import StandInSite
 from onyxspoke.soak.link import EventLink, ignore_command
 from onyxspoke.soak.links import list_links
+from onyxspoke.soak.listening import FollowedTarget
 from onyxspoke.soak.plan import HOST_HEADER, SoakPlan
 from onyxspoke.soak.proxy import LinkPlan, LinkSwitch, ProxyLink
 from onyxspoke.soak.store_server import StoreServer
@@ -74,14 +75,22 @@
     time = cast("IReactorTime", reactor)
     links = [ProxyLink(time, link, _connect) for link in list_links(plan)]
     for link in links:
-        listen = link.plan.listen
-        tcp = cast("IReactorTCP", reactor)
-        tcp.listenTCP(listen.port, cast("Any", link), interface=listen.host)
+        if link.plan.refuses_like_target:
+            FollowedTarget(time, link, _listen_link, _connect).start()
+        else:
+            _listen_link(link)
     EventLink(timers).open(LinkSwitch(links).handle_command)
 
 
-def _connect(link: LinkPlan, factory: Any) -> Any:
-    bind = (link.source, 0) if link.source else None
+def _listen_link(link: ProxyLink) -> Any:
+    listen = link.plan.listen
+    tcp = cast("IReactorTCP", reactor)
+    return tcp.listenTCP(listen.port, cast("Any", link), interface=listen.host)
+
+
+def _connect(link: LinkPlan, factory: Any, connected_from: str) -> Any:
+    source = connected_from if link.keeps_source else link.source
+    bind = (source, 0) if source else None
     endpoint = TCP4ClientEndpoint(
         reactor, link.target.host, link.target.port, timeout=1, bindAddress=bind
     )
--- a/src/onyxspoke/soak/worker_server.py
+++ b/src/onyxspoke/soak/worker_server.py
@@ -107,12 +107,24 @@
             timers,
             random.Random(f"workers/{plan.seed}"),
             EventTeller(timers, tell),
-            WorkOptions(seed=plan.seed, failing_share=FAILING_SHARE, long_share=LONG_SHARE),
+            WorkOptions(
+                seed=plan.seed,
+                shortest_seconds=plan.task_seconds[0],
+                longest_seconds=plan.task_seconds[1],
+                failing_share=FAILING_SHARE,
+                long_share=LONG_SHARE,
+            ),
+            maximum_hold_ms=plan.maximum_hold_ms,
         )
         self._lives = 0
         self._sites: dict[str, tuple[StandInSite, IListeningPort]] = {}
         self._late_share = 0.0
 
+    @property
+    def maximum_hold_ms(self) -> int:
+        """Longest lease that the workers grant."""
+        return self._pool.maximum_hold_ms
+
     def start(self) -> None:
         """Begin the first life of every worker."""
         for index in range(self._plan.workers):
@@ -136,7 +148,7 @@
             host=self._plan.worker_host(index),
             port=WORKER_PORT,
             service=SERVICE,
-            zone="zone",
+            zone=self._plan.zone_name(index),
             capacity=CAPACITY,
             kind=kind,
             rack=rack,
