--- a/features/soak.feature
+++ b/features/soak.feature
@@ -159,6 +159,9 @@
       """
     Then it is "cut_zone 8.0 17.0, restart_holder 9.5 0.3"
 
+  Scenario: The orders of faults that tell builds apart can be played
+    Then every file of "docs/design/soak-orders" holds a schedule
+
   Scenario: Two runs at once take networks of their own
     When two runs lock a network from the same number on
     Then their networks differ
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -370,6 +370,13 @@
         context.schedule = read_schedule(path)
 
 
+@then('every file of "{directory}" holds a schedule')
+def _holds_schedule(_context, directory):
+    paths = list((Path(__file__).parents[2] / directory).iterdir())
+    assert paths
+    assert all(read_schedule(path) for path in paths), paths
+
+
 @then('it is "{schedule}"')
 def _schedule_is(context, schedule):
     drawn = [f"{item.fault.value} {item.at} {item.seconds}" for item in context.schedule]
