--- a/features/ends_of_runs.feature
+++ b/features/ends_of_runs.feature
@@ -182,3 +182,54 @@
     And 2.5 seconds pass in that cell
     Then 1 run has started in that cell, and 0 have been stopped
     And the cluster has broken nothing
+
+  # Answers on different connections may pass each other within one millisecond of the worker's clock.
+  Scenario Outline: Two lists with one reading of the clock that come in the wrong order: <between>
+    Given a cell of 1 worker whose tasks take 4 seconds, and which starts nothing else
+    When two lists with one reading of the clock come in the wrong order, and between them <between>
+    And 6 seconds pass in that cell
+    Then the first job is completed
+    And 1 run has started in that cell, and 0 have been stopped
+    And the cluster has broken nothing
+
+    Examples:
+      | between           |
+      | its run had ended |
+      | its run had begun |
+
+  Scenario: Ends of several runs of one task in one answer are all used
+    Given a cell of 1 worker whose tasks take 4 seconds, and which starts nothing else
+    When one answer tells that an unknown run of its task has failed, and its run has ended
+    Then its task is done after 1 failed run
+
+  Scenario: A worker that is forgotten and listed again has its task go on elsewhere
+    Given a cell of 2 workers whose tasks take 4 seconds
+    And the only worker that runs a task is cut off from all nodes
+    When the entry of that worker is deleted
+    And 9 seconds pass in that cell
+    And the entry of that worker is written again
+    And that worker is reached again
+    And 4 seconds pass in that cell
+    Then a line "end_ignored" tells how done, reason other_run, lease unknown
+    And the first job is completed
+    And 2 runs have started in that cell, and 0 have been stopped
+    And the cluster has broken nothing
+
+  Scenario Outline: A claim that is carried out <late> s late leaves out no end
+    Given a cell of 2 workers whose tasks take 1.51 seconds
+    When the holder is killed, while appends are carried out <late> seconds late for 3 seconds
+    And 12 seconds pass in that cell
+    Then the first job is completed
+    And 1 run has started in that cell, and 0 have been stopped
+    And the cluster has broken nothing
+
+    Examples:
+      | late |
+      | 0.3  |
+      | 0.7  |
+      | 2    |
+
+  Scenario: An append that is repeated after more later ones than the store remembers changes nothing
+    Given a store to which a holder has made 8 appends
+    When each of them is made again, the earliest first
+    Then the store has kept 8 records, and answers the earliest 3 as out of sequence
--- a/features/steps/end_steps.py
+++ b/features/steps/end_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable, Iterator
 from typing import Any
 from unittest import mock
@@ -18,18 +19,27 @@
 from msgspec.structs import replace
 
 from onyxspoke.core.jobs.model import ResourceVector, RunKey, TaskKey
-from onyxspoke.core.jobs.states import RunEnd
+from onyxspoke.core.jobs.states import RunEnd, TaskState
 from onyxspoke.core.placement.worker_record import WorkerRecord
 from onyxspoke.core.placement.workers import LeaseVerdict, Worker, WorkerContact
 from onyxspoke.core.shard.actions import DecisionLogLine, SendStart
 from onyxspoke.core.shard.calls import StateCall
 from onyxspoke.core.shard.context import ShardContext, ShardOptions
 from onyxspoke.core.shard.ignored_ends import IgnoredEndLog, IgnoredEndReason
-from onyxspoke.core.shard.orders import EndReport, HoldResult, OrderOutcome, OrderResult
+from onyxspoke.core.shard.log_records import AppendOutcome, ShardAppend, ShardRecord
+from onyxspoke.core.shard.orders import (
+    EndReport,
+    HoldResult,
+    OrderOutcome,
+    OrderResult,
+    RunningReport,
+)
+from onyxspoke.kit.jobs.store import FakeStore
 from onyxspoke.kit.jobs.workers import FakeWorker, WorkOptions
 from onyxspoke.node import seat
 from onyxspoke.sim.call_faults import STORE
 from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster
+from onyxspoke.sim.virtual_reactor import VirtualTime
 
 SETTLE_SECONDS = 2.0
 #: How far a worker has come with a task before something happens to it.
@@ -353,3 +363,94 @@
     gave_up = context.holder.process.alive
     assert len(lines) == int(gave_up), context.step_downs
     assert all(line.endswith(told) for line in lines), (lines, told)
+
+
+@when(
+    "two lists with one reading of the clock come in the wrong order, and between them its run had"
+    " {change}"
+)
+def _pass_each_other(context: Any, change: str) -> None:
+    cluster = context.cluster
+    scheduler = context.holder.node.seats[0].scheduler
+    (worker,) = scheduler.context.table.workers.values()
+    (run,) = worker.runs.values()
+    now = cluster.time.now()
+    fake = cluster.pool.workers[worker.worker_id]
+    running = HoldResult(OrderOutcome.DONE, fake.clock_ms(), [RunningReport(run.key)])
+    later = earlier = running
+    if change == "ended":
+        fake.end(run.key, RunEnd.DONE)
+        later = fake._lists()
+    else:
+        earlier = replace(running, running=[])
+    reconciler = scheduler.workers._reconciler
+    reconciler.reconcile(worker, later, now - 0.001, now)
+    # The hold that the earlier list answers was sent before the run was known to be there.
+    reconciler.reconcile(worker, earlier, min(now, run.confirmed_at) - 0.001, now)
+
+
+@when("one answer tells that an unknown run of its task has failed, and its run has ended")
+def _two_ends(context: Any) -> None:
+    scheduler = context.holder.node.seats[0].scheduler
+    (worker,) = scheduler.context.table.workers.values()
+    (run,) = worker.runs.values()
+    context.task = run.task
+    earlier = RunKey(run.key.task, run.number - 1)
+    ends = [EndReport(1, earlier, RunEnd.FAILED), EndReport(2, run.key, RunEnd.DONE)]
+    now = context.cluster.time.now()
+    clock_ms = worker.clock.estimate_ms(now)
+    result = HoldResult(OrderOutcome.DONE, clock_ms, ended=ends)
+    scheduler.workers._reconciler.reconcile(worker, result, now, now)
+
+
+@then("its task is done after {count:d} failed run")
+def _task_done(context: Any, count: int) -> None:
+    assert context.task.state is TaskState.DONE, context.task.state
+    assert len(context.task.failed_runs) == count, context.task.failed_runs
+
+
+@when("the entry of that worker is deleted")
+def _delete_entry(context: Any) -> None:
+    for worker_id in context.busy:
+        context.cluster.directory.drop(worker_id)
+
+
+@when("the entry of that worker is written again")
+def _write_entry(context: Any) -> None:
+    for worker_id in context.busy:
+        context.cluster.directory.list(context.cluster.pool.workers[worker_id].record)
+
+
+@when(
+    "the holder is killed, while appends are carried out {late:g} seconds late for {span:g} seconds"
+)
+def _kill_with_late_appends(context: Any, late: float, span: float) -> None:
+    cluster = context.cluster
+    faults = cluster.store.faults
+    faults.loses_share, faults.late_seconds = 1.0, late
+    cluster.time.schedule(span, lambda: setattr(faults, "loses_share", 0.0))
+    cluster.kill_node(context.holder.name)
+
+
+@given("a store to which a holder has made {count:d} appends")
+def _appends(context: Any, count: int) -> None:
+    context.store = FakeStore(VirtualTime(), random.Random(1), keeps_log=True)
+    context.appends = [
+        ShardAppend(shard=0, epoch=7, sequence=number, records=[ShardRecord(f"k{number}", b"v")])
+        for number in range(1, count + 1)
+    ]
+    for append in context.appends:
+        assert context.store.append(append).outcome is AppendOutcome.DONE
+
+
+@when("each of them is made again, the earliest first")
+def _append_again(context: Any) -> None:
+    context.outcomes = [context.store.append(append).outcome for append in context.appends]
+
+
+@then("the store has kept {count:d} records, and answers the earliest {early:d} as out of sequence")
+def _kept(context: Any, count: int, early: int) -> None:
+    assert len(context.store.read_log(0, 0)[0]) == count
+    late = count - early
+    expected = [AppendOutcome.OUT_OF_SEQUENCE] * early + [AppendOutcome.DONE] * late
+    assert context.outcomes == expected, context.outcomes
