Count the failure of a run that counts as not started or abandoned, where the lease was kept

Cause: an end 'failed' of such a run was acknowledged and dropped, so its attempt was not counted, and the task started once more than its queue allows.

Change: where the lease was kept since the list before, the attempt counts.

--- a/features/ends_of_runs.feature
+++ b/features/ends_of_runs.feature
@@ -66,6 +66,16 @@
     Then the first job is completed
     And 2 runs have started in that cell, and 1 has been stopped
 
+  # The attempt was not counted, so that the task was started once more than its queue allows.
+  Scenario: A failure of a run that counts as not started counts as an attempt
+    Given a cell of 1 worker whose tasks take 0.6 seconds, and whose first start counts as not sent
+    And that run is not listed while it runs
+    And every run fails
+    When 8 seconds pass in that cell
+    Then the first job is failed
+    And 3 runs have started in that cell, and 0 have been stopped
+    And the cluster has broken nothing
+
   # The clock of the worker is so slow that its lease counts as over too early.
   Scenario: An end from before a lease counted as over counts if the worker's clock shows no lapse
     Given a cell of 1 worker with a quarter of the speed of its clock, whose tasks take 6 seconds
--- a/features/steps/end_steps.py
+++ b/features/steps/end_steps.py
@@ -139,6 +139,19 @@
     _send(context, _whole_worker_job(context, FIRST_JOB), 0.0)
 
 
+@given("every run fails")
+def _all_fail(context: Any) -> None:
+    for worker in context.cluster.pool.workers.values():
+        worker.faults.fails_all = True
+
+
+@then("the first job is failed")
+def _first_failed(context: Any) -> None:
+    reply = _call(context, context.cluster.holder(), FIRST_JOB, StateCall(FIRST_JOB))
+    assert reply is not None
+    assert reply.state == "failed", reply
+
+
 @given("that run is not listed while it runs")
 def _hide_run(context: Any) -> None:
     context.hides_run = True
--- a/src/onyxspoke/core/shard/run_reconciler.py
+++ b/src/onyxspoke/core/shard/run_reconciler.py
@@ -96,26 +96,45 @@
         """Process the end of a run that counts as not started or as abandoned."""
         ended_as = worker.ended_runs[report.run].value
         task = self._context.job_registry.find_task(report.run.task)
-        if task is None or not _completes_late(task, report, ignored.verdict):
+        if task is not None and _completes_late(task, report, ignored.verdict):
+            worker.note_ended(report.run, report.end)
+            self._complete_late(worker, task, report, ended_as, now)
+        elif task is not None and _fails_late(task, report, ignored.verdict):
+            worker.note_ended(report.run, report.end)
+            self._log_late_end(worker, task, report, ended_as)
+            self._count_failure(worker, task, report, now)
+        else:
             ignored.note(report, IgnoredEndReason.COUNTED, ended_as=ended_as)
-            return
-        worker.note_ended(report.run, report.end)
-        self._complete_late(worker, task, report, ended_as, now)
 
-    def _complete_late(
-        self, worker: Worker, task: TaskProgress, report: EndReport, ended_as: str, now: float
+    def _log_late_end(
+        self, worker: Worker, task: TaskProgress, report: EndReport, ended_as: str
     ) -> None:
-        """Complete a task by an end that was not expected; another run of it is not needed."""
-        other = task.run
+        """Log that an end counts although its run counted as ended, or was not known."""
         self._context.log(
             "end_taken_late",
             worker=worker.worker_id,
             task=task_log_name(report.run),
             run=report.run.number,
+            how=report.end.value,
             number=report.number,
             ended_as=ended_as,
-            other_run=other.number if other is not None else 0,
+            other_run=task.run.number if task.run is not None else 0,
         )
+
+    def _count_failure(
+        self, worker: Worker, task: TaskProgress, report: EndReport, now: float
+    ) -> None:
+        """Count an attempt that failed, of a run that is not known as under way."""
+        task.last_failed_worker_id = worker.worker_id
+        self._context.job_registry.task_failed(task, report.run.number, now)
+        self._run_manager.stop_runs_if_job_ended(task.step, now)
+
+    def _complete_late(
+        self, worker: Worker, task: TaskProgress, report: EndReport, ended_as: str, now: float
+    ) -> None:
+        """Complete a task by an end that was not expected; another run of it is not needed."""
+        other = task.run
+        self._log_late_end(worker, task, report, ended_as)
         self._context.job_registry.task_run_confirmed(task, now)
         self._run_manager.complete_task(task, now)
         if other is not None:
@@ -158,9 +177,7 @@
                 other_state=task.run.state.name.lower(),
             )
         elif report.end is RunEnd.FAILED:
-            task.last_failed_worker_id = worker.worker_id
-            self._context.job_registry.task_failed(task, report.run.number, now)
-            self._run_manager.stop_runs_if_job_ended(step, now)
+            self._count_failure(worker, task, report, now)
         self._context.needs_placement = True
 
     def _process_running(
@@ -271,6 +288,16 @@
     )
 
 
+def _fails_late(task: TaskProgress, report: EndReport, verdict: LeaseVerdict) -> bool:
+    """Return whether the end of a run that counts as ended is a failed attempt at its task."""
+    return (
+        report.end is RunEnd.FAILED
+        and verdict is LeaseVerdict.KEPT
+        and task.state is not TaskState.DONE
+        and not task.step.job.state.is_final
+    )
+
+
 def _may_adopt(task: TaskProgress, counts_as_ended: bool, verdict: LeaseVerdict) -> bool:
     """Return whether a run that is found on a worker goes on as the run of its task.
 
