--- a/features/ends_of_runs.feature
+++ b/features/ends_of_runs.feature
@@ -243,3 +243,15 @@
     Given a store to which a holder has made 8 appends
     When each of them is made again, the earliest first
     Then the store has kept 8 records, and answers the earliest 3 as out of sequence
+
+  Scenario Outline: A gang of which one start counts as not sent breaks nothing: tasks of <seconds> s
+    Given a cell of 2 workers whose tasks take <seconds> seconds, and whose first start of a gang counts as not sent
+    When 12 seconds pass in that cell
+    Then the first job is completed
+    And the cluster has broken nothing
+
+    Examples:
+      | seconds |
+      | 0.02    |
+      | 0.2     |
+      | 3       |
--- a/features/steps/end_steps.py
+++ b/features/steps/end_steps.py
@@ -134,6 +134,17 @@
     context.execute_steps("Given the first job is handed in")
 
 
+@given(
+    "a cell of {count:d} workers whose tasks take {seconds:g} seconds, and whose first start of a"
+    " gang counts as not sent"
+)
+def _wrong_answer_for_gang(context: Any, count: int, seconds: float) -> None:
+    _start_cell_with_wrong_answer(context, count, seconds)
+    job = _whole_worker_job(context, FIRST_JOB)
+    gang = replace(job.steps[0], gang=True, task_count=count)
+    _send(context, replace(job, steps=(gang,)), 0.0)
+
+
 @given("the first job is handed in")
 def _hand_in(context: Any) -> None:
     _send(context, _whole_worker_job(context, FIRST_JOB), 0.0)
