--- a/src/onyxspoke/sim/job_cluster.py
+++ b/src/onyxspoke/sim/job_cluster.py
@@ -95,8 +95,16 @@
         self._host = host
 
     def to_outside(self, target: str, function: Callable[[], Any]) -> None:
-        """Run a function at a stand-in, unless the way to it is cut."""
-        if self._node.alive and not self._cluster.is_cut(self._host, target):
+        """Run a function at a stand-in, unless the way to it is cut.
+
+        What a process that stands still has decided leaves as it goes on.
+        """
+        if self._node.pause_at_call_to == target:
+            self._node.pause_at_call_to = None
+            self._node.pause()
+        if self._node.paused:
+            self._node.run(partial(self.to_outside, target, function))
+        elif self._node.alive and not self._cluster.is_cut(self._host, target):
             self._cluster.time.schedule(DELAY_SECONDS, function)
 
     def to_node(self, source: str, function: Callable[[], Any]) -> None:
--- a/src/onyxspoke/sim/virtual_reactor.py
+++ b/src/onyxspoke/sim/virtual_reactor.py
@@ -118,6 +118,8 @@
         self.paused = False
         #: Pause when bytes that hold this are written, before they leave the process.
         self.pause_at_write_of: bytes | None = None
+        #: Pause when this stand-in is called, before the call leaves the process.
+        self.pause_at_call_to: str | None = None
         self._waiting: list[Callable[[], Any]] = []
         self.reactor = NodeReactor(time, self)
 
