Log: orders that leave long after they were decided

Whether an order left late could not be told from a log: a process may stand still between the decision and the write, and an order may wait for a connection, or for the question before it.

Change: holds and starts carry when they were decided, the HTTP client tells when a call leaves, and order_late gives the age of one that leaves after over 0.25 s, at most one line a second, with how many there were.

Tests: decision_to_wire.feature, "Orders that leave ... are told of" (0.1 and 0.24 s: no line, 0.3 and 5 s: one line for three orders).

--- a/features/decision_to_wire.feature
+++ b/features/decision_to_wire.feature
@@ -69,6 +69,18 @@
     When its time is over, and the connection comes about after that
     Then it counts as not sent, and nothing was written
 
+  Scenario Outline: Orders that leave <seconds> s after their decision are told of: <told>
+    Given 3 orders that wait for a connection to their worker
+    When the process stands still for <seconds> s, and the connection comes about as it goes on
+    Then the log tells of <told>
+
+    Examples:
+      | seconds | told                     |
+      | 0.1     | no late order            |
+      | 0.24    | no late order            |
+      | 0.3     | one of them, 300 ms late |
+      | 5       | one of them, 5000 ms late |
+
   Scenario: An order that leaves after a stand-still of its process does not count as not sent
     Given an order that waits for a connection to its worker
     When the process stands still for 5 s, and the connection comes about as it goes on
--- a/features/steps/decision_to_wire_steps.py
+++ b/features/steps/decision_to_wire_steps.py
@@ -20,12 +20,15 @@
 from onyxspoke.core.shard.orders import OrderOutcome
 from onyxspoke.kit.jobs.workers import FakeWorker
 from onyxspoke.net.http_client import HttpClient
+from onyxspoke.platform import order_ages
 from onyxspoke.platform.workers import ORDER_SECONDS, WorkerOrders
 
 STEP_SECONDS = 0.0005
 LONGEST_WAIT_SECONDS = 3.0
 #: So long after the cut the holder may order for less than a second more.
 LAST_CALLS_SECONDS = 2.7
+#: When orders over the wire are decided.
+DECIDED_AT = 64.0
 LEASE_MS = 6_000
 READ_MS = 1_000
 _MILLISECONDS = 1_000.0
@@ -184,11 +187,37 @@
 
 @given("an order that waits for a connection to its worker")
 def _waiting_order(context: Any) -> None:
+    _make_orders(context, 1)
+
+
+@given("{count:d} orders that wait for a connection to their worker")
+def _waiting_orders(context: Any, count: int) -> None:
+    _make_orders(context, count)
+
+
+def _make_orders(context: Any, count: int) -> None:
     context.clock, context.endpoints, context.results = Clock(), _HeldEndpoints(), []
+    context.clock.advance(DECIDED_AT)
     orders = WorkerOrders(HttpClient(context.clock, context.endpoints))
-    run = RunKey(TaskKey("00000000000000c1", 0, 0, 0), 1)
-    order = SendStart(WorkerAddress("i-1", "10.9.0.1", 8_000, 0), 7, run, "text", until_ms=9)
-    orders.start(order, context.results.append)
+    patch = mock.patch.object(order_ages.logging, "info")
+    context.logged = patch.start()
+    context.add_cleanup(patch.stop)
+    for index in range(count):
+        run = RunKey(TaskKey("00000000000000c1", 0, 0, index), 1)
+        address = WorkerAddress("i-1", "10.9.0.1", 8_000, 0)
+        order = SendStart(address, 7, run, "text", until_ms=9, decided_at=DECIDED_AT)
+        orders.start(order, context.results.append)
+
+
+@then("the log tells of no late order")
+def _told_of_none(context: Any) -> None:
+    assert not context.logged.called, context.logged.call_args
+
+
+@then("the log tells of one of them, {age:d} ms late")
+def _told_of_one(context: Any, age: int) -> None:
+    lines = [call.args[0] % call.args[1:] for call in context.logged.call_args_list]
+    assert lines == [f"event=order_late order=run-start worker=i-1 age_ms={age} late=1"], lines
 
 
 @when("its time is over, and the connection comes about after that")
--- a/src/onyxspoke/core/shard/actions.py
+++ b/src/onyxspoke/core/shard/actions.py
@@ -40,7 +40,8 @@
 
     ``acknowledged_through`` is the number of the last end that the holder has recorded.
     ``until_ms`` is the new end of the lease, 0 if the lease is not extended.  ``wait_ms`` is the
-    longest time for which the worker may delay its answer until a run ends.
+    longest time for which the worker may delay its answer until a run ends.  ``decided_at`` is when
+    the holder decided on it, by its own clock; 0 if that is not known.
     """
 
     address: WorkerAddress
@@ -49,10 +50,14 @@
     until_ms: int
     wait_ms: int
     number: int
+    decided_at: float = 0.0
 
 
 class SendStart(msgspec.Struct, frozen=True):
-    """Start a run; the order expires at ``until_ms`` on the worker's clock."""
+    """Start a run; the order expires at ``until_ms`` on the worker's clock.
+
+    ``decided_at`` is when the holder decided on it, by its own clock; 0 if that is not known.
+    """
 
     address: WorkerAddress
     token: Token
@@ -61,6 +66,7 @@
     until_ms: int
     checkpoint: str = ""
     ticket: str = ""
+    decided_at: float = 0.0
 
 
 class SendStop(msgspec.Struct, frozen=True):
--- a/src/onyxspoke/core/shard/run_starter.py
+++ b/src/onyxspoke/core/shard/run_starter.py
@@ -157,6 +157,7 @@
                 until_ms=run.start_valid_until_ms,
                 checkpoint=resume_checkpoint(task),
                 ticket=self._ticket_for(run, now) or "",
+                decided_at=now,
             )
         )
 
--- a/src/onyxspoke/core/shard/worker_manager.py
+++ b/src/onyxspoke/core/shard/worker_manager.py
@@ -131,6 +131,7 @@
                 until_ms=until_ms,
                 wait_ms=wait_ms,
                 number=hold.number,
+                decided_at=now,
             )
         )
 
--- a/src/onyxspoke/net/http_client.py
+++ b/src/onyxspoke/net/http_client.py
@@ -86,6 +86,7 @@
 NO_ANSWER = HttpAnswer(0)
 
 OnAnswer = Callable[[HttpAnswer], None]
+OnWritten = Callable[[], None]
 
 
 class _Call:
@@ -93,6 +94,7 @@
 
     __slots__ = (
         "_on_answer",
+        "_on_written",
         "connection",
         "data",
         "is_over",
@@ -104,12 +106,18 @@
     )
 
     def __init__(
-        self, data: bytes, on_answer: OnAnswer, latest_at: float, meant_for: MeantFor | None
+        self,
+        data: bytes,
+        on_answer: OnAnswer,
+        latest_at: float,
+        meant_for: MeantFor | None,
+        on_written: OnWritten | None,
     ) -> None:
         self.data = data
         self.latest_at = latest_at
         self.meant_for = meant_for
         self._on_answer = on_answer
+        self._on_written = on_written
         self.timer: IDelayedCall | None = None
         self.connection: _Connection | None = None
         #: When it was handed to its connection, which may ask who is there first.
@@ -117,6 +125,12 @@
         self.is_sent = False
         self.is_over = False
 
+    def note_written(self) -> None:
+        """Take note that the call leaves now."""
+        self.is_sent = True
+        if self._on_written is not None:
+            self._on_written()
+
     def give_up(self) -> None:
         """End the call without an answer."""
         self.finish(NO_ANSWER if self.is_sent else NOT_SENT)
@@ -186,7 +200,7 @@
         self._pool.handle_idle(self)
 
     def _send_call(self, call: _Call) -> None:
-        call.is_sent = True
+        call.note_written()
         self._send(call.data)
 
     def _send(self, data: bytes) -> None:
@@ -368,6 +382,7 @@
         on_answer: OnAnswer,
         lane: str = "",
         meant_for: MeantFor | None = None,
+        on_written: OnWritten | None = None,
     ) -> None:
         """Make a call; ``on_answer`` is called once.
 
@@ -384,13 +399,15 @@
             Calls of different lanes share no connection.
         meant_for : MeantFor
             The process at the address that the call is to reach, and no other.
+        on_written : callable
+            Called as the call leaves, if it does: it may wait for a connection first.
         """
         key = (host, port, lane)
         pool = self._pools.get(key)
         if pool is None:
             pool = self._pools[key] = _AddressPool(self, host, port)
         latest_at = self.now() + timeout_seconds + LONGEST_ANSWER_SECONDS
-        call = _Call(request, on_answer, latest_at, meant_for)
+        call = _Call(request, on_answer, latest_at, meant_for, on_written)
         call.timer = self._reactor.callLater(timeout_seconds, self._expire, call)
         pool.send(call)
 
--- a/src/onyxspoke/platform/workers.py
+++ b/src/onyxspoke/platform/workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -24,6 +25,7 @@
     RunningReport,
 )
 from onyxspoke.net.http_client import HttpAnswer, HttpClient, MeantFor, encode_request
+from onyxspoke.platform.order_ages import OrderAges
 from onyxspoke.platform.unreadable import UNREADABLE_ERRORS
 
 ORDER_SECONDS = 0.2
@@ -106,6 +108,7 @@
 
     def __init__(self, client: HttpClient) -> None:
         self._client = client
+        self._ages = OrderAges(client.now)
 
     def hold(self, order: SendHold, on_result: Callable[[HoldResult], None]) -> None:
         """Fence, extend and look."""
@@ -120,6 +123,7 @@
             lambda answer: on_result(read_hold(answer, order.address.born_ms)),
             lane,
             _meant_for(order.address, order.token, is_harmless=order.acknowledged_through == 0),
+            order.decided_at,
         )
 
     def start(self, order: SendStart, on_result: Callable[[OrderResult], None]) -> None:
@@ -133,7 +137,7 @@
             order.checkpoint,
             order.ticket,
         )
-        self._send_order(order.address, order.token, "run-start", body, on_result)
+        self._send_order(order.address, order.token, "run-start", body, on_result, order.decided_at)
 
     def stop(self, order: SendStop, on_result: Callable[[OrderResult], None]) -> None:
         """Stop a run."""
@@ -157,6 +161,7 @@
         name: str,
         body: _StartBody | _StopBody | _PaceBody,
         on_result: Callable[[OrderResult], None],
+        decided_at: float = 0.0,
     ) -> None:
         self._send(
             address,
@@ -166,6 +171,7 @@
             lambda answer: on_result(read_order(answer)),
             "look",
             _meant_for(address, token, is_harmless=False),
+            decided_at,
         )
 
     def _send(
@@ -177,9 +183,18 @@
         on_answer: Callable[[HttpAnswer], None],
         lane: str,
         meant_for: MeantFor | None,
+        decided_at: float,
     ) -> None:
-        request = _encode_call(address, name, body)
-        self._client.call(address.host, address.port, request, timeout, on_answer, lane, meant_for)
+        self._client.call(
+            address.host,
+            address.port,
+            _encode_call(address, name, body),
+            timeout,
+            on_answer,
+            lane,
+            meant_for,
+            partial(self._ages.note_written, name, address.worker_id, decided_at),
+        )
 
 
 def _encode_call(address: WorkerAddress, name: str, body: bytes) -> bytes:
