--- a/src/onyxspoke/core/shard/worker_manager.py
+++ b/src/onyxspoke/core/shard/worker_manager.py
@@ -132,6 +132,7 @@
                 until_ms=until_ms,
                 wait_ms=wait_ms,
                 number=hold.number,
+                decided_at=now,
             )
         )
 
