--- a/features/quota_behind_a_cut.feature
+++ b/features/quota_behind_a_cut.feature
@@ -24,6 +24,7 @@
     And a job of another tenant begins
     When 8 seconds pass in that cluster of tenants
     Then both of them have started
+    And both runs of the cancelled jobs have lapsed, which no holder was told
     And the cluster has broken nothing
 
   Scenario: A run of a cancelled job counts until it has been stopped, once its worker is back
@@ -81,3 +82,47 @@
     Then this build reads it, and knows of no runs that are left
     Given the record of a cancelled job whose runs are left on a worker
     Then a build that tells nothing of its runs reads it
+
+  # Related paths
+
+  Scenario: A quota that falls while the holder is cut off leaves runs of earlier holders counted
+    Given a cluster of tenants with 6 workers
+    And two jobs of a tenant with a quota of two workers are at work
+    When their workers are cut off, both jobs are cancelled, the holder dies
+    And all quotas fall to 0.5 of what they were
+    And two more jobs of that tenant are submitted, and 3 seconds pass
+    Then neither of them has started
+    When 8 seconds pass in that cluster of tenants
+    Then one of them has started
+    And the cluster has broken nothing
+
+  Scenario: Runs of cancelled jobs count no more once their workers have started again
+    Given a cluster of tenants with 6 workers that keep their names
+    And two jobs of a tenant with a quota of two workers are at work
+    When their workers are cut off, both jobs are cancelled, the holder dies
+    And two more jobs of that tenant are submitted, and 1 seconds pass
+    Then neither of them has started
+    When those workers start again and can be reached
+    And 2 seconds pass in that cluster of tenants
+    Then both of them have started
+    And the cluster has broken nothing
+
+  Scenario: A new holder keeps the borrowed quota that runs of cancelled jobs may use
+    Given a shard whose earlier holder left runs of a cancelled job with 3000 of a quota of 10000
+    When the shard borrows the quota from another shard
+    Then it asks for 3000, and keeps 3000 until the answer
+
+  Scenario: A new holder doesn't lend the quota that runs of cancelled jobs may use
+    Given a shard whose earlier holder left runs of a cancelled job with 3000 of a quota of 10000
+    When another shard asks it for 9000 of the quota
+    Then it lends 7000
+
+  Scenario Outline: Wherever the holder's zone is cut off, no quota is exceeded: seed <seed>, <mechanism>
+    When cuts of the holder's zone are played with tenants and seed <seed>, <mechanism>
+    Then <what> is broken
+
+    Examples: jobs that were cancelled while their workers were cut off
+      | seed | mechanism                             | what                   |
+      | 7001 | with every mechanism                  | nothing that must hold |
+      | 7009 | with every mechanism                  | nothing that must hold |
+      | 7001 | without counting runs of ended jobs   | "quota"                |
--- a/features/steps/quota_cut_steps.py
+++ b/features/steps/quota_cut_steps.py
@@ -8,14 +8,29 @@
 
 import msgspec
 from behave import given, then, when
-from tenant_steps import _has_started, _tenant_cluster
+from job_directed_steps import SETTLE_SECONDS
+from tenant_steps import TENANTS, _has_started, _tenant_cluster
 
 from onyxspoke.core.jobs.model import JobSpec, QueuePolicy, ResourceVector
+from onyxspoke.core.jobs.policy import PolicySet
 from onyxspoke.core.jobs.progress import JobProgress
-from onyxspoke.core.jobs.records import decode_progress, encode_progress, progress_key
+from onyxspoke.core.jobs.records import (
+    ProgressRecord,
+    decode_progress,
+    encode_progress,
+    progress_key,
+)
 from onyxspoke.core.jobs.states import JobState
-from onyxspoke.core.shard.calls import CallReply, CancelCall
-from onyxspoke.core.shard.context import ShardContext
+from onyxspoke.core.shard.actions import ReplyToCall, RequestQuota
+from onyxspoke.core.shard.calls import CallReply, CancelCall, QuotaCall
+from onyxspoke.core.shard.context import ShardContext, ShardOptions
+from onyxspoke.core.shard.quota_coordinator import QuotaCoordinator
+from onyxspoke.core.tenants.ended_job_usage import EndedJobUsage
+from onyxspoke.core.tenants.policy import TenantPolicy
+from onyxspoke.core.tenants.quota_lender import QuotaRequest, home_shard
+from onyxspoke.kit.jobs.workers import WorkOptions
+from onyxspoke.sim.explore_jobs import play_zones
+from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster
 
 FIRST_JOBS = (1, 2)
 LATER_JOBS = (3, 4)
@@ -90,6 +105,129 @@
     assert all(_has_started(context, number) for number in LATER_JOBS)
 
 
+@then("one of them has started")
+def _one_started(context: Any) -> None:
+    assert sum(_has_started(context, number) for number in LATER_JOBS) == 1
+
+
+@then("both runs of the cancelled jobs have lapsed, which no holder was told")
+def _both_lapsed(context: Any) -> None:
+    assert context.cluster.audit.counts["run_lapsed"] == len(FIRST_JOBS)
+
+
+@when("all quotas fall to {factor:g} of what they were")
+def _quotas_fall(context: Any, factor: float) -> None:
+    context.cluster.change_quotas(factor)
+    context.cluster.run(1.0)
+
+
+@given("a cluster of tenants with {count:d} workers that keep their names")
+def _cluster_with_names(context: Any, count: int) -> None:
+    work = WorkOptions(seed=5, shortest_seconds=8.0, longest_seconds=8.0)
+    options = ClusterOptions(
+        seed=5,
+        workers=count,
+        with_advice=False,
+        work=work,
+        tenants=TENANTS,
+        rack_size=count,
+        keep_names=True,
+    )
+    context.cluster = JobCluster(options)
+    context.cluster.start()
+    context.cluster.run(SETTLE_SECONDS)
+    context.holder = context.cluster.holder()
+
+
+@when("those workers start again and can be reached")
+def _restart_workers(context: Any) -> None:
+    for worker_id in context.busy:
+        context.cluster.crash_worker(worker_id, 0.2)
+    _heal_workers(context)
+
+
+class _ImmediateCommit:
+    """Commits at once."""
+
+    def after_commit(self, effect: Callable[[float], None]) -> None:
+        effect(1.0)
+
+
+@given(
+    "a shard whose earlier holder left runs of a cancelled job with {left:d}"
+    " of a quota of {quota:d}"
+)
+def _left_runs(context: Any, left: int, quota: int) -> None:
+    policy = TenantPolicy(name="small", weight=1.0, quota=ResourceVector(quota, 0, 0))
+    context.home = home_shard("small", 2)
+    record = ProgressRecord(
+        int(JobState.CANCELLED),
+        [],
+        [],
+        tenant="small",
+        left_running={"w": ResourceVector(left, 0, 0)},
+    )
+
+    def build(shard: int) -> QuotaCoordinator:
+        shard_context = ShardContext(ShardOptions(), token=7, shard=shard)
+        shard_context.policy = PolicySet(tenants={"small": policy})
+        shard_context.shard_count = 2
+        shard_context.commit = _ImmediateCommit()
+        shard_context.job_registry.restore_finished("a", record, 0.0)
+        context.shard_context = shard_context
+        return QuotaCoordinator(shard_context)
+
+    context.build = build
+
+
+@when("the shard borrows the quota from another shard")
+def _borrows(context: Any) -> None:
+    context.build(1 - context.home).begin_pass(1.0)
+
+
+@then("it asks for {amount:d}, and keeps {retained:d} until the answer")
+def _asks(context: Any, amount: int, retained: int) -> None:
+    requests = [
+        item.request for item in context.shard_context.actions if isinstance(item, RequestQuota)
+    ]
+    assert [item.amount.processors_milli for item in requests] == [amount], requests
+    assert [item.retained.processors_milli for item in requests] == [retained], requests
+
+
+@when("another shard asks it for {amount:d} of the quota")
+def _asked(context: Any, amount: int) -> None:
+    request = QuotaRequest(
+        tenant="small",
+        shard=1 - context.home,
+        token=1,
+        number=1,
+        amount=ResourceVector(amount, 0, 0),
+    )
+    context.build(context.home).handle_call(1, QuotaCall(request), 1.0)
+
+
+@then("it lends {amount:d}")
+def _lends(context: Any, amount: int) -> None:
+    replies = [
+        item.reply for item in context.shard_context.actions if isinstance(item, ReplyToCall)
+    ]
+    assert [reply.granted.processors_milli for reply in replies] == [amount], replies
+
+
+@when("cuts of the holder's zone are played with tenants and seed {seed:d}, with every mechanism")
+def _play_cuts(context: Any, seed: int) -> None:
+    context.job_reports = [play_zones(seed, with_tenants=True)]
+
+
+@when(
+    "cuts of the holder's zone are played with tenants and seed {seed:d},"
+    " without counting runs of ended jobs"
+)
+def _play_cuts_without(context: Any, seed: int) -> None:
+    with mock.patch.object(EndedJobUsage, "add", lambda *_arguments: None):
+        _play_cuts(context, seed)
+
+
 def _cut_busy_workers(context: Any) -> None:
     cluster = context.cluster
     busy = [worker.worker_id for worker in cluster.pool.workers.values() if worker.runs]
--- a/src/onyxspoke/cli/sim.py
+++ b/src/onyxspoke/cli/sim.py
@@ -68,6 +68,8 @@
     """Exit with an error if options do not go together."""
     options = [name for name in ("crashes", "keep_names", "tenants") if getattr(arguments, name)]
     modes = [mode for mode in ("overload", "stops", "zones") if getattr(arguments, mode)]
+    if modes == ["zones"]:
+        options = [name for name in options if name != "tenants"]
     if modes and options:
         parser.error(f"--{modes[0]} does not go with --{options[0].replace('_', '-')}")
     if len(modes) > 1:
@@ -124,7 +126,7 @@
     if arguments.stops:
         return play_stops(seed, arguments.shards)
     if arguments.zones:
-        return play_zones(seed, arguments.shards)
+        return play_zones(seed, arguments.shards, arguments.tenants)
     return play(
         seed,
         shards=arguments.shards,
--- a/src/onyxspoke/sim/explore_jobs.py
+++ b/src/onyxspoke/sim/explore_jobs.py
@@ -9,7 +9,13 @@
 from onyxspoke.core.tenants.policy import TenantPolicy
 from onyxspoke.kit.jobs.audit import Finding
 from onyxspoke.kit.jobs.workers import WorkOptions
-from onyxspoke.sim.job_callers import MAXIMUM_ATTEMPTS, REPEAT_SHARE, JobCallers
+from onyxspoke.sim.job_callers import (
+    CANCEL_SECONDS,
+    CANCEL_SHARE,
+    MAXIMUM_ATTEMPTS,
+    REPEAT_SHARE,
+    JobCallers,
+)
 from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster
 from onyxspoke.sim.job_faults import (
     FaultInjector,
@@ -41,13 +47,15 @@
     """What callers do in a run.
 
     Each job is handed in up to so many times until it is accepted, and again later with
-    ``repeat_share``.
+    ``repeat_share``; ``cancel_share`` of the jobs are cancelled within ``cancel_seconds``.
     """
 
     jobs_per_second: float
     seconds: float = TRAFFIC_SECONDS
     maximum_attempts: int = MAXIMUM_ATTEMPTS
     repeat_share: float = REPEAT_SHARE
+    cancel_share: float = CANCEL_SHARE
+    cancel_seconds: float = CANCEL_SECONDS
 
 
 #: Many more jobs than the cell serves; each is handed in once, so that each refusal is the last.
@@ -59,6 +67,10 @@
 MAXIMUM_FAULTS_BESIDE = 3
 #: Over two cuts of zones, with tasks that outlast the leases of a holder that is cut off.
 CUT_TRAFFIC = Traffic(jobs_per_second=2.0, seconds=48.0)
+#: The same with tenants: most jobs are cancelled, many of them while their workers are cut off.
+CUT_TENANTS_TRAFFIC = Traffic(
+    jobs_per_second=2.0, seconds=48.0, cancel_share=0.7, cancel_seconds=16.0
+)
 LONG_SHARE = 0.3
 LONG_SECONDS = 14.0
 
@@ -118,6 +130,8 @@
         traffic.jobs_per_second,
         repeat_share=traffic.repeat_share,
         maximum_attempts=traffic.maximum_attempts,
+        cancel_share=traffic.cancel_share,
+        cancel_seconds=traffic.cancel_seconds,
     )
     callers.crashing_share = CRASHING_SHARE if with_crashes else 0.0
     callers.run_for(traffic.seconds)
@@ -145,11 +159,17 @@
     return play(seed, schedule, shards, traffic=STEADY)
 
 
-def play_zones(seed: int, shards: int = 1) -> JobRunReport:
+def play_zones(seed: int, shards: int = 1, with_tenants: bool = False) -> JobRunReport:
     """Play a cell whose holder's zone is cut off, while nodes outside start, come or change."""
     schedule = draw_zone_schedule(seed, CUT_TRAFFIC.seconds, _count_beside(seed))
     return play(
-        seed, schedule, shards, traffic=CUT_TRAFFIC, long_share=LONG_SHARE, finish_seconds=60.0
+        seed,
+        schedule,
+        shards,
+        with_tenants=with_tenants,
+        traffic=CUT_TENANTS_TRAFFIC if with_tenants else CUT_TRAFFIC,
+        long_share=LONG_SHARE,
+        finish_seconds=60.0,
     )
 
 
--- a/src/onyxspoke/sim/job_callers.py
+++ b/src/onyxspoke/sim/job_callers.py
@@ -15,6 +15,9 @@
 RETRY_SECONDS = 0.4
 #: Of the jobs, so many are handed in once more some time later.
 REPEAT_SHARE = 0.1
+#: Of the jobs, so many are cancelled, within so many seconds.
+CANCEL_SHARE = 0.05
+CANCEL_SECONDS = 2.0
 
 
 class JobCallers:
@@ -28,19 +31,23 @@
         Jobs a second.
     maximum_attempts : int
         A job is handed in so often until it is accepted.
+    cancel_seconds : float
+        ``cancel_share`` of the jobs are cancelled within so long after they were handed in.
     """
 
     def __init__(
         self,
         cluster: JobCluster,
         rate: float,
-        cancel_share: float = 0.05,
+        cancel_share: float = CANCEL_SHARE,
         repeat_share: float = REPEAT_SHARE,
         maximum_attempts: int = MAXIMUM_ATTEMPTS,
+        cancel_seconds: float = CANCEL_SECONDS,
     ) -> None:
         self._cluster = cluster
         self._rate = rate
         self._cancel_share = cancel_share
+        self._cancel_seconds = cancel_seconds
         self._repeat_share = repeat_share
         self._maximum_attempts = maximum_attempts
         self._random = random.Random(cluster.options.seed + 10)
@@ -87,7 +94,7 @@
             self._cluster.pool.work.crashing.add(TaskKey(spec.job_id, 0, step, index))
         self.submit(spec)
         if self._random.random() < self._cancel_share:
-            delay = self._random.random() * 2.0
+            delay = self._random.random() * self._cancel_seconds
             self._cluster.time.schedule(delay, partial(self._cancel, spec.job_id))
         if self._random.random() < self._repeat_share:
             delay = self._random.random() * 5.0
