Quotas: tasks in doubt count in full, also where their workers' rooms have shrunk

Cause: what a new holder counts in doubt was bounded by the rooms of the workers that have not answered, as the directory tells them now. Where a room has shrunk below what runs there, the rest was given away. The bound is needed only where starts were not recorded and all open tasks are in doubt.

Change: with starts on record nothing is bounded.

Before: the scenario fails, a third whole-worker task of a tenant with two workers starts (two rooms of a quarter in doubt); after: it passes.

--- a/features/quota_behind_a_cut.feature
+++ b/features/quota_behind_a_cut.feature
@@ -85,6 +85,15 @@
 
   # Related paths
 
+  # What was counted in doubt was bounded by the rooms of the silent workers as they are now.
+  Scenario: Runs on workers whose rooms have shrunk count in full
+    Given a cluster of tenants with 6 workers
+    And two jobs of a tenant with a quota of two workers are at work
+    When the rooms of their workers shrink to 0.25 of what they were
+    And the holder is killed, and its successor cannot reach the workers that run them
+    And two more jobs of that tenant are submitted, and 3 seconds pass
+    Then neither of them has started
+
   Scenario: A quota that falls while the holder is cut off leaves runs of earlier holders counted
     Given a cluster of tenants with 6 workers
     And two jobs of a tenant with a quota of two workers are at work
--- a/features/steps/quota_cut_steps.py
+++ b/features/steps/quota_cut_steps.py
@@ -105,6 +105,16 @@
     assert all(_has_started(context, number) for number in LATER_JOBS)
 
 
+@when("the rooms of their workers shrink to {factor:g} of what they were")
+def _shrink_rooms(context: Any, factor: float) -> None:
+    cluster = context.cluster
+    for worker in list(cluster.pool.workers.values()):
+        if worker.runs:
+            capacity = (int(amount * factor) for amount in worker.record.capacity)
+            cluster.resize_worker(worker.worker_id, ResourceVector(*capacity))
+    cluster.run(0.5)
+
+
 @then("one of them has started")
 def _one_started(context: Any) -> None:
     assert sum(_has_started(context, number) for number in LATER_JOBS) == 1
--- a/features/steps/tenant_steps.py
+++ b/features/steps/tenant_steps.py
@@ -58,7 +58,7 @@
 
 @contextmanager
 def _without_uncertain_runs() -> Iterator[None]:
-    with mock.patch.object(quota_coordinator, "find_doubts", lambda _jobs, _workers: {}):
+    with mock.patch.object(quota_coordinator, "find_doubts", lambda *_arguments, **_fields: {}):
         yield
 
 
--- a/src/onyxspoke/core/shard/quota_coordinator.py
+++ b/src/onyxspoke/core/shard/quota_coordinator.py
@@ -121,7 +121,11 @@
         if not context.policy.tenants:
             return usage
         if job_registry.is_recovering:
-            usage = find_doubts(job_registry.tasks_in_doubt(), context.table.unreconciled())
+            usage = find_doubts(
+                job_registry.tasks_in_doubt(),
+                context.table.unreconciled(),
+                starts_are_recorded=job_registry.starts_are_recorded,
+            )
         job_registry.ended_job_usage.add_to(usage)
         return usage
 
