Scenario: no start after an end was noted, with leases of a node's own earlier term

The end of the first run is read and noted while a second run, which should not be, goes on, and is not used; when the second run is lost with its worker, the task starts a third time.

--- a/features/orders_and_leases.feature
+++ b/features/orders_and_leases.feature
@@ -82,6 +82,22 @@
       | the store turns it away | 8       |
       | a larger node comes     | 8       |
 
+  # The end was noted and not used, as a second run went on; when that was lost, the task started
+  # again, seconds after its end had been noted.
+  Scenario Outline: A task whose end was noted stays done, whatever becomes of other runs: <cause>
+    Given a cell with leases of 10 s, whose holder claimed it back, and a task of 8 s
+    When that task's worker is cut off, and the holder gives the shard up because <cause>
+    And all other nodes die before they claim it, so that the same process holds it again
+    And the worker is reached again 8 s after it was cut off, and 1 s pass
+    And each worker that runs it then crashes, and 25 s pass
+    Then the cluster has broken nothing
+    And the task has been started 1 time(s)
+
+    Examples:
+      | cause                   |
+      | the store turns it away |
+      | a larger node comes     |
+
   # Any word of another process at the holder's address showed that the holder was dead.
   Scenario: A late word of the process before the holder's tells nothing of the holder's leases
     Given a cell with a task that runs for 40 seconds on one worker
--- a/features/steps/claim_again_steps.py
+++ b/features/steps/claim_again_steps.py
@@ -110,6 +110,15 @@
     cluster.run(more)
 
 
+@when("each worker that runs it then crashes, and {seconds:g} s pass")
+def _crash(context: Any, seconds: float) -> None:
+    cluster = context.cluster
+    for worker in list(cluster.pool.workers.values()):
+        if worker.runs:
+            cluster.crash_worker(worker.worker_id)
+    cluster.run(seconds)
+
+
 @then("the task has been started {count:d} time(s)")
 def _started(context: Any, count: int) -> None:
     audit = context.cluster.audit
