Take in a late end of a gang, too: one such end stands for all

Cause: the end 'done' of a gang whose members count as not started was acknowledged and dropped, so the gang ran again. The users' page says that a gang's tasks end 'done' together, one such end standing for all.

Change: where the lease was kept, it completes the gang, and the members of another run of it are withdrawn or stopped.

--- a/features/ends_of_runs.feature
+++ b/features/ends_of_runs.feature
@@ -255,3 +255,16 @@
       | 0.02    |
       | 0.2     |
       | 3       |
+
+  # One end of a gang stands for all; it was acknowledged and not used, and the gang ran again.
+  Scenario Outline: The end of a gang that counts as not started completes it: tasks of <seconds> s
+    Given a cell of 2 workers whose tasks take <seconds> seconds, and whose first start of a gang counts as not sent
+    And all starts of its first run count as not sent, are not listed, and are not stopped
+    When 6 seconds pass in that cell
+    Then the first job is completed
+    And <started> runs have started in that cell, and <stopped> have been stopped
+
+    Examples:
+      | seconds | started | stopped |
+      | 0.3     | 2       | 0       |
+      | 3       | 4       | 1       |
--- a/features/steps/end_steps.py
+++ b/features/steps/end_steps.py
@@ -22,7 +22,7 @@
 from onyxspoke.core.jobs.states import RunEnd, TaskState
 from onyxspoke.core.placement.worker_record import WorkerRecord
 from onyxspoke.core.placement.workers import LeaseVerdict, Worker, WorkerContact
-from onyxspoke.core.shard.actions import DecisionLogLine, SendStart
+from onyxspoke.core.shard.actions import DecisionLogLine, SendStart, SendStop
 from onyxspoke.core.shard.calls import StateCall
 from onyxspoke.core.shard.context import ShardContext, ShardOptions
 from onyxspoke.core.shard.ignored_ends import IgnoredEndLog, IgnoredEndReason
@@ -88,7 +88,7 @@
     _start_cell(context, workers, seconds)
     cluster = context.cluster
     context.store_away_seconds = 0.0
-    context.started_first = False
+    context.wrong_answers = 1
     context.hidden_runs = set()
     context.hides_run = False
 
@@ -97,9 +97,9 @@
 
         def start(order: SendStart, node: str) -> OrderResult:
             result = former(order, node)
-            if context.started_first:
+            if not context.wrong_answers:
                 return result
-            context.started_first = True
+            context.wrong_answers -= 1
             if context.hides_run:
                 context.hidden_runs.add(order.run)
             if context.store_away_seconds:
@@ -145,6 +145,25 @@
     _send(context, replace(job, steps=(gang,)), 0.0)
 
 
+@given("all starts of its first run count as not sent, are not listed, and are not stopped")
+def _wrong_answers_for_gang(context: Any) -> None:
+    workers = context.cluster.pool.workers.values()
+    context.wrong_answers = len(workers)
+    context.hides_run = True
+    for worker in workers:
+        _lose_stops(worker, context.hidden_runs)
+
+
+def _lose_stops(worker: FakeWorker, runs: set[RunKey]) -> None:
+    """Let stops of some runs be lost on their way to a worker."""
+    former = worker.stop
+
+    def stop(order: SendStop) -> OrderResult:
+        return OrderResult(OrderOutcome.NO_ANSWER) if order.run in runs else former(order)
+
+    worker.stop = stop
+
+
 @given("the first job is handed in")
 def _hand_in(context: Any) -> None:
     _send(context, _whole_worker_job(context, FIRST_JOB), 0.0)
--- a/src/onyxspoke/core/shard/run_reconciler.py
+++ b/src/onyxspoke/core/shard/run_reconciler.py
@@ -133,11 +133,13 @@
         self, worker: Worker, task: TaskProgress, report: EndReport, ended_as: str, now: float
     ) -> None:
         """Complete a task by an end that was not expected; another run of it is not needed."""
-        other = task.run
+        other, step = task.run, task.step
         self._log_late_end(worker, task, report, ended_as)
         self._context.job_registry.task_run_confirmed(task, now)
         self._run_manager.complete_task(task, now)
-        if other is not None:
+        if step.spec.gang:
+            self._run_manager.stop_runs_of([step], now, "task_done")
+        elif other is not None:
             self._run_manager.stop(other, now, "task_done")
 
     def _process_unknown_end(
@@ -274,15 +276,13 @@
     """Return whether the end of a run that counts as ended, or of a second one, completes its task.
 
     An end does not count if the worker's lease lapses before the end is acknowledged, so a task is
-    not complete by one whose worker may have lapsed since.  A gang has ended only with all members,
-    of which others may count as ended elsewhere.
+    not complete by one whose worker may have lapsed since.  One end of a gang stands for all.
     """
     spec = task.step.spec
     return (
         report.end is RunEnd.DONE
         and verdict is LeaseVerdict.KEPT
         and not spec.long_running
-        and not spec.gang
         and task.state is not TaskState.DONE
         and not task.step.job.state.is_final
     )
