A task that is done does not fail its job by another run

When an end that comes late completes a task, its other run is stopped. If that run ended 'failed' all the same, and was the last allowed attempt, the job failed although its task was done.

Change: a failure counts only for a task that is not done. 'A job does not fail by a run of a task that is done' failed before and passes now.

--- a/src/onyxspoke/core/jobs/job_registry.py
+++ b/src/onyxspoke/core/jobs/job_registry.py
@@ -308,7 +308,7 @@
         """Count a failed run of a task; the job fails with its last allowed attempt."""
         step = task.step
         failed_run_numbers = step.failed_gang_runs if step.spec.gang else task.failed_runs
-        if number in failed_run_numbers or step.spec.long_running:
+        if number in failed_run_numbers or step.spec.long_running or task.state is TaskState.DONE:
             return
         failed_run_numbers.append(number)
         self.dirty[step.job.job_id] = None
