Election: another process shows that a holder stopped only at its address, the port included

Found by the review of the setting for the told address. Nodes behind one translated address may be told at different ports. A node took a claim by another process at its own host, and a process at the holder's host, for one process after the other at one address, whatever the port. It then counted the orders of a holder that is alive as over.

Change: both compare the port, too.

--- a/features/election.feature
+++ b/features/election.feature
@@ -102,6 +102,20 @@
       | that it opened before it knew of the claim  | claim          |
       | that the other process opened               | claim          |
 
+  # Nodes that are told at different ports of one translated address were taken for one after the other.
+  Scenario: A claim from another port of its own host does not show a node that earlier orders are over
+    Given a node that has just started
+    When it reads a claim of a node at another port of its own host
+    And the store accepts its claim
+    Then the bound on earlier holders' orders rests on claim
+
+  Scenario: A process at another port of the holder's host does not show that the holder is dead
+    Given a follower that is successor number 1
+    When it reads a claim of the next process at its holder's address
+    And a process at another port of that host reports no claim
+    And it claims the shard, and the store accepts the claim
+    Then the bound on earlier holders' orders rests on claim
+
   # A node that gave the shard up and claimed it again counted its own leases from the death of the
   # holder before its first claim.
   Scenario: A node that claims again counts earlier orders from when it gave the shard up
--- a/features/steps/election_steps.py
+++ b/features/steps/election_steps.py
@@ -26,6 +26,7 @@
 
 OWN = NodeIdentity(incarnation="own.1", host="own", port=1)
 HOLDER = NodeIdentity(incarnation="holder.1", host="holder", port=1)
+OTHER_PORT = 2
 OTHER = NodeIdentity(incarnation="other.1", host="other", port=1)
 PARTITION_END = 100
 TICK_SECONDS = 0.02
@@ -248,6 +249,42 @@
     )
 
 
+@when("a process at another port of that host reports no claim")
+def _process_at_other_port_reports(context: Any) -> None:
+    context.now += 0.1
+    other = msgspec.structs.replace(HOLDER, incarnation="neighbour.1", port=OTHER_PORT)
+    context.election.handle_peer_status(
+        other, None, context.now, HEARTBEAT_SECONDS, stream_opened_at=context.known_at + 0.05
+    )
+
+
+@given("a node that has just started")
+def _has_just_started(context: Any) -> None:
+    context.now = 10.0
+    context.election = Election(0, OWN, lambda: 0.5, started_at=context.now)
+    context.election.start(context.now)
+
+
+@when("it reads a claim of a node at another port of its own host")
+def _reads_claim_of_neighbour(context: Any) -> None:
+    claim = ClaimRecord(
+        incarnation="neighbour.1",
+        host=OWN.host,
+        port=OTHER_PORT,
+        token=7,
+        earlier_orders_seconds=0.0,
+    )
+    context.election.handle_claim_read(True, claim, PARTITION_END, context.now)
+
+
+@when("the store accepts its claim")
+def _store_accepts(context: Any) -> None:
+    election = context.election
+    assert election.state is ElectionState.CLAIMING, election.state
+    election.handle_append_result(AppendResult(AppendOutcome.DONE), context.now + 0.01)
+    context.actions = election.take_actions()
+
+
 @when("it claims the shard, and the store accepts the claim")
 def _claims_and_wins(context: Any) -> None:
     election = context.election
--- a/src/onyxspoke/core/shard/election.py
+++ b/src/onyxspoke/core/shard/election.py
@@ -226,7 +226,7 @@
             self._follow_holder(now, known)
         elif self.state in _HOLDER_MONITORING_STATES:
             if peer.incarnation != known.incarnation:
-                self._known_holder.note_other_process(stream_opened_at, now)
+                self._known_holder.note_other_process(peer.port, stream_opened_at, now)
             elif now - self._claim_unconfirmed_since < CLAIM_CONFIRMATION_SECONDS:
                 return
             self._suspects_holder_dead = True
@@ -343,7 +343,8 @@
         self._suspects_holder_dead = False
         if claim.host == self._identity.host:
             # An earlier incarnation made this claim, or the store carried out our claim late.
-            if claim.incarnation != self._identity.incarnation:
+            is_earlier_process = claim.incarnation != self._identity.incarnation
+            if is_earlier_process and claim.port == self._identity.port:
                 self._known_holder.note_stopped(self._started_at)
             self._wait_for_turn(now, 0.0, "own_earlier_claim")
         else:
--- a/src/onyxspoke/core/shard/known_holder.py
+++ b/src/onyxspoke/core/shard/known_holder.py
@@ -37,13 +37,14 @@
         """Record that the holder's process had ended, or had given the shard up, by a time."""
         self._stopped_by = by
 
-    def note_other_process(self, stream_opened_at: float, now: float) -> None:
-        """Handle that another process than the holder's answers at the holder's address.
+    def note_other_process(self, port: int, stream_opened_at: float, now: float) -> None:
+        """Handle that another process than the holder's answers at the holder's host.
 
-        On a stream that was opened before the claim was known, it may be the process before the
-        holder's.
+        At another port it is another node, behind the same translation of addresses.  On a stream
+        that was opened before the claim was known, it may be the process before the holder's.
         """
-        if stream_opened_at > self._known_since:
+        is_at_address = self.claim is not None and self.claim.port == port
+        if is_at_address and stream_opened_at > self._known_since:
             self._stopped_by = now
 
     def describe(self) -> ReplacedHolder:
