--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -11,6 +11,7 @@
 import multiprocessing
 import os
 import sys
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -63,8 +64,8 @@
     paths = sorted(str(path) for path in (ROOT / "features").glob("*.feature"))
     outcomes = []
     context = multiprocessing.get_context("spawn")
-    with context.Pool(PROCESSES, maxtasksperchild=1) as pool:
-        for outcome in pool.imap(run_quietly, [[path] for path in paths], chunksize=1):
+    with ProcessPoolExecutor(PROCESSES, mp_context=context, max_tasks_per_child=1) as pool:
+        for outcome in pool.map(run_quietly, [[path] for path in paths]):
             print(outcome.output, end="", flush=True)
             outcomes.append(outcome)
     return outcomes
