--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -1,105 +1,113 @@
 """Runs every feature with behave and ends with a line ``N passed, N failed``.
 
-The features run in several processes, one feature file at a time in each; what they print is shown
-in the order of the files.  Options of behave, or paths, may be given; then one process runs all.
+Each feature file runs in a process of its own, several at a time; what they print is shown in the
+order of the files.  With options of behave, or paths, this process runs them itself.
 """
 
 from __future__ import annotations
 
-import contextlib
-import io
-import multiprocessing
 import os
+import re
+import subprocess
 import sys
-from concurrent.futures import ProcessPoolExecutor
-from dataclasses import dataclass, field
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
 from pathlib import Path
 
 from absl import logging as absl_logging
 from behave.configuration import Configuration
-from behave.model import Scenario, ScenarioOutline
+from behave.model import ScenarioOutline
 from behave.runner import Runner
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 #: Leaves cores to the processes that some features start.
 PROCESSES = max(1, (os.cpu_count() or 1) // 2)
+KNOWN_MARK = "known red: "
+FAILED_MARK = "FAILED: "
+CLOSING_LINE = re.compile(r"^(\d+) passed, (\d+) failed$")
 
 
 @dataclass(frozen=True)
-class Failure:
-    """A scenario that did not pass, and the texts of its steps' errors."""
+class FeatureRun:
+    """What the process of one feature file printed, and how it ended."""
 
-    filename: str
-    name: str
-    errors: list[str]
+    path: str
+    lines: list[str]
+    return_code: int
 
+    @property
+    def counts(self) -> tuple[int, int]:
+        """How many scenarios passed and failed, by the closing line."""
+        closing = CLOSING_LINE.match(self.lines[-1]) if self.lines else None
+        return (int(closing[1]), int(closing[2])) if closing else (0, 0)
 
-@dataclass
-class Outcome:
-    """What came of one run of behave."""
-
-    passed: int = 0
-    failures: list[Failure] = field(default_factory=list)
-    output: str = ""
+    @property
+    def has_closed(self) -> bool:
+        """Whether the process told how many scenarios passed and failed."""
+        return bool(self.lines) and CLOSING_LINE.match(self.lines[-1]) is not None
 
 
 def main() -> int:
     """Run the features; return 0 only where nothing failed but what is known to."""
-    outcomes = [run_behave(sys.argv[1:])] if sys.argv[1:] else run_all_features()
-    known = _known_red()
-    failures = [failure for outcome in outcomes for failure in outcome.failures]
-    for failure in failures:
-        mark = "known red" if failure.name in known else "FAILED"
-        print(f"{mark}: {failure.filename}: {failure.name}")
-        print("\n".join(failure.errors))
-    passed = sum(outcome.passed for outcome in outcomes)
-    print(f"{passed} passed, {len(failures)} failed")
-    has_unexpected = any(failure.name not in known for failure in failures)
-    return 1 if has_unexpected or not passed else 0
-
-
-def run_all_features() -> list[Outcome]:
-    """Run each feature file in a process of its own, several at a time."""
+    return run_behave(sys.argv[1:]) if sys.argv[1:] else run_all_features()
+
+
+def run_all_features() -> int:
+    """Run each feature file in a process of its own, and sum up what they tell."""
     paths = sorted(str(path) for path in (ROOT / "features").glob("*.feature"))
-    outcomes = []
-    context = multiprocessing.get_context("spawn")
-    with ProcessPoolExecutor(PROCESSES, mp_context=context, max_tasks_per_child=1) as pool:
-        for outcome in pool.map(run_quietly, [[path] for path in paths]):
-            print(outcome.output, end="", flush=True)
-            outcomes.append(outcome)
-    return outcomes
-
-
-def run_quietly(arguments: list[str]) -> Outcome:
-    """Run behave, and keep what it prints."""
-    output = io.StringIO()
-    with contextlib.redirect_stdout(output):
-        outcome = run_behave(arguments)
-    outcome.output = output.getvalue()
-    return outcome
-
-
-def run_behave(arguments: list[str]) -> Outcome:
-    """Run behave with options or paths."""
+    runs = []
+    with ThreadPoolExecutor(PROCESSES) as pool:
+        for run in pool.map(run_feature, paths):
+            print("\n".join(run.lines[:-1] if run.has_closed else run.lines), flush=True)
+            runs.append(run)
+    for run in runs:
+        for line in run.lines:
+            if line.startswith((KNOWN_MARK, FAILED_MARK)):
+                print(line)
+        if not run.has_closed:
+            print(f"{FAILED_MARK}{run.path}: its process ended with {run.return_code}")
+    passed = sum(run.counts[0] for run in runs)
+    print(f"{passed} passed, {sum(run.counts[1] for run in runs)} failed")
+    return 1 if not passed or any(run.return_code or not run.has_closed for run in runs) else 0
+
+
+def run_feature(path: str) -> FeatureRun:
+    """Run one feature file, and keep what it prints."""
+    process = subprocess.run(
+        [sys.executable, __file__, path],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        check=False,
+    )
+    return FeatureRun(path, process.stdout.splitlines(), process.returncode)
+
+
+def run_behave(arguments: list[str]) -> int:
+    """Run behave with options or paths; return 0 only where nothing failed but what is known to."""
     absl_logging.set_verbosity(absl_logging.ERROR)
     configuration = Configuration(["--format=progress", "--no-capture", *arguments])
     runner = Runner(configuration)
     runner.run()
     scenarios = [scenario for feature in runner.features for scenario in feature.walk_scenarios()]
     scenarios = [item for item in scenarios if not isinstance(item, ScenarioOutline)]
+    passed = [item for item in scenarios if item.status.name == "passed"]
     chosen = [item for item in scenarios if item.status.name != "skipped"]
     failed = [item for item in chosen if item.status.name != "passed"]
-    return Outcome(len(chosen) - len(failed), [_describe(item) for item in failed])
-
-
-def _describe(scenario: Scenario) -> Failure:
-    errors = [
-        f"  {step.keyword} {step.name}\n{step.error_message}"
-        for step in scenario.all_steps
-        if step.error_message
-    ]
-    return Failure(scenario.filename, scenario.name, errors)
+    known = _known_red()
+    unexpected = [item for item in failed if item.name not in known]
+    for item in failed:
+        mark = KNOWN_MARK if item.name in known else FAILED_MARK
+        print(f"{mark}{item.filename}: {item.name}")
+        for step in item.all_steps:
+            if step.error_message:
+                print(f"  {step.keyword} {step.name}\n{step.error_message}")
+    sys.stderr.flush()
+    print(f"{len(passed)} passed, {len(failed)} failed", flush=True)
+    if not passed:
+        return 1
+    return 1 if unexpected else 0
 
 
 def _known_red() -> set[str]:
