--- a/src/onyxspoke/sim/call_faults.py
+++ b/src/onyxspoke/sim/call_faults.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import random
-from collections.abc import Callable
 from functools import partial
 
-from onyxspoke.sim.job_cluster import JobCluster, SimulatedNode
+from onyxspoke.sim.drawn_faults import DrawnFaults
+from onyxspoke.sim.job_cluster import SimulatedNode
 
 STORE = "store"
 #: One way over a slow link takes so long, in seconds: about as long as a node waits for a
@@ -14,28 +13,8 @@
 SLOW_SECONDS = (0.25, 0.7)
 
 
-class CallFaults:
-    """Carries the faults out.
-
-    Parameters
-    ----------
-    cluster : JobCluster
-        Its nodes send calls to each other.
-    source : random.Random
-        Draws targets and times.
-    choose_node : callable
-        Returns the node that a fault strikes, most often a holder.
-    """
-
-    def __init__(
-        self,
-        cluster: JobCluster,
-        source: random.Random,
-        choose_node: Callable[[], SimulatedNode | None],
-    ) -> None:
-        self._cluster = cluster
-        self._random = source
-        self._choose_node = choose_node
+class CallFaults(DrawnFaults):
+    """Faults of the ways between nodes."""
 
     def slow_links(self, seconds: float) -> None:
         """All links between nodes are slow."""
@@ -73,6 +52,3 @@
         for other in others:
             network.slow(host, other, delay)
             self._later(seconds, partial(network.slow, host, other, 0.0))
-
-    def _later(self, seconds: float, function: Callable[[], object]) -> None:
-        self._cluster.time.schedule(seconds, function)
--- a/src/onyxspoke/sim/return_faults.py
+++ b/src/onyxspoke/sim/return_faults.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import random
-from collections.abc import Callable
 from functools import partial
 
 from onyxspoke.sim.call_faults import STORE
-from onyxspoke.sim.job_cluster import JobCluster, SimulatedNode
+from onyxspoke.sim.drawn_faults import DrawnFaults
+from onyxspoke.sim.job_cluster import SimulatedNode
 
 #: How long a round takes at most, in seconds: the restart, the term and the cut of workers.
 ROUND_SECONDS = 30.0
@@ -35,28 +34,8 @@
 KILL_SHARE = 0.3
 
 
-class ReturnFaults:
-    """Carries the faults out.
-
-    Parameters
-    ----------
-    cluster : JobCluster
-        Its nodes lose the store.
-    source : random.Random
-        Draws workers and times.
-    choose_node : callable
-        Returns the node that a fault strikes, most often a holder.
-    """
-
-    def __init__(
-        self,
-        cluster: JobCluster,
-        source: random.Random,
-        choose_node: Callable[[], SimulatedNode | None],
-    ) -> None:
-        self._cluster = cluster
-        self._random = source
-        self._choose_node = choose_node
+class ReturnFaults(DrawnFaults):
+    """Holders that lose the store alone, with workers cut off."""
 
     def claim_again(self, seconds: float) -> None:
         """A holder claims the shard back after a restart of all, loses it, and gets it back.
@@ -128,6 +107,3 @@
         """Start a node, unless an earlier restart has; an address has one process at a time."""
         if not self._cluster.nodes[name].process.alive:
             self._cluster.start_node(name)
-
-    def _later(self, seconds: float, function: Callable[[], object]) -> None:
-        self._cluster.time.schedule(seconds, function)
--- a/src/onyxspoke/sim/zone_faults.py
+++ b/src/onyxspoke/sim/zone_faults.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import random
-from collections.abc import Callable
 from functools import partial
 
 from onyxspoke.sim.call_faults import STORE
-from onyxspoke.sim.job_cluster import JobCluster, SimulatedNode
+from onyxspoke.sim.drawn_faults import DrawnFaults
+from onyxspoke.sim.job_cluster import SimulatedNode
 
 #: Share of the workers that are in the zone.
 ZONE_SHARE = 0.5
@@ -26,28 +25,8 @@
 ALL_SHARE = 0.7
 
 
-class ZoneFaults:
-    """Carries the faults out.
-
-    Parameters
-    ----------
-    cluster : JobCluster
-        Its nodes and workers are cut off.
-    source : random.Random
-        Draws zones and times.
-    choose_node : callable
-        Returns the node that a fault strikes, most often a holder.
-    """
-
-    def __init__(
-        self,
-        cluster: JobCluster,
-        source: random.Random,
-        choose_node: Callable[[], SimulatedNode | None],
-    ) -> None:
-        self._cluster = cluster
-        self._random = source
-        self._choose_node = choose_node
+class ZoneFaults(DrawnFaults):
+    """Cuts of zones."""
 
     def cut_while_others_start(self, seconds: float) -> None:
         """All nodes outside the zone are killed, and the cut falls while they start."""
@@ -127,6 +106,3 @@
 
     def _host(self, name: str) -> str:
         return f"host-{name}"
-
-    def _later(self, seconds: float, function: Callable[[], object]) -> None:
-        self._cluster.time.schedule(seconds, function)
