--- a/src/onyxspoke/core/shard/election.py
+++ b/src/onyxspoke/core/shard/election.py
@@ -343,9 +343,7 @@
         self._suspects_holder_dead = False
         if claim.host == self._identity.host:
             # An earlier incarnation made this claim, or the store carried out our claim late.
-            is_earlier_process = claim.incarnation != self._identity.incarnation
-            if is_earlier_process and claim.port == self._identity.port:
-                self._known_holder.note_stopped(self._started_at)
+            self._known_holder.note_own_process(self._identity, self._started_at)
             self._wait_for_turn(now, 0.0, "own_earlier_claim")
         else:
             self._connect_to_holder(now, "claim_read")
--- a/src/onyxspoke/core/shard/known_holder.py
+++ b/src/onyxspoke/core/shard/known_holder.py
@@ -4,6 +4,7 @@
 
 import math
 
+from onyxspoke.core.shard.election_actions import NodeIdentity
 from onyxspoke.core.shard.log_records import ClaimRecord
 from onyxspoke.core.shard.order_bounds import ReplacedHolder
 
@@ -37,6 +38,13 @@
         """Record that the holder's process had ended, or had given the shard up, by a time."""
         self._stopped_by = by
 
+    def note_own_process(self, own: NodeIdentity, started_at: float) -> None:
+        """Handle that the claim is from our host: an earlier process at our address has ended."""
+        claim = self.claim
+        assert claim is not None
+        if claim.incarnation != own.incarnation and claim.port == own.port:
+            self._stopped_by = started_at
+
     def note_other_process(self, port: int, stream_opened_at: float, now: float) -> None:
         """Handle that another process than the holder's answers at the holder's host.
 
