--- a/src/onyxspoke/core/shard/run_reconciler.py
+++ b/src/onyxspoke/core/shard/run_reconciler.py
@@ -291,7 +291,7 @@
     """Return whether the end of a run that counts as ended, or of a second one, completes its task.
 
     An end does not count if the worker's lease lapses before the end is acknowledged, so a task is
-    not complete by one whose worker may have lapsed since.  One end of a gang stands for all.
+    not complete by one whose worker may have lapsed by now.  One end of a gang stands for all.
     """
     spec = task.step.spec
     return (
