--- a/features/steps/platform_codec_steps.py
+++ b/features/steps/platform_codec_steps.py
@@ -37,8 +37,20 @@
     def __init__(self) -> None:
         self.requests: list[bytes] = []
 
+    def now(self) -> float:
+        """Return the time, which stands still."""
+        return 0.0
+
     def call(
-        self, host, port, request, timeout_seconds, on_answer, lane="", meant_for=None
+        self,
+        host,
+        port,
+        request,
+        timeout_seconds,
+        on_answer,
+        lane="",
+        meant_for=None,
+        on_written=None,
     ) -> None:
         self.requests.append(request)
 
