--- a/scripts/play_days.sh
+++ b/scripts/play_days.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the days of deploy/days on a site, and of deploy/days/grown on a grown one.
+# Plays the days of deploy/days on a site, of deploy/days/grown on a grown one, and of a folder with the site's name.
 # Usage: scripts/play_days.sh SITE "WHY" [SEED]
 # SITE is a sheet of the users' kit, such as further/atlasform-prod or grown/sukls-onyx-grown.
 set -u
@@ -13,7 +13,8 @@
 if [[ $site == *-grown ]]; then
     days=deploy/days/grown
 fi
-for day in "$days"/*.toml; do
+shopt -s nullglob
+for day in "$days"/*.toml "deploy/days/${site##*/}"/*.toml; do
     "$bench" run "$kit/$site.toml" "$day" ${seed:+--seed "$seed"} --why "$why" |
         grep -A6 "^day  \|BROKEN" | grep -v "^day  \|^$\|^worth\|^  -" | cut -c1-240
 done
