Commit: what raises while changes are recorded costs nobody else an accepted job

Callers saw 200 for an ordinary job, and 410 for it after the holder's planned stop. Records of changed jobs are collected one after the other; each job's mark is cleared and its specification counted as stored on the way. Where one record could not be encoded, the exception ended the flush: the jobs before it had no mark any more, and no append had them. The next flush found nothing changed and ran the effects: their callers were told 200. Workers' records of the batch were lost alike.

- A job whose record cannot be encoded is given up alone, in the same append: refused where the store does not have it yet, failed where it does.
Nothing of a job changes before all its records are encoded.
- Whatever else raises in the scheduler ends in a step-down (internal_error), with a line, a traceback and a counter.
Nothing runs that rests on changes that no append has; the next holder goes by the store.
The node leaves the shard to others for 2 s.
- A takeover that raises ends in the same way.
Before, the seat counted as ready, held the shard and served nobody, and its flush was called again at once for ever.
- A stored job that cannot be restored is logged and left alone, and does not end one holder after the other.
- A call that raises is answered as unknown and not sent on to the next holder.
- Simulations fail on an exception of a scheduler that a scenario does not expect.

--- a/features/steps/slow_store_steps.py
+++ b/features/steps/slow_store_steps.py
@@ -129,7 +129,7 @@
     context.effects = []
     context.now = 10.0
 
-    def collect(_maximum_bytes: int) -> list[ShardRecord]:
+    def collect(_maximum_bytes: int, _now: float) -> list[ShardRecord]:
         records, context.dirty = context.dirty, []
         return records
 
@@ -163,8 +163,8 @@
 def _send_two_appends_with_records(context: Any) -> None:
     collect = context.commit_queue.collect
 
-    def collect_with_effect(maximum_bytes: int) -> list[ShardRecord]:
-        records = collect(maximum_bytes)
+    def collect_with_effect(maximum_bytes: int, now: float) -> list[ShardRecord]:
+        records = collect(maximum_bytes, now)
         number = len(context.sent_appends) + 1
         context.commit_queue.after_commit(lambda _now: context.effects.append(number))
         return records
--- a/src/onyxspoke/core/jobs/job_registry.py
+++ b/src/onyxspoke/core/jobs/job_registry.py
@@ -143,6 +143,11 @@
             self._finish(job, JobState.CANCELLED, now)
         return job
 
+    def give_up(self, job: JobProgress, now: float) -> None:
+        """Fail a job whose progress cannot be recorded."""
+        if not job.state.is_final:
+            self._finish(job, JobState.FAILED, now)
+
     def waiting_count(self, queue: str) -> int:
         """Return how many accepted jobs of a queue have not started."""
         return sum(
@@ -192,6 +197,17 @@
         self._finished[job_id] = None
         self._count_left_running(job)
 
+    def forget_unrestored(self, job_id: JobId) -> None:
+        """Forget a job whose restoration has failed halfway."""
+        job = self.jobs.pop(job_id, None)
+        self.dirty.pop(job_id, None)
+        self._scheduled.pop(job_id, None)
+        self._finished.pop(job_id, None)
+        if job is not None:
+            self._drop_steps(job)
+        for tasks in self._in_doubt_by_worker.values():
+            tasks[:] = [task for task in tasks if task.step.key.job_id != job_id]
+
     def workers_with_tasks_in_doubt(self) -> list[WorkerId]:
         """Return the workers that may run tasks in doubt, or runs of ended jobs."""
         return list(dict.fromkeys([*self._in_doubt_by_worker, *self.ended_job_usage.workers()]))
--- a/src/onyxspoke/core/shard/actions.py
+++ b/src/onyxspoke/core/shard/actions.py
@@ -170,6 +170,7 @@
     PLANNED = "planned"
     STORE_UNREACHABLE = "store_away"
     LARGER_NODE = "larger_node"
+    INTERNAL_ERROR = "internal_error"
 
 
 class StepDown(msgspec.Struct, frozen=True):
--- a/src/onyxspoke/core/shard/call_handler.py
+++ b/src/onyxspoke/core/shard/call_handler.py
@@ -40,6 +40,7 @@
 ASSUMED_ADVICE_WORKERS = 30
 _MILLISECONDS = 1_000.0
 _STORE_IN_TROUBLE = "store_in_trouble"
+_NOT_RECORDABLE = "record_not_encodable"
 _OTHER_TENANT = "identifier_of_another_tenant"
 
 
@@ -104,6 +105,15 @@
             if job is None or job.spec_is_stored:
                 del self._unsent_submissions[call_id]
 
+    def refuse_withdrawn(self, job_ids: list[JobId]) -> None:
+        """Refuse the submissions of jobs whose specifications cannot be recorded."""
+        if not job_ids:
+            return
+        for call_id, pending in list(self._unsent_submissions.items()):
+            if pending.job_id in job_ids:
+                del self._unsent_submissions[call_id]
+                self._refuse(pending, _NOT_RECORDABLE)
+
     # Calls
 
     def _submit(self, call_id: int, spec: JobSpec, now: float) -> None:
--- a/src/onyxspoke/core/shard/commit.py
+++ b/src/onyxspoke/core/shard/commit.py
@@ -89,7 +89,7 @@
     epoch: int
     next_sequence: int
     ownership_proven_at: float
-    collect: Callable[[int], list[ShardRecord]]
+    collect: Callable[[int, float], list[ShardRecord]]
     renew: Callable[[], ShardRecord]
     is_dirty: Callable[[], bool]
     interval_seconds: float = MINIMUM_COMMIT_INTERVAL_SECONDS
@@ -226,7 +226,7 @@
 
     def _send_batch(self, is_claim_renewal_due: bool, now: float) -> ShardAppend:
         self._is_collecting = True
-        records = self.collect(MAXIMUM_BATCH_BYTES)
+        records = self.collect(MAXIMUM_BATCH_BYTES, now)
         self._is_collecting = False
         if not records or is_claim_renewal_due:
             records.append(self.renew())
--- a/src/onyxspoke/core/shard/journal.py
+++ b/src/onyxspoke/core/shard/journal.py
@@ -34,6 +34,7 @@
     ShardRecord,
     encode_claim,
 )
+from onyxspoke.core.shard.unrecordable_jobs import UnrecordableJobs
 from onyxspoke.core.shard.worker_registry import WorkerRegistry
 from onyxspoke.core.tenants.quota_lender import QUOTA_PREFIX
 
@@ -52,8 +53,10 @@
         worker_registry: WorkerRegistry,
         estimates: EstimatesManager,
         claim: ClaimRecord,
+        unrecordable_jobs: UnrecordableJobs,
     ) -> None:
         self._context = context
+        self._unrecordable_jobs = unrecordable_jobs
         self._worker_registry = worker_registry
         self._estimates = estimates
         self._claim = claim
@@ -86,10 +89,12 @@
             self._is_claim_changed = True
             self._context.log("earlier_orders_over", token=self._claim.token)
 
-    def collect(self, maximum_bytes: int) -> list[ShardRecord]:
+    def collect(self, maximum_bytes: int, now: float) -> list[ShardRecord]:
         """Return the records of changed state, and clear the marks of the returned changes.
 
-        Changed jobs that do not fit into ``maximum_bytes`` keep their marks.
+        Changed jobs that do not fit into ``maximum_bytes`` keep their marks.  A job whose records
+        cannot be encoded is given up alone.  If anything else raises, marks are lost, and the
+        holder must give the shard up, because the effects of the lost changes must not run.
         """
         records = self._layout_records() + self._worker_registry.collect_records()
         records += self._quota_records() + self._estimates.collect_records()
@@ -98,9 +103,13 @@
         while dirty and size < maximum_bytes:
             job_id = next(iter(dirty))
             del dirty[job_id]
-            for record in self._job_records(job_id):
-                records.append(record)
-                size += len(record.key) + len(record.value)
+            try:
+                job_records = self._job_records(job_id)
+            except Exception as error:
+                self._unrecordable_jobs.give_up(job_id, error, now)
+                continue
+            records += job_records
+            size += sum(len(record.key) + len(record.value) for record in job_records)
         if self._is_claim_changed:
             records.append(self.renew())
         if self._is_marker_due():
@@ -144,12 +153,12 @@
         records = []
         if job.state.is_final and job.spec_is_stored:
             records.append(ShardRecord(spec_key(job_id), b""))
-            job.spec_is_stored = False
         elif not job.state.is_final and not job.spec_is_stored:
             records.append(ShardRecord(spec_key(job_id), encode_spec(job.spec)))
-            job.spec_is_stored = True
         if has_progress(job):
             records.append(ShardRecord(progress_key(job_id), encode_progress(job)))
+        # Nothing changes before every record is encoded, which may raise.
+        job.spec_is_stored = not job.state.is_final
         self._context.commit.after_commit(_MarkCommitted(self._context, job, job.state))
         return records
 
@@ -221,7 +230,7 @@
     for job_id, data in specs.items():
         _restore_job(context, job_id, data, progress.pop(job_id, None), now)
     for job_id, stored_progress in progress.items():
-        context.job_registry.restore_finished(job_id, stored_progress, now)
+        _restore_finished(context, job_id, stored_progress, now)
     context.log(
         "state_restored",
         jobs=len(context.job_registry.jobs),
@@ -261,9 +270,23 @@
     except RecordFormatError as error:
         context.log("record_unreadable", key=spec_key(job_id), error=str(error))
         return
-    context.job_registry.restore(
-        spec, stored_progress, now - _job_age_seconds(context, spec, now), now
-    )
+    accepted_at = now - _job_age_seconds(context, spec, now)
+    try:
+        context.job_registry.restore(spec, stored_progress, accepted_at, now)
+    except Exception as error:
+        # Every later holder would raise, too; the records stay in the store as they are.
+        context.job_registry.forget_unrestored(job_id)
+        context.log("record_unreadable", key=progress_key(job_id), error=repr(error))
+
+
+def _restore_finished(
+    context: ShardContext, job_id: JobId, stored_progress: ProgressRecord, now: float
+) -> None:
+    try:
+        context.job_registry.restore_finished(job_id, stored_progress, now)
+    except Exception as error:
+        context.job_registry.forget_unrestored(job_id)
+        context.log("record_unreadable", key=progress_key(job_id), error=repr(error))
 
 
 def _job_age_seconds(context: ShardContext, spec: JobSpec, now: float) -> float:
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -55,6 +55,7 @@
 from onyxspoke.core.shard.run_manager import RunManager
 from onyxspoke.core.shard.run_reconciler import RunReconciler
 from onyxspoke.core.shard.run_starter import RunStarter
+from onyxspoke.core.shard.unrecordable_jobs import UnrecordableJobs
 from onyxspoke.core.shard.worker_manager import WorkerManager
 from onyxspoke.core.shard.worker_registry import WorkerRegistry
 from onyxspoke.core.tenants.quota_lender import QuotaRequest
@@ -117,8 +118,9 @@
         self._pace_controller = PaceController(self.context)
         self._evacuation = Evacuation(self.context, self.runs)
         self._estimates = EstimatesManager(self.context)
+        self._unrecordable_jobs = UnrecordableJobs(self.context, self.runs)
         self._record_collector = RecordCollector(
-            self.context, self.worker_registry, self._estimates, claim
+            self.context, self.worker_registry, self._estimates, claim, self._unrecordable_jobs
         )
         self.context.commit = CommitQueue(
             shard=shard,
@@ -371,6 +373,7 @@
             self._record_activity(now)
             self._place_if_due(now)
             append = context.commit.next_append(now)
+            self._call_handler.refuse_withdrawn(self._unrecordable_jobs.take_withdrawn())
             if append is not None:
                 self._call_handler.handle_append_sent()
                 context.emit(SendAppend(append, context.commit.answer_timeout_seconds()))
--- a/src/onyxspoke/node/metrics.py
+++ b/src/onyxspoke/node/metrics.py
@@ -26,6 +26,11 @@
         self.decisions = Counter(
             "onyxspoke_decisions", "Decisions and beliefs, by event", ["event"], registry=registry
         )
+        self.internal_error_count = 0
+        self._internal_errors = Counter(
+            "onyxspoke_internal_errors", "Exceptions that ended a shard's scheduler",
+            registry=registry,
+        )  # fmt: skip
         self.replies = Counter(
             "onyxspoke_replies", "Replies to callers, by call and code", ["call", "code"],
             registry=registry,
@@ -61,6 +66,11 @@
             "onyxspoke_log_lines", "Log lines, by fate", ["fate"], registry=registry
         )
 
+    def note_internal_error(self) -> None:
+        """A shard's scheduler raised an exception."""
+        self.internal_error_count += 1
+        self._internal_errors.inc()
+
     def note_reply(self, call: str, queue: str, code: str, seconds: float) -> None:
         """A call was answered."""
         self.replies.labels(call, code).inc()
--- a/src/onyxspoke/node/seat.py
+++ b/src/onyxspoke/node/seat.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any, Protocol
 
 from absl import logging
@@ -68,6 +69,11 @@
 PAGE_RETRY_SECONDS = 0.1
 #: For how long the answer to a claim is waited for.
 CLAIM_SECONDS = 0.5
+#: For how long a node leaves the shard to others after its scheduler raised an exception.
+INTERNAL_ERROR_PAUSE_SECONDS = 2.0
+
+
+_INTERNAL_ERROR = "internal_error"
 
 
 class SeatListener(Protocol):
@@ -210,8 +216,7 @@
         """Take the operator's configuration."""
         self._policy = policy
         if self.scheduler is not None:
-            self.scheduler.on_policy(policy, self._clock.now())
-            self._wake()
+            self._feed(self.scheduler, partial(self.scheduler.on_policy, policy))
 
     def set_pacing(self, pacing: StorePacing) -> None:
         """Take how often the store may be called in a cell of this size."""
@@ -228,8 +233,9 @@
 
     def set_advice_entries(self, names: list[str]) -> None:
         """Take the entries that can carry calls for advice."""
-        if self.scheduler is not None:
-            self.scheduler.on_advisors(names, self._clock.now())
+        scheduler = self.scheduler
+        if scheduler is not None:
+            self._guard(scheduler, lambda: scheduler.on_advisors(names, self._clock.now()))
 
     def plan_layout(self, layout: CellLayout) -> None:
         """Have the layout of a new cell written, while this node holds its first shard."""
@@ -239,13 +245,18 @@
 
     def handle_call(self, call: Call, on_reply: OnReply) -> None:
         """Take a client's call; ``on_reply`` may never be called if the shard is lost."""
-        if not self._is_ready or self.scheduler is None:
+        scheduler = self.scheduler
+        if not self._is_ready or scheduler is None:
             on_reply(CallReply(code=ReplyCode.NOT_HOLDER))
             return
         self._last_call_id += 1
-        self._replies[self._last_call_id] = on_reply
-        self.scheduler.on_call(self._last_call_id, call, self._clock.now())
-        self._wake()
+        call_id = self._last_call_id
+        self._replies[call_id] = on_reply
+        if self._guard(scheduler, lambda: scheduler.on_call(call_id, call, self._clock.now())):
+            self._wake()
+        else:
+            # Sent on to the next holder, the call could end that one, too.
+            on_reply(CallReply(code=ReplyCode.UNKNOWN, reason=_INTERNAL_ERROR))
 
     def is_quiet(self, now: float) -> bool:
         """Return whether the passing of time changes nothing here."""
@@ -256,15 +267,18 @@
         now = self._clock.now()
         self.election.tick(now)
         self.carry_out_election()
-        if self.scheduler is not None and self._is_ready:
-            self.scheduler.on_tick(now, wall_ms)
+        scheduler = self.scheduler
+        if scheduler is not None and self._is_ready:
+            self._guard(scheduler, lambda: scheduler.on_tick(now, wall_ms))
             self.flush()
 
     def flush(self) -> None:
         """Carry out what the scheduler has decided."""
         scheduler = self.scheduler
-        if scheduler is None or not self._is_ready:
-            return
+        if scheduler is not None and self._is_ready:
+            self._guard(scheduler, lambda: self._flush(scheduler))
+
+    def _flush(self, scheduler: ShardScheduler) -> None:
         for action in scheduler.flush(self._clock.now()):
             self._carry_out(action)
             if self.scheduler is not scheduler:
@@ -377,7 +391,7 @@
         if not self._is_ours(records):
             self.step_down(StepDownReason.STORE_FENCED)
             return
-        self._finish_takeover(scheduler, records, page.end)
+        self._guard(scheduler, lambda: self._finish_takeover(scheduler, records, page.end))
 
     def _is_ours(self, records: list[ShardRecord]) -> bool:
         """Return whether the claim that stands in the store is ours."""
@@ -394,14 +408,17 @@
         self, scheduler: ShardScheduler, records: list[ShardRecord], read_end: int
     ) -> None:
         now = self._clock.now()
-        self._is_ready = True
-        self.held_since = now
         scheduler.on_policy(self._policy, now)
         wall_ms = self._listener.time_of_day_ms()
         actions = scheduler.recover(records, self._previous_token, now, wall_ms, read_end)
+        self._is_ready = True
+        self.held_since = now
         for action in actions:
             self._carry_out(action)
-        self._directory.watch(self)
+        if self.scheduler is scheduler:
+            self._directory.watch(self)
+        if self.scheduler is not scheduler:
+            return
         self._listener.handle_holding(self.shard, True)
         self._wake()
 
@@ -411,15 +428,18 @@
         self, records: list[WorkerRecord], unusable: list[UnusableEntry], is_whole: bool
     ) -> None:
         """The directory lists these workers."""
-        if self.scheduler is not None:
-            self.scheduler.on_workers_listed(records, unusable, is_whole, self._clock.now())
-            self._wake()
+        scheduler = self.scheduler
+        if scheduler is not None:
+            self._feed(
+                scheduler,
+                lambda now: scheduler.on_workers_listed(records, unusable, is_whole, now),
+            )
 
     def handle_worker_unlisted(self, worker_id: str) -> None:
         """The directory lists a worker no longer."""
-        if self.scheduler is not None:
-            self.scheduler.on_worker_unlisted(worker_id, self._clock.now())
-            self._wake()
+        scheduler = self.scheduler
+        if scheduler is not None:
+            self._feed(scheduler, partial(scheduler.on_worker_unlisted, worker_id))
 
     # Actions
 
@@ -441,16 +461,19 @@
 
     def _ask_quota(self, scheduler: ShardScheduler, action: RequestQuota) -> None:
         def take(reply: CallReply) -> None:
-            if self.scheduler is scheduler:
-                scheduler.on_quota_reply(action.request, reply, self._clock.now())
-                self._wake()
+            self._feed(scheduler, lambda now: scheduler.on_quota_reply(action.request, reply, now))
 
         self._listener.ask_quota(action.home, QuotaCall(action.request), take)
 
     def _reply(self, _scheduler: ShardScheduler, action: ReplyToCall) -> None:
         on_reply = self._replies.pop(action.call_id, None)
-        if on_reply is not None:
+        if on_reply is None:
+            return
+        try:
             on_reply(action.reply)
+        except Exception:
+            # The reply belongs to one caller; the decision behind it stands.
+            logging.exception("event=reply_failed shard=%d call=%d", self.shard, action.call_id)
 
     def _log_decision(self, decision: DecisionLogLine) -> None:
         self._metrics.decisions.labels(decision.event).inc()
@@ -470,10 +493,29 @@
 
     def _feed(self, scheduler: ShardScheduler, stimulus: Callable[[float], None]) -> None:
         """Give an answer to the scheduler that asked, if it is still the one."""
-        if self.scheduler is scheduler:
-            stimulus(self._clock.now())
+        if self.scheduler is not scheduler:
+            return
+        if self._guard(scheduler, lambda: stimulus(self._clock.now())):
             self._wake()
 
+    def _guard(self, scheduler: ShardScheduler, stimulus: Callable[[], None]) -> bool:
+        """Run a stimulus, and return whether it raised nothing; otherwise give the shard up.
+
+        The exception may have left the scheduler's state half changed, with effects of changes
+        that no append contains.
+        """
+        try:
+            stimulus()
+        except Exception:
+            self._metrics.note_internal_error()
+            logging.exception("event=internal_error shard=%d", self.shard)
+            if self.scheduler is scheduler:
+                pause_until = self._clock.now() + INTERNAL_ERROR_PAUSE_SECONDS
+                self.election.defer_claims_until(pause_until)
+                self.step_down(StepDownReason.INTERNAL_ERROR)
+            return False
+        return True
+
     def _wake(self) -> None:
         self._listener.wake(self.shard, 0.0)
 
--- a/src/onyxspoke/sim/job_cluster.py
+++ b/src/onyxspoke/sim/job_cluster.py
@@ -32,6 +32,7 @@
 from onyxspoke.kit.jobs.store import FakeStore, FakeStoreClient
 from onyxspoke.kit.jobs.worker_orders import FakeWorkerOrders
 from onyxspoke.kit.jobs.workers import FakeWorker, FakeWorkerPool, WorkOptions
+from onyxspoke.node.metrics import NodeMetrics
 from onyxspoke.node.node import Node
 from onyxspoke.node.node_ports import NodePorts
 from onyxspoke.node.planned_stop import PlannedStop
@@ -167,6 +168,10 @@
         #: Calls without a reply, by the process that took them.
         self._open_calls: dict[str, int] = {}
         self._lives = 0
+        #: Metrics of every life of a node.
+        self._metrics: list[NodeMetrics] = []
+        #: How many exceptions the nodes' schedulers may raise before :meth:`run` fails.
+        self.expected_internal_errors = 0
         self._worker_lives = 0
         #: When a worker last came or went.
         self.disturbed_at = 0.0
@@ -232,6 +237,7 @@
         )
         simulated = SimulatedNode(name, host, process, node)
         self.nodes[name] = simulated
+        self._metrics.append(node.metrics)
         node.listen()
         self.time.schedule(START_SECONDS, lambda: process.run(node.startService))
         return simulated
@@ -384,8 +390,11 @@
         ]
 
     def run(self, seconds: float) -> None:
-        """Let time pass."""
+        """Let time pass; raise if a node's scheduler raised an exception that is not expected."""
         self.time.run_until(self.time.now() + seconds)
+        errors = sum(metrics.internal_error_count for metrics in self._metrics)
+        if errors > self.expected_internal_errors:
+            raise AssertionError(f"{errors} internal errors")
 
     def call(
         self,
