HTTP client: what the receiver of an answer raises is not taken for unreadable input

The parser calls on_message_complete, and wraps what a callback raises in HttpParserCallbackError, a subclass of HttpParserError, which dataReceived catches as unreadable input. So each exception behind an answer of the store, of a worker or of the advice service ended without a line, and with the connection.

The parser's callback now only keeps the whole answer; it is handed over after feed_data has returned. An answer with unreadable bytes behind it is handed over, and its connection is not used again.

--- a/features/commit_failures.feature
+++ b/features/commit_failures.feature
@@ -59,3 +59,9 @@
     And 5 seconds pass in that shard
     Then that call was answered as unknown
     And the shard has changed its holder once
+
+  # Guards against exceptions that end without a line of log.
+  Scenario: What the receiver of an HTTP answer raises is not taken for unreadable input
+    Given 1 kept connections to one address, each of which has carried a call
+    When the receiver of the next answer raises an exception
+    Then the exception reaches the event loop
--- a/src/onyxspoke/net/http_client.py
+++ b/src/onyxspoke/net/http_client.py
@@ -155,6 +155,8 @@
         self._parser: httptools.HttpResponseParser | None = None
         self._body: list[bytes] = []
         self._headers: dict[bytes, bytes] = {}
+        #: A whole answer, and whether the connection may be used again, until it is handed over.
+        self._complete: tuple[HttpAnswer, bool] | None = None
         self.is_open = False
         #: Which process is at the other end, once a call was meant for one; 0 before.
         self._process = 0
@@ -216,9 +218,17 @@
             self.abort()
             return
         self.data_at = self._pool.now()
+        is_readable = True
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
+            is_readable = False
+        # Outside of the parser, which would take what the receiver raises for unreadable input.
+        complete, self._complete = self._complete, None
+        if complete is not None:
+            answer, is_kept = complete
+            self._hand_over(answer, is_kept and is_readable)
+        elif not is_readable:
             self.abort()
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -230,13 +240,18 @@
         self._body.append(data)
 
     def on_message_complete(self) -> None:
-        """Hand the answer over; called by the parser."""
+        """Keep the whole answer; called by the parser."""
         parser, self._parser = self._parser, None
-        call = self._call
-        if parser is None or call is None:
+        if parser is None:
             return
         answer = HttpAnswer(parser.get_status_code(), b"".join(self._body), headers=self._headers)
-        is_kept = parser.should_keep_alive()
+        self._complete = answer, parser.should_keep_alive()
+        self._body, self._headers = [], {}
+
+    def _hand_over(self, answer: HttpAnswer, is_kept: bool) -> None:
+        call = self._call
+        if call is None:
+            return
         asked, self._asks_who_is_there = self._asks_who_is_there, False
         if call.meant_for is not None and not self._process and answer.status == _HTTP_OK:
             self._process = call.meant_for.read_process(answer)
