Holder: the cost of a start, an end and a tick does not grow with all runs under way

Callers of ordinary jobs got no answer, and their jobs ran nothing, after one job of 10,000 small tasks: a turn of the holder's loop took so long that its proof was void, and the holders changed every second. In one turn the work at each start or end grew with the starts or ends of that turn:

- An observed end compared up to 64 pending observations with up to 64 others each; one baseline a worker serves all of them.
- Every tick checked all runs for stalls (22 of 76 s under a profiler in virtual time with 10,000 tasks); a tick checks 500 runs or one worker's, in turn.
Cells of up to 500 runs see no change.
- A job's record took six passes over its tasks and a long integer for each placed task; now one pass.
- The forecast for advice looks at all runs each 0.2 s, as before up to 2,000 runs; above, each 0.1 ms a run.
- Whether a worker needs pacing is counted as runs come and go.

--- a/src/onyxspoke/core/estimates/durations.py
+++ b/src/onyxspoke/core/estimates/durations.py
@@ -170,9 +170,13 @@
     def _compare_pending(self, step: StepProgress, evidence: StepObservations, now: float) -> None:
         """Update workers' speeds by comparing their runs with other runs of the same step."""
         pending, evidence.pending = evidence.pending, []
+        baselines = {
+            worker_id: find_baseline(step, evidence, worker_id)
+            for worker_id in {observation.speed.worker_id for observation in pending}
+        }
         for observation in pending:
             speed = observation.speed
-            baseline = find_baseline(step, evidence, speed.worker_id)
+            baseline = baselines[speed.worker_id]
             if baseline is None:
                 evidence.pending.append(observation)
                 continue
--- a/src/onyxspoke/core/jobs/crashes.py
+++ b/src/onyxspoke/core/jobs/crashes.py
@@ -81,3 +81,7 @@
             or self.certain >= CONFIRMED_CRASH_LIMIT
             or self.total >= TOTAL_CRASH_LIMIT
         )
+
+
+#: The tally of a task under which no worker has crashed.
+NO_CRASHES = CrashTally()
--- a/src/onyxspoke/core/jobs/progress.py
+++ b/src/onyxspoke/core/jobs/progress.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from onyxspoke.core.estimates.work_model import DEFAULT_WORK_MODEL, WorkModel
-from onyxspoke.core.jobs.crashes import CrashTally
+from onyxspoke.core.jobs.crashes import NO_CRASHES
 from onyxspoke.core.jobs.model import (
     JobId,
     JobSpec,
@@ -66,7 +66,7 @@
         self.index = index
         self.state = TaskState.WAITING
         self.failed_runs: list[int] = []
-        self.crashes = CrashTally()
+        self.crashes = NO_CRASHES
         self.checkpoint = ""
         self.run: Run | None = None
         self.last_failed_worker_id: WorkerId = ""
--- a/src/onyxspoke/core/jobs/records.py
+++ b/src/onyxspoke/core/jobs/records.py
@@ -10,14 +10,15 @@
 
 import msgspec
 
-from onyxspoke.core.jobs.crashes import CrashTally
+from onyxspoke.core.jobs.crashes import NO_CRASHES, CrashTally
 from onyxspoke.core.jobs.model import JobId, JobSpec, ResourceVector, StepKey, WorkerId
-from onyxspoke.core.jobs.progress import JobProgress, StepProgress, TaskProgress
+from onyxspoke.core.jobs.progress import JobProgress, StepProgress
 from onyxspoke.core.jobs.states import JobState, TaskState
 from onyxspoke.core.tenants.policy import TenantName
 
 SPEC_PREFIX = "job-spec/"
 PROGRESS_PREFIX = "job/"
+_BYTE_BITS = 8
 
 
 class StepRecord(msgspec.Struct, array_like=True):
@@ -171,37 +172,37 @@
 
 
 def _step_record(step: StepProgress) -> StepRecord:
-    unfinished_tasks = [task for task in step.tasks if task.state is not TaskState.DONE]
-    return StepRecord(
-        repetition=step.key.repetition,
-        step=step.key.step,
-        done=_make_bitmap(step, [t.index for t in step.tasks if t.state is TaskState.DONE]),
-        failed_runs={task.index: task.failed_runs for task in unfinished_tasks if task.failed_runs},
-        checkpoints={task.index: task.checkpoint for task in unfinished_tasks if task.checkpoint},
-        failed_gang_runs=step.failed_gang_runs,
-        placed=_placements(step, unfinished_tasks),
-        crashes={task.index: task.crashes for task in unfinished_tasks if task.crashes.total},
+    """Return a step's record; one pass over the tasks, because a step may have thousands."""
+    size = (len(step.tasks) + _BYTE_BITS - 1) // _BYTE_BITS
+    done = bytearray(size)
+    placed: dict[WorkerId, bytearray] = {}
+    record = StepRecord(
+        step.key.repetition, step.key.step, b"", {}, {}, step.failed_gang_runs, {}, {}
     )
-
-
-def _placements(step: StepProgress, unfinished_tasks: list[TaskProgress]) -> dict[WorkerId, bytes]:
-    by_worker: dict[WorkerId, list[int]] = {}
-    for task in unfinished_tasks:
+    for index, task in enumerate(step.tasks):
+        bit = 1 << index % _BYTE_BITS
+        if task.state is TaskState.DONE:
+            done[index // _BYTE_BITS] |= bit
+            continue
         if task.placed_on:
-            by_worker.setdefault(task.placed_on, []).append(task.index)
-    return {worker_id: _make_bitmap(step, tasks) for worker_id, tasks in by_worker.items()}
-
-
-def _make_bitmap(step: StepProgress, tasks: list[int]) -> bytes:
-    bits = 0
-    for index in tasks:
-        bits |= 1 << index
-    return bits.to_bytes((len(step.tasks) + 7) // 8, "little")
+            bitmap = placed.get(task.placed_on)
+            if bitmap is None:
+                bitmap = placed[task.placed_on] = bytearray(size)
+            bitmap[index // _BYTE_BITS] |= bit
+        if task.failed_runs:
+            record.failed_runs[index] = task.failed_runs
+        if task.checkpoint:
+            record.checkpoints[index] = task.checkpoint
+        if task.crashes is not NO_CRASHES and task.crashes.total:
+            record.crashes[index] = task.crashes
+    record.done = bytes(done)
+    record.placed = {worker_id: bytes(bitmap) for worker_id, bitmap in placed.items()}
+    return record
 
 
 def _read_bitmap(data: bytes, count: int) -> list[int]:
-    bits = int.from_bytes(data, "little")
-    return [index for index in range(count) if bits >> index & 1]
+    present = min(count, len(data) * _BYTE_BITS)
+    return [i for i in range(present) if data[i // _BYTE_BITS] >> i % _BYTE_BITS & 1]
 
 
 def encode_cancelled_before(tenant: TenantName) -> bytes:
--- a/src/onyxspoke/core/placement/advice_timing.py
+++ b/src/onyxspoke/core/placement/advice_timing.py
@@ -21,6 +21,9 @@
 
 #: Interval, in seconds, at which the free and the expected capacity are computed again.
 CAPACITY_REFRESH_SECONDS = 0.2
+#: The interval is at least this many seconds times the number of runs, because computing the
+#: expected capacity takes longer the more runs there are.
+CAPACITY_REFRESH_SECONDS_PER_RUN = 0.0001
 #: If at least this share of a service's processors is free, capacity is not what its waiting steps
 #: lack, and all of them may request advice.
 UNCONTENDED_SHARE = 0.1
@@ -78,14 +81,15 @@
         self._advice_dispatcher = advice_dispatcher
         self._stop_seconds = stop_seconds
         self._capacities: dict[str, _ServiceCapacity] = {}
-        self._refreshed_at = float("-inf")
+        self._refresh_at = float("-inf")
 
     def begin_pass(self, now: float) -> None:
         """Begin a placement pass; the steps follow in order of rank."""
         if not self._advice_dispatcher.uses_fair_shares:
             return
-        if now - self._refreshed_at >= CAPACITY_REFRESH_SECONDS:
-            self._refreshed_at = now
+        if now >= self._refresh_at:
+            pause = CAPACITY_REFRESH_SECONDS_PER_RUN * self._table.run_count()
+            self._refresh_at = now + max(CAPACITY_REFRESH_SECONDS, pause)
             self._refresh(now)
         for service_capacity in self._capacities.values():
             service_capacity.queued_before_milli = 0
--- a/src/onyxspoke/core/placement/unresolved_starts.py
+++ b/src/onyxspoke/core/placement/unresolved_starts.py
@@ -19,23 +19,31 @@
     def __init__(self) -> None:
         #: When each start was ordered, oldest first.
         self._ordered_at: dict[tuple[WorkerId, RunKey], float] = {}
+        self._runs_by_worker: dict[WorkerId, dict[RunKey, None]] = {}
 
     def add_start(self, worker_id: WorkerId, run: RunKey, now: float) -> None:
         """Record a start order that is being sent."""
         self._remove_void_starts(now)
         self._ordered_at[worker_id, run] = now
+        self._runs_by_worker.setdefault(worker_id, {})[run] = None
 
     def resolve_start(self, worker_id: WorkerId, run: RunKey) -> None:
         """Forget a start order that was answered: it was carried out, or never will be."""
-        self._ordered_at.pop((worker_id, run), None)
+        if self._ordered_at.pop((worker_id, run), None) is None:
+            return
+        runs = self._runs_by_worker[worker_id]
+        del runs[run]
+        if not runs:
+            del self._runs_by_worker[worker_id]
 
     def starts_on_worker(self, worker_id: WorkerId, now: float) -> list[RunKey]:
         """Return the starts that any incarnation under this name may still carry out."""
         self._remove_void_starts(now)
-        return [run for name, run in self._ordered_at if name == worker_id]
+        return list(self._runs_by_worker.get(worker_id, ()))
 
     def _remove_void_starts(self, now: float) -> None:
-        for start, ordered_at in list(self._ordered_at.items()):
+        while self._ordered_at:
+            (worker_id, run), ordered_at = next(iter(self._ordered_at.items()))
             if now - ordered_at <= LATE_START_SECONDS:
                 return
-            del self._ordered_at[start]
+            self.resolve_start(worker_id, run)
--- a/src/onyxspoke/core/placement/workers.py
+++ b/src/onyxspoke/core/placement/workers.py
@@ -174,6 +174,9 @@
         self._held_processors = 0
         self._held_memory = 0
         self._held_accelerators = 0
+        #: How many of the runs are fillers, and how many serve users.
+        self._filler_count = 0
+        self._serving_count = 0
         self.processed_through = 0
         self.acknowledged_through = 0
         self.is_recorded = False
@@ -263,6 +266,7 @@
     def add(self, run: Run) -> None:
         """Add a run, which holds its capacity from now on."""
         self.runs[run.key] = run
+        self._count(run, 1)
         self._held_processors += run.needs.processors_milli
         self._held_memory += run.needs.memory_mb
         self._held_accelerators += run.needs.accelerators
@@ -271,18 +275,20 @@
         """Remove a run that has ended, and free its capacity."""
         if self.runs.pop(run.key, None) is None:
             return
+        self._count(run, -1)
         self._held_processors -= run.needs.processors_milli
         self._held_memory -= run.needs.memory_mb
         self._held_accelerators -= run.needs.accelerators
 
     def needs_pacing(self) -> bool:
         """Return whether filler runs run beside a serving run, or at less than full speed."""
-        has_filler = has_serving = False
-        for run in self.runs.values():
-            spec = run.task.step.spec
-            has_filler = has_filler or spec.fills
-            has_serving = has_serving or spec.target_ms > 0
-        return has_filler and (has_serving or self.pace.percent < FULL_PERCENT)
+        is_slowed = self._serving_count > 0 or self.pace.percent < FULL_PERCENT
+        return self._filler_count > 0 and is_slowed
+
+    def _count(self, run: Run, change: int) -> None:
+        spec = run.task.step.spec
+        self._filler_count += change * spec.fills
+        self._serving_count += change * (spec.target_ms > 0)
 
     def worst_latency_ratio(self) -> float:
         """Return the highest ratio of a serving run's tail latency to its target."""
--- a/src/onyxspoke/core/shard/run_manager.py
+++ b/src/onyxspoke/core/shard/run_manager.py
@@ -4,7 +4,7 @@
 
 from onyxspoke.core.codes import ResultCode
 from onyxspoke.core.jobs.crashes import CrashBlame
-from onyxspoke.core.jobs.model import RunKey, StepKey
+from onyxspoke.core.jobs.model import RunKey, StepKey, WorkerId
 from onyxspoke.core.jobs.progress import (
     JobProgress,
     StepProgress,
@@ -22,6 +22,8 @@
 
 #: Interval after which an unanswered stop is sent again.
 STOP_RETRY_SECONDS = 0.4
+#: A tick stops checking runs for stalls after so many, which bounds its duration.
+STALL_CHECKS_PER_TICK = 500
 _MILLISECONDS = 1_000.0
 
 
@@ -39,6 +41,8 @@
         #: The latest run of each gang, until all its members have ended.
         self.gangs: dict[StepKey, GangRun] = {}
         self._stopping_runs: dict[RunKey, Run] = {}
+        #: Workers whose runs are still to be checked for stalls, the next one last.
+        self._unchecked_workers: list[WorkerId] = []
 
     def reserve_capacity(self, run: Run) -> None:
         """Reserve capacity and quota for a run until its end is certain."""
@@ -129,15 +133,26 @@
                 context.emit(SendStop(address_of(worker), context.token, key))
 
     def _stop_stalled(self, now: float) -> None:
-        """Stop runs that make no progress, so that their tasks continue elsewhere."""
-        for worker in self._context.table.workers.values():
-            if worker.contact is not WorkerContact.RECONCILED:
-                continue
-            for run in list(worker.runs.values()):
-                if run.state is RunState.RUNNING and is_stalled(run, worker.hold_answered_at):
-                    self._context.log("worker_avoided", worker=worker.worker_id, reason="stalled")
-                    worker.health.avoid(now)
-                    self.stop(run, now, "stalled")
+        """Stop runs that make no progress, so that their tasks continue elsewhere.
+
+        Each call checks the runs of the next few workers, and at most once those of each worker.
+        """
+        workers = self._context.table.workers
+        if not self._unchecked_workers:
+            self._unchecked_workers = list(reversed(workers))
+        checked_runs = 0
+        while self._unchecked_workers and checked_runs < STALL_CHECKS_PER_TICK:
+            worker = workers.get(self._unchecked_workers.pop())
+            if worker is not None and worker.contact is WorkerContact.RECONCILED:
+                checked_runs += len(worker.runs)
+                self._stop_stalled_on(worker, now)
+
+    def _stop_stalled_on(self, worker: Worker, now: float) -> None:
+        for run in list(worker.runs.values()):
+            if run.state is RunState.RUNNING and is_stalled(run, worker.hold_answered_at):
+                self._context.log("worker_avoided", worker=worker.worker_id, reason="stalled")
+                worker.health.avoid(now)
+                self.stop(run, now, "stalled")
 
     def stop_runs_of(self, steps: list[StepProgress], now: float, reason: str) -> None:
         """Stop all runs of the given steps."""
