Starts: ordered as fast as each worker answers, to its jobs in turn

One caller's large job stopped all others. A step was placed whole, and all its starts were ordered in one turn: up to 1,280 for one worker, whose 8 connections and queue of 512 take an order for 0.2 s. Most were given up unsent, planned again and given up again, and other jobs' orders waited in the same queue. Gangs of over 520 tasks could never start, for the same reason.

- StartQueue holds recorded starts by worker and job.
A worker has 16 unanswered starts at most, its jobs take turns, workers take turns, and a turn of the loop orders 64 at most.
What may not start any more by then is withdrawn, as it was at the commit.
A gang is queued whole or not at all.
- A step has 200 starts planned and not ordered at most (gangs aside), so that a pass has a bound and the plan stays near what workers take; the rest waits unplanned, and goes where there is room by then.

--- a/src/onyxspoke/core/placement/isolation.py
+++ b/src/onyxspoke/core/placement/isolation.py
@@ -44,9 +44,7 @@
 
 def isolate_worker_of(run: Run, now: float) -> None:
     """Let no other run start on the worker of a suspect run until a crash would be detected."""
-    step = run.task.step
-    if run.task.crashes.needs_isolation or is_on_trial(step):
-        step.next_trial_start_at = run.worker.isolated_until = now + ISOLATION_SECONDS
+    run.task.step.next_trial_start_at = run.worker.isolated_until = now + ISOLATION_SECONDS
 
 
 def is_on_trial(step: StepProgress) -> bool:
--- a/src/onyxspoke/core/placement/placer.py
+++ b/src/onyxspoke/core/placement/placer.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
 from onyxspoke.core.jobs.model import AdvicePolicy, QueuePolicy, StepKey
 from onyxspoke.core.jobs.policy import PolicySet
@@ -62,8 +63,12 @@
         advice_dispatcher: AdviceDispatcher,
         stop_seconds: float,
         is_speed_aware: bool = True,
+        planning_limit: Callable[[StepProgress], int] = lambda step: len(step.tasks),
     ) -> None:
         self._minds_speed = is_speed_aware
+        #: Returns how many starts of a step may be planned now.  Where that is fewer than wait, the
+        #: step is to be reconsidered once more may be planned.
+        self._planning_limit = planning_limit
         self._table = table
         self._advice_dispatcher = advice_dispatcher
         #: The table's change number at the last evaluation of each step that found no capacity.
@@ -132,7 +137,7 @@
             steps, schedulable_by_service.for_service, placement_pass
         ):
             was_over_quota = step.over_quota_since is not None
-            max_tasks = self._limit_to_quota(step, placement_pass)
+            max_tasks = min(self._limit_to_quota(step, placement_pass), self._planning_limit(step))
             if max_tasks == 0:
                 self._reservations.release(step.key)
                 continue
--- a/src/onyxspoke/core/placement/spreading.py
+++ b/src/onyxspoke/core/placement/spreading.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from itertools import islice
 
 from onyxspoke.core.jobs.progress import StepProgress, TaskProgress
 from onyxspoke.core.placement.isolation import is_on_trial, needs_isolation, place_isolated
@@ -57,7 +58,7 @@
 
     The result is ``None`` if no task fits.
     """
-    startable = [step.tasks[index] for index in step.waiting][:max_tasks]
+    startable = [step.tasks[index] for index in islice(step.waiting, max_tasks)]
     step_is_on_trial = is_on_trial(step)
     waiting = [task for task in startable if not needs_isolation(task, step_is_on_trial)]
     suspects = [task for task in startable if needs_isolation(task, step_is_on_trial)]
--- a/src/onyxspoke/core/shard/run_starter.py
+++ b/src/onyxspoke/core/shard/run_starter.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from onyxspoke.core.jobs.model import RunKey
+from onyxspoke.core.jobs.model import RunKey, StepKey, WorkerId
 from onyxspoke.core.jobs.progress import StepProgress, resume_checkpoint
 from onyxspoke.core.jobs.states import RunEnd, RunState
-from onyxspoke.core.placement.isolation import isolate_worker_of
+from onyxspoke.core.placement.isolation import is_on_trial, isolate_worker_of, needs_isolation
 from onyxspoke.core.placement.runs import GangRun, Run, task_log_name
 from onyxspoke.core.placement.spreading import Placement, StepPlacement
 from onyxspoke.core.placement.worker_record import WorkerListing
@@ -14,12 +14,16 @@
 from onyxspoke.core.shard.context import ShardContext, address_of
 from onyxspoke.core.shard.orders import NOT_EXECUTED_OUTCOMES, OrderOutcome, OrderResult
 from onyxspoke.core.shard.run_manager import RunManager
+from onyxspoke.core.shard.start_queue import StartQueue
 
 #: Run numbers reserved for each token, so that the numbers of a holder's runs are higher than
 #: those of all earlier holders.
 RUN_NUMBERS_PER_TOKEN = 4_096
 #: For how long a worker gets no new runs after it refused a start, or was not reached.
 REFUSAL_BACKOFF_SECONDS = 0.5
+#: Largest number of starts that one call of :meth:`RunStarter.release_starts` orders, so that the
+#: event loop soon turns to other events.
+MAXIMUM_STARTS_PER_RELEASE = 64
 _BACKOFF_OUTCOMES = frozenset(
     {
         OrderOutcome.UNHEALTHY,
@@ -46,6 +50,22 @@
     def __init__(self, context: ShardContext, run_manager: RunManager) -> None:
         self._context = context
         self._run_manager = run_manager
+        self._queue = StartQueue()
+        self._replannable: list[StepKey] = []
+
+    @property
+    def has_startable(self) -> bool:
+        """Whether a recorded start may be ordered now."""
+        return self._queue.is_ready
+
+    def planning_limit(self, step: StepProgress) -> int:
+        """Return how many starts of a step may be planned now."""
+        return len(step.tasks) if step.spec.gang else self._queue.planning_limit(step.key)
+
+    def take_replannable(self) -> list[StepKey]:
+        """Return the steps of which more starts may be planned than at the last call."""
+        replannable, self._replannable = self._replannable, []
+        return replannable
 
     def start(self, plan: StepPlacement, now: float) -> None:
         """Reserve capacity for the tasks of a step; order the starts once they are recorded.
@@ -61,9 +81,13 @@
             gang = GangRun(step, self._next_run_number(step))
             self._run_manager.gangs[step.key] = gang
         runs = []
+        step_is_on_trial = is_on_trial(step)
         for placement in plan.placements:
             number = gang.number if gang is not None else self._next_run_number(step)
             runs.append(self._plan_run(placement, number, gang, now))
+            if needs_isolation(placement.task, step_is_on_trial):
+                isolate_worker_of(runs[-1], now)
+        self._queue.note_planned(step.key, len(runs))
         self._context.job_registry.dirty[step.job.job_id] = None
         self._context.commit.after_commit(_SendStartsAfterCommit(self, runs))
 
@@ -75,11 +99,10 @@
         task.run = run
         self._run_manager.reserve_capacity(run)
         self._context.job_registry.task_activated(task)
-        isolate_worker_of(run, now)
         return run
 
     def order_recorded_starts(self, runs: list[Run], now: float) -> None:
-        """Order starts whose records are committed, once ownership is proven.
+        """Queue starts whose records are committed, once ownership is proven.
 
         The append that recorded them may have been sent too long ago to prove it, as it is after
         an outage of the store.
@@ -91,17 +114,48 @@
             context.commit.after_proof(lambda moment: self.order_starts(runs, moment))
 
     def order_starts(self, runs: list[Run], now: float) -> None:
-        """Order starts whose records are committed; for a gang, order either all starts or none."""
-        startable = [run for run in runs if self._may_start(run, now)]
-        withdrawn = [run for run in runs if run not in startable]
-        if withdrawn and runs[0].gang is not None:
-            startable, withdrawn = [], runs
-        for run in withdrawn:
-            if run.state is RunState.PLANNED:
-                self._run_manager.log_run("start_withdrawn", run)
-                self._run_manager.end_run(run, RunEnd.NOT_STARTED, now)
-        for run in startable:
-            self._send_start(run, now)
+        """Queue starts, and order the first of them; for a gang, queue either all or none."""
+        are_startable = [self._may_start(run, now) for run in runs]
+        if runs[0].gang is not None and not all(are_startable):
+            are_startable = [False] * len(runs)
+        for run, is_startable in zip(runs, are_startable, strict=True):
+            if is_startable:
+                self._queue.add(run)
+            else:
+                self._withdraw(run, now)
+        self.release_starts(now)
+
+    def release_starts(self, now: float) -> None:
+        """Order as many of the queued starts as the workers, and one turn of the loop, take."""
+        if not self._context.may_send_orders(now):
+            return
+        steps_on_trial: dict[StepKey, bool] = {}
+        for _ in range(MAXIMUM_STARTS_PER_RELEASE):
+            run = self._queue.take()
+            if run is None:
+                return
+            if self._may_start(run, now):
+                self._note_settled(run)
+                self._send_start(run, now)
+                step = run.task.step
+                if step.key not in steps_on_trial:
+                    steps_on_trial[step.key] = is_on_trial(step)
+                if needs_isolation(run.task, steps_on_trial[step.key]):
+                    isolate_worker_of(run, now)
+            else:
+                self._withdraw(run, now)
+
+    def _withdraw(self, run: Run, now: float) -> None:
+        """Give up a planned start that may not be ordered any more."""
+        self._note_settled(run)
+        if run.state is RunState.PLANNED:
+            self._run_manager.log_run("start_withdrawn", run)
+            self._run_manager.end_run(run, RunEnd.NOT_STARTED, now)
+
+    def _note_settled(self, run: Run) -> None:
+        if self._queue.note_settled(run.task.step.key):
+            self._replannable.append(run.task.step.key)
+            self._context.needs_placement = True
 
     def _may_start(self, run: Run, now: float) -> bool:
         """Return whether a run is still planned and may be started now."""
@@ -134,8 +188,8 @@
         run.ordered_at = run.sent_at = run.progressed_at = now
         run.start_valid_until_ms = worker.clock.estimate_ms(now) + context.options.start_validity_ms
         worker.extend_lease(run.start_valid_until_ms)
+        self._queue.note_ordered(worker.worker_id)
         context.table.unresolved_starts.add_start(worker.worker_id, run.key, now)
-        isolate_worker_of(run, now)
         job = task.step.job
         context.log(
             "run_start",
@@ -161,6 +215,10 @@
             )
         )
 
+    def handle_answered(self, worker_id: WorkerId) -> None:
+        """Note that a start order was answered or given up, by any incarnation of a worker."""
+        self._queue.note_answered(worker_id)
+
     def handle_start_result(
         self, worker: Worker, key: RunKey, result: OrderResult, now: float
     ) -> None:
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -138,6 +138,7 @@
             self.context.advice_dispatcher,
             stop_seconds,
             is_speed_aware=options.load.unlike_workers,
+            planning_limit=self._run_starter.planning_limit,
         )
         self._last_active_at = claimed_at
         self._logged_order_right = OrderRight.PROVEN
@@ -243,6 +244,7 @@
         """Handle a worker's answer to a start order, or its absence."""
         if self._step_down_if_fenced(result):
             self._record_activity(now)
+            self._run_starter.handle_answered(address.worker_id)
             if result.outcome is not OrderOutcome.NO_ANSWER:
                 self.context.table.unresolved_starts.resolve_start(address.worker_id, run)
             worker = self._find_addressed_worker(address)
@@ -373,6 +375,7 @@
             self._record_activity(now)
             self._place_if_due(now)
             append = context.commit.next_append(now)
+            self._run_starter.release_starts(now)
             self._call_handler.refuse_withdrawn(self._unrecordable_jobs.take_withdrawn())
             if append is not None:
                 self._call_handler.handle_append_sent()
@@ -382,6 +385,8 @@
 
     def next_wakeup_at(self) -> float | None:
         """Return when :meth:`flush` is due without further events, or ``None``."""
+        if self._run_starter.has_startable and self.context.may_send_orders(self._last_active_at):
+            return self._last_active_at
         wakeup_at = self.context.commit.next_wakeup_at()
         if not self._is_placement_deferred:
             return wakeup_at
@@ -403,6 +408,8 @@
         context = self.context
         for step in context.advice_dispatcher.take_due_retries(now):
             self._placer.reconsider(step)
+        for step in self._run_starter.take_replannable():
+            self._placer.reconsider(step)
         steps = list(context.job_registry.startable_steps())
         pause = MINIMUM_PLACEMENT_PAUSE_SECONDS + PLACEMENT_PAUSE_PER_STEP_SECONDS * len(steps)
         self._next_placement_at = now + min(pause, MAXIMUM_PLACEMENT_PAUSE_SECONDS)
