Records: a large job's progress is recorded in parts that fit into a record

A job's progress was one record; 60 overlapping times of 300 tasks that keep checkpoints made it larger than record_bytes. A list of done times could outgrow a record as well.

- Jobs of over 512 open tasks, or 64 KB, have their tasks recorded in parts of 128 tasks.
Only parts that differ from what is recorded are written (by hash, also after a takeover); those of an ended job go with it, in one append.
- What is too much for one append goes on in the next; the job stays marked, so that no effect runs before.
- Over 1,000 done times are recorded as ranges.
- A record above record_bytes fails its own job alone (a specification is refused).
- A refused append is told as append_invalid in the log, not as out_of_sequence.

Small jobs' records are as before.

--- a/features/steps/commit_failure_steps.py
+++ b/features/steps/commit_failure_steps.py
@@ -17,7 +17,7 @@
     SPEC_PREFIX,
     ProgressRecord,
     StepRecord,
-    encode_progress,
+    encode_divided_progress,
     encode_spec,
 )
 from onyxspoke.core.shard import journal
@@ -88,12 +88,12 @@
 
 @given("the progress of the third job cannot be encoded once it runs")
 def _no_progress(context: Any) -> None:
-    def encode(job: JobProgress) -> bytes:
+    def encode(job: JobProgress) -> Any:
         if job.job_id == THIRD and job.has_started and not job.state.is_final:
             raise FaultError
-        return encode_progress(job)
+        return encode_divided_progress(job)
 
-    _patch(context, journal, "encode_progress", encode)
+    _patch(context, journal, "encode_divided_progress", encode)
 
 
 def _commit_queue(context: Any) -> CommitQueue:
--- a/features/steps/job_promise_steps.py
+++ b/features/steps/job_promise_steps.py
@@ -213,7 +213,7 @@
 
 @contextmanager
 def _without_record_of_crashes() -> Iterator[None]:
-    original = records.encode_progress
+    original = records.encode_divided_progress
 
     def encode(job: JobProgress) -> bytes:
         tallies = [(task, task.crashes) for step in job.steps() for task in step.tasks]
@@ -225,7 +225,7 @@
             for task, tally in tallies:
                 task.crashes = tally
 
-    with mock.patch.object(journal, "encode_progress", encode):
+    with mock.patch.object(journal, "encode_divided_progress", encode):
         yield
 
 
--- a/src/onyxspoke/core/jobs/progress.py
+++ b/src/onyxspoke/core/jobs/progress.py
@@ -255,6 +255,8 @@
         Learned ratio of actual to estimated durations for this kind of job.
     left_running : dict of WorkerId to ResourceVector
         What runs of the job may still use on each worker after the job has ended.
+    recorded_parts : dict of str to int
+        Hashes of the parts of its progress that an append contains, by their keys.
     """
 
     __slots__ = (
@@ -265,6 +267,7 @@
         "has_started",
         "left_running",
         "objective_seconds",
+        "recorded_parts",
         "repetitions",
         "spec",
         "spec_is_stored",
@@ -288,6 +291,7 @@
         self.final_at = 0.0
         self.spec_is_stored = False
         self.left_running: dict[WorkerId, ResourceVector] = {}
+        self.recorded_parts: dict[str, int] = {}
 
     @property
     def job_id(self) -> JobId:
--- a/src/onyxspoke/core/jobs/records.py
+++ b/src/onyxspoke/core/jobs/records.py
@@ -1,7 +1,9 @@
 """The records of a job in the store, and their encoding.
 
 The specification record of a job is written once. The progress record is rewritten after
-each change that must survive a change of holder.  Both are msgpack arrays.
+each change that must survive a change of holder.  Both are msgpack arrays.  The tasks of a large
+job are recorded in parts, of which only those that change are rewritten: the store limits the size
+of a record.
 """
 
 from __future__ import annotations
@@ -18,6 +20,15 @@
 
 SPEC_PREFIX = "job-spec/"
 PROGRESS_PREFIX = "job/"
+PART_PREFIX = "job-part/"
+#: Tasks that one part of a job's progress covers; also with long checkpoints it fits into a record.
+TASKS_PER_PART = 128
+#: A job whose open repetitions have at most this many tasks, and whose record has at most this many
+#: bytes, is recorded without parts.
+MAXIMUM_UNDIVIDED_TASKS = 512
+MAXIMUM_UNDIVIDED_BYTES = 65_536
+#: More done repetitions than this are recorded as ranges.
+MAXIMUM_LISTED_REPETITIONS = 1_000
 _BYTE_BITS = 8
 
 
@@ -28,6 +39,7 @@
     is recorded here before its start is ordered, so that a new holder knows which tasks an
     unresponsive worker may run.  ``crashes`` maps task indexes to crash tallies.  The record that
     adds a crash also removes the task's placement, so that a new holder counts each crash once.
+    All indexes and bitmaps are relative to ``first_task``, which is 0 unless the record is a part.
     """
 
     repetition: int
@@ -38,6 +50,13 @@
     failed_gang_runs: list[int]
     placed: dict[WorkerId, bytes] = {}
     crashes: dict[int, CrashTally] = {}
+    first_task: int = 0
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no task of the record has any progress."""
+        has_tasks = any(self.done) or self.placed or self.failed_runs or self.checkpoints
+        return not (has_tasks or self.crashes or self.failed_gang_runs)
 
 
 class ProgressRecord(msgspec.Struct, array_like=True):
@@ -47,6 +66,8 @@
     empty if no tenants were configured when the record was written.  ``left_running`` tells of a
     tenant's job that has ended what its runs may still use on each worker, so that a new holder
     counts them towards the tenant's quota; earlier versions neither write nor read it.
+    ``done_ranges`` holds the first and the last of each range of done repetitions, if those are too
+    many for ``done_repetitions``.
     """
 
     state: int
@@ -55,6 +76,7 @@
     was_submitted: bool = True
     tenant: TenantName = ""
     left_running: dict[WorkerId, ResourceVector] = {}
+    done_ranges: list[tuple[int, int]] = []
 
 
 class JobRecordKind(Enum):
@@ -71,6 +93,7 @@
 _encoder = msgspec.msgpack.Encoder()
 _spec_decoder = msgspec.msgpack.Decoder(JobSpec)
 _progress_decoder = msgspec.msgpack.Decoder(ProgressRecord)
+_part_decoder = msgspec.msgpack.Decoder(StepRecord)
 
 
 def spec_key(job_id: JobId) -> str:
@@ -97,17 +120,76 @@
 
 
 def encode_progress(job: JobProgress) -> bytes:
-    """Return the encoded record of a job's current progress."""
+    """Return the encoded record of a job's current progress, without parts."""
     steps = []
     if not job.state.is_final:
-        steps = [_step_record(step) for step in job.steps() if _has_progress(step)]
+        steps = [_step_record(step, 0, len(step.tasks)) for step in _steps_with_progress(job)]
+    return _encode_progress(job, steps)
+
+
+def _encode_progress(job: JobProgress, steps: list[StepRecord]) -> bytes:
     done = sorted(job.done_repetitions)
+    ranges: list[tuple[int, int]] = []
+    if len(done) > MAXIMUM_LISTED_REPETITIONS:
+        done, ranges = [], _find_ranges(done)
     record = ProgressRecord(
-        int(job.state), done, steps, tenant=job.spec.tenant, left_running=job.left_running
+        int(job.state),
+        done,
+        steps,
+        tenant=job.spec.tenant,
+        left_running=job.left_running,
+        done_ranges=ranges,
     )
     return _encoder.encode(record)
 
 
+def encode_divided_progress(job: JobProgress) -> tuple[bytes, dict[str, bytes]]:
+    """Return a job's encoded progress record, and its parts by their keys.
+
+    The parts are empty for a job that has few tasks, or has ended.
+    """
+    open_tasks = sum(len(step.tasks) for step in job.steps())
+    if job.state.is_final or open_tasks <= MAXIMUM_UNDIVIDED_TASKS:
+        value = encode_progress(job)
+        if job.state.is_final or len(value) <= MAXIMUM_UNDIVIDED_BYTES:
+            return value, {}
+    parts = {}
+    for step in _steps_with_progress(job):
+        for first in range(0, len(step.tasks), TASKS_PER_PART):
+            part = _step_record(step, first, min(first + TASKS_PER_PART, len(step.tasks)))
+            if not part.is_empty:
+                parts[_part_key(step.key, first)] = _encoder.encode(part)
+    return _encode_progress(job, []), parts
+
+
+def decode_part(key: str, data: bytes) -> StepRecord:
+    """Return the part in a record, or raise :class:`RecordFormatError`."""
+    try:
+        return _part_decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise RecordFormatError(f"{key}: {error}") from error
+
+
+def job_of_part(key: str) -> JobId:
+    """Return the job to which the part under a key belongs."""
+    return key.removeprefix(PART_PREFIX).partition("/")[0]
+
+
+def _part_key(step: StepKey, first_task: int) -> str:
+    return f"{PART_PREFIX}{step.job_id}/{step.repetition}.{step.step}.{first_task}"
+
+
+def _find_ranges(numbers: list[int]) -> list[tuple[int, int]]:
+    """Return the first and the last number of each range of successive ones."""
+    ranges: list[tuple[int, int]] = []
+    for number in numbers:
+        if ranges and ranges[-1][1] == number - 1:
+            ranges[-1] = (ranges[-1][0], number)
+        else:
+            ranges.append((number, number))
+    return ranges
+
+
 def decode_progress(key: str, data: bytes) -> ProgressRecord:
     """Return the progress in a record, or raise :class:`RecordFormatError`."""
     try:
@@ -123,6 +205,8 @@
     holder may have started.
     """
     job.done_repetitions = set(record.done_repetitions)
+    for first, last in record.done_ranges:
+        job.done_repetitions.update(range(first, last + 1))
     state = JobState(record.state)
     job.committed_state = state
     if state is not JobState.QUEUED:
@@ -132,6 +216,8 @@
         job.left_running = dict(record.left_running)
         return
     for stored in record.steps:
+        if stored.repetition in job.done_repetitions:
+            continue
         if stored.repetition not in job.repetitions:
             job.begin_repetition(stored.repetition, now)
         step = job.find_step(StepKey(job.job_id, stored.repetition, stored.step))
@@ -141,18 +227,19 @@
 
 def _restore_step(step: StepProgress, stored: StepRecord) -> None:
     step.failed_gang_runs = list(stored.failed_gang_runs)
-    for index in _read_bitmap(stored.done, len(step.tasks)):
-        step.tasks[index].move_to(TaskState.DONE)
+    tasks = step.tasks[stored.first_task :]
+    for index in _read_bitmap(stored.done, len(tasks)):
+        tasks[index].move_to(TaskState.DONE)
     for index, numbers in stored.failed_runs.items():
-        step.tasks[index].failed_runs = list(numbers)
+        tasks[index].failed_runs = list(numbers)
     for index, checkpoint in stored.checkpoints.items():
-        step.tasks[index].checkpoint = checkpoint
+        tasks[index].checkpoint = checkpoint
     for index, tally in stored.crashes.items():
-        step.tasks[index].crashes = tally
-    for worker_id, tasks in stored.placed.items():
-        for index in _read_bitmap(tasks, len(step.tasks)):
-            if step.tasks[index].state is not TaskState.DONE:
-                step.tasks[index].placed_on = worker_id
+        tasks[index].crashes = tally
+    for worker_id, placed in stored.placed.items():
+        for index in _read_bitmap(placed, len(tasks)):
+            if tasks[index].state is not TaskState.DONE:
+                tasks[index].placed_on = worker_id
 
 
 def has_progress(job: JobProgress) -> bool:
@@ -162,6 +249,10 @@
     return any(_has_progress(step) for step in job.steps())
 
 
+def _steps_with_progress(job: JobProgress) -> list[StepProgress]:
+    return [step for step in job.steps() if _has_progress(step)]
+
+
 def _has_progress(step: StepProgress) -> bool:
     if step.done_count or step.failed_gang_runs:
         return True
@@ -171,15 +262,16 @@
     )
 
 
-def _step_record(step: StepProgress) -> StepRecord:
-    """Return a step's record; one pass over the tasks, because a step may have thousands."""
-    size = (len(step.tasks) + _BYTE_BITS - 1) // _BYTE_BITS
+def _step_record(step: StepProgress, first: int, end: int) -> StepRecord:
+    """Return the record of a step's tasks from ``first`` until before ``end``."""
+    tasks = step.tasks if end - first == len(step.tasks) else step.tasks[first:end]
+    size = (len(tasks) + _BYTE_BITS - 1) // _BYTE_BITS
     done = bytearray(size)
     placed: dict[WorkerId, bytearray] = {}
     record = StepRecord(
-        step.key.repetition, step.key.step, b"", {}, {}, step.failed_gang_runs, {}, {}
+        step.key.repetition, step.key.step, b"", {}, {}, step.failed_gang_runs, {}, {}, first
     )
-    for index, task in enumerate(step.tasks):
+    for index, task in enumerate(tasks):
         bit = 1 << index % _BYTE_BITS
         if task.state is TaskState.DONE:
             done[index // _BYTE_BITS] |= bit
--- a/src/onyxspoke/core/shard/actions.py
+++ b/src/onyxspoke/core/shard/actions.py
@@ -167,6 +167,7 @@
     STORE_FENCED = "store_fenced"
     WORKER_FENCED = "worker_fenced"
     OUT_OF_SEQUENCE = "out_of_sequence"
+    APPEND_INVALID = "append_invalid"
     PLANNED = "planned"
     STORE_UNREACHABLE = "store_away"
     LARGER_NODE = "larger_node"
--- a/src/onyxspoke/core/shard/context.py
+++ b/src/onyxspoke/core/shard/context.py
@@ -55,6 +55,8 @@
         close together.
     refusal_retry_seconds : float
         Time after which a refused caller is asked to retry.
+    record_bytes : int
+        Largest record that the store accepts.
     load : LoadOptions
         Options for the handling of overload.
     """
@@ -67,6 +69,7 @@
     hold_wait_ms: int = 1_000
     hold_interval_seconds: float = 0.03
     refusal_retry_seconds: float = 1.0
+    record_bytes: int = 262_144
     load: LoadOptions = LoadOptions()
 
 
--- a/src/onyxspoke/core/shard/journal.py
+++ b/src/onyxspoke/core/shard/journal.py
@@ -7,16 +7,20 @@
 from onyxspoke.core.jobs.model import JobId, JobSpec
 from onyxspoke.core.jobs.progress import JobProgress
 from onyxspoke.core.jobs.records import (
+    PART_PREFIX,
     PROGRESS_PREFIX,
     SPEC_PREFIX,
     ProgressRecord,
     RecordFormatError,
+    StepRecord,
+    decode_part,
     decode_progress,
     decode_spec,
     encode_cancelled_before,
-    encode_progress,
+    encode_divided_progress,
     encode_spec,
     has_progress,
+    job_of_part,
     progress_key,
     spec_key,
 )
@@ -104,12 +108,12 @@
             job_id = next(iter(dirty))
             del dirty[job_id]
             try:
-                job_records = self._job_records(job_id)
+                job_records = self._job_records(job_id, maximum_bytes - size)
             except Exception as error:
                 self._unrecordable_jobs.give_up(job_id, error, now)
                 continue
             records += job_records
-            size += sum(len(record.key) + len(record.value) for record in job_records)
+            size += sum(record.size for record in job_records)
         if self._is_claim_changed:
             records.append(self.renew())
         if self._is_marker_due():
@@ -143,7 +147,8 @@
             ShardRecord(QUOTA_PREFIX + tenant, quota_lender.encode(tenant)) for tenant in tenants
         ]
 
-    def _job_records(self, job_id: JobId) -> list[ShardRecord]:
+    def _job_records(self, job_id: JobId, maximum_bytes: int) -> list[ShardRecord]:
+        """Return the records of a changed job; the job stays marked if they are too many bytes."""
         job_registry = self._context.job_registry
         job = job_registry.jobs.get(job_id)
         if job is None:
@@ -155,12 +160,54 @@
             records.append(ShardRecord(spec_key(job_id), b""))
         elif not job.state.is_final and not job.spec_is_stored:
             records.append(ShardRecord(spec_key(job_id), encode_spec(job.spec)))
+        parts: list[ShardRecord] = []
         if has_progress(job):
-            records.append(ShardRecord(progress_key(job_id), encode_progress(job)))
+            value, part_values = encode_divided_progress(job)
+            records.append(ShardRecord(progress_key(job_id), value))
+            parts = _changed_parts(job, part_values)
+        maximum_parts = _count_fitting(parts, maximum_bytes)
+        for record in [*records, *parts]:
+            if record.size > self._context.options.record_bytes:
+                raise RecordSizeError(record.key, record.size)
         # Nothing changes before every record is encoded, which may raise.
         job.spec_is_stored = not job.state.is_final
-        self._context.commit.after_commit(_MarkCommitted(self._context, job, job.state))
-        return records
+        for part in parts[:maximum_parts]:
+            if part.value:
+                job.recorded_parts[part.key] = hash(part.value)
+            else:
+                del job.recorded_parts[part.key]
+        if maximum_parts < len(parts):
+            job_registry.dirty[job_id] = None
+        else:
+            self._context.commit.after_commit(_MarkCommitted(self._context, job, job.state))
+        return records + parts[:maximum_parts]
+
+
+class RecordSizeError(Exception):
+    """A record is larger than the store accepts."""
+
+    def __init__(self, key: str, size: int) -> None:
+        super().__init__(f"{key}: {size} bytes")
+
+
+def _changed_parts(job: JobProgress, values: dict[str, bytes]) -> list[ShardRecord]:
+    """Return the parts of a job's progress that differ from the recorded ones."""
+    changed = [
+        ShardRecord(key, value)
+        for key, value in values.items()
+        if job.recorded_parts.get(key) != hash(value)
+    ]
+    return changed + [ShardRecord(key, b"") for key in job.recorded_parts if key not in values]
+
+
+def _count_fitting(records: list[ShardRecord], maximum_bytes: int) -> int:
+    """Return how many of the first records to append; at least one, if there is any."""
+    size = 0
+    for count, record in enumerate(records):
+        if size >= maximum_bytes:
+            return max(1, count)
+        size += record.size
+    return len(records)
 
 
 class _MarkCommitted:
@@ -216,21 +263,12 @@
     if layout is not None:
         context.emit(LayoutKnown(layout))
     restore_estimates_record(context, records, now)
-    progress: dict[JobId, ProgressRecord] = {}
-    specs: dict[JobId, bytes] = {}
     for record in records:
-        if record.key.startswith(SPEC_PREFIX):
-            specs[record.key.removeprefix(SPEC_PREFIX)] = record.value
-        elif record.key.startswith(PROGRESS_PREFIX):
-            _read_progress(context, record, progress)
-        elif record.key.startswith(QUOTA_PREFIX):
+        if record.key.startswith(QUOTA_PREFIX):
             _restore_quota_loans(context, record)
         elif record.key.startswith(WORKER_PREFIX):
             _restore_worker(context, worker_registry, record, now)
-    for job_id, data in specs.items():
-        _restore_job(context, job_id, data, progress.pop(job_id, None), now)
-    for job_id, stored_progress in progress.items():
-        _restore_finished(context, job_id, stored_progress, now)
+    _restore_jobs(context, records, now)
     context.log(
         "state_restored",
         jobs=len(context.job_registry.jobs),
@@ -240,6 +278,30 @@
     )
 
 
+def _restore_jobs(context: ShardContext, records: list[ShardRecord], now: float) -> None:
+    progress: dict[JobId, ProgressRecord] = {}
+    parts: dict[JobId, list[ShardRecord]] = {}
+    specs: dict[JobId, bytes] = {}
+    for record in records:
+        if record.key.startswith(SPEC_PREFIX):
+            specs[record.key.removeprefix(SPEC_PREFIX)] = record.value
+        elif record.key.startswith(PROGRESS_PREFIX):
+            _read_progress(context, record, progress)
+        elif record.key.startswith(PART_PREFIX):
+            parts.setdefault(job_of_part(record.key), []).append(record)
+    for job_id, data in specs.items():
+        stored_progress = progress.pop(job_id, None)
+        job_parts = parts.get(job_id, []) if stored_progress is not None else []
+        if stored_progress is not None:
+            stored_progress.steps += _read_parts(context, job_parts)
+        _restore_job(context, job_id, data, stored_progress, now)
+        job = context.job_registry.jobs.get(job_id)
+        if job is not None:
+            job.recorded_parts = {record.key: hash(record.value) for record in job_parts}
+    for job_id, stored_progress in progress.items():
+        _restore_finished(context, job_id, stored_progress, now)
+
+
 def _restore_quota_loans(context: ShardContext, record: ShardRecord) -> None:
     try:
         context.quota_lender.restore(record.key.removeprefix(QUOTA_PREFIX), record.value)
@@ -247,6 +309,16 @@
         context.log("record_unreadable", key=record.key, error=str(error))
 
 
+def _read_parts(context: ShardContext, records: list[ShardRecord]) -> list[StepRecord]:
+    parts = []
+    for record in records:
+        try:
+            parts.append(decode_part(record.key, record.value))
+        except RecordFormatError as error:
+            context.log("record_unreadable", key=record.key, error=str(error))
+    return parts
+
+
 def _read_progress(
     context: ShardContext, record: ShardRecord, progress: dict[JobId, ProgressRecord]
 ) -> None:
--- a/src/onyxspoke/core/shard/log_records.py
+++ b/src/onyxspoke/core/shard/log_records.py
@@ -28,6 +28,11 @@
     key: str
     value: bytes
 
+    @property
+    def size(self) -> int:
+        """Bytes that the record takes in the store."""
+        return len(self.key) + len(self.value) + 1
+
 
 class ShardAppend(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """Records that the store appends atomically.
--- a/src/onyxspoke/core/shard/scheduler.py
+++ b/src/onyxspoke/core/shard/scheduler.py
@@ -71,6 +71,10 @@
 #: Upper bound of the pause between two placement passes.
 MAXIMUM_PLACEMENT_PAUSE_SECONDS = 0.025
 _MILLISECONDS = 1_000.0
+_APPEND_FAILURES = {
+    AppendOutcome.FENCED: StepDownReason.STORE_FENCED,
+    AppendOutcome.INVALID: StepDownReason.APPEND_INVALID,
+}
 
 
 class ShardScheduler:
@@ -294,9 +298,7 @@
         self._record_activity(now)
         if self.context.commit.handle_result(sequence, sent_at, result, now):
             return
-        is_fenced = result.outcome is AppendOutcome.FENCED
-        reason = StepDownReason.STORE_FENCED if is_fenced else StepDownReason.OUT_OF_SEQUENCE
-        self.context.step_down(reason)
+        self.context.step_down(_APPEND_FAILURES.get(result.outcome, StepDownReason.OUT_OF_SEQUENCE))
 
     def _find_addressed_worker(self, address: WorkerAddress) -> Worker | None:
         """Return the incarnation to which an order was addressed, unless it has ended."""
--- a/src/onyxspoke/platform/settings.py
+++ b/src/onyxspoke/platform/settings.py
@@ -135,6 +135,7 @@
         maximum_hold_ms=reader.whole("bounds.maxHoldMs", 100, 3_600_000),
         stop_grace_ms=reader.whole("bounds.stopGraceMs", 0, 600_000),
         finished_job_retention_seconds=reader.fraction("bounds.status_s", 0.0, 1e6),
+        record_bytes=reader.whole("platform.record_bytes", 1_024, 1 << 30),
         load=_read_load_options(reader),
     )
 
