Node: the log and the metrics tell of long turns of the event loop

Each tick of a node is now compared with when it was due: a histogram of the delays (onyxspoke_loop_delay_seconds), and a line (loop_late) where one is over 0.2 s, one a second at most.

Evidence: the scenario 'The log and the metrics tell of a turn of the loop that takes long', new.

--- a/features/large_jobs.feature
+++ b/features/large_jobs.feature
@@ -50,3 +50,10 @@
     When the runs are checked for stalls 4 times
     Then each check looked at 500 runs at most
     And every run was looked at once
+
+  # A stalled loop could be told from other causes of a lost shard only by guessing.
+  Scenario: The log and the metrics tell of a turn of the loop that takes long
+    Given a watch of the event loop
+    When ticks come 0, 0.05, 0.35, 0.25 and 0.01 seconds late, one every 0.4 seconds
+    Then the log tells of delays of 0.350 and 0.250 seconds
+    And the metrics count 6 ticks, 2 of them over 0.1 seconds late
--- a/features/steps/large_job_steps.py
+++ b/features/steps/large_job_steps.py
@@ -29,6 +29,9 @@
 from onyxspoke.core.shard.scheduler import ShardScheduler
 from onyxspoke.kit.jobs.worker_orders import FakeWorkerOrders
 from onyxspoke.kit.jobs.workers import WorkOptions
+from onyxspoke.node import loop_watch
+from onyxspoke.node.loop_watch import LoopWatch
+from onyxspoke.node.metrics import NodeMetrics
 from onyxspoke.sim import job_cluster
 from onyxspoke.sim.job_cluster import ClusterOptions, JobCluster
 
@@ -398,3 +401,40 @@
 def _all_checked(context: Any) -> None:
     runs = sum(len(worker.runs) for worker in context.shard.table.workers.values())
     assert len(context.seen) == len({id(run) for run in context.seen}) == runs
+
+
+@given("a watch of the event loop")
+def _watch(context: Any) -> None:
+    context.metrics = NodeMetrics()
+    context.watch = LoopWatch(context.metrics)
+    context.lines = []
+
+    def warn(text: str, *arguments: Any) -> None:
+        context.lines.append(text % arguments)
+
+    _patch(context, loop_watch.logging, "warning", warn)
+
+
+@when("ticks come 0, 0.05, 0.35, 0.25 and 0.01 seconds late, one every {pause:g} seconds")
+def _late_ticks(context: Any, pause: float) -> None:
+    for number, delay in enumerate((0.0, 0.05, 0.35, 0.25, 0.01), start=1):
+        due_at = 1.0 + number * pause
+        context.watch.expect_tick(due_at)
+        context.watch.note_tick(due_at + delay)
+    # On time; the log may tell of the second late tick only now, as it came soon after the first.
+    context.watch.expect_tick(9.0)
+    context.watch.note_tick(9.0)
+
+
+@then("the log tells of delays of {first} and {second} seconds")
+def _log_tells(context: Any, first: str, second: str) -> None:
+    expected = [f"event=loop_late seconds={seconds}" for seconds in (first, second)]
+    assert context.lines == expected, context.lines
+
+
+@then("the metrics count {ticks:d} ticks, {late:d} of them over 0.1 seconds late")
+def _metrics_count(context: Any, ticks: int, late: int) -> None:
+    text = context.metrics.render().decode()
+    name = "onyxspoke_loop_delay_seconds"
+    assert f"{name}_count {ticks:.1f}" in text, text
+    assert f'{name}_bucket{{le="0.1"}} {ticks - late:.1f}' in text, text
--- a/src/onyxspoke/node/metrics.py
+++ b/src/onyxspoke/node/metrics.py
@@ -31,6 +31,10 @@
             "onyxspoke_internal_errors", "Exceptions that ended a shard's scheduler",
             registry=registry,
         )  # fmt: skip
+        self.loop_delay_seconds = Histogram(
+            "onyxspoke_loop_delay_seconds", "By how much ticks were later than they were due",
+            buckets=BUCKETS, registry=registry,
+        )  # fmt: skip
         self.replies = Counter(
             "onyxspoke_replies", "Replies to callers, by call and code", ["call", "code"],
             registry=registry,
--- a/src/onyxspoke/node/node.py
+++ b/src/onyxspoke/node/node.py
@@ -35,6 +35,7 @@
 from onyxspoke.node.heartbeat import HEARTBEAT_SECONDS, HeartbeatSchedule
 from onyxspoke.node.key_gate import KeyGate
 from onyxspoke.node.layout_planner import LayoutPlanner
+from onyxspoke.node.loop_watch import LoopWatch
 from onyxspoke.node.messages import (
     AdviceAnswer,
     AdviceForward,
@@ -160,6 +161,7 @@
             NewestRelayAnswer: lambda _link, message: self.store.handle_relay_answer(message),
         }
         self._next_tick: IDelayedCall | None = None
+        self._loop_watch = LoopWatch(self.metrics)
         beat = TimerService(HEARTBEAT_SECONDS, self._beat)
         beat.clock = network.reactor
         beat.setServiceParent(self)
@@ -559,9 +561,10 @@
         return agreed_time_ms(self._clock.now(), self._wall_ms(), self.peers.up_links())
 
     def _tick(self) -> None:
+        now = self._clock.now()
+        self._loop_watch.note_tick(now)
         # First, so that a fault below ends one tick and not all.
         self._tick_in(TICK_SECONDS)
-        now = self._clock.now()
         if now >= self._round_at:
             self._round_at = now + ROUND_SECONDS
             self._keep_slowly(now)
@@ -582,6 +585,7 @@
 
     def _tick_in(self, seconds: float) -> None:
         self._cancel_tick()
+        self._loop_watch.expect_tick(self._clock.now() + seconds)
         self._next_tick = self._network.reactor.callLater(seconds, self._tick)
 
     def _cancel_tick(self) -> None:
