Records: a divided record takes an undivided one's place in one append; an end that cannot be recorded is not confirmed

A job that outgrew its record could have its steps taken out of the record by one append and its parts written by the next; a holder that took over between them would have started tasks again. Such a change is now whole, and so is the removal of the parts of a job that ends. A restored undivided record goes before parts that were left over.

A job that has ended and whose record cannot be encoded was given up without effect, and its end confirmed; a job that was known to the store could be withdrawn. Now the holder gives the shard up.

--- a/features/commit_failures.feature
+++ b/features/commit_failures.feature
@@ -19,6 +19,14 @@
     Then the third job is shown as failed, and the others as completed
     And the shard has kept its holder
 
+  Scenario: A job whose end cannot be encoded is not shown as ended before its end is recorded
+    Given a cluster whose jobs are handed in together
+    And the end of the third job cannot be encoded at first
+    When 6 jobs are handed in
+    And 9 seconds pass in that shard
+    Then the holder has given the shard up with "internal_error"
+    And the accepted jobs are completed
+
   # Guards against effects that run although the append with their changes was never built.
   Scenario Outline: Nobody is answered for a change that no append has, where <part> raises
     Given a cluster whose jobs are handed in together
--- a/features/large_records.feature
+++ b/features/large_records.feature
@@ -21,6 +21,14 @@
     And the job counts as recorded only with the last append
     And a new holder restores the same progress
 
+  # Guards against a record without steps that takes the place of one with steps, before its parts.
+  Scenario: A job that outgrows its record is divided in one append
+    Given a job of 60 open times of 300 tasks, whose tasks keep their progress
+    And its record has no parts yet
+    When its progress is recorded in appends of about 50000 bytes
+    Then it is recorded in 1 append
+    And a new holder restores the same progress
+
   Scenario: Many times that are done take little room
     Given a job of which 99000 times are done, and 3 others are not
     When its progress is recorded
--- a/features/steps/commit_failure_steps.py
+++ b/features/steps/commit_failure_steps.py
@@ -96,6 +96,21 @@
     _patch(context, journal, "encode_divided_progress", encode)
 
 
+@given("the end of the third job cannot be encoded at first")
+def _no_end(context: Any) -> None:
+    context.cluster.expected_internal_errors = 1
+    has_raised = False
+
+    def encode(job: JobProgress) -> Any:
+        nonlocal has_raised
+        if job.job_id == THIRD and job.state.is_final and not has_raised:
+            has_raised = True
+            raise FaultError
+        return encode_divided_progress(job)
+
+    _patch(context, journal, "encode_divided_progress", encode)
+
+
 def _commit_queue(context: Any) -> CommitQueue:
     return context.cluster.holder().node.seats[0].scheduler.context.commit
 
--- a/features/steps/large_record_steps.py
+++ b/features/steps/large_record_steps.py
@@ -112,6 +112,16 @@
             assert context.effects == 0, "the effect runs before the job is recorded"
 
 
+@given("its record has no parts yet")
+def _undivided(context: Any) -> None:
+    context.job.has_undivided_record = True
+
+
+@then("it is recorded in {count:d} append")
+def _append_count(context: Any, count: int) -> None:
+    assert len(context.appends) == count, len(context.appends)
+
+
 @when("its progress is recorded")
 def _recorded(context: Any) -> None:
     _record(context, LARGE_APPEND_BYTES)
--- a/src/onyxspoke/core/jobs/progress.py
+++ b/src/onyxspoke/core/jobs/progress.py
@@ -257,6 +257,8 @@
         What runs of the job may still use on each worker after the job has ended.
     recorded_parts : dict of str to int
         Hashes of the parts of its progress that an append contains, by their keys.
+    has_undivided_record : bool
+        Whether the latest appended record of its progress contains steps, and so has no parts.
     """
 
     __slots__ = (
@@ -265,6 +267,7 @@
         "done_repetitions",
         "final_at",
         "has_started",
+        "has_undivided_record",
         "left_running",
         "objective_seconds",
         "recorded_parts",
@@ -292,6 +295,7 @@
         self.spec_is_stored = False
         self.left_running: dict[WorkerId, ResourceVector] = {}
         self.recorded_parts: dict[str, int] = {}
+        self.has_undivided_record = False
 
     @property
     def job_id(self) -> JobId:
--- a/src/onyxspoke/core/shard/journal.py
+++ b/src/onyxspoke/core/shard/journal.py
@@ -161,16 +161,22 @@
         elif not job.state.is_final and not job.spec_is_stored:
             records.append(ShardRecord(spec_key(job_id), encode_spec(job.spec)))
         parts: list[ShardRecord] = []
+        has_undivided_record = job.has_undivided_record
         if has_progress(job):
             value, part_values = encode_divided_progress(job)
+            has_undivided_record = not part_values
             records.append(ShardRecord(progress_key(job_id), value))
             parts = _changed_parts(job, part_values)
-        maximum_parts = _count_fitting(parts, maximum_bytes)
+        # The record that takes an undivided one's place must not appear without any of the parts,
+        # and no part may outlive its job.
+        is_divisible = not job.has_undivided_record and not job.state.is_final
+        maximum_parts = _count_fitting(parts, maximum_bytes) if is_divisible else len(parts)
         for record in [*records, *parts]:
             if record.size > self._context.options.record_bytes:
                 raise RecordSizeError(record.key, record.size)
         # Nothing changes before every record is encoded, which may raise.
         job.spec_is_stored = not job.state.is_final
+        job.has_undivided_record = has_undivided_record
         for part in parts[:maximum_parts]:
             if part.value:
                 job.recorded_parts[part.key] = hash(part.value)
@@ -292,12 +298,15 @@
     for job_id, data in specs.items():
         stored_progress = progress.pop(job_id, None)
         job_parts = parts.get(job_id, []) if stored_progress is not None else []
+        has_undivided_record = stored_progress is not None and bool(stored_progress.steps)
         if stored_progress is not None:
-            stored_progress.steps += _read_parts(context, job_parts)
+            # Parts that an undivided record has taken the place of may be left; it goes last.
+            stored_progress.steps[:0] = _read_parts(context, job_parts)
         _restore_job(context, job_id, data, stored_progress, now)
         job = context.job_registry.jobs.get(job_id)
         if job is not None:
             job.recorded_parts = {record.key: hash(record.value) for record in job_parts}
+            job.has_undivided_record = has_undivided_record
     for job_id, stored_progress in progress.items():
         _restore_finished(context, job_id, stored_progress, now)
 
