--- a/features/entries_from_other_writers.feature
+++ b/features/entries_from_other_writers.feature
@@ -28,6 +28,11 @@
       | no capacity                | "capacity" left out             | unreadable    |
       | a capacity without memory  | "capacity" as {"cpu":16000}     | unreadable    |
       | processors below zero      | "capacity" as {"cpu":-1,"memMb":1}   | out_of_range |
+      | a zone beyond all          | "zone" of 101 letters           | out_of_range  |
+      | a service beyond all       | "service" of 101 letters        | out_of_range  |
+      | a machine beyond all       | "machine" of 101 letters        | out_of_range  |
+      | labels without end         | "labels" of 33 texts            | out_of_range  |
+      | a label beyond all         | "labels" of 1 long text         | out_of_range  |
       | memory beyond any machine  | "capacity" as {"cpu":1,"memMb":1000000000000000000} | out_of_range |
       | a birth of another type    | "born" as "noon"                | unreadable    |
       | a birth that is no whole number | "born" as 7.5              | unreadable    |
--- a/features/platform_codec.feature
+++ b/features/platform_codec.feature
@@ -69,6 +69,11 @@
     And the end 58 of run 1 of task 9 of step 1 is "done"
     And the worker does not say when it was born
 
+  # Guards against a record that one task's checkpoint makes too large for the store.
+  Scenario: A checkpoint that is too long to be kept
+    When a worker answers a hold with a checkpoint of 1025 bytes
+    Then the run 2 of task 17 of step 1 has no checkpoint, at 41 percent
+
   Scenario: What a worker holds that says when it was born
     When a worker answers a hold with
       """
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -52,6 +52,12 @@
     context.found = decode_worker(worker_id, json.dumps(entry).encode())
 
 
+@when('the directory lists "{worker_id}" with "{field}" of {count:d} {kind}')
+def _sized(context: Any, worker_id: str, field: str, count: int, kind: str) -> None:
+    values = {"letters": "x" * count, "texts": ["x"] * count, "long text": ["x" * 101] * count}
+    _changed(context, worker_id, field, json.dumps(values[kind]))
+
+
 @when('the directory lists "{worker_id}" with all of it as {text}')
 def _whole(context: Any, worker_id: str, text: str) -> None:
     context.found = decode_worker(worker_id, text.encode())
--- a/features/steps/platform_codec_steps.py
+++ b/features/steps/platform_codec_steps.py
@@ -183,6 +183,19 @@
     context.hold = read_hold(_answer(200, context.text))
 
 
+@when("a worker answers a hold with a checkpoint of {size:d} bytes")
+def _long_checkpoint(context, size):
+    row = ["5c0e7a21d94b36f8.0.1.17", 2, "x" * size, 41]
+    context.hold = read_hold(_answer(200, json.dumps({"clockMs": 1, "running": [row]})))
+
+
+@then(
+    "the run {number:d} of task {index:d} of step {step:d} has no checkpoint, at {percent:d} percent"
+)
+def _running_anew(context, number, index, step, percent):
+    _running(context, number, index, step, percent, "")
+
+
 @then("the worker was born at {born_ms:d}")
 def _born(context, born_ms):
     assert context.hold.born_ms == born_ms
--- a/src/onyxspoke/core/shard/journal.py
+++ b/src/onyxspoke/core/shard/journal.py
@@ -103,7 +103,7 @@
         records = self._layout_records() + self._worker_registry.collect_records()
         records += self._quota_records() + self._estimates.collect_records()
         dirty = self._context.job_registry.dirty
-        size = 0
+        size = sum(record.size for record in records)
         while dirty and size < maximum_bytes:
             job_id = next(iter(dirty))
             del dirty[job_id]
--- a/src/onyxspoke/platform/directory.py
+++ b/src/onyxspoke/platform/directory.py
@@ -29,6 +29,9 @@
 #: Amounts beyond this are no machine's; sums of them stay exact.
 _HIGHEST_FIGURE = 2**40
 _HIGHEST_PORT = 65_535
+#: The records of a shard's workers fit into one append with these bounds.
+_MAXIMUM_LABELS = 32
+_MAXIMUM_TEXT_BYTES = 100
 #: Milliseconds from 1970 beyond this are no moment of a worker's start.
 _HIGHEST_MOMENT_MS = 2**53
 _ADDRESS = re.compile(r"(?P<host>[0-9]{1,3}(?:\.[0-9]{1,3}){3}):(?P<port>[0-9]{1,5})")
@@ -166,10 +169,16 @@
     figures = (capacity.processors_milli, capacity.memory_mb, capacity.gpu, entry.remaining_ms)
     if min(figures) < 0 or max(figures) > _HIGHEST_FIGURE:
         return EntryFault.OUT_OF_RANGE
-    if not 0 <= entry.born <= _HIGHEST_MOMENT_MS:
+    if not 0 <= entry.born <= _HIGHEST_MOMENT_MS or not _are_texts_short(entry):
         return EntryFault.OUT_OF_RANGE
     return None
 
 
+def _are_texts_short(entry: WorkerEntry) -> bool:
+    texts = (entry.service, entry.zone, entry.machine, *entry.labels)
+    are_few = len(entry.labels) <= _MAXIMUM_LABELS
+    return are_few and all(len(text.encode()) <= _MAXIMUM_TEXT_BYTES for text in texts)
+
+
 def _is_rack(label: str) -> bool:
     return label.startswith(_RACK_PREFIX) and "-" in label
--- a/src/onyxspoke/platform/workers.py
+++ b/src/onyxspoke/platform/workers.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import msgspec
+from absl import logging
 
 from onyxspoke.core.jobs.model import RunKey, TaskKey
 from onyxspoke.core.jobs.states import RunEnd
@@ -33,6 +34,8 @@
 HOLD_SLACK_SECONDS = 0.2
 #: A list of ends this long may have been cut off.
 MAXIMUM_ENDS = 500
+#: A longer checkpoint is not kept, so that the records of many tasks fit into the store.
+MAXIMUM_CHECKPOINT_BYTES = 1_024
 
 _HTTP_OK = 200
 _HTTP_INVALID = 400
@@ -302,9 +305,19 @@
 def _to_running(row: list[Any]) -> RunningReport:
     task, run, checkpoint, percent = row[:_FIRST_COLUMNS]
     usage = int(row[_FIRST_COLUMNS]) if len(row) > _FIRST_COLUMNS else 0
+    checkpoint = _read_checkpoint(task, checkpoint)
     return RunningReport(RunKey(decode_task(task), run), checkpoint, int(percent), usage)
 
 
 def _to_end(row: list[Any]) -> EndReport:
     number, task, run, end, checkpoint = row
+    checkpoint = _read_checkpoint(task, checkpoint)
     return EndReport(number, RunKey(decode_task(task), run), RunEnd(end), checkpoint)
+
+
+def _read_checkpoint(task: str, checkpoint: Any) -> str:
+    """Return a checkpoint, or none if it is no text or too long to be kept."""
+    if isinstance(checkpoint, str) and len(checkpoint.encode()) <= MAXIMUM_CHECKPOINT_BYTES:
+        return checkpoint
+    logging.warning("event=checkpoint_unusable task=%.100r", task)
+    return ""
