--- a/features/platform_codec.feature
+++ b/features/platform_codec.feature
@@ -72,7 +72,7 @@
   # Guards against a record that one task's checkpoint makes too large for the store.
   Scenario: A checkpoint that is too long to be kept
     When a worker answers a hold with a checkpoint of 1025 bytes
-    Then the run 2 of task 17 of step 1 has no checkpoint, at 41 percent
+    Then the run 2 of task 17 of step 1 has no checkpoint at 41 percent
 
   Scenario: What a worker holds that says when it was born
     When a worker answers a hold with
--- a/features/steps/platform_codec_steps.py
+++ b/features/steps/platform_codec_steps.py
@@ -190,7 +190,7 @@
 
 
 @then(
-    "the run {number:d} of task {index:d} of step {step:d} has no checkpoint, at {percent:d} percent"
+    "the run {number:d} of task {index:d} of step {step:d} has no checkpoint at {percent:d} percent"
 )
 def _running_anew(context, number, index, step, percent):
     _running(context, number, index, step, percent, "")
