Records: the placements of a record are collected apart again

A scenario of job_promises.feature takes them out of the record, to show that the record is what keeps a successor from starting tasks twice; it could not any more since one pass did everything.

With this change features/job_promises.feature and features/large_records.feature: 58 passed, 0 failed.

--- a/src/onyxspoke/core/jobs/records.py
+++ b/src/onyxspoke/core/jobs/records.py
@@ -14,7 +14,7 @@
 
 from onyxspoke.core.jobs.crashes import NO_CRASHES, CrashTally
 from onyxspoke.core.jobs.model import JobId, JobSpec, ResourceVector, StepKey, WorkerId
-from onyxspoke.core.jobs.progress import JobProgress, StepProgress
+from onyxspoke.core.jobs.progress import JobProgress, StepProgress, TaskProgress
 from onyxspoke.core.jobs.states import JobState, TaskState
 from onyxspoke.core.tenants.policy import TenantName
 
@@ -267,20 +267,13 @@
     tasks = step.tasks if end - first == len(step.tasks) else step.tasks[first:end]
     size = (len(tasks) + _BYTE_BITS - 1) // _BYTE_BITS
     done = bytearray(size)
-    placed: dict[WorkerId, bytearray] = {}
     record = StepRecord(
         step.key.repetition, step.key.step, b"", {}, {}, step.failed_gang_runs, {}, {}, first
     )
     for index, task in enumerate(tasks):
-        bit = 1 << index % _BYTE_BITS
         if task.state is TaskState.DONE:
-            done[index // _BYTE_BITS] |= bit
+            done[index // _BYTE_BITS] |= 1 << index % _BYTE_BITS
             continue
-        if task.placed_on:
-            bitmap = placed.get(task.placed_on)
-            if bitmap is None:
-                bitmap = placed[task.placed_on] = bytearray(size)
-            bitmap[index // _BYTE_BITS] |= bit
         if task.failed_runs:
             record.failed_runs[index] = task.failed_runs
         if task.checkpoint:
@@ -288,10 +281,22 @@
         if task.crashes is not NO_CRASHES and task.crashes.total:
             record.crashes[index] = task.crashes
     record.done = bytes(done)
-    record.placed = {worker_id: bytes(bitmap) for worker_id, bitmap in placed.items()}
+    record.placed = _placements(size, tasks)
     return record
 
 
+def _placements(size: int, tasks: list[TaskProgress]) -> dict[WorkerId, bytes]:
+    """Return for each worker the bitmap, of ``size`` bytes, of the tasks that it may be running."""
+    placed: dict[WorkerId, bytearray] = {}
+    for index, task in enumerate(tasks):
+        if task.placed_on and task.state is not TaskState.DONE:
+            bitmap = placed.get(task.placed_on)
+            if bitmap is None:
+                bitmap = placed[task.placed_on] = bytearray(size)
+            bitmap[index // _BYTE_BITS] |= 1 << index % _BYTE_BITS
+    return {worker_id: bytes(bitmap) for worker_id, bitmap in placed.items()}
+
+
 def _read_bitmap(data: bytes, count: int) -> list[int]:
     present = min(count, len(data) * _BYTE_BITS)
     return [i for i in range(present) if data[i // _BYTE_BITS] >> i % _BYTE_BITS & 1]
